Lay out the workspace: types, kernel, wire, contracts of the other components

Cause: the parts are built side by side and need fixed types first. Change: identifiers, outcomes, frames, orders, samples, templates, configuration, members; the kernel (registry, rings, duties, phases, dumps, metrics); HTTP server and client with keys and TLS; the commands of the replicated state and of the ledger; settings structs. Conclusion: the other components can be written against these.

--- /dev/null
+++ b/components/admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admits, limits, queues, retries and hedges requests.
--- /dev/null
+++ b/components/agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The agent role: the one small process beside an endpoint.
--- /dev/null
+++ b/components/agreement/src/lib.rs
@@ -0,0 +1,1 @@
+//! The replicated log's decisions: elections, leases, appending, membership.
--- /dev/null
+++ b/components/capacity/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measures slopes and works out docs/CAPACITY.md; not shipped.
--- /dev/null
+++ b/components/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry role: callers, trainers, routing, streams.
--- /dev/null
+++ b/components/ledger/src/lib.rs
@@ -0,0 +1,15 @@
+//! The exactly-once ledger of steps, groups, samples and deliveries.
+//!
+//! It is a part of the replicated state (docs/STEPS.md): pure, deterministic, the same on every
+//! replica.
+
+pub mod command;
+
+pub use command::Body;
+pub use command::GroupSpec;
+pub use command::LedgerCommand;
+pub use command::LedgerReply;
+pub use command::Progress;
+pub use command::Record;
+pub use command::StepKey;
+pub use command::StepSpec;
--- /dev/null
+++ b/components/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Chooses an endpoint for a request.
--- /dev/null
+++ b/components/storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! The durable log and snapshots of a control process.
--- /dev/null
+++ b/components/suspects/src/lib.rs
@@ -0,0 +1,1 @@
+//! Finds the requests that crash endpoints.
--- /dev/null
+++ b/components/weights/src/lib.rs
@@ -0,0 +1,1 @@
+//! Plans how new weights reach every sampler.
--- /dev/null
+++ b/components/wire/src/lib.rs
@@ -0,0 +1,20 @@
+//! HTTP between processes, callers and operators: server, client, keys, TLS.
+//!
+//! Between the system's own processes bodies are MessagePack by `rmp-serde`; towards callers and
+//! operators they are JSON. All bodies, headers and connections are bounded (docs/API.md).
+
+pub mod client;
+pub mod keys;
+pub mod paths;
+pub mod reply;
+pub mod server;
+pub mod tls;
+
+pub use client::CallError;
+pub use client::Client;
+pub use keys::Identity;
+pub use keys::Keys;
+pub use keys::Kind;
+pub use reply::Reply;
+pub use server::Call;
+pub use server::Routes;
--- /dev/null
+++ b/components/wire/src/paths.rs
@@ -0,0 +1,52 @@
+//! The paths at which processes answer; docs/API.md describes those for outsiders.
+
+/// Generations in the shape of chat completions.
+pub const CHAT: &str = "/v1/chat/completions";
+/// Generations in the shape of completions.
+pub const COMPLETIONS: &str = "/v1/completions";
+/// Calls of plain services; the service's name and path follow.
+pub const SERVICES: &str = "/v1/services/";
+
+/// Opens a step.
+pub const STEP_OPEN: &str = "/trainer/v1/open";
+/// Pulls finished groups.
+pub const STEP_PULL: &str = "/trainer/v1/pull";
+/// Acknowledges what was pulled.
+pub const STEP_ACK: &str = "/trainer/v1/ack";
+
+/// Submits one command of an operator (`chicoryford_state::Command`) as JSON.
+pub const OPERATE: &str = "/operator/v1/command";
+/// Asks for accepted configuration as JSON.
+pub const CONFIG: &str = "/operator/v1/config";
+/// Asks for who has which revision in force, as JSON.
+pub const IN_FORCE: &str = "/operator/v1/in-force";
+/// Asks for members and endpoints, as JSON.
+pub const MEMBERS: &str = "/operator/v1/members";
+/// Asks for the leader, epoch and replicas, as JSON.
+pub const CONTROL_STATUS: &str = "/operator/v1/control";
+
+/// Proposes a command to the control processes.
+pub const PROPOSE: &str = "/peer/v1/propose";
+/// Carries messages of the agreement between control processes.
+pub const AGREEMENT: &str = "/peer/v1/agreement";
+/// Asks a parent for configuration beyond a position; the answer waits until there is some.
+pub const FOLLOW: &str = "/peer/v1/follow";
+/// Asks a control process for the highest epoch that it knows.
+pub const EPOCH: &str = "/peer/v1/epoch";
+
+/// Runs an attempt; the answer is a stream of frames.
+pub const WORK: &str = "/agent/v1/work";
+/// Asks what became of an attempt and revokes it if it was never seen.
+pub const ATTEMPT: &str = "/agent/v1/attempt";
+/// Gives an order.
+pub const ORDER: &str = "/agent/v1/order";
+/// Asks whether the agent and its endpoint answer; used to tell a silent connection from a dead
+/// endpoint.
+pub const PROBE: &str = "/agent/v1/probe";
+
+/// Tells whether the process lives.
+pub const HEALTH: &str = "/healthz";
+/// Tells whether the process takes work.
+pub const READY: &str = "/readyz";
+/// Gives the process's state dump as JSON.
+pub const DUMP: &str = "/dump";
--- /dev/null
+++ b/components/wire/src/server.rs
@@ -0,0 +1,323 @@
+//! The HTTP server of a process.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::HttpMessage;
+use actix_http::HttpService;
+use actix_http::Method;
+use actix_http::Request;
+use actix_http::header;
+use actix_http::header::HeaderMap;
+use actix_server::Server;
+use actix_server::ServerHandle;
+use bytes::Bytes;
+use bytes::BytesMut;
+use chicoryford_types::Code;
+use chicoryford_types::Failure;
+use futures_util::StreamExt;
+use futures_util::future::LocalBoxFuture;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+use crate::keys::Identity;
+use crate::keys::Keys;
+use crate::keys::Kind;
+use crate::reply;
+use crate::reply::Reply;
+
+/// How a server is bounded.
+#[derive(Clone, Debug)]
+pub struct Bounds {
+    /// Bytes of a body.
+    pub body: usize,
+    /// Connections open at once, over all workers.
+    pub connections: usize,
+    /// Time in which a client must send its headers, and again its body. A client that opens a
+    /// connection and sends nothing, or a byte a second, would otherwise hold it for ever.
+    pub read: Duration,
+    /// Time after which an idle connection is closed.
+    pub idle: Duration,
+    /// Threads that serve.
+    pub workers: usize,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            body: 8 << 20,
+            connections: 20_000,
+            read: Duration::from_secs(10),
+            idle: Duration::from_secs(75),
+            workers: 2,
+        }
+    }
+}
+
+/// The server could not be started.
+#[derive(Debug, Error)]
+pub enum ServeError {
+    /// The address could not be bound.
+    #[error("cannot listen on {0}")]
+    Bind(SocketAddr, #[source] std::io::Error),
+    /// The server could not be set up.
+    #[error("cannot start the HTTP server")]
+    Start(#[source] std::io::Error),
+}
+
+/// A request, whole.
+#[derive(Debug)]
+pub struct Call {
+    /// Who sent it; none only on routes that are open to all.
+    pub identity: Option<Identity>,
+    /// The HTTP method.
+    pub method: Method,
+    /// The path.
+    pub path: String,
+    /// The query, without `?`.
+    pub query: String,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// Where it came from.
+    pub peer: Option<SocketAddr>,
+}
+
+impl Call {
+    /// Gives a header as text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+
+    /// Reads the body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// A failure with [`Code::BadRequest`] that says where the JSON is wrong.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, Failure> {
+        serde_json::from_slice(&self.body)
+            .map_err(|error| Failure::not_run(Code::BadRequest, format!("malformed JSON: {error}")))
+    }
+
+    /// Reads the body as MessagePack.
+    ///
+    /// # Errors
+    ///
+    /// A failure with [`Code::BadRequest`].
+    pub fn msgpack<T: DeserializeOwned>(&self) -> Result<T, Failure> {
+        rmp_serde::from_slice(&self.body).map_err(|error| {
+            Failure::not_run(Code::BadRequest, format!("malformed MessagePack: {error}"))
+        })
+    }
+}
+
+type Handler = Rc<dyn Fn(Call) -> LocalBoxFuture<'static, Reply>>;
+
+struct Route {
+    prefix: &'static str,
+    kinds: &'static [Kind],
+    handler: Handler,
+}
+
+/// What a server answers, by path. Each worker thread builds its own.
+#[derive(Default)]
+pub struct Routes {
+    routes: Vec<Route>,
+}
+
+impl Routes {
+    /// Adds a route. A `prefix` that ends with `/` takes all paths below it, any other just
+    /// itself. `kinds` lists who may use it; an empty list opens it to all.
+    pub fn add<F, Fut>(&mut self, prefix: &'static str, kinds: &'static [Kind], handler: F)
+    where
+        F: Fn(Call) -> Fut + 'static,
+        Fut: Future<Output = Reply> + 'static,
+    {
+        let handler: Handler = Rc::new(move |call| Box::pin(handler(call)));
+        self.routes.push(Route { prefix, kinds, handler });
+    }
+
+    fn find(&self, path: &str) -> Option<&Route> {
+        self.routes.iter().find(|route| {
+            route.prefix == path || (route.prefix.ends_with('/') && path.starts_with(route.prefix))
+        })
+    }
+}
+
+/// A running server.
+pub struct Running {
+    /// Where it listens; tells the port where the settings said zero.
+    pub address: SocketAddr,
+    /// Stops it.
+    pub handle: ServerHandle,
+}
+
+/// Starts a server within the caller's actix system.
+///
+/// `routes` runs once on each worker thread.
+///
+/// # Errors
+///
+/// [`ServeError`] if the address cannot be bound.
+pub fn serve<F>(
+    address: SocketAddr,
+    bounds: &Bounds,
+    keys: Arc<Keys>,
+    tls: Option<Arc<rustls::ServerConfig>>,
+    routes: F,
+) -> Result<Running, ServeError>
+where
+    F: Fn() -> Routes + Send + Clone + 'static,
+{
+    let listener = TcpListener::bind(address).map_err(|e| ServeError::Bind(address, e))?;
+    let address = listener.local_addr().map_err(ServeError::Start)?;
+    let limits = bounds.clone();
+    let builder = Server::build()
+        .workers(bounds.workers)
+        .max_concurrent_connections(bounds.connections.div_ceil(bounds.workers))
+        .shutdown_timeout(1)
+        .disable_signals();
+    let builder = match tls {
+        None => builder.listen("http", listener, move || {
+            service(limits.clone(), keys.clone(), routes()).tcp()
+        }),
+        Some(tls) => builder.listen("https", listener, move || {
+            let tls = rustls::ServerConfig::clone(&tls);
+            service(limits.clone(), keys.clone(), routes()).rustls_0_23(tls)
+        }),
+    };
+    let server = builder.map_err(ServeError::Start)?.run();
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    Ok(Running { address, handle })
+}
+
+type Answered = Result<Reply, actix_http::Error>;
+
+// The type names what actix-http asks of a service; an alias would need as many words.
+#[allow(clippy::type_complexity)]
+fn service<T>(
+    bounds: Bounds,
+    keys: Arc<Keys>,
+    routes: Routes,
+) -> HttpService<
+    T,
+    impl actix_service::ServiceFactory<
+        Request,
+        Config = (),
+        Response = Reply,
+        Error = actix_http::Error,
+        InitError = (),
+        Service = impl actix_service::Service<
+            Request,
+            Response = Reply,
+            Error = actix_http::Error,
+            Future = LocalBoxFuture<'static, Answered>,
+        > + 'static,
+    > + 'static,
+    actix_http::body::BoxBody,
+>
+where
+    T: actix_codec::AsyncRead + actix_codec::AsyncWrite + Unpin + 'static,
+{
+    let routes = Rc::new(routes);
+    let (body, read) = (bounds.body, bounds.read);
+    let handler = actix_service::fn_service(move |request: Request| {
+        let (routes, keys) = (routes.clone(), keys.clone());
+        let answer: LocalBoxFuture<'static, Answered> =
+            Box::pin(async move { Ok(answer(request, &routes, &keys, body, read).await) });
+        answer
+    });
+    HttpService::build().keep_alive(bounds.idle).client_request_timeout(bounds.read).finish(handler)
+}
+
+async fn answer(
+    mut request: Request,
+    routes: &Routes,
+    keys: &Keys,
+    body: usize,
+    read: Duration,
+) -> Reply {
+    let path = request.path().to_owned();
+    let Some(route) = routes.find(&path) else {
+        return reply::failure(&Failure::not_run(Code::NotFound, format!("no route {path}")));
+    };
+    let identity = match identify(&request, keys, route.kinds) {
+        Ok(identity) => identity,
+        Err(failure) => return reply::failure(&failure),
+    };
+    let query = request.uri().query().unwrap_or_default().to_owned();
+    let declared = declared_length(request.headers());
+    if declared.is_some_and(|length| length > body) {
+        return reply::failure(&too_large(body));
+    }
+    let collected = collect(&mut request, body);
+    let body = match actix_rt::time::timeout(read, collected).await {
+        Ok(Ok(bytes)) => bytes,
+        Ok(Err(failure)) => return reply::failure(&failure),
+        Err(_) => {
+            let detail = format!("the body did not arrive within {} s", read.as_secs());
+            return reply::failure(&Failure::not_run(Code::BadRequest, detail));
+        }
+    };
+    let handler = route.handler.clone();
+    let call = Call {
+        identity,
+        method: request.method().clone(),
+        path,
+        query,
+        headers: request.headers().clone(),
+        body,
+        peer: request.peer_addr(),
+    };
+    handler(call).await
+}
+
+fn identify(
+    request: &Request,
+    keys: &Keys,
+    kinds: &'static [Kind],
+) -> Result<Option<Identity>, Failure> {
+    if kinds.is_empty() {
+        return Ok(None);
+    }
+    let header = request.headers().get(header::AUTHORIZATION);
+    let token = header.and_then(|value| value.to_str().ok());
+    let token = token.and_then(|value| value.strip_prefix("Bearer ")).map(str::trim);
+    let identity = token.and_then(|token| keys.identify(token)).ok_or_else(|| {
+        Failure::not_run(Code::Unauthenticated, "the bearer token is missing or unknown")
+    })?;
+    if !kinds.contains(&identity.kind) {
+        let detail = format!("a token of kind {:?} may not use this path", identity.kind);
+        return Err(Failure::not_run(Code::Forbidden, detail));
+    }
+    Ok(Some(identity))
+}
+
+fn declared_length(headers: &HeaderMap) -> Option<usize> {
+    headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+fn too_large(bound: usize) -> Failure {
+    Failure::not_run(Code::TooLarge, format!("the body exceeds {bound} bytes"))
+}
+
+async fn collect(request: &mut Request, bound: usize) -> Result<Bytes, Failure> {
+    let mut payload = request.take_payload();
+    let mut whole = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|error| {
+            Failure::not_run(Code::BadRequest, format!("the body broke off: {error}"))
+        })?;
+        if whole.len() + chunk.len() > bound {
+            return Err(too_large(bound));
+        }
+        whole.extend_from_slice(&chunk);
+    }
+    Ok(whole.freeze())
+}
--- /dev/null
+++ b/src/bin/chicoryfordd.rs
@@ -0,0 +1,2 @@
+//! The daemon.
+fn main() {}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! The operators' client.
+fn main() {}
