--- a/components/state/src/command.rs
+++ b/components/state/src/command.rs
@@ -125,14 +125,21 @@
         /// Where the weight store has it.
         source: String,
     },
-    /// Refuses a content that crashes endpoints.
-    Convict {
+    /// Tells that an endpoint crashed; its agent says so, and what was in progress there.
+    Crashed {
+        /// The endpoint.
+        endpoint: Endpoint,
+        /// Counts the endpoint's crashes within the agent's incarnation, to recognise a resend.
+        crash: u64,
+        /// The agent's incarnation.
+        incarnation: Incarnation,
+        /// The contents to blame: the suspects among those in progress, or else all of them.
+        blamed: Vec<Fingerprint>,
+    },
+    /// Tells that a suspected content ran to its end.
+    Cleared {
         /// The content.
         fingerprint: Fingerprint,
-        /// How many endpoints it crashed.
-        crashes: u32,
-        /// How long it is refused, in milliseconds.
-        lasts_ms: u64,
     },
     /// Lets a convicted content run again.
     Pardon {
--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod command;
 pub mod machine;
+pub mod session;
 
 pub use command::Assigned;
 pub use command::Base;
@@ -13,3 +14,5 @@
 pub use command::Refusal;
 pub use command::Reply;
 pub use machine::State;
+pub use session::Renew;
+pub use session::Renewed;
--- /dev/null
+++ b/components/state/src/session.rs
@@ -0,0 +1,27 @@
+//! The sessions of entries, which the leader keeps by renewals that are not logged.
+
+use chicoryford_ledger::StepKey;
+use chicoryford_types::Node;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// An entry renews its session with the leader.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Renew {
+    /// The entry.
+    pub node: Node,
+    /// Its session.
+    pub session: u64,
+}
+
+/// What the leader answers to a renewal.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Renewed {
+    /// Whether the session still holds. If not, the entry must stop its steps at once and open
+    /// a new session.
+    pub held: bool,
+    /// For how long it holds from the moment the entry sent the renewal, in milliseconds.
+    pub lasts_ms: u64,
+    /// Steps that no session owns; any entry may take them.
+    pub orphans: Vec<StepKey>,
+}
--- a/components/types/src/config.rs
+++ b/components/types/src/config.rs
@@ -26,6 +26,9 @@
     pub templates: BTreeMap<Workspace, Versioned>,
     /// Planned stops that are in force.
     pub stops: BTreeMap<StopId, Stop>,
+    /// Contents that ran at an endpoint that crashed, and how often. They run apart until one of
+    /// them either finishes or crashes an endpoint by itself (docs/SUSPECTS.md).
+    pub suspects: BTreeMap<Fingerprint, u32>,
     /// Requests that are refused because they crash endpoints.
     pub convictions: BTreeMap<Fingerprint, Conviction>,
     /// The newest published weights of each model.
@@ -97,6 +100,10 @@
     Stop(StopId, Stop),
     /// A stop was cancelled or is over.
     StopRemoved(StopId),
+    /// A fingerprint was in progress at an endpoint that crashed; this many crashes so far.
+    Suspected(Fingerprint, u32),
+    /// A suspected fingerprint ran to its end.
+    Cleared(Fingerprint),
     /// A fingerprint was convicted.
     Convicted(Fingerprint, Conviction),
     /// A fingerprint was pardoned, or its conviction lapsed.
@@ -144,7 +151,14 @@
             Change::StopRemoved(id) => {
                 self.stops.remove(&id);
             }
+            Change::Suspected(fingerprint, crashes) => {
+                self.suspects.insert(fingerprint, crashes);
+            }
+            Change::Cleared(fingerprint) => {
+                self.suspects.remove(&fingerprint);
+            }
             Change::Convicted(fingerprint, conviction) => {
+                self.suspects.remove(&fingerprint);
                 self.convictions.insert(fingerprint, conviction);
             }
             Change::Pardoned(fingerprint) => {
--- a/components/types/src/request.rs
+++ b/components/types/src/request.rs
@@ -89,6 +89,8 @@
     pub floor: Option<Version>,
     /// Hash of the content.
     pub fingerprint: Fingerprint,
+    /// Whether the content is suspected of crashing endpoints; an agent runs one such at a time.
+    pub suspect: bool,
     /// What to do.
     pub task: Task,
 }
--- a/components/wire/src/client.rs
+++ b/components/wire/src/client.rs
@@ -55,6 +55,26 @@
     }
 }
 
+/// What a process needs to call others, offered to all its duties under [`CALLER`]. A [`Client`]
+/// stays on one thread, so each thread makes its own from this.
+#[derive(Clone, Default)]
+pub struct Caller {
+    /// The token by which this process presents itself.
+    pub token: Option<String>,
+    /// How to speak HTTPS; none for plain HTTP.
+    pub tls: Option<Arc<ClientConfig>>,
+}
+
+/// The name under which a process's [`Caller`] is offered.
+pub const CALLER: &str = "caller";
+
+impl Caller {
+    /// Makes a client for this thread.
+    pub fn client(&self) -> Client {
+        Client::new(self.token.clone(), self.tls.clone())
+    }
+}
+
 /// A client of one thread. It keeps connections open; [`Client::fresh`] gives one that does not.
 #[derive(Clone)]
 pub struct Client {
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! operators they are JSON. All bodies, headers and connections are bounded (docs/API.md).
 
 pub mod client;
+pub mod framing;
 pub mod keys;
 pub mod paths;
 pub mod reply;
@@ -11,6 +12,7 @@
 pub mod tls;
 
 pub use client::CallError;
+pub use client::Caller;
 pub use client::Client;
 pub use keys::Identity;
 pub use keys::Keys;
--- a/components/wire/src/paths.rs
+++ b/components/wire/src/paths.rs
@@ -14,6 +14,9 @@
 /// Acknowledges what was pulled.
 pub const STEP_ACK: &str = "/trainer/v1/ack";
 
+/// Publishes a version of a model's weights.
+pub const PUBLISH: &str = "/trainer/v1/publish";
+
 /// Submits one command of an operator (`chicoryford_state::Command`) as JSON.
 pub const OPERATE: &str = "/operator/v1/command";
 /// Asks for accepted configuration as JSON.
@@ -34,6 +37,11 @@
 /// Asks a control process for the highest epoch that it knows.
 pub const EPOCH: &str = "/peer/v1/epoch";
 
+/// Renews an entry's session with the leader (`chicoryford_state::Renew`).
+pub const RENEW: &str = "/peer/v1/renew";
+
+/// Streams load reports to an entry, framed as docs/ARCHITECTURE.md says.
+pub const REPORTS: &str = "/agent/v1/reports";
 /// Runs an attempt; the answer is a stream of frames.
 pub const WORK: &str = "/agent/v1/work";
 /// Asks what became of an attempt and revokes it if it was never seen.
