--- a/components/wire/src/framing.rs
+++ b/components/wire/src/framing.rs
@@ -49,7 +49,7 @@
     /// # Errors
     ///
     /// [`FramingError`] if the stream is garbled; it cannot be read further.
-    pub fn next<T: DeserializeOwned>(&mut self) -> Result<Option<T>, FramingError> {
+    pub fn take<T: DeserializeOwned>(&mut self) -> Result<Option<T>, FramingError> {
         if self.pending.len() < HEADER {
             return Ok(None);
         }
@@ -79,7 +79,7 @@
         let mut read = Vec::<String>::new();
         for byte in stream {
             decoder.push(&[byte]);
-            read.extend(decoder.next::<String>().unwrap());
+            read.extend(decoder.take::<String>().unwrap());
         }
         assert_eq!(read, ["one", "two"]);
     }
@@ -88,6 +88,6 @@
     fn errors_on_a_garbled_length() {
         let mut decoder = Decoder::default();
         decoder.push(&[0xff; 8]);
-        assert!(matches!(decoder.next::<String>(), Err(FramingError::TooLong(_))));
+        assert!(matches!(decoder.take::<String>(), Err(FramingError::TooLong(_))));
     }
 }
