Add the stand-ins of engines, services, scorers and weight stores

Cause: agents, entries and the demonstration need endpoints that keep records of their own. Work names the agent's incarnation and AttemptQuestion asks for an attempt, so that a restarted agent never calls a forgotten attempt 'not run'. Measured: nothing yet.

--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -1,1 +1,14 @@
-//! Stand-ins of engines, services, trainers, scorers and the weight store; not shipped.
+//! Stand-ins of the platform: engines, services, a scorer, a weight store, trainers and callers.
+//!
+//! They are small, are not shipped, and keep records of their own as JSON lines, so that a run
+//! can be judged by what the endpoints and callers saw and not by what the system says of itself.
+//! docs/STANDINS.md describes the protocols.
+
+pub mod engine;
+pub mod http;
+pub mod record;
+pub mod scorer;
+pub mod service;
+pub mod store;
+
+pub use record::Recorder;
--- a/components/types/src/request.rs
+++ b/components/types/src/request.rs
@@ -7,6 +7,7 @@
 use crate::ids::Attempt;
 use crate::ids::Fingerprint;
 use crate::ids::IdempotencyKey;
+use crate::ids::Incarnation;
 use crate::ids::Model;
 use crate::ids::RequestId;
 use crate::ids::Version;
@@ -73,6 +74,10 @@
     pub request: RequestId,
     /// Which try of it this is; an agent runs each (request, attempt) at most once.
     pub attempt: Attempt,
+    /// The incarnation of the agent that is to run it. A restarted agent has forgotten which
+    /// attempts it revoked, so it refuses calls that may not be repeated and name another one.
+    #[serde(default)]
+    pub incarnation: Incarnation,
     /// The workspace on whose behalf it runs.
     pub workspace: Workspace,
     /// The model or service.
@@ -95,6 +100,21 @@
     pub task: Task,
 }
 
+/// Asks an agent what became of an attempt (`/agent/v1/attempt`); answered by [`AttemptState`].
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+pub struct AttemptQuestion {
+    /// The request.
+    pub request: RequestId,
+    /// The attempt.
+    pub attempt: Attempt,
+    /// The incarnation of the agent to which the attempt was sent. Another incarnation cannot
+    /// know what became of it, and answers [`AttemptState::Unknown`].
+    pub incarnation: Incarnation,
+    /// Whether the attempt is to be stopped if it waits or runs. A call that may not be
+    /// repeated is not stopped once it runs, because its effect could no longer be known.
+    pub cancel: bool,
+}
+
 /// What an agent knows of an attempt, asked for over a new connection when one went silent.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub enum AttemptState {
