Start a daemon that serves health and dumps and stops gracefully

Cause: the daemon was an empty binary, and a shutdown had no way to know what it would cut. Change: components/daemon reads settings, serves HTTP, drains on SIGTERM until no request is in progress; wire counts requests until their answers have left; kernel lists the duties that run; settings are read with errors that name file, line, field and the allowed values.

--- a/components/kernel/src/duty.rs
+++ b/components/kernel/src/duty.rs
@@ -1,6 +1,8 @@
 //! Duties: one thread each.
 
 use std::future::Future;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::thread;
 use std::thread::JoinHandle;
 
@@ -19,6 +21,29 @@
     pub source: std::io::Error,
 }
 
+/// Lists the duties that run, so that the end of a process can wait for them and a dump can
+/// show them.
+#[derive(Debug, Default)]
+pub struct Duties(Mutex<Vec<&'static str>>);
+
+impl Duties {
+    /// Names the duties that run.
+    pub fn running(&self) -> Vec<&'static str> {
+        self.0.lock().expect("no duty panics while it holds this lock").clone()
+    }
+
+    fn begin(&self, name: &'static str) {
+        self.0.lock().expect("no duty panics while it holds this lock").push(name);
+    }
+
+    fn end(&self, name: &'static str) {
+        let mut names = self.0.lock().expect("no duty panics while it holds this lock");
+        if let Some(place) = names.iter().position(|n| *n == name) {
+            names.swap_remove(place);
+        }
+    }
+}
+
 impl Kernel {
     /// Runs an async duty on a thread of its own.
     ///
@@ -36,7 +61,7 @@
     {
         let kernel = self.clone();
         let body = move || {
-            let guard = PanicGuard { name, phases: kernel.phases.clone() };
+            let guard = EndGuard::new(name, &kernel);
             actix_rt::System::new().block_on(run(kernel));
             drop(guard);
         };
@@ -57,7 +82,7 @@
     {
         let kernel = self.clone();
         let body = move || {
-            let guard = PanicGuard { name, phases: kernel.phases.clone() };
+            let guard = EndGuard::new(name, &kernel);
             run(kernel);
             drop(guard);
         };
@@ -68,13 +93,22 @@
     }
 }
 
-struct PanicGuard {
+struct EndGuard {
     name: &'static str,
     phases: crate::Phases,
+    duties: Arc<Duties>,
+}
+
+impl EndGuard {
+    fn new(name: &'static str, kernel: &Kernel) -> Self {
+        kernel.duties.begin(name);
+        Self { name, phases: kernel.phases.clone(), duties: kernel.duties.clone() }
+    }
 }
 
-impl Drop for PanicGuard {
+impl Drop for EndGuard {
     fn drop(&mut self) {
+        self.duties.end(self.name);
         if thread::panicking() {
             tracing::error!(event = "duty_panicked", duty = self.name);
             self.phases.advance(Phase::Stopping);
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 
 pub use dump::Dumps;
+pub use duty::Duties;
 pub use metrics::Metrics;
 pub use phase::Phase;
 pub use phase::Phases;
@@ -26,6 +27,8 @@
     pub registry: Arc<Registry>,
     /// State dumps by name.
     pub dumps: Arc<Dumps>,
+    /// The duties that run.
+    pub duties: Arc<Duties>,
     /// Whether the process runs, drains or stops.
     pub phases: Phases,
     /// Where metrics go.
@@ -39,6 +42,7 @@
         Self {
             registry: Arc::new(Registry::default()),
             dumps: Arc::new(Dumps::default()),
+            duties: Arc::new(Duties::default()),
             phases: Phases::new(),
             metrics,
             clock: std::time::Instant::now(),
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -2,8 +2,16 @@
 //!
 //! docs/SETTINGS.md lists every field with its default.
 
+pub mod check;
+pub mod error;
+pub mod load;
+pub mod locate;
 pub mod process;
+pub mod template;
 
+pub use error::SettingsError;
+pub use load::load;
+pub use load::parse;
 pub use process::AgentSettings;
 pub use process::BoundSettings;
 pub use process::ControlSettings;
@@ -11,3 +19,5 @@
 pub use process::Replica;
 pub use process::Settings;
 pub use process::TlsSettings;
+pub use template::load_templates;
+pub use template::parse_templates;
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -27,6 +27,8 @@
 use crate::keys::Identity;
 use crate::keys::Keys;
 use crate::keys::Kind;
+use crate::progress;
+use crate::progress::Progress;
 use crate::reply;
 use crate::reply::Reply;
 
@@ -128,6 +130,7 @@
 #[derive(Default)]
 pub struct Routes {
     routes: Vec<Route>,
+    counted: Option<(&'static [&'static str], Progress)>,
 }
 
 impl Routes {
@@ -142,11 +145,25 @@
         self.routes.push(Route { prefix, kinds, handler });
     }
 
+    /// Counts requests below `prefixes` as work in progress until their answers have left. Long
+    /// polls between processes are not work: they would hold up every shutdown.
+    pub fn count(&mut self, prefixes: &'static [&'static str], progress: Progress) {
+        self.counted = Some((prefixes, progress));
+    }
+
     fn find(&self, path: &str) -> Option<&Route> {
-        self.routes.iter().find(|route| {
-            route.prefix == path || (route.prefix.ends_with('/') && path.starts_with(route.prefix))
-        })
+        self.routes.iter().find(|route| matches(route.prefix, path))
     }
+
+    fn guard(&self, path: &str) -> Option<progress::Guard> {
+        let (prefixes, progress) = self.counted.as_ref()?;
+        let counts = prefixes.iter().any(|prefix| matches(prefix, path));
+        counts.then(|| progress.begin())
+    }
+}
+
+fn matches(prefix: &str, path: &str) -> bool {
+    prefix == path || (prefix.ends_with('/') && path.starts_with(prefix))
 }
 
 /// A running server.
@@ -174,7 +191,33 @@
 where
     F: Fn() -> Routes + Send + Clone + 'static,
 {
-    let listener = TcpListener::bind(address).map_err(|e| ServeError::Bind(address, e))?;
+    serve_on(listen(address)?, bounds, keys, tls, routes)
+}
+
+/// Binds an address, so that a process knows its port before it tells others of it.
+///
+/// # Errors
+///
+/// [`ServeError::Bind`] if the address cannot be bound.
+pub fn listen(address: SocketAddr) -> Result<TcpListener, ServeError> {
+    TcpListener::bind(address).map_err(|e| ServeError::Bind(address, e))
+}
+
+/// Starts a server like [`serve`], on an address that is bound already.
+///
+/// # Errors
+///
+/// [`ServeError`] if the server cannot be set up.
+pub fn serve_on<F>(
+    listener: TcpListener,
+    bounds: &Bounds,
+    keys: Arc<Keys>,
+    tls: Option<Arc<rustls::ServerConfig>>,
+    routes: F,
+) -> Result<Running, ServeError>
+where
+    F: Fn() -> Routes + Send + Clone + 'static,
+{
     let address = listener.local_addr().map_err(ServeError::Start)?;
     let limits = bounds.clone();
     let builder = Server::build()
@@ -251,6 +294,7 @@
         Ok(identity) => identity,
         Err(failure) => return reply::failure(&failure),
     };
+    let guard = routes.guard(&path);
     let query = request.uri().query().unwrap_or_default().to_owned();
     let declared = declared_length(request.headers());
     if declared.is_some_and(|length| length > body) {
@@ -275,7 +319,11 @@
         body,
         peer: request.peer_addr(),
     };
-    handler(call).await
+    let reply = handler(call).await;
+    match guard {
+        Some(guard) => progress::hold(reply, guard),
+        None => reply,
+    }
 }
 
 fn identify(
