Box the largest settings error

Cause: clippy refuses an error variant of 128 bytes. Change: the unknown-field error is a boxed struct. Measured: clippy clean on the changed crates.

--- a/components/settings/src/load.rs
+++ b/components/settings/src/load.rs
@@ -79,13 +79,8 @@
         // The library's path of an unknown field ends with the field itself.
         let holder = field.strip_suffix(&name).unwrap_or(field).trim_end_matches('.');
         let place = Place { line, field: holder.to_owned() };
-        return SettingsError::UnknownField {
-            file: file.to_owned(),
-            place,
-            name,
-            nearest,
-            allowed,
-        };
+        let unknown = UnknownField { file: file.to_owned(), place, name, nearest, allowed };
+        return SettingsError::UnknownField(Box::new(unknown));
     }
     let place = Place { line, field: field.to_owned() };
     SettingsError::Malformed { file: file.to_owned(), place, detail: detail.to_owned() }
