--- /dev/null
+++ b/components/agent/src/service.rs
@@ -0,0 +1,56 @@
+//! The adapter to plain services: one call, one answer.
+
+use std::time::Duration;
+
+use chicoryford_types::Work;
+use chicoryford_types::request::ServiceCall;
+use chicoryford_types::request::StoredAnswer;
+use chicoryford_wire::Client;
+use chicoryford_wire::client::send_error;
+
+use crate::engine::EngineError;
+
+/// Bound on an answer, which the agent and the entry hold whole.
+const ANSWER_BOUND: usize = 8 << 20;
+const PROBE: Duration = Duration::from_secs(2);
+const KEY_HEADER: &str = "idempotency-key";
+const REQUEST_HEADER: &str = "x-request-id";
+
+/// Calls the service and reads its whole answer. Any status is an answer.
+///
+/// `client` must be one whose calls open new connections: on a kept one that the service has
+/// just closed, a call would break off, and nobody could tell whether it ran.
+///
+/// # Errors
+///
+/// [`EngineError`], which tells whether the service can have got the call.
+pub async fn call(
+    client: &Client,
+    address: &str,
+    work: &Work,
+    task: &ServiceCall,
+) -> Result<StoredAnswer, EngineError> {
+    let path = task.path.trim_start_matches('/');
+    let url = client.url(address, &format!("/{path}"));
+    let request = client.post(&url).content_type(task.media.as_str());
+    let request = request.insert_header((REQUEST_HEADER, work.request.to_string()));
+    let request = match &work.key {
+        Some(key) => request.insert_header((KEY_HEADER, key.as_str())),
+        None => request,
+    };
+    let sent = request.send_body(task.body.clone()).await;
+    let mut response = sent.map_err(|error| EngineError::of(send_error(&url, &error)))?;
+    let status = response.status().as_u16();
+    let media = response.headers().get("content-type").and_then(|value| value.to_str().ok());
+    let media = media.unwrap_or_default().to_owned();
+    let body = response.body().limit(ANSWER_BOUND).await;
+    let body = body.map_err(|error| EngineError::Broken(error.to_string()))?;
+    Ok(StoredAnswer { status, media, body })
+}
+
+/// Tells whether the service answers HTTP at all; plain services need no health path.
+pub async fn answers(client: &Client, address: &str) -> bool {
+    let url = client.url(address, "/health");
+    let sent = actix_rt::time::timeout(PROBE, client.get(&url).send()).await;
+    matches!(sent, Ok(Ok(_)))
+}
