--- a/components/ledger/src/command.rs
+++ b/components/ledger/src/command.rs
@@ -205,6 +205,10 @@
     Progress(Box<Progress>),
     /// The steps that no session owns.
     Orphans(Vec<StepKey>),
-    /// No such step.
+    /// No such step, group or sample.
     Missing,
+    /// The step is given up.
+    Closed,
+    /// Something is full; nothing was recorded, and the same may be tried again later.
+    Full,
 }
--- /dev/null
+++ b/components/ledger/src/ledger.rs
@@ -0,0 +1,262 @@
+//! The ledger: what each command does to it.
+
+use std::collections::BTreeMap;
+
+use chicoryford_types::Cursor;
+use chicoryford_types::Digest;
+use chicoryford_types::Group;
+use chicoryford_types::Model;
+use chicoryford_types::SampleNo;
+use chicoryford_types::Version;
+use chicoryford_types::Workspace;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::command::LedgerCommand;
+use crate::command::LedgerReply;
+use crate::command::Record;
+use crate::command::StepKey;
+use crate::command::StepSpec;
+use crate::delivery::Delivery;
+use crate::group::Kept;
+use crate::record::is_stale;
+use crate::step::Step;
+
+/// Steps that one workspace may have open at once.
+pub const OPEN: usize = 16;
+/// Workspaces that may have a cursor.
+pub const WORKSPACES: usize = 4_096;
+/// Samples of one step at most, those beyond what is wanted included.
+pub const SAMPLES: u64 = 1 << 20;
+/// Bytes of samples that wait to be handed out or acknowledged, at most. Past it only the step
+/// that was opened first may still record, so that it can end and make room.
+pub const BYTES: usize = 512 << 20;
+/// Orphaned steps named in one answer at most.
+const ORPHANS: usize = 256;
+
+/// The exactly-once ledger.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Ledger {
+    /// Promises found broken by this replica since it started; zero unless there is a fault.
+    #[serde(skip)]
+    pub broken: u64,
+    pub(crate) steps: BTreeMap<StepKey, Step>,
+    pub(crate) deliveries: BTreeMap<Workspace, Delivery>,
+    /// Bytes of all samples here, in steps and in batches.
+    pub(crate) bytes: usize,
+    opened: u64,
+}
+
+impl Ledger {
+    /// Applies a command. `newest` tells the newest published version of a model, as the
+    /// replicated state knows it.
+    pub fn apply(
+        &mut self,
+        command: LedgerCommand,
+        newest: impl Fn(&Model) -> Version,
+    ) -> LedgerReply {
+        match command {
+            LedgerCommand::Open { spec, bound } => self.open(spec, bound),
+            LedgerCommand::Take { key, session } => self.take(&key, session),
+            LedgerCommand::Done { key, group, number, session, record } => {
+                self.done(&key, (group, number), session, record, newest)
+            }
+            LedgerCommand::Pull { workspace, cursor, groups, newest: told } => {
+                self.pull(&workspace, cursor, groups, |model| newest(model).max(told))
+            }
+            LedgerCommand::Ack { workspace, cursor } => self.ack(&workspace, cursor),
+            LedgerCommand::Close { key } => self.close(&key),
+            LedgerCommand::Progress { key } => self.progress(&key),
+            LedgerCommand::Orphans => LedgerReply::Orphans(self.orphans()),
+        }
+    }
+
+    /// Takes back the recorded samples that a newly published version makes too old.
+    pub fn sweep(&mut self, model: &Model, newest: Version) {
+        for step in self.steps.values_mut().filter(|step| step.spec.model == *model) {
+            let (_, bytes) = step.drop_stale(newest);
+            self.bytes -= bytes;
+        }
+    }
+
+    /// Takes a session's steps away from it; any other may take them then.
+    pub fn release(&mut self, session: u64) {
+        for step in self.steps.values_mut() {
+            if step.owner == Some(session) {
+                step.owner = None;
+            }
+        }
+    }
+
+    /// Lists steps that no session owns.
+    pub fn orphans(&self) -> Vec<StepKey> {
+        let orphans = self.steps.iter().filter(|(_, step)| step.owner.is_none());
+        orphans.map(|(key, _)| key.clone()).take(ORPHANS).collect()
+    }
+
+    /// Finds an open step.
+    pub fn step(&self, key: &StepKey) -> Option<&Step> {
+        self.steps.get(key)
+    }
+
+    /// Counts the open steps.
+    pub fn open_steps(&self) -> usize {
+        self.steps.len()
+    }
+
+    /// Counts the bytes of samples that wait to be handed out or acknowledged.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    pub(crate) fn break_promise(&mut self, promise: &str, workspace: &Workspace) {
+        self.broken += 1;
+        tracing::error!(event = "promise_broken", promise, %workspace);
+    }
+
+    fn open(&mut self, spec: StepSpec, bound: u64) -> LedgerReply {
+        let digest = Digest::of(&serde_json::to_vec(&spec).expect("a step is plain data"));
+        let key = StepKey { workspace: spec.workspace.clone(), step: spec.step };
+        if let Some(step) = self.steps.get(&key) {
+            let is_resend = step.digest == digest;
+            return if is_resend { LedgerReply::Opened } else { LedgerReply::Conflict };
+        }
+        let delivery = self.deliveries.get(&key.workspace);
+        if let Some(reply) = delivery.and_then(|delivery| delivery.ended(key.step, digest)) {
+            return reply;
+        }
+        if !self.has_room(&spec) {
+            return LedgerReply::Full;
+        }
+        self.opened += 1;
+        self.deliveries.entry(key.workspace.clone()).or_default();
+        self.steps.insert(key, Step::new(spec, bound, digest, self.opened));
+        LedgerReply::Opened
+    }
+
+    fn has_room(&self, spec: &StepSpec) -> bool {
+        let open = self.steps.keys().filter(|key| key.workspace == spec.workspace).count();
+        let begun = u64::from(spec.samples) + u64::from(spec.extra);
+        let knows = self.deliveries.contains_key(&spec.workspace);
+        open < OPEN
+            && begun.saturating_mul(spec.groups.len() as u64) <= SAMPLES
+            && (knows || self.deliveries.len() < WORKSPACES)
+    }
+
+    fn take(&mut self, key: &StepKey, session: u64) -> LedgerReply {
+        let Some(step) = self.steps.get_mut(key) else { return LedgerReply::Missing };
+        match step.owner {
+            Some(owner) if owner != session => LedgerReply::Owned(owner),
+            _ => {
+                step.owner = Some(session);
+                LedgerReply::Taken(Box::new(step.progress()))
+            }
+        }
+    }
+
+    fn done(
+        &mut self,
+        key: &StepKey,
+        place: (Group, SampleNo),
+        session: u64,
+        record: Record,
+        newest: impl Fn(&Model) -> Version,
+    ) -> LedgerReply {
+        let is_full = self.bytes >= BYTES && !self.is_first(key);
+        let Some(step) = self.steps.get_mut(key) else { return LedgerReply::Missing };
+        if step.owner != Some(session) {
+            return LedgerReply::Fenced;
+        }
+        let spec = &step.spec;
+        let (wanted, begun) = (spec.samples, spec.samples.saturating_add(spec.extra));
+        let Some(group) = step.groups.get_mut(place.0.0 as usize) else {
+            return LedgerReply::Missing;
+        };
+        if place.1.0 >= begun {
+            return LedgerReply::Missing;
+        }
+        let newest = newest(&spec.model);
+        let is_old = record.oldest().is_none_or(|oldest| is_stale(oldest, newest, step.bound));
+        if is_old || !record.is_attributed() || !record.is_intact() {
+            return LedgerReply::Undeliverable;
+        }
+        if is_full {
+            return LedgerReply::Full;
+        }
+        let size = record.size();
+        match group.keep(place.1, record, wanted) {
+            Kept::New => {
+                self.bytes += size;
+                LedgerReply::Kept
+            }
+            Kept::Again => LedgerReply::Kept,
+            Kept::Late => LedgerReply::Duplicate,
+        }
+    }
+
+    fn is_first(&self, key: &StepKey) -> bool {
+        let first = self.steps.iter().min_by_key(|(_, step)| step.order);
+        first.is_some_and(|(first, _)| first == key)
+    }
+
+    fn ack(&mut self, workspace: &Workspace, cursor: Cursor) -> LedgerReply {
+        let Some(delivery) = self.deliveries.get_mut(workspace) else {
+            return LedgerReply::Missing;
+        };
+        if cursor <= delivery.acked {
+            return LedgerReply::Acked;
+        }
+        let expected = delivery.expected();
+        let Some(batch) = delivery.batch.take_if(|batch| batch.cursor == cursor) else {
+            return LedgerReply::BadCursor { expected };
+        };
+        delivery.acked = cursor;
+        self.bytes -= batch.bytes();
+        self.finish_groups(workspace, cursor);
+        LedgerReply::Acked
+    }
+
+    /// Counts the groups of an acknowledged batch as finished and ends the steps that are whole.
+    fn finish_groups(&mut self, workspace: &Workspace, cursor: Cursor) {
+        let mut finished = Vec::new();
+        for (key, step) in &mut self.steps {
+            if key.workspace != *workspace {
+                continue;
+            }
+            let in_batch = step.groups.iter().filter(|group| group.batch == Some(cursor));
+            step.acked += in_batch.count();
+            if step.is_finished() {
+                finished.push((key.clone(), step.digest));
+            }
+        }
+        for (key, digest) in finished {
+            self.steps.remove(&key);
+            self.deliveries.entry(key.workspace).or_default().end(key.step, Some(digest));
+        }
+    }
+
+    fn close(&mut self, key: &StepKey) -> LedgerReply {
+        match self.steps.remove(key) {
+            Some(step) => {
+                self.bytes -= step.bytes();
+                let delivery = self.deliveries.entry(key.workspace.clone()).or_default();
+                delivery.end(key.step, None);
+                LedgerReply::Closed
+            }
+            None if self.has_ended(key) => LedgerReply::Closed,
+            None => LedgerReply::Missing,
+        }
+    }
+
+    fn has_ended(&self, key: &StepKey) -> bool {
+        let delivery = self.deliveries.get(&key.workspace);
+        delivery.is_some_and(|delivery| delivery.ended.contains_key(&key.step))
+    }
+
+    fn progress(&self, key: &StepKey) -> LedgerReply {
+        match self.steps.get(key) {
+            Some(step) => LedgerReply::Progress(Box::new(step.progress())),
+            None => LedgerReply::Missing,
+        }
+    }
+}
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -4,6 +4,12 @@
 //! replica.
 
 pub mod command;
+pub mod delivery;
+pub mod group;
+pub mod ledger;
+pub mod pull;
+pub mod record;
+pub mod step;
 
 pub use command::Body;
 pub use command::GroupSpec;
@@ -13,3 +19,4 @@
 pub use command::Record;
 pub use command::StepKey;
 pub use command::StepSpec;
+pub use ledger::Ledger;
--- /dev/null
+++ b/components/ledger/src/pull.rs
@@ -0,0 +1,112 @@
+//! The decision that hands samples out.
+
+use chicoryford_types::Cursor;
+use chicoryford_types::Group;
+use chicoryford_types::Model;
+use chicoryford_types::SampleNo;
+use chicoryford_types::Version;
+use chicoryford_types::Workspace;
+
+use crate::command::LedgerReply;
+use crate::command::Record;
+use crate::command::StepKey;
+use crate::delivery::Batch;
+use crate::ledger::Ledger;
+use crate::record::is_stale;
+
+type Sample = (StepKey, Group, SampleNo, Record);
+
+impl Ledger {
+    /// Hands out the batch of a cursor.
+    ///
+    /// A trainer who lost the answer pulls the same cursor again, perhaps through another entry,
+    /// and is given the very same batch. Only a cursor that is new makes a batch, and only then
+    /// is the age of each sample judged: checked any earlier, a version published in between
+    /// would let an over-stale sample out.
+    pub(crate) fn pull(
+        &mut self,
+        workspace: &Workspace,
+        cursor: Cursor,
+        groups: u32,
+        newest: impl Fn(&Model) -> Version,
+    ) -> LedgerReply {
+        let Some(delivery) = self.deliveries.get(workspace) else { return LedgerReply::Missing };
+        let expected = delivery.expected();
+        if cursor != expected {
+            return LedgerReply::BadCursor { expected };
+        }
+        if let Some(batch) = &delivery.batch {
+            let (reply, is_sealed) = (batch.reply(), batch.is_sealed());
+            if !is_sealed {
+                self.break_promise("batch_changed", workspace);
+            }
+            return reply;
+        }
+        let stale = self.drop_stale(workspace, &newest);
+        let samples = self.collect(workspace, cursor, groups);
+        if samples.is_empty() {
+            return LedgerReply::NotReady;
+        }
+        self.check_ages(workspace, &samples, &newest);
+        let batch = Batch::new(cursor, samples, stale);
+        let reply = batch.reply();
+        self.deliveries.entry(workspace.clone()).or_default().batch = Some(batch);
+        reply
+    }
+
+    fn drop_stale(&mut self, workspace: &Workspace, newest: impl Fn(&Model) -> Version) -> u32 {
+        let mut dropped = 0;
+        let steps = self.steps.iter_mut().filter(|(key, _)| key.workspace == *workspace);
+        for (_, step) in steps {
+            let (count, bytes) = step.drop_stale(newest(&step.spec.model));
+            dropped += count;
+            self.bytes -= bytes;
+        }
+        dropped
+    }
+
+    /// Moves whole groups into the batch of `cursor`, the oldest steps first.
+    fn collect(&mut self, workspace: &Workspace, cursor: Cursor, most: u32) -> Vec<Sample> {
+        let mut samples = Vec::new();
+        let mut doubled = false;
+        let mut left = most;
+        let steps = self.steps.iter_mut().filter(|(key, _)| key.workspace == *workspace);
+        for (key, step) in steps {
+            let wanted = step.spec.samples;
+            for (number, group) in (0..).map(Group).zip(&mut step.groups) {
+                if left == 0 {
+                    break;
+                }
+                if group.batch.is_some() || wanted == 0 || !group.is_whole(wanted) {
+                    continue;
+                }
+                doubled |= group.batch.replace(cursor).is_some();
+                let done = std::mem::take(&mut group.done);
+                let done = done.into_iter().map(|(no, record)| (key.clone(), number, no, record));
+                samples.extend(done);
+                left -= 1;
+            }
+        }
+        if doubled {
+            self.break_promise("sample_in_two_batches", workspace);
+        }
+        samples
+    }
+
+    /// Asserts the staleness bound over what is about to leave, whatever the steps before did.
+    fn check_ages(
+        &mut self,
+        workspace: &Workspace,
+        samples: &[Sample],
+        newest: impl Fn(&Model) -> Version,
+    ) {
+        let is_over = |(key, _, _, record): &Sample| {
+            let Some(step) = self.steps.get(key) else { return true };
+            let newest = newest(&step.spec.model);
+            record.oldest().is_none_or(|oldest| is_stale(oldest, newest, step.bound))
+        };
+        if samples.iter().any(is_over) {
+            self.break_promise("stale_sample_delivered", workspace);
+        }
+    }
+}
--- /dev/null
+++ b/components/ledger/src/record.rs
@@ -0,0 +1,49 @@
+//! What a record must be before the ledger keeps it.
+
+use chicoryford_types::Digest;
+use chicoryford_types::Version;
+
+use crate::command::Body;
+use crate::command::Record;
+
+impl Record {
+    /// Gives the oldest version that produced any of the tokens.
+    pub fn oldest(&self) -> Option<Version> {
+        self.spans.iter().map(|span| span.version).min()
+    }
+
+    /// Tells whether the spans name a version for each token, without gap or overlap, and there
+    /// is at least one token: a sample of which no version is known has no known age.
+    pub fn is_attributed(&self) -> bool {
+        let mut next = 0;
+        for span in &self.spans {
+            if span.from != next || span.to <= span.from {
+                return false;
+            }
+            next = span.to;
+        }
+        next == self.tokens && next > 0
+    }
+
+    /// Tells whether the bytes, if they are here, are those of which the digest was taken.
+    pub fn is_intact(&self) -> bool {
+        match &self.body {
+            Body::Inline(bytes) => Digest::of(bytes) == self.digest,
+            Body::Held(nodes) => !nodes.is_empty(),
+        }
+    }
+
+    /// Counts the bytes that the ledger holds for the sample.
+    pub fn size(&self) -> usize {
+        match &self.body {
+            Body::Inline(bytes) => bytes.len(),
+            Body::Held(_) => 0,
+        }
+    }
+}
+
+/// Tells whether a sample whose oldest token came from `oldest` is too old for a trainer that
+/// has published `newest`, under a bound in versions.
+pub fn is_stale(oldest: Version, newest: Version, bound: u64) -> bool {
+    oldest.0.saturating_add(bound) < newest.0
+}
--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -3,10 +3,20 @@
 //! [`State::apply`] is a pure function of the state and a committed command, so that every
 //! replica that applies the same commands holds the same state.
 
+pub mod changes;
+pub mod claims;
 pub mod command;
+pub mod key;
 pub mod machine;
+pub mod recent;
 pub mod session;
+pub mod sessions;
+pub mod stops;
+pub mod suspects;
+pub mod templates;
+pub mod weights;
 
+pub use changes::change_id;
 pub use command::Assigned;
 pub use command::Base;
 pub use command::ClaimEnd;
@@ -14,5 +24,7 @@
 pub use command::Refusal;
 pub use command::Reply;
 pub use machine::State;
+pub use recent::Recent;
 pub use session::Renew;
 pub use session::Renewed;
+pub use sessions::Session;
