Run attempts, orders and reports at the agent

EpochAnswer names the voters, so that a restarted agent asks a true majority before its first order.

--- a/components/agent/src/fence.rs
+++ b/components/agent/src/fence.rs
@@ -89,6 +89,12 @@
     /// Takes note of the highest epoch that a majority of the control processes knows.
     pub fn learn(&mut self, epoch: Epoch) {
         self.learnt = true;
+        self.hear(epoch);
+    }
+
+    /// Takes note of an epoch in which something was accepted; it need not be the highest, so it
+    /// does not replace [`Fence::learn`].
+    pub fn hear(&mut self, epoch: Epoch) {
         if epoch > self.highest {
             self.raise(epoch);
         }
--- a/components/agent/src/gatekeeper.rs
+++ b/components/agent/src/gatekeeper.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use chicoryford_kernel::Kernel;
+use chicoryford_kernel::Phase;
 use chicoryford_kernel::Receiver;
 use chicoryford_kernel::unix;
 use tokio::sync::watch;
@@ -20,13 +21,14 @@
 /// Between two looks for waiting attempts whose deadline has passed.
 const TICK: Duration = Duration::from_millis(50);
 
-/// Runs the gate until all who could send to it are gone.
+/// Runs the gate until the process stops.
 pub async fn run(
     kernel: Kernel,
     settings: GateSettings,
     mut inbox: Receiver<ToGate>,
     figures: watch::Sender<Figures>,
 ) {
+    let phases = kernel.phases.clone();
     let mut keeper = Keeper { gate: Gate::new(settings), signals: HashMap::new(), kernel };
     let mut tick = actix_rt::time::interval(TICK);
     loop {
@@ -36,6 +38,7 @@
                 None => return,
             },
             _ = tick.tick() => keeper.tick(),
+            () = phases.reached(Phase::Stopping) => return,
         }
         keeper.act();
         keeper.tell(&figures);
@@ -56,6 +59,9 @@
                 let id = arrival.id;
                 let verdict = self.gate.arrive(*arrival, now, unix());
                 self.count(&verdict);
+                if verdict == Verdict::Start {
+                    signal.send_replace(Signal::Start);
+                }
                 if matches!(verdict, Verdict::Start | Verdict::Wait) {
                     self.signals.insert(id, signal);
                 }
--- a/components/agent/src/handle.rs
+++ b/components/agent/src/handle.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use chicoryford_kernel::Sender;
 use chicoryford_types::Failure;
@@ -82,6 +83,25 @@
     pub reply: oneshot::Sender<OrderReply>,
 }
 
+/// The reasons for which an endpoint takes no new work; one is enough.
+#[derive(Default)]
+pub struct Drains {
+    /// An order told it to drain.
+    pub order: AtomicBool,
+    /// A planned stop names it, its node or its data centre.
+    pub stop: AtomicBool,
+    /// This process is asked to end.
+    pub phase: AtomicBool,
+}
+
+impl Drains {
+    /// Tells whether any of the reasons holds.
+    pub fn any(&self) -> bool {
+        let reasons = [&self.order, &self.stop, &self.phase];
+        reasons.iter().any(|reason| reason.load(Ordering::Relaxed))
+    }
+}
+
 /// The way to the role's duties, offered to the rest of the process.
 #[derive(Clone)]
 pub struct Handle {
@@ -99,8 +119,8 @@
     pub healthy: watch::Receiver<bool>,
     /// Whether an order changes the endpoint's weights just now; a stream may pause meanwhile.
     pub swapping: Arc<AtomicBool>,
-    /// Whether an order told the endpoint to drain.
-    pub drained: Arc<AtomicBool>,
+    /// Why the endpoint takes no new work, if it does not.
+    pub drains: Arc<Drains>,
     /// This process's incarnation.
     pub incarnation: Incarnation,
 }
--- a/components/agent/src/orders.rs
+++ b/components/agent/src/orders.rs
@@ -1,21 +1,27 @@
 //! The orders' duty: carries out one order at a time, under the fence.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use chicoryford_kernel::Phase;
+use chicoryford_kernel::Phases;
 use chicoryford_kernel::Receiver;
 use chicoryford_membership::Handle as Members;
 use chicoryford_types::Epoch;
 use chicoryford_types::Model;
+use chicoryford_types::Node;
 use chicoryford_types::Order;
 use chicoryford_types::Version;
+use chicoryford_types::order::EpochAnswer;
 use chicoryford_types::order::OrderAction;
 use chicoryford_types::order::OrderReply;
 use chicoryford_wire::Client;
 use chicoryford_wire::paths;
 use futures_util::future::join_all;
+use thiserror::Error;
 
 use crate::engine;
 use crate::engine::EngineError;
@@ -27,6 +33,28 @@
 
 /// Time for one control process to tell its epoch.
 const ASK: Duration = Duration::from_secs(1);
+/// The status with which an engine refuses an old fencing number.
+const FENCED: u16 = 409;
+
+/// An order could not be carried out.
+#[derive(Debug, Error)]
+pub enum OrderError {
+    /// The order names nowhere to fetch the weights from.
+    #[error("the order names no source")]
+    NoSource,
+    /// The engine said that it loaded the version, and runs another.
+    #[error("the engine reports success but runs another version")]
+    Lost,
+    /// A leader of a newer epoch gave an order meanwhile.
+    #[error("a newer leader took over")]
+    Overtaken,
+    /// The engine failed or refused.
+    #[error(transparent)]
+    Engine(#[from] EngineError),
+    /// This process ends.
+    #[error("the agent stops")]
+    Stopping,
+}
 
 /// What the duty holds.
 pub struct Orders {
@@ -45,10 +73,15 @@
 }
 
 impl Orders {
-    /// Takes orders until all who could give them are gone.
-    pub async fn run(self, mut inbox: Receiver<ToOrders>) {
-        let duty = std::rc::Rc::new(self);
-        while let Some(ToOrders { order, reply }) = inbox.next().await {
+    /// Takes orders until the process stops.
+    pub async fn run(self, phases: Phases, mut inbox: Receiver<ToOrders>) {
+        let duty = Rc::new(self);
+        loop {
+            let message = tokio::select! {
+                message = inbox.next() => message,
+                () = phases.reached(Phase::Stopping) => None,
+            };
+            let Some(ToOrders { order, reply }) = message else { return };
             let ruling = duty.fence().decide(&order);
             let answer = match ruling {
                 Ruling::Answer(answer) => answer,
@@ -69,16 +102,16 @@
         self.fence.lock().expect("nothing panics while it holds this lock")
     }
 
-    async fn carry(self: std::rc::Rc<Self>, order: Order) {
+    async fn carry(self: Rc<Self>, order: Order) {
         tracing::info!(event = "order_begun", epoch = %order.epoch, number = order.number, action = ?order.action);
-        let error = self.carry_out(&order).await.err();
+        let error = self.carry_out(&order).await.err().map(|error| error.to_string());
         tracing::info!(event = "order_ended", epoch = %order.epoch, number = order.number, ?error);
         self.fence().ended(&order, error);
         // The versions now in use are announced whatever the engine said of its success.
         let _ = self.handle.look.offer(());
     }
 
-    async fn carry_out(&self, order: &Order) -> Result<(), String> {
+    async fn carry_out(&self, order: &Order) -> Result<(), OrderError> {
         match &order.action {
             OrderAction::Load { model, version, sources } => {
                 self.handle.swapping.store(true, Ordering::Relaxed);
@@ -87,8 +120,7 @@
                 loaded
             }
             OrderAction::Role(role) => {
-                let told = engine::role(&self.engine, &self.address, role, order.epoch.0).await;
-                told.map_err(|error| error.to_string())
+                Ok(engine::role(&self.engine, &self.address, role, order.epoch.0).await?)
             }
             OrderAction::Drain => self.drain(true).await,
             OrderAction::Resume => self.drain(false).await,
@@ -103,8 +135,8 @@
         model: &Model,
         version: Version,
         sources: &[String],
-    ) -> Result<(), String> {
-        let mut error = "the order names no source".to_owned();
+    ) -> Result<(), OrderError> {
+        let mut error = OrderError::NoSource;
         for source in sources {
             let fence = epoch.0;
             let told =
@@ -114,49 +146,51 @@
                 return Ok(());
             }
             error = match told {
-                Ok(()) => "the engine reports success but runs another version".to_owned(),
-                Err(EngineError::Refused(409, text)) => {
-                    return Err(format!("the engine refused the fencing number: {text}"));
-                }
-                Err(error) => error.to_string(),
+                Ok(()) => OrderError::Lost,
+                Err(fenced @ EngineError::Refused(FENCED, _)) => return Err(fenced.into()),
+                Err(error) => error.into(),
             };
             if self.fence().highest() > epoch {
-                return Err("a newer leader took over".to_owned());
+                return Err(OrderError::Overtaken);
             }
         }
         Err(error)
     }
 
-    async fn runs(&self, model: &Model, version: Version) -> Result<bool, String> {
-        let health = engine::health(&self.engine, &self.address).await;
-        let health = health.map_err(|error| error.to_string())?;
+    async fn runs(&self, model: &Model, version: Version) -> Result<bool, OrderError> {
+        let health = engine::health(&self.engine, &self.address).await?;
         Ok(health.models.get(model) == Some(&version))
     }
 
-    async fn drain(&self, draining: bool) -> Result<(), String> {
-        self.handle.drained.store(draining, Ordering::Relaxed);
-        let told = self.handle.gate.send(ToGate::Drain(draining)).await;
-        told.map_err(|_| "the agent stops".to_owned())
+    async fn drain(&self, draining: bool) -> Result<(), OrderError> {
+        self.handle.drains.order.store(draining, Ordering::Relaxed);
+        let told = self.handle.gate.send(ToGate::Drain(self.handle.drains.any())).await;
+        told.map_err(|_| OrderError::Stopping)
     }
 
     /// Asks the control processes for their highest epoch, until a majority has answered.
     async fn learn(&self) {
         let view = self.members.view();
-        let controls: Vec<String> = view
-            .known
-            .values()
-            .filter(|known| known.member.roles.control)
-            .map(|known| known.member.address.clone())
-            .collect();
-        let asked = controls
-            .iter()
-            .map(|address| self.peers.call::<(), Epoch>(address, paths::EPOCH, &(), ASK));
-        let answers: Vec<Epoch> = join_all(asked).await.into_iter().flatten().collect();
-        let majority = controls.len() / 2 + 1;
-        let highest = answers.iter().max().copied().unwrap_or_default();
-        tracing::info!(event = "epoch_asked", controls = controls.len(), answers = answers.len(), %highest);
-        if answers.len() >= majority {
-            self.fence().learn(highest);
+        let controls = view.known.values().map(|known| &known.member).filter(|m| m.roles.control);
+        let asked = controls.map(|member| async move {
+            let address = member.address.as_str();
+            let answer = self.peers.call::<(), EpochAnswer>(address, paths::EPOCH, &(), ASK).await;
+            answer.ok().map(|answer| (member.node.clone(), answer))
+        });
+        let answers: Vec<(Node, EpochAnswer)> =
+            join_all(asked).await.into_iter().flatten().collect();
+        let learnt = majority(&answers);
+        tracing::info!(event = "epoch_asked", answers = answers.len(), ?learnt);
+        if let Some(epoch) = learnt {
+            self.fence().learn(epoch);
         }
     }
 }
+
+/// Gives the highest epoch if a majority of the voters answered, as the one of the highest epoch
+/// names them.
+pub fn majority(answers: &[(Node, EpochAnswer)]) -> Option<Epoch> {
+    let (_, newest) = answers.iter().max_by_key(|(_, answer)| answer.epoch)?;
+    let answered = newest.voters.iter().filter(|v| answers.iter().any(|(node, _)| node == *v));
+    (answered.count() > newest.voters.len() / 2).then_some(newest.epoch)
+}
--- a/components/agent/src/run/generate.rs
+++ b/components/agent/src/run/generate.rs
@@ -12,6 +12,7 @@
 
 use super::Attempt;
 use super::Signal;
+use super::out::Rest;
 use crate::engine;
 use crate::engine::Chunks;
 use crate::engine::EngineError;
@@ -44,7 +45,9 @@
     match opened {
         Ok(Ok(chunks)) => stream(attempt, chunks).await,
         Ok(Err(error)) => attempt.fail(error).await,
-        Err(_) => give_up(attempt, Code::EndpointFailed, "the engine did not begin to answer").await,
+        Err(_) => {
+            give_up(attempt, Code::EndpointFailed, "the engine did not begin to answer").await
+        }
     }
 }
 
@@ -86,11 +89,12 @@
         tokio::select! {
             biased;
             Ok(_) = signal.wait_for(|signal| *signal == Signal::Cancel) => return Heard::Cancel,
-            () = out.closed() => return Heard::Cancel,
             part = chunks.next() => return Heard::Part(part),
             () = sleep_until(*deadline) => return Heard::Late,
             () = sleep_until(progress + SILENCE) => return Heard::Silent,
-            () = out.idle() => {}
+            rest = out.rest() => if rest == Rest::Gone {
+                return Heard::Cancel;
+            },
         }
     }
 }
--- a/components/agent/src/run/mod.rs
+++ b/components/agent/src/run/mod.rs
@@ -32,6 +32,7 @@
 use crate::handle::Signal;
 use crate::handle::ToGate;
 use out::Out;
+use out::Rest;
 
 /// What the tasks of one HTTP thread share.
 #[derive(Clone)]
@@ -123,9 +124,7 @@
             EngineError::Refused(_, _) => {
                 (End::NotRun, Failure::not_run(Code::EndpointFailed, detail))
             }
-            EngineError::Broken(_) => {
-                (End::Broken, Failure::unknown(Code::EndpointFailed, detail))
-            }
+            EngineError::Broken(_) => (End::Broken, Failure::unknown(Code::EndpointFailed, detail)),
         };
         self.end(end, Event::Failed(failure)).await;
         // The watch duty finds out whether the endpoint crashed; a full ring means it looks soon.
@@ -147,7 +146,8 @@
 async fn wait(out: &mut Out, signal: &mut watch::Receiver<Signal>) -> Waited {
     loop {
         match signal.borrow_and_update().clone() {
-            Signal::Start | Signal::Cancel => return Waited::Started,
+            Signal::Start => return Waited::Started,
+            Signal::Cancel => return Waited::Gone,
             Signal::Drop(failure) => return Waited::Dropped(failure),
             Signal::Wait => {}
         }
@@ -156,8 +156,9 @@
                 let detail = "the agent stops";
                 return Waited::Dropped(Failure::not_run(Code::Draining, detail));
             },
-            () = out.idle() => {}
-            () = out.closed() => return Waited::Gone,
+            rest = out.rest() => if rest == Rest::Gone {
+                return Waited::Gone;
+            },
         }
     }
 }
--- a/components/agent/src/run/out.rs
+++ b/components/agent/src/run/out.rs
@@ -16,6 +16,15 @@
 /// a few times as long.
 const ALIVE: Duration = Duration::from_secs(1);
 
+/// How a time without frames ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Rest {
+    /// A heartbeat was sent.
+    Alive,
+    /// Nobody reads the frames any more.
+    Gone,
+}
+
 /// Numbers and sends the frames of one attempt.
 pub struct Out {
     id: Id,
@@ -31,7 +40,7 @@
     }
 
     /// Sends a frame, waiting while the entry does not keep up. That the connection is gone
-    /// shows in [`Out::closed`].
+    /// shows in [`Out::rest`].
     pub async fn put(&mut self, event: Event) {
         let Id { request, attempt } = self.id;
         let frame = Frame { request, attempt, seq: self.seq, event };
@@ -40,20 +49,20 @@
         let _ = self.frames.send(framing::encode(&frame)).await;
     }
 
-    /// Waits until a heartbeat is due and sends it. May be dropped while it waits; a full
-    /// channel holds unread frames and needs no heartbeat.
-    pub async fn idle(&mut self) {
-        sleep_until(self.sent + ALIVE).await;
+    /// Waits until a heartbeat is due and sends it, or the entry's connection is gone. May be
+    /// dropped while it waits; a full channel holds unread frames and needs no heartbeat.
+    pub async fn rest(&mut self) -> Rest {
+        tokio::select! {
+            () = self.frames.closed() => return Rest::Gone,
+            () = sleep_until(self.sent + ALIVE) => {}
+        }
         self.sent = Instant::now();
-        let Ok(place) = self.frames.try_reserve() else { return };
-        let Id { request, attempt } = self.id;
-        let frame = Frame { request, attempt, seq: self.seq, event: Event::Alive };
-        self.seq += 1;
-        place.send(framing::encode(&frame));
-    }
-
-    /// Waits until the entry's connection is gone.
-    pub async fn closed(&self) {
-        self.frames.closed().await;
+        if let Ok(place) = self.frames.try_reserve() {
+            let Id { request, attempt } = self.id;
+            let frame = Frame { request, attempt, seq: self.seq, event: Event::Alive };
+            self.seq += 1;
+            place.send(framing::encode(&frame));
+        }
+        Rest::Alive
     }
 }
--- a/components/agent/src/run/serve.rs
+++ b/components/agent/src/run/serve.rs
@@ -12,6 +12,7 @@
 
 use super::Attempt;
 use super::Signal;
+use super::out::Rest;
 use crate::engine::EngineError;
 use crate::gate::End;
 use crate::service;
@@ -44,6 +45,7 @@
     let address = context.settings.address.as_str();
     let call = service::call(&context.fresh, address, work, task);
     tokio::pin!(call);
+    let mut gone = false;
     loop {
         tokio::select! {
             biased;
@@ -51,14 +53,16 @@
             Ok(_) = signal.wait_for(|signal| *signal == Signal::Cancel), if !once => {
                 return Ended::Stopped(Code::DeadlinePassed, "cancelled");
             }
-            () = out.closed(), if !once => {
-                return Ended::Stopped(Code::DeadlinePassed, "nobody waits for the answer");
-            }
             () = sleep_until(last) => {
                 let detail = "the deadline passed while the service had the call";
                 return Ended::Stopped(Code::DeadlinePassed, detail);
             }
-            () = out.idle() => {}
+            rest = out.rest(), if !gone => {
+                gone = rest == Rest::Gone;
+                if gone && !once {
+                    return Ended::Stopped(Code::DeadlinePassed, "nobody waits for the answer");
+                }
+            }
         }
     }
 }
--- a/components/types/src/order.rs
+++ b/components/types/src/order.rs
@@ -5,6 +5,7 @@
 
 use crate::ids::Epoch;
 use crate::ids::Model;
+use crate::ids::Node;
 use crate::ids::Version;
 
 /// An order, fenced by the epoch of the leader who gives it.
@@ -53,3 +54,16 @@
     /// The endpoint could not carry it out, and still runs what it ran.
     Failed(String),
 }
+
+/// What a control process answers to the question for the highest epoch that it knows.
+///
+/// An agent that restarted asks before its first order. It needs answers from a majority of the
+/// voters: its view of the members may still lack some, and a majority of those few it knows
+/// could consist of processes that were cut off.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct EpochAnswer {
+    /// The highest epoch that the process has voted in or heard of.
+    pub epoch: Epoch,
+    /// The voters of the log, as the process knows them.
+    pub voters: Vec<Node>,
+}
