--- /dev/null
+++ b/components/suspects/tests/rule.rs
@@ -0,0 +1,53 @@
+//! The rule, case by case.
+
+use std::collections::BTreeMap;
+
+use chicoryford_suspects::Rule;
+use chicoryford_types::Change;
+use chicoryford_types::Config;
+use chicoryford_types::Fingerprint;
+use chicoryford_types::Position;
+use chicoryford_types::Revision;
+use chicoryford_types::Unix;
+
+fn crash(config: &mut Config, blamed: &[u64]) {
+    let blamed: Vec<Fingerprint> = blamed.iter().map(|n| Fingerprint(*n)).collect();
+    let rule = Rule::default();
+    let changes = rule.crashed(&config.suspects, &config.convictions, Unix(0), &blamed);
+    apply(config, changes);
+}
+
+fn apply(config: &mut Config, changes: Vec<Change>) {
+    for change in changes {
+        let at = Position { revision: Revision(config.at.revision.0 + 1), ..config.at };
+        assert!(config.apply(at, change));
+    }
+}
+
+#[test]
+fn can_convict_only_the_guilty_of_a_batch() {
+    // Symptom: callers whose requests are harmless are refused.
+    // Sequence: a request crashes the endpoint on which it runs among others; they are all sent
+    // again, and it crashes the next endpoints too.
+    // Cause: all of the batch were there at the first crash.
+    let mut config = Config::default();
+    crash(&mut config, &[1, 2, 3]);
+    assert_eq!(config.suspects.len(), 3);
+    let rule = Rule::default();
+    for innocent in [1, 3] {
+        let cleared = rule.cleared(&config.suspects, Fingerprint(innocent));
+        apply(&mut config, cleared.into_iter().collect());
+    }
+    crash(&mut config, &[2]);
+    crash(&mut config, &[2]);
+    assert_eq!(config.convictions.keys().collect::<Vec<_>>(), [&Fingerprint(2)]);
+    assert!(config.suspects.is_empty());
+}
+
+#[test]
+fn can_stay_within_its_bound() {
+    let rule = Rule { suspects: 2, ..Rule::default() };
+    let suspects = BTreeMap::from([(Fingerprint(1), 2), (Fingerprint(2), 1)]);
+    let changes = rule.crashed(&suspects, &BTreeMap::new(), Unix(0), &[Fingerprint(3)]);
+    assert_eq!(changes, [Change::Cleared(Fingerprint(2)), Change::Suspected(Fingerprint(3), 1)]);
+}
