Add the agreement's replica: events, actions, messages, one replica and several

Cause: the control role needs the replicated log's decisions to build on. Conclusion: the public interface is there; the randomised run comes next.

--- a/components/agreement/src/lib.rs
+++ b/components/agreement/src/lib.rs
@@ -1,1 +1,59 @@
 //! The replicated log's decisions: elections, leases, appending, membership.
+//!
+//! A [`Replica`] is a pure state machine: events and readings of the monotonic clock go in,
+//! actions come out. The duties of the control role keep its disk and carry its messages.
+//! docs/AGREEMENT.md tells why it is built so and how it is proved.
+
+pub mod action;
+mod append;
+mod birth;
+mod check;
+mod durable;
+mod election;
+pub mod entry;
+pub mod event;
+mod handover;
+pub mod identity;
+mod leader;
+mod log;
+mod membership;
+pub mod message;
+mod progress;
+pub mod promise;
+mod read;
+mod receive;
+pub mod replica;
+mod replicate;
+pub mod saved;
+pub mod settings;
+mod snapshot;
+pub mod status;
+
+pub use action::Action;
+pub use action::Committed;
+pub use action::Refusal;
+pub use entry::Entry;
+pub use entry::Mark;
+pub use entry::Payload;
+pub use event::Change;
+pub use event::Event;
+pub use event::Proposal;
+pub use event::Token;
+pub use identity::Founder;
+pub use identity::Members;
+pub use identity::ReplicaId;
+pub use identity::Seat;
+pub use message::Body;
+pub use message::Message;
+pub use promise::Promise;
+pub use replica::Replica;
+pub use saved::HardState;
+pub use saved::Saved;
+pub use saved::Snapshot;
+pub use saved::SnapshotMeta;
+pub use saved::Write;
+pub use settings::Protections;
+pub use settings::Settings;
+pub use status::PeerStatus;
+pub use status::Role;
+pub use status::Status;
