--- a/components/settings/src/load.rs
+++ b/components/settings/src/load.rs
@@ -62,7 +62,7 @@
         return Ok(());
     }
     let locate = |fault: Fault| {
-        let line = locate::line(text, from, &fault.field).unwrap_or(0);
+        let line = locate::line(text, from, &fault.field).unwrap_or(from);
         Located { place: Place { line, field: fault.field }, problem: fault.problem }
     };
     let faults = faults.into_iter().map(locate).collect();
--- /dev/null
+++ b/src/cmd/completions.rs
@@ -0,0 +1,18 @@
+//! `chicoryford completions`.
+
+use clap::CommandFactory;
+use clap_complete::Shell;
+
+use crate::cli::Cli;
+use crate::error::CmdError;
+
+/// Prints the completion script of a shell.
+///
+/// # Errors
+///
+/// Never; the type is that of all commands.
+pub fn run(shell: Shell) -> Result<(), CmdError> {
+    let mut command = Cli::command();
+    clap_complete::generate(shell, &mut command, "chicoryford", &mut std::io::stdout());
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/pardon.rs
@@ -0,0 +1,37 @@
+//! `chicoryford pardon`.
+
+use chicoryford_state::Command;
+use chicoryford_types::Fingerprint;
+
+use crate::change;
+use crate::cli::ChangeArgs;
+use crate::connect::Connection;
+use crate::error::CmdError;
+use crate::output::Format;
+
+/// Lets a convicted content run again.
+///
+/// # Errors
+///
+/// [`CmdError`] if the fingerprint is no number or the change was not accepted.
+pub async fn run(
+    to: &Connection,
+    text: &str,
+    args: &ChangeArgs,
+    format: Format,
+) -> Result<(), CmdError> {
+    let fingerprint = parse(text)?;
+    let id = change::id(args);
+    let command = Command::Pardon { change: id.clone(), fingerprint };
+    let done = change::submit(to, format!("pardon {text}"), &id, &command, args).await?;
+    change::print(&[done], format);
+    Ok(())
+}
+
+fn parse(text: &str) -> Result<Fingerprint, CmdError> {
+    let number = match text.strip_prefix("0x") {
+        Some(digits) => u64::from_str_radix(digits, 16),
+        None => text.parse(),
+    };
+    number.map(Fingerprint).map_err(|_| CmdError::Fingerprint(text.to_owned()))
+}
--- /dev/null
+++ b/src/cmd/stop.rs
@@ -0,0 +1,142 @@
+//! `chicoryford stop`.
+
+use chicoryford_state::Command;
+use chicoryford_types::DataCentre;
+use chicoryford_types::Endpoint;
+use chicoryford_types::Member;
+use chicoryford_types::Members;
+use chicoryford_types::Node;
+use chicoryford_types::StopId;
+use chicoryford_types::config::Stop;
+use chicoryford_types::config::StopTarget;
+use serde::Serialize;
+
+use crate::change;
+use crate::cli::StopCommand;
+use crate::cli::Target;
+use crate::connect::Connection;
+use crate::error::CmdError;
+use crate::output::Format;
+use crate::output::View;
+
+/// A stop and what it waits for.
+#[derive(Debug, Serialize)]
+struct Standing {
+    id: StopId,
+    stop: Stop,
+    waits: Vec<Waits>,
+}
+
+/// A process that a stop names, and what it still has in progress.
+#[derive(Debug, Serialize)]
+struct Waits {
+    node: Node,
+    draining: bool,
+    in_progress: Option<u64>,
+}
+
+/// Plans, cancels or shows stops.
+///
+/// # Errors
+///
+/// [`CmdError`] if the change was not accepted or no process answers.
+pub async fn run(to: &Connection, command: &StopCommand, format: Format) -> Result<(), CmdError> {
+    match command {
+        StopCommand::Status { id } => status(to, id.as_deref(), format).await,
+        StopCommand::Cancel { id, change: args } => {
+            let change = change::id(args);
+            let id = StopId::from(id.as_str());
+            let what = format!("stop {id} cancelled");
+            let command = Command::CancelStop { change: change.clone(), id };
+            let done = change::submit(to, what, &change, &command, args).await?;
+            change::print(&[done], format);
+            Ok(())
+        }
+        StopCommand::Plan { target, deadline, reason, id, change: args } => {
+            let change = change::id(args);
+            // Without a name of its own a stop is named by its change, so that a resend that
+            // gives the change's id names the same stop.
+            let id = StopId(id.clone().unwrap_or_else(|| format!("stop-{change}")));
+            let stop = Stop {
+                target: aim(target),
+                deadline_ms: deadline * 1_000,
+                reason: reason.clone(),
+                accepted: chicoryford_types::Unix(0),
+            };
+            let what = format!("stop {id} planned");
+            let command = Command::PlanStop { change: change.clone(), id, stop };
+            let done = change::submit(to, what, &change, &command, args).await?;
+            change::print(&[done], format);
+            Ok(())
+        }
+    }
+}
+
+fn aim(target: &Target) -> StopTarget {
+    let name = |text: &Option<String>| text.clone().unwrap_or_default();
+    if target.endpoint.is_some() {
+        StopTarget::Endpoint(Endpoint(name(&target.endpoint)))
+    } else if target.node.is_some() {
+        StopTarget::Node(Node(name(&target.node)))
+    } else {
+        StopTarget::DataCentre(DataCentre(name(&target.data_centre)))
+    }
+}
+
+async fn status(to: &Connection, id: Option<&str>, format: Format) -> Result<(), CmdError> {
+    let (config, members) = (to.config().await?, to.members().await?);
+    let mut standings = Vec::new();
+    for (stop_id, stop) in config.stops {
+        if id.is_none_or(|id| stop_id.as_str() == id) {
+            let waits = waits(to, &members, &stop.target).await;
+            standings.push(Standing { id: stop_id, stop, waits });
+        }
+    }
+    if let (Some(id), true) = (id, standings.is_empty()) {
+        return Err(CmdError::Missing { kind: "stop", name: id.to_owned() });
+    }
+    let rows = standings.iter().map(row).collect();
+    View::new(&standings, &["stop", "target", "reason", "waits for"], rows).print(format);
+    Ok(())
+}
+
+/// Asks each process that the stop names what it has in progress.
+async fn waits(to: &Connection, members: &Members, target: &StopTarget) -> Vec<Waits> {
+    let mut waits = Vec::new();
+    for member in members.present().filter(|member| is_target(member, target)) {
+        let draining = member.endpoint.as_ref().is_some_and(|info| info.draining);
+        let dump = to.dump(&member.address).await.ok();
+        let in_progress = dump.and_then(|dump| dump["process"]["in_progress"].as_u64());
+        waits.push(Waits { node: member.node.clone(), draining, in_progress });
+    }
+    waits
+}
+
+fn is_target(member: &Member, target: &StopTarget) -> bool {
+    match target {
+        StopTarget::Endpoint(name) => member.endpoint.as_ref().is_some_and(|i| i.name == *name),
+        StopTarget::Node(node) => member.node == *node,
+        StopTarget::DataCentre(name) => member.data_centre == *name,
+    }
+}
+
+fn row(standing: &Standing) -> Vec<String> {
+    let waits = standing.waits.iter().map(|waits| match waits.in_progress {
+        Some(count) => format!("{}: {count} in progress", waits.node),
+        None => format!("{}: no answer", waits.node),
+    });
+    vec![
+        standing.id.to_string(),
+        target(&standing.stop.target),
+        standing.stop.reason.clone(),
+        waits.collect::<Vec<_>>().join(", "),
+    ]
+}
+
+fn target(target: &StopTarget) -> String {
+    match target {
+        StopTarget::Endpoint(name) => format!("endpoint {name}"),
+        StopTarget::Node(node) => format!("process {node}"),
+        StopTarget::DataCentre(name) => format!("data centre {name}"),
+    }
+}
