Serve generations and plain services through agents

Cause: nothing answered callers yet. Change: the door admits by template, one router duty chooses endpoints by least in flight, attempts are read frame by frame with checks of request, attempt and number, silent ones are settled over a new connection, broken generations are continued elsewhere.

--- /dev/null
+++ b/components/entry/src/context.rs
@@ -0,0 +1,81 @@
+//! What a thread needs to run requests.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use chicoryford_config::Handle as ConfigHandle;
+use chicoryford_kernel::Kernel;
+use chicoryford_kernel::registry::MissingService;
+use chicoryford_settings::Settings;
+use chicoryford_types::DataCentre;
+use chicoryford_types::Millis;
+use chicoryford_types::Node;
+use chicoryford_wire::Caller;
+use chicoryford_wire::Client;
+use chicoryford_wire::client::CALLER;
+
+use crate::router::Router;
+use crate::router::SERVICE;
+
+/// What a thread needs to run requests; an HTTP worker and the steps duty each make their own,
+/// because a client stays on one thread.
+#[derive(Clone)]
+pub struct Context(Rc<Inner>);
+
+/// The content of a [`Context`].
+pub struct Inner {
+    /// The process.
+    pub kernel: Kernel,
+    /// Calls agents over connections that are kept.
+    pub client: Client,
+    /// Calls agents over new connections, to tell a silent connection from a dead endpoint.
+    pub fresh: Client,
+    /// Chooses endpoints.
+    pub router: Router,
+    /// The configuration in force.
+    pub config: ConfigHandle,
+    /// The time without a frame after which a stream counts as silent.
+    pub silence: Duration,
+    /// This process.
+    pub node: Node,
+    /// Where this process stands.
+    pub place: DataCentre,
+}
+
+impl Context {
+    /// Finds the services of the process and makes clients for this thread.
+    ///
+    /// # Errors
+    ///
+    /// [`MissingService`] if a service has not been started yet.
+    pub fn new(kernel: &Kernel, settings: &Settings) -> Result<Self, MissingService> {
+        let caller = kernel.registry.find::<Caller>(CALLER)?;
+        let config = kernel.registry.find::<ConfigHandle>(chicoryford_config::SERVICE)?;
+        let router = kernel.registry.find::<Router>(SERVICE)?;
+        let client = caller.client();
+        let entry = settings.entry.clone().unwrap_or_default();
+        Ok(Self(Rc::new(Inner {
+            kernel: kernel.clone(),
+            fresh: client.fresh(),
+            client,
+            router: Router::clone(&router),
+            config: ConfigHandle::clone(&config),
+            silence: Duration::from_millis(entry.silence_ms),
+            node: settings.node.clone(),
+            place: settings.data_centre.clone(),
+        })))
+    }
+
+    /// Reads the process's monotonic clock.
+    pub fn now(&self) -> Millis {
+        self.0.kernel.now()
+    }
+}
+
+impl std::ops::Deref for Context {
+    type Target = Inner;
+
+    fn deref(&self) -> &Inner {
+        &self.0
+    }
+}
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,1 +1,17 @@
 //! The entry role: callers, trainers, routing, streams.
+//!
+//! HTTP workers admit a request ([`door`]), ask the router duty for an endpoint ([`router`]),
+//! and run attempts of it at agents ([`run`]). docs/API.md tells callers what they may send and
+//! what they get; docs/ARCHITECTURE.md shows the threads.
+
+pub mod chat;
+pub mod context;
+pub mod door;
+pub mod router;
+pub mod run;
+pub mod service;
+pub mod start;
+
+pub use start::StartError;
+pub use start::routes;
+pub use start::start;
--- /dev/null
+++ b/components/entry/src/router/handle.rs
@@ -0,0 +1,152 @@
+//! How other threads ask the router.
+
+use chicoryford_kernel::Sender;
+use chicoryford_kernel::ring::RingError;
+use chicoryford_types::Code;
+use chicoryford_types::Endpoint;
+use chicoryford_types::Failure;
+use chicoryford_types::LoadReport;
+use chicoryford_types::Workspace;
+use tokio::sync::oneshot;
+
+use crate::router::seat::Pick;
+use crate::router::seat::Verdict;
+use crate::router::seat::Want;
+
+/// The name under which the [`Router`] is offered.
+pub const SERVICE: &str = "router";
+
+/// When a request that found the router's ring full may come back, in milliseconds.
+const RING_RETRY: u64 = 500;
+
+/// What is put into the router's ring.
+pub enum Ask {
+    /// A request wants to come in.
+    Enter(Workspace, oneshot::Sender<Result<Entered, Failure>>),
+    /// A request left; whether it ran.
+    Leave(Workspace, bool),
+    /// An attempt wants an endpoint.
+    Choose(Box<Want>, oneshot::Sender<Result<Ticket, Failure>>),
+    /// An attempt ended.
+    Ended(Endpoint, Verdict),
+    /// A load report came.
+    Load(Box<LoadReport>),
+    /// A dump is wanted.
+    Dump(oneshot::Sender<serde_json::Value>),
+}
+
+/// Asks the router.
+#[derive(Clone)]
+pub struct Router(Sender<Ask>);
+
+impl Router {
+    /// Makes a handle from the ring's sending end.
+    pub fn new(ring: Sender<Ask>) -> Self {
+        Self(ring)
+    }
+
+    /// Counts a request in, until the answer is dropped.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, always "not run".
+    pub async fn enter(&self, workspace: &Workspace) -> Result<Entered, Failure> {
+        let (sender, receiver) = oneshot::channel();
+        self.offer(Ask::Enter(workspace.clone(), sender))?;
+        receiver.await.map_err(|_| gone())?
+    }
+
+    /// Finds an endpoint, waiting for one with room until the deadline of `want`.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, always "not run".
+    pub async fn choose(&self, want: Want) -> Result<Ticket, Failure> {
+        let (sender, receiver) = oneshot::channel();
+        self.offer(Ask::Choose(Box::new(want), sender))?;
+        receiver.await.map_err(|_| gone())?
+    }
+
+    /// Passes on a load report; one that finds no room is dropped, the next replaces it.
+    pub fn load(&self, report: LoadReport) {
+        let _ = self.0.offer(Ask::Load(Box::new(report)));
+    }
+
+    /// Takes the router's part of the dump.
+    pub async fn dump(&self) -> serde_json::Value {
+        let (sender, receiver) = oneshot::channel();
+        if self.offer(Ask::Dump(sender)).is_err() {
+            return serde_json::Value::Null;
+        }
+        receiver.await.unwrap_or_default()
+    }
+
+    fn offer(&self, ask: Ask) -> Result<(), Failure> {
+        self.0.offer(ask).map_err(|error| match error {
+            RingError::Full(_) => {
+                let failure = Failure::not_run(Code::Overloaded, "the router does not keep up");
+                failure.retry_after(RING_RETRY)
+            }
+            RingError::Closed(_) => gone(),
+        })
+    }
+
+    /// Tells the router something that must not be lost: a lost end would leave an endpoint
+    /// looking busier than it is for ever. When the ring is full, a task waits for room.
+    fn tell(&self, ask: Ask) {
+        if let Err(RingError::Full(ask)) = self.0.offer(ask) {
+            let ring = self.0.clone();
+            actix_rt::spawn(async move {
+                let _ = ring.send(ask).await;
+            });
+        }
+    }
+}
+
+fn gone() -> Failure {
+    Failure::not_run(Code::Draining, "this entry is stopping").retry_after(RING_RETRY)
+}
+
+/// A request that was counted in; it is counted out when this is dropped.
+pub struct Entered {
+    router: Router,
+    workspace: Workspace,
+    /// Whether the request ran, which earns its workspace a share of a retry.
+    pub ran: bool,
+}
+
+impl Entered {
+    /// Wraps a request that the book has counted in.
+    pub fn new(router: Router, workspace: Workspace) -> Self {
+        Self { router, workspace, ran: false }
+    }
+}
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        self.router.tell(Ask::Leave(self.workspace.clone(), self.ran));
+    }
+}
+
+/// A place at an endpoint; it is given back when this is dropped.
+pub struct Ticket {
+    router: Router,
+    /// The endpoint.
+    pub pick: Pick,
+    /// What the attempt tells about the endpoint; set before the ticket is dropped.
+    pub verdict: Verdict,
+}
+
+impl Ticket {
+    /// Wraps a place that the book has counted.
+    pub fn new(router: Router, pick: Pick) -> Self {
+        Self { router, pick, verdict: Verdict::Dropped }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let verdict = std::mem::take(&mut self.verdict);
+        self.router.tell(Ask::Ended(self.pick.endpoint.clone(), verdict));
+    }
+}
--- /dev/null
+++ b/components/entry/src/run/generate.rs
@@ -0,0 +1,109 @@
+//! Runs a generation, continued elsewhere when an attempt breaks off.
+
+use chicoryford_types::Failure;
+use chicoryford_types::frame::Event;
+use chicoryford_types::frame::Tokens;
+use chicoryford_types::request::Generation;
+use chicoryford_types::request::Task;
+
+use crate::context::Context;
+use crate::router::Entered;
+use crate::router::Verdict;
+use crate::run::attempt::Broken;
+use crate::run::job::Job;
+use crate::run::spans::Whole;
+use crate::run::tries::Live;
+use crate::run::tries::Tries;
+
+/// Why a generation ended that had all its tokens when its attempt broke off.
+const LENGTH: &str = "length";
+
+/// What a generation gives, piece by piece.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Piece {
+    /// Some tokens.
+    Tokens(Tokens),
+    /// The explicit end and its reason; nothing follows.
+    Finished(String),
+}
+
+/// A generation in progress. Dropped before its end, it is cancelled.
+pub struct Generating {
+    tries: Tries,
+    task: Generation,
+    live: Option<Live>,
+    entered: Option<Entered>,
+    /// What it consists of so far.
+    pub whole: Whole,
+}
+
+impl Generating {
+    /// Starts before the first attempt. `entered` counts the request in until the end.
+    pub fn new(context: Context, job: Job, task: Generation, entered: Option<Entered>) -> Self {
+        let tries = Tries::new(context, job);
+        Self { tries, task, live: None, entered, whole: Whole::default() }
+    }
+
+    /// Gives the request.
+    pub fn job(&self) -> &Job {
+        &self.tries.job
+    }
+
+    /// Waits for the next piece.
+    ///
+    /// # Errors
+    ///
+    /// The final failure of the request.
+    pub async fn next(&mut self) -> Result<Piece, Failure> {
+        loop {
+            let Some(live) = &mut self.live else {
+                self.begin().await?;
+                continue;
+            };
+            match live.attempt.next().await {
+                Ok(Event::Tokens(tokens)) => {
+                    self.whole.push(&tokens);
+                    return Ok(Piece::Tokens(tokens));
+                }
+                Ok(Event::Finished(finish)) => {
+                    live.ticket.verdict = Verdict::Ran(finish.load);
+                    self.finish();
+                    return Ok(Piece::Finished(finish.reason));
+                }
+                Ok(_) => {}
+                Err(broken) => {
+                    if let Some(piece) = self.recover(broken).await? {
+                        return Ok(piece);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Begins an attempt that continues after the tokens that came so far. The seed stays the
+    /// same, so that the engine samples on from where the earlier attempt stood.
+    async fn begin(&mut self) -> Result<(), Failure> {
+        let mut task = self.task.clone();
+        task.prefix.push_str(&self.whole.text);
+        task.done += self.whole.tokens;
+        self.live = Some(self.tries.start(&Task::Generate(task)).await?);
+        Ok(())
+    }
+
+    async fn recover(&mut self, broken: Broken) -> Result<Option<Piece>, Failure> {
+        let Some(live) = self.live.take() else { return Ok(None) };
+        self.tries.after(live, broken).await?;
+        if self.whole.tokens + self.task.done < self.task.max_tokens {
+            return Ok(None);
+        }
+        self.finish();
+        Ok(Some(Piece::Finished(LENGTH.to_owned())))
+    }
+
+    fn finish(&mut self) {
+        self.live = None;
+        if let Some(mut entered) = self.entered.take() {
+            entered.ran = true;
+        }
+    }
+}
--- /dev/null
+++ b/components/entry/src/run/mod.rs
@@ -0,0 +1,14 @@
+//! Runs requests: attempts at agents, their frames, retries, the continuation elsewhere.
+
+pub mod attempt;
+pub mod check;
+pub mod generate;
+pub mod job;
+pub mod probe;
+pub mod serve;
+pub mod spans;
+pub mod tries;
+
+pub use generate::Generating;
+pub use generate::Piece;
+pub use job::Job;
--- /dev/null
+++ b/components/entry/src/run/tries.rs
@@ -0,0 +1,192 @@
+//! The attempts of one request: whether, where and when it is tried again.
+
+use chicoryford_types::Code;
+use chicoryford_types::Failure;
+use chicoryford_types::Outcome;
+use chicoryford_types::request::StoredAnswer;
+use chicoryford_types::request::Task;
+
+use crate::context::Context;
+use crate::router::Ticket;
+use crate::router::Verdict;
+use crate::run::attempt;
+use crate::run::attempt::Attempt;
+use crate::run::attempt::Broken;
+use crate::run::attempt::Settled;
+use crate::run::job::Job;
+
+/// An attempt and its place at an endpoint.
+pub struct Live {
+    /// The place.
+    pub ticket: Ticket,
+    /// The attempt.
+    pub attempt: Attempt,
+}
+
+/// What follows a broken attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Next {
+    /// Another attempt may be made.
+    Again,
+    /// The agent had the answer of a plain service after all.
+    Answered(StoredAnswer),
+}
+
+/// The attempts of one request.
+pub struct Tries {
+    /// What the thread has.
+    pub context: Context,
+    /// The request.
+    pub job: Job,
+    /// Whether an attempt may have reached an endpoint. From then on no failure of the request
+    /// may say "not run", whatever later attempts met.
+    pub touched: bool,
+    /// The failure of the last attempt.
+    pub last: Option<Failure>,
+}
+
+impl Tries {
+    /// Starts before the first attempt.
+    pub fn new(context: Context, job: Job) -> Self {
+        Self { context, job, touched: false, last: None }
+    }
+
+    /// Makes the next attempt, trying endpoint after endpoint while each truly did not run it.
+    ///
+    /// # Errors
+    ///
+    /// The final failure of the request.
+    pub async fn start(&mut self, task: &Task) -> Result<Live, Failure> {
+        loop {
+            if self.job.attempt.0 > 0 {
+                actix_rt::time::sleep(self.job.backoff()).await;
+            }
+            let chosen = self.context.router.choose(self.job.want()).await;
+            let ticket = chosen.map_err(|refusal| self.refused(refusal))?;
+            self.job.attempt = self.job.attempt.next();
+            let work = self.job.work(task.clone(), self.context.now());
+            let address = ticket.pick.address.clone();
+            let deadline = self.job.deadline;
+            match Attempt::open(&self.context, &address, &work, deadline).await {
+                Ok(attempt) => return Ok(Live { ticket, attempt }),
+                Err(broken) => match self.judge(ticket, broken).await? {
+                    Next::Again => {}
+                    Next::Answered(_) => {
+                        let detail = "the answer was lost on its way";
+                        let failure = Failure::unknown(Code::EndpointFailed, detail);
+                        return Err(failure);
+                    }
+                },
+            }
+        }
+    }
+
+    /// Decides what follows a broken attempt.
+    ///
+    /// # Errors
+    ///
+    /// The final failure of the request.
+    pub async fn after(&mut self, mut live: Live, broken: Broken) -> Result<Next, Failure> {
+        if matches!(broken, Broken::Lost(_)) {
+            live.attempt.leave();
+        }
+        self.judge(live.ticket, broken).await
+    }
+
+    async fn judge(&mut self, mut ticket: Ticket, broken: Broken) -> Result<Next, Failure> {
+        let endpoint = ticket.pick.endpoint.clone();
+        let (request, number) = (self.job.request, self.job.attempt);
+        tracing::info!(event = "attempt_broken", %request, %number, %endpoint, ?broken);
+        self.context.kernel.metrics.count("entry.attempt.broken", 1);
+        let failure = match broken {
+            Broken::NotRun(failure) => {
+                ticket.verdict = refusal_verdict(failure.code);
+                if is_final(failure.code) {
+                    return Err(self.finally(failure));
+                }
+                failure
+            }
+            Broken::Failed(failure) => {
+                self.touched = true;
+                if failure.code == Code::EndpointFailed {
+                    ticket.verdict = Verdict::Failed;
+                }
+                if !self.job.repeatable || is_final(failure.code) {
+                    return Err(failure);
+                }
+                failure
+            }
+            Broken::Lost(failure) => {
+                let cancel = self.job.repeatable;
+                let settled =
+                    attempt::settle(&self.context, &mut ticket, request, number, cancel).await;
+                match settled {
+                    Settled::NotRun => {
+                        Failure::not_run(Code::EndpointFailed, "the connection was lost")
+                    }
+                    Settled::Done(answer) => return Ok(Next::Answered(answer)),
+                    Settled::Running | Settled::Unknown => {
+                        self.touched = true;
+                        if !self.job.repeatable {
+                            return Err(failure);
+                        }
+                        failure
+                    }
+                }
+            }
+            Broken::Late => {
+                self.touched = true;
+                let detail = "the deadline passed while the request ran";
+                return Err(Failure::unknown(Code::DeadlinePassed, detail));
+            }
+        };
+        drop(ticket);
+        self.job.avoid.push(endpoint);
+        if !self.job.may_retry(self.context.now()) {
+            return Err(self.finally(failure));
+        }
+        self.last = Some(failure);
+        Ok(Next::Again)
+    }
+
+    /// Gives the failure to tell when no further endpoint is to be had.
+    fn refused(&mut self, refusal: Failure) -> Failure {
+        let failure = match self.last.take() {
+            Some(last) => Failure { retry_ms: refusal.retry_ms, ..last },
+            None => refusal,
+        };
+        self.finally(failure)
+    }
+
+    /// Makes a final failure truthful about the attempts before it.
+    fn finally(&self, failure: Failure) -> Failure {
+        if self.touched { Failure { outcome: Outcome::Unknown, ..failure } } else { failure }
+    }
+}
+
+/// Tells what an agent's refusal says about its endpoint.
+fn refusal_verdict(code: Code) -> Verdict {
+    match code {
+        Code::Overloaded | Code::LimitReached => Verdict::Full,
+        Code::Draining => Verdict::Leaving,
+        Code::NoEndpoint | Code::EndpointFailed | Code::Internal => Verdict::Failed,
+        _ => Verdict::Dropped,
+    }
+}
+
+/// Tells whether another endpoint would give the same failure.
+fn is_final(code: Code) -> bool {
+    matches!(
+        code,
+        Code::BadRequest
+            | Code::TooLarge
+            | Code::Unauthenticated
+            | Code::Forbidden
+            | Code::NotFound
+            | Code::Convicted
+            | Code::KeyExpired
+            | Code::KeyReused
+            | Code::DuplicateUnknown
+            | Code::DeadlinePassed
+    )
+}
--- /dev/null
+++ b/components/entry/src/service.rs
@@ -0,0 +1,70 @@
+//! Calls of plain services: `POST /v1/services/<service>/<path>`.
+
+use chicoryford_types::Code;
+use chicoryford_types::Failure;
+use chicoryford_types::Model;
+use chicoryford_types::request::ServiceCall;
+use chicoryford_wire::Call;
+use chicoryford_wire::Reply;
+use chicoryford_wire::paths;
+use chicoryford_wire::reply;
+
+use crate::context::Context;
+use crate::door;
+use crate::run::Job;
+use crate::run::serve;
+use crate::run::serve::Served;
+
+/// Tells how many attempts an answer took.
+const ATTEMPTS: &str = "chicoryford-attempts";
+/// Names the request, for logs and questions to operators.
+const REQUEST: &str = "chicoryford-request";
+
+/// Answers one call.
+pub async fn answer(context: Context, call: Call) -> Reply {
+    match run(&context, &call).await {
+        Ok((job, served)) => whole(&job, served),
+        Err(failure) => {
+            context.kernel.metrics.count("entry.service.failed", 1);
+            reply::failure(&failure)
+        }
+    }
+}
+
+async fn run(context: &Context, call: &Call) -> Result<(Job, Served), Failure> {
+    let (model, path) = target(&call.path)?;
+    let (job, admitted) = door::job(context, call, model, &content(call))?;
+    if !admitted.repeatable {
+        let detail = "calls that may not be repeated are not served yet";
+        return Err(Failure::not_run(Code::BadRequest, detail));
+    }
+    let mut entered = context.router.enter(&job.workspace).await?;
+    let media = call.header("content-type").unwrap_or("application/octet-stream");
+    let task = ServiceCall { path, media: media.to_owned(), body: call.body.clone() };
+    let served = serve::call(context, job.clone(), task).await?;
+    entered.ran = true;
+    Ok((job, served))
+}
+
+/// Reads the service and the path below it.
+fn target(path: &str) -> Result<(Model, String), Failure> {
+    let rest = path.strip_prefix(paths::SERVICES).unwrap_or_default();
+    let (model, path) = rest.split_once('/').unwrap_or((rest, ""));
+    if model.is_empty() {
+        return Err(Failure::not_run(Code::NotFound, "the path names no service"));
+    }
+    Ok((Model::from(model), format!("/{path}")))
+}
+
+/// Gives what a resend of the same content has in common, whatever its identifiers.
+fn content(call: &Call) -> Vec<u8> {
+    [call.path.as_bytes(), b"\0", &call.body].concat()
+}
+
+fn whole(job: &Job, served: Served) -> Reply {
+    let Served { answer, attempts } = served;
+    let mut reply = reply::bytes(answer.status, &answer.media, answer.body);
+    door::stamp(&mut reply, REQUEST, &job.request.to_string());
+    door::stamp(&mut reply, ATTEMPTS, &attempts.to_string());
+    reply
+}
