--- a/components/entry/src/run/attempt.rs
+++ b/components/entry/src/run/attempt.rs
@@ -13,6 +13,7 @@
 use chicoryford_types::RequestId;
 use chicoryford_types::Work;
 use chicoryford_types::frame::Event;
+use chicoryford_types::request::AttemptQuestion;
 use chicoryford_types::request::AttemptState;
 use chicoryford_types::request::StoredAnswer;
 use chicoryford_wire::CallError;
@@ -29,7 +30,6 @@
 use crate::router::Verdict;
 use crate::run::check::Check;
 use crate::run::probe;
-use crate::run::probe::Question;
 
 /// How an attempt broke off.
 #[derive(Clone, Debug, PartialEq)]
@@ -51,8 +51,7 @@
     stream: LocalBoxStream<'static, Result<Bytes, PayloadError>>,
     decoder: Decoder,
     check: Check,
-    request: RequestId,
-    number: Number,
+    question: AttemptQuestion,
     deadline: Millis,
     ended: bool,
 }
@@ -69,6 +68,12 @@
         work: &Work,
         deadline: Millis,
     ) -> Result<Self, Broken> {
+        let question = AttemptQuestion {
+            request: work.request,
+            attempt: work.attempt,
+            incarnation: work.incarnation,
+            cancel: false,
+        };
         let stream = send(context, address, work, deadline).await?;
         Ok(Self {
             context: context.clone(),
@@ -76,8 +81,7 @@
             stream,
             decoder: Decoder::default(),
             check: Check::new(work.request, work.attempt),
-            request: work.request,
-            number: work.attempt,
+            question,
             deadline,
             ended: false,
         })
@@ -115,7 +119,7 @@
             let frame = self.decoder.take::<Frame>().map_err(|error| lost(error.to_string()))?;
             if let Some(frame) = frame {
                 return self.check.take(frame).map_err(|crossed| {
-                    tracing::warn!(event = "crossed_frame", request = %self.request, %crossed);
+                    tracing::warn!(event = "crossed_frame", request = %self.question.request, %crossed);
                     lost(crossed.to_string())
                 });
             }
@@ -132,7 +136,7 @@
 impl Drop for Attempt {
     fn drop(&mut self) {
         if !self.ended {
-            probe::cancel(&self.context, &self.address, self.request, self.number);
+            probe::cancel(&self.context, &self.address, self.question.clone());
         }
     }
 }
@@ -210,8 +214,9 @@
     attempt: Number,
     cancel: bool,
 ) -> Settled {
-    let question = Question { request, attempt, cancel };
-    let state = probe::ask(context, &ticket.pick.address, question).await;
+    let incarnation = ticket.pick.incarnation;
+    let question = AttemptQuestion { request, attempt, incarnation, cancel };
+    let state = probe::ask(context, &ticket.pick.address, &question).await;
     let endpoint = &ticket.pick.endpoint;
     tracing::info!(event = "attempt_probed", %request, %attempt, %endpoint, state = name(&state));
     ticket.verdict = match &state {
--- a/components/entry/src/run/job.rs
+++ b/components/entry/src/run/job.rs
@@ -17,6 +17,7 @@
 use chicoryford_types::template::Retries;
 use rand::Rng;
 
+use crate::router::Pick;
 use crate::router::Want;
 
 /// The backoff before the first retry, in milliseconds; it doubles with each more.
@@ -93,11 +94,12 @@
         }
     }
 
-    /// Makes the message of the present attempt.
-    pub fn work(&self, task: Task, now: Millis) -> Work {
+    /// Makes the message of the present attempt, for the agent of `pick`.
+    pub fn work(&self, task: Task, pick: &Pick, now: Millis) -> Work {
         Work {
             request: self.request,
             attempt: self.attempt,
+            incarnation: pick.incarnation,
             workspace: self.workspace.clone(),
             model: self.model.clone(),
             class: self.class,
--- a/components/entry/src/run/tries.rs
+++ b/components/entry/src/run/tries.rs
@@ -64,7 +64,7 @@
             let chosen = self.context.router.choose(self.job.want()).await;
             let ticket = chosen.map_err(|refusal| self.refused(refusal))?;
             self.job.attempt = self.job.attempt.next();
-            let work = self.job.work(task.clone(), self.context.now());
+            let work = self.job.work(task.clone(), &ticket.pick, self.context.now());
             let address = ticket.pick.address.clone();
             let deadline = self.job.deadline;
             match Attempt::open(&self.context, &address, &work, deadline).await {
