Announce processes to each other by sealed UDP datagrams

Cause: processes have no way to find each other. Change: start() opens the gossip socket, offers the members service and exchanges announcements with seeds and random members. Datagrams carry an HMAC keyed by the processes' token. Conclusion: others can build on the members service.

--- /dev/null
+++ b/components/membership/tests/udp.rs
@@ -0,0 +1,158 @@
+//! Membership over real UDP sockets on the loopback interface.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::path::Path;
+use std::sync::Arc;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use chicoryford_kernel::Kernel;
+use chicoryford_kernel::Metrics;
+use chicoryford_kernel::Phase;
+use chicoryford_membership::Handle;
+use chicoryford_membership::Message;
+use chicoryford_membership::SERVICE;
+use chicoryford_membership::Seal;
+use chicoryford_membership::StartError;
+use chicoryford_membership::message::Body;
+use chicoryford_membership::message::Update;
+use chicoryford_membership::start;
+use chicoryford_settings::Settings;
+use chicoryford_types::Incarnation;
+use chicoryford_types::Member;
+use chicoryford_types::Members;
+use chicoryford_types::Node;
+use chicoryford_types::Standing;
+
+const ANY: ([u8; 4], u16) = ([127, 0, 0, 1], 0);
+const PATIENCE: usize = 600;
+
+struct Process {
+    kernel: Kernel,
+    members: Arc<Handle>,
+    duty: JoinHandle<()>,
+}
+
+impl Process {
+    fn start(folder: &Path, name: &str, seeds: &[SocketAddr]) -> Self {
+        let token = folder.join("token");
+        fs::write(&token, "the token of all processes\n").unwrap();
+        let settings = Settings {
+            node: Node::from(name),
+            gossip: SocketAddr::from(ANY),
+            seeds: seeds.to_vec(),
+            token,
+            ..Settings::default()
+        };
+        let kernel = Kernel::new(Metrics::new(None).unwrap());
+        let duty = start(&kernel, &settings).unwrap();
+        let members = kernel.registry.find(SERVICE).unwrap();
+        Self { kernel, members, duty }
+    }
+
+    fn gossip(&self) -> SocketAddr {
+        self.members.own().gossip.parse().unwrap()
+    }
+
+    fn until(&self, what: &str, holds: impl Fn(&Members) -> bool) {
+        for _ in 0..PATIENCE {
+            if holds(&self.members.view()) {
+                return;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        panic!("{} never saw {what}: {:?}", self.members.own().node, self.members.view());
+    }
+
+    fn stop(self) {
+        self.kernel.phases.advance(Phase::Stopping);
+        self.duty.join().unwrap();
+    }
+}
+
+fn address(members: &Members, name: &str) -> Option<String> {
+    members.known.get(&Node::from(name)).map(|known| known.member.address.clone())
+}
+
+#[test]
+fn can_run_alone_without_seeds() {
+    let folder = tempfile::tempdir().unwrap();
+    let process = Process::start(folder.path(), "alone", &[]);
+    let view = process.members.view();
+    assert_eq!(view.present().count(), 1);
+    assert_eq!(view.known[&Node::from("alone")].standing, Standing::Alive);
+    process.stop();
+}
+
+#[test]
+fn can_find_all_others_from_one_seed_and_hear_their_changes() {
+    let folder = tempfile::tempdir().unwrap();
+    let first = Process::start(folder.path(), "p0", &[]);
+    let seeds = [first.gossip()];
+    let mut all = vec![first];
+    for n in 1..8 {
+        all.push(Process::start(folder.path(), &format!("p{n}"), &seeds));
+    }
+    for process in &all {
+        process.until("all eight", |view| view.present().count() == 8);
+    }
+    all[3].members.announce(|own| own.address = "127.0.0.1:7".to_owned());
+    for process in &all {
+        process.until("the change", |view| address(view, "p3").as_deref() == Some("127.0.0.1:7"));
+    }
+    all.into_iter().for_each(Process::stop);
+}
+
+#[test]
+fn errors_on_a_stranger_who_forges_datagrams() {
+    // Symptom: work is sent to an endpoint that no operator started.
+    // Sequence: somebody who can reach the port, but lacks the token, announces a member.
+    // Cause: datagrams would be taken from anyone.
+    let folder = tempfile::tempdir().unwrap();
+    let process = Process::start(folder.path(), "p0", &[]);
+    let announced = Member {
+        node: Node::from("stranger"),
+        incarnation: Incarnation(1),
+        gossip: "127.0.0.1:9".to_owned(),
+        ..Member::default()
+    };
+    let message = Message {
+        from: announced.node.clone(),
+        body: Body::Ping { seq: 1, to: Node::from("p0") },
+        updates: vec![Update::Alive(Arc::new(announced))],
+    };
+    let socket = UdpSocket::bind(SocketAddr::from(ANY)).unwrap();
+    let forged = Seal::new("a guess").seal(&message.encode());
+    for datagram in [&forged[..], &forged[..7], &message.encode()] {
+        socket.send_to(datagram, process.gossip()).unwrap();
+    }
+    // A friend's datagram, sent after the forged ones over the same socket, is taken after them.
+    let own = Seal::new("the token of all processes");
+    let friend = Message { from: Node::from("friend"), ..message };
+    let friend = Message {
+        updates: vec![Update::Alive(Arc::new(Member {
+            node: Node::from("friend"),
+            incarnation: Incarnation(1),
+            gossip: socket.local_addr().unwrap().to_string(),
+            ..Member::default()
+        }))],
+        ..friend
+    };
+    socket.send_to(&own.seal(&friend.encode()), process.gossip()).unwrap();
+    process.until("the friend", |view| view.known.contains_key(&Node::from("friend")));
+    assert!(!process.members.view().known.contains_key(&Node::from("stranger")));
+    process.stop();
+}
+
+#[test]
+fn errors_on_an_empty_token() {
+    let folder = tempfile::tempdir().unwrap();
+    let token = folder.path().join("token");
+    fs::write(&token, "\n").unwrap();
+    let settings = Settings { gossip: SocketAddr::from(ANY), token, ..Settings::default() };
+    let kernel = Kernel::new(Metrics::new(None).unwrap());
+    assert!(matches!(start(&kernel, &settings), Err(StartError::EmptyToken)));
+}
