Show a process its own changed announcement

Cause: a process's own view kept its first announcement. Change: the view is published again when the own announcement changes. Measured: the UDP test of eight processes, which failed before, passes. Conclusion: the view at each process includes itself as announced.

--- a/components/membership/src/swim.rs
+++ b/components/membership/src/swim.rs
@@ -90,7 +90,10 @@
         match event {
             Event::Tick => self.tick(now, actions),
             Event::Received { from, message } => self.receive(from, message, actions),
-            Event::Own(member) => self.own = Arc::new(member),
+            Event::Own(member) => {
+                self.own = Arc::new(member);
+                self.changed = true;
+            }
             Event::Leave => {}
         }
     }
