--- /dev/null
+++ b/components/entry/tests/generations.rs
@@ -0,0 +1,232 @@
+//! Generations through an entry and fake agents.
+
+mod support;
+
+use chicoryford_types::Code;
+use chicoryford_types::Failure;
+use chicoryford_types::frame::Event;
+use chicoryford_types::request::AttemptState;
+use chicoryford_types::request::Task;
+use chicoryford_wire::Client;
+use chicoryford_wire::paths;
+use serde_json::Value;
+use serde_json::json;
+use support::Agent;
+use support::Fixture;
+use support::MODEL;
+use support::Plan;
+use support::finished;
+use support::frames;
+use support::tokens;
+
+fn chat(stream: bool) -> Value {
+    let messages = json!([{"role": "user", "content": "which ferry?"}]);
+    json!({"model": MODEL, "messages": messages, "max_tokens": 8, "stream": stream, "seed": 7})
+}
+
+fn whole_answer() -> Agent {
+    Agent::new(|work| {
+        let events = vec![
+            Event::Accepted,
+            tokens("the seven ", 3),
+            Event::Alive,
+            tokens("o'clock", 4),
+            finished(3),
+        ];
+        Plan::Stream(frames(work, events))
+    })
+}
+
+#[test]
+fn gives_whole_answers_with_their_versions() {
+    actix_rt::System::new().block_on(async {
+        let fixture = Fixture::start(vec![whole_answer()]).await;
+        let seen = fixture.post(paths::CHAT, &[], &chat(false)).await;
+        assert_eq!(seen.status, 200, "{}", seen.text());
+        let answer = seen.json();
+        assert_eq!(answer["choices"][0]["message"]["content"], "the seven o'clock");
+        assert_eq!(answer["choices"][0]["finish_reason"], "stop");
+        assert_eq!(answer["usage"]["completion_tokens"], 3);
+        let spans = json!([
+            {"from": 0, "to": 2, "version": 3},
+            {"from": 2, "to": 3, "version": 4},
+        ]);
+        assert_eq!(answer["chicoryford"]["spans"], spans);
+        assert_eq!(answer["chicoryford"]["attempts"], 1);
+    });
+}
+
+#[test]
+fn streams_events_that_end_with_done() {
+    actix_rt::System::new().block_on(async {
+        let fixture = Fixture::start(vec![whole_answer()]).await;
+        let seen = fixture.post(paths::CHAT, &[], &chat(true)).await;
+        assert!(seen.text().ends_with("data: [DONE]\n\n"));
+        let events = seen.text().split("\n\n").filter_map(|line| line.strip_prefix("data: {"));
+        let events = events.map(|rest| serde_json::from_str(&format!("{{{rest}")).unwrap());
+        let events: Vec<Value> = events.collect();
+        let text: String =
+            events.iter().filter_map(|e| e["choices"][0]["delta"]["content"].as_str()).collect();
+        assert_eq!(text, "the seven o'clock");
+        let last = events.last().unwrap();
+        assert_eq!(last["choices"][0]["finish_reason"], "stop");
+        assert_eq!(last["chicoryford"]["spans"][1]["version"], 4);
+    });
+}
+
+#[test]
+fn a_broken_stream_never_looks_whole() {
+    // Symptom: a caller takes half an answer for the whole.
+    // Sequence: the engine dies after two tokens, its stream ends without an end, no other
+    // endpoint has the model and the request may not run again.
+    // Cause: the end of a connection taken for the end of an answer.
+    actix_rt::System::new().block_on(async {
+        let agent = Agent::new(|work| {
+            Plan::Stream(frames(work, vec![Event::Accepted, tokens("the seven ", 3)]))
+        });
+        let fixture = Fixture::start(vec![agent]).await;
+        let seen = fixture.post(paths::CHAT, &[], &chat(true)).await;
+        assert!(!seen.text().contains("[DONE]"));
+        assert!(seen.text().contains("\"outcome\":\"unknown\""), "{}", seen.text());
+        let seen = fixture.post(paths::CHAT, &[], &chat(false)).await;
+        assert_eq!(seen.status, 502);
+        assert_eq!(seen.json()["error"]["outcome"], "unknown");
+    });
+}
+
+#[test]
+fn a_wrong_count_at_the_end_is_no_whole_answer() {
+    // Symptom: an answer lacks tokens in its middle.
+    // Sequence: the agent counts three tokens, the frames that arrived hold two.
+    // Cause: a frame was lost or garbled on the way.
+    actix_rt::System::new().block_on(async {
+        let agent = Agent::new(|work| {
+            let events = vec![Event::Accepted, tokens("the seven", 3), finished(3)];
+            Plan::Stream(frames(work, events))
+        });
+        let fixture = Fixture::start(vec![agent]).await;
+        let seen = fixture.post(paths::CHAT, &[], &chat(true)).await;
+        assert!(!seen.text().contains("[DONE]"));
+    });
+}
+
+#[test]
+fn crossed_frames_reach_no_caller() {
+    // Symptom: a student reads the answer to another student's question.
+    // Sequence: a connection is used again and carries a frame of the request before.
+    // Cause: frames taken by the connection on which they came.
+    actix_rt::System::new().block_on(async {
+        let agent = Agent::new(|work| {
+            let mut frames =
+                frames(work, vec![Event::Accepted, tokens("mine ", 3), tokens("theirs", 3)]);
+            frames[2].request.0 ^= 1;
+            Plan::Stream(frames)
+        });
+        let fixture = Fixture::start(vec![agent, whole_answer()]).await;
+        for _ in 0..8 {
+            let seen = fixture.post(paths::CHAT, &[], &chat(false)).await;
+            assert!(!seen.text().contains("theirs"), "{}", seen.text());
+        }
+    });
+}
+
+#[test]
+fn continues_elsewhere_by_tokens() {
+    // Symptom: a long generation starts anew, or its two halves do not fit together.
+    // Sequence: an engine dies after two tokens; another one takes over.
+    // Cause: the second attempt not told what the first produced, or given another seed.
+    actix_rt::System::new().block_on(async {
+        let agent = || {
+            Agent::new(|work| {
+                let Task::Generate(task) = &work.task else { panic!("not a generation") };
+                let events = match task.done {
+                    0 => vec![Event::Accepted, tokens("the seven ", 3)],
+                    2 => vec![Event::Accepted, tokens("o'clock", 4), finished(1)],
+                    other => panic!("continued at {other}"),
+                };
+                Plan::Stream(frames(work, events))
+            })
+        };
+        let fixture = Fixture::start(vec![agent(), agent()]).await;
+        let seen = fixture.post(paths::CHAT, &[], &chat(false)).await;
+        let answer = seen.json();
+        assert_eq!(answer["choices"][0]["message"]["content"], "the seven o'clock");
+        assert_eq!(answer["chicoryford"]["attempts"], 2);
+        assert_eq!(answer["chicoryford"]["spans"][1], json!({"from": 2, "to": 3, "version": 4}));
+        let attempts = fixture.attempts();
+        assert_eq!(attempts.len(), 2);
+        for work in attempts {
+            let Task::Generate(task) = work.task else { panic!("not a generation") };
+            assert_eq!(task.seed, 7);
+        }
+    });
+}
+
+#[test]
+fn what_did_not_run_is_run_elsewhere() {
+    // Symptom: callers see refusals while other endpoints are free.
+    // Sequence: an endpoint begins to leave; its agent refuses before the entry has the news.
+    // Cause: a refusal that says "not run" passed on instead of tried elsewhere.
+    actix_rt::System::new().block_on(async {
+        let leaving =
+            Agent::new(|_| Plan::Refuse(Failure::not_run(Code::Draining, "the endpoint leaves")));
+        let fixture = Fixture::start(vec![leaving, whole_answer()]).await;
+        for _ in 0..8 {
+            let seen = fixture.post(paths::CHAT, &[], &chat(false)).await;
+            assert_eq!(seen.status, 200, "{}", seen.text());
+        }
+        assert!(fixture.agents[0].seen.lock().unwrap().len() <= 1);
+    });
+}
+
+#[test]
+fn a_silent_connection_is_probed_anew_and_its_endpoint_not_blamed() {
+    // Symptom: a request hangs until its deadline although its endpoint works.
+    // Sequence: the connection goes silent after the attempt was sent; new ones work.
+    // Cause: something between the two ends lost track of the connection.
+    actix_rt::System::new().block_on(async {
+        let agent = Agent::new(|work| match work.attempt.0 {
+            1 => Plan::Silent(frames(work, vec![Event::Accepted, tokens("the seven ", 3)])),
+            _ => {
+                Plan::Stream(frames(work, vec![Event::Accepted, tokens("o'clock", 3), finished(1)]))
+            }
+        });
+        let agent = agent.saying(|_| AttemptState::Running);
+        let fixture = Fixture::start(vec![agent]).await;
+        let seen = fixture.post(paths::CHAT, &[], &chat(false)).await;
+        assert_eq!(seen.status, 200, "{}", seen.text());
+        let content = &seen.json()["choices"][0]["message"]["content"];
+        assert_eq!(content, "the seven o'clock");
+        let asked = fixture.agents[0].asked.lock().unwrap().clone();
+        assert_eq!(asked.len(), 1);
+        assert!(asked[0].cancel);
+        let dump = fixture.kernel.dumps.take().await;
+        assert_eq!(dump["entry"]["endpoints"][0]["failures"], 0);
+    });
+}
+
+#[test]
+fn refuses_at_the_door_with_stable_codes() {
+    actix_rt::System::new().block_on(async {
+        let fixture = Fixture::start(vec![whole_answer()]).await;
+        let stranger = Client::new(Some("stranger".to_owned()), None);
+        let seen = fixture.post_as(&stranger, paths::CHAT, &[], &chat(false)).await;
+        assert_eq!((seen.status, &seen.json()["error"]["code"]), (403, &json!("forbidden")));
+        let other = json!({"model": "other", "messages": [{"role": "user", "content": "x"}]});
+        let seen = fixture.post(paths::CHAT, &[], &other).await;
+        assert_eq!((seen.status, &seen.json()["error"]["code"]), (404, &json!("not_found")));
+        let late = [("chicoryford-deadline-ms", "0")];
+        let seen = fixture.post(paths::CHAT, &late, &chat(false)).await;
+        assert_eq!(seen.json()["error"]["code"], "deadline_too_close");
+        let class = [("chicoryford-class", "soon")];
+        let seen = fixture.post(paths::CHAT, &class, &chat(false)).await;
+        assert_eq!(seen.json()["error"]["code"], "bad_request");
+        for refused in [&seen] {
+            assert_eq!(refused.json()["error"]["outcome"], "not_run");
+        }
+        fixture.kernel.phases.advance(chicoryford_kernel::Phase::Draining);
+        let seen = fixture.post(paths::CHAT, &[], &chat(false)).await;
+        assert_eq!((seen.status, seen.retry_after), (503, Some(1)));
+        assert!(fixture.attempts().is_empty());
+    });
+}
--- /dev/null
+++ b/components/entry/tests/support/mod.rs
@@ -0,0 +1,343 @@
+//! An entry over the real server, with fake agents whose answers a test scripts.
+
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chicoryford_config::Handle as ConfigHandle;
+use chicoryford_kernel::Kernel;
+use chicoryford_kernel::Metrics;
+use chicoryford_membership::Handle as MembersHandle;
+use chicoryford_settings::EntrySettings;
+use chicoryford_settings::Settings;
+use chicoryford_types::Class;
+use chicoryford_types::Config;
+use chicoryford_types::Endpoint;
+use chicoryford_types::EndpointInfo;
+use chicoryford_types::EndpointKind;
+use chicoryford_types::Failure;
+use chicoryford_types::Frame;
+use chicoryford_types::Incarnation;
+use chicoryford_types::Member;
+use chicoryford_types::Members;
+use chicoryford_types::Model;
+use chicoryford_types::Node;
+use chicoryford_types::Principal;
+use chicoryford_types::Template;
+use chicoryford_types::Version;
+use chicoryford_types::Work;
+use chicoryford_types::Workspace;
+use chicoryford_types::config::Versioned;
+use chicoryford_types::frame::Event;
+use chicoryford_types::frame::Finish;
+use chicoryford_types::frame::Tokens;
+use chicoryford_types::member::Known;
+use chicoryford_types::request::AttemptQuestion;
+use chicoryford_types::request::AttemptState;
+use chicoryford_wire::Caller;
+use chicoryford_wire::Client;
+use chicoryford_wire::Keys;
+use chicoryford_wire::Kind;
+use chicoryford_wire::Reply;
+use chicoryford_wire::Routes;
+use chicoryford_wire::client::CALLER;
+use chicoryford_wire::framing;
+use chicoryford_wire::paths;
+use chicoryford_wire::reply;
+use chicoryford_wire::server::Bounds;
+use chicoryford_wire::server::serve;
+use futures_util::StreamExt;
+use futures_util::stream;
+use serde_json::Value;
+use tokio::sync::watch;
+
+/// The only workspace.
+pub const WORKSPACE: &str = "desk";
+/// The model of all engines.
+pub const MODEL: &str = "route-model";
+/// The service of all plain endpoints.
+pub const SERVICE: &str = "labels";
+
+/// How a fake agent answers an attempt.
+pub enum Plan {
+    /// Refuses it.
+    Refuse(Failure),
+    /// Sends frames and closes the stream.
+    Stream(Vec<Frame>),
+    /// Sends frames, then nothing for ever.
+    Silent(Vec<Frame>),
+}
+
+type Answer = Box<dyn Fn(&Work) -> Plan + Send + Sync>;
+type Word = Box<dyn Fn(&AttemptQuestion) -> AttemptState + Send + Sync>;
+
+/// A fake agent.
+pub struct Agent {
+    /// What it answers to attempts.
+    pub answer: Answer,
+    /// What it says of attempts.
+    pub word: Word,
+    /// The attempts that it saw.
+    pub seen: Mutex<Vec<Work>>,
+    /// The questions that it saw.
+    pub asked: Mutex<Vec<AttemptQuestion>>,
+}
+
+impl Agent {
+    /// Makes an agent that answers attempts so, and knows nothing of them afterwards.
+    pub fn new(answer: impl Fn(&Work) -> Plan + Send + Sync + 'static) -> Self {
+        Self {
+            answer: Box::new(answer),
+            word: Box::new(|_| AttemptState::Unknown),
+            seen: Mutex::default(),
+            asked: Mutex::default(),
+        }
+    }
+
+    /// Makes it say this of attempts.
+    pub fn saying(
+        self,
+        word: impl Fn(&AttemptQuestion) -> AttemptState + Send + Sync + 'static,
+    ) -> Self {
+        Self { word: Box::new(word), ..self }
+    }
+
+    fn work(&self, work: Work) -> Reply {
+        let plan = (self.answer)(&work);
+        self.seen.lock().unwrap().push(work);
+        match plan {
+            Plan::Refuse(failure) => reply::peer_failure(&failure),
+            Plan::Stream(frames) => reply::stream(reply::MSGPACK, bodies(frames)),
+            Plan::Silent(frames) => {
+                reply::stream(reply::MSGPACK, bodies(frames).chain(stream::pending()))
+            }
+        }
+    }
+
+    fn attempt(&self, question: AttemptQuestion) -> Reply {
+        let state = (self.word)(&question);
+        self.asked.lock().unwrap().push(question);
+        reply::msgpack(&state)
+    }
+}
+
+fn bodies(frames: Vec<Frame>) -> impl futures_util::Stream<Item = Result<Bytes, std::io::Error>> {
+    stream::iter(frames.into_iter().map(|frame| Ok(framing::encode(&frame))))
+}
+
+/// Numbers events as the frames of an attempt.
+pub fn frames(work: &Work, events: Vec<Event>) -> Vec<Frame> {
+    let frame = |(seq, event)| Frame {
+        request: work.request,
+        attempt: work.attempt,
+        seq: seq as u32,
+        event,
+    };
+    events.into_iter().enumerate().map(frame).collect()
+}
+
+/// Makes tokens of one version, one a word.
+pub fn tokens(text: &str, version: u64) -> Event {
+    let count = text.split_whitespace().count() as u32;
+    let version = Some(Version(version));
+    Event::Tokens(Tokens { text: text.to_owned(), count, version, logprobs: Vec::new() })
+}
+
+/// Makes the end of an answer.
+pub fn finished(tokens: u32) -> Event {
+    Event::Finished(Finish { tokens, reason: "stop".to_owned(), load: None })
+}
+
+/// An entry and its fake agents.
+pub struct Fixture {
+    /// The entry's process.
+    pub kernel: Kernel,
+    /// Where the entry answers.
+    pub address: String,
+    /// The agents.
+    pub agents: Vec<Arc<Agent>>,
+    /// Changes configuration.
+    pub config: watch::Sender<Arc<Config>>,
+    /// Presents the desk's token.
+    pub desk: Client,
+    keys: Arc<Keys>,
+    members: watch::Sender<Arc<Members>>,
+}
+
+/// An answer as a caller sees it.
+#[derive(Debug)]
+pub struct Seen {
+    /// The HTTP status.
+    pub status: u16,
+    /// The body.
+    pub body: Bytes,
+    /// When to come back, in seconds.
+    pub retry_after: Option<u64>,
+}
+
+impl Seen {
+    /// Reads the body as JSON.
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap()
+    }
+
+    /// Reads the body as text.
+    pub fn text(&self) -> &str {
+        std::str::from_utf8(&self.body).unwrap()
+    }
+}
+
+/// The template of the only workspace.
+pub fn template() -> Template {
+    Template {
+        workspace: Workspace::from(WORKSPACE),
+        models: vec![Model::from(MODEL), Model::from(SERVICE)],
+        callers: BTreeMap::from([(Principal::from("desk"), Class::Normal)]),
+        trainers: vec![Principal::from("trainer")],
+        ..Template::default()
+    }
+}
+
+/// Makes configuration with one template.
+pub fn config(template: Template) -> Config {
+    let versioned = Versioned { version: 1, template };
+    let templates = BTreeMap::from([(versioned.template.workspace.clone(), versioned)]);
+    Config { templates, ..Config::default() }
+}
+
+fn settings() -> Settings {
+    let entry = EntrySettings { silence_ms: 150, ..EntrySettings::default() };
+    Settings { node: Node::from("entry-1"), entry: Some(entry), ..Settings::default() }
+}
+
+impl Fixture {
+    /// Starts an entry before these agents.
+    pub async fn start(agents: Vec<Agent>) -> Self {
+        let keys = keys();
+        let agents: Vec<Arc<Agent>> = agents.into_iter().map(Arc::new).collect();
+        let mut members = Members::default();
+        for (index, agent) in agents.iter().enumerate() {
+            let member = announce(index, serve_agent(agent.clone(), keys.clone()));
+            members.known.insert(member.node.clone(), Known { member, ..Known::default() });
+        }
+        let kernel = Kernel::new(Metrics::new(None).unwrap());
+        let (config, follow) = watch::channel(Arc::new(config(template())));
+        let (members, view) = watch::channel(Arc::new(members));
+        let own = Member { node: Node::from("entry-1"), ..Member::default() };
+        let handle = MembersHandle::new(view, Arc::new(watch::Sender::new(own)));
+        kernel.registry.offer(CALLER, Caller { token: Some("process".to_owned()), tls: None });
+        kernel.registry.offer(chicoryford_config::SERVICE, ConfigHandle::new(follow));
+        kernel.registry.offer(chicoryford_membership::SERVICE, handle);
+        let settings = settings();
+        chicoryford_entry::start(&kernel, &settings).unwrap();
+        let served = kernel.clone();
+        let routes = move || {
+            let mut routes = Routes::default();
+            chicoryford_entry::routes(&mut routes, &served, &settings).unwrap();
+            routes
+        };
+        let address = listen(keys.clone(), routes);
+        let desk = Client::new(Some("desk".to_owned()), None);
+        Self { kernel, address, agents, config, desk, keys, members }
+    }
+
+    /// Sends a caller's request with these headers besides the workspace.
+    pub async fn post(&self, path: &str, headers: &[(&str, &str)], body: &Value) -> Seen {
+        self.post_as(&self.desk, path, headers, body).await
+    }
+
+    /// Sends a request as the holder of another token.
+    pub async fn post_as(
+        &self,
+        client: &Client,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &Value,
+    ) -> Seen {
+        let url = client.url(&self.address, path);
+        let mut request = client.post(&url).timeout(Duration::from_secs(20));
+        request = request.insert_header(("chicoryford-workspace", WORKSPACE));
+        for (name, value) in headers {
+            request = request.insert_header((*name, *value));
+        }
+        let mut answer = request.send_json(body).await.unwrap();
+        let retry_after = answer.headers().get("retry-after");
+        let retry_after = retry_after.map(|value| value.to_str().unwrap().parse().unwrap());
+        let status = answer.status().as_u16();
+        let mut body = Vec::new();
+        while let Some(chunk) = answer.next().await {
+            body.extend_from_slice(&chunk.unwrap());
+        }
+        Seen { status, body: body.into(), retry_after }
+    }
+
+    /// Changes who is there.
+    pub fn change_members(&self, change: impl FnOnce(&mut Members)) {
+        self.members.send_modify(|members| change(Arc::make_mut(members)));
+    }
+
+    /// Changes configuration.
+    pub fn change_config(&self, change: impl FnOnce(&mut Config)) {
+        self.config.send_modify(|config| change(Arc::make_mut(config)));
+    }
+
+    /// Lists the attempts that all agents saw.
+    pub fn attempts(&self) -> Vec<Work> {
+        let seen = self.agents.iter().map(|agent| agent.seen.lock().unwrap().clone());
+        seen.flatten().collect()
+    }
+}
+
+fn keys() -> Arc<Keys> {
+    let file = tempfile::NamedTempFile::new().unwrap();
+    let text = "process entry-1 process\ncaller desk desk\ncaller stranger stranger\n\
+                trainer trainer trainer\n";
+    std::fs::write(file.path(), text).unwrap();
+    Arc::new(Keys::load(file.path()).unwrap())
+}
+
+fn announce(index: usize, address: String) -> Member {
+    let models = [MODEL, SERVICE].map(|model| (Model::from(model), Version(1)));
+    let endpoint = EndpointInfo {
+        name: Endpoint(format!("endpoint-{index}")),
+        kind: EndpointKind::Engine,
+        models: BTreeMap::from(models),
+        slots: 8,
+        draining: false,
+        healthy: true,
+    };
+    Member {
+        node: Node(format!("agent-{index}")),
+        incarnation: Incarnation(1),
+        address,
+        endpoint: Some(endpoint),
+        ..Member::default()
+    }
+}
+
+fn serve_agent(agent: Arc<Agent>, keys: Arc<Keys>) -> String {
+    listen(keys, move || {
+        let mut routes = Routes::default();
+        let here = agent.clone();
+        routes.add(paths::WORK, &[Kind::Process], move |call| {
+            let reply = here.work(call.msgpack().unwrap());
+            async move { reply }
+        });
+        let here = agent.clone();
+        routes.add(paths::ATTEMPT, &[Kind::Process], move |call| {
+            let reply = here.attempt(call.msgpack().unwrap());
+            async move { reply }
+        });
+        routes
+    })
+}
+
+fn listen(keys: Arc<Keys>, routes: impl Fn() -> Routes + Send + Clone + 'static) -> String {
+    let bounds = Bounds { workers: 1, ..Bounds::default() };
+    let running = serve("127.0.0.1:0".parse().unwrap(), &bounds, keys, None, routes).unwrap();
+    running.address.to_string()
+}
