Tell the holder's request with a held claim

Cause: an agent knows an attempt by request and number, so a resend at another entry could not ask what became of the first. Change: Reply::Held carries the request. Measured: compiles. Conclusion: needed before calls that may not be repeated can be served.

--- a/components/state/src/command.rs
+++ b/components/state/src/command.rs
@@ -252,6 +252,8 @@
     },
     /// Another request holds the claim.
     Held {
+        /// The request that holds it; its agent knows the attempt by this request.
+        request: RequestId,
         /// The attempt that it stands at.
         attempt: Attempt,
         /// Which agent runs it.
