--- a/components/membership/src/duty.rs
+++ b/components/membership/src/duty.rs
@@ -31,7 +31,7 @@
 use crate::swim::TICK_MS;
 
 /// Larger than any datagram that a process sends.
-const BUFFER: usize = 4_096;
+const BUFFER: usize = 65_536;
 /// Datagrams taken between two looks at the clock, so that a flood cannot stop the ticks.
 const BATCH: usize = 64;
 
--- a/components/membership/src/settings.rs
+++ b/components/membership/src/settings.rs
@@ -28,8 +28,8 @@
     pub news_ms: u64,
     /// How many members a round of news goes to.
     pub fanout: usize,
-    /// How often a piece of news is sent on, as a multiple of the decimal logarithm of the number
-    /// of members.
+    /// How often a piece of news is sent on, as a multiple of one more than the decimal logarithm
+    /// of the number of members.
     pub repeats: u64,
     /// The time between two comparisons of digests with a random member.
     pub sync_ms: u64,
@@ -68,7 +68,7 @@
             sync_ms: 10_000,
             forget_ms: 3_600_000,
             remembered: 8_192,
-            version_ms: 1_000,
+            version_ms: 4_000,
             datagram: 1_200,
             indirect: true,
             refute: true,
--- /dev/null
+++ b/components/membership/src/swim/news.rs
@@ -0,0 +1,75 @@
+//! News that wait to ride along with messages.
+
+use std::collections::BTreeMap;
+
+use chicoryford_types::Node;
+
+use crate::message::Update;
+
+/// Whether an update tells what a member is or only how it stands; one of each may wait.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Kind {
+    Content,
+    Standing,
+}
+
+struct Item {
+    update: Update,
+    size: usize,
+    sent: u64,
+}
+
+/// News that wait to ride along, each a bounded number of times. A newer piece of news about a
+/// member replaces the older one, so there are never more than two a member.
+#[derive(Default)]
+pub(super) struct Queue {
+    items: BTreeMap<(Node, Kind), Item>,
+}
+
+impl Queue {
+    pub(super) fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    pub(super) fn add(&mut self, update: Update) {
+        let node = update.node().clone();
+        let size = update.size();
+        let kind = match update {
+            Update::Alive(_) => Kind::Content,
+            Update::Refuted { .. } | Update::Accused(_) => Kind::Standing,
+        };
+        if kind == Kind::Content {
+            // What a member announces itself outdates what was said of it before.
+            self.items.remove(&(node.clone(), Kind::Standing));
+        }
+        self.items.insert((node, kind), Item { update, size, sent: 0 });
+    }
+
+    /// Takes news that fit into `room` bytes, those sent least often first, and drops those that
+    /// have been sent `limit` times.
+    pub(super) fn take(&mut self, room: usize, limit: u64, updates: &mut Vec<Update>) {
+        if self.items.is_empty() {
+            return;
+        }
+        let mut waiting: Vec<_> = self.items.iter_mut().collect();
+        waiting.sort_by_key(|(_, item)| item.sent);
+        let mut left = room;
+        let mut spent = Vec::new();
+        for (key, item) in waiting {
+            // News that no datagram of the usual size can hold go alone, in a larger one.
+            let alone = item.size > room && updates.is_empty();
+            if item.size > left && !alone {
+                continue;
+            }
+            left = left.saturating_sub(item.size);
+            item.sent += 1;
+            updates.push(item.update.clone());
+            if item.sent >= limit {
+                spent.push(key.clone());
+            }
+        }
+        for key in spent {
+            self.items.remove(&key);
+        }
+    }
+}
