Give orders of weights from the leader to the agents

Cause: an accepted version of weights reached no sampler. Change: duty "orders" in the control role: waves bounded by control.swap_percent, one order an agent at a time, back-off after failures, newer versions overtake, stops when an agent tells of a newer epoch; status in the dump and under control status. The epoch's answer names the voters. The replica's file is split by job. Conclusion: the simple waves are there; the planner can take their place behind the same duty.

--- /dev/null
+++ b/components/control/src/report.rs
@@ -0,0 +1,42 @@
+//! How a control process stands, for operators.
+
+use crate::replica::Driver;
+use crate::status::ReplicaStatus;
+use crate::status::Status;
+
+impl Driver {
+    pub(crate) fn status(&self) -> Status {
+        let status = self.replica.status();
+        let replicas = status.members.seats.iter().map(|(id, seat)| {
+            let peer = status.peers.iter().find(|peer| peer.id == *id);
+            ReplicaStatus {
+                node: id.node.clone(),
+                identity: id.incarnation,
+                address: seat.address.clone(),
+                voter: seat.voter,
+                lag: peer.map(|peer| status.last.index.saturating_sub(peer.matched)),
+                silent_ms: peer.map(|peer| peer.silent_ms),
+            }
+        });
+        let replicas = replicas.collect();
+        let state = &self.applied.state;
+        Status {
+            voter: status.members.is_voter(&status.id),
+            node: status.id.node,
+            identity: status.id.incarnation,
+            role: status.role,
+            epoch: status.epoch,
+            leader: status.leader.map(|id| id.node),
+            committed: status.commit,
+            applied: self.applied.mark.index,
+            position: state.config.at,
+            replicas,
+            sessions: state.sessions().map(|(n, session)| (n, session.node.clone())).collect(),
+            orders: Vec::new(),
+            lease_ms: status.lease_ms,
+            waiting: self.pending.len(),
+            broken: status.broken + state.broken(),
+            storage: self.storage.clone(),
+        }
+    }
+}
--- a/components/control/src/routes.rs
+++ b/components/control/src/routes.rs
@@ -14,6 +14,7 @@
 use chicoryford_state::Reply as StateReply;
 use chicoryford_types::Code;
 use chicoryford_types::Failure;
+use chicoryford_types::order::EpochAnswer;
 use chicoryford_wire::Call;
 use chicoryford_wire::CallError;
 use chicoryford_wire::Caller;
@@ -27,6 +28,7 @@
 use chicoryford_wire::reply;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::sync::watch;
 
 use crate::handle::Envelope;
 use crate::handle::Handle;
@@ -35,6 +37,8 @@
 use crate::handle::Reform;
 use crate::handle::Refused;
 use crate::handle::SERVICE;
+use crate::orders;
+use crate::orders::OrderStatus;
 use crate::status::Action;
 use crate::status::Done;
 use crate::status::Status;
@@ -48,6 +52,7 @@
 /// What one HTTP thread needs to answer.
 struct Desk {
     handle: Handle,
+    orders: watch::Receiver<Vec<OrderStatus>>,
     client: Client,
 }
 
@@ -66,7 +71,9 @@
     }
     let handle = Handle::clone(&*kernel.registry.find::<Handle>(SERVICE)?);
     let client = kernel.registry.find::<Caller>(CALLER)?.client();
-    let desk = Rc::new(Desk { handle, client });
+    let orders = kernel.registry.find::<watch::Receiver<Vec<OrderStatus>>>(orders::SERVICE)?;
+    let orders = watch::Receiver::clone(&orders);
+    let desk = Rc::new(Desk { handle, orders, client });
     let at = desk.clone();
     routes.add(paths::PROPOSE, PEERS, move |call| {
         let desk = at.clone();
@@ -139,10 +146,12 @@
 
     /// Tells the highest epoch. Only a voter's answer counts: an agent that restarts asks a
     /// majority, and one of any majority of voters has voted in the newest epoch.
-    async fn epoch(&self) -> Result<chicoryford_types::Epoch, Failure> {
+    async fn epoch(&self) -> Result<EpochAnswer, Failure> {
         let status = self.handle.status().await?;
         if status.voter && status.role != Role::Failed {
-            return Ok(status.epoch);
+            let voters = status.replicas.into_iter().filter(|replica| replica.voter);
+            let voters = voters.map(|replica| replica.node).collect();
+            return Ok(EpochAnswer { epoch: status.epoch, voters });
         }
         Err(Failure::not_run(Code::NoQuorum, "this control process does not vote"))
     }
@@ -159,7 +168,7 @@
 
     async fn control(&self, call: &Call) -> Result<Reply, Failure> {
         if call.body.is_empty() {
-            return Ok(reply::json(200, &self.handle.status().await?));
+            return Ok(reply::json(200, &self.status().await?));
         }
         let action: Action = call.json()?;
         let reform = self.reform(action.clone()).await?;
@@ -167,13 +176,18 @@
             Ok(()) => {
                 tracing::info!(event = "control_action", ?action);
                 let done = format!("{action:?}");
-                let status = self.handle.status().await?;
+                let status = self.status().await?;
                 Ok(reply::json(200, &Done { done, status }))
             }
             Err(refused) => self.forward_action(call, &action, refused).await,
         }
     }
 
+    async fn status(&self) -> Result<Status, Failure> {
+        let orders = self.orders.borrow().clone();
+        Ok(Status { orders, ..self.handle.status().await? })
+    }
+
     async fn reform(&self, action: Action) -> Result<Reform, Failure> {
         Ok(match action {
             Action::Add { node, address } => {
--- a/components/control/src/start.rs
+++ b/components/control/src/start.rs
@@ -12,6 +12,7 @@
 use chicoryford_kernel::Kernel;
 use chicoryford_kernel::ring;
 use chicoryford_kernel::unix;
+use chicoryford_membership::Handle as Membership;
 use chicoryford_settings::ControlSettings;
 use chicoryford_settings::Settings;
 use chicoryford_storage::Disk;
@@ -20,6 +21,7 @@
 use chicoryford_types::Incarnation;
 use chicoryford_wire::Caller;
 use chicoryford_wire::client::CALLER;
+use tokio::sync::watch;
 
 use crate::apply::Applied;
 use crate::convert;
@@ -27,6 +29,8 @@
 use crate::error::StartError;
 use crate::handle::Handle;
 use crate::handle::SERVICE;
+use crate::orders;
+use crate::orders::Lead;
 use crate::peers;
 use crate::replica::Driver;
 use crate::replica::Interval;
@@ -107,6 +111,8 @@
     let handle = Handle::new(requests);
     kernel.registry.offer(SERVICE, handle.clone());
     offer_dump(kernel, handle);
+    let (lead, followed) = watch::channel(Lead::default());
+    start_orders(kernel, control, followed)?;
 
     let group = tuning.group;
     kernel.blocking_duty("disk", move |_| disk::run(storage, jobs_end, &reports, group))?;
@@ -117,7 +123,7 @@
     kernel.duty("peers", move |_| async move {
         peers::run(Caller::clone(&caller), own, outgoing_end, timeout).await;
     })?;
-    let rings = Rings { requests: requests_end, reports: reports_end, jobs, outgoing, takes };
+    let rings = Rings { requests: requests_end, reports: reports_end, jobs, outgoing, takes, lead };
     let sessions = Sessions::new(control.session_ms);
     let known: BTreeMap<_, _> =
         founders.into_iter().map(|founder| (founder.node, founder.address)).collect();
@@ -127,6 +133,31 @@
     Ok(())
 }
 
+/// Starts the orders' duty, if this process knows of members at all.
+fn start_orders(
+    kernel: &Kernel,
+    control: &ControlSettings,
+    lead: watch::Receiver<Lead>,
+) -> Result<(), StartError> {
+    let shown = watch::Sender::new(Vec::new());
+    let status = shown.subscribe();
+    kernel.registry.offer(orders::SERVICE, status.clone());
+    kernel.dumps.add("orders", move || {
+        let shown = serde_json::to_value(&*status.borrow()).unwrap_or_default();
+        async move { shown }
+    });
+    let Ok(members) = kernel.registry.find::<Membership>(chicoryford_membership::SERVICE) else {
+        return Ok(());
+    };
+    let caller = kernel.registry.find::<Caller>(CALLER)?;
+    let percent = control.swap_percent;
+    kernel.duty("orders", move |kernel| async move {
+        let client = caller.client();
+        orders::duty::Driver { kernel, client, members, lead, shown, percent }.run().await;
+    })?;
+    Ok(())
+}
+
 /// Gives the address under which the other replicas reach this one.
 fn own_address(settings: &Settings, control: &ControlSettings) -> String {
     let named = control.replicas.iter().find(|replica| replica.node == settings.node);
--- a/components/control/src/status.rs
+++ b/components/control/src/status.rs
@@ -8,6 +8,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::orders::OrderStatus;
+
 /// What a control process knows of itself and the others.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct Status {
@@ -37,6 +39,9 @@
     pub lease_ms: u64,
     /// Whoever waits for a command to be committed.
     pub waiting: usize,
+    /// The orders that bring weights to samplers; known to the leader only.
+    #[serde(default)]
+    pub orders: Vec<OrderStatus>,
     /// Promises found broken by this process; zero unless there is a fault.
     pub broken: u64,
     /// The data folder.
--- a/components/control/tests/replicas.rs
+++ b/components/control/tests/replicas.rs
@@ -14,9 +14,9 @@
 use chicoryford_state::Reply;
 use chicoryford_storage::Disk;
 use chicoryford_types::Code;
-use chicoryford_types::Epoch;
 use chicoryford_types::Incarnation;
 use chicoryford_types::Position;
+use chicoryford_types::order::EpochAnswer;
 use chicoryford_wire::CallError;
 use chicoryford_wire::paths;
 use support::Cluster;
@@ -194,12 +194,13 @@
         let status = cluster.status(emptied).await.unwrap();
         assert!(!status.voter, "{status:?}");
         let client = &cluster.client;
-        let epoch: Result<Epoch, _> =
+        let epoch: Result<EpochAnswer, _> =
             client.call(&cluster.address(emptied), paths::EPOCH, &(), PATIENCE).await;
         assert!(epoch.is_err());
-        let epoch: Epoch =
+        let answer: EpochAnswer =
             client.call(&cluster.address(leader), paths::EPOCH, &(), PATIENCE).await.unwrap();
-        assert!(epoch.0 > 0);
+        assert!(answer.epoch.0 > 0);
+        assert_eq!(answer.voters.len(), 3);
     });
 }
 
