--- a/components/config/src/routes.rs
+++ b/components/config/src/routes.rs
@@ -39,7 +39,7 @@
     settings: &Settings,
 ) -> Result<(), MissingService> {
     let _ = settings;
-    let shared = kernel.registry.find::<Shared>(SHARED)?;
+    let shared = Arc::clone(&*kernel.registry.find::<Arc<Shared>>(SHARED)?);
     let members = kernel.registry.find::<Membership>(chicoryford_membership::SERVICE)?;
     let desk = Arc::new(Desk { kernel: kernel.clone(), shared, members });
     let held = desk.clone();
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 //! docs/ARCHITECTURE.md shows the roles; docs/OPERATIONS.md says what an operator sees.
 
 pub mod logs;
+pub mod operate;
 pub mod roles;
 pub mod run;
 pub mod signals;
--- a/components/daemon/src/roles.rs
+++ b/components/daemon/src/roles.rs
@@ -1,22 +1,50 @@
 //! Starts the roles that the settings name and adds their routes.
 
+use std::error::Error;
+
 use chicoryford_kernel::Kernel;
+use chicoryford_kernel::registry::MissingService;
 use chicoryford_settings::Settings;
 use chicoryford_wire::Routes;
 
+use crate::operate;
 use crate::run::RunError;
 
 /// Starts the services that every process has, then the roles of this one.
 ///
 /// # Errors
 ///
-/// [`RunError::Role`] if a role cannot start.
+/// [`RunError::Role`] if one of them cannot start.
 pub fn start(kernel: &Kernel, settings: &Settings) -> Result<(), RunError> {
-    let _ = (kernel, settings);
-    Ok(())
+    chicoryford_membership::start(kernel, settings).map_err(failed("membership"))?;
+    chicoryford_config::start(kernel, settings).map_err(failed("config"))?;
+    if settings.entry.is_some() {
+        chicoryford_entry::start(kernel, settings).map_err(failed("entry"))?;
+    }
+    // Whatever a route needs is missing at once or never.
+    routes(&mut Routes::default(), kernel, settings).map_err(failed("routes"))
 }
 
 /// Adds the roles' routes; each worker thread of the server calls it once.
-pub fn routes(routes: &mut Routes, kernel: &Kernel, settings: &Settings) {
-    let _ = (routes, kernel, settings);
+///
+/// # Errors
+///
+/// [`MissingService`] if [`start`] has not run.
+pub fn routes(
+    routes: &mut Routes,
+    kernel: &Kernel,
+    settings: &Settings,
+) -> Result<(), MissingService> {
+    chicoryford_config::routes(routes, kernel, settings)?;
+    if settings.entry.is_some() {
+        chicoryford_entry::routes(routes, kernel, settings)?;
+    }
+    operate::routes(routes, kernel)
+}
+
+fn failed<E>(role: &'static str) -> impl FnOnce(E) -> RunError
+where
+    E: Error + Send + Sync + 'static,
+{
+    move |error| RunError::Role(role, Box::new(error))
 }
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -158,7 +158,10 @@
     let mut routes = Routes::default();
     routes.count(WORK, progress.clone());
     status::routes(&mut routes, kernel, settings, progress);
-    roles::routes(&mut routes, kernel, settings);
+    // `roles::start` has built the routes once already, so none of them is missing here.
+    if let Err(error) = roles::routes(&mut routes, kernel, settings) {
+        tracing::error!(event = "routes_missing", %error);
+    }
     routes
 }
 
--- a/src/change.rs
+++ b/src/change.rs
@@ -1,5 +1,6 @@
 //! Changes: their ids, and the wait until they are in force everywhere.
 
+use std::collections::BTreeSet;
 use std::io::IsTerminal;
 use std::time::Duration;
 use std::time::Instant;
@@ -7,9 +8,8 @@
 use chicoryford_state::Command;
 use chicoryford_state::Reply;
 use chicoryford_types::ChangeId;
-use chicoryford_types::Members;
+use chicoryford_types::Node;
 use chicoryford_types::Position;
-use chicoryford_types::Roles;
 use indicatif::ProgressBar;
 use indicatif::ProgressStyle;
 use serde::Serialize;
@@ -78,15 +78,13 @@
     let begun = Instant::now();
     let bar = bar(&format!("until {at} is in force everywhere"));
     loop {
-        let members = to.members().await?;
-        let behind = behind(&members, at);
-        let known = members.present().count();
+        let (behind, known) = behind(to, at).await?;
         if behind.is_empty() {
             bar.finish_and_clear();
             return Ok(());
         }
         bar.set_length(known as u64);
-        bar.set_position((known - behind.len()) as u64);
+        bar.set_position(known.saturating_sub(behind.len()) as u64);
         if begun.elapsed() >= Duration::from_secs(seconds) {
             bar.finish_and_clear();
             return Err(CmdError::TimedOut { seconds, behind });
@@ -95,11 +93,23 @@
     }
 }
 
-/// Names the processes that do not have `at` in force.
-pub fn behind(members: &Members, at: Position) -> Vec<String> {
-    let has_role = |roles: Roles| roles.entry || roles.control || roles.agent;
-    let late = members.present().filter(|m| has_role(m.roles) && m.position < at);
-    late.map(|member| member.node.0.clone()).collect()
+/// Names the processes that are not known to have `at` in force, and counts all processes.
+///
+/// Each control process knows of itself and of those that follow it, directly or through an
+/// entry. A process is behind if no control process knows that it has reached `at`.
+async fn behind(to: &Connection, at: Position) -> Result<(Vec<String>, usize), CmdError> {
+    let members = to.members().await?;
+    let present: BTreeSet<Node> = members.present().map(|member| member.node.clone()).collect();
+    let mut behind = present.clone();
+    for control in members.present().filter(|member| member.roles.control) {
+        let Ok(told) = to.in_force(&control.address).await else { continue };
+        let named_all = told.behind == told.lagging.len();
+        if told.at >= at && named_all {
+            let lagging: BTreeSet<Node> = told.lagging.into_iter().collect();
+            behind.retain(|node| lagging.contains(node));
+        }
+    }
+    Ok((behind.iter().map(|node| node.0.clone()).collect(), present.len()))
 }
 
 /// Makes a bar that shows only on a terminal, so that logs of scripts stay clean.
--- a/src/connect.rs
+++ b/src/connect.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use chicoryford_config::in_force::InForce;
 use chicoryford_state::Command;
 use chicoryford_state::Reply;
 use chicoryford_types::Config;
@@ -179,12 +180,22 @@
     ///
     /// As [`Connection::get`].
     pub async fn dump(&self, address: &str) -> Result<Value, CmdError> {
-        let one = Self {
-            client: self.client.clone(),
-            addresses: vec![address.to_owned()],
-            timeout: self.timeout,
-        };
-        one.get(paths::DUMP).await
+        self.only(address).get(paths::DUMP).await
+    }
+
+    /// Asks the process at `address` what it knows of who has its configuration in force.
+    ///
+    /// # Errors
+    ///
+    /// As [`Connection::get`].
+    pub async fn in_force(&self, address: &str) -> Result<InForce, CmdError> {
+        self.only(address).get(paths::IN_FORCE).await
+    }
+
+    /// The way to one process, which is tried once: the caller has others, or asks again.
+    fn only(&self, address: &str) -> Self {
+        let addresses = vec![address.to_owned()];
+        Self { client: self.client.clone(), addresses, timeout: Duration::ZERO }
     }
 
     /// Goes through the addresses until one answers, or the time is over.
