--- a/components/daemon/src/roles.rs
+++ b/components/daemon/src/roles.rs
@@ -21,6 +21,9 @@
     if settings.entry.is_some() {
         chicoryford_entry::start(kernel, settings).map_err(failed("entry"))?;
     }
+    if settings.agent.is_some() {
+        chicoryford_agent::start(kernel, settings).map_err(failed("agent"))?;
+    }
     // Whatever a route needs is missing at once or never.
     routes(&mut Routes::default(), kernel, settings).map_err(failed("routes"))
 }
@@ -39,6 +42,9 @@
     if settings.entry.is_some() {
         chicoryford_entry::routes(routes, kernel, settings)?;
     }
+    if settings.agent.is_some() {
+        chicoryford_agent::routes(routes, kernel, settings)?;
+    }
     operate::routes(routes, kernel)
 }
 
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -13,7 +13,7 @@
 use crate::output::Format;
 use crate::output::View;
 
-const HEAD: [&str; 6] = ["process", "roles", "data centre", "address", "standing", "position"];
+const HEAD: [&str; 5] = ["process", "roles", "data centre", "address", "standing"];
 
 /// What `status` shows.
 #[derive(Debug, Serialize)]
@@ -50,7 +50,6 @@
         member.data_centre.to_string(),
         member.address.clone(),
         format!("{:?}", known.standing).to_lowercase(),
-        member.position.to_string(),
     ]
 }
 
