--- a/components/agent/src/gate/decide.rs
+++ b/components/agent/src/gate/decide.rs
@@ -105,7 +105,7 @@
                 self.queue.push(Waiting { arrival, deadline });
             }
             Verdict::Stored(_) => {}
-            Verdict::Refuse(_) => self.deny(&arrival, now),
+            Verdict::Refuse(_) => return self.deny(&arrival, verdict, now),
         }
         self.check();
         verdict
@@ -442,18 +442,22 @@
     }
 
     /// Remembers the refusal of a call that may not be repeated: the entry may now run it
-    /// elsewhere, so that a late duplicate of this attempt must not run here.
-    fn deny(&mut self, arrival: &Arrival, now: Millis) {
-        let known = self.memory.attempt(arrival.id).is_some();
-        if arrival.once.is_none() || known || !self.memory.has_room(&self.settings) {
-            return;
+    /// elsewhere, so that a late duplicate of this attempt must not run here. A refusal that
+    /// cannot be remembered would not stay true, so it is not called "not run".
+    fn deny(&mut self, arrival: &Arrival, refusal: Verdict, now: Millis) -> Verdict {
+        if arrival.once.is_none() || self.memory.attempt(arrival.id).is_some() {
+            return refusal;
+        }
+        if !self.memory.has_refusal_room(&self.settings) {
+            return Verdict::Refuse(duplicate());
         }
         self.memory.remember(arrival.id, Fate::Refused, None);
         self.settle(arrival.id, Fate::Refused, now);
+        refusal
     }
 
     fn revoke(&mut self, id: Id, now: Millis) -> AttemptState {
-        if !self.memory.has_room(&self.settings) {
+        if !self.memory.has_refusal_room(&self.settings) {
             return AttemptState::Unknown;
         }
         self.memory.remember(id, Fate::Revoked, None);
--- a/components/agent/src/gate/memory.rs
+++ b/components/agent/src/gate/memory.rs
@@ -122,6 +122,12 @@
         self.attempts.len() < settings.remembered
     }
 
+    /// Tells whether one more refusal can be remembered. Refusals have as much room again as
+    /// attempts, because those that a full memory causes must be remembered too.
+    pub fn has_refusal_room(&self, settings: &GateSettings) -> bool {
+        self.attempts.len() < 2 * settings.remembered
+    }
+
     /// Tells whether one more key can be remembered with its answer, while `promised` calls that
     /// wait or run may yet store an answer each.
     pub fn has_key_room(&self, settings: &GateSettings, promised: usize) -> bool {
