--- a/components/wire/src/client.rs
+++ b/components/wire/src/client.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use awc::Connector;
+use awc::error::ConnectError;
 use awc::error::SendRequestError;
 use bytes::Bytes;
 use chicoryford_types::Code;
@@ -168,9 +169,16 @@
 }
 
 /// Tells whether a request that failed can have left this process.
+///
+/// The library reports a connection that closed after the request was sent as an error of the
+/// connection, beside those that mean that none came about. Taken for one of these, a call that
+/// ran at an endpoint that then crashed would be reported as "not run", and run twice.
 pub fn send_error(url: &str, error: &SendRequestError) -> CallError {
     let (url, detail) = (url.to_owned(), error.to_string());
     match error {
+        SendRequestError::Connect(ConnectError::Disconnected | ConnectError::H2(_)) => {
+            CallError::Lost { url, detail }
+        }
         SendRequestError::Url(_) | SendRequestError::Connect(_) => {
             CallError::NotSent { url, detail }
         }
