--- a/components/control/src/peers.rs
+++ b/components/control/src/peers.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use chicoryford_agreement::Body;
@@ -37,13 +38,26 @@
 }
 
 /// What the lanes share.
-struct Post {
+pub struct Post {
     caller: Caller,
     own: String,
     timeout: Duration,
+    reach: Arc<dyn Fn(&str) -> bool + Send + Sync>,
     lanes: RefCell<BTreeMap<String, Lane>>,
 }
 
+impl Post {
+    /// Sends as `own`, with `timeout` for each call, what `reach` lets through.
+    pub fn new(
+        caller: Caller,
+        own: String,
+        timeout: Duration,
+        reach: Arc<dyn Fn(&str) -> bool + Send + Sync>,
+    ) -> Self {
+        Self { caller, own, timeout, reach, lanes: RefCell::default() }
+    }
+}
+
 struct Lane {
     queue: VecDeque<Message>,
     calls: usize,
@@ -51,8 +65,8 @@
 }
 
 /// Sends messages until their ring closes.
-pub async fn run(caller: Caller, own: String, mut outgoing: Receiver<Outgoing>, timeout: Duration) {
-    let post = Rc::new(Post { caller, own, timeout, lanes: RefCell::default() });
+pub async fn run(post: Post, mut outgoing: Receiver<Outgoing>) {
+    let post = Rc::new(post);
     while let Some(first) = outgoing.next().await {
         let mut touched = BTreeSet::new();
         let mut next = Some(first);
@@ -68,6 +82,9 @@
 }
 
 fn enqueue(post: &Post, address: &str, message: Message) {
+    if !(post.reach)(address) {
+        return;
+    }
     let mut lanes = post.lanes.borrow_mut();
     if !lanes.contains_key(address) {
         let lane = Lane { queue: VecDeque::new(), calls: 0, client: post.caller.client() };
--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -35,6 +35,8 @@
 
 /// The replica is told about the time this often.
 const TICK: Duration = Duration::from_millis(20);
+/// Milliseconds for which the process's end may wait for another leader.
+pub const LINGER_MS: u64 = 1_000;
 /// Milliseconds between two looks for lapsed sessions.
 const SESSIONS_MS: u64 = 200;
 
@@ -63,6 +65,12 @@
     pub bytes: usize,
 }
 
+impl Default for Interval {
+    fn default() -> Self {
+        Self { entries: 20_000, bytes: 64 << 20 }
+    }
+}
+
 /// The replica and all that surrounds it.
 pub struct Driver {
     pub(crate) kernel: Kernel,
@@ -70,6 +78,8 @@
     pub(crate) applied: Applied,
     pub(crate) rings: Rings,
     pub(crate) interval: Interval,
+    /// How long the process's end may wait for another leader, in milliseconds.
+    pub(crate) linger_ms: u64,
     /// Jobs for which the disk's ring had no room.
     pub(crate) backlog: VecDeque<Job>,
     pub(crate) pending: Pending,
@@ -85,14 +95,13 @@
 }
 
 impl Driver {
-    /// Joins a replica, its state and its rings.
+    /// Joins a replica, its state and its rings. `founders` tells where replicas answer that the
+    /// log does not name yet.
     pub fn new(
         kernel: Kernel,
         replica: Replica,
         applied: Applied,
         rings: Rings,
-        interval: Interval,
-        sessions: Sessions,
         founders: BTreeMap<Node, String>,
     ) -> Self {
         let storage = StorageStatus { snapshot: applied.mark.index, ..StorageStatus::default() };
@@ -101,10 +110,11 @@
             replica,
             applied,
             rings,
-            interval,
+            interval: Interval::default(),
+            linger_ms: LINGER_MS,
             backlog: VecDeque::new(),
             pending: Pending::default(),
-            sessions,
+            sessions: Sessions::default(),
             sessions_at: 0,
             learned: founders,
             storage,
@@ -113,13 +123,20 @@
         }
     }
 
-    /// Runs until the process stops.
+    /// Runs until the process stops, and until another leads if this replica did.
     pub async fn run(mut self) {
         let phases = self.kernel.phases.clone();
         let mut ticks = actix_rt::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let mut handed = false;
-        while phases.now() < Phase::Stopping {
+        let (mut draining, mut stopping) = (false, None);
+        loop {
+            if phases.now() >= Phase::Stopping {
+                let since = *stopping.get_or_insert(self.kernel.now());
+                let over = self.kernel.now().since(since) >= self.linger_ms;
+                if over || !self.is_wanted() {
+                    return;
+                }
+            }
             tokio::select! {
                 report = self.rings.reports.next() => {
                     let Some(report) = report else { return };
@@ -130,8 +147,8 @@
                     self.requests(request);
                 }
                 _ = ticks.tick() => self.tick(),
-                () = phases.reached(Phase::Draining), if !handed => {
-                    handed = true;
+                () = phases.reached(Phase::Draining), if !draining => {
+                    draining = true;
                     // A leader that just stops leaves the others without one for a whole
                     // election timeout; handing over first takes a few messages.
                     self.tell(Event::HandOver { to: None });
@@ -143,6 +160,11 @@
         }
     }
 
+    /// Tells whether this replica leads others, who would be without a leader if it stopped now.
+    fn is_wanted(&self) -> bool {
+        self.replica.role() == Role::Leader && self.replica.members().voters().count() > 1
+    }
+
     fn tick(&mut self) {
         self.tell(Event::Tick);
         let now = self.kernel.now();
--- a/components/control/src/routes.rs
+++ b/components/control/src/routes.rs
@@ -94,11 +94,6 @@
         let desk = at.clone();
         async move { peer(desk.epoch().await) }
     });
-    let at = desk.clone();
-    routes.add(paths::OPERATE, &[Kind::Operator], move |call| {
-        let desk = at.clone();
-        async move { operator(desk.operate(&call).await) }
-    });
     routes.add(paths::CONTROL_STATUS, OPERATORS, move |call| {
         let desk = desk.clone();
         async move { desk.control(&call).await.unwrap_or_else(|f| reply::failure(&f)) }
@@ -113,13 +108,6 @@
     }
 }
 
-fn operator(result: Result<StateReply, Failure>) -> Reply {
-    match result {
-        Ok(answer) => reply::json(200, &answer),
-        Err(failure) => reply::failure(&failure),
-    }
-}
-
 impl Desk {
     async fn propose(&self, call: &Call) -> Result<StateReply, Failure> {
         let command: Command = call.msgpack()?;
@@ -156,16 +144,6 @@
         Err(Failure::not_run(Code::NoQuorum, "this control process does not vote"))
     }
 
-    async fn operate(&self, call: &Call) -> Result<StateReply, Failure> {
-        let command: Command = call.json()?;
-        check_operator(&command)?;
-        let refused = match self.handle.propose(command.clone()).await {
-            Ok(reply) => return Ok(reply),
-            Err(refused) => refused,
-        };
-        self.forward(call, paths::PROPOSE, &command, refused).await
-    }
-
     async fn control(&self, call: &Call) -> Result<Reply, Failure> {
         if call.body.is_empty() {
             return Ok(reply::json(200, &self.status().await?));
@@ -290,20 +268,3 @@
 fn no_quorum(failure: fn(Code, String) -> Failure, error: &CallError) -> Failure {
     failure(Code::NoQuorum, format!("the leader did not answer: {error}")).retry_after(RETRY_MS)
 }
-
-/// Refuses what is not an operator's to do: sessions, claims and steps belong to the processes
-/// that hold them, and an operator who moved them could run a call twice.
-fn check_operator(command: &Command) -> Result<(), Failure> {
-    match command {
-        Command::Apply { .. }
-        | Command::Remove { .. }
-        | Command::Rollback { .. }
-        | Command::History { .. }
-        | Command::PlanStop { .. }
-        | Command::CancelStop { .. }
-        | Command::Publish { .. }
-        | Command::Pardon { .. }
-        | Command::Nothing => Ok(()),
-        _ => Err(Failure::not_run(Code::Forbidden, "this command is not an operator's")),
-    }
-}
--- a/components/control/src/start.rs
+++ b/components/control/src/start.rs
@@ -1,6 +1,7 @@
 //! Starts the duties of the control role.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use chicoryford_agreement as agreement;
@@ -32,8 +33,10 @@
 use crate::orders;
 use crate::orders::Lead;
 use crate::peers;
+use crate::peers::Post;
 use crate::replica::Driver;
 use crate::replica::Interval;
+use crate::replica::LINGER_MS;
 use crate::replica::Rings;
 use crate::sessions::Sessions;
 use crate::snapshots;
@@ -58,12 +61,22 @@
     pub tail: u64,
     /// The file operations.
     pub disk: Disk,
+    /// How long the process's end may wait for another leader, in milliseconds.
+    pub linger_ms: u64,
+    /// Whether messages to an address of another replica get through.
+    pub reach: Arc<dyn Fn(&str) -> bool + Send + Sync>,
 }
 
 impl Default for Tuning {
     fn default() -> Self {
-        let interval = Interval { entries: 20_000, bytes: 64 << 20 };
-        Self { group: JOBS, interval, tail: 4_096, disk: Disk::default() }
+        Self {
+            group: JOBS,
+            interval: Interval::default(),
+            tail: 4_096,
+            disk: Disk::default(),
+            linger_ms: LINGER_MS,
+            reach: Arc::new(|_| true),
+        }
     }
 }
 
@@ -120,15 +133,23 @@
     kernel.blocking_duty("snapshots", move |_| snapshots::run(takes_end, &encoded))?;
     let caller = kernel.registry.find::<Caller>(CALLER)?;
     let timeout = Duration::from_millis(control.election_ms.max(500));
+    let reach = tuning.reach;
     kernel.duty("peers", move |_| async move {
-        peers::run(Caller::clone(&caller), own, outgoing_end, timeout).await;
+        let post = Post::new(Caller::clone(&caller), own, timeout, reach);
+        peers::run(post, outgoing_end).await;
     })?;
     let rings = Rings { requests: requests_end, reports: reports_end, jobs, outgoing, takes, lead };
     let sessions = Sessions::new(control.session_ms);
     let known: BTreeMap<_, _> =
         founders.into_iter().map(|founder| (founder.node, founder.address)).collect();
     kernel.duty("replica", move |kernel| async move {
-        Driver::new(kernel, replica, applied, rings, tuning.interval, sessions, known).run().await;
+        let driver = Driver {
+            interval: tuning.interval,
+            linger_ms: tuning.linger_ms,
+            sessions,
+            ..Driver::new(kernel, replica, applied, rings, known)
+        };
+        driver.run().await;
     })?;
     Ok(())
 }
--- a/components/control/tests/replicas.rs
+++ b/components/control/tests/replicas.rs
@@ -8,6 +8,7 @@
 
 use chicoryford_control::Tuning;
 use chicoryford_control::replica::Interval;
+use chicoryford_kernel::Phase;
 use chicoryford_state::Command;
 use chicoryford_state::Renew;
 use chicoryford_state::Renewed;
@@ -278,3 +279,48 @@
         assert!(renew(&sessions[0]).await.unwrap().held);
     });
 }
+
+#[test]
+fn harms_nothing_when_an_isolated_leader_comes_back() {
+    // Symptom: accepted changes disappear, or two processes lead. Sequence: the leader is cut off
+    // for longer than its lease, hundreds of changes are accepted without it, it comes back.
+    // Cause: it believes that it still leads.
+    block_on(async {
+        let cluster = Cluster::start(3, Tuning::default());
+        let old = cluster.leader().await;
+        cluster.propose(old, &publish(1)).await;
+        let before = cluster.status(old).await.unwrap();
+        cluster.cut_off(old);
+        let other = (old + 1) % 3;
+        let mut last = Position::default();
+        for n in 2..=300 {
+            last = position(cluster.propose(other, &publish(n)).await);
+        }
+        assert!(last.epoch > before.epoch);
+        let isolated = cluster.until(old, |s| s.lease_ms == 0).await;
+        assert_eq!(isolated.position, before.position);
+        let answer = cluster.try_propose(old, &publish(301)).await;
+        assert!(answer.is_err(), "{answer:?}");
+        cluster.heal();
+        let back = cluster.until(old, |s| s.position == last).await;
+        assert_eq!(back.broken, 0);
+        let after = position(cluster.propose(old, &publish(301)).await);
+        assert!(after > last);
+    });
+}
+
+#[test]
+fn hands_leadership_over_before_a_planned_stop() {
+    block_on(async {
+        let mut cluster = Cluster::start(3, Tuning::default());
+        let leader = cluster.leader().await;
+        cluster.propose(leader, &publish(1)).await;
+        let epoch = cluster.status(leader).await.unwrap().epoch;
+        let phases = cluster.processes[leader].as_ref().unwrap().kernel.phases.clone();
+        phases.advance(Phase::Draining);
+        let status = cluster.until(leader, |s| s.leader.as_ref() != Some(&name(leader))).await;
+        assert!(status.epoch > epoch);
+        cluster.kill(leader);
+        cluster.propose((leader + 1) % 3, &publish(2)).await;
+    });
+}
--- a/components/control/tests/support/mod.rs
+++ b/components/control/tests/support/mod.rs
@@ -1,10 +1,12 @@
 //! Control processes within the test's process, each with its own kernel, server and folder.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::mpsc;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -54,6 +56,7 @@
     pub settings: Vec<Settings>,
     pub processes: Vec<Option<Process>>,
     pub tuning: Tuning,
+    cut: Arc<Mutex<BTreeSet<String>>>,
     pub client: Client,
 }
 
@@ -71,7 +74,8 @@
         let mut cluster = Self {
             settings: Vec::new(),
             processes: Vec::new(),
-            tuning,
+            tuning: Tuning { linger_ms: 0, ..tuning },
+            cut: Arc::default(),
             client: client(TOKEN),
             folder,
         };
@@ -98,11 +102,32 @@
             control: Some(control),
             ..Settings::default()
         };
-        let process = run(settings.clone(), listener, self.folder.path(), self.tuning.clone());
-        self.settings.push(settings);
+        self.settings.push(settings.clone());
+        let process = run(settings, listener, self.folder.path(), self.tuning(i));
         self.processes.push(Some(process));
     }
 
+    /// Cuts a process off: no message of the agreement reaches or leaves it.
+    pub fn cut_off(&self, i: usize) {
+        self.cut.lock().unwrap().insert(self.address(i));
+    }
+
+    /// Ends all cuts.
+    pub fn heal(&self) {
+        self.cut.lock().unwrap().clear();
+    }
+
+    fn tuning(&self, i: usize) -> Tuning {
+        let cut = self.cut.clone();
+        let own = self.settings.get(i).map(|settings| settings.listen.to_string());
+        let own = own.unwrap_or_default();
+        let reach = move |to: &str| {
+            let cut = cut.lock().unwrap();
+            !cut.contains(to) && !cut.contains(&own)
+        };
+        Tuning { reach: Arc::new(reach), ..self.tuning.clone() }
+    }
+
     pub fn data(&self, i: usize) -> PathBuf {
         self.folder.path().join(format!("data-{i}"))
     }
@@ -129,7 +154,7 @@
     pub fn restart(&mut self, i: usize) {
         let settings = self.settings[i].clone();
         let listener = bind(settings.listen);
-        let process = run(settings, listener, self.folder.path(), self.tuning.clone());
+        let process = run(settings, listener, self.folder.path(), self.tuning(i));
         self.processes[i] = Some(process);
     }
 
