--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -34,6 +34,12 @@
         }
     }
 
+    fn place(&mut self, field: &str, name: &str) {
+        if !is_place(name) {
+            self.add(field, Problem::Name(name.to_owned()));
+        }
+    }
+
     pub(crate) fn range(&mut self, field: impl Into<String>, value: u64, least: u64, most: u64) {
         if !(least..=most).contains(&value) {
             self.add(field, Problem::Range { value, least, most });
@@ -47,6 +53,13 @@
     }
 }
 
+/// Tells whether `name` may name a region or data centre. These are written by people for people
+/// and travel in no header, so that they may have letters of any alphabet.
+pub fn is_place(name: &str) -> bool {
+    let allowed = |c: char| c.is_alphanumeric() || matches!(c, '-' | '_' | '.');
+    !name.is_empty() && name.len() <= NAME && name.chars().all(allowed)
+}
+
 /// Tells whether `name` has only characters that names may have.
 pub fn is_name(name: &str) -> bool {
     let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
@@ -57,8 +70,8 @@
 pub fn settings(settings: &Settings) -> Vec<Fault> {
     let mut faults = Faults::default();
     faults.name("node", settings.node.as_str());
-    faults.name("region", settings.region.as_str());
-    faults.name("data_centre", settings.data_centre.as_str());
+    faults.place("region", settings.region.as_str());
+    faults.place("data_centre", settings.data_centre.as_str());
     faults.range("grace_ms", settings.grace_ms, 0, DAY_MS);
     faults.range("bounds.body", settings.bounds.body as u64, 1 << 10, 1 << 30);
     faults.range("bounds.connections", settings.bounds.connections as u64, 1, 1 << 20);
