Drive trainers and callers, and record what they saw

Cause: the demonstration must be judged by the callers' and trainers' own records. The trainer's paths were not run against an entry yet. Conclusion: the demonstration can use them.

--- /dev/null
+++ b/components/standin/examples/standin/drivers.rs
@@ -0,0 +1,129 @@
+//! The arguments of the trainers and callers.
+
+use std::path::PathBuf;
+
+use chicoryford_standin::caller::CallerSettings;
+use chicoryford_standin::trainer::TrainerSettings;
+use chicoryford_wire::keys::KeyError;
+use chicoryford_wire::keys::read_token;
+use clap::Args;
+
+/// How the entries are reached.
+#[derive(Args)]
+pub struct EntryArgs {
+    /// The address of an entry; may be repeated.
+    #[arg(long = "entry", required = true)]
+    entries: Vec<String>,
+    /// The file with the token, in its first line.
+    #[arg(long)]
+    token: PathBuf,
+    /// The workspace.
+    #[arg(long)]
+    workspace: String,
+    /// The model or service.
+    #[arg(long)]
+    model: String,
+    /// For how many seconds.
+    #[arg(long, default_value_t = 10.0)]
+    seconds: f64,
+    /// Determines prompts, seeds and gaps.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+#[derive(Args)]
+pub struct TrainerArgs {
+    #[command(flatten)]
+    entry: EntryArgs,
+    /// Groups of a step.
+    #[arg(long, default_value_t = 8)]
+    groups: u32,
+    /// Samples of a group.
+    #[arg(long, default_value_t = 4)]
+    samples: u32,
+    /// Tokens of a sample at most.
+    #[arg(long, default_value_t = 256)]
+    max_tokens: u32,
+    /// The bound on staleness, in versions.
+    #[arg(long)]
+    freshness: Option<u64>,
+    /// Milliseconds that the training of a group takes.
+    #[arg(long, default_value_t = 20)]
+    train_ms: u64,
+    /// Milliseconds between two publications of weights.
+    #[arg(long, default_value_t = 3_000)]
+    publish_ms: u64,
+    /// Where the store has the weights, as http://address.
+    #[arg(long, default_value = "")]
+    source: String,
+}
+
+#[derive(Args)]
+pub struct CallerArgs {
+    #[command(flatten)]
+    entry: EntryArgs,
+    /// Names the caller in its record.
+    #[arg(long, default_value = "caller")]
+    name: String,
+    /// Call a plain service instead of a model.
+    #[arg(long)]
+    service: bool,
+    /// The calls may not be repeated; each carries an idempotency key.
+    #[arg(long)]
+    once: bool,
+    /// The class: batch, normal or urgent.
+    #[arg(long)]
+    class: Option<String>,
+    /// Milliseconds until an answer is worthless.
+    #[arg(long, default_value_t = 2_000)]
+    deadline_ms: u64,
+    /// Requests a second.
+    #[arg(long, default_value_t = 10.0)]
+    rate: f64,
+    /// Tokens of an answer at most.
+    #[arg(long, default_value_t = 64)]
+    max_tokens: u32,
+}
+
+impl TrainerArgs {
+    /// Gives the trainer's settings.
+    pub fn settings(self) -> Result<TrainerSettings, KeyError> {
+        Ok(TrainerSettings {
+            token: read_token(&self.entry.token)?,
+            entries: self.entry.entries,
+            workspace: self.entry.workspace,
+            model: self.entry.model,
+            seconds: self.entry.seconds,
+            seed: self.entry.seed,
+            groups: self.groups,
+            samples: self.samples,
+            max_tokens: self.max_tokens,
+            freshness: self.freshness,
+            train_ms: self.train_ms,
+            publish_ms: self.publish_ms,
+            source: self.source,
+            ..TrainerSettings::default()
+        })
+    }
+}
+
+impl CallerArgs {
+    /// Gives the caller's settings.
+    pub fn settings(self) -> Result<CallerSettings, KeyError> {
+        Ok(CallerSettings {
+            token: read_token(&self.entry.token)?,
+            entries: self.entry.entries,
+            workspace: self.entry.workspace,
+            model: self.entry.model,
+            seconds: self.entry.seconds,
+            seed: self.entry.seed,
+            name: self.name,
+            service: self.service,
+            repeatable: !self.once,
+            class: self.class,
+            deadline_ms: self.deadline_ms,
+            rate: self.rate,
+            max_tokens: self.max_tokens,
+        })
+    }
+}
--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -4,11 +4,14 @@
 //! can be judged by what the endpoints and callers saw and not by what the system says of itself.
 //! docs/STANDINS.md describes the protocols.
 
+pub mod caller;
+pub mod driver;
 pub mod engine;
 pub mod http;
 pub mod record;
 pub mod scorer;
 pub mod service;
 pub mod store;
+pub mod trainer;
 
 pub use record::Recorder;
