Run trainers' steps and answer their calls

Cause: trainers had no path. Change: open, pull, acknowledge and publish; a duty holds the session, takes steps, runs samples longest expected first, records them, begins stale and unattributed ones again, stops extra ones. Measured: compiles; the tests of generations pass. Steps have not been run yet.

--- a/components/entry/src/context.rs
+++ b/components/entry/src/context.rs
@@ -4,8 +4,11 @@
 use std::time::Duration;
 
 use chicoryford_config::Handle as ConfigHandle;
+use chicoryford_config::Proposer;
+use chicoryford_config::ProposerClient;
 use chicoryford_kernel::Kernel;
 use chicoryford_kernel::registry::MissingService;
+use chicoryford_membership::Handle as MembersHandle;
 use chicoryford_settings::Settings;
 use chicoryford_types::DataCentre;
 use chicoryford_types::Millis;
@@ -34,6 +37,10 @@
     pub router: Router,
     /// The configuration in force.
     pub config: ConfigHandle,
+    /// Who is there.
+    pub members: MembersHandle,
+    /// Proposes commands to the control processes.
+    pub proposer: ProposerClient,
     /// The time without a frame after which a stream counts as silent.
     pub silence: Duration,
     /// This process.
@@ -51,7 +58,9 @@
     pub fn new(kernel: &Kernel, settings: &Settings) -> Result<Self, MissingService> {
         let caller = kernel.registry.find::<Caller>(CALLER)?;
         let config = kernel.registry.find::<ConfigHandle>(chicoryford_config::SERVICE)?;
+        let members = kernel.registry.find::<MembersHandle>(chicoryford_membership::SERVICE)?;
         let router = kernel.registry.find::<Router>(SERVICE)?;
+        let proposer = Proposer::find(kernel)?.client();
         let client = caller.client();
         let entry = settings.entry.clone().unwrap_or_default();
         Ok(Self(Rc::new(Inner {
@@ -60,6 +69,8 @@
             client,
             router: Router::clone(&router),
             config: ConfigHandle::clone(&config),
+            members: MembersHandle::clone(&members),
+            proposer,
             silence: Duration::from_millis(entry.silence_ms),
             node: settings.node.clone(),
             place: settings.data_centre.clone(),
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod run;
 pub mod service;
 pub mod start;
+pub mod steps;
+pub mod trainer;
 
 pub use start::StartError;
 pub use start::routes;
--- a/components/entry/src/start.rs
+++ b/components/entry/src/start.rs
@@ -15,6 +15,9 @@
 use crate::context::Context;
 use crate::router;
 use crate::service;
+use crate::steps;
+use crate::steps::Steps;
+use crate::trainer;
 
 /// The entry role could not be started.
 #[derive(Debug, Error)]
@@ -37,6 +40,7 @@
     let config = kernel.registry.find::<ConfigHandle>(chicoryford_config::SERVICE)?;
     members.announce(|own| own.roles.entry = true);
     router::duty::start(kernel, settings, members.watch(), config.watch())?;
+    steps::duty::start(kernel, settings)?;
     Ok(())
 }
 
@@ -61,5 +65,24 @@
     });
     let here = context.clone();
     routes.add(paths::SERVICES, &[Kind::Caller], move |call| service::answer(here.clone(), call));
+    trainer_routes(routes, kernel, &context)
+}
+
+fn trainer_routes(
+    routes: &mut Routes,
+    kernel: &Kernel,
+    context: &Context,
+) -> Result<(), MissingService> {
+    let steps = kernel.registry.find::<Steps>(steps::SERVICE)?;
+    let here = context.clone();
+    routes.add(paths::STEP_OPEN, &[Kind::Trainer], move |call| {
+        trainer::open(here.clone(), Steps::clone(&steps), call)
+    });
+    let here = context.clone();
+    routes.add(paths::STEP_PULL, &[Kind::Trainer], move |call| trainer::pull(here.clone(), call));
+    let here = context.clone();
+    routes.add(paths::STEP_ACK, &[Kind::Trainer], move |call| trainer::ack(here.clone(), call));
+    let here = context.clone();
+    routes.add(paths::PUBLISH, &[Kind::Trainer], move |call| trainer::publish(here.clone(), call));
     Ok(())
 }
--- /dev/null
+++ b/components/entry/src/steps/duty.rs
@@ -0,0 +1,177 @@
+//! The thread that runs steps.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use actix_rt::task::JoinHandle;
+use chicoryford_kernel::Kernel;
+use chicoryford_kernel::Phase;
+use chicoryford_kernel::Receiver;
+use chicoryford_kernel::Sender;
+use chicoryford_kernel::duty::DutyError;
+use chicoryford_kernel::ring;
+use chicoryford_ledger::StepKey;
+use chicoryford_settings::Settings;
+use chicoryford_types::Fingerprint;
+use chicoryford_types::Millis;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::Semaphore;
+
+use crate::context::Context;
+use crate::steps::handle::Notice;
+use crate::steps::handle::SERVICE;
+use crate::steps::handle::Steps;
+use crate::steps::lengths::Lengths;
+use crate::steps::session;
+use crate::steps::step;
+use crate::steps::step::Shared;
+
+/// Room for notices that the duty has not yet read.
+const RING: usize = 4_096;
+/// Steps that one entry runs at once.
+const STEPS: usize = 64;
+/// Milliseconds that each entry waits longer for an orphan than the one before it in the
+/// orphan's own order; without an order all entries would ask for each orphan at once.
+const TURN: u64 = 1_000;
+
+/// Starts the duty and offers its handle.
+///
+/// # Errors
+///
+/// [`DutyError`] if the thread cannot be started.
+pub fn start(kernel: &Kernel, settings: &Settings) -> Result<(), DutyError> {
+    let (sender, receiver) = ring(RING);
+    let steps = Steps(sender.clone());
+    kernel.registry.offer(SERVICE, steps.clone());
+    kernel.dumps.add("entry.steps", move || {
+        let steps = steps.clone();
+        async move { steps.dump().await }
+    });
+    let settings = settings.clone();
+    kernel.duty("steps", move |kernel| async move {
+        let context = match Context::new(&kernel, &settings) {
+            Ok(context) => context,
+            Err(error) => {
+                tracing::error!(event = "steps_not_started", %error);
+                return;
+            }
+        };
+        let running = settings.entry.clone().unwrap_or_default().running;
+        let shared = Shared {
+            lengths: Rc::new(RefCell::new(Lengths::default())),
+            slots: Arc::new(Semaphore::new((running / 2).max(1))),
+        };
+        let duty = Duty {
+            context,
+            shared,
+            notices: sender,
+            session: None,
+            running: BTreeMap::new(),
+            orphans: BTreeMap::new(),
+        };
+        duty.run(receiver).await;
+    })?;
+    Ok(())
+}
+
+struct Duty {
+    context: Context,
+    shared: Shared,
+    notices: Sender<Notice>,
+    session: Option<u64>,
+    running: BTreeMap<StepKey, JoinHandle<()>>,
+    orphans: BTreeMap<StepKey, Millis>,
+}
+
+impl Duty {
+    async fn run(mut self, mut receiver: Receiver<Notice>) {
+        actix_rt::spawn(session::keep(self.context.clone(), self.notices.clone()));
+        let phases = self.context.kernel.phases.clone();
+        let stopped = phases.reached(Phase::Stopping);
+        tokio::pin!(stopped);
+        loop {
+            tokio::select! {
+                () = &mut stopped => return,
+                notice = receiver.next() => match notice {
+                    Some(notice) => self.take(notice),
+                    None => return,
+                },
+            }
+        }
+    }
+
+    fn take(&mut self, notice: Notice) {
+        match notice {
+            Notice::Opened(key) => self.begin(key),
+            Notice::Session(session) => self.change_session(session),
+            Notice::Orphans(orphans) => self.consider(orphans),
+            Notice::Ended(key) => {
+                self.running.remove(&key);
+            }
+            Notice::Dump(sender) => {
+                let _ = sender.send(self.dump());
+            }
+        }
+    }
+
+    /// Stops all steps at once when the session is lost: another entry takes them from here on.
+    fn change_session(&mut self, session: Option<u64>) {
+        self.session = session;
+        for (key, task) in std::mem::take(&mut self.running) {
+            tracing::warn!(event = "step_stopped", workspace = %key.workspace, step = %key.step);
+            task.abort();
+        }
+    }
+
+    fn consider(&mut self, orphans: Vec<StepKey>) {
+        let now = self.context.now();
+        let mut seen = std::mem::take(&mut self.orphans);
+        for key in orphans {
+            let since = seen.remove(&key).unwrap_or(now);
+            if now.since(since) >= TURN * self.turn(&key) {
+                self.begin(key);
+            } else {
+                self.orphans.insert(key, since);
+            }
+        }
+    }
+
+    /// Gives this entry's place among all entries in the order of one orphan.
+    fn turn(&self, key: &StepKey) -> u64 {
+        let rank = |node: &str| {
+            Fingerprint::of(format!("{node}\0{}\0{}", key.workspace, key.step).as_bytes())
+        };
+        let own = rank(self.context.node.as_str());
+        let members = self.context.members.view();
+        let entries = members.present().filter(|member| member.roles.entry);
+        entries.filter(|member| rank(member.node.as_str()) < own).count() as u64
+    }
+
+    fn begin(&mut self, key: StepKey) {
+        let Some(session) = self.session else { return };
+        let leaving = self.context.kernel.phases.now() != Phase::Running;
+        if leaving || self.running.len() >= STEPS || self.running.contains_key(&key) {
+            return;
+        }
+        let (context, shared) = (self.context.clone(), self.shared.clone());
+        let (notices, ended) = (self.notices.clone(), key.clone());
+        let task = actix_rt::spawn(async move {
+            step::run(context, shared, session, ended.clone()).await;
+            let _ = notices.send(Notice::Ended(ended)).await;
+        });
+        self.running.insert(key, task);
+    }
+
+    fn dump(&self) -> Value {
+        let name = |key: &StepKey| json!({"workspace": key.workspace, "step": key.step});
+        json!({
+            "session": self.session,
+            "running": self.running.keys().map(name).collect::<Vec<_>>(),
+            "orphans": self.orphans.keys().map(name).collect::<Vec<_>>(),
+            "free_slots": self.shared.slots.available_permits(),
+        })
+    }
+}
--- /dev/null
+++ b/components/entry/src/steps/session.rs
@@ -0,0 +1,108 @@
+//! Keeps this entry's session with the leader, the lease on its steps.
+
+use std::time::Duration;
+
+use chicoryford_kernel::Sender;
+use chicoryford_ledger::StepKey;
+use chicoryford_state::Command;
+use chicoryford_state::Renew;
+use chicoryford_state::Renewed;
+use chicoryford_state::Reply;
+use chicoryford_types::Millis;
+use chicoryford_wire::paths;
+
+use crate::context::Context;
+use crate::steps::handle::Notice;
+
+/// The time between two renewals.
+const EVERY: Duration = Duration::from_secs(1);
+/// The longest wait for a control process's answer to a renewal.
+const PATIENCE: Duration = Duration::from_millis(800);
+/// The longest wait for a session to be opened.
+const OPEN: Duration = Duration::from_secs(5);
+
+/// A session as this entry holds it.
+struct Held {
+    number: u64,
+    until: Millis,
+}
+
+/// Opens a session and renews it for ever; tells the duty when it is opened or lost.
+///
+/// The lease is counted on this process's own monotonic clock from before the renewal was sent.
+/// An entry that was stopped or cut off therefore stops its steps before the leader gives them
+/// to another; should it not, the ledger refuses what an earlier owner records.
+pub async fn keep(context: Context, notices: Sender<Notice>) {
+    let mut held: Option<Held> = None;
+    loop {
+        held = match held {
+            None => open(&context, &notices).await,
+            Some(held) => renew(&context, &notices, held).await,
+        };
+        actix_rt::time::sleep(EVERY).await;
+    }
+}
+
+async fn open(context: &Context, notices: &Sender<Notice>) -> Option<Held> {
+    let own = context.members.own();
+    let command = Command::OpenSession { node: own.node, incarnation: own.incarnation };
+    let number = match context.proposer.propose(&command, OPEN).await {
+        Ok(Reply::Session { session }) => session,
+        Ok(reply) => {
+            tracing::warn!(event = "session_refused", ?reply);
+            return None;
+        }
+        Err(failure) => {
+            tracing::info!(event = "session_waits", %failure);
+            return None;
+        }
+    };
+    let held = Held { number, until: context.now() };
+    let (renewed, sent) = ask(context, number).await?;
+    if !renewed.held {
+        return None;
+    }
+    tracing::info!(event = "session_opened", session = number);
+    let _ = notices.send(Notice::Session(Some(number))).await;
+    tell_orphans(notices, renewed.orphans).await;
+    Some(Held { until: sent + renewed.lasts_ms, ..held })
+}
+
+async fn renew(context: &Context, notices: &Sender<Notice>, held: Held) -> Option<Held> {
+    match ask(context, held.number).await {
+        Some((renewed, sent)) if renewed.held => {
+            tell_orphans(notices, renewed.orphans).await;
+            return Some(Held { until: sent + renewed.lasts_ms, ..held });
+        }
+        None if context.now() < held.until => return Some(held),
+        _ => {}
+    }
+    tracing::warn!(event = "session_lost", session = held.number);
+    context.kernel.metrics.count("entry.session.lost", 1);
+    let _ = notices.send(Notice::Session(None)).await;
+    None
+}
+
+async fn tell_orphans(notices: &Sender<Notice>, orphans: Vec<StepKey>) {
+    if !orphans.is_empty() {
+        let _ = notices.send(Notice::Orphans(orphans)).await;
+    }
+}
+
+/// Asks the control processes until one answers for the leader.
+async fn ask(context: &Context, session: u64) -> Option<(Renewed, Millis)> {
+    let question = Renew { node: context.node.clone(), session };
+    let members = context.members.view();
+    for member in members.present().filter(|member| member.roles.control) {
+        let sent = context.now();
+        let answer = context.client.call(&member.address, paths::RENEW, &question, PATIENCE);
+        match answer.await {
+            Ok(renewed) => return Some((renewed, sent)),
+            Err(error) => {
+                let node = &member.node;
+                tracing::debug!(event = "renewal_unanswered", %node, %error);
+            }
+        }
+    }
+    None
+}
--- /dev/null
+++ b/components/entry/src/trainer.rs
@@ -0,0 +1,259 @@
+//! What trainers call: open a step, pull, acknowledge, publish weights.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use chicoryford_ledger::Body;
+use chicoryford_ledger::LedgerCommand;
+use chicoryford_ledger::LedgerReply;
+use chicoryford_ledger::Record;
+use chicoryford_ledger::StepKey;
+use chicoryford_ledger::StepSpec;
+use chicoryford_state::Command;
+use chicoryford_state::Refusal;
+use chicoryford_state::Reply as StateReply;
+use chicoryford_types::ChangeId;
+use chicoryford_types::Code;
+use chicoryford_types::Cursor;
+use chicoryford_types::Failure;
+use chicoryford_types::Model;
+use chicoryford_types::Template;
+use chicoryford_types::Version;
+use chicoryford_types::Workspace;
+use chicoryford_wire::Call;
+use chicoryford_wire::Reply;
+use chicoryford_wire::reply;
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::context::Context;
+use crate::door;
+use crate::steps::Steps;
+use crate::steps::record;
+
+/// When to pull again after nothing was ready, in milliseconds.
+const READY_RETRY: u64 = 100;
+/// The longest wait for a publication to be committed.
+const PUBLISH: std::time::Duration = std::time::Duration::from_secs(10);
+
+/// Asks for a batch.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Pull {
+    /// The workspace.
+    pub workspace: Workspace,
+    /// The cursor: one more than the last acknowledged.
+    pub cursor: Cursor,
+    /// Groups wanted at most.
+    #[serde(default = "one")]
+    pub groups: u32,
+    /// The newest version that the trainer has published.
+    #[serde(default)]
+    pub newest: Version,
+}
+
+/// Acknowledges a batch.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Ack {
+    /// The workspace.
+    pub workspace: Workspace,
+    /// The cursor of the batch.
+    pub cursor: Cursor,
+}
+
+/// Publishes weights.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Publish {
+    /// The workspace on whose behalf.
+    pub workspace: Workspace,
+    /// The model.
+    pub model: Model,
+    /// The version, greater than any before.
+    pub version: Version,
+    /// Where the weight store has it.
+    pub source: String,
+    /// Recognises a resend; drawn if it is left out.
+    #[serde(default)]
+    pub change: Option<ChangeId>,
+}
+
+fn one() -> u32 {
+    1
+}
+
+/// Opens a step.
+pub async fn open(context: Context, steps: Steps, call: Call) -> Reply {
+    answer(try_open(&context, &steps, &call).await)
+}
+
+/// Hands out a batch.
+pub async fn pull(context: Context, call: Call) -> Reply {
+    answer(try_pull(&context, &call).await)
+}
+
+/// Takes an acknowledgement.
+pub async fn ack(context: Context, call: Call) -> Reply {
+    answer(try_ack(&context, &call).await)
+}
+
+/// Publishes weights.
+pub async fn publish(context: Context, call: Call) -> Reply {
+    answer(try_publish(&context, &call).await)
+}
+
+fn answer(result: Result<Reply, Failure>) -> Reply {
+    result.unwrap_or_else(|failure| reply::failure(&failure))
+}
+
+async fn try_open(context: &Context, steps: &Steps, call: &Call) -> Result<Reply, Failure> {
+    let mut spec: StepSpec = call.json()?;
+    let template = admit(context, call, &spec.workspace)?;
+    door::open(
+        context.kernel.phases.now(),
+        &context.config.current(),
+        &context.node,
+        &context.place,
+    )?;
+    check(&spec, &template)?;
+    if let Some(identity) = &call.identity {
+        spec.trainer = identity.principal.clone();
+    }
+    let key = StepKey { workspace: spec.workspace.clone(), step: spec.step };
+    let bound = template.freshness.versions;
+    match record::ledger(context, LedgerCommand::Open { spec, bound }).await? {
+        LedgerReply::Opened => {
+            steps.opened(key);
+            Ok(reply::json(200, &json!({"opened": true})))
+        }
+        LedgerReply::Conflict | LedgerReply::Closed => {
+            let detail = "the step is open with other content, or was closed";
+            Err(Failure::not_run(Code::Conflict, detail))
+        }
+        other => Err(refused(&other)),
+    }
+}
+
+fn check(spec: &StepSpec, template: &Template) -> Result<(), Failure> {
+    let malformed = |detail: String| Err(Failure::not_run(Code::BadRequest, detail));
+    if !template.models.contains(&spec.model) {
+        return malformed(format!("{:?} is not among the workspace's models", spec.model));
+    }
+    if spec.groups.is_empty() || spec.samples == 0 {
+        return malformed("a step needs groups, and samples of each".to_owned());
+    }
+    let bound = template.limits.tokens;
+    if spec.max_tokens == 0 || spec.max_tokens > bound {
+        return malformed(format!("max_tokens must be between 1 and {bound}"));
+    }
+    Ok(())
+}
+
+async fn try_pull(context: &Context, call: &Call) -> Result<Reply, Failure> {
+    let Pull { workspace, cursor, groups, newest } = call.json()?;
+    admit(context, call, &workspace)?;
+    let command = LedgerCommand::Pull { workspace, cursor, groups, newest };
+    match record::ledger(context, command).await? {
+        LedgerReply::Batch { cursor, samples, .. } => {
+            let records = samples.into_iter().map(|(_, _, _, record)| record);
+            let body = batch(cursor, records)?;
+            Ok(reply::bytes(200, reply::JSON, body))
+        }
+        LedgerReply::NotReady => {
+            let body = json!({"ready": false, "retry_ms": READY_RETRY});
+            Ok(reply::json(202, &body))
+        }
+        LedgerReply::BadCursor { expected } => {
+            let detail = format!("cursor {expected} is the one to pull");
+            Err(Failure::not_run(Code::Conflict, detail))
+        }
+        other => Err(refused(&other)),
+    }
+}
+
+/// Puts a batch together from the recorded bytes. Nothing else goes into it, no time, node or
+/// counter, so that the same cursor gives the same bytes through any entry at any time.
+fn batch(cursor: Cursor, records: impl Iterator<Item = Record>) -> Result<Bytes, Failure> {
+    let mut body = BytesMut::from(format!("{{\"cursor\":{cursor},\"samples\":[").as_bytes());
+    for (index, record) in records.enumerate() {
+        let Body::Inline(bytes) = record.body else {
+            let detail = "a sample's bytes are not in the ledger";
+            return Err(Failure::not_run(Code::Internal, detail));
+        };
+        if index > 0 {
+            body.extend_from_slice(b",");
+        }
+        body.extend_from_slice(&bytes);
+    }
+    body.extend_from_slice(b"]}");
+    Ok(body.freeze())
+}
+
+async fn try_ack(context: &Context, call: &Call) -> Result<Reply, Failure> {
+    let Ack { workspace, cursor } = call.json()?;
+    admit(context, call, &workspace)?;
+    match record::ledger(context, LedgerCommand::Ack { workspace, cursor }).await? {
+        LedgerReply::Acked => Ok(reply::json(200, &json!({"acknowledged": cursor}))),
+        LedgerReply::BadCursor { expected } => {
+            let detail = format!("cursor {expected} is the one to acknowledge");
+            Err(Failure::not_run(Code::Conflict, detail))
+        }
+        other => Err(refused(&other)),
+    }
+}
+
+async fn try_publish(context: &Context, call: &Call) -> Result<Reply, Failure> {
+    let Publish { workspace, model, version, source, change } = call.json()?;
+    let template = admit(context, call, &workspace)?;
+    if !template.models.contains(&model) {
+        let detail = format!("{model:?} is not among the workspace's models");
+        return Err(Failure::not_run(Code::Forbidden, detail));
+    }
+    let drawn = || {
+        let issued = chicoryford_kernel::unix().0;
+        ChangeId(format!("{issued}.{model}-{version}"))
+    };
+    let change = change.unwrap_or_else(drawn);
+    let command =
+        Command::Publish { change, model: model.clone(), version, source: source.clone() };
+    match context.proposer.propose(&command, PUBLISH).await? {
+        StateReply::Accepted { at, .. } => {
+            Ok(reply::json(200, &json!({"version": version, "at": at.to_string()})))
+        }
+        StateReply::Refused(Refusal::NotNewer(newest)) => {
+            let config = context.config.current();
+            let held = config.weights.get(&model);
+            if held.is_some_and(|held| held.version == version && held.source == source) {
+                return Ok(reply::json(200, &json!({"version": version, "at": "before"})));
+            }
+            let detail = format!("version {newest} was published before");
+            Err(Failure::not_run(Code::Conflict, detail))
+        }
+        StateReply::Failed(failure) => Err(failure),
+        other => {
+            let detail = format!("the publication was refused: {other:?}");
+            Err(Failure::not_run(Code::Conflict, detail))
+        }
+    }
+}
+
+/// Lets in the trainers that the template names.
+fn admit(context: &Context, call: &Call, workspace: &Workspace) -> Result<Template, Failure> {
+    let config = context.config.current();
+    let template = door::template(workspace, &config)?;
+    let named =
+        call.identity.as_ref().is_some_and(|who| template.trainers.contains(&who.principal));
+    if !named {
+        let detail = format!("the token's holder is not among the trainers of {workspace}");
+        return Err(Failure::not_run(Code::Forbidden, detail));
+    }
+    Ok(template.clone())
+}
+
+fn refused(reply: &LedgerReply) -> Failure {
+    match reply {
+        LedgerReply::Missing => Failure::not_run(Code::NotFound, "no step of that name is open"),
+        LedgerReply::Full => {
+            let failure = Failure::not_run(Code::Overloaded, "the ledger is full");
+            failure.retry_after(READY_RETRY * 10)
+        }
+        other => Failure::not_run(Code::Conflict, format!("the ledger refused: {other:?}")),
+    }
+}
