--- a/components/control/src/disk.rs
+++ b/components/control/src/disk.rs
@@ -18,7 +18,7 @@
     Keep(Snapshot),
 }
 
-/// What the duty tells the replica.
+/// What this duty and that of the snapshots tell the replica.
 #[derive(Clone, Debug)]
 pub enum Report {
     /// All writes up to this one are on the disk.
@@ -28,6 +28,8 @@
         /// The log's size in bytes.
         bytes: u64,
     },
+    /// A state is encoded and waits to be kept.
+    Encoded(Snapshot),
     /// The snapshot is on the disk.
     Kept(Snapshot),
     /// A write or sync failed; nothing is written any more.
--- a/components/control/src/error.rs
+++ b/components/control/src/error.rs
@@ -1,5 +1,7 @@
 //! Why the control role cannot start or go on.
 
+use std::path::PathBuf;
+
 use chicoryford_kernel::duty::DutyError;
 use chicoryford_kernel::registry::MissingService;
 use chicoryford_storage::StorageError;
@@ -17,6 +19,12 @@
     /// What the data folder holds cannot be read by this release.
     #[error(transparent)]
     Content(#[from] ContentError),
+    /// A folder could not be made from that of a lost deployment.
+    #[error("cannot make the data folder for a restore")]
+    Restore(#[source] std::io::Error),
+    /// The folder that was named for a restore holds nothing.
+    #[error("{} holds neither a snapshot nor a log", .0.display())]
+    NothingToRestore(PathBuf),
     /// A service that must start before is missing.
     #[error(transparent)]
     Missing(#[from] MissingService),
--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -1,5 +1,8 @@
 //! How the HTTP threads reach the replica's duty.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chicoryford_agreement::Message;
@@ -90,12 +93,13 @@
 #[derive(Clone)]
 pub struct Handle {
     requests: Sender<Request>,
+    received: Arc<AtomicU64>,
 }
 
 impl Handle {
     /// Sends requests to the replica's duty.
     pub fn new(requests: Sender<Request>) -> Self {
-        Self { requests }
+        Self { requests, received: Arc::default() }
     }
 
     /// Commits and applies a command.
@@ -127,7 +131,10 @@
 
     /// Takes messages of another replica. They are dropped when the replica does not keep up:
     /// its sender repeats what matters.
-    pub fn deliver(&self, envelope: Envelope) {
+    ///
+    /// `bytes` is what they took on the wire, for the status.
+    pub fn deliver(&self, envelope: Envelope, bytes: usize) {
+        self.received.fetch_add(bytes as u64, Ordering::Relaxed);
         let _ = self.requests.offer(Request::Deliver(envelope));
     }
 
@@ -140,7 +147,9 @@
         let (sender, receiver) = oneshot::channel();
         self.requests.offer(Request::Status(sender)).map_err(|_| overloaded())?;
         match wait(receiver).await {
-            Some(status) => Ok(status),
+            Some(status) => {
+                Ok(Status { received: self.received.load(Ordering::Relaxed), ..status })
+            }
             None => Err(silent(Failure::not_run)),
         }
     }
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod pending;
 pub mod replica;
 mod report;
+pub mod restore;
 pub mod routes;
 mod serve;
 pub mod sessions;
--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -35,6 +35,8 @@
 
 /// The replica is told about the time this often.
 const TICK: Duration = Duration::from_millis(20);
+/// Requests taken at once.
+pub const ROUND: usize = 256;
 /// Milliseconds for which the process's end may wait for another leader.
 pub const LINGER_MS: u64 = 1_000;
 /// Milliseconds between two looks for lapsed sessions.
@@ -78,6 +80,8 @@
     pub(crate) applied: Applied,
     pub(crate) rings: Rings,
     pub(crate) interval: Interval,
+    /// Requests taken at once; the proposals among them become one event and one write.
+    pub(crate) round: usize,
     /// How long the process's end may wait for another leader, in milliseconds.
     pub(crate) linger_ms: u64,
     /// Jobs for which the disk's ring had no room.
@@ -111,6 +115,7 @@
             applied,
             rings,
             interval: Interval::default(),
+            round: ROUND,
             linger_ms: LINGER_MS,
             backlog: VecDeque::new(),
             pending: Pending::default(),
@@ -189,12 +194,15 @@
                 self.storage.bytes = bytes;
                 self.tell(Event::Synced { write });
             }
+            Report::Encoded(snapshot) => self.backlog.push_back(Job::Keep(snapshot)),
             Report::Kept(snapshot) => {
-                self.storage.snapshot = snapshot.meta.mark.index;
+                let index = snapshot.meta.mark.index;
+                self.storage.snapshot = self.storage.snapshot.max(index);
                 self.taking = None;
                 self.tell(Event::SnapshotTaken(snapshot));
             }
             Report::Failed(error) => {
+                tracing::error!(event = "disk_failed", %error);
                 self.storage.failure = Some(error.to_string());
                 self.tell(Event::StorageFailed);
             }
--- a/components/control/src/report.rs
+++ b/components/control/src/report.rs
@@ -34,6 +34,7 @@
             sessions: state.sessions().map(|(n, session)| (n, session.node.clone())).collect(),
             orders: Vec::new(),
             lease_ms: status.lease_ms,
+            received: 0,
             waiting: self.pending.len(),
             broken: status.broken + state.broken(),
             storage: self.storage.clone(),
--- a/components/control/src/routes.rs
+++ b/components/control/src/routes.rs
@@ -128,7 +128,7 @@
     }
 
     fn deliver(&self, call: &Call) -> Result<(), Failure> {
-        self.handle.deliver(call.msgpack::<Envelope>()?);
+        self.handle.deliver(call.msgpack::<Envelope>()?, call.body.len());
         Ok(())
     }
 
--- a/components/control/src/serve.rs
+++ b/components/control/src/serve.rs
@@ -26,8 +26,6 @@
 use crate::pending::Waiter;
 use crate::replica::Driver;
 
-/// Requests taken in one round; proposals among them become one event, one write and one sync.
-const ROUND: usize = 256;
 /// Bytes of one command at most: with its frame it must fit a call between replicas.
 const COMMAND: usize = 4 << 20;
 
@@ -55,7 +53,7 @@
                 }
             }
             count += 1;
-            next = if count < ROUND { self.rings.requests.take() } else { None };
+            next = if count < self.round { self.rings.requests.take() } else { None };
         }
         self.propose(proposals);
     }
--- a/components/control/src/snapshots.rs
+++ b/components/control/src/snapshots.rs
@@ -6,7 +6,7 @@
 use chicoryford_state::State;
 
 use crate::convert;
-use crate::disk::Job;
+use crate::disk::Report;
 
 /// A state to be encoded.
 pub struct Take {
@@ -17,11 +17,15 @@
 }
 
 /// Encodes states until their ring closes.
-pub fn run(mut takes: Receiver<Take>, jobs: &Sender<Job>) {
+///
+/// A snapshot goes back to the replica, which puts it behind the entries that it covers. If it
+/// went to the disk from here, it could overtake entries that wait for room in the disk's ring;
+/// the log would then start anew after it, and those entries would no longer fit.
+pub fn run(mut takes: Receiver<Take>, reports: &Sender<Report>) {
     while let Some(Take { meta, state }) = takes.next_blocking() {
         let data = rmp_serde::to_vec_named(&*state).expect("the state is plain data");
         tracing::info!(event = "snapshot_encoded", index = meta.mark.index, bytes = data.len());
-        if jobs.send_blocking(Job::Keep(convert::join(meta, data))).is_err() {
+        if reports.send_blocking(Report::Encoded(convert::join(meta, data))).is_err() {
             return;
         }
     }
--- a/components/control/src/start.rs
+++ b/components/control/src/start.rs
@@ -37,7 +37,9 @@
 use crate::replica::Driver;
 use crate::replica::Interval;
 use crate::replica::LINGER_MS;
+use crate::replica::ROUND;
 use crate::replica::Rings;
+use crate::restore::restore;
 use crate::sessions::Sessions;
 use crate::snapshots;
 
@@ -53,8 +55,10 @@
 /// What tests and measurements change, and no settings file does.
 #[derive(Clone)]
 pub struct Tuning {
-    /// Writes that one sync may serve.
+    /// Proposals and writes that one sync may serve.
     pub group: usize,
+    /// Writes that may wait for the disk in its ring.
+    pub jobs: usize,
     /// When snapshots are taken.
     pub interval: Interval,
     /// Entries kept behind a snapshot.
@@ -71,6 +75,7 @@
     fn default() -> Self {
         Self {
             group: JOBS,
+            jobs: JOBS,
             interval: Interval::default(),
             tail: 4_096,
             disk: Disk::default(),
@@ -103,6 +108,10 @@
         kept: tuning.tail,
         ..StorageSettings::default()
     };
+    let own = own_address(settings, control);
+    if let Some(from) = &control.restore_from {
+        restore(from, &folder, &settings.node, &own, kept.clone())?;
+    }
     let (storage, recovered) = Storage::open(&folder, kept, tuning.disk)?;
     let id = ReplicaId::new(settings.node.clone(), recovered.identity);
     let saved = convert::saved(recovered)?;
@@ -111,14 +120,13 @@
     if let Some(snapshot) = &saved.snapshot {
         applied.reset(snapshot)?;
     }
-    let own = own_address(settings, control);
     let founders = founders(settings, control, &own);
     let seed = id.incarnation.0 ^ unix().0;
     let replica = Replica::new(behaviour(control, id, &founders, tuning.tail), saved, seed);
 
     let (requests, requests_end) = ring(REQUESTS);
     let (reports, reports_end) = ring(REPORTS);
-    let (jobs, jobs_end) = ring(JOBS);
+    let (jobs, jobs_end) = ring(tuning.jobs);
     let (outgoing, outgoing_end) = ring(OUTGOING);
     let (takes, takes_end) = ring(TAKES);
     let handle = Handle::new(requests);
@@ -128,8 +136,8 @@
     start_orders(kernel, control, followed)?;
 
     let group = tuning.group;
+    let encoded = reports.clone();
     kernel.blocking_duty("disk", move |_| disk::run(storage, jobs_end, &reports, group))?;
-    let encoded = jobs.clone();
     kernel.blocking_duty("snapshots", move |_| snapshots::run(takes_end, &encoded))?;
     let caller = kernel.registry.find::<Caller>(CALLER)?;
     let timeout = Duration::from_millis(control.election_ms.max(500));
@@ -145,6 +153,7 @@
     kernel.duty("replica", move |kernel| async move {
         let driver = Driver {
             interval: tuning.interval,
+            round: ROUND.min(group),
             linger_ms: tuning.linger_ms,
             sessions,
             ..Driver::new(kernel, replica, applied, rings, known)
--- a/components/control/src/status.rs
+++ b/components/control/src/status.rs
@@ -37,6 +37,8 @@
     pub sessions: Vec<(u64, Node)>,
     /// Milliseconds for which the leader's lease still holds, if this process leads.
     pub lease_ms: u64,
+    /// Bytes of the agreement's messages taken since the start.
+    pub received: u64,
     /// Whoever waits for a command to be committed.
     pub waiting: usize,
     /// The orders that bring weights to samplers; known to the leader only.
--- a/components/control/tests/replicas.rs
+++ b/components/control/tests/replicas.rs
@@ -324,3 +324,60 @@
         cluster.propose((leader + 1) % 3, &publish(2)).await;
     });
 }
+
+#[test]
+fn can_start_anew_from_one_folder_after_a_majority_is_lost() {
+    // Symptom: nothing is accepted any more. Sequence: two of three disks are lost; the third's
+    // folder is given to a new process, and others join it. Cause: a majority of disks is gone.
+    block_on(async {
+        let interval = Interval { entries: 20, bytes: 64 << 20 };
+        let mut cluster = Cluster::start(3, Tuning { interval, ..Tuning::default() });
+        let leader = cluster.leader().await;
+        let mut last = Position::default();
+        for n in 1..=50 {
+            last = position(cluster.propose(leader, &publish(n)).await);
+        }
+        for i in 0..3 {
+            cluster.kill(i);
+        }
+        let from = cluster.data(leader);
+        let first = cluster.join_with(|control| control.restore_from = Some(from.clone()));
+        let status = cluster.until(first, |s| s.lease_ms > 0).await;
+        assert_eq!(status.position, last);
+        assert!(status.epoch.0 > last.epoch.0 + 500);
+        let next = cluster.join();
+        let action = serde_json::json!({"add": {
+            "node": name(next), "address": cluster.address(next),
+        }});
+        cluster.act(first, &action.to_string()).await.unwrap();
+        cluster.until(next, |s| s.voter && s.position == last).await;
+        let at = position(cluster.propose(next, &publish(51)).await);
+        assert!(at > last);
+        cluster.kill(first);
+        cluster.restart(first);
+        cluster.until(first, |s| s.position == at).await;
+    });
+}
+
+#[test]
+fn keeps_a_snapshot_only_after_the_entries_that_it_covers() {
+    // Symptom: a replica stops with a failed storage although its disk is sound. Sequence: the
+    // others commit faster than its own disk writes; it takes a snapshot of what is committed;
+    // the snapshot reaches the disk before the entries that it covers. Cause: writes that wait
+    // for room in the disk's ring are overtaken.
+    block_on(async {
+        let interval = Interval { entries: 100, bytes: 64 << 20 };
+        let tuning = Tuning { group: 1, jobs: 2, interval, ..Tuning::default() };
+        let cluster = Cluster::start(3, tuning);
+        let leader = cluster.leader().await;
+        for round in 0..20 {
+            let commands: Vec<_> = (0..64).map(|n| publish(round * 64 + n + 1)).collect();
+            let answers = commands.iter().map(|command| cluster.propose(leader, command));
+            futures_util::future::join_all(answers).await;
+        }
+        for i in 0..3 {
+            let status = cluster.until(i, |s| s.storage.snapshot > 1_000).await;
+            assert_eq!(status.storage.failure, None);
+        }
+    });
+}
--- a/components/control/tests/support/mod.rs
+++ b/components/control/tests/support/mod.rs
@@ -63,6 +63,11 @@
 impl Cluster {
     /// Starts `count` replicas that found a deployment.
     pub fn start(count: usize, tuning: Tuning) -> Self {
+        Self::start_as(count, tuning, quick())
+    }
+
+    /// Starts replicas with other settings than the tests' short timeouts.
+    pub fn start_as(count: usize, tuning: Tuning, quick: ControlSettings) -> Self {
         let folder = tempfile::tempdir().unwrap();
         std::fs::write(folder.path().join("keys"), KEYS).unwrap();
         let listeners: Vec<_> = (0..count).map(|_| bind(([127, 0, 0, 1], 0).into())).collect();
@@ -80,7 +85,7 @@
             folder,
         };
         for (i, listener) in listeners.into_iter().enumerate() {
-            let control = ControlSettings { replicas: replicas.clone(), ..quick() };
+            let control = ControlSettings { replicas: replicas.clone(), ..quick.clone() };
             cluster.add(i, listener, control);
         }
         cluster
@@ -88,9 +93,16 @@
 
     /// Starts a process that waits to be added; gives its place.
     pub fn join(&mut self) -> usize {
+        self.join_with(|_| {})
+    }
+
+    /// Starts a process as [`Self::join`] does, with changed settings.
+    pub fn join_with(&mut self, change: impl FnOnce(&mut ControlSettings)) -> usize {
         let i = self.processes.len();
         let listener = bind(([127, 0, 0, 1], 0).into());
-        self.add(i, listener, ControlSettings { join: true, ..quick() });
+        let mut control = ControlSettings { join: true, ..quick() };
+        change(&mut control);
+        self.add(i, listener, control);
         i
     }
 
--- a/components/settings/src/process.rs
+++ b/components/settings/src/process.rs
@@ -136,6 +136,9 @@
     pub replicas: Vec<Replica>,
     /// Whether this process joins replicas that already run, as a non-voter with an empty disk.
     pub join: bool,
+    /// The data folder of a replica of a deployment whose majority is lost, from which this
+    /// process starts a new one, alone (docs/CONTROL.md).
+    pub restore_from: Option<PathBuf>,
     /// The longest time without word from a leader before an election, in milliseconds.
     pub election_ms: u64,
     /// The time between a leader's heartbeats, in milliseconds.
@@ -151,6 +154,7 @@
         Self {
             replicas: Vec::new(),
             join: false,
+            restore_from: None,
             election_ms: 1_000,
             heartbeat_ms: 150,
             session_ms: 5_000,
--- a/components/storage/src/segment.rs
+++ b/components/storage/src/segment.rs
@@ -72,7 +72,7 @@
         Ok(Self { path, first, places: Vec::new(), length, synced: length, file })
     }
 
-    /// Reads a segment. Only the last one of a log may have a torn end; it is cut off.
+    /// Opens a segment. Only the last one of a log may have a torn end; it is cut off.
     ///
     /// Returns none if the segment's creation was torn, before it held anything.
     ///
@@ -85,36 +85,17 @@
         first: u64,
         last: bool,
     ) -> Result<Option<Loaded>, StorageError> {
-        let whole = fs::read(path).map_err(io_error("read", path))?;
-        let corrupt = |offset, what| StorageError::Corrupt { path: path.to_owned(), offset, what };
-        let begun = whole.len() > HEADER || whole == header(first);
-        if last && !begun {
-            return Ok(None);
-        }
-        if whole.len() < HEADER {
-            return Err(corrupt(whole.len() as u64, Damage::Short));
-        }
-        atomic::check_format(path, &whole, MAGIC)?;
-        if whole[..HEADER] != header(first)[..] {
-            return Err(corrupt(0, Damage::Checksum));
-        }
-        let (entries, places, good) =
-            scan(&whole, first).map_err(|at| corrupt(at, Damage::Order))?;
-        let torn = good < whole.len();
-        if torn && (!last || record::proves_synced(&whole, good)) {
-            return Err(corrupt(good as u64, Damage::Checksum));
-        }
+        let Some(read) = read(path, first, last)? else { return Ok(None) };
         let file = OpenOptions::new().append(true).open(path).map_err(io_error("open", path))?;
-        let length = good as u64;
-        if torn {
-            file.set_len(length).map_err(io_error("cut", path))?;
+        if read.cut > 0 {
+            file.set_len(read.good).map_err(io_error("cut", path))?;
         }
         // What was read may still be only in the page cache of a kernel that lives on after the
         // process was killed; it counts as synced only from here.
         (disk.sync)(&file).map_err(io_error("sync", path))?;
-        let cut = whole.len() as u64 - length;
+        let Read { entries, places, good, cut } = read;
         let path = path.to_owned();
-        let segment = Self { path, first, places, length, synced: length, file };
+        let segment = Self { path, first, places, length: good, synced: good, file };
         Ok(Some(Loaded { segment, entries, cut }))
     }
 
@@ -183,6 +164,46 @@
     }
 }
 
+/// What a segment's file holds.
+pub struct Read {
+    /// Its entries.
+    pub entries: Vec<Entry>,
+    /// The epoch and the offset of each entry.
+    pub places: Vec<(Epoch, u64)>,
+    /// Bytes that are whole.
+    pub good: u64,
+    /// Bytes of a torn write after them.
+    pub cut: u64,
+}
+
+/// Reads a segment without changing it; gives none if its creation was torn.
+///
+/// # Errors
+///
+/// [`StorageError::Corrupt`] if a record is damaged that had been synced.
+pub fn read(path: &Path, first: u64, last: bool) -> Result<Option<Read>, StorageError> {
+    let whole = fs::read(path).map_err(io_error("read", path))?;
+    let corrupt = |offset, what| StorageError::Corrupt { path: path.to_owned(), offset, what };
+    let begun = whole.len() > HEADER || whole == header(first);
+    if last && !begun {
+        return Ok(None);
+    }
+    if whole.len() < HEADER {
+        return Err(corrupt(whole.len() as u64, Damage::Short));
+    }
+    atomic::check_format(path, &whole, MAGIC)?;
+    if whole[..HEADER] != header(first)[..] {
+        return Err(corrupt(0, Damage::Checksum));
+    }
+    let (entries, places, good) = scan(&whole, first).map_err(|at| corrupt(at, Damage::Order))?;
+    let torn = good < whole.len();
+    if torn && (!last || record::proves_synced(&whole, good)) {
+        return Err(corrupt(good as u64, Damage::Checksum));
+    }
+    let cut = (whole.len() - good) as u64;
+    Ok(Some(Read { entries, places, good: good as u64, cut }))
+}
+
 fn header(first: u64) -> [u8; HEADER] {
     let mut header = [0; HEADER];
     header[..8].copy_from_slice(MAGIC);
--- a/components/storage/src/storage.rs
+++ b/components/storage/src/storage.rs
@@ -26,7 +26,7 @@
 const HARD: &str = "hard";
 const HARD_MAGIC: &[u8; 8] = b"cfhardst";
 const LOCK: &str = "lock";
-const LOG: &str = "log";
+pub(crate) const LOG: &str = "log";
 
 /// How the storage behaves.
 #[derive(Clone, Debug)]
--- a/components/storage/tests/storage.rs
+++ b/components/storage/tests/storage.rs
@@ -20,6 +20,7 @@
 use chicoryford_storage::StorageError;
 use chicoryford_storage::StorageSettings;
 use chicoryford_storage::Vote;
+use chicoryford_storage::salvage;
 use chicoryford_types::Epoch;
 use chicoryford_types::Incarnation;
 use chicoryford_types::Node;
@@ -302,9 +303,17 @@
     assert_eq!(recovered.entries, [entries(1, 4, 1), entries(5, 6, 2)].concat());
 }
 
+/// Opens a folder with a disk that never waits: the randomised runs damage files themselves, and
+/// thousands of real syncs would only wait for the machine's disk.
+fn open_fast(folder: &Path) -> Result<(Storage, Recovered), StorageError> {
+    let disk =
+        Disk { sync: Arc::new(|_| Ok(())), sync_folder: Arc::new(|_| Ok(())), ..Disk::default() };
+    Storage::open(folder, settings(), disk)
+}
+
 /// Writes `synced` entries that are synced in batches, then `loose` ones that are not.
 fn fill(folder: &Path, synced: u64, loose: u64, batch: u64) {
-    let (mut storage, _) = open(folder).unwrap();
+    let (mut storage, _) = open_fast(folder).unwrap();
     let mut index = 1;
     while index <= synced {
         let to = synced.min(index + batch - 1);
@@ -332,7 +341,7 @@
         let byte = byte % whole.len();
         whole[byte] ^= 1 << (bit % 8);
         fs::write(path, whole).unwrap();
-        match open(folder.path()) {
+        match open_fast(folder.path()) {
             Err(StorageError::Corrupt { path: named, .. }) => named == *path,
             Err(StorageError::Format { .. }) => (8..12).contains(&byte),
             Err(_) => false,
@@ -364,7 +373,7 @@
         fs::write(&files[place], &whole[..length]).unwrap();
         let shorter = length < whole.len();
         let last = place + 1 == files.len();
-        match open(folder.path()) {
+        match open_fast(folder.path()) {
             Err(StorageError::Corrupt { .. }) => shorter && !last,
             Err(_) => false,
             Ok((_, recovered)) => {
@@ -378,3 +387,28 @@
         .tests(1_000)
         .quickcheck(run as fn(u8, u8, u8, usize, usize) -> bool);
 }
+
+#[test]
+fn salvages_what_a_folder_holds_without_changing_it() {
+    let folder = tempfile::tempdir().unwrap();
+    {
+        let (mut storage, _) = open(folder.path()).unwrap();
+        for index in 1..=30 {
+            storage.append(&[entry(index, 1)]).unwrap();
+            storage.sync().unwrap();
+            if index == 20 {
+                let body = Bytes::from_static(b"state");
+                storage.save_snapshot(&Snapshot { index, epoch: Epoch(1), body }).unwrap();
+            }
+        }
+    }
+    let path = segments(folder.path()).pop().unwrap();
+    let whole = fs::read(&path).unwrap();
+    let torn = [&whole[..], &[1, 2, 3]].concat();
+    fs::write(&path, &torn).unwrap();
+    fs::remove_file(folder.path().join("identity")).unwrap();
+    let salvaged = salvage(folder.path()).unwrap();
+    assert_eq!(salvaged.snapshot.unwrap().index, 20);
+    assert_eq!(salvaged.entries.last(), Some(&entry(30, 1)));
+    assert_eq!(fs::read(&path).unwrap(), torn);
+}
