Shorten the longest suspicion to twice the least

Cause: members that missed confirmations waited three times the least suspicion. Change: the longest suspicion is twice the least; a third of the repeats are taken off confirmations, not a half.

--- a/components/membership/src/settings.rs
+++ b/components/membership/src/settings.rs
@@ -58,7 +58,7 @@
             relays: 3,
             across: 8,
             suspicion: 3,
-            patience: 3,
+            patience: 2,
             confirmations: 3,
             health: 8,
             frozen_ms: 700,
--- a/components/membership/src/swim/claims.rs
+++ b/components/membership/src/swim/claims.rs
@@ -173,7 +173,7 @@
             self.queue.add(Update::Accused(accusation));
         } else if confirmed && onward {
             // Who misses a confirmation waits a little longer, no more.
-            let spent = self.repeats() / 2;
+            let spent = self.repeats() / 3;
             self.queue.add_spent(Update::Accused(accusation), spent);
         }
     }
