Run calls that may not be repeated at most once

Cause: such calls were refused. Change: the claim is decided before dispatch, its agent is asked about an attempt that was lost, what certainly did not run moves on, a restarted agent makes the claim unknown. A suspected content that ran to its end is cleared.

--- a/components/entry/src/router/seat.rs
+++ b/components/entry/src/router/seat.rs
@@ -1,6 +1,7 @@
 //! What is asked of the router, what it answers, and what it knows of one endpoint.
 
 use chicoryford_types::Class;
+use chicoryford_types::Code;
 use chicoryford_types::DataCentre;
 use chicoryford_types::Endpoint;
 use chicoryford_types::EndpointInfo;
@@ -60,6 +61,18 @@
     Dropped,
 }
 
+impl Verdict {
+    /// Tells what an agent's refusal says about its endpoint.
+    pub fn of_refusal(code: Code) -> Self {
+        match code {
+            Code::Overloaded | Code::LimitReached => Self::Full,
+            Code::Draining => Self::Leaving,
+            Code::NoEndpoint | Code::EndpointFailed | Code::Internal => Self::Failed,
+            _ => Self::Dropped,
+        }
+    }
+}
+
 /// What the router knows of one endpoint.
 #[derive(Clone, Debug, Default)]
 pub struct Seat {
--- a/components/entry/src/run/generate.rs
+++ b/components/entry/src/run/generate.rs
@@ -11,6 +11,7 @@
 use crate::router::Verdict;
 use crate::run::attempt::Broken;
 use crate::run::job::Job;
+use crate::run::settle;
 use crate::run::spans::Whole;
 use crate::run::tries::Live;
 use crate::run::tries::Tries;
@@ -102,6 +103,7 @@
 
     fn finish(&mut self) {
         self.live = None;
+        settle::cleared(&self.tries.context, &self.tries.job);
         if let Some(mut entered) = self.entered.take() {
             entered.ran = true;
         }
--- a/components/entry/src/run/mod.rs
+++ b/components/entry/src/run/mod.rs
@@ -4,8 +4,10 @@
 pub mod check;
 pub mod generate;
 pub mod job;
+pub mod once;
 pub mod probe;
 pub mod serve;
+pub mod settle;
 pub mod spans;
 pub mod tries;
 
--- /dev/null
+++ b/components/entry/src/run/once.rs
@@ -0,0 +1,376 @@
+//! Runs a call that may not be repeated: at most once, whatever is lost on the way.
+//!
+//! The claim on (workspace, key) is decided by the control processes before anything is sent.
+//! The agent that is named in the claim is the last gate, and remembers the answer. Whoever
+//! resends the call, through whichever entry, finds the claim and asks that agent.
+
+use std::time::Duration;
+
+use chicoryford_state::Assigned;
+use chicoryford_state::ClaimEnd;
+use chicoryford_state::Command;
+use chicoryford_state::Refusal;
+use chicoryford_state::Reply;
+use chicoryford_types::Attempt as Number;
+use chicoryford_types::Code;
+use chicoryford_types::Digest;
+use chicoryford_types::Failure;
+use chicoryford_types::IdempotencyKey;
+use chicoryford_types::Outcome;
+use chicoryford_types::RequestId;
+use chicoryford_types::request::AttemptQuestion;
+use chicoryford_types::request::AttemptState;
+use chicoryford_types::request::ServiceCall;
+use chicoryford_types::request::StoredAnswer;
+use chicoryford_types::request::Task;
+
+use crate::context::Context;
+use crate::router::Pick;
+use crate::router::Ticket;
+use crate::router::Verdict;
+use crate::run::attempt::Attempt;
+use crate::run::attempt::Broken;
+use crate::run::job::Job;
+use crate::run::probe;
+use crate::run::serve;
+use crate::run::serve::Served;
+use crate::run::settle;
+use crate::run::tries::Live;
+
+/// The longest wait for a claim to be decided.
+const CLAIM: Duration = Duration::from_secs(5);
+/// The first wait before an agent is asked again, in milliseconds; it doubles each time.
+const ASK: u64 = 50;
+/// The longest such wait, in milliseconds.
+const ASK_BOUND: u64 = 1_000;
+/// When to send a call again whose first sending may still run, in milliseconds.
+const RETRY: u64 = 1_000;
+
+/// Who holds the claim, and where its attempt is.
+#[derive(Clone, Debug)]
+struct Holder {
+    request: RequestId,
+    attempt: Number,
+    to: Assigned,
+}
+
+/// What to do next.
+enum State {
+    /// Find an endpoint and claim.
+    Claim,
+    /// Send the attempt that was granted.
+    Dispatch(Ticket, Number),
+    /// Ask the holder's agent what became of its attempt.
+    Follow(Holder),
+    /// This attempt certainly did not run; move the claim on.
+    Reassign(Number),
+}
+
+struct Once<'a> {
+    context: &'a Context,
+    job: Job,
+    task: Task,
+    key: IdempotencyKey,
+    digest: Digest,
+    /// Whether another request's attempt stood in between; what became of it is not this one's
+    /// to call "not run".
+    foreign: bool,
+    last: Option<Failure>,
+}
+
+/// Runs a call at most once.
+///
+/// # Errors
+///
+/// The final failure. It says "not run" only if this call did not run and will not.
+pub async fn call(
+    context: &Context,
+    job: Job,
+    call: ServiceCall,
+    content: &[u8],
+) -> Result<Served, Failure> {
+    let key = job.key.clone().ok_or_else(|| {
+        let detail = "a call that may not be repeated needs the header idempotency-key, \
+                      `<Unix ms of issue>.<anything>`";
+        Failure::not_run(Code::BadRequest, detail)
+    })?;
+    let digest = Digest::of(content);
+    let task = Task::Call(call);
+    let mut once = Once { context, job, task, key, digest, foreign: false, last: None };
+    let answer = once.run().await?;
+    Ok(Served { answer, attempts: once.job.attempt.0 })
+}
+
+impl Once<'_> {
+    async fn run(&mut self) -> Result<StoredAnswer, Failure> {
+        let mut state = State::Claim;
+        loop {
+            let next = match state {
+                State::Claim => self.claim().await?,
+                State::Dispatch(ticket, attempt) => self.dispatch(ticket, attempt).await?,
+                State::Follow(holder) => self.follow(holder).await?,
+                State::Reassign(after) => self.reassign(after).await?,
+            };
+            match next {
+                Step::Go(next) => state = next,
+                Step::Done(answer) => return Ok(answer),
+            }
+        }
+    }
+
+    async fn claim(&mut self) -> Result<Step, Failure> {
+        let ticket = self.choose().await?;
+        let to = assigned(&ticket.pick);
+        let command = Command::Claim {
+            workspace: self.job.workspace.clone(),
+            key: self.key.clone(),
+            digest: self.digest,
+            request: self.job.request,
+            to,
+        };
+        let reply = self.propose(&command).await?;
+        self.decided(reply, ticket)
+    }
+
+    /// Moves the claim on to another endpoint, if the request may still be tried.
+    async fn reassign(&mut self, after: Number) -> Result<Step, Failure> {
+        self.job.attempt = after;
+        if let Some(last) = &self.last
+            && !self.job.may_retry(self.context.now())
+        {
+            return Err(self.finally(last.clone()));
+        }
+        let ticket = self.choose().await?;
+        let command = Command::Reassign {
+            workspace: self.job.workspace.clone(),
+            key: self.key.clone(),
+            request: self.job.request,
+            after,
+            to: assigned(&ticket.pick),
+        };
+        let reply = self.propose(&command).await?;
+        self.decided(reply, ticket)
+    }
+
+    async fn choose(&mut self) -> Result<Ticket, Failure> {
+        let chosen = self.context.router.choose(self.job.want()).await;
+        chosen.map_err(|failure| match self.last.clone() {
+            Some(last) => self.finally(Failure { retry_ms: failure.retry_ms, ..last }),
+            None => self.finally(failure),
+        })
+    }
+
+    /// Proposes a command of the claim. A lost answer leaves the claim granted to a request that
+    /// never sends: that is truly "not run", and a resend finds it out by asking the agent.
+    async fn propose(&self, command: &Command) -> Result<Reply, Failure> {
+        let left = Duration::from_millis(self.job.left(self.context.now()));
+        let proposed = self.context.proposer.propose(command, CLAIM.min(left)).await;
+        proposed.map_err(|failure| {
+            self.finally(Failure { outcome: Outcome::NotRun, ..failure }.retry_after(RETRY))
+        })
+    }
+
+    fn decided(&mut self, reply: Reply, ticket: Ticket) -> Result<Step, Failure> {
+        match reply {
+            Reply::Granted { attempt } => Ok(Step::Go(State::Dispatch(ticket, attempt))),
+            Reply::Held { request, attempt, to } => {
+                self.foreign |= request != self.job.request;
+                Ok(Step::Go(State::Follow(Holder { request, attempt, to })))
+            }
+            Reply::Ended(end) => ended(end).map(Step::Done),
+            Reply::Refused(Refusal::Moved) => Ok(Step::Go(State::Claim)),
+            Reply::Refused(refusal) => Err(self.finally(refused(&refusal))),
+            Reply::Failed(failure) => Err(self.finally(failure)),
+            other => {
+                let detail = format!("the control processes answered out of turn: {other:?}");
+                Err(self.finally(Failure::not_run(Code::Internal, detail)))
+            }
+        }
+    }
+
+    async fn dispatch(&mut self, ticket: Ticket, attempt: Number) -> Result<Step, Failure> {
+        self.job.attempt = attempt;
+        let work = self.job.work(self.task.clone(), &ticket.pick, self.context.now());
+        let (address, deadline) = (ticket.pick.address.clone(), self.job.deadline);
+        let to = assigned(&ticket.pick);
+        let opened = Attempt::open(self.context, &address, &work, deadline).await;
+        let (mut ticket, broken) = match opened {
+            Err(broken) => (ticket, broken),
+            Ok(opened) => {
+                let mut live = Live { ticket, attempt: opened };
+                match serve::read(&mut live).await {
+                    Ok(answer) => {
+                        self.settle(attempt, ClaimEnd::Answered(answer.clone()));
+                        settle::cleared(self.context, &self.job);
+                        return Ok(Step::Done(answer));
+                    }
+                    Err(broken) => {
+                        live.attempt.leave();
+                        (live.ticket, broken)
+                    }
+                }
+            }
+        };
+        let endpoint = ticket.pick.endpoint.clone();
+        tracing::info!(event = "claimed_attempt_broken", request = %self.job.request, ?broken);
+        match broken {
+            Broken::NotRun(failure) => {
+                ticket.verdict = Verdict::of_refusal(failure.code);
+                self.job.avoid.push(endpoint);
+                self.last = Some(failure);
+                actix_rt::time::sleep(self.job.backoff()).await;
+                Ok(Step::Go(State::Reassign(attempt)))
+            }
+            Broken::Failed(failure) => {
+                if failure.code == Code::EndpointFailed {
+                    ticket.verdict = Verdict::Failed;
+                    self.settle(attempt, ClaimEnd::Unknown);
+                }
+                Err(Failure { outcome: Outcome::Unknown, ..failure })
+            }
+            Broken::Lost(_) | Broken::Late => {
+                let request = self.job.request;
+                Ok(Step::Go(State::Follow(Holder { request, attempt, to })))
+            }
+        }
+    }
+
+    /// Asks the agent that holds the attempt until it tells the end or the deadline passes.
+    async fn follow(&mut self, holder: Holder) -> Result<Step, Failure> {
+        let mut wait = ASK;
+        loop {
+            let left = self.job.left(self.context.now());
+            let last = left == 0;
+            if let Some(address) = self.address(&holder)? {
+                // The attempt is called off only at the deadline: until then its answer is wanted.
+                let question = AttemptQuestion {
+                    request: holder.request,
+                    attempt: holder.attempt,
+                    incarnation: holder.to.incarnation,
+                    cancel: last && !self.foreign,
+                };
+                let state = probe::ask(self.context, &address, &question).await;
+                if let Ok(state) = state
+                    && let Some(step) = self.told(&holder, state, last)?
+                {
+                    return Ok(step);
+                }
+            }
+            if last {
+                let detail = "the deadline passed; the call may have run, or may yet run. Sent \
+                              again with the same key it is answered, never run twice";
+                let failure = Failure::unknown(Code::DeadlinePassed, detail);
+                return Err(failure.retry_after(RETRY));
+            }
+            actix_rt::time::sleep(Duration::from_millis(wait.min(left))).await;
+            wait = (wait * 2).min(ASK_BOUND);
+        }
+    }
+
+    fn told(
+        &mut self,
+        holder: &Holder,
+        state: AttemptState,
+        last: bool,
+    ) -> Result<Option<Step>, Failure> {
+        match state {
+            AttemptState::Done(answer) => {
+                self.settle(holder.attempt, ClaimEnd::Answered(answer.clone()));
+                Ok(Some(Step::Done(answer)))
+            }
+            AttemptState::Revoked | AttemptState::Refused if last => {
+                let detail = "no endpoint took the call before its deadline";
+                Err(self.finally(Failure::not_run(Code::DeadlineTooClose, detail)))
+            }
+            AttemptState::Revoked | AttemptState::Refused => {
+                Ok(Some(Step::Go(State::Reassign(holder.attempt))))
+            }
+            AttemptState::Running => Ok(None),
+            AttemptState::Unknown => {
+                self.settle(holder.attempt, ClaimEnd::Unknown);
+                Err(unknown())
+            }
+        }
+    }
+
+    /// Finds the holder's agent; none while it is not to be seen.
+    ///
+    /// An agent that restarted has forgotten the attempt, which may have run before. It must
+    /// not be taken for one that never saw it: the claim ends as unknown.
+    fn address(&self, holder: &Holder) -> Result<Option<String>, Failure> {
+        let members = self.context.members.view();
+        let Some(known) = members.known.get(&holder.to.agent) else { return Ok(None) };
+        if known.member.incarnation > holder.to.incarnation {
+            self.settle(holder.attempt, ClaimEnd::Unknown);
+            return Err(unknown());
+        }
+        Ok(Some(known.member.address.clone()))
+    }
+
+    /// Ends the claim without the caller's waiting for it. The caller may be answered first,
+    /// because the agent remembers the answer: until the claim has ended, a resend finds the
+    /// claim held and gets the same answer from that agent.
+    fn settle(&self, attempt: Number, end: ClaimEnd) {
+        let command = Command::Settle {
+            workspace: self.job.workspace.clone(),
+            key: self.key.clone(),
+            attempt,
+            end,
+        };
+        settle::later(self.context, command);
+    }
+
+    fn finally(&self, failure: Failure) -> Failure {
+        if self.foreign { Failure { outcome: Outcome::Unknown, ..failure } } else { failure }
+    }
+}
+
+/// What a state led to.
+enum Step {
+    Go(State),
+    Done(StoredAnswer),
+}
+
+fn assigned(pick: &Pick) -> Assigned {
+    Assigned {
+        endpoint: pick.endpoint.clone(),
+        agent: pick.agent.clone(),
+        incarnation: pick.incarnation,
+    }
+}
+
+fn unknown() -> Failure {
+    let detail = "a first sending of the call may have run, and its answer is not known; it is \
+                  not run again";
+    Failure::unknown(Code::DuplicateUnknown, detail)
+}
+
+fn ended(end: ClaimEnd) -> Result<StoredAnswer, Failure> {
+    match end {
+        ClaimEnd::Answered(answer) => Ok(answer),
+        ClaimEnd::Unknown => Err(unknown()),
+        ClaimEnd::NotRun => {
+            let detail = "the call was given up under this key before it ran; use a new key";
+            Err(Failure::not_run(Code::Conflict, detail))
+        }
+    }
+}
+
+fn refused(refusal: &Refusal) -> Failure {
+    match refusal {
+        Refusal::KeyExpired | Refusal::Missing => {
+            let detail = "the idempotency key must read `<Unix ms of issue>.<anything>`, issued \
+                          within the window of docs/API.md";
+            Failure::not_run(Code::KeyExpired, detail)
+        }
+        Refusal::KeyReused => {
+            let detail = "the idempotency key came before with other content";
+            Failure::not_run(Code::KeyReused, detail)
+        }
+        Refusal::Full => {
+            let detail = "too many calls that may not be repeated are remembered";
+            Failure::not_run(Code::Overloaded, detail).retry_after(RETRY)
+        }
+        other => Failure::not_run(Code::Internal, format!("the claim was refused: {other:?}")),
+    }
+}
--- a/components/entry/src/run/serve.rs
+++ b/components/entry/src/run/serve.rs
@@ -11,6 +11,7 @@
 use crate::router::Verdict;
 use crate::run::attempt::Broken;
 use crate::run::job::Job;
+use crate::run::settle;
 use crate::run::tries::Live;
 use crate::run::tries::Next;
 use crate::run::tries::Tries;
@@ -41,6 +42,7 @@
                 Next::Again => continue,
             },
         };
+        settle::cleared(context, &tries.job);
         return Ok(Served { answer, attempts: tries.job.attempt.0 });
     }
 }
--- a/components/entry/src/run/tries.rs
+++ b/components/entry/src/run/tries.rs
@@ -100,7 +100,7 @@
         self.context.kernel.metrics.count("entry.attempt.broken", 1);
         let failure = match broken {
             Broken::NotRun(failure) => {
-                ticket.verdict = refusal_verdict(failure.code);
+                ticket.verdict = Verdict::of_refusal(failure.code);
                 if is_final(failure.code) {
                     return Err(self.finally(failure));
                 }
@@ -164,16 +164,6 @@
     }
 }
 
-/// Tells what an agent's refusal says about its endpoint.
-fn refusal_verdict(code: Code) -> Verdict {
-    match code {
-        Code::Overloaded | Code::LimitReached => Verdict::Full,
-        Code::Draining => Verdict::Leaving,
-        Code::NoEndpoint | Code::EndpointFailed | Code::Internal => Verdict::Failed,
-        _ => Verdict::Dropped,
-    }
-}
-
 /// Tells whether another endpoint would give the same failure.
 fn is_final(code: Code) -> bool {
     matches!(
--- a/components/entry/src/service.rs
+++ b/components/entry/src/service.rs
@@ -12,6 +12,7 @@
 use crate::context::Context;
 use crate::door;
 use crate::run::Job;
+use crate::run::once;
 use crate::run::serve;
 use crate::run::serve::Served;
 
@@ -33,15 +34,16 @@
 
 async fn run(context: &Context, call: &Call) -> Result<(Job, Served), Failure> {
     let (model, path) = target(&call.path)?;
-    let (job, admitted) = door::job(context, call, model, &content(call))?;
-    if !admitted.repeatable {
-        let detail = "calls that may not be repeated are not served yet";
-        return Err(Failure::not_run(Code::BadRequest, detail));
-    }
+    let content = content(call);
+    let (job, admitted) = door::job(context, call, model, &content)?;
     let mut entered = context.router.enter(&job.workspace).await?;
     let media = call.header("content-type").unwrap_or("application/octet-stream");
     let task = ServiceCall { path, media: media.to_owned(), body: call.body.clone() };
-    let served = serve::call(context, job.clone(), task).await?;
+    let served = if admitted.repeatable {
+        serve::call(context, job.clone(), task).await?
+    } else {
+        once::call(context, job.clone(), task, &content).await?
+    };
     entered.ran = true;
     Ok((job, served))
 }
--- /dev/null
+++ b/components/entry/tests/steps.rs
@@ -0,0 +1,197 @@
+//! Trainers' steps through an entry, fake agents and the real state machine.
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chicoryford_types::Version;
+use chicoryford_types::frame::Event;
+use chicoryford_types::frame::Tokens;
+use chicoryford_types::request::StoredAnswer;
+use chicoryford_types::request::Task;
+use chicoryford_wire::Client;
+use chicoryford_wire::paths;
+use serde_json::Value;
+use serde_json::json;
+use support::Agent;
+use support::Fixture;
+use support::MODEL;
+use support::Plan;
+use support::SERVICE;
+use support::Seen;
+use support::WORKSPACE;
+use support::finished;
+use support::frames;
+use support::template;
+use support::tokens;
+
+fn trainer() -> Client {
+    Client::new(Some("trainer".to_owned()), None)
+}
+
+fn step() -> Value {
+    json!({
+        "workspace": WORKSPACE, "step": 1, "model": MODEL, "samples": 2, "max_tokens": 8,
+        "groups": [{"prompt": "Ston to Split"}, {"prompt": "Zadar to Ston"}], "seed": 5,
+    })
+}
+
+fn sampler(version: u64) -> Agent {
+    Agent::new(move |work| {
+        let events = vec![Event::Accepted, tokens("by sea", version), finished(2)];
+        Plan::Stream(frames(work, events))
+    })
+}
+
+async fn pull(fixture: &Fixture, cursor: u64) -> Seen {
+    loop {
+        let body = json!({"workspace": WORKSPACE, "cursor": cursor, "groups": 2});
+        let seen = fixture.post_as(&trainer(), paths::STEP_PULL, &[], &body).await;
+        if seen.status != 202 {
+            return seen;
+        }
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn pull_all(fixture: &Fixture, groups: usize) -> Vec<Value> {
+    let mut samples = Vec::new();
+    let mut cursor = 1;
+    while samples.len() < groups {
+        let seen = pull(fixture, cursor).await;
+        assert_eq!(seen.status, 200, "{}", seen.text());
+        let again = pull(fixture, cursor).await;
+        assert_eq!(seen.body, again.body, "the same cursor gives the same bytes");
+        samples.extend(seen.json()["samples"].as_array().unwrap().clone());
+        let ack = json!({"workspace": WORKSPACE, "cursor": cursor});
+        let acked = fixture.post_as(&trainer(), paths::STEP_ACK, &[], &ack).await;
+        assert_eq!(acked.status, 200, "{}", acked.text());
+        cursor += 1;
+    }
+    samples
+}
+
+#[test]
+fn delivers_each_sample_of_a_step_once() {
+    actix_rt::System::new().block_on(async {
+        let fixture = Fixture::start(vec![sampler(1), sampler(1)]).await;
+        for _ in 0..2 {
+            let seen = fixture.post_as(&trainer(), paths::STEP_OPEN, &[], &step()).await;
+            assert_eq!(seen.status, 200, "{}", seen.text());
+        }
+        let samples = pull_all(&fixture, 4).await;
+        let places: BTreeSet<String> =
+            samples.iter().map(|s| format!("{}.{}", s["group"], s["number"])).collect();
+        assert_eq!((samples.len(), places.len()), (4, 4));
+        for sample in &samples {
+            assert_eq!(sample["spans"], json!([{"from": 0, "to": 2, "version": 1}]));
+            assert_eq!(sample["text"], "by sea");
+        }
+        let seeds: BTreeSet<u64> = fixture
+            .attempts()
+            .iter()
+            .map(|work| match &work.task {
+                Task::Generate(task) => task.seed,
+                Task::Call(_) => panic!("not a generation"),
+            })
+            .collect();
+        assert_eq!(seeds.len(), 4, "each sample has a seed of its own");
+        let other = json!({"workspace": WORKSPACE, "cursor": 9});
+        let seen = fixture.post_as(&trainer(), paths::STEP_PULL, &[], &other).await;
+        assert_eq!(seen.status, 409);
+    });
+}
+
+#[test]
+fn a_sample_of_unknown_version_is_made_again() {
+    // Symptom: a sample names a version that did not produce it.
+    // Sequence: a swap falls into the middle of a stream, the engine reports no version for some
+    // tokens.
+    // Cause: the version guessed from what was ordered.
+    actix_rt::System::new().block_on(async {
+        let turns = AtomicU32::new(0);
+        let agent = Agent::new(move |work| {
+            let mut events = vec![Event::Accepted, tokens("by sea", 1), finished(2)];
+            if turns.fetch_add(1, Ordering::Relaxed) < 3 {
+                let text = "by sea".to_owned();
+                events[1] = Event::Tokens(Tokens { text, count: 2, ..Tokens::default() });
+            }
+            Plan::Stream(frames(work, events))
+        });
+        let fixture = Fixture::start(vec![agent]).await;
+        fixture.post_as(&trainer(), paths::STEP_OPEN, &[], &step()).await;
+        let samples = pull_all(&fixture, 4).await;
+        assert!(samples.iter().all(|s| s["spans"][0]["version"] == 1));
+        assert_eq!(fixture.attempts().len(), 7);
+    });
+}
+
+#[test]
+fn no_sample_older_than_the_bound_is_delivered() {
+    // Symptom: a trainer learns from samples of weights that are too old.
+    // Sequence: new weights are published three times; one sampler still runs the first.
+    // Cause: the age judged when the sample began, or not at all.
+    actix_rt::System::new().block_on(async {
+        let fixture = Fixture::start(vec![sampler(1), sampler(4)]).await;
+        for version in 2..=4 {
+            let body = json!({
+                "workspace": WORKSPACE, "model": MODEL, "version": version, "source": "store",
+            });
+            let seen = fixture.post_as(&trainer(), paths::PUBLISH, &[], &body).await;
+            assert_eq!(seen.status, 200, "{}", seen.text());
+        }
+        fixture.change_members(|members| {
+            for known in members.known.values_mut() {
+                if let Some(info) = &mut known.member.endpoint {
+                    info.models.insert(MODEL.into(), Version(4));
+                }
+            }
+        });
+        fixture.post_as(&trainer(), paths::STEP_OPEN, &[], &step()).await;
+        let samples = pull_all(&fixture, 4).await;
+        assert!(samples.iter().all(|s| s["spans"][0]["version"] == 4));
+    });
+}
+
+#[test]
+fn samples_are_scored_where_the_template_asks() {
+    actix_rt::System::new().block_on(async {
+        let agent = Agent::new(|work| {
+            let events = match &work.task {
+                Task::Generate(_) => vec![Event::Accepted, tokens("by sea", 1), finished(2)],
+                Task::Call(call) => {
+                    assert!(call.body.starts_with(b"{"));
+                    let body = Bytes::from("{\"score\":0.5}");
+                    let answer =
+                        StoredAnswer { status: 200, media: "application/json".to_owned(), body };
+                    vec![Event::Accepted, Event::Answer(answer), finished(0)]
+                }
+            };
+            Plan::Stream(frames(work, events))
+        });
+        let mut template = template();
+        template.scorer = Some(SERVICE.into());
+        let fixture = Fixture::start_with(vec![agent], template).await;
+        fixture.post_as(&trainer(), paths::STEP_OPEN, &[], &step()).await;
+        let samples = pull_all(&fixture, 4).await;
+        assert!(samples.iter().all(|s| s["score"] == 0.5));
+    });
+}
+
+#[test]
+fn trainers_that_the_template_does_not_name_are_refused() {
+    actix_rt::System::new().block_on(async {
+        let fixture = Fixture::start(vec![sampler(1)]).await;
+        let seen = fixture.post(paths::STEP_OPEN, &[], &step()).await;
+        assert_eq!(seen.status, 403, "a caller's token opens no steps");
+        fixture.change_config(|config| {
+            config.templates.get_mut(&WORKSPACE.into()).unwrap().template.trainers.clear();
+        });
+        let seen = fixture.post_as(&trainer(), paths::STEP_OPEN, &[], &step()).await;
+        assert_eq!(seen.json()["error"]["code"], "forbidden");
+    });
+}
--- a/components/entry/tests/support/mod.rs
+++ b/components/entry/tests/support/mod.rs
@@ -11,14 +11,24 @@
 use chicoryford_config::Handle as ConfigHandle;
 use chicoryford_kernel::Kernel;
 use chicoryford_kernel::Metrics;
+use chicoryford_ledger::LedgerCommand;
+use chicoryford_ledger::LedgerReply;
 use chicoryford_membership::Handle as MembersHandle;
 use chicoryford_settings::EntrySettings;
 use chicoryford_settings::Settings;
+use chicoryford_state::Base;
+use chicoryford_state::Command;
+use chicoryford_state::Renew;
+use chicoryford_state::Renewed;
+use chicoryford_state::Reply as StateReply;
+use chicoryford_state::State;
+use chicoryford_types::ChangeId;
 use chicoryford_types::Class;
 use chicoryford_types::Config;
 use chicoryford_types::Endpoint;
 use chicoryford_types::EndpointInfo;
 use chicoryford_types::EndpointKind;
+use chicoryford_types::Epoch;
 use chicoryford_types::Failure;
 use chicoryford_types::Frame;
 use chicoryford_types::Incarnation;
@@ -26,12 +36,13 @@
 use chicoryford_types::Members;
 use chicoryford_types::Model;
 use chicoryford_types::Node;
+use chicoryford_types::Position;
 use chicoryford_types::Principal;
+use chicoryford_types::Roles;
 use chicoryford_types::Template;
 use chicoryford_types::Version;
 use chicoryford_types::Work;
 use chicoryford_types::Workspace;
-use chicoryford_types::config::Versioned;
 use chicoryford_types::frame::Event;
 use chicoryford_types::frame::Finish;
 use chicoryford_types::frame::Tokens;
@@ -152,8 +163,61 @@
     Event::Finished(Finish { tokens, reason: "stop".to_owned(), load: None })
 }
 
+/// A control process with the real state machine and no peers.
+pub struct Control {
+    /// The state.
+    pub state: Mutex<State>,
+    /// The commands that were proposed.
+    pub proposed: Mutex<Vec<Command>>,
+    config: watch::Sender<Arc<Config>>,
+}
+
+impl Control {
+    /// Applies a command as if it had been committed.
+    pub fn apply(&self, command: Command) -> StateReply {
+        self.proposed.lock().unwrap().push(command.clone());
+        let at = Position { epoch: Epoch(1), ..Position::default() };
+        let mut state = self.state.lock().unwrap();
+        let reply = state.apply(at, chicoryford_kernel::unix(), command);
+        assert_eq!(state.broken(), 0);
+        self.config.send_replace(Arc::new(state.config.clone()));
+        reply
+    }
+
+    fn renew(&self, renew: Renew) -> Renewed {
+        let held = self.state.lock().unwrap().session(renew.session).is_some();
+        let orphans = match self.apply(Command::Ledger(Box::new(LedgerCommand::Orphans))) {
+            StateReply::Ledger(reply) => match *reply {
+                LedgerReply::Orphans(orphans) => orphans,
+                other => panic!("{other:?}"),
+            },
+            other => panic!("{other:?}"),
+        };
+        Renewed { held, lasts_ms: 5_000, orphans }
+    }
+}
+
+fn serve_control(control: Arc<Control>, keys: Arc<Keys>) -> String {
+    listen(keys, move || {
+        let mut routes = Routes::default();
+        let here = control.clone();
+        routes.add(paths::PROPOSE, &[Kind::Process], move |call| {
+            let reply = reply::msgpack(&here.apply(call.msgpack().unwrap()));
+            async move { reply }
+        });
+        let here = control.clone();
+        routes.add(paths::RENEW, &[Kind::Process], move |call| {
+            let reply = reply::msgpack(&here.renew(call.msgpack().unwrap()));
+            async move { reply }
+        });
+        routes
+    })
+}
+
 /// An entry and its fake agents.
 pub struct Fixture {
+    /// The control process.
+    pub control: Arc<Control>,
     /// The entry's process.
     pub kernel: Kernel,
     /// Where the entry answers.
@@ -202,13 +266,6 @@
     }
 }
 
-/// Makes configuration with one template.
-pub fn config(template: Template) -> Config {
-    let versioned = Versioned { version: 1, template };
-    let templates = BTreeMap::from([(versioned.template.workspace.clone(), versioned)]);
-    Config { templates, ..Config::default() }
-}
-
 fn settings() -> Settings {
     let entry = EntrySettings { silence_ms: 150, ..EntrySettings::default() };
     Settings { node: Node::from("entry-1"), entry: Some(entry), ..Settings::default() }
@@ -217,15 +274,35 @@
 impl Fixture {
     /// Starts an entry before these agents.
     pub async fn start(agents: Vec<Agent>) -> Self {
+        Self::start_with(agents, template()).await
+    }
+
+    /// Starts an entry before these agents, with this template.
+    pub async fn start_with(agents: Vec<Agent>, template: Template) -> Self {
         let keys = keys();
+        let (config, follow) = watch::channel(Arc::default());
+        let control = Arc::new(Control {
+            state: Mutex::default(),
+            proposed: Mutex::default(),
+            config: config.clone(),
+        });
+        let change = ChangeId(format!("{}.first", chicoryford_kernel::unix().0));
+        let template = Box::new(template);
+        control.apply(Command::Apply { change, template, base: Base::default() });
         let agents: Vec<Arc<Agent>> = agents.into_iter().map(Arc::new).collect();
         let mut members = Members::default();
         for (index, agent) in agents.iter().enumerate() {
             let member = announce(index, serve_agent(agent.clone(), keys.clone()));
             members.known.insert(member.node.clone(), Known { member, ..Known::default() });
         }
+        let member = Member {
+            node: Node::from("control-1"),
+            address: serve_control(control.clone(), keys.clone()),
+            roles: Roles { control: true, ..Roles::default() },
+            ..Member::default()
+        };
+        members.known.insert(member.node.clone(), Known { member, ..Known::default() });
         let kernel = Kernel::new(Metrics::new(None).unwrap());
-        let (config, follow) = watch::channel(Arc::new(config(template())));
         let (members, view) = watch::channel(Arc::new(members));
         let own = Member { node: Node::from("entry-1"), ..Member::default() };
         let handle = MembersHandle::new(view, Arc::new(watch::Sender::new(own)));
@@ -242,7 +319,7 @@
         };
         let address = listen(keys.clone(), routes);
         let desk = Client::new(Some("desk".to_owned()), None);
-        Self { kernel, address, agents, config, desk, keys, members }
+        Self { control, kernel, address, agents, config, desk, keys, members }
     }
 
     /// Sends a caller's request with these headers besides the workspace.
