--- /dev/null
+++ b/components/state/tests/random/oracle.rs
@@ -0,0 +1,213 @@
+//! Judges answers from outside, without the code under test.
+
+use std::collections::BTreeMap;
+
+use chicoryford_ledger::LedgerCommand;
+use chicoryford_ledger::LedgerReply;
+use chicoryford_ledger::Record;
+use chicoryford_ledger::StepKey;
+use chicoryford_state::Command;
+use chicoryford_state::Refusal;
+use chicoryford_state::Reply;
+use chicoryford_state::State;
+use chicoryford_types::Attempt;
+use chicoryford_types::ChangeId;
+use chicoryford_types::Config;
+use chicoryford_types::Cursor;
+use chicoryford_types::Group;
+use chicoryford_types::IdempotencyKey;
+use chicoryford_types::Model;
+use chicoryford_types::RequestId;
+use chicoryford_types::SampleNo;
+use chicoryford_types::Version;
+use chicoryford_types::Workspace;
+
+use crate::replicas::BOUND;
+
+type Place = (StepKey, Group, SampleNo);
+
+/// What was answered so far.
+#[derive(Default)]
+pub struct Oracle {
+    answers: BTreeMap<ChangeId, (Command, Reply)>,
+    granted: BTreeMap<(IdempotencyKey, Attempt), RequestId>,
+    ended: BTreeMap<IdempotencyKey, Reply>,
+    batches: BTreeMap<(Workspace, Cursor), LedgerReply>,
+    acked: BTreeMap<Workspace, u64>,
+    delivered: BTreeMap<Place, Cursor>,
+    kept: BTreeMap<Place, Record>,
+}
+
+fn check(holds: bool, fault: impl Fn() -> String) -> Result<(), String> {
+    if holds { Ok(()) } else { Err(fault()) }
+}
+
+impl Oracle {
+    /// Gives the cursor that a trainer would pull.
+    pub fn expected(&self, workspace: &Workspace) -> u64 {
+        self.acked.get(workspace).copied().unwrap_or(0) + 1
+    }
+
+    /// Judges one answer.
+    pub fn judge(
+        &mut self,
+        before: &Config,
+        state: &State,
+        command: &Command,
+        reply: &Reply,
+    ) -> Result<(), String> {
+        check(state.config.at >= before.at, || "the revision went back".to_owned())?;
+        match command {
+            Command::Apply { change, .. }
+            | Command::Remove { change, .. }
+            | Command::Rollback { change, .. }
+            | Command::Publish { change, .. } => self.change(before, state, change, command, reply),
+            Command::Claim { key, request, .. } | Command::Reassign { key, request, .. } => {
+                self.grant(key, *request, reply)
+            }
+            Command::Ledger(command) => match reply {
+                Reply::Ledger(reply) => self.ledger(state, command, reply),
+                other => Err(format!("a ledger command was answered {other:?}")),
+            },
+            _ => Ok(()),
+        }
+    }
+
+    fn change(
+        &mut self,
+        before: &Config,
+        state: &State,
+        change: &ChangeId,
+        command: &Command,
+        reply: &Reply,
+    ) -> Result<(), String> {
+        if let Some((first, answer)) = self.answers.get(change) {
+            check(
+                state.config.at.revision.0 - before.at.revision.0 == 0 || lapsed(before, state),
+                || format!("change {change} was applied twice"),
+            )?;
+            let expired = *reply == Reply::Refused(Refusal::IdExpired);
+            let reused = *reply == Reply::Refused(Refusal::IdReused);
+            let right = if first == command { reply == answer } else { reused };
+            return check(right || expired, || {
+                format!("change {change}: {answer:?} then {reply:?}")
+            });
+        }
+        self.answers.insert(change.clone(), (command.clone(), reply.clone()));
+        if let (Command::Apply { base, .. }, Reply::Accepted { .. }) = (command, reply) {
+            let Command::Apply { template, .. } = command else { return Ok(()) };
+            let current = before.templates.get(&template.workspace);
+            let version = current.map_or(0, |current| current.version);
+            let digest = current.map(|c| c.template.digest()).unwrap_or_default();
+            return check(base.version == version && base.digest == digest, || {
+                "a change was accepted on top of what its operator never saw".to_owned()
+            });
+        }
+        Ok(())
+    }
+
+    fn grant(
+        &mut self,
+        key: &IdempotencyKey,
+        request: RequestId,
+        reply: &Reply,
+    ) -> Result<(), String> {
+        match reply {
+            Reply::Granted { attempt } => {
+                let ended = self.ended.contains_key(key);
+                let first = self.granted.entry((key.clone(), *attempt)).or_insert(request);
+                check(!ended && *first == request, || format!("{key} granted twice at {attempt}"))
+            }
+            Reply::Ended(_) => {
+                let first = self.ended.entry(key.clone()).or_insert_with(|| reply.clone());
+                check(first == reply, || format!("{key} ended in two ways"))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn ledger(
+        &mut self,
+        state: &State,
+        command: &LedgerCommand,
+        reply: &LedgerReply,
+    ) -> Result<(), String> {
+        let config = &state.config;
+        match (command, reply) {
+            (LedgerCommand::Done { key, group, number, session, record }, LedgerReply::Kept) => {
+                let owner = state.ledger.step(key).and_then(|step| step.owner);
+                check(owner == Some(*session), || format!("session {session} is no owner"))?;
+                let place = (key.clone(), *group, *number);
+                let first = self.kept.insert(place, record.clone());
+                let model = Model(key.workspace.as_str().replace('w', "m"));
+                let newest = newest(config, &model);
+                let replaced = first.filter(|first| first != record && !is_old(first, newest));
+                // A sample that only a pull found too old, by a version that the trainer told
+                // but never published, is forgotten below.
+                check(replaced.is_none(), || format!("{key:?} {group} {number} was replaced"))
+            }
+            (
+                LedgerCommand::Pull { workspace, newest: told, .. },
+                LedgerReply::Batch { cursor, samples, .. },
+            ) => {
+                let known = self.batches.get(&(workspace.clone(), *cursor));
+                if let Some(first) = known {
+                    return check(first == reply, || format!("batch {cursor} changed"));
+                }
+                check(cursor.0 == self.expected(workspace), || format!("cursor {cursor} skips"))?;
+                let newest = newest(config, &model_of(workspace)).max(*told);
+                self.forget_old(workspace, newest);
+                self.batches.insert((workspace.clone(), *cursor), reply.clone());
+                samples.iter().try_for_each(|sample| self.deliver(sample, *cursor, newest))
+            }
+            (LedgerCommand::Pull { workspace, newest: told, .. }, LedgerReply::NotReady) => {
+                self.forget_old(workspace, newest(config, &model_of(workspace)).max(*told));
+                Ok(())
+            }
+            (LedgerCommand::Ack { workspace, cursor }, LedgerReply::Acked) => {
+                let acked = self.acked.entry(workspace.clone()).or_default();
+                *acked = (*acked).max(cursor.0);
+                Ok(())
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn forget_old(&mut self, workspace: &Workspace, newest: Version) {
+        self.kept
+            .retain(|place, record| place.0.workspace != *workspace || !is_old(record, newest));
+    }
+
+    fn deliver(
+        &mut self,
+        sample: &(StepKey, Group, SampleNo, Record),
+        cursor: Cursor,
+        newest: Version,
+    ) -> Result<(), String> {
+        let (key, group, number, record) = sample;
+        check(!is_old(record, newest), || format!("{key:?} {group} {number} is over-stale"))?;
+        let place = (key.clone(), *group, *number);
+        let kept = self.kept.get(&place) == Some(record);
+        check(kept, || format!("{key:?} {group} {number} is not the one that was kept"))?;
+        let earlier = self.delivered.insert(place, cursor);
+        check(earlier.is_none(), || format!("{key:?} {group} {number} was delivered twice"))
+    }
+}
+
+/// Tells whether suspicions or convictions lapsed, which also moves the revision.
+fn lapsed(before: &Config, state: &State) -> bool {
+    before.suspects != state.config.suspects || before.convictions != state.config.convictions
+}
+
+fn model_of(workspace: &Workspace) -> Model {
+    Model(workspace.as_str().replace('w', "m"))
+}
+
+fn newest(config: &Config, model: &Model) -> Version {
+    config.weights.get(model).map(|newest| newest.version).unwrap_or_default()
+}
+
+fn is_old(record: &Record, newest: Version) -> bool {
+    let oldest = record.spans.iter().map(|span| span.version.0).min().unwrap_or(0);
+    oldest + BOUND < newest.0
+}
