--- a/components/state/tests/random/commands.rs
+++ b/components/state/tests/random/commands.rs
@@ -80,7 +80,9 @@
 
 fn event(g: &mut Gen) -> Op {
     match below(g, 100) {
-        0..=2 => Op::Clock { ms: i64::from(u32::arbitrary(g) % 2_000_000) - 200_000 },
+        0 => Op::Clock { ms: i64::from(u32::arbitrary(g) % 2_000_000) - 200_000 },
+        1 => Op::Clock { ms: i64::from(below(g, 20) / 19) * 50_000_000 },
+        2 => Op::Clock { ms: i64::from(below(g, 100)) },
         3 => Op::Epoch,
         4 => Op::Restore,
         5..=11 => Op::Resend { back: u8::arbitrary(g) },
@@ -106,15 +108,15 @@
         37 => Op::Unsession { number: below(g, 12) },
         38..=41 => Op::Open {
             workspace: below(g, 2),
-            step: below(g, 12),
+            step: below(g, 6),
             groups: 1 + below(g, 3),
             samples: 1 + below(g, 2),
             extra: below(g, 2),
         },
-        42..=48 => Op::Take { workspace: below(g, 2), step: below(g, 12), session: below(g, 12) },
+        42..=48 => Op::Take { workspace: below(g, 2), step: below(g, 6), session: below(g, 12) },
         49..=78 => Op::Done {
             workspace: below(g, 2),
-            step: below(g, 12),
+            step: below(g, 6),
             group: below(g, 3),
             number: below(g, 3),
             session: below(g, 10),
@@ -128,7 +130,7 @@
             newest: below(g, 4),
         },
         88..=92 => Op::Ack { workspace: below(g, 2), off: below(g, 3) },
-        93 => Op::Close { workspace: below(g, 2), step: below(g, 12) },
+        93 => Op::Close { workspace: below(g, 2), step: below(g, 6) },
         94..=97 => Op::Crashed {
             endpoint: below(g, 3),
             crash: below(g, 16),
--- a/components/state/tests/random/replicas.rs
+++ b/components/state/tests/random/replicas.rs
@@ -44,7 +44,9 @@
 
 const START: u64 = 1_700_000_000_000;
 /// The claims' keys are issued this far apart, so that a run sees them expire one by one.
-const KEY_MS: u64 = 400_000;
+const KEY_MS: u64 = 100_000;
+/// New keys come into use this often.
+const KEYS_MS: u64 = 1_800_000;
 /// The staleness bound of every step, in versions.
 pub const BOUND: u64 = 1;
 
@@ -156,6 +158,11 @@
         }
     }
 
+    fn key(&self, number: u8) -> IdempotencyKey {
+        let round = self.passed as u64 / KEYS_MS * KEYS_MS;
+        IdempotencyKey(format!("{}.{number}", START + round + u64::from(number) * KEY_MS))
+    }
+
     fn expected(&self, workspace: u8) -> u64 {
         self.oracle.expected(&workspace_name(workspace))
     }
@@ -213,21 +220,21 @@
         match *op {
             Op::Claim { key, content, request, agent } => Command::Claim {
                 workspace,
-                key: key_name(key),
+                key: self.key(key),
                 digest: Digest::of(&[content]),
                 request: RequestId(0, u64::from(request)),
                 to: assigned(agent),
             },
             Op::Reassign { key, request, agent, after } => Command::Reassign {
                 workspace,
-                key: key_name(key),
+                key: self.key(key),
                 request: RequestId(0, u64::from(request)),
                 after: Attempt(1 + u32::from(after)),
                 to: assigned(agent),
             },
             Op::Settle { key, attempt, end } => Command::Settle {
                 workspace,
-                key: key_name(key),
+                key: self.key(key),
                 attempt: Attempt(1 + u32::from(attempt)),
                 end: end_of(end),
             },
@@ -307,10 +314,6 @@
     StepKey { workspace: workspace_name(workspace), step: Step(u64::from(step)) }
 }
 
-fn key_name(number: u8) -> IdempotencyKey {
-    IdempotencyKey(format!("{}.{number}", START + u64::from(number) * KEY_MS))
-}
-
 fn template(workspace: u8, content: u8) -> Template {
     let workspace = workspace_name(workspace);
     Template { workspace, title: format!("content {content}"), ..Template::default() }
