--- a/components/ledger/src/ledger.rs
+++ b/components/ledger/src/ledger.rs
@@ -99,6 +99,11 @@
         self.steps.get(key)
     }
 
+    /// Lists the open steps.
+    pub fn steps(&self) -> impl Iterator<Item = (&StepKey, &Step)> {
+        self.steps.iter()
+    }
+
     /// Counts the open steps.
     pub fn open_steps(&self) -> usize {
         self.steps.len()
--- a/components/state/tests/random/commands.rs
+++ b/components/state/tests/random/commands.rs
@@ -91,19 +91,19 @@
         19 => Op::Remove { workspace: below(g, 3) },
         20..=21 => Op::Rollback { workspace: below(g, 3), to: below(g, 6) },
         22..=23 => Op::Publish { model: below(g, 2), ahead: below(g, 3) },
-        24..=29 => Op::Claim {
-            key: below(g, 8),
+        24..=28 => Op::Claim {
+            key: below(g, 5),
             content: below(g, 8) / 7,
             request: below(g, 3),
             agent: below(g, 2),
         },
-        30..=32 => Op::Reassign {
-            key: below(g, 8),
+        29..=31 => Op::Reassign {
+            key: below(g, 5),
             request: below(g, 3),
             agent: below(g, 2),
             after: below(g, 3),
         },
-        33..=34 => Op::Settle { key: below(g, 8), attempt: below(g, 3), end: below(g, 4) },
+        32..=34 => Op::Settle { key: below(g, 5), attempt: below(g, 2), end: below(g, 4) },
         35..=36 => Op::Session { node: below(g, 3), incarnation: below(g, 3) },
         37 => Op::Unsession { number: below(g, 12) },
         38..=41 => Op::Open {
--- a/components/state/tests/random/oracle.rs
+++ b/components/state/tests/random/oracle.rs
@@ -65,6 +65,11 @@
             Command::Claim { key, request, .. } | Command::Reassign { key, request, .. } => {
                 self.grant(key, *request, reply)
             }
+            Command::Settle { key, end, .. } if *reply == Reply::Done => {
+                let end = Reply::Ended(end.clone());
+                let first = self.ended.entry(key.clone()).or_insert_with(|| end.clone());
+                check(*first == end, || format!("{key} was ended twice"))
+            }
             Command::Ledger(command) => match reply {
                 Reply::Ledger(reply) => self.ledger(state, command, reply),
                 other => Err(format!("a ledger command was answered {other:?}")),
--- a/components/state/tests/random/replicas.rs
+++ b/components/state/tests/random/replicas.rs
@@ -167,6 +167,20 @@
         self.oracle.expected(&workspace_name(workspace))
     }
 
+    /// Gives an open step mostly, and any step otherwise.
+    fn some_step(&self, workspace: u8, step: u8) -> StepKey {
+        let any = step_key(workspace, step);
+        let open = self.first.ledger.steps().map(|(key, _)| key);
+        let mut open = open.filter(|key| key.workspace == any.workspace);
+        open.nth(usize::from(step / 2)).cloned().unwrap_or(any)
+    }
+
+    /// Gives an open session mostly, and any number otherwise.
+    fn some_session(&self, number: u8) -> u64 {
+        let open = self.first.sessions().map(|(number, _)| number).nth(usize::from(number % 4));
+        open.unwrap_or(u64::from(number))
+    }
+
     fn newest(&self, model: &Model) -> u64 {
         self.first.config.weights.get(model).map_or(0, |newest| newest.version.0)
     }
@@ -242,7 +256,9 @@
                 node: Node(format!("n{node}")),
                 incarnation: Incarnation(u64::from(incarnation)),
             },
-            Op::Unsession { number } => Command::CloseSession { session: u64::from(number) },
+            Op::Unsession { number } => {
+                Command::CloseSession { session: self.some_session(number) }
+            }
             _ => Command::Ledger(Box::new(self.step_command(op))),
         }
     }
@@ -266,12 +282,13 @@
             }
             Op::Done { workspace, step, group, number, session, behind, text } => {
                 let newest = self.newest(&model_name(workspace));
-                let session = match self.first.ledger.step(&step_key(workspace, step)) {
+                let key = self.some_step(workspace, step);
+                let session = match self.first.ledger.step(&key) {
                     Some(step) if session > 1 => step.owner.unwrap_or(0),
-                    _ => u64::from(session),
+                    _ => self.some_session(session),
                 };
                 LedgerCommand::Done {
-                    key: step_key(workspace, step),
+                    key,
                     group: Group(u32::from(group)),
                     number: SampleNo(u32::from(number)),
                     session,
