--- a/components/state/tests/random/oracle.rs
+++ b/components/state/tests/random/oracle.rs
@@ -1,6 +1,7 @@
 //! Judges answers from outside, without the code under test.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use chicoryford_ledger::LedgerCommand;
 use chicoryford_ledger::LedgerReply;
@@ -36,6 +37,8 @@
     acked: BTreeMap<Workspace, u64>,
     delivered: BTreeMap<Place, Cursor>,
     kept: BTreeMap<Place, Record>,
+    ended_steps: BTreeSet<StepKey>,
+    open_steps: BTreeSet<StepKey>,
 }
 
 fn check(holds: bool, fault: impl Fn() -> String) -> Result<(), String> {
@@ -48,6 +51,11 @@
         self.acked.get(workspace).copied().unwrap_or(0) + 1
     }
 
+    /// Counts the steps of a workspace that ended.
+    pub fn ended(&self, workspace: &Workspace) -> u64 {
+        self.ended_steps.iter().filter(|key| key.workspace == *workspace).count() as u64
+    }
+
     /// Judges one answer.
     pub fn judge(
         &mut self,
@@ -138,6 +146,7 @@
         reply: &LedgerReply,
     ) -> Result<(), String> {
         let config = &state.config;
+        self.steps(state)?;
         match (command, reply) {
             (LedgerCommand::Done { key, group, number, session, record }, LedgerReply::Kept) => {
                 let owner = state.ledger.step(key).and_then(|step| step.owner);
@@ -178,6 +187,17 @@
         }
     }
 
+    /// A step that ended must never be open again: its samples would be run and delivered twice.
+    fn steps(&mut self, state: &State) -> Result<(), String> {
+        let open: BTreeSet<_> = state.ledger.steps().map(|(key, _)| key.clone()).collect();
+        let ended = self.open_steps.difference(&open).cloned();
+        self.ended_steps.extend(ended);
+        let again = open.intersection(&self.ended_steps).next();
+        check(again.is_none(), || format!("{again:?} was opened again"))?;
+        self.open_steps = open;
+        Ok(())
+    }
+
     fn forget_old(&mut self, workspace: &Workspace, newest: Version) {
         self.kept
             .retain(|place, record| place.0.workspace != *workspace || !is_old(record, newest));
--- a/components/state/tests/random/replicas.rs
+++ b/components/state/tests/random/replicas.rs
@@ -167,9 +167,16 @@
         self.oracle.expected(&workspace_name(workspace))
     }
 
+    /// Gives a step near those that ended last, which are never opened again.
+    fn any_step(&self, workspace: u8, step: u8) -> StepKey {
+        let workspace = workspace_name(workspace);
+        let ended = self.oracle.ended(&workspace) + u64::from(step);
+        StepKey { workspace, step: Step(ended.saturating_sub(2)) }
+    }
+
     /// Gives an open step mostly, and any step otherwise.
     fn some_step(&self, workspace: u8, step: u8) -> StepKey {
-        let any = step_key(workspace, step);
+        let any = self.any_step(workspace, step);
         let open = self.first.ledger.steps().map(|(key, _)| key);
         let mut open = open.filter(|key| key.workspace == any.workspace);
         open.nth(usize::from(step / 2)).cloned().unwrap_or(any)
@@ -177,7 +184,7 @@
 
     /// Gives an open session mostly, and any number otherwise.
     fn some_session(&self, number: u8) -> u64 {
-        let open = self.first.sessions().map(|(number, _)| number).nth(usize::from(number % 4));
+        let open = self.first.sessions().map(|(number, _)| number).nth(usize::from(number % 3));
         open.unwrap_or(u64::from(number))
     }
 
@@ -268,7 +275,7 @@
             Op::Open { workspace, step, groups, samples, extra } => LedgerCommand::Open {
                 spec: StepSpec {
                     workspace: workspace_name(workspace),
-                    step: Step(u64::from(step)),
+                    step: self.any_step(workspace, step).step,
                     model: model_name(workspace),
                     groups: vec![GroupSpec::default(); usize::from(groups)],
                     samples: u32::from(samples),
@@ -277,9 +284,10 @@
                 },
                 bound: BOUND,
             },
-            Op::Take { workspace, step, session } => {
-                LedgerCommand::Take { key: step_key(workspace, step), session: u64::from(session) }
-            }
+            Op::Take { workspace, step, session } => LedgerCommand::Take {
+                key: self.some_step(workspace, step),
+                session: self.some_session(session),
+            },
             Op::Done { workspace, step, group, number, session, behind, text } => {
                 let newest = self.newest(&model_name(workspace));
                 let key = self.some_step(workspace, step);
@@ -308,7 +316,7 @@
                 cursor: Cursor((self.expected(workspace) + u64::from(off)).saturating_sub(1)),
             },
             Op::Close { workspace, step } => {
-                LedgerCommand::Close { key: step_key(workspace, step) }
+                LedgerCommand::Close { key: self.any_step(workspace, step) }
             }
             _ => LedgerCommand::Orphans,
         }
@@ -327,10 +335,6 @@
     Model(format!("m{number}"))
 }
 
-fn step_key(workspace: u8, step: u8) -> StepKey {
-    StepKey { workspace: workspace_name(workspace), step: Step(u64::from(step)) }
-}
-
 fn template(workspace: u8, content: u8) -> Template {
     let workspace = workspace_name(workspace);
     Template { workspace, title: format!("content {content}"), ..Template::default() }
