Follow by long poll with disk, failover, repair and counted acknowledgements

Cause: the thin follower kept nothing on disk, did not leave a parent that lay behind, and counted only its own children; its routes looked the shared part up under the wrong type and failed. Change: configuration is saved and synced before it is in force; a silent, gone or lagging parent is left; damaged copies are repaired by digest; news from below go up within 50 ms; IN_FORCE asks all control processes and counts only reports of a process's present start. Conclusion: a process neither goes back nor counts for what it had before a restart.

--- a/components/config/src/children.rs
+++ b/components/config/src/children.rs
@@ -23,6 +23,17 @@
     known: BTreeMap<Node, Child>,
 }
 
+/// What a follower's question brought.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Heard {
+    /// There is no room for the follower.
+    Full,
+    /// It, or a process below it, has something else in force than before.
+    News,
+    /// All is as it was.
+    Nothing,
+}
+
 #[derive(Clone, Debug)]
 struct Child {
     report: Report,
@@ -31,17 +42,19 @@
 }
 
 impl Children {
-    /// Takes a follower's question in; returns whether the follower may stay.
-    pub fn hear(&mut self, follow: &Follow, now: Millis) -> bool {
+    /// Takes a follower's question in.
+    pub fn hear(&mut self, follow: &Follow, now: Millis) -> Heard {
         self.known.retain(|_, child| now.since(child.heard) < GONE_MS);
-        if self.known.len() >= CHILDREN && !self.known.contains_key(&follow.node) {
-            return false;
+        let known = self.known.get(&follow.node);
+        if known.is_none() && self.known.len() >= CHILDREN {
+            return Heard::Full;
         }
         let report =
             Report { node: follow.node.clone(), incarnation: follow.incarnation, at: follow.at };
-        let child = Child { report, subtree: follow.subtree.clone(), heard: now };
-        self.known.insert(follow.node.clone(), child);
-        true
+        let subtree = follow.subtree.clone();
+        let is_news = known.is_none_or(|k| k.report != report || k.subtree != subtree);
+        self.known.insert(follow.node.clone(), Child { report, subtree, heard: now });
+        if is_news { Heard::News } else { Heard::Nothing }
     }
 
     /// Counts the followers.
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -4,6 +4,7 @@
 //! long polling, keeps what it has on its disk, and never goes back (docs/CONFIGURATION.md).
 
 pub mod children;
+pub mod disk;
 pub mod error;
 pub mod feed;
 pub mod follower;
@@ -15,6 +16,7 @@
 pub mod random;
 pub mod routes;
 pub mod shared;
+pub mod standing;
 pub mod store;
 
 pub use error::StartError;
--- a/components/config/src/message.rs
+++ b/components/config/src/message.rs
@@ -8,8 +8,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Reports of a subtree that travel in one message at most; those furthest behind go first.
-pub const REPORTS: usize = 256;
+/// Reports of a subtree that travel in one message at most; those furthest behind go first. It
+/// leaves room for all processes of the target size, because one that is not named counts as
+/// lagging.
+pub const REPORTS: usize = 4_096;
 
 /// A follower asks for configuration beyond what it has, and acknowledges that by asking.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
--- a/components/config/src/store.rs
+++ b/components/config/src/store.rs
@@ -78,6 +78,22 @@
         true
     }
 
+    /// Gives the configuration that [`Store::absorb`] would lead to, none if it would not move;
+    /// it is saved before it is put in force.
+    pub fn preview(&self, delta: &Delta) -> Option<Config> {
+        match delta {
+            Delta::Snapshot(config) => (config.at > self.config.at).then(|| (**config).clone()),
+            Delta::Changes { from, .. } if *from > self.config.at => None,
+            Delta::Changes { changes, .. } => {
+                let mut config = (*self.config).clone();
+                for (at, change) in changes {
+                    config.apply(*at, change.clone());
+                }
+                (config.at > self.config.at).then_some(config)
+            }
+        }
+    }
+
     /// Takes in what a parent answered.
     pub fn absorb(&mut self, delta: Delta) -> Absorbed {
         let moved = match delta {
--- a/components/wire/src/paths.rs
+++ b/components/wire/src/paths.rs
@@ -34,6 +34,8 @@
 pub const AGREEMENT: &str = "/peer/v1/agreement";
 /// Asks a parent for configuration beyond a position; the answer waits until there is some.
 pub const FOLLOW: &str = "/peer/v1/follow";
+/// Asks a control process what the processes that follow it have in force.
+pub const SUBTREE: &str = "/peer/v1/subtree";
 /// Asks a control process for the highest epoch that it knows.
 pub const EPOCH: &str = "/peer/v1/epoch";
 
