Run the main job on one machine and judge it from the stand-ins' own records

Cause: nobody could see the whole path run. Change: scripts/demo starts the sample deployments as real processes beside stand-ins, drives two trainers and five callers, kills or stops a process on request, and checks each sample and answer against the engines' records; the daemon runs the control role; the client orders its changes; the stand-in trainer publishes with a change id of the documented form.

--- a/components/daemon/src/roles.rs
+++ b/components/daemon/src/roles.rs
@@ -18,6 +18,9 @@
 pub fn start(kernel: &Kernel, settings: &Settings) -> Result<(), RunError> {
     chicoryford_membership::start(kernel, settings).map_err(failed("membership"))?;
     chicoryford_config::start(kernel, settings).map_err(failed("config"))?;
+    if settings.control.is_some() {
+        chicoryford_control::start(kernel, settings).map_err(failed("control"))?;
+    }
     if settings.entry.is_some() {
         chicoryford_entry::start(kernel, settings).map_err(failed("entry"))?;
     }
@@ -39,6 +42,7 @@
     settings: &Settings,
 ) -> Result<(), MissingService> {
     chicoryford_config::routes(routes, kernel, settings)?;
+    chicoryford_control::routes(routes, kernel, settings)?;
     if settings.entry.is_some() {
         chicoryford_entry::routes(routes, kernel, settings)?;
     }
--- a/components/standin/src/trainer.rs
+++ b/components/standin/src/trainer.rs
@@ -262,7 +262,7 @@
         self.published = Instant::now();
         let version = self.report.version + 1;
         let question = json!({
-            "change": format!("{}-{}-{version}", self.settings.workspace, self.settings.seed),
+            "change": format!("{}.{}-{version}", record::unix(), self.settings.workspace),
             "workspace": self.settings.workspace,
             "model": self.settings.model,
             "version": version,
--- /dev/null
+++ b/examples/demo/main.rs
@@ -0,0 +1,69 @@
+//! The main job on one machine: real processes with the sample settings and templates, stand-ins
+//! for everything that is not the system, and a report judged from the stand-ins' own records.
+//!
+//! `scripts/demo --help` lists the options. It exits with 1 if any promise was found broken.
+
+mod drive;
+mod judge;
+mod layout;
+mod mishap;
+mod process;
+mod records;
+mod report;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use clap::ValueEnum;
+use eyre::Result;
+
+/// Runs the whole system on this machine for a while and reports what became of every sample and
+/// every answer.
+#[derive(Parser)]
+struct Args {
+    /// Seconds for which trainers and callers work.
+    #[arg(long, default_value_t = 20)]
+    seconds: u64,
+    /// Determines prompts, samples and the gaps between requests.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Kill a process with SIGKILL in the middle of the run and start it again a second later.
+    #[arg(long, value_enum)]
+    kill: Option<Victim>,
+    /// Plan a stop of a sampler in the middle of the run, and cancel it later.
+    #[arg(long)]
+    plan_stop: bool,
+    /// Keep the folder with settings, logs and records.
+    #[arg(long)]
+    keep: bool,
+}
+
+/// What may be killed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, ValueEnum)]
+enum Victim {
+    /// The agent of a sampler.
+    Agent,
+    /// A sampler itself.
+    Engine,
+    /// The daemon with the entry and control roles.
+    Daemon,
+}
+
+fn main() -> Result<ExitCode> {
+    let args = Args::parse();
+    let folder = tempfile::Builder::new().prefix("chicoryford-demo-").tempdir()?;
+    println!("seed {}, {} s, folder {}", args.seed, args.seconds, folder.path().display());
+    let mut layout = layout::Layout::new(folder.path())?;
+    layout.start()?;
+    layout.apply_templates()?;
+    let drivers = drive::start(&layout, &args)?;
+    let mishaps = mishap::run(&mut layout, &args)?;
+    let driven = drive::join(drivers)?;
+    let stopped = layout.stop()?;
+    let verdict = judge::judge(&layout, &driven, &stopped, &mishaps)?;
+    report::print(&driven, &verdict);
+    if args.keep || !verdict.is_clean(args.kill.is_some()) {
+        println!("kept {}", folder.keep().display());
+    }
+    Ok(if verdict.is_clean(args.kill.is_some()) { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
--- /dev/null
+++ b/examples/demo/report.rs
@@ -0,0 +1,67 @@
+//! Prints what became of the run.
+
+use chicoryford_standin::caller::Counts;
+use chicoryford_standin::caller::Fate;
+use chicoryford_standin::trainer::Report;
+
+use crate::drive::Driven;
+use crate::judge::Verdict;
+
+/// Prints the report.
+pub fn print(driven: &Driven, verdict: &Verdict) {
+    println!("\ntrainer         steps samples  tokens  idle  lag mean/max  versions");
+    for (name, report) in &driven.trainers {
+        print_trainer(name, report);
+    }
+    println!("\ncaller          on time   late  not run  unknown  wrong");
+    for (name, counts) in &driven.callers {
+        print_caller(name, counts);
+    }
+    println!();
+    print_verdict(verdict);
+}
+
+fn print_trainer(name: &str, report: &Report) {
+    let idle = 100.0 * report.idle_ms as f64 / report.total_ms.max(1) as f64;
+    let lag = report.lag as f64 / report.samples.max(1) as f64;
+    println!(
+        "{name:15} {:5} {:7} {:7} {idle:4.0}%  {lag:8.2}/{:<3}  {:8}",
+        report.steps, report.samples, report.tokens, report.lag_max, report.version,
+    );
+}
+
+fn print_caller(name: &str, counts: &Counts) {
+    let count = |fate: Fate| counts.get(&fate).copied().unwrap_or_default();
+    println!(
+        "{name:15} {:7} {:6} {:8} {:8} {:6}",
+        count(Fate::OnTime),
+        count(Fate::Late),
+        count(Fate::NotRun),
+        count(Fate::Unknown),
+        count(Fate::Wrong),
+    );
+}
+
+fn print_verdict(verdict: &Verdict) {
+    let Verdict { checked, prefixes, .. } = verdict;
+    println!(
+        "checked against the engines' own records: {checked} ({prefixes} from a killed engine's prefix on)"
+    );
+    let lines = [
+        ("doubled", verdict.doubled),
+        ("lost", verdict.lost),
+        ("misattributed", verdict.misattributed),
+        ("wrong", verdict.wrong),
+        ("stale", verdict.stale),
+        ("changed on a second pull", verdict.changed),
+        ("falsely refused as not run", verdict.false_not_run),
+        ("cut by a planned stop", verdict.cut),
+        ("begun after a planned stop", verdict.begun_late),
+    ];
+    for (name, count) in lines {
+        println!("{name:28} {count}");
+    }
+    for process in &verdict.unclean {
+        println!("did not stop cleanly: {process}");
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -272,9 +272,19 @@
         /// Its name.
         node: String,
     },
+    /// Replace a replica whose disk is lost: the leader adds the new one, lets it catch up,
+    /// removes the lost one and gives the new one its vote.
+    Replace {
+        /// The replica that is lost.
+        lost: String,
+        /// The name of the new one.
+        node: String,
+        /// Where the new one answers HTTP, as IP:PORT.
+        replica: String,
+    },
     /// Ask the leader to hand over to another replica.
     HandOver {
-        /// The replica that should lead.
-        node: String,
+        /// The replica that should lead; the one that is furthest if it is left out.
+        node: Option<String>,
     },
 }
--- a/src/cmd/control.rs
+++ b/src/cmd/control.rs
@@ -1,8 +1,9 @@
 //! `chicoryford control`.
 
+use chicoryford_control::Action;
+use chicoryford_types::Node;
 use chicoryford_wire::paths;
 use serde_json::Value;
-use serde_json::json;
 
 use crate::cli::ControlCommand;
 use crate::connect::Connection;
@@ -20,17 +21,23 @@
     command: &ControlCommand,
     format: Format,
 ) -> Result<(), CmdError> {
-    let question = match command {
+    let name = |text: &String| Node::from(text.as_str());
+    let action = match command {
         ControlCommand::Status => {
             show(&to.get(paths::CONTROL_STATUS).await?, format);
             return Ok(());
         }
-        ControlCommand::Add { node, replica } => json!({"add": {"node": node, "address": replica}}),
-        ControlCommand::Promote { node } => json!({"promote": node}),
-        ControlCommand::Remove { node } => json!({"remove": node}),
-        ControlCommand::HandOver { node } => json!({"hand_over": node}),
+        ControlCommand::Add { node, replica } => {
+            Action::Add { node: name(node), address: replica.clone() }
+        }
+        ControlCommand::Promote { node } => Action::Promote(name(node)),
+        ControlCommand::Remove { node } => Action::Remove(name(node)),
+        ControlCommand::Replace { lost, node, replica } => {
+            Action::Replace { node: name(lost), by: name(node), address: replica.clone() }
+        }
+        ControlCommand::HandOver { node } => Action::HandOver(node.as_ref().map(name)),
     };
-    show(&to.post(paths::CONTROL_STATUS, &question).await?, format);
+    show(&to.post(paths::CONTROL_STATUS, &action).await?, format);
     Ok(())
 }
 
--- a/src/connect.rs
+++ b/src/connect.rs
@@ -163,13 +163,17 @@
         }
     }
 
-    /// Posts a JSON question about the control processes.
+    /// Orders something of the control processes.
     ///
     /// # Errors
     ///
     /// [`CmdError`] if it was refused or no answer came.
-    pub async fn post(&self, path: &'static str, question: &Value) -> Result<Value, CmdError> {
-        let body = serde_json::to_vec(question).expect("JSON is plain data");
+    pub async fn post<Q: Serialize>(
+        &self,
+        path: &'static str,
+        question: &Q,
+    ) -> Result<Value, CmdError> {
+        let body = serde_json::to_vec(question).expect("orders are plain data");
         let answer = self.ask(path, Some(body), None).await?;
         shape(path, &answer)
     }
