--- a/components/daemon/src/roles.rs
+++ b/components/daemon/src/roles.rs
@@ -42,7 +42,9 @@
     settings: &Settings,
 ) -> Result<(), MissingService> {
     chicoryford_config::routes(routes, kernel, settings)?;
-    chicoryford_control::routes(routes, kernel, settings)?;
+    if settings.control.is_some() {
+        chicoryford_control::routes(routes, kernel, settings)?;
+    }
     if settings.entry.is_some() {
         chicoryford_entry::routes(routes, kernel, settings)?;
     }
