--- /dev/null
+++ b/tests/whole/main.rs
@@ -0,0 +1,7 @@
+//! The whole path over real processes: one daemon with every role beside a stand-in engine.
+
+mod client;
+mod errors;
+mod fixture;
+mod path;
+mod stop;
