--- a/components/ledger/src/ledger.rs
+++ b/components/ledger/src/ledger.rs
@@ -30,7 +30,7 @@
 pub const SAMPLES: u64 = 1 << 20;
 /// Bytes of samples that wait to be handed out or acknowledged, at most. Past it only the step
 /// that was opened first may still record, so that it can end and make room.
-pub const BYTES: usize = 512 << 20;
+pub const BYTES: usize = 128 << 20;
 /// Orphaned steps named in one answer at most.
 const ORPHANS: usize = 256;
 
