--- a/components/config/examples/measure-config.rs
+++ b/components/config/examples/measure-config.rs
@@ -54,6 +54,8 @@
     let mut store = Store::default();
     let start = Instant::now();
     for revision in 1..=5_000 {
+        // The rest of the process holds the configuration before, which is left as it is.
+        let _held = store.config();
         store.push(at(revision), change(revision));
     }
     let us = start.elapsed().as_micros() / 5_000;
--- a/components/state/src/changes.rs
+++ b/components/state/src/changes.rs
@@ -37,7 +37,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct ChangeWindow {
     /// An unknown id issued at or before this moment may have been seen and forgotten.
-    floor: Unix,
+    floor: Option<Unix>,
     bytes: usize,
     kept: BTreeMap<(Unix, ChangeId), Kept>,
 }
@@ -68,11 +68,15 @@
         now: Unix,
     ) -> Result<Option<Reply>, Refusal> {
         let issued = issued(change.as_str()).ok_or(Refusal::IdExpired)?;
+        let is_old = issued.0.saturating_add(WINDOW_MS) <= now.0;
+        let is_ahead = issued.0 > now.0.saturating_add(AHEAD_MS);
+        if is_old || is_ahead {
+            return Err(Refusal::IdExpired);
+        }
         if let Some(kept) = self.kept.get(&(issued, change.clone())) {
             return kept.first_answer(digest).map(Some);
         }
-        let oldest = Unix(now.0.saturating_sub(WINDOW_MS)).max(self.floor);
-        if issued <= oldest && oldest.0 > 0 || issued.0 > now.0 + AHEAD_MS {
+        if self.floor.is_some_and(|floor| issued <= floor) {
             return Err(Refusal::IdExpired);
         }
         Ok(None)
@@ -99,17 +103,17 @@
     }
 
     fn trim(&mut self, now: Unix) {
-        let oldest = Unix(now.0.saturating_sub(WINDOW_MS));
-        while self.is_over(oldest)
+        while self.is_over(now)
             && let Some(((issued, _), kept)) = self.kept.pop_first()
         {
             self.bytes -= kept.reply.len();
-            self.floor = self.floor.max(issued);
+            self.floor = self.floor.max(Some(issued));
         }
     }
 
-    fn is_over(&self, oldest: Unix) -> bool {
-        let has_old = self.kept.first_key_value().is_some_and(|((issued, _), _)| *issued < oldest);
+    fn is_over(&self, now: Unix) -> bool {
+        let first = self.kept.first_key_value();
+        let has_old = first.is_some_and(|((first, _), _)| first.0 + WINDOW_MS <= now.0);
         has_old || self.kept.len() > WINDOW || self.bytes > WINDOW_BYTES
     }
 }
--- a/components/state/src/suspects.rs
+++ b/components/state/src/suspects.rs
@@ -22,6 +22,8 @@
 pub const SUSPECTED_MS: u64 = 24 * 60 * 60 * 1_000;
 /// Contents weighed of one crash at most.
 pub const BLAMED: usize = 1_024;
+/// Milliseconds between two looks for what has lapsed, so that not every command takes one.
+const LAPSE_MS: u64 = 1_000;
 /// Endpoints whose last crash is remembered at most.
 pub const ENDPOINTS: usize = 16_384;
 
@@ -32,6 +34,8 @@
     seen: BTreeMap<Endpoint, (Incarnation, u64)>,
     /// When each suspicion lapses.
     until: BTreeMap<Fingerprint, Unix>,
+    /// When lapses were last looked for.
+    looked: Unix,
 }
 
 impl State {
@@ -74,6 +78,10 @@
     /// Ends what has lapsed by the stamps of commands.
     pub(crate) fn lapse(&mut self) {
         let now = self.now;
+        if now.0 < self.suspects.looked.0.saturating_add(LAPSE_MS) {
+            return;
+        }
+        self.suspects.looked = now;
         for change in Rule::default().lapsed(&self.config.convictions, now) {
             self.put_suspicion(change);
         }
