--- a/examples/demo/layout.rs
+++ b/examples/demo/layout.rs
@@ -105,6 +105,9 @@
                 println!("{} endpoints after {:.1} s", seen.len(), begun.elapsed().as_secs_f64());
                 return Ok(());
             }
+            if let Some(name) = self.ended()? {
+                bail!("{name} ended by itself; see its log");
+            }
             if begun.elapsed() > START {
                 bail!(
                     "only {} endpoints after {START:?}; see {}",
@@ -159,6 +162,18 @@
         Ok(failed)
     }
 
+    /// Names a process that ended by itself.
+    fn ended(&mut self) -> Result<Option<String>> {
+        let places = self.places.iter_mut();
+        let beside = places.flat_map(|place| [&mut place.standin, &mut place.agent]);
+        for process in [&mut self.daemon, &mut self.store].into_iter().chain(beside) {
+            if process.has_ended()? {
+                return Ok(Some(process.name.clone()));
+            }
+        }
+        Ok(None)
+    }
+
     /// Finds the place of an endpoint.
     pub fn place(&mut self, endpoint: &str) -> Result<&mut Place> {
         let found = self.places.iter_mut().find(|place| place.endpoint == endpoint);
--- a/examples/demo/main.rs
+++ b/examples/demo/main.rs
@@ -11,12 +11,15 @@
 mod records;
 mod report;
 
+use std::path::Path;
 use std::process::ExitCode;
 
 use clap::Parser;
 use clap::ValueEnum;
 use eyre::Result;
 
+use layout::Layout;
+
 /// Runs the whole system on this machine for a while and reports what became of every sample and
 /// every answer.
 #[derive(Parser)]
@@ -53,17 +56,23 @@
     let args = Args::parse();
     let folder = tempfile::Builder::new().prefix("chicoryford-demo-").tempdir()?;
     println!("seed {}, {} s, folder {}", args.seed, args.seconds, folder.path().display());
-    let mut layout = layout::Layout::new(folder.path())?;
+    let clean = run(&args, folder.path());
+    if args.keep || !matches!(clean, Ok(true)) {
+        println!("kept {}", folder.keep().display());
+    }
+    Ok(if clean? { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+/// Runs everything and tells whether every promise was kept.
+fn run(args: &Args, folder: &Path) -> Result<bool> {
+    let mut layout = Layout::new(folder)?;
     layout.start()?;
     layout.apply_templates()?;
-    let drivers = drive::start(&layout, &args)?;
-    let mishaps = mishap::run(&mut layout, &args)?;
+    let drivers = drive::start(&layout, args)?;
+    let mishaps = mishap::run(&mut layout, args)?;
     let driven = drive::join(drivers)?;
     let stopped = layout.stop()?;
     let verdict = judge::judge(&layout, &driven, &stopped, &mishaps)?;
     report::print(&driven, &verdict);
-    if args.keep || !verdict.is_clean(args.kill.is_some()) {
-        println!("kept {}", folder.keep().display());
-    }
-    Ok(if verdict.is_clean(args.kill.is_some()) { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    Ok(verdict.is_clean(args.kill.is_some()))
 }
--- a/examples/demo/process.rs
+++ b/examples/demo/process.rs
@@ -3,6 +3,7 @@
 use std::fs::OpenOptions;
 use std::net::TcpListener;
 use std::net::UdpSocket;
+use std::ops::Range;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -13,8 +14,10 @@
 
 use eyre::Result;
 use eyre::WrapErr;
+use rand::Rng;
 
 const LOOK: Duration = Duration::from_millis(50);
+const PORTS: Range<u16> = 10_000..32_000;
 
 /// A process and how to start it.
 pub struct Process {
@@ -40,6 +43,11 @@
         })
     }
 
+    /// Tells whether it has ended by itself.
+    pub fn has_ended(&mut self) -> Result<bool> {
+        Ok(self.child.try_wait()?.is_some())
+    }
+
     /// Ends the process at once, as a crash does.
     pub fn kill(&mut self) -> Result<()> {
         self.child.kill()?;
@@ -87,12 +95,13 @@
         .wrap_err_with(|| format!("cannot start {}", program.display()))
 }
 
-/// Finds a port that is free for TCP and UDP just now.
+/// Finds a port that is free for TCP and UDP just now, below those that the operating system
+/// gives to outgoing connections: one of these could take the port before its process starts.
 pub fn free_port() -> Result<u16> {
     loop {
-        let tcp = TcpListener::bind(("127.0.0.1", 0))?;
-        let port = tcp.local_addr()?.port();
-        if UdpSocket::bind(("127.0.0.1", port)).is_ok() {
+        let port = rand::rng().random_range(PORTS);
+        let tcp = TcpListener::bind(("127.0.0.1", port));
+        if tcp.is_ok() && UdpSocket::bind(("127.0.0.1", port)).is_ok() {
             return Ok(port);
         }
     }
--- a/tests/whole/fixture.rs
+++ b/tests/whole/fixture.rs
@@ -6,6 +6,7 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::net::UdpSocket;
+use std::ops::Range;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -19,12 +20,14 @@
 use chicoryford_standin::Recorder;
 use chicoryford_standin::engine;
 use chicoryford_standin::engine::EngineSettings;
+use rand::Rng;
 use serde_json::Value;
 use tempfile::TempDir;
 
 /// Long enough for a busy machine; no test depends on how long something takes.
 pub const PATIENCE: Duration = Duration::from_secs(60);
 const LOOK: Duration = Duration::from_millis(50);
+const PORTS: Range<u16> = 10_000..32_000;
 
 const KEYS: &str = "\
 process all process-token
@@ -194,12 +197,13 @@
     Answer { status: status.unwrap_or_default(), body: body.to_owned() }
 }
 
-/// Finds a port that is free for TCP and UDP just now.
+/// Finds a port that is free for TCP and UDP just now, below those that the operating system
+/// gives to outgoing connections: one of these could take the port before the daemon starts.
 fn free_port() -> u16 {
     loop {
-        let tcp = TcpListener::bind(("127.0.0.1", 0)).unwrap();
-        let port = tcp.local_addr().unwrap().port();
-        if UdpSocket::bind(("127.0.0.1", port)).is_ok() {
+        let port = rand::rng().random_range(PORTS);
+        let tcp = TcpListener::bind(("127.0.0.1", port));
+        if tcp.is_ok() && UdpSocket::bind(("127.0.0.1", port)).is_ok() {
             return port;
         }
     }
