Take an announcement made before the membership thread runs

Cause: the thread subscribed to its own process's announcements after it was spawned; an agent that announced its endpoint in between was never known as an endpoint, not even to itself. Four starts of the demonstration failed so on a busy machine, among starts that succeeded. Change: the first announcement is always taken once, whenever it was made.

--- a/components/membership/src/duty.rs
+++ b/components/membership/src/duty.rs
@@ -139,6 +139,10 @@
             }
         };
         let mut announced = self.own.subscribe();
+        // A role may have announced something between `start` and the start of this thread. A
+        // fresh receiver takes that for seen: an agent's endpoint would never be known, even to
+        // its own process. So the announcement is always taken once.
+        announced.mark_changed();
         let mut ticks = tokio::time::interval(Duration::from_millis(TICK_MS));
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
--- a/components/membership/tests/udp.rs
+++ b/components/membership/tests/udp.rs
@@ -156,3 +156,17 @@
     let kernel = Kernel::new(Metrics::new(None).unwrap());
     assert!(matches!(start(&kernel, &settings), Err(StartError::EmptyToken)));
 }
+
+#[test]
+fn spreads_what_is_announced_before_its_thread_runs() {
+    // Symptom: now and then an agent that started well is known to nobody as an endpoint.
+    // Sequence: membership starts its thread, the agent announces its endpoint, the thread
+    // subscribes to announcements. Cause: a fresh subscription takes what is there for seen.
+    let folder = tempfile::tempdir().unwrap();
+    for _ in 0..20 {
+        let one = Process::start(folder.path(), "one", &[]);
+        one.members.announce(|own| own.address = "early".to_owned());
+        one.until("its own early address", |m| address(m, "one").as_deref() == Some("early"));
+        one.stop();
+    }
+}
