Send answers without waiting for more to send; measure the agent

Cause: streamed answers stood still for 40 ms: the kernel held a small write back until the one before was acknowledged, and the other side delays acknowledgements. Change: wire's server sets TCP_NODELAY; a bench of the gate and of a short generation through the agent against the engine directly; the trainer's change ids carry their time, its pulls wait as told.

--- a/components/agent/tests/live/rig.rs
+++ b/components/agent/tests/live/rig.rs
@@ -88,6 +88,8 @@
     pub config: watch::Sender<Arc<Config>>,
     pub control: Control,
     pub address: String,
+    /// Where the endpoint answers; the bench calls it directly.
+    pub endpoint: String,
     pub client: Client,
     pub records: Recorder,
     pub engine: Option<Arc<Engine>>,
@@ -160,6 +162,7 @@
         server: Running,
     ) -> Self {
         let here = "127.0.0.1:0".parse().unwrap();
+        let endpoint = agent.address.clone();
         let (key_file, keys) = keys();
         let control = Control::default();
         *control.epoch.lock().unwrap() = Epoch(3);
@@ -197,6 +200,7 @@
             config,
             control,
             address: running.address.to_string(),
+            endpoint,
             client,
             records,
             engine,
--- a/components/agent/tests/live/work.rs
+++ b/components/agent/tests/live/work.rs
@@ -169,7 +169,8 @@
         drop(stream);
         until(|| rig.count(|line| line["how"] == "stopped") == 1).await;
         rig.handle.idle().await;
-        assert_eq!(rig.engine.as_ref().unwrap().load().running, 0);
+        let load = chicoryford_agent::engine::load(&rig.client, &rig.endpoint).await.unwrap();
+        assert_eq!(load.running, 0);
         rig.stop().await;
     });
 }
--- a/components/standin/src/trainer.rs
+++ b/components/standin/src/trainer.rs
@@ -20,10 +20,10 @@
 
 /// Time for one request to an entry.
 const TIMEOUT: Duration = Duration::from_secs(10);
-/// Pause after a pull that found nothing, or a request that failed.
+/// Pause after a request that failed.
 const PAUSE: Duration = Duration::from_millis(20);
-/// Milliseconds for which a pull may wait at the entry.
-const WAIT_MS: u64 = 1_000;
+/// Tries to acknowledge a batch, before the trainer goes on and pulls it again.
+const ACK_TRIES: u32 = 50;
 
 /// How a trainer behaves.
 #[derive(Clone, Debug)]
@@ -118,6 +118,7 @@
 struct Batch {
     cursor: u64,
     samples: Vec<Sample>,
+    retry_ms: u64,
 }
 
 /// Trains until the time is over and the last step is whole.
@@ -222,7 +223,6 @@
             "cursor": self.cursor,
             "groups": self.settings.pull,
             "newest": self.report.version,
-            "wait_ms": WAIT_MS,
         });
         let answer = match self.post(paths::STEP_PULL, &question).await {
             Ok(answer) => answer,
@@ -233,7 +233,7 @@
         };
         let batch: Batch = serde_json::from_slice(&answer.body).unwrap_or_default();
         if batch.samples.is_empty() {
-            actix_rt::time::sleep(PAUSE).await;
+            actix_rt::time::sleep(Duration::from_millis(batch.retry_ms)).await;
             return None;
         }
         if self.cursor.is_multiple_of(4)
@@ -246,13 +246,15 @@
 
     async fn acknowledge(&mut self, cursor: u64) {
         let question = json!({ "workspace": self.settings.workspace, "cursor": cursor });
-        loop {
+        for _ in 0..ACK_TRIES {
             match self.post(paths::STEP_ACK, &question).await {
-                Ok(_) => break,
+                Ok(_) => {
+                    self.cursor = cursor + 1;
+                    return;
+                }
                 Err(error) => self.failed("ack", &error).await,
             }
         }
-        self.cursor = cursor + 1;
     }
 
     async fn publish_if_due(&mut self) {
@@ -262,7 +264,7 @@
         self.published = Instant::now();
         let version = self.report.version + 1;
         let question = json!({
-            "change": format!("{}-{}-{version}", self.settings.workspace, self.settings.seed),
+            "change": format!("{}.{}-{version}", record::unix(), self.settings.workspace),
             "workspace": self.settings.workspace,
             "model": self.settings.model,
             "version": version,
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -276,7 +276,11 @@
             Box::pin(async move { Ok(answer(request, &routes, &keys, body, read).await) });
         answer
     });
-    HttpService::build().keep_alive(bounds.idle).client_request_timeout(bounds.read).finish(handler)
+    HttpService::build()
+        .tcp_nodelay(true)
+        .keep_alive(bounds.idle)
+        .client_request_timeout(bounds.read)
+        .finish(handler)
 }
 
 async fn answer(
