--- a/components/entry/src/chat/handler.rs
+++ b/components/entry/src/chat/handler.rs
@@ -37,8 +37,7 @@
     let content = content(&body);
     let (job, admitted) = door::job(context, call, body.model.clone(), &content)?;
     let task = body::generation(shape, &body, admitted.tokens)?;
-    let entered = context.router.enter(&job.workspace).await?;
-    let mut generating = Generating::new(context.clone(), job, task, Some(entered));
+    let mut generating = Generating::enter(context.clone(), job, task).await?;
     let head = Head::new(shape, &generating);
     // The first piece is awaited before the answer begins, so that a refusal has its own status
     // and a client that reads only the status sees it.
--- a/components/entry/src/router/book.rs
+++ b/components/entry/src/router/book.rs
@@ -1,298 +1,398 @@
-//! The router's decisions: pure functions of what it knows, an event and the time.
+//! The router's decisions: pure functions of what it knows, an event and the time. It joins
+//! `chicoryford_admission`, which says when a request starts, and `chicoryford_routing`, which
+//! says where each of its attempts goes.
 
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::sync::Arc;
 
-use chicoryford_types::Class;
+use chicoryford_admission::Action;
+use chicoryford_admission::Admission;
+use chicoryford_admission::Ask;
+use chicoryford_admission::Done;
+use chicoryford_admission::Lease;
+use chicoryford_admission::Retry;
+use chicoryford_admission::Room;
+use chicoryford_admission::Verdict as Entry;
+use chicoryford_admission::shares::even;
+use chicoryford_routing::NoChoice;
+use chicoryford_routing::Place;
+use chicoryford_routing::Router;
+use chicoryford_routing::Seat;
 use chicoryford_types::Code;
 use chicoryford_types::Config;
-use chicoryford_types::Endpoint;
 use chicoryford_types::Failure;
 use chicoryford_types::LoadReport;
 use chicoryford_types::Members;
 use chicoryford_types::Millis;
 use chicoryford_types::Model;
-use chicoryford_types::Workspace;
-use chicoryford_types::config::StopTarget;
-use chicoryford_types::template::Limits;
-use chicoryford_types::template::Retries;
-use rand::Rng;
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
+use chicoryford_types::RequestId;
 
-use crate::router::budget::Budget;
-use crate::router::limit::Usage;
-use crate::router::queue::Queue;
-use crate::router::queue::Waiting;
+use crate::router::overlay::Overlay;
+use crate::router::seat::Again;
 use crate::router::seat::Pick;
-use crate::router::seat::Seat;
 use crate::router::seat::Verdict;
 use crate::router::seat::Want;
 
-/// The rest of an endpoint after its first failure, in milliseconds; it doubles with each more.
-const REST: u64 = 250;
-/// The longest rest, in milliseconds.
-const REST_BOUND: u64 = 8_000;
-/// The rest of an endpoint whose agent refused because it was full, in milliseconds.
-const FULL_REST: u64 = 30;
 /// When a request that found no endpoint may come back, in milliseconds.
 const ABSENT_RETRY: u64 = 1_000;
-/// When a request that found the queue full may come back, in milliseconds.
+/// When a request that found this entry full may come back, in milliseconds.
 const FULL_RETRY: u64 = 500;
+/// Tokens that an answer is expected to have until the model's answers are known. It is low on
+/// purpose: a request must not be refused for lack of time on a guess.
+const LENGTH: f32 = 16.0;
+/// The weight of a new answer in the mean length of a model's answers.
+const LEARN: f32 = 0.05;
+/// One in this many requests is let in whether or not it seems to have time. Expectations are
+/// learned from requests that finish; if none were let in, an expectation that an overload
+/// once made too long would refuse all requests for ever.
+const TRIAL: u64 = 16;
 
-/// An answer to an attempt that asked for an endpoint.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Answer {
-    /// Which attempt.
-    pub id: u64,
-    /// The endpoint, or why there is none; always "not run".
-    pub result: Result<Pick, Failure>,
+/// Bounds on what this entry holds at once, and where it stands.
+#[derive(Clone, Debug, Default)]
+pub struct Bounds {
+    /// Requests in progress.
+    pub running: usize,
+    /// Requests that wait.
+    pub waiting: usize,
+    /// Endpoints of one model that this entry uses.
+    pub subset: usize,
+    /// Where this entry stands.
+    pub place: Place,
 }
 
+/// An attempt in progress.
+#[derive(Clone, Debug)]
+struct Running {
+    seat: Seat,
+    model: Model,
+    pick: Pick,
+    begun: Millis,
+    tokens: u32,
+}
+
+/// A place at an endpoint: its number, and the endpoint.
+pub type Placed = (u64, Pick);
+
+/// What became of a request that wanted in.
+pub type Entering = Result<Placed, Failure>;
+
 /// What the router knows.
 pub struct Book {
-    /// The endpoints by name.
-    pub seats: BTreeMap<Endpoint, Seat>,
-    /// Entries that are alive, this one included; each holds an equal share of limits.
+    /// Chooses endpoints.
+    pub routing: Router,
+    /// Admits requests.
+    pub admission: Admission,
+    /// Entries that are alive, this one included.
     pub entries: u32,
-    /// What each workspace uses.
-    pub usage: BTreeMap<Workspace, Usage>,
-    /// Attempts that wait, by model.
-    pub queues: BTreeMap<Model, Queue>,
-    budgets: BTreeMap<Workspace, Budget>,
+    rank: u32,
+    members: Arc<Members>,
     config: Arc<Config>,
+    overlay: Overlay,
+    waiting: HashMap<RequestId, Want>,
+    started: HashMap<RequestId, Millis>,
+    running: HashMap<u64, Running>,
+    lengths: HashMap<Model, f32>,
+    next: u64,
+    asked: u64,
     bounds: Bounds,
-    random: SmallRng,
-    ticked: Millis,
-}
-
-/// Bounds on what this entry holds at once.
-#[derive(Clone, Copy, Debug)]
-pub struct Bounds {
-    /// Requests in progress.
-    pub running: usize,
-    /// Attempts that wait for an endpoint.
-    pub waiting: usize,
 }
 
 impl Book {
     /// Starts with no endpoints.
     pub fn new(bounds: Bounds, seed: u64) -> Self {
+        let routing = chicoryford_routing::Settings {
+            subset: bounds.subset,
+            ..chicoryford_routing::Settings::default()
+        };
+        let admission = chicoryford_admission::Settings {
+            waiting: bounds.waiting,
+            ..chicoryford_admission::Settings::default()
+        };
         Self {
-            seats: BTreeMap::new(),
+            routing: Router::new(routing, bounds.place.clone(), seed),
+            admission: Admission::new(admission, seed.rotate_left(32)),
             entries: 1,
-            usage: BTreeMap::new(),
-            queues: BTreeMap::new(),
-            budgets: BTreeMap::new(),
+            rank: 0,
+            members: Arc::default(),
             config: Arc::default(),
+            overlay: Overlay::default(),
+            waiting: HashMap::new(),
+            started: HashMap::new(),
+            running: HashMap::new(),
+            lengths: HashMap::new(),
+            next: 0,
+            asked: 0,
             bounds,
-            random: SmallRng::seed_from_u64(seed),
-            ticked: Millis::default(),
         }
     }
 
     /// Takes in who is there.
-    pub fn members(&mut self, members: &Members, now: Millis) -> Vec<Answer> {
-        let mut before = std::mem::take(&mut self.seats);
-        self.entries = members.present().filter(|m| m.roles.entry).count().max(1) as u32;
-        for member in members.present() {
-            let Some(info) = &member.endpoint else { continue };
-            let pick = Pick {
-                endpoint: info.name.clone(),
-                agent: member.node.clone(),
-                address: member.address.clone(),
-                incarnation: member.incarnation,
-            };
-            let mut seat = before.remove(&info.name).unwrap_or_default();
-            if seat.pick.incarnation != pick.incarnation {
-                seat.failures = 0;
-                seat.rests = Millis::default();
-            }
-            seat.info = info.clone();
-            seat.place = member.data_centre.clone();
-            seat.pick = pick;
-            self.seats.insert(info.name.clone(), seat);
-        }
-        self.serve(now)
+    pub fn members(&mut self, members: Arc<Members>, now: Millis) {
+        let entries = members.present().filter(|member| member.roles.entry);
+        let names: Vec<_> = entries.map(|member| &member.node).collect();
+        self.entries = names.len().max(1) as u32;
+        self.rank = names.iter().filter(|name| ***name < self.bounds.place.node).count() as u32;
+        self.members = members;
+        self.lay(now);
+        self.lease();
     }
 
     /// Takes in accepted configuration.
-    pub fn configure(&mut self, config: Arc<Config>) {
+    pub fn configure(&mut self, config: Arc<Config>, now: Millis) {
         self.config = config;
+        self.lay(now);
+        self.lease();
     }
 
-    /// Counts a request in.
-    ///
-    /// # Errors
-    ///
-    /// The refusal, if the workspace or this entry is at its limit.
-    pub fn enter(&mut self, workspace: &Workspace, now: Millis) -> Result<(), Failure> {
-        let total: usize = self.usage.values().map(|usage| usage.running as usize).sum();
-        if total >= self.bounds.running {
-            let detail = format!("{total} requests are in progress at this entry");
-            return Err(Failure::not_run(Code::Overloaded, detail).retry_after(FULL_RETRY));
+    fn lay(&mut self, now: Millis) {
+        let laid = self.overlay.lay(&self.members, &self.config);
+        self.routing.observe_members(now, &laid);
+    }
+
+    /// Gives each workspace this entry's equal share of its limits.
+    fn lease(&mut self) {
+        for (workspace, versioned) in &self.config.templates {
+            let template = &versioned.template;
+            let limits = template.limits;
+            let lease = Lease {
+                rate: limits.rate as f32 / self.entries as f32,
+                running: even(limits.running, self.entries, self.rank),
+            };
+            let (retries, weight) = (template.retries, template.weight);
+            self.admission.observe_workspace(workspace, limits, retries, weight, lease);
         }
-        let limits = self.limits(workspace);
-        let usage = self.usage.entry(workspace.clone()).or_default();
-        usage.enter(&limits, self.entries, now)
     }
 
-    /// Counts a request out.
-    pub fn leave(&mut self, workspace: &Workspace, ran: bool) {
-        if let Some(usage) = self.usage.get_mut(workspace) {
-            usage.leave();
+    /// Decides on a request at the door; none if it waits, and [`Self::poll`] tells later.
+    pub fn enter(&mut self, want: Want, now: Millis) -> Option<Entering> {
+        let total = self.admission.running();
+        if total >= self.bounds.running {
+            let detail = format!("{total} requests are in progress at this entry");
+            let failure = Failure::not_run(Code::Overloaded, detail).retry_after(FULL_RETRY);
+            return Some(Err(failure));
         }
-        if ran {
-            let retries = self.retries(workspace);
-            self.budgets.entry(workspace.clone()).or_default().succeeded(&retries);
+        let expected_ms = match self.expect(&want, now) {
+            Ok(expected_ms) => expected_ms,
+            Err(failure) => return Some(Err(failure)),
+        };
+        self.asked += 1;
+        let is_trial = self.asked.is_multiple_of(TRIAL);
+        let expected_ms = if is_trial { 1 } else { expected_ms };
+        let ask = Ask {
+            id: want.request,
+            workspace: &want.workspace,
+            model: &want.model,
+            class: want.class,
+            deadline: want.deadline,
+            expected_ms,
+            room: room(&self.routing, &want.model, now),
+        };
+        let entry = self.admission.admit(now, &ask);
+        match entry {
+            Entry::Admit => Some(self.begin(&want, now)),
+            Entry::Wait => {
+                self.waiting.insert(want.request, want);
+                None
+            }
+            Entry::Refuse(refused) => {
+                Some(Err(refused.failure(&explain(refused.code, &want.model))))
+            }
         }
     }
 
-    /// Looks for an endpoint; the answer may come with a later event.
-    pub fn ask(&mut self, id: u64, want: Want, now: Millis) -> Vec<Answer> {
-        let budget = self.budgets.entry(want.workspace.clone()).or_default();
-        if want.retry && !budget.take() {
-            let detail = "the workspace's retry budget is used up";
-            let failure = Failure::not_run(Code::Overloaded, detail).retry_after(FULL_RETRY);
-            return vec![Answer { id, result: Err(failure) }];
+    /// Starts a request that was admitted: finds its first endpoint.
+    fn begin(&mut self, want: &Want, now: Millis) -> Entering {
+        self.started.insert(want.request, now);
+        let placed = self.choose(want, now);
+        if placed.is_err() {
+            self.leave(want.request, false, now);
         }
-        let any = self.seats.values().any(|seat| self.may_serve(seat, &want));
-        if !any {
-            let detail = format!("no endpoint of {} is known to work", want.model);
-            let failure = Failure::not_run(Code::NoEndpoint, detail).retry_after(ABSENT_RETRY);
-            return vec![Answer { id, result: Err(failure) }];
+        placed
+    }
+
+    /// Takes out a request that was admitted.
+    pub fn leave(&mut self, request: RequestId, ran: bool, now: Millis) {
+        if let Some(begun) = self.started.remove(&request) {
+            let done = Done { ok: ran, ms: now.since(begun) };
+            self.admission.finished(now, request, done);
         }
-        let waits: usize = self.queues.values().map(Queue::len).sum();
-        if waits >= self.bounds.waiting && want.class != Class::Urgent {
-            let detail = format!("{waits} attempts wait for an endpoint");
-            let failure = Failure::not_run(Code::Overloaded, detail).retry_after(FULL_RETRY);
-            return vec![Answer { id, result: Err(failure) }];
+    }
+
+    /// Takes out a request that waits and whose asker went away.
+    pub fn forget(&mut self, request: RequestId) {
+        if self.waiting.remove(&request).is_some() {
+            self.admission.cancelled(request);
         }
-        self.queues.entry(want.model.clone()).or_default().push(Waiting { id, want });
-        self.serve(now)
     }
 
-    /// Takes in how an attempt ended.
-    pub fn ended(&mut self, endpoint: &Endpoint, verdict: Verdict, now: Millis) -> Vec<Answer> {
-        if let Some(seat) = self.seats.get_mut(endpoint) {
-            seat.running = seat.running.saturating_sub(1);
-            match verdict {
-                Verdict::Ran(load) => {
-                    seat.failures = 0;
-                    if let Some(load) = load {
-                        note(seat, load, now);
-                    }
+    /// Gives what becomes of requests that waited.
+    pub fn poll(&mut self, now: Millis) -> Vec<(RequestId, Entering)> {
+        let routing = &self.routing;
+        let actions = self.admission.poll(now, |model| room(routing, model, now));
+        let mut entered = Vec::new();
+        for action in actions {
+            match action {
+                Action::Run(id) => {
+                    let Some(want) = self.waiting.remove(&id) else { continue };
+                    let placed = self.begin(&want, now);
+                    entered.push((id, placed));
                 }
-                Verdict::Full => seat.rests = seat.rests.max(now + FULL_REST),
-                Verdict::Leaving => seat.info.draining = true,
-                Verdict::Failed => {
-                    seat.failures += 1;
-                    let rest = REST << seat.failures.min(6).saturating_sub(1);
-                    seat.rests = now + rest.min(REST_BOUND);
+                Action::Refuse(id, refused) => {
+                    let Some(want) = self.waiting.remove(&id) else { continue };
+                    let failure = refused.failure(&explain(refused.code, &want.model));
+                    entered.push((id, Err(failure)));
                 }
-                Verdict::Dropped => {}
             }
         }
-        self.serve(now)
+        entered
     }
 
-    /// Takes in a load report.
-    pub fn load(&mut self, report: LoadReport, now: Millis) {
-        if let Some(seat) = self.seats.get_mut(&report.name) {
-            note(seat, report, now);
+    /// Chooses the endpoint of an attempt and counts the attempt there.
+    ///
+    /// # Errors
+    ///
+    /// The failure to tell, always "not run".
+    pub fn choose(&mut self, want: &Want, now: Millis) -> Result<Placed, Failure> {
+        let tokens = self.expected_tokens(want);
+        let avoid: Vec<Seat> =
+            want.avoid.iter().filter_map(|endpoint| self.routing.find(endpoint)).collect();
+        let mut chosen = self.ask_routing(want, tokens, &avoid, now);
+        if chosen == Err(NoChoice::Excluded) {
+            // An endpoint that failed once is better than none.
+            chosen = self.ask_routing(want, tokens, &[], now);
         }
+        let choice = chosen.map_err(|none| absent(none, &want.model))?;
+        let Some(target) = self.routing.target(choice.seat) else {
+            return Err(absent(NoChoice::Unserved, &want.model));
+        };
+        let pick = Pick {
+            endpoint: target.endpoint.clone(),
+            agent: target.agent.clone(),
+            address: target.address.clone(),
+            incarnation: target.incarnation,
+        };
+        self.routing.started(now, choice.seat, tokens, want.prefix);
+        self.next += 1;
+        let (seat, model) = (choice.seat, want.model.clone());
+        let running = Running { seat, model, pick: pick.clone(), begun: now, tokens };
+        self.running.insert(self.next, running);
+        Ok((self.next, pick))
     }
 
-    /// Lets time pass: gives up attempts whose deadline came, and serves those that wait.
-    pub fn tick(&mut self, now: Millis) -> Vec<Answer> {
-        let elapsed = now.since(self.ticked);
-        self.ticked = now;
-        for budget in self.budgets.values_mut() {
-            budget.restore(elapsed);
-        }
-        let mut answers = Vec::new();
-        for (model, queue) in &mut self.queues {
-            for waiting in queue.expire(now) {
-                let detail = format!("no endpoint of {model} had room before the deadline");
-                let failure = Failure::not_run(Code::DeadlineTooClose, detail);
-                let result = Err(failure.retry_after(FULL_RETRY));
-                answers.push(Answer { id: waiting.id, result });
-            }
-        }
-        answers.extend(self.serve(now));
-        answers
+    fn ask_routing(
+        &mut self,
+        want: &Want,
+        tokens: u32,
+        exclude: &[Seat],
+        now: Millis,
+    ) -> Result<chicoryford_routing::Choice, NoChoice> {
+        let want = chicoryford_routing::Want {
+            model: &want.model,
+            class: want.class,
+            prefix: want.prefix,
+            prompt: want.prompt,
+            tokens,
+            floor: want.floor,
+            exclude,
+            suspect: want.suspect,
+        };
+        self.routing.choose(now, &want)
     }
 
-    fn serve(&mut self, now: Millis) -> Vec<Answer> {
-        let mut answers = Vec::new();
-        let mut queues = std::mem::take(&mut self.queues);
-        for queue in queues.values_mut() {
-            while !queue.is_empty() {
-                let taken = queue.take(|want| self.has_room(want, now));
-                let Some(waiting) = taken else { break };
-                let Some(pick) = self.choose(&waiting.want, now) else { break };
-                answers.push(Answer { id: waiting.id, result: Ok(pick) });
-            }
-        }
-        queues.retain(|_, queue| !queue.is_empty());
-        self.queues = queues;
-        answers
+    fn expect(&mut self, want: &Want, now: Millis) -> Result<u64, Failure> {
+        let tokens = self.expected_tokens(want);
+        let chosen = self.ask_routing(want, tokens, &[], now);
+        chosen.map(|choice| choice.expected_ms).map_err(|none| absent(none, &want.model))
     }
 
-    fn has_room(&self, want: &Want, now: Millis) -> bool {
-        self.seats.values().any(|seat| self.may_serve(seat, want) && seat.has_room(now))
+    fn expected_tokens(&self, want: &Want) -> u32 {
+        let mean = self.lengths.get(&want.model).copied().unwrap_or(LENGTH);
+        (mean.ceil() as u32).min(want.tokens)
     }
 
-    /// Chooses the endpoint with the least in flight, and counts the attempt there.
-    fn choose(&mut self, want: &Want, now: Millis) -> Option<Pick> {
-        let mut best: Option<(bool, u32, u32, Endpoint)> = None;
-        for (name, seat) in &self.seats {
-            if !self.may_serve(seat, want) || !seat.has_room(now) {
-                continue;
+    /// Takes in how an attempt ended and how many tokens it produced.
+    pub fn ended(&mut self, place: u64, verdict: Verdict, tokens: u32, now: Millis) {
+        let Some(running) = self.running.remove(&place) else { return };
+        let Running { seat, model, pick, begun, tokens: expected } = running;
+        let left = expected.saturating_sub(tokens);
+        self.routing.finished(now, seat, verdict.ending(), now.since(begun), tokens, left);
+        match verdict {
+            Verdict::Ran(load) => {
+                if tokens > 0 {
+                    let mean = self.lengths.entry(model).or_insert(tokens as f32);
+                    *mean += LEARN * (tokens as f32 - *mean);
+                }
+                if let Some(load) = load {
+                    self.load(&load, now);
+                }
             }
-            let fill = seat.running * 1_000 / seat.info.slots.max(1);
-            let rank = (want.avoid.contains(name), fill, self.random.random(), name.clone());
-            if best.as_ref().is_none_or(|best| rank < *best) {
-                best = Some(rank);
+            Verdict::Leaving => {
+                self.overlay.refused(pick.endpoint, pick.incarnation, now);
+                self.lay(now);
             }
+            Verdict::Failed | Verdict::Silent | Verdict::Dropped => {}
         }
-        let (_, _, _, name) = best?;
-        let seat = self.seats.get_mut(&name)?;
-        seat.running += 1;
-        Some(seat.pick.clone())
     }
 
-    fn may_serve(&self, seat: &Seat, want: &Want) -> bool {
-        seat.serves(want) && !self.stops(seat)
+    /// Decides whether a request is tried again; gives the milliseconds to wait before.
+    pub fn again(&mut self, again: &Again, now: Millis) -> Option<u64> {
+        let retry = Retry {
+            workspace: &again.workspace,
+            attempts: again.attempts,
+            outcome: again.outcome,
+            repeatable: again.repeatable,
+            deadline: again.deadline,
+            expected_ms: 0,
+        };
+        self.admission.may_retry(now, &retry)
     }
 
-    fn stops(&self, seat: &Seat) -> bool {
-        self.config.stops.values().any(|stop| match &stop.target {
-            StopTarget::Endpoint(target) => *target == seat.info.name,
-            StopTarget::Node(target) => *target == seat.pick.agent,
-            StopTarget::DataCentre(target) => *target == seat.place,
-        })
+    /// Takes in a load report.
+    pub fn load(&mut self, report: &LoadReport, now: Millis) {
+        self.routing.observe_report(now, report);
     }
 
-    fn limits(&self, workspace: &Workspace) -> Limits {
-        let versioned = self.config.templates.get(workspace);
-        versioned.map(|versioned| versioned.template.limits).unwrap_or_default()
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Millis) {
+        if self.overlay.forget(now) {
+            self.lay(now);
+        }
     }
 
-    fn retries(&self, workspace: &Workspace) -> Retries {
-        let versioned = self.config.templates.get(workspace);
-        versioned.map(|versioned| versioned.template.retries).unwrap_or_default()
+    /// Lists the agents that should report to this entry.
+    pub fn subset(&self) -> Vec<Pick> {
+        let mut picks: Vec<Pick> = Vec::new();
+        for model in self.routing.models() {
+            for seat in self.routing.subset_of(model) {
+                let Some(target) = self.routing.target(*seat) else { continue };
+                let pick = Pick {
+                    endpoint: target.endpoint.clone(),
+                    agent: target.agent.clone(),
+                    address: target.address.clone(),
+                    incarnation: target.incarnation,
+                };
+                if !picks.iter().any(|known| known.endpoint == pick.endpoint) {
+                    picks.push(pick);
+                }
+            }
+        }
+        picks
     }
 }
 
-/// Keeps a report unless a newer one of the same agent was there before.
-fn note(seat: &mut Seat, report: LoadReport, now: Millis) {
-    let newer = seat.load.as_ref().is_none_or(|(held, _)| report.seq >= held.seq);
-    if !newer {
-        return;
-    }
-    for (model, version) in &report.versions {
-        seat.info.models.insert(model.clone(), *version);
+fn room(routing: &Router, model: &Model, now: Millis) -> Room {
+    let view = routing.view(now, model, None);
+    Room { slots: view.slots, load: view.load }
+}
+
+fn absent(none: NoChoice, model: &Model) -> Failure {
+    Failure::not_run(none.code(), format!("{model}: {none}")).retry_after(ABSENT_RETRY)
+}
+
+fn explain(code: Code, model: &Model) -> String {
+    match code {
+        Code::LimitReached => "the workspace is at its limit at this entry".to_owned(),
+        Code::DeadlineTooClose => format!("{model} could not answer before the deadline"),
+        _ => format!("too many requests wait for {model}"),
     }
-    seat.load = Some((report, now));
 }
--- a/components/entry/src/router/duty.rs
+++ b/components/entry/src/router/duty.rs
@@ -9,19 +9,20 @@
 use chicoryford_kernel::Receiver;
 use chicoryford_kernel::duty::DutyError;
 use chicoryford_kernel::ring;
+use chicoryford_routing::Place;
 use chicoryford_settings::Settings;
 use chicoryford_types::Config;
-use chicoryford_types::Failure;
 use chicoryford_types::Members;
-use serde_json::Value;
-use serde_json::json;
-use tokio::sync::oneshot;
+use chicoryford_types::RequestId;
 use tokio::sync::watch;
 
-use crate::router::book::Answer;
 use crate::router::book::Book;
 use crate::router::book::Bounds;
+use crate::router::book::Entering;
+use crate::router::book::Placed;
+use crate::router::dump::dump;
 use crate::router::handle::Ask;
+use crate::router::handle::EnterSender;
 use crate::router::handle::Entered;
 use crate::router::handle::Router;
 use crate::router::handle::SERVICE;
@@ -31,6 +32,8 @@
 const RING: usize = 16_384;
 /// The time between two looks at the deadlines of those that wait.
 const TICK: Duration = Duration::from_millis(10);
+/// Ticks between two reports of metrics.
+const GAUGES: u64 = 100;
 
 /// Starts the duty and offers its handle.
 ///
@@ -52,10 +55,19 @@
         async move { router.dump().await }
     });
     let entry = settings.entry.clone().unwrap_or_default();
-    let bounds = Bounds { running: entry.running, waiting: entry.waiting };
+    let bounds = Bounds {
+        running: entry.running,
+        waiting: entry.waiting,
+        subset: entry.subset,
+        place: Place {
+            node: settings.node.clone(),
+            region: settings.region.clone(),
+            data_centre: settings.data_centre.clone(),
+        },
+    };
     kernel.duty("router", move |kernel| async move {
         let book = Book::new(bounds, rand::random());
-        let duty = Duty { kernel, book, router, waiting: HashMap::new(), next: 0 };
+        let duty = Duty { kernel, book, router, waiting: HashMap::new(), ticks: 0 };
         duty.run(receiver, members, config).await;
     })?;
     Ok(())
@@ -65,8 +77,8 @@
     kernel: Kernel,
     book: Book,
     router: Router,
-    waiting: HashMap<u64, oneshot::Sender<Result<Ticket, Failure>>>,
-    next: u64,
+    waiting: HashMap<RequestId, EnterSender>,
+    ticks: u64,
 }
 
 impl Duty {
@@ -83,88 +95,84 @@
         let stopped = phases.reached(Phase::Stopping);
         tokio::pin!(stopped);
         loop {
-            let answers = tokio::select! {
+            tokio::select! {
                 () = &mut stopped => return,
-                ask = asks.next() => match ask {
-                    Some(ask) => self.take(ask),
-                    None => return,
-                },
                 Ok(()) = members.changed() => {
                     let view = members.borrow_and_update().clone();
-                    self.book.members(&view, self.kernel.now())
+                    self.book.members(view, self.kernel.now());
                 }
                 Ok(()) = config.changed() => {
-                    self.book.configure(config.borrow_and_update().clone());
-                    Vec::new()
+                    let current = config.borrow_and_update().clone();
+                    self.book.configure(current, self.kernel.now());
+                }
+                ask = asks.next() => match ask {
+                    Some(ask) => self.take(ask),
+                    None => return,
+                },
+                _ = tick.tick() => self.tick(),
+            }
+            for (request, entering) in self.book.poll(self.kernel.now()) {
+                if let Some(sender) = self.waiting.remove(&request) {
+                    self.let_in(request, entering, sender);
                 }
-                _ = tick.tick() => self.book.tick(self.kernel.now()),
-            };
-            self.send(answers);
+            }
         }
     }
 
-    fn take(&mut self, ask: Ask) -> Vec<Answer> {
+    fn take(&mut self, ask: Ask) {
         let now = self.kernel.now();
         match ask {
-            Ask::Enter(workspace, sender) => {
-                let entered = self.book.enter(&workspace, now);
-                let router = self.router.clone();
-                let _ = sender.send(entered.map(|()| Entered::new(router, workspace)));
-                Vec::new()
-            }
-            Ask::Leave(workspace, ran) => {
-                self.book.leave(&workspace, ran);
-                Vec::new()
+            Ask::Enter(want, sender) => {
+                let request = want.request;
+                match self.book.enter(*want, now) {
+                    Some(entering) => self.let_in(request, entering, sender),
+                    None => {
+                        self.waiting.insert(request, sender);
+                    }
+                }
             }
+            Ask::Leave(request, ran) => self.book.leave(request, ran, now),
             Ask::Choose(want, sender) => {
-                self.next += 1;
-                self.waiting.insert(self.next, sender);
-                self.book.ask(self.next, *want, now)
+                let chosen = self.book.choose(&want, now);
+                let _ = sender.send(chosen.map(|placed| self.ticket(placed)));
+            }
+            Ask::Ended(place, verdict, tokens) => self.book.ended(place, verdict, tokens, now),
+            Ask::Again(again, sender) => {
+                let _ = sender.send(self.book.again(&again, now));
             }
-            Ask::Ended(endpoint, verdict) => self.book.ended(&endpoint, verdict, now),
-            Ask::Load(report) => {
-                self.book.load(*report, now);
-                Vec::new()
+            Ask::Load(report) => self.book.load(&report, now),
+            Ask::Subset(sender) => {
+                let _ = sender.send(self.book.subset());
             }
             Ask::Dump(sender) => {
                 let _ = sender.send(dump(&self.book));
-                Vec::new()
             }
         }
     }
 
-    /// Sends answers out. A place whose asker went away is given back by the ticket's drop,
-    /// wherever on the way it is lost; otherwise the endpoint would look busy for ever.
-    fn send(&mut self, answers: Vec<Answer>) {
-        for Answer { id, result } in answers {
-            let result = result.map(|pick| Ticket::new(self.router.clone(), pick));
-            if let Some(sender) = self.waiting.remove(&id) {
-                let _ = sender.send(result);
-            }
-        }
+    /// Tells a request what became of it. What was counted for an asker that went away is given
+    /// back by the drops of [`Entered`] and [`Ticket`], wherever on the way they are lost.
+    fn let_in(&self, request: RequestId, entering: Entering, sender: EnterSender) {
+        let entered = entering
+            .map(|placed| (Entered::new(self.router.clone(), request), self.ticket(placed)));
+        let _ = sender.send(entered);
     }
-}
 
-fn dump(book: &Book) -> Value {
-    let seats = book.seats.iter().map(|(name, seat)| {
-        json!({
-            "endpoint": name,
-            "agent": seat.pick.agent,
-            "running": seat.running,
-            "slots": seat.info.slots,
-            "draining": seat.info.draining,
-            "healthy": seat.info.healthy,
-            "failures": seat.failures,
-            "models": seat.info.models,
-            "load": seat.load.as_ref().map(|(load, _)| load),
-        })
-    });
-    let usage = book.usage.iter().map(|(name, usage)| (name.as_str(), usage.running));
-    let queues = book.queues.iter().map(|(name, queue)| (name.as_str(), queue.len()));
-    json!({
-        "endpoints": seats.collect::<Vec<_>>(),
-        "running": usage.collect::<std::collections::BTreeMap<_, _>>(),
-        "waiting": queues.collect::<std::collections::BTreeMap<_, _>>(),
-        "entries": book.entries,
-    })
+    fn ticket(&self, (place, pick): Placed) -> Ticket {
+        Ticket::new(self.router.clone(), place, pick)
+    }
+
+    fn tick(&mut self) {
+        self.book.tick(self.kernel.now());
+        self.ticks += 1;
+        if !self.ticks.is_multiple_of(GAUGES) {
+            return;
+        }
+        self.kernel.metrics.gauge("entry.running", self.book.admission.running() as u64);
+        self.kernel.metrics.gauge("entry.waiting", self.book.admission.waiting() as u64);
+        let gone = self.waiting.extract_if(|_, sender| sender.is_closed());
+        for (request, _) in gone.collect::<Vec<_>>() {
+            self.book.forget(request);
+        }
+    }
 }
--- a/components/entry/src/router/mod.rs
+++ b/components/entry/src/router/mod.rs
@@ -1,11 +1,11 @@
-//! Chooses endpoints: one duty owns the decision, HTTP workers ask it by a bounded ring.
+//! Admits requests and chooses endpoints: one duty owns both decisions
+//! (`chicoryford_admission`, `chicoryford_routing`), HTTP workers ask it by a bounded ring.
 
 pub mod book;
-pub mod budget;
+pub mod dump;
 pub mod duty;
 pub mod handle;
-pub mod limit;
-pub mod queue;
+pub mod overlay;
 pub mod seat;
 
 pub use book::Book;
@@ -13,6 +13,7 @@
 pub use handle::Router;
 pub use handle::SERVICE;
 pub use handle::Ticket;
+pub use seat::Again;
 pub use seat::Pick;
 pub use seat::Verdict;
 pub use seat::Want;
--- a/components/entry/src/router/seat.rs
+++ b/components/entry/src/router/seat.rs
@@ -1,21 +1,24 @@
-//! What is asked of the router, what it answers, and what it knows of one endpoint.
+//! What is asked of the router and what it answers.
 
+use chicoryford_routing::Ending;
 use chicoryford_types::Class;
 use chicoryford_types::Code;
-use chicoryford_types::DataCentre;
 use chicoryford_types::Endpoint;
-use chicoryford_types::EndpointInfo;
 use chicoryford_types::Incarnation;
 use chicoryford_types::LoadReport;
 use chicoryford_types::Millis;
 use chicoryford_types::Model;
 use chicoryford_types::Node;
+use chicoryford_types::Outcome;
+use chicoryford_types::RequestId;
 use chicoryford_types::Version;
 use chicoryford_types::Workspace;
 
 /// An attempt that looks for an endpoint.
 #[derive(Clone, Debug, Default)]
 pub struct Want {
+    /// The request.
+    pub request: RequestId,
     /// The workspace on whose behalf it runs.
     pub workspace: Workspace,
     /// The model or service.
@@ -28,8 +31,14 @@
     pub avoid: Vec<Endpoint>,
     /// The oldest version that may produce its tokens.
     pub floor: Option<Version>,
-    /// Whether it is a retry, which the workspace's retry budget must allow.
-    pub retry: bool,
+    /// Whether its content is suspected of crashing endpoints.
+    pub suspect: bool,
+    /// The hash of the prompt's prefix, if it is long enough to be worth caching.
+    pub prefix: Option<u64>,
+    /// Tokens of the prompt, estimated.
+    pub prompt: u32,
+    /// Tokens that it may still produce; zero for a call of a plain service.
+    pub tokens: u32,
 }
 
 /// An endpoint that was chosen.
@@ -45,18 +54,33 @@
     pub incarnation: Incarnation,
 }
 
+/// A request whose attempt failed and that may be tried again.
+#[derive(Clone, Debug)]
+pub struct Again {
+    /// On whose behalf.
+    pub workspace: Workspace,
+    /// Attempts so far.
+    pub attempts: u32,
+    /// What became of the last one.
+    pub outcome: Outcome,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// When its answer is worthless.
+    pub deadline: Millis,
+}
+
 /// How an attempt ended, as far as it tells something about its endpoint.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub enum Verdict {
     /// It ran to its end; the agent may have told the load just then.
     Ran(Option<LoadReport>),
-    /// The agent refused it because it is full.
-    Full,
     /// The agent refused it because its endpoint is leaving.
     Leaving,
     /// The endpoint failed.
     Failed,
-    /// It was given up for a reason that tells nothing about the endpoint.
+    /// Its connection went silent, and the agent answered a new one.
+    Silent,
+    /// It was refused or given up for a reason that tells nothing about the endpoint.
     #[default]
     Dropped,
 }
@@ -65,43 +89,19 @@
     /// Tells what an agent's refusal says about its endpoint.
     pub fn of_refusal(code: Code) -> Self {
         match code {
-            Code::Overloaded | Code::LimitReached => Self::Full,
             Code::Draining => Self::Leaving,
             Code::NoEndpoint | Code::EndpointFailed | Code::Internal => Self::Failed,
             _ => Self::Dropped,
         }
     }
-}
 
-/// What the router knows of one endpoint.
-#[derive(Clone, Debug, Default)]
-pub struct Seat {
-    /// What its agent announced.
-    pub info: EndpointInfo,
-    /// Where it stands.
-    pub place: DataCentre,
-    /// How to reach it.
-    pub pick: Pick,
-    /// Attempts that this entry has in progress there.
-    pub running: u32,
-    /// The newest load report and when it arrived.
-    pub load: Option<(LoadReport, Millis)>,
-    /// Failures since the last success.
-    pub failures: u32,
-    /// Until when no new attempt is sent, because it failed or was full.
-    pub rests: Millis,
-}
-
-impl Seat {
-    /// Tells whether the endpoint may take an attempt of `want` at all.
-    pub fn serves(&self, want: &Want) -> bool {
-        let Some(version) = self.info.models.get(&want.model) else { return false };
-        let fresh = want.floor.is_none_or(|floor| *version >= floor);
-        fresh && !self.info.draining && self.info.healthy
-    }
-
-    /// Tells whether this entry may send one more attempt now.
-    pub fn has_room(&self, now: Millis) -> bool {
-        self.running < self.info.slots.max(1) && self.rests <= now
+    /// Gives the verdict in the words of routing.
+    pub fn ending(&self) -> Ending {
+        match self {
+            Self::Ran(_) => Ending::Finished,
+            Self::Leaving | Self::Dropped => Ending::Released,
+            Self::Failed => Ending::Failed,
+            Self::Silent => Ending::Silent,
+        }
     }
 }
--- a/components/entry/src/run/attempt.rs
+++ b/components/entry/src/run/attempt.rs
@@ -221,7 +221,7 @@
     tracing::info!(event = "attempt_probed", %request, %attempt, %endpoint, state = name(&state));
     ticket.verdict = match &state {
         Ok(AttemptState::Unknown) | Err(_) => Verdict::Failed,
-        Ok(_) => Verdict::Dropped,
+        Ok(_) => Verdict::Silent,
     };
     match state {
         Ok(AttemptState::Revoked | AttemptState::Refused) => Settled::NotRun,
--- a/components/entry/src/run/generate.rs
+++ b/components/entry/src/run/generate.rs
@@ -39,10 +39,16 @@
 }
 
 impl Generating {
-    /// Starts before the first attempt. `entered` counts the request in until the end.
-    pub fn new(context: Context, job: Job, task: Generation, entered: Option<Entered>) -> Self {
-        let tries = Tries::new(context, job);
-        Self { tries, task, live: None, entered, whole: Whole::default() }
+    /// Lets a generation in, waiting for room until its deadline.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, always "not run".
+    pub async fn enter(context: Context, job: Job, task: Generation) -> Result<Self, Failure> {
+        let job = job.generating(&task);
+        let (entered, first) = context.router.enter(job.want()).await?;
+        let tries = Tries::new(context, job, first);
+        Ok(Self { tries, task, live: None, entered: Some(entered), whole: Whole::default() })
     }
 
     /// Gives the request.
@@ -63,6 +69,7 @@
             };
             match live.attempt.next().await {
                 Ok(Event::Tokens(tokens)) => {
+                    live.ticket.tokens += tokens.count;
                     self.whole.push(&tokens);
                     return Ok(Piece::Tokens(tokens));
                 }
@@ -87,6 +94,7 @@
         let mut task = self.task.clone();
         task.prefix.push_str(&self.whole.text);
         task.done += self.whole.tokens;
+        self.tries.job.tokens = task.max_tokens.saturating_sub(task.done);
         self.live = Some(self.tries.start(&Task::Generate(task)).await?);
         Ok(())
     }
--- a/components/entry/src/run/job.rs
+++ b/components/entry/src/run/job.rs
@@ -1,7 +1,5 @@
 //! A request as it is run.
 
-use std::time::Duration;
-
 use chicoryford_types::Attempt;
 use chicoryford_types::Class;
 use chicoryford_types::Endpoint;
@@ -9,21 +7,24 @@
 use chicoryford_types::IdempotencyKey;
 use chicoryford_types::Millis;
 use chicoryford_types::Model;
+use chicoryford_types::Outcome;
 use chicoryford_types::RequestId;
 use chicoryford_types::Version;
 use chicoryford_types::Work;
 use chicoryford_types::Workspace;
+use chicoryford_types::request::Generation;
 use chicoryford_types::request::Task;
 use chicoryford_types::template::Retries;
 use rand::Rng;
 
+use crate::router::Again;
 use crate::router::Pick;
 use crate::router::Want;
 
-/// The backoff before the first retry, in milliseconds; it doubles with each more.
-const BACKOFF: u64 = 10;
-/// The longest backoff, in milliseconds.
-const BACKOFF_BOUND: u64 = 1_000;
+/// Bytes of a prompt whose hash stands for its prefix; engines report hashes of such blocks.
+const PREFIX: usize = 256;
+/// Bytes of text that make a token, for estimates.
+const TOKEN: usize = 4;
 
 /// A request as it is run, over all its attempts.
 #[derive(Clone, Debug, Default)]
@@ -54,6 +55,14 @@
     pub attempt: Attempt,
     /// Endpoints that already failed it.
     pub avoid: Vec<Endpoint>,
+    /// Attempts that were refused because their endpoints were leaving.
+    pub moved: u32,
+    /// The hash of the prompt's prefix, if it is long enough to be worth caching.
+    pub prefix: Option<u64>,
+    /// Tokens of the prompt, estimated.
+    pub prompt: u32,
+    /// Tokens that it may produce; zero for a call of a plain service.
+    pub tokens: u32,
 }
 
 impl Job {
@@ -68,29 +77,42 @@
         self.deadline.since(now)
     }
 
-    /// Tells whether one more attempt is allowed.
-    pub fn may_retry(&self, now: Millis) -> bool {
-        self.attempt.0 < self.retries.attempts.max(1) && self.left(now) > 0
+    /// Describes the failed request to the decision whether it is tried again. Attempts that
+    /// met a leaving endpoint are not counted, because a planned stop must not use up what is
+    /// meant for failures.
+    pub fn again(&self, outcome: Outcome) -> Again {
+        Again {
+            workspace: self.workspace.clone(),
+            attempts: self.attempt.0.saturating_sub(self.moved).max(1),
+            outcome,
+            repeatable: self.repeatable,
+            deadline: self.deadline,
+        }
     }
 
-    /// Gives the jittered wait before the next attempt. Without the jitter all requests that an
-    /// endpoint failed at once would arrive together at the next one.
-    pub fn backoff(&self) -> Duration {
-        let doubled = BACKOFF << self.attempt.0.saturating_sub(1).min(16);
-        let most = doubled.min(BACKOFF_BOUND);
-        Duration::from_millis(rand::rng().random_range(most / 2..=most))
+    /// Notes what routing should know of a generation.
+    #[must_use]
+    pub fn generating(self, task: &Generation) -> Self {
+        let bytes = task.prompt.as_bytes();
+        let prefix = bytes.get(..PREFIX).map(|prefix| Fingerprint::of(prefix).0);
+        let prompt = (bytes.len() / TOKEN).min(u32::MAX as usize) as u32;
+        Self { prefix, prompt, tokens: task.max_tokens, ..self }
     }
 
     /// Describes what the next attempt looks for.
     pub fn want(&self) -> Want {
         Want {
+            request: self.request,
             workspace: self.workspace.clone(),
             model: self.model.clone(),
             class: self.class,
             deadline: self.deadline,
             avoid: self.avoid.clone(),
             floor: self.floor,
-            retry: self.attempt.0 > 0,
+            suspect: self.suspect,
+            prefix: self.prefix,
+            prompt: self.prompt,
+            tokens: self.tokens,
         }
     }
 
--- a/components/entry/src/run/once.rs
+++ b/components/entry/src/run/once.rs
@@ -35,6 +35,7 @@
 use crate::run::serve;
 use crate::run::serve::Served;
 use crate::run::settle;
+use crate::run::tries;
 use crate::run::tries::Live;
 
 /// The longest wait for a claim to be decided.
@@ -76,6 +77,8 @@
     /// to call "not run".
     foreign: bool,
     last: Option<Failure>,
+    /// The place that the request got when it was let in.
+    first: Option<Ticket>,
 }
 
 /// Runs a call at most once.
@@ -96,8 +99,11 @@
     })?;
     let digest = Digest::of(content);
     let task = Task::Call(call);
-    let mut once = Once { context, job, task, key, digest, foreign: false, last: None };
+    let (mut entered, first) = context.router.enter(job.want()).await?;
+    let mut once =
+        Once { context, job, task, key, digest, foreign: false, last: None, first: Some(first) };
     let answer = once.run().await?;
+    entered.ran = true;
     Ok(Served { answer, attempts: once.job.attempt.0 })
 }
 
@@ -135,11 +141,6 @@
     /// Moves the claim on to another endpoint, if the request may still be tried.
     async fn reassign(&mut self, after: Number) -> Result<Step, Failure> {
         self.job.attempt = after;
-        if let Some(last) = &self.last
-            && !self.job.may_retry(self.context.now())
-        {
-            return Err(self.finally(last.clone()));
-        }
         let ticket = self.choose().await?;
         let command = Command::Reassign {
             workspace: self.job.workspace.clone(),
@@ -153,6 +154,9 @@
     }
 
     async fn choose(&mut self) -> Result<Ticket, Failure> {
+        if let Some(ticket) = self.first.take() {
+            return Ok(ticket);
+        }
         let chosen = self.context.router.choose(self.job.want()).await;
         chosen.map_err(|failure| match self.last.clone() {
             Some(last) => self.finally(Failure { retry_ms: failure.retry_ms, ..last }),
@@ -216,9 +220,12 @@
         match broken {
             Broken::NotRun(failure) => {
                 ticket.verdict = Verdict::of_refusal(failure.code);
+                drop(ticket);
                 self.job.avoid.push(endpoint);
+                if !tries::wait(self.context, &mut self.job, &failure).await {
+                    return Err(self.finally(failure));
+                }
                 self.last = Some(failure);
-                actix_rt::time::sleep(self.job.backoff()).await;
                 Ok(Step::Go(State::Reassign(attempt)))
             }
             Broken::Failed(failure) => {
--- a/components/entry/src/run/serve.rs
+++ b/components/entry/src/run/serve.rs
@@ -31,7 +31,8 @@
 ///
 /// The final failure of the request.
 pub async fn call(context: &Context, job: Job, call: ServiceCall) -> Result<Served, Failure> {
-    let mut tries = Tries::new(context.clone(), job);
+    let (mut entered, first) = context.router.enter(job.want()).await?;
+    let mut tries = Tries::new(context.clone(), job, first);
     let task = Task::Call(call);
     loop {
         let mut live = tries.start(&task).await?;
@@ -43,6 +44,7 @@
             },
         };
         settle::cleared(context, &tries.job);
+        entered.ran = true;
         return Ok(Served { answer, attempts: tries.job.attempt.0 });
     }
 }
--- a/components/entry/src/run/tries.rs
+++ b/components/entry/src/run/tries.rs
@@ -1,5 +1,7 @@
 //! The attempts of one request: whether, where and when it is tried again.
 
+use std::time::Duration;
+
 use chicoryford_types::Code;
 use chicoryford_types::Failure;
 use chicoryford_types::Outcome;
@@ -15,6 +17,9 @@
 use crate::run::attempt::Settled;
 use crate::run::job::Job;
 
+/// Leaving endpoints that one request may meet before that counts as a failure.
+const MOVES: u32 = 8;
+
 /// An attempt and its place at an endpoint.
 pub struct Live {
     /// The place.
@@ -43,12 +48,14 @@
     pub touched: bool,
     /// The failure of the last attempt.
     pub last: Option<Failure>,
+    /// The place that the request got when it was let in, for its first attempt.
+    first: Option<Ticket>,
 }
 
 impl Tries {
     /// Starts before the first attempt.
-    pub fn new(context: Context, job: Job) -> Self {
-        Self { context, job, touched: false, last: None }
+    pub fn new(context: Context, job: Job, first: Ticket) -> Self {
+        Self { context, job, touched: false, last: None, first: Some(first) }
     }
 
     /// Makes the next attempt, trying endpoint after endpoint while each truly did not run it.
@@ -58,11 +65,13 @@
     /// The final failure of the request.
     pub async fn start(&mut self, task: &Task) -> Result<Live, Failure> {
         loop {
-            if self.job.attempt.0 > 0 {
-                actix_rt::time::sleep(self.job.backoff()).await;
-            }
-            let chosen = self.context.router.choose(self.job.want()).await;
-            let ticket = chosen.map_err(|refusal| self.refused(refusal))?;
+            let ticket = match self.first.take() {
+                Some(ticket) => ticket,
+                None => {
+                    let chosen = self.context.router.choose(self.job.want()).await;
+                    chosen.map_err(|refusal| self.refused(refusal))?
+                }
+            };
             self.job.attempt = self.job.attempt.next();
             let work = self.job.work(task.clone(), &ticket.pick, self.context.now());
             let address = ticket.pick.address.clone();
@@ -142,7 +151,7 @@
         };
         drop(ticket);
         self.job.avoid.push(endpoint);
-        if !self.job.may_retry(self.context.now()) {
+        if !wait(&self.context, &mut self.job, &failure).await {
             return Err(self.finally(failure));
         }
         self.last = Some(failure);
@@ -164,6 +173,24 @@
     }
 }
 
+/// Waits until a failed request may be tried again; tells whether it may.
+///
+/// What met a leaving endpoint goes on to another at once, without use of the retry budget: it
+/// did not fail, and a planned stop would otherwise use up the budget of its workspace.
+pub async fn wait(context: &Context, job: &mut Job, failure: &Failure) -> bool {
+    if failure.code == Code::Draining && job.moved < MOVES {
+        job.moved += 1;
+        return job.left(context.now()) > 0;
+    }
+    match context.router.again(job.again(failure.outcome)).await {
+        Some(ms) => {
+            actix_rt::time::sleep(Duration::from_millis(ms)).await;
+            true
+        }
+        None => false,
+    }
+}
+
 /// Tells whether another endpoint would give the same failure.
 fn is_final(code: Code) -> bool {
     matches!(
--- a/components/entry/src/service.rs
+++ b/components/entry/src/service.rs
@@ -36,7 +36,6 @@
     let (model, path) = target(&call.path)?;
     let content = content(call);
     let (job, admitted) = door::job(context, call, model, &content)?;
-    let mut entered = context.router.enter(&job.workspace).await?;
     let media = call.header("content-type").unwrap_or("application/octet-stream");
     let task = ServiceCall { path, media: media.to_owned(), body: call.body.clone() };
     let served = if admitted.repeatable {
@@ -44,7 +43,6 @@
     } else {
         once::call(context, job.clone(), task, &content).await?
     };
-    entered.ran = true;
     Ok((job, served))
 }
 
--- a/components/entry/src/start.rs
+++ b/components/entry/src/start.rs
@@ -13,6 +13,7 @@
 
 use crate::chat;
 use crate::context::Context;
+use crate::reports;
 use crate::router;
 use crate::service;
 use crate::steps;
@@ -40,6 +41,7 @@
     let config = kernel.registry.find::<ConfigHandle>(chicoryford_config::SERVICE)?;
     members.announce(|own| own.roles.entry = true);
     router::duty::start(kernel, settings, members.watch(), config.watch())?;
+    reports::start(kernel, settings)?;
     steps::duty::start(kernel, settings)?;
     Ok(())
 }
--- a/components/entry/src/steps/sample.rs
+++ b/components/entry/src/steps/sample.rs
@@ -27,6 +27,7 @@
 use serde_json::json;
 
 use crate::context::Context;
+use crate::door;
 use crate::run::Generating;
 use crate::run::Job;
 use crate::run::Piece;
@@ -38,13 +39,16 @@
 
 /// The budget of a step that names none, in milliseconds.
 const BUDGET: u64 = 300_000;
-/// The least time that an attempt is given, in milliseconds. A step past its budget goes on,
-/// because its trainer still waits for it.
-const LEAST: u64 = 30_000;
+/// The least time that a sample is given, in milliseconds. A step past its budget goes on,
+/// because its trainer still waits for it; a shorter time would have its long samples refused
+/// at the door again and again.
+const LEAST: u64 = 300_000;
 /// The pause before a sample is begun again, in milliseconds; it doubles with each try.
 const PAUSE: u64 = 50;
 /// The longest such pause, in milliseconds.
 const PAUSE_BOUND: u64 = 2_000;
+/// How often a generation is given to the scoring service before it is made anew.
+const SCORINGS: u32 = 8;
 /// The path at which scoring services answer.
 const SCORE: &str = "/score";
 
@@ -113,8 +117,14 @@
         let mut attempts = 0;
         let mut pause = PAUSE;
         loop {
-            if let Some(ended) = self.once(&mut attempts).await {
-                return ended;
+            let again = match self.once(&mut attempts).await {
+                Ok(ended) => return ended,
+                Err(again) => again,
+            };
+            self.note(&again);
+            // A refusal at the door says itself when there may be room.
+            if let Again::Failed(Failure { retry_ms: Some(ms), .. }) = again {
+                pause = pause.max(ms).min(PAUSE_BOUND);
             }
             let wait = rand::rng().random_range(pause / 2..=pause);
             actix_rt::time::sleep(Duration::from_millis(wait)).await;
@@ -122,32 +132,37 @@
         }
     }
 
-    /// Makes, scores and records the sample once; gives none if it must be begun again.
-    async fn once(&self, attempts: &mut u32) -> Option<Ended> {
+    /// Makes, scores and records the sample once, or tells why it must be begun again.
+    async fn once(&self, attempts: &mut u32) -> Result<Ended, Again> {
         let template = self.template()?;
-        let made = match self.make(&template).await {
-            Ok(made) => made,
-            Err(again) => {
-                *attempts += 1;
-                self.note(&again);
-                return None;
-            }
-        };
-        *attempts += made.attempts;
-        let score = match self.score(&template, &made.whole).await {
-            Ok(score) => score,
-            Err(failure) => {
-                self.note(&Again::Failed(failure));
-                return None;
-            }
-        };
-        let record = self.record(&made.whole, *attempts, score)?;
+        *attempts += 1;
+        let made = self.make(&template).await?;
+        *attempts += made.attempts.saturating_sub(1);
+        let score = self.scored(&template, &made.whole).await?;
+        let record = self.record(&made.whole, *attempts, score).ok_or(Again::Unattributed)?;
         self.submit(record).await
     }
 
-    fn template(&self) -> Option<Template> {
+    /// Scores a generation, asking again if the scoring service fails: its tokens are whole, and
+    /// to make them anew would waste them.
+    async fn scored(&self, template: &Template, whole: &Whole) -> Result<Option<f64>, Again> {
+        let mut tries = 0;
+        loop {
+            tries += 1;
+            match self.score(template, whole).await {
+                Ok(score) => return Ok(score),
+                Err(failure) if tries >= SCORINGS || self.is_doomed(whole) => {
+                    return Err(Again::Failed(failure));
+                }
+                Err(_) => actix_rt::time::sleep(Duration::from_millis(PAUSE_BOUND / 4)).await,
+            }
+        }
+    }
+
+    fn template(&self) -> Result<Template, Again> {
         let config = self.context.config.current();
-        config.templates.get(&self.key.workspace).map(|versioned| versioned.template.clone())
+        let template = door::template(&self.key.workspace, &config);
+        template.cloned().map_err(Again::Failed)
     }
 
     async fn make(&self, template: &Template) -> Result<Made, Again> {
@@ -155,7 +170,8 @@
         let prompt = &self.progress.spec.groups[self.place.group.0 as usize].prompt;
         let job = self.job(template, prompt);
         let task = self.generation(prompt);
-        let mut generating = Generating::new(self.context.clone(), job, task, None);
+        let entering = Generating::enter(self.context.clone(), job, task);
+        let mut generating = entering.await.map_err(Again::Failed)?;
         loop {
             let piece = generating.next().await.map_err(Again::Failed)?;
             if self.is_doomed(&generating.whole) {
@@ -271,7 +287,7 @@
 
     /// Records the sample, sending it again until the control processes answered: a second
     /// record of the same sample is a duplicate, which the ledger drops.
-    async fn submit(&self, record: Record) -> Option<Ended> {
+    async fn submit(&self, record: Record) -> Result<Ended, Again> {
         loop {
             let command = LedgerCommand::Done {
                 key: self.key.clone(),
@@ -281,13 +297,10 @@
                 record: record.clone(),
             };
             match record::ledger(&self.context, command).await {
-                Ok(LedgerReply::Kept | LedgerReply::Duplicate) => return Some(Ended::Recorded),
-                Ok(LedgerReply::Undeliverable) => {
-                    self.note(&Again::Doomed);
-                    return None;
-                }
+                Ok(LedgerReply::Kept | LedgerReply::Duplicate) => return Ok(Ended::Recorded),
+                Ok(LedgerReply::Undeliverable) => return Err(Again::Doomed),
                 Ok(LedgerReply::Full) | Err(_) => {}
-                Ok(_) => return Some(Ended::Over),
+                Ok(_) => return Ok(Ended::Over),
             }
             actix_rt::time::sleep(Duration::from_millis(PAUSE_BOUND / 4)).await;
         }
--- a/components/entry/tests/generations.rs
+++ b/components/entry/tests/generations.rs
@@ -53,6 +53,8 @@
         ]);
         assert_eq!(answer["chicoryford"]["spans"], spans);
         assert_eq!(answer["chicoryford"]["attempts"], 1);
+        fixture.settled().await;
+        fixture.check().await;
     });
 }
 
@@ -71,6 +73,8 @@
         let last = events.last().unwrap();
         assert_eq!(last["choices"][0]["finish_reason"], "stop");
         assert_eq!(last["chicoryford"]["spans"][1]["version"], 4);
+        fixture.settled().await;
+        fixture.check().await;
     });
 }
 
@@ -91,6 +95,8 @@
         let seen = fixture.post(paths::CHAT, &[], &chat(false)).await;
         assert_eq!(seen.status, 502);
         assert_eq!(seen.json()["error"]["outcome"], "unknown");
+        fixture.settled().await;
+        fixture.check().await;
     });
 }
 
@@ -107,6 +113,8 @@
         let fixture = Fixture::start(vec![agent]).await;
         let seen = fixture.post(paths::CHAT, &[], &chat(true)).await;
         assert!(!seen.text().contains("[DONE]"));
+        fixture.settled().await;
+        fixture.check().await;
     });
 }
 
@@ -127,6 +135,8 @@
             let seen = fixture.post(paths::CHAT, &[], &chat(false)).await;
             assert!(!seen.text().contains("theirs"), "{}", seen.text());
         }
+        fixture.settled().await;
+        fixture.check().await;
     });
 }
 
@@ -159,6 +169,8 @@
             let Task::Generate(task) = work.task else { panic!("not a generation") };
             assert_eq!(task.seed, 7);
         }
+        fixture.settled().await;
+        fixture.check().await;
     });
 }
 
@@ -176,6 +188,8 @@
             assert_eq!(seen.status, 200, "{}", seen.text());
         }
         assert!(fixture.agents[0].seen.lock().unwrap().len() <= 1);
+        fixture.settled().await;
+        fixture.check().await;
     });
 }
 
@@ -202,6 +216,8 @@
         assert!(asked[0].cancel);
         let dump = fixture.kernel.dumps.take().await;
         assert_eq!(dump["entry"]["endpoints"][0]["failures"], 0);
+        fixture.settled().await;
+        fixture.check().await;
     });
 }
 
@@ -226,5 +242,7 @@
         let seen = fixture.post(paths::CHAT, &[], &chat(false)).await;
         assert_eq!((seen.status, seen.retry_after), (503, Some(1)));
         assert!(fixture.attempts().is_empty());
+        fixture.settled().await;
+        fixture.check().await;
     });
 }
--- a/components/entry/tests/once.rs
+++ b/components/entry/tests/once.rs
@@ -77,6 +77,8 @@
         let other = fixture.post(PATH, &headers, &json!({"crate": 8})).await;
         assert_eq!(other.json()["error"]["code"], "key_reused");
         assert_eq!(fixture.attempts().len(), 1);
+        fixture.settled().await;
+        fixture.check().await;
     });
 }
 
@@ -92,6 +94,8 @@
         assert_eq!(seen.json()["error"]["code"], "key_expired");
         assert_eq!(seen.json()["error"]["outcome"], "not_run");
         assert!(fixture.attempts().is_empty());
+        fixture.settled().await;
+        fixture.check().await;
     });
 }
 
@@ -112,6 +116,8 @@
             assert_eq!(seen.json()["error"]["code"], "duplicate_unknown");
         }
         assert_eq!(fixture.attempts().len(), 1);
+        fixture.settled().await;
+        fixture.check().await;
     });
 }
 
@@ -128,6 +134,8 @@
             assert_eq!((seen.status, seen.text()), (200, "label 1"));
         }
         assert_eq!(fixture.agents[1].seen.lock().unwrap().len(), 4);
+        fixture.settled().await;
+        fixture.check().await;
     });
 }
 
@@ -153,6 +161,8 @@
         let seen = fixture.post(PATH, &headers, &json!({"crate": 7})).await;
         assert_eq!((seen.status, seen.text()), (200, "label 1"));
         assert!(fixture.attempts().is_empty());
+        fixture.settled().await;
+        fixture.check().await;
     });
 }
 
@@ -176,6 +186,8 @@
         assert_eq!(seen.json()["error"]["code"], "duplicate_unknown");
         assert_eq!(seen.json()["error"]["outcome"], "unknown");
         assert!(fixture.attempts().is_empty());
+        fixture.settled().await;
+        fixture.check().await;
     });
 }
 
@@ -187,7 +199,9 @@
         assert_eq!((seen.status, seen.text()), (200, "label 1"));
         let attempts = fixture.attempts();
         assert_eq!(attempts[0].model, Model::from(SERVICE));
-        let proposed = fixture.control.proposed.lock().unwrap();
+        let proposed = fixture.control.proposed.lock().unwrap().clone();
         assert!(!proposed.iter().any(|command| matches!(command, Command::Claim { .. })));
+        fixture.settled().await;
+        fixture.check().await;
     });
 }
--- a/components/entry/tests/steps.rs
+++ b/components/entry/tests/steps.rs
@@ -103,6 +103,8 @@
         let other = json!({"workspace": WORKSPACE, "cursor": 9});
         let seen = fixture.post_as(&trainer(), paths::STEP_PULL, &[], &other).await;
         assert_eq!(seen.status, 409);
+        fixture.settled().await;
+        fixture.check().await;
     });
 }
 
@@ -127,6 +129,8 @@
         let samples = pull_all(&fixture, 4).await;
         assert!(samples.iter().all(|s| s["spans"][0]["version"] == 1));
         assert_eq!(fixture.attempts().len(), 7);
+        fixture.settled().await;
+        fixture.check().await;
     });
 }
 
@@ -154,6 +158,8 @@
         fixture.post_as(&trainer(), paths::STEP_OPEN, &[], &step()).await;
         let samples = pull_all(&fixture, 4).await;
         assert!(samples.iter().all(|s| s["spans"][0]["version"] == 4));
+        fixture.settled().await;
+        fixture.check().await;
     });
 }
 
@@ -179,6 +185,8 @@
         fixture.post_as(&trainer(), paths::STEP_OPEN, &[], &step()).await;
         let samples = pull_all(&fixture, 4).await;
         assert!(samples.iter().all(|s| s["score"] == 0.5));
+        fixture.settled().await;
+        fixture.check().await;
     });
 }
 
@@ -193,5 +201,7 @@
         });
         let seen = fixture.post_as(&trainer(), paths::STEP_OPEN, &[], &step()).await;
         assert_eq!(seen.json()["error"]["code"], "forbidden");
+        fixture.settled().await;
+        fixture.check().await;
     });
 }
--- a/components/entry/tests/support/mod.rs
+++ b/components/entry/tests/support/mod.rs
@@ -362,6 +362,27 @@
         self.config.send_modify(|config| change(Arc::make_mut(config)));
     }
 
+    /// Checks that no decision found one of its promises broken.
+    pub async fn check(&self) {
+        let dump = self.kernel.dumps.take().await;
+        let entry = &dump["entry"];
+        assert_eq!(entry["routing"]["broken"], 0, "{entry}");
+        assert_eq!(entry["admission"]["broken"], 0, "{entry}");
+    }
+
+    /// Waits until no request is counted as in progress; one that were leaked would never end.
+    pub async fn settled(&self) {
+        loop {
+            let dump = self.kernel.dumps.take().await;
+            let endpoints = dump["entry"]["endpoints"].as_array().unwrap();
+            let idle = endpoints.iter().all(|endpoint| endpoint["running"] == 0);
+            if idle && dump["entry"]["running"] == 0 && dump["entry"]["waiting"] == 0 {
+                return;
+            }
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
     /// Lists the attempts that all agents saw.
     pub fn attempts(&self) -> Vec<Work> {
         let seen = self.agents.iter().map(|agent| agent.seen.lock().unwrap().clone());
