Change templates in tests by the state machine

Cause: trainers_that_the_template_does_not_name_are_refused failed once when landing: the test wrote configuration past the state machine, whose next command put its own back. Change: the test applies the template as an operator would; the check is the same. Conclusion: a fault of the test, not of the entry.

--- a/components/entry/tests/steps.rs
+++ b/components/entry/tests/steps.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chicoryford_types::Template;
 use chicoryford_types::Version;
 use chicoryford_types::frame::Event;
 use chicoryford_types::frame::Tokens;
@@ -196,9 +197,7 @@
         let fixture = Fixture::start(vec![sampler(1)]).await;
         let seen = fixture.post(paths::STEP_OPEN, &[], &step()).await;
         assert_eq!(seen.status, 403, "a caller's token opens no steps");
-        fixture.change_config(|config| {
-            config.templates.get_mut(&WORKSPACE.into()).unwrap().template.trainers.clear();
-        });
+        fixture.apply(Template { trainers: Vec::new(), ..template() });
         let seen = fixture.post_as(&trainer(), paths::STEP_OPEN, &[], &step()).await;
         assert_eq!(seen.json()["error"]["code"], "forbidden");
         fixture.settled().await;
--- a/components/entry/tests/support/mod.rs
+++ b/components/entry/tests/support/mod.rs
@@ -224,8 +224,6 @@
     pub address: String,
     /// The agents.
     pub agents: Vec<Arc<Agent>>,
-    /// Changes configuration.
-    pub config: watch::Sender<Arc<Config>>,
     /// Presents the desk's token.
     pub desk: Client,
     keys: Arc<Keys>,
@@ -281,11 +279,8 @@
     pub async fn start_with(agents: Vec<Agent>, template: Template) -> Self {
         let keys = keys();
         let (config, follow) = watch::channel(Arc::default());
-        let control = Arc::new(Control {
-            state: Mutex::default(),
-            proposed: Mutex::default(),
-            config: config.clone(),
-        });
+        let control =
+            Arc::new(Control { state: Mutex::default(), proposed: Mutex::default(), config });
         let change = ChangeId(format!("{}.first", chicoryford_kernel::unix().0));
         let template = Box::new(template);
         control.apply(Command::Apply { change, template, base: Base::default() });
@@ -319,7 +314,7 @@
         };
         let address = listen(keys.clone(), routes);
         let desk = Client::new(Some("desk".to_owned()), None);
-        Self { control, kernel, address, agents, config, desk, keys, members }
+        Self { control, kernel, address, agents, desk, keys, members }
     }
 
     /// Sends a caller's request with these headers besides the workspace.
@@ -357,9 +352,17 @@
         self.members.send_modify(|members| change(Arc::make_mut(members)));
     }
 
-    /// Changes configuration.
-    pub fn change_config(&self, change: impl FnOnce(&mut Config)) {
-        self.config.send_modify(|config| change(Arc::make_mut(config)));
+    /// Replaces the template, as an operator would.
+    pub fn apply(&self, template: Template) {
+        let base = {
+            let state = self.control.state.lock().unwrap();
+            let held = &state.config.templates[&template.workspace];
+            Base { version: held.version, digest: held.template.digest() }
+        };
+        let change = ChangeId(format!("{}.next", chicoryford_kernel::unix().0));
+        let command = Command::Apply { change, template: Box::new(template), base };
+        let reply = self.control.apply(command);
+        assert!(matches!(reply, StateReply::Accepted { .. }), "{reply:?}");
     }
 
     /// Checks that no decision found one of its promises broken.
