Let an entry leave without cutting samples, and refuse convicted prompts

Cause: a draining entry aborted its samples and kept its steps until the lease ran out; a step with a convicted prompt could never be whole; each attempt opened a new connection because the end of the body was not read. Change: a leaving entry begins no samples, holds up its end while some run, then closes its session; convicted prompts are refused when the step is opened and not begun later; bodies are read out after the last frame. Neither a planned stop nor the reuse of connections has been measured.

--- a/components/entry/src/run/attempt.rs
+++ b/components/entry/src/run/attempt.rs
@@ -31,6 +31,9 @@
 use crate::run::check::Check;
 use crate::run::probe;
 
+/// The longest wait for the end of a body whose last frame has come.
+const READ_OUT: Duration = Duration::from_millis(5);
+
 /// How an attempt broke off.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Broken {
@@ -101,14 +104,22 @@
                     self.ended = true;
                     return Err(broken_by(failure));
                 }
-                event => {
-                    self.ended = matches!(event, Event::Finished(_));
+                Event::Finished(_) => {
+                    self.ended = true;
+                    self.read_out().await;
                     return Ok(event);
                 }
+                event => return Ok(event),
             }
         }
     }
 
+    /// Reads the end of the body, which follows the last frame at once. A connection whose body
+    /// was not read out cannot be used again, and each attempt would open a new one.
+    async fn read_out(&mut self) {
+        let _ = actix_rt::time::timeout(READ_OUT, self.stream.next()).await;
+    }
+
     /// Ends the reading without a cancellation: the caller has settled with the agent.
     pub fn leave(&mut self) {
         self.ended = true;
--- a/components/entry/src/run/tries.rs
+++ b/components/entry/src/run/tries.rs
@@ -83,7 +83,10 @@
                     Next::Answered(_) => {
                         let detail = "the answer was lost on its way";
                         let failure = Failure::unknown(Code::EndpointFailed, detail);
-                        return Err(failure);
+                        self.touched = true;
+                        if !wait(&self.context, &mut self.job, &failure).await {
+                            return Err(failure);
+                        }
                     }
                 },
             }
--- a/components/entry/src/steps/duty.rs
+++ b/components/entry/src/steps/duty.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
 use chicoryford_kernel::Kernel;
@@ -14,13 +15,19 @@
 use chicoryford_kernel::ring;
 use chicoryford_ledger::StepKey;
 use chicoryford_settings::Settings;
+use chicoryford_state::Command;
 use chicoryford_types::Fingerprint;
 use chicoryford_types::Millis;
+use chicoryford_wire::PROGRESS;
+use chicoryford_wire::Progress;
+use chicoryford_wire::progress::Guard;
 use serde_json::Value;
 use serde_json::json;
 use tokio::sync::Semaphore;
+use tokio::sync::watch;
 
 use crate::context::Context;
+use crate::door;
 use crate::steps::handle::Notice;
 use crate::steps::handle::SERVICE;
 use crate::steps::handle::Steps;
@@ -37,6 +44,11 @@
 /// orphan's own order; without an order all entries would ask for each orphan at once.
 const TURN: u64 = 1_000;
 
+/// The time between two looks at whether this entry is to leave.
+const LOOK: Duration = Duration::from_millis(200);
+/// The longest wait for the session to be closed.
+const CLOSE: Duration = Duration::from_secs(2);
+
 /// Starts the duty and offers its handle.
 ///
 /// # Errors
@@ -60,7 +72,9 @@
             }
         };
         let running = settings.entry.clone().unwrap_or_default().running;
+        let (leave, leaving) = watch::channel(false);
         let shared = Shared {
+            leaving,
             lengths: Rc::new(RefCell::new(Lengths::default())),
             slots: Arc::new(Semaphore::new((running / 2).max(1))),
         };
@@ -71,6 +85,8 @@
             session: None,
             running: BTreeMap::new(),
             orphans: BTreeMap::new(),
+            leave,
+            held: None,
         };
         duty.run(receiver).await;
     })?;
@@ -84,6 +100,8 @@
     session: Option<u64>,
     running: BTreeMap<StepKey, JoinHandle<()>>,
     orphans: BTreeMap<StepKey, Millis>,
+    leave: watch::Sender<bool>,
+    held: Option<Guard>,
 }
 
 impl Duty {
@@ -92,8 +110,10 @@
         let phases = self.context.kernel.phases.clone();
         let stopped = phases.reached(Phase::Stopping);
         tokio::pin!(stopped);
+        let mut look = actix_rt::time::interval(LOOK);
         loop {
             tokio::select! {
+                _ = look.tick() => self.look(),
                 () = &mut stopped => return,
                 notice = receiver.next() => match notice {
                     Some(notice) => self.take(notice),
@@ -103,6 +123,38 @@
         }
     }
 
+    /// Leaves when the process drains or a planned stop names it.
+    ///
+    /// Samples in progress run on, and hold up the end of the process like requests; then the
+    /// session is closed, so that another entry takes the steps at once instead of after the
+    /// lease has run out.
+    fn look(&mut self) {
+        let context = &self.context;
+        let config = context.config.current();
+        let phase = context.kernel.phases.now();
+        let leaves = door::open(phase, &config, &context.node, &context.place).is_err();
+        let left = self.leave.send_replace(leaves);
+        if !leaves {
+            self.held = None;
+            return;
+        }
+        if !left {
+            let progress = context.kernel.registry.find::<Progress>(PROGRESS);
+            self.held = progress.ok().map(|progress| progress.begin());
+        }
+        if self.running.is_empty() && self.held.is_some() {
+            let held = self.held.take();
+            let (context, session) = (context.clone(), self.session);
+            actix_rt::spawn(async move {
+                if let Some(session) = session {
+                    let command = Command::CloseSession { session };
+                    let _ = context.proposer.propose(&command, CLOSE).await;
+                }
+                drop(held);
+            });
+        }
+    }
+
     fn take(&mut self, notice: Notice) {
         match notice {
             Notice::Opened(key) => self.begin(key),
@@ -152,8 +204,7 @@
 
     fn begin(&mut self, key: StepKey) {
         let Some(session) = self.session else { return };
-        let leaving = self.context.kernel.phases.now() != Phase::Running;
-        if leaving || self.running.len() >= STEPS || self.running.contains_key(&key) {
+        if *self.leave.borrow() || self.running.len() >= STEPS || self.running.contains_key(&key) {
             return;
         }
         let (context, shared) = (self.context.clone(), self.shared.clone());
--- a/components/entry/src/steps/sample.rs
+++ b/components/entry/src/steps/sample.rs
@@ -80,6 +80,8 @@
     Doomed,
     /// The engine did not say which version produced some token.
     Unattributed,
+    /// This entry leaves; another one begins the sample.
+    Leaving,
 }
 
 /// The work on one sample.
@@ -122,6 +124,9 @@
                 Err(again) => again,
             };
             self.note(&again);
+            if *self.shared.leaving.borrow() {
+                return Ended::Unwanted;
+            }
             // A refusal at the door says itself when there may be room.
             if let Again::Failed(Failure { retry_ms: Some(ms), .. }) = again {
                 pause = pause.max(ms).min(PAUSE_BOUND);
@@ -135,6 +140,9 @@
     /// Makes, scores and records the sample once, or tells why it must be begun again.
     async fn once(&self, attempts: &mut u32) -> Result<Ended, Again> {
         let template = self.template()?;
+        let prompt = &self.progress.spec.groups[self.place.group.0 as usize].prompt;
+        let config = self.context.config.current();
+        door::acquitted(prompt_of(prompt), &config).map_err(Again::Failed)?;
         *attempts += 1;
         let made = self.make(&template).await?;
         *attempts += made.attempts.saturating_sub(1);
@@ -167,6 +175,9 @@
 
     async fn make(&self, template: &Template) -> Result<Made, Again> {
         let slot = self.shared.slots.acquire().await;
+        if *self.shared.leaving.borrow() {
+            return Err(Again::Leaving);
+        }
         let prompt = &self.progress.spec.groups[self.place.group.0 as usize].prompt;
         let job = self.job(template, prompt);
         let task = self.generation(prompt);
@@ -196,7 +207,7 @@
     fn job(&self, template: &Template, prompt: &str) -> Job {
         let spec = &self.progress.spec;
         let budget = if spec.budget_ms == 0 { BUDGET } else { spec.budget_ms };
-        let fingerprint = Fingerprint::of(prompt.as_bytes());
+        let fingerprint = prompt_of(prompt);
         let config = self.context.config.current();
         Job {
             request: Job::draw(),
@@ -311,6 +322,7 @@
             Again::Failed(failure) => failure.to_string(),
             Again::Doomed => "too old by now".to_owned(),
             Again::Unattributed => "a version is not known".to_owned(),
+            Again::Leaving => "this entry leaves".to_owned(),
         };
         let (workspace, step) = (&self.key.workspace, self.key.step);
         let Place { group, number } = self.place;
--- a/components/entry/src/steps/step.rs
+++ b/components/entry/src/steps/step.rs
@@ -38,6 +38,8 @@
     pub lengths: Rc<RefCell<Lengths>>,
     /// Samples that may run at once.
     pub slots: Arc<Semaphore>,
+    /// Whether this entry is leaving: what runs goes on, nothing new begins.
+    pub leaving: watch::Receiver<bool>,
 }
 
 type Running = FuturesUnordered<LocalBoxFuture<'static, (Place, Ended)>>;
@@ -91,6 +93,9 @@
         let mut poll = actix_rt::time::interval_at(actix_rt::time::Instant::now() + POLL, POLL);
         loop {
             let idle = self.running.is_empty();
+            if idle && *self.shared.leaving.borrow() {
+                return;
+            }
             tokio::select! {
                 Some((place, ended)) = self.running.next(), if !idle => {
                     self.in_flight.remove(&place);
@@ -185,6 +190,9 @@
     }
 
     fn begin(&mut self, place: Place) {
+        if *self.shared.leaving.borrow() {
+            return;
+        }
         self.in_flight.insert(place);
         let task = sample::Task {
             context: self.context.clone(),
--- a/components/entry/src/trainer.rs
+++ b/components/entry/src/trainer.rs
@@ -29,6 +29,7 @@
 use crate::door;
 use crate::steps::Steps;
 use crate::steps::record;
+use crate::steps::step::prompt_of;
 
 /// When to pull again after nothing was ready, in milliseconds.
 const READY_RETRY: u64 = 100;
@@ -113,6 +114,10 @@
         &context.place,
     )?;
     check(&spec, &template)?;
+    for group in &spec.groups {
+        // The step could never be whole, and its trainer would wait for it.
+        door::acquitted(prompt_of(&group.prompt), &context.config.current())?;
+    }
     if let Some(identity) = &call.identity {
         spec.trainer = identity.principal.clone();
     }
