Drive the router's decisions by random events

Cause: the book was tested only through whole processes. Change: a quickcheck run with its own account: one answer a request, refusals are not run, no stopped endpoint is chosen, nothing stays counted, no promise is found broken.

--- /dev/null
+++ b/components/entry/tests/book.rs
@@ -0,0 +1,192 @@
+//! Randomised runs of the router's decisions, without threads, sockets or a clock.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use chicoryford_entry::router::Book;
+use chicoryford_entry::router::Verdict;
+use chicoryford_entry::router::Want;
+use chicoryford_entry::router::book::Bounds;
+use chicoryford_entry::router::book::Entering;
+use chicoryford_types::Class;
+use chicoryford_types::Config;
+use chicoryford_types::Endpoint;
+use chicoryford_types::EndpointInfo;
+use chicoryford_types::Incarnation;
+use chicoryford_types::Member;
+use chicoryford_types::Members;
+use chicoryford_types::Millis;
+use chicoryford_types::Model;
+use chicoryford_types::Node;
+use chicoryford_types::Outcome;
+use chicoryford_types::RequestId;
+use chicoryford_types::StopId;
+use chicoryford_types::Template;
+use chicoryford_types::Unix;
+use chicoryford_types::Version;
+use chicoryford_types::Workspace;
+use chicoryford_types::config::Stop;
+use chicoryford_types::config::StopTarget;
+use chicoryford_types::config::Versioned;
+use chicoryford_types::member::Known;
+use chicoryford_types::template::Limits;
+use quickcheck::quickcheck;
+
+const ENDPOINTS: u8 = 5;
+const SLOTS: u32 = 3;
+
+fn members(present: u8, draining: u8) -> Arc<Members> {
+    let mut members = Members::default();
+    for n in (0..ENDPOINTS).filter(|n| present & (1 << n) != 0) {
+        let info = EndpointInfo {
+            name: Endpoint(format!("endpoint-{n}")),
+            models: BTreeMap::from([(Model::from("m"), Version(1))]),
+            slots: SLOTS,
+            draining: draining & (1 << n) != 0,
+            healthy: true,
+            ..EndpointInfo::default()
+        };
+        let member = Member {
+            node: Node(format!("agent-{n}")),
+            incarnation: Incarnation(1),
+            endpoint: Some(info),
+            ..Member::default()
+        };
+        members.known.insert(member.node.clone(), Known { member, ..Known::default() });
+    }
+    Arc::new(members)
+}
+
+fn config(stopped: Option<u8>) -> Arc<Config> {
+    let template = Template {
+        workspace: Workspace::from("w"),
+        limits: Limits { rate: 10_000, running: 20, tokens: 100 },
+        ..Template::default()
+    };
+    let mut config = Config::default();
+    config.templates.insert(Workspace::from("w"), Versioned { version: 1, template });
+    if let Some(n) = stopped {
+        let target = StopTarget::Endpoint(Endpoint(format!("endpoint-{}", n % ENDPOINTS)));
+        let reason = String::new();
+        let stop = Stop { target, deadline_ms: 1, reason, accepted: Unix(0) };
+        config.stops.insert(StopId::from("s"), stop);
+    }
+    Arc::new(config)
+}
+
+/// Drives a book and keeps its own account of what it was told.
+struct Run {
+    book: Book,
+    now: Millis,
+    next: u64,
+    waiting: BTreeSet<RequestId>,
+    running: Vec<(RequestId, u64, Endpoint)>,
+    stopped: Option<Endpoint>,
+}
+
+impl Run {
+    fn new(seed: u64) -> Self {
+        let bounds = Bounds { running: 16, waiting: 8, subset: 48, ..Bounds::default() };
+        let mut book = Book::new(bounds, seed);
+        book.members(members(0xff, 0), Millis(0));
+        book.configure(config(None), Millis(0));
+        let (waiting, running) = (BTreeSet::new(), Vec::new());
+        Self { book, now: Millis(1), next: 0, waiting, running, stopped: None }
+    }
+
+    fn take(&mut self, request: RequestId, entering: Entering) {
+        match entering {
+            Ok((place, pick)) => {
+                assert_ne!(Some(&pick.endpoint), self.stopped.as_ref(), "a stopped endpoint");
+                self.running.push((request, place, pick.endpoint));
+            }
+            Err(failure) => assert_eq!(failure.outcome, Outcome::NotRun),
+        }
+    }
+
+    fn enter(&mut self, random: u8) {
+        self.next += 1;
+        let request = RequestId(0, self.next);
+        let want = Want {
+            request,
+            workspace: Workspace::from("w"),
+            model: Model::from("m"),
+            class: [Class::Batch, Class::Normal, Class::Urgent][usize::from(random % 3)],
+            deadline: self.now + u64::from(random) * 20,
+            tokens: u32::from(random),
+            ..Want::default()
+        };
+        match self.book.enter(want, self.now) {
+            Some(entering) => self.take(request, entering),
+            None => assert!(self.waiting.insert(request)),
+        }
+    }
+
+    fn end(&mut self, random: u8) {
+        if self.running.is_empty() {
+            return;
+        }
+        let at = usize::from(random) % self.running.len();
+        let (request, place, _) = self.running.swap_remove(at);
+        let verdict = match random % 5 {
+            0 => Verdict::Failed,
+            1 => Verdict::Leaving,
+            2 => Verdict::Dropped,
+            _ => Verdict::Ran(None),
+        };
+        let ran = matches!(verdict, Verdict::Ran(_));
+        self.book.ended(place, verdict, u32::from(random % 7), self.now);
+        self.book.leave(request, ran, self.now);
+    }
+
+    fn step(&mut self, (kind, random): (u8, u8)) {
+        self.now = self.now + u64::from(random % 16);
+        match kind % 10 {
+            0..=3 => self.enter(random),
+            4..=6 => self.end(random),
+            7 => self.book.members(members(random | 1, random >> 5), self.now),
+            8 => {
+                let stopped = (random % 2 == 0).then_some(random);
+                self.book.configure(config(stopped), self.now);
+                self.stopped = stopped.map(|n| Endpoint(format!("endpoint-{}", n % ENDPOINTS)));
+            }
+            _ => self.book.tick(self.now),
+        }
+        self.poll();
+        assert_eq!(self.book.routing.counts().broken, 0);
+        assert_eq!(self.book.admission.counts().broken, 0);
+        assert_eq!(self.book.admission.running(), self.running.len());
+        assert_eq!(self.book.admission.waiting(), self.waiting.len());
+    }
+
+    fn poll(&mut self) {
+        for (request, entering) in self.book.poll(self.now) {
+            assert!(self.waiting.remove(&request), "answered once, and only if it waited");
+            self.take(request, entering);
+        }
+    }
+}
+
+quickcheck! {
+    fn each_request_is_answered_once_and_nothing_is_leaked(
+        seed: u64,
+        events: Vec<(u8, u8)>
+    ) -> bool {
+        let mut run = Run::new(seed);
+        for event in events {
+            run.step(event);
+        }
+        // All that runs ends and time passes every deadline: nothing may be left over.
+        while !run.running.is_empty() || !run.waiting.is_empty() {
+            run.end(3);
+            run.now = run.now + 1_000;
+            run.poll();
+        }
+        let idle = (0..ENDPOINTS).all(|n| {
+            let seat = run.book.routing.find(&Endpoint(format!("endpoint-{n}")));
+            seat.and_then(|seat| run.book.routing.state(seat)).is_none_or(|state| state.own == 0)
+        });
+        idle && run.book.admission.running() == 0
+    }
+}
