Predict at admission whether a sample will be fresh at its end

Cause: a sample begun at the edge of its bound is out of it when it ends; its tokens are wasted. Change: the versions expected while a sample runs, by learned means of the interval between publications and of durations, are taken from the bound when it begins. The bound itself is still judged by the ledger when it is delivered. Wasted tokens with and without it have not been measured.

--- a/components/entry/src/steps/duty.rs
+++ b/components/entry/src/steps/duty.rs
@@ -75,6 +75,7 @@
         let (leave, leaving) = watch::channel(false);
         let shared = Shared {
             leaving,
+            rhythm: Rc::default(),
             lengths: Rc::new(RefCell::new(Lengths::default())),
             slots: Arc::new(Semaphore::new((running / 2).max(1))),
         };
@@ -123,7 +124,8 @@
         }
     }
 
-    /// Leaves when the process drains or a planned stop names it.
+    /// Learns the rhythm of publications, and leaves when the process drains or a planned stop
+    /// names it.
     ///
     /// Samples in progress run on, and hold up the end of the process like requests; then the
     /// session is closed, so that another entry takes the steps at once instead of after the
@@ -131,6 +133,10 @@
     fn look(&mut self) {
         let context = &self.context;
         let config = context.config.current();
+        let now = context.now();
+        for (model, published) in &config.weights {
+            self.shared.rhythm.borrow_mut().published(model, published.version, now);
+        }
         let phase = context.kernel.phases.now();
         let leaves = door::open(phase, &config, &context.node, &context.place).is_err();
         let left = self.leave.send_replace(leaves);
--- a/components/entry/src/steps/mod.rs
+++ b/components/entry/src/steps/mod.rs
@@ -4,6 +4,7 @@
 pub mod handle;
 pub mod lengths;
 pub mod record;
+pub mod rhythm;
 pub mod sample;
 pub mod session;
 pub mod step;
--- a/components/entry/src/steps/sample.rs
+++ b/components/entry/src/steps/sample.rs
@@ -183,6 +183,7 @@
         let task = self.generation(prompt);
         let entering = Generating::enter(self.context.clone(), job, task);
         let mut generating = entering.await.map_err(Again::Failed)?;
+        let begun = self.context.now();
         loop {
             let piece = generating.next().await.map_err(Again::Failed)?;
             if self.is_doomed(&generating.whole) {
@@ -195,6 +196,8 @@
             }
         }
         drop(slot);
+        let ms = self.context.now().since(begun);
+        self.shared.rhythm.borrow_mut().finished(&self.progress.spec.model, ms);
         let attempts = generating.job().attempt.0;
         let whole = std::mem::take(&mut generating.whole);
         self.shared.lengths.borrow_mut().learn(prompt_of(prompt), whole.tokens);
@@ -216,7 +219,7 @@
             class: Class::Batch,
             deadline: (self.begun + budget).max(self.context.now() + LEAST),
             repeatable: true,
-            floor: Some(self.floor()),
+            floor: Some(self.first_floor()),
             fingerprint,
             suspect: config.suspects.contains_key(&fingerprint),
             retries: template.retries,
@@ -242,7 +245,13 @@
         config.weights.get(&self.progress.spec.model).map_or(Version(0), |newest| newest.version)
     }
 
-    /// Gives the oldest version that may begin the sample.
+    /// Gives the oldest version that may begin the sample, by when it is expected to end.
+    fn first_floor(&self) -> Version {
+        let (newest, bound) = (self.newest(), self.progress.bound);
+        self.shared.rhythm.borrow().floor(&self.progress.spec.model, newest, bound)
+    }
+
+    /// Gives the oldest version that may be delivered now.
     fn floor(&self) -> Version {
         Version(self.newest().0.saturating_sub(self.progress.bound))
     }
--- a/components/entry/src/steps/step.rs
+++ b/components/entry/src/steps/step.rs
@@ -24,6 +24,7 @@
 use crate::context::Context;
 use crate::steps::lengths::Lengths;
 use crate::steps::record;
+use crate::steps::rhythm::Rhythm;
 use crate::steps::sample;
 use crate::steps::sample::Ended;
 use crate::steps::sample::Place;
@@ -36,6 +37,8 @@
 pub struct Shared {
     /// Learned lengths.
     pub lengths: Rc<RefCell<Lengths>>,
+    /// The rhythm of publications.
+    pub rhythm: Rc<RefCell<Rhythm>>,
     /// Samples that may run at once.
     pub slots: Arc<Semaphore>,
     /// Whether this entry is leaving: what runs goes on, nothing new begins.
--- /dev/null
+++ b/components/entry/tests/learning.rs
@@ -0,0 +1,41 @@
+//! What the steps duty learns: lengths of answers, the rhythm of publications.
+
+use chicoryford_entry::steps::lengths::Lengths;
+use chicoryford_entry::steps::rhythm::Rhythm;
+use chicoryford_types::Fingerprint;
+use chicoryford_types::Millis;
+use chicoryford_types::Model;
+use chicoryford_types::Version;
+
+#[test]
+fn the_longest_expected_samples_begin_first() {
+    // Symptom: a trainer waits for one sample while all engines idle.
+    // Sequence: the longest sample of a step begins last.
+    // Cause: samples begun in the order of their groups.
+    let mut lengths = Lengths::default();
+    lengths.learn(Fingerprint(1), 10);
+    lengths.learn(Fingerprint(2), 500);
+    lengths.learn(Fingerprint(3), 90);
+    let mut order = [1, 2, 3, 4];
+    lengths.sort(&mut order, |n| Fingerprint(*n));
+    assert_eq!(order, [4, 2, 3, 1], "what is not known counts as the longest");
+}
+
+#[test]
+fn versions_expected_during_a_sample_are_taken_from_its_bound() {
+    // Symptom: samples are thrown away as stale when they end.
+    // Sequence: a sample of 25 s begins at the edge of a bound of 3 versions, published every 10 s.
+    // Cause: freshness judged by the version in force when the sample began.
+    let model = Model::from("m");
+    let mut rhythm = Rhythm::default();
+    assert_eq!(rhythm.floor(&model, Version(9), 3), Version(6), "nothing is known yet");
+    for version in 1..=4 {
+        rhythm.published(&model, Version(version), Millis(version * 10_000));
+        rhythm.published(&model, Version(version), Millis(version * 10_000 + 5_000));
+    }
+    assert_eq!(rhythm.ahead(&model), 0);
+    rhythm.finished(&model, 25_000);
+    assert_eq!(rhythm.ahead(&model), 2);
+    assert_eq!(rhythm.floor(&model, Version(9), 3), Version(8));
+    assert_eq!(rhythm.floor(&model, Version(9), 1), Version(9), "never above the newest");
+}
