--- a/components/entry/src/router/book.rs
+++ b/components/entry/src/router/book.rs
@@ -14,10 +14,8 @@
 use chicoryford_admission::Room;
 use chicoryford_admission::Verdict as Entry;
 use chicoryford_admission::shares::even;
-use chicoryford_routing::NoChoice;
 use chicoryford_routing::Place;
 use chicoryford_routing::Router;
-use chicoryford_routing::Seat;
 use chicoryford_types::Code;
 use chicoryford_types::Config;
 use chicoryford_types::Failure;
@@ -28,20 +26,13 @@
 use chicoryford_types::RequestId;
 
 use crate::router::overlay::Overlay;
+use crate::router::place::Running;
 use crate::router::seat::Again;
 use crate::router::seat::Pick;
-use crate::router::seat::Verdict;
 use crate::router::seat::Want;
 
-/// When a request that found no endpoint may come back, in milliseconds.
-const ABSENT_RETRY: u64 = 1_000;
 /// When a request that found this entry full may come back, in milliseconds.
 const FULL_RETRY: u64 = 500;
-/// Tokens that an answer is expected to have until the model's answers are known. It is low on
-/// purpose: a request must not be refused for lack of time on a guess.
-const LENGTH: f32 = 16.0;
-/// The weight of a new answer in the mean length of a model's answers.
-const LEARN: f32 = 0.05;
 /// One in this many requests is let in whether or not it seems to have time. Expectations are
 /// learned from requests that finish; if none were let in, an expectation that an overload
 /// once made too long would refuse all requests for ever.
@@ -60,16 +51,6 @@
     pub place: Place,
 }
 
-/// An attempt in progress.
-#[derive(Clone, Debug)]
-struct Running {
-    seat: Seat,
-    model: Model,
-    pick: Pick,
-    begun: Millis,
-    tokens: u32,
-}
-
 /// A place at an endpoint: its number, and the endpoint.
 pub type Placed = (u64, Pick);
 
@@ -87,12 +68,12 @@
     rank: u32,
     members: Arc<Members>,
     config: Arc<Config>,
-    overlay: Overlay,
+    pub(super) overlay: Overlay,
     waiting: HashMap<RequestId, Want>,
     started: HashMap<RequestId, Millis>,
-    running: HashMap<u64, Running>,
-    lengths: HashMap<Model, f32>,
-    next: u64,
+    pub(super) running: HashMap<u64, Running>,
+    pub(super) lengths: HashMap<Model, f32>,
+    pub(super) next: u64,
     asked: u64,
     bounds: Bounds,
 }
@@ -144,7 +125,7 @@
         self.lease();
     }
 
-    fn lay(&mut self, now: Millis) {
+    pub(super) fn lay(&mut self, now: Millis) {
         let laid = self.overlay.lay(&self.members, &self.config);
         self.routing.observe_members(now, &laid);
     }
@@ -247,93 +228,6 @@
         entered
     }
 
-    /// Chooses the endpoint of an attempt and counts the attempt there.
-    ///
-    /// # Errors
-    ///
-    /// The failure to tell, always "not run".
-    pub fn choose(&mut self, want: &Want, now: Millis) -> Result<Placed, Failure> {
-        let tokens = self.expected_tokens(want);
-        let avoid: Vec<Seat> =
-            want.avoid.iter().filter_map(|endpoint| self.routing.find(endpoint)).collect();
-        let mut chosen = self.ask_routing(want, tokens, &avoid, now);
-        if chosen == Err(NoChoice::Excluded) {
-            // An endpoint that failed once is better than none.
-            chosen = self.ask_routing(want, tokens, &[], now);
-        }
-        let choice = chosen.map_err(|none| absent(none, &want.model))?;
-        let Some(target) = self.routing.target(choice.seat) else {
-            return Err(absent(NoChoice::Unserved, &want.model));
-        };
-        let pick = Pick {
-            endpoint: target.endpoint.clone(),
-            agent: target.agent.clone(),
-            address: target.address.clone(),
-            incarnation: target.incarnation,
-        };
-        self.routing.started(now, choice.seat, tokens, want.prefix);
-        self.next += 1;
-        let (seat, model) = (choice.seat, want.model.clone());
-        let running = Running { seat, model, pick: pick.clone(), begun: now, tokens };
-        self.running.insert(self.next, running);
-        Ok((self.next, pick))
-    }
-
-    fn ask_routing(
-        &mut self,
-        want: &Want,
-        tokens: u32,
-        exclude: &[Seat],
-        now: Millis,
-    ) -> Result<chicoryford_routing::Choice, NoChoice> {
-        let want = chicoryford_routing::Want {
-            model: &want.model,
-            class: want.class,
-            prefix: want.prefix,
-            prompt: want.prompt,
-            tokens,
-            floor: want.floor,
-            exclude,
-            suspect: want.suspect,
-        };
-        self.routing.choose(now, &want)
-    }
-
-    fn expect(&mut self, want: &Want, now: Millis) -> Result<u64, Failure> {
-        let tokens = self.expected_tokens(want);
-        let chosen = self.ask_routing(want, tokens, &[], now);
-        chosen.map(|choice| choice.expected_ms).map_err(|none| absent(none, &want.model))
-    }
-
-    fn expected_tokens(&self, want: &Want) -> u32 {
-        let mean = self.lengths.get(&want.model).copied().unwrap_or(LENGTH);
-        (mean.ceil() as u32).min(want.tokens)
-    }
-
-    /// Takes in how an attempt ended and how many tokens it produced.
-    pub fn ended(&mut self, place: u64, verdict: Verdict, tokens: u32, now: Millis) {
-        let Some(running) = self.running.remove(&place) else { return };
-        let Running { seat, model, pick, begun, tokens: expected } = running;
-        let left = expected.saturating_sub(tokens);
-        self.routing.finished(now, seat, verdict.ending(), now.since(begun), tokens, left);
-        match verdict {
-            Verdict::Ran(load) => {
-                if tokens > 0 {
-                    let mean = self.lengths.entry(model).or_insert(tokens as f32);
-                    *mean += LEARN * (tokens as f32 - *mean);
-                }
-                if let Some(load) = load {
-                    self.load(&load, now);
-                }
-            }
-            Verdict::Leaving => {
-                self.overlay.refused(pick.endpoint, pick.incarnation, now);
-                self.lay(now);
-            }
-            Verdict::Failed | Verdict::Silent | Verdict::Dropped => {}
-        }
-    }
-
     /// Decides whether a request is tried again; gives the milliseconds to wait before.
     pub fn again(&mut self, again: &Again, now: Millis) -> Option<u64> {
         let retry = Retry {
@@ -358,26 +252,6 @@
             self.lay(now);
         }
     }
-
-    /// Lists the agents that should report to this entry.
-    pub fn subset(&self) -> Vec<Pick> {
-        let mut picks: Vec<Pick> = Vec::new();
-        for model in self.routing.models() {
-            for seat in self.routing.subset_of(model) {
-                let Some(target) = self.routing.target(*seat) else { continue };
-                let pick = Pick {
-                    endpoint: target.endpoint.clone(),
-                    agent: target.agent.clone(),
-                    address: target.address.clone(),
-                    incarnation: target.incarnation,
-                };
-                if !picks.iter().any(|known| known.endpoint == pick.endpoint) {
-                    picks.push(pick);
-                }
-            }
-        }
-        picks
-    }
 }
 
 fn room(routing: &Router, model: &Model, now: Millis) -> Room {
@@ -385,10 +259,6 @@
     Room { slots: view.slots, load: view.load }
 }
 
-fn absent(none: NoChoice, model: &Model) -> Failure {
-    Failure::not_run(none.code(), format!("{model}: {none}")).retry_after(ABSENT_RETRY)
-}
-
 fn explain(code: Code, model: &Model) -> String {
     match code {
         Code::LimitReached => "the workspace is at its limit at this entry".to_owned(),
--- a/components/entry/src/router/mod.rs
+++ b/components/entry/src/router/mod.rs
@@ -6,6 +6,7 @@
 pub mod duty;
 pub mod handle;
 pub mod overlay;
+pub mod place;
 pub mod seat;
 
 pub use book::Book;
--- a/components/entry/src/run/once.rs
+++ b/components/entry/src/run/once/mod.rs
@@ -4,6 +4,8 @@
 //! The agent that is named in the claim is the last gate, and remembers the answer. Whoever
 //! resends the call, through whichever entry, finds the claim and asks that agent.
 
+mod answers;
+
 use std::time::Duration;
 
 use chicoryford_state::Assigned;
@@ -25,12 +27,16 @@
 use chicoryford_types::request::Task;
 
 use crate::context::Context;
-use crate::router::Pick;
 use crate::router::Ticket;
 use crate::router::Verdict;
 use crate::run::attempt::Attempt;
 use crate::run::attempt::Broken;
 use crate::run::job::Job;
+use crate::run::once::answers::RETRY;
+use crate::run::once::answers::assigned;
+use crate::run::once::answers::ended;
+use crate::run::once::answers::refused;
+use crate::run::once::answers::unknown;
 use crate::run::probe;
 use crate::run::serve;
 use crate::run::serve::Served;
@@ -44,8 +50,6 @@
 const ASK: u64 = 50;
 /// The longest such wait, in milliseconds.
 const ASK_BOUND: u64 = 1_000;
-/// When to send a call again whose first sending may still run, in milliseconds.
-const RETRY: u64 = 1_000;
 
 /// Who holds the claim, and where its attempt is.
 #[derive(Clone, Debug)]
@@ -337,47 +341,3 @@
     Go(State),
     Done(StoredAnswer),
 }
-
-fn assigned(pick: &Pick) -> Assigned {
-    Assigned {
-        endpoint: pick.endpoint.clone(),
-        agent: pick.agent.clone(),
-        incarnation: pick.incarnation,
-    }
-}
-
-fn unknown() -> Failure {
-    let detail = "a first sending of the call may have run, and its answer is not known; it is \
-                  not run again";
-    Failure::unknown(Code::DuplicateUnknown, detail)
-}
-
-fn ended(end: ClaimEnd) -> Result<StoredAnswer, Failure> {
-    match end {
-        ClaimEnd::Answered(answer) => Ok(answer),
-        ClaimEnd::Unknown => Err(unknown()),
-        ClaimEnd::NotRun => {
-            let detail = "the call was given up under this key before it ran; use a new key";
-            Err(Failure::not_run(Code::Conflict, detail))
-        }
-    }
-}
-
-fn refused(refusal: &Refusal) -> Failure {
-    match refusal {
-        Refusal::KeyExpired | Refusal::Missing => {
-            let detail = "the idempotency key must read `<Unix ms of issue>.<anything>`, issued \
-                          within the window of docs/API.md";
-            Failure::not_run(Code::KeyExpired, detail)
-        }
-        Refusal::KeyReused => {
-            let detail = "the idempotency key came before with other content";
-            Failure::not_run(Code::KeyReused, detail)
-        }
-        Refusal::Full => {
-            let detail = "too many calls that may not be repeated are remembered";
-            Failure::not_run(Code::Overloaded, detail).retry_after(RETRY)
-        }
-        other => Failure::not_run(Code::Internal, format!("the claim was refused: {other:?}")),
-    }
-}
--- a/components/entry/src/steps/mod.rs
+++ b/components/entry/src/steps/mod.rs
@@ -3,6 +3,7 @@
 pub mod duty;
 pub mod handle;
 pub mod lengths;
+pub mod made;
 pub mod record;
 pub mod rhythm;
 pub mod sample;
--- a/components/entry/src/steps/sample.rs
+++ b/components/entry/src/steps/sample.rs
@@ -3,35 +3,27 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use chicoryford_ledger::Body;
 use chicoryford_ledger::LedgerCommand;
 use chicoryford_ledger::LedgerReply;
 use chicoryford_ledger::Progress;
 use chicoryford_ledger::Record;
 use chicoryford_ledger::StepKey;
 use chicoryford_types::Class;
-use chicoryford_types::Digest;
 use chicoryford_types::Failure;
 use chicoryford_types::Fingerprint;
 use chicoryford_types::Group;
 use chicoryford_types::Millis;
-use chicoryford_types::Sample;
 use chicoryford_types::SampleNo;
 use chicoryford_types::Template;
 use chicoryford_types::Version;
 use chicoryford_types::request::Generation;
-use chicoryford_types::request::ServiceCall;
 use rand::Rng;
-use serde::Deserialize;
-use serde_json::json;
 
 use crate::context::Context;
 use crate::door;
 use crate::run::Generating;
 use crate::run::Job;
 use crate::run::Piece;
-use crate::run::serve;
 use crate::run::spans::Whole;
 use crate::steps::record;
 use crate::steps::step::Shared;
@@ -46,12 +38,7 @@
 /// The pause before a sample is begun again, in milliseconds; it doubles with each try.
 const PAUSE: u64 = 50;
 /// The longest such pause, in milliseconds.
-const PAUSE_BOUND: u64 = 2_000;
-/// How often a generation is given to the scoring service before it is made anew.
-const SCORINGS: u32 = 8;
-/// The path at which scoring services answer.
-const SCORE: &str = "/score";
-
+pub(super) const PAUSE_BOUND: u64 = 2_000;
 /// A sample's place in its step.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Place {
@@ -73,7 +60,7 @@
 }
 
 /// Why a sample must be begun again.
-enum Again {
+pub(super) enum Again {
     /// The request failed.
     Failed(Failure),
     /// Its oldest tokens are too old by now.
@@ -108,11 +95,6 @@
     attempts: u32,
 }
 
-#[derive(Deserialize)]
-struct Scored {
-    score: f64,
-}
-
 impl Task {
     /// Runs the sample until it is recorded or the step is over.
     pub async fn run(&self) -> Ended {
@@ -151,22 +133,6 @@
         self.submit(record).await
     }
 
-    /// Scores a generation, asking again if the scoring service fails: its tokens are whole, and
-    /// to make them anew would waste them.
-    async fn scored(&self, template: &Template, whole: &Whole) -> Result<Option<f64>, Again> {
-        let mut tries = 0;
-        loop {
-            tries += 1;
-            match self.score(template, whole).await {
-                Ok(score) => return Ok(score),
-                Err(failure) if tries >= SCORINGS || self.is_doomed(whole) => {
-                    return Err(Again::Failed(failure));
-                }
-                Err(_) => actix_rt::time::sleep(Duration::from_millis(PAUSE_BOUND / 4)).await,
-            }
-        }
-    }
-
     fn template(&self) -> Result<Template, Again> {
         let config = self.context.config.current();
         let template = door::template(&self.key.workspace, &config);
@@ -207,7 +173,7 @@
         Ok(Made { whole, attempts })
     }
 
-    fn job(&self, template: &Template, prompt: &str) -> Job {
+    pub(super) fn job(&self, template: &Template, prompt: &str) -> Job {
         let spec = &self.progress.spec;
         let budget = if spec.budget_ms == 0 { BUDGET } else { spec.budget_ms };
         let fingerprint = prompt_of(prompt);
@@ -258,53 +224,11 @@
 
     /// Tells whether the sample could no longer be delivered however soon it ended: versions
     /// only grow, so its slot is better freed now.
-    fn is_doomed(&self, whole: &Whole) -> bool {
+    pub(super) fn is_doomed(&self, whole: &Whole) -> bool {
         let floor = self.floor();
         whole.runs.iter().any(|run| run.version.is_some_and(|version| version < floor))
     }
 
-    async fn score(&self, template: &Template, whole: &Whole) -> Result<Option<f64>, Failure> {
-        let Some(scorer) = &template.scorer else { return Ok(None) };
-        let prompt = &self.progress.spec.groups[self.place.group.0 as usize].prompt;
-        let body = json!({"prompt": prompt, "text": whole.text}).to_string();
-        let call = ServiceCall {
-            path: SCORE.to_owned(),
-            media: "application/json".to_owned(),
-            body: Bytes::from(body),
-        };
-        let job = Job { model: scorer.clone(), floor: None, ..self.job(template, prompt) };
-        let job = Job { fingerprint: Fingerprint::of(&call.body), suspect: false, ..job };
-        let served = serve::call(&self.context, job, call).await?;
-        let scored = serde_json::from_slice::<Scored>(&served.answer.body);
-        let scored = scored.map_err(|error| {
-            let detail = format!("the scoring service's answer cannot be read: {error}");
-            Failure::unknown(chicoryford_types::Code::EndpointFailed, detail)
-        })?;
-        Ok(Some(scored.score))
-    }
-
-    fn record(&self, whole: &Whole, attempts: u32, score: Option<f64>) -> Option<Record> {
-        let spans = whole.spans()?;
-        // Log-probabilities that some attempt did not give cannot be matched to tokens.
-        let complete = whole.logprobs.len() == whole.tokens as usize;
-        let sample = Sample {
-            step: self.key.step,
-            group: self.place.group,
-            number: self.place.number,
-            text: whole.text.clone(),
-            tokens: whole.tokens,
-            spans: spans.clone(),
-            logprobs: if complete { whole.logprobs.clone() } else { Vec::new() },
-            attempts,
-            score,
-            age_ms: self.context.now().since(self.begun),
-        };
-        let bytes = serde_json::to_vec(&sample).expect("a sample is plain data");
-        let digest = Digest::of(&bytes);
-        let body = Body::Inline(Bytes::from(bytes));
-        Some(Record { spans, tokens: whole.tokens, digest, body })
-    }
-
     /// Records the sample, sending it again until the control processes answered: a second
     /// record of the same sample is a duplicate, which the ledger drops.
     async fn submit(&self, record: Record) -> Result<Ended, Again> {
