Hedge the last few samples of a group

Cause: a group waited for a sample at an endpoint that had become slow without failing. Change: samples of groups that lack few are offered to chicoryford_admission's hedging decision with what they have and still need; an allowed one gets a second maker elsewhere, the ledger keeps the first record and the other maker is cancelled. Trainer idle time with and without it has not been measured. Conclusion: one winner by the ledger; its worth under load is still to be measured.

--- a/components/entry/src/router/book.rs
+++ b/components/entry/src/router/book.rs
@@ -254,7 +254,8 @@
     }
 }
 
-fn room(routing: &Router, model: &Model, now: Millis) -> Room {
+/// Gives the room that a model's endpoints have.
+pub(super) fn room(routing: &Router, model: &Model, now: Millis) -> Room {
     let view = routing.view(now, model, None);
     Room { slots: view.slots, load: view.load }
 }
--- a/components/entry/src/router/duty.rs
+++ b/components/entry/src/router/duty.rs
@@ -24,6 +24,7 @@
 use crate::router::handle::Ask;
 use crate::router::handle::EnterSender;
 use crate::router::handle::Entered;
+use crate::router::handle::Hedged;
 use crate::router::handle::Router;
 use crate::router::handle::SERVICE;
 use crate::router::handle::Ticket;
@@ -140,6 +141,11 @@
             Ask::Again(again, sender) => {
                 let _ = sender.send(self.book.again(&again, now));
             }
+            Ask::Hedge(late, sender) => {
+                let allowed = self.book.hedge(&late, now);
+                let _ = sender.send(allowed.then(|| Hedged::new(self.router.clone())));
+            }
+            Ask::Unhedged => self.book.admission.unhedged(),
             Ask::Load(report) => self.book.load(&report, now),
             Ask::Subset(sender) => {
                 let _ = sender.send(self.book.subset());
--- a/components/entry/src/router/handle.rs
+++ b/components/entry/src/router/handle.rs
@@ -9,6 +9,7 @@
 use tokio::sync::oneshot;
 
 use crate::router::seat::Again;
+use crate::router::seat::Late;
 use crate::router::seat::Pick;
 use crate::router::seat::Verdict;
 use crate::router::seat::Want;
@@ -34,6 +35,10 @@
     Ended(u64, Verdict, u32),
     /// A request wants to be tried again; it is told how many milliseconds to wait, if it may.
     Again(Box<Again>, oneshot::Sender<Option<u64>>),
+    /// A late sample might be given a second maker.
+    Hedge(Box<Late>, oneshot::Sender<Option<Hedged>>),
+    /// A second maker ended.
+    Unhedged,
     /// A load report came.
     Load(Box<LoadReport>),
     /// The agents that should report to this entry are wanted.
@@ -82,6 +87,14 @@
         receiver.await.ok()?
     }
 
+    /// Asks whether a late sample is given a second maker, which counts as running until
+    /// [`Hedged`] is dropped.
+    pub async fn hedge(&self, late: Late) -> Option<Hedged> {
+        let (sender, receiver) = oneshot::channel();
+        self.offer(Ask::Hedge(Box::new(late), sender)).ok()?;
+        receiver.await.ok()?
+    }
+
     /// Passes on a load report; one that finds no room is dropped, the next replaces it.
     pub fn load(&self, report: LoadReport) {
         let _ = self.0.offer(Ask::Load(Box::new(report)));
@@ -150,6 +163,22 @@
     }
 }
 
+/// A second maker that was allowed; it is counted out when this is dropped.
+pub struct Hedged(Router);
+
+impl Hedged {
+    /// Wraps a second maker that the book has counted.
+    pub fn new(router: Router) -> Self {
+        Self(router)
+    }
+}
+
+impl Drop for Hedged {
+    fn drop(&mut self) {
+        self.0.tell(Ask::Unhedged);
+    }
+}
+
 /// A place at an endpoint; it is given back when this is dropped.
 pub struct Ticket {
     router: Router,
--- a/components/entry/src/router/mod.rs
+++ b/components/entry/src/router/mod.rs
@@ -11,10 +11,12 @@
 
 pub use book::Book;
 pub use handle::Entered;
+pub use handle::Hedged;
 pub use handle::Router;
 pub use handle::SERVICE;
 pub use handle::Ticket;
 pub use seat::Again;
+pub use seat::Late;
 pub use seat::Pick;
 pub use seat::Verdict;
 pub use seat::Want;
--- a/components/entry/src/router/place.rs
+++ b/components/entry/src/router/place.rs
@@ -1,5 +1,6 @@
 //! Where attempts go: the part of the book that asks routing.
 
+use chicoryford_admission::Straggler;
 use chicoryford_routing::Choice;
 use chicoryford_routing::NoChoice;
 use chicoryford_routing::Seat;
@@ -9,6 +10,8 @@
 
 use crate::router::book::Book;
 use crate::router::book::Placed;
+use crate::router::book::room;
+use crate::router::seat::Late;
 use crate::router::seat::Pick;
 use crate::router::seat::Verdict;
 use crate::router::seat::Want;
@@ -119,6 +122,37 @@
         }
     }
 
+    /// Decides whether a late sample is given a second maker, and counts that one.
+    ///
+    /// What it has still to produce is estimated from the mean length of the model's answers;
+    /// one that is past the mean is expected to be a quarter longer than it is. The second maker
+    /// has to produce all of it anew, so a sample that is merely long is not hedged.
+    pub fn hedge(&mut self, late: &Late, now: Millis) -> bool {
+        let mean = self.expected_tokens(&late.want);
+        let rest = mean.saturating_sub(late.tokens).max(late.tokens / 4).max(1);
+        let again = Want { tokens: late.tokens + rest, ..late.want.clone() };
+        let avoid: Vec<Seat> =
+            late.want.avoid.iter().filter_map(|endpoint| self.routing.find(endpoint)).collect();
+        let Ok(choice) = self.ask_routing(&again, late.tokens + rest, &avoid, now) else {
+            return false;
+        };
+        let token_ms = late.ran_ms / u64::from(late.tokens.max(1));
+        let straggler = Straggler {
+            group: late.group,
+            left: late.left,
+            ran_ms: late.ran_ms,
+            expected_ms: choice.expected_ms,
+            again_ms: choice.expected_ms,
+            rest_ms: token_ms * u64::from(rest),
+            room: room(&self.routing, &late.want.model, now),
+        };
+        let allowed = self.admission.may_hedge(&straggler);
+        if allowed {
+            self.admission.hedged();
+        }
+        allowed
+    }
+
     /// Lists the agents that should report to this entry.
     pub fn subset(&self) -> Vec<Pick> {
         let mut picks: Vec<Pick> = Vec::new();
--- a/components/entry/src/router/seat.rs
+++ b/components/entry/src/router/seat.rs
@@ -69,6 +69,21 @@
     pub deadline: Millis,
 }
 
+/// A sample that runs late and may be given a second maker.
+#[derive(Clone, Debug, Default)]
+pub struct Late {
+    /// What the second maker would look for.
+    pub want: Want,
+    /// Samples of its group.
+    pub group: u32,
+    /// Of those, the ones that are not recorded.
+    pub left: u32,
+    /// Milliseconds since it was let in.
+    pub ran_ms: u64,
+    /// Tokens that it has.
+    pub tokens: u32,
+}
+
 /// How an attempt ended, as far as it tells something about its endpoint.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub enum Verdict {
--- a/components/entry/src/run/generate.rs
+++ b/components/entry/src/run/generate.rs
@@ -1,5 +1,6 @@
 //! Runs a generation, continued elsewhere when an attempt breaks off.
 
+use chicoryford_types::Endpoint;
 use chicoryford_types::Failure;
 use chicoryford_types::frame::Event;
 use chicoryford_types::frame::Tokens;
@@ -56,6 +57,11 @@
         &self.tries.job
     }
 
+    /// Tells where the present attempt runs.
+    pub fn endpoint(&self) -> Option<Endpoint> {
+        self.live.as_ref().map(|live| live.ticket.pick.endpoint.clone())
+    }
+
     /// Waits for the next piece.
     ///
     /// # Errors
--- a/components/entry/src/steps/made.rs
+++ b/components/entry/src/steps/made.rs
@@ -62,7 +62,8 @@
             media: "application/json".to_owned(),
             body: Bytes::from(body),
         };
-        let job = Job { model: scorer.clone(), floor: None, ..self.job(template, prompt) };
+        let avoid = Vec::new();
+        let job = Job { model: scorer.clone(), floor: None, avoid, ..self.job(template, prompt) };
         let job = Job { fingerprint: Fingerprint::of(&call.body), suspect: false, ..job };
         let served = serve::call(&self.context, job, call).await?;
         let scored = serde_json::from_slice::<Scored>(&served.answer.body);
--- a/components/entry/src/steps/mod.rs
+++ b/components/entry/src/steps/mod.rs
@@ -1,6 +1,7 @@
 //! Runs the steps that this entry's session owns (docs/STEPS.md).
 
 pub mod duty;
+pub mod flight;
 pub mod handle;
 pub mod lengths;
 pub mod made;
--- a/components/entry/src/steps/sample.rs
+++ b/components/entry/src/steps/sample.rs
@@ -9,6 +9,7 @@
 use chicoryford_ledger::Record;
 use chicoryford_ledger::StepKey;
 use chicoryford_types::Class;
+use chicoryford_types::Endpoint;
 use chicoryford_types::Failure;
 use chicoryford_types::Fingerprint;
 use chicoryford_types::Group;
@@ -25,6 +26,7 @@
 use crate::run::Job;
 use crate::run::Piece;
 use crate::run::spans::Whole;
+use crate::steps::flight::Pulse;
 use crate::steps::record;
 use crate::steps::step::Shared;
 use crate::steps::step::prompt_of;
@@ -85,6 +87,10 @@
     pub key: StepKey,
     /// The sample.
     pub place: Place,
+    /// How far it has come, for the decision whether to hedge it.
+    pub pulse: Rc<Pulse>,
+    /// Endpoints that it should not run at, because another maker of it runs there.
+    pub avoid: Vec<Endpoint>,
     /// When this entry took the step.
     pub begun: Millis,
 }
@@ -150,8 +156,11 @@
         let entering = Generating::enter(self.context.clone(), job, task);
         let mut generating = entering.await.map_err(Again::Failed)?;
         let begun = self.context.now();
+        self.pulse.begun.set(Some(begun));
         loop {
             let piece = generating.next().await.map_err(Again::Failed)?;
+            self.pulse.tokens.set(generating.whole.tokens);
+            self.pulse.endpoint.replace(generating.endpoint());
             if self.is_doomed(&generating.whole) {
                 let tokens = i64::from(generating.whole.tokens);
                 self.context.kernel.metrics.count("entry.sample.wasted_tokens", tokens);
@@ -189,6 +198,7 @@
             fingerprint,
             suspect: config.suspects.contains_key(&fingerprint),
             retries: template.retries,
+            avoid: self.avoid.clone(),
             ..Job::default()
         }
     }
--- a/components/entry/src/steps/step.rs
+++ b/components/entry/src/steps/step.rs
@@ -11,6 +11,7 @@
 use chicoryford_ledger::LedgerReply;
 use chicoryford_ledger::Progress;
 use chicoryford_ledger::StepKey;
+use chicoryford_types::Endpoint;
 use chicoryford_types::Fingerprint;
 use chicoryford_types::Group;
 use chicoryford_types::Millis;
@@ -22,6 +23,11 @@
 use tokio::sync::watch;
 
 use crate::context::Context;
+use crate::router::Hedged;
+use crate::router::Late;
+use crate::router::Want;
+use crate::steps::flight::Flight;
+use crate::steps::flight::Pulse;
 use crate::steps::lengths::Lengths;
 use crate::steps::record;
 use crate::steps::rhythm::Rhythm;
@@ -32,6 +38,11 @@
 /// The time between two questions for a step's progress.
 const POLL: Duration = Duration::from_secs(2);
 
+/// The time between two looks for samples to hedge.
+const HEDGE: Duration = Duration::from_millis(500);
+/// Groups that lack at most one in this many of their samples are looked at for hedging.
+const FEW: u32 = 4;
+
 /// What all steps of an entry share.
 #[derive(Clone)]
 pub struct Shared {
@@ -55,7 +66,7 @@
     begun: Millis,
     progress: Rc<Progress>,
     done: BTreeMap<Group, u32>,
-    in_flight: BTreeSet<Place>,
+    in_flight: BTreeMap<Place, Flight>,
     whole: watch::Sender<BTreeSet<Group>>,
     running: Running,
 }
@@ -83,7 +94,7 @@
         key,
         progress: Rc::default(),
         done: BTreeMap::new(),
-        in_flight: BTreeSet::new(),
+        in_flight: BTreeMap::new(),
         whole: watch::Sender::new(BTreeSet::new()),
         running: Running::new(),
     };
@@ -94,6 +105,7 @@
 impl Step {
     async fn work(&mut self) {
         let mut poll = actix_rt::time::interval_at(actix_rt::time::Instant::now() + POLL, POLL);
+        let mut hedge = actix_rt::time::interval(HEDGE);
         loop {
             let idle = self.running.is_empty();
             if idle && *self.shared.leaving.borrow() {
@@ -101,13 +113,13 @@
             }
             tokio::select! {
                 Some((place, ended)) = self.running.next(), if !idle => {
-                    self.in_flight.remove(&place);
                     match ended {
                         Ended::Recorded => self.count(place),
-                        Ended::Unwanted => {}
+                        Ended::Unwanted => self.drop_maker(place),
                         Ended::Over => return,
                     }
                 }
+                _ = hedge.tick() => self.hedge().await,
                 _ = poll.tick() => {
                     if self.poll().await.is_none() {
                         return;
@@ -139,11 +151,76 @@
         progress.delivered.len() == progress.spec.groups.len()
     }
 
+    /// Counts a recorded sample. Its other maker, if any, is told to stop; should that one have
+    /// recorded the sample as well, the ledger has kept the first.
     fn count(&mut self, place: Place) {
+        let Some(flight) = self.in_flight.remove(&place) else { return };
+        flight.stop.send_replace(true);
         *self.done.entry(place.group).or_default() += 1;
         self.tell_whole();
     }
 
+    fn drop_maker(&mut self, place: Place) {
+        let Some(flight) = self.in_flight.get_mut(&place) else { return };
+        flight.makers -= 1;
+        if flight.makers == 0 {
+            self.in_flight.remove(&place);
+        }
+    }
+
+    /// Gives the last few samples of a group that run late a second maker elsewhere.
+    ///
+    /// A group waits for its last sample. One that runs at an endpoint that has become slow
+    /// without failing would hold up the group, and with it the trainer, for as long as it takes.
+    async fn hedge(&mut self) {
+        if *self.shared.leaving.borrow() {
+            return;
+        }
+        for place in self.late() {
+            let Some(straggler) = self.straggler(place) else { continue };
+            let Some(hedged) = self.context.router.hedge(straggler).await else { continue };
+            let Some(flight) = self.in_flight.get_mut(&place) else { continue };
+            flight.hedged = true;
+            flight.makers += 1;
+            let avoid = flight.pulse.endpoint.borrow().iter().cloned().collect();
+            tracing::info!(event = "sample_hedged", group = %place.group, number = %place.number);
+            self.start(place, Rc::default(), avoid, Some(hedged));
+        }
+    }
+
+    /// Lists the samples that might be hedged: those that run, in groups that lack only a few.
+    fn late(&self) -> Vec<Place> {
+        let wanted = self.progress.spec.samples;
+        let few = |group: &Group| {
+            let done = self.done.get(group).copied().unwrap_or_default();
+            (wanted.saturating_sub(done)) * FEW <= wanted.max(FEW)
+        };
+        let runs = |flight: &Flight| !flight.hedged && flight.pulse.begun.get().is_some();
+        let late =
+            self.in_flight.iter().filter(|(place, flight)| few(&place.group) && runs(flight));
+        late.map(|(place, _)| *place).collect()
+    }
+
+    fn straggler(&self, place: Place) -> Option<Late> {
+        let flight = self.in_flight.get(&place)?;
+        let spec = &self.progress.spec;
+        let done = self.done.get(&place.group).copied().unwrap_or_default();
+        let want = Want {
+            workspace: self.key.workspace.clone(),
+            model: spec.model.clone(),
+            tokens: spec.max_tokens,
+            avoid: flight.pulse.endpoint.borrow().iter().cloned().collect(),
+            ..Want::default()
+        };
+        Some(Late {
+            want,
+            group: spec.samples,
+            left: spec.samples.saturating_sub(done),
+            ran_ms: self.context.now().since(flight.pulse.begun.get()?),
+            tokens: flight.pulse.tokens.get(),
+        })
+    }
+
     /// Tells the samples of groups that are whole to stop: these are the extra ones.
     fn tell_whole(&self) {
         let wanted = self.progress.spec.samples;
@@ -184,7 +261,7 @@
             for number in (0..spec.samples + spec.extra).map(SampleNo) {
                 let place = Place { group, number };
                 let recorded = self.progress.done.contains(&(group, number));
-                if !recorded && !self.in_flight.contains(&place) {
+                if !recorded && !self.in_flight.contains_key(&place) {
                     missing.push(place);
                 }
             }
@@ -196,8 +273,24 @@
         if *self.shared.leaving.borrow() {
             return;
         }
-        self.in_flight.insert(place);
+        let flight = Flight::default();
+        let pulse = flight.pulse.clone();
+        self.in_flight.insert(place, flight);
+        self.start(place, pulse, Vec::new(), None);
+    }
+
+    fn start(
+        &mut self,
+        place: Place,
+        pulse: Rc<Pulse>,
+        avoid: Vec<Endpoint>,
+        hedged: Option<Hedged>,
+    ) {
+        let Some(flight) = self.in_flight.get(&place) else { return };
+        let mut stop = flight.stop.subscribe();
         let task = sample::Task {
+            pulse,
+            avoid,
             context: self.context.clone(),
             shared: self.shared.clone(),
             progress: self.progress.clone(),
@@ -208,9 +301,11 @@
         };
         let mut whole = self.whole.subscribe();
         self.running.push(Box::pin(async move {
+            let _hedged = hedged;
             let ended = tokio::select! {
                 ended = task.run() => ended,
                 _ = whole.wait_for(|whole| whole.contains(&place.group)) => Ended::Unwanted,
+                _ = stop.wait_for(|stop| *stop) => Ended::Unwanted,
             };
             (place, ended)
         }));
--- a/components/entry/tests/steps.rs
+++ b/components/entry/tests/steps.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -191,6 +192,38 @@
     });
 }
 
+#[test]
+fn the_last_sample_of_a_group_is_hedged_and_has_one_winner() {
+    // Symptom: a trainer idles although all its samples but one are there.
+    // Sequence: an engine slows down in the middle of a sample without failing.
+    // Cause: the sample left where it runs for as long as it takes.
+    actix_rt::System::new().block_on(async {
+        let begun = Arc::new(AtomicU32::new(0));
+        let agent = || {
+            let begun = begun.clone();
+            Agent::new(move |work| match begun.fetch_add(1, Ordering::Relaxed) {
+                0 => Plan::Lingering(frames(work, vec![Event::Accepted, tokens("by ", 1)])),
+                _ => {
+                    let events = vec![Event::Accepted, tokens("by sea", 1), finished(2)];
+                    Plan::Stream(frames(work, events))
+                }
+            })
+        };
+        let fixture = Fixture::start(vec![agent(), agent()]).await;
+        fixture.post_as(&trainer(), paths::STEP_OPEN, &[], &step()).await;
+        let samples = pull_all(&fixture, 4).await;
+        assert!(samples.iter().all(|sample| sample["text"] == "by sea"));
+        let places: BTreeSet<String> =
+            samples.iter().map(|s| format!("{}.{}", s["group"], s["number"])).collect();
+        assert_eq!((samples.len(), places.len()), (4, 4));
+        assert_eq!(fixture.attempts().len(), 5);
+        let dump = fixture.kernel.dumps.take().await;
+        assert_eq!(dump["entry"]["admission"]["hedges"], 1);
+        fixture.settled().await;
+        fixture.check().await;
+    });
+}
+
 #[test]
 fn trainers_that_the_template_does_not_name_are_refused() {
     actix_rt::System::new().block_on(async {
--- a/components/entry/tests/support/mod.rs
+++ b/components/entry/tests/support/mod.rs
@@ -79,6 +79,8 @@
     Refuse(Failure),
     /// Sends frames and closes the stream.
     Stream(Vec<Frame>),
+    /// Sends frames, then only word that it still runs.
+    Lingering(Vec<Frame>),
     /// Sends frames, then nothing for ever.
     Silent(Vec<Frame>),
 }
@@ -123,6 +125,10 @@
         match plan {
             Plan::Refuse(failure) => reply::peer_failure(&failure),
             Plan::Stream(frames) => reply::stream(reply::MSGPACK, bodies(frames)),
+            Plan::Lingering(frames) => {
+                let last = frames.last().cloned().unwrap();
+                reply::stream(reply::MSGPACK, bodies(frames).chain(alive(last)))
+            }
             Plan::Silent(frames) => {
                 reply::stream(reply::MSGPACK, bodies(frames).chain(stream::pending()))
             }
@@ -140,6 +146,15 @@
     stream::iter(frames.into_iter().map(|frame| Ok(framing::encode(&frame))))
 }
 
+/// Goes on after a frame with word that the attempt still runs.
+fn alive(last: Frame) -> impl futures_util::Stream<Item = Result<Bytes, std::io::Error>> {
+    stream::unfold(last, |last| async move {
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+        let next = Frame { seq: last.seq + 1, event: Event::Alive, ..last };
+        Some((Ok(framing::encode(&next)), next))
+    })
+}
+
 /// Numbers events as the frames of an attempt.
 pub fn frames(work: &Work, events: Vec<Event>) -> Vec<Frame> {
     let frame = |(seq, event)| Frame {
