Leave callers room beside samples, and know the members from the first request

Cause: samples and callers of a workspace share its limit, which a step of thousands of samples filled at once, so that its callers were refused. And gives_whole_answers_with_their_versions failed once in seven runs: a request that came while the router's thread started was told that nobody serves its model. Change: samples of a workspace fill at most three quarters of this entry's share; the router takes the members and configuration in before it reads its first question.

--- a/components/entry/src/router/duty.rs
+++ b/components/entry/src/router/duty.rs
@@ -90,8 +90,12 @@
         mut config: watch::Receiver<Arc<Config>>,
     ) {
         let mut tick = actix_rt::time::interval(TICK);
-        members.mark_changed();
-        config.mark_changed();
+        // Before any question is read: a request that comes while the process starts would
+        // otherwise be told that nobody serves its model.
+        let view = members.borrow_and_update().clone();
+        let current = config.borrow_and_update().clone();
+        self.book.members(view, self.kernel.now());
+        self.book.configure(current, self.kernel.now());
         let phases = self.kernel.phases.clone();
         let stopped = phases.reached(Phase::Stopping);
         tokio::pin!(stopped);
--- a/components/entry/src/steps/duty.rs
+++ b/components/entry/src/steps/duty.rs
@@ -76,6 +76,7 @@
         let shared = Shared {
             leaving,
             rhythm: Rc::default(),
+            rooms: Rc::default(),
             lengths: Rc::new(RefCell::new(Lengths::default())),
             slots: Arc::new(Semaphore::new((running / 2).max(1))),
         };
--- a/components/entry/src/steps/mod.rs
+++ b/components/entry/src/steps/mod.rs
@@ -7,6 +7,7 @@
 pub mod made;
 pub mod record;
 pub mod rhythm;
+pub mod rooms;
 pub mod sample;
 pub mod session;
 pub mod step;
--- a/components/entry/src/steps/sample.rs
+++ b/components/entry/src/steps/sample.rs
@@ -146,6 +146,10 @@
     }
 
     async fn make(&self, template: &Template) -> Result<Made, Again> {
+        let members = self.context.members.view();
+        let entries = members.present().filter(|member| member.roles.entry).count() as u32;
+        let room = self.shared.rooms.of(&self.key.workspace, &template.limits, entries);
+        let place = room.acquire().await;
         let slot = self.shared.slots.acquire().await;
         if *self.shared.leaving.borrow() {
             return Err(Again::Leaving);
@@ -170,7 +174,7 @@
                 break;
             }
         }
-        drop(slot);
+        drop((place, slot));
         let ms = self.context.now().since(begun);
         self.shared.rhythm.borrow_mut().finished(&self.progress.spec.model, ms);
         let attempts = generating.job().attempt.0;
--- a/components/entry/src/steps/step.rs
+++ b/components/entry/src/steps/step.rs
@@ -31,6 +31,7 @@
 use crate::steps::lengths::Lengths;
 use crate::steps::record;
 use crate::steps::rhythm::Rhythm;
+use crate::steps::rooms::Rooms;
 use crate::steps::sample;
 use crate::steps::sample::Ended;
 use crate::steps::sample::Place;
@@ -50,6 +51,8 @@
     pub lengths: Rc<RefCell<Lengths>>,
     /// The rhythm of publications.
     pub rhythm: Rc<RefCell<Rhythm>>,
+    /// Samples of each workspace that may run at once.
+    pub rooms: Rc<Rooms>,
     /// Samples that may run at once.
     pub slots: Arc<Semaphore>,
     /// Whether this entry is leaving: what runs goes on, nothing new begins.
--- a/components/entry/tests/learning.rs
+++ b/components/entry/tests/learning.rs
@@ -2,10 +2,13 @@
 
 use chicoryford_entry::steps::lengths::Lengths;
 use chicoryford_entry::steps::rhythm::Rhythm;
+use chicoryford_entry::steps::rooms::Rooms;
 use chicoryford_types::Fingerprint;
 use chicoryford_types::Millis;
 use chicoryford_types::Model;
 use chicoryford_types::Version;
+use chicoryford_types::Workspace;
+use chicoryford_types::template::Limits;
 
 #[test]
 fn the_longest_expected_samples_begin_first() {
@@ -21,6 +24,22 @@
     assert_eq!(order, [4, 2, 3, 1], "what is not known counts as the longest");
 }
 
+#[test]
+fn samples_leave_callers_of_their_workspace_room() {
+    // Symptom: callers of a workspace are refused for as long as one of its steps runs.
+    // Sequence: a trainer opens a step of thousands of samples.
+    // Cause: samples fill the limit that callers share with them.
+    let limits = Limits { running: 100, ..Limits::default() };
+    let rooms = Rooms::default();
+    let workspace = Workspace::from("desk");
+    assert_eq!(rooms.of(&workspace, &limits, 1).available_permits(), 75);
+    let held = rooms.of(&workspace, &limits, 1).try_acquire_many_owned(70).unwrap();
+    assert_eq!(rooms.of(&workspace, &limits, 1).available_permits(), 5);
+    assert_eq!(rooms.of(&workspace, &limits, 4).available_permits(), 18);
+    drop(held);
+    assert_eq!(rooms.of(&workspace, &limits, 4).available_permits(), 18);
+}
+
 #[test]
 fn versions_expected_during_a_sample_are_taken_from_its_bound() {
     // Symptom: samples are thrown away as stale when they end.
