Copy no prompt on its way through the agent

Cause: each attempt's prompt was copied three times between the entry's frame and the engine. Change: the task owns the attempt and borrows from it; the shutdown's counter is looked up once a thread.

--- a/components/agent/src/engine.rs
+++ b/components/agent/src/engine.rs
@@ -7,6 +7,8 @@
 use awc::error::PayloadError;
 use bytes::Bytes;
 use bytes::BytesMut;
+use chicoryford_types::Attempt;
+use chicoryford_types::Class;
 use chicoryford_types::Model;
 use chicoryford_types::Version;
 use chicoryford_types::Work;
@@ -98,6 +100,22 @@
     },
 }
 
+/// The body of a completion; it borrows the prompt, which can be long.
+#[derive(Serialize)]
+struct Completion<'a> {
+    model: &'a Model,
+    prompt: &'a str,
+    prefix: &'a str,
+    max_tokens: u32,
+    seed: u64,
+    temperature: f64,
+    logprobs: bool,
+    stream: bool,
+    priority: Class,
+    request: String,
+    attempt: Attempt,
+}
+
 #[derive(Deserialize)]
 struct Cancelled {
     stopped: bool,
@@ -144,19 +162,19 @@
     task: &Generation,
 ) -> Result<Chunks, EngineError> {
     let url = client.url(address, "/v1/completions");
-    let body = json!({
-        "model": work.model,
-        "prompt": task.prompt,
-        "prefix": task.prefix,
-        "max_tokens": task.max_tokens,
-        "seed": task.seed,
-        "temperature": f64::from(task.temperature) / 1_000.0,
-        "logprobs": task.logprobs,
-        "stream": true,
-        "priority": work.class,
-        "request": work.request.to_string(),
-        "attempt": work.attempt,
-    });
+    let body = Completion {
+        model: &work.model,
+        prompt: &task.prompt,
+        prefix: &task.prefix,
+        max_tokens: task.max_tokens,
+        seed: task.seed,
+        temperature: f64::from(task.temperature) / 1_000.0,
+        logprobs: task.logprobs,
+        stream: true,
+        priority: work.class,
+        request: work.request.to_string(),
+        attempt: work.attempt,
+    };
     let sent = client.post(&url).send_json(&body).await;
     let mut response = sent.map_err(|error| EngineError::of(send_error(&url, &error)))?;
     let status = response.status().as_u16();
--- a/components/agent/src/routes.rs
+++ b/components/agent/src/routes.rs
@@ -22,8 +22,6 @@
 use chicoryford_types::request::StoredAnswer;
 use chicoryford_wire::Call;
 use chicoryford_wire::Kind;
-use chicoryford_wire::PROGRESS;
-use chicoryford_wire::Progress;
 use chicoryford_wire::Reply;
 use chicoryford_wire::Routes;
 use chicoryford_wire::framing;
@@ -95,12 +93,13 @@
     };
     let (frames, body) = mpsc::channel(FRAMES);
     let (said, verdict) = oneshot::channel();
-    actix_rt::spawn(attend(context.clone(), work.clone(), frames, said));
+    let id = Id { request: work.request, attempt: work.attempt };
+    actix_rt::spawn(attend(context.clone(), work, frames, said));
     match verdict.await {
         Ok(Verdict::Start | Verdict::Wait) => {
             reply::stream(FRAMED, stream::unfold(body, next_chunk))
         }
-        Ok(Verdict::Stored(answer)) => stored(&context, &work, answer),
+        Ok(Verdict::Stored(answer)) => stored(&context, id, answer),
         Ok(Verdict::Refuse(failure)) => reply::peer_failure(&failure),
         Err(_) => reply::peer_failure(&busy()),
     }
@@ -117,8 +116,7 @@
     frames: mpsc::Sender<Bytes>,
     said: oneshot::Sender<Verdict>,
 ) {
-    let progress = context.kernel.registry.find::<Progress>(PROGRESS).ok();
-    let guard = progress.map(|progress| progress.begin());
+    let guard = context.progress.as_ref().map(|progress| progress.begin());
     let (signal, heard) = watch::channel(Signal::Wait);
     let arrival = Box::new(Arrival::of(&work));
     let arrive = |reply| ToGate::Arrive { arrival, signal, reply };
@@ -138,11 +136,11 @@
 }
 
 /// Answers a resend with what the first run answered.
-fn stored(context: &Context, work: &Work, answer: StoredAnswer) -> Reply {
+fn stored(context: &Context, id: Id, answer: StoredAnswer) -> Reply {
     let finish = Finish { tokens: 0, reason: "stop".to_owned(), load: Some(context.load()) };
     let events = [Event::Accepted, Event::Answer(answer), Event::Finished(finish)];
     let frames = events.into_iter().enumerate().map(|(seq, event)| {
-        let (request, attempt) = (work.request, work.attempt);
+        let Id { request, attempt } = id;
         framing::encode(&Frame { request, attempt, seq: seq as u32, event })
     });
     let frames: Vec<Chunk> = frames.map(Ok).collect();
--- a/components/agent/src/run/generate.rs
+++ b/components/agent/src/run/generate.rs
@@ -8,7 +8,7 @@
 use chicoryford_types::Failure;
 use chicoryford_types::frame::Event;
 use chicoryford_types::frame::Finish;
-use chicoryford_types::request::Generation;
+use chicoryford_types::request::Task;
 
 use super::Attempt;
 use super::Signal;
@@ -35,12 +35,17 @@
 }
 
 /// Runs it to its end.
-pub async fn run(mut attempt: Attempt, task: Generation) {
+pub async fn run(mut attempt: Attempt) {
     let opened = {
         let Attempt { context, work, .. } = &attempt;
         let address = context.settings.address.as_str();
-        let open = engine::generate(&context.client, address, work, &task);
-        actix_rt::time::timeout(SILENCE, open).await
+        match &work.task {
+            Task::Generate(task) => {
+                let open = engine::generate(&context.client, address, work, task);
+                actix_rt::time::timeout(SILENCE, open).await
+            }
+            Task::Call(_) => Ok(Err(EngineError::NotReached("the attempt is a call".to_owned()))),
+        }
     };
     match opened {
         Ok(Ok(chunks)) => stream(attempt, chunks).await,
--- a/components/agent/src/run/mod.rs
+++ b/components/agent/src/run/mod.rs
@@ -9,6 +9,7 @@
 mod serve;
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -22,6 +23,7 @@
 use chicoryford_types::frame::Event;
 use chicoryford_types::request::Task;
 use chicoryford_wire::Client;
+use chicoryford_wire::Progress;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
@@ -47,6 +49,8 @@
     pub fresh: Client,
     /// The process's clock.
     pub kernel: chicoryford_kernel::Kernel,
+    /// Counts the attempts that a graceful shutdown waits for.
+    pub progress: Option<Arc<Progress>>,
 }
 
 impl Context {
@@ -89,9 +93,9 @@
         }
     }
     let attempt = Attempt { context, work, id, deadline, signal, out };
-    match attempt.work.task.clone() {
-        Task::Generate(task) => generate::run(attempt, task).await,
-        Task::Call(task) => serve::run(attempt, task).await,
+    match attempt.work.task {
+        Task::Generate(_) => generate::run(attempt).await,
+        Task::Call(_) => serve::run(attempt).await,
     }
 }
 
--- a/components/agent/src/run/serve.rs
+++ b/components/agent/src/run/serve.rs
@@ -7,8 +7,8 @@
 use chicoryford_types::Failure;
 use chicoryford_types::frame::Event;
 use chicoryford_types::frame::Finish;
-use chicoryford_types::request::ServiceCall;
 use chicoryford_types::request::StoredAnswer;
+use chicoryford_types::request::Task;
 
 use super::Attempt;
 use super::Signal;
@@ -27,8 +27,8 @@
 }
 
 /// Runs it to its end.
-pub async fn run(mut attempt: Attempt, task: ServiceCall) {
-    match call(&mut attempt, &task).await {
+pub async fn run(mut attempt: Attempt) {
+    match call(&mut attempt).await {
         Ended::Answer(Ok(answer)) => finish(attempt, answer).await,
         Ended::Answer(Err(error)) => attempt.fail(error).await,
         Ended::Stopped(code, detail) => {
@@ -38,8 +38,11 @@
     }
 }
 
-async fn call(attempt: &mut Attempt, task: &ServiceCall) -> Ended {
+async fn call(attempt: &mut Attempt) -> Ended {
     let Attempt { context, work, deadline, signal, out, .. } = attempt;
+    let Task::Call(task) = &work.task else {
+        return Ended::Stopped(Code::Internal, "the attempt is no call");
+    };
     let once = !work.repeatable;
     let last = if once { *deadline + LINGER } else { *deadline };
     let address = context.settings.address.as_str();
--- a/components/agent/src/start.rs
+++ b/components/agent/src/start.rs
@@ -23,6 +23,8 @@
 use chicoryford_types::Millis;
 use chicoryford_wire::Caller;
 use chicoryford_wire::Client;
+use chicoryford_wire::PROGRESS;
+use chicoryford_wire::Progress;
 use chicoryford_wire::client::CALLER;
 use serde_json::json;
 use thiserror::Error;
@@ -179,6 +181,7 @@
         settings: Rc::new(settings.agent.clone().unwrap_or_default()),
         fresh: client.fresh(),
         client,
+        progress: kernel.registry.find::<Progress>(PROGRESS).ok(),
         kernel: kernel.clone(),
     })
 }
