Stop a generation at the first tokens below its floor

Cause: Work names the oldest version that may produce tokens, and the agent did not look at it; an engine that lost its weights in a restart generated samples to the end that no trainer may get. Change: a chunk below the floor, or without a version, stops the attempt at the engine with 'stale'.

--- a/components/agent/src/run/generate.rs
+++ b/components/agent/src/run/generate.rs
@@ -61,6 +61,10 @@
     let mut progress = Instant::now();
     loop {
         match hear(&mut attempt, &mut chunks, progress).await {
+            Heard::Part(Ok(Some(Part::Tokens(tokens)))) if attempt.work.floor > tokens.version => {
+                let detail = "the engine runs a version older than the sample may have";
+                return give_up(attempt, Code::Stale, detail).await;
+            }
             Heard::Part(Ok(Some(Part::Tokens(tokens)))) => {
                 progress = Instant::now();
                 count += tokens.count;
--- a/components/agent/tests/live/orders.rs
+++ b/components/agent/tests/live/orders.rs
@@ -3,9 +3,11 @@
 use chicoryford_settings::AgentSettings;
 use chicoryford_standin::engine::EngineSettings;
 use chicoryford_standin::engine::Fault;
+use chicoryford_types::Code;
 use chicoryford_types::Epoch;
 use chicoryford_types::Model;
 use chicoryford_types::Version;
+use chicoryford_types::Work;
 use chicoryford_types::frame::Event;
 use chicoryford_types::order::OrderAction;
 use chicoryford_types::order::OrderReply;
@@ -117,3 +119,22 @@
         rig.stop().await;
     });
 }
+
+/// Symptom: engine time goes into samples that no trainer may get.
+/// Sequence: a sample must come from version 2 or newer; the engine still runs version 1, or lost
+/// its weights in a restart.
+/// Cause: the entry chose the endpoint by an older announcement.
+#[test]
+fn a_generation_below_its_floor_is_stopped_at_its_first_tokens() {
+    within(async {
+        let settings = EngineSettings { length: 4_000, ..careless() };
+        let rig = Rig::engine(AgentSettings::default(), settings);
+        let work = Work { floor: Some(Version(2)), ..generation(1, "long", 100_000) };
+        let events = rig.run(&work).await.unwrap();
+        let Some(Event::Failed(failure)) = events.last() else { panic!("{events:?}") };
+        assert_eq!(failure.code, Code::Stale);
+        assert!(!events.iter().any(|event| matches!(event, Event::Tokens(_))));
+        assert_eq!(rig.count(|line| line["how"] == "stopped"), 1);
+        rig.stop().await;
+    });
+}
