Speak HTTPS in a whole-path test; show the leader in status

Cause: TLS was a setting that no test had turned on. Change: a test starts a daemon with TLS and drives it with the client; status names the leader.

--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -37,7 +37,8 @@
     let rows = status.members.known.values().map(row).collect();
     View::new(&status, &HEAD, rows).print(format);
     if format == Format::Table {
-        println!("\nposition {position}");
+        let leader = status.control["leader"].as_str().unwrap_or("none known");
+        println!("\nposition {position}, leader {leader}");
     }
     Ok(())
 }
--- a/tests/whole/fixture.rs
+++ b/tests/whole/fixture.rs
@@ -54,6 +54,7 @@
     pub address: SocketAddr,
     pub folder: TempDir,
     child: Child,
+    tls: bool,
 }
 
 /// An answer, read to its end.
@@ -79,14 +80,24 @@
     /// Starts a daemon whose bounds are `bounds` (a YAML flow mapping), and waits until it sees
     /// its engine.
     pub fn start(bounds: &str) -> Self {
+        Self::launch(bounds, false)
+    }
+
+    /// Starts a daemon that speaks HTTPS with everyone but its engine.
+    pub fn with_tls() -> Self {
+        Self::launch("{}", true)
+    }
+
+    fn launch(bounds: &str, tls: bool) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let engine = start_engine();
         let address = SocketAddr::from(([127, 0, 0, 1], free_port()));
         std::fs::write(folder.path().join("keys"), KEYS).unwrap();
         std::fs::write(folder.path().join("token"), "process-token\n").unwrap();
         std::fs::write(folder.path().join("operator"), "operator-token\n").unwrap();
+        let extra = if tls { write_certificate(&folder) } else { "" };
         let settings = format!(
-            "node: all\nlisten: {address}\ngossip: 127.0.0.1:{}\ndata: data\nbounds: {bounds}\n\
+            "node: all\nlisten: {address}\ngossip: 127.0.0.1:{}\ndata: data\nbounds: {bounds}\n{extra}\
              entry: {{}}\ncontrol:\n  replicas:\n    - node: all\n      address: {address}\n\
              agent:\n  endpoint: engine\n  address: {engine}\n  models: [model]\n",
             free_port()
@@ -98,7 +109,7 @@
             .stderr(log)
             .spawn()
             .unwrap();
-        let node = Self { address, folder, child };
+        let node = Self { address, folder, child, tls };
         node.wait("the engine is seen", || {
             let seen = node.client(&["endpoints", "--output", "json"]);
             String::from_utf8_lossy(&seen.stdout).contains("\"healthy\": true")
@@ -125,7 +136,12 @@
     /// Runs the operators' client.
     pub fn client(&self, arguments: &[&str]) -> Output {
         let token: PathBuf = self.folder.path().join("operator");
-        Command::new(env!("CARGO_BIN_EXE_chicoryford"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_chicoryford"));
+        if self.tls {
+            let roots = self.folder.path().join("certificate");
+            command.args(["--roots", &roots.display().to_string()]);
+        }
+        command
             .args(["--address", &self.address.to_string()])
             .args(["--token", &token.display().to_string()])
             .args(arguments)
@@ -187,6 +203,14 @@
     }
 }
 
+/// Writes a certificate that trusts itself, and gives the settings that use it.
+fn write_certificate(folder: &TempDir) -> &'static str {
+    let made = rcgen::generate_simple_self_signed(vec!["127.0.0.1".to_owned()]).unwrap();
+    std::fs::write(folder.path().join("certificate"), made.cert.pem()).unwrap();
+    std::fs::write(folder.path().join("key"), made.signing_key.serialize_pem()).unwrap();
+    "tls: {certificate: certificate, key: key, roots: certificate}\n"
+}
+
 /// Reads an answer until its connection ends.
 pub fn read(mut stream: TcpStream) -> Answer {
     let mut bytes = Vec::new();
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -5,3 +5,4 @@
 mod fixture;
 mod path;
 mod stop;
+mod tls;
