Check the scores of samples against their own prompts

Cause: the demonstration did not look at scores, so that a sample scored for another prompt passed. Change: the stand-in trainer records scores, and the judge computes each anew from prompt and text.

--- a/components/standin/src/trainer.rs
+++ b/components/standin/src/trainer.rs
@@ -301,6 +301,7 @@
                 "tokens": sample.tokens,
                 "spans": sample.spans,
                 "attempts": sample.attempts,
+                "score": sample.score,
                 "newest": report.version,
                 "text": sample.text,
             }));
--- a/examples/demo/drive.rs
+++ b/examples/demo/drive.rs
@@ -20,6 +20,9 @@
 /// Milliseconds between two versions of a model.
 const PUBLISH_MS: u64 = 4_000;
 
+/// The model whose template names a scoring service.
+const SCORED: &str = "route-model";
+
 /// Trainers and callers that run.
 pub struct Drivers {
     trainers: Vec<(String, SampleFile, JoinHandle<Report>)>,
@@ -30,6 +33,10 @@
 pub struct SampleFile {
     /// The model that it samples from.
     pub model: String,
+    /// Whether its samples are scored.
+    pub scored: bool,
+    /// The seed of its prompts.
+    pub seed: u64,
     /// The file.
     pub file: PathBuf,
 }
@@ -54,7 +61,8 @@
         let file = layout.folder.join(format!("trainer-{}.jsonl", settings.workspace));
         let name = settings.workspace.clone();
         let records = Recorder::open(&file)?;
-        let record = SampleFile { model: settings.model.clone(), file };
+        let (model, seed) = (settings.model.clone(), settings.seed);
+        let record = SampleFile { scored: model == SCORED, model, seed, file };
         let thread = std::thread::spawn(move || {
             actix_rt::System::new().block_on(trainer::run(settings, records))
         });
--- a/examples/demo/judge.rs
+++ b/examples/demo/judge.rs
@@ -5,6 +5,8 @@
 use std::path::PathBuf;
 
 use chicoryford_standin::caller::Fate;
+use chicoryford_standin::scorer;
+use chicoryford_standin::scorer::Question;
 use eyre::Result;
 
 use crate::drive::Driven;
@@ -35,6 +37,8 @@
     pub misattributed: u64,
     /// Samples and answers with wrong content.
     pub wrong: u64,
+    /// Samples whose score is not that of their own prompt and text.
+    pub misscored: u64,
     /// Samples older than their bound.
     pub stale: u64,
     /// Pulls sent again that gave other bytes.
@@ -63,6 +67,7 @@
             + self.lost
             + self.misattributed
             + self.wrong
+            + self.misscored
             + self.stale
             + self.changed
             + self.false_not_run
@@ -113,6 +118,7 @@
                 continue;
             }
             verdict.checked += 1;
+            verdict.misscored += u64::from(file.scored && !is_scored(file, &sample));
             let spans = records::known(&sample.spans).unwrap_or_default();
             let fits = |w: &Whole, whole: bool| {
                 w.model == file.model && (w.from == 0) == whole && matches(w, &spans)
@@ -128,6 +134,14 @@
     Ok(())
 }
 
+/// The stand-in scorer gives the same score for the same prompt and text, so that a sample which
+/// was scored for another prompt, or delivered under one, shows here.
+fn is_scored(file: &SampleFile, sample: &SampleLine) -> bool {
+    let prompt = format!("step {} group {} of run {}", sample.step, sample.group, file.seed);
+    let question = Question { prompt, text: sample.text.clone() };
+    sample.score == Some(scorer::score(&question).score)
+}
+
 /// An answer names its request, so that it must match that very one.
 fn judge_calls(
     verdict: &mut Verdict,
--- a/examples/demo/records.rs
+++ b/examples/demo/records.rs
@@ -40,8 +40,14 @@
     pub tokens: u32,
     /// Runs of tokens and their versions.
     pub spans: Vec<SpanLine>,
-    /// How many attempts it took.
-    pub attempts: u32,
+    /// The step.
+    pub step: u64,
+    /// The group within the step.
+    pub group: u32,
+    /// The text.
+    pub text: String,
+    /// The score, if it was scored.
+    pub score: Option<f64>,
 }
 
 /// A run of tokens as answers and samples give it.
--- a/examples/demo/report.rs
+++ b/examples/demo/report.rs
@@ -52,6 +52,7 @@
         ("lost", verdict.lost),
         ("misattributed", verdict.misattributed),
         ("wrong", verdict.wrong),
+        ("scored for another prompt", verdict.misscored),
         ("stale", verdict.stale),
         ("changed on a second pull", verdict.changed),
         ("falsely refused as not run", verdict.false_not_run),
