Tell a lost answer from one that did not run, also while waiting

Cause: after a change was accepted, a failed look at who has it ended with the exit code of "not run"; a refusal of a resend hid that the first try may have run; templates accepted before a refused one in the same file were not named. Change: the wait goes on until its time is over; an unknown outcome and a refusal after a lost answer count as lost, with the change id to send again; accepted templates are printed before the error.

--- a/src/change.rs
+++ b/src/change.rs
@@ -78,7 +78,12 @@
     let begun = Instant::now();
     let bar = bar(&format!("until {at} is in force everywhere"));
     loop {
-        let (behind, known) = behind(to, at).await?;
+        // The change is accepted already: a process that does not answer now must not end the
+        // wait with an error that reads as if the change had not run.
+        let (behind, known) = behind(to, at).await.unwrap_or_else(|error| {
+            let nobody = format!("nobody could be asked: {error}");
+            (vec![nobody], 0)
+        });
         if behind.is_empty() {
             bar.finish_and_clear();
             return Ok(());
--- a/src/cmd/template.rs
+++ b/src/cmd/template.rs
@@ -77,7 +77,16 @@
     let mut all = Vec::new();
     for (index, template) in templates.into_iter().enumerate() {
         let marked = marks.get(index).copied().flatten();
-        all.push(apply_one(to, &config, template, args, marked, index).await?);
+        match apply_one(to, &config, template, args, marked, index).await {
+            Ok(done) => all.push(done),
+            Err(error) => {
+                // What was accepted before stays accepted, and must be known.
+                if !all.is_empty() {
+                    change::print(&all, format);
+                }
+                return Err(error);
+            }
+        }
     }
     change::print(&all, format);
     Ok(())
--- a/src/connect.rs
+++ b/src/connect.rs
@@ -9,7 +9,9 @@
 use chicoryford_state::Command;
 use chicoryford_state::Reply;
 use chicoryford_types::Config;
+use chicoryford_types::Failure;
 use chicoryford_types::Members;
+use chicoryford_types::Outcome;
 use chicoryford_wire::CallError;
 use chicoryford_wire::Client;
 use chicoryford_wire::client::read_failure;
@@ -221,6 +223,13 @@
                         Err(CmdError::Failure(failure)) if may_come_back(&failure) => {
                             last = CmdError::Failure(failure);
                         }
+                        Err(CmdError::Failure(failure)) if is_unknown(&failure) => {
+                            lost = Some(failure.to_string());
+                        }
+                        // A refusal of the resend says nothing of the try whose answer was lost.
+                        Err(CmdError::Failure(failure)) if lost.is_some() => {
+                            lost = Some(failure.to_string());
+                        }
                         Err(error) => return Err(error),
                     },
                     Tried::NotSent(detail) => last = CmdError::Unreachable(detail),
@@ -276,6 +285,10 @@
     }
 }
 
+fn is_unknown(failure: &Failure) -> bool {
+    failure.outcome == Outcome::Unknown
+}
+
 fn shape<T: DeserializeOwned>(path: &'static str, body: &[u8]) -> Result<T, CmdError> {
     serde_json::from_slice(body).map_err(|e| CmdError::Shape { path, detail: e.to_string() })
 }
--- a/tests/whole/client.rs
+++ b/tests/whole/client.rs
@@ -1,7 +1,10 @@
 //! The operators' client: exit codes, conflicts, history.
 
+use std::io::Read;
+use std::net::TcpListener;
 use std::process::Command;
 use std::process::Output;
+use std::thread;
 
 use crate::fixture::Node;
 use crate::fixture::TEMPLATE;
@@ -50,6 +53,23 @@
     assert_eq!(code(&alone(&["status"])), 2, "no address at all is a usage error");
 }
 
+#[test]
+fn tells_a_lost_answer_from_one_that_did_not_run() {
+    // Symptom: an operator believes that a stop was not cancelled, and plans on that. Sequence:
+    // the request arrives, the connection breaks before the answer. Cause: a lost answer was
+    // taken for "not run".
+    let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let _ = stream.unwrap().read(&mut [0; 4_096]);
+        }
+    });
+    let output = alone(&["--address", &address, "--timeout", "0", "stop", "cancel", "s"]);
+    assert_eq!(code(&output), 6, "{output:?}");
+    assert!(said(&output).contains("send it again with --change"), "{output:?}");
+}
+
 #[test]
 fn can_apply_compare_and_roll_back() {
     let node = Node::with_template("{}");
