Log isolation once and pass a full parent over for as long as it says

Cause: an isolated process said so only in its dump; a full parent was asked again after 2 s. Change: event isolation_changed, metrics of revision, isolation and parents left; retry_ms is kept. Conclusion: an operator sees isolation in the log without asking for a dump.

--- a/components/config/src/follower.rs
+++ b/components/config/src/follower.rs
@@ -11,6 +11,7 @@
 use chicoryford_types::Config;
 use chicoryford_types::Delta;
 use chicoryford_types::Member;
+use chicoryford_types::Millis;
 use chicoryford_wire::CallError;
 use chicoryford_wire::Caller;
 use chicoryford_wire::Client;
@@ -143,6 +144,7 @@
             passed.trim(now);
             let parent = choose(&own, &view, &passed, now);
             self.note_parent(parent);
+            self.note_isolation(now);
             let Some(parent) = parent else {
                 actix_rt::time::sleep(Duration::from_millis(ALONE_MS)).await;
                 continue;
@@ -157,6 +159,7 @@
                 asked = self.ask(parent, &follow, WAIT_MS + MARGIN_MS) => asked.map(Some),
                 () = self.parent_gone(parent) => Ok(None),
             };
+            let pass_ms = asked.as_ref().err().map_or(PASS_MS, pass_ms);
             let fault = match asked {
                 Ok(Some(answer)) => self.take(answer, &follow),
                 Ok(None) => Some("it is gone".to_owned()),
@@ -164,8 +167,9 @@
             };
             if let Some(fault) = fault {
                 tracing::debug!(event = "parent_left", parent = %parent.node, fault);
+                self.kernel.metrics.count("config.parents_left", 1);
                 self.shared.standing().left += 1;
-                passed.pass(parent.node.clone(), self.kernel.now() + self.jitter(PASS_MS));
+                passed.pass(parent.node.clone(), self.kernel.now() + self.jitter(pass_ms));
             }
         }
     }
@@ -235,6 +239,7 @@
             self.save(&next);
         }
         let is_snapshot = matches!(delta, Delta::Snapshot(_));
+        self.kernel.metrics.gauge("config.revision", answer.at.revision.0);
         let mut absorbed = Absorbed::Nothing;
         self.shared.change(|store| {
             absorbed = store.absorb(delta);
@@ -277,7 +282,27 @@
         standing.parent = parent.cloned();
     }
 
+    /// Logs when this process becomes isolated, and when it no longer is.
+    fn note_isolation(&self, now: Millis) {
+        let mut standing = self.shared.standing();
+        let is_isolated = standing.is_isolated(now);
+        if is_isolated != standing.was_isolated {
+            let at = self.shared.store().at();
+            tracing::warn!(event = "isolation_changed", is_isolated, %at);
+            self.kernel.metrics.gauge("config.isolated", u64::from(is_isolated));
+        }
+        standing.was_isolated = is_isolated;
+    }
+
     fn jitter(&self, ms: u64) -> u64 {
         ms + self.random.borrow_mut().random_range(0..=ms)
     }
 }
+
+/// Tells for how long a parent is passed over; one that has all its children says so itself.
+fn pass_ms(error: &CallError) -> u64 {
+    match error {
+        CallError::Failure(failure) => failure.retry_ms.unwrap_or(PASS_MS).max(PASS_MS),
+        CallError::NotSent { .. } | CallError::Lost { .. } => PASS_MS,
+    }
+}
--- a/components/config/src/standing.rs
+++ b/components/config/src/standing.rs
@@ -21,6 +21,8 @@
     pub parent: Option<Member>,
     /// When a parent last answered.
     pub heard: Option<Millis>,
+    /// Whether the last look found this process isolated, to log a change of it once.
+    pub was_isolated: bool,
     /// Why the last save failed, until one works again.
     pub unsaved: Option<String>,
     /// Answers taken so far that moved the configuration on by changes.
