--- /dev/null
+++ b/components/experiment/src/entry.rs
@@ -0,0 +1,527 @@
+//! A fake entry around the real decisions: it holds the attempts in flight and watches for
+//! silence, and knows nothing of the other entries.
+
+use std::collections::HashMap;
+
+use chicoryford_admission::Action;
+use chicoryford_admission::Admission;
+use chicoryford_admission::Ask;
+use chicoryford_admission::Done;
+use chicoryford_admission::Lease;
+use chicoryford_admission::Retry;
+use chicoryford_admission::Room;
+use chicoryford_admission::Straggler;
+use chicoryford_admission::Verdict;
+use chicoryford_routing::Ending;
+use chicoryford_routing::Place;
+use chicoryford_routing::Router;
+use chicoryford_routing::Seat;
+use chicoryford_routing::Want;
+use chicoryford_routing::Why;
+use chicoryford_types::Class;
+use chicoryford_types::Millis;
+use chicoryford_types::Model;
+use chicoryford_types::Outcome;
+use chicoryford_types::RequestId;
+use chicoryford_types::Version;
+use chicoryford_types::Workspace;
+use chicoryford_types::template::Limits;
+use chicoryford_types::template::Retries;
+
+use crate::arm::Arm;
+use crate::engine::Engine;
+use crate::engine::Job;
+use crate::request::Request;
+use crate::tally::Tally;
+
+/// Milliseconds without a frame after which a stream counts as silent.
+const SILENCE_MS: u64 = 3_000;
+/// Milliseconds without a frame after which an urgent request is rescued.
+const RESCUE_MS: u64 = 1_200;
+
+/// One attempt in flight.
+#[derive(Clone, Debug)]
+pub struct Flight {
+    /// The request.
+    pub request: Request,
+    /// Which try it is.
+    pub attempt: u32,
+    /// Where it runs.
+    pub seat: Seat,
+    /// When it started.
+    pub started: u64,
+    /// When it was expected to take.
+    pub expected_ms: u64,
+    /// When its last frame came.
+    pub heard: u64,
+    /// Whether it is a second attempt beside a first.
+    pub second: bool,
+}
+
+/// A request that is to be tried again.
+#[derive(Clone, Debug)]
+pub struct Again {
+    /// When.
+    pub at: u64,
+    /// The request.
+    pub request: Request,
+    /// Whether it comes to the door anew, or was admitted already.
+    pub door: bool,
+}
+
+/// A fake entry.
+pub struct Entry {
+    /// Which one it is.
+    pub number: usize,
+    /// Where attempts go.
+    pub router: Router,
+    /// Which requests start.
+    pub admission: Admission,
+    /// Attempts in flight.
+    pub flights: Vec<Flight>,
+    /// Requests that wait at the door.
+    pub waiting: HashMap<RequestId, Request>,
+    /// Requests to be tried again.
+    pub again: Vec<Again>,
+    arm: Arm,
+    models: Vec<Model>,
+    next: u32,
+}
+
+impl Entry {
+    /// Makes an entry.
+    pub fn new(number: usize, arm: Arm, models: &[Model], seed: u64) -> Self {
+        let place = Place { node: format!("entry-{number}").as_str().into(), ..Place::default() };
+        let failures = if arm.eject { 3 } else { u32::MAX };
+        let settings = chicoryford_routing::Settings {
+            rule: arm.rule,
+            draws: arm.draws,
+            half_ms: arm.half_ms,
+            failures,
+            ..Default::default()
+        };
+        let mut admission = Admission::new(chicoryford_admission::Settings::default(), seed);
+        let lease = Lease { rate: 1.0e6, running: 1_000_000 };
+        for model in models {
+            let workspace = Workspace(model.0.clone());
+            let limits = Limits::default();
+            admission.observe_workspace(&workspace, limits, Retries::default(), 1, lease);
+        }
+        Self {
+            number,
+            router: Router::new(settings, place, seed),
+            admission,
+            flights: Vec::new(),
+            waiting: HashMap::new(),
+            again: Vec::new(),
+            arm,
+            models: models.to_vec(),
+            next: 0,
+        }
+    }
+
+    /// Takes a request to the door.
+    pub fn submit(&mut self, now: u64, request: Request, floor: Version, world: &mut World<'_>) {
+        if !self.arm.admission {
+            self.launch(now, request, floor, false, &[], world);
+            return;
+        }
+        let Some(expected_ms) = self.expect(now, &request, floor) else {
+            self.refused(now, request, 500, world);
+            return;
+        };
+        let room = self.room(now, request.model);
+        let model = self.models[request.model].clone();
+        let ask = Ask {
+            id: request.id,
+            workspace: &Workspace(model.0.clone()),
+            model: &model,
+            class: request.class,
+            deadline: Millis(request.deadline),
+            expected_ms,
+            room,
+        };
+        match self.admission.admit(Millis(now), &ask) {
+            Verdict::Admit => {
+                self.launch(now, request, floor, false, &[], world);
+            }
+            Verdict::Wait => {
+                self.waiting.insert(request.id, request);
+            }
+            Verdict::Refuse(refused) => self.refused(now, request, refused.retry_ms, world),
+        }
+    }
+
+    /// Starts what may now start of what waits.
+    pub fn poll(&mut self, now: u64, floors: &[Version], world: &mut World<'_>) {
+        let models = &self.models;
+        let router = &self.router;
+        let actions = self.admission.poll(Millis(now), |model| {
+            let floor = models.iter().position(|m| m == model).map(|n| floors[n]);
+            let view = router.view(Millis(now), model, floor);
+            Room { slots: view.slots, load: view.load }
+        });
+        for action in actions {
+            match action {
+                Action::Run(id) => {
+                    let Some(request) = self.waiting.remove(&id) else { continue };
+                    let floor = floors[request.model];
+                    self.launch(now, request, floor, false, &[], world);
+                }
+                Action::Refuse(id, refused) => {
+                    let Some(request) = self.waiting.remove(&id) else { continue };
+                    self.refused(now, request, refused.retry_ms, world);
+                }
+            }
+        }
+        let (due, later) = self.again.drain(..).partition(|again: &Again| again.at <= now);
+        self.again = later;
+        for again in due {
+            let floor = floors[again.request.model];
+            if again.door {
+                self.submit(now, again.request, floor, world);
+            } else {
+                self.launch(now, again.request, floor, false, &[], world);
+            }
+        }
+    }
+
+    /// Looks for streams that went silent, and for samples that hold up their group.
+    pub fn watch(&mut self, now: u64, floors: &[Version], world: &mut World<'_>) {
+        for flight in &mut self.flights {
+            let engine = &world.engines[flight.seat.0 as usize];
+            let silent = engine.frozen > now || world.is_silent(flight);
+            if !silent {
+                flight.heard = now;
+            }
+        }
+        let mut n = 0;
+        while n < self.flights.len() {
+            let flight = &self.flights[n];
+            let quiet = now - flight.heard;
+            if quiet < SILENCE_MS {
+                n += 1;
+                continue;
+            }
+            let frozen = world.engines[flight.seat.0 as usize].frozen > now;
+            let ending = if frozen { Ending::Failed } else { Ending::Silent };
+            self.lose(now, n, ending, Outcome::Unknown, world);
+        }
+        if self.arm.rescue {
+            self.rescue(now, floors, world);
+        }
+        if self.arm.hedge {
+            self.hedge(now, floors, world);
+        }
+    }
+
+    /// An attempt ran to its end.
+    pub fn finished(&mut self, now: u64, job: &Job, world: &mut World<'_>) {
+        if job.silent {
+            world.tally.wasted += f64::from(job.tokens);
+            return;
+        }
+        let same = |flight: &Flight| flight.request.id == job.id && flight.attempt == job.attempt;
+        let Some(n) = self.flights.iter().position(same) else {
+            world.tally.wasted += f64::from(job.tokens);
+            return;
+        };
+        let flight = self.flights.swap_remove(n);
+        let ms = now - flight.started;
+        let tokens = job.tokens as u32;
+        let at = Millis(now);
+        self.router.finished(at, flight.seat, Ending::Finished, ms, tokens, 0);
+        let request = flight.request;
+        self.drop_others(now, request.id, world);
+        if self.arm.admission {
+            self.admission.finished(at, request.id, Done { ok: true, ms });
+        }
+        if let Some(sample) = request.sample {
+            world.done.push((sample, job.version, job.tokens));
+            return;
+        }
+        let took = now - (request.deadline - request.patience);
+        world.tally.took(request.class, took);
+        let counts = world.tally.of(request.class);
+        if now <= request.deadline {
+            counts.on_time += 1;
+        } else {
+            counts.late += 1;
+        }
+    }
+
+    /// An endpoint crashed with these attempts in it.
+    pub fn crashed(&mut self, now: u64, jobs: &[Job], world: &mut World<'_>) {
+        let number = self.number;
+        for job in jobs.iter().filter(|job| job.entry == number) {
+            let same = |f: &Flight| f.request.id == job.id && f.attempt == job.attempt;
+            if let Some(n) = self.flights.iter().position(same) {
+                world.tally.wasted += f64::from(job.done);
+                self.lose(now, n, Ending::Failed, Outcome::Unknown, world);
+            }
+        }
+    }
+
+    fn room(&self, now: u64, model: usize) -> Room {
+        let view = self.router.view(Millis(now), &self.models[model], None);
+        Room { slots: view.slots, load: view.load }
+    }
+
+    fn expect(&mut self, now: u64, request: &Request, floor: Version) -> Option<u64> {
+        let model = self.models[request.model].clone();
+        let want = want(&model, request, floor, &[], self.arm.prefix);
+        self.router.choose(Millis(now), &want).ok().map(|choice| choice.expected_ms)
+    }
+
+    fn launch(
+        &mut self,
+        now: u64,
+        mut request: Request,
+        floor: Version,
+        second: bool,
+        tried: &[Seat],
+        world: &mut World<'_>,
+    ) -> bool {
+        let at = Millis(now);
+        let model = self.models[request.model].clone();
+        let mut exclude = tried.to_vec();
+        loop {
+            let choice =
+                self.router.choose(at, &want(&model, &request, floor, &exclude, self.arm.prefix));
+            let Ok(choice) = choice else {
+                if !second {
+                    self.not_placed(now, request, world);
+                }
+                return false;
+            };
+            self.router.started(at, choice.seat, request.expected, Some(request.prefix));
+            self.next += 1;
+            request.attempts += 1;
+            let job = world.job(self.number, self.next, &request);
+            if world.engines[choice.seat.0 as usize].push(now, job) {
+                let flight = Flight {
+                    request,
+                    attempt: self.next,
+                    seat: choice.seat,
+                    started: now,
+                    expected_ms: choice.expected_ms,
+                    heard: now,
+                    second,
+                };
+                self.flights.push(flight);
+                world.tally.runs += 1;
+                world.tally.hits += u64::from(choice.why == Why::Cached);
+                return true;
+            }
+            let down = world.engines[choice.seat.0 as usize].down > now;
+            let ending = if down { Ending::Failed } else { Ending::Released };
+            self.router.finished(at, choice.seat, ending, 0, 0, request.expected);
+            exclude.push(choice.seat);
+        }
+    }
+
+    /// No endpoint took the request, so that it did not run.
+    fn not_placed(&mut self, now: u64, request: Request, world: &mut World<'_>) {
+        if self.arm.admission {
+            self.admission.finished(Millis(now), request.id, Done { ok: false, ms: 0 });
+        }
+        self.refused(now, request, 300, world);
+    }
+
+    fn refused(&mut self, now: u64, mut request: Request, wait: u64, world: &mut World<'_>) {
+        let come_back = now + wait;
+        if request.sample.is_some() {
+            // A trainer's sample comes back under a new id, as a new request does.
+            request.id = RequestId(request.id.0, request.id.1.wrapping_add(1));
+            self.again.push(Again { at: come_back, request, door: true });
+            return;
+        }
+        let counts = world.tally.of(request.class);
+        counts.refused += 1;
+    }
+
+    /// An attempt failed: try again if that is safe and in time.
+    fn lose(
+        &mut self,
+        now: u64,
+        n: usize,
+        ending: Ending,
+        outcome: Outcome,
+        world: &mut World<'_>,
+    ) {
+        let flight = self.flights.swap_remove(n);
+        let at = Millis(now);
+        let ms = now - flight.started;
+        self.router.finished(at, flight.seat, ending, ms, 0, flight.request.expected);
+        let engine = &mut world.engines[flight.seat.0 as usize];
+        world.tally.wasted += f64::from(engine.cancel(flight.request.id, flight.attempt));
+        let id = flight.request.id;
+        if self.flights.iter().any(|other| other.request.id == id) {
+            return;
+        }
+        let request = flight.request;
+        let expected = flight.expected_ms.min(request.deadline.saturating_sub(now) / 2);
+        let retry = Retry {
+            workspace: &Workspace(self.models[request.model].0.clone()),
+            attempts: request.attempts.max(1),
+            outcome,
+            repeatable: true,
+            deadline: Millis(request.deadline),
+            expected_ms: expected,
+        };
+        if let Some(delay) = self.admission.may_retry(at, &retry) {
+            self.again.push(Again { at: now + delay, request, door: false });
+            return;
+        }
+        if self.arm.admission {
+            self.admission.finished(at, request.id, Done { ok: false, ms });
+        }
+        if request.sample.is_some() {
+            let fresh = Request { attempts: 0, ..request };
+            self.refused(now, fresh, 1_000, world);
+        } else {
+            world.tally.of(request.class).late += 1;
+        }
+    }
+
+    fn drop_others(&mut self, now: u64, id: RequestId, world: &mut World<'_>) {
+        while let Some(n) = self.flights.iter().position(|flight| flight.request.id == id) {
+            let flight = self.flights.swap_remove(n);
+            let ms = now - flight.started;
+            let left = flight.request.expected;
+            self.router.finished(Millis(now), flight.seat, Ending::Released, ms, 0, left);
+            let engine = &mut world.engines[flight.seat.0 as usize];
+            world.tally.wasted += f64::from(engine.cancel(id, flight.attempt));
+        }
+    }
+
+    /// Gives an urgent request that may run twice a second attempt after a second without a
+    /// frame, for its deadline may be over before the silence counts as a failure.
+    fn rescue(&mut self, now: u64, floors: &[Version], world: &mut World<'_>) {
+        let quiet: Vec<(Request, Seat)> = self
+            .flights
+            .iter()
+            .filter(|f| f.request.class == Class::Urgent && now - f.heard >= RESCUE_MS)
+            .filter(|f| self.alone(f))
+            .map(|f| (f.request.clone(), f.seat))
+            .collect();
+        for (request, seat) in quiet {
+            let floor = floors[request.model];
+            world.tally.hedges += 1;
+            self.launch(now, request, floor, true, &[seat], world);
+        }
+    }
+
+    fn alone(&self, flight: &Flight) -> bool {
+        let same = |other: &&Flight| other.request.id == flight.request.id;
+        self.flights.iter().filter(same).count() == 1
+    }
+
+    fn hedge(&mut self, now: u64, floors: &[Version], world: &mut World<'_>) {
+        let seconds = self.flights.iter().filter(|f| f.second && f.request.sample.is_some());
+        let most = self.flights.len().div_ceil(20);
+        if seconds.count() >= most {
+            return;
+        }
+        let mut found = None;
+        for flight in &self.flights {
+            let Some(sample) = flight.request.sample else { continue };
+            let left = world.missing(sample);
+            let ran_ms = now - flight.started;
+            if left > 2 || ran_ms < flight.expected_ms || !self.alone(flight) {
+                continue;
+            }
+            let (done, rate) = world.progress(flight, ran_ms);
+            let remaining = (flight.request.expected as f32 * 1.5 - done).max(0.0);
+            let straggler = Straggler {
+                group: crate::trainer::SAMPLES as u32,
+                left,
+                ran_ms,
+                expected_ms: flight.expected_ms,
+                again_ms: flight.expected_ms,
+                rest_ms: (remaining / rate.max(0.001)) as u64,
+                room: self.room(now, flight.request.model),
+            };
+            found = Some((straggler, flight.request.clone(), flight.seat));
+            break;
+        }
+        let Some((straggler, request, seat)) = found else { return };
+        if self.admission.may_hedge(&straggler) {
+            world.tally.hedges += 1;
+            let floor = floors[request.model];
+            self.launch(now, request, floor, true, &[seat], world);
+        }
+    }
+}
+
+/// What the entries share only because the experiment plays the network for them.
+pub struct World<'a> {
+    /// The engines.
+    pub engines: &'a mut Vec<Engine>,
+    /// What is measured.
+    pub tally: &'a mut Tally,
+    /// Samples that finished.
+    pub done: &'a mut Vec<(crate::request::SampleOf, Version, f32)>,
+    /// The missing samples of each trainer's groups.
+    pub missing: &'a [Vec<u32>],
+    /// One attempt in this many loses its connection; zero for none.
+    pub silent: u64,
+}
+
+impl World<'_> {
+    fn job(&mut self, entry: usize, attempt: u32, request: &Request) -> Job {
+        let draw = request.id.1.wrapping_mul(31).wrapping_add(u64::from(attempt) * 7);
+        Job {
+            entry,
+            id: request.id,
+            attempt,
+            class: request.class,
+            model: request.model,
+            tokens: request.tokens,
+            done: 0.0,
+            prompt: request.prompt,
+            prefix: request.prefix,
+            prefill: 0.0,
+            version: Version(0),
+            silent: self.silent > 0 && draw % self.silent == 0,
+        }
+    }
+
+    fn find(&self, flight: &Flight) -> Option<&Job> {
+        let engine = &self.engines[flight.seat.0 as usize];
+        let same = |job: &&Job| job.id == flight.request.id && job.attempt == flight.attempt;
+        engine.running.iter().chain(&engine.queue).find(same)
+    }
+
+    fn is_silent(&self, flight: &Flight) -> bool {
+        self.find(flight).is_none_or(|job| job.silent)
+    }
+
+    fn progress(&self, flight: &Flight, ran_ms: u64) -> (f32, f32) {
+        let done = self.find(flight).map_or(0.0, |job| job.done);
+        (done, done / ran_ms.max(1) as f32)
+    }
+
+    fn missing(&self, sample: crate::request::SampleOf) -> u32 {
+        self.missing[sample.trainer].get(sample.group).copied().unwrap_or(0)
+    }
+}
+
+fn want<'a>(
+    model: &'a Model,
+    request: &Request,
+    floor: Version,
+    exclude: &'a [Seat],
+    prefix: bool,
+) -> Want<'a> {
+    Want {
+        model,
+        class: request.class,
+        prefix: prefix.then_some(request.prefix),
+        prompt: request.prompt,
+        tokens: request.expected,
+        floor: Some(floor),
+        exclude,
+        suspect: false,
+    }
+}
