Remember own attempts in flight over the last seconds

Cause: a report of 3 s ago was compared with own attempts of now, less those started since; attempts that had ended since then were forgotten, so that others' load was put too high and work waited. Change: each endpoint keeps own counts over 64 spans of 64 ms; a report is compared with its time.

--- a/components/experiment/src/entry.rs
+++ b/components/experiment/src/entry.rs
@@ -483,7 +483,7 @@
             prefix: request.prefix,
             prefill: 0.0,
             version: Version(0),
-            silent: self.silent > 0 && draw % self.silent == 0,
+            silent: self.silent > 0 && draw.is_multiple_of(self.silent),
         }
     }
 
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -175,13 +175,12 @@
             self.promise_broken("in_flight_not_negative");
             return;
         }
-        state.own -= 1;
+        state.ended(now, left);
         for (model, _) in &state.versions {
             if let Some(pool) = self.pools.get_mut(model) {
                 pool.own = pool.own.saturating_sub(1);
             }
         }
-        state.owed = if state.own == 0 { 0 } else { state.owed.saturating_sub(u64::from(left)) };
         if ending == Ending::Finished {
             self.learn(now, seat, ms, tokens);
         }
--- a/components/routing/src/seat.rs
+++ b/components/routing/src/seat.rs
@@ -48,8 +48,11 @@
     pub data_centre: DataCentre,
 }
 
-/// How many starts are remembered, to tell which of them a report could not have seen.
-const STARTS: usize = 16;
+/// Spans of time over which own attempts in flight are remembered, to tell how many of them a
+/// report has seen.
+const SPANS: usize = 64;
+/// Milliseconds of one span; a report older than all of them is judged by the oldest.
+const SPAN_MS: u64 = 64;
 /// The weight of a new observation in a running mean.
 const LEARN: f32 = 0.1;
 
@@ -104,8 +107,43 @@
     pub away_ms: f32,
     /// When it was last present.
     pub present_at: Millis,
-    starts: [Millis; STARTS],
-    start: usize,
+    /// Own attempts in flight when the last report left.
+    pub own_seen: u32,
+    past: Past,
+}
+
+/// Own attempts in flight at the end of each of the last spans of time.
+#[derive(Clone, Debug)]
+struct Past {
+    own: [u32; SPANS],
+    span: u64,
+}
+
+impl Default for Past {
+    fn default() -> Self {
+        Self { own: [0; SPANS], span: 0 }
+    }
+}
+
+impl Past {
+    fn note(&mut self, now: Millis, before: u32, after: u32) {
+        let span = now.0 / SPAN_MS;
+        let skipped = span.saturating_sub(self.span).min(SPANS as u64);
+        for n in 0..skipped {
+            self.own[((span - n) % SPANS as u64) as usize] = before;
+        }
+        self.span = self.span.max(span);
+        self.own[(self.span % SPANS as u64) as usize] = after;
+    }
+
+    fn at(&self, then: Millis, now: u32) -> u32 {
+        let span = then.0 / SPAN_MS;
+        if span >= self.span {
+            return now;
+        }
+        let oldest = (self.span + 1).saturating_sub(SPANS as u64);
+        self.own[(span.max(oldest) % SPANS as u64) as usize]
+    }
 }
 
 impl State {
@@ -158,8 +196,8 @@
         }
         self.seq = report.seq;
         let left = Millis(now.0.saturating_sub(report.age_ms));
-        let unseen = self.starts.iter().filter(|at| at.0 > left.0).count() as u32;
-        let own = self.own.saturating_sub(unseen);
+        let own = self.past.at(left, self.own);
+        self.own_seen = own;
         self.others = (report.running + report.waiting).saturating_sub(own) as f32;
         self.seen = Some(left);
         let used = report.memory.max(report.prefill).max(report.link);
@@ -173,10 +211,16 @@
 
     /// Counts an attempt as started.
     pub fn started(&mut self, now: Millis, tokens: u32) {
+        self.past.note(now, self.own, self.own + 1);
         self.own += 1;
         self.owed += u64::from(tokens);
-        self.starts[self.start % STARTS] = now;
-        self.start = self.start.wrapping_add(1);
+    }
+
+    /// Counts an attempt as ended; `left` of its tokens will not come.
+    pub fn ended(&mut self, now: Millis, left: u32) {
+        self.past.note(now, self.own, self.own - 1);
+        self.own -= 1;
+        self.owed = if self.own == 0 { 0 } else { self.owed.saturating_sub(u64::from(left)) };
     }
 
     /// Learns from a finished attempt how quick the endpoint is.
