Assume that the other entries started as much since the reports

Cause: entries do not see each other's starts; a step that reaches all of them fills every slot before the next report, and urgent callers find none. Change: the view of a pool adds own growth since the reports once for each other entry that shares it.

--- a/components/routing/src/pool.rs
+++ b/components/routing/src/pool.rs
@@ -28,6 +28,8 @@
     pub service_ms: f32,
     /// This entry's own attempts in flight over the pool.
     pub own: u32,
+    /// How many entries, this one included, have an endpoint of the pool in their subsets.
+    pub peers: f32,
     /// The slots of the subset.
     pub slots: u32,
     /// How many were ejected when the pool was last drawn: it may then hold more ejected ones
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -298,6 +298,8 @@
             .map(|member| member.node.as_str())
             .collect();
         let drawn = self.digest(&names, &inside);
+        let share = self.settings.subset.min(inside.len()) as f32 / inside.len().max(1) as f32;
+        let peers = names.len() as f32 * share;
         let known = self.pools.get(model).is_some_and(|pool| pool.drawn == drawn);
         let picked = if known { Vec::new() } else { self.subset(&names, &inside) };
         let pool = self.pools.entry(model.clone()).or_default();
@@ -306,6 +308,7 @@
             pool.place(picked, &self.states);
             pool.shrunk = pool.ejected(now, &self.states);
         }
+        pool.peers = peers.max(1.0);
         pool.rest = seats.into_iter().filter(|seat| !pool.holds(*seat, &self.states)).collect();
         pool.recount(&self.states);
     }
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -76,6 +76,8 @@
     pub apart: usize,
     /// Milliseconds for which an endpoint that left is remembered.
     pub forget_ms: u64,
+    /// Whether other entries are assumed to have started as much as this one since the reports.
+    pub mirror: bool,
     /// Whether an endpoint's limit adapts to its latency.
     pub adapt: bool,
     /// Which protections are on; only tests turn one off.
@@ -104,6 +106,7 @@
             eject_cap: 0.3,
             apart: 8,
             forget_ms: 600_000,
+            mirror: true,
             adapt: true,
             protections: Protections::default(),
         }
--- a/components/routing/src/view.rs
+++ b/components/routing/src/view.rs
@@ -29,6 +29,7 @@
         let mut view = View::default();
         let mut load = 0.0;
         let mut slots = 0.0;
+        let mut grown = 0.0;
         for seat in &pool.seats {
             let state = &self.states[seat.0 as usize];
             if !self.usable(now, state, model, floor) {
@@ -37,9 +38,16 @@
             view.endpoints += 1;
             view.headroom += state.headroom;
             load += score::load(now, &self.settings, pool, state);
+            grown += state.own as f32 - state.own_seen as f32;
             slots += if self.settings.adapt { state.limit.get() } else { state.slots as f32 };
         }
         view.headroom /= view.endpoints.max(1);
+        // Entries do not see each other's starts until the next report. A trainer's step reaches
+        // all of them at once: each would take all the room for its own, and urgent callers would
+        // find none. What this entry started since the reports, the others likely did as well.
+        if self.settings.mirror {
+            load = (load + grown * (pool.peers - 1.0)).max(0.0);
+        }
         view.load = load as u32;
         view.slots = slots as u32;
         view
