Owe waiting samples a share of starts over all models

Cause: with crashes at 150% no step came whole in two minutes: ordinary callers took every slot that came free at the door, and what samples were owed was counted for each model, while models share engines. Change: one credit and one fair queue over all models; ordinary callers do not pass an owed sample.

--- a/components/admission/src/admission.rs
+++ b/components/admission/src/admission.rs
@@ -20,12 +20,15 @@
 use crate::ask::Refused;
 use crate::ask::Room;
 use crate::feasible::Feasible;
+use crate::queue::Fair;
 use crate::queue::Key;
 use crate::queue::Line;
 use crate::settings::Settings;
 use crate::shares::Lease;
 use crate::workspace::Used;
 
+/// Starts that samples can be owed at most; more would let them crowd out callers later.
+const CREDIT: f32 = 8.0;
 /// Refused requests that are remembered, to check that none of them runs.
 const REMEMBERED: usize = 1_024;
 /// The least milliseconds after which a refused caller is told to come back.
@@ -66,8 +69,6 @@
     pub(crate) lines: [Line; 3],
     pub(crate) feasible: Feasible,
     pub(crate) service_ms: f32,
-    /// Starts that waiting samples are owed.
-    pub(crate) credit: f32,
 }
 
 /// Where a waiting request is found.
@@ -87,6 +88,11 @@
     pub(crate) rng: SmallRng,
     pub(crate) counts: Counts,
     pub(crate) hedges: u32,
+    pub(crate) fair: Fair,
+    /// Starts that waiting samples are owed. Models may share engines, so it counts over all.
+    pub(crate) credit: f32,
+    /// Samples that wait.
+    pub(crate) samples: usize,
     pub(crate) gates: HashMap<Model, Gate>,
     pub(crate) spots: HashMap<RequestId, Spot>,
     /// Answers to requests that gave way to others, until the next poll.
@@ -104,6 +110,9 @@
             rng: SmallRng::seed_from_u64(seed),
             counts: Counts::default(),
             hedges: 0,
+            fair: Fair::default(),
+            credit: 0.0,
+            samples: 0,
             gates: HashMap::new(),
             spots: HashMap::new(),
             dropped: Vec::new(),
@@ -163,6 +172,7 @@
         let Some(spot) = self.spots.remove(&id) else {
             return false;
         };
+        self.samples -= usize::from(spot.class == Class::Batch);
         let line = self.gates.get_mut(&spot.model).map(|gate| &mut gate.lines[index(spot.class)]);
         if let Some(waiting) = line.and_then(|line| line.remove(spot.key)) {
             self.release(&waiting.workspace);
@@ -206,12 +216,10 @@
         if self.running.insert(id, running).is_some() {
             self.promise_broken("started_once");
         }
-        let floor = self.settings.batch_floor;
-        let Some(gate) = self.gates.get_mut(model) else { return };
         if class == Class::Batch {
-            gate.credit = (gate.credit - 1.0).max(0.0);
-        } else if !gate.lines[index(Class::Batch)].is_empty() {
-            gate.credit = (gate.credit + floor).min(8.0);
+            self.credit = (self.credit - 1.0).max(0.0);
+        } else if self.samples > 0 {
+            self.credit = (self.credit + self.settings.batch_floor).min(CREDIT);
         }
     }
 
--- a/components/admission/src/door.rs
+++ b/components/admission/src/door.rs
@@ -33,7 +33,10 @@
             let refused = Refused { code: Code::DeadlineTooClose, retry_ms };
             return Verdict::Refuse(self.refuse(ask.id, refused));
         }
-        let first = gate.lines[index(ask.class)..].iter().all(Line::is_empty);
+        // An ordinary caller does not pass samples that are owed a start, or they would starve for
+        // as long as callers find room at the door.
+        let behind = ask.class == Class::Normal && self.credit >= 1.0 && self.samples > 0;
+        let first = gate.lines[index(ask.class)..].iter().all(Line::is_empty) && !behind;
         if first && self.may_start(ask.class, ask.room, false) {
             self.start(ask.id, ask.workspace, ask.model, ask.class, ask.expected_ms);
             self.check_reserve(ask.class, ask.room);
@@ -100,8 +103,13 @@
             expected_ms: ask.expected_ms,
         };
         let weight = self.workspaces.get(ask.workspace).map_or(1, |used| used.weight);
+        let first = match ask.class {
+            Class::Batch => self.fair.tag(ask.workspace, weight),
+            Class::Normal | Class::Urgent => latest.0,
+        };
+        self.samples += usize::from(ask.class == Class::Batch);
         let gate = self.gates.entry(ask.model.clone()).or_default();
-        let key = gate.lines[index(ask.class)].push(waiting, weight);
+        let key = gate.lines[index(ask.class)].push(waiting, first);
         let spot = Spot { model: ask.model.clone(), class: ask.class, key };
         self.spots.insert(ask.id, spot);
         if self.spots.len() > self.settings.waiting {
--- a/components/admission/src/drain.rs
+++ b/components/admission/src/drain.rs
@@ -22,28 +22,28 @@
     /// would cost their callers time in which to ask elsewhere.
     pub fn poll(&mut self, now: Millis, mut room: impl FnMut(&Model) -> Room) -> Vec<Action> {
         let mut actions = std::mem::take(&mut self.dropped);
-        let models: Vec<Model> = self
+        let mut rooms: Vec<(Model, Room)> = self
             .gates
             .iter()
             .filter(|(_, gate)| gate.lines.iter().any(|line| !line.is_empty()))
-            .map(|(model, _)| model.clone())
+            .map(|(model, _)| (model.clone(), room(model)))
             .collect();
-        for model in models {
-            let mut space = room(&model);
-            self.drop_doomed(now, &model, space, &mut actions);
-            while let Some(waiting) = self.next(&model, space) {
-                self.spots.remove(&waiting.id);
-                self.start(
-                    waiting.id,
-                    &waiting.workspace,
-                    &model,
-                    waiting.class,
-                    waiting.expected_ms,
-                );
-                self.check_reserve(waiting.class, space);
+        rooms.sort_unstable_by(|a, b| a.0.cmp(&b.0));
+        for (model, space) in &rooms {
+            self.drop_doomed(now, model, *space, &mut actions);
+        }
+        while let Some((n, waiting)) = self.next(&rooms) {
+            let (model, space) = rooms[n].clone();
+            self.forget(&waiting);
+            let expected_ms = waiting.expected_ms;
+            let class = waiting.class;
+            self.start(waiting.id, &waiting.workspace, &model, class, expected_ms);
+            self.check_reserve(class, space);
+            // Models may share endpoints: a start may take room from each of them.
+            for (_, space) in &mut rooms {
                 space.load += 1;
-                actions.push(Action::Run(waiting.id));
             }
+            actions.push(Action::Run(waiting.id));
         }
         actions
     }
@@ -61,18 +61,40 @@
     ///
     /// The most urgent class goes first, but waiting samples are owed a share of the starts: a
     /// trainer that gets nothing while callers keep coming would idle for as long as they come.
-    fn next(&mut self, model: &Model, room: Room) -> Option<Waiting> {
-        let gate = self.gates.get(model)?;
-        let owed = gate.credit >= 1.0;
-        let waits = |class: Class| !gate.lines[index(class)].is_empty();
-        let order = if owed && !waits(Class::Urgent) {
+    fn next(&mut self, rooms: &[(Model, Room)]) -> Option<(usize, Waiting)> {
+        let owed = self.credit >= 1.0;
+        let order = if owed {
             [Class::Urgent, Class::Batch, Class::Normal]
         } else {
             [Class::Urgent, Class::Normal, Class::Batch]
         };
-        let class =
-            order.into_iter().find(|class| waits(*class) && self.may_start(*class, room, owed))?;
-        self.gates.get_mut(model)?.lines[index(class)].pop()
+        for class in order {
+            let Some(n) = self.first(rooms, class, owed) else { continue };
+            let line = &mut self.gates.get_mut(&rooms[n].0)?.lines[index(class)];
+            if class == Class::Batch {
+                self.fair.advance(line.first().unwrap_or(0));
+            }
+            return Some((n, line.pop()?));
+        }
+        None
+    }
+
+    /// Gives the model whose first request of a class goes before those of the other models.
+    fn first(&self, rooms: &[(Model, Room)], class: Class, owed: bool) -> Option<usize> {
+        let first = |model: &Model| self.gates.get(model)?.lines[index(class)].first();
+        rooms
+            .iter()
+            .enumerate()
+            .filter(|(_, (_, room))| self.may_start(class, *room, owed))
+            .filter_map(|(n, (model, _))| Some((first(model)?, n)))
+            .min()
+            .map(|(_, n)| n)
+    }
+
+    fn forget(&mut self, waiting: &Waiting) {
+        if self.spots.remove(&waiting.id).is_some() && waiting.class == Class::Batch {
+            self.samples -= 1;
+        }
     }
 
     fn drop_doomed(&mut self, now: Millis, model: &Model, room: Room, actions: &mut Vec<Action>) {
@@ -115,9 +137,9 @@
             && let Some(gate) = self.gates.get_mut(&spot.model)
         {
             let late = Waiting { latest: Millis(u64::MAX), ..waiting.clone() };
-            gate.lines[index(waiting.class)].push(late, 1);
+            gate.lines[index(waiting.class)].push(late, 0);
         }
-        self.spots.remove(&waiting.id);
+        self.forget(waiting);
         self.release(&waiting.workspace);
         Action::Refuse(waiting.id, self.refuse(waiting.id, refused))
     }
--- a/components/admission/src/queue.rs
+++ b/components/admission/src/queue.rs
@@ -31,9 +31,31 @@
 pub struct Line {
     order: BTreeMap<Key, Waiting>,
     latest: BTreeMap<(Millis, u64), Key>,
+    seq: u64,
+}
+
+/// Start-time fair queueing of samples by their workspaces' weights, over all models: trainers
+/// whose models run on the same engines share them by weight.
+#[derive(Clone, Debug, Default)]
+pub struct Fair {
     tags: HashMap<Workspace, u64>,
     clock: u64,
-    seq: u64,
+}
+
+impl Fair {
+    /// Gives the place of a workspace's next sample: behind its last one by the cost over its
+    /// weight, or at the present virtual time if it was idle.
+    pub fn tag(&mut self, workspace: &Workspace, weight: u32) -> u64 {
+        let last = self.tags.get(workspace).copied().unwrap_or(0);
+        let tag = last.max(self.clock) + COST / u64::from(weight.max(1));
+        self.tags.insert(workspace.clone(), tag);
+        tag
+    }
+
+    /// Takes in that the sample at this place started.
+    pub fn advance(&mut self, tag: u64) {
+        self.clock = self.clock.max(tag);
+    }
 }
 
 /// The cost of one start, in units of a workspace's virtual time, at weight one.
@@ -41,37 +63,18 @@
 
 impl Line {
     /// Adds a request, behind those that go first, and gives its key.
-    pub fn push(&mut self, waiting: Waiting, weight: u32) -> Key {
+    pub fn push(&mut self, waiting: Waiting, first: u64) -> Key {
         self.seq += 1;
-        let first = match waiting.class {
-            Class::Batch => self.tag(&waiting.workspace, weight),
-            Class::Normal | Class::Urgent => waiting.latest.0,
-        };
         let key = (first, self.seq);
         self.latest.insert((waiting.latest, self.seq), key);
         self.order.insert(key, waiting);
         key
     }
 
-    /// Start-time fair queueing: a workspace's next start lies behind its last one by the cost
-    /// over its weight, and a workspace that was idle starts at the present virtual time.
-    fn tag(&mut self, workspace: &Workspace, weight: u32) -> u64 {
-        let last = self.tags.get(workspace).copied().unwrap_or(0);
-        let tag = last.max(self.clock) + COST / u64::from(weight.max(1));
-        self.tags.insert(workspace.clone(), tag);
-        tag
-    }
-
     /// Takes the request that goes first.
     pub fn pop(&mut self) -> Option<Waiting> {
         let (key, waiting) = self.order.pop_first()?;
         self.latest.remove(&(waiting.latest, key.1));
-        if waiting.class == Class::Batch {
-            self.clock = self.clock.max(key.0);
-        }
-        if self.order.is_empty() {
-            self.tags.clear();
-        }
         Some(waiting)
     }
 
@@ -99,9 +102,9 @@
         Some(waiting)
     }
 
-    /// Gives the request that goes first.
-    pub fn first(&self) -> Option<&Waiting> {
-        self.order.first_key_value().map(|(_, waiting)| waiting)
+    /// Gives the place of the request that goes first.
+    pub fn first(&self) -> Option<u64> {
+        self.order.first_key_value().map(|(key, _)| key.0)
     }
 
     /// Gives when the next request will have no chance any more.
--- a/components/admission/src/settings.rs
+++ b/components/admission/src/settings.rs
@@ -45,7 +45,7 @@
             batch_share: 0.85,
             normal_share: 0.92,
             urgent_share: 1.25,
-            batch_floor: 0.1,
+            batch_floor: 0.05,
             waiting: 4_096,
             needless: 0.02,
             retry_burst: 10.0,
