Continue lost attempts in the experiment; leave the adaptive limit off

Cause: a crash or freeze cost a step its longest samples from their first token; and a limit that follows single attempts' latency fell when attempts were short or continued. Change: the experiment continues lost attempts from the tokens that had arrived, as entries do; adapt is off unless set.

--- a/components/experiment/src/arm.rs
+++ b/components/experiment/src/arm.rs
@@ -24,6 +24,10 @@
     /// Whether an urgent request whose stream is silent gets a second attempt before the silence
     /// counts as a failure.
     pub rescue: bool,
+    /// Whether an endpoint's limit adapts to its latency.
+    pub adapt: bool,
+    /// Whether an attempt that was lost is continued from the tokens that had arrived.
+    pub resume: bool,
     /// Whether samples expected to be long start first.
     pub longest: bool,
 }
@@ -39,6 +43,8 @@
     eject: false,
     hedge: false,
     rescue: false,
+    resume: false,
+    adapt: true,
     longest: false,
 };
 /// The fewest own attempts in flight, nothing refused.
@@ -55,8 +61,13 @@
 /// The same, with the longest samples first.
 pub const LONGEST: Arm = Arm { name: "+longest-first", longest: true, ..HEDGED };
 
+/// The same, with lost attempts continued elsewhere.
+pub const RESUMED: Arm = Arm { name: "+resume", resume: true, ..LONGEST };
+/// The same, with the limits that agents announce.
+pub const FIXED: Arm = Arm { name: "+fixed-limit", adapt: false, ..RESUMED };
 /// The arms of the whole table.
-pub const ARMS: [Arm; 7] = [ROUND_ROBIN, LEAST, ROUTED, ADMITTED, RESCUED, HEDGED, LONGEST];
+pub const ARMS: [Arm; 9] =
+    [ROUND_ROBIN, LEAST, ROUTED, ADMITTED, RESCUED, HEDGED, LONGEST, RESUMED, FIXED];
 
 /// The rules of routing beside each other, and variants of the one that is kept.
 pub const RULES: [Arm; 12] = [
--- a/components/experiment/src/engine.rs
+++ b/components/experiment/src/engine.rs
@@ -46,7 +46,7 @@
     pub prefix: u64,
     /// Milliseconds of prefill that are left.
     pub prefill: f32,
-    /// The version that produced its first token.
+    /// The oldest version that produced any of its tokens.
     pub version: Version,
     /// Whether its connection went silent: its frames no longer arrive.
     pub silent: bool,
@@ -121,7 +121,7 @@
             let Some(mut job) = self.queue.pop_front() else { break };
             let known = self.touch(job.prefix);
             job.prefill = if known { 0.0 } else { job.prompt as f32 * PREFILL_MS };
-            job.version = self.versions[job.model];
+            job.version = job.version.min(self.versions[job.model]);
             self.running.push(job);
         }
         let slow = self.pace * (1.0 + SLOWDOWN * self.running.len() as f32 / SLOTS as f32);
--- a/components/experiment/src/entry.rs
+++ b/components/experiment/src/entry.rs
@@ -98,6 +98,7 @@
             draws: arm.draws,
             half_ms: arm.half_ms,
             failures,
+            adapt: arm.adapt,
             ..Default::default()
         };
         let mut admission = Admission::new(chicoryford_admission::Settings::default(), seed);
@@ -228,7 +229,8 @@
         };
         let flight = self.flights.swap_remove(n);
         let ms = now - flight.started;
-        let tokens = job.tokens as u32;
+        let before = flight.request.produced.map_or(0.0, |(tokens, _)| tokens);
+        let tokens = (job.tokens - before).max(1.0) as u32;
         let at = Millis(now);
         self.router.finished(at, flight.seat, Ending::Finished, ms, tokens, 0);
         let request = flight.request;
@@ -256,12 +258,24 @@
         for job in jobs.iter().filter(|job| job.entry == number) {
             let same = |f: &Flight| f.request.id == job.id && f.attempt == job.attempt;
             if let Some(n) = self.flights.iter().position(same) {
-                world.tally.wasted += f64::from(job.done);
+                self.keep(n, job, world);
                 self.lose(now, n, Ending::Failed, Outcome::Unknown, world);
             }
         }
     }
 
+    /// Keeps the tokens of a lost attempt that had arrived, if attempts are continued.
+    ///
+    /// What a silent connection carried did not arrive, and its tokens are in vain.
+    fn keep(&mut self, n: usize, job: &Job, world: &mut World<'_>) {
+        if self.arm.resume && !job.silent && job.done >= 1.0 {
+            self.flights[n].request.produced = Some((job.done, job.version));
+            return;
+        }
+        let before = self.flights[n].request.produced.map_or(0.0, |(tokens, _)| tokens);
+        world.tally.wasted += f64::from((job.done - before).max(0.0));
+    }
+
     fn room(&self, now: u64, model: usize) -> Room {
         let view = self.router.view(Millis(now), &self.models[model], None);
         Room { slots: view.slots, load: view.load }
@@ -349,12 +363,14 @@
         outcome: Outcome,
         world: &mut World<'_>,
     ) {
+        if let Some(job) = world.find(&self.flights[n]).cloned() {
+            self.keep(n, &job, world);
+        }
         let flight = self.flights.swap_remove(n);
         let at = Millis(now);
         let ms = now - flight.started;
         self.router.finished(at, flight.seat, ending, ms, 0, flight.request.expected);
-        let engine = &mut world.engines[flight.seat.0 as usize];
-        world.tally.wasted += f64::from(engine.cancel(flight.request.id, flight.attempt));
+        world.engines[flight.seat.0 as usize].cancel(flight.request.id, flight.attempt);
         let id = flight.request.id;
         if self.flights.iter().any(|other| other.request.id == id) {
             return;
@@ -478,11 +494,11 @@
             class: request.class,
             model: request.model,
             tokens: request.tokens,
-            done: 0.0,
-            prompt: request.prompt,
+            done: request.produced.map_or(0.0, |(tokens, _)| tokens),
+            prompt: request.prompt + request.produced.map_or(0, |(tokens, _)| tokens as u32),
             prefix: request.prefix,
             prefill: 0.0,
-            version: Version(0),
+            version: request.produced.map_or(Version(u64::MAX), |(_, version)| version),
             silent: self.silent > 0 && draw.is_multiple_of(self.silent),
         }
     }
--- a/components/experiment/src/request.rs
+++ b/components/experiment/src/request.rs
@@ -2,6 +2,7 @@
 
 use chicoryford_types::Class;
 use chicoryford_types::RequestId;
+use chicoryford_types::Version;
 use rand::Rng;
 use rand::rngs::SmallRng;
 
@@ -42,6 +43,8 @@
     pub patience: u64,
     /// The sample, if it is one.
     pub sample: Option<SampleOf>,
+    /// Tokens that arrived from attempts that were lost, and the oldest version among them.
+    pub produced: Option<(f32, Version)>,
     /// Attempts so far.
     pub attempts: u32,
 }
--- a/components/experiment/src/run.rs
+++ b/components/experiment/src/run.rs
@@ -233,6 +233,7 @@
                     deadline: now + deadline,
                     patience: deadline,
                     sample: None,
+                    produced: None,
                     attempts: 0,
                 });
                 self.tally.of(class).asked += 1;
--- a/components/experiment/src/trainer.rs
+++ b/components/experiment/src/trainer.rs
@@ -102,6 +102,7 @@
             deadline: now + DEADLINE_MS,
             patience: DEADLINE_MS,
             sample: Some(SampleOf { trainer: self.number, step: self.step, group }),
+            produced: None,
             attempts: 0,
         }
     }
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -107,7 +107,7 @@
             apart: 8,
             forget_ms: 600_000,
             mirror: true,
-            adapt: true,
+            adapt: false,
             protections: Protections::default(),
         }
     }
