Draw even subsets that change little when members come and go

Cause: ranking by a hash alone leaves samplers in 2 to 23 subsets; a bound alone cuts only the top. Change: an endpoint ahead of its fair number so far is passed over, and what is fair so far follows from the entry's hash, so that an entry that leaves does not shift all others. Conclusion: by hash is kept. Randomised runs and mutation checks of the router come with it.

--- a/components/routing/src/subset.rs
+++ b/components/routing/src/subset.rs
@@ -9,8 +9,8 @@
 use chicoryford_types::DataCentre;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// How far past its fair number of subsets an endpoint may be drawn, in percent.
-const SLACK: usize = 10;
+/// How many subsets an endpoint may be ahead of its fair number.
+const AHEAD: usize = 1;
 
 /// An endpoint as a subset sees it.
 #[derive(Clone, Copy, Debug)]
@@ -26,7 +26,8 @@
 /// Every entry ranks the endpoints by a hash of both names, which changes little when members
 /// come and go. Ranking alone would leave some endpoints in twice as many subsets as others, so
 /// the entries choose one after the other, in the order of their names' hashes, and an endpoint
-/// that is full is passed over. Data centres get places by the number of their endpoints, at
+/// that is ahead of its fair number is passed over. What is fair so far follows from the hash and
+/// not from the place in the order, which would shift for all when one entry leaves. Data centres get places by the number of their endpoints, at
 /// least one each, so that the loss of one data centre leaves an entry most of its subset.
 pub fn subset(own: &str, entries: &[&str], sites: &[Site<'_>], size: usize) -> Vec<usize> {
     if sites.len() <= size || entries.is_empty() {
@@ -34,13 +35,13 @@
     }
     let groups = group(sites, size);
     let keys: Vec<u64> = sites.iter().map(|site| xxh3_64(site.name.as_bytes())).collect();
-    let fair = (entries.len() * size).div_ceil(sites.len());
-    let most = fair + (fair * SLACK).div_ceil(100);
     let mut order: Vec<(u64, &str)> =
         entries.iter().map(|name| (xxh3_64(name.as_bytes()), *name)).collect();
     order.sort_unstable();
     let mut taken = vec![0_usize; sites.len()];
+    let fair = (entries.len() * size) as f64 / sites.len() as f64;
     for (hash, name) in order {
+        let most = (hash as f64 / u64::MAX as f64 * fair).ceil() as usize + AHEAD;
         let picked = pick(hash, &groups, &keys, &mut taken, most);
         if name == own {
             return picked;
@@ -70,6 +71,11 @@
         ranked.clear();
         let open = group.sites.iter().filter(|n| taken[**n] < most);
         ranked.extend(open.map(|n| (blend(hash, keys[*n]), *n)));
+        if ranked.len() < group.quota {
+            // An uneven draw is better than a subset without this data centre.
+            ranked.clear();
+            ranked.extend(group.sites.iter().map(|n| (blend(hash, keys[*n]), *n)));
+        }
         let quota = group.quota.min(ranked.len());
         if quota < ranked.len() && quota > 0 {
             ranked.select_nth_unstable(quota);
--- /dev/null
+++ b/components/routing/tests/random.rs
@@ -0,0 +1,306 @@
+//! Long randomised runs of the router. Its promises are asserted inside it; these runs drive it
+//! through members, reports, faults and attempts, and check that none broke, and that switching
+//! a protection off is noticed.
+
+use std::collections::BTreeMap;
+
+use chicoryford_routing::Ending;
+use chicoryford_routing::NoChoice;
+use chicoryford_routing::Place;
+use chicoryford_routing::Protections;
+use chicoryford_routing::Router;
+use chicoryford_routing::Rule;
+use chicoryford_routing::Seat;
+use chicoryford_routing::Settings;
+use chicoryford_routing::Want;
+use chicoryford_types::Class;
+use chicoryford_types::DataCentre;
+use chicoryford_types::Endpoint;
+use chicoryford_types::EndpointInfo;
+use chicoryford_types::Incarnation;
+use chicoryford_types::Known;
+use chicoryford_types::LoadReport;
+use chicoryford_types::Member;
+use chicoryford_types::Members;
+use chicoryford_types::Millis;
+use chicoryford_types::Model;
+use chicoryford_types::Node;
+use chicoryford_types::Roles;
+use chicoryford_types::Standing;
+use chicoryford_types::Version;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+const ENDPOINTS: usize = 12;
+const MODELS: usize = 3;
+const STEPS: usize = 3_000;
+
+/// What may go wrong in a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Fault {
+    Crash,
+    Drain,
+    Lag,
+    Gaps,
+    Silence,
+    Swap,
+}
+
+const FAULTS: [Fault; 6] =
+    [Fault::Crash, Fault::Drain, Fault::Lag, Fault::Gaps, Fault::Silence, Fault::Swap];
+
+#[derive(Clone, Debug)]
+struct Seed(u64);
+
+impl Arbitrary for Seed {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self(u64::arbitrary(g))
+    }
+}
+
+/// A small generator, so that a run depends on its seed alone.
+struct Draw(u64);
+
+impl Draw {
+    fn below(&mut self, n: u64) -> u64 {
+        self.0 =
+            self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % n
+    }
+}
+
+struct Fleet {
+    members: Members,
+    seq: Vec<u64>,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let known = (0..ENDPOINTS).map(|n| {
+            let models = (0..MODELS)
+                .filter(|m| (n + m) % MODELS != 0)
+                .map(|m| (Model(format!("model-{m}")), Version(1)))
+                .collect();
+            let name = Endpoint(format!("endpoint-{n:02}"));
+            let member = Member {
+                node: Node(format!("agent-{n:02}")),
+                data_centre: DataCentre(format!("dc-{}", n % 3)),
+                roles: Roles { agent: true, ..Roles::default() },
+                endpoint: Some(EndpointInfo {
+                    name,
+                    models,
+                    slots: 4,
+                    healthy: true,
+                    ..EndpointInfo::default()
+                }),
+                ..Member::default()
+            };
+            (member.node.clone(), Known { member, standing: Standing::Alive })
+        });
+        Self { members: Members { known: known.collect() }, seq: vec![0; ENDPOINTS] }
+    }
+
+    fn member(&mut self, n: usize) -> &mut Known {
+        self.members.known.values_mut().nth(n).unwrap()
+    }
+
+    fn disturb(&mut self, draw: &mut Draw, faults: &[Fault]) {
+        let n = draw.below(ENDPOINTS as u64) as usize;
+        let fault = faults[draw.below(faults.len() as u64) as usize];
+        if fault == Fault::Crash {
+            self.seq[n] = 0;
+        }
+        let known = self.member(n);
+        let info = known.member.endpoint.as_mut().unwrap();
+        match fault {
+            Fault::Crash if info.healthy => {
+                info.healthy = false;
+                known.member.incarnation = Incarnation(known.member.incarnation.0 + 1);
+            }
+            Fault::Crash => info.healthy = true,
+            Fault::Drain => info.draining = !info.draining,
+            Fault::Swap => {
+                let version = info.models.values().next().unwrap().next();
+                info.models.values_mut().for_each(|v| *v = version);
+            }
+            Fault::Silence if known.standing == Standing::Alive => known.standing = Standing::Dead,
+            Fault::Silence => known.standing = Standing::Alive,
+            Fault::Lag | Fault::Gaps => {}
+        }
+    }
+
+    fn report(&mut self, draw: &mut Draw, faults: &[Fault]) -> LoadReport {
+        let n = draw.below(ENDPOINTS as u64) as usize;
+        let lag = if faults.contains(&Fault::Lag) { draw.below(5_000) } else { 100 };
+        self.seq[n] += 1;
+        if faults.contains(&Fault::Gaps) {
+            self.seq[n] += draw.below(3);
+        }
+        let late = if faults.contains(&Fault::Lag) { draw.below(2) } else { 0 };
+        let info = self.member(n).member.endpoint.clone().unwrap();
+        LoadReport {
+            name: info.name,
+            seq: self.seq[n].saturating_sub(late),
+            age_ms: lag,
+            running: draw.below(5) as u32,
+            waiting: draw.below(3) as u32,
+            cached: vec![draw.below(20)],
+            evicted: vec![draw.below(20)],
+            versions: info.models,
+            ..LoadReport::default()
+        }
+    }
+}
+
+#[derive(Default)]
+struct Seen {
+    broken: u64,
+    chosen: u64,
+    trace: u64,
+}
+
+fn run(seed: u64, rule: Rule, faults: &[Fault], protections: Protections) -> Seen {
+    let settings = Settings { rule, subset: 8, protections, ..Settings::default() };
+    let mut router = Router::new(settings, Place::default(), seed);
+    let mut draw = Draw(seed);
+    let mut fleet = Fleet::new();
+    let mut flights: Vec<Seat> = Vec::new();
+    let mut seen = Seen::default();
+    let models: BTreeMap<u64, Model> =
+        (0..MODELS as u64).map(|m| (m, Model(format!("model-{m}")))).collect();
+    router.observe_members(Millis(0), &fleet.members);
+    for step in 0..STEPS as u64 {
+        let now = Millis(step * 20);
+        match draw.below(10) {
+            0 if step % 7 == 0 && !faults.is_empty() => {
+                fleet.disturb(&mut draw, faults);
+                router.observe_members(now, &fleet.members);
+            }
+            0 | 1 => router.observe_report(now, &fleet.report(&mut draw, faults)),
+            2..=4 if !flights.is_empty() => {
+                let n = draw.below(flights.len() as u64) as usize;
+                let seat = flights.swap_remove(n);
+                let bad = faults.contains(&Fault::Crash) && draw.below(3) > 0;
+                let ending = match draw.below(8) {
+                    0 => Ending::Released,
+                    1 => Ending::Silent,
+                    _ if bad => Ending::Failed,
+                    _ => Ending::Finished,
+                };
+                router.finished(now, seat, ending, draw.below(4_000), 50, 0);
+            }
+            _ => {
+                let exclude: Vec<Seat> = flights.iter().rev().take(2).copied().collect();
+                let want = Want {
+                    model: &models[&draw.below(MODELS as u64)],
+                    class: Class::Normal,
+                    prefix: Some(draw.below(20)),
+                    prompt: 200,
+                    tokens: 100,
+                    floor: Some(Version(draw.below(4))),
+                    exclude: &exclude,
+                    suspect: draw.below(20) == 0,
+                };
+                match router.choose(now, &want) {
+                    Ok(choice) => {
+                        seen.chosen += 1;
+                        seen.trace = seen.trace.wrapping_mul(31).wrapping_add(choice.seat.0.into());
+                        router.started(now, choice.seat, 100, want.prefix);
+                        flights.push(choice.seat);
+                    }
+                    // Only while its agents are dead may a model be served by nobody.
+                    Err(why) => assert!(
+                        why != NoChoice::Unserved || faults.contains(&Fault::Silence),
+                        "faults: {faults:?}"
+                    ),
+                }
+            }
+        }
+        let own: u32 = (0..ENDPOINTS as u32)
+            .filter_map(|n| router.state(Seat(n)))
+            .map(|state| state.own)
+            .sum();
+        assert_eq!(own as usize, flights.len(), "every attempt is counted once");
+    }
+    seen.broken = router.counts().broken;
+    seen
+}
+
+fn pairs() -> Vec<Vec<Fault>> {
+    let mut sets = vec![Vec::new()];
+    for (n, first) in FAULTS.iter().enumerate() {
+        sets.push(vec![*first]);
+        for second in &FAULTS[n + 1..] {
+            sets.push(vec![*first, *second]);
+        }
+    }
+    sets
+}
+
+#[test]
+fn can_keep_every_promise_under_each_fault_and_each_pair() {
+    fn holds(seed: Seed) -> bool {
+        // While agents are dead there may be nothing to choose; that fault has a test of its own.
+        let served = |faults: &Vec<Fault>| !faults.contains(&Fault::Silence);
+        pairs().iter().filter(|f| served(f)).all(|faults| {
+            let seen = run(seed.0, Rule::LeastFinish, faults, Protections::default());
+            seen.broken == 0 && seen.chosen > 0
+        })
+    }
+    QuickCheck::new().tests(8).quickcheck(holds as fn(Seed) -> bool);
+}
+
+#[test]
+fn can_keep_every_promise_while_agents_fall_silent() {
+    fn holds(seed: Seed) -> bool {
+        pairs().iter().filter(|f| f.contains(&Fault::Silence)).all(|faults| {
+            run(seed.0, Rule::LeastFinish, faults, Protections::default()).broken == 0
+        })
+    }
+    QuickCheck::new().tests(8).quickcheck(holds as fn(Seed) -> bool);
+}
+
+#[test]
+fn can_keep_every_promise_by_each_rule() {
+    let rules = [
+        Rule::RoundRobin,
+        Rule::Random,
+        Rule::LeastInFlight,
+        Rule::TwoChoices,
+        Rule::Probing,
+        Rule::LeastFinish,
+    ];
+    for rule in rules {
+        for seed in 0..10 {
+            let seen = run(seed, rule, &FAULTS[..4], Protections::default());
+            assert_eq!(seen.broken, 0, "{rule:?} with seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn can_repeat_a_run_by_its_seed() {
+    for seed in 0..5 {
+        let first = run(seed, Rule::LeastFinish, &FAULTS[..4], Protections::default());
+        let second = run(seed, Rule::LeastFinish, &FAULTS[..4], Protections::default());
+        assert_eq!(first.trace, second.trace);
+    }
+}
+
+#[test]
+fn can_notice_each_protection_that_is_off() {
+    let on = Protections::default();
+    let mutants = [
+        ("drain", Protections { drain: false, ..on }),
+        ("floor", Protections { floor: false, ..on }),
+        ("eject", Protections { eject: false, ..on }),
+        ("cap", Protections { cap: false, ..on }),
+        ("exclude", Protections { exclude: false, ..on }),
+    ];
+    let faults = [Fault::Crash, Fault::Drain, Fault::Swap];
+    for (name, mutant) in mutants {
+        let noticed = (0..20).any(|seed| run(seed, Rule::LeastFinish, &faults, mutant).broken > 0);
+        assert!(noticed, "nothing noticed that {name} was off");
+    }
+}
--- /dev/null
+++ b/components/routing/tests/subset.rs
@@ -0,0 +1,47 @@
+//! Subsets at the size of the target: even, spread, and steady.
+
+use std::collections::BTreeSet;
+
+use chicoryford_routing::subset::Site;
+use chicoryford_routing::subset::subset;
+use chicoryford_types::DataCentre;
+
+const ENTRIES: usize = 390;
+const ENDPOINTS: usize = 1_600;
+const SIZE: usize = 48;
+
+fn all(entries: &[&str], sites: &[Site<'_>]) -> Vec<Vec<usize>> {
+    entries.iter().map(|own| subset(own, entries, sites, SIZE)).collect()
+}
+
+#[test]
+fn can_draw_even_and_steady_subsets_over_all_data_centres() {
+    let entries: Vec<String> = (0..ENTRIES).map(|n| format!("entry-{n}")).collect();
+    let names: Vec<&str> = entries.iter().map(String::as_str).collect();
+    let endpoints: Vec<String> = (0..ENDPOINTS).map(|n| format!("endpoint-{n}")).collect();
+    let centres: Vec<DataCentre> = (0..10).map(|n| DataCentre(format!("dc-{n}"))).collect();
+    let site = |(n, name)| Site { name, data_centre: &centres[n % 10] };
+    let sites: Vec<Site<'_>> = endpoints.iter().map(String::as_str).enumerate().map(site).collect();
+    let before = all(&names, &sites);
+    let mut counts = vec![0; ENDPOINTS];
+    for picked in &before {
+        assert!(picked.len().abs_diff(SIZE) <= 10);
+        assert!(picked.iter().map(|n| n % 10).collect::<BTreeSet<_>>().len() >= 3);
+        picked.iter().for_each(|n| counts[*n] += 1);
+    }
+    assert!(counts.iter().all(|count| (6..=14).contains(count)), "{counts:?}");
+
+    let after = all(&names, &sites[..ENDPOINTS - 1]);
+    let changed: usize =
+        before.iter().zip(&after).map(|(b, a)| a.iter().filter(|n| !b.contains(n)).count()).sum();
+    assert!(changed < ENTRIES, "the loss of one endpoint changed {changed} places");
+}
+
+#[test]
+fn can_use_every_endpoint_of_a_small_deployment() {
+    let centre = DataCentre::from("dc");
+    let names: Vec<String> = (0..10).map(|n| n.to_string()).collect();
+    let sites: Vec<Site<'_>> =
+        names.iter().map(|name| Site { name, data_centre: &centre }).collect();
+    assert_eq!(subset("entry-0", &["entry-0", "entry-1"], &sites, SIZE).len(), 10);
+}
