Keep a share of the waiting places for samples

Cause: a randomised run at 300% load found 14 samples among 850 starts: callers took every place of the full queue, so that no sample was there when it was owed a start. Change: samples keep a quarter of the places.

--- a/components/admission/src/drain.rs
+++ b/components/admission/src/drain.rs
@@ -116,7 +116,7 @@
         let mut found =
             models.iter().find_map(|model| Some((model, doomed(self.gates.get_mut(model)?, now)?)));
         for lower in [Class::Batch, Class::Normal] {
-            if found.is_none() && lower < class {
+            if found.is_none() && self.yields(lower, class) {
                 code = Code::Overloaded;
                 found = models.iter().find_map(|model| {
                     let gate = self.gates.get_mut(model)?;
@@ -131,6 +131,19 @@
         true
     }
 
+    /// Tells whether a waiting request of class `lower` gives way to one of `class`.
+    ///
+    /// Samples keep a share of the places. If callers could take all of them, no sample would be
+    /// there when it is owed a start, and trainers would starve after all.
+    fn yields(&self, lower: Class, class: Class) -> bool {
+        let kept = (self.settings.waiting as f32 * self.settings.batch_places) as usize;
+        match (lower, class) {
+            (Class::Batch, _) => lower < class && self.samples > kept,
+            (Class::Normal, Class::Batch) => self.samples < kept,
+            _ => lower < class,
+        }
+    }
+
     fn give_up(&mut self, waiting: &Waiting, refused: Refused) -> Action {
         if !self.settings.protections.forget
             && let Some(spot) = self.spots.get(&waiting.id)
--- a/components/admission/src/settings.rs
+++ b/components/admission/src/settings.rs
@@ -15,6 +15,8 @@
     pub urgent_share: f32,
     /// The share of starts that waiting samples are owed while callers start.
     pub batch_floor: f32,
+    /// The share of the places in the queue that samples keep.
+    pub batch_places: f32,
     /// Requests that wait at once, over all models.
     pub waiting: usize,
     /// Of attempts, the share that finishes sooner than the finish by which a request is judged
@@ -46,6 +48,7 @@
             normal_share: 0.92,
             urgent_share: 1.25,
             batch_floor: 0.05,
+            batch_places: 0.25,
             waiting: 4_096,
             needless: 0.02,
             retry_burst: 10.0,
