Measure the cost of decisions, subsets, suspects and gauges by the experiment

Cause: these decisions had no figures. Change: chicoryford-experiment cost, subsets, suspects, gauges.

--- a/components/experiment/src/main.rs
+++ b/components/experiment/src/main.rs
@@ -2,15 +2,20 @@
 //! endpoints. Prints the seed and the figures; docs/ROUTING.md and docs/ADMISSION.md quote them.
 
 mod arm;
+mod bench;
 mod engine;
 mod entry;
+mod gauges;
 mod request;
 mod run;
+mod subsets;
+mod suspicion;
 mod tally;
 mod trainer;
 
 use chicoryford_types::Class;
 use clap::Parser;
+use clap::ValueEnum;
 
 use crate::arm::ARMS;
 use crate::arm::FAULTS;
@@ -19,9 +24,27 @@
 use crate::run::Plan;
 use crate::tally::Tally;
 
+/// What is measured.
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum What {
+    /// Rules under load and faults.
+    Faults,
+    /// What a decision costs.
+    Cost,
+    /// Ways to draw subsets.
+    Subsets,
+    /// Both errors of the rule on requests that crash endpoints.
+    Suspects,
+    /// Gates that watch one or several resources.
+    Gauges,
+}
+
 #[derive(Parser)]
 #[command(about = "Measures the decisions against simpler rules")]
 struct Options {
+    /// What is measured.
+    #[arg(value_enum, default_value = "faults")]
+    what: What,
     /// The seed of the first run.
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -47,6 +70,19 @@
 
 fn main() {
     let options = Options::parse();
+    match options.what {
+        What::Faults => faults(&options),
+        What::Cost => {
+            bench::routing();
+            bench::admission();
+        }
+        What::Subsets => subsets::run(),
+        What::Suspects => suspicion::run(options.seed),
+        What::Gauges => gauges::run(options.seed),
+    }
+}
+
+fn faults(options: &Options) {
     println!("seed={} seeds={} seconds={}", options.seed, options.seeds, options.seconds);
     println!(
         "{:>4} {:<7} {:<16} {:>8} {:>8} {:>7} {:>7} {:>6} {:>5} {:>4} {:>7} {:>6} {:>7} {:>6}",
@@ -76,7 +112,7 @@
                     continue;
                 }
                 let tallies: Vec<Tally> =
-                    (0..options.seeds).map(|n| measure(&options, *load, n, arm, fault)).collect();
+                    (0..options.seeds).map(|n| measure(options, *load, n, arm, fault)).collect();
                 print(*load, fault, arm.name, &tallies);
             }
         }
