Count an endpoint without headroom on any resource as full

Cause: memory and slots do not show a prefill or a link that is exhausted. Change: the view of a pool takes the smallest headroom fraction over memory, prefill and link; below 5% an endpoint counts as full. The experiment also measures how a limit is shared over entries.

--- a/components/experiment/src/main.rs
+++ b/components/experiment/src/main.rs
@@ -6,6 +6,7 @@
 mod engine;
 mod entry;
 mod gauges;
+mod leases;
 mod request;
 mod run;
 mod subsets;
@@ -35,6 +36,8 @@
     Subsets,
     /// Both errors of the rule on requests that crash endpoints.
     Suspects,
+    /// Ways to share a limit over entries.
+    Leases,
     /// Gates that watch one or several resources.
     Gauges,
 }
@@ -78,6 +81,7 @@
         }
         What::Subsets => subsets::run(),
         What::Suspects => suspicion::run(options.seed),
+        What::Leases => leases::run(options.seed),
         What::Gauges => gauges::run(options.seed),
     }
 }
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -76,6 +76,9 @@
     pub apart: usize,
     /// Milliseconds for which an endpoint that left is remembered.
     pub forget_ms: u64,
+    /// The least headroom over memory, prefill and link, in thousandths, below which an endpoint
+    /// counts as full.
+    pub headroom: u32,
     /// Whether other entries are assumed to have started as much as this one since the reports.
     pub mirror: bool,
     /// Whether an endpoint's limit adapts to its latency.
@@ -106,6 +109,7 @@
             eject_cap: 0.3,
             apart: 8,
             forget_ms: 600_000,
+            headroom: 50,
             mirror: true,
             adapt: false,
             protections: Protections::default(),
--- a/components/routing/src/view.rs
+++ b/components/routing/src/view.rs
@@ -37,9 +37,16 @@
             }
             view.endpoints += 1;
             view.headroom += state.headroom;
-            load += score::load(now, &self.settings, pool, state);
+            let here = score::load(now, &self.settings, pool, state);
+            load += here;
             grown += state.own as f32 - state.own_seen as f32;
-            slots += if self.settings.adapt { state.limit.get() } else { state.slots as f32 };
+            let limit = if self.settings.adapt { state.limit.get() } else { state.slots as f32 };
+            // The resource that runs out first need not be the one that slots stand for: long
+            // prompts exhaust prefill, and what passes between engines the link, while memory
+            // looks free. The smallest headroom fraction decides (Polyulya, "Multi-Resource
+            // Capacity and the Price of Anarchy", definition 4; docs/ADMISSION.md).
+            let short = state.headroom < self.settings.headroom;
+            slots += if short { limit.min(here) } else { limit };
         }
         view.headroom /= view.endpoints.max(1);
         // Entries do not see each other's starts until the next report. A trainer's step reaches
--- a/components/routing/tests/choose.rs
+++ b/components/routing/tests/choose.rs
@@ -130,3 +130,23 @@
     assert!(choose(&mut router, 3, 1, &[]).is_ok());
     assert_eq!(router.counts().broken, 0);
 }
+
+#[test]
+fn can_count_an_endpoint_as_full_by_its_scarcest_resource() {
+    // Symptom: first tokens take many seconds although memory is half empty.
+    // Sequence: a burst of long prompts exhausts an engine's prefill.
+    // Cause: only memory and slots would be watched.
+    let mut router = router([agent(0, 1)]);
+    let model = Model::from(MODEL);
+    let report = |seq, prefill| LoadReport {
+        name: Endpoint::from("endpoint-0"),
+        seq,
+        memory: 500,
+        prefill,
+        ..LoadReport::default()
+    };
+    router.observe_report(Millis(1), &report(1, 500));
+    assert_eq!(router.view(Millis(1), &model, None).slots, 8);
+    router.observe_report(Millis(2), &report(2, 990));
+    assert_eq!(router.view(Millis(2), &model, None).slots, 0);
+}
