--- /dev/null
+++ b/components/control/src/replica.rs
@@ -0,0 +1,315 @@
+//! The duty around [`chicoryford_agreement::Replica`]: tells it what happens, and does what it
+//! wants done.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use chicoryford_agreement::Action;
+use chicoryford_agreement::Committed;
+use chicoryford_agreement::Event;
+use chicoryford_agreement::Message;
+use chicoryford_agreement::Replica;
+use chicoryford_agreement::Role;
+use chicoryford_agreement::SnapshotMeta;
+use chicoryford_kernel::Kernel;
+use chicoryford_kernel::Phase;
+use chicoryford_kernel::Receiver;
+use chicoryford_kernel::Sender;
+use chicoryford_state::Command;
+use chicoryford_types::Node;
+use tokio::sync::watch;
+
+use crate::apply::Applied;
+use crate::disk::Job;
+use crate::disk::Report;
+use crate::error::ContentError;
+use crate::handle::Request;
+use crate::orders::Lead;
+use crate::peers::Outgoing;
+use crate::pending::Pending;
+use crate::pending::Waiter;
+use crate::sessions::Sessions;
+use crate::snapshots::Take;
+use crate::status::StorageStatus;
+
+/// The replica is told about the time this often.
+const TICK: Duration = Duration::from_millis(20);
+/// Milliseconds for which the process's end may wait for another leader.
+pub const LINGER_MS: u64 = 1_000;
+/// Milliseconds between two looks for lapsed sessions.
+const SESSIONS_MS: u64 = 200;
+
+/// The rings that end or begin at the replica's duty.
+pub struct Rings {
+    /// What the HTTP threads ask.
+    pub requests: Receiver<Request>,
+    /// What the disk has done.
+    pub reports: Receiver<Report>,
+    /// What the disk is to do.
+    pub jobs: Sender<Job>,
+    /// What other replicas are to be told.
+    pub outgoing: Sender<Outgoing>,
+    /// States to be encoded as snapshots.
+    pub takes: Sender<Take>,
+    /// What the orders' duty depends on.
+    pub lead: watch::Sender<Lead>,
+}
+
+/// When a snapshot is taken.
+#[derive(Clone, Debug)]
+pub struct Interval {
+    /// After this many entries.
+    pub entries: u64,
+    /// Or after commands of this many bytes.
+    pub bytes: usize,
+}
+
+impl Default for Interval {
+    fn default() -> Self {
+        Self { entries: 20_000, bytes: 64 << 20 }
+    }
+}
+
+/// The replica and all that surrounds it.
+pub struct Driver {
+    pub(crate) kernel: Kernel,
+    pub(crate) replica: Replica,
+    pub(crate) applied: Applied,
+    pub(crate) rings: Rings,
+    pub(crate) interval: Interval,
+    /// How long the process's end may wait for another leader, in milliseconds.
+    pub(crate) linger_ms: u64,
+    /// Jobs for which the disk's ring had no room.
+    pub(crate) backlog: VecDeque<Job>,
+    pub(crate) pending: Pending,
+    pub(crate) sessions: Sessions,
+    pub(crate) sessions_at: u64,
+    /// Addresses of replicas that the log does not name yet.
+    pub(crate) learned: BTreeMap<Node, String>,
+    pub(crate) storage: StorageStatus,
+    /// The last entry of the snapshot that is on its way to the disk.
+    pub(crate) taking: Option<u64>,
+    /// What this process cannot read; it takes no part any more.
+    pub(crate) unreadable: bool,
+}
+
+impl Driver {
+    /// Joins a replica, its state and its rings. `founders` tells where replicas answer that the
+    /// log does not name yet.
+    pub fn new(
+        kernel: Kernel,
+        replica: Replica,
+        applied: Applied,
+        rings: Rings,
+        founders: BTreeMap<Node, String>,
+    ) -> Self {
+        let storage = StorageStatus { snapshot: applied.mark.index, ..StorageStatus::default() };
+        Self {
+            kernel,
+            replica,
+            applied,
+            rings,
+            interval: Interval::default(),
+            linger_ms: LINGER_MS,
+            backlog: VecDeque::new(),
+            pending: Pending::default(),
+            sessions: Sessions::default(),
+            sessions_at: 0,
+            learned: founders,
+            storage,
+            taking: None,
+            unreadable: false,
+        }
+    }
+
+    /// Runs until the process stops, and until another leads if this replica did.
+    pub async fn run(mut self) {
+        let phases = self.kernel.phases.clone();
+        let mut ticks = actix_rt::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let (mut draining, mut stopping) = (false, None);
+        loop {
+            if phases.now() >= Phase::Stopping {
+                let since = *stopping.get_or_insert(self.kernel.now());
+                let over = self.kernel.now().since(since) >= self.linger_ms;
+                if over || !self.is_wanted() {
+                    return;
+                }
+            }
+            tokio::select! {
+                report = self.rings.reports.next() => {
+                    let Some(report) = report else { return };
+                    self.report(report);
+                }
+                request = self.rings.requests.next() => {
+                    let Some(request) = request else { return };
+                    self.requests(request);
+                }
+                _ = ticks.tick() => self.tick(),
+                () = phases.reached(Phase::Draining), if !draining => {
+                    draining = true;
+                    // A leader that just stops leaves the others without one for a whole
+                    // election timeout; handing over first takes a few messages.
+                    self.tell(Event::HandOver { to: None });
+                }
+            }
+            self.push_backlog();
+            self.take_snapshot();
+            self.show_lead();
+        }
+    }
+
+    /// Tells whether this replica leads others, who would be without a leader if it stopped now.
+    fn is_wanted(&self) -> bool {
+        self.replica.role() == Role::Leader && self.replica.members().voters().count() > 1
+    }
+
+    fn tick(&mut self) {
+        self.tell(Event::Tick);
+        let now = self.kernel.now();
+        if self.leads() && now.0 >= self.sessions_at + SESSIONS_MS {
+            self.sessions_at = now.0;
+            self.sessions.adopt(self.applied.state.sessions().map(|(number, _)| number), now);
+            for session in self.sessions.lapsed(now) {
+                tracing::info!(event = "session_lapsed", session);
+                self.propose(vec![(Command::CloseSession { session }, Waiter::Nobody)]);
+            }
+        }
+    }
+
+    /// Tells whether this replica leads and surely no other does yet.
+    pub(crate) fn leads(&self) -> bool {
+        self.replica.role() == Role::Leader && self.replica.status().lease_ms > 0
+    }
+
+    fn report(&mut self, report: Report) {
+        match report {
+            Report::Synced { write, bytes } => {
+                self.storage.bytes = bytes;
+                self.tell(Event::Synced { write });
+            }
+            Report::Kept(snapshot) => {
+                self.storage.snapshot = snapshot.meta.mark.index;
+                self.taking = None;
+                self.tell(Event::SnapshotTaken(snapshot));
+            }
+            Report::Failed(error) => {
+                self.storage.failure = Some(error.to_string());
+                self.tell(Event::StorageFailed);
+            }
+        }
+    }
+
+    pub(crate) fn tell(&mut self, event: Event) {
+        if self.unreadable {
+            return;
+        }
+        let actions = self.replica.handle(self.kernel.now(), event);
+        for action in actions {
+            if let Err(error) = self.act(action) {
+                self.give_up(&error);
+                return;
+            }
+        }
+    }
+
+    fn act(&mut self, action: Action) -> Result<(), ContentError> {
+        match action {
+            Action::Persist(write) => self.backlog.push_back(Job::Write(write)),
+            Action::Send(message) => self.send(message),
+            Action::Commit(batch) => self.commit(batch)?,
+            Action::ApplySnapshot(snapshot) => {
+                self.storage.snapshot = snapshot.meta.mark.index;
+                self.applied.reset(&snapshot)?;
+            }
+            Action::Refuse { token, why } => {
+                let why = self.refused(why);
+                self.pending.refuse(token, why);
+            }
+            Action::ReadReady { .. } => {}
+            Action::BecameLeader { epoch } => {
+                tracing::info!(event = "became_leader", epoch = epoch.0);
+                self.sessions.clear();
+                let open = self.applied.state.sessions().map(|(number, _)| number);
+                self.sessions.adopt(open, self.kernel.now());
+            }
+            Action::BecameFollower { epoch, leader } => {
+                let leader = leader.map(|id| id.to_string()).unwrap_or_default();
+                tracing::info!(event = "became_follower", epoch = epoch.0, leader);
+                self.sessions.clear();
+            }
+        }
+        self.push_backlog();
+        Ok(())
+    }
+
+    fn commit(&mut self, batch: Vec<Committed>) -> Result<(), ContentError> {
+        for Committed { entry, token } in batch {
+            let reply = self.applied.apply(entry)?;
+            if let Some(token) = token {
+                self.pending.applied(token, reply);
+            }
+        }
+        Ok(())
+    }
+
+    /// Stops taking part: a command or snapshot of a later release cannot be skipped, because
+    /// this replica's state would then differ from the others'.
+    fn give_up(&mut self, error: &ContentError) {
+        tracing::error!(event = "content_unreadable", index = error.index, %error);
+        self.unreadable = true;
+        self.storage.failure = Some(error.to_string());
+        self.kernel.phases.advance(Phase::Stopping);
+    }
+
+    fn send(&mut self, message: Message) {
+        let seat = self.replica.members().seats.get(&message.to);
+        let address = seat.map(|seat| &seat.address).or(self.learned.get(&message.to.node));
+        let Some(address) = address.cloned() else { return };
+        // A full ring drops the message as a network would; the replica repeats what matters.
+        let _ = self.rings.outgoing.offer(Outgoing { address, message });
+    }
+
+    fn push_backlog(&mut self) {
+        while let Some(job) = self.backlog.pop_front() {
+            match self.rings.jobs.offer(job) {
+                Ok(()) => {}
+                Err(chicoryford_kernel::ring::RingError::Full(job)) => {
+                    self.backlog.push_front(job);
+                    return;
+                }
+                Err(chicoryford_kernel::ring::RingError::Closed(_)) => return,
+            }
+        }
+    }
+
+    /// Tells the orders' duty whether it may give orders, and of which versions.
+    fn show_lead(&self) {
+        let epoch = self.leads().then(|| self.replica.epoch());
+        let weights = &self.applied.state.config.weights;
+        self.rings.lead.send_if_modified(|lead| {
+            let differs = lead.epoch != epoch || lead.weights != *weights;
+            if differs {
+                *lead = Lead { epoch, weights: weights.clone() };
+            }
+            differs
+        });
+    }
+
+    fn take_snapshot(&mut self) {
+        let index = self.applied.mark.index;
+        let many = index.saturating_sub(self.storage.snapshot) >= self.interval.entries;
+        let due = many || self.applied.bytes >= self.interval.bytes;
+        if !due || self.taking.is_some() || self.storage.failure.is_some() {
+            return;
+        }
+        let meta =
+            SnapshotMeta { mark: self.applied.mark, members: self.replica.members_at(index) };
+        let state = Box::new(self.applied.state.clone());
+        if self.rings.takes.offer(Take { meta, state }).is_ok() {
+            self.taking = Some(index);
+            self.applied.bytes = 0;
+        }
+    }
+}
