Keep what is known of endpoints when others come and go; bound convictions

Cause: each observation of members made every endpoint count as just come, cold and slow to start; and one crash could convict more contents than the bound (found by a randomised run). Change: presence at the observation before is remembered; a crash convicts and suspects within bounds.

--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -83,6 +83,7 @@
     /// Takes in who is there. Costs time in proportion to the members; call it when they change.
     pub fn observe_members(&mut self, now: Millis, members: &Members) {
         for state in &mut self.states {
+            state.was_present = state.present;
             state.present = false;
         }
         let mut entries: Vec<&Member> = Vec::new();
--- a/components/routing/src/seat.rs
+++ b/components/routing/src/seat.rs
@@ -65,6 +65,8 @@
     pub versions: Vec<(Model, Version)>,
     /// Whether a present member announces it.
     pub present: bool,
+    /// Whether one did at the observation before.
+    pub was_present: bool,
     /// Whether it leaves.
     pub draining: bool,
     /// Whether it answers its agent.
@@ -155,7 +157,7 @@
     /// Takes in what the agent announces. Returns whether the endpoint became usable by this.
     pub fn announce(&mut self, now: Millis, target: Target, info: &EndpointInfo) {
         let restarted = self.target.incarnation != target.incarnation;
-        let was = self.present && self.healthy && !self.draining && !restarted;
+        let was = self.was_present && self.healthy && !self.draining && !restarted;
         self.target = target;
         for (model, version) in &info.models {
             self.learn_version(model, *version, restarted);
--- a/components/routing/tests/choose.rs
+++ b/components/routing/tests/choose.rs
@@ -150,3 +150,18 @@
     router.observe_report(Millis(2), &report(2, 990));
     assert_eq!(router.view(Millis(2), &model, None).slots, 0);
 }
+
+#[test]
+fn can_keep_what_is_known_of_an_endpoint_when_others_come_and_go() {
+    // Symptom: cached prefixes are not used, and all endpoints start slowly, for seconds after any
+    // endpoint crashed.
+    // Sequence: one member changes, and the router takes in the members anew.
+    // Cause: all endpoints would count as having just come.
+    let mut router = router([agent(0, 1), agent(1, 1)]);
+    let seat = router.find(&Endpoint::from("endpoint-0")).unwrap();
+    router.observe_members(Millis(60_000), &members([agent(0, 1)]));
+    assert_eq!(router.state(seat).unwrap().fresh, Millis(0));
+    router.observe_members(Millis(61_000), &members([agent(1, 1)]));
+    router.observe_members(Millis(62_000), &members([agent(0, 1)]));
+    assert_eq!(router.state(seat).unwrap().fresh, Millis(62_000));
+}
--- a/components/suspects/src/rule.rs
+++ b/components/suspects/src/rule.rs
@@ -67,11 +67,12 @@
             let before = suspects.get(content).copied().unwrap_or(0);
             let crashes = before.saturating_add(1);
             let proven = alone && before > 0 && crashes >= self.apart;
-            if proven || crashes >= self.crowd {
+            let room = convicted < self.convictions;
+            if room && (proven || crashes >= self.crowd) {
                 let until = Unix(stamp.0.saturating_add(self.lasts_ms));
                 changes.push(Change::Convicted(*content, Conviction { crashes, until }));
                 convicted += 1;
-            } else {
+            } else if before > 0 || added < self.suspects {
                 changes.push(Change::Suspected(*content, crashes));
                 added += usize::from(before == 0);
             }
--- /dev/null
+++ b/components/suspects/tests/random.rs
@@ -0,0 +1,78 @@
+//! Long randomised runs of the rule: bounded, repeatable, and sparing the harmless.
+
+use std::collections::BTreeSet;
+
+use chicoryford_suspects::Rule;
+use chicoryford_types::Change;
+use chicoryford_types::Config;
+use chicoryford_types::Fingerprint;
+use chicoryford_types::Position;
+use chicoryford_types::Revision;
+use chicoryford_types::Unix;
+use quickcheck::QuickCheck;
+
+const RULE: Rule = Rule { apart: 3, crowd: 6, lasts_ms: 10_000, suspects: 20, convictions: 5 };
+
+fn apply(config: &mut Config, changes: impl IntoIterator<Item = Change>) {
+    for change in changes {
+        let at = Position { revision: Revision(config.at.revision.0 + 1), ..config.at };
+        assert!(config.apply(at, change));
+    }
+}
+
+/// Runs crashes, ends and lapses in a random order; checks the bounds after each.
+fn run(events: &[(u8, u8, u8)]) -> Config {
+    let mut config = Config::default();
+    for (n, (kind, first, count)) in events.iter().enumerate() {
+        let stamp = Unix(n as u64 * 100);
+        let content = Fingerprint(u64::from(*first) % 60);
+        match kind % 4 {
+            0 | 1 => {
+                let blamed: Vec<Fingerprint> =
+                    (0..=u64::from(count % 8)).map(|m| Fingerprint(content.0 + m)).collect();
+                let changes = RULE.crashed(&config.suspects, &config.convictions, stamp, &blamed);
+                apply(&mut config, changes);
+            }
+            2 => {
+                let cleared = RULE.cleared(&config.suspects, content);
+                apply(&mut config, cleared);
+                assert!(!config.suspects.contains_key(&content));
+            }
+            _ => {
+                let lapsed = RULE.lapsed(&config.convictions, stamp);
+                apply(&mut config, lapsed);
+                assert!(config.convictions.values().all(|c| c.until > stamp));
+            }
+        }
+        assert!(config.suspects.len() <= RULE.suspects);
+        assert!(config.convictions.len() <= RULE.convictions);
+        let both: BTreeSet<_> =
+            config.suspects.keys().filter(|c| config.convictions.contains_key(c)).collect();
+        assert!(both.is_empty(), "suspected and convicted at once: {both:?}");
+    }
+    config
+}
+
+#[test]
+fn can_stay_bounded_and_repeatable() {
+    fn holds(events: Vec<(u8, u8, u8)>) -> bool {
+        run(&events) == run(&events)
+    }
+    QuickCheck::new().tests(500).quickcheck(holds as fn(Vec<(u8, u8, u8)>) -> bool);
+}
+
+#[test]
+fn can_clear_a_content_however_many_others_crash_beside_it() {
+    // Symptom: a harmless request is refused after a bad day.
+    // Sequence: endpoints crash by chance while it is in progress; each time it finishes at last.
+    // Cause: its crashes would add up over days.
+    let mut config = Config::default();
+    for n in 0..50 {
+        let blamed = [Fingerprint(1), Fingerprint(100 + n)];
+        let changes = RULE.crashed(&config.suspects, &config.convictions, Unix(n), &blamed);
+        apply(&mut config, changes);
+        let cleared = RULE.cleared(&config.suspects, Fingerprint(1));
+        apply(&mut config, cleared);
+    }
+    assert!(!config.convictions.contains_key(&Fingerprint(1)));
+}
