Look up the blamed by binary search

Cause: a crash may blame 1024 contents, and each of 4096 suspects was compared with all of them. Change: the blamed are sorted already; they are searched by halves. Measured: not measured. Conclusion: the same answers, by the tests of the crate.

--- a/components/suspects/src/rule.rs
+++ b/components/suspects/src/rule.rs
@@ -118,7 +118,7 @@
         }
         let mut least: Vec<(u32, Fingerprint)> = suspects
             .iter()
-            .filter(|(content, _)| !blamed.contains(content))
+            .filter(|(content, _)| blamed.binary_search(content).is_err())
             .map(|(content, crashes)| (*crashes, *content))
             .collect();
         least.sort_unstable();
