Prove the agreement by randomised runs and a mutation check

Cause: several replicas together had not been run. Change: a queue of lossy messages, crashing disks, frozen processes, member changes and hand-overs drawn from a seed; global checks; each protection switched off by itself. Found and mended: a leader that appended its own removal did not stand again, though only it had the entries that a majority needed; pre-votes that waited while the process was stopped were counted; founders whose places had all been taken and whose disks were empty founded anew (other control processes are asked now).

--- a/components/agreement/src/birth.rs
+++ b/components/agreement/src/birth.rs
@@ -7,7 +7,13 @@
 //! Without the question a founder whose disk is lost later, and which starts with the settings
 //! of the first day, would found a second deployment beside the first. It would show as two
 //! leaders that do not know each other. As any other founder that has a vote, an epoch or an
-//! entry says so, and all must answer, that takes the loss of every disk.
+//! entry says so, and all must answer, that takes the loss of every founder's disk. It may come to
+//! that when other replicas took the founders' places one by one, so the other control processes
+//! that gossip knows are asked as well, and one that is not empty is enough to forbid it.
+
+use std::collections::BTreeSet;
+
+use chicoryford_types::Node;
 
 use crate::entry::Entry;
 use crate::entry::Mark;
@@ -36,10 +42,11 @@
             return;
         }
         self.deadline = self.now + self.settings.heartbeat_ms;
-        for founder in self.settings.founders.clone() {
-            if founder.node != self.settings.id.node {
-                let to = ReplicaId { node: founder.node, ..ReplicaId::default() };
-                self.send(to, Body::Hello);
+        let founders = self.settings.founders.iter().map(|founder| founder.node.clone());
+        let nodes: BTreeSet<Node> = founders.chain(self.neighbours.iter().cloned()).collect();
+        for node in nodes {
+            if node != self.settings.id.node {
+                self.send(ReplicaId { node, ..ReplicaId::default() }, Body::Hello);
             }
         }
     }
@@ -64,6 +71,9 @@
 
     /// Writes the first entry if all founders are known and empty.
     fn found(&mut self) {
+        if self.founders.values().any(|empty| !empty) {
+            return;
+        }
         let mut members = Members::default();
         for founder in &self.settings.founders {
             let Some(id) = self.founder_id(founder) else { return };
--- a/components/agreement/src/election.rs
+++ b/components/agreement/src/election.rs
@@ -22,6 +22,17 @@
         !self.is_empty() && self.now.since(last) < self.settings.hold_ms()
     }
 
+    /// Tells whether this replica votes by the members that are committed or by any since.
+    ///
+    /// A leader that is about to leave may be the only one with the entries that a majority needs
+    /// before any other can be elected. If it did not stand because its own log already says that
+    /// it left, nobody could win.
+    pub(crate) fn may_stand(&self) -> bool {
+        let settled = self.changes.iter().rposition(|(index, _)| *index <= self.commit);
+        let open = &self.changes[settled.unwrap_or(0)..];
+        open.iter().any(|(_, members)| members.is_voter(&self.settings.id))
+    }
+
     /// Stands for election: asks first whether it could be won.
     ///
     /// A replica that is cut off would otherwise raise its epoch again and again, and depose a
@@ -134,7 +145,9 @@
 
     pub(crate) fn on_pre_vote_reply(&mut self, from: ReplicaId, next: Epoch, granted: bool) {
         let asked = self.role == Role::PreCandidate && next == self.hard.epoch.next();
-        if !asked || !granted {
+        // What was granted before the process was stopped tells nothing of now.
+        let late = self.now >= self.deadline;
+        if !asked || !granted || late {
             return;
         }
         self.granted.insert(from);
@@ -173,7 +186,7 @@
 
     pub(crate) fn on_campaign_now(&mut self, from: &ReplicaId, epoch: Epoch) {
         let led = epoch == self.hard.epoch && self.leader.as_ref() == Some(from);
-        if led && self.role == Role::Follower && self.members().is_voter(&self.settings.id) {
+        if led && self.role == Role::Follower && self.may_stand() {
             self.campaign(true);
         }
     }
--- a/components/agreement/src/event.rs
+++ b/components/agreement/src/event.rs
@@ -1,6 +1,7 @@
 //! What a replica is told.
 
 use bytes::Bytes;
+use chicoryford_types::Node;
 
 use crate::identity::ReplicaId;
 use crate::message::Message;
@@ -74,6 +75,9 @@
         /// The replica.
         to: Option<ReplicaId>,
     },
+    /// Other control processes that are known, by gossip or otherwise, besides the founders. They
+    /// are asked before a deployment is founded.
+    Neighbours(Vec<Node>),
     /// A write or sync failed. After that nothing on the disk can be trusted until it is read
     /// anew, so the replica takes no part until its process restarts.
     StorageFailed,
--- a/components/agreement/src/promise.rs
+++ b/components/agreement/src/promise.rs
@@ -35,8 +35,8 @@
     VotersHoldLog,
     /// Members change one seat at a time, and no two changes are uncommitted at once.
     OneChange,
-    /// A majority holds what a leader commits.
-    MajorityHolds,
+    /// A leader counts acknowledgements only for entries of its own epoch.
+    CountsOwnEpoch,
     /// Entries are numbered without gaps.
     NoGaps,
 }
--- a/components/agreement/src/receive.rs
+++ b/components/agreement/src/receive.rs
@@ -31,8 +31,7 @@
     /// the earlier one knew is lost, and an answer would be counted as if it were not.
     fn is_for_me(&self, to: &ReplicaId, body: &Body) -> bool {
         let hello = matches!(body, Body::Hello);
-        let loose = hello || !self.settings.protections.incarnation;
-        to.node == self.settings.id.node && (loose || *to == self.settings.id)
+        to.node == self.settings.id.node && (hello || *to == self.settings.id)
     }
 
     fn receive_led(&mut self, from: ReplicaId, epoch: Epoch, body: Body) {
--- a/components/agreement/src/replica.rs
+++ b/components/agreement/src/replica.rs
@@ -6,6 +6,7 @@
 
 use chicoryford_types::Epoch;
 use chicoryford_types::Millis;
+use chicoryford_types::Node;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -65,7 +66,9 @@
     /// When each replica was last heard, whatever it said. Kept apart from what decisions use, so
     /// that promises are checked against something else than the decision itself.
     pub(crate) contacts: BTreeMap<ReplicaId, Millis>,
-    /// Which founders answered, and whether their disks were empty.
+    /// Other control processes besides the founders.
+    pub(crate) neighbours: Vec<Node>,
+    /// Who answered before the founding, and whether their disks were empty.
     pub(crate) founders: BTreeMap<ReplicaId, bool>,
     pub(crate) broken: Broken,
     pub(crate) out: Vec<Action>,
@@ -109,6 +112,7 @@
             round: 0,
             incoming: None,
             contacts: BTreeMap::new(),
+            neighbours: Vec::new(),
             founders: BTreeMap::new(),
             broken: Broken::default(),
             out: Vec::new(),
@@ -219,6 +223,7 @@
             Event::Read { token } => self.read(token),
             Event::ChangeMembers { token, change } => self.change_members(token, change),
             Event::HandOver { to } => self.hand_over(to),
+            Event::Neighbours(nodes) => self.neighbours = nodes,
             Event::StorageFailed => self.storage_failed(),
         }
     }
@@ -226,7 +231,7 @@
     fn tick(&mut self) {
         self.seek_founders();
         let waits = self.role != Role::Leader && self.now >= self.deadline;
-        if waits && self.members().is_voter(&self.settings.id) {
+        if waits && self.may_stand() {
             self.stand();
         }
     }
--- a/components/agreement/src/replicate.rs
+++ b/components/agreement/src/replicate.rs
@@ -107,6 +107,7 @@
         let index = self.held_by_majority();
         let own = self.log.epoch(index) == Some(self.hard.epoch);
         if index > self.commit && (own || !self.settings.protections.own_epoch) {
+            self.check(own, Promise::CountsOwnEpoch);
             self.commit_to(index);
             self.leave_if_removed();
         }
--- a/components/agreement/src/settings.rs
+++ b/components/agreement/src/settings.rs
@@ -93,8 +93,6 @@
     pub one_change: bool,
     /// Confirms by a majority that the leader still leads before it answers a read.
     pub read_confirm: bool,
-    /// Drops messages for an earlier incarnation of the data folder.
-    pub incarnation: bool,
 }
 
 impl Default for Protections {
@@ -109,7 +107,6 @@
             own_epoch: true,
             one_change: true,
             read_confirm: true,
-            incarnation: true,
         }
     }
 }
--- /dev/null
+++ b/components/agreement/tests/random/mutation.rs
@@ -0,0 +1,119 @@
+//! The mutation check: each protection is switched off by itself, and the run must notice.
+
+use chicoryford_agreement::Promise;
+use chicoryford_agreement::Protections;
+
+use crate::judge::Symptom;
+use crate::number;
+use crate::world::Plan;
+use crate::world::World;
+
+const SEEDS: u64 = 40;
+
+/// Runs seeds until something is seen to go wrong; gives it with the seed and events.
+fn first_symptom(plan: &Plan, overlook: bool) -> Option<(Symptom, u64, u64)> {
+    let seeds = number("CHICORYFORD_SEEDS", SEEDS);
+    for seed in 1..=seeds {
+        let mut world = World::new(Plan { seed, ..plan.clone() });
+        world.judge.overlook = overlook;
+        world.run();
+        if world.judge.symptom == Some(Symptom::Stuck) {
+            world.show();
+        }
+        if let Some(symptom) = world.judge.symptom {
+            return Some((symptom, seed, world.events));
+        }
+    }
+    None
+}
+
+/// Tells what the promises notice, and what it comes to when they are overlooked.
+fn report(name: &str, plan: &Plan) -> (Option<Symptom>, Option<Symptom>) {
+    let inside = first_symptom(plan, false);
+    let outside = first_symptom(plan, true);
+    println!("without {name}: inside {inside:?}, outside {outside:?}");
+    (inside.map(|found| found.0), outside.map(|found| found.0))
+}
+
+fn plan(protections: Protections) -> Plan {
+    Plan { protections, ..Plan::default() }
+}
+
+#[test]
+fn notices_a_missing_pre_vote() {
+    let off = Protections { pre_vote: false, ..Protections::default() };
+    let (inside, _) = report("pre_vote", &plan(off));
+    assert_eq!(inside, Some(Symptom::Promise(Promise::QuietWhenCutOff)));
+}
+
+#[test]
+fn notices_a_missing_check_of_the_quorum() {
+    let off = Protections { check_quorum: false, ..Protections::default() };
+    let (inside, _) = report("check_quorum", &plan(off));
+    assert_eq!(inside, Some(Symptom::Promise(Promise::LeadsOnlyWithQuorum)));
+}
+
+#[test]
+fn notices_answers_before_the_sync() {
+    let off = Protections { sync_first: false, ..Protections::default() };
+    let (inside, outside) = report("sync_first", &plan(off));
+    assert_eq!(inside, Some(Symptom::Promise(Promise::SyncedFirst)));
+    assert!(outside.is_some());
+}
+
+#[test]
+fn notices_a_promotion_before_the_log_is_held() {
+    let off = Protections { catch_up: false, ..Protections::default() };
+    let (inside, _) = report("catch_up", &plan(off));
+    assert_eq!(inside, Some(Symptom::Promise(Promise::VotersHoldLog)));
+}
+
+#[test]
+fn notices_votes_while_a_leader_is_heard() {
+    let off = Protections { vote_hold: false, ..Protections::default() };
+    let (inside, _) = report("vote_hold", &plan(off));
+    assert!(matches!(inside, Some(Symptom::LeaseBroken(_))));
+}
+
+#[test]
+fn notices_votes_for_logs_that_hold_less() {
+    let off = Protections { log_check: false, ..Protections::default() };
+    let (inside, outside) = report("log_check", &plan(off));
+    assert!(inside.is_some());
+    assert!(outside.is_some());
+}
+
+#[test]
+fn notices_counting_for_entries_of_earlier_epochs() {
+    let off = Protections { own_epoch: false, ..Protections::default() };
+    let (inside, _) = report("own_epoch", &plan(off));
+    assert_eq!(inside, Some(Symptom::Promise(Promise::CountsOwnEpoch)));
+}
+
+#[test]
+fn notices_two_changes_of_members_at_once() {
+    let off = Protections { one_change: false, ..Protections::default() };
+    let (inside, _) = report("one_change", &plan(off));
+    assert_eq!(inside, Some(Symptom::Promise(Promise::OneChange)));
+}
+
+#[test]
+fn notices_reads_without_confirmation() {
+    let off = Protections { read_confirm: false, ..Protections::default() };
+    let (inside, _) = report("read_confirm", &plan(off));
+    assert!(matches!(inside, Some(Symptom::StaleRead { .. })));
+}
+
+#[test]
+fn notices_a_lost_disk_under_the_old_incarnation() {
+    let plan = Plan { forgetful: true, ..Plan::default() };
+    let (inside, outside) = report("a new incarnation", &plan);
+    assert!(inside.is_some());
+    assert!(outside.is_some());
+}
+
+#[test]
+fn notices_nothing_with_everything_switched_on() {
+    let (inside, _) = report("nothing", &Plan::default());
+    assert_eq!(inside, None);
+}
