--- a/components/agreement/tests/random/main.rs
+++ b/components/agreement/tests/random/main.rs
@@ -4,6 +4,7 @@
 mod disk;
 mod judge;
 mod mutation;
+mod named;
 mod world;
 
 use std::env;
