--- a/components/entry/tests/support/mod.rs
+++ b/components/entry/tests/support/mod.rs
@@ -79,6 +79,8 @@
     Refuse(Failure),
     /// Sends frames and closes the stream.
     Stream(Vec<Frame>),
+    /// Sends frames, then only word that it still runs.
+    Lingering(Vec<Frame>),
     /// Sends frames, then nothing for ever.
     Silent(Vec<Frame>),
 }
@@ -123,6 +125,10 @@
         match plan {
             Plan::Refuse(failure) => reply::peer_failure(&failure),
             Plan::Stream(frames) => reply::stream(reply::MSGPACK, bodies(frames)),
+            Plan::Lingering(frames) => {
+                let last = frames.last().cloned().unwrap();
+                reply::stream(reply::MSGPACK, bodies(frames).chain(alive(last)))
+            }
             Plan::Silent(frames) => {
                 reply::stream(reply::MSGPACK, bodies(frames).chain(stream::pending()))
             }
@@ -140,6 +146,15 @@
     stream::iter(frames.into_iter().map(|frame| Ok(framing::encode(&frame))))
 }
 
+/// Goes on after a frame with word that the attempt still runs.
+fn alive(last: Frame) -> impl futures_util::Stream<Item = Result<Bytes, std::io::Error>> {
+    stream::unfold(last, |last| async move {
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+        let next = Frame { seq: last.seq + 1, event: Event::Alive, ..last };
+        Some((Ok(framing::encode(&next)), next))
+    })
+}
+
 /// Numbers events as the frames of an attempt.
 pub fn frames(work: &Work, events: Vec<Event>) -> Vec<Frame> {
     let frame = |(seq, event)| Frame {
@@ -224,8 +239,6 @@
     pub address: String,
     /// The agents.
     pub agents: Vec<Arc<Agent>>,
-    /// Changes configuration.
-    pub config: watch::Sender<Arc<Config>>,
     /// Presents the desk's token.
     pub desk: Client,
     keys: Arc<Keys>,
@@ -281,11 +294,8 @@
     pub async fn start_with(agents: Vec<Agent>, template: Template) -> Self {
         let keys = keys();
         let (config, follow) = watch::channel(Arc::default());
-        let control = Arc::new(Control {
-            state: Mutex::default(),
-            proposed: Mutex::default(),
-            config: config.clone(),
-        });
+        let control =
+            Arc::new(Control { state: Mutex::default(), proposed: Mutex::default(), config });
         let change = ChangeId(format!("{}.first", chicoryford_kernel::unix().0));
         let template = Box::new(template);
         control.apply(Command::Apply { change, template, base: Base::default() });
@@ -319,7 +329,7 @@
         };
         let address = listen(keys.clone(), routes);
         let desk = Client::new(Some("desk".to_owned()), None);
-        Self { control, kernel, address, agents, config, desk, keys, members }
+        Self { control, kernel, address, agents, desk, keys, members }
     }
 
     /// Sends a caller's request with these headers besides the workspace.
@@ -357,9 +367,38 @@
         self.members.send_modify(|members| change(Arc::make_mut(members)));
     }
 
-    /// Changes configuration.
-    pub fn change_config(&self, change: impl FnOnce(&mut Config)) {
-        self.config.send_modify(|config| change(Arc::make_mut(config)));
+    /// Replaces the template, as an operator would.
+    pub fn apply(&self, template: Template) {
+        let base = {
+            let state = self.control.state.lock().unwrap();
+            let held = &state.config.templates[&template.workspace];
+            Base { version: held.version, digest: held.template.digest() }
+        };
+        let change = ChangeId(format!("{}.next", chicoryford_kernel::unix().0));
+        let command = Command::Apply { change, template: Box::new(template), base };
+        let reply = self.control.apply(command);
+        assert!(matches!(reply, StateReply::Accepted { .. }), "{reply:?}");
+    }
+
+    /// Checks that no decision found one of its promises broken.
+    pub async fn check(&self) {
+        let dump = self.kernel.dumps.take().await;
+        let entry = &dump["entry"];
+        assert_eq!(entry["routing"]["broken"], 0, "{entry}");
+        assert_eq!(entry["admission"]["broken"], 0, "{entry}");
+    }
+
+    /// Waits until no request is counted as in progress; one that were leaked would never end.
+    pub async fn settled(&self) {
+        loop {
+            let dump = self.kernel.dumps.take().await;
+            let endpoints = dump["entry"]["endpoints"].as_array().unwrap();
+            let idle = endpoints.iter().all(|endpoint| endpoint["running"] == 0);
+            if idle && dump["entry"]["running"] == 0 && dump["entry"]["waiting"] == 0 {
+                return;
+            }
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
     }
 
     /// Lists the attempts that all agents saw.
