--- a/components/membership/tests/udp.rs
+++ b/components/membership/tests/udp.rs
@@ -118,9 +118,8 @@
         let process = Process::start(folder.path(), &format!("p{n}"), &[]);
         process.members.announce(|own| own.address = "127.0.0.1:7".to_owned());
         let name = process.members.own().node.to_string();
-        process.until("its own change", |view| {
-            address(view, &name).as_deref() == Some("127.0.0.1:7")
-        });
+        process
+            .until("its own change", |view| address(view, &name).as_deref() == Some("127.0.0.1:7"));
         process.stop();
     }
 }
