Test a planned stop and a restart over real sockets

Cause: farewells and restarts were tried in virtual time only; a check of the random rollouts compared a number that could not fail. Change: a test of three processes over UDP; the empty comparison is gone. Conclusion: a process restarted under its name and another port is told from the one that left.

--- a/components/membership/tests/udp.rs
+++ b/components/membership/tests/udp.rs
@@ -106,6 +106,35 @@
     all.into_iter().for_each(Process::stop);
 }
 
+#[test]
+fn can_tell_a_planned_stop_and_a_restart_under_the_same_name() {
+    // Symptom: a restarted process is taken for the one that left.
+    // Sequence: a process stops gracefully and starts again under its name at another port.
+    // Cause: both announce the same name; only the incarnation tells them apart.
+    let folder = tempfile::tempdir().unwrap();
+    let first = Process::start(folder.path(), "p0", &[]);
+    let seeds = [first.gossip()];
+    let second = Process::start(folder.path(), "p1", &seeds);
+    let third = Process::start(folder.path(), "p2", &seeds);
+    let all = |view: &Members| view.present().count() == 3;
+    first.until("all three", all);
+    second.until("all three", all);
+    third.until("all three", all);
+    let old = third.members.own().incarnation;
+    third.stop();
+    let left = |view: &Members| view.known[&Node::from("p2")].standing == Standing::Left;
+    first.until("the farewell", left);
+    second.until("the farewell", left);
+    let again = Process::start(folder.path(), "p2", &seeds);
+    let back = |view: &Members| {
+        let known = &view.known[&Node::from("p2")];
+        known.standing == Standing::Alive && known.member.incarnation > old
+    };
+    first.until("the restarted process", back);
+    second.until("the restarted process", back);
+    [first, second, again].into_iter().for_each(Process::stop);
+}
+
 #[test]
 fn errors_on_a_stranger_who_forges_datagrams() {
     // Symptom: work is sent to an endpoint that no operator started.
--- a/components/weights/tests/random.rs
+++ b/components/weights/tests/random.rs
@@ -111,7 +111,6 @@
     fleet.speeds.failures = 0.0;
     fleet.publish(1_000);
     let took = fleet.until_complete(1_000, CALM_MS);
-    let share = (plan.samplers * 25 / 100).max(1);
     if fleet.planner.broken() > 0 {
         return TestResult::error("a promise was broken");
     }
@@ -122,7 +121,7 @@
             plan.samplers
         ));
     }
-    TestResult::from_bool(fleet.most_store <= 8 && share > 0)
+    TestResult::from_bool(fleet.most_store <= 8)
 }
 
 fn number(name: &str, default: u64) -> u64 {
