Test that a leaving entry finishes its samples and hands its step over

Cause: the leaving of an entry with samples in progress was not tested. Change: a planned stop while two samples run; both are recorded once, the entry holds up its end until then, refuses new steps meanwhile and closes its session. Conclusion: works in the case tested.

--- a/components/entry/tests/steps.rs
+++ b/components/entry/tests/steps.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chicoryford_state::Command;
 use chicoryford_types::Template;
 use chicoryford_types::Version;
 use chicoryford_types::frame::Event;
@@ -224,6 +225,47 @@
     });
 }
 
+#[test]
+fn a_leaving_entry_finishes_its_samples_and_hands_its_step_over() {
+    // Symptom: a planned stop of an entry throws samples away, and its steps stand still until
+    // the lease has run out.
+    // Sequence: a stop that names the entry comes into force while a sample runs.
+    // Cause: samples cut at the stop, or the session left open behind it.
+    actix_rt::System::new().block_on(async {
+        let release = Arc::new(AtomicU32::new(0));
+        let released = release.clone();
+        let agent = Agent::new(move |work| {
+            let events = vec![Event::Accepted, tokens("by sea", 1), finished(2)];
+            Plan::Held(frames(work, events), released.clone())
+        });
+        let fixture = Fixture::start(vec![agent]).await;
+        let mut spec = step();
+        spec["groups"].as_array_mut().unwrap().truncate(1);
+        fixture.post_as(&trainer(), paths::STEP_OPEN, &[], &spec).await;
+        while fixture.attempts().len() < 2 {
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+        let work = fixture.progress.count();
+        fixture.stop_entry();
+        while fixture.progress.count() == work {
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+        let refused = fixture.post_as(&trainer(), paths::STEP_OPEN, &[], &spec).await;
+        assert_eq!(refused.json()["error"]["code"], "draining");
+        release.store(1, Ordering::Relaxed);
+        let samples = pull(&fixture, 1).await.json();
+        assert_eq!(samples["samples"].as_array().unwrap().len(), 2);
+        assert_eq!(fixture.attempts().len(), 2, "no sample was made twice");
+        while fixture.progress.count() > work {
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+        let proposed = fixture.control.proposed.lock().unwrap().clone();
+        assert!(proposed.iter().any(|command| matches!(command, Command::CloseSession { .. })));
+        fixture.settled().await;
+        fixture.check().await;
+    });
+}
+
 #[test]
 fn trainers_that_the_template_does_not_name_are_refused() {
     actix_rt::System::new().block_on(async {
--- a/components/entry/tests/support/mod.rs
+++ b/components/entry/tests/support/mod.rs
@@ -5,6 +5,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -40,9 +42,12 @@
 use chicoryford_types::Principal;
 use chicoryford_types::Roles;
 use chicoryford_types::Template;
+use chicoryford_types::Unix;
 use chicoryford_types::Version;
 use chicoryford_types::Work;
 use chicoryford_types::Workspace;
+use chicoryford_types::config::Stop;
+use chicoryford_types::config::StopTarget;
 use chicoryford_types::frame::Event;
 use chicoryford_types::frame::Finish;
 use chicoryford_types::frame::Tokens;
@@ -53,6 +58,8 @@
 use chicoryford_wire::Client;
 use chicoryford_wire::Keys;
 use chicoryford_wire::Kind;
+use chicoryford_wire::PROGRESS;
+use chicoryford_wire::Progress;
 use chicoryford_wire::Reply;
 use chicoryford_wire::Routes;
 use chicoryford_wire::client::CALLER;
@@ -79,6 +86,9 @@
     Refuse(Failure),
     /// Sends frames and closes the stream.
     Stream(Vec<Frame>),
+    /// Sends the first frame, and the others once the number is not zero; meanwhile word that
+    /// the attempt still runs.
+    Held(Vec<Frame>, Arc<AtomicU32>),
     /// Sends frames, then only word that it still runs.
     Lingering(Vec<Frame>),
     /// Sends frames, then nothing for ever.
@@ -125,6 +135,7 @@
         match plan {
             Plan::Refuse(failure) => reply::peer_failure(&failure),
             Plan::Stream(frames) => reply::stream(reply::MSGPACK, bodies(frames)),
+            Plan::Held(frames, released) => reply::stream(reply::MSGPACK, held(frames, released)),
             Plan::Lingering(frames) => {
                 let last = frames.last().cloned().unwrap();
                 reply::stream(reply::MSGPACK, bodies(frames).chain(alive(last)))
@@ -146,6 +157,28 @@
     stream::iter(frames.into_iter().map(|frame| Ok(framing::encode(&frame))))
 }
 
+/// Sends the first frame, then word that the attempt still runs, then the others.
+fn held(
+    mut frames: Vec<Frame>,
+    released: Arc<AtomicU32>,
+) -> impl futures_util::Stream<Item = Result<Bytes, std::io::Error>> {
+    let last = frames.last().cloned().unwrap();
+    frames.reverse();
+    stream::unfold((frames, 0), move |(mut frames, seq)| {
+        let (released, last) = (released.clone(), last.clone());
+        async move {
+            let waits = seq > 0 && released.load(Ordering::Relaxed) == 0;
+            let next = if waits {
+                actix_rt::time::sleep(Duration::from_millis(20)).await;
+                Frame { seq, event: Event::Alive, ..last }
+            } else {
+                Frame { seq, ..frames.pop()? }
+            };
+            Some((Ok(framing::encode(&next)), (frames, seq + 1)))
+        }
+    })
+}
+
 /// Goes on after a frame with word that the attempt still runs.
 fn alive(last: Frame) -> impl futures_util::Stream<Item = Result<Bytes, std::io::Error>> {
     stream::unfold(last, |last| async move {
@@ -239,6 +272,8 @@
     pub address: String,
     /// The agents.
     pub agents: Vec<Arc<Agent>>,
+    /// What the process has in progress.
+    pub progress: Progress,
     /// Presents the desk's token.
     pub desk: Client,
     keys: Arc<Keys>,
@@ -316,6 +351,8 @@
         let (members, view) = watch::channel(Arc::new(members));
         let own = Member { node: Node::from("entry-1"), ..Member::default() };
         let handle = MembersHandle::new(view, Arc::new(watch::Sender::new(own)));
+        let progress = Progress::default();
+        kernel.registry.offer(PROGRESS, progress.clone());
         kernel.registry.offer(CALLER, Caller { token: Some("process".to_owned()), tls: None });
         kernel.registry.offer(chicoryford_config::SERVICE, ConfigHandle::new(follow));
         kernel.registry.offer(chicoryford_membership::SERVICE, handle);
@@ -329,7 +366,7 @@
         };
         let address = listen(keys.clone(), routes);
         let desk = Client::new(Some("desk".to_owned()), None);
-        Self { control, kernel, address, agents, desk, keys, members }
+        Self { control, kernel, address, agents, progress, desk, keys, members }
     }
 
     /// Sends a caller's request with these headers besides the workspace.
@@ -367,6 +404,15 @@
         self.members.send_modify(|members| change(Arc::make_mut(members)));
     }
 
+    /// Plans a stop of the entry, as an operator would.
+    pub fn stop_entry(&self) {
+        let change = ChangeId(format!("{}.stop", chicoryford_kernel::unix().0));
+        let target = StopTarget::Node(Node::from("entry-1"));
+        let stop = Stop { target, deadline_ms: 60_000, reason: String::new(), accepted: Unix(0) };
+        let reply = self.control.apply(Command::PlanStop { change, id: "s".into(), stop });
+        assert!(matches!(reply, StateReply::Accepted { .. }), "{reply:?}");
+    }
+
     /// Replaces the template, as an operator would.
     pub fn apply(&self, template: Template) {
         let base = {
