--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -83,6 +83,7 @@
     /// Takes in who is there. Costs time in proportion to the members; call it when they change.
     pub fn observe_members(&mut self, now: Millis, members: &Members) {
         for state in &mut self.states {
+            state.was_present = state.present;
             state.present = false;
         }
         let mut entries: Vec<&Member> = Vec::new();
@@ -175,13 +176,12 @@
             self.promise_broken("in_flight_not_negative");
             return;
         }
-        state.own -= 1;
+        state.ended(now, left);
         for (model, _) in &state.versions {
             if let Some(pool) = self.pools.get_mut(model) {
                 pool.own = pool.own.saturating_sub(1);
             }
         }
-        state.owed = if state.own == 0 { 0 } else { state.owed.saturating_sub(u64::from(left)) };
         if ending == Ending::Finished {
             self.learn(now, seat, ms, tokens);
         }
@@ -299,6 +299,8 @@
             .map(|member| member.node.as_str())
             .collect();
         let drawn = self.digest(&names, &inside);
+        let share = self.settings.subset.min(inside.len()) as f32 / inside.len().max(1) as f32;
+        let peers = names.len() as f32 * share;
         let known = self.pools.get(model).is_some_and(|pool| pool.drawn == drawn);
         let picked = if known { Vec::new() } else { self.subset(&names, &inside) };
         let pool = self.pools.entry(model.clone()).or_default();
@@ -307,6 +309,7 @@
             pool.place(picked, &self.states);
             pool.shrunk = pool.ejected(now, &self.states);
         }
+        pool.peers = peers.max(1.0);
         pool.rest = seats.into_iter().filter(|seat| !pool.holds(*seat, &self.states)).collect();
         pool.recount(&self.states);
     }
