--- a/components/routing/tests/choose.rs
+++ b/components/routing/tests/choose.rs
@@ -130,3 +130,38 @@
     assert!(choose(&mut router, 3, 1, &[]).is_ok());
     assert_eq!(router.counts().broken, 0);
 }
+
+#[test]
+fn can_count_an_endpoint_as_full_by_its_scarcest_resource() {
+    // Symptom: first tokens take many seconds although memory is half empty.
+    // Sequence: a burst of long prompts exhausts an engine's prefill.
+    // Cause: only memory and slots would be watched.
+    let mut router = router([agent(0, 1)]);
+    let model = Model::from(MODEL);
+    let report = |seq, prefill| LoadReport {
+        name: Endpoint::from("endpoint-0"),
+        seq,
+        memory: 500,
+        prefill,
+        ..LoadReport::default()
+    };
+    router.observe_report(Millis(1), &report(1, 500));
+    assert_eq!(router.view(Millis(1), &model, None).slots, 8);
+    router.observe_report(Millis(2), &report(2, 990));
+    assert_eq!(router.view(Millis(2), &model, None).slots, 0);
+}
+
+#[test]
+fn can_keep_what_is_known_of_an_endpoint_when_others_come_and_go() {
+    // Symptom: cached prefixes are not used, and all endpoints start slowly, for seconds after any
+    // endpoint crashed.
+    // Sequence: one member changes, and the router takes in the members anew.
+    // Cause: all endpoints would count as having just come.
+    let mut router = router([agent(0, 1), agent(1, 1)]);
+    let seat = router.find(&Endpoint::from("endpoint-0")).unwrap();
+    router.observe_members(Millis(60_000), &members([agent(0, 1)]));
+    assert_eq!(router.state(seat).unwrap().fresh, Millis(0));
+    router.observe_members(Millis(61_000), &members([agent(1, 1)]));
+    router.observe_members(Millis(62_000), &members([agent(0, 1)]));
+    assert_eq!(router.state(seat).unwrap().fresh, Millis(62_000));
+}
