--- a/components/agent/src/gate/mod.rs
+++ b/components/agent/src/gate/mod.rs
@@ -5,6 +5,7 @@
 //! [`Gate::take`]. Its promises are checked where they could be broken, in every build.
 
 mod decide;
+mod judge;
 mod memory;
 mod queue;
 
