Tell the course of each step, and let the stand-in trainer open steps ahead

Cause: trainers of the demonstration are idle for most of the time, and neither the entry nor the trainer tells on what. Measured: nothing yet; this is what the measurement needs. Conclusion: no change of behaviour with the defaults.

--- a/components/entry/src/steps/mod.rs
+++ b/components/entry/src/steps/mod.rs
@@ -11,6 +11,7 @@
 pub mod sample;
 pub mod session;
 pub mod step;
+pub mod timeline;
 
 pub use handle::SERVICE;
 pub use handle::Steps;
--- a/components/entry/src/steps/sample.rs
+++ b/components/entry/src/steps/sample.rs
@@ -30,6 +30,7 @@
 use crate::steps::record;
 use crate::steps::step::Shared;
 use crate::steps::step::prompt_of;
+use crate::steps::timeline::Timeline;
 
 /// The budget of a step that names none, in milliseconds.
 const BUDGET: u64 = 300_000;
@@ -93,6 +94,8 @@
     pub avoid: Vec<Endpoint>,
     /// When this entry took the step.
     pub begun: Millis,
+    /// Where the time of the step goes.
+    pub timeline: Rc<Timeline>,
 }
 
 /// A generation that is whole, and what it took.
@@ -134,9 +137,16 @@
         *attempts += 1;
         let made = self.make(&template).await?;
         *attempts += made.attempts.saturating_sub(1);
+        let scoring = self.context.now();
         let score = self.scored(&template, &made.whole).await?;
+        let ms = self.context.now().since(scoring);
+        self.timeline.add(|parts| parts.scored.add(ms));
         let record = self.record(&made.whole, *attempts, score).ok_or(Again::Unattributed)?;
-        self.submit(record).await
+        let recording = self.context.now();
+        let ended = self.submit(record).await?;
+        let ms = self.context.now().since(recording);
+        self.timeline.add(|parts| parts.recorded.add(ms));
+        Ok(ended)
     }
 
     fn template(&self) -> Result<Template, Again> {
@@ -146,6 +156,7 @@
     }
 
     async fn make(&self, template: &Template) -> Result<Made, Again> {
+        let asked = self.context.now();
         let members = self.context.members.view();
         let entries = members.present().filter(|member| member.roles.entry).count() as u32;
         let room = self.shared.rooms.of(&self.key.workspace, &template.limits, entries);
@@ -161,6 +172,8 @@
         let mut generating = entering.await.map_err(Again::Failed)?;
         let begun = self.context.now();
         self.pulse.begun.set(Some(begun));
+        self.timeline.let_in(begun);
+        self.timeline.add(|parts| parts.waited.add(begun.since(asked)));
         loop {
             let piece = generating.next().await.map_err(Again::Failed)?;
             self.pulse.tokens.set(generating.whole.tokens);
@@ -176,6 +189,7 @@
         }
         drop((place, slot));
         let ms = self.context.now().since(begun);
+        self.timeline.add(|parts| parts.generated.add(ms));
         self.shared.rhythm.borrow_mut().finished(&self.progress.spec.model, ms);
         let attempts = generating.job().attempt.0;
         let whole = std::mem::take(&mut generating.whole);
--- a/components/entry/src/steps/step.rs
+++ b/components/entry/src/steps/step.rs
@@ -35,6 +35,7 @@
 use crate::steps::sample;
 use crate::steps::sample::Ended;
 use crate::steps::sample::Place;
+use crate::steps::timeline::Timeline;
 
 /// The time between two questions for a step's progress.
 const POLL: Duration = Duration::from_secs(2);
@@ -72,6 +73,7 @@
     in_flight: BTreeMap<Place, Flight>,
     whole: watch::Sender<BTreeSet<Group>>,
     running: Running,
+    timeline: Rc<Timeline>,
 }
 
 /// Takes a step and runs it until it is delivered, given up, or owned by another session.
@@ -91,6 +93,7 @@
     tracing::info!(event = "step_taken", workspace = %key.workspace, step = %key.step, session);
     let mut step = Step {
         begun: context.now(),
+        timeline: Rc::new(Timeline::new(context.now())),
         context,
         shared,
         session,
@@ -103,6 +106,7 @@
     };
     step.reconcile(*progress);
     step.work().await;
+    step.timeline.log(&step.key, step.context.now());
 }
 
 impl Step {
@@ -159,6 +163,7 @@
     fn count(&mut self, place: Place) {
         let Some(flight) = self.in_flight.remove(&place) else { return };
         flight.stop.send_replace(true);
+        self.timeline.recorded(self.context.now());
         *self.done.entry(place.group).or_default() += 1;
         self.tell_whole();
     }
@@ -301,6 +306,7 @@
             key: self.key.clone(),
             place,
             begun: self.begun,
+            timeline: self.timeline.clone(),
         };
         let mut whole = self.whole.subscribe();
         self.running.push(Box::pin(async move {
--- a/components/standin/examples/standin/drivers.rs
+++ b/components/standin/examples/standin/drivers.rs
@@ -50,6 +50,9 @@
     /// Milliseconds that the training of a group takes.
     #[arg(long, default_value_t = 20)]
     train_ms: u64,
+    /// Steps opened ahead of the oldest one that is not whole.
+    #[arg(long, default_value_t = 0)]
+    ahead: usize,
     /// Milliseconds between two publications of weights.
     #[arg(long, default_value_t = 3_000)]
     publish_ms: u64,
@@ -100,6 +103,7 @@
             max_tokens: self.max_tokens,
             freshness: self.freshness,
             train_ms: self.train_ms,
+            ahead: self.ahead,
             publish_ms: self.publish_ms,
             source: self.source,
             ..TrainerSettings::default()
