Let a pull wait at the entry for a group

Cause: a trainer that finds no group whole asks again after 100 ms, idles for half of that on average, and writes an entry of the replicated log with each question. Change: wait_ms of a pull says how long it waits; the steps duty wakes it when a group becomes whole. Where another entry runs the step, the ledger is asked every 100 ms as before. Only 'not ready' is waited on. The course of the steps: of 660 ms from taking a step to its last sample, 0.5 pass until the first is let in, 257 until the last is, a sample is generated in 167 on average and 539 at most, recording takes 3 ms; then 160 ms of training.

--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod chat;
 pub mod context;
 pub mod door;
+pub mod publish;
 pub mod reports;
 pub mod router;
 pub mod run;
--- a/components/entry/src/start.rs
+++ b/components/entry/src/start.rs
@@ -13,6 +13,7 @@
 
 use crate::chat;
 use crate::context::Context;
+use crate::publish;
 use crate::reports;
 use crate::router;
 use crate::service;
@@ -76,15 +77,18 @@
     context: &Context,
 ) -> Result<(), MissingService> {
     let steps = kernel.registry.find::<Steps>(steps::SERVICE)?;
+    let opened = steps.clone();
     let here = context.clone();
     routes.add(paths::STEP_OPEN, &[Kind::Trainer], move |call| {
-        trainer::open(here.clone(), Steps::clone(&steps), call)
+        trainer::open(here.clone(), Steps::clone(&opened), call)
     });
     let here = context.clone();
-    routes.add(paths::STEP_PULL, &[Kind::Trainer], move |call| trainer::pull(here.clone(), call));
+    routes.add(paths::STEP_PULL, &[Kind::Trainer], move |call| {
+        trainer::pull(here.clone(), Steps::clone(&steps), call)
+    });
     let here = context.clone();
     routes.add(paths::STEP_ACK, &[Kind::Trainer], move |call| trainer::ack(here.clone(), call));
     let here = context.clone();
-    routes.add(paths::PUBLISH, &[Kind::Trainer], move |call| trainer::publish(here.clone(), call));
+    routes.add(paths::PUBLISH, &[Kind::Trainer], move |call| publish::publish(here.clone(), call));
     Ok(())
 }
--- a/components/entry/src/steps/duty.rs
+++ b/components/entry/src/steps/duty.rs
@@ -35,6 +35,7 @@
 use crate::steps::session;
 use crate::steps::step;
 use crate::steps::step::Shared;
+use crate::steps::wakes::Wakes;
 
 /// Room for notices that the duty has not yet read.
 const RING: usize = 4_096;
@@ -56,7 +57,8 @@
 /// [`DutyError`] if the thread cannot be started.
 pub fn start(kernel: &Kernel, settings: &Settings) -> Result<(), DutyError> {
     let (sender, receiver) = ring(RING);
-    let steps = Steps(sender.clone());
+    let wakes = Wakes::default();
+    let steps = Steps { notices: sender.clone(), wakes: wakes.clone() };
     kernel.registry.offer(SERVICE, steps.clone());
     kernel.dumps.add("entry.steps", move || {
         let steps = steps.clone();
@@ -75,6 +77,7 @@
         let (leave, leaving) = watch::channel(false);
         let shared = Shared {
             leaving,
+            wakes,
             rhythm: Rc::default(),
             rooms: Rc::default(),
             lengths: Rc::new(RefCell::new(Lengths::default())),
--- a/components/entry/src/steps/mod.rs
+++ b/components/entry/src/steps/mod.rs
@@ -12,6 +12,7 @@
 pub mod session;
 pub mod step;
 pub mod timeline;
+pub mod wakes;
 
 pub use handle::SERVICE;
 pub use handle::Steps;
--- a/components/entry/src/steps/step.rs
+++ b/components/entry/src/steps/step.rs
@@ -36,6 +36,7 @@
 use crate::steps::sample::Ended;
 use crate::steps::sample::Place;
 use crate::steps::timeline::Timeline;
+use crate::steps::wakes::Wakes;
 
 /// The time between two questions for a step's progress.
 const POLL: Duration = Duration::from_secs(2);
@@ -48,6 +49,8 @@
 /// What all steps of an entry share.
 #[derive(Clone)]
 pub struct Shared {
+    /// Wakes pulls that wait.
+    pub wakes: Wakes,
     /// Learned lengths.
     pub lengths: Rc<RefCell<Lengths>>,
     /// The rhythm of publications.
@@ -91,6 +94,7 @@
         }
     };
     tracing::info!(event = "step_taken", workspace = %key.workspace, step = %key.step, session);
+    let _runs = shared.wakes.runs(&key.workspace);
     let mut step = Step {
         begun: context.now(),
         timeline: Rc::new(Timeline::new(context.now())),
@@ -229,16 +233,20 @@
         })
     }
 
-    /// Tells the samples of groups that are whole to stop: these are the extra ones.
+    /// Tells the samples of groups that are whole to stop, these being the extra ones, and the
+    /// pulls that wait for a group to ask again.
     fn tell_whole(&self) {
         let wanted = self.progress.spec.samples;
         let mut whole: BTreeSet<Group> = self.progress.delivered.iter().copied().collect();
         whole.extend(self.done.iter().filter(|(_, done)| **done >= wanted).map(|(g, _)| *g));
-        self.whole.send_if_modified(|told| {
+        let changed = self.whole.send_if_modified(|told| {
             let differs = *told != whole;
             *told = whole;
             differs
         });
+        if changed {
+            self.shared.wakes.whole(&self.key.workspace);
+        }
     }
 
     /// Begins what is missing, the longest expected first.
--- a/components/standin/src/trainer.rs
+++ b/components/standin/src/trainer.rs
@@ -53,6 +53,8 @@
     /// Steps that are opened ahead of the oldest one that is not whole. With none the trainer
     /// works strictly in sequence, and waits for at least as long as a step's generation takes.
     pub ahead: usize,
+    /// Milliseconds for which a pull waits at the entry for a group.
+    pub wait_ms: u64,
     /// Milliseconds between two publications.
     pub publish_ms: u64,
     /// Where the store has the weights.
@@ -79,6 +81,7 @@
             freshness: None,
             train_ms: 20,
             ahead: 0,
+            wait_ms: 2_000,
             publish_ms: 3_000,
             source: String::new(),
             version: 1,
@@ -255,6 +258,7 @@
             "cursor": self.cursor,
             "groups": self.settings.pull,
             "newest": self.report.version,
+            "wait_ms": self.settings.wait_ms,
         });
         let answer = match self.post(paths::STEP_PULL, &question).await {
             Ok(answer) => answer,
--- a/examples/demo/drive.rs
+++ b/examples/demo/drive.rs
@@ -104,6 +104,7 @@
         publish_ms: PUBLISH_MS,
         train_ms: args.train_ms,
         ahead: args.ahead,
+        wait_ms: args.wait_ms,
         seconds: args.seconds as f64,
         seed: args.seed,
         ..TrainerSettings::default()
--- a/examples/demo/main.rs
+++ b/examples/demo/main.rs
@@ -36,6 +36,9 @@
     /// Steps that a trainer opens ahead of the one that it trains on.
     #[arg(long, default_value_t = 0)]
     ahead: usize,
+    /// Milliseconds for which a trainer's pull waits at the entry for a group.
+    #[arg(long, default_value_t = 2_000)]
+    wait_ms: u64,
     /// Kill a process with SIGKILL in the middle of the run and start it again a second later.
     #[arg(long, value_enum)]
     kill: Option<Victim>,
