Give urgent requests that stay silent a second attempt

Change: an urgent, repeatable generation without tokens after a learned time (mean and four deviations of the times to the first tokens; entry.rescue_ms until 16 are known; at most half of what is left) gets a second attempt elsewhere, within the retry budget. The first that gives tokens wins; the other is cancelled, and its place counted until its agent confirms that. Conclusion: no answer is put together from two attempts, because the race ends with the first tokens.

--- a/components/entry/src/context.rs
+++ b/components/entry/src/context.rs
@@ -1,5 +1,6 @@
 //! What a thread needs to run requests.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,6 +20,7 @@
 
 use crate::router::Router;
 use crate::router::SERVICE;
+use crate::run::first::Firsts;
 
 /// What a thread needs to run requests; an HTTP worker and the steps duty each make their own,
 /// because a client stays on one thread.
@@ -41,6 +43,8 @@
     pub members: MembersHandle,
     /// Proposes commands to the control processes.
     pub proposer: ProposerClient,
+    /// Learned times until the first tokens.
+    pub firsts: RefCell<Firsts>,
     /// The time without a frame after which a stream counts as silent.
     pub silence: Duration,
     /// This process.
@@ -71,6 +75,7 @@
             config: ConfigHandle::clone(&config),
             members: MembersHandle::clone(&members),
             proposer,
+            firsts: RefCell::new(Firsts::new(entry.rescue_ms)),
             silence: Duration::from_millis(entry.silence_ms),
             node: settings.node.clone(),
             place: settings.data_centre.clone(),
