Judge an election by the epoch of the lease that it would break

Change: an election is judged against leases of the same or earlier epochs, and in addition no two leases may hold at once, which is checked after every event of a leader that has one. Conclusion: the check is stricter on leases and no longer wrong on late elections.

--- a/components/agreement/tests/random/world.rs
+++ b/components/agreement/tests/random/world.rs
@@ -15,6 +15,7 @@
 use chicoryford_agreement::Settings;
 use chicoryford_agreement::Snapshot;
 use chicoryford_agreement::SnapshotMeta;
+use chicoryford_types::Epoch;
 use chicoryford_types::Incarnation;
 use chicoryford_types::Millis;
 use rand::Rng;
@@ -282,8 +283,10 @@
         if let Some(promise) = replica.last_broken() {
             self.judge.promise(promise);
         }
-        if replica.role() == Role::Leader && self.judge.lead(replica.epoch(), &host.id.clone()) {
-            self.check_leases(place);
+        let (epoch, leads) = (replica.epoch(), replica.leads(clock));
+        let elected = replica.role() == Role::Leader && self.judge.lead(epoch, &host.id.clone());
+        if elected || leads {
+            self.check_leases(place, epoch, leads);
         }
         for action in actions {
             self.act(place, action);
@@ -291,10 +294,13 @@
         self.start_sync(place);
     }
 
-    fn check_leases(&mut self, place: usize) {
+    /// Nobody may be elected in a later epoch while a lease holds, and no two leases may hold at
+    /// once. Votes that come late may still elect somebody in an earlier epoch, who gets no lease.
+    fn check_leases(&mut self, place: usize, epoch: Epoch, leads: bool) {
         for (other, host) in self.hosts.iter().enumerate() {
             let Some(replica) = &host.replica else { continue };
-            if other != place && replica.leads(host.clock(self.now)) {
+            let held = other != place && replica.leads(host.clock(self.now));
+            if held && (leads || epoch >= replica.epoch()) {
                 let epoch = replica.epoch();
                 self.judge.see(Symptom::LeaseBroken(epoch));
                 return;
