Tell the agreement of the control processes that gossip knows

Cause: the agreement asks its neighbours before it founds a deployment, but nothing told it of any, so only the guard by the founders was in force. Change: the replica's duty looks at the members each half second and passes changes on; addresses of those that the log does not name yet are learned as well.

--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod disk;
 pub mod error;
 pub mod handle;
+pub mod neighbours;
 pub mod orders;
 pub mod peers;
 pub mod pending;
--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -25,6 +25,7 @@
 use crate::disk::Report;
 use crate::error::ContentError;
 use crate::handle::Request;
+use crate::neighbours::Neighbours;
 use crate::orders::Lead;
 use crate::peers::Outgoing;
 use crate::pending::Pending;
@@ -41,6 +42,8 @@
 pub const LINGER_MS: u64 = 1_000;
 /// Milliseconds between two looks for lapsed sessions.
 const SESSIONS_MS: u64 = 200;
+/// Milliseconds between two looks at the control processes that gossip knows.
+const NEIGHBOURS_MS: u64 = 500;
 
 /// The rings that end or begin at the replica's duty.
 pub struct Rings {
@@ -89,6 +92,9 @@
     pub(crate) pending: Pending,
     pub(crate) sessions: Sessions,
     pub(crate) sessions_at: u64,
+    /// The control processes that gossip knows; none in a process without gossip.
+    pub(crate) neighbours: Option<Neighbours>,
+    pub(crate) neighbours_at: u64,
     /// Addresses of replicas that the log does not name yet.
     pub(crate) learned: BTreeMap<Node, String>,
     pub(crate) storage: StorageStatus,
@@ -121,6 +127,8 @@
             pending: Pending::default(),
             sessions: Sessions::default(),
             sessions_at: 0,
+            neighbours: None,
+            neighbours_at: 0,
             learned: founders,
             storage,
             taking: None,
@@ -171,6 +179,7 @@
     }
 
     fn tick(&mut self) {
+        self.look_around();
         self.tell(Event::Tick);
         let now = self.kernel.now();
         if self.leads() && now.0 >= self.sessions_at + SESSIONS_MS {
@@ -183,6 +192,24 @@
         }
     }
 
+    /// Tells the replica of the control processes that gossip knows, when they change.
+    fn look_around(&mut self) {
+        let now = self.kernel.now().0;
+        if now < self.neighbours_at + NEIGHBOURS_MS {
+            return;
+        }
+        self.neighbours_at = now;
+        let Some(known) = self.neighbours.as_mut().and_then(Neighbours::changed).cloned() else {
+            return;
+        };
+        let nodes = known.keys().cloned().collect();
+        // The settings' addresses of founders hold; gossip only adds those they do not name.
+        for (node, address) in known {
+            self.learned.entry(node).or_insert(address);
+        }
+        self.tell(Event::Neighbours(nodes));
+    }
+
     /// Tells whether this replica leads and surely no other does yet.
     pub(crate) fn leads(&self) -> bool {
         self.replica.role() == Role::Leader && self.replica.status().lease_ms > 0
--- a/components/control/src/start.rs
+++ b/components/control/src/start.rs
@@ -30,6 +30,7 @@
 use crate::error::StartError;
 use crate::handle::Handle;
 use crate::handle::SERVICE;
+use crate::neighbours::Neighbours;
 use crate::orders;
 use crate::orders::Lead;
 use crate::peers;
@@ -150,12 +151,15 @@
     let sessions = Sessions::new(control.session_ms);
     let known: BTreeMap<_, _> =
         founders.into_iter().map(|founder| (founder.node, founder.address)).collect();
+    let members = kernel.registry.find::<Membership>(chicoryford_membership::SERVICE).ok();
+    let neighbours = members.map(|members| Neighbours::new(members, settings.node.clone()));
     kernel.duty("replica", move |kernel| async move {
         let driver = Driver {
             interval: tuning.interval,
             round: ROUND.min(group),
             linger_ms: tuning.linger_ms,
             sessions,
+            neighbours,
             ..Driver::new(kernel, replica, applied, rings, known)
         };
         driver.run().await;
--- /dev/null
+++ b/components/control/tests/neighbours.rs
@@ -0,0 +1,54 @@
+//! Which processes a replica without a disk asks before it founds a deployment.
+
+use std::sync::Arc;
+
+use chicoryford_control::neighbours::Neighbours;
+use chicoryford_control::neighbours::control_nodes;
+use chicoryford_membership::Handle;
+use chicoryford_types::Known;
+use chicoryford_types::Member;
+use chicoryford_types::Members;
+use chicoryford_types::Node;
+use chicoryford_types::Roles;
+use chicoryford_types::Standing;
+use tokio::sync::watch;
+
+fn known(node: &str, control: bool, standing: Standing) -> (Node, Known) {
+    let node = Node::from(node);
+    let roles = Roles { control, ..Roles::default() };
+    let address = format!("{node}:1");
+    (node.clone(), Known { member: Member { node, address, roles, ..Member::default() }, standing })
+}
+
+fn members() -> Members {
+    let all = [
+        known("a", true, Standing::Alive),
+        known("c", true, Standing::Alive),
+        known("d", true, Standing::Dead),
+        known("entry", false, Standing::Alive),
+    ];
+    Members { known: all.into_iter().collect() }
+}
+
+#[test]
+fn a_founder_without_a_disk_asks_those_who_took_the_founders_places() {
+    // Symptom: two leaders that do not know each other, each accepting changes.
+    // Sequence: c and d take the places of founders that failed; later the disk of founder a is
+    // lost too, and a starts with the settings of the first day, which name only founders.
+    // Cause: a asks the founders alone, and all of them are empty.
+    let found = control_nodes(&members(), &Node::from("a"));
+    let expected = [("c", "c:1"), ("d", "d:1")];
+    let expected = expected.map(|(node, address)| (Node::from(node), address.to_owned()));
+    assert_eq!(found, expected.into_iter().collect());
+}
+
+#[test]
+fn can_tell_each_change_once() {
+    let (view, watched) = watch::channel(Arc::new(Members::default()));
+    let own = Arc::new(watch::Sender::new(Member::default()));
+    let mut neighbours = Neighbours::new(Arc::new(Handle::new(watched, own)), Node::from("a"));
+    assert!(neighbours.changed().is_none());
+    view.send_replace(Arc::new(members()));
+    assert_eq!(neighbours.changed().map(|all| all.len()), Some(2));
+    assert!(neighbours.changed().is_none());
+}
