Give each test process a loopback address of its own

Cause: tests drew a port that was free just now, and their daemons bound it later. Two tests that drew the same port in between let one daemon end with "Address already in use", and its test waited 60 s for an engine that nobody announced. Ruled out: ports of outgoing connections (they begin at 32768), slow starts (three sets of the tests at once pass within 2 s on a busy machine). Change: an address 127.x.y.z made from the process id, and each port of it given once. The processes, records and raw HTTP of the demonstration and of the tests move to the stand-ins.

--- a/examples/demo/process.rs
+++ b/components/standin/src/process.rs
@@ -1,9 +1,8 @@
-//! Processes of the demonstration: started, killed, started again, and asked to stop.
+//! Processes of tests and demonstrations: started, killed, stopped in their tracks, started
+//! again, and asked to stop.
 
 use std::fs::OpenOptions;
-use std::net::TcpListener;
-use std::net::UdpSocket;
-use std::ops::Range;
+use std::io::Result;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -12,25 +11,25 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use eyre::Result;
-use eyre::WrapErr;
-use rand::Rng;
-
 const LOOK: Duration = Duration::from_millis(50);
-const PORTS: Range<u16> = 10_000..32_000;
 
 /// A process and how to start it.
 pub struct Process {
     /// Its name, which is also that of its log.
     pub name: String,
+    /// What it writes.
+    pub log: PathBuf,
     program: PathBuf,
     arguments: Vec<String>,
-    log: PathBuf,
     child: Child,
 }
 
 impl Process {
     /// Starts `program`; what it writes goes to a log file in `folder`.
+    ///
+    /// # Errors
+    ///
+    /// What the operating system says.
     pub fn start(folder: &Path, name: &str, program: &Path, arguments: &[String]) -> Result<Self> {
         let log = folder.join(format!("{name}.log"));
         let child = spawn(program, arguments, &log)?;
@@ -44,11 +43,19 @@
     }
 
     /// Tells whether it has ended by itself.
+    ///
+    /// # Errors
+    ///
+    /// What the operating system says.
     pub fn has_ended(&mut self) -> Result<bool> {
         Ok(self.child.try_wait()?.is_some())
     }
 
     /// Ends the process at once, as a crash does.
+    ///
+    /// # Errors
+    ///
+    /// What the operating system says.
     pub fn kill(&mut self) -> Result<()> {
         self.child.kill()?;
         self.child.wait()?;
@@ -56,14 +63,40 @@
     }
 
     /// Starts it again as before.
+    ///
+    /// # Errors
+    ///
+    /// What the operating system says.
     pub fn restart(&mut self) -> Result<()> {
         self.child = spawn(&self.program, &self.arguments, &self.log)?;
         Ok(())
     }
 
+    /// Holds it still (SIGSTOP): its connections stay open, and it does not notice the time.
+    ///
+    /// # Errors
+    ///
+    /// What the operating system says.
+    pub fn freeze(&self) -> Result<()> {
+        self.signal("-STOP")
+    }
+
+    /// Lets it go on (SIGCONT).
+    ///
+    /// # Errors
+    ///
+    /// What the operating system says.
+    pub fn thaw(&self) -> Result<()> {
+        self.signal("-CONT")
+    }
+
     /// Asks it to stop, and tells whether it did with exit code 0 within `patience`.
+    ///
+    /// # Errors
+    ///
+    /// What the operating system says.
     pub fn stop(&mut self, patience: Duration) -> Result<bool> {
-        Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status()?;
+        self.signal("-TERM")?;
         let begun = Instant::now();
         while begun.elapsed() < patience {
             if let Some(status) = self.child.try_wait()? {
@@ -74,11 +107,16 @@
         self.kill()?;
         Ok(false)
     }
+
+    fn signal(&self, signal: &str) -> Result<()> {
+        Command::new("kill").args([signal, &self.child.id().to_string()]).status()?;
+        Ok(())
+    }
 }
 
 impl Drop for Process {
     fn drop(&mut self) {
-        // The demonstration leaves nothing behind, also when it fails half-way.
+        // Nothing is left behind, also when a test fails half-way.
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
@@ -92,17 +130,4 @@
         .stdout(file.try_clone()?)
         .stderr(file)
         .spawn()
-        .wrap_err_with(|| format!("cannot start {}", program.display()))
-}
-
-/// Finds a port that is free for TCP and UDP just now, below those that the operating system
-/// gives to outgoing connections: one of these could take the port before its process starts.
-pub fn free_port() -> Result<u16> {
-    loop {
-        let port = rand::rng().random_range(PORTS);
-        let tcp = TcpListener::bind(("127.0.0.1", port));
-        if tcp.is_ok() && UdpSocket::bind(("127.0.0.1", port)).is_ok() {
-            return Ok(port);
-        }
-    }
 }
--- a/examples/demo/records.rs
+++ b/components/standin/src/records.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::fs;
+use std::io::Result;
 use std::path::Path;
 use std::path::PathBuf;
 
-use eyre::Result;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
--- a/examples/demo/judge.rs
+++ b/examples/demo/judge.rs
@@ -13,15 +13,15 @@
 use crate::drive::SampleFile;
 use crate::layout::Layout;
 use crate::mishap::Mishaps;
-use crate::records;
-use crate::records::CallLine;
-use crate::records::EngineLine;
-use crate::records::Ran;
-use crate::records::SampleLine;
-use crate::records::ServiceLine;
-use crate::records::Span;
-use crate::records::SpanLine;
-use crate::records::Whole;
+use chicoryford_standin::records;
+use chicoryford_standin::records::CallLine;
+use chicoryford_standin::records::EngineLine;
+use chicoryford_standin::records::Ran;
+use chicoryford_standin::records::SampleLine;
+use chicoryford_standin::records::ServiceLine;
+use chicoryford_standin::records::Span;
+use chicoryford_standin::records::SpanLine;
+use chicoryford_standin::records::Whole;
 
 /// Milliseconds in which a stop in force must have kept new work away.
 const STOP_MS: u64 = 5_000;
--- a/examples/demo/layout.rs
+++ b/examples/demo/layout.rs
@@ -9,15 +9,14 @@
 use std::time::Instant;
 
 use chicoryford_settings::Settings;
+use chicoryford_standin::ports;
+use chicoryford_standin::process::Process;
 use chicoryford_types::EndpointKind;
 use eyre::Result;
 use eyre::WrapErr;
 use eyre::bail;
 use eyre::eyre;
 
-use crate::process::Process;
-use crate::process::free_port;
-
 /// The settings of the agents, each beside an endpoint of its own.
 const AGENTS: [&str; 8] = [
     "zadruga/agent-route-1",
@@ -75,8 +74,8 @@
             replica.address = address.to_string();
         }
         let daemon = daemon(folder, &programs, &settings)?;
-        let store_port = free_port()?;
-        let listen = format!("--listen=127.0.0.1:{store_port}");
+        let store_address = ports::address();
+        let listen = format!("--listen={store_address}");
         let store =
             Process::start(folder, "store", &programs.standin, &["store".to_owned(), listen])?;
         let place = |name: &&str| start_place(folder, &programs, name, gossip);
@@ -86,7 +85,7 @@
             daemon,
             address,
             places,
-            source: format!("http://127.0.0.1:{store_port}"),
+            source: format!("http://{store_address}"),
             store,
             client: programs.client,
         })
@@ -228,8 +227,8 @@
 
 /// Changes what depends on the machine: addresses, files and nothing else.
 fn move_here(settings: &mut Settings, folder: &Path, seed: Option<SocketAddr>) -> Result<()> {
-    settings.listen = SocketAddr::from(([127, 0, 0, 1], free_port()?));
-    settings.gossip = SocketAddr::from(([127, 0, 0, 1], free_port()?));
+    settings.listen = ports::address();
+    settings.gossip = ports::address();
     settings.seeds = seed.into_iter().collect();
     settings.keys = folder.join("keys");
     settings.token = folder.join("process");
@@ -242,14 +241,14 @@
     let file = folder.join(format!("{name}.yaml"));
     fs::write(&file, serde_yaml_ng::to_string(settings)?)?;
     let arguments = ["--settings".to_owned(), file.display().to_string()];
-    Process::start(folder, name, &programs.daemon, &arguments)
+    Ok(Process::start(folder, name, &programs.daemon, &arguments)?)
 }
 
 fn start_place(folder: &Path, programs: &Programs, name: &str, seed: SocketAddr) -> Result<Place> {
     let mut settings = sample(&format!("{name}.yaml"))?;
     move_here(&mut settings, folder, Some(seed))?;
     let agent = settings.agent.as_mut().ok_or_else(|| eyre!("{name} is no agent"))?;
-    agent.address = format!("127.0.0.1:{}", free_port()?);
+    agent.address = ports::address().to_string();
     let endpoint = agent.endpoint.0.clone();
     let record = folder.join(format!("{endpoint}.jsonl"));
     let mut arguments = vec![
--- a/examples/demo/main.rs
+++ b/examples/demo/main.rs
@@ -7,8 +7,6 @@
 mod judge;
 mod layout;
 mod mishap;
-mod process;
-mod records;
 mod report;
 
 use std::path::Path;
--- a/tests/whole/fixture.rs
+++ b/tests/whole/fixture.rs
@@ -1,12 +1,8 @@
 //! One daemon with all roles, its engine, and raw HTTP towards it.
 
-use std::io::Read;
-use std::io::Write;
+use std::net::IpAddr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::net::TcpStream;
-use std::net::UdpSocket;
-use std::ops::Range;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -20,14 +16,16 @@
 use chicoryford_standin::Recorder;
 use chicoryford_standin::engine;
 use chicoryford_standin::engine::EngineSettings;
-use rand::Rng;
-use serde_json::Value;
+use chicoryford_standin::ports;
+use chicoryford_standin::raw;
+use chicoryford_standin::raw::Answer;
+use chicoryford_standin::raw::Question;
+pub use chicoryford_standin::raw::read;
 use tempfile::TempDir;
 
 /// Long enough for a busy machine; no test depends on how long something takes.
 pub const PATIENCE: Duration = Duration::from_secs(60);
 const LOOK: Duration = Duration::from_millis(50);
-const PORTS: Range<u16> = 10_000..32_000;
 
 const KEYS: &str = "\
 process all process-token
@@ -57,25 +55,6 @@
     tls: bool,
 }
 
-/// An answer, read to its end.
-#[derive(Debug)]
-pub struct Answer {
-    pub status: u16,
-    pub body: String,
-}
-
-impl Answer {
-    pub fn json(&self) -> Value {
-        let begin = self.body.find('{').expect("the body holds an object");
-        let end = self.body.rfind('}').expect("the body holds an object");
-        serde_json::from_str(&self.body[begin..=end]).expect("the body is JSON")
-    }
-
-    pub fn code(&self) -> String {
-        self.json()["error"]["code"].as_str().unwrap_or_default().to_owned()
-    }
-}
-
 impl Node {
     /// Starts a daemon whose bounds are `bounds` (a YAML flow mapping), and waits until it sees
     /// its engine.
@@ -91,16 +70,16 @@
     fn launch(bounds: &str, tls: bool) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let engine = start_engine();
-        let address = SocketAddr::from(([127, 0, 0, 1], free_port()));
+        let address = ports::address();
         std::fs::write(folder.path().join("keys"), KEYS).unwrap();
         std::fs::write(folder.path().join("token"), "process-token\n").unwrap();
         std::fs::write(folder.path().join("operator"), "operator-token\n").unwrap();
-        let extra = if tls { write_certificate(&folder) } else { "" };
+        let extra = if tls { write_certificate(&folder, address.ip()) } else { "" };
         let settings = format!(
-            "node: all\nlisten: {address}\ngossip: 127.0.0.1:{}\ndata: data\nbounds: {bounds}\n{extra}\
+            "node: all\nlisten: {address}\ngossip: {}\ndata: data\nbounds: {bounds}\n{extra}\
              entry: {{}}\ncontrol:\n  replicas:\n    - node: all\n      address: {address}\n\
              agent:\n  endpoint: engine\n  address: {engine}\n  models: [model]\n",
-            free_port()
+            ports::address()
         );
         std::fs::write(folder.path().join("all.yaml"), settings).unwrap();
         let log = std::fs::File::create(folder.path().join("log")).unwrap();
@@ -152,23 +131,20 @@
 
     /// Posts a body with a token and reads the answer to its end.
     pub fn post(&self, path: &str, token: &str, body: &str) -> Answer {
-        let head = format!(
-            "POST {path} HTTP/1.1\r\nhost: node\r\nauthorization: Bearer {token}\r\n\
-             chicoryford-workspace: desk\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
-            body.len()
-        );
-        let mut stream = self.connect();
-        stream.write_all(head.as_bytes()).unwrap();
-        // A server that has refused the request by its head may close before the body is read.
-        let _ = stream.write_all(body.as_bytes());
-        read(stream)
+        let headers = [("chicoryford-workspace", "desk")];
+        let question = Question {
+            path,
+            token,
+            headers: &headers,
+            body: body.as_bytes(),
+            ..Question::default()
+        };
+        raw::read(raw::send(self.address, &question).unwrap())
     }
 
     /// Opens a connection with a patience that a test may wait for.
     pub fn connect(&self) -> TcpStream {
-        let stream = TcpStream::connect(self.address).unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        stream
+        raw::connect(self.address).unwrap()
     }
 
     /// Asks the daemon to stop and gives its exit code.
@@ -204,35 +180,13 @@
 }
 
 /// Writes a certificate that trusts itself, and gives the settings that use it.
-fn write_certificate(folder: &TempDir) -> &'static str {
-    let made = rcgen::generate_simple_self_signed(vec!["127.0.0.1".to_owned()]).unwrap();
+fn write_certificate(folder: &TempDir, ip: IpAddr) -> &'static str {
+    let made = rcgen::generate_simple_self_signed(vec![ip.to_string()]).unwrap();
     std::fs::write(folder.path().join("certificate"), made.cert.pem()).unwrap();
     std::fs::write(folder.path().join("key"), made.signing_key.serialize_pem()).unwrap();
     "tls: {certificate: certificate, key: key, roots: certificate}\n"
 }
 
-/// Reads an answer until its connection ends.
-pub fn read(mut stream: TcpStream) -> Answer {
-    let mut bytes = Vec::new();
-    let _ = stream.read_to_end(&mut bytes);
-    let text = String::from_utf8_lossy(&bytes).into_owned();
-    let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
-    let status = head.split_whitespace().nth(1).and_then(|word| word.parse().ok());
-    Answer { status: status.unwrap_or_default(), body: body.to_owned() }
-}
-
-/// Finds a port that is free for TCP and UDP just now, below those that the operating system
-/// gives to outgoing connections: one of these could take the port before the daemon starts.
-fn free_port() -> u16 {
-    loop {
-        let port = rand::rng().random_range(PORTS);
-        let tcp = TcpListener::bind(("127.0.0.1", port));
-        if tcp.is_ok() && UdpSocket::bind(("127.0.0.1", port)).is_ok() {
-            return port;
-        }
-    }
-}
-
 fn start_engine() -> SocketAddr {
     let (sender, receiver) = mpsc::channel();
     thread::spawn(move || {
