Record which processes hold a sample's bytes, repair and reopen them

Cause: a sample's bytes lay in the replicated log; records of bytes elsewhere could not be repaired, nor told a restarted holder from one that still has them.

A record needs three different holders. Nothing uses it yet.

--- a/components/control/src/serve.rs
+++ b/components/control/src/serve.rs
@@ -96,7 +96,9 @@
         self.sessions.adopt(self.applied.state.sessions().map(|(number, _)| number), now);
         let held = own && self.sessions.renew(renew.session, now);
         let orphans = self.orphans();
-        Ok(Renewed { held, lasts_ms: self.sessions.period(), orphans })
+        let audit = renew.audit.as_ref().filter(|_| held);
+        let audited = audit.map(|audit| self.applied.state.ledger.audit(audit));
+        Ok(Renewed { held, lasts_ms: self.sessions.period(), orphans, audited })
     }
 
     fn orphans(&mut self) -> Vec<chicoryford_ledger::StepKey> {
--- a/components/control/tests/replicas.rs
+++ b/components/control/tests/replicas.rs
@@ -265,7 +265,7 @@
             let Reply::Session { session } = cluster.propose(leader, &open).await else {
                 panic!("no session")
             };
-            sessions.push(Renew { node, session });
+            sessions.push(Renew { node, session, ..Renew::default() });
         }
         let renew = async |renew: &Renew| -> Renewed {
             let address = cluster.address((leader + 1) % 3);
--- a/components/entry/src/steps/session.rs
+++ b/components/entry/src/steps/session.rs
@@ -91,7 +91,7 @@
 
 /// Asks the control processes until one answers for the leader.
 async fn ask(context: &Context, session: u64) -> Option<(Renewed, Millis)> {
-    let question = Renew { node: context.node.clone(), session };
+    let question = Renew { node: context.node.clone(), session, ..Renew::default() };
     let members = context.members.view();
     for member in members.present().filter(|member| member.roles.control) {
         let sent = context.now();
--- a/components/entry/tests/support/mod.rs
+++ b/components/entry/tests/support/mod.rs
@@ -241,7 +241,9 @@
             },
             other => panic!("{other:?}"),
         };
-        Renewed { held, lasts_ms: 5_000, orphans }
+        let ledger = &self.state.lock().unwrap().ledger;
+        let audited = renew.audit.as_ref().map(|audit| ledger.audit(audit));
+        Renewed { held, lasts_ms: 5_000, orphans, audited }
     }
 }
 
--- /dev/null
+++ b/components/ledger/src/audit.rs
@@ -0,0 +1,156 @@
+//! What an entry asks about the bodies that it holds and the steps that it owns.
+//!
+//! The leader answers from its state with a renewal of the entry's session; nothing is logged.
+
+use std::collections::BTreeSet;
+
+use chicoryford_types::Group;
+use chicoryford_types::Node;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::command::Body;
+use crate::command::Record;
+use crate::command::StepKey;
+use crate::held::BodyName;
+use crate::held::HOLDERS;
+use crate::held::Holder;
+use crate::ledger::Ledger;
+use crate::step::Step;
+
+/// Bodies named in one answer at most; a repairer asks again when these are mended.
+pub const LACKING: usize = 256;
+
+/// What an entry asks.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[serde(default)]
+pub struct Audit {
+    /// The entry.
+    pub node: Node,
+    /// Its session, whose steps it repairs.
+    pub session: u64,
+    /// The entries that it sees; empty if it does not ask for bodies to repair.
+    pub present: Vec<Holder>,
+    /// Steps of which it holds bodies and wants to know which are still of use.
+    pub holds: Vec<StepKey>,
+}
+
+/// What the ledger answers.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[serde(default)]
+pub struct Audited {
+    /// Bodies that have too few holders, [`LACKING`] at most.
+    pub lacking: Vec<Lacking>,
+    /// For each step asked about, the groups whose bodies are still of use.
+    pub wanted: Vec<Wanted>,
+}
+
+/// A body that has too few holders.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+pub struct Lacking {
+    /// The body.
+    pub name: BodyName,
+    /// Its recorded holders, present or not.
+    pub from: Vec<Holder>,
+    /// Whether it is in a batch.
+    pub sealed: bool,
+}
+
+/// The groups of a step whose bodies are still of use.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+pub struct Wanted {
+    /// The step.
+    pub key: StepKey,
+    /// Runs of groups, first and last; none if the step has ended.
+    pub groups: Vec<(Group, Group)>,
+}
+
+impl Wanted {
+    /// Tells whether the bodies of a group are of use.
+    pub fn has(&self, group: Group) -> bool {
+        self.groups.iter().any(|(first, last)| (*first..=*last).contains(&group))
+    }
+
+    fn add(&mut self, group: Group) {
+        match self.groups.last_mut() {
+            Some((_, last)) if last.0 + 1 == group.0 => *last = group,
+            _ => self.groups.push((group, group)),
+        }
+    }
+}
+
+impl Ledger {
+    /// Answers an entry's questions about bodies.
+    pub fn audit(&self, audit: &Audit) -> Audited {
+        let lacking = if audit.present.is_empty() { Vec::new() } else { self.lacking(audit) };
+        let wanted = audit.holds.iter().map(|key| self.wanted(key)).collect();
+        Audited { lacking, wanted }
+    }
+
+    /// Lists bodies that have fewer holders among those present than there could be: those of
+    /// the asker's steps, and those in batches of steps that were closed, which nobody owns; of
+    /// these its first present holder takes care.
+    fn lacking(&self, audit: &Audit) -> Vec<Lacking> {
+        let present: BTreeSet<&Holder> = audit.present.iter().collect();
+        let enough = HOLDERS.min(present.len());
+        let is_own = |step: &Step| step.owner == Some(audit.session);
+        let steps = self.steps.iter().filter(|(_, step)| is_own(step));
+        let open = steps.flat_map(|(key, step)| {
+            let groups = (0..).map(Group).zip(&step.groups);
+            groups.flat_map(move |(number, group)| {
+                group.done.iter().map(move |(no, record)| (key, number, *no, record, false))
+            })
+        });
+        let batches = self.deliveries.values().filter_map(|delivery| delivery.batch.as_ref());
+        let sealed = batches.flat_map(|batch| &batch.samples);
+        let sealed = sealed.filter(|(key, _, _, record)| match self.steps.get(key) {
+            Some(step) => is_own(step),
+            None => holders(record)
+                .iter()
+                .find(|h| present.contains(h))
+                .is_some_and(|first| first.node == audit.node),
+        });
+        let sealed = sealed.map(|(key, group, no, record)| (key, *group, *no, record, true));
+        let lacks = |record: &Record| {
+            let holders = holders(record);
+            let left = holders.iter().filter(|holder| present.contains(holder)).count();
+            !holders.is_empty() && left < enough
+        };
+        let lacking = sealed.chain(open).filter(|(.., record, _)| lacks(record));
+        let named = lacking.map(|(key, group, number, record, sealed)| Lacking {
+            name: BodyName { key: key.clone(), group, number, digest: record.digest },
+            from: holders(record).to_vec(),
+            sealed,
+        });
+        named.take(LACKING).collect()
+    }
+
+    /// Lists the groups of a step that are not acknowledged. A batch outlives the closing of its
+    /// step: the trainer may still pull it again.
+    fn wanted(&self, key: &StepKey) -> Wanted {
+        let mut wanted = Wanted { key: key.clone(), ..Wanted::default() };
+        let delivery = self.deliveries.get(&key.workspace);
+        if let Some(step) = self.steps.get(key) {
+            let acked = delivery.map(|delivery| delivery.acked).unwrap_or_default();
+            for (number, group) in (0..).map(Group).zip(&step.groups) {
+                if group.batch.is_none_or(|batch| batch > acked) {
+                    wanted.add(number);
+                }
+            }
+            return wanted;
+        }
+        let batch = delivery.and_then(|delivery| delivery.batch.as_ref());
+        let samples = batch.iter().flat_map(|batch| &batch.samples);
+        let groups: BTreeSet<Group> =
+            samples.filter(|(own, ..)| own == key).map(|(_, group, ..)| *group).collect();
+        groups.into_iter().for_each(|group| wanted.add(group));
+        wanted
+    }
+}
+
+fn holders(record: &Record) -> &[Holder] {
+    match &record.body {
+        Body::Inline(_) => &[],
+        Body::Held(holders) => holders,
+    }
+}
--- a/components/ledger/src/command.rs
+++ b/components/ledger/src/command.rs
@@ -5,7 +5,6 @@
 use chicoryford_types::Digest;
 use chicoryford_types::Group;
 use chicoryford_types::Model;
-use chicoryford_types::Node;
 use chicoryford_types::Principal;
 use chicoryford_types::SampleNo;
 use chicoryford_types::Span;
@@ -15,6 +14,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::held::BodyName;
+use crate::held::Holder;
+
 /// Identifies a step.
 #[derive(Clone, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
 pub struct StepKey {
@@ -69,7 +71,7 @@
     /// In the ledger itself.
     Inline(Bytes),
     /// At these processes, each of which holds all of them.
-    Held(Vec<Node>),
+    Held(Vec<Holder>),
 }
 
 /// A finished sample as the ledger keeps it.
@@ -146,6 +148,22 @@
     },
     /// Asks for the steps that no session owns.
     Orphans,
+    /// Names other holders of a body, if the record still names those that the repairer saw.
+    Rehold {
+        /// The body.
+        name: BodyName,
+        /// The holders that the repairer saw.
+        from: Vec<Holder>,
+        /// The holders from now on, which acknowledged the bytes before.
+        to: Vec<Holder>,
+    },
+    /// Tells that none of its holders has a body any more; its sample is run again.
+    Lost {
+        /// The body.
+        name: BodyName,
+        /// The holders that were asked.
+        from: Vec<Holder>,
+    },
 }
 
 /// How a step goes.
@@ -209,6 +227,12 @@
     Missing,
     /// The step is given up.
     Closed,
+    /// The body has these holders now, or had them before.
+    Reheld,
+    /// The record names other holders, or other bytes, than the repairer saw.
+    Moved,
+    /// The sample's place is open again.
+    Reopened,
     /// Something is full; nothing was recorded, and the same may be tried again later.
     Full,
 }
--- a/components/ledger/src/group.rs
+++ b/components/ledger/src/group.rs
@@ -69,6 +69,12 @@
         ((count - self.done.len()) as u32, bytes - self.bytes())
     }
 
+    /// Drops one sample, whose place is then free again.
+    pub fn forget(&mut self, number: SampleNo) {
+        self.done.remove(&number);
+        self.oldest = self.done.values().filter_map(Record::oldest).min();
+    }
+
     /// Counts the bytes of the samples recorded and not yet handed out.
     pub fn bytes(&self) -> usize {
         self.done.values().map(Record::size).sum()
--- a/components/ledger/src/ledger.rs
+++ b/components/ledger/src/ledger.rs
@@ -68,6 +68,8 @@
             LedgerCommand::Close { key } => self.close(&key),
             LedgerCommand::Progress { key } => self.progress(&key),
             LedgerCommand::Orphans => LedgerReply::Orphans(self.orphans()),
+            LedgerCommand::Rehold { name, from, to } => self.rehold(&name, &from, to),
+            LedgerCommand::Lost { name, from } => self.lose(&name, &from),
         }
     }
 
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -3,14 +3,19 @@
 //! It is a part of the replicated state (docs/STEPS.md): pure, deterministic, the same on every
 //! replica.
 
+pub mod audit;
 pub mod command;
 pub mod delivery;
 pub mod group;
+pub mod held;
 pub mod ledger;
 pub mod pull;
 pub mod record;
 pub mod step;
 
+pub use audit::Audit;
+pub use audit::Audited;
+pub use audit::Lacking;
 pub use command::Body;
 pub use command::GroupSpec;
 pub use command::LedgerCommand;
@@ -19,4 +24,7 @@
 pub use command::Record;
 pub use command::StepKey;
 pub use command::StepSpec;
+pub use held::BodyName;
+pub use held::HOLDERS;
+pub use held::Holder;
 pub use ledger::Ledger;
--- a/components/ledger/src/record.rs
+++ b/components/ledger/src/record.rs
@@ -5,6 +5,8 @@
 
 use crate::command::Body;
 use crate::command::Record;
+use crate::held::HELD_SIZE;
+use crate::held::is_safe;
 
 impl Record {
     /// Gives the oldest version that produced any of the tokens.
@@ -25,19 +27,20 @@
         next == self.tokens && next > 0
     }
 
-    /// Tells whether the bytes, if they are here, are those of which the digest was taken.
+    /// Tells whether the bytes, if they are here, are those of which the digest was taken, and
+    /// if they are not, whether enough processes hold them.
     pub fn is_intact(&self) -> bool {
         match &self.body {
             Body::Inline(bytes) => Digest::of(bytes) == self.digest,
-            Body::Held(nodes) => !nodes.is_empty(),
+            Body::Held(holders) => is_safe(holders),
         }
     }
 
-    /// Counts the bytes that the ledger holds for the sample.
+    /// Counts what the sample takes of the ledger's bound, in bytes.
     pub fn size(&self) -> usize {
         match &self.body {
             Body::Inline(bytes) => bytes.len(),
-            Body::Held(_) => 0,
+            Body::Held(_) => HELD_SIZE,
         }
     }
 }
--- a/components/state/examples/measure-state.rs
+++ b/components/state/examples/measure-state.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use chicoryford_ledger::Body;
 use chicoryford_ledger::GroupSpec;
+use chicoryford_ledger::Holder;
 use chicoryford_ledger::LedgerCommand;
 use chicoryford_ledger::Record;
 use chicoryford_ledger::StepKey;
@@ -235,7 +236,11 @@
 }
 
 fn sizes_by_samples() {
-    let held = Body::Held((0..3).map(|n| Node(format!("entry-{n}"))).collect());
+    let holder = |n| Holder {
+        node: Node(format!("entry-{n}")),
+        incarnation: Incarnation(1_764_700_000_000),
+    };
+    let held = Body::Held((0..3).map(holder).collect());
     let inline = Body::Inline(Bytes::from(vec![7; 32 << 10]));
     for (name, body) in [("inline_32KiB", inline), ("held_at_3", held)] {
         for count in [0, 512, 4_096] {
