Drive the planner of weights from the leader's orders duty

Cause: the leader ordered weights by simple waves, all from the store, while the planner that relays them stood beside it unused: the same job twice. Change: the duty feeds members, accepted versions and answers to the planner; the waves are gone. Engines say in /health where they give weights to others, agents announce it. The planner takes over what only the waves had: a success that is never announced is doubted after 10 s, an agent's restart ends its order, failed samplers show why. Orders name the agent's incarnation. The status shows progress by model in place of a line for each sampler. The tests of the waves stand in the planner's tests now, as strict. Conclusion: one logic for the order of loads.

--- a/components/agent/src/engine.rs
+++ b/components/agent/src/engine.rs
@@ -41,6 +41,8 @@
     pub models: BTreeMap<Model, Version>,
     /// Whether it can serve.
     pub healthy: bool,
+    /// Where it gives its weights to other engines; none if it does not offer that.
+    pub gives: Option<String>,
 }
 
 /// What an engine says of its load.
--- a/components/agent/src/watch.rs
+++ b/components/agent/src/watch.rs
@@ -131,7 +131,9 @@
         let agent = self.settings.agent.clone().unwrap_or_default();
         let draining = self.handle.drains.any();
         self.members.announce(|own| {
-            let before = own.endpoint.take().map(|info| info.models).unwrap_or_default();
+            let EndpointInfo { models: before, gives, .. } =
+                own.endpoint.take().unwrap_or_default();
+            let gives = health.map_or(gives, |health| health.gives.clone());
             let models = match (agent.kind, health) {
                 (EndpointKind::Engine, Some(health)) => {
                     let mut models = health.models.clone();
@@ -151,6 +153,7 @@
                 slots: agent.slots,
                 draining,
                 healthy,
+                gives,
             });
         });
     }
--- a/components/agent/tests/fence.rs
+++ b/components/agent/tests/fence.rs
@@ -4,6 +4,7 @@
 use chicoryford_agent::fence::Ruling;
 use chicoryford_agent::orders::majority;
 use chicoryford_types::Epoch;
+use chicoryford_types::Incarnation;
 use chicoryford_types::Node;
 use chicoryford_types::Order;
 use chicoryford_types::order::EpochAnswer;
@@ -18,7 +19,7 @@
 const TESTS: u64 = 8_000;
 
 fn order(epoch: u64, number: u64) -> Order {
-    Order { epoch: Epoch(epoch), number, action: OrderAction::Drain }
+    Order { epoch: Epoch(epoch), number, agent: Incarnation(1), action: OrderAction::Drain }
 }
 
 fn fence(epoch: u64) -> Fence {
--- a/components/agent/tests/live/rig.rs
+++ b/components/agent/tests/live/rig.rs
@@ -253,7 +253,7 @@
 
     /// Gives an order and repeats it until it is no longer being carried out.
     pub async fn order(&self, epoch: u64, number: u64, action: OrderAction) -> OrderReply {
-        let order = Order { epoch: Epoch(epoch), number, action };
+        let order = Order { epoch: Epoch(epoch), number, agent: INCARNATION, action };
         loop {
             let called = self.client.call(&self.address, paths::ORDER, &order, PATIENCE).await;
             match called.unwrap() {
--- a/components/control/src/orders/duty.rs
+++ b/components/control/src/orders/duty.rs
@@ -9,22 +9,27 @@
 use chicoryford_kernel::Kernel;
 use chicoryford_kernel::Phase;
 use chicoryford_membership::Handle as Membership;
-use chicoryford_types::EndpointKind;
+use chicoryford_types::Endpoint;
 use chicoryford_types::Epoch;
 use chicoryford_types::Members;
 use chicoryford_types::Model;
+use chicoryford_types::Order;
 use chicoryford_types::config::Published;
 use chicoryford_types::order::OrderReply;
+use chicoryford_weights::Action;
+use chicoryford_weights::Event;
+use chicoryford_weights::Planner;
+use chicoryford_weights::PlannerSettings;
+use chicoryford_weights::Progress;
 use chicoryford_wire::Client;
 use chicoryford_wire::paths;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 
-use super::plan::Dispatch;
-use super::plan::OrderStatus;
-use super::plan::Orders;
-use super::plan::Sampler;
+use super::offers::Samplers;
+use super::offers::samplers;
 
-/// The name under which the status of the orders is offered.
+/// The name under which the progress of weights is offered.
 pub const SERVICE: &str = "orders";
 
 /// Time between two looks at what is due, if nothing happens.
@@ -51,10 +56,26 @@
     pub members: Arc<Membership>,
     /// Whether this process leads, and what is accepted.
     pub lead: watch::Receiver<Lead>,
-    /// Where the status goes.
-    pub shown: watch::Sender<Vec<OrderStatus>>,
-    /// The share of a model's samplers that may be out of service, in percent.
-    pub percent: u32,
+    /// Where the progress goes.
+    pub shown: watch::Sender<Vec<Progress>>,
+    /// The bounds within which weights are spread.
+    pub settings: PlannerSettings,
+}
+
+/// Answers of agents that the planner has not seen yet.
+#[derive(Default)]
+struct Inbox {
+    events: RefCell<Vec<Event>>,
+    filled: Notify,
+}
+
+/// What the planner was told last.
+#[derive(Default)]
+struct Told {
+    epoch: Option<Epoch>,
+    weights: BTreeMap<Model, Published>,
+    view: Arc<Members>,
+    samplers: Samplers,
 }
 
 impl Driver {
@@ -68,61 +89,103 @@
     }
 
     async fn drive(mut self) {
-        let orders = Rc::new(RefCell::new(Orders::new(Epoch(0), self.percent)));
+        let mut planner = Planner::new(self.settings.clone());
+        let inbox = Rc::new(Inbox::default());
+        let mut told = Told::default();
         loop {
             let lead = self.lead.borrow_and_update().clone();
+            // Answers wait while this process does not lead: taking one could bring about another
+            // order, and another process may lead by now.
             if let Some(epoch) = lead.epoch {
-                if orders.borrow().epoch() != epoch {
-                    *orders.borrow_mut() = Orders::new(epoch, self.percent);
+                let mut events = self.changes(&mut told, epoch, &lead);
+                events.append(&mut inbox.events.borrow_mut());
+                for order in self.plan(&mut planner, events) {
+                    self.give(&told, &inbox, order);
                 }
-                self.send_due(&orders, &lead);
-                self.shown.send_replace(orders.borrow().status());
+                self.shown.send_replace(planner.progress());
             }
             tokio::select! {
                 changed = self.lead.changed() => if changed.is_err() { return },
+                () = inbox.filled.notified() => {}
                 () = actix_rt::time::sleep(LOOK) => {}
             }
         }
     }
 
-    fn send_due(&self, orders: &Rc<RefCell<Orders>>, lead: &Lead) {
-        let samplers = samplers(&self.members.view());
-        let due = orders.borrow_mut().due(self.kernel.now(), &lead.weights, &samplers);
-        for dispatch in due {
-            let (orders, client, kernel) =
-                (orders.clone(), self.client.clone(), self.kernel.clone());
-            actix_rt::spawn(async move { send(&kernel, &client, &orders, dispatch).await });
+    /// Lists what the planner must be told of the epoch, the members and the weights.
+    fn changes(&self, told: &mut Told, epoch: Epoch, lead: &Lead) -> Vec<Event> {
+        let mut events = Vec::new();
+        let led = told.epoch == Some(epoch);
+        if !led {
+            told.epoch = Some(epoch);
+            events.push(Event::NewEpoch(epoch));
         }
+        let view = self.members.view();
+        if !led || !Arc::ptr_eq(&view, &told.view) {
+            let found = samplers(&view);
+            told.view = view;
+            if !led || found != told.samplers {
+                told.samplers = found;
+                events.push(Event::Members(told.samplers.offers()));
+            }
+        }
+        if !led || lead.weights != told.weights {
+            told.weights.clone_from(&lead.weights);
+            events.extend(lead.weights.iter().map(|(model, published)| Event::Published {
+                model: model.clone(),
+                version: published.version,
+                source: published.source.clone(),
+            }));
+        }
+        events
     }
-}
 
-async fn send(kernel: &Kernel, client: &Client, orders: &RefCell<Orders>, dispatch: Dispatch) {
-    let Dispatch { agent, address, order } = dispatch;
-    let called = client.call::<_, OrderReply>(&address, paths::ORDER, &order, PATIENCE).await;
-    if let Err(error) = &called {
-        tracing::debug!(event = "order_unanswered", %agent, %error);
-    }
-    if let Ok(OrderReply::Failed(error)) = &called {
-        tracing::warn!(event = "order_failed", %agent, number = order.number, error);
+    fn plan(&self, planner: &mut Planner, events: Vec<Event>) -> Vec<(Endpoint, Order)> {
+        let now = self.kernel.now();
+        let mut actions = Vec::new();
+        for event in events {
+            planner.take(event, now, &mut actions);
+        }
+        planner.plan(now, &mut actions);
+        let mut orders = Vec::new();
+        for action in actions {
+            match action {
+                Action::Give { endpoint, order } => orders.push((endpoint, order)),
+                Action::GiveUp { endpoint, model, version, reason } => {
+                    tracing::error!(event = "sampler_given_up", %endpoint, %model, %version, reason);
+                    self.kernel.metrics.count("orders.given_up", 1);
+                }
+                Action::Complete { .. } => self.kernel.metrics.count("orders.complete", 1),
+                // The planner has logged these.
+                Action::NotNewer { .. } | Action::Fenced(_) => {}
+            }
+        }
+        orders
     }
-    let mut orders = orders.borrow_mut();
-    // An answer to an earlier epoch's order must not be taken for one of this epoch's, whose
-    // numbers begin anew.
-    if orders.epoch() == order.epoch {
-        orders.answered(kernel.now(), &agent, order.number, called.ok());
+
+    fn give(&self, told: &Told, inbox: &Rc<Inbox>, (endpoint, order): (Endpoint, Order)) {
+        // An endpoint that is gone cannot be asked; the planner ends its order in time.
+        let address = told.samplers.address(&endpoint).map(str::to_owned);
+        let (client, inbox) = (self.client.clone(), inbox.clone());
+        actix_rt::spawn(async move {
+            let reply = match address {
+                Some(address) => send(&client, &address, &order).await,
+                None => None,
+            };
+            let number = order.number;
+            inbox.events.borrow_mut().push(match reply {
+                Some(reply) => Event::Reply { endpoint, number, reply },
+                None => Event::NoReply { endpoint, number },
+            });
+            inbox.filled.notify_one();
+        });
     }
 }
 
-/// Lists the model engines that stand well enough to be given orders.
-pub fn samplers(members: &Members) -> Vec<Sampler> {
-    let engines = members.present().filter_map(|member| {
-        let endpoint = member.endpoint.as_ref()?;
-        (endpoint.kind == EndpointKind::Engine && endpoint.healthy).then(|| Sampler {
-            agent: member.node.clone(),
-            incarnation: member.incarnation,
-            address: member.address.clone(),
-            models: endpoint.models.clone(),
-        })
-    });
-    engines.collect()
+async fn send(client: &Client, address: &str, order: &Order) -> Option<OrderReply> {
+    let called = client.call::<_, OrderReply>(address, paths::ORDER, order, PATIENCE).await;
+    if let Err(error) = &called {
+        tracing::debug!(event = "order_unanswered", address, number = order.number, %error);
+    }
+    called.ok()
 }
--- a/components/control/src/orders/mod.rs
+++ b/components/control/src/orders/mod.rs
@@ -1,11 +1,9 @@
-//! The leader's driver of weights: every accepted version reaches every sampler.
+//! The leader's driver of weights: every accepted version reaches every sampler (docs/WEIGHTS.md).
 
 pub mod duty;
-pub mod plan;
+pub mod offers;
 
 pub use duty::Lead;
 pub use duty::SERVICE;
-pub use plan::Dispatch;
-pub use plan::OrderStatus;
-pub use plan::Orders;
-pub use plan::Sampler;
+pub use offers::Samplers;
+pub use offers::samplers;
--- /dev/null
+++ b/components/control/src/orders/offers.rs
@@ -0,0 +1,55 @@
+//! The samplers, as the members show them.
+
+use std::collections::BTreeMap;
+
+use chicoryford_types::Endpoint;
+use chicoryford_types::EndpointKind;
+use chicoryford_types::Member;
+use chicoryford_types::Members;
+use chicoryford_weights::Offer;
+
+/// The samplers, each with the address of its agent.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Samplers(pub BTreeMap<Endpoint, (Offer, String)>);
+
+impl Samplers {
+    /// Lists what they offer.
+    pub fn offers(&self) -> Vec<Offer> {
+        self.0.values().map(|(offer, _)| offer.clone()).collect()
+    }
+
+    /// Tells where an endpoint's agent answers HTTP.
+    pub fn address(&self, endpoint: &Endpoint) -> Option<&str> {
+        self.0.get(endpoint).map(|(_, address)| address.as_str())
+    }
+}
+
+/// Lists the model engines that are there, also those that do not work just now: they count as
+/// out of service.
+///
+/// Two processes may announce the same endpoint for a while, when an agent was replaced by one of
+/// another name. The one that started last is believed, or orders would go to one that is gone.
+pub fn samplers(members: &Members) -> Samplers {
+    let mut found = Samplers::default();
+    for member in members.present() {
+        let Some(offer) = offer(member) else { continue };
+        let held = found.0.get(&offer.endpoint).map(|(held, _)| (held.incarnation, held.announced));
+        if held.is_none_or(|held| held < (offer.incarnation, offer.announced)) {
+            found.0.insert(offer.endpoint.clone(), (offer, member.address.clone()));
+        }
+    }
+    found
+}
+
+fn offer(member: &Member) -> Option<Offer> {
+    let info = member.endpoint.as_ref().filter(|info| info.kind == EndpointKind::Engine)?;
+    Some(Offer {
+        endpoint: info.name.clone(),
+        incarnation: member.incarnation,
+        announced: member.announced,
+        data_centre: member.data_centre.clone(),
+        models: info.models.clone(),
+        ready: info.healthy && !info.draining,
+        source: info.gives.clone(),
+    })
+}
--- a/components/control/src/report.rs
+++ b/components/control/src/report.rs
@@ -32,7 +32,7 @@
             position: state.config.at,
             replicas,
             sessions: state.sessions().map(|(n, session)| (n, session.node.clone())).collect(),
-            orders: Vec::new(),
+            weights: Vec::new(),
             lease_ms: status.lease_ms,
             received: 0,
             waiting: self.pending.len(),
--- a/components/control/src/routes.rs
+++ b/components/control/src/routes.rs
@@ -15,6 +15,7 @@
 use chicoryford_types::Code;
 use chicoryford_types::Failure;
 use chicoryford_types::order::EpochAnswer;
+use chicoryford_weights::Progress;
 use chicoryford_wire::Call;
 use chicoryford_wire::CallError;
 use chicoryford_wire::Caller;
@@ -38,7 +39,6 @@
 use crate::handle::Refused;
 use crate::handle::SERVICE;
 use crate::orders;
-use crate::orders::OrderStatus;
 use crate::status::Action;
 use crate::status::Done;
 use crate::status::Status;
@@ -52,7 +52,7 @@
 /// What one HTTP thread needs to answer.
 struct Desk {
     handle: Handle,
-    orders: watch::Receiver<Vec<OrderStatus>>,
+    orders: watch::Receiver<Vec<Progress>>,
     client: Client,
 }
 
@@ -71,7 +71,7 @@
     }
     let handle = Handle::clone(&*kernel.registry.find::<Handle>(SERVICE)?);
     let client = kernel.registry.find::<Caller>(CALLER)?.client();
-    let orders = kernel.registry.find::<watch::Receiver<Vec<OrderStatus>>>(orders::SERVICE)?;
+    let orders = kernel.registry.find::<watch::Receiver<Vec<Progress>>>(orders::SERVICE)?;
     let orders = watch::Receiver::clone(&orders);
     let desk = Rc::new(Desk { handle, orders, client });
     let at = desk.clone();
@@ -162,8 +162,8 @@
     }
 
     async fn status(&self) -> Result<Status, Failure> {
-        let orders = self.orders.borrow().clone();
-        Ok(Status { orders, ..self.handle.status().await? })
+        let weights = self.orders.borrow().clone();
+        Ok(Status { weights, ..self.handle.status().await? })
     }
 
     async fn reform(&self, action: Action) -> Result<Reform, Failure> {
--- a/components/control/src/start.rs
+++ b/components/control/src/start.rs
@@ -20,6 +20,7 @@
 use chicoryford_storage::Storage;
 use chicoryford_storage::StorageSettings;
 use chicoryford_types::Incarnation;
+use chicoryford_weights::PlannerSettings;
 use chicoryford_wire::Caller;
 use chicoryford_wire::client::CALLER;
 use tokio::sync::watch;
@@ -180,10 +181,11 @@
         return Ok(());
     };
     let caller = kernel.registry.find::<Caller>(CALLER)?;
-    let percent = control.swap_percent;
+    let settings =
+        PlannerSettings { swap_percent: control.swap_percent, ..PlannerSettings::default() };
     kernel.duty("orders", move |kernel| async move {
         let client = caller.client();
-        orders::duty::Driver { kernel, client, members, lead, shown, percent }.run().await;
+        orders::duty::Driver { kernel, client, members, lead, shown, settings }.run().await;
     })?;
     Ok(())
 }
--- a/components/control/src/status.rs
+++ b/components/control/src/status.rs
@@ -5,11 +5,10 @@
 use chicoryford_types::Incarnation;
 use chicoryford_types::Node;
 use chicoryford_types::Position;
+use chicoryford_weights::Progress;
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::orders::OrderStatus;
-
 /// What a control process knows of itself and the others.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct Status {
@@ -41,9 +40,9 @@
     pub received: u64,
     /// Whoever waits for a command to be committed.
     pub waiting: usize,
-    /// The orders that bring weights to samplers; known to the leader only.
+    /// How far the newest weights have come; known to the leader only.
     #[serde(default)]
-    pub orders: Vec<OrderStatus>,
+    pub weights: Vec<Progress>,
     /// Promises found broken by this process; zero unless there is a fault.
     pub broken: u64,
     /// The data folder.
--- a/components/entry/tests/support/mod.rs
+++ b/components/entry/tests/support/mod.rs
@@ -469,8 +469,8 @@
         kind: EndpointKind::Engine,
         models: BTreeMap::from(models),
         slots: 8,
-        draining: false,
         healthy: true,
+        ..EndpointInfo::default()
     };
     Member {
         node: Node(format!("agent-{index}")),
--- a/components/types/src/endpoint.rs
+++ b/components/types/src/endpoint.rs
@@ -35,6 +35,9 @@
     pub draining: bool,
     /// Whether the endpoint answered its agent's last probe.
     pub healthy: bool,
+    /// Where its engine gives its weights to other engines; none if it does not offer that.
+    #[serde(default)]
+    pub gives: Option<String>,
 }
 
 /// How loaded an endpoint was when its agent last asked it.
--- a/components/types/src/order.rs
+++ b/components/types/src/order.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use crate::ids::Epoch;
+use crate::ids::Incarnation;
 use crate::ids::Model;
 use crate::ids::Node;
 use crate::ids::Version;
@@ -18,6 +19,11 @@
     pub epoch: Epoch,
     /// Counts the orders of the epoch, so that a repeated order is recognised.
     pub number: u64,
+    /// The incarnation of the agent that it is meant for; every other one refuses it. A restarted
+    /// agent has forgotten which orders of the epoch were overtaken, so a delayed older one that
+    /// reaches it would be carried out.
+    #[serde(default)]
+    pub agent: Incarnation,
     /// What to do.
     pub action: OrderAction,
 }
--- a/components/weights/src/lib.rs
+++ b/components/weights/src/lib.rs
@@ -11,5 +11,6 @@
 pub use planner::Event;
 pub use planner::Planner;
 pub use planner::Progress;
+pub use planner::Trouble;
 pub use sampler::Offer;
 pub use settings::PlannerSettings;
--- a/components/weights/src/planner.rs
+++ b/components/weights/src/planner.rs
@@ -1,12 +1,14 @@
 //! The planner: events in, orders out.
 
 mod choose;
+mod progress;
 mod replies;
 
 use std::collections::BTreeMap;
 
 use chicoryford_types::Endpoint;
 use chicoryford_types::Epoch;
+use chicoryford_types::Incarnation;
 use chicoryford_types::Millis;
 use chicoryford_types::Model;
 use chicoryford_types::Order;
@@ -15,9 +17,13 @@
 use chicoryford_types::order::OrderReply;
 
 use crate::sampler::Offer;
+use crate::sampler::Running;
 use crate::sampler::Sampler;
 use crate::settings::PlannerSettings;
 
+pub use progress::Progress;
+pub use progress::Trouble;
+
 /// What happens to the planner.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -101,27 +107,13 @@
     Fenced(Epoch),
 }
 
-/// How far a version has come.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Progress {
-    /// The newest version.
-    pub version: Version,
-    /// Samplers that announce the model.
-    pub samplers: usize,
-    /// Those that run the version.
-    pub holders: usize,
-    /// Those that load it or an older one now.
-    pub loading: usize,
-    /// Those that were given up.
-    pub missing: usize,
-}
-
 #[derive(Clone, Debug)]
 struct Target {
     version: Version,
     source: String,
     since: Millis,
-    complete: bool,
+    /// How long it took to reach all samplers that can be reached; none before.
+    took_ms: Option<u64>,
 }
 
 /// Decides which endpoint loads which version next, and from where.
@@ -152,6 +144,13 @@
 
     /// Takes an event and appends what is to be done to `actions`.
     pub fn on(&mut self, event: Event, now: Millis, actions: &mut Vec<Action>) {
+        self.take(event, now, actions);
+        self.plan(now, actions);
+    }
+
+    /// Takes an event without planning what follows, so that many can be taken before one
+    /// [`Planner::plan`], whose cost grows with the number of samplers.
+    pub fn take(&mut self, event: Event, now: Millis, actions: &mut Vec<Action>) {
         match event {
             Event::NewEpoch(epoch) => self.lead(epoch, now),
             Event::Published { model, version, source } => {
@@ -164,6 +163,10 @@
             Event::NoReply { endpoint, number } => self.ask_again(&endpoint, number, now),
             Event::Tick => {}
         }
+    }
+
+    /// Plans what follows from the events taken.
+    pub fn plan(&mut self, now: Millis, actions: &mut Vec<Action>) {
         self.expire(now, actions);
         self.ask(now, actions);
         self.choose(now, actions);
@@ -177,22 +180,6 @@
         self.number
     }
 
-    /// Tells how far each model's newest version has come.
-    pub fn progress(&self) -> BTreeMap<Model, Progress> {
-        let mut all = BTreeMap::new();
-        for (model, target) in &self.targets {
-            let mut progress = Progress { version: target.version, ..Progress::default() };
-            for sampler in self.samplers.values().filter(|s| s.held.contains_key(model)) {
-                progress.samplers += 1;
-                progress.holders += usize::from(sampler.holds(model) >= target.version);
-                progress.loading += usize::from(sampler.running.is_some());
-                progress.missing += usize::from(is_given_up(sampler, model, target));
-            }
-            all.insert(model.clone(), progress);
-        }
-        all
-    }
-
     /// Counts the promises that the planner saw broken; always zero unless it has a fault.
     pub fn broken(&self) -> u64 {
         self.broken
@@ -210,7 +197,7 @@
             let offer = sampler.offer.clone();
             *sampler = Sampler { held: offer.models.clone(), offer, ..Sampler::default() };
         }
-        self.targets.values_mut().for_each(|target| target.complete = false);
+        self.targets.values_mut().for_each(|target| target.took_ms = None);
     }
 
     fn publish(
@@ -234,7 +221,7 @@
             sampler.failures = 0;
             sampler.retry = now;
         }
-        self.targets.insert(model, Target { version, source, since: now, complete: false });
+        self.targets.insert(model, Target { version, source, since: now, took_ms: None });
     }
 
     fn meet(&mut self, offers: Vec<Offer>) {
@@ -254,19 +241,20 @@
     }
 
     fn report(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        let progress = self.progress();
-        for (model, target) in &mut self.targets {
-            let Some(progress) = progress.get(model) else { continue };
+        let open = self.targets.iter().filter(|(_, target)| target.took_ms.is_none());
+        let open: Vec<Model> = open.map(|(model, _)| model.clone()).collect();
+        for model in open {
+            let progress = self.progress_of(&model);
             let done = progress.holders + progress.missing >= progress.samplers;
-            let done = done && progress.loading == 0 && progress.samplers > 0;
-            if done && !target.complete {
-                let took_ms = now.since(target.since);
-                let (version, missing) = (target.version, progress.missing);
-                tracing::info!(event = "weights_complete", %model, %version, took_ms, missing);
-                let model = model.clone();
-                actions.push(Action::Complete { model, version, took_ms, missing });
+            if !done || progress.loading > 0 || progress.samplers == 0 {
+                continue;
             }
-            target.complete |= done;
+            let Some(target) = self.targets.get_mut(&model) else { continue };
+            let took_ms = now.since(target.since);
+            target.took_ms = Some(took_ms);
+            let (version, missing) = (target.version, progress.missing);
+            tracing::info!(event = "weights_complete", %model, %version, took_ms, missing);
+            actions.push(Action::Complete { model, version, took_ms, missing });
         }
     }
 
@@ -281,6 +269,11 @@
     given_up.is_some_and(|(m, version)| m == model && *version == target.version)
 }
 
-fn load(epoch: Epoch, number: u64, model: Model, version: Version, sources: Vec<String>) -> Order {
-    Order { epoch, number, action: OrderAction::Load { model, version, sources } }
+fn load(epoch: Epoch, agent: Incarnation, running: &Running) -> Order {
+    let action = OrderAction::Load {
+        model: running.model.clone(),
+        version: running.version,
+        sources: running.sources.clone(),
+    };
+    Order { epoch, number: running.number, agent, action }
 }
--- a/components/weights/src/planner/choose.rs
+++ b/components/weights/src/planner/choose.rs
@@ -182,9 +182,8 @@
         self.check(endpoint, model, target);
         let number = self.take_number();
         let version = target.version;
-        let order = load(epoch, number, model.clone(), version, sources.clone());
         let Some(sampler) = self.samplers.get_mut(endpoint) else { return };
-        sampler.running = Some(Running {
+        let running = Running {
             number,
             model: model.clone(),
             version,
@@ -192,7 +191,9 @@
             feed,
             deadline: now + self.settings.order_ms,
             ask: None,
-        });
+        };
+        let order = load(epoch, sampler.offer.incarnation, &running);
+        sampler.running = Some(running);
         tracing::debug!(event = "load_ordered", %endpoint, %model, %version, number);
         actions.push(Action::Give { endpoint: endpoint.clone(), order });
     }
--- /dev/null
+++ b/components/weights/src/planner/progress.rs
@@ -0,0 +1,75 @@
+//! How far versions have come, for operators.
+
+use chicoryford_types::Endpoint;
+use chicoryford_types::Model;
+use chicoryford_types::Version;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Planner;
+use super::is_given_up;
+
+/// How far a model's newest version has come.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Progress {
+    /// The model.
+    pub model: Model,
+    /// The newest version.
+    pub version: Version,
+    /// Samplers that announce the model.
+    pub samplers: usize,
+    /// Those that run the version.
+    pub holders: usize,
+    /// Those that load it or an older one now.
+    pub loading: usize,
+    /// Those that were given up.
+    pub missing: usize,
+    /// Milliseconds from its publishing, as this leader saw it, until all samplers that could be
+    /// reached ran it; none before.
+    pub took_ms: Option<u64>,
+    /// Samplers that failed with the version.
+    pub troubles: Vec<Trouble>,
+}
+
+/// A sampler that failed with a version.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Trouble {
+    /// The sampler.
+    pub endpoint: Endpoint,
+    /// How often it failed in a row.
+    pub failures: u32,
+    /// Whether it was given up.
+    pub missing: bool,
+    /// Why it failed last.
+    pub reason: String,
+}
+
+impl Planner {
+    /// Tells how far each model's newest version has come.
+    pub fn progress(&self) -> Vec<Progress> {
+        self.targets.keys().map(|model| self.progress_of(model)).collect()
+    }
+
+    pub(super) fn progress_of(&self, model: &Model) -> Progress {
+        let mut progress = Progress { model: model.clone(), ..Progress::default() };
+        let Some(target) = self.targets.get(model) else { return progress };
+        progress.version = target.version;
+        progress.took_ms = target.took_ms;
+        for (endpoint, sampler) in &self.samplers {
+            if !sampler.held.contains_key(model) {
+                continue;
+            }
+            let missing = is_given_up(sampler, model, target);
+            progress.samplers += 1;
+            progress.holders += usize::from(sampler.holds(model) >= target.version);
+            progress.loading += usize::from(sampler.running.is_some());
+            progress.missing += usize::from(missing);
+            if sampler.failures > 0 && sampler.holds(model) < target.version {
+                let (failures, reason) = (sampler.failures, sampler.reason.clone());
+                let endpoint = endpoint.clone();
+                progress.troubles.push(Trouble { endpoint, failures, missing, reason });
+            }
+        }
+        progress
+    }
+}
--- a/components/weights/src/planner/replies.rs
+++ b/components/weights/src/planner/replies.rs
@@ -35,6 +35,7 @@
                 let Some(running) = sampler.running.take() else { return };
                 let held = sampler.held.entry(running.model).or_default();
                 *held = running.version.max(*held);
+                sampler.trusted = Some(now + self.settings.trust_ms);
                 sampler.failures = 0;
                 sampler.lost = false;
             }
@@ -69,8 +70,7 @@
             let Some(running) = &mut sampler.running else { continue };
             if running.ask.is_some_and(|ask| now >= ask) {
                 running.ask = None;
-                let (model, version) = (running.model.clone(), running.version);
-                let order = load(epoch, running.number, model, version, running.sources.clone());
+                let order = load(epoch, sampler.offer.incarnation, running);
                 actions.push(Action::Give { endpoint: endpoint.clone(), order });
             }
         }
@@ -79,6 +79,7 @@
     /// Ends orders that took too long. The endpoint may still be loading, so it goes on counting
     /// as out of service until it answers an order or is announced anew.
     pub(super) fn expire(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        self.samplers.values_mut().for_each(|sampler| sampler.doubt(now));
         let late = self.samplers.iter().filter(|(_, sampler)| {
             sampler.running.as_ref().is_some_and(|running| now >= running.deadline)
         });
@@ -100,6 +101,7 @@
         let Some(running) = sampler.running.take() else { return };
         sampler.failures += 1;
         sampler.lost = lost;
+        sampler.reason.clone_from(&reason);
         let factor = 1 << (sampler.failures - 1).min(LONGEST.ilog2());
         sampler.retry = now + self.settings.backoff_ms * factor;
         let (model, version) = (running.model, running.version);
--- a/components/weights/src/sampler.rs
+++ b/components/weights/src/sampler.rs
@@ -56,7 +56,11 @@
     pub(crate) held: BTreeMap<Model, Version>,
     pub(crate) running: Option<Running>,
     pub(crate) failures: u32,
+    /// Why it failed last.
+    pub(crate) reason: String,
     pub(crate) retry: Millis,
+    /// Until when versions count that were confirmed by replies but are not announced yet.
+    pub(crate) trusted: Option<Millis>,
     /// Whether its last order ran out of time, so that it may be out of service still.
     pub(crate) lost: bool,
     /// The version at which it was given up.
@@ -73,6 +77,18 @@
         self.offer.ready && self.running.is_none() && !self.lost
     }
 
+    /// Stops believing confirmed versions that were not announced in time.
+    ///
+    /// An engine can lose a swap right after its agent saw it succeed. If it falls back before
+    /// the agent's next look, its announcement does not change, and it would stay on old weights
+    /// for good; samples would show it.
+    pub(crate) fn doubt(&mut self, now: Millis) {
+        if self.trusted.is_some_and(|until| now >= until) {
+            self.trusted = None;
+            self.held = self.offer.models.clone();
+        }
+    }
+
     /// Takes a newer announcement.
     ///
     /// A version that fell means that the engine lost its weights, most likely by a restart; it
@@ -81,6 +97,11 @@
         let (old, new) = (&self.offer, &offer);
         if (new.incarnation, new.announced) > (old.incarnation, old.announced) {
             self.held = offer.models.clone();
+            self.trusted = None;
+        }
+        // The order of an agent that restarted is lost, and its next incarnation refuses it.
+        if new.incarnation > old.incarnation {
+            self.running = None;
         }
         let recovered = new.incarnation > old.incarnation || (new.ready && !old.ready);
         if recovered {
--- a/components/weights/src/settings.rs
+++ b/components/weights/src/settings.rs
@@ -20,6 +20,8 @@
     /// How long a new leader orders no fetches from the store, in milliseconds, because those that
     /// the leader before it ordered may still run; about the time of one load.
     pub settle_ms: u64,
+    /// How long a success counts that the announcements do not show, in milliseconds.
+    pub trust_ms: u64,
     /// Failures of one version at one endpoint after which the endpoint is given up.
     pub failures: u32,
 }
@@ -35,6 +37,7 @@
             poll_ms: 200,
             backoff_ms: 500,
             settle_ms: 3_000,
+            trust_ms: 10_000,
             failures: 6,
         }
     }
--- a/components/weights/tests/planner.rs
+++ b/components/weights/tests/planner.rs
@@ -4,8 +4,15 @@
 
 use chicoryford_types::Endpoint;
 use chicoryford_types::Epoch;
+use chicoryford_types::Incarnation;
+use chicoryford_types::Millis;
+use chicoryford_types::Order;
 use chicoryford_types::Version;
+use chicoryford_types::order::OrderReply;
+use chicoryford_weights::Action;
 use chicoryford_weights::Event;
+use chicoryford_weights::Offer;
+use chicoryford_weights::Planner;
 use chicoryford_weights::PlannerSettings;
 
 use fleet::Fleet;
@@ -122,7 +129,7 @@
     fleet.tell(Event::Reply {
         endpoint: Endpoint::from("sampler-0000"),
         number: 1,
-        reply: chicoryford_types::order::OrderReply::Fenced(Epoch(9)),
+        reply: OrderReply::Fenced(Epoch(9)),
     });
     fleet.publish(2);
     fleet.run(10_000);
@@ -164,3 +171,96 @@
     assert_eq!(fleet.holders(2), 2);
     assert_eq!(fleet.planner.broken(), 0);
 }
+
+/// A planner whose answers the test gives by hand.
+struct Desk(Planner);
+
+impl Desk {
+    /// Leads samplers that run version 1, and has version 2 to load.
+    fn new(offers: &[Offer]) -> Self {
+        let settings = PlannerSettings { settle_ms: 0, ..PlannerSettings::default() };
+        let mut desk = Self(Planner::new(settings));
+        desk.on(Event::NewEpoch(Epoch(1)), 0);
+        desk.on(Event::Members(offers.to_vec()), 0);
+        desk
+    }
+
+    fn on(&mut self, event: Event, now: u64) -> Vec<(Endpoint, Order)> {
+        let mut actions = Vec::new();
+        self.0.on(event, Millis(now), &mut actions);
+        let given = actions.into_iter().filter_map(|action| match action {
+            Action::Give { endpoint, order } => Some((endpoint, order)),
+            _ => None,
+        });
+        given.collect()
+    }
+
+    fn publish(&mut self) -> (Endpoint, Order) {
+        let (model, version) = (model(), Version(2));
+        self.on(Event::Published { model, version, source: String::new() }, 0).remove(0)
+    }
+
+    fn answer(&mut self, to: &(Endpoint, Order), reply: OrderReply, now: u64) -> Vec<Order> {
+        let (endpoint, number) = (to.0.clone(), to.1.number);
+        let given = self.on(Event::Reply { endpoint, number, reply }, now);
+        given.into_iter().map(|(_, order)| order).collect()
+    }
+}
+
+fn offers(count: usize) -> Vec<Offer> {
+    let offer = |n| Offer {
+        endpoint: Endpoint(format!("sampler-{n}")),
+        incarnation: Incarnation(1),
+        announced: 1,
+        models: [(model(), Version(1))].into(),
+        ready: true,
+        ..Offer::default()
+    };
+    (0..count).map(offer).collect()
+}
+
+#[test]
+fn can_try_others_before_one_that_failed_and_then_that_one_again() {
+    let mut desk = Desk::new(&offers(2));
+    let first = desk.publish();
+    let second = desk.on(Event::Tick, 1);
+    assert!(second.is_empty(), "one of two at a time");
+    let (endpoint, number) = (first.0.clone(), first.1.number);
+    let reply = OrderReply::Failed("full".to_owned());
+    let second = desk.on(Event::Reply { endpoint, number, reply }, 2).remove(0);
+    assert_ne!(second.0, first.0);
+    assert!(desk.answer(&second, OrderReply::Done, 3).is_empty());
+    let third = desk.on(Event::Tick, 502).remove(0);
+    assert_eq!(third.0, first.0);
+    assert!(third.1.number > first.1.number, "the agent remembers the failed number");
+    assert_eq!(desk.0.progress()[0].troubles[0].reason, "full");
+}
+
+#[test]
+fn can_notice_a_confirmed_swap_that_is_never_announced() {
+    // Symptom: one sampler stays on old weights for good.
+    // Sequence: its agent answers that the order is done; the engine falls back before the
+    // agent's next look, so its announcements go on showing the old version.
+    // Cause: the leader believes the answer for ever.
+    let mut desk = Desk::new(&offers(1));
+    let first = desk.publish();
+    assert!(desk.answer(&first, OrderReply::Done, 1).is_empty());
+    assert!(desk.on(Event::Tick, 9_000).is_empty());
+    assert_eq!(desk.on(Event::Tick, 10_002).len(), 1);
+}
+
+#[test]
+fn can_order_an_agent_again_after_its_restart() {
+    // Symptom: a sampler whose agent restarted in the middle of a load stays out of the rollout.
+    // Sequence: an order is in progress; the agent restarts; its next incarnation refuses it.
+    // Cause: the leader would wait for the end of an order that nobody carries out.
+    let mut all = offers(1);
+    let mut desk = Desk::new(&all);
+    let first = desk.publish();
+    assert_eq!(first.1.agent, Incarnation(1));
+    assert!(desk.answer(&first, OrderReply::Busy, 1).is_empty());
+    all[0].incarnation = Incarnation(2);
+    let second = desk.on(Event::Members(all), 2).remove(0);
+    assert_eq!(second.1.agent, Incarnation(2));
+    assert!(second.1.number > first.1.number);
+}
