Refuse orders to an agent's earlier incarnation, and lower versions

Cause: a restarted agent has forgotten the numbers of the epoch, so that a delayed older order of the same leader was carried out after a newer one. Change: the agent refuses an order that names another incarnation, and a load of a lower version than its engine runs; one that runs the version already is not loaded again. Each source that failed is named.

--- a/components/agent/src/fence.rs
+++ b/components/agent/src/fence.rs
@@ -6,10 +6,15 @@
 //! highest it knows. It keeps no disk, so after a restart it asks a majority of the control
 //! processes for their highest epoch before its first order: a leader is elected by a majority,
 //! of which at least one process is in every other majority.
+//!
+//! A restart also forgets which orders of an epoch were begun. An older order of the same leader
+//! that was delayed on its way would be carried out after a newer one. So each order names the
+//! incarnation of the agent that it is meant for, and every other incarnation refuses it.
 
 use std::collections::BTreeMap;
 
 use chicoryford_types::Epoch;
+use chicoryford_types::Incarnation;
 use chicoryford_types::Order;
 use chicoryford_types::order::OrderReply;
 use serde::Serialize;
@@ -31,6 +36,8 @@
 /// Decides which orders are carried out.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Fence {
+    /// The incarnation of this agent.
+    incarnation: Incarnation,
     /// The highest epoch seen.
     highest: Epoch,
     /// Whether a majority was asked since the start.
@@ -51,13 +58,13 @@
 
 impl Fence {
     /// Makes the fence of an agent that has just started.
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(incarnation: Incarnation) -> Self {
+        Self { incarnation, ..Self::default() }
     }
 
     /// Makes a fence without the epoch check, for the run that shows that it is needed.
-    pub fn unchecked() -> Self {
-        Self { unchecked: true, ..Self::default() }
+    pub fn unchecked(incarnation: Incarnation) -> Self {
+        Self { unchecked: true, ..Self::new(incarnation) }
     }
 
     /// Decides on an order.
@@ -65,6 +72,11 @@
         if order.epoch < self.highest && !self.unchecked {
             return Ruling::Answer(OrderReply::Fenced(self.highest));
         }
+        // Checked after the epoch, so that a stale leader still hears of the newer one.
+        if order.agent != self.incarnation {
+            let detail = format!("meant for incarnation {} of the agent", order.agent);
+            return Ruling::Answer(OrderReply::Failed(detail));
+        }
         if !self.learnt {
             return Ruling::Learn;
         }
--- a/components/agent/src/orders.rs
+++ b/components/agent/src/orders.rs
@@ -42,6 +42,12 @@
     /// The order names nowhere to fetch the weights from.
     #[error("the order names no source")]
     NoSource,
+    /// The engine runs a higher version; old weights come back only under a new number.
+    #[error("the engine runs version {0}, which is newer")]
+    Older(Version),
+    /// No source gave the weights.
+    #[error("{}", list(.0))]
+    Sources(Vec<(String, OrderError)>),
     /// The engine said that it loaded the version, and runs another.
     #[error("the engine reports success but runs another version")]
     Lost,
@@ -129,6 +135,9 @@
 
     /// Loads from the first source that works, and believes only what the engine says afterwards
     /// that it runs: a swap can fail part-way, or report success and be lost.
+    ///
+    /// An engine that runs the version already is left alone, and one that runs a newer one is
+    /// not taken back: whoever gave the order did not know it, and samples would go stale.
     async fn load(
         &self,
         epoch: Epoch,
@@ -136,16 +145,20 @@
         version: Version,
         sources: &[String],
     ) -> Result<(), OrderError> {
-        let mut error = OrderError::NoSource;
+        let held = self.held(model).await?;
+        if held >= version {
+            return if held == version { Ok(()) } else { Err(OrderError::Older(held)) };
+        }
+        let mut failed = Vec::new();
         for source in sources {
             let fence = epoch.0;
             let told =
                 engine::load_weights(&self.engine, &self.address, model, version, source, fence);
             let told = told.await;
-            if self.runs(model, version).await? {
+            if self.held(model).await? == version {
                 return Ok(());
             }
-            error = match told {
+            let error = match told {
                 Ok(()) => OrderError::Lost,
                 Err(fenced @ EngineError::Refused(FENCED, _)) => return Err(fenced.into()),
                 Err(error) => error.into(),
@@ -153,13 +166,19 @@
             if self.fence().highest() > epoch {
                 return Err(OrderError::Overtaken);
             }
+            tracing::warn!(event = "source_failed", source, %model, %version, %error);
+            failed.push((source.clone(), error));
+        }
+        if failed.is_empty() {
+            return Err(OrderError::NoSource);
         }
-        Err(error)
+        Err(OrderError::Sources(failed))
     }
 
-    async fn runs(&self, model: &Model, version: Version) -> Result<bool, OrderError> {
+    /// Asks the engine which version it runs.
+    async fn held(&self, model: &Model) -> Result<Version, OrderError> {
         let health = engine::health(&self.engine, &self.address).await?;
-        Ok(health.models.get(model) == Some(&version))
+        Ok(health.models.get(model).copied().unwrap_or_default())
     }
 
     async fn drain(&self, draining: bool) -> Result<(), OrderError> {
@@ -187,6 +206,14 @@
     }
 }
 
+fn list(failed: &[(String, OrderError)]) -> String {
+    let each = failed.iter().map(|(source, error)| match source.as_str() {
+        "" => error.to_string(),
+        source => format!("from {source}: {error}"),
+    });
+    each.collect::<Vec<_>>().join("; ")
+}
+
 /// Gives the highest epoch if a majority of the voters answered, as the one of the highest epoch
 /// names them.
 pub fn majority(answers: &[(Node, EpochAnswer)]) -> Option<Epoch> {
--- a/components/agent/src/start.rs
+++ b/components/agent/src/start.rs
@@ -90,7 +90,7 @@
         drains: Arc::new(Drains::default()),
         incarnation,
     };
-    let fence = Arc::new(Mutex::new(Fence::new()));
+    let fence = Arc::new(Mutex::new(Fence::new(incarnation)));
     let pulse = Arc::new(Mutex::new(Pulse::default()));
     add_dump(kernel, &agent, &handle, &fence, &pulse);
     kernel.registry.offer(SERVICE, handle.clone());
--- a/components/agent/tests/live/orders.rs
+++ b/components/agent/tests/live/orders.rs
@@ -62,6 +62,22 @@
     });
 }
 
+/// Symptom: an engine runs older weights than before, and samples go stale.
+/// Sequence: the engine runs version 3, loaded by hand or by a leader of whom this one knows
+/// nothing; an order names version 2.
+/// Cause: whoever gave the order did not know what the engine runs.
+#[test]
+fn an_order_never_loads_a_lower_version_than_the_engine_runs() {
+    within(async {
+        let rig = Rig::engine(AgentSettings::default(), careless());
+        rig.engine.as_ref().unwrap().state().models.insert("model".to_owned(), 3);
+        assert!(matches!(rig.order(3, 1, load(2)).await, OrderReply::Failed(_)));
+        assert_eq!(rig.order(3, 2, load(3)).await, OrderReply::Done);
+        assert_eq!(rig.count(|line| line["event"] == "swap"), 0);
+        rig.stop().await;
+    });
+}
+
 /// Symptom: samples are stamped with a version that did not produce them.
 /// Sequence: a swap fails and leaves the old version, reports success and is lost, or reports
 /// failure although the new version runs.
