Hold samples' bytes at three entries instead of in the replicated log

Cause: every control process held and synced each sample's bytes until its batch was acknowledged; at the target that is 2.7 GB and 9 MB/s.

Change: an entry puts a body of more than 2 KiB at three entries in different data centres before it proposes the record; pulls fetch it from any holder and check its digest; the step's owner repairs after the members changed, asking the leader with its session's renewal; samples that lost all holders run again, or answer sample_lost if they were handed out. entry.bodies bounds the store.

Measured: with real processes and kill -9 (16 samples, five entries): one holder, then the owner, then two at once; the first batch byte for byte the same from the last entry, each sample once. With three entries two at once: the third serves the same bytes.

Conclusion: the loss of two VMs between repairs loses nothing in these runs.

--- a/components/entry/src/context.rs
+++ b/components/entry/src/context.rs
@@ -17,6 +17,8 @@
 use chicoryford_wire::Client;
 use chicoryford_wire::client::CALLER;
 
+use crate::bodies;
+use crate::bodies::Bodies;
 use crate::router::Router;
 use crate::router::SERVICE;
 
@@ -39,6 +41,8 @@
     pub config: ConfigHandle,
     /// Who is there.
     pub members: MembersHandle,
+    /// The samples' bytes that this process holds.
+    pub bodies: Bodies,
     /// Proposes commands to the control processes.
     pub proposer: ProposerClient,
     /// The time without a frame after which a stream counts as silent.
@@ -60,6 +64,7 @@
         let config = kernel.registry.find::<ConfigHandle>(chicoryford_config::SERVICE)?;
         let members = kernel.registry.find::<MembersHandle>(chicoryford_membership::SERVICE)?;
         let router = kernel.registry.find::<Router>(SERVICE)?;
+        let bodies = kernel.registry.find::<Bodies>(bodies::SERVICE)?;
         let proposer = Proposer::find(kernel)?.client();
         let client = caller.client();
         let entry = settings.entry.clone().unwrap_or_default();
@@ -70,6 +75,7 @@
             router: Router::clone(&router),
             config: ConfigHandle::clone(&config),
             members: MembersHandle::clone(&members),
+            bodies: Bodies::clone(&bodies),
             proposer,
             silence: Duration::from_millis(entry.silence_ms),
             node: settings.node.clone(),
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! and run attempts of it at agents ([`run`]). docs/API.md tells callers what they may send and
 //! what they get; docs/ARCHITECTURE.md shows the threads.
 
+pub mod bodies;
 pub mod chat;
 pub mod context;
 pub mod door;
--- a/components/entry/src/steps/sample.rs
+++ b/components/entry/src/steps/sample.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use chicoryford_ledger::Body;
+use chicoryford_ledger::BodyName;
 use chicoryford_ledger::LedgerCommand;
 use chicoryford_ledger::LedgerReply;
 use chicoryford_ledger::Progress;
@@ -20,6 +22,7 @@
 use chicoryford_types::request::Generation;
 use rand::Rng;
 
+use crate::bodies::keep;
 use crate::context::Context;
 use crate::door;
 use crate::run::Generating;
@@ -136,7 +139,7 @@
         *attempts += made.attempts.saturating_sub(1);
         let score = self.scored(&template, &made.whole).await?;
         let record = self.record(&made.whole, *attempts, score).ok_or(Again::Unattributed)?;
-        self.submit(record).await
+        self.submit(self.placed(record).await).await
     }
 
     fn template(&self) -> Result<Template, Again> {
@@ -243,9 +246,19 @@
         whole.runs.iter().any(|run| run.version.is_some_and(|version| version < floor))
     }
 
+    /// Puts the sample's bytes where they belong, before the ledger hears of them.
+    async fn placed(&self, record: Record) -> Record {
+        let Body::Inline(bytes) = &record.body else { return record };
+        let (key, digest) = (self.key.clone(), record.digest);
+        let Place { group, number } = self.place;
+        let name = BodyName { key, group, number, digest };
+        let body = keep::keep(&self.context, &name, bytes).await;
+        Record { body, ..record }
+    }
+
     /// Records the sample, sending it again until the control processes answered: a second
     /// record of the same sample is a duplicate, which the ledger drops.
-    async fn submit(&self, record: Record) -> Result<Ended, Again> {
+    async fn submit(&self, mut record: Record) -> Result<Ended, Again> {
         loop {
             let command = LedgerCommand::Done {
                 key: self.key.clone(),
@@ -257,7 +270,9 @@
             match record::ledger(&self.context, command).await {
                 Ok(LedgerReply::Kept | LedgerReply::Duplicate) => return Ok(Ended::Recorded),
                 Ok(LedgerReply::Undeliverable) => return Err(Again::Doomed),
-                Ok(LedgerReply::Full) | Err(_) => {}
+                // The stores of the entries may have room again.
+                Ok(LedgerReply::Full) => record = self.placed(record).await,
+                Err(_) => {}
                 Ok(_) => return Ok(Ended::Over),
             }
             actix_rt::time::sleep(Duration::from_millis(PAUSE_BOUND / 4)).await;
--- a/components/entry/src/trainer.rs
+++ b/components/entry/src/trainer.rs
@@ -1,11 +1,7 @@
 //! What trainers call: open a step, pull, acknowledge, publish weights.
 
-use bytes::Bytes;
-use bytes::BytesMut;
-use chicoryford_ledger::Body;
 use chicoryford_ledger::LedgerCommand;
 use chicoryford_ledger::LedgerReply;
-use chicoryford_ledger::Record;
 use chicoryford_ledger::StepKey;
 use chicoryford_ledger::StepSpec;
 use chicoryford_state::Command;
@@ -25,6 +21,8 @@
 use serde::Deserialize;
 use serde_json::json;
 
+use crate::bodies::batch;
+use crate::bodies::keep;
 use crate::context::Context;
 use crate::door;
 use crate::steps::Steps;
@@ -154,12 +152,12 @@
 async fn try_pull(context: &Context, call: &Call) -> Result<Reply, Failure> {
     let Pull { workspace, cursor, groups, newest } = call.json()?;
     admit(context, call, &workspace)?;
+    let own = workspace.clone();
     let command = LedgerCommand::Pull { workspace, cursor, groups, newest };
     match record::ledger(context, command).await? {
         LedgerReply::Batch { cursor, samples, .. } => {
-            let records = samples.into_iter().map(|(_, _, _, record)| record);
-            let body = batch(cursor, records)?;
-            Ok(reply::bytes(200, reply::JSON, body))
+            let bodies = batch::gather(context, &own, cursor, samples).await?;
+            Ok(reply::bytes(200, reply::JSON, batch::json(cursor, &bodies)))
         }
         LedgerReply::NotReady => {
             let body = json!({"ready": false, "retry_ms": READY_RETRY});
@@ -173,29 +171,16 @@
     }
 }
 
-/// Puts a batch together from the recorded bytes. Nothing else goes into it, no time, node or
-/// counter, so that the same cursor gives the same bytes through any entry at any time.
-fn batch(cursor: Cursor, records: impl Iterator<Item = Record>) -> Result<Bytes, Failure> {
-    let mut body = BytesMut::from(format!("{{\"cursor\":{cursor},\"samples\":[").as_bytes());
-    for (index, record) in records.enumerate() {
-        let Body::Inline(bytes) = record.body else {
-            let detail = "a sample's bytes are not in the ledger";
-            return Err(Failure::not_run(Code::Internal, detail));
-        };
-        if index > 0 {
-            body.extend_from_slice(b",");
-        }
-        body.extend_from_slice(&bytes);
-    }
-    body.extend_from_slice(b"]}");
-    Ok(body.freeze())
-}
-
 async fn try_ack(context: &Context, call: &Call) -> Result<Reply, Failure> {
     let Ack { workspace, cursor } = call.json()?;
     admit(context, call, &workspace)?;
+    let own = workspace.clone();
     match record::ledger(context, LedgerCommand::Ack { workspace, cursor }).await? {
-        LedgerReply::Acked => Ok(reply::json(200, &json!({"acknowledged": cursor}))),
+        LedgerReply::Acked => {
+            let held = context.bodies.acknowledged(&own, cursor);
+            actix_rt::spawn(keep::discard(context.clone(), held));
+            Ok(reply::json(200, &json!({"acknowledged": cursor})))
+        }
         LedgerReply::BadCursor { expected } => {
             let detail = format!("cursor {expected} is the one to acknowledge");
             Err(Failure::not_run(Code::Conflict, detail))
--- a/components/settings/src/process.rs
+++ b/components/settings/src/process.rs
@@ -120,11 +120,13 @@
     pub subset: usize,
     /// Milliseconds without a frame after which a stream counts as silent.
     pub silence_ms: u64,
+    /// Bytes of finished samples held for trainers, in memory (docs/STEPS.md).
+    pub bodies: usize,
 }
 
 impl Default for EntrySettings {
     fn default() -> Self {
-        Self { running: 4_096, waiting: 4_096, subset: 48, silence_ms: 3_000 }
+        Self { running: 4_096, waiting: 4_096, subset: 48, silence_ms: 3_000, bodies: 256 << 20 }
     }
 }
 
--- a/tests/whole/fixture.rs
+++ b/tests/whole/fixture.rs
@@ -27,7 +27,7 @@
 pub const PATIENCE: Duration = Duration::from_secs(60);
 const LOOK: Duration = Duration::from_millis(50);
 
-const KEYS: &str = "\
+pub const KEYS: &str = "\
 process all process-token
 operator op operator-token
 caller desk caller-token
@@ -188,11 +188,15 @@
 }
 
 fn start_engine() -> SocketAddr {
+    start_engine_with(EngineSettings::default())
+}
+
+/// Starts an engine that runs until the test's process ends.
+pub fn start_engine_with(settings: EngineSettings) -> SocketAddr {
     let (sender, receiver) = mpsc::channel();
     thread::spawn(move || {
         actix_rt::System::new().block_on(async move {
             let address = "127.0.0.1:0".parse().unwrap();
-            let settings = EngineSettings::default();
             let (running, _engine) = engine::start(address, settings, Recorder::default()).unwrap();
             sender.send(running.address).unwrap();
             std::future::pending::<()>().await;
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -1,5 +1,6 @@
 //! The whole path over real processes: one daemon with every role beside a stand-in engine.
 
+mod bodies;
 mod client;
 mod errors;
 mod fixture;
