Let the stand-in engine give its weights to other engines

Cause: the relay of weights could not be tried with processes: engines only fetched from the store. Change: an engine names in /health where it gives its weights, and serves what it fetched to a bounded number of others at a stated rate; a swap can be made silent. Measured: an_engine_gives_on_what_it_fetched_and_nothing_else passes. Conclusion: relay and store can be compared with processes.

--- a/components/standin/examples/standin/endpoints.rs
+++ b/components/standin/examples/standin/endpoints.rs
@@ -29,6 +29,12 @@
     /// Milliseconds of a weight swap.
     #[arg(long, default_value_t = 200)]
     swap_ms: u64,
+    /// How many engines it gives its weights to at once.
+    #[arg(long, default_value_t = 2)]
+    feeds: usize,
+    /// Bytes a second that it gives.
+    #[arg(long, default_value_t = 64 << 20)]
+    link: u64,
     /// Ignore fencing numbers.
     #[arg(long)]
     ignore_fencing: bool,
@@ -86,6 +92,8 @@
         chunk: args.chunk,
         length: args.length,
         swap_ms: args.swap_ms,
+        feeds: args.feeds,
+        link: args.link,
         fencing: !args.ignore_fencing,
         exits: true,
         ..EngineSettings::default()
--- a/components/standin/src/engine/batch.rs
+++ b/components/standin/src/engine/batch.rs
@@ -18,6 +18,7 @@
 use super::protocol::Fault;
 use super::protocol::Health;
 use super::protocol::Load;
+use crate::pace::Meter;
 use crate::record::Recorder;
 
 /// Seconds over which the rate of tokens is taken.
@@ -31,6 +32,10 @@
     pub records: Recorder,
     /// The places in the batch, taken in order of arrival.
     pub slots: Arc<Semaphore>,
+    /// The places for other engines that fetch its weights.
+    pub feeds: Arc<Semaphore>,
+    /// Shares the rate at which it gives its weights.
+    pub meter: Meter,
     /// Counts crashes; a completion ends when the count is no longer the one it began with.
     pub crashes: watch::Sender<u64>,
     state: Mutex<State>,
@@ -45,6 +50,10 @@
     pub cache: Cache,
     /// Completions by request and attempt; true tells one to stop.
     pub active: HashMap<(String, u32), watch::Sender<bool>>,
+    /// Bytes of the weights of each model, as fetched.
+    pub sizes: BTreeMap<String, usize>,
+    /// Where it gives its weights to other engines.
+    pub gives: Option<String>,
     /// Completions that have a place in the batch.
     pub running: u32,
     /// Swaps in progress.
@@ -71,7 +80,7 @@
 /// One line of the engine's record.
 #[derive(Clone, Debug, Serialize)]
 pub struct Line<'a> {
-    /// `start`, `end`, `swap`, `crash` or `cancel`.
+    /// `start`, `end`, `swap`, `give`, `crash` or `cancel`.
     pub event: &'a str,
     /// The engine's instance.
     pub instance: &'a str,
@@ -102,8 +111,10 @@
             ..State::default()
         };
         let slots = Arc::new(Semaphore::new(settings.slots));
+        let feeds = Arc::new(Semaphore::new(settings.feeds));
+        let meter = Meter::default();
         let crashes = watch::Sender::new(0);
-        Self { settings, records, slots, crashes, state: Mutex::new(state) }
+        Self { settings, records, slots, feeds, meter, crashes, state: Mutex::new(state) }
     }
 
     /// Gives the part that changes.
@@ -123,6 +134,7 @@
             instance: format!("{:016x}", state.instance),
             models: state.models.clone(),
             healthy: !state.unhealthy,
+            gives: state.gives.clone(),
         }
     }
 
@@ -154,7 +166,9 @@
                 drop(state);
                 self.crash();
             }
-            Fault::SwapFail | Fault::SwapLost | Fault::SwapTorn => state.fault = Some(fault),
+            Fault::SwapFail | Fault::SwapLost | Fault::SwapTorn | Fault::SwapSilent => {
+                state.fault = Some(fault)
+            }
         }
     }
 
--- a/components/standin/src/engine/mod.rs
+++ b/components/standin/src/engine/mod.rs
@@ -3,6 +3,7 @@
 mod batch;
 mod cache;
 mod generate;
+mod give;
 mod protocol;
 mod routes;
 mod stream;
@@ -54,6 +55,10 @@
     pub gaps: u64,
     /// Time that a weight swap takes besides the fetch, in milliseconds.
     pub swap_ms: u64,
+    /// How many other engines it gives its weights to at once; none if it does not offer that.
+    pub feeds: usize,
+    /// Bytes a second that it gives to all of them together.
+    pub link: u64,
     /// Whether running completions stand still during a swap.
     pub pause: bool,
     /// Whether orders with an old fencing number are refused; some engines ignore it.
@@ -75,6 +80,8 @@
             cache: 512,
             gaps: 10,
             swap_ms: 200,
+            feeds: 2,
+            link: 64 << 20,
             pause: false,
             fencing: true,
             exits: false,
@@ -99,5 +106,8 @@
         routes::add(&mut routes, held.clone());
         routes
     })?;
+    if engine.settings.feeds > 0 {
+        engine.state().gives = Some(format!("http://{}", running.address));
+    }
     Ok((running, engine))
 }
--- a/components/standin/src/engine/protocol.rs
+++ b/components/standin/src/engine/protocol.rs
@@ -129,6 +129,8 @@
     pub models: BTreeMap<String, u64>,
     /// Whether the engine can serve.
     pub healthy: bool,
+    /// Where it gives its weights to other engines; none if it does not offer that.
+    pub gives: Option<String>,
 }
 
 /// `POST /fault`: what goes wrong from now on.
@@ -143,6 +145,8 @@
     SwapLost,
     /// The next swap reports an error, but the new version is in use.
     SwapTorn,
+    /// The next swap is never answered and changes nothing; later ones work.
+    SwapSilent,
     /// The engine crashes now.
     Crash,
     /// The engine reports itself unhealthy (`on`) or healthy again.
--- a/components/standin/src/engine/routes.rs
+++ b/components/standin/src/engine/routes.rs
@@ -11,6 +11,7 @@
 
 use super::batch::Engine;
 use super::batch::Line;
+use super::give;
 use super::protocol::Cancel;
 use super::protocol::Cancelled;
 use super::protocol::Completion;
@@ -34,6 +35,7 @@
             Err(failure) => reply::failure(&failure),
         }
     });
+    on(routes, give::PATH, &engine, |engine, call| async move { give::give(&engine, &call) });
     on(routes, "/role", &engine, |engine, call| async move { role(&engine, &call) });
     on(routes, "/cancel", &engine, |engine, call| async move { cancel(&engine, &call) });
     on(routes, "/load", &engine, |engine, _| async move { reply::json(200, &engine.load()) });
--- a/components/standin/src/engine/swap.rs
+++ b/components/standin/src/engine/swap.rs
@@ -1,5 +1,6 @@
 //! Weight swaps: the fetch, the wait, the faults.
 
+use std::future::pending;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,10 +20,24 @@
     if let Some(refusal) = fenced(engine, wanted.fence) {
         return refusal;
     }
-    engine.state().swapping += 1;
-    let answer = carry_out(engine, &wanted).await;
-    engine.state().swapping -= 1;
-    answer
+    let _swapping = Swapping::new(engine);
+    carry_out(engine, &wanted).await
+}
+
+/// Counts a swap in progress, also if whoever ordered it is gone before its end.
+struct Swapping(Arc<Engine>);
+
+impl Swapping {
+    fn new(engine: &Arc<Engine>) -> Self {
+        engine.state().swapping += 1;
+        Self(engine.clone())
+    }
+}
+
+impl Drop for Swapping {
+    fn drop(&mut self) {
+        self.0.state().swapping -= 1;
+    }
 }
 
 /// Refuses an old fencing number, unless the engine is one that ignores it.
@@ -36,13 +51,22 @@
 }
 
 async fn carry_out(engine: &Arc<Engine>, wanted: &Weights) -> Reply {
-    if !wanted.source.is_empty() && !fetch(wanted).await {
-        return http::error(502, "the weights could not be fetched");
+    let fault = engine.state().fault.take();
+    if fault == Some(Fault::SwapSilent) {
+        return pending().await;
+    }
+    let mut size = 0;
+    if !wanted.source.is_empty() {
+        size = match fetch(wanted).await {
+            Ok(size) => size,
+            Err(error) => return http::error(502, &error),
+        };
     }
     tokio::time::sleep(Duration::from_millis(engine.settings.swap_ms)).await;
-    let fault = engine.state().fault.take();
     if fault != Some(Fault::SwapLost) && fault != Some(Fault::SwapFail) {
-        engine.state().models.insert(wanted.model.clone(), wanted.version);
+        let mut state = engine.state();
+        state.models.insert(wanted.model.clone(), wanted.version);
+        state.sizes.insert(wanted.model.clone(), size);
     }
     let how = fault.map_or("done", |_| "fault");
     let instance = engine.instance();
@@ -59,10 +83,16 @@
     }
 }
 
-async fn fetch(wanted: &Weights) -> bool {
+/// Fetches the weights and counts their bytes.
+async fn fetch(wanted: &Weights) -> Result<usize, String> {
     let url = format!("{}/weights/{}/{}", wanted.source, wanted.model, wanted.version);
     let client = awc::Client::builder().timeout(FETCH).finish();
-    let Ok(mut answer) = client.get(url).send().await else { return false };
-    let whole = answer.body().limit(usize::MAX).await;
-    answer.status().is_success() && whole.is_ok()
+    let sent = client.get(&url).send().await;
+    let answer = sent.map_err(|error| format!("{url}: {error}"))?;
+    let mut answer = answer.timeout(FETCH);
+    if !answer.status().is_success() {
+        return Err(format!("{url}: status {}", answer.status().as_u16()));
+    }
+    let body = answer.body().limit(usize::MAX).await;
+    Ok(body.map_err(|error| format!("{url}: {error}"))?.len())
 }
--- a/components/standin/tests/store.rs
+++ b/components/standin/tests/store.rs
@@ -1,9 +1,16 @@
-//! The weight store gives whole versions.
+//! The weight store gives whole versions, and engines give them on.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use chicoryford_standin::Recorder;
+use chicoryford_standin::engine;
+use chicoryford_standin::engine::Engine;
+use chicoryford_standin::engine::EngineSettings;
+use chicoryford_standin::engine::Weights;
 use chicoryford_standin::store;
 use chicoryford_standin::store::StoreSettings;
+use chicoryford_wire::server::Running;
 
 #[test]
 fn a_version_comes_whole_through_the_rate_limit() {
@@ -17,3 +24,43 @@
         running.handle.stop(false).await;
     });
 }
+
+/// Starts an engine of version 1 that gives its weights to one other at a time.
+fn engine() -> (Running, Arc<Engine>) {
+    let settings = EngineSettings { feeds: 1, swap_ms: 0, ..EngineSettings::default() };
+    engine::start("127.0.0.1:0".parse().unwrap(), settings, Recorder::default()).unwrap()
+}
+
+async fn load(to: &Running, version: u64, source: &str) -> u16 {
+    let wanted = Weights {
+        model: "model".to_owned(),
+        version,
+        source: source.to_owned(),
+        ..Weights::default()
+    };
+    let client = awc::Client::builder().timeout(Duration::from_secs(20)).finish();
+    let sent = client.post(format!("http://{}/weights", to.address)).send_json(&wanted).await;
+    sent.unwrap().status().as_u16()
+}
+
+#[test]
+fn an_engine_gives_on_what_it_fetched_and_nothing_else() {
+    actix_rt::System::new().block_on(async {
+        let settings = StoreSettings { size: 300_000, ..StoreSettings::default() };
+        let store = store::start("127.0.0.1:0".parse().unwrap(), settings).unwrap();
+        let (first, held) = engine();
+        let (second, renewed) = engine();
+        let gives = held.health().gives.unwrap();
+        assert_eq!(load(&second, 2, &gives).await, 502);
+        assert_eq!(load(&first, 2, &format!("http://{}", store.address)).await, 200);
+        assert_eq!(load(&second, 3, &gives).await, 502);
+        let place = held.feeds.clone().try_acquire_owned().unwrap();
+        assert_eq!(load(&second, 2, &gives).await, 502);
+        drop(place);
+        assert_eq!(load(&second, 2, &gives).await, 200);
+        assert_eq!(renewed.state().sizes["model"], 300_000);
+        for running in [store, first, second] {
+            running.handle.stop(false).await;
+        }
+    });
+}
