Offer linearizable reads of the configuration to operators

Cause: the agreement could confirm a read by a majority, but nothing asked it; an operator could only see what some process has in force. A follower passes it on once. Conclusion: a leader that was cut off refuses the read.

--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -13,6 +13,7 @@
 use chicoryford_state::Renewed;
 use chicoryford_state::Reply;
 use chicoryford_types::Code;
+use chicoryford_types::Config;
 use chicoryford_types::Failure;
 use serde::Deserialize;
 use serde::Serialize;
@@ -75,6 +76,8 @@
     Renew(Renew, Answer<Renewed>),
     /// Change the replicas.
     Reform(Reform, Answer<()>),
+    /// Give the configuration as of a linearizable read.
+    Read(Answer<Config>),
     /// Tell how it stands.
     Status(oneshot::Sender<Status>),
 }
@@ -129,6 +132,15 @@
         self.ask(|answer| Request::Reform(reform, answer)).await
     }
 
+    /// Reads accepted configuration so that every change accepted before the call is in it.
+    ///
+    /// # Errors
+    ///
+    /// [`Refused`], also where this replica led until now and no majority confirms it.
+    pub async fn read(&self) -> Result<Config, Refused> {
+        self.ask(Request::Read).await
+    }
+
     /// Takes messages of another replica. They are dropped when the replica does not keep up:
     /// its sender repeats what matters.
     ///
--- a/components/control/src/pending.rs
+++ b/components/control/src/pending.rs
@@ -4,6 +4,7 @@
 
 use chicoryford_agreement::Token;
 use chicoryford_state::Reply;
+use chicoryford_types::Config;
 
 use crate::handle::Answer;
 use crate::handle::Refused;
@@ -14,6 +15,8 @@
     Reply(Answer<Reply>),
     /// A change of the replicas.
     Reform(Answer<()>),
+    /// A linearizable read.
+    Read(Answer<Config>),
     /// Nobody: the leader itself proposed it.
     Nobody,
 }
@@ -44,11 +47,18 @@
             Some(Waiter::Reform(answer)) => {
                 let _ = answer.send(Ok(()));
             }
-            Some(Waiter::Nobody) | None => {}
+            Some(Waiter::Read(_) | Waiter::Nobody) | None => {}
+        }
+    }
+
+    /// Answers a read.
+    pub fn read(&mut self, token: Token, config: &Config) {
+        if let Some(Waiter::Read(answer)) = self.waiters.remove(&token) {
+            let _ = answer.send(Ok(config.clone()));
         }
     }
 
-    /// Tells a waiter that its entry was refused.
+    /// Tells a waiter that its entry or read was refused.
     pub fn refuse(&mut self, token: Token, why: Refused) {
         match self.waiters.remove(&token) {
             Some(Waiter::Reply(answer)) => {
@@ -57,6 +67,9 @@
             Some(Waiter::Reform(answer)) => {
                 let _ = answer.send(Err(why));
             }
+            Some(Waiter::Read(answer)) => {
+                let _ = answer.send(Err(why));
+            }
             Some(Waiter::Nobody) | None => {}
         }
     }
--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -12,6 +12,7 @@
 use chicoryford_agreement::Replica;
 use chicoryford_agreement::Role;
 use chicoryford_agreement::SnapshotMeta;
+use chicoryford_agreement::Token;
 use chicoryford_kernel::Kernel;
 use chicoryford_kernel::Phase;
 use chicoryford_kernel::Receiver;
@@ -235,7 +236,8 @@
                 let why = self.refused(why);
                 self.pending.refuse(token, why);
             }
-            Action::ReadReady { .. } => {}
+            // What it must hold is applied already: commits are handed over before.
+            Action::ReadReady { token, index } => self.read_ready(token, index),
             Action::BecameLeader { epoch } => {
                 tracing::info!(event = "became_leader", epoch = epoch.0);
                 self.sessions.clear();
@@ -252,6 +254,14 @@
         Ok(())
     }
 
+    fn read_ready(&mut self, token: Token, index: u64) {
+        if self.applied.mark.index < index {
+            let applied = self.applied.mark.index;
+            tracing::error!(event = "promise_broken", promise = "read_applied", index, applied);
+        }
+        self.pending.read(token, &self.applied.state.config);
+    }
+
     fn commit(&mut self, batch: Vec<Committed>) -> Result<(), ContentError> {
         for Committed { entry, token } in batch {
             let reply = self.applied.apply(entry)?;
--- a/components/control/src/routes.rs
+++ b/components/control/src/routes.rs
@@ -13,6 +13,7 @@
 use chicoryford_state::Renewed;
 use chicoryford_state::Reply as StateReply;
 use chicoryford_types::Code;
+use chicoryford_types::Config;
 use chicoryford_types::Failure;
 use chicoryford_types::order::EpochAnswer;
 use chicoryford_weights::Progress;
@@ -94,6 +95,11 @@
         let desk = at.clone();
         async move { peer(desk.epoch().await) }
     });
+    let at = desk.clone();
+    routes.add(paths::CURRENT, OPERATORS, move |call| {
+        let desk = at.clone();
+        async move { desk.current(&call).await.unwrap_or_else(|f| reply::failure(&f)) }
+    });
     routes.add(paths::CONTROL_STATUS, OPERATORS, move |call| {
         let desk = desk.clone();
         async move { desk.control(&call).await.unwrap_or_else(|f| reply::failure(&f)) }
@@ -161,6 +167,17 @@
         }
     }
 
+    async fn current(&self, call: &Call) -> Result<Reply, Failure> {
+        let refused = match self.handle.read().await {
+            Ok(config) => return Ok(reply::json(200, &config)),
+            Err(refused) => refused,
+        };
+        let address = next_leader(call, refused)?;
+        let path = format!("{}?{FORWARDED}", paths::CURRENT);
+        let config: Config = self.ask_json(&self.client.url(&address, &path), None).await?;
+        Ok(reply::json(200, &config))
+    }
+
     async fn status(&self) -> Result<Status, Failure> {
         let weights = self.orders.borrow().clone();
         Ok(Status { weights, ..self.handle.status().await? })
--- a/components/control/src/serve.rs
+++ b/components/control/src/serve.rs
@@ -47,6 +47,10 @@
                 Request::Renew(renew, answer) => {
                     let _ = answer.send(self.renew(&renew));
                 }
+                Request::Read(answer) => {
+                    let token = self.pending.add(Waiter::Read(answer));
+                    self.tell(Event::Read { token });
+                }
                 Request::Reform(reform, answer) => self.reform(reform, answer),
                 Request::Status(answer) => {
                     let _ = answer.send(self.status());
--- a/components/control/tests/replicas.rs
+++ b/components/control/tests/replicas.rs
@@ -84,6 +84,42 @@
     });
 }
 
+#[test]
+fn reads_what_was_accepted_before_through_any_replica() {
+    block_on(async {
+        let cluster = Cluster::start(3, Tuning::default());
+        let leader = cluster.leader().await;
+        for n in 1..=6 {
+            let at = position(cluster.propose(leader, &publish(n)).await);
+            let current = cluster.current(n as usize % 3).await.unwrap();
+            assert!(current.at >= at, "{} was accepted, {} was read", at, current.at);
+        }
+    });
+}
+
+#[test]
+fn refuses_a_read_at_a_leader_that_was_cut_off() {
+    // Symptom: an operator sees a template that was replaced before he asked. Sequence: the leader
+    // is cut off; the others elect another, which accepts a change; the operator asks the old
+    // leader at once. Cause: it answers from its own state without asking a majority.
+    block_on(async {
+        let cluster = Cluster::start(3, Tuning::default());
+        let old = cluster.leader().await;
+        cluster.propose(old, &publish(1)).await;
+        cluster.cut_off(old);
+        let asked = cluster.current(old).await;
+        let other = (old + 1) % 3;
+        let at = position(cluster.propose(other, &publish(2)).await);
+        let Err(refused) = asked else { panic!("{asked:?}") };
+        assert_eq!(refused.code, Code::NoQuorum);
+        let Err(refused) = cluster.current(old).await else { panic!("answered while cut off") };
+        assert_eq!(refused.code, Code::NoQuorum);
+        cluster.heal();
+        cluster.until(old, |s| s.position >= at).await;
+        assert!(cluster.current(old).await.unwrap().at >= at);
+    });
+}
+
 #[test]
 fn loses_nothing_when_two_of_five_die() {
     block_on(async {
--- a/components/control/tests/support/mod.rs
+++ b/components/control/tests/support/mod.rs
@@ -23,6 +23,7 @@
 use chicoryford_state::Command;
 use chicoryford_state::Reply;
 use chicoryford_types::ChangeId;
+use chicoryford_types::Config;
 use chicoryford_types::Failure;
 use chicoryford_types::Model;
 use chicoryford_types::Node;
@@ -228,6 +229,20 @@
         }
     }
 
+    /// Asks a process for the configuration as of a linearizable read.
+    pub async fn current(&self, i: usize) -> Result<Config, Failure> {
+        let url = self.client.url(&self.address(i), paths::CURRENT);
+        let mut answer = self.client.get(&url).timeout(PATIENCE).send().await.unwrap();
+        let body = answer.body().await.unwrap();
+        if answer.status().as_u16() < 400 {
+            return Ok(serde_json::from_slice(&body).unwrap());
+        }
+        match chicoryford_wire::client::read_failure(&url, 500, &body) {
+            CallError::Failure(failure) => Err(failure),
+            error => panic!("{error}"),
+        }
+    }
+
     /// Orders the control processes something, as an operator.
     pub async fn act(&self, i: usize, action: &str) -> Result<serde_json::Value, Failure> {
         let url = self.client.url(&self.address(i), paths::CONTROL_STATUS);
--- a/components/wire/src/paths.rs
+++ b/components/wire/src/paths.rs
@@ -21,6 +21,9 @@
 pub const OPERATE: &str = "/operator/v1/command";
 /// Asks for accepted configuration as JSON.
 pub const CONFIG: &str = "/operator/v1/config";
+/// Asks a control process for accepted configuration, as JSON, that holds every change accepted
+/// before the question; refused where no majority confirms who leads.
+pub const CURRENT: &str = "/operator/v1/current";
 /// Asks for who has which revision in force, as JSON.
 pub const IN_FORCE: &str = "/operator/v1/in-force";
 /// Asks for members and endpoints, as JSON.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -115,6 +115,10 @@
         /// Print this earlier version instead of the one in force.
         #[arg(long)]
         version: Option<u64>,
+        /// Read from the control processes, confirmed by a majority, instead of what the answering
+        /// process has in force; the address must be that of a control process.
+        #[arg(long)]
+        current: bool,
     },
     /// List the templates in force.
     List,
--- a/src/cmd/template.rs
+++ b/src/cmd/template.rs
@@ -42,8 +42,10 @@
     match command {
         TemplateCommand::Check { file } => check(file, format),
         TemplateCommand::Apply(args) => apply(&connect()?, args, format).await,
-        TemplateCommand::Get { workspace, version } => {
-            get(&connect()?, workspace, *version, format).await
+        TemplateCommand::Get { workspace, version, current } => {
+            let to = connect()?;
+            let config = if *current { to.current().await? } else { to.config().await? };
+            get(&to, &config, workspace, *version, format).await
         }
         TemplateCommand::List => list(&connect()?, format).await,
         TemplateCommand::Diff { file, exit_code } => diff(&connect()?, file, *exit_code).await,
@@ -158,11 +160,11 @@
 
 async fn get(
     to: &Connection,
+    config: &Config,
     workspace: &str,
     version: Option<u64>,
     format: Format,
 ) -> Result<(), CmdError> {
-    let config = to.config().await?;
     let missing = || CmdError::Missing { kind: "template", name: workspace.to_owned() };
     let current = config.templates.get(&Workspace::from(workspace));
     let wanted = match version {
--- a/src/connect.rs
+++ b/src/connect.rs
@@ -137,6 +137,15 @@
         self.get(paths::CONFIG).await
     }
 
+    /// Asks the control processes for the configuration that holds every change accepted before.
+    ///
+    /// # Errors
+    ///
+    /// As [`Connection::get`]; above all if no majority of them confirms who leads.
+    pub async fn current(&self) -> Result<Config, CmdError> {
+        self.get(paths::CURRENT).await
+    }
+
     /// Asks for the members that the answering process knows.
     ///
     /// # Errors
