Join the membership duty at shutdown

Cause: the process waited at most 2 s for all duties together, whichever was slow; where another duty took the time, the farewell might not have gone out. Change: the thread of the membership duty is joined, for at most 3 s more; a farewell that is not told is logged. Conclusion: not measured; the duty ends right after its farewells.

--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use chicoryford_kernel::Kernel;
@@ -47,8 +48,10 @@
 const DRAIN_LOOK: Duration = Duration::from_millis(50);
 /// How long the last bytes of answers may take to leave after their requests are done.
 const FLUSH: Duration = Duration::from_millis(200);
-/// How long duties may take to end, for instance to tell other processes that this one leaves.
+/// How long duties may take to end.
 const DUTIES_END: Duration = Duration::from_secs(2);
+/// How long the membership duty may take beyond that.
+const FAREWELL: Duration = Duration::from_secs(3);
 
 /// A process could not start, or ended by a fault of its own.
 #[derive(Debug, Error)]
@@ -108,7 +111,7 @@
     kernel.registry.offer(PROGRESS, progress.clone());
     status::dump(&kernel, &settings, &progress);
     refresh_keys(&kernel, keys.clone())?;
-    roles::start(&kernel, &settings)?;
+    let membership = roles::start(&kernel, &settings)?;
 
     let (own, named, counted) = (kernel.clone(), settings.clone(), progress.clone());
     let routes = move || all_routes(&own, &named, &counted);
@@ -128,6 +131,7 @@
     actix_rt::time::sleep(FLUSH).await;
     running.handle.stop(true).await;
     end_duties(&kernel).await;
+    join(membership).await;
     tracing::info!(event = "stopped", node = %settings.node);
     signal.map(|_| ()).ok_or(RunError::Fault)
 }
@@ -199,3 +203,16 @@
         actix_rt::time::sleep(DRAIN_LOOK).await;
     }
 }
+
+/// Waits for the end of the membership duty, which tells the others that this process leaves.
+///
+/// If the process ended before, the others would take it for one that crashed: they would suspect
+/// it for seconds and go on sending it work, and the log would show deaths at planned stops. The
+/// wait is bounded, because a thread that hangs must not keep a supervisor from a restart.
+async fn join(membership: JoinHandle<()>) {
+    let joined = actix_rt::task::spawn_blocking(move || membership.join().is_ok());
+    match actix_rt::time::timeout(FAREWELL, joined).await {
+        Ok(Ok(true)) => {}
+        _ => tracing::warn!(event = "farewell_untold"),
+    }
+}
