Show the progress of weights by 'weights status'

Cause: the client counted versions among the members only; who loads, who failed and why was to be read from the leader's dump. Change: the client asks the leader and shows loading, time taken and troubles.

--- a/src/cmd/weights.rs
+++ b/src/cmd/weights.rs
@@ -7,6 +7,7 @@
 use chicoryford_types::Members;
 use chicoryford_types::Model;
 use chicoryford_types::Version;
+use chicoryford_weights::Progress;
 use serde::Serialize;
 
 use crate::change;
@@ -23,6 +24,8 @@
     newest: Version,
     source: String,
     endpoints: BTreeMap<Version, u32>,
+    /// What the leader of the control processes says; none if it was not reached.
+    progress: Option<Progress>,
 }
 
 /// Publishes weights or shows how far they have come.
@@ -55,18 +58,32 @@
 
 async fn status(to: &Connection, format: Format) -> Result<(), CmdError> {
     let (config, members) = (to.config().await?, to.members().await?);
-    let spreads = spreads(&config, &members);
+    let progress = progress(to, &members).await;
+    let spreads = spreads(&config, &members, &progress);
     let rows = spreads.iter().map(row).collect();
-    View::new(&spreads, &["model", "newest", "source", "endpoints"], rows).print(format);
+    let head = ["model", "newest", "source", "endpoints", "loading", "took", "troubles"];
+    View::new(&spreads, &head, rows).print(format);
     Ok(())
 }
 
-fn spreads(config: &Config, members: &Members) -> Vec<Spread> {
+/// Asks the control processes until the one that leads has answered; only it knows the progress.
+async fn progress(to: &Connection, members: &Members) -> Vec<Progress> {
+    for member in members.present().filter(|member| member.roles.control) {
+        let Ok(status) = to.control(&member.address).await else { continue };
+        if status.lease_ms > 0 {
+            return status.weights;
+        }
+    }
+    Vec::new()
+}
+
+fn spreads(config: &Config, members: &Members, progress: &[Progress]) -> Vec<Spread> {
     let spread = |(model, published): (&Model, &chicoryford_types::config::Published)| Spread {
         model: model.clone(),
         newest: published.version,
         source: published.source.clone(),
         endpoints: count(members, model),
+        progress: progress.iter().find(|known| known.model == *model).cloned(),
     };
     config.weights.iter().map(spread).collect()
 }
@@ -87,5 +104,20 @@
         spread.newest.to_string(),
         spread.source.clone(),
         counts.collect::<Vec<_>>().join(", "),
+        spread.progress.as_ref().map(|known| known.loading.to_string()).unwrap_or_default(),
+        spread.progress.as_ref().map(took).unwrap_or_default(),
+        spread.progress.as_ref().map(troubles).unwrap_or_default(),
     ]
 }
+
+fn took(progress: &Progress) -> String {
+    progress.took_ms.map_or("in progress".to_owned(), |ms| format!("{:.1} s", ms as f64 / 1_000.0))
+}
+
+fn troubles(progress: &Progress) -> String {
+    let each = progress.troubles.iter().map(|trouble| {
+        let end = if trouble.missing { "given up" } else { "tried again" };
+        format!("{} {end} after {}: {}", trouble.endpoint, trouble.failures, trouble.reason)
+    });
+    each.collect::<Vec<_>>().join("; ")
+}
--- a/src/connect.rs
+++ b/src/connect.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use chicoryford_config::in_force::InForce;
+use chicoryford_control::Status;
 use chicoryford_state::Command;
 use chicoryford_state::Reply;
 use chicoryford_types::Config;
@@ -189,6 +190,15 @@
         shape(path, &answer)
     }
 
+    /// Asks how the control process at `address` stands.
+    ///
+    /// # Errors
+    ///
+    /// As [`Connection::get`].
+    pub async fn control(&self, address: &str) -> Result<Status, CmdError> {
+        self.only(address).get(paths::CONTROL_STATUS).await
+    }
+
     /// Reads the dump of the process at `address`.
     ///
     /// # Errors
