--- a/components/control/src/serve.rs
+++ b/components/control/src/serve.rs
@@ -47,6 +47,10 @@
                 Request::Renew(renew, answer) => {
                     let _ = answer.send(self.renew(&renew));
                 }
+                Request::Read(answer) => {
+                    let token = self.pending.add(Waiter::Read(answer));
+                    self.tell(Event::Read { token });
+                }
                 Request::Reform(reform, answer) => self.reform(reform, answer),
                 Request::Status(answer) => {
                     let _ = answer.send(self.status());
@@ -96,7 +100,9 @@
         self.sessions.adopt(self.applied.state.sessions().map(|(number, _)| number), now);
         let held = own && self.sessions.renew(renew.session, now);
         let orphans = self.orphans();
-        Ok(Renewed { held, lasts_ms: self.sessions.period(), orphans })
+        let audit = renew.audit.as_ref().filter(|_| held);
+        let audited = audit.map(|audit| self.applied.state.ledger.audit(audit));
+        Ok(Renewed { held, lasts_ms: self.sessions.period(), orphans, audited })
     }
 
     fn orphans(&mut self) -> Vec<chicoryford_ledger::StepKey> {
--- a/components/entry/tests/support/mod.rs
+++ b/components/entry/tests/support/mod.rs
@@ -241,7 +241,9 @@
             },
             other => panic!("{other:?}"),
         };
-        Renewed { held, lasts_ms: 5_000, orphans }
+        let ledger = &self.state.lock().unwrap().ledger;
+        let audited = renew.audit.as_ref().map(|audit| ledger.audit(audit));
+        Renewed { held, lasts_ms: 5_000, orphans, audited }
     }
 }
 
@@ -469,8 +471,8 @@
         kind: EndpointKind::Engine,
         models: BTreeMap::from(models),
         slots: 8,
-        draining: false,
         healthy: true,
+        ..EndpointInfo::default()
     };
     Member {
         node: Node(format!("agent-{index}")),
--- a/src/connect.rs
+++ b/src/connect.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use chicoryford_config::in_force::InForce;
+use chicoryford_control::Status;
 use chicoryford_state::Command;
 use chicoryford_state::Reply;
 use chicoryford_types::Config;
@@ -137,6 +138,15 @@
         self.get(paths::CONFIG).await
     }
 
+    /// Asks the control processes for the configuration that holds every change accepted before.
+    ///
+    /// # Errors
+    ///
+    /// As [`Connection::get`]; above all if no majority of them confirms who leads.
+    pub async fn current(&self) -> Result<Config, CmdError> {
+        self.get(paths::CURRENT).await
+    }
+
     /// Asks for the members that the answering process knows.
     ///
     /// # Errors
@@ -180,6 +190,15 @@
         shape(path, &answer)
     }
 
+    /// Asks how the control process at `address` stands.
+    ///
+    /// # Errors
+    ///
+    /// As [`Connection::get`].
+    pub async fn control(&self, address: &str) -> Result<Status, CmdError> {
+        self.only(address).get(paths::CONTROL_STATUS).await
+    }
+
     /// Reads the dump of the process at `address`.
     ///
     /// # Errors
