--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -12,6 +12,7 @@
 use chicoryford_agreement::Replica;
 use chicoryford_agreement::Role;
 use chicoryford_agreement::SnapshotMeta;
+use chicoryford_agreement::Token;
 use chicoryford_kernel::Kernel;
 use chicoryford_kernel::Phase;
 use chicoryford_kernel::Receiver;
@@ -25,6 +26,7 @@
 use crate::disk::Report;
 use crate::error::ContentError;
 use crate::handle::Request;
+use crate::neighbours::Neighbours;
 use crate::orders::Lead;
 use crate::peers::Outgoing;
 use crate::pending::Pending;
@@ -41,6 +43,8 @@
 pub const LINGER_MS: u64 = 1_000;
 /// Milliseconds between two looks for lapsed sessions.
 const SESSIONS_MS: u64 = 200;
+/// Milliseconds between two looks at the control processes that gossip knows.
+const NEIGHBOURS_MS: u64 = 500;
 
 /// The rings that end or begin at the replica's duty.
 pub struct Rings {
@@ -89,6 +93,9 @@
     pub(crate) pending: Pending,
     pub(crate) sessions: Sessions,
     pub(crate) sessions_at: u64,
+    /// The control processes that gossip knows; none in a process without gossip.
+    pub(crate) neighbours: Option<Neighbours>,
+    pub(crate) neighbours_at: u64,
     /// Addresses of replicas that the log does not name yet.
     pub(crate) learned: BTreeMap<Node, String>,
     pub(crate) storage: StorageStatus,
@@ -121,6 +128,8 @@
             pending: Pending::default(),
             sessions: Sessions::default(),
             sessions_at: 0,
+            neighbours: None,
+            neighbours_at: 0,
             learned: founders,
             storage,
             taking: None,
@@ -171,6 +180,7 @@
     }
 
     fn tick(&mut self) {
+        self.look_around();
         self.tell(Event::Tick);
         let now = self.kernel.now();
         if self.leads() && now.0 >= self.sessions_at + SESSIONS_MS {
@@ -183,6 +193,24 @@
         }
     }
 
+    /// Tells the replica of the control processes that gossip knows, when they change.
+    fn look_around(&mut self) {
+        let now = self.kernel.now().0;
+        if now < self.neighbours_at + NEIGHBOURS_MS {
+            return;
+        }
+        self.neighbours_at = now;
+        let Some(known) = self.neighbours.as_mut().and_then(Neighbours::changed).cloned() else {
+            return;
+        };
+        let nodes = known.keys().cloned().collect();
+        // The settings' addresses of founders hold; gossip only adds those they do not name.
+        for (node, address) in known {
+            self.learned.entry(node).or_insert(address);
+        }
+        self.tell(Event::Neighbours(nodes));
+    }
+
     /// Tells whether this replica leads and surely no other does yet.
     pub(crate) fn leads(&self) -> bool {
         self.replica.role() == Role::Leader && self.replica.status().lease_ms > 0
@@ -235,7 +263,8 @@
                 let why = self.refused(why);
                 self.pending.refuse(token, why);
             }
-            Action::ReadReady { .. } => {}
+            // What it must hold is applied already: commits are handed over before.
+            Action::ReadReady { token, index } => self.read_ready(token, index),
             Action::BecameLeader { epoch } => {
                 tracing::info!(event = "became_leader", epoch = epoch.0);
                 self.sessions.clear();
@@ -252,6 +281,14 @@
         Ok(())
     }
 
+    fn read_ready(&mut self, token: Token, index: u64) {
+        if self.applied.mark.index < index {
+            let applied = self.applied.mark.index;
+            tracing::error!(event = "promise_broken", promise = "read_applied", index, applied);
+        }
+        self.pending.read(token, &self.applied.state.config);
+    }
+
     fn commit(&mut self, batch: Vec<Committed>) -> Result<(), ContentError> {
         for Committed { entry, token } in batch {
             let reply = self.applied.apply(entry)?;
--- a/components/control/src/routes.rs
+++ b/components/control/src/routes.rs
@@ -13,8 +13,10 @@
 use chicoryford_state::Renewed;
 use chicoryford_state::Reply as StateReply;
 use chicoryford_types::Code;
+use chicoryford_types::Config;
 use chicoryford_types::Failure;
 use chicoryford_types::order::EpochAnswer;
+use chicoryford_weights::Progress;
 use chicoryford_wire::Call;
 use chicoryford_wire::CallError;
 use chicoryford_wire::Caller;
@@ -38,7 +40,6 @@
 use crate::handle::Refused;
 use crate::handle::SERVICE;
 use crate::orders;
-use crate::orders::OrderStatus;
 use crate::status::Action;
 use crate::status::Done;
 use crate::status::Status;
@@ -52,7 +53,7 @@
 /// What one HTTP thread needs to answer.
 struct Desk {
     handle: Handle,
-    orders: watch::Receiver<Vec<OrderStatus>>,
+    orders: watch::Receiver<Vec<Progress>>,
     client: Client,
 }
 
@@ -71,7 +72,7 @@
     }
     let handle = Handle::clone(&*kernel.registry.find::<Handle>(SERVICE)?);
     let client = kernel.registry.find::<Caller>(CALLER)?.client();
-    let orders = kernel.registry.find::<watch::Receiver<Vec<OrderStatus>>>(orders::SERVICE)?;
+    let orders = kernel.registry.find::<watch::Receiver<Vec<Progress>>>(orders::SERVICE)?;
     let orders = watch::Receiver::clone(&orders);
     let desk = Rc::new(Desk { handle, orders, client });
     let at = desk.clone();
@@ -94,6 +95,11 @@
         let desk = at.clone();
         async move { peer(desk.epoch().await) }
     });
+    let at = desk.clone();
+    routes.add(paths::CURRENT, OPERATORS, move |call| {
+        let desk = at.clone();
+        async move { desk.current(&call).await.unwrap_or_else(|f| reply::failure(&f)) }
+    });
     routes.add(paths::CONTROL_STATUS, OPERATORS, move |call| {
         let desk = desk.clone();
         async move { desk.control(&call).await.unwrap_or_else(|f| reply::failure(&f)) }
@@ -161,9 +167,20 @@
         }
     }
 
+    async fn current(&self, call: &Call) -> Result<Reply, Failure> {
+        let refused = match self.handle.read().await {
+            Ok(config) => return Ok(reply::json(200, &config)),
+            Err(refused) => refused,
+        };
+        let address = next_leader(call, refused)?;
+        let path = format!("{}?{FORWARDED}", paths::CURRENT);
+        let config: Config = self.ask_json(&self.client.url(&address, &path), None).await?;
+        Ok(reply::json(200, &config))
+    }
+
     async fn status(&self) -> Result<Status, Failure> {
-        let orders = self.orders.borrow().clone();
-        Ok(Status { orders, ..self.handle.status().await? })
+        let weights = self.orders.borrow().clone();
+        Ok(Status { weights, ..self.handle.status().await? })
     }
 
     async fn reform(&self, action: Action) -> Result<Reform, Failure> {
