--- a/components/capacity/src/decisions/ledger.rs
+++ b/components/capacity/src/decisions/ledger.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use chicoryford_ledger::Body;
 use chicoryford_ledger::GroupSpec;
+use chicoryford_ledger::Holder;
 use chicoryford_ledger::LedgerCommand;
 use chicoryford_ledger::Record;
 use chicoryford_ledger::StepKey;
@@ -53,7 +54,7 @@
     for repeat in 0..REPEATS {
         let offset = repeat * 1_000_000;
         for count in [512, 1_024, 2_048, 4_096] {
-            let held = Body::Held((0..3).map(|n| Node(format!("entry-{n:03}"))).collect());
+            let held = Body::Held((0..3).map(holder).collect());
             add(data, "sample_held", "samples done", count, samples(count, &held, offset));
             let inline = Body::Inline(Bytes::from(vec![7; SAMPLE_BYTES]));
             add(data, "sample_inline", "samples done", count, samples(count, &inline, offset));
@@ -70,6 +71,10 @@
     }
 }
 
+fn holder(n: u32) -> Holder {
+    Holder { node: Node(format!("entry-{n:03}")), incarnation: Incarnation(NOW.0) }
+}
+
 fn add(data: &mut Data, name: &str, variable: &str, x: u32, y: f64) {
     let series = Series { name, variable, unit: "B of state", source: Source::InProcess };
     data.add(&series, f64::from(x), y);
