Measure the path through entry and agent, and how trainers share engines

Cause: added latency, processor time a request, memory of a stream and the shares of several trainers were not measured on the path of real processes.

--- a/components/standin/src/process.rs
+++ b/components/standin/src/process.rs
@@ -42,6 +42,11 @@
         })
     }
 
+    /// Gives its number in the operating system.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Tells whether it has ended by itself.
     ///
     /// # Errors
