Let a demonstration's trainers compute and open steps ahead as real ones do

Cause: the course of the steps shows that a trainer working strictly in sequence, with 20 ms of computing a group, asks for more than the engines make: it is idle for at least the time of generating, whatever the system does. Change: the demonstration's trainers compute for 52 ms a group, which asks for about 80% of the samplers, and open two steps ahead; both are options. Prediction of staleness and hedging can be switched off (entry.predict, entry.hedge) to compare runs.

--- a/components/entry/src/steps/duty.rs
+++ b/components/entry/src/steps/duty.rs
@@ -73,10 +73,13 @@
                 return;
             }
         };
-        let running = settings.entry.clone().unwrap_or_default().running;
+        let entry = settings.entry.clone().unwrap_or_default();
+        let running = entry.running;
         let (leave, leaving) = watch::channel(false);
         let shared = Shared {
             leaving,
+            predict: entry.predict,
+            hedge: entry.hedge,
             wakes,
             rhythm: Rc::default(),
             rooms: Rc::default(),
--- a/components/entry/src/steps/sample.rs
+++ b/components/entry/src/steps/sample.rs
@@ -244,6 +244,9 @@
 
     /// Gives the oldest version that may begin the sample, by when it is expected to end.
     fn first_floor(&self) -> Version {
+        if !self.shared.predict {
+            return self.floor();
+        }
         let (newest, bound) = (self.newest(), self.progress.bound);
         self.shared.rhythm.borrow().floor(&self.progress.spec.model, newest, bound)
     }
--- a/components/entry/src/steps/step.rs
+++ b/components/entry/src/steps/step.rs
@@ -49,6 +49,10 @@
 /// What all steps of an entry share.
 #[derive(Clone)]
 pub struct Shared {
+    /// Whether versions expected meanwhile are taken from a sample's bound.
+    pub predict: bool,
+    /// Whether late samples get a second maker.
+    pub hedge: bool,
     /// Wakes pulls that wait.
     pub wakes: Wakes,
     /// Learned lengths.
@@ -185,7 +189,7 @@
     /// A group waits for its last sample. One that runs at an endpoint that has become slow
     /// without failing would hold up the group, and with it the trainer, for as long as it takes.
     async fn hedge(&mut self) {
-        if *self.shared.leaving.borrow() {
+        if *self.shared.leaving.borrow() || !self.shared.hedge {
             return;
         }
         for place in self.late() {
--- a/components/settings/src/process.rs
+++ b/components/settings/src/process.rs
@@ -123,6 +123,10 @@
     /// Milliseconds without tokens after which an urgent request that may be repeated gets a second
     /// attempt, until its model's times are learned (docs/ENTRY.md).
     pub rescue_ms: u64,
+    /// Whether versions that are expected while a sample runs are taken from its bound beforehand.
+    pub predict: bool,
+    /// Whether the last few samples of a group that run late get a second maker.
+    pub hedge: bool,
     /// Bytes of finished samples held for trainers, in memory (docs/STEPS.md).
     pub bodies: usize,
 }
@@ -135,6 +139,8 @@
             subset: 48,
             silence_ms: 3_000,
             rescue_ms: 1_200,
+            predict: true,
+            hedge: true,
             bodies: 256 << 20,
         }
     }
--- a/examples/demo/drive.rs
+++ b/examples/demo/drive.rs
@@ -17,9 +17,6 @@
 use crate::Args;
 use crate::layout::Layout;
 
-/// Milliseconds between two versions of a model.
-const PUBLISH_MS: u64 = 4_000;
-
 /// The model whose template names a scoring service.
 const SCORED: &str = "route-model";
 
@@ -101,7 +98,7 @@
     let base = TrainerSettings {
         entries: vec![layout.address.to_string()],
         source: layout.source.clone(),
-        publish_ms: PUBLISH_MS,
+        publish_ms: args.publish_ms,
         train_ms: args.train_ms,
         ahead: args.ahead,
         wait_ms: args.wait_ms,
--- a/examples/demo/layout.rs
+++ b/examples/demo/layout.rs
@@ -17,6 +17,8 @@
 use eyre::bail;
 use eyre::eyre;
 
+use crate::Args;
+
 /// The settings of the agents, each beside an endpoint of its own.
 const AGENTS: [&str; 8] = [
     "zadruga/agent-route-1",
@@ -64,11 +66,15 @@
 
 impl Layout {
     /// Starts all processes with the sample settings moved to this machine.
-    pub fn new(folder: &Path) -> Result<Self> {
+    pub fn new(folder: &Path, args: &Args) -> Result<Self> {
         let programs = Programs::find()?;
         write_keys(folder)?;
         let mut settings = sample(DAEMON)?;
         move_here(&mut settings, folder, None)?;
+        if let Some(entry) = &mut settings.entry {
+            entry.predict = !args.no_prediction;
+            entry.hedge = !args.no_hedging;
+        }
         let (address, gossip) = (settings.listen, settings.gossip);
         for replica in settings.control.iter_mut().flat_map(|control| &mut control.replicas) {
             replica.address = address.to_string();
--- a/examples/demo/main.rs
+++ b/examples/demo/main.rs
@@ -29,14 +29,23 @@
     #[arg(long, default_value_t = 1)]
     seed: u64,
     /// Milliseconds that a trainer computes on each group.
-    #[arg(long, default_value_t = 20)]
+    #[arg(long, default_value_t = 52)]
     train_ms: u64,
     /// Steps that a trainer opens ahead of the one that it trains on.
-    #[arg(long, default_value_t = 0)]
+    #[arg(long, default_value_t = 2)]
     ahead: usize,
     /// Milliseconds for which a trainer's pull waits at the entry for a group.
     #[arg(long, default_value_t = 2_000)]
     wait_ms: u64,
+    /// Do not take expected versions from the staleness bound of a sample that begins.
+    #[arg(long)]
+    no_prediction: bool,
+    /// Do not give late samples a second maker.
+    #[arg(long)]
+    no_hedging: bool,
+    /// Milliseconds between two versions of a model.
+    #[arg(long, default_value_t = 4_000)]
+    publish_ms: u64,
     /// Kill a process with SIGKILL in the middle of the run and start it again a second later.
     #[arg(long, value_enum)]
     kill: Option<Victim>,
@@ -72,7 +81,7 @@
 
 /// Runs everything and tells whether every promise was kept.
 fn run(args: &Args, folder: &Path) -> Result<bool> {
-    let mut layout = Layout::new(folder)?;
+    let mut layout = Layout::new(folder, args)?;
     layout.start()?;
     layout.apply_templates()?;
     let drivers = drive::start(&layout, args)?;
