Send small frames to other processes at once

Cause: sockets of clients waited for acknowledgements before a second small write (Nagle's algorithm). Change: TCP_NODELAY on all connections that a process opens.

--- a/components/wire/src/client.rs
+++ b/components/wire/src/client.rs
@@ -3,9 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use actix_service::Service;
+use actix_service::fn_service;
+use actix_tls::connect as tcp;
+use actix_tls::connect::ConnectInfo;
 use awc::Connector;
 use awc::error::ConnectError;
 use awc::error::SendRequestError;
+use awc::http::Uri;
 use bytes::Bytes;
 use chicoryford_types::Code;
 use chicoryford_types::Failure;
@@ -205,7 +210,21 @@
 }
 
 fn build(tls: Option<Arc<ClientConfig>>, kept: Duration) -> awc::Client {
-    let connector = Connector::new().timeout(CONNECT).limit(0).conn_keep_alive(kept);
+    let tcp = tcp::Connector::default().service();
+    let connect = fn_service(move |info: ConnectInfo<Uri>| {
+        let connecting = tcp.call(info);
+        async move {
+            let connection = connecting.await?;
+            // Frames are small. With Nagle's algorithm one that follows another waits until the
+            // other side has acknowledged the first, which it may put off for 40 ms.
+            if let Err(error) = connection.io_ref().set_nodelay(true) {
+                tracing::debug!(event = "nodelay_refused", %error);
+            }
+            Ok(connection)
+        }
+    });
+    let connector = Connector::new().connector(connect);
+    let connector = connector.timeout(CONNECT).limit(0).conn_keep_alive(kept);
     let connector = match tls {
         Some(tls) => connector.rustls_0_23(tls),
         None => connector,
