Keep what a part of the measurement gave when another fails

Change: each part is kept and a failed one named in the data and on the page; the engine's end counts as whole.

--- a/components/capacity/src/calculator.rs
+++ b/components/capacity/src/calculator.rs
@@ -57,7 +57,9 @@
     #[must_use]
     pub fn times(mut self, factor: f64) -> Self {
         self.value *= factor;
-        if factor != 1.0 {
+        if factor < 1.0 {
+            self.used = format!("({}) / {}", self.used, short(1.0 / factor));
+        } else if factor > 1.0 {
             self.used = format!("({}) × {}", self.used, short(factor));
         }
         self
--- a/components/capacity/src/data.rs
+++ b/components/capacity/src/data.rs
@@ -58,6 +58,8 @@
     pub seed: u64,
     /// Whether the parts were measured side by side.
     pub together: bool,
+    /// Parts that failed, and why; their sweeps lack sizes or are not there.
+    pub failed: Vec<String>,
     /// The sweeps, by name.
     pub sweeps: Vec<Sweep>,
 }
--- a/components/capacity/src/live/caller.rs
+++ b/components/capacity/src/live/caller.rs
@@ -120,5 +120,7 @@
         let Ok(chunk) = chunk else { return false };
         tail = chunk.to_vec();
     }
-    tail.windows(6).any(|part| part == b"[DONE]")
+    // An entry ends a stream with the first, the stand-in engine with the second.
+    let text = String::from_utf8_lossy(&tail);
+    text.contains("[DONE]") || text.contains("finish_reason")
 }
--- a/components/capacity/src/live/mod.rs
+++ b/components/capacity/src/live/mod.rs
@@ -11,9 +11,9 @@
 mod window;
 
 use std::path::Path;
+use std::thread::JoinHandle;
 
 use eyre::Result;
-use eyre::eyre;
 
 use crate::data::Data;
 
@@ -24,24 +24,42 @@
     [("agents", agents), ("entries", entries), ("changes", changes), ("load", load)];
 
 /// Measures all parts, one after the other, or `together`, each on a thread with a deployment of
-/// its own. At most some 250 processes run at once.
-///
-/// # Errors
-///
-/// Whatever kept a process from starting or answering.
-pub fn measure(data: &mut Data, daemon: &Path, together: bool) -> Result<()> {
+/// its own. At most some 250 processes run at once. What a part gave before it failed is kept,
+/// and the part is named in the data, so that the page can say so.
+pub fn measure(data: &mut Data, daemon: &Path, together: bool) {
     if !together {
-        return PARTS.iter().try_for_each(|(_, part)| part(data, daemon));
+        for part in PARTS {
+            finish(data, part.0, begin(part, data.seed, daemon));
+        }
+        return;
     }
-    let threads = PARTS.map(|(_, part)| {
-        let (mut own, daemon) = (Data { seed: data.seed, ..Data::default() }, daemon.to_owned());
-        std::thread::spawn(move || part(&mut own, &daemon).map(|()| own))
-    });
-    for thread in threads {
-        let measured = thread.join().map_err(|_| eyre!("a thread panicked"))??;
-        data.sweeps.extend(measured.sweeps);
+    let threads = PARTS.map(|part| begin(part, data.seed, daemon));
+    for ((name, _), thread) in PARTS.iter().zip(threads) {
+        finish(data, name, thread);
+    }
+}
+
+type Part = JoinHandle<(Data, Result<()>)>;
+
+fn begin((_, part): (&'static str, Sweeps), seed: u64, daemon: &Path) -> Part {
+    let (mut own, daemon) = (Data { seed, ..Data::default() }, daemon.to_owned());
+    std::thread::spawn(move || {
+        let result = part(&mut own, &daemon);
+        (own, result)
+    })
+}
+
+fn finish(data: &mut Data, name: &str, thread: Part) {
+    match thread.join() {
+        Ok((own, result)) => {
+            data.sweeps.extend(own.sweeps);
+            if let Err(error) = result {
+                eprintln!("{name} failed: {error}");
+                data.failed.push(format!("{name}: {error}"));
+            }
+        }
+        Err(_) => data.failed.push(format!("{name}: the thread panicked")),
     }
-    Ok(())
 }
 
 fn agents(data: &mut Data, daemon: &Path) -> Result<()> {
--- a/components/capacity/src/main.rs
+++ b/components/capacity/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 use std::process::Command;
+use std::thread::JoinHandle;
 
 use chicoryford_capacity::Data;
 use chicoryford_capacity::Files;
@@ -79,17 +80,33 @@
         together: how.together,
         ..Data::default()
     };
-    if how.only != Some(Part::Processes) {
-        decisions::measure(&mut data);
-    }
+    let seed = how.seed;
+    let pure = (how.only != Some(Part::Processes)).then(|| std::thread::spawn(move || pure(seed)));
+    let (pure, waits) = if how.together { (pure, None) } else { (None, pure) };
+    take(&mut data, waits);
     if how.only != Some(Part::Decisions) {
-        live::measure(&mut data, &how.daemon, how.together)?;
+        live::measure(&mut data, &how.daemon, how.together);
     }
+    take(&mut data, pure);
     data.load.push(live::account::load()?);
     files.save(&data)?;
     Ok(files.write(&data)?)
 }
 
+fn pure(seed: u64) -> Data {
+    let mut data = Data { seed, ..Data::default() };
+    decisions::measure(&mut data);
+    data
+}
+
+fn take(data: &mut Data, thread: Option<JoinHandle<Data>>) {
+    match thread.map(JoinHandle::join) {
+        None => {}
+        Some(Ok(own)) => data.sweeps.extend(own.sweeps),
+        Some(Err(_)) => data.failed.push("decision code: the thread panicked".to_owned()),
+    }
+}
+
 fn output(program: &str, arguments: &[&str]) -> Result<String> {
     let output = Command::new(program).args(arguments).output()?;
     Ok(String::from_utf8_lossy(&output.stdout).trim().to_owned())
--- a/components/capacity/src/page.rs
+++ b/components/capacity/src/page.rs
@@ -17,6 +17,7 @@
     let rows = rows(data);
     let mut page = String::new();
     opening(&mut page, data);
+    failures(&mut page, data);
     overview(&mut page, &rows);
     verdict(&mut page, &rows);
     plots(&mut page, data);
@@ -68,6 +69,13 @@
     );
 }
 
+/// Says what the run did not give.
+fn failures(page: &mut String, data: &Data) {
+    for failed in &data.failed {
+        let _ = writeln!(page, "\n**Not measured whole in this run**: {failed}.");
+    }
+}
+
 /// The page's first table: of each role what it spends on control.
 fn overview(page: &mut String, rows: &[Row]) {
     page.push_str(
