Let an entry end only when its copies of samples lie elsewhere

Cause: an entry that was asked to stop ended at once and took its copies along; with three entries a restart of one after the other lost what all had held.

Conclusion: planned restarts lose nothing if the next waits for the last.

--- a/components/entry/src/bodies/keep.rs
+++ b/components/entry/src/bodies/keep.rs
@@ -36,11 +36,19 @@
     let (members, config) = (context.members.view(), context.config.current());
     let stays = |member: &&Member| {
         let (node, place) = (&member.node, &member.data_centre);
-        member.roles.entry && door::open(Phase::Running, &config, node, place).is_ok()
+        let is_here = *node == context.node;
+        let stays = door::open(Phase::Running, &config, node, place).is_ok();
+        member.roles.entry && stays && !(is_here && leaves(context))
     };
     members.present().filter(stays).cloned().collect()
 }
 
+/// Tells whether this entry is to end, by a planned stop or a signal.
+pub fn leaves(context: &Context) -> bool {
+    let (phase, config) = (context.kernel.phases.now(), context.config.current());
+    door::open(phase, &config, &context.node, &context.place).is_err()
+}
+
 /// Puts a body where it belongs: at [`HOLDERS`] processes, which have it before the ledger hears
 /// of it, or into the ledger if it is small or too few would take it.
 ///
--- a/components/entry/src/bodies/routes.rs
+++ b/components/entry/src/bodies/routes.rs
@@ -15,6 +15,7 @@
 use chicoryford_wire::reply;
 
 use crate::context::Context;
+use crate::door;
 
 /// Bytes of one answer, past which the rest must be asked for again.
 const ANSWER: usize = 8 << 20;
@@ -34,8 +35,14 @@
 /// # Errors
 ///
 /// [`Code::Overloaded`] if the store is full, [`Code::BadRequest`] if the bytes are not those
-/// that the name tells.
+/// that the name tells, [`Code::Draining`] if this entry leaves.
 pub fn store(context: &Context, put: Put) -> Result<Stored, Failure> {
+    door::open(
+        context.kernel.phases.now(),
+        &context.config.current(),
+        &context.node,
+        &context.place,
+    )?;
     let own = context.members.own();
     let now = context.now();
     let stored = context.bodies.store().put(put.name, put.bytes, now);
--- a/components/entry/src/steps/duty.rs
+++ b/components/entry/src/steps/duty.rs
@@ -26,6 +26,7 @@
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 
+use crate::bodies::audit::Auditing;
 use crate::context::Context;
 use crate::door;
 use crate::steps::handle::Notice;
@@ -89,6 +90,8 @@
             orphans: BTreeMap::new(),
             leave,
             held: None,
+            bodies: Rc::default(),
+            holds: None,
         };
         duty.run(receiver).await;
     })?;
@@ -104,11 +107,17 @@
     orphans: BTreeMap<StepKey, Millis>,
     leave: watch::Sender<bool>,
     held: Option<Guard>,
+    bodies: Rc<Auditing>,
+    holds: Option<Guard>,
 }
 
 impl Duty {
     async fn run(mut self, mut receiver: Receiver<Notice>) {
-        actix_rt::spawn(session::keep(self.context.clone(), self.notices.clone()));
+        actix_rt::spawn(session::keep(
+            self.context.clone(),
+            self.notices.clone(),
+            self.bodies.clone(),
+        ));
         let phases = self.context.kernel.phases.clone();
         let stopped = phases.reached(Phase::Stopping);
         tokio::pin!(stopped);
@@ -143,13 +152,16 @@
         let left = self.leave.send_replace(leaves);
         if !leaves {
             self.held = None;
+            self.hold_on();
             return;
         }
         if !left {
             let progress = context.kernel.registry.find::<Progress>(PROGRESS);
             self.held = progress.ok().map(|progress| progress.begin());
+            self.holds = None;
         }
-        if self.running.is_empty() && self.held.is_some() {
+        let may_leave = self.running.is_empty() && self.bodies.may_leave(context);
+        if may_leave && self.held.is_some() {
             let held = self.held.take();
             let (context, session) = (context.clone(), self.session);
             actix_rt::spawn(async move {
@@ -162,6 +174,17 @@
         }
     }
 
+    /// Counts held bodies as work in progress. A process that is told to stop ends at once if
+    /// nothing is in progress, before this duty could look whether its copies are needed.
+    fn hold_on(&mut self) {
+        if self.context.bodies.store().is_empty() {
+            self.holds = None;
+        } else if self.holds.is_none() {
+            let progress = self.context.kernel.registry.find::<Progress>(PROGRESS);
+            self.holds = progress.ok().map(|progress| progress.begin());
+        }
+    }
+
     fn take(&mut self, notice: Notice) {
         match notice {
             Notice::Opened(key) => self.begin(key),
--- a/components/entry/src/steps/session.rs
+++ b/components/entry/src/steps/session.rs
@@ -1,5 +1,6 @@
 //! Keeps this entry's session with the leader, the lease on its steps.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use chicoryford_kernel::Sender;
@@ -34,9 +35,8 @@
 /// The lease is counted on this process's own monotonic clock from before the renewal was sent.
 /// An entry that was stopped or cut off therefore stops its steps before the leader gives them
 /// to another; should it not, the ledger refuses what an earlier owner records.
-pub async fn keep(context: Context, notices: Sender<Notice>) {
+pub async fn keep(context: Context, notices: Sender<Notice>, bodies: Rc<Auditing>) {
     let mut held: Option<Held> = None;
-    let bodies = Auditing::default();
     loop {
         held = match held {
             None => open(&context, &notices).await,
--- a/tests/whole/bodies.rs
+++ b/tests/whole/bodies.rs
@@ -165,8 +165,12 @@
     }
 
     fn sees(&self, entry: usize, wanted: usize) -> bool {
-        let seen = self.get(entry, paths::MEMBERS);
-        seen.body.matches("\"entry\":true").count() >= wanted
+        let seen = self.get(entry, paths::MEMBERS).json();
+        let Some(known) = seen["known"].as_object() else { return false };
+        let is_there = |known: &&Value| {
+            known["standing"] == "alive" && known["member"]["roles"]["entry"] == true
+        };
+        known.values().filter(is_there).count() >= wanted
     }
 
     fn pull(&self, entry: usize, cursor: u64) -> Answer {
@@ -221,6 +225,27 @@
     cluster.wait("acknowledged bodies are dropped", || cluster.bodies(3) == 0);
 }
 
+#[test]
+fn a_restart_of_all_entries_one_after_the_other_loses_nothing() {
+    // Symptom: after an update of all entries a trainer's batch is lost.
+    // Sequence: each entry is asked to stop and started again; the next is asked as soon as the
+    // others see that one, though it has no copies yet.
+    // Cause: an entry left before its copies were made elsewhere.
+    let mut cluster = Cluster::start(3);
+    cluster.open(&[0, 1, 2]);
+    let first = cluster.pull(0, 1);
+    assert_eq!(first.status, 200, "{first:?}");
+    for entry in 0..3 {
+        assert!(cluster.processes[1 + entry].stop(PATIENCE).unwrap());
+        cluster.processes[1 + entry].restart().unwrap();
+        cluster.wait("the others see the restarted entry", || {
+            (0..3).all(|entry| cluster.sees(entry, 3))
+        });
+    }
+    assert_eq!(cluster.pull(0, 1).body, first.body);
+    check_each_came_once(&cluster.drain(2));
+}
+
 #[test]
 fn the_third_holder_serves_a_pull_while_two_are_just_killed() {
     // Symptom: a trainer waits for a batch until failure detection is done.
