--- a/examples/demo/report.rs
+++ b/examples/demo/report.rs
@@ -2,6 +2,7 @@
 
 use chicoryford_standin::caller::Counts;
 use chicoryford_standin::caller::Fate;
+use chicoryford_standin::matching::Matches;
 use chicoryford_standin::trainer::Report;
 
 use crate::drive::Driven;
@@ -43,14 +44,14 @@
 }
 
 fn print_verdict(verdict: &Verdict) {
-    let Verdict { checked, prefixes, .. } = verdict;
+    let Matches { checked, prefixes, misattributed } = verdict.matches;
     println!(
         "checked against the engines' own records: {checked} ({prefixes} from a killed engine's prefix on)"
     );
     let lines = [
         ("doubled", verdict.doubled),
         ("lost", verdict.lost),
-        ("misattributed", verdict.misattributed),
+        ("misattributed", misattributed),
         ("wrong", verdict.wrong),
         ("scored for another prompt", verdict.misscored),
         ("stale", verdict.stale),
