--- a/components/entry/src/context.rs
+++ b/components/entry/src/context.rs
@@ -1,5 +1,6 @@
 //! What a thread needs to run requests.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,6 +22,7 @@
 use crate::bodies::Bodies;
 use crate::router::Router;
 use crate::router::SERVICE;
+use crate::run::first::Firsts;
 
 /// What a thread needs to run requests; an HTTP worker and the steps duty each make their own,
 /// because a client stays on one thread.
@@ -45,6 +47,8 @@
     pub bodies: Bodies,
     /// Proposes commands to the control processes.
     pub proposer: ProposerClient,
+    /// Learned times until the first tokens.
+    pub firsts: RefCell<Firsts>,
     /// The time without a frame after which a stream counts as silent.
     pub silence: Duration,
     /// This process.
@@ -77,6 +81,7 @@
             members: MembersHandle::clone(&members),
             bodies: Bodies::clone(&bodies),
             proposer,
+            firsts: RefCell::new(Firsts::new(entry.rescue_ms)),
             silence: Duration::from_millis(entry.silence_ms),
             node: settings.node.clone(),
             place: settings.data_centre.clone(),
