--- a/components/standin/src/process.rs
+++ b/components/standin/src/process.rs
@@ -42,7 +42,7 @@
         })
     }
 
-    /// Gives its number in the operating system.
+    /// Gives its process id, by which the operating system tells what it uses.
     pub fn id(&self) -> u32 {
         self.child.id()
     }
