Look at a step as soon as new weights are published

Cause: a publication drops recorded samples that became stale; the entry saw that only at its next look at the step, up to two seconds later, and the trainer idled meanwhile. Change: a step is looked at when the configuration in force has a newer version of its model.

--- a/components/entry/src/steps/step.rs
+++ b/components/entry/src/steps/step.rs
@@ -11,11 +11,14 @@
 use chicoryford_ledger::LedgerReply;
 use chicoryford_ledger::Progress;
 use chicoryford_ledger::StepKey;
+use chicoryford_types::Config;
 use chicoryford_types::Endpoint;
 use chicoryford_types::Fingerprint;
 use chicoryford_types::Group;
 use chicoryford_types::Millis;
+use chicoryford_types::Model;
 use chicoryford_types::SampleNo;
+use chicoryford_types::Version;
 use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::FuturesUnordered;
@@ -121,6 +124,8 @@
     async fn work(&mut self) {
         let mut poll = actix_rt::time::interval_at(actix_rt::time::Instant::now() + POLL, POLL);
         let mut hedge = actix_rt::time::interval(HEDGE);
+        let mut config = self.context.config.watch();
+        let mut seen = newest(&config.borrow(), &self.progress.spec.model);
         loop {
             let idle = self.running.is_empty();
             if idle && *self.shared.leaving.borrow() {
@@ -135,6 +140,11 @@
                     }
                 }
                 _ = hedge.tick() => self.hedge().await,
+                () = published(&mut config, &self.progress.spec.model, &mut seen) => {
+                    if self.poll().await.is_none() {
+                        return;
+                    }
+                }
                 _ = poll.tick() => {
                     if self.poll().await.is_none() {
                         return;
@@ -333,6 +343,27 @@
     }
 }
 
+/// Waits until a newer version of a model is published.
+///
+/// The publication drops recorded samples that became stale. Seen only at the next look at the
+/// step, they would be begun again up to two seconds late, and their trainer idle meanwhile.
+async fn published(
+    config: &mut watch::Receiver<Arc<Config>>,
+    model: &Model,
+    seen: &mut Option<Version>,
+) {
+    let changed = config.wait_for(|config| newest(config, model) != *seen).await;
+    let now = changed.ok().map(|config| newest(&config, model));
+    match now {
+        Some(now) => *seen = now,
+        None => std::future::pending().await,
+    }
+}
+
+fn newest(config: &Config, model: &Model) -> Option<Version> {
+    config.weights.get(model).map(|held| held.version)
+}
+
 /// Gives the key by which a prompt's lengths are learned.
 pub fn prompt_of(prompt: &str) -> Fingerprint {
     Fingerprint::of(prompt.as_bytes())
