Switch off the planner's protections one at a time in its random run

Cause: nothing showed that the random run would notice a planner that breaks its rules. Change: each of four rules can be switched off, and the run must notice. A run that broke a promise stops there, or orders multiply without end.

--- a/components/weights/src/lib.rs
+++ b/components/weights/src/lib.rs
@@ -14,3 +14,4 @@
 pub use planner::Trouble;
 pub use sampler::Offer;
 pub use settings::PlannerSettings;
+pub use settings::Protections;
--- a/components/weights/src/planner.rs
+++ b/components/weights/src/planner.rs
@@ -208,8 +208,9 @@
         now: Millis,
         actions: &mut Vec<Action>,
     ) {
+        let newer = self.settings.protections.newer;
         let newest = self.targets.get(&model).map(|target| target.version);
-        if let Some(newest) = newest.filter(|newest| version <= *newest) {
+        if let Some(newest) = newest.filter(|newest| version <= *newest && newer) {
             if version < newest {
                 tracing::warn!(event = "weights_not_newer", %model, %version, %newest);
                 actions.push(Action::NotNewer { model, version, newest });
--- a/components/weights/src/planner/choose.rs
+++ b/components/weights/src/planner/choose.rs
@@ -49,7 +49,8 @@
     fn choose_for(&mut self, model: &Model, epoch: Epoch, now: Millis, actions: &mut Vec<Action>) {
         let Some(target) = self.targets.get(model).cloned() else { return };
         let mut room = self.room(model);
-        if room.out >= room.allowed {
+        let bounded = self.settings.protections.share;
+        if room.out >= room.allowed && bounded {
             return;
         }
         let waiting = self.waiting(model, &target, now);
@@ -57,15 +58,14 @@
             return;
         }
         let mut holders = self.holders(model, &target);
-        let fetches = if now < self.settles { 0 } else { self.settings.store_fetches };
-        let mut store = fetches.saturating_sub(self.store_fetches());
+        let mut store = self.free_fetches(now);
         for endpoint in waiting {
             // Looked at first and once: with many waiting for room, weighing each of them
             // against all others would cost the square of the number of samplers.
-            if room.out >= room.allowed {
+            if room.out >= room.allowed && bounded {
                 return;
             }
-            if !self.has_room(&endpoint) {
+            if bounded && !self.has_room(&endpoint) {
                 continue;
             }
             room.out += 1;
@@ -91,11 +91,12 @@
             .filter(|s| s.holds(model) >= target.version || is_loading(s, model, target))
             .map(|s| &s.offer.data_centre)
             .collect();
+        let protections = self.settings.protections;
         let lacking = self.samplers.iter().filter(|(_, s)| {
             s.held.contains_key(model)
                 && s.offer.ready
-                && s.running.is_none()
-                && s.holds(model) < target.version
+                && (s.running.is_none() || !protections.single)
+                && (s.holds(model) < target.version || !protections.newer)
                 && now >= s.retry
                 && !is_given_up(s, model, target)
         });
@@ -135,9 +136,14 @@
             .collect()
     }
 
-    fn store_fetches(&self) -> usize {
+    /// Counts the fetches that the store bears beside those that it serves.
+    fn free_fetches(&self, now: Millis) -> usize {
+        if !self.settings.protections.store {
+            return usize::MAX;
+        }
+        let fetches = if now < self.settles { 0 } else { self.settings.store_fetches };
         let running = self.samplers.values().filter_map(|sampler| sampler.running.as_ref());
-        running.filter(|running| running.feed == Feed::Store).count()
+        fetches.saturating_sub(running.filter(|running| running.feed == Feed::Store).count())
     }
 
     /// Tells whether an endpoint may be taken out of service without taking too many of any
--- a/components/weights/src/settings.rs
+++ b/components/weights/src/settings.rs
@@ -24,6 +24,28 @@
     pub trust_ms: u64,
     /// Failures of one version at one endpoint after which the endpoint is given up.
     pub failures: u32,
+    /// What is switched off in the run that shows that it is needed.
+    pub protections: Protections,
+}
+
+/// The rules that keep a rollout harmless. All hold but in tests, which switch one off and must
+/// notice it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Protections {
+    /// At most a share of a model's samplers is out of service.
+    pub share: bool,
+    /// No version is loaded that is older than the one held, or published after a newer one.
+    pub newer: bool,
+    /// An endpoint has one order at a time.
+    pub single: bool,
+    /// The store serves a bounded number of fetches at once.
+    pub store: bool,
+}
+
+impl Default for Protections {
+    fn default() -> Self {
+        Self { share: true, newer: true, single: true, store: true }
+    }
 }
 
 impl Default for PlannerSettings {
@@ -39,6 +61,7 @@
             settle_ms: 3_000,
             trust_ms: 10_000,
             failures: 6,
+            protections: Protections::default(),
         }
     }
 }
--- a/components/weights/tests/fleet/mod.rs
+++ b/components/weights/tests/fleet/mod.rs
@@ -134,7 +134,12 @@
         self.tell(Event::Published { model: model(), version, source: STORE.to_owned() });
     }
 
+    /// Tells the planner, unless it has broken a promise: the run has failed then, and without
+    /// one of its protections each answer could bring about more orders without end.
     pub fn tell(&mut self, event: Event) {
+        if self.planner.broken() > 0 {
+            return;
+        }
         let mut actions = Vec::new();
         self.planner.on(event, self.now, &mut actions);
         for action in actions {
@@ -202,7 +207,7 @@
 
     pub fn run(&mut self, ms: u64) {
         let end = self.now + ms;
-        while self.now < end {
+        while self.now < end && self.planner.broken() == 0 {
             self.step();
         }
     }
@@ -210,7 +215,7 @@
     /// Runs until the planner reports a version complete; gives the time since its publishing.
     pub fn until_complete(&mut self, version: u64, ms: u64) -> Option<u64> {
         let end = self.now + ms;
-        while self.now < end {
+        while self.now < end && self.planner.broken() == 0 {
             let found = self.complete.iter().find(|(v, ..)| *v == Version(version));
             if let Some((_, took, _)) = found {
                 return Some(*took);
--- a/components/weights/tests/random.rs
+++ b/components/weights/tests/random.rs
@@ -3,11 +3,13 @@
 mod fleet;
 
 use std::env;
+use std::panic::catch_unwind;
 
 use chicoryford_types::Epoch;
 use chicoryford_types::Incarnation;
 use chicoryford_weights::Event;
 use chicoryford_weights::PlannerSettings;
+use chicoryford_weights::Protections;
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
@@ -97,14 +99,18 @@
     }
 }
 
-fn holds(plan: Plan) -> TestResult {
-    let settings = PlannerSettings { relay: plan.relay, ..PlannerSettings::default() };
+fn holds(plan: &Plan, protections: Protections) -> TestResult {
+    let relay = plan.relay;
+    let settings = PlannerSettings { relay, protections, ..PlannerSettings::default() };
     let speeds = Speeds { failures: plan.failures, ..Speeds::default() };
     let mut fleet = Fleet::new(plan.samplers, settings, speeds, plan.seed);
     let mut epoch = 1;
     for turn in &plan.turns {
         take(&mut fleet, turn, &mut epoch);
     }
+    if fleet.planner.broken() > 0 {
+        return TestResult::error("a promise was broken");
+    }
     for n in 0..plan.samplers {
         take(&mut fleet, &Turn::Mended(n), &mut epoch);
     }
@@ -128,13 +134,50 @@
     env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
-#[test]
-fn can_bring_all_samplers_up_to_date_after_random_turns() {
+/// Gives the number of runs that held, or what the failing one showed.
+fn check(run: fn(Plan) -> TestResult) -> Result<u64, String> {
     let seed = number("CHICORYFORD_SEED", 1);
     let runs = number("CHICORYFORD_RUNS", RUNS);
     println!("seed {seed}, {runs} runs");
-    QuickCheck::new()
-        .rng(Gen::from_size_and_seed(SIZE, seed))
-        .tests(runs)
-        .quickcheck(holds as fn(Plan) -> TestResult);
+    let rng = Gen::from_size_and_seed(SIZE, seed);
+    let result = QuickCheck::new().rng(rng).tests(runs).max_tests(runs).quicktest(run);
+    result.map_err(|failed| format!("{failed:?}"))
+}
+
+#[test]
+fn can_bring_all_samplers_up_to_date_after_random_turns() {
+    let run = |plan| holds(&plan, Protections::default());
+    assert_eq!(check(run), Ok(number("CHICORYFORD_RUNS", RUNS)));
+}
+
+/// Tells in which run a protection that is off was noticed. Failing plans are not made smaller:
+/// without protections each of them can go on without end.
+fn noticed(protections: Protections) -> Option<u64> {
+    let mut rng = Gen::from_size_and_seed(SIZE, number("CHICORYFORD_SEED", 1));
+    let found = (1..=RUNS).find(|_| {
+        let plan = Plan::arbitrary(&mut rng);
+        catch_unwind(|| holds(&plan, protections).is_failure()).unwrap_or(true)
+    });
+    println!("{protections:?}: noticed in run {found:?}");
+    found
+}
+
+#[test]
+fn the_run_notices_when_the_share_is_not_bounded() {
+    assert!(noticed(Protections { share: false, ..Protections::default() }).is_some());
+}
+
+#[test]
+fn the_run_notices_when_older_versions_are_loaded() {
+    assert!(noticed(Protections { newer: false, ..Protections::default() }).is_some());
+}
+
+#[test]
+fn the_run_notices_when_an_endpoint_has_two_orders() {
+    assert!(noticed(Protections { single: false, ..Protections::default() }).is_some());
+}
+
+#[test]
+fn the_run_notices_when_the_store_is_not_bounded() {
+    assert!(noticed(Protections { store: false, ..Protections::default() }).is_some());
 }
