Prove freezes, restarts and the loss of a data centre with real processes

Change: an agent and an entry that stand still and go on, with two printers and with steps; a control process, an entry and an agent back after 400 changes; each leader stopped in turn under load; all processes of a data centre killed at once.

--- a/tests/faults/calls.rs
+++ b/tests/faults/calls.rs
@@ -1,7 +1,7 @@
 //! Callers whose entry, agent or connection goes away in the middle of a call.
 
 use std::collections::BTreeMap;
-use std::path::Path;
+use std::path::PathBuf;
 use std::thread;
 use std::time::Duration;
 
@@ -20,14 +20,14 @@
 use crate::system::System;
 
 /// Callers of the packing line: each label may be printed once at most.
-pub fn packing() -> CallerSettings {
+pub fn packing(seconds: f64) -> CallerSettings {
     CallerSettings {
         name: "packing".to_owned(),
         service: true,
         repeatable: false,
         deadline_ms: 8_000,
         rate: 25.0,
-        seconds: 8.0,
+        seconds,
         ..CallerSettings::default()
     }
 }
@@ -43,10 +43,10 @@
     }
 }
 
-/// Checks the printer's own record against what its callers were told.
-pub fn check_labels(record: &Path, calls: &[CallLine]) {
+/// Checks the printers' own records against what their callers were told.
+pub fn check_labels(records: &[PathBuf], calls: &[CallLine]) {
     let mut runs: BTreeMap<String, u32> = BTreeMap::new();
-    for key in printed(record) {
+    for key in printed(records) {
         *runs.entry(key).or_default() += 1;
     }
     let doubled: Vec<_> = runs.iter().filter(|(_, count)| **count > 1).collect();
@@ -82,21 +82,21 @@
     // was held by a process that can die.
     let mut system = System::start(3);
     let entries = [system.entry("e1", "dc-1"), system.entry("e2", "dc-1")];
-    let record = printer(&mut system, 150);
+    let records = [printer(&mut system, "labels", 150)];
     system.wait_endpoints(&entries, 1);
     system.apply(&entries, TEMPLATE);
-    let calling = Calling::start(&system, &entries, packing());
-    system.wait("labels are printed", || printed(&record).len() > 20);
+    let calling = Calling::start(&system, &entries, packing(8.0));
+    system.wait("labels are printed", || printed(&records).len() > 20);
     system.kill("e1");
     thread::sleep(Duration::from_secs(1));
     system.restart("e1");
-    let before = printed(&record).len();
-    system.wait("labels are printed again", || printed(&record).len() > before + 20);
+    let before = printed(&records).len();
+    system.wait("labels are printed again", || printed(&records).len() > before + 20);
     system.kill("agent-labels");
     thread::sleep(Duration::from_secs(1));
     system.restart("agent-labels");
     let (_, calls) = calling.finish();
-    check_labels(&record, &calls);
+    check_labels(&records, &calls);
     system.check_logs();
 }
 
--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -6,9 +6,11 @@
 mod calls;
 mod changes;
 mod crashes;
+mod freezes;
 mod operator;
 mod pairs;
 mod replicas;
+mod restarts;
 mod standins;
 mod steps;
 mod stops;
--- a/tests/faults/pairs.rs
+++ b/tests/faults/pairs.rs
@@ -24,12 +24,12 @@
     // the other.
     let mut system = System::start(3);
     let entries = [system.entry("e1", "dc-1"), system.entry("e2", "dc-1")];
-    let record = printer(&mut system, 100);
+    let records = [printer(&mut system, "labels", 100)];
     system.wait_endpoints(&entries, 1);
     let engines = engines_beside(&mut system, 3);
     let all: Vec<&Engine> = engines.iter().collect();
     let training = Training::start(&system, &entries, training(18.0));
-    let callers = [desk(12.0), packing()].map(|s| Calling::start(&system, &entries, s));
+    let callers = [desk(12.0), packing(8.0)].map(|s| Calling::start(&system, &entries, s));
     thread::sleep(Duration::from_secs(3));
     let leader = system.leader(&system.addresses(&["c1", "c2", "c3"])).unwrap();
     system.kill(&leader);
@@ -40,7 +40,7 @@
     let [desk, packing] = callers.map(|calling| calling.finish().1);
     check_answered(&desk);
     check_calls(&all, &system.path("desk.jsonl"));
-    check_labels(&record, &packing);
+    check_labels(&records, &packing);
     training.check(&all);
     system.check_logs();
 }
--- a/tests/faults/standins.rs
+++ b/tests/faults/standins.rs
@@ -110,20 +110,20 @@
 }
 
 /// Starts a label printer with an agent beside it, and gives its record.
-pub fn printer(system: &mut System, delay_ms: u64) -> PathBuf {
-    let record = system.path("labels.jsonl");
+pub fn printer(system: &mut System, name: &str, delay_ms: u64) -> PathBuf {
+    let record = system.path(&format!("{name}.jsonl"));
     let records = Recorder::open(&record).unwrap();
     let address = ports::address();
     let settings = ServiceSettings { delay_ms, ..ServiceSettings::default() };
     keep(move || service::start(address, settings, records).unwrap().address);
-    system.agent("labels", "dc-1", "service", address, "labels");
+    system.agent(name, "dc-1", "service", address, "labels");
     record
 }
 
-/// Gives the keys that a printer ran, in order.
-pub fn printed(record: &Path) -> Vec<String> {
-    let lines: Vec<ServiceLine> = read(record);
-    lines.into_iter().map(|line| line.key).filter(|key| !key.is_empty()).collect()
+/// Gives the keys that printers ran.
+pub fn printed(records: &[PathBuf]) -> Vec<String> {
+    let lines = records.iter().flat_map(|record| read::<ServiceLine>(record));
+    lines.map(|line| line.key).filter(|key| !key.is_empty()).collect()
 }
 
 /// Starts a weight store and gives where it is.
