Say "not run" of a keyed call only if no earlier sending may have run

Cause: a call sent again under its key was refused before its claim was decided (no endpoint was to be seen after the agent had been killed), as "not run". That was true of this sending; the first one had printed the label, and its answer was lost. Ruled out: a second run (the printer's record had the key once), the claim (it stood), the caller's judgement (its last word was "not run", on which people act). Change: before such a refusal, also at the door of an entry that leaves or has just started, the control processes are asked whether they know the key; unless they do not, the outcome is unknown. Known to be left: a first sending that stands still in a frozen entry and has not claimed yet may run after its resend was told "not run".

--- a/components/entry/src/run/once/mod.rs
+++ b/components/entry/src/run/once/mod.rs
@@ -5,6 +5,7 @@
 //! resends the call, through whichever entry, finds the claim and asks that agent.
 
 mod answers;
+pub mod truth;
 
 use std::time::Duration;
 
@@ -80,6 +81,8 @@
     /// Whether another request's attempt stood in between; what became of it is not this one's
     /// to call "not run".
     foreign: bool,
+    /// Whether the control processes have answered a claim, so that the key is known.
+    decided: bool,
     last: Option<Failure>,
     /// The place that the request got when it was let in.
     first: Option<Ticket>,
@@ -103,10 +106,27 @@
     })?;
     let digest = Digest::of(content);
     let task = Task::Call(call);
-    let (mut entered, first) = context.router.enter(job.want()).await?;
-    let mut once =
-        Once { context, job, task, key, digest, foreign: false, last: None, first: Some(first) };
-    let answer = once.run().await?;
+    let (mut entered, first) = match context.router.enter(job.want()).await {
+        Ok(entered) => entered,
+        Err(failure) => return Err(truth::told(context, &job.workspace, &key, failure).await),
+    };
+    let mut once = Once {
+        context,
+        job,
+        task,
+        key,
+        digest,
+        foreign: false,
+        decided: false,
+        last: None,
+        first: Some(first),
+    };
+    let answer = match once.run().await {
+        Err(failure) if !once.decided => {
+            return Err(truth::told(context, &once.job.workspace, &once.key, failure).await);
+        }
+        end => end?,
+    };
     entered.ran = true;
     Ok(Served { answer, attempts: once.job.attempt.0 })
 }
@@ -179,6 +199,7 @@
     }
 
     fn decided(&mut self, reply: Reply, ticket: Ticket) -> Result<Step, Failure> {
+        self.decided = !matches!(reply, Reply::Failed(_));
         match reply {
             Reply::Granted { attempt } => Ok(Step::Go(State::Dispatch(ticket, attempt))),
             Reply::Held { request, attempt, to } => {
--- a/components/entry/src/service.rs
+++ b/components/entry/src/service.rs
@@ -11,8 +11,10 @@
 
 use crate::context::Context;
 use crate::door;
+use crate::door::Asked;
 use crate::run::Job;
 use crate::run::once;
+use crate::run::once::truth;
 use crate::run::serve;
 use crate::run::serve::Served;
 
@@ -35,7 +37,10 @@
 async fn run(context: &Context, call: &Call) -> Result<(Job, Served), Failure> {
     let (model, path) = target(&call.path)?;
     let content = content(call);
-    let (job, admitted) = door::job(context, call, model, &content)?;
+    let (job, admitted) = match door::job(context, call, model, &content) {
+        Ok(admitted) => admitted,
+        Err(failure) => return Err(at_the_door(context, call, failure).await),
+    };
     let media = call.header("content-type").unwrap_or("application/octet-stream");
     let task = ServiceCall { path, media: media.to_owned(), body: call.body.clone() };
     let served = if admitted.repeatable {
@@ -46,6 +51,18 @@
     Ok((job, served))
 }
 
+/// Makes the refusal of an entry that leaves or has just started true of a resend as well, which
+/// comes to it because the entry that took the first sending has died.
+async fn at_the_door(context: &Context, call: &Call, failure: Failure) -> Failure {
+    let passes = matches!(failure.code, Code::Draining | Code::NoQuorum);
+    match door::read(call) {
+        Ok(Asked { workspace, key: Some(key), .. }) if passes => {
+            truth::told(context, &workspace, &key, failure).await
+        }
+        _ => failure,
+    }
+}
+
 /// Reads the service and the path below it.
 fn target(path: &str) -> Result<(Model, String), Failure> {
     let rest = path.strip_prefix(paths::SERVICES).unwrap_or_default();
--- a/components/entry/tests/once.rs
+++ b/components/entry/tests/once.rs
@@ -191,6 +191,26 @@
     });
 }
 
+#[test]
+fn says_not_run_only_if_no_earlier_sending_has_the_claim() {
+    // Symptom: the packing line is told that a label was not printed, prints it under a new key,
+    // and two crates carry it.
+    // Sequence: the first sending is lost with its agent; the second comes to an entry that sees
+    // no endpoint.
+    // Cause: "not run" was true of the second sending alone.
+    actix_rt::System::new().block_on(async {
+        let fixture = Fixture::start(Vec::new()).await;
+        let key = key();
+        let headers = [("chicoryford-repeatable", "false"), ("idempotency-key", &key[..])];
+        let fresh = fixture.post(PATH, &headers, &json!({"crate": 7})).await;
+        assert_eq!(fresh.json()["error"]["outcome"], "not_run", "{}", fresh.text());
+        claim_elsewhere(&fixture, &key);
+        let again = fixture.post(PATH, &headers, &json!({"crate": 7})).await;
+        assert_eq!(again.json()["error"]["outcome"], "unknown", "{}", again.text());
+        assert!(fixture.attempts().is_empty());
+    });
+}
+
 #[test]
 fn repeatable_calls_need_no_claim() {
     actix_rt::System::new().block_on(async {
--- a/tests/faults/changes.rs
+++ b/tests/faults/changes.rs
@@ -50,6 +50,12 @@
         }
         first.held = Some((version + 1, titled(&winner)));
     }
+    // One who holds the right number, but another text under it, has not seen what is in force.
+    let (version, _) = first.held.clone().unwrap();
+    let elsewhere = titled("a text of another day");
+    let command = apply(&change_id("stranger"), titled("stranger"), Some((version, &elsewhere)));
+    let Said::Refused(reply) = insist(&system, &all, &command) else { panic!("accepted") };
+    assert!(matches!(*reply, Reply::Refused(Refusal::Conflict { .. })), "{reply:?}");
     assert_eq!(history(&system, &all).len(), 6);
     system.check_logs();
 }
