Send late work to an agent that leaves, as an entry does that missed the news

Cause: with the agent's refusal switched off the test of the frozen entry still passed: the entry hears by gossip that the endpoint drains within milliseconds of waking.

--- a/tests/faults/stops.rs
+++ b/tests/faults/stops.rs
@@ -5,7 +5,22 @@
 
 use chicoryford_standin::caller::CallerSettings;
 use chicoryford_standin::engine::EngineSettings;
+use chicoryford_standin::raw;
+use chicoryford_standin::raw::Question;
 use chicoryford_standin::record::unix;
+use chicoryford_types::Attempt;
+use chicoryford_types::Class;
+use chicoryford_types::Code;
+use chicoryford_types::Failure;
+use chicoryford_types::Fingerprint;
+use chicoryford_types::Incarnation;
+use chicoryford_types::Model;
+use chicoryford_types::Outcome;
+use chicoryford_types::RequestId;
+use chicoryford_types::Work;
+use chicoryford_types::Workspace;
+use chicoryford_types::request::Generation;
+use chicoryford_types::request::Task;
 use chicoryford_wire::paths;
 use serde_json::json;
 
@@ -70,6 +85,9 @@
     plan(&system, entries[0], &["--endpoint", "engine-1"]);
     wait_stop(&system, "agent-engine-1");
     let from = unix();
+    let refused = send_work(&system, "agent-engine-1");
+    let said = refused.map(|failure| (failure.code, failure.outcome));
+    assert_eq!(said, Some((Code::Draining, Outcome::NotRun)));
     // What is sent now lies in the buffers of the entry, which wakes with its old view.
     let waiting = Calling::start(&system, &entries[1..], named("waiting", 3.0));
     thread::sleep(Duration::from_secs(1));
@@ -81,6 +99,29 @@
     system.check_logs();
 }
 
+/// Sends an attempt to an agent, as an entry does that missed the news.
+fn send_work(system: &System, agent: &str) -> Option<Failure> {
+    let work = Work {
+        request: RequestId(1, 1),
+        attempt: Attempt(1),
+        incarnation: Incarnation::default(),
+        workspace: Workspace::from("desk"),
+        model: Model::from("model"),
+        class: Class::Urgent,
+        budget_ms: 60_000,
+        repeatable: true,
+        key: None,
+        floor: None,
+        fingerprint: Fingerprint::of(b"late"),
+        suspect: false,
+        task: Task::Generate(Generation { max_tokens: 4, ..Generation::default() }),
+    };
+    let body = rmp_serde::to_vec_named(&work).unwrap();
+    let question =
+        Question { path: paths::WORK, token: "process-token", body: &body, ..Question::default() };
+    rmp_serde::from_slice(&raw::ask_bytes(system.address(agent), &question)).ok()
+}
+
 fn named(name: &str, seconds: f64) -> CallerSettings {
     CallerSettings { name: name.to_owned(), ..desk(seconds) }
 }
