Refuse at once what needs a majority that is out of reach

Cause: each label, pull and acknowledgement of a region that was cut off waited for its own timeout, 5.3 s, and held a place at the entry. An entry that lost its session while the leader was cut off as well was given the same session again, and nobody ran the steps that it had stopped. Change: the threads of a process share what they know of the majority; the first calls wait 2 s at most after a failed try, all others are refused at once, and one task looks for a leader. The ends of claims go on being tried. An entry closes a session that it gave up before it opens another.

--- a/components/config/src/follower.rs
+++ b/components/config/src/follower.rs
@@ -68,11 +68,12 @@
     let shared = Arc::new(Shared::new(Store::new(load(disk.as_ref()))));
     kernel.registry.offer(SERVICE, Handle::new(shared.watch()));
     kernel.registry.offer(FEED, Feed::new(shared.clone()));
+    let quorum = proposer.quorum();
     kernel.registry.offer(PROPOSER, proposer);
     kernel.registry.offer(SHARED, shared.clone());
     let (held, clock, is_control) = (shared.clone(), kernel.clone(), settings.control.is_some());
     kernel.dumps.add("config", move || {
-        let part = standing::dump(&held, is_control, clock.now());
+        let part = standing::dump(&held, &quorum, is_control, clock.now());
         async move { part }
     });
     kernel.duty("follower", move |kernel| async move {
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod message;
 pub mod parents;
 pub mod proposer;
+pub mod quorum;
 pub mod random;
 pub mod routes;
 pub mod shared;
--- a/components/config/src/proposer.rs
+++ b/components/config/src/proposer.rs
@@ -9,6 +9,8 @@
 use chicoryford_kernel::registry::MissingService;
 use chicoryford_membership::Handle as Membership;
 use chicoryford_state::Command;
+use chicoryford_state::Renew;
+use chicoryford_state::Renewed;
 use chicoryford_state::Reply;
 use chicoryford_types::Code;
 use chicoryford_types::Failure;
@@ -17,11 +19,14 @@
 use chicoryford_wire::Caller;
 use chicoryford_wire::Client;
 use chicoryford_wire::paths;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use rand::Rng;
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 
 use crate::parents::distance;
+use crate::quorum::Quorum;
 use crate::random::generator;
 
 /// The name under which [`Proposer`] is offered.
@@ -29,51 +34,77 @@
 
 /// The longest wait for one control process before another is tried. A process that was cut off
 /// silently never answers, and the whole timeout would be spent on it.
-const TRY: Duration = Duration::from_secs(2);
+const TRY: Duration = Duration::from_secs(1);
 /// The shortest wait for one control process.
 const LEAST: Duration = Duration::from_millis(300);
 /// Milliseconds between two rounds over all control processes, at most.
 const ROUND_MS: u64 = 200;
 /// When a caller may come back after no control process took its command, in milliseconds.
 const RETRY_MS: u64 = 500;
+/// The time between two looks for a leader.
+const LOOK: Duration = Duration::from_millis(250);
+/// How long a look may take.
+const LOOKS: Duration = Duration::from_millis(700);
 
 /// The recipe from which each thread makes its own [`ProposerClient`].
 #[derive(Clone)]
 pub struct Proposer {
     caller: Arc<Caller>,
     members: Arc<Membership>,
+    quorum: Arc<Quorum>,
 }
 
 /// Proposes commands; it stays on one thread.
+#[derive(Clone)]
 pub struct ProposerClient {
     client: Client,
     members: Arc<Membership>,
+    quorum: Arc<Quorum>,
     last: RefCell<Option<Node>>,
     random: RefCell<SmallRng>,
 }
 
+/// Whether a command is given up once it is known that there is no majority.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Mode {
+    /// Somebody waits for the answer, who is better told to come back.
+    Prompt,
+    /// Nobody waits; it is tried until the timeout.
+    Patient,
+}
+
 impl Proposer {
     /// Proposes as this process, to the control processes among `members`.
     pub fn new(caller: Arc<Caller>, members: Arc<Membership>) -> Self {
-        Self { caller, members }
+        Self { caller, members, quorum: Arc::default() }
     }
 
-    /// Finds what it needs in the kernel.
+    /// Finds the one that is offered in the kernel, so that all threads know alike whether there
+    /// is a majority, or makes one.
     ///
     /// # Errors
     ///
     /// [`MissingService`] if the caller or membership is not offered yet.
     pub fn find(kernel: &Kernel) -> Result<Self, MissingService> {
+        if let Ok(offered) = kernel.registry.find::<Self>(PROPOSER) {
+            return Ok((*offered).clone());
+        }
         let caller = kernel.registry.find::<Caller>(chicoryford_wire::client::CALLER)?;
         let members = kernel.registry.find::<Membership>(chicoryford_membership::SERVICE)?;
         Ok(Self::new(caller, members))
     }
 
+    /// Gives what this process knows of the majority.
+    pub fn quorum(&self) -> Arc<Quorum> {
+        self.quorum.clone()
+    }
+
     /// Makes this thread's client; keep it, because it keeps connections open.
     pub fn client(&self) -> ProposerClient {
         ProposerClient {
             client: self.caller.client(),
             members: self.members.clone(),
+            quorum: self.quorum.clone(),
             last: RefCell::default(),
             random: RefCell::new(generator(&self.members.own())),
         }
@@ -84,18 +115,38 @@
     /// Proposes a command and waits until it is committed and applied.
     ///
     /// All commands may be sent again after a lost answer, so another control process is tried
-    /// whatever became of the first try, until `timeout`.
+    /// whatever became of the first try. It is given up after half of `timeout`, so that whoever
+    /// asked learns it in time to act on it, and as soon as it is known that there is no majority
+    /// (docs/REGIONS.md).
     ///
     /// # Errors
     ///
-    /// A failure with [`Code::NoQuorum`] once the timeout has passed; its outcome is "not run"
-    /// only if no try can have arrived. Any other failure is the control process's own.
+    /// A failure with [`Code::NoQuorum`] once it is given up; its outcome is "not run" only if no
+    /// try can have arrived. Any other failure is the control process's own.
     pub async fn propose(&self, command: &Command, timeout: Duration) -> Result<Reply, Failure> {
+        self.run(command, (timeout / 2).max(LEAST).min(timeout), Mode::Prompt).await
+    }
+
+    /// Proposes a command for which nobody waits, until `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// As [`ProposerClient::propose`].
+    pub async fn persist(&self, command: &Command, timeout: Duration) -> Result<Reply, Failure> {
+        self.run(command, timeout, Mode::Patient).await
+    }
+
+    async fn run(
+        &self,
+        command: &Command,
+        timeout: Duration,
+        mode: Mode,
+    ) -> Result<Reply, Failure> {
         let started = Instant::now();
         let mut lost = false;
         loop {
             for (node, address) in self.candidates() {
-                let left = timeout.saturating_sub(started.elapsed());
+                let left = self.left(started, timeout, mode);
                 if left.is_zero() {
                     return Err(no_quorum(lost));
                 }
@@ -103,14 +154,16 @@
                 match self.attempt(&address, command, patience).await {
                     Ok(reply) => {
                         self.last.replace(Some(node));
+                        self.quorum.found();
                         return Ok(reply);
                     }
                     Err(error) if is_final(&error) => return Err(error.into_failure()),
                     Err(error) => lost |= may_have_arrived(&error),
                 }
                 self.last.replace(None);
+                self.doubt();
             }
-            let left = timeout.saturating_sub(started.elapsed());
+            let left = self.left(started, timeout, mode);
             if left.is_zero() {
                 return Err(no_quorum(lost));
             }
@@ -119,6 +172,60 @@
         }
     }
 
+    /// Gives the time after which a command is given up.
+    fn left(&self, started: Instant, timeout: Duration, mode: Mode) -> Duration {
+        let now = Instant::now();
+        let left = timeout.saturating_sub(now - started);
+        let patience = self.quorum.patience(now).filter(|_| mode == Mode::Prompt);
+        patience.map_or(left, |patience| patience.min(left))
+    }
+
+    /// Looks from now on whether there is a leader, if nobody does yet.
+    fn doubt(&self) {
+        if self.quorum.doubt(Instant::now()) {
+            let held = self.clone();
+            actix_rt::spawn(async move { held.watch().await });
+        }
+    }
+
+    /// Looks for a leader until there is one.
+    async fn watch(&self) {
+        let mut logged = false;
+        while !self.has_leader().await {
+            let now = Instant::now();
+            self.quorum.looked(now);
+            if !logged && self.quorum.is_missing(now) {
+                tracing::warn!(event = "majority_out_of_reach");
+                logged = true;
+            }
+            actix_rt::time::sleep(LOOK).await;
+        }
+        self.quorum.found();
+        if logged {
+            tracing::info!(event = "majority_reached_again");
+        }
+    }
+
+    /// Asks all control processes at once to renew a session that nobody has. Only a leader whose
+    /// lease holds answers that, so the answer proves a majority and costs no entry of the log.
+    async fn has_leader(&self) -> bool {
+        let question = Renew { node: self.members.own().node, ..Renew::default() };
+        let question = &question;
+        let candidates = self.candidates();
+        let mut asked: FuturesUnordered<_> = candidates
+            .iter()
+            .map(|(_, address)| {
+                self.client.call::<_, Renewed>(address, paths::RENEW, question, LOOKS)
+            })
+            .collect();
+        while let Some(answer) = asked.next().await {
+            if answer.is_ok() {
+                return true;
+            }
+        }
+        false
+    }
+
     async fn attempt(
         &self,
         address: &str,
--- a/components/config/src/standing.rs
+++ b/components/config/src/standing.rs
@@ -1,5 +1,7 @@
 //! What a process knows of its own place: its parent, and whether it is isolated.
 
+use std::time::Instant;
+
 use chicoryford_types::Member;
 use chicoryford_types::Millis;
 use serde_json::Value;
@@ -7,6 +9,7 @@
 
 use crate::follower::MARGIN_MS;
 use crate::follower::WAIT_MS;
+use crate::quorum::Quorum;
 use crate::shared::Shared;
 
 /// Milliseconds without an answer from any parent after which a process calls itself isolated.
@@ -41,7 +44,7 @@
 }
 
 /// Gives the part of the state dump that tells of configuration.
-pub fn dump(shared: &Shared, is_control: bool, now: Millis) -> Value {
+pub fn dump(shared: &Shared, quorum: &Quorum, is_control: bool, now: Millis) -> Value {
     let (config, digest) = {
         let mut store = shared.store();
         (store.config(), store.digest())
@@ -59,6 +62,7 @@
         "parent": standing.parent.as_ref().map(|parent| parent.node.as_str()),
         "heard_ms_ago": standing.heard.map(|heard| now.since(heard)),
         "isolated": !is_control && standing.is_isolated(now),
+        "majority": !quorum.is_missing(Instant::now()),
         "unsaved": standing.unsaved,
         "deltas": standing.deltas,
         "snapshots": standing.snapshots,
--- a/components/entry/src/run/settle.rs
+++ b/components/entry/src/run/settle.rs
@@ -14,7 +14,7 @@
 pub fn later(context: &Context, command: Command) {
     let context = context.clone();
     actix_rt::spawn(async move {
-        if let Err(failure) = context.proposer.propose(&command, PATIENCE).await {
+        if let Err(failure) = context.proposer.persist(&command, PATIENCE).await {
             tracing::warn!(event = "not_settled", %failure);
         }
     });
--- a/components/entry/src/steps/session.rs
+++ b/components/entry/src/steps/session.rs
@@ -34,15 +34,36 @@
 /// to another; should it not, the ledger refuses what an earlier owner records.
 pub async fn keep(context: Context, notices: Sender<Notice>) {
     let mut held: Option<Held> = None;
+    let mut lost: Option<u64> = None;
     loop {
-        held = match held {
-            None => open(&context, &notices).await,
-            Some(held) => renew(&context, &notices, held).await,
+        held = match (held, lost) {
+            (None, Some(number)) if !close(&context, number).await => None,
+            (None, _) => {
+                lost = None;
+                open(&context, &notices).await
+            }
+            (Some(held), _) => {
+                let number = held.number;
+                let held = renew(&context, &notices, held).await;
+                lost = held.is_none().then_some(number);
+                held
+            }
         };
         actix_rt::time::sleep(EVERY).await;
     }
 }
 
+/// Closes a session that this entry gave up.
+///
+/// The leader may still hold it: it was cut off as well, or is new and gives all sessions a whole
+/// period. Opened again under the same number, the session would go on owning steps that this
+/// entry has stopped, so that nobody ran them and their trainer waited for ever. Closed, they
+/// are orphans that any entry takes.
+async fn close(context: &Context, session: u64) -> bool {
+    let closed = context.proposer.propose(&Command::CloseSession { session }, OPEN).await;
+    closed.is_ok()
+}
+
 async fn open(context: &Context, notices: &Sender<Notice>) -> Option<Held> {
     let own = context.members.own();
     let command = Command::OpenSession { node: own.node, incarnation: own.incarnation };
--- a/components/membership/examples/measure_members.rs
+++ b/components/membership/examples/measure_members.rs
@@ -89,6 +89,7 @@
     let all = |net: &Net| lost.iter().all(|n| net.all_hold_dead(*n));
     let centre_last = net.until(LONGEST_MS, all).unwrap_or(LONGEST_MS);
     let centre_bytes = rate(&net, net.now.since(began));
+    kinds(&net, "loss of a data centre", net.now.since(began));
 
     let row = Row {
         members,
@@ -137,8 +138,18 @@
     rate(net, BUSY_MS)
 }
 
+/// Prints what the bytes sent since the last reset went to, in bytes a second a node.
+fn kinds(net: &Net, what: &str, ms: u64) {
+    let up = net.peers.iter().filter(|peer| peer.up).count() as f64;
+    let per = |bytes: &u64| *bytes as f64 / up / (ms.max(1) as f64 / 1_000.0);
+    let parts: Vec<String> =
+        net.kinds.iter().map(|(kind, bytes)| format!("{kind} {:.0}", per(bytes))).collect();
+    println!("         {what}, B/s sent: {}", parts.join(", "));
+}
+
 fn reset(net: &mut Net) {
     net.measured = true;
+    net.kinds.clear();
     for peer in &mut net.peers {
         peer.sent = 0;
         peer.received = 0;
--- a/components/membership/tests/net/mod.rs
+++ b/components/membership/tests/net/mod.rs
@@ -12,6 +12,8 @@
 use chicoryford_membership::Message;
 use chicoryford_membership::Swim;
 use chicoryford_membership::SwimSettings;
+use chicoryford_membership::message::Body;
+use chicoryford_membership::message::Update;
 use chicoryford_types::DataCentre;
 use chicoryford_types::Endpoint;
 use chicoryford_types::EndpointInfo;
@@ -63,6 +65,8 @@
     pub settings: SwimSettings,
     pub measured: bool,
     pub largest: usize,
+    /// Bytes sent by kind of news, and by kind of message without its news.
+    pub kinds: BTreeMap<&'static str, u64>,
     /// Messages dropped by nobody's will: the standing that a peer had in another one's eyes.
     pub incarnation_back: u64,
     centres: usize,
@@ -105,6 +109,24 @@
     }
 }
 
+fn news_kind(update: &Update) -> &'static str {
+    match update {
+        Update::Alive(_) => "+alive",
+        Update::Refuted { .. } => "+refuted",
+        Update::Accused(accusation) if accusation.standing == Standing::Suspect => "+suspect",
+        Update::Accused(_) => "+dead",
+    }
+}
+
+fn body_kind(body: &Body) -> &'static str {
+    match body {
+        Body::Ping { .. } | Body::Relay { .. } | Body::Ack { .. } | Body::Nack { .. } => "probes",
+        Body::News => "news",
+        Body::Page { .. } | Body::Piece { .. } => "pages",
+        Body::Sync { .. } | Body::Bucket { .. } | Body::Want { .. } => "comparisons",
+    }
+}
+
 impl Net {
     /// Starts `n` peers; the first three are the seeds of all.
     pub fn new(n: usize, centres: usize, settings: SwimSettings, seed: u64) -> Self {
@@ -117,6 +139,7 @@
             settings,
             measured: false,
             largest: 0,
+            kinds: BTreeMap::new(),
             incarnation_back: 0,
             centres,
             letters: BTreeMap::new(),
@@ -185,6 +208,7 @@
         if self.measured {
             let size = message.encode().len();
             self.largest = self.largest.max(size + 16);
+            self.count_kinds(&message, size);
             self.peers[from].sent += size as u64 + HEADERS;
             self.peers[from].datagrams += 1;
             if let Some(peer) = self.peers.get_mut(to) {
@@ -201,6 +225,16 @@
         self.letters.entry(at).or_default().push(Letter { from: address(from), to, message });
     }
 
+    fn count_kinds(&mut self, message: &Message, size: usize) {
+        let mut rest = size as u64 + HEADERS;
+        for update in &message.updates {
+            let size = update.size() as u64;
+            rest = rest.saturating_sub(size);
+            *self.kinds.entry(news_kind(update)).or_default() += size;
+        }
+        *self.kinds.entry(body_kind(&message.body)).or_default() += rest;
+    }
+
     pub fn reaches(&self, from: usize, to: usize) -> bool {
         self.part[from] == self.part[to] && !self.cut.contains(&(from, to))
     }
