Tell a silent data centre as one piece of news

Change: a process that finds several members of another data centre silent says so once; each receiver probes two members itself and then suspects all. News of single suspects wait while that is looked into.

--- a/components/membership/src/message.rs
+++ b/components/membership/src/message.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use chicoryford_types::DataCentre;
 use chicoryford_types::Incarnation;
 use chicoryford_types::Member;
 use chicoryford_types::Node;
@@ -114,6 +115,13 @@
     },
     /// A process is said to be suspect, dead or gone.
     Accused(Accusation),
+    /// Nothing is heard any more from a whole data centre.
+    Silent {
+        /// The data centre.
+        place: DataCentre,
+        /// Who found it out.
+        by: Node,
+    },
 }
 
 /// A process is said to be suspect, dead or gone.
@@ -132,12 +140,13 @@
 }
 
 impl Update {
-    /// Gives the process that the news are about.
+    /// Gives the process that the news are about, or that found them out if they are about many.
     pub fn node(&self) -> &Node {
         match self {
             Self::Alive(member) => &member.node,
             Self::Refuted { node, .. } => node,
             Self::Accused(accusation) => &accusation.node,
+            Self::Silent { by, .. } => by,
         }
     }
 
--- a/components/membership/src/swim.rs
+++ b/components/membership/src/swim.rs
@@ -9,6 +9,7 @@
 mod own;
 mod pick;
 mod probe;
+mod silence;
 mod suspicion;
 mod sync;
 mod table;
@@ -40,6 +41,7 @@
 use pick::Rotation;
 use probe::Probe;
 use probe::Relayed;
+use silence::Silences;
 use suspicion::Suspicion;
 use sync::Joining;
 use table::Table;
@@ -105,6 +107,7 @@
     seeds: Vec<SocketAddr>,
     table: Table,
     suspicions: BTreeMap<Node, Suspicion>,
+    silences: Silences,
     queue: Queue,
     probes: Vec<Probe>,
     relayed: Vec<Relayed>,
@@ -140,6 +143,7 @@
             seeds,
             table: Table::new(settings.remembered),
             suspicions: BTreeMap::new(),
+            silences: Silences::default(),
             queue: Queue::default(),
             probes: Vec::new(),
             relayed: Vec::new(),
@@ -230,6 +234,7 @@
         tracing::warn!(event = "frozen", node = %self.own.node, gap_ms = gap);
         self.health = self.settings.health;
         self.probes.clear();
+        self.silences.forgive();
         self.relayed.clear();
         self.heard = now;
         for suspicion in self.suspicions.values_mut() {
@@ -248,6 +253,7 @@
         self.spread_versions(now, actions);
         self.judge(now);
         self.follow_probes(now, actions);
+        self.look_again(now, actions);
         if now >= self.next_probe {
             self.next_probe = now + self.settings.probe_ms * (1 + self.health);
             self.probe(now, actions);
@@ -280,6 +286,7 @@
             return;
         }
         self.heard = now;
+        self.hear_place(&message.from, now);
         let whole = matches!(message.body, Body::Piece { .. });
         self.correct(from, &message, actions);
         for update in message.updates {
@@ -298,7 +305,7 @@
             Body::Relay { seq, to } => {
                 self.relay(from, &message.from, seq, &to, now, actions);
             }
-            Body::Ack { seq } => self.take_ack(seq, actions),
+            Body::Ack { seq } => self.take_ack(seq, now, actions),
             Body::Nack { seq } => self.take_nack(seq),
             Body::News => {}
             Body::Page { after } => self.give_page(from, &message.from, &after, actions),
@@ -323,6 +330,10 @@
                 {
                     updates.push(Update::Alive(self.own.clone()));
                 }
+                // An answer of any member proves that its data centre is not silent.
+                Update::Silent { place, .. } if *place == self.own.data_centre => {
+                    updates.push(Update::Alive(self.own.clone()));
+                }
                 Update::Alive(member) if member.node == message.from => {
                     updates.extend(self.outdated(member).map(Update::Accused));
                 }
--- a/components/membership/src/swim/claims.rs
+++ b/components/membership/src/swim/claims.rs
@@ -29,6 +29,7 @@
             Update::Alive(member) => self.take_alive(member, now, onward, actions),
             Update::Refuted { .. } => self.take_refuted(update, now, onward),
             Update::Accused(accusation) => self.take_accused(accusation, now, onward, actions),
+            Update::Silent { place, by } => self.take_silent(place, by, now, actions),
         }
     }
 
@@ -94,7 +95,7 @@
         }
     }
 
-    fn acquit(&mut self, node: &Node, now: Millis) {
+    pub(super) fn acquit(&mut self, node: &Node, now: Millis) {
         self.suspicions.remove(node);
         let standing = self.table.get(node).map(|entry| entry.standing);
         if standing.is_some_and(|standing| standing != Standing::Alive) {
@@ -131,7 +132,9 @@
             Standing::Alive => {}
             Standing::Left => self.take_left(accusation, now, onward),
             Standing::Dead if !onward => self.take_dead(&accusation, now),
-            Standing::Suspect | Standing::Dead => self.take_suspected(accusation, now, onward),
+            Standing::Suspect | Standing::Dead => {
+                self.take_suspected(accusation, now, onward, actions);
+            }
         }
     }
 
@@ -156,7 +159,13 @@
         self.changed = true;
     }
 
-    fn take_suspected(&mut self, accusation: Accusation, now: Millis, onward: bool) {
+    fn take_suspected(
+        &mut self,
+        accusation: Accusation,
+        now: Millis,
+        onward: bool,
+        actions: &mut Vec<Action>,
+    ) {
         let dead = accusation.standing == Standing::Dead;
         let first = !self.suspicions.contains_key(&accusation.node);
         if first {
@@ -169,9 +178,12 @@
                 suspicion.confirm_fully();
             }
         }
-        if first && onward {
+        if !onward || !(first || confirmed) || self.hold(&accusation, now, actions) {
+            return;
+        }
+        if first {
             self.queue.add(Update::Accused(accusation));
-        } else if confirmed && onward {
+        } else {
             // Who misses a confirmation waits a little longer, no more.
             let spent = self.repeats() / 3;
             self.queue.add_spent(Update::Accused(accusation), spent);
@@ -212,7 +224,7 @@
             self.changed = true;
             tracing::info!(event = "member_dead", %node);
             // All decide by their own clocks; only the accusers tell those who missed it.
-            let witness = suspicion.is_by(&self.own.node);
+            let witness = suspicion.is_by(&self.own.node) && !self.is_silent(&node);
             if let Some(accusation) = self.accusation(&node).filter(|_| witness) {
                 self.queue.add(Update::Accused(accusation));
             }
--- a/components/membership/src/swim/news.rs
+++ b/components/membership/src/swim/news.rs
@@ -2,15 +2,18 @@
 
 use std::collections::BTreeMap;
 
+use chicoryford_types::DataCentre;
 use chicoryford_types::Node;
 
 use crate::message::Update;
 
 /// Whether an update tells what a member is or only how it stands; one of each may wait.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Kind {
     Content,
     Standing,
+    /// Of a whole data centre; it waits under no process's name.
+    Silence(DataCentre),
 }
 
 struct Item {
@@ -37,9 +40,13 @@
 
     /// Adds news as if they had been sent `sent` times before, because less depends on them.
     pub(super) fn add_spent(&mut self, update: Update, sent: u64) {
-        let node = update.node().clone();
+        let mut node = update.node().clone();
         let size = update.size();
-        let kind = match update {
+        let kind = match &update {
+            Update::Silent { place, .. } => {
+                node = Node::default();
+                Kind::Silence(place.clone())
+            }
             Update::Alive(_) => Kind::Content,
             Update::Refuted { .. } | Update::Accused(_) => Kind::Standing,
         };
@@ -50,6 +57,13 @@
         self.items.insert((node, kind), Item { update, size, sent });
     }
 
+    /// Drops news of how these members stand.
+    pub(super) fn drop_standing(&mut self, nodes: &[Node]) {
+        for node in nodes {
+            self.items.remove(&(node.clone(), Kind::Standing));
+        }
+    }
+
     /// Takes news that fit into `room` bytes, those sent least often first, and drops those that
     /// have been sent `limit` times.
     pub(super) fn take(&mut self, room: usize, limit: u64, updates: &mut Vec<Update>) {
--- a/components/membership/src/swim/probe.rs
+++ b/components/membership/src/swim/probe.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use chicoryford_types::DataCentre;
 use chicoryford_types::Incarnation;
 use chicoryford_types::Millis;
 use chicoryford_types::Node;
@@ -45,7 +46,35 @@
 impl Swim {
     /// Probes the next member.
     pub(super) fn probe(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        let Some((node, address)) = self.next_target(now) else { return };
+        if let Some(target) = self.next_target(now) {
+            self.probe_member(target, now, actions);
+        }
+    }
+
+    /// Probes a member of a data centre that is said to be silent.
+    pub(super) fn probe_place(
+        &mut self,
+        place: &DataCentre,
+        now: Millis,
+        actions: &mut Vec<Action>,
+    ) {
+        let missed = self.missed(place);
+        let target = self.draw(|entry| {
+            let member = &entry.member;
+            let is_next = member.data_centre == *place && !missed.contains(&member.node);
+            is_next && entry.is_present()
+        });
+        if let Some(target) = target {
+            self.probe_member(target, now, actions);
+        }
+    }
+
+    fn probe_member(
+        &mut self,
+        (node, address): (Node, SocketAddr),
+        now: Millis,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(entry) = self.table.get(&node) else { return };
         let (incarnation, announced) = (entry.member.incarnation, entry.announced);
         let seq = self.random.random();
@@ -118,10 +147,12 @@
         if moved_on {
             return;
         }
+        let announced = probe.announced.max(entry.accused);
+        self.miss_place(&probe.node, now);
         let accusation = Accusation {
             node: probe.node,
             incarnation: probe.incarnation,
-            announced: probe.announced.max(entry.accused),
+            announced,
             standing: Standing::Suspect,
             by: self.own.node.clone(),
         };
@@ -133,9 +164,10 @@
     }
 
     /// Takes an answer, to a probe of this process or to one that it made for another.
-    pub(super) fn take_ack(&mut self, seq: u64, actions: &mut Vec<Action>) {
+    pub(super) fn take_ack(&mut self, seq: u64, now: Millis, actions: &mut Vec<Action>) {
         if let Some(index) = self.probes.iter().position(|probe| probe.seq == seq) {
-            self.probes.swap_remove(index);
+            let probe = self.probes.swap_remove(index);
+            self.hear_place(&probe.node, now);
             self.health = self.health.saturating_sub(1);
             return;
         }
--- a/components/membership/src/swim/suspicion.rs
+++ b/components/membership/src/swim/suspicion.rs
@@ -34,6 +34,11 @@
         self.by.contains(node)
     }
 
+    /// Tells whether a process is the only accuser.
+    pub(super) fn is_only_by(&self, node: &Node) -> bool {
+        self.by.len() == 1 && self.is_by(node)
+    }
+
     /// Counts everything as confirmed, because another process already waited.
     pub(super) fn confirm_fully(&mut self) {
         self.most_ms = self.least_ms;
--- a/components/membership/tests/net/mod.rs
+++ b/components/membership/tests/net/mod.rs
@@ -115,6 +115,7 @@
         Update::Refuted { .. } => "+refuted",
         Update::Accused(accusation) if accusation.standing == Standing::Suspect => "+suspect",
         Update::Accused(_) => "+dead",
+        Update::Silent { .. } => "+silent",
     }
 }
 
