--- a/components/capacity/src/calculator.rs
+++ b/components/capacity/src/calculator.rs
@@ -51,6 +51,8 @@
     pub grade: Grade,
     /// Where the slopes come from.
     pub sources: Vec<Source>,
+    /// Whether it is more than one figure as measured.
+    pub derived: bool,
 }
 
 impl Term {
@@ -58,6 +60,7 @@
     #[must_use]
     pub fn times(mut self, factor: f64) -> Self {
         self.value *= factor;
+        self.derived |= factor != 1.0;
         if factor < 1.0 {
             self.used = format!("({}) / {}", self.used, short(1.0 / factor));
         } else if factor > 1.0 {
@@ -74,6 +77,7 @@
         self.factor = self.factor.max(other.factor);
         self.grade = self.grade.min(other.grade);
         self.sources.extend(other.sources);
+        self.derived = true;
         self
     }
 
@@ -83,6 +87,7 @@
         self.value = (self.value - other.value).max(0.0);
         self.used = format!("({} − {})", self.used, other.used);
         self.grade = self.grade.min(other.grade);
+        self.derived = true;
         self
     }
 
@@ -150,13 +155,20 @@
         let point = sweep.points.iter().find(|point| point.x == x)?;
         let value = point.ys.iter().sum::<f64>() / point.ys.len() as f64;
         let used = format!("{name}[{}]", short(x));
-        Some(Term { value, used, factor: 1.0, grade: Grade::Good, sources: vec![sweep.source] })
+        Some(Term {
+            value,
+            used,
+            factor: 1.0,
+            grade: Grade::Good,
+            sources: vec![sweep.source],
+            derived: false,
+        })
     }
 
     fn term(&self, name: &str, fit: &Fit, value: f64, factor: f64, used: String) -> Option<Term> {
         let source = self.data.sweep(name)?.source;
         let grade = grade(fit, factor);
-        Some(Term { value, used, factor, grade, sources: vec![source] })
+        Some(Term { value, used, factor, grade, sources: vec![source], derived: factor > 1.0 })
     }
 }
 
--- a/components/capacity/src/rows/mod.rs
+++ b/components/capacity/src/rows/mod.rs
@@ -48,7 +48,7 @@
     pub fn source(&self) -> &'static str {
         let live = self.term.sources.contains(&Source::Processes);
         let pure = self.term.sources.contains(&Source::InProcess);
-        match (live, pure, self.term.factor > 1.0) {
+        match (live, pure, self.term.derived) {
             (true, true, _) => "worked out from processes and decision code",
             (true, _, true) => "worked out from processes",
             (true, _, _) => "measured, processes",
--- a/components/membership/tests/udp.rs
+++ b/components/membership/tests/udp.rs
@@ -217,3 +217,22 @@
         one.stop();
     }
 }
+
+#[test]
+fn counts_the_bytes_that_it_sends_and_receives() {
+    let folder = tempfile::tempdir().unwrap();
+    let first = Process::start(folder.path(), "p0", &[]);
+    let second = Process::start(folder.path(), "p1", &[first.gossip()]);
+    first.until("the second", |view| view.present().count() == 2);
+    second.until("the first", |view| view.present().count() == 2);
+    for process in [first, second] {
+        let dump = actix_rt::System::new().block_on(process.kernel.dumps.take());
+        let gossip = &dump["gossip"];
+        for way in ["sent", "received"] {
+            let count = gossip[way].as_u64().unwrap();
+            let bytes = gossip[format!("{way}_bytes")].as_u64().unwrap();
+            assert!(count > 0 && bytes > count, "{gossip}");
+        }
+        process.stop();
+    }
+}
