--- a/components/capacity/tests/check.rs
+++ b/components/capacity/tests/check.rs
@@ -6,6 +6,7 @@
 use chicoryford_capacity::data::Point;
 use chicoryford_capacity::fit::Shape;
 use chicoryford_capacity::fit::fit;
+use chicoryford_capacity::rows::rows;
 
 #[test]
 fn page_and_plots_are_what_the_data_file_gives() {
@@ -54,6 +55,8 @@
     for sweep in &data.sweeps {
         assert!(sweep.points.len() >= 4, "{} has too few sizes", sweep.name);
     }
+    assert!(data.failed.is_empty(), "{:?}", data.failed);
+    assert!(rows(&data).len() > 40);
     assert!(Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scripts/capacity").exists());
 }
 
