--- a/components/capacity/src/calculator.rs
+++ b/components/capacity/src/calculator.rs
@@ -5,6 +5,7 @@
 use crate::fit::Fit;
 use crate::fit::Shape;
 use crate::fit::fit;
+use crate::fit::straight;
 
 /// Beyond this extrapolation a figure is at best fair, or weak.
 const NEAR: f64 = 3.0;
@@ -50,6 +51,8 @@
     pub grade: Grade,
     /// Where the slopes come from.
     pub sources: Vec<Source>,
+    /// Whether it is more than one figure as measured.
+    pub derived: bool,
 }
 
 impl Term {
@@ -57,7 +60,10 @@
     #[must_use]
     pub fn times(mut self, factor: f64) -> Self {
         self.value *= factor;
-        if factor != 1.0 {
+        self.derived |= factor != 1.0;
+        if factor < 1.0 {
+            self.used = format!("({}) / {}", self.used, short(1.0 / factor));
+        } else if factor > 1.0 {
             self.used = format!("({}) × {}", self.used, short(factor));
         }
         self
@@ -71,6 +77,7 @@
         self.factor = self.factor.max(other.factor);
         self.grade = self.grade.min(other.grade);
         self.sources.extend(other.sources);
+        self.derived = true;
         self
     }
 
@@ -78,8 +85,16 @@
     #[must_use]
     pub fn less(mut self, other: Self) -> Self {
         self.value = (self.value - other.value).max(0.0);
-        self.used = format!("{} − {}", self.used, other.used);
+        self.used = format!("({} − {})", self.used, other.used);
         self.grade = self.grade.min(other.grade);
+        self.derived = true;
+        self
+    }
+
+    /// Says that the figure is a difference of noisy ones, or an upper bound.
+    #[must_use]
+    pub fn rough(mut self) -> Self {
+        self.grade = self.grade.min(Grade::Fair);
         self
     }
 
@@ -126,20 +141,34 @@
         self.term(name, &fit, value, x / fit.largest, used)
     }
 
-    /// Gives the mean at the largest size that was measured.
-    pub fn last(&self, name: &str) -> Option<Term> {
-        let fit = self.fit(name)?;
-        let point = self.data.sweep(name)?.points.last()?;
-        let mean = point.ys.iter().sum::<f64>() / point.ys.len() as f64;
-        let sources = vec![self.data.sweep(name)?.source];
-        let used = format!("{name} as measured at {}", short(fit.largest));
-        Some(Term { value: mean, used, factor: 1.0, grade: Grade::Good, sources })
+    /// Gives the figure of a sweep at a size by a line, whatever the shape: the upper bound of a
+    /// sweep that flattens.
+    pub fn straight(&self, name: &str, x: f64) -> Option<Term> {
+        let fit = straight(&self.data.sweep(name)?.points)?;
+        let used = format!("{name}({}) by a line", short(x));
+        self.term(name, &fit, fit.at(x), x / fit.largest, used)
+    }
+
+    /// Gives the mean at a size that was measured.
+    pub fn point(&self, name: &str, x: f64) -> Option<Term> {
+        let sweep = self.data.sweep(name)?;
+        let point = sweep.points.iter().find(|point| point.x == x)?;
+        let value = point.ys.iter().sum::<f64>() / point.ys.len() as f64;
+        let used = format!("{name}[{}]", short(x));
+        Some(Term {
+            value,
+            used,
+            factor: 1.0,
+            grade: Grade::Good,
+            sources: vec![sweep.source],
+            derived: false,
+        })
     }
 
     fn term(&self, name: &str, fit: &Fit, value: f64, factor: f64, used: String) -> Option<Term> {
         let source = self.data.sweep(name)?.source;
         let grade = grade(fit, factor);
-        Some(Term { value, used, factor, grade, sources: vec![source] })
+        Some(Term { value, used, factor, grade, sources: vec![source], derived: factor > 1.0 })
     }
 }
 
