--- a/components/entry/src/steps/duty.rs
+++ b/components/entry/src/steps/duty.rs
@@ -180,10 +180,11 @@
         }
     }
 
-    /// Counts held bodies as work in progress. A process that is told to stop ends at once if
-    /// nothing is in progress, before this duty could look whether its copies are needed.
+    /// Counts running steps and held bodies as work in progress. A process that is told to stop
+    /// ends at once if nothing is in progress: before this duty could look, samples would be
+    /// cancelled though there is time for them, and copies that are needed would be lost.
     fn hold_on(&mut self) {
-        if self.context.bodies.store().is_empty() {
+        if self.running.is_empty() && self.context.bodies.store().is_empty() {
             self.holds = None;
         } else if self.holds.is_none() {
             let progress = self.context.kernel.registry.find::<Progress>(PROGRESS);
@@ -250,6 +251,7 @@
             let _ = notices.send(Notice::Ended(ended)).await;
         });
         self.running.insert(key, task);
+        self.hold_on();
     }
 
     fn dump(&self) -> Value {
