--- a/components/entry/src/run/once/mod.rs
+++ b/components/entry/src/run/once/mod.rs
@@ -122,7 +122,7 @@
         first: Some(first),
     };
     let answer = match once.run().await {
-        Err(failure) if !once.decided && failure.code != Code::NoQuorum => {
+        Err(failure) if !once.decided => {
             return Err(truth::told(context, &once.job.workspace, &once.key, failure).await);
         }
         end => end?,
--- a/components/entry/src/run/once/truth.rs
+++ b/components/entry/src/run/once/truth.rs
@@ -3,8 +3,8 @@
 //! A caller whose first sending was lost sends the call again, and is refused, for instance
 //! because no endpoint is to be seen. That sending did not run, but the first may have: told "not
 //! run", the caller would print the label by hand or under a new key, and two crates go out. So
-//! the control processes are asked whether they know the key; if they do, the outcome is unknown.
-//! Where no majority answers, the refusal stays as it was: it is true of this sending.
+//! the control processes are asked whether they know the key, and unless they do not, the outcome
+//! is unknown.
 
 use std::time::Duration;
 
@@ -35,14 +35,14 @@
     key: &IdempotencyKey,
     failure: Failure,
 ) -> Failure {
-    if failure.outcome != Outcome::NotRun || !is_claimed(context, workspace, key).await {
+    if failure.outcome != Outcome::NotRun || is_unclaimed(context, workspace, key).await {
         return failure;
     }
     let retry = failure.retry_ms.or(Some(RETRY));
     Failure { outcome: Outcome::Unknown, retry_ms: retry, ..failure }
 }
 
-async fn is_claimed(context: &Context, workspace: &Workspace, key: &IdempotencyKey) -> bool {
+async fn is_unclaimed(context: &Context, workspace: &Workspace, key: &IdempotencyKey) -> bool {
     let look = Command::Reassign {
         workspace: workspace.clone(),
         key: key.clone(),
@@ -50,9 +50,11 @@
         after: NEVER,
         to: Assigned::default(),
     };
-    let claimed = |reply| match reply {
-        Reply::Ended(end) => end != ClaimEnd::NotRun,
-        reply => reply == Reply::Refused(Refusal::Moved),
+    let unclaimed = |reply| {
+        matches!(
+            reply,
+            Reply::Refused(Refusal::Missing | Refusal::KeyExpired) | Reply::Ended(ClaimEnd::NotRun)
+        )
     };
-    context.proposer.propose(&look, LOOK).await.is_ok_and(claimed)
+    context.proposer.propose(&look, LOOK).await.is_ok_and(unclaimed)
 }
