Hold up an entry's end from the first sample of a step on

Cause: at SIGTERM the daemon waits while something counts as in progress. The duty of steps counted only from its next look on, up to 200 ms after the signal; if no request was open in that moment, the count was zero, the process ended at once, and the samples of its steps were cancelled at the engines, though the grace was 30 s. A daemon with all roles does not show it, because the attempts that its own agent works on count as requests. Change: the duty holds its guard from the moment it begins a step until no step runs. Ruled out: a pause in the daemon before it counts, which would only shift the race. The promise of a graceful shutdown now holds for samples as well as for requests.

--- a/components/entry/src/steps/duty.rs
+++ b/components/entry/src/steps/duty.rs
@@ -142,16 +142,17 @@
         let leaves = door::open(phase, &config, &context.node, &context.place).is_err();
         let left = self.leave.send_replace(leaves);
         if !leaves {
-            self.held = None;
+            if self.running.is_empty() {
+                self.held = None;
+            }
             return;
         }
         if !left {
-            let progress = context.kernel.registry.find::<Progress>(PROGRESS);
-            self.held = progress.ok().map(|progress| progress.begin());
+            self.hold();
         }
         if self.running.is_empty() && self.held.is_some() {
             let held = self.held.take();
-            let (context, session) = (context.clone(), self.session);
+            let (context, session) = (self.context.clone(), self.session);
             actix_rt::spawn(async move {
                 if let Some(session) = session {
                     let command = Command::CloseSession { session };
@@ -162,6 +163,16 @@
         }
     }
 
+    /// Holds up the end of the process. While steps run this is held all the time, not from the
+    /// first look on at which the process drains: the end would not wait for that look, and the
+    /// samples would be cancelled though there is time for them.
+    fn hold(&mut self) {
+        if self.held.is_none() {
+            let progress = self.context.kernel.registry.find::<Progress>(PROGRESS);
+            self.held = progress.ok().map(|progress| progress.begin());
+        }
+    }
+
     fn take(&mut self, notice: Notice) {
         match notice {
             Notice::Opened(key) => self.begin(key),
@@ -221,6 +232,7 @@
             let _ = notices.send(Notice::Ended(ended)).await;
         });
         self.running.insert(key, task);
+        self.hold();
     }
 
     fn dump(&self) -> Value {
