Ask of the entry that samples hold up its end before a stop, not after it

Cause: a_leaving_entry_finishes_its_samples_and_hands_its_step_over waited for the count of work to change at the stop, which is the very gap that cut samples at SIGTERM; with the samples counted from their start it waited for ever. Change: the test asserts that samples count before any stop, asks until the entry refuses as draining, and waits for a count of zero. It asks more than before: the old one passed with the fault.

--- a/components/entry/tests/steps.rs
+++ b/components/entry/tests/steps.rs
@@ -245,18 +245,20 @@
         while fixture.attempts().len() < 2 {
             actix_rt::time::sleep(Duration::from_millis(10)).await;
         }
-        let work = fixture.progress.count();
+        // A signal may come without a look of the duty between it and the end of the process.
+        assert!(fixture.progress.count() > 0, "samples hold up the end before any stop");
         fixture.stop_entry();
-        while fixture.progress.count() == work {
+        let mut refused = fixture.post_as(&trainer(), paths::STEP_OPEN, &[], &spec).await;
+        while refused.status == 200 {
             actix_rt::time::sleep(Duration::from_millis(10)).await;
+            refused = fixture.post_as(&trainer(), paths::STEP_OPEN, &[], &spec).await;
         }
-        let refused = fixture.post_as(&trainer(), paths::STEP_OPEN, &[], &spec).await;
         assert_eq!(refused.json()["error"]["code"], "draining");
         release.store(1, Ordering::Relaxed);
         let samples = pull(&fixture, 1).await.json();
         assert_eq!(samples["samples"].as_array().unwrap().len(), 2);
         assert_eq!(fixture.attempts().len(), 2, "no sample was made twice");
-        while fixture.progress.count() > work {
+        while fixture.progress.count() > 0 {
             actix_rt::time::sleep(Duration::from_millis(10)).await;
         }
         let proposed = fixture.control.proposed.lock().unwrap().clone();
