Wait for a change by one answer that covers all processes

An answer names 100 processes at most, and each control process knew only its own followers, so that with several hundred processes every list was cut off and passed over: the wait ended with exit code 5 though the change was in force everywhere. Change: the client asks one process for the position that it waits for; that process gathers the reports of all control processes and counts. When the wait ends too early, the error counts those behind and names the first.

--- a/src/change.rs
+++ b/src/change.rs
@@ -1,6 +1,5 @@
 //! Changes: their ids, and the wait until they are in force everywhere.
 
-use std::collections::BTreeSet;
 use std::io::IsTerminal;
 use std::time::Duration;
 use std::time::Instant;
@@ -8,7 +7,6 @@
 use chicoryford_state::Command;
 use chicoryford_state::Reply;
 use chicoryford_types::ChangeId;
-use chicoryford_types::Node;
 use chicoryford_types::Position;
 use indicatif::ProgressBar;
 use indicatif::ProgressStyle;
@@ -16,6 +14,7 @@
 
 use crate::cli::ChangeArgs;
 use crate::connect::Connection;
+use crate::error::Behind;
 use crate::error::CmdError;
 use crate::output::Format;
 use crate::output::View;
@@ -80,43 +79,24 @@
     loop {
         // The change is accepted already: a process that does not answer now must not end the
         // wait with an error that reads as if the change had not run.
-        let (behind, known) = behind(to, at).await.unwrap_or_else(|error| {
-            let nobody = format!("nobody could be asked: {error}");
-            (vec![nobody], 0)
-        });
-        if behind.is_empty() {
+        let told = to.in_force(at).await;
+        if told.as_ref().is_ok_and(|told| told.everywhere) {
             bar.finish_and_clear();
             return Ok(());
         }
-        bar.set_length(known as u64);
-        bar.set_position(known.saturating_sub(behind.len()) as u64);
+        if let Ok(told) = &told {
+            bar.set_length(told.processes as u64);
+            bar.set_position(told.processes.saturating_sub(told.behind) as u64);
+        }
         if begun.elapsed() >= Duration::from_secs(seconds) {
             bar.finish_and_clear();
-            return Err(CmdError::TimedOut { seconds, behind });
+            let behind = told.map_or_else(Behind::Unknown, Behind::Known);
+            return Err(CmdError::TimedOut { seconds, behind: Box::new(behind) });
         }
         actix_rt::time::sleep(LOOK).await;
     }
 }
 
-/// Names the processes that are not known to have `at` in force, and counts all processes.
-///
-/// Each control process knows of itself and of those that follow it, directly or through an
-/// entry. A process is behind if no control process knows that it has reached `at`.
-async fn behind(to: &Connection, at: Position) -> Result<(Vec<String>, usize), CmdError> {
-    let members = to.members().await?;
-    let present: BTreeSet<Node> = members.present().map(|member| member.node.clone()).collect();
-    let mut behind = present.clone();
-    for control in members.present().filter(|member| member.roles.control) {
-        let Ok(told) = to.in_force(&control.address).await else { continue };
-        let named_all = told.behind == told.lagging.len();
-        if told.at >= at && named_all {
-            let lagging: BTreeSet<Node> = told.lagging.into_iter().collect();
-            behind.retain(|node| lagging.contains(node));
-        }
-    }
-    Ok((behind.iter().map(|node| node.0.clone()).collect(), present.len()))
-}
-
 /// Makes a bar that shows only on a terminal, so that logs of scripts stay clean.
 pub fn bar(message: &str) -> ProgressBar {
     if !std::io::stderr().is_terminal() {
--- a/src/connect.rs
+++ b/src/connect.rs
@@ -13,6 +13,7 @@
 use chicoryford_types::Failure;
 use chicoryford_types::Members;
 use chicoryford_types::Outcome;
+use chicoryford_types::Position;
 use chicoryford_wire::CallError;
 use chicoryford_wire::Client;
 use chicoryford_wire::client::read_failure;
@@ -208,13 +209,15 @@
         self.only(address).get(paths::DUMP).await
     }
 
-    /// Asks the process at `address` what it knows of who has its configuration in force.
+    /// Asks whether configuration up to `at` is in force everywhere. The process that answers
+    /// asks all control processes, so that one answer covers everybody.
     ///
     /// # Errors
     ///
     /// As [`Connection::get`].
-    pub async fn in_force(&self, address: &str) -> Result<InForce, CmdError> {
-        self.only(address).get(paths::IN_FORCE).await
+    pub async fn in_force(&self, at: Position) -> Result<InForce, CmdError> {
+        let body = self.ask(&format!("{}?at={at}", paths::IN_FORCE), None, None).await?;
+        shape(paths::IN_FORCE, &body)
     }
 
     /// The way to one process, which is tried once: the caller has others, or asks again.
@@ -226,7 +229,7 @@
     /// Goes through the addresses until one answers, or the time is over.
     async fn ask(
         &self,
-        path: &'static str,
+        path: &str,
         body: Option<Vec<u8>>,
         change: Option<&str>,
     ) -> Result<Vec<u8>, CmdError> {
--- a/src/error.rs
+++ b/src/error.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use chicoryford_config::in_force::InForce;
 use chicoryford_settings::SettingsError;
 use chicoryford_state::Refusal;
 use chicoryford_types::Failure;
@@ -74,18 +75,41 @@
         name: String,
     },
     /// The wait was too short.
-    #[error("not everywhere within {seconds} s; still behind: {}", .behind.join(", "))]
+    #[error("not everywhere within {seconds} s; {}", lag(.behind))]
     TimedOut {
         /// How long the client waited.
         seconds: u64,
-        /// The processes that are behind.
-        behind: Vec<String>,
+        /// What the last look showed.
+        behind: Box<Behind>,
     },
     /// The difference that `--exit-code` asks about.
     #[error("there are differences")]
     Differs,
 }
 
+/// Who was behind when the wait for a change ended.
+#[derive(Debug)]
+pub enum Behind {
+    /// What the control processes told.
+    Known(InForce),
+    /// Nobody could be asked.
+    Unknown(CmdError),
+}
+
+/// Names those behind. Of many, the answer names just some: their count is what tells an operator
+/// a slow process from a region that is cut off.
+fn lag(behind: &Behind) -> String {
+    let told = match behind {
+        Behind::Known(told) => told,
+        Behind::Unknown(error) => return format!("nobody could be asked: {error}"),
+    };
+    let names: Vec<&str> = told.lagging.iter().map(|node| node.as_str()).collect();
+    let unnamed = told.behind.saturating_sub(names.len());
+    let more = if unnamed > 0 { format!(" and {unnamed} more") } else { String::new() };
+    let (count, all) = (told.behind, told.processes);
+    format!("{count} of {all} processes are behind: {}{more}", names.join(", "))
+}
+
 fn resend(change: Option<&str>) -> String {
     change.map(|id| format!("; send it again with --change {id}")).unwrap_or_default()
 }
