Name the content of a file's base, and look for it among the kept versions

Cause: a file from `template get` named its base by number only. When another change came first, the client sent that number with an empty digest, so the conflict's diff showed the whole template as new instead of what the winner changed; and a file from before a deployment was founded anew could fit a number whose content its author never saw. Change: the comment names the digest too. A base that is not in force is looked up among the versions that are kept. Files with the number alone still work.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! The subcommands, one file each.
 
+mod base;
 mod completions;
 mod control;
 mod dump;
--- a/src/cmd/template.rs
+++ b/src/cmd/template.rs
@@ -3,7 +3,6 @@
 use std::path::Path;
 
 use chicoryford_settings::load_templates;
-use chicoryford_state::Base;
 use chicoryford_state::Command;
 use chicoryford_state::Reply;
 use chicoryford_types::Config;
@@ -14,6 +13,9 @@
 use chicoryford_types::config::Versioned;
 use similar::TextDiff;
 
+use super::base;
+use super::base::BASE_MARK;
+use super::base::Mark;
 use crate::change;
 use crate::change::Done;
 use crate::cli::ApplyArgs;
@@ -25,9 +27,6 @@
 use crate::output::View;
 use crate::output::yaml;
 
-/// The comment by which a file tells the version that it was made from.
-const BASE_MARK: &str = "# base ";
-
 /// Checks, applies, reads or compares templates. `connect` is called only by what needs it, so
 /// that a file can be checked without a system.
 ///
@@ -78,7 +77,7 @@
     let config = to.config().await?;
     let mut all = Vec::new();
     for (index, template) in templates.into_iter().enumerate() {
-        let marked = marks.get(index).copied().flatten();
+        let marked = marks.get(index).cloned().flatten();
         match apply_one(to, &config, template, args, marked, index).await {
             Ok(done) => all.push(done),
             Err(error) => {
@@ -99,7 +98,7 @@
     config: &Config,
     template: Template,
     args: &ApplyArgs,
-    marked: Option<u64>,
+    marked: Option<Mark>,
     index: usize,
 ) -> Result<Done, CmdError> {
     let what = format!("template {}", template.workspace);
@@ -111,8 +110,11 @@
         let position = Some(config.at);
         return Ok(Done { what, change: "-".to_owned(), position, version, everywhere: None });
     }
-    let wanted = args.base.or(marked);
-    let base = base(current, wanted);
+    let given = args.base.map(|version| Mark { version, digest: None });
+    let base = match given.or(marked) {
+        Some(mark) => mark.find(to, &template.workspace, current).await?,
+        None => base::in_force(current),
+    };
     let mut id = change::id(&args.change);
     if index > 0 && args.change.change.is_some() {
         // A file with several templates is several changes; each needs an id of its own, and
@@ -123,21 +125,8 @@
     change::submit(to, what, &id, &command, &args.change).await
 }
 
-/// What the operator believes is in force. A version other than the one in force is sent as it
-/// is: the control processes answer with the conflict and its diff.
-fn base(current: Option<&Versioned>, wanted: Option<u64>) -> Base {
-    let held = current.map_or(Base::default(), |held| Base {
-        version: held.version,
-        digest: held.template.digest(),
-    });
-    match wanted {
-        Some(version) if version != held.version => Base { version, ..Base::default() },
-        _ => held,
-    }
-}
-
 /// Reads the comments by which the documents of a file tell their base versions.
-fn marks(text: &str, count: usize) -> Vec<Option<u64>> {
+fn marks(text: &str, count: usize) -> Vec<Option<Mark>> {
     let mut marks = Vec::new();
     let mut mark = None;
     let mut filled = false;
@@ -148,7 +137,7 @@
             }
             filled = false;
         } else if let Some(rest) = line.strip_prefix(BASE_MARK) {
-            mark = rest.split_whitespace().next().and_then(|version| version.parse().ok());
+            mark = rest.parse().ok();
         } else if !line.trim().is_empty() && !line.starts_with('#') {
             filled = true;
         }
@@ -178,8 +167,7 @@
     match format {
         Format::Json => View::new(&wanted, &[], Vec::new()).print(format),
         Format::Table | Format::Yaml => {
-            let base = current.map_or(0, |held| held.version);
-            print!("{BASE_MARK}{base}\n{}", yaml(&wanted.template));
+            print!("{BASE_MARK}{}\n{}", Mark::of(current), yaml(&wanted.template));
         }
     }
     Ok(())
@@ -223,9 +211,11 @@
     if differs && exit_code { Err(CmdError::Differs) } else { Ok(()) }
 }
 
-type Kept = (Position, Unix, Versioned);
+/// A version that is kept: where and when it was accepted, and its content.
+pub type Kept = (Position, Unix, Versioned);
 
-async fn versions(to: &Connection, workspace: &str) -> Result<Vec<Kept>, CmdError> {
+/// Asks for the versions of a template that are kept.
+pub async fn versions(to: &Connection, workspace: &str) -> Result<Vec<Kept>, CmdError> {
     let command = Command::History { workspace: Workspace::from(workspace) };
     match to.command(&command, None).await? {
         Reply::History(versions) => Ok(versions),
@@ -258,7 +248,7 @@
 ) -> Result<(), CmdError> {
     let config = to.config().await?;
     let workspace = Workspace::from(workspace);
-    let base = base(config.templates.get(&workspace), None);
+    let base = base::in_force(config.templates.get(&workspace));
     let what = format!("template {workspace} as in version {version}");
     let id = change::id(args);
     let command = Command::Rollback { change: id.clone(), workspace, to: version, base };
@@ -275,7 +265,7 @@
 ) -> Result<(), CmdError> {
     let config = to.config().await?;
     let workspace = Workspace::from(workspace);
-    let base = base(config.templates.get(&workspace), None);
+    let base = base::in_force(config.templates.get(&workspace));
     let what = format!("template {workspace} removed");
     let id = change::id(args);
     let command = Command::Remove { change: id.clone(), workspace, base };
