Prove the operators' client against control processes of their own

Cause: adding, replacing and removing control processes, handing over, and the exit codes were tested within one process. Change: three tests over real processes: add, promote, remove, replace a killed one, hand over; dumps by name without secrets, conflict with diff, history, rollback; a frozen agent named by a wait that ends; "not run" when nobody answers.

--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -5,6 +5,7 @@
 
 mod calls;
 mod changes;
+mod clients;
 mod crashes;
 mod operator;
 mod pairs;
