Look for a sample's bytes in the own store before the ledger names it

Cause: a_batch_outlives_four_of_five_holders_killed_between_repairs failed once on the busy machine: the last entry answered "no holder answers just now" although each of the three entries held all copies. A copy is stored before the record of its new holder is committed; the owner that was to record it was killed in between, and the fetch asked recorded holders only. By reading, not by a trace: the log of that run was not kept. The digest is checked as before.

--- a/components/entry/src/bodies/fetch.rs
+++ b/components/entry/src/bodies/fetch.rs
@@ -91,7 +91,14 @@
         let is_own = holder.node == context.node;
         (is_own, has_kept(members, holder), is_near, (index + turn) % holders.len().max(1))
     });
-    ranked.into_iter().map(|(_, holder)| holder.node.clone()).collect()
+    let mut queue: Vec<_> = ranked.into_iter().map(|(_, holder)| holder.node.clone()).collect();
+    // A copy lies here before the ledger names this process as a holder. If the owner of the step
+    // dies in between, all that it names may be gone while the bytes are here: the trainer would be
+    // told that a sample is lost, and nobody would ever repair it.
+    if queue.last() != Some(&context.node) {
+        queue.push(context.node.clone());
+    }
+    queue
 }
 
 /// Tells whether a holder runs since it took the body, as far as this process knows.
