Split the HTTP server by job: the request, the routes, the serving

Change: call.rs, routes.rs and server.rs; no line of logic changed. wire::Call and wire::Routes stay where they were.

--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -3,15 +3,18 @@
 //! Between the system's own processes bodies are MessagePack by `rmp-serde`; towards callers and
 //! operators they are JSON. All bodies, headers and connections are bounded (docs/API.md).
 
+pub mod call;
 pub mod client;
 pub mod framing;
 pub mod keys;
 pub mod paths;
 pub mod progress;
 pub mod reply;
+pub mod routes;
 pub mod server;
 pub mod tls;
 
+pub use call::Call;
 pub use client::CallError;
 pub use client::Caller;
 pub use client::Client;
@@ -21,5 +24,4 @@
 pub use progress::PROGRESS;
 pub use progress::Progress;
 pub use reply::Reply;
-pub use server::Call;
-pub use server::Routes;
+pub use routes::Routes;
--- /dev/null
+++ b/components/wire/src/routes.rs
@@ -0,0 +1,62 @@
+//! What a process answers, by path, and who may ask for it.
+
+use std::future::Future;
+use std::rc::Rc;
+
+use futures_util::future::LocalBoxFuture;
+
+use crate::call::Call;
+use crate::keys::Kind;
+use crate::progress;
+use crate::progress::Progress;
+use crate::reply::Reply;
+
+/// Answers the requests of a route.
+pub(crate) type Handler = Rc<dyn Fn(Call) -> LocalBoxFuture<'static, Reply>>;
+
+/// One path, or all paths below it.
+pub(crate) struct Route {
+    prefix: &'static str,
+    pub(crate) kinds: &'static [Kind],
+    pub(crate) handler: Handler,
+}
+
+/// What a server answers, by path. Each worker thread builds its own.
+#[derive(Default)]
+pub struct Routes {
+    routes: Vec<Route>,
+    counted: Option<(&'static [&'static str], Progress)>,
+}
+
+impl Routes {
+    /// Adds a route. A `prefix` that ends with `/` takes all paths below it, any other just
+    /// itself. `kinds` lists who may use it; an empty list opens it to all.
+    pub fn add<F, Fut>(&mut self, prefix: &'static str, kinds: &'static [Kind], handler: F)
+    where
+        F: Fn(Call) -> Fut + 'static,
+        Fut: Future<Output = Reply> + 'static,
+    {
+        let handler: Handler = Rc::new(move |call| Box::pin(handler(call)));
+        self.routes.push(Route { prefix, kinds, handler });
+    }
+
+    /// Counts requests below `prefixes` as work in progress until their answers have left. Long
+    /// polls between processes are not work: they would hold up every shutdown.
+    pub fn count(&mut self, prefixes: &'static [&'static str], progress: Progress) {
+        self.counted = Some((prefixes, progress));
+    }
+
+    pub(crate) fn find(&self, path: &str) -> Option<&Route> {
+        self.routes.iter().find(|route| matches(route.prefix, path))
+    }
+
+    pub(crate) fn guard(&self, path: &str) -> Option<progress::Guard> {
+        let (prefixes, progress) = self.counted.as_ref()?;
+        let counts = prefixes.iter().any(|prefix| matches(prefix, path));
+        counts.then(|| progress.begin())
+    }
+}
+
+fn matches(prefix: &str, path: &str) -> bool {
+    prefix == path || (prefix.ends_with('/') && path.starts_with(prefix))
+}
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -1,6 +1,5 @@
-//! The HTTP server of a process.
+//! The HTTP server of a process: bounds, tokens and bodies, before a route's handler is called.
 
-use std::future::Future;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -9,7 +8,6 @@
 
 use actix_http::HttpMessage;
 use actix_http::HttpService;
-use actix_http::Method;
 use actix_http::Request;
 use actix_http::header;
 use actix_http::header::HeaderMap;
@@ -21,16 +19,16 @@
 use chicoryford_types::Failure;
 use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
-use serde::de::DeserializeOwned;
 use thiserror::Error;
 
+use crate::call::Call;
 use crate::keys::Identity;
 use crate::keys::Keys;
 use crate::keys::Kind;
 use crate::progress;
-use crate::progress::Progress;
 use crate::reply;
 use crate::reply::Reply;
+use crate::routes::Routes;
 
 /// How a server is bounded.
 #[derive(Clone, Debug)]
@@ -71,101 +69,6 @@
     Start(#[source] std::io::Error),
 }
 
-/// A request, whole.
-#[derive(Debug)]
-pub struct Call {
-    /// Who sent it; none only on routes that are open to all.
-    pub identity: Option<Identity>,
-    /// The HTTP method.
-    pub method: Method,
-    /// The path.
-    pub path: String,
-    /// The query, without `?`.
-    pub query: String,
-    /// The headers.
-    pub headers: HeaderMap,
-    /// The body.
-    pub body: Bytes,
-    /// Where it came from.
-    pub peer: Option<SocketAddr>,
-}
-
-impl Call {
-    /// Gives a header as text.
-    pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.get(name).and_then(|value| value.to_str().ok())
-    }
-
-    /// Reads the body as JSON.
-    ///
-    /// # Errors
-    ///
-    /// A failure with [`Code::BadRequest`] that says where the JSON is wrong.
-    pub fn json<T: DeserializeOwned>(&self) -> Result<T, Failure> {
-        serde_json::from_slice(&self.body)
-            .map_err(|error| Failure::not_run(Code::BadRequest, format!("malformed JSON: {error}")))
-    }
-
-    /// Reads the body as MessagePack.
-    ///
-    /// # Errors
-    ///
-    /// A failure with [`Code::BadRequest`].
-    pub fn msgpack<T: DeserializeOwned>(&self) -> Result<T, Failure> {
-        rmp_serde::from_slice(&self.body).map_err(|error| {
-            Failure::not_run(Code::BadRequest, format!("malformed MessagePack: {error}"))
-        })
-    }
-}
-
-type Handler = Rc<dyn Fn(Call) -> LocalBoxFuture<'static, Reply>>;
-
-struct Route {
-    prefix: &'static str,
-    kinds: &'static [Kind],
-    handler: Handler,
-}
-
-/// What a server answers, by path. Each worker thread builds its own.
-#[derive(Default)]
-pub struct Routes {
-    routes: Vec<Route>,
-    counted: Option<(&'static [&'static str], Progress)>,
-}
-
-impl Routes {
-    /// Adds a route. A `prefix` that ends with `/` takes all paths below it, any other just
-    /// itself. `kinds` lists who may use it; an empty list opens it to all.
-    pub fn add<F, Fut>(&mut self, prefix: &'static str, kinds: &'static [Kind], handler: F)
-    where
-        F: Fn(Call) -> Fut + 'static,
-        Fut: Future<Output = Reply> + 'static,
-    {
-        let handler: Handler = Rc::new(move |call| Box::pin(handler(call)));
-        self.routes.push(Route { prefix, kinds, handler });
-    }
-
-    /// Counts requests below `prefixes` as work in progress until their answers have left. Long
-    /// polls between processes are not work: they would hold up every shutdown.
-    pub fn count(&mut self, prefixes: &'static [&'static str], progress: Progress) {
-        self.counted = Some((prefixes, progress));
-    }
-
-    fn find(&self, path: &str) -> Option<&Route> {
-        self.routes.iter().find(|route| matches(route.prefix, path))
-    }
-
-    fn guard(&self, path: &str) -> Option<progress::Guard> {
-        let (prefixes, progress) = self.counted.as_ref()?;
-        let counts = prefixes.iter().any(|prefix| matches(prefix, path));
-        counts.then(|| progress.begin())
-    }
-}
-
-fn matches(prefix: &str, path: &str) -> bool {
-    prefix == path || (prefix.ends_with('/') && path.starts_with(prefix))
-}
-
 /// A running server.
 pub struct Running {
     /// Where it listens; tells the port where the settings said zero.
