Submit and print a change in one place

Cause: five subcommands repeated the same four lines: draw the id, build the command, submit, print. Change: change::run takes the command as a closure over the id. A figure of speech in the settings' errors is gone.

--- a/components/settings/src/error.rs
+++ b/components/settings/src/error.rs
@@ -1,4 +1,4 @@
-//! What is wrong with a file, said so that its author can mend it.
+//! What is wrong with a file, with the place and what is allowed, so that its author can correct it.
 
 use std::path::PathBuf;
 
--- a/src/change.rs
+++ b/src/change.rs
@@ -68,6 +68,24 @@
     Ok(done)
 }
 
+/// Submits one change and prints what became of it.
+///
+/// # Errors
+///
+/// As [`submit`].
+pub async fn run(
+    to: &Connection,
+    what: String,
+    args: &ChangeArgs,
+    format: Format,
+    command: impl FnOnce(ChangeId) -> Command,
+) -> Result<(), CmdError> {
+    let id = id(args);
+    let done = submit(to, what, &id, &command(id.clone()), args).await?;
+    print(&[done], format);
+    Ok(())
+}
+
 /// Waits until every process that is present has `at` in force.
 ///
 /// # Errors
--- a/src/cmd/pardon.rs
+++ b/src/cmd/pardon.rs
@@ -21,11 +21,8 @@
     format: Format,
 ) -> Result<(), CmdError> {
     let fingerprint = parse(text)?;
-    let id = change::id(args);
-    let command = Command::Pardon { change: id.clone(), fingerprint };
-    let done = change::submit(to, format!("pardon {text}"), &id, &command, args).await?;
-    change::print(&[done], format);
-    Ok(())
+    let what = format!("pardon {text}");
+    change::run(to, what, args, format, |change| Command::Pardon { change, fingerprint }).await
 }
 
 fn parse(text: &str) -> Result<Fingerprint, CmdError> {
--- a/src/cmd/stop.rs
+++ b/src/cmd/stop.rs
@@ -44,13 +44,9 @@
     match command {
         StopCommand::Status { id } => status(to, id.as_deref(), format).await,
         StopCommand::Cancel { id, change: args } => {
-            let change = change::id(args);
-            let id = StopId::from(id.as_str());
             let what = format!("stop {id} cancelled");
-            let command = Command::CancelStop { change: change.clone(), id };
-            let done = change::submit(to, what, &change, &command, args).await?;
-            change::print(&[done], format);
-            Ok(())
+            let id = StopId::from(id.as_str());
+            change::run(to, what, args, format, |change| Command::CancelStop { change, id }).await
         }
         StopCommand::Plan { target, deadline, reason, id, change: args } => {
             let change = change::id(args);
--- a/src/cmd/template.rs
+++ b/src/cmd/template.rs
@@ -250,11 +250,8 @@
     let workspace = Workspace::from(workspace);
     let base = base::in_force(config.templates.get(&workspace));
     let what = format!("template {workspace} as in version {version}");
-    let id = change::id(args);
-    let command = Command::Rollback { change: id.clone(), workspace, to: version, base };
-    let done = change::submit(to, what, &id, &command, args).await?;
-    change::print(&[done], format);
-    Ok(())
+    let command = |change| Command::Rollback { change, workspace, to: version, base };
+    change::run(to, what, args, format, command).await
 }
 
 async fn remove(
@@ -267,9 +264,5 @@
     let workspace = Workspace::from(workspace);
     let base = base::in_force(config.templates.get(&workspace));
     let what = format!("template {workspace} removed");
-    let id = change::id(args);
-    let command = Command::Remove { change: id.clone(), workspace, base };
-    let done = change::submit(to, what, &id, &command, args).await?;
-    change::print(&[done], format);
-    Ok(())
+    change::run(to, what, args, format, |change| Command::Remove { change, workspace, base }).await
 }
--- a/src/cmd/weights.rs
+++ b/src/cmd/weights.rs
@@ -41,17 +41,14 @@
     match command {
         WeightsCommand::Status => status(to, format).await,
         WeightsCommand::Publish { model, version, source, change: args } => {
-            let id = change::id(args);
-            let command = Command::Publish {
-                change: id.clone(),
+            let what = format!("weights {model}@{version}");
+            let command = |change| Command::Publish {
+                change,
                 model: Model::from(model.as_str()),
                 version: Version(*version),
                 source: source.clone(),
             };
-            let what = format!("weights {model}@{version}");
-            let done = change::submit(to, what, &id, &command, args).await?;
-            change::print(&[done], format);
-            Ok(())
+            change::run(to, what, args, format, command).await
         }
     }
 }
