--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -2,6 +2,7 @@
 
 mod bodies;
 mod client;
+mod docs;
 mod errors;
 mod fixture;
 mod path;
