--- a/src/cmd/template.rs
+++ b/src/cmd/template.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use chicoryford_settings::load_templates;
+use chicoryford_state::Base;
 use chicoryford_state::Command;
 use chicoryford_state::Reply;
 use chicoryford_types::Config;
@@ -246,9 +247,7 @@
     args: &ChangeArgs,
     format: Format,
 ) -> Result<(), CmdError> {
-    let config = to.config().await?;
-    let workspace = Workspace::from(workspace);
-    let base = base::in_force(config.templates.get(&workspace));
+    let (workspace, base) = in_force(to, workspace).await?;
     let what = format!("template {workspace} as in version {version}");
     let command = |change| Command::Rollback { change, workspace, to: version, base };
     change::run(to, what, args, format, command).await
@@ -260,9 +259,15 @@
     args: &ChangeArgs,
     format: Format,
 ) -> Result<(), CmdError> {
+    let (workspace, base) = in_force(to, workspace).await?;
+    let what = format!("template {workspace} removed");
+    change::run(to, what, args, format, |change| Command::Remove { change, workspace, base }).await
+}
+
+/// Gives a workspace with what is in force for it.
+async fn in_force(to: &Connection, workspace: &str) -> Result<(Workspace, Base), CmdError> {
     let config = to.config().await?;
     let workspace = Workspace::from(workspace);
     let base = base::in_force(config.templates.get(&workspace));
-    let what = format!("template {workspace} removed");
-    change::run(to, what, args, format, |change| Command::Remove { change, workspace, base }).await
+    Ok((workspace, base))
 }
