--- a/tests/faults/stops.rs
+++ b/tests/faults/stops.rs
@@ -175,3 +175,31 @@
     }
     system.check_logs();
 }
+
+#[test]
+fn an_entry_that_is_asked_to_stop_finishes_its_samples() {
+    // Symptom: each planned stop of an entry throws away the samples that its steps run, though
+    // the grace is long; nothing is lost, but they are all made again elsewhere. Sequence: a
+    // trainer opens a step and does not pull just then, samples run, the entry gets SIGTERM.
+    // Cause: nothing counted as in progress in the moment of the signal, because the duty of
+    // steps held up the end only from its next look on.
+    let mut system = System::start(1);
+    let entry = system.entry("e1", "dc-1");
+    let slow = EngineSettings { length: 800, ..EngineSettings::default() };
+    let engine = Engine::start(&mut system, "engine-1", slow);
+    system.wait_endpoints(&[entry], 1);
+    system.apply(&[entry], TEMPLATE);
+    let step = json!({
+        "workspace": "desk", "step": 1, "model": "model", "samples": 4, "max_tokens": 500,
+        "groups": [{"prompt": "a route"}],
+    });
+    system.wait("the step is open", || {
+        system.post(entry, paths::STEP_OPEN, "trainer-token", &step.to_string()).status == 200
+    });
+    let of = |event: &str| engine.lines().into_iter().filter(|l| l.event == event).count();
+    system.wait("all samples run", || of("start") == 4);
+    assert!(system.of("e1").process.stop(STOP).unwrap());
+    system.wait("the engine has nothing left", || of("end") == 4);
+    check_stopped(&engine, u64::MAX);
+    system.check_logs();
+}
