--- a/components/control/examples/commits.rs
+++ b/components/control/examples/commits.rs
@@ -71,8 +71,10 @@
     let tuning = Tuning { group, ..Tuning::default() };
     let cluster = Cluster::start_as(count, tuning, ControlSettings::default());
     let leader = block_on(cluster.leader());
-    let kernel = &cluster.processes[leader].as_ref().unwrap().kernel;
-    let handle = Handle::clone(&kernel.registry.find::<Handle>(SERVICE).unwrap());
+    let kernel = &cluster.processes[leader].as_ref().expect("the leader runs").kernel;
+    let handle = Handle::clone(
+        &kernel.registry.find::<Handle>(SERVICE).expect("the control role is started"),
+    );
     let next = Arc::new(AtomicU64::new(0));
     let threads: Vec<_> = (0..THREADS.min(waiting))
         .map(|_| {
@@ -81,7 +83,8 @@
             std::thread::spawn(move || block_on(propose(&handle, &next, each)))
         })
         .collect();
-    let mut times: Vec<u64> = threads.into_iter().flat_map(|t| t.join().unwrap()).collect();
+    let mut times: Vec<u64> =
+        threads.into_iter().flat_map(|t| t.join().expect("proposers do not panic")).collect();
     times.sort_unstable();
     let rate = times.len() as u64 / RUN.as_secs();
     let at = |percent: usize| times[times.len() * percent / 100];
@@ -124,7 +127,7 @@
         for n in 0..missed {
             cluster.propose(leader, &claim(n)).await;
         }
-        let wanted = cluster.status(leader).await.unwrap().applied;
+        let wanted = cluster.status(leader).await.expect("the leader answers").applied;
         let started = Instant::now();
         cluster.restart(away);
         let status = cluster.until(away, |s| s.applied >= wanted).await;
--- a/components/ledger/src/record.rs
+++ b/components/ledger/src/record.rs
@@ -1,6 +1,7 @@
 //! What a record must be before the ledger keeps it.
 
 use chicoryford_types::Digest;
+use chicoryford_types::Span;
 use chicoryford_types::Version;
 
 use crate::command::Body;
@@ -11,20 +12,13 @@
 impl Record {
     /// Gives the oldest version that produced any of the tokens.
     pub fn oldest(&self) -> Option<Version> {
-        self.spans.iter().map(|span| span.version).min()
+        Span::oldest(&self.spans)
     }
 
     /// Tells whether the spans name a version for each token, without gap or overlap, and there
     /// is at least one token: a sample of which no version is known has no known age.
     pub fn is_attributed(&self) -> bool {
-        let mut next = 0;
-        for span in &self.spans {
-            if span.from != next || span.to <= span.from {
-                return false;
-            }
-            next = span.to;
-        }
-        next == self.tokens && next > 0
+        Span::cover(&self.spans, self.tokens) && self.tokens > 0
     }
 
     /// Tells whether the bytes, if they are here, are those of which the digest was taken, and
--- a/components/types/src/sample.rs
+++ b/components/types/src/sample.rs
@@ -19,6 +19,25 @@
     pub version: Version,
 }
 
+impl Span {
+    /// Gives the oldest version that produced any of the tokens.
+    pub fn oldest(spans: &[Self]) -> Option<Version> {
+        spans.iter().map(|span| span.version).min()
+    }
+
+    /// Tells whether the spans name a version for each of `tokens`, without gap or overlap.
+    pub fn cover(spans: &[Self], tokens: u32) -> bool {
+        let mut next = 0;
+        for span in spans {
+            if span.from != next || span.to <= span.from {
+                return false;
+            }
+            next = span.to;
+        }
+        next == tokens
+    }
+}
+
 /// A finished sample.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct Sample {
@@ -47,18 +66,11 @@
 impl Sample {
     /// Gives the oldest version that produced any of the tokens.
     pub fn oldest(&self) -> Option<Version> {
-        self.spans.iter().map(|span| span.version).min()
+        Span::oldest(&self.spans)
     }
 
     /// Tells whether the spans cover all tokens without gap or overlap.
     pub fn is_attributed(&self) -> bool {
-        let mut next = 0;
-        for span in &self.spans {
-            if span.from != next || span.to <= span.from {
-                return false;
-            }
-            next = span.to;
-        }
-        next == self.tokens
+        Span::cover(&self.spans, self.tokens)
     }
 }
