--- a/tests/regions/main.rs
+++ b/tests/regions/main.rs
@@ -6,3 +6,4 @@
 mod cut;
 mod fixture;
 mod healed;
+mod members;
