Lose answers in the planner's random rollouts again

Cause: when the planner took over from the simple waves, the waves' random run went with them. It lost answers of agents; the planner's run did not, so a check had become weaker. Change: the fake fleet loses up to a fifth of the answers to orders, the first and the last ones alike. Conclusion: as strict as before, over the planner itself.

--- a/components/weights/examples/measure_weights.rs
+++ b/components/weights/examples/measure_weights.rs
@@ -75,7 +75,7 @@
             PlannerSettings { feeds, swap_percent: percent, ..PlannerSettings::default() };
         let fetch = load * 9 / 10;
         let speeds =
-            Speeds { store_ms: fetch, relay_ms: fetch, swap_ms: load - fetch, failures: 0.0 };
+            Speeds { store_ms: fetch, relay_ms: fetch, swap_ms: load - fetch, ..Speeds::default() };
         let mut fleet = Fleet::new(1_600, settings, speeds, seed);
         fleet.run(4_000);
         fleet.publish(2);
--- a/components/weights/tests/fleet/mod.rs
+++ b/components/weights/tests/fleet/mod.rs
@@ -38,11 +38,13 @@
     pub swap_ms: u64,
     /// The share of loads that fail part-way; a third of them without a word.
     pub failures: f64,
+    /// The share of answers to orders, first or last, that never reach the planner.
+    pub lost: f64,
 }
 
 impl Default for Speeds {
     fn default() -> Self {
-        Self { store_ms: 2_000, relay_ms: 2_000, swap_ms: 300, failures: 0.0 }
+        Self { store_ms: 2_000, relay_ms: 2_000, swap_ms: 300, failures: 0.0, lost: 0.0 }
     }
 }
 
@@ -246,10 +248,14 @@
             }
         }
         for (endpoint, number, reply) in ended {
+            if self.loses() {
+                continue;
+            }
             self.tell(Event::Reply { endpoint, number, reply });
         }
         let due: Vec<_> = self.replies.extract_if(.., |(at, ..)| now >= *at).collect();
         for (_, endpoint, number, reply) in due {
+            let reply = reply.filter(|_| !self.loses());
             self.tell(match reply {
                 Some(reply) => Event::Reply { endpoint, number, reply },
                 None => Event::NoReply { endpoint, number },
@@ -260,6 +266,11 @@
         }
     }
 
+    /// Draws only if answers may be lost, so that other runs stay as they were.
+    fn loses(&mut self) -> bool {
+        self.speeds.lost > 0.0 && self.random.random::<f64>() < self.speeds.lost
+    }
+
     pub fn holders(&self, version: u64) -> usize {
         let held = self.engines.values().map(|engine| engine.offer.models[&model()]);
         held.filter(|held| *held == Version(version)).count()
--- a/components/weights/tests/random.rs
+++ b/components/weights/tests/random.rs
@@ -36,6 +36,7 @@
 struct Plan {
     samplers: usize,
     failures: f64,
+    lost: f64,
     seed: u64,
     relay: bool,
     turns: Vec<Turn>,
@@ -60,6 +61,7 @@
         Self {
             samplers: 1 + usize::arbitrary(g) % 48,
             failures: f64::from(u8::arbitrary(g) % 30) / 100.0,
+            lost: f64::from(u8::arbitrary(g) % 20) / 100.0,
             seed: u64::arbitrary(g),
             relay: bool::arbitrary(g),
             turns: Vec::arbitrary(g),
@@ -102,7 +104,7 @@
 fn holds(plan: &Plan, protections: Protections) -> TestResult {
     let relay = plan.relay;
     let settings = PlannerSettings { relay, protections, ..PlannerSettings::default() };
-    let speeds = Speeds { failures: plan.failures, ..Speeds::default() };
+    let speeds = Speeds { failures: plan.failures, lost: plan.lost, ..Speeds::default() };
     let mut fleet = Fleet::new(plan.samplers, settings, speeds, plan.seed);
     let mut epoch = 1;
     for turn in &plan.turns {
@@ -115,6 +117,7 @@
         take(&mut fleet, &Turn::Mended(n), &mut epoch);
     }
     fleet.speeds.failures = 0.0;
+    fleet.speeds.lost = 0.0;
     fleet.publish(1_000);
     let took = fleet.until_complete(1_000, CALM_MS);
     if fleet.planner.broken() > 0 {
