Decide routes, endpoints, steps and weights of a fleet, without sockets or clocks

Cause: on the users' platform endpoints announce themselves, operators submit whole configurations, and trainers submit steps that are kept and made.

--- /dev/null
+++ b/components/fleet/src/endpoint.rs
@@ -0,0 +1,177 @@
+//! Endpoints as they announce themselves.
+//!
+//! Nobody else keeps a list of them. Announcements come late, out of order, and even after their
+//! sender has ended and another endpoint has taken over its address.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use chicoryford_types::Millis;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// What an endpoint says of itself.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Announcement {
+    /// The incarnation: each start has a new one.
+    pub id: String,
+    /// The service that it belongs to.
+    pub service: String,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it is about to leave.
+    pub draining: bool,
+    /// The version of each model that it holds.
+    pub models: BTreeMap<String, u64>,
+    /// Counts its announcements.
+    pub sequence: u64,
+}
+
+/// Whether an endpoint may be given work.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub enum Standing {
+    /// It may.
+    Ready,
+    /// It leaves: no new work, but what it has may finish.
+    Draining,
+    /// It has said that it is gone, though it may still finish what it has.
+    Gone,
+    /// Nothing was heard of it for so long that it has probably crashed.
+    Silent,
+}
+
+/// What is known of an endpoint.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Endpoint {
+    /// What it last said.
+    pub said: Announcement,
+    /// Whether it may be given work.
+    pub standing: Standing,
+}
+
+/// What an announcement changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Effect {
+    /// Something that others must be told.
+    Changed,
+    /// Nothing but the time at which it was heard.
+    Heard,
+    /// Nothing: it was older than what is known, or its endpoint is gone.
+    Old,
+}
+
+struct Held {
+    endpoint: Endpoint,
+    heard: Millis,
+}
+
+/// Times after which the registry changes its mind.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Milliseconds of silence after which an endpoint gets no more work. Announcements come
+    /// about every 1.2 s and may come seconds late.
+    pub silent_ms: u64,
+    /// Milliseconds after which a silent or gone endpoint is forgotten. Until then its late
+    /// announcements are recognised as such.
+    pub forget_ms: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { silent_ms: 6_000, forget_ms: 60_000 }
+    }
+}
+
+/// All endpoints that are known, kept by the leader.
+#[derive(Default)]
+pub struct Registry {
+    settings: Settings,
+    held: BTreeMap<String, Held>,
+}
+
+impl Registry {
+    /// Starts from what another process knew; all count as heard now, since nothing tells when
+    /// they were.
+    pub fn adopt(settings: Settings, known: impl Iterator<Item = Endpoint>, now: Millis) -> Self {
+        let held = known.map(|endpoint| (endpoint.said.id.clone(), Held { endpoint, heard: now }));
+        Self { settings, held: held.collect() }
+    }
+
+    /// Takes in an announcement.
+    pub fn announce(&mut self, said: Announcement, now: Millis) -> Effect {
+        let standing = if said.draining { Standing::Draining } else { Standing::Ready };
+        let Some(held) = self.held.get_mut(&said.id) else {
+            let id = said.id.clone();
+            let endpoint = Endpoint { said, standing };
+            self.held.insert(id, Held { endpoint, heard: now });
+            return Effect::Changed;
+        };
+        let before = &held.endpoint;
+        if before.standing == Standing::Gone || said.sequence <= before.said.sequence {
+            return Effect::Old;
+        }
+        held.heard = now;
+        // An endpoint that leaves does not come back under the same incarnation; a word that it
+        // is ready is one that was overtaken.
+        if before.standing == Standing::Draining && standing == Standing::Ready {
+            return Effect::Old;
+        }
+        let same = Announcement { sequence: before.said.sequence, ..said.clone() } == before.said;
+        let changed = !same || before.standing != standing;
+        held.endpoint = Endpoint { said, standing };
+        if changed { Effect::Changed } else { Effect::Heard }
+    }
+
+    /// Notes that an endpoint says it is gone. One that is not known is noted too, so that an
+    /// announcement of it that comes later is not believed.
+    pub fn leave(&mut self, id: &str, now: Millis) -> Effect {
+        let Some(held) = self.held.get_mut(id) else { return Effect::Old };
+        held.heard = now;
+        if held.endpoint.standing == Standing::Gone {
+            return Effect::Old;
+        }
+        held.endpoint.standing = Standing::Gone;
+        Effect::Changed
+    }
+
+    /// Notes what was learned of an endpoint's weights other than by its announcements.
+    pub fn learn(&mut self, id: &str, model: &str, version: u64) -> Effect {
+        let Some(held) = self.held.get_mut(id) else { return Effect::Old };
+        let known = held.endpoint.said.models.insert(model.to_owned(), version);
+        if known == Some(version) { Effect::Heard } else { Effect::Changed }
+    }
+
+    /// Lets time pass. Gives the endpoints that changed, and those that are forgotten.
+    pub fn tick(&mut self, now: Millis) -> (Vec<Endpoint>, Vec<String>) {
+        let mut changed = Vec::new();
+        for held in self.held.values_mut() {
+            let silent = now.since(held.heard) >= self.settings.silent_ms;
+            let live = matches!(held.endpoint.standing, Standing::Ready | Standing::Draining);
+            if silent && live {
+                held.endpoint.standing = Standing::Silent;
+                changed.push(held.endpoint.clone());
+            }
+        }
+        let old = |held: &Held| now.since(held.heard) >= self.settings.forget_ms;
+        let forgotten: Vec<String> =
+            self.held.iter().filter(|(_, held)| old(held)).map(|(id, _)| id.clone()).collect();
+        for id in &forgotten {
+            self.held.remove(id);
+        }
+        (changed, forgotten)
+    }
+
+    /// Gives an endpoint.
+    pub fn get(&self, id: &str) -> Option<&Endpoint> {
+        self.held.get(id).map(|held| &held.endpoint)
+    }
+
+    /// Gives all endpoints.
+    pub fn all(&self) -> impl Iterator<Item = &Endpoint> {
+        self.held.values().map(|held| &held.endpoint)
+    }
+}
--- /dev/null
+++ b/components/fleet/src/state.rs
@@ -0,0 +1,200 @@
+//! What the fleet agrees on: the state that every replica of the log computes alike.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::config::Config;
+use crate::step::Listed;
+use crate::step::Step;
+
+/// A change of the state.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub enum Command {
+    /// Submits a configuration; the highest version is in force.
+    Configure(Arc<Config>),
+    /// Names a version of a model's weights; the highest counts.
+    Publish {
+        /// The model.
+        model: String,
+        /// The version.
+        version: u64,
+    },
+    /// Submits a step.
+    Submit(Arc<Step>),
+    /// Lists results of a step. A sample that is listed already stays as it is.
+    List {
+        /// The step.
+        step: String,
+        /// The results, in the order of their places.
+        results: Vec<Arc<Listed>>,
+    },
+    /// Ends a step: nothing of it runs any more.
+    End {
+        /// The step.
+        step: String,
+    },
+    /// Forgets steps that nobody may ask for any more.
+    Forget {
+        /// The steps.
+        steps: Vec<String>,
+    },
+    /// Notes that a store VM is to be emptied.
+    Retire {
+        /// The VM.
+        node: String,
+    },
+}
+
+/// A command with the fleet's clock at which the leader proposed it.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Stamped {
+    /// Milliseconds of the fleet's clock, which counts while a leader leads. Clocks of VMs cannot
+    /// be compared, so each leader goes on from the last stamp in the log.
+    pub at: u64,
+    /// The command.
+    pub command: Command,
+}
+
+/// What a command did.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Done {
+    /// It changed the state.
+    Changed,
+    /// The state held it already, or something newer.
+    Held,
+    /// It is about a step that is not known.
+    Unknown,
+}
+
+/// A step and what became of it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct StepState {
+    /// The step.
+    pub step: Arc<Step>,
+    /// When it was submitted, by the fleet's clock.
+    pub at: u64,
+    /// The results at their places.
+    pub results: Vec<Arc<Listed>>,
+    /// The samples that have a result.
+    pub listed: BTreeSet<u32>,
+    /// When it was ended.
+    pub ended: Option<u64>,
+}
+
+impl StepState {
+    /// Tells whether samples of it are still to be made.
+    pub fn is_open(&self) -> bool {
+        self.ended.is_none() && self.results.len() < self.step.samples.len()
+    }
+
+    /// Tells whether a sample has its result.
+    pub fn is_listed(&self, index: u32) -> bool {
+        self.listed.contains(&index)
+    }
+}
+
+/// The state.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct State {
+    /// The highest stamp that was applied.
+    pub clock: u64,
+    /// The configuration in force.
+    pub config: Option<Arc<Config>>,
+    /// The newest version that was named of each model.
+    pub versions: BTreeMap<String, u64>,
+    /// The steps.
+    pub steps: BTreeMap<String, StepState>,
+    /// Store VMs that are to be emptied.
+    pub retired: BTreeSet<String>,
+}
+
+impl State {
+    /// Applies a command.
+    pub fn apply(&mut self, stamped: Stamped) -> Done {
+        let Stamped { at, command } = stamped;
+        self.clock = self.clock.max(at);
+        match command {
+            Command::Configure(config) => self.configure(config),
+            Command::Publish { model, version } => self.publish(model, version),
+            Command::Submit(step) => self.submit(step),
+            Command::List { step, results } => self.list(&step, results),
+            Command::End { step } => self.end(&step),
+            Command::Forget { steps } => self.forget(&steps),
+            Command::Retire { node } => changed(self.retired.insert(node)),
+        }
+    }
+
+    fn configure(&mut self, config: Arc<Config>) -> Done {
+        let newer = self.config.as_ref().is_none_or(|held| held.version < config.version);
+        if newer {
+            self.config = Some(config);
+        }
+        changed(newer)
+    }
+
+    fn publish(&mut self, model: String, version: u64) -> Done {
+        let held = self.versions.entry(model).or_default();
+        let newer = *held < version;
+        *held = version.max(*held);
+        changed(newer)
+    }
+
+    fn submit(&mut self, step: Arc<Step>) -> Done {
+        if self.steps.contains_key(&step.id) {
+            return Done::Held;
+        }
+        let id = step.id.clone();
+        let state = StepState {
+            step,
+            at: self.clock,
+            results: Vec::new(),
+            listed: BTreeSet::new(),
+            ended: None,
+        };
+        self.steps.insert(id, state);
+        Done::Changed
+    }
+
+    fn list(&mut self, step: &str, results: Vec<Arc<Listed>>) -> Done {
+        let Some(state) = self.steps.get_mut(step) else { return Done::Unknown };
+        let before = state.results.len();
+        for listed in results {
+            let known = (listed.index as usize) < state.step.samples.len();
+            if known && state.listed.insert(listed.index) {
+                state.results.push(listed);
+            }
+        }
+        changed(state.results.len() > before)
+    }
+
+    fn end(&mut self, step: &str) -> Done {
+        let clock = self.clock;
+        let Some(state) = self.steps.get_mut(step) else { return Done::Unknown };
+        let first = state.ended.is_none();
+        state.ended.get_or_insert(clock);
+        changed(first)
+    }
+
+    fn forget(&mut self, steps: &[String]) -> Done {
+        let before = self.steps.len();
+        self.steps.retain(|id, _| !steps.contains(id));
+        changed(self.steps.len() < before)
+    }
+
+    /// Gives the steps that nobody may ask for any more: `keep_ms` have passed since they were
+    /// submitted, and nothing of them runs.
+    pub fn expired(&self, now: u64, keep_ms: u64) -> Vec<String> {
+        let old = self.steps.iter().filter(|(_, state)| {
+            !state.is_open() && now.saturating_sub(state.at) >= keep_ms.max(state.step.age_ms)
+        });
+        old.map(|(id, _)| id.clone()).collect()
+    }
+}
+
+fn changed(yes: bool) -> Done {
+    if yes { Done::Changed } else { Done::Held }
+}
--- /dev/null
+++ b/components/fleet/src/step.rs
@@ -0,0 +1,91 @@
+//! Steps of trainers: what is submitted, and what becomes of each sample.
+
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A call that scores a finished sample.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Scorer {
+    /// Identifies the call.
+    pub id: String,
+    /// The host of its route.
+    pub host: String,
+    /// The path of its route.
+    pub path: String,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// One sample to be generated.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Sample {
+    /// Identifies the sample, at endpoints too.
+    pub id: String,
+    /// The path of its request.
+    pub path: String,
+    /// The headers of its request.
+    pub headers: Vec<(String, String)>,
+    /// The body of its request.
+    pub body: Bytes,
+    /// Tokens of the prompt and the most that may be generated.
+    pub tokens: u64,
+    /// The group that shares its prompt; empty for a sample by itself.
+    pub group: String,
+    /// The call that scores it, if there is one.
+    pub scorer: Option<Scorer>,
+}
+
+/// A step as it was submitted, with what its route said at that time.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Step {
+    /// Identifies the step.
+    pub id: String,
+    /// The host of its route.
+    pub host: String,
+    /// The path to which it was submitted.
+    pub path: String,
+    /// The model that generates.
+    pub model: String,
+    /// The number of the step at its trainer.
+    pub number: u64,
+    /// The oldest version of the weights that may generate.
+    pub least: u64,
+    /// The groups that its trainer waits for.
+    pub wanted: u64,
+    /// The samples.
+    pub samples: Vec<Sample>,
+    /// Milliseconds after the submission at which results are due.
+    pub due_ms: u64,
+    /// Milliseconds after the submission at which a sample may be given up.
+    pub age_ms: u64,
+    /// Failures of a sample after which it may be given up.
+    pub attempts: u32,
+    /// Whether each sample must be made by one version.
+    pub single: bool,
+}
+
+/// What became of a sample.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub enum Verdict {
+    /// It was generated whole and scored.
+    Completed {
+        /// The data of its events, joined by line feeds.
+        text: String,
+        /// The versions that generated events of it, oldest first.
+        versions: Vec<u64>,
+        /// The score, as the scorer gave it; none if the sample has no scorer.
+        score: Option<String>,
+    },
+    /// It was given up.
+    GivenUp,
+}
+
+/// A result at its place among a step's results.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Listed {
+    /// The place of the sample in its step.
+    pub index: u32,
+    /// What became of it.
+    pub verdict: Verdict,
+}
