Keep steps' samples and texts on the store VMs, and in the log only where they lie

At a megabyte a second for two minutes neither their memory nor their 128 MB of disk suffice. Change: a depot on each store VM keeps parts; a part lies on as many stores as may be lost and one more, synced, before the log names them; the leader copies parts that lost a store; a store is empty once no part names it.

--- /dev/null
+++ b/components/fleet/src/copies.rs
@@ -0,0 +1,157 @@
+//! On which store VMs the parts of steps lie, and when there are too few copies.
+//!
+//! The log of the control processes holds what must be agreed on, which is small. Bodies and
+//! texts are large, are written once and never changed, so copies of them lie on as many store
+//! VMs as may be lost at once, and one more; the log says on which.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use bytes::Bytes;
+use chicoryford_types::Millis;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Identifies a part; drawn by the leader that wrote it.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
+)]
+pub struct PartId(pub u64);
+
+/// A store VM together with the identity of its data folder: one that lost its disk is another.
+#[derive(Clone, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+pub struct StoreId {
+    /// The VM.
+    pub node: String,
+    /// The identity of its folder.
+    pub identity: u64,
+}
+
+/// Where a part lies.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub enum Place {
+    /// In the log itself, because there were too few stores when it was written.
+    Inline(Bytes),
+    /// On these stores.
+    Stores(BTreeSet<StoreId>),
+}
+
+/// Milliseconds for which a store that is not connected still counts. Stores come back a fraction
+/// of a second after the leader changed; one that is down for longer may be gone for good.
+const ABSENT_MS: u64 = 2_500;
+
+/// What is known of a store.
+#[derive(Clone, Debug)]
+struct Known {
+    identity: u64,
+    data_centre: String,
+    connected: bool,
+    seen: Millis,
+    puts: u64,
+}
+
+/// The store VMs as the leader sees them.
+#[derive(Debug, Default)]
+pub struct Stores {
+    known: BTreeMap<String, Known>,
+    began: Millis,
+}
+
+impl Stores {
+    /// Starts to look at stores; for a while, those that are not seen yet still count.
+    pub fn new(now: Millis) -> Self {
+        Self { known: BTreeMap::new(), began: now }
+    }
+
+    /// Notes that a store has connected.
+    pub fn connected(&mut self, id: StoreId, data_centre: String, now: Millis) {
+        let puts = self.known.get(&id.node).map_or(0, |known| known.puts);
+        let known = Known { identity: id.identity, data_centre, connected: true, seen: now, puts };
+        self.known.insert(id.node, known);
+    }
+
+    /// Notes that a store's connection has ended.
+    pub fn disconnected(&mut self, id: &StoreId, now: Millis) {
+        let known = self.known.get_mut(&id.node).filter(|known| known.identity == id.identity);
+        if let Some(known) = known {
+            known.connected = false;
+            known.seen = now;
+        }
+    }
+
+    /// Tells whether a copy on a store still counts.
+    pub fn counts(&self, id: &StoreId, now: Millis) -> bool {
+        match self.known.get(&id.node) {
+            Some(known) if known.identity != id.identity => false,
+            Some(known) => known.connected || now.since(known.seen) < ABSENT_MS,
+            None => now.since(self.began) < ABSENT_MS,
+        }
+    }
+
+    /// Tells whether a store can be asked now.
+    pub fn is_connected(&self, id: &StoreId) -> bool {
+        let known = self.known.get(&id.node);
+        known.is_some_and(|known| known.connected && known.identity == id.identity)
+    }
+
+    /// Chooses stores for a new copy, best first: other data centres than those that have one,
+    /// then those that were given the fewest.
+    pub fn choose(&self, have: &BTreeSet<StoreId>, avoid: &BTreeSet<String>) -> Vec<StoreId> {
+        let nodes: BTreeSet<&str> = have.iter().map(|id| id.node.as_str()).collect();
+        let mut used: BTreeSet<&str> = nodes
+            .iter()
+            .filter_map(|node| self.known.get(*node))
+            .map(|known| known.data_centre.as_str())
+            .collect();
+        let mut fit: Vec<(&String, &Known)> = self
+            .known
+            .iter()
+            .filter(|(node, known)| {
+                known.connected && !nodes.contains(node.as_str()) && !avoid.contains(*node)
+            })
+            .collect();
+        fit.sort_by_key(|(node, known)| (known.puts, *node));
+        let (mut apart, beside): (Vec<_>, Vec<_>) =
+            fit.into_iter().partition(|(_, known)| used.insert(&known.data_centre));
+        apart.extend(beside);
+        let id = |(node, known): (&String, &Known)| StoreId {
+            node: node.clone(),
+            identity: known.identity,
+        };
+        apart.into_iter().map(id).collect()
+    }
+
+    /// Counts a copy that a store was given.
+    pub fn given(&mut self, id: &StoreId) {
+        if let Some(known) = self.known.get_mut(&id.node) {
+            known.puts += 1;
+        }
+    }
+
+    /// Counts the stores that are connected and that `fits` names.
+    pub fn count(&self, fits: impl Fn(&str) -> bool) -> usize {
+        self.known.iter().filter(|(node, known)| known.connected && fits(node)).count()
+    }
+
+    /// Tells whether a store VM is known.
+    pub fn has(&self, node: &str) -> bool {
+        self.known.contains_key(node)
+    }
+
+    /// Finds the copies of a part that count, leaving out stores that are to be emptied.
+    pub fn counted(
+        &self,
+        place: &Place,
+        leaving: &BTreeSet<String>,
+        now: Millis,
+    ) -> BTreeSet<StoreId> {
+        match place {
+            Place::Inline(_) => BTreeSet::new(),
+            Place::Stores(stores) => stores
+                .iter()
+                .filter(|id| self.counts(id, now) && !leaving.contains(&id.node))
+                .cloned()
+                .collect(),
+        }
+    }
+}
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! processes around it are in the node crate; docs/PLATFORM.md shows how they fit together.
 
 pub mod config;
+pub mod copies;
 pub mod endpoint;
 pub mod events;
 pub mod pick;
@@ -28,6 +29,7 @@
 pub use state::Stamped;
 pub use state::State;
 pub use step::Listed;
+pub use step::Outline;
 pub use step::Sample;
 pub use step::Scorer;
 pub use step::Step;
--- a/components/fleet/src/plan.rs
+++ b/components/fleet/src/plan.rs
@@ -446,11 +446,12 @@
         work.progress[index as usize].made = Made::default();
     }
 
-    /// Notes that a sample's verdict is on its way into the log.
-    pub fn settled(&mut self, step: &str, index: u32) {
-        if let Some(work) = self.works.get_mut(step) {
-            work.progress[index as usize].phase = Phase::Settled;
-        }
+    /// Notes that a sample's verdict is on its way into the log. Gives the sample's identity; none
+    /// if its step is over.
+    pub fn settled(&mut self, step: &str, index: u32) -> Option<String> {
+        let work = self.works.get_mut(step)?;
+        work.progress[index as usize].phase = Phase::Settled;
+        Some(work.step.samples[index as usize].id.clone())
     }
 
     /// Gives the samples that have become too old, or whose route is gone, and settles them.
--- a/components/fleet/src/state.rs
+++ b/components/fleet/src/state.rs
@@ -8,8 +8,11 @@
 use serde::Serialize;
 
 use crate::config::Config;
+use crate::copies::PartId;
+use crate::copies::Place;
+use crate::copies::StoreId;
 use crate::step::Listed;
-use crate::step::Step;
+use crate::step::Outline;
 
 /// A change of the state.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
@@ -23,15 +26,29 @@
         /// The version.
         version: u64,
     },
-    /// Submits a step.
-    Submit(Arc<Step>),
+    /// Submits a step, whose samples lie in a part.
+    Submit {
+        /// The step.
+        step: Arc<Outline>,
+        /// Where the part lies.
+        place: Place,
+    },
     /// Lists results of a step. A sample that is listed already stays as it is.
     List {
         /// The step.
         step: String,
+        /// The part that holds their texts, and where it lies; none if there are no texts.
+        part: Option<(PartId, Place)>,
         /// The results, in the order of their places.
         results: Vec<Arc<Listed>>,
     },
+    /// Notes that copies of a part lie elsewhere now.
+    Move {
+        /// The part.
+        part: PartId,
+        /// The stores that hold it.
+        stores: BTreeSet<StoreId>,
+    },
     /// Ends a step: nothing of it runs any more.
     End {
         /// The step.
@@ -74,7 +91,7 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct StepState {
     /// The step.
-    pub step: Arc<Step>,
+    pub step: Arc<Outline>,
     /// When it was submitted, by the fleet's clock.
     pub at: u64,
     /// The results at their places.
@@ -88,7 +105,7 @@
 impl StepState {
     /// Tells whether samples of it are still to be made.
     pub fn is_open(&self) -> bool {
-        self.ended.is_none() && self.results.len() < self.step.samples.len()
+        self.ended.is_none() && self.results.len() < self.step.samples as usize
     }
 
     /// Tells whether a sample has its result.
@@ -97,6 +114,15 @@
     }
 }
 
+/// A part of a step.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Part {
+    /// The step.
+    pub step: String,
+    /// Where it lies.
+    pub place: Place,
+}
+
 /// The state.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct State {
@@ -108,6 +134,8 @@
     pub versions: BTreeMap<String, u64>,
     /// The steps.
     pub steps: BTreeMap<String, StepState>,
+    /// Where the parts of steps lie.
+    pub parts: BTreeMap<PartId, Part>,
     /// Store VMs that are to be emptied.
     pub retired: BTreeSet<String>,
 }
@@ -120,8 +148,9 @@
         match command {
             Command::Configure(config) => self.configure(config),
             Command::Publish { model, version } => self.publish(model, version),
-            Command::Submit(step) => self.submit(step),
-            Command::List { step, results } => self.list(&step, results),
+            Command::Submit { step, place } => self.submit(step, place),
+            Command::List { step, part, results } => self.list(&step, part, results),
+            Command::Move { part, stores } => self.move_part(part, stores),
             Command::End { step } => self.end(&step),
             Command::Forget { steps } => self.forget(&steps),
             Command::Retire { node } => changed(self.retired.insert(node)),
@@ -143,11 +172,12 @@
         changed(newer)
     }
 
-    fn submit(&mut self, step: Arc<Step>) -> Done {
+    fn submit(&mut self, step: Arc<Outline>, place: Place) -> Done {
         if self.steps.contains_key(&step.id) {
             return Done::Held;
         }
         let id = step.id.clone();
+        self.parts.insert(step.part, Part { step: id.clone(), place });
         let state = StepState {
             step,
             at: self.clock,
@@ -159,16 +189,30 @@
         Done::Changed
     }
 
-    fn list(&mut self, step: &str, results: Vec<Arc<Listed>>) -> Done {
+    fn list(
+        &mut self,
+        step: &str,
+        part: Option<(PartId, Place)>,
+        results: Vec<Arc<Listed>>,
+    ) -> Done {
         let Some(state) = self.steps.get_mut(step) else { return Done::Unknown };
         let before = state.results.len();
         for listed in results {
-            let known = (listed.index as usize) < state.step.samples.len();
-            if known && state.listed.insert(listed.index) {
+            if listed.index < state.step.samples && state.listed.insert(listed.index) {
                 state.results.push(listed);
             }
         }
-        changed(state.results.len() > before)
+        let more = state.results.len() > before;
+        if let Some((part, place)) = part.filter(|_| more) {
+            self.parts.insert(part, Part { step: step.to_owned(), place });
+        }
+        changed(more)
+    }
+
+    fn move_part(&mut self, part: PartId, stores: BTreeSet<StoreId>) -> Done {
+        let Some(known) = self.parts.get_mut(&part) else { return Done::Held };
+        known.place = Place::Stores(stores);
+        Done::Changed
     }
 
     fn end(&mut self, step: &str) -> Done {
@@ -182,6 +226,7 @@
     fn forget(&mut self, steps: &[String]) -> Done {
         let before = self.steps.len();
         self.steps.retain(|id, _| !steps.contains(id));
+        self.parts.retain(|_, part| !steps.contains(&part.step));
         changed(self.steps.len() < before)
     }
 
--- a/components/fleet/src/step.rs
+++ b/components/fleet/src/step.rs
@@ -4,6 +4,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::copies::PartId;
+
 /// A call that scores a finished sample.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Scorer {
@@ -81,11 +83,48 @@
     GivenUp,
 }
 
-/// A result at its place among a step's results.
+/// A result at its place among a step's results, as the log holds it.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Listed {
     /// The place of the sample in its step.
     pub index: u32,
+    /// The sample.
+    pub sample: String,
     /// What became of it.
-    pub verdict: Verdict,
+    pub result: Result,
+}
+
+/// What the log holds of a verdict.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub enum Result {
+    /// It was generated whole and scored.
+    Completed {
+        /// The part that holds its text.
+        part: PartId,
+        /// The place of its text there.
+        place: u32,
+        /// The bytes of its text.
+        bytes: u32,
+        /// The versions that generated events of it, oldest first.
+        versions: Vec<u64>,
+        /// The score, if it has a scorer.
+        score: Option<String>,
+    },
+    /// It was given up.
+    GivenUp,
+}
+
+/// What the log holds of a step; the samples are in its first part.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Outline {
+    /// Identifies the step.
+    pub id: String,
+    /// The model that generates.
+    pub model: String,
+    /// How many samples it has.
+    pub samples: u32,
+    /// Milliseconds after the submission at which a sample may be given up.
+    pub age_ms: u64,
+    /// The part that holds the step as it was submitted.
+    pub part: PartId,
 }
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -162,7 +162,7 @@
         match self.link.call_until_answered(asked, wait + ASK).await {
             Ok(Answer::Done) => platform::control::done(),
             Ok(Answer::Results { total, listed }) => {
-                let listed = listed.iter().map(|(id, listed)| (id.as_str(), &**listed));
+                let listed = listed.iter().map(|(id, verdict)| (id.as_str(), verdict));
                 step::listed(step::results(total as usize, after, listed))
             }
             Ok(Answer::Body(bytes)) => step::body(bytes),
--- a/components/node/src/hub.rs
+++ b/components/node/src/hub.rs
@@ -1,26 +1,31 @@
 //! Takes links: messages of replicas, and members that follow the leader.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use chicoryford_fleet::copies::StoreId;
 use chicoryford_http::socket;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::core::Core;
 use crate::lead::Lead;
+use crate::message::Ask;
 use crate::message::Down;
 use crate::message::Hello;
 use crate::message::Letter;
 use crate::message::News;
+use crate::message::Told;
 use crate::message::Up;
 use crate::message::decode;
 use crate::message::encode;
@@ -39,16 +44,16 @@
 
 /// A member that follows.
 struct Follower {
-    node: String,
-    store: bool,
+    store: Option<StoreId>,
     frames: mpsc::Sender<Bytes>,
 }
 
 /// The members that follow this process while it leads.
 #[derive(Default)]
 pub struct Followers {
-    next: RefCell<u64>,
+    next: Cell<u64>,
     all: RefCell<BTreeMap<u64, Follower>>,
+    asked: RefCell<BTreeMap<u64, oneshot::Sender<Told>>>,
 }
 
 impl Followers {
@@ -56,29 +61,57 @@
     pub fn tell(&self, news: &News) {
         let frame = encode(&Down::News(news.clone()));
         for follower in self.all.borrow().values() {
-            // A member whose queue is full is closed by its own task and follows anew.
+            // A member whose queue is full misses this; it is closed for it and follows anew.
             let _ = follower.frames.try_send(frame.clone());
         }
     }
 
-    /// Tells whether a store VM of this name follows.
-    pub fn has_store(&self, node: &str) -> bool {
-        self.all.borrow().values().any(|follower| follower.store && follower.node == node)
+    /// Asks a store; none if it does not answer in time or is not connected.
+    pub async fn ask(&self, store: &StoreId, ask: Ask, limit: Duration) -> Option<Told> {
+        let number = self.number();
+        let frames = {
+            let all = self.all.borrow();
+            let found = all.values().find(|follower| follower.store.as_ref() == Some(store));
+            found.map(|follower| follower.frames.clone())
+        };
+        let frames = frames?;
+        let (answer, told) = oneshot::channel();
+        self.asked.borrow_mut().insert(number, answer);
+        let asking = async {
+            frames.send(encode(&Down::Ask { number, ask })).await.ok()?;
+            told.await.ok()
+        };
+        let told = tokio::time::timeout(limit, asking).await.ok().flatten();
+        self.asked.borrow_mut().remove(&number);
+        told
     }
 
-    /// Counts the store VMs that follow and that `counts` names.
-    pub fn stores(&self, counts: impl Fn(&str) -> bool) -> usize {
+    /// Tells a store something that it does not answer.
+    pub fn tell_store(&self, store: &StoreId, ask: Ask) {
         let all = self.all.borrow();
-        let nodes = all.values().filter(|follower| follower.store).map(|f| f.node.as_str());
-        let mut nodes: Vec<&str> = nodes.filter(|node| counts(node)).collect();
-        nodes.sort_unstable();
-        nodes.dedup();
-        nodes.len()
+        let found = all.values().find(|follower| follower.store.as_ref() == Some(store));
+        if let Some(follower) = found {
+            // It is told again later.
+            let _ = follower.frames.try_send(encode(&Down::Ask { number: 0, ask }));
+        }
+    }
+
+    fn told(&self, number: u64, told: Told) {
+        if let Some(asked) = self.asked.borrow_mut().remove(&number) {
+            // Whoever asked may have left.
+            let _ = asked.send(told);
+        }
+    }
+
+    fn number(&self) -> u64 {
+        self.next.set(self.next.get() + 1);
+        self.next.get()
     }
 
     /// Closes all connections.
     pub fn clear(&self) {
         self.all.borrow_mut().clear();
+        self.asked.borrow_mut().clear();
     }
 }
 
@@ -118,7 +151,10 @@
         let Ok(Some(Ok(frame))) = frame else { return };
         match decode::<Hello>(&frame) {
             Ok(Hello::Replica) => self.take_letters(socket).await,
-            Ok(Hello::Member { node, store }) => self.serve(socket, node, store).await,
+            Ok(Hello::Member { node, data_centre, store }) => {
+                let store = store.map(|identity| StoreId { node, identity });
+                self.serve(socket, data_centre, store).await;
+            }
             Err(error) => tracing::warn!(event = "link_unreadable", %error),
         }
     }
@@ -135,7 +171,7 @@
         }
     }
 
-    async fn serve(&self, mut socket: Socket, node: String, store: bool) {
+    async fn serve(&self, mut socket: Socket, data_centre: String, store: Option<StoreId>) {
         let lead = self.lead.borrow().clone();
         let Some(lead) = lead.filter(|lead| lead.leads()) else {
             let down = Down::NotLeader { leader: self.core.leader() };
@@ -150,14 +186,14 @@
                 return;
             }
         }
-        let number = {
-            let mut next = self.followers.next.borrow_mut();
-            *next += 1;
-            *next
-        };
-        let follower = Follower { node, store, frames: frames.clone() };
+        let number = self.followers.number();
+        let follower = Follower { store: store.clone(), frames: frames.clone() };
         self.followers.all.borrow_mut().insert(number, follower);
-        let _following = Following { followers: self.followers.clone(), number };
+        if let Some(store) = &store {
+            lead.copies.connected(store.clone(), data_centre);
+        }
+        let _following =
+            Following { followers: self.followers.clone(), number, store, lead: lead.clone() };
         // The follower's own sender is dropped when this process stops leading, which ends the
         // queue; answers still under way hold theirs only for as long as they take.
         let answers = frames.downgrade();
@@ -196,7 +232,14 @@
         };
         let reading = async {
             while let Some(Ok(frame)) = stream.next().await {
-                let Ok(Up { number, call }) = decode::<Up>(&frame) else { return };
+                let (number, call) = match decode::<Up>(&frame) {
+                    Ok(Up::Call { number, call }) => (number, call),
+                    Ok(Up::Told { number, told }) => {
+                        self.followers.told(number, told);
+                        continue;
+                    }
+                    Err(_) => return,
+                };
                 let (lead, answers) = (lead.clone(), answers.clone());
                 actix_rt::spawn(async move {
                     let answer = lead.answer(call).await;
@@ -218,10 +261,15 @@
 struct Following {
     followers: Rc<Followers>,
     number: u64,
+    store: Option<StoreId>,
+    lead: Rc<Lead>,
 }
 
 impl Drop for Following {
     fn drop(&mut self) {
         self.followers.all.borrow_mut().remove(&self.number);
+        if let Some(store) = &self.store {
+            self.lead.copies.disconnected(store);
+        }
     }
 }
--- a/components/node/src/lead.rs
+++ b/components/node/src/lead.rs
@@ -3,19 +3,25 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::rc::Weak;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use chicoryford_fleet::Command;
 use chicoryford_fleet::Config;
 use chicoryford_fleet::Done;
 use chicoryford_fleet::Endpoint;
+use chicoryford_fleet::Listed;
+use chicoryford_fleet::Outline;
 use chicoryford_fleet::Registry;
 use chicoryford_fleet::Stamped;
+use chicoryford_fleet::Step;
 use chicoryford_fleet::Verdict;
+use chicoryford_fleet::copies::PartId;
 use chicoryford_fleet::endpoint;
 use chicoryford_fleet::endpoint::Effect;
 use chicoryford_fleet::plan::Assignment;
@@ -23,6 +29,7 @@
 use chicoryford_fleet::plan::Next;
 use chicoryford_fleet::plan::Plan;
 use chicoryford_fleet::plan::RunEnd;
+use chicoryford_fleet::step::Result;
 use chicoryford_http::Pool;
 use chicoryford_types::Epoch;
 use chicoryford_types::Millis;
@@ -31,10 +38,13 @@
 use tokio::task::JoinHandle;
 
 use crate::clock;
+use crate::copies;
+use crate::copies::Copies;
 use crate::core::Core;
 use crate::forward::Forwarder;
 use crate::hub::Followers;
 use crate::listing::Outbox;
+use crate::listing::Settled;
 use crate::members;
 use crate::message::Answer;
 use crate::message::Call;
@@ -52,6 +62,9 @@
 /// Bytes of text in one answer with results; the bound of a reply is a megabyte.
 const RESULTS: usize = 900 << 10;
 
+/// Bytes of a result beside its text and its sample's identity: field names, versions, score.
+const RESULT_FRAME: usize = 256;
+
 /// What the leader's parts share from the start.
 pub struct Parts {
     /// The replica.
@@ -76,6 +89,8 @@
     pub parts: Parts,
     /// The epoch, which fences orders.
     pub epoch: Epoch,
+    /// Parts of steps on the stores.
+    pub copies: Copies,
     /// Plans runs.
     pub plan: RefCell<Plan>,
     /// Connections to engines.
@@ -86,6 +101,10 @@
     pub began: Millis,
     registry: RefCell<Registry>,
     fleet_clock: u64,
+    /// Steps whose submission is on its way into the log.
+    submitted: RefCell<BTreeMap<String, Arc<Step>>>,
+    /// Open steps whose samples are still to be read from the stores.
+    unread: RefCell<Vec<String>>,
     listed: watch::Sender<u64>,
     kick: Notify,
     tasks: RefCell<BTreeMap<(String, u32), Task>>,
@@ -98,8 +117,10 @@
     pub fn start(parts: Parts, epoch: Epoch, known: Vec<Endpoint>) -> Rc<Self> {
         let now = clock::now();
         let fleet_clock = parts.core.state().clock;
+        let copies = Copies::new(parts.followers.clone(), parts.settings.tolerated, now);
         let lead = Rc::new(Self {
             epoch,
+            copies,
             plan: RefCell::default(),
             pool: RefCell::default(),
             orders: RefCell::default(),
@@ -110,6 +131,8 @@
                 now,
             )),
             fleet_clock,
+            submitted: RefCell::default(),
+            unread: RefCell::default(),
             listed: watch::Sender::new(0),
             kick: Notify::new(),
             tasks: RefCell::default(),
@@ -126,6 +149,8 @@
         })));
         let duties = [
             actix_rt::spawn(plan_on(Rc::downgrade(&lead))),
+            actix_rt::spawn(adopt_steps(Rc::downgrade(&lead))),
+            actix_rt::spawn(copies::keep(Rc::downgrade(&lead))),
             actix_rt::spawn(crate::listing::run(Rc::downgrade(&lead))),
             actix_rt::spawn(members::keep(Rc::downgrade(&lead), Duration::from_millis(MEMBERS_MS))),
         ];
@@ -133,23 +158,48 @@
         lead
     }
 
-    /// Takes over the open steps and the endpoints.
-    fn adopt(self: &Rc<Self>) {
-        let state = self.parts.core.state();
+    /// Takes over the endpoints.
+    fn adopt(&self) {
         let mut plan = self.plan.borrow_mut();
-        for step in state.steps.values().filter(|step| step.is_open()) {
-            let at = self.began.0.saturating_sub(self.fleet_clock.saturating_sub(step.at));
-            plan.open(step.step.clone(), Millis(at), |index| step.is_listed(index));
-        }
         let registry = self.registry.borrow();
         for endpoint in registry.all() {
             plan.observe(endpoint);
             self.parts.forwarder.learn(&News::Endpoint(endpoint.clone()));
         }
-        let (steps, endpoints) = (state.steps.len(), registry.all().count());
+        let steps = self.parts.core.state().steps.len();
+        let endpoints = registry.all().count();
         tracing::info!(event = "lead_begun", epoch = self.epoch.0, steps, endpoints);
     }
 
+    /// Takes over an open step of the leader before; tells whether that is done.
+    async fn adopt_step(&self, id: &str) -> bool {
+        let found = {
+            let state = self.parts.core.state();
+            let open = state.steps.get(id).filter(|step| step.is_open());
+            open.and_then(|step| {
+                let place = state.parts.get(&step.step.part)?.place.clone();
+                Some((step.step.part, place))
+            })
+        };
+        let Some((part, place)) = found else { return true };
+        let Some(step) = self.read_step(part, &place).await else { return false };
+        let state = self.parts.core.state();
+        if let Some(open) = state.steps.get(id).filter(|step| step.is_open()) {
+            let at = self.began.0.saturating_sub(self.fleet_clock.saturating_sub(open.at));
+            let mut plan = self.plan.borrow_mut();
+            plan.open(Arc::new(step), Millis(at), |index| open.is_listed(index));
+            tracing::info!(event = "step_adopted", step = id, listed = open.results.len());
+        }
+        true
+    }
+
+    async fn read_step(&self, part: PartId, place: &copies::Place) -> Option<Step> {
+        let bytes = self.copies.read(part, place).await?;
+        rmp_serde::from_slice(&bytes)
+            .inspect_err(|error| tracing::error!(event = "part_unfit", part = part.0, %error))
+            .ok()
+    }
+
     /// Ends all that the leader does.
     pub fn stop(&self) {
         self.parts.core.observe(None);
@@ -180,7 +230,7 @@
         news
     }
 
-    fn controls(&self) -> std::collections::BTreeSet<SocketAddr> {
+    fn controls(&self) -> BTreeSet<SocketAddr> {
         let members = self.parts.core.status().members;
         members.seats.values().filter_map(|seat| seat.address.parse().ok()).collect()
     }
@@ -203,9 +253,9 @@
             Call::Publish { model, version } => {
                 self.commit(Command::Publish { model, version }).await
             }
-            Call::Submit(step) => self.commit(Command::Submit(step)).await,
+            Call::Submit(step) => self.submit(step).await,
             Call::Read { step, after, wait_ms } => self.read(&step, after, wait_ms).await,
-            Call::Body { step, sample } => self.body(&step, &sample),
+            Call::Body { step, sample } => self.body(&step, &sample).await,
             Call::End(step) => self.end(step).await,
             Call::Retire(node) => self.retire(node).await,
             Call::Retired(node) => self.retired(&node),
@@ -261,7 +311,7 @@
         }
     }
 
-    async fn propose(&self, command: Command) -> Result<Done, Answer> {
+    async fn propose(&self, command: Command) -> std::result::Result<Done, Answer> {
         let stamped = Stamped { at: self.fleet_now(), command };
         self.parts.core.propose(&stamped).await.map_err(|why| {
             tracing::info!(event = "commit_refused", %why);
@@ -281,6 +331,28 @@
         }
     }
 
+    /// Accepts a step: its samples are on enough stores, and the log says where.
+    async fn submit(&self, step: Arc<Step>) -> Answer {
+        if self.parts.core.state().steps.contains_key(&step.id) {
+            return Answer::Done;
+        }
+        let part = PartId(rand::random());
+        let bytes = Bytes::from(rmp_serde::to_vec(&*step).expect("steps are plain data"));
+        let retired = self.parts.core.state().retired.clone();
+        let place = self.copies.write(part, &bytes, &retired).await;
+        let outline = Outline {
+            id: step.id.clone(),
+            model: step.model.clone(),
+            samples: step.samples.len() as u32,
+            age_ms: step.age_ms,
+            part,
+        };
+        self.submitted.borrow_mut().insert(step.id.clone(), step.clone());
+        let answer = self.commit(Command::Submit { step: Arc::new(outline), place }).await;
+        self.submitted.borrow_mut().remove(&step.id);
+        answer
+    }
+
     async fn read(&self, step: &str, after: u64, wait_ms: u64) -> Answer {
         let until = clock::now() + wait_ms;
         let mut listed = self.listed.subscribe();
@@ -289,13 +361,13 @@
                 return Answer::NotNow;
             }
             let left = until.since(clock::now());
-            {
+            let ready = {
                 let state = self.parts.core.state();
                 let Some(found) = state.steps.get(step) else { return Answer::Unknown };
-                let more = found.results.len() as u64 > after;
-                if more || !found.is_open() || left == 0 {
-                    return results(found, after);
-                }
+                found.results.len() as u64 > after || !found.is_open() || left == 0
+            };
+            if ready {
+                return self.results(step, after).await;
             }
             let changed = listed.changed();
             if let Ok(Err(_)) = tokio::time::timeout(Duration::from_millis(left), changed).await {
@@ -304,17 +376,50 @@
         }
     }
 
-    fn body(&self, step: &str, sample: &str) -> Answer {
-        let state = self.parts.core.state();
-        let Some(found) = state.steps.get(step) else { return Answer::Unknown };
-        let sample = found.step.samples.iter().find(|known| known.id == sample);
-        sample.map_or(Answer::Unknown, |sample| Answer::Body(sample.body.clone()))
+    /// Puts results together: what the log says of them, and their texts from the parts.
+    async fn results(&self, step: &str, after: u64) -> Answer {
+        let (total, chosen, places) = {
+            let state = self.parts.core.state();
+            let Some(found) = state.steps.get(step) else { return Answer::Unknown };
+            let chosen = choose_results(&found.results, after);
+            let parts: BTreeSet<PartId> =
+                chosen.iter().filter_map(|listed| text_part(listed)).collect();
+            let places =
+                parts.iter().filter_map(|part| Some((*part, state.parts.get(part)?.place.clone())));
+            let places: Vec<(PartId, copies::Place)> = places.collect();
+            (u64::from(found.step.samples), chosen, places)
+        };
+        let mut texts: BTreeMap<PartId, Vec<String>> = BTreeMap::new();
+        for (part, place) in places {
+            let Some(bytes) = self.copies.read(part, &place).await else { return Answer::NotNow };
+            match rmp_serde::from_slice(&bytes) {
+                Ok(read) => texts.insert(part, read),
+                Err(error) => {
+                    tracing::error!(event = "part_unfit", part = part.0, %error);
+                    return Answer::NotNow;
+                }
+            };
+        }
+        let listed: Option<Vec<(String, Verdict)>> =
+            chosen.iter().map(|listed| whole(listed, &texts)).collect();
+        listed.map_or(Answer::NotNow, |listed| Answer::Results { total, listed })
+    }
+
+    async fn body(&self, step: &str, sample: &str) -> Answer {
+        let found = {
+            let state = self.parts.core.state();
+            let Some(found) = state.steps.get(step) else { return Answer::Unknown };
+            let part = found.step.part;
+            state.parts.get(&part).map(|known| (part, known.place.clone()))
+        };
+        let Some((part, place)) = found else { return Answer::NotNow };
+        let Some(step) = self.read_step(part, &place).await else { return Answer::NotNow };
+        let sample = step.samples.into_iter().find(|known| known.id == sample);
+        sample.map_or(Answer::Unknown, |sample| Answer::Body(sample.body))
     }
 
     async fn end(&self, step: String) -> Answer {
-        // The runs end before the answer, not only once the end is committed.
-        let known = self.parts.core.state().steps.contains_key(&step);
-        if !known {
+        if !self.parts.core.state().steps.contains_key(&step) {
             return Answer::Unknown;
         }
         self.commit(Command::End { step }).await
@@ -325,23 +430,28 @@
         if retired.contains(&node) {
             return Answer::Done;
         }
-        if !self.parts.followers.has_store(&node) {
+        if !self.copies.has(&node) {
             return Answer::Unknown;
         }
-        let left = self.parts.followers.stores(|other| other != node && !retired.contains(other));
+        let left = self.copies.count(|other| other != node && !retired.contains(other));
         if left < self.parts.settings.tolerated as usize + 1 {
             return Answer::TooFew;
         }
+        tracing::info!(event = "store_retires", store = node, left);
         self.commit(Command::Retire { node }).await
     }
 
     fn retired(&self, node: &str) -> Answer {
-        // Store VMs hold nothing that is not on the control processes' disks as well, so one is
-        // empty as soon as it is noted.
-        if self.parts.core.state().retired.contains(node) {
-            return Answer::Retired(true);
+        let state = self.parts.core.state();
+        if !state.retired.contains(node) {
+            return Answer::Unknown;
         }
-        Answer::Unknown
+        let holds = |place: &copies::Place| match place {
+            copies::Place::Inline(_) => false,
+            copies::Place::Stores(stores) => stores.iter().any(|store| store.node == node),
+        };
+        let left = state.parts.values().filter(|part| holds(&part.place)).count();
+        Answer::Retired(left == 0)
     }
 
     /// Takes in a command that was applied.
@@ -353,19 +463,7 @@
             Command::Configure(config) => {
                 self.parts.followers.tell(&News::Config(config.clone()));
             }
-            Command::Submit(step) => {
-                let samples = step.samples.len();
-                tracing::info!(
-                    event = "step_accepted",
-                    step = step.id,
-                    model = step.model,
-                    number = step.number,
-                    least = step.least,
-                    samples,
-                    wanted = step.wanted
-                );
-                self.plan.borrow_mut().open(step.clone(), clock::now(), |_| false);
-            }
+            Command::Submit { step, place } => self.accepted(step, place),
             Command::End { step } => {
                 self.close(step);
             }
@@ -379,11 +477,34 @@
             Command::Publish { model, version } => {
                 tracing::info!(event = "version_named", model, version);
             }
-            Command::Forget { .. } | Command::Retire { .. } => {}
+            Command::Forget { .. } | Command::Retire { .. } | Command::Move { .. } => {}
         }
         self.kick.notify_one();
     }
 
+    fn accepted(&self, outline: &Outline, place: &copies::Place) {
+        let Some(step) = self.submitted.borrow().get(&outline.id).cloned() else {
+            // Proposed by a leader before this one; it is read from the stores.
+            self.unread.borrow_mut().push(outline.id.clone());
+            return;
+        };
+        let copies = match place {
+            copies::Place::Inline(_) => 0,
+            copies::Place::Stores(stores) => stores.len(),
+        };
+        tracing::info!(
+            event = "step_accepted",
+            step = step.id,
+            model = step.model,
+            number = step.number,
+            least = step.least,
+            samples = outline.samples,
+            wanted = step.wanted,
+            copies
+        );
+        self.plan.borrow_mut().open(step, clock::now(), |_| false);
+    }
+
     fn close(&self, step: &str) {
         if !self.plan.borrow().has(step) {
             return;
@@ -419,7 +540,7 @@
         for (step, index) in lost {
             self.stop_task(&step, index);
             tracing::info!(event = "sample_given_up", step, index, why = "age");
-            self.outbox.put(&step, index, Verdict::GivenUp);
+            self.settle(&step, index, Verdict::GivenUp);
         }
         let slow = self.plan.borrow_mut().slow_runs(now);
         for (step, index) in slow {
@@ -476,9 +597,11 @@
 
     /// Has a sample's verdict listed.
     pub fn settle(&self, step: &str, index: u32, verdict: Verdict) {
-        self.plan.borrow_mut().settled(step, index);
+        let sample = self.plan.borrow_mut().settled(step, index);
         self.tasks.borrow_mut().remove(&(step.to_owned(), index));
-        self.outbox.put(step, index, verdict);
+        if let Some(sample) = sample {
+            self.outbox.put(step, Settled { index, sample, verdict });
+        }
     }
 
     /// Gives the verdicts that are to be listed.
@@ -529,27 +652,65 @@
     }
 }
 
-fn results(found: &chicoryford_fleet::state::StepState, after: u64) -> Answer {
+/// Reads the open steps of the leaders before from the stores.
+async fn adopt_steps(lead: Weak<Lead>) {
+    if let Some(lead) = lead.upgrade() {
+        let state = lead.parts.core.state();
+        let open = state.steps.iter().filter(|(_, step)| step.is_open());
+        lead.unread.borrow_mut().extend(open.map(|(id, _)| id.clone()));
+    }
+    loop {
+        let Some(lead) = lead.upgrade() else { return };
+        let unread = std::mem::take(&mut *lead.unread.borrow_mut());
+        for id in unread {
+            if !lead.plan.borrow().has(&id) && !lead.adopt_step(&id).await {
+                lead.unread.borrow_mut().push(id);
+            }
+        }
+        lead.kick.notify_one();
+        drop(lead);
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// Chooses the results from a place on that fit into one answer.
+fn choose_results(results: &[Arc<Listed>], after: u64) -> Vec<Arc<Listed>> {
     let mut bytes = 0;
-    let mut listed = Vec::new();
-    for result in found.results.iter().skip(after as usize) {
-        let sample = &found.step.samples[result.index as usize];
-        bytes += size(&result.verdict) + sample.id.len();
-        if bytes > RESULTS && !listed.is_empty() {
+    let mut chosen = Vec::new();
+    for listed in results.iter().skip(after as usize) {
+        bytes += size(listed);
+        if bytes > RESULTS && !chosen.is_empty() {
             break;
         }
-        listed.push((sample.id.clone(), result.clone()));
+        chosen.push(listed.clone());
     }
-    Answer::Results { total: found.step.samples.len() as u64, listed }
+    chosen
 }
 
-/// Gives about how many bytes a verdict takes in a reply; line feeds and quotes are escaped.
-fn size(verdict: &Verdict) -> usize {
-    match verdict {
-        Verdict::Completed { text, .. } => {
-            let escaped = text.bytes().filter(|b| *b < b' ' || *b == b'"' || *b == b'\\').count();
-            text.len() + escaped + 128
-        }
-        Verdict::GivenUp => 96,
+/// Gives about how many bytes a result takes in a reply.
+fn size(listed: &Listed) -> usize {
+    let text = match &listed.result {
+        Result::Completed { bytes, .. } => *bytes as usize,
+        Result::GivenUp => 0,
+    };
+    text + listed.sample.len() + RESULT_FRAME
+}
+
+fn text_part(listed: &Listed) -> Option<PartId> {
+    match &listed.result {
+        Result::Completed { part, .. } => Some(*part),
+        Result::GivenUp => None,
     }
 }
+
+fn whole(listed: &Listed, texts: &BTreeMap<PartId, Vec<String>>) -> Option<(String, Verdict)> {
+    let verdict = match &listed.result {
+        Result::GivenUp => Verdict::GivenUp,
+        Result::Completed { part, place, versions, score, .. } => Verdict::Completed {
+            text: texts.get(part)?.get(*place as usize)?.clone(),
+            versions: versions.clone(),
+            score: score.clone(),
+        },
+    };
+    Some((listed.sample.clone(), verdict))
+}
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod clock;
 pub mod control;
+pub mod copies;
 pub mod core;
 pub mod entry;
 pub mod forward;
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chicoryford_depot::Worker;
 use chicoryford_http::socket;
 use chicoryford_types::Millis;
 use futures_util::SinkExt;
@@ -24,9 +25,11 @@
 
 use crate::clock;
 use crate::message::Answer;
+use crate::message::Ask;
 use crate::message::Call;
 use crate::message::Down;
 use crate::message::Hello;
+use crate::message::Told;
 use crate::message::Up;
 use crate::message::decode;
 use crate::message::encode;
@@ -62,12 +65,14 @@
 }
 
 /// Who a process is to the leader.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Member {
     /// Its VM.
     pub node: String,
-    /// Whether its VM stores data.
-    pub store: bool,
+    /// Its data centre.
+    pub data_centre: String,
+    /// The depot of a VM that stores data.
+    pub depot: Option<Rc<Worker>>,
 }
 
 /// The connection to the leader.
@@ -133,7 +138,7 @@
         let (answer, answered) = oneshot::channel();
         self.waiting.borrow_mut().insert(number, answer);
         let _waiting = Waiting { link: self, number };
-        up.try_send(Up { number, call }).map_err(|_| CallError::NoLeader)?;
+        up.try_send(Up::Call { number, call }).map_err(|_| CallError::NoLeader)?;
         match tokio::time::timeout(limit, answered).await {
             Ok(Ok(answer)) => Ok(answer),
             Ok(Err(_)) => Err(CallError::Lost),
@@ -222,8 +227,10 @@
     async fn open(&self, address: SocketAddr) -> Option<Socket> {
         let stream = socket::connect(address, CONNECT).await.ok()?;
         let mut socket = Framed::new(stream, frames());
-        let Member { node, store } = self.member.clone();
-        socket.send(encode(&Hello::Member { node, store })).await.ok()?;
+        let Member { node, data_centre, depot } = self.member.clone();
+        let store = depot.map(|depot| depot.identity());
+        let hello = Hello::Member { node, data_centre, store };
+        socket.send(encode(&hello)).await.ok()?;
         Some(socket)
     }
 
@@ -267,6 +274,7 @@
                     let _ = waiting.send(answer);
                 }
             }
+            Down::Ask { number, ask } => self.tell(number, ask),
             Down::Welcome | Down::Alive => {}
             Down::NotLeader { leader } => {
                 self.leader.set(leader);
@@ -276,6 +284,31 @@
         true
     }
 
+    /// Answers what the leader asks of this process's depot.
+    fn tell(&self, number: u64, ask: Ask) {
+        let (Some(depot), Some(up)) = (self.member.depot.clone(), self.up.borrow().clone()) else {
+            return;
+        };
+        actix_rt::spawn(async move {
+            let told = match ask {
+                Ask::Put(part, bytes) => {
+                    if depot.put(part, bytes).await {
+                        Told::Kept
+                    } else {
+                        Told::Failed
+                    }
+                }
+                Ask::Get(part) => Told::Part(depot.get(part).await),
+                Ask::Keep(wanted) => {
+                    depot.keep(wanted);
+                    return;
+                }
+            };
+            // Without the answer the leader asks another store.
+            let _ = up.send(Up::Told { number, told }).await;
+        });
+    }
+
     fn disconnect(&self, address: SocketAddr) {
         if self.up.borrow_mut().take().is_some() {
             let unanswered = self.waiting.borrow().len();
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -11,8 +11,9 @@
 use chicoryford_fleet::Announcement;
 use chicoryford_fleet::Config;
 use chicoryford_fleet::Endpoint;
-use chicoryford_fleet::Listed;
 use chicoryford_fleet::Step;
+use chicoryford_fleet::Verdict;
+use chicoryford_fleet::copies::PartId;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -50,8 +51,10 @@
     Member {
         /// Its VM.
         node: String,
-        /// Whether its VM stores data.
-        store: bool,
+        /// Its data centre.
+        data_centre: String,
+        /// The identity of its depot, if its VM stores data.
+        store: Option<u64>,
     },
 }
 
@@ -60,11 +63,43 @@
 
 /// What a member sends.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Up {
-    /// Comes back with the answer; a word without one is not answered.
-    pub number: u64,
-    /// The call.
-    pub call: Call,
+pub enum Up {
+    /// It asks something.
+    Call {
+        /// Comes back with the answer.
+        number: u64,
+        /// The call.
+        call: Call,
+    },
+    /// A store answers what the leader asked.
+    Told {
+        /// The number of the question.
+        number: u64,
+        /// The answer.
+        told: Told,
+    },
+}
+
+/// What the leader asks of a store.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum Ask {
+    /// Keep a part; the answer comes when it is on the disk.
+    Put(PartId, Bytes),
+    /// Give a part.
+    Get(PartId),
+    /// Forget all parts but these.
+    Keep(BTreeSet<PartId>),
+}
+
+/// What a store answers.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum Told {
+    /// The part is on the disk.
+    Kept,
+    /// The part is not on the disk.
+    Failed,
+    /// The part, if it is there.
+    Part(Option<Bytes>),
 }
 
 /// What the leader sends to a member.
@@ -86,6 +121,13 @@
         /// The answer.
         answer: Answer,
     },
+    /// The leader asks a store.
+    Ask {
+        /// Comes back with the answer.
+        number: u64,
+        /// The question.
+        ask: Ask,
+    },
     /// The leader still leads.
     Alive,
 }
@@ -173,7 +215,7 @@
         /// The samples of the step.
         total: u64,
         /// The results, with the identities of their samples.
-        listed: Vec<(String, Arc<Listed>)>,
+        listed: Vec<(String, Verdict)>,
     },
     /// The body of a sample.
     Body(Bytes),
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -9,13 +9,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use chicoryford_depot::Depot;
+use chicoryford_depot::DepotError;
+use chicoryford_depot::Worker;
 use chicoryford_http::Reply;
 use chicoryford_http::Request;
 use chicoryford_http::Server;
 use chicoryford_http::socket;
+use chicoryford_storage::Disk;
 use thiserror::Error;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::sync::oneshot;
 
 use crate::clock;
 use crate::control::Control;
@@ -40,6 +45,8 @@
 
 /// The replica's folder below the data folder.
 const FOLDER: &str = "replica";
+/// The depot's folder below the data folder.
+const DEPOT: &str = "depot";
 /// How often it is looked whether the settings file has changed.
 const SETTINGS_LOOK: Duration = Duration::from_secs(2);
 /// How often idle connections are looked through.
@@ -65,6 +72,12 @@
     /// The replica could not start.
     #[error(transparent)]
     Core(#[from] CoreError),
+    /// The depot could not start.
+    #[error(transparent)]
+    Depot(#[from] DepotError),
+    /// The depot's thread could not be started.
+    #[error("cannot start the thread of the depot")]
+    Thread(#[source] io::Error),
     /// An address cannot be listened on.
     #[error("cannot listen on {0}")]
     Listen(SocketAddr, #[source] io::Error),
@@ -94,14 +107,22 @@
     stopping: Rc<Cell<bool>>,
     server: Rc<Server>,
     core: Option<Rc<Core>>,
+    depot_failed: Option<oneshot::Receiver<DepotError>>,
 }
 
 async fn live(path: PathBuf, settings: Settings) -> Result<(), StartError> {
     let mut stop = signal(SignalKind::terminate()).map_err(StartError::Signals)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(StartError::Signals)?;
     let mut reload = signal(SignalKind::hangup()).map_err(StartError::Signals)?;
-    let process = Process::start(settings)?;
+    let mut process = Process::start(settings)?;
     let mut failed = process.core.as_ref().map(|core| core.failed());
+    let depot_failed = process.depot_failed.take();
+    let depot_failed = async {
+        match depot_failed {
+            Some(failed) => failed.await.ok(),
+            None => std::future::pending().await,
+        }
+    };
     let disk_failed = async {
         match &mut failed {
             Some(failed) => {
@@ -132,6 +153,11 @@
             tokio::time::sleep(DISK_FAILED).await;
             return Err(StartError::Disk);
         }
+        error = depot_failed => {
+            tracing::error!(event = "depot_failed", error = ?error);
+            tokio::time::sleep(DISK_FAILED).await;
+            return Err(StartError::Disk);
+        }
         () = reloading => {}
     }
     process.drain().await;
@@ -142,12 +168,17 @@
     fn start(settings: Settings) -> Result<Self, StartError> {
         let settings = Rc::new(settings);
         let view = Rc::new(View::default());
-        let store = settings.data.is_some() && settings.control.is_none();
-        let member = Member { node: settings.node.clone(), store };
+        let (depot, depot_failed) = start_depot(&settings)?;
+        let member = Member {
+            node: settings.node.clone(),
+            data_centre: settings.data_centre.clone(),
+            depot,
+        };
         let link = Link::new(member, view.clone(), settings.seed_links());
         let forwarder = Forwarder::new();
         let process = Self {
             core: None,
+            depot_failed,
             stopping: Rc::default(),
             server: Rc::default(),
             settings,
@@ -276,6 +307,20 @@
     }
 }
 
+type StartedDepot = (Option<Rc<Worker>>, Option<oneshot::Receiver<DepotError>>);
+
+/// Opens the depot of a VM that stores data and is no replica.
+fn start_depot(settings: &Settings) -> Result<StartedDepot, StartError> {
+    let (Some(data), None) = (&settings.data, settings.control) else { return Ok((None, None)) };
+    let depot = Depot::open(&data.join(DEPOT), Disk::default())?;
+    let (failed, told) = oneshot::channel();
+    let worker = Worker::start(depot, move |error| {
+        // The process may be ending already.
+        let _ = failed.send(error);
+    });
+    Ok((Some(Rc::new(worker.map_err(StartError::Thread)?)), Some(told)))
+}
+
 fn listen(address: SocketAddr) -> Result<tokio::net::TcpListener, StartError> {
     socket::listen(address).map_err(|error| StartError::Listen(address, error))
 }
--- a/components/storage/src/segment.rs
+++ b/components/storage/src/segment.rs
@@ -3,6 +3,9 @@
 use std::fs;
 use std::fs::File;
 use std::fs::OpenOptions;
+use std::io::Read as _;
+use std::io::Seek;
+use std::io::SeekFrom;
 use std::path::Path;
 use std::path::PathBuf;
 
@@ -110,6 +113,29 @@
         self.places.get(place as usize).map(|(epoch, _)| *epoch)
     }
 
+    /// Reads an entry back from the file.
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError::Io`], or [`StorageError::Corrupt`] if what is there is not what was
+    /// written.
+    pub fn read(&self, index: u64) -> Result<Option<Entry>, StorageError> {
+        let place = index.checked_sub(self.first).map(|place| place as usize);
+        let Some((_, offset)) = place.and_then(|place| self.places.get(place)) else {
+            return Ok(None);
+        };
+        let next = place.and_then(|place| self.places.get(place + 1));
+        let end = next.map_or(self.length, |(_, offset)| *offset);
+        let mut bytes = vec![0; (end - offset) as usize];
+        let mut file = File::open(&self.path).map_err(io_error("open", &self.path))?;
+        file.seek(SeekFrom::Start(*offset)).map_err(io_error("read", &self.path))?;
+        file.read_exact(&mut bytes).map_err(io_error("read", &self.path))?;
+        let entry = record::decode(&bytes).and_then(|record| record.entry);
+        let (path, what) = (self.path.clone(), Damage::Checksum);
+        let damaged = StorageError::Corrupt { path, offset: *offset, what };
+        entry.filter(|entry| entry.index == index).map(Some).ok_or(damaged)
+    }
+
     /// Writes entries at the end, in one write; they last only after [`Segment::sync`].
     ///
     /// # Errors
--- a/components/storage/src/storage.rs
+++ b/components/storage/src/storage.rs
@@ -127,6 +127,19 @@
         self.segments.iter().map(|s| s.length).sum()
     }
 
+    /// Reads an entry back from the log, written or synced; none if it is not there any more.
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError`] if it cannot be read, or is not what was written.
+    pub fn read(&self, index: u64) -> Result<Option<Entry>, StorageError> {
+        let place = self.segments.partition_point(|segment| segment.first <= index);
+        match place.checked_sub(1).map(|place| &self.segments[place]) {
+            Some(segment) => segment.read(index),
+            None => Ok(None),
+        }
+    }
+
     /// Appends entries. If the first is not beyond the last of the log, the log is first cut
     /// before it: a new leader's entries replace those that were never committed.
     ///
