Give new weights to half of a model's engines, first where samples wait; run the longest first

Cause: two models on nine engines asked for 18 loads in the four seconds between two versions, which take over eight; runs were also made to end before each load. Urgent steps waited behind others. Change: an engine takes every second version, unless it is two behind; models whose samples wait go first; runs go on under the new version; steps by rank of their route, samples by expected length. What is left there are runs lost with the leader (184 events take 6.7 s), and runs that were moved again and again between slow engines.

--- a/components/fleet/src/plan.rs
+++ b/components/fleet/src/plan.rs
@@ -4,6 +4,7 @@
 //! has without asking. What is lost with a leader are runs of a second or so, which the next one
 //! begins again.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -92,6 +93,10 @@
     pub version: u64,
     /// What was made of it so far.
     pub made: Made,
+    /// Runs that the engine had already.
+    pub beside: u32,
+    /// When it was assigned.
+    pub began: Millis,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -114,6 +119,9 @@
 
 struct Work {
     step: Arc<Step>,
+    /// The samples' places, the longest expected first: a step is over when its last sample is,
+    /// and the longest take most of the time that there is.
+    order: Vec<u32>,
     at: Millis,
     progress: Vec<Progress>,
     waiting: usize,
@@ -186,7 +194,9 @@
         let progress: Vec<Progress> = progress.collect();
         let waiting = progress.iter().filter(|p| p.phase == Phase::Waiting).count();
         let id = step.id.clone();
-        self.works.insert(id, Work { step, at, progress, waiting });
+        let mut order: Vec<u32> = (0..step.samples.len() as u32).collect();
+        order.sort_by_key(|index| Reverse(step.samples[*index as usize].expected));
+        self.works.insert(id, Work { step, order, at, progress, waiting });
     }
 
     /// Forgets a step: it is over. Its runs are to be stopped by the caller.
@@ -239,26 +249,35 @@
         self.seats.get_mut(id)
     }
 
+    /// Counts the waiting samples of a model for which no engine is new enough, and gives the
+    /// version that they need.
+    pub fn starved(&self, model: &str) -> usize {
+        let newest = self.seats.values().filter(|seat| seat.loading.as_deref() != Some(model));
+        let newest = newest.filter_map(|seat| seat.endpoint.said.models.get(model)).max();
+        let works = self.works.values().filter(|work| {
+            work.step.model == model && newest.is_none_or(|version| *version < work.step.least)
+        });
+        works.map(|work| work.waiting).sum()
+    }
+
     /// Gives the tokens that open steps of a model ask for: its share of the engines.
     pub fn demand(&self, model: &str) -> u64 {
         let works = self.works.values().filter(|work| work.step.model == model);
         works.flat_map(|work| &work.step.samples).map(|sample| sample.tokens).sum()
     }
 
-    /// Chooses the samples that start now: steps by the time at which they are due, their groups
-    /// in the order in which the trainer named them, samples of a group on one engine.
+    /// Chooses the samples that start now: steps by rank and by the time at which they are due,
+    /// of each the longest samples first, those of a group on one engine where it has room.
     pub fn assign(&mut self, config: &Config, now: Millis) -> Vec<Assignment> {
         let mut free: u32 =
             self.seats.values().filter(|seat| seat.is_ready(now)).map(Seat::room).sum();
         let mut chosen = Vec::new();
-        let mut order: Vec<(Millis, String)> = self
-            .works
-            .values()
-            .filter(|work| work.waiting > 0)
-            .map(|work| (work.at + work.step.due_ms, work.step.id.clone()))
+        let waiting = self.works.values().filter(|work| work.waiting > 0);
+        let mut order: Vec<(u32, Millis, String)> = waiting
+            .map(|work| (work.step.priority, work.at + work.step.due_ms, work.step.id.clone()))
             .collect();
         order.sort();
-        for (_, id) in order {
+        for (_, _, id) in order {
             if free == 0 {
                 break;
             }
@@ -279,7 +298,9 @@
         let Some(work) = self.works.get_mut(id) else { return };
         let step = work.step.clone();
         let mut homes: BTreeMap<&str, String> = BTreeMap::new();
-        for (index, sample) in step.samples.iter().enumerate() {
+        for place in 0..work.order.len() {
+            let index = work.order[place] as usize;
+            let sample = &step.samples[index];
             let progress = &mut work.progress[index];
             if progress.phase != Phase::Waiting {
                 if let (Some(seat), false) = (&progress.seat, sample.group.is_empty()) {
@@ -311,6 +332,7 @@
                 progress.made = Made::default();
             }
             let (endpoint, address) = (said.id.clone(), said.address);
+            let beside = seat.load();
             progress.phase = Phase::Running;
             progress.seat = Some(endpoint.clone());
             progress.began = now;
@@ -322,7 +344,17 @@
             }
             let made = progress.made.clone();
             let (step, index) = (step.clone(), index as u32);
-            chosen.push(Assignment { step, index, endpoint, address, version, made });
+            let began = now;
+            chosen.push(Assignment {
+                step,
+                index,
+                endpoint,
+                address,
+                version,
+                made,
+                beside,
+                began,
+            });
         }
     }
 
@@ -367,6 +399,10 @@
                 let Some(seat) = progress.seat.as_ref().and_then(|id| self.seats.get(id)) else {
                     continue;
                 };
+                // A change of weights holds its runs up for a moment, and they go on by themselves.
+                if seat.loading.as_deref() == Some(&work.step.model) {
+                    continue;
+                }
                 let settled = now.since(progress.began) as f64 > 2.0 * usual;
                 let lags = now.since(progress.heard) as f64 > LAG * usual;
                 let paced = seat.pace(now) > SLOW * usual;
--- a/components/fleet/src/step.rs
+++ b/components/fleet/src/step.rs
@@ -32,6 +32,8 @@
     pub body: Bytes,
     /// Tokens of the prompt and the most that may be generated.
     pub tokens: u64,
+    /// Tokens that will be generated, as its sender guesses; right at the median, often far off.
+    pub expected: u64,
     /// The group that shares its prompt; empty for a sample by itself.
     pub group: String,
     /// The call that scores it, if there is one.
@@ -65,6 +67,8 @@
     pub attempts: u32,
     /// Whether each sample must be made by one version.
     pub single: bool,
+    /// The rank of its route, zero first.
+    pub priority: u32,
 }
 
 /// What became of a sample.
--- a/components/fleet/src/swap.rs
+++ b/components/fleet/src/swap.rs
@@ -17,6 +17,11 @@
 /// Engines that each model gets at least, so that the loss of one does not stop its trainer.
 const LEAST: usize = 2;
 
+/// The share of a model's engines that take each new version: one of two. An engine serves the
+/// steps of its own version and of the next, so each needs every second version only, and all
+/// versions on all engines would take more time than there is between two versions.
+const EACH: (usize, usize) = (1, 2);
+
 /// A model's claim to engines.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Claim {
@@ -26,10 +31,12 @@
     pub version: u64,
     /// How much it asks for, in tokens.
     pub demand: u64,
+    /// Samples that wait because no engine is new enough.
+    pub starved: usize,
 }
 
 /// An engine that is to take new weights.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Wish {
     /// The engine's incarnation.
     pub endpoint: String,
@@ -63,34 +70,60 @@
     owners
 }
 
-/// Chooses the engines that take new weights now: those furthest behind first, then the idlest.
+/// Chooses the engines that take new weights now: first for models whose samples wait for them,
+/// then those furthest behind, then the idlest.
 pub fn wishes(seats: &[&Seat], claims: &[Claim], now: Millis) -> Vec<Wish> {
     let mut engines: Vec<String> = seats.iter().map(|seat| seat.endpoint.said.id.clone()).collect();
     engines.sort();
     let owners = divide(&engines, claims);
     let most = (seats.len() * AT_ONCE.0 / AT_ONCE.1).max(1);
     let busy = seats.iter().filter(|seat| seat.loading.is_some()).count();
-    let mut behind: Vec<(u64, u32, Wish)> = Vec::new();
-    for seat in seats.iter().filter(|seat| seat.loading.is_none() && seat.is_ready(now)) {
-        let said = &seat.endpoint.said;
-        let Some(claim) = owners
-            .get(&said.id)
-            .and_then(|model| claims.iter().find(|claim| claim.model == *model))
-        else {
+    let mut behind: Vec<(Urgency, Wish)> = Vec::new();
+    for claim in claims {
+        let own = |seat: &&&Seat| owners.get(&seat.endpoint.said.id) == Some(&claim.model);
+        let own: Vec<&Seat> = seats.iter().filter(own).copied().collect();
+        behind.extend(behind_of(&own, claim, now));
+    }
+    behind.sort();
+    let room = most.saturating_sub(busy);
+    behind.into_iter().take(room).map(|(_, wish)| wish).collect()
+}
+
+/// What goes first: models with starved samples, then the version held, then the runs there.
+type Urgency = (bool, u64, u32);
+
+fn behind_of(own: &[&Seat], claim: &Claim, now: Millis) -> Vec<(Urgency, Wish)> {
+    let held = |seat: &Seat| seat.endpoint.said.models.get(&claim.model).copied();
+    let loading = |seat: &Seat| seat.loading.as_deref() == Some(&claim.model);
+    let new = own.iter().filter(|seat| held(seat) >= Some(claim.version) || loading(seat)).count();
+    let enough = (own.len() * EACH.0).div_ceil(EACH.1);
+    let mut left = enough.saturating_sub(new);
+    let mut able: Vec<&&Seat> = own
+        .iter()
+        .filter(|seat| seat.loading.is_none() && seat.is_ready(now))
+        .filter(|seat| held(seat).is_some_and(|held| held < claim.version))
+        .collect();
+    able.sort_by_key(|seat| (held(seat), running(seat, claim), &seat.endpoint.said.id));
+    let mut behind = Vec::new();
+    for seat in able {
+        let version = held(seat).unwrap_or_default();
+        // Two versions behind, an engine can serve no step that is still to come.
+        let useless = version + 1 < claim.version;
+        if !useless && left == 0 {
             continue;
-        };
-        let Some(held) = said.models.get(&claim.model) else { continue };
-        if *held < claim.version {
-            let wish = Wish {
-                endpoint: said.id.clone(),
-                model: claim.model.clone(),
-                version: claim.version,
-            };
-            let running = seat.running.get(&claim.model).copied().unwrap_or_default();
-            behind.push((*held, running, wish));
         }
+        left = left.saturating_sub(1);
+        let urgency = (claim.starved == 0, version, running(seat, claim));
+        let wish = Wish {
+            endpoint: seat.endpoint.said.id.clone(),
+            model: claim.model.clone(),
+            version: claim.version,
+        };
+        behind.push((urgency, wish));
     }
-    behind.sort_by(|a, b| (a.0, a.1, &a.2.endpoint).cmp(&(b.0, b.1, &b.2.endpoint)));
-    let room = most.saturating_sub(busy);
-    behind.into_iter().take(room).map(|(_, _, wish)| wish).collect()
+    behind
+}
+
+fn running(seat: &Seat, claim: &Claim) -> u32 {
+    seat.running.get(&claim.model).copied().unwrap_or_default()
 }
--- a/components/node/src/lead.rs
+++ b/components/node/src/lead.rs
@@ -564,6 +564,16 @@
 
     fn start_run(self: &Rc<Self>, assignment: Assignment) {
         let made = Rc::new(RefCell::new(assignment.made.clone()));
+        let sample = &assignment.step.samples[assignment.index as usize].id;
+        tracing::info!(
+            event = "run_started",
+            step = assignment.step.id,
+            sample,
+            endpoint = assignment.endpoint,
+            version = assignment.version,
+            after = assignment.made.events.len(),
+            beside = assignment.beside
+        );
         let key = (assignment.step.id.clone(), assignment.index);
         let run = runner::run(self.clone(), assignment, made.clone());
         let handle = actix_rt::spawn(run);
@@ -575,11 +585,18 @@
         let (step, index) = (&assignment.step.id, assignment.index);
         let events = made.events.len();
         let next = self.plan.borrow_mut().ended(step, index, end, made.clone(), clock::now());
-        let sample = &assignment.step.samples[index as usize].id;
-        if end != RunEnd::Whole {
-            tracing::info!(event = "run_ended", step, sample, endpoint = assignment.endpoint,
-                end = ?end, next = ?next, events);
-        }
+        let sample = &assignment.step.samples[index as usize];
+        tracing::info!(
+            event = "run_ended",
+            step,
+            sample = sample.id,
+            endpoint = assignment.endpoint,
+            ?end,
+            ?next,
+            events,
+            expected = sample.expected,
+            ms = clock::now().since(assignment.began)
+        );
         self.tasks.borrow_mut().remove(&(step.clone(), index));
         match next {
             Next::Score => {
--- a/components/node/src/orders.rs
+++ b/components/node/src/orders.rs
@@ -27,9 +27,9 @@
 
 /// How long one call to an engine may take. It answers at once; only a lost connection takes long.
 const CALL: Duration = Duration::from_millis(800);
-/// How long an engine's runs may take to end before it is ordered to change under them. The usual
-/// run is shorter than a second.
-const DRAIN: Duration = Duration::from_millis(1_200);
+/// How long an engine's runs may take to end before it is ordered to change under them. They go
+/// on under the new version, so there is little to wait for.
+const DRAIN: Duration = Duration::from_millis(0);
 /// How often it is looked whether they have ended.
 const LOOK: Duration = Duration::from_millis(20);
 /// Time after which a change of weights may be done, and between two looks from then on.
@@ -97,7 +97,8 @@
             // engines must not change owners for that.
             let most = orders.demand.entry(model.clone()).or_default();
             *most = plan.demand(model).max(*most);
-            Claim { model: model.clone(), version, demand: *most }
+            let starved = plan.starved(model);
+            Claim { model: model.clone(), version, demand: *most, starved }
         })
         .collect()
 }
