--- a/components/fleet/src/plan.rs
+++ b/components/fleet/src/plan.rs
@@ -10,10 +10,14 @@
 use std::sync::Arc;
 
 use chicoryford_types::Millis;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::config::Config;
 use crate::endpoint::Endpoint;
 use crate::endpoint::Standing;
+use crate::run;
+use crate::run::Report;
 use crate::step::Sample;
 use crate::step::Step;
 
@@ -23,20 +27,25 @@
 const DOUBLINGS: u32 = 4;
 /// Milliseconds for which an engine that says it is full is left alone.
 const FULL_MS: u64 = 100;
-/// The weight of the newest measurement of an engine's pace: about the last ten events count.
-const NEWEST: f64 = 0.1;
+/// The weight of the newest measurement of an engine's pace. Hosts tell the mean of some events
+/// of each run four times a second, so the last second or so counts.
+const NEWEST: f64 = 0.15;
 /// How many times slower than the usual engine one must be for its runs to go on elsewhere. An
 /// engine with all its slots taken is about a tenth slower than an idle one, so this is a fault.
 const SLOW: f64 = 2.0;
 /// Milliseconds without news of a pace after which half of it is forgotten.
 const HALF_MS: f64 = 2_000.0;
-/// Runs that may be moved in one look.
-const MOVES: usize = 16;
-/// Milliseconds of silence, in multiples of the usual pace, after which a run counts as slow.
-const LAG: f64 = 6.0;
+/// How many times slower than usual an engine may be to be given a run that was slow elsewhere.
+const FAST: f64 = 1.4;
+/// Times that one run may be moved.
+const MOVED: u32 = 4;
+/// Milliseconds of silence after which a run counts as slow, whatever its engine's pace. The first
+/// event comes after the prompt was read, and hosts tell four times a second, so half a second is
+/// usual; a change of weights takes about one.
+const LAG_MS: u64 = 1_400;
 
 /// What was made of a sample so far.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Made {
     /// The data of the events, in order.
     pub events: Vec<String>,
@@ -47,10 +56,8 @@
 }
 
 /// How a run ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub enum RunEnd {
-    /// All events came.
-    Whole,
     /// The engine answered that it failed.
     Failed,
     /// The engine answered that the sample can never be made.
@@ -68,8 +75,6 @@
 /// What becomes of a sample after its run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Next {
-    /// Its scorer is called.
-    Score,
     /// It waits for another run.
     Again,
     /// It is given up.
@@ -110,6 +115,13 @@
 struct Progress {
     phase: Phase,
     seat: Option<String>,
+    /// The VM that hosts the run.
+    host: Option<String>,
+    /// An engine that was too slow for it.
+    avoid: Option<String>,
+    /// Whether a host that is not known yet may be running it, as one does that was cut off, or
+    /// that was told to by the leader before.
+    claimable: bool,
     began: Millis,
     heard: Millis,
     made: Made,
@@ -123,6 +135,8 @@
     /// and the longest take most of the time that there is.
     order: Vec<u32>,
     at: Millis,
+    /// Until then its samples wait for hosts that may be running them.
+    held: Millis,
     progress: Vec<Progress>,
     waiting: usize,
 }
@@ -173,9 +187,15 @@
 }
 
 impl Plan {
-    /// Takes in a step that is open. `listed` tells which samples have their results, and `at`
-    /// when it was submitted.
-    pub fn open(&mut self, step: Arc<Step>, at: Millis, listed: impl Fn(u32) -> bool) {
+    /// Takes in a step that is open. `listed` tells which samples have their results, `at` when it
+    /// was submitted, and `held` until when hosts may still tell that they run samples of it.
+    pub fn open(
+        &mut self,
+        step: Arc<Step>,
+        at: Millis,
+        held: Millis,
+        listed: impl Fn(u32) -> bool,
+    ) {
         if self.works.contains_key(&step.id) {
             return;
         }
@@ -184,6 +204,9 @@
             Progress {
                 phase,
                 seat: None,
+                host: None,
+                avoid: None,
+                claimable: held > Millis::default(),
                 began: at,
                 heard: at,
                 made: Made::default(),
@@ -196,17 +219,20 @@
         let id = step.id.clone();
         let mut order: Vec<u32> = (0..step.samples.len() as u32).collect();
         order.sort_by_key(|index| Reverse(step.samples[*index as usize].expected));
-        self.works.insert(id, Work { step, order, at, progress, waiting });
+        self.works.insert(id, Work { step, order, at, held, progress, waiting });
     }
 
-    /// Forgets a step: it is over. Its runs are to be stopped by the caller.
-    pub fn close(&mut self, step: &str) {
-        let Some(work) = self.works.remove(step) else { return };
-        for progress in &work.progress {
+    /// Forgets a step: it is over. Gives the samples that hosts still have, with their hosts.
+    pub fn close(&mut self, step: &str) -> Vec<(String, u32)> {
+        let Some(work) = self.works.remove(step) else { return Vec::new() };
+        let mut hosted = Vec::new();
+        for (index, progress) in work.progress.into_iter().enumerate() {
             if progress.phase == Phase::Running {
                 self.free(progress.seat.as_deref(), &work.step.model);
             }
+            hosted.extend(progress.host.map(|host| (host, index as u32)));
         }
+        hosted
     }
 
     /// Tells whether a step is planned.
@@ -272,7 +298,7 @@
         let mut free: u32 =
             self.seats.values().filter(|seat| seat.is_ready(now)).map(Seat::room).sum();
         let mut chosen = Vec::new();
-        let waiting = self.works.values().filter(|work| work.waiting > 0);
+        let waiting = self.works.values().filter(|work| work.waiting > 0 && work.held <= now);
         let mut order: Vec<(u32, Millis, String)> = waiting
             .map(|work| (work.step.priority, work.at + work.step.due_ms, work.step.id.clone()))
             .collect();
@@ -309,12 +335,14 @@
                 continue;
             }
             let Some(route) = config.find(&step.host, &sample.path) else { continue };
+            let avoid = progress.avoid.clone();
             let fits = |seat: &Seat| {
                 let version = seat.endpoint.said.models.get(&step.model);
                 let loading = seat.loading.as_deref() == Some(&step.model);
                 seat.is_ready(now)
                     && seat.room() > 0
                     && !loading
+                    && avoid.as_ref() != Some(&seat.endpoint.said.id)
                     && route.leads_to(&seat.endpoint.said.service)
                     && version.is_some_and(|version| *version >= step.least)
             };
@@ -335,6 +363,8 @@
             let beside = seat.load();
             progress.phase = Phase::Running;
             progress.seat = Some(endpoint.clone());
+            progress.host = None;
+            progress.claimable = false;
             progress.began = now;
             progress.heard = now;
             work.waiting -= 1;
@@ -358,15 +388,61 @@
         }
     }
 
-    /// Notes that an event of a run came, so many milliseconds after the one before.
-    pub fn progressed(&mut self, step: &str, index: u32, gap_ms: u64, now: Millis) {
-        let Some(work) = self.works.get_mut(step) else { return };
-        let progress = &mut work.progress[index as usize];
-        progress.heard = now;
-        let Some(seat) = progress.seat.as_ref().and_then(|id| self.seats.get_mut(id)) else {
-            return;
-        };
-        let gap = gap_ms as f64;
+    /// Notes which VM hosts a run.
+    pub fn hosted(&mut self, step: &str, index: u32, host: &str) {
+        if let Some(work) = self.works.get_mut(step) {
+            work.progress[index as usize].host = Some(host.to_owned());
+        }
+    }
+
+    /// Gives the VM that hosts a run.
+    pub fn host(&self, step: &str, index: u32) -> Option<String> {
+        self.works.get(step)?.progress.get(index as usize)?.host.clone()
+    }
+
+    /// Takes in what a host tells of a run. Tells whether the host is to go on with it: a run that
+    /// was begun elsewhere, or that is over, is to be stopped.
+    pub fn told(&mut self, host: &str, report: &Report, now: Millis) -> bool {
+        let Some(work) = self.works.get_mut(&report.step) else { return false };
+        let Some(progress) = work.progress.get_mut(report.index as usize) else { return false };
+        let live = matches!(progress.phase, Phase::Running | Phase::Scoring);
+        let same = progress.host.as_deref() == Some(host)
+            && (progress.phase != Phase::Running
+                || progress.seat.as_deref() == Some(report.endpoint.as_str()));
+        if progress.phase == Phase::Waiting && progress.claimable && report.from == 0 {
+            // The leader did not know of this run: it was begun under the leader before.
+            work.waiting -= 1;
+            progress.phase = Phase::Running;
+            progress.seat = Some(report.endpoint.clone());
+            progress.host = Some(host.to_owned());
+            progress.began = now;
+            if let Some(seat) = self.seats.get_mut(&report.endpoint) {
+                *seat.running.entry(work.step.model.clone()).or_default() += 1;
+            }
+        } else if !live || !same {
+            return false;
+        }
+        let before = progress.made.events.len();
+        if !report.add_to(&mut progress.made) {
+            return false;
+        }
+        if progress.made.events.len() > before {
+            progress.heard = now;
+        }
+        if report.standing == run::Standing::Scoring && progress.phase == Phase::Running {
+            progress.phase = Phase::Scoring;
+            let seat = progress.seat.take();
+            let model = work.step.model.clone();
+            self.free(seat.as_deref(), &model);
+        }
+        if report.gap_ms > 0 {
+            self.pace(&report.endpoint, f64::from(report.gap_ms), now);
+        }
+        true
+    }
+
+    fn pace(&mut self, seat: &str, gap: f64, now: Millis) {
+        let Some(seat) = self.seats.get_mut(seat) else { return };
         let pace = seat.pace_ms;
         seat.pace_ms = if pace > 0.0 { pace + NEWEST * (gap - pace) } else { gap };
         seat.paced = now;
@@ -376,42 +452,72 @@
         }
     }
 
+    /// Takes the runs of a host away: it is lost. They go on elsewhere after the last event told.
+    pub fn orphan(&mut self, host: &str) -> usize {
+        let mut freed = Vec::new();
+        for work in self.works.values_mut() {
+            for progress in &mut work.progress {
+                let live = matches!(progress.phase, Phase::Running | Phase::Scoring);
+                if !live || progress.host.as_deref() != Some(host) {
+                    continue;
+                }
+                if progress.phase == Phase::Running {
+                    freed.push((progress.seat.take(), work.step.model.clone()));
+                }
+                progress.phase = Phase::Waiting;
+                progress.host = None;
+                progress.claimable = true;
+                work.waiting += 1;
+            }
+        }
+        for (seat, model) in &freed {
+            self.free(seat.as_deref(), model);
+        }
+        freed.len()
+    }
+
     /// Finds runs on slow engines that would go faster elsewhere. Any engine can go on after the
-    /// last event, so moving a run costs one reading of its prompt.
+    /// last event, so moving a run costs one reading of its prompt. A run is moved only if an
+    /// engine that may run it has room; it would come back otherwise, and lose time at each turn.
     pub fn slow_runs(&mut self, now: Millis) -> Vec<(String, u32)> {
         self.learn_usual(now);
         let usual = self.usual_ms;
-        let room: u32 = self
-            .seats
-            .values()
-            .filter(|seat| seat.is_ready(now) && seat.pace(now) < SLOW * usual)
-            .map(Seat::room)
-            .sum();
         let mut slow = Vec::new();
         if usual <= 0.0 {
             return slow;
         }
+        let fast = |seat: &&Seat| seat.is_ready(now) && seat.pace(now) < FAST * usual;
+        let mut rooms: BTreeMap<&str, u32> = BTreeMap::new();
+        for seat in self.seats.values().filter(fast) {
+            rooms.insert(&seat.endpoint.said.id, seat.room());
+        }
         for (id, work) in &self.works {
+            let model = &work.step.model;
             for (index, progress) in work.progress.iter().enumerate() {
-                if progress.phase != Phase::Running || progress.moved > 1 {
-                    continue;
-                }
                 let Some(seat) = progress.seat.as_ref().and_then(|id| self.seats.get(id)) else {
                     continue;
                 };
-                // A change of weights holds its runs up for a moment, and they go on by themselves.
-                if seat.loading.as_deref() == Some(&work.step.model) {
+                // A change of weights holds its runs up for a moment; they go on by themselves.
+                let loading = seat.loading.as_ref() == Some(model);
+                let live = progress.phase == Phase::Running && !loading;
+                if !live || progress.moved >= MOVED || !is_slow(progress, seat, usual, now) {
                     continue;
                 }
-                let settled = now.since(progress.began) as f64 > 2.0 * usual;
-                let lags = now.since(progress.heard) as f64 > LAG * usual;
-                let paced = seat.pace(now) > SLOW * usual;
-                if settled && paced || lags {
-                    slow.push((id.clone(), index as u32));
+                let better = self.seats.values().filter(fast).find(|other| {
+                    let said = &other.endpoint.said;
+                    let version = said.models.get(model).copied().unwrap_or_default();
+                    said.id != seat.endpoint.said.id
+                        && other.loading.as_ref() != Some(model)
+                        && version >= work.step.least
+                        && rooms.get(said.id.as_str()).is_some_and(|room| *room > 0)
+                });
+                let Some(better) = better else { continue };
+                if let Some(room) = rooms.get_mut(better.endpoint.said.id.as_str()) {
+                    *room -= 1;
                 }
+                slow.push((id.clone(), index as u32));
             }
         }
-        slow.truncate(MOVES.min(room as usize));
         slow
     }
 
@@ -425,8 +531,13 @@
         }
     }
 
-    /// Takes in how a run ended, and what was made until then.
-    pub fn ended(&mut self, step: &str, index: u32, end: RunEnd, made: Made, now: Millis) -> Next {
+    /// Gives what was made of a sample.
+    pub fn made(&self, step: &str, index: u32) -> Option<&Made> {
+        Some(&self.works.get(step)?.progress.get(index as usize)?.made)
+    }
+
+    /// Takes in how a run ended.
+    pub fn ended(&mut self, step: &str, index: u32, end: RunEnd, now: Millis) -> Next {
         let Some(work) = self.works.get_mut(step) else { return Next::Nothing };
         let attempts = work.step.attempts.max(1);
         let model = work.step.model.clone();
@@ -434,10 +545,10 @@
         if progress.phase != Phase::Running {
             return Next::Nothing;
         }
-        progress.made = made;
         let seat = progress.seat.take();
+        progress.host = None;
+        progress.avoid = None;
         let next = match end {
-            RunEnd::Whole => Next::Score,
             RunEnd::Unfit => Next::GiveUp,
             RunEnd::Failed => {
                 progress.failures += 1;
@@ -445,12 +556,12 @@
             }
             RunEnd::Taken => {
                 progress.moved += 1;
+                progress.avoid.clone_from(&seat);
                 Next::Again
             }
             RunEnd::Full | RunEnd::Moved | RunEnd::Broken => Next::Again,
         };
         progress.phase = match next {
-            Next::Score => Phase::Scoring,
             Next::Again => {
                 work.waiting += 1;
                 Phase::Waiting
@@ -472,51 +583,40 @@
                 let doublings = (seat.failures - 1).min(DOUBLINGS);
                 seat.until = now + (PENALTY_MS << doublings);
             }
-            RunEnd::Whole | RunEnd::Failed | RunEnd::Unfit | RunEnd::Taken => {}
+            RunEnd::Failed | RunEnd::Unfit | RunEnd::Taken => {}
         }
     }
 
-    /// Begins a sample anew: what was made of it must not be used.
-    pub fn discard(&mut self, step: &str, index: u32) {
-        let Some(work) = self.works.get_mut(step) else { return };
-        work.progress[index as usize].made = Made::default();
-    }
-
     /// Notes that a sample's verdict is on its way into the log. Gives the sample's identity; none
-    /// if its step is over.
+    /// if its step is over, or it had a verdict before.
     pub fn settled(&mut self, step: &str, index: u32) -> Option<String> {
         let work = self.works.get_mut(step)?;
-        work.progress[index as usize].phase = Phase::Settled;
-        Some(work.step.samples[index as usize].id.clone())
+        let progress = &mut work.progress[index as usize];
+        let before = std::mem::replace(&mut progress.phase, Phase::Settled);
+        let (seat, model) = (progress.seat.take(), work.step.model.clone());
+        let sample = work.step.samples[index as usize].id.clone();
+        work.waiting -= usize::from(before == Phase::Waiting);
+        if before == Phase::Running {
+            self.free(seat.as_deref(), &model);
+        }
+        (before != Phase::Settled).then_some(sample)
     }
 
-    /// Gives the samples that have become too old, or whose route is gone, and settles them.
-    pub fn give_up(&mut self, config: &Config, now: Millis) -> Vec<(String, u32)> {
+    /// Gives the samples that have become too old, or whose route is gone.
+    pub fn too_old(&self, config: &Config, now: Millis) -> Vec<(String, u32)> {
         let mut lost = Vec::new();
-        for (id, work) in &mut self.works {
+        for (id, work) in &self.works {
             let old = now.since(work.at) >= work.step.age_ms;
             let gone = |sample: &Sample| config.find(&work.step.host, &sample.path).is_none();
-            for (index, progress) in work.progress.iter_mut().enumerate() {
+            for (index, progress) in work.progress.iter().enumerate() {
                 let waits = progress.phase == Phase::Waiting;
                 let over = old || (waits && gone(&work.step.samples[index]));
-                if progress.phase == Phase::Settled || !over {
-                    continue;
-                }
-                if waits {
-                    work.waiting -= 1;
+                if progress.phase != Phase::Settled && over {
+                    lost.push((id.clone(), index as u32));
                 }
-                let ran = progress.phase == Phase::Running;
-                progress.phase = Phase::Settled;
-                lost.push((id.clone(), index as u32, ran, progress.seat.take()));
-            }
-        }
-        for (id, _, ran, seat) in &lost {
-            let model = self.works.get(id).map(|work| work.step.model.clone());
-            if let (true, Some(model)) = (*ran, model) {
-                self.free(seat.as_deref(), &model);
             }
         }
-        lost.into_iter().map(|(id, index, _, _)| (id, index)).collect()
+        lost
     }
 
     fn free(&mut self, seat: Option<&str>, model: &str) {
@@ -527,6 +627,12 @@
     }
 }
 
+/// Tells whether a run is slow: its engine is, or nothing is heard of it.
+fn is_slow(progress: &Progress, seat: &Seat, usual: f64, now: Millis) -> bool {
+    let paced = seat.pace(now) > SLOW * usual;
+    paced || now.since(progress.heard.max(progress.began)) > LAG_MS
+}
+
 /// Ranks an engine for one more run: the least loaded first, a slow one by how slow it is.
 fn rank(seat: &Seat, usual: f64, now: Millis) -> f64 {
     let slots = f64::from(seat.endpoint.said.slots.max(1));
--- /dev/null
+++ b/components/fleet/src/run.rs
@@ -0,0 +1,106 @@
+//! Runs of samples on the VMs that host them: what the leader asks for, and what it is told.
+//!
+//! The leader plans; a host carries a run out and calls the scorer. A run outlives the leader: its
+//! host goes on, and tells the next leader. The leader keeps what was made so far, so a run
+//! outlives its host as well, and goes on elsewhere after the last event that was told.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::plan::Made;
+use crate::plan::RunEnd;
+use crate::step::Sample;
+
+/// A run that a host is to carry out.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Job {
+    /// The step.
+    pub step: String,
+    /// The place of the sample in the step.
+    pub index: u32,
+    /// The host of the step's route.
+    pub host: String,
+    /// The sample.
+    pub sample: Sample,
+    /// The incarnation of the engine.
+    pub endpoint: String,
+    /// The engine's address.
+    pub address: SocketAddr,
+    /// The version of the model there.
+    pub version: u64,
+    /// The oldest version that may generate.
+    pub least: u64,
+    /// Whether one version must generate all of it.
+    pub single: bool,
+    /// Milliseconds for which the run is wanted.
+    pub left_ms: u64,
+    /// What was made so far.
+    pub made: Made,
+}
+
+/// What a host is to do.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum Work {
+    /// Carry out a run, in place of one of the same sample.
+    Run(Box<Job>),
+    /// Tell of all runs again: the leader may not have known of their steps.
+    Tell,
+    /// Stop a run, or forget one that has ended.
+    Stop {
+        /// The step.
+        step: String,
+        /// The place of the sample.
+        index: u32,
+    },
+}
+
+/// How a run stands.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub enum Standing {
+    /// Events are coming.
+    Running,
+    /// All events came; the scorer is being called.
+    Scoring,
+    /// The run came to nothing, or to a part of the sample.
+    Ended(RunEnd),
+    /// The sample is whole, with its score if it has a scorer.
+    Finished(Option<String>),
+    /// The scorer failed too often.
+    Unscored,
+}
+
+/// What a host tells of a run.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Report {
+    /// The step.
+    pub step: String,
+    /// The place of the sample in the step.
+    pub index: u32,
+    /// The incarnation of the engine.
+    pub endpoint: String,
+    /// How the run stands.
+    pub standing: Standing,
+    /// The place of the first event that is told here.
+    pub from: u32,
+    /// The events from there on, the number of the last, and all versions so far.
+    pub made: Made,
+    /// Mean milliseconds between the events told here; zero if there are too few.
+    pub gap_ms: u32,
+}
+
+impl Report {
+    /// Adds what is told to what was known; tells whether they fit together.
+    pub fn add_to(&self, known: &mut Made) -> bool {
+        let from = self.from as usize;
+        if from > known.events.len() {
+            return false;
+        }
+        known.events.truncate(from);
+        known.events.extend(self.made.events.iter().cloned());
+        known.last.clone_from(&self.made.last);
+        known.versions.clone_from(&self.made.versions);
+        true
+    }
+}
--- /dev/null
+++ b/components/node/src/hosts.rs
@@ -0,0 +1,116 @@
+//! The VMs that host runs, as the leader sees them.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use chicoryford_fleet::run::Work;
+use chicoryford_types::Millis;
+
+use crate::clock;
+use crate::hub::Followers;
+use crate::runner::Runner;
+
+/// Milliseconds for which a host that was lost may come back before its runs go on elsewhere. A
+/// connection that was reset is replaced within about a tenth of a second.
+const ABSENT_MS: u64 = 350;
+
+/// The name of the leader's own process as a host.
+pub const OWN: &str = "";
+
+#[derive(Debug)]
+struct Host {
+    /// The connection; none while it is lost.
+    link: Option<u64>,
+    lost: Millis,
+    runs: u32,
+}
+
+/// The VMs that host runs.
+pub struct Hosts {
+    followers: Rc<Followers>,
+    own: Rc<Runner>,
+    known: RefCell<BTreeMap<String, Host>>,
+}
+
+impl Hosts {
+    /// Starts without any other host than this process, which hosts runs while there is none.
+    pub fn new(followers: Rc<Followers>, own: Rc<Runner>) -> Self {
+        Self { followers, own, known: RefCell::default() }
+    }
+
+    /// Notes that a host has connected and told of its runs.
+    pub fn found(&self, node: &str, link: u64) {
+        let mut known = self.known.borrow_mut();
+        let host = known.entry(node.to_owned()).or_insert(Host {
+            link: None,
+            lost: Millis::default(),
+            runs: 0,
+        });
+        host.link = Some(link);
+    }
+
+    /// Notes that a host's connection has ended.
+    pub fn lost(&self, node: &str, link: u64) {
+        let mut known = self.known.borrow_mut();
+        let host = known.get_mut(node).filter(|host| host.link == Some(link));
+        if let Some(host) = host {
+            host.link = None;
+            host.lost = clock::now();
+        }
+    }
+
+    /// Gives the hosts that have been lost for too long, and forgets them.
+    pub fn gone(&self) -> Vec<String> {
+        let mut known = self.known.borrow_mut();
+        let now = clock::now();
+        let gone = |host: &Host| host.link.is_none() && now.since(host.lost) >= ABSENT_MS;
+        let names: Vec<String> =
+            known.iter().filter(|(_, host)| gone(host)).map(|(name, _)| name.clone()).collect();
+        known.retain(|_, host| !gone(host));
+        names
+    }
+
+    /// Chooses the host with the fewest runs.
+    pub fn choose(&self) -> String {
+        let mut known = self.known.borrow_mut();
+        let live = known.iter_mut().filter(|(_, host)| host.link.is_some());
+        match live.min_by_key(|(_, host)| host.runs) {
+            Some((name, host)) => {
+                host.runs += 1;
+                name.clone()
+            }
+            None => OWN.to_owned(),
+        }
+    }
+
+    /// Notes that a host has one run less.
+    pub fn done(&self, node: &str) {
+        if let Some(host) = self.known.borrow_mut().get_mut(node) {
+            host.runs = host.runs.saturating_sub(1);
+        }
+    }
+
+    /// Gives a host work; tells whether it was sent.
+    pub fn work(&self, node: &str, work: Work) -> bool {
+        if node == OWN {
+            self.own.take(work);
+            return true;
+        }
+        self.followers.work(node, work)
+    }
+
+    /// Has all hosts tell of their runs again.
+    pub fn ask_all(&self) {
+        for name in self.known.borrow().keys() {
+            // One that is not connected tells when it is.
+            self.work(name, Work::Tell);
+        }
+    }
+
+    /// Stops a run, or forgets one that has ended.
+    pub fn stop(&self, node: &str, step: &str, index: u32) {
+        // A host that is not connected tells of the run when it is, and is told to stop it then.
+        self.work(node, Work::Stop { step: step.to_owned(), index });
+    }
+}
--- a/components/node/src/hub.rs
+++ b/components/node/src/hub.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use chicoryford_fleet::copies::StoreId;
+use chicoryford_fleet::run::Work;
 use chicoryford_http::socket;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
@@ -35,6 +36,12 @@
 const HELLO: Duration = Duration::from_secs(2);
 /// Frames that may wait for one member; one that reads so slowly follows anew.
 const QUEUE: usize = 4_096;
+/// Silence after which a host is taken for lost, and its runs go on elsewhere. It speaks four times
+/// a second.
+const HOST_SILENCE: Duration = Duration::from_millis(800);
+/// Silence after which another member's connection is closed. They speak only when they call; a
+/// dead peer is noticed by the connection itself.
+const MEMBER_SILENCE: Duration = Duration::from_secs(600);
 /// Time between two words that the leader lives.
 const ALIVE: Duration = Duration::from_millis(200);
 /// Pause after the system refused a new connection.
@@ -86,6 +93,14 @@
         told
     }
 
+    /// Gives a host work; tells whether it is connected and has room for it.
+    pub fn work(&self, host: &str, work: Work) -> bool {
+        let all = self.all.borrow();
+        let hosts = |f: &&Follower| f.store.as_ref().is_some_and(|store| store.node == host);
+        let found = all.values().rev().find(hosts);
+        found.is_some_and(|f| f.frames.try_send(encode(&Down::Work(work))).is_ok())
+    }
+
     /// Tells a store something that it does not answer.
     pub fn tell_store(&self, store: &StoreId, ask: Ask) {
         let all = self.all.borrow();
@@ -192,6 +207,8 @@
         if let Some(store) = &store {
             lead.copies.connected(store.clone(), data_centre);
         }
+        let host = store.as_ref().map(|store| store.node.clone());
+        let limit = if host.is_some() { HOST_SILENCE } else { MEMBER_SILENCE };
         let _following =
             Following { followers: self.followers.clone(), number, store, lead: lead.clone() };
         // The follower's own sender is dropped when this process stops leading, which ends the
@@ -231,13 +248,28 @@
             }
         };
         let reading = async {
-            while let Some(Ok(frame)) = stream.next().await {
-                let (number, call) = match decode::<Up>(&frame) {
+            loop {
+                let frame = tokio::time::timeout(limit, stream.next()).await;
+                let Ok(Some(Ok(frame))) = frame else { return };
+                let (call_number, call) = match decode::<Up>(&frame) {
                     Ok(Up::Call { number, call }) => (number, call),
                     Ok(Up::Told { number, told }) => {
                         self.followers.told(number, told);
                         continue;
                     }
+                    Ok(Up::Report(report)) => {
+                        if let Some(host) = &host {
+                            lead.take_report(host, &report);
+                        }
+                        continue;
+                    }
+                    Ok(Up::Reported) => {
+                        if let Some(host) = &host {
+                            lead.host_found(host, number);
+                        }
+                        continue;
+                    }
+                    Ok(Up::Alive) => continue,
                     Err(_) => return,
                 };
                 let (lead, answers) = (lead.clone(), answers.clone());
@@ -246,7 +278,8 @@
                     let Some(answers) = answers.upgrade() else { return };
                     // Without the answer the member does not know what became of its call, and
                     // asks again.
-                    let _ = answers.send(encode(&Down::Answer { number, answer })).await;
+                    let answer = Down::Answer { number: call_number, answer };
+                    let _ = answers.send(encode(&answer)).await;
                 });
             }
         };
@@ -270,6 +303,7 @@
         self.followers.all.borrow_mut().remove(&self.number);
         if let Some(store) = &self.store {
             self.lead.copies.disconnected(store);
+            self.lead.host_lost(&store.node, self.number);
         }
     }
 }
--- a/components/node/src/lead.rs
+++ b/components/node/src/lead.rs
@@ -25,10 +25,13 @@
 use chicoryford_fleet::endpoint;
 use chicoryford_fleet::endpoint::Effect;
 use chicoryford_fleet::plan::Assignment;
-use chicoryford_fleet::plan::Made;
 use chicoryford_fleet::plan::Next;
 use chicoryford_fleet::plan::Plan;
 use chicoryford_fleet::plan::RunEnd;
+use chicoryford_fleet::run::Job;
+use chicoryford_fleet::run::Report;
+use chicoryford_fleet::run::Standing;
+use chicoryford_fleet::run::Work;
 use chicoryford_fleet::step::Result;
 use chicoryford_http::Pool;
 use chicoryford_types::Epoch;
@@ -42,6 +45,8 @@
 use crate::copies::Copies;
 use crate::core::Core;
 use crate::forward::Forwarder;
+use crate::hosts;
+use crate::hosts::Hosts;
 use crate::hub::Followers;
 use crate::listing::Outbox;
 use crate::listing::Settled;
@@ -50,11 +55,17 @@
 use crate::message::Call;
 use crate::message::News;
 use crate::orders::Orders;
-use crate::runner;
+use crate::runner::Runner;
 use crate::settings::Settings;
 
 /// The planner looks around this often, besides when something happens.
 const LOOK: Duration = Duration::from_millis(50);
+/// Milliseconds for which hosts may tell that they run samples of a step that was taken over from
+/// the leader before. They notice its loss within 0.9 s, mostly before the next one is elected.
+const HELD_MS: u64 = 500;
+/// Milliseconds for which an engine may go on with a run beyond the time at which results are
+/// due, if nobody stops it.
+const GRACE_MS: u64 = 5_000;
 /// Milliseconds between two looks for steps to be forgotten.
 const FORGET_MS: u64 = 5_000;
 /// Milliseconds between two looks at the members.
@@ -75,12 +86,8 @@
     pub settings: Rc<Settings>,
     /// Carries scorers' calls.
     pub forwarder: Rc<Forwarder>,
-}
-
-/// A task of a sample: its run or the call of its scorer.
-struct Task {
-    handle: JoinHandle<()>,
-    made: Rc<RefCell<Made>>,
+    /// Hosts runs while no other VM does.
+    pub runner: Rc<Runner>,
 }
 
 /// The leader's state. It is gone with the leadership; what must survive is in the log.
@@ -107,7 +114,7 @@
     unread: RefCell<Vec<String>>,
     listed: watch::Sender<u64>,
     kick: Notify,
-    tasks: RefCell<BTreeMap<(String, u32), Task>>,
+    hosts: Hosts,
     outbox: Outbox,
     duties: RefCell<Vec<JoinHandle<()>>>,
 }
@@ -117,6 +124,7 @@
     pub fn start(parts: Parts, epoch: Epoch, known: Vec<Endpoint>) -> Rc<Self> {
         let now = clock::now();
         let fleet_clock = parts.core.state().clock;
+        let hosts = Hosts::new(parts.followers.clone(), parts.runner.clone());
         let copies = Copies::new(parts.followers.clone(), parts.settings.tolerated, now);
         let lead = Rc::new(Self {
             epoch,
@@ -135,7 +143,7 @@
             unread: RefCell::default(),
             listed: watch::Sender::new(0),
             kick: Notify::new(),
-            tasks: RefCell::default(),
+            hosts,
             outbox: Outbox::default(),
             duties: RefCell::default(),
             parts,
@@ -147,6 +155,12 @@
                 lead.applied(command, done);
             }
         })));
+        let weak = Rc::downgrade(&lead);
+        lead.parts.runner.attach_own(move |report| {
+            if let Some(lead) = weak.upgrade() {
+                lead.take_report(hosts::OWN, report);
+            }
+        });
         let duties = [
             actix_rt::spawn(plan_on(Rc::downgrade(&lead))),
             actix_rt::spawn(adopt_steps(Rc::downgrade(&lead))),
@@ -187,7 +201,8 @@
         if let Some(open) = state.steps.get(id).filter(|step| step.is_open()) {
             let at = self.began.0.saturating_sub(self.fleet_clock.saturating_sub(open.at));
             let mut plan = self.plan.borrow_mut();
-            plan.open(Arc::new(step), Millis(at), |index| open.is_listed(index));
+            let held = clock::now() + HELD_MS;
+            plan.open(Arc::new(step), Millis(at), held, |index| open.is_listed(index));
             tracing::info!(event = "step_adopted", step = id, listed = open.results.len());
         }
         true
@@ -206,9 +221,8 @@
         for duty in self.duties.borrow_mut().drain(..) {
             duty.abort();
         }
-        for (_, task) in std::mem::take(&mut *self.tasks.borrow_mut()) {
-            task.handle.abort();
-        }
+        self.parts.runner.detach();
+        self.parts.runner.clear();
         self.orders.borrow_mut().stop();
         self.parts.followers.clear();
         tracing::info!(event = "lead_ended", epoch = self.epoch.0);
@@ -467,7 +481,10 @@
             Command::End { step } => {
                 self.close(step);
             }
-            Command::List { step, .. } => {
+            Command::List { step, results, .. } => {
+                for listed in results {
+                    self.release(step, listed.index);
+                }
                 self.listed.send_modify(|count| *count += 1);
                 let over = self.parts.core.state().steps.get(step).is_none_or(|s| !s.is_open());
                 if over {
@@ -502,23 +519,19 @@
             wanted = step.wanted,
             copies
         );
-        self.plan.borrow_mut().open(step, clock::now(), |_| false);
+        self.plan.borrow_mut().open(step, clock::now(), Millis::default(), |_| false);
     }
 
     fn close(&self, step: &str) {
         if !self.plan.borrow().has(step) {
             return;
         }
-        self.plan.borrow_mut().close(step);
-        let mut stopped = 0;
-        self.tasks.borrow_mut().retain(|(of, _), task| {
-            let stays = of != step;
-            if !stays {
-                task.handle.abort();
-                stopped += 1;
-            }
-            stays
-        });
+        let hosted = self.plan.borrow_mut().close(step);
+        for (host, index) in &hosted {
+            self.hosts.stop(host, step, *index);
+            self.hosts.done(host);
+        }
+        let stopped = hosted.len();
         self.listed.send_modify(|count| *count += 1);
         tracing::info!(event = "step_closed", step, stopped);
     }
@@ -536,17 +549,18 @@
         let Some(config) = self.config() else { return };
         let now = clock::now();
         crate::orders::round(self, &config, now);
-        let lost = self.plan.borrow_mut().give_up(&config, now);
-        for (step, index) in lost {
-            self.stop_task(&step, index);
+        for host in self.hosts.gone() {
+            let orphaned = self.plan.borrow_mut().orphan(&host);
+            tracing::warn!(event = "host_lost", host, orphaned);
+        }
+        let old = self.plan.borrow().too_old(&config, now);
+        for (step, index) in old {
             tracing::info!(event = "sample_given_up", step, index, why = "age");
             self.settle(&step, index, Verdict::GivenUp);
         }
         let slow = self.plan.borrow_mut().slow_runs(now);
         for (step, index) in slow {
-            let made = self.stop_task(&step, index);
-            tracing::info!(event = "run_taken", step, index, events = made.events.len());
-            self.plan.borrow_mut().ended(&step, index, RunEnd::Taken, made, now);
+            self.end_run(&step, index, RunEnd::Taken);
         }
         let assigned = self.plan.borrow_mut().assign(&config, now);
         for assignment in assigned {
@@ -554,68 +568,117 @@
         }
     }
 
-    fn stop_task(&self, step: &str, index: u32) -> Made {
-        let task = self.tasks.borrow_mut().remove(&(step.to_owned(), index));
-        task.map_or_else(Made::default, |task| {
-            task.handle.abort();
-            task.made.borrow().clone()
-        })
-    }
-
-    fn start_run(self: &Rc<Self>, assignment: Assignment) {
-        let made = Rc::new(RefCell::new(assignment.made.clone()));
-        let sample = &assignment.step.samples[assignment.index as usize].id;
+    fn start_run(&self, assignment: Assignment) {
+        let Assignment { step, index, endpoint, address, version, made, beside, .. } = assignment;
+        let sample = step.samples[index as usize].clone();
+        let host = self.hosts.choose();
         tracing::info!(
             event = "run_started",
-            step = assignment.step.id,
-            sample,
-            endpoint = assignment.endpoint,
-            version = assignment.version,
-            after = assignment.made.events.len(),
-            beside = assignment.beside
-        );
-        let key = (assignment.step.id.clone(), assignment.index);
-        let run = runner::run(self.clone(), assignment, made.clone());
-        let handle = actix_rt::spawn(run);
-        self.tasks.borrow_mut().insert(key, Task { handle, made });
-    }
-
-    /// Takes in how a run ended.
-    pub fn run_ended(self: &Rc<Self>, assignment: &Assignment, end: RunEnd, made: Made) {
-        let (step, index) = (&assignment.step.id, assignment.index);
-        let events = made.events.len();
-        let next = self.plan.borrow_mut().ended(step, index, end, made.clone(), clock::now());
-        let sample = &assignment.step.samples[index as usize];
-        tracing::info!(
-            event = "run_ended",
-            step,
+            step = step.id,
             sample = sample.id,
-            endpoint = assignment.endpoint,
-            ?end,
-            ?next,
-            events,
-            expected = sample.expected,
-            ms = clock::now().since(assignment.began)
+            endpoint,
+            version,
+            after = made.events.len(),
+            beside,
+            host
         );
-        self.tasks.borrow_mut().remove(&(step.clone(), index));
-        match next {
-            Next::Score => {
-                let shared = Rc::new(RefCell::new(made.clone()));
-                let step = assignment.step.clone();
-                let handle = actix_rt::spawn(runner::score(self.clone(), step, index, made));
-                let key = (assignment.step.id.clone(), index);
-                self.tasks.borrow_mut().insert(key, Task { handle, made: shared });
-            }
-            Next::GiveUp => self.settle(step, index, Verdict::GivenUp),
-            Next::Again | Next::Nothing => {}
+        let job = Job {
+            step: step.id.clone(),
+            index,
+            host: step.host.clone(),
+            sample,
+            endpoint,
+            address,
+            version,
+            least: step.least,
+            single: step.single,
+            left_ms: step.age_ms.min(step.due_ms + GRACE_MS),
+            made,
+        };
+        self.plan.borrow_mut().hosted(&step.id, index, &host);
+        if !self.hosts.work(&host, Work::Run(Box::new(job))) {
+            self.end_run(&step.id, index, RunEnd::Broken);
+        }
+    }
+
+    /// Ends a run from here: its host is told to stop it, and the sample waits for another one.
+    fn end_run(&self, step: &str, index: u32, end: RunEnd) {
+        self.release(step, index);
+        let (next, events) = {
+            let mut plan = self.plan.borrow_mut();
+            let next = plan.ended(step, index, end, clock::now());
+            (next, plan.made(step, index).map_or(0, |made| made.events.len()))
+        };
+        tracing::info!(event = "run_ended", step, index, ?end, ?next, events);
+        if next == Next::GiveUp {
+            self.settle(step, index, Verdict::GivenUp);
+        }
+        self.kick.notify_one();
+    }
+
+    /// Has the host of a sample's run stop it or forget it.
+    fn release(&self, step: &str, index: u32) {
+        let host = self.plan.borrow().host(step, index);
+        if let Some(host) = host {
+            self.hosts.stop(&host, step, index);
+            self.hosts.done(&host);
         }
+    }
+
+    /// Notes that a host is connected and has told of its runs.
+    pub fn host_found(&self, host: &str, link: u64) {
+        tracing::info!(event = "host_found", host);
+        self.hosts.found(host, link);
         self.kick.notify_one();
     }
 
+    /// Notes that the connection to a host has ended.
+    pub fn host_lost(&self, host: &str, link: u64) {
+        self.hosts.lost(host, link);
+        self.kick.notify_one();
+    }
+
+    /// Takes in what a host tells of a run.
+    pub fn take_report(&self, host: &str, report: &Report) {
+        let (step, index) = (&report.step, report.index);
+        let goes_on = self.plan.borrow_mut().told(host, report, clock::now());
+        if !goes_on {
+            // The step may still be on its way from the stores; the host tells again later.
+            let unread = self.unread.borrow().contains(step);
+            if !unread {
+                self.hosts.stop(host, step, index);
+            }
+            return;
+        }
+        match &report.standing {
+            Standing::Running => {}
+            Standing::Scoring => {
+                let events = report.from as usize + report.made.events.len();
+                let endpoint = &report.endpoint;
+                tracing::info!(event = "run_whole", step, index, endpoint, events, host);
+                self.kick.notify_one();
+            }
+            Standing::Ended(end) => self.end_run(step, index, *end),
+            Standing::Unscored => {
+                tracing::info!(event = "sample_given_up", step, index, why = "scorer");
+                self.settle(step, index, Verdict::GivenUp);
+            }
+            Standing::Finished(score) => {
+                let made = self.plan.borrow().made(step, index).cloned().unwrap_or_default();
+                let verdict = Verdict::Completed {
+                    text: made.events.join("\n"),
+                    versions: made.versions,
+                    score: score.clone(),
+                };
+                self.settle(step, index, verdict);
+                self.kick.notify_one();
+            }
+        }
+    }
+
     /// Has a sample's verdict listed.
-    pub fn settle(&self, step: &str, index: u32, verdict: Verdict) {
+    fn settle(&self, step: &str, index: u32, verdict: Verdict) {
         let sample = self.plan.borrow_mut().settled(step, index);
-        self.tasks.borrow_mut().remove(&(step.to_owned(), index));
         if let Some(sample) = sample {
             self.outbox.put(step, Settled { index, sample, verdict });
         }
@@ -678,12 +741,16 @@
     }
     loop {
         let Some(lead) = lead.upgrade() else { return };
-        let unread = std::mem::take(&mut *lead.unread.borrow_mut());
-        for id in unread {
-            if !lead.plan.borrow().has(&id) && !lead.adopt_step(&id).await {
-                lead.unread.borrow_mut().push(id);
+        let unread = lead.unread.borrow().clone();
+        for id in &unread {
+            let done = lead.plan.borrow().has(id) || lead.adopt_step(id).await;
+            if done {
+                lead.unread.borrow_mut().retain(|other| other != id);
             }
         }
+        if !unread.is_empty() {
+            lead.hosts.ask_all();
+        }
         lead.kick.notify_one();
         drop(lead);
         tokio::time::sleep(LOOK).await;
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -34,6 +34,7 @@
 use crate::message::decode;
 use crate::message::encode;
 use crate::message::frames;
+use crate::runner::Runner;
 use crate::view::View;
 
 /// How long a connection to a control process may take to come about. Round trips are a few
@@ -73,6 +74,8 @@
     pub data_centre: String,
     /// The depot of a VM that stores data.
     pub depot: Option<Rc<Worker>>,
+    /// Hosts runs, on a VM that does.
+    pub runner: Option<Rc<Runner>>,
 }
 
 /// The connection to the leader.
@@ -227,7 +230,7 @@
     async fn open(&self, address: SocketAddr) -> Option<Socket> {
         let stream = socket::connect(address, CONNECT).await.ok()?;
         let mut socket = Framed::new(stream, frames());
-        let Member { node, data_centre, depot } = self.member.clone();
+        let Member { node, data_centre, depot, .. } = self.member.clone();
         let store = depot.map(|depot| depot.identity());
         let hello = Hello::Member { node, data_centre, store };
         socket.send(encode(&hello)).await.ok()?;
@@ -238,8 +241,11 @@
         tracing::info!(event = "leader_found", %address, silent_ms = self.silent_ms());
         let (up, calls) = mpsc::channel(CALLS);
         let (sink, mut stream) = socket.split();
-        *self.up.borrow_mut() = Some(up);
+        *self.up.borrow_mut() = Some(up.clone());
         self.heard.set(clock::now());
+        if let Some(runner) = &self.member.runner {
+            runner.attach(up);
+        }
         let sending = send(sink, calls);
         let reading = async {
             loop {
@@ -275,6 +281,11 @@
                 }
             }
             Down::Ask { number, ask } => self.tell(number, ask),
+            Down::Work(work) => {
+                if let Some(runner) = &self.member.runner {
+                    runner.take(work);
+                }
+            }
             Down::Welcome | Down::Alive => {}
             Down::NotLeader { leader } => {
                 self.leader.set(leader);
@@ -315,6 +326,9 @@
             tracing::warn!(event = "leader_lost", %address, unanswered);
         }
         self.connected.send_replace(false);
+        if let Some(runner) = &self.member.runner {
+            runner.detach();
+        }
         self.waiting.borrow_mut().clear();
     }
 }
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -14,6 +14,8 @@
 use chicoryford_fleet::Step;
 use chicoryford_fleet::Verdict;
 use chicoryford_fleet::copies::PartId;
+use chicoryford_fleet::run::Report;
+use chicoryford_fleet::run::Work;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -71,6 +73,12 @@
         /// The call.
         call: Call,
     },
+    /// A host tells of a run.
+    Report(Report),
+    /// A host has told of all runs that it has.
+    Reported,
+    /// A host lives.
+    Alive,
     /// A store answers what the leader asked.
     Told {
         /// The number of the question.
@@ -128,6 +136,8 @@
         /// The question.
         ask: Ask,
     },
+    /// A host is to carry out or stop a run.
+    Work(Work),
     /// The leader still leads.
     Alive,
 }
--- a/components/node/src/runner.rs
+++ b/components/node/src/runner.rs
@@ -1,35 +1,45 @@
-//! Runs samples at engines and calls their scorers.
+//! Hosts runs: carries them out at engines, calls scorers, and tells the leader.
 
+use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-use chicoryford_fleet::Step;
-use chicoryford_fleet::Verdict;
 use chicoryford_fleet::events::Reader;
-use chicoryford_fleet::plan::Assignment;
 use chicoryford_fleet::plan::Made;
 use chicoryford_fleet::plan::RunEnd;
+use chicoryford_fleet::run::Job;
+use chicoryford_fleet::run::Report;
+use chicoryford_fleet::run::Standing;
+use chicoryford_fleet::run::Work;
 use chicoryford_http::Broken;
 use chicoryford_http::Connection;
 use chicoryford_http::Incoming;
+use chicoryford_http::Pool;
 use chicoryford_http::Request;
 use chicoryford_platform::plain;
 use chicoryford_platform::plain::Meaning;
 use chicoryford_platform::sample;
 use chicoryford_platform::sample::Event;
 use chicoryford_platform::sample::Run;
+use chicoryford_types::Millis;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 
 use crate::clock;
+use crate::forward::Forwarder;
 use crate::forward::Outcome;
-use crate::lead::Lead;
+use crate::message::Up;
+use crate::view::View;
 
 /// How long a connection to an engine may take to come about.
 const CONNECT: Duration = Duration::from_millis(250);
 /// How long an engine may be silent before its run goes on elsewhere. Events come about every
 /// 40 ms, at a slow engine every 200 ms; a change of weights holds them up for about a second.
 const SILENCE: Duration = Duration::from_millis(2_500);
+/// How often the leader is told of progress; what it was not told is lost with this host.
+const TELL: Duration = Duration::from_millis(250);
 /// Milliseconds that one call of a scorer may take. Its work is a fraction of a second, so beyond
 /// this it is lost, and may be repeated.
 const SCORE_MS: u64 = 2_500;
@@ -37,40 +47,235 @@
 const SCORE_PAUSE: Duration = Duration::from_millis(60);
 /// The urgency of runs; all of them have the same, since the planner keeps the order.
 const URGENCY: u8 = 5;
-/// Milliseconds for which an engine may go on with a run beyond the time at which results are
-/// due, if nobody stops it.
-const GRACE_MS: u64 = 5_000;
-
-/// Runs a sample once and tells the leader how it ended.
-pub async fn run(lead: Rc<Lead>, assignment: Assignment, made: Rc<RefCell<Made>>) {
-    let end = match try_run(&lead, &assignment, &made).await {
-        Ok(end) => end,
+/// Milliseconds for which a run that no leader asks about is kept.
+const KEPT_MS: u64 = 30_000;
+
+/// A run that this process hosts.
+struct Hosted {
+    job: Rc<Job>,
+    handle: JoinHandle<()>,
+    state: Rc<State>,
+}
+
+/// What a run's task and the telling of it share.
+struct State {
+    made: RefCell<Made>,
+    standing: RefCell<Standing>,
+    /// Events that the leader was told of.
+    told: Cell<usize>,
+    /// When the last event came.
+    heard: Cell<Millis>,
+    /// When that of the last telling came.
+    told_at: Cell<Millis>,
+}
+
+/// Hosts runs.
+pub struct Runner {
+    view: Rc<View>,
+    forwarder: Rc<Forwarder>,
+    pool: RefCell<Pool>,
+    hosted: RefCell<BTreeMap<(String, u32), Hosted>>,
+    sink: RefCell<Option<Sink>>,
+}
+
+/// Where reports go: to the leader's connection, or within the leader's own process.
+enum Sink {
+    Link(mpsc::Sender<Up>),
+    Own(Box<dyn Fn(&Report)>),
+}
+
+impl Runner {
+    /// Makes one without runs.
+    pub fn new(view: Rc<View>, forwarder: Rc<Forwarder>) -> Rc<Self> {
+        Rc::new(Self {
+            view,
+            forwarder,
+            pool: RefCell::default(),
+            hosted: RefCell::default(),
+            sink: RefCell::default(),
+        })
+    }
+
+    /// Tells a leader that was just found of all runs, and of what happens to them from now on.
+    pub fn attach(&self, up: mpsc::Sender<Up>) {
+        *self.sink.borrow_mut() = Some(Sink::Link(up.clone()));
+        self.tell_all();
+        // The queue is empty, so there is room for all of these.
+        let _ = up.try_send(Up::Reported);
+    }
+
+    /// Tells the leader's duties in this process.
+    pub fn attach_own(&self, tell: impl Fn(&Report) + 'static) {
+        *self.sink.borrow_mut() = Some(Sink::Own(Box::new(tell)));
+    }
+
+    /// Tells nobody until the next leader is found. Runs go on.
+    pub fn detach(&self) {
+        *self.sink.borrow_mut() = None;
+    }
+
+    /// Stops all runs.
+    pub fn clear(&self) {
+        for (_, hosted) in std::mem::take(&mut *self.hosted.borrow_mut()) {
+            hosted.handle.abort();
+        }
+    }
+
+    /// Takes work.
+    pub fn take(self: &Rc<Self>, work: Work) {
+        match work {
+            Work::Run(job) => self.start(*job),
+            Work::Tell => self.tell_all(),
+            Work::Stop { step, index } => self.stop(&(step, index)),
+        }
+    }
+
+    fn tell_all(&self) {
+        for hosted in self.hosted.borrow().values() {
+            hosted.state.told.set(0);
+            self.tell(hosted);
+        }
+    }
+
+    fn stop(&self, key: &(String, u32)) {
+        if let Some(hosted) = self.hosted.borrow_mut().remove(key) {
+            hosted.handle.abort();
+        }
+    }
+
+    fn start(self: &Rc<Self>, job: Job) {
+        let key = (job.step.clone(), job.index);
+        self.stop(&key);
+        let now = clock::now();
+        let state = Rc::new(State {
+            told: Cell::new(job.made.events.len()),
+            made: RefCell::new(job.made.clone()),
+            standing: RefCell::new(Standing::Running),
+            heard: Cell::new(now),
+            told_at: Cell::new(now),
+        });
+        let job = Rc::new(job);
+        let handle = actix_rt::spawn(carry_out(self.clone(), job.clone(), state.clone()));
+        self.hosted.borrow_mut().insert(key, Hosted { job, handle, state });
+    }
+
+    /// Tells of progress for as long as the process lives.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(TELL).await;
+            let mut told = false;
+            for hosted in self.hosted.borrow().values() {
+                let running = *hosted.state.standing.borrow() == Standing::Running;
+                let news = hosted.state.made.borrow().events.len() > hosted.state.told.get();
+                if running && news {
+                    self.tell(hosted);
+                    told = true;
+                }
+            }
+            if !told && let Some(Sink::Link(up)) = &*self.sink.borrow() {
+                // A full queue says that this process lives, too.
+                let _ = up.try_send(Up::Alive);
+            }
+            self.forget_old();
+        }
+    }
+
+    fn forget_old(&self) {
+        let now = clock::now();
+        self.hosted.borrow_mut().retain(|_, hosted| {
+            let ended = *hosted.state.standing.borrow() != Standing::Running;
+            let old = ended && now.since(hosted.state.heard.get()) >= KEPT_MS;
+            if old {
+                hosted.handle.abort();
+            }
+            !old
+        });
+    }
+
+    /// Tells of a run as it stands; all of it once it has ended, so that nothing is missing.
+    fn tell(&self, hosted: &Hosted) {
+        let state = &hosted.state;
+        let made = state.made.borrow();
+        let standing = state.standing.borrow().clone();
+        let whole = !matches!(standing, Standing::Running | Standing::Scoring);
+        let from = if whole { 0 } else { state.told.get().min(made.events.len()) };
+        let events = made.events.len() - from;
+        let ms = state.heard.get().since(state.told_at.get());
+        let gap_ms = if from > 0 && events > 0 { ms / events as u64 } else { 0 };
+        let report = Report {
+            step: hosted.job.step.clone(),
+            index: hosted.job.index,
+            endpoint: hosted.job.endpoint.clone(),
+            standing,
+            from: from as u32,
+            made: Made {
+                events: made.events[from..].to_vec(),
+                last: made.last.clone(),
+                versions: made.versions.clone(),
+            },
+            gap_ms: gap_ms as u32,
+        };
+        let sent = match &*self.sink.borrow() {
+            Some(Sink::Link(up)) => up.try_send(Up::Report(report)).is_ok(),
+            Some(Sink::Own(tell)) => {
+                tell(&report);
+                true
+            }
+            None => false,
+        };
+        if sent {
+            state.told.set(made.events.len());
+            state.told_at.set(state.heard.get());
+        }
+    }
+
+    fn stands(&self, job: &Job, state: &Rc<State>, standing: Standing) {
+        *state.standing.borrow_mut() = standing;
+        let hosted = self.hosted.borrow();
+        let found = hosted.get(&(job.step.clone(), job.index));
+        if let Some(hosted) = found.filter(|hosted| Rc::ptr_eq(&hosted.state, state)) {
+            self.tell(hosted);
+        }
+    }
+}
+
+async fn carry_out(runner: Rc<Runner>, job: Rc<Job>, state: Rc<State>) {
+    // The caller notes the run before this goes on.
+    tokio::task::yield_now().await;
+    let end = match try_run(&runner, &job, &state).await {
+        Ok(None) => {
+            runner.stands(&job, &state, Standing::Scoring);
+            let standing = score(&runner, &job).await;
+            runner.stands(&job, &state, standing);
+            return;
+        }
+        Ok(Some(end)) => end,
         Err(error) => {
-            let sample = &assignment.step.samples[assignment.index as usize].id;
-            tracing::info!(event = "run_broken", sample, endpoint = assignment.endpoint, %error);
+            let (sample, events) = (&job.sample.id, state.made.borrow().events.len());
+            tracing::info!(event = "run_broken", sample, endpoint = job.endpoint, events, %error);
             RunEnd::Broken
         }
     };
-    let made = made.borrow().clone();
-    lead.run_ended(&assignment, end, made);
+    runner.stands(&job, &state, Standing::Ended(end));
 }
 
+/// Runs a sample; gives none if all of it came, else how the run ended.
 async fn try_run(
-    lead: &Rc<Lead>,
-    assignment: &Assignment,
-    made: &Rc<RefCell<Made>>,
-) -> Result<RunEnd, Broken> {
-    let request = request(assignment, made);
-    let kept = lead.pool.borrow_mut().take(assignment.address, &assignment.endpoint);
+    runner: &Rc<Runner>,
+    job: &Job,
+    state: &Rc<State>,
+) -> Result<Option<RunEnd>, Broken> {
+    let request = request(job);
+    let kept = runner.pool.borrow_mut().take(job.address, &job.endpoint);
     let connection = match kept {
         Some(connection) => connection,
-        None => Connection::open(assignment.address, CONNECT).await?,
+        None => Connection::open(job.address, CONNECT).await?,
     };
     let started = connection.start(&request);
     let mut incoming = tokio::time::timeout(SILENCE, started).await.map_err(|_| silent())??;
     let meaning = plain::meaning(incoming.status, &incoming.headers, plain::attempt(&request));
     let end = match (meaning, incoming.status.as_u16()) {
-        (Meaning::Answer, 200..=299) => return follow(lead, assignment, made, incoming).await,
+        (Meaning::Answer, 200..=299) => return follow(runner, job, state, incoming).await,
         (Meaning::Answer, 422) => RunEnd::Unfit,
         (Meaning::Answer, _) => RunEnd::Failed,
         (Meaning::NotRun, _) => RunEnd::Full,
@@ -82,23 +287,21 @@
         Ok::<(), Broken>(())
     };
     if let Ok(Ok(())) = tokio::time::timeout(SILENCE, rest).await {
-        keep(lead, assignment, incoming);
+        keep(runner, job, incoming);
     }
-    Ok(end)
+    Ok(Some(end))
 }
 
-fn request(assignment: &Assignment, made: &Rc<RefCell<Made>>) -> Request {
-    let step = &assignment.step;
-    let made = made.borrow();
+fn request(job: &Job) -> Request {
     let run = Run {
-        host: &step.host,
-        incarnation: &assignment.endpoint,
-        version: assignment.version,
-        left_ms: step.age_ms.min(step.due_ms + GRACE_MS),
-        last: made.last.as_deref(),
+        host: &job.host,
+        incarnation: &job.endpoint,
+        version: job.version,
+        left_ms: job.left_ms,
+        last: job.made.last.as_deref(),
         urgency: URGENCY,
     };
-    sample::request(&step.samples[assignment.index as usize], &run)
+    sample::request(&job.sample, &run)
 }
 
 fn silent() -> Broken {
@@ -106,65 +309,51 @@
 }
 
 async fn follow(
-    lead: &Rc<Lead>,
-    assignment: &Assignment,
-    made: &Rc<RefCell<Made>>,
+    runner: &Rc<Runner>,
+    job: &Job,
+    state: &Rc<State>,
     mut incoming: Incoming,
-) -> Result<RunEnd, Broken> {
-    let mut version = sample::version(&incoming.headers).unwrap_or(assignment.version);
+) -> Result<Option<RunEnd>, Broken> {
+    let mut version = sample::version(&incoming.headers).unwrap_or(job.version);
     let mut reader = Reader::default();
-    let mut heard = clock::now();
     loop {
         let next = tokio::time::timeout(SILENCE, incoming.next()).await;
         let Some(piece) = next.map_err(|_| silent())?? else { break };
         for fields in reader.feed(&piece) {
             let event = sample::event(fields);
             version = event.version.unwrap_or(version);
-            if !take_event(assignment, made, event, version) {
-                lead.plan.borrow_mut().discard(&assignment.step.id, assignment.index);
-                *made.borrow_mut() = Made::default();
+            if !take_event(job, &mut state.made.borrow_mut(), event, version) {
+                *state.made.borrow_mut() = Made::default();
                 return Err(Broken::Unfit("an event out of order or of the wrong version"));
             }
-            let now = clock::now();
-            let gap = now.since(heard);
-            heard = now;
-            let (step, index) = (&assignment.step.id, assignment.index);
-            lead.plan.borrow_mut().progressed(step, index, gap, now);
+            state.heard.set(clock::now());
         }
     }
     if !reader.is_between() {
         return Err(Broken::Short);
     }
-    keep(lead, assignment, incoming);
-    Ok(RunEnd::Whole)
+    keep(runner, job, incoming);
+    Ok(None)
 }
 
-fn keep(lead: &Rc<Lead>, assignment: &Assignment, incoming: Incoming) {
+fn keep(runner: &Rc<Runner>, job: &Job, incoming: Incoming) {
     let stated = incoming.headers.get("keep-alive").map(str::to_owned);
     if let Some(connection) = incoming.into_connection() {
-        let mut pool = lead.pool.borrow_mut();
-        pool.keep(assignment.address, &assignment.endpoint, connection, stated.as_deref());
+        let mut pool = runner.pool.borrow_mut();
+        pool.keep(job.address, &job.endpoint, connection, stated.as_deref());
     }
 }
 
 /// Adds an event to what was made; tells whether it may stand there.
-fn take_event(
-    assignment: &Assignment,
-    made: &Rc<RefCell<Made>>,
-    event: Event,
-    version: u64,
-) -> bool {
-    let mut made = made.borrow_mut();
-    if let (Some(last), Some(id)) = (&made.last, &event.id) {
-        let (last, id) = (last.parse::<u64>(), id.parse::<u64>());
-        if let (Ok(last), Ok(id)) = (last, id)
-            && id <= last
-        {
-            return false;
-        }
+fn take_event(job: &Job, made: &mut Made, event: Event, version: u64) -> bool {
+    let number = |id: &Option<String>| id.as_ref().and_then(|id| id.parse::<u64>().ok());
+    if let (Some(last), Some(id)) = (number(&made.last), number(&event.id))
+        && id <= last
+    {
+        return false;
     }
-    let mixed = assignment.step.single && made.versions.first().is_some_and(|v| *v != version);
-    if version < assignment.step.least || mixed {
+    let mixed = job.single && made.versions.first().is_some_and(|v| *v != version);
+    if version < job.least || mixed {
         return false;
     }
     made.last = event.id.or(made.last.take());
@@ -176,49 +365,32 @@
     true
 }
 
-/// Calls a sample's scorer until it answers, and has the result listed.
-pub async fn score(lead: Rc<Lead>, step: Arc<Step>, index: u32, made: Made) {
-    let sample = &step.samples[index as usize];
-    let verdict = |score| Verdict::Completed {
-        text: made.events.join("\n"),
-        versions: made.versions.clone(),
-        score,
-    };
-    let Some(scorer) = &sample.scorer else {
-        lead.settle(&step.id, index, verdict(None));
-        return;
-    };
+/// Calls a sample's scorer until it answers.
+async fn score(runner: &Rc<Runner>, job: &Job) -> Standing {
+    let Some(scorer) = &job.sample.scorer else { return Standing::Finished(None) };
     let request = sample::score_request(scorer);
     let mut failures = 0;
     loop {
-        let Some(config) = lead.config() else { return };
-        let Some(route) = config.find(&scorer.host, &scorer.path) else {
+        let config = runner.view.config();
+        let route = config.as_ref().and_then(|config| config.find(&scorer.host, &scorer.path));
+        let Some(route) = route else {
             tokio::time::sleep(SCORE_PAUSE).await;
             continue;
         };
         let limit = route.timeout_ms.unwrap_or(SCORE_MS).min(SCORE_MS);
         let mut after = SCORE_PAUSE;
-        match lead.parts.forwarder.forward(route, &request, limit).await {
+        match runner.forwarder.forward(route, &request, limit).await {
             Outcome::Answered(reply, before) => {
                 failures += before;
                 if reply.status.is_success()
                     && let Some(score) = sample::score(&reply.headers)
                 {
-                    lead.settle(&step.id, index, verdict(Some(score.to_owned())));
-                    return;
+                    return Standing::Finished(Some(score.to_owned()));
                 }
                 failures += u32::from(reply.status.as_u16() == 500);
                 if failures >= route.attempts.max(1) {
-                    let (step, sample) = (&step.id, &sample.id);
-                    tracing::info!(
-                        event = "sample_given_up",
-                        step,
-                        sample,
-                        why = "scorer",
-                        failures
-                    );
-                    lead.settle(step, index, Verdict::GivenUp);
-                    return;
+                    tracing::info!(event = "scorer_failed", sample = job.sample.id, failures);
+                    return Standing::Unscored;
                 }
             }
             Outcome::NotRun(_, after_ms) => after = Duration::from_millis(after_ms),
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -38,6 +38,7 @@
 use crate::members;
 use crate::peers::Peers;
 use crate::ready::Readiness;
+use crate::runner::Runner;
 use crate::settings;
 use crate::settings::Settings;
 use crate::settings::SettingsError;
@@ -104,6 +105,7 @@
     link: Rc<Link>,
     view: Rc<View>,
     forwarder: Rc<Forwarder>,
+    runner: Rc<Runner>,
     stopping: Rc<Cell<bool>>,
     server: Rc<Server>,
     core: Option<Rc<Core>>,
@@ -168,15 +170,18 @@
     fn start(settings: Settings) -> Result<Self, StartError> {
         let settings = Rc::new(settings);
         let view = Rc::new(View::default());
+        let forwarder = Forwarder::new();
+        let runner = Runner::new(view.clone(), forwarder.clone());
         let (depot, depot_failed) = start_depot(&settings)?;
         let member = Member {
             node: settings.node.clone(),
             data_centre: settings.data_centre.clone(),
+            runner: depot.is_some().then(|| runner.clone()),
             depot,
         };
         let link = Link::new(member, view.clone(), settings.seed_links());
-        let forwarder = Forwarder::new();
         let process = Self {
+            runner,
             core: None,
             depot_failed,
             stopping: Rc::default(),
@@ -186,6 +191,14 @@
             view,
             forwarder,
         };
+        let (server, forwarder) = (process.server.clone(), process.forwarder.clone());
+        process.view.listen(move |news| {
+            entry::follow_limits(&server, news);
+            forwarder.learn(news);
+        });
+        if process.settings.data.is_some() {
+            actix_rt::spawn(process.runner.clone().run());
+        }
         let core = process.start_core()?;
         process.start_control()?;
         process.start_entry()?;
@@ -229,6 +242,7 @@
             followers,
             settings.clone(),
             self.forwarder.clone(),
+            self.runner.clone(),
             self.view.clone(),
         ));
         Ok(Some(core))
@@ -243,11 +257,6 @@
 
     fn start_entry(&self) -> Result<(), StartError> {
         let Some(address) = self.settings.entry else { return Ok(()) };
-        let (server, forwarder) = (self.server.clone(), self.forwarder.clone());
-        self.view.listen(move |news| {
-            entry::follow_limits(&server, news);
-            forwarder.learn(news);
-        });
         let entry = Rc::new(Entry {
             link: self.link.clone(),
             view: self.view.clone(),
@@ -342,6 +351,7 @@
     followers: Rc<Followers>,
     settings: Rc<Settings>,
     forwarder: Rc<Forwarder>,
+    runner: Rc<Runner>,
     view: Rc<View>,
 ) {
     let mut leading = core.leading();
@@ -357,6 +367,7 @@
                 followers: followers.clone(),
                 settings: settings.clone(),
                 forwarder: forwarder.clone(),
+                runner: runner.clone(),
             };
             *slot.borrow_mut() = Some(Lead::start(parts, epoch, view.endpoints()));
         }
