Count only the status that means failure when a sample is given up; load spare engines too

Change: only status 500 counts; besides, engines that could serve the current step only take the new version with spare loads.

--- a/components/fleet/src/swap.rs
+++ b/components/fleet/src/swap.rs
@@ -17,10 +17,13 @@
 /// Engines that each model gets at least, so that the loss of one does not stop its trainer.
 const LEAST: usize = 2;
 
-/// The share of a model's engines that take each new version: one of two. An engine serves the
-/// steps of its own version and of the next, so each needs every second version only, and all
-/// versions on all engines would take more time than there is between two versions.
+/// The share of a model's engines that take each new version first: one of two. An engine serves
+/// the steps of its own version and of the next, so each needs every second version at least.
 const EACH: (usize, usize) = (1, 2);
+/// The share of the loads at once that the other engines may take. All versions on all engines
+/// take about as much time as there is between two versions; they make room at the beginning of
+/// the next step, but must not hold up engines that can serve no step at all.
+const SPARE: (usize, usize) = (2, 3);
 
 /// A model's claim to engines.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -86,11 +89,18 @@
     }
     behind.sort();
     let room = most.saturating_sub(busy);
-    behind.into_iter().take(room).map(|(_, wish)| wish).collect()
+    let spare = (most * SPARE.0).div_ceil(SPARE.1).saturating_sub(busy);
+    let chosen = behind.into_iter().enumerate();
+    let fits = |place: usize, urgency: &Urgency| place < if urgency.0 { spare } else { room };
+    chosen
+        .filter(|(place, (urgency, _))| fits(*place, urgency))
+        .map(|(_, (_, wish))| wish)
+        .collect()
 }
 
-/// What goes first: models with starved samples, then the version held, then the runs there.
-type Urgency = (bool, u64, u32);
+/// What goes first: engines that are needed, then models with starved samples, then the version
+/// held, then the runs there.
+type Urgency = (bool, bool, u64, u32);
 
 fn behind_of(own: &[&Seat], claim: &Claim, now: Millis) -> Vec<(Urgency, Wish)> {
     let held = |seat: &Seat| seat.endpoint.said.models.get(&claim.model).copied();
@@ -109,11 +119,9 @@
         let version = held(seat).unwrap_or_default();
         // Two versions behind, an engine can serve no step that is still to come.
         let useless = version + 1 < claim.version;
-        if !useless && left == 0 {
-            continue;
-        }
+        let spare = !useless && left == 0;
         left = left.saturating_sub(1);
-        let urgency = (claim.starved == 0, version, running(seat, claim));
+        let urgency = (spare, claim.starved == 0, version, running(seat, claim));
         let wish = Wish {
             endpoint: seat.endpoint.said.id.clone(),
             model: claim.model.clone(),
--- a/components/node/src/forward.rs
+++ b/components/node/src/forward.rs
@@ -15,6 +15,7 @@
 use chicoryford_http::Pool;
 use chicoryford_http::Reply;
 use chicoryford_http::Request;
+use chicoryford_http::message::StatusCode;
 use chicoryford_platform::plain;
 use chicoryford_platform::plain::Meaning;
 use chicoryford_types::Millis;
@@ -49,7 +50,7 @@
 /// What became of a request.
 #[derive(Debug)]
 pub enum Outcome {
-    /// An endpoint's answer, and how many answers before it were failures.
+    /// An endpoint's answer, and how many answers before it had status 500.
     Answered(Reply, u32),
     /// It has not run and will not; the caller may come back after so many milliseconds.
     NotRun(&'static str, u64),
@@ -277,7 +278,8 @@
                 if self.once || !reply.status.is_server_error() {
                     return Some(Outcome::Answered(reply, self.failures));
                 }
-                self.failures += 1;
+                // Only this status says that the endpoint failed at it; samples are given up for it.
+                self.failures += u32::from(reply.status == StatusCode::INTERNAL_SERVER_ERROR);
                 self.last = Some(reply);
                 None
             }
--- a/components/node/src/runner.rs
+++ b/components/node/src/runner.rs
@@ -18,6 +18,7 @@
 use chicoryford_http::Incoming;
 use chicoryford_http::Pool;
 use chicoryford_http::Request;
+use chicoryford_http::message::StatusCode;
 use chicoryford_platform::plain;
 use chicoryford_platform::plain::Meaning;
 use chicoryford_platform::sample;
@@ -277,7 +278,9 @@
     let end = match (meaning, incoming.status.as_u16()) {
         (Meaning::Answer, 200..=299) => return follow(runner, job, state, incoming).await,
         (Meaning::Answer, 422) => RunEnd::Unfit,
-        (Meaning::Answer, _) => RunEnd::Failed,
+        (Meaning::Answer, 500) => RunEnd::Failed,
+        // Such as a timeout of the engine's own: it says nothing about the sample.
+        (Meaning::Answer, _) => RunEnd::Broken,
         (Meaning::NotRun, _) => RunEnd::Full,
         (Meaning::Moved, _) => RunEnd::Moved,
         (Meaning::Foreign, _) => return Err(Broken::Unfit("another request's reply")),
@@ -387,7 +390,7 @@
                 {
                     return Standing::Finished(Some(score.to_owned()));
                 }
-                failures += u32::from(reply.status.as_u16() == 500);
+                failures += u32::from(reply.status == StatusCode::INTERNAL_SERVER_ERROR);
                 if failures >= route.attempts.max(1) {
                     tracing::info!(event = "scorer_failed", sample = job.sample.id, failures);
                     return Standing::Unscored;
