Number runs, so that a report that crosses a word to stop does not stop the next run

Change: each run has a number; hosts stop only that run; a run of which nothing is heard for 4 s is begun anew. Answers with status 500 are counted once.

--- a/components/fleet/src/plan.rs
+++ b/components/fleet/src/plan.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use chicoryford_types::Epoch;
 use chicoryford_types::Millis;
 use serde::Deserialize;
 use serde::Serialize;
@@ -43,6 +44,8 @@
 /// event comes after the prompt was read, and hosts tell four times a second, so half a second is
 /// usual; a change of weights takes about one.
 const LAG_MS: u64 = 1_400;
+/// Milliseconds of silence after which a run is begun anew: hosts give up a silent engine before.
+const LOST_MS: u64 = 4_000;
 
 /// What was made of a sample so far.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
@@ -86,6 +89,8 @@
 /// A sample that is to run now.
 #[derive(Clone, Debug)]
 pub struct Assignment {
+    /// The number of the run.
+    pub run: u64,
     /// Its step.
     pub step: Arc<Step>,
     /// Its place there.
@@ -115,7 +120,8 @@
 struct Progress {
     phase: Phase,
     seat: Option<String>,
-    /// The VM that hosts the run.
+    /// The run, and the VM that hosts it.
+    run: u64,
     host: Option<String>,
     /// An engine that was too slow for it.
     avoid: Option<String>,
@@ -184,9 +190,16 @@
     works: BTreeMap<String, Work>,
     seats: BTreeMap<String, Seat>,
     usual_ms: f64,
+    /// The number of the last run.
+    run: u64,
 }
 
 impl Plan {
+    /// Makes the plan of a leader; its runs are numbered apart from those of other epochs.
+    pub fn new(epoch: Epoch) -> Self {
+        Self { run: epoch.0 << 32, ..Self::default() }
+    }
+
     /// Takes in a step that is open. `listed` tells which samples have their results, `at` when it
     /// was submitted, and `held` until when hosts may still tell that they run samples of it.
     pub fn open(
@@ -204,6 +217,7 @@
             Progress {
                 phase,
                 seat: None,
+                run: 0,
                 host: None,
                 avoid: None,
                 claimable: held > Millis::default(),
@@ -222,15 +236,15 @@
         self.works.insert(id, Work { step, order, at, held, progress, waiting });
     }
 
-    /// Forgets a step: it is over. Gives the samples that hosts still have, with their hosts.
-    pub fn close(&mut self, step: &str) -> Vec<(String, u32)> {
+    /// Forgets a step: it is over. Gives the runs that hosts still have: host, sample, run.
+    pub fn close(&mut self, step: &str) -> Vec<(String, u32, u64)> {
         let Some(work) = self.works.remove(step) else { return Vec::new() };
         let mut hosted = Vec::new();
         for (index, progress) in work.progress.into_iter().enumerate() {
             if progress.phase == Phase::Running {
                 self.free(progress.seat.as_deref(), &work.step.model);
             }
-            hosted.extend(progress.host.map(|host| (host, index as u32)));
+            hosted.extend(progress.host.map(|host| (host, index as u32, progress.run)));
         }
         hosted
     }
@@ -363,6 +377,8 @@
             let beside = seat.load();
             progress.phase = Phase::Running;
             progress.seat = Some(endpoint.clone());
+            self.run += 1;
+            progress.run = self.run;
             progress.host = None;
             progress.claimable = false;
             progress.began = now;
@@ -375,7 +391,9 @@
             let made = progress.made.clone();
             let (step, index) = (step.clone(), index as u32);
             let began = now;
+            let run = self.run;
             chosen.push(Assignment {
+                run,
                 step,
                 index,
                 endpoint,
@@ -395,9 +413,10 @@
         }
     }
 
-    /// Gives the VM that hosts a run.
-    pub fn host(&self, step: &str, index: u32) -> Option<String> {
-        self.works.get(step)?.progress.get(index as usize)?.host.clone()
+    /// Gives the VM that hosts a sample's run, and the run.
+    pub fn host(&self, step: &str, index: u32) -> Option<(String, u64)> {
+        let progress = self.works.get(step)?.progress.get(index as usize)?;
+        Some((progress.host.clone()?, progress.run))
     }
 
     /// Takes in what a host tells of a run. Tells whether the host is to go on with it: a run that
@@ -406,15 +425,14 @@
         let Some(work) = self.works.get_mut(&report.step) else { return false };
         let Some(progress) = work.progress.get_mut(report.index as usize) else { return false };
         let live = matches!(progress.phase, Phase::Running | Phase::Scoring);
-        let same = progress.host.as_deref() == Some(host)
-            && (progress.phase != Phase::Running
-                || progress.seat.as_deref() == Some(report.endpoint.as_str()));
+        let same = progress.host.as_deref() == Some(host) && progress.run == report.run;
         if progress.phase == Phase::Waiting && progress.claimable && report.from == 0 {
             // The leader did not know of this run: it was begun under the leader before.
             work.waiting -= 1;
             progress.phase = Phase::Running;
             progress.seat = Some(report.endpoint.clone());
             progress.host = Some(host.to_owned());
+            progress.run = report.run;
             progress.began = now;
             if let Some(seat) = self.seats.get_mut(&report.endpoint) {
                 *seat.running.entry(work.step.model.clone()).or_default() += 1;
@@ -602,6 +620,20 @@
         (before != Phase::Settled).then_some(sample)
     }
 
+    /// Finds runs of which nothing was heard for so long that they cannot be going on.
+    pub fn lost_runs(&self, now: Millis) -> Vec<(String, u32)> {
+        let mut lost = Vec::new();
+        for (id, work) in &self.works {
+            for (index, progress) in work.progress.iter().enumerate() {
+                let silent = now.since(progress.heard.max(progress.began)) >= LOST_MS;
+                if progress.phase == Phase::Running && silent {
+                    lost.push((id.clone(), index as u32));
+                }
+            }
+        }
+        lost
+    }
+
     /// Gives the samples that have become too old, or whose route is gone.
     pub fn too_old(&self, config: &Config, now: Millis) -> Vec<(String, u32)> {
         let mut lost = Vec::new();
--- a/components/fleet/src/run.rs
+++ b/components/fleet/src/run.rs
@@ -16,6 +16,9 @@
 /// A run that a host is to carry out.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Job {
+    /// Tells this run from others of the same sample. A report that crosses a word to stop would
+    /// otherwise be taken for one of the next run, and the next run be stopped for it.
+    pub run: u64,
     /// The step.
     pub step: String,
     /// The place of the sample in the step.
@@ -53,6 +56,8 @@
         step: String,
         /// The place of the sample.
         index: u32,
+        /// The run; another one of the same sample goes on.
+        run: u64,
     },
 }
 
@@ -74,6 +79,8 @@
 /// What a host tells of a run.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Report {
+    /// The run.
+    pub run: u64,
     /// The step.
     pub step: String,
     /// The place of the sample in the step.
--- a/components/node/src/forward.rs
+++ b/components/node/src/forward.rs
@@ -50,7 +50,7 @@
 /// What became of a request.
 #[derive(Debug)]
 pub enum Outcome {
-    /// An endpoint's answer, and how many answers before it had status 500.
+    /// An endpoint's answer, and how many answers had status 500, this one included.
     Answered(Reply, u32),
     /// It has not run and will not; the caller may come back after so many milliseconds.
     NotRun(&'static str, u64),
@@ -275,11 +275,11 @@
     fn take(&mut self, tried: Tried) -> Option<Outcome> {
         match tried {
             Tried::Answered(reply) => {
+                // Only this status says that the endpoint failed at it; samples are given up for it.
+                self.failures += u32::from(reply.status == StatusCode::INTERNAL_SERVER_ERROR);
                 if self.once || !reply.status.is_server_error() {
                     return Some(Outcome::Answered(reply, self.failures));
                 }
-                // Only this status says that the endpoint failed at it; samples are given up for it.
-                self.failures += u32::from(reply.status == StatusCode::INTERNAL_SERVER_ERROR);
                 self.last = Some(reply);
                 None
             }
--- a/components/node/src/hosts.rs
+++ b/components/node/src/hosts.rs
@@ -109,8 +109,8 @@
     }
 
     /// Stops a run, or forgets one that has ended.
-    pub fn stop(&self, node: &str, step: &str, index: u32) {
+    pub fn stop(&self, node: &str, step: &str, index: u32, run: u64) {
         // A host that is not connected tells of the run when it is, and is told to stop it then.
-        self.work(node, Work::Stop { step: step.to_owned(), index });
+        self.work(node, Work::Stop { step: step.to_owned(), index, run });
     }
 }
--- a/components/node/src/lead.rs
+++ b/components/node/src/lead.rs
@@ -129,7 +129,7 @@
         let lead = Rc::new(Self {
             epoch,
             copies,
-            plan: RefCell::default(),
+            plan: RefCell::new(Plan::new(epoch)),
             pool: RefCell::default(),
             orders: RefCell::default(),
             began: now,
@@ -485,6 +485,15 @@
                 for listed in results {
                     self.release(step, listed.index);
                 }
+                let given_up = results.iter().filter(|r| r.result == Result::GivenUp).count();
+                let listed = self.parts.core.state().steps.get(step).map_or(0, |s| s.results.len());
+                tracing::info!(
+                    event = "results_listed",
+                    step,
+                    more = results.len(),
+                    given_up,
+                    listed
+                );
                 self.listed.send_modify(|count| *count += 1);
                 let over = self.parts.core.state().steps.get(step).is_none_or(|s| !s.is_open());
                 if over {
@@ -527,8 +536,8 @@
             return;
         }
         let hosted = self.plan.borrow_mut().close(step);
-        for (host, index) in &hosted {
-            self.hosts.stop(host, step, *index);
+        for (host, index, run) in &hosted {
+            self.hosts.stop(host, step, *index, *run);
             self.hosts.done(host);
         }
         let stopped = hosted.len();
@@ -558,6 +567,10 @@
             tracing::info!(event = "sample_given_up", step, index, why = "age");
             self.settle(&step, index, Verdict::GivenUp);
         }
+        let lost = self.plan.borrow().lost_runs(now);
+        for (step, index) in lost {
+            self.end_run(&step, index, RunEnd::Broken);
+        }
         let slow = self.plan.borrow_mut().slow_runs(now);
         for (step, index) in slow {
             self.end_run(&step, index, RunEnd::Taken);
@@ -569,7 +582,8 @@
     }
 
     fn start_run(&self, assignment: Assignment) {
-        let Assignment { step, index, endpoint, address, version, made, beside, .. } = assignment;
+        let Assignment { run, step, index, endpoint, address, version, made, beside, .. } =
+            assignment;
         let sample = step.samples[index as usize].clone();
         let host = self.hosts.choose();
         tracing::info!(
@@ -583,6 +597,7 @@
             host
         );
         let job = Job {
+            run,
             step: step.id.clone(),
             index,
             host: step.host.clone(),
@@ -619,8 +634,8 @@
     /// Has the host of a sample's run stop it or forget it.
     fn release(&self, step: &str, index: u32) {
         let host = self.plan.borrow().host(step, index);
-        if let Some(host) = host {
-            self.hosts.stop(&host, step, index);
+        if let Some((host, run)) = host {
+            self.hosts.stop(&host, step, index, run);
             self.hosts.done(&host);
         }
     }
@@ -646,7 +661,7 @@
             // The step may still be on its way from the stores; the host tells again later.
             let unread = self.unread.borrow().contains(step);
             if !unread {
-                self.hosts.stop(host, step, index);
+                self.hosts.stop(host, step, index, report.run);
             }
             return;
         }
--- a/components/node/src/runner.rs
+++ b/components/node/src/runner.rs
@@ -18,7 +18,6 @@
 use chicoryford_http::Incoming;
 use chicoryford_http::Pool;
 use chicoryford_http::Request;
-use chicoryford_http::message::StatusCode;
 use chicoryford_platform::plain;
 use chicoryford_platform::plain::Meaning;
 use chicoryford_platform::sample;
@@ -127,7 +126,13 @@
         match work {
             Work::Run(job) => self.start(*job),
             Work::Tell => self.tell_all(),
-            Work::Stop { step, index } => self.stop(&(step, index)),
+            Work::Stop { step, index, run } => {
+                let key = (step, index);
+                let same = self.hosted.borrow().get(&key).is_some_and(|h| h.job.run == run);
+                if same {
+                    self.stop(&key);
+                }
+            }
         }
     }
 
@@ -204,6 +209,7 @@
         let ms = state.heard.get().since(state.told_at.get());
         let gap_ms = if from > 0 && events > 0 { ms / events as u64 } else { 0 };
         let report = Report {
+            run: hosted.job.run,
             step: hosted.job.step.clone(),
             index: hosted.job.index,
             endpoint: hosted.job.endpoint.clone(),
@@ -390,7 +396,6 @@
                 {
                     return Standing::Finished(Some(score.to_owned()));
                 }
-                failures += u32::from(reply.status == StatusCode::INTERNAL_SERVER_ERROR);
                 if failures >= route.attempts.max(1) {
                     tracing::info!(event = "scorer_failed", sample = job.sample.id, failures);
                     return Standing::Unscored;
