--- a/components/fleet/src/pick.rs
+++ b/components/fleet/src/pick.rs
@@ -128,6 +128,7 @@
         tried: &[String],
         now: Millis,
     ) -> Result<Target, Nowhere> {
+        let typical = self.typical_ms(service).unwrap_or(UNKNOWN_MS);
         let fits = |seat: &&Seat| {
             let said = &seat.endpoint.said;
             said.service == service && seat.endpoint.standing == Standing::Ready && !seat.moved
@@ -141,7 +142,7 @@
         // Endpoints that failed lately come last, but one of them is better than none.
         let best = fresh.iter().map(|seat| {
             let penalty = seat.until.since(now);
-            (penalty, seat.expected(now) * (1.0 + self.rng.random_range(0.0..0.1)), seat)
+            (penalty, seat.expected(now, typical) * (1.0 + self.rng.random_range(0.0..0.1)), seat)
         });
         let best = best.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         let Some((_, _, seat)) = best else { return Err(Nowhere::AllTried) };
@@ -210,11 +211,12 @@
         self.measured = now;
     }
 
-    /// Estimates how long one more attempt takes here.
-    fn expected(&self, now: Millis) -> f64 {
+    /// Estimates how long one more attempt takes here. What was measured fades towards what is
+    /// typical of the service, so that an endpoint that was slow is tried again.
+    fn expected(&self, now: Millis, typical: f64) -> f64 {
         let age = now.since(self.measured) as f64;
-        let known = if self.mean_ms > 0.0 { self.mean_ms } else { UNKNOWN_MS };
-        let mean = UNKNOWN_MS + (known - UNKNOWN_MS) * 0.5_f64.powf(age / HALF_MS);
+        let known = if self.mean_ms > 0.0 { self.mean_ms } else { typical };
+        let mean = typical + (known - typical) * 0.5_f64.powf(age / HALF_MS);
         let slots = f64::from(self.endpoint.said.slots.max(1));
         mean * (1.0 + f64::from(self.running) / slots)
     }
--- /dev/null
+++ b/components/fleet/tests/config.rs
@@ -0,0 +1,82 @@
+//! Which configurations are accepted, and which route a request takes.
+
+use chicoryford_fleet::Config;
+use chicoryford_fleet::Fault;
+use chicoryford_fleet::Kind;
+use chicoryford_fleet::Route;
+use chicoryford_fleet::Service;
+use chicoryford_fleet::Share;
+
+fn route(name: &str, prefix: &str, shares: &[(&str, u64)]) -> Route {
+    let share =
+        |(service, weight): &(&str, u64)| Share { service: (*service).to_owned(), weight: *weight };
+    Route {
+        name: name.to_owned(),
+        host: "desk.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: Kind::Idempotent,
+        timeout_ms: Some(1_000),
+        target_ms: 150,
+        priority: 2,
+        shares: shares.iter().map(share).collect(),
+        attempts: 2,
+        resumable: false,
+        due_ms: None,
+        age_ms: None,
+        single: false,
+    }
+}
+
+fn config(routes: Vec<Route>) -> Config {
+    let service = |name: &str| Service { name: name.to_owned(), ..Service::default() };
+    Config { version: 1, routes, services: vec![service("a"), service("b")], ..Config::default() }
+}
+
+#[test]
+fn a_proper_configuration_is_accepted() {
+    let routes =
+        vec![route("one", "/x/", &[("a", 1)]), route("two", "/x/y/", &[("a", 0), ("b", 3)])];
+    assert_eq!(config(routes).check(), Ok(()));
+}
+
+#[test]
+fn each_fault_is_named() {
+    let unknown = config(vec![route("one", "/x/", &[("c", 1)])]);
+    let fault = Fault::UnknownService { route: "one".to_owned(), service: "c".to_owned() };
+    assert_eq!(unknown.check(), Err(fault));
+    let twice = config(vec![route("one", "/x/", &[("a", 1)]), route("two", "/x/", &[("b", 1)])]);
+    assert!(matches!(twice.check(), Err(Fault::SamePlace { .. })));
+    let weightless = config(vec![route("one", "/x/", &[("a", 0), ("b", 0)])]);
+    assert!(matches!(weightless.check(), Err(Fault::NoWeight { .. })));
+    let mut timeless = config(vec![route("one", "/x/", &[("a", 1)])]);
+    timeless.routes[0].timeout_ms = Some(0);
+    assert!(matches!(timeless.check(), Err(Fault::NoTimeout { .. })));
+    for prefix in ["x/", "/x", ""] {
+        let bad = config(vec![route("one", prefix, &[("a", 1)])]);
+        assert!(matches!(bad.check(), Err(Fault::BadPrefix { .. })), "{prefix}");
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let mut other = route("other", "/x/y/z/", &[("a", 1)]);
+    other.host = "else.example".to_owned();
+    let routes = vec![route("one", "/x/", &[("a", 1)]), route("two", "/x/y/", &[("b", 1)]), other];
+    let config = config(routes);
+    let found = |path: &str| config.find("desk.example", path).map(|route| route.name.as_str());
+    assert_eq!(found("/x/1"), Some("one"));
+    assert_eq!(found("/x/y/z/1"), Some("two"));
+    assert_eq!(found("/x/y"), Some("one"), "the prefix ends with a slash");
+    assert_eq!(found("/z/"), None);
+    assert_eq!(config.find("no.example", "/x/1"), None);
+}
+
+#[test]
+fn traffic_is_shared_by_weight() {
+    let route = route("one", "/x/", &[("a", 1), ("c", 0), ("b", 3)]);
+    let draws = (0..1_000).map(|n| route.service(f64::from(n) / 1_000.0).unwrap());
+    let to_a = draws.filter(|service| *service == "a").count();
+    assert_eq!(to_a, 250);
+    assert_eq!(route.service(1.0), Some("b"), "rounding must not lead to a share without weight");
+    assert!(route.leads_to("b") && !route.leads_to("c"));
+}
--- /dev/null
+++ b/components/fleet/tests/copies.rs
@@ -0,0 +1,74 @@
+//! Where copies of parts lie, and when one counts no more.
+
+use std::collections::BTreeSet;
+
+use chicoryford_fleet::copies::Place;
+use chicoryford_fleet::copies::StoreId;
+use chicoryford_fleet::copies::Stores;
+use chicoryford_types::Millis;
+
+fn id(node: &str, identity: u64) -> StoreId {
+    StoreId { node: node.to_owned(), identity }
+}
+
+fn stores() -> Stores {
+    let mut stores = Stores::new(Millis(0));
+    for (node, place) in [("a", "x"), ("b", "x"), ("c", "y"), ("d", "z")] {
+        stores.connected(id(node, 1), place.to_owned(), Millis(0));
+    }
+    stores
+}
+
+fn nodes(ids: &[StoreId]) -> Vec<&str> {
+    ids.iter().map(|id| id.node.as_str()).collect()
+}
+
+#[test]
+fn copies_lie_in_different_data_centres_first_and_evenly() {
+    let mut stores = stores();
+    let chosen = stores.choose(&BTreeSet::new(), &BTreeSet::new());
+    assert_eq!(nodes(&chosen), ["a", "c", "d", "b"]);
+    stores.given(&id("a", 1));
+    let chosen = stores.choose(&BTreeSet::from([id("c", 1)]), &BTreeSet::from(["d".to_owned()]));
+    assert_eq!(nodes(&chosen), ["b", "a"]);
+}
+
+/// Symptom: what was accepted is gone after the second loss.
+/// Sequence: a store loses its disk and comes back; the other copy's store loses its disk.
+/// Cause: the first store still counted as holding what its lost disk held.
+#[test]
+fn a_store_that_lost_its_disk_is_another_store() {
+    let mut stores = stores();
+    let place = Place::Stores(BTreeSet::from([id("a", 1), id("c", 1)]));
+    assert_eq!(stores.counted(&place, &BTreeSet::new(), Millis(1)).len(), 2);
+    stores.disconnected(&id("a", 1), Millis(10));
+    stores.connected(id("a", 2), "x".to_owned(), Millis(20));
+    let counted = stores.counted(&place, &BTreeSet::new(), Millis(20));
+    assert_eq!(nodes(&counted.iter().cloned().collect::<Vec<_>>()), ["c"]);
+    let chosen = stores.choose(&counted, &BTreeSet::new());
+    assert!(chosen.contains(&id("a", 2)), "its new disk can take a copy");
+    stores.disconnected(&id("a", 1), Millis(30));
+    assert!(stores.is_connected(&id("a", 2)), "an old connection's end says nothing of the new");
+}
+
+#[test]
+fn a_store_that_is_away_for_a_moment_still_counts() {
+    let mut stores = stores();
+    stores.disconnected(&id("a", 1), Millis(1_000));
+    assert!(stores.counts(&id("a", 1), Millis(3_400)));
+    assert!(!stores.counts(&id("a", 1), Millis(3_500)));
+    assert!(!stores.is_connected(&id("a", 1)));
+    let unseen = id("e", 1);
+    assert!(stores.counts(&unseen, Millis(2_400)), "it may not have found this leader yet");
+    assert!(!stores.counts(&unseen, Millis(2_500)));
+}
+
+#[test]
+fn a_store_that_is_to_be_emptied_counts_no_more() {
+    let stores = stores();
+    let place = Place::Stores(BTreeSet::from([id("a", 1), id("c", 1)]));
+    let leaving = BTreeSet::from(["a".to_owned()]);
+    assert_eq!(stores.counted(&place, &leaving, Millis(1)).len(), 1);
+    assert_eq!(stores.count(|node| node != "a"), 3);
+    assert!(stores.counted(&Place::Inline("x".into()), &leaving, Millis(1)).is_empty());
+}
--- /dev/null
+++ b/components/fleet/tests/endpoint.rs
@@ -0,0 +1,95 @@
+//! What is believed of endpoints whose announcements come late, doubled and out of order.
+
+use std::collections::BTreeMap;
+
+use chicoryford_fleet::Announcement;
+use chicoryford_fleet::Registry;
+use chicoryford_fleet::Standing;
+use chicoryford_fleet::endpoint::Effect;
+use chicoryford_types::Millis;
+
+fn said(id: &str, sequence: u64) -> Announcement {
+    Announcement {
+        id: id.to_owned(),
+        service: "a".to_owned(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "z".to_owned(),
+        slots: 4,
+        draining: false,
+        models: BTreeMap::from([("m".to_owned(), 1)]),
+        sequence,
+    }
+}
+
+fn draining(id: &str, sequence: u64) -> Announcement {
+    Announcement { draining: true, ..said(id, sequence) }
+}
+
+fn standing(registry: &Registry, id: &str) -> Option<Standing> {
+    registry.get(id).map(|endpoint| endpoint.standing)
+}
+
+#[test]
+fn an_announcement_is_spread_once() {
+    let mut registry = Registry::default();
+    assert_eq!(registry.announce(said("i", 1), Millis(0)), Effect::Changed);
+    assert_eq!(registry.announce(said("i", 2), Millis(1)), Effect::Heard);
+    let newer = Announcement { models: BTreeMap::from([("m".to_owned(), 2)]), ..said("i", 3) };
+    assert_eq!(registry.announce(newer, Millis(2)), Effect::Changed);
+}
+
+/// Symptom: an endpoint that leaves gets new work.
+/// Sequence: it says that it drains; an announcement that it sent before arrives after that one.
+/// Cause: the last word that came was taken for the last that was said.
+#[test]
+fn a_late_word_does_not_undo_a_newer_one() {
+    let mut registry = Registry::default();
+    registry.announce(said("i", 1), Millis(0));
+    assert_eq!(registry.announce(draining("i", 3), Millis(1)), Effect::Changed);
+    assert_eq!(registry.announce(said("i", 2), Millis(2)), Effect::Old);
+    assert_eq!(registry.announce(said("i", 3), Millis(2)), Effect::Old);
+    assert_eq!(standing(&registry, "i"), Some(Standing::Draining));
+    assert_eq!(registry.leave("i", Millis(3)), Effect::Changed);
+    assert_eq!(registry.announce(said("i", 9), Millis(4)), Effect::Old);
+    assert_eq!(standing(&registry, "i"), Some(Standing::Gone));
+}
+
+/// Symptom: work goes to an endpoint of another service.
+/// Sequence: an endpoint crashes, another takes over its address; a word of the first arrives.
+/// Cause: endpoints were told apart by address; each start is an endpoint of its own.
+#[test]
+fn an_address_may_belong_to_another_endpoint() {
+    let mut registry = Registry::default();
+    registry.announce(said("old", 7), Millis(0));
+    let other = Announcement { service: "b".to_owned(), ..said("new", 1) };
+    registry.announce(other, Millis(1));
+    registry.announce(said("old", 8), Millis(2));
+    assert_eq!(registry.get("new").unwrap().said.service, "b");
+    assert_eq!(registry.get("old").unwrap().said.service, "a");
+}
+
+#[test]
+fn a_silent_endpoint_gets_no_work_until_it_is_heard_again() {
+    let mut registry = Registry::default();
+    registry.announce(said("i", 1), Millis(0));
+    assert!(registry.tick(Millis(5_000)).0.is_empty());
+    let (changed, _) = registry.tick(Millis(6_000));
+    assert_eq!(changed[0].standing, Standing::Silent);
+    assert_eq!(registry.announce(said("i", 2), Millis(7_000)), Effect::Changed);
+    assert_eq!(standing(&registry, "i"), Some(Standing::Ready));
+    let (_, forgotten) = registry.tick(Millis(70_000));
+    assert_eq!(forgotten, ["i"]);
+}
+
+#[test]
+fn a_new_leader_counts_what_it_adopts_as_heard_now() {
+    let mut registry = Registry::default();
+    registry.announce(said("i", 5), Millis(0));
+    let known: Vec<_> = registry.all().cloned().collect();
+    let settings = chicoryford_fleet::endpoint::Settings::default();
+    let mut adopted = Registry::adopt(settings, known.into_iter(), Millis(100_000));
+    assert!(adopted.tick(Millis(103_000)).0.is_empty());
+    assert_eq!(adopted.announce(said("i", 5), Millis(103_000)), Effect::Old);
+    assert_eq!(adopted.learn("i", "m", 4), Effect::Changed);
+    assert_eq!(adopted.learn("i", "m", 4), Effect::Heard);
+}
--- /dev/null
+++ b/components/fleet/tests/plan.rs
@@ -0,0 +1,306 @@
+//! The planner: which sample runs where, and what follows when hosts, engines and words get lost.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use chicoryford_fleet::Announcement;
+use chicoryford_fleet::Config;
+use chicoryford_fleet::Endpoint;
+use chicoryford_fleet::Kind;
+use chicoryford_fleet::Route;
+use chicoryford_fleet::Sample;
+use chicoryford_fleet::Share;
+use chicoryford_fleet::Standing;
+use chicoryford_fleet::Step;
+use chicoryford_fleet::plan::Assignment;
+use chicoryford_fleet::plan::Made;
+use chicoryford_fleet::plan::Next;
+use chicoryford_fleet::plan::Plan;
+use chicoryford_fleet::plan::RunEnd;
+use chicoryford_fleet::run;
+use chicoryford_fleet::run::Report;
+use chicoryford_types::Epoch;
+use chicoryford_types::Millis;
+
+const NOW: Millis = Millis(1_000);
+
+fn config() -> Config {
+    let route = Route {
+        name: "steps".to_owned(),
+        host: "h".to_owned(),
+        prefix: "/s/".to_owned(),
+        kind: Kind::Step,
+        timeout_ms: None,
+        target_ms: 400,
+        priority: 1,
+        shares: vec![Share { service: "engines".to_owned(), weight: 1 }],
+        attempts: 3,
+        resumable: true,
+        due_ms: Some(7_500),
+        age_ms: Some(40_000),
+        single: false,
+    };
+    Config { version: 1, routes: vec![route], ..Config::default() }
+}
+
+fn engine(id: &str, slots: u32, version: u64) -> Endpoint {
+    let said = Announcement {
+        id: id.to_owned(),
+        service: "engines".to_owned(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "z".to_owned(),
+        slots,
+        draining: false,
+        models: BTreeMap::from([("m".to_owned(), version)]),
+        sequence: 1,
+    };
+    Endpoint { said, standing: Standing::Ready }
+}
+
+fn step(id: &str, expected: &[u64]) -> Arc<Step> {
+    let sample = |(index, expected): (usize, &u64)| Sample {
+        id: format!("{id}{index}"),
+        path: "/s/1".to_owned(),
+        expected: *expected,
+        tokens: *expected,
+        ..Sample::default()
+    };
+    Arc::new(Step {
+        id: id.to_owned(),
+        host: "h".to_owned(),
+        model: "m".to_owned(),
+        least: 1,
+        due_ms: 7_500,
+        age_ms: 40_000,
+        attempts: 3,
+        priority: 1,
+        samples: expected.iter().enumerate().map(sample).collect(),
+        ..Step::default()
+    })
+}
+
+fn plan(engines: &[Endpoint], steps: &[Arc<Step>]) -> Plan {
+    let mut plan = Plan::new(Epoch(1));
+    for engine in engines {
+        plan.observe(engine);
+    }
+    for step in steps {
+        plan.open(step.clone(), NOW, Millis::default(), |_| false);
+    }
+    plan
+}
+
+/// Assigns what can be, to the host "a".
+fn assign(plan: &mut Plan, now: Millis) -> Vec<Assignment> {
+    let assigned = plan.assign(&config(), now);
+    for one in &assigned {
+        plan.hosted(&one.step.id, one.index, "a");
+    }
+    assigned
+}
+
+fn report(run: &Assignment, standing: run::Standing, events: &[&str]) -> Report {
+    Report {
+        run: run.run,
+        step: run.step.id.clone(),
+        index: run.index,
+        endpoint: run.endpoint.clone(),
+        standing,
+        from: 0,
+        made: Made {
+            events: events.iter().map(|event| (*event).to_owned()).collect(),
+            last: Some(events.len().to_string()),
+            versions: vec![1],
+        },
+        gap_ms: 0,
+    }
+}
+
+#[test]
+fn no_engine_gets_more_than_its_slots_or_too_old_work() {
+    let engines = [engine("e1", 2, 1), engine("e2", 1, 1), engine("old", 9, 0)];
+    let mut plan = plan(&engines, &[step("a", &[1; 8])]);
+    let assigned = assign(&mut plan, NOW);
+    let on = |id: &str| assigned.iter().filter(|one| one.endpoint == id).count();
+    assert_eq!((on("e1"), on("e2"), on("old")), (2, 1, 0));
+    assert!(assign(&mut plan, NOW).is_empty());
+}
+
+/// The load: one sample in some ten takes several times as long as the others, and the longest
+/// most of the time that a step has. Begun last, it makes the whole step late.
+#[test]
+fn the_longest_samples_start_first() {
+    let mut plan = plan(&[engine("e1", 2, 1)], &[step("a", &[10, 900, 20, 800])]);
+    let first: Vec<u32> = assign(&mut plan, NOW).iter().map(|one| one.index).collect();
+    assert_eq!(first, [1, 3]);
+}
+
+/// The load: two trainers share the engines, and one of them is ranked first by its route.
+#[test]
+fn steps_go_by_rank_and_then_by_the_time_at_which_they_are_due() {
+    let late = step("late", &[1]);
+    let urgent = Arc::new(Step { priority: 0, ..(*step("urgent", &[1])).clone() });
+    let mut plan = plan(&[engine("e1", 1, 1)], &[]);
+    plan.open(late, Millis(500), Millis::default(), |_| false);
+    plan.open(step("later", &[1]), NOW, Millis::default(), |_| false);
+    plan.open(urgent, NOW, Millis::default(), |_| false);
+    let mut order = Vec::new();
+    for _ in 0..3 {
+        let run = assign(&mut plan, NOW).remove(0);
+        order.push(run.step.id.clone());
+        assert!(plan.told("a", &report(&run, run::Standing::Scoring, &["x"]), NOW));
+    }
+    assert_eq!(order, ["urgent", "late", "later"]);
+}
+
+/// Symptom: a sample of a step never ends, and its trainer waits until it gives up.
+/// Sequence: a run is moved away from a slow engine; its report that all events came crosses the
+/// word to stop; the sample is already running again, on the same host.
+/// Cause: the report was taken for one of the new run, which was then stopped.
+#[test]
+fn a_report_that_crosses_a_word_to_stop_does_not_touch_the_next_run() {
+    let mut plan = plan(&[engine("e1", 1, 1), engine("e2", 1, 1)], &[step("a", &[1])]);
+    let first = assign(&mut plan, NOW).remove(0);
+    assert_eq!(plan.ended("a", 0, RunEnd::Taken, NOW), Next::Again);
+    let second = assign(&mut plan, NOW).remove(0);
+    assert_ne!(first.endpoint, second.endpoint, "it was too slow there");
+    assert!(!plan.told("a", &report(&first, run::Standing::Scoring, &["x"]), NOW));
+    assert!(plan.told("a", &report(&second, run::Standing::Running, &["y"]), NOW));
+    assert_eq!(plan.made("a", 0).unwrap().events, ["y"]);
+}
+
+/// Symptom: the longest samples are late whenever a host is lost.
+/// Sequence: a host tells of progress and is lost; the sample runs elsewhere.
+/// Cause: it began anew, though any engine can go on after the last event.
+#[test]
+fn a_lost_hosts_runs_go_on_after_the_last_event_that_it_told() {
+    let mut plan = plan(&[engine("e1", 1, 1)], &[step("a", &[1])]);
+    let run = assign(&mut plan, NOW).remove(0);
+    assert!(plan.told("a", &report(&run, run::Standing::Running, &["x", "y"]), NOW));
+    assert_eq!(plan.orphan("a"), 1);
+    let again = assign(&mut plan, NOW).remove(0);
+    assert_eq!(again.made.events, ["x", "y"]);
+    assert_eq!(again.made.last.as_deref(), Some("2"));
+}
+
+/// Symptom: a sample runs on two engines at once after a change of leader.
+/// Sequence: a leader is lost; its hosts go on; the next leader begins the samples anew before
+/// the hosts have found it.
+/// Cause: the new leader did not wait for what hosts may still be running.
+#[test]
+fn a_step_that_was_taken_over_waits_for_its_hosts() {
+    let mut before = plan(&[engine("e1", 1, 1), engine("e2", 1, 1)], &[step("a", &[5, 1])]);
+    let runs = assign(&mut before, NOW);
+    let mut plan = plan(&[engine("e1", 1, 1), engine("e2", 1, 1)], &[]);
+    plan.open(step("a", &[5, 1]), NOW, NOW + 500, |_| false);
+    assert!(assign(&mut plan, NOW + 100).is_empty());
+    assert!(plan.told("a", &report(&runs[0], run::Standing::Running, &["x"]), NOW + 100));
+    let rest = assign(&mut plan, NOW + 500);
+    assert_eq!(rest.len(), 1);
+    assert_eq!(rest[0].index, runs[1].index);
+    assert_ne!(rest[0].endpoint, runs[0].endpoint, "that engine is taken");
+    let late = report(&runs[1], run::Standing::Running, &["z"]);
+    assert!(!plan.told("a", &late, NOW + 600), "it was begun anew meanwhile");
+}
+
+#[test]
+fn a_report_that_does_not_fit_what_is_known_is_not_added() {
+    let mut plan = plan(&[engine("e1", 1, 1)], &[step("a", &[1])]);
+    let run = assign(&mut plan, NOW).remove(0);
+    let ahead = Report { from: 3, ..report(&run, run::Standing::Running, &["w"]) };
+    assert!(!plan.told("a", &ahead, NOW));
+    assert!(plan.made("a", 0).unwrap().events.is_empty());
+}
+
+/// Symptom: a sample is given up though it could have been made.
+/// Sequence: connections break, engines are full, addresses move; none of them failed at it.
+/// Cause: every end without success was counted as a failure of the sample.
+#[test]
+fn only_failures_of_the_engine_count_against_a_sample() {
+    let mut plan = plan(&[engine("e1", 1, 1)], &[step("a", &[1])]);
+    let mut now = NOW;
+    for end in [RunEnd::Broken, RunEnd::Full, RunEnd::Taken, RunEnd::Broken, RunEnd::Full] {
+        now = now + 10_000;
+        plan.observe(&engine("e2", 1, 1));
+        assert_eq!(assign(&mut plan, now).len(), 1);
+        assert_eq!(plan.ended("a", 0, end, now), Next::Again);
+    }
+    for next in [Next::Again, Next::Again, Next::GiveUp] {
+        now = now + 10_000;
+        assert_eq!(assign(&mut plan, now).len(), 1);
+        assert_eq!(plan.ended("a", 0, RunEnd::Failed, now), next);
+    }
+    assert!(assign(&mut plan, now + 10_000).is_empty());
+}
+
+#[test]
+fn a_sample_that_can_never_be_made_is_given_up_at_once() {
+    let mut plan = plan(&[engine("e1", 1, 1)], &[step("a", &[1])]);
+    assign(&mut plan, NOW);
+    assert_eq!(plan.ended("a", 0, RunEnd::Unfit, NOW), Next::GiveUp);
+    assert_eq!(plan.settled("a", 0), None, "it is settled");
+}
+
+/// The load: an engine turns three times slower. Its runs would take most of a step's time; any
+/// other engine with room goes on with them. Without room there they stay.
+#[test]
+fn runs_leave_a_slow_engine_only_for_a_fast_one_with_room() {
+    let engines = [engine("e1", 2, 1), engine("e2", 2, 1), engine("e3", 2, 1)];
+    let mut plan = plan(&engines, &[step("a", &[1; 6])]);
+    let runs = assign(&mut plan, NOW);
+    let slow = "e1";
+    let later = NOW + 1_000;
+    let told = |plan: &mut Plan, now: Millis| {
+        for run in &runs {
+            let gap_ms = if run.endpoint == slow { 300 } else { 40 };
+            for _ in 0..20 {
+                let report = report(run, run::Standing::Running, &["x"]);
+                plan.told("a", &Report { gap_ms, ..report }, now);
+            }
+        }
+    };
+    told(&mut plan, later);
+    assert!(plan.slow_runs(later).is_empty(), "nobody else has room");
+    let done = runs.iter().find(|run| run.endpoint == "e2").unwrap();
+    plan.told("a", &report(done, run::Standing::Scoring, &["x"]), later);
+    let moved = plan.slow_runs(later);
+    assert_eq!(moved.len(), 1, "there is room for one");
+    let from = runs.iter().find(|run| run.index == moved[0].1).unwrap();
+    assert_eq!(from.endpoint, slow);
+}
+
+#[test]
+fn a_run_of_which_nothing_is_heard_is_begun_anew() {
+    let mut plan = plan(&[engine("e1", 1, 1)], &[step("a", &[1])]);
+    assign(&mut plan, NOW);
+    assert!(plan.lost_runs(NOW + 3_900).is_empty());
+    assert_eq!(plan.lost_runs(NOW + 4_000), [("a".to_owned(), 0)]);
+}
+
+/// The load: all processes are lost at once while the longest samples of a step are nearly done.
+#[test]
+fn long_runs_are_noted_and_recalled() {
+    let mut plan = plan(&[engine("e1", 1, 1)], &[step("a", &[1])]);
+    let run = assign(&mut plan, NOW).remove(0);
+    let events: Vec<String> = (0..30).map(|n| n.to_string()).collect();
+    let events: Vec<&str> = events.iter().map(String::as_str).collect();
+    plan.told("a", &report(&run, run::Standing::Running, &events[..20]), NOW);
+    assert!(plan.to_note().is_empty(), "most runs are over before they need a note");
+    plan.told("a", &report(&run, run::Standing::Running, &events), NOW);
+    let notes = plan.to_note().remove(0).1;
+    assert!(plan.to_note().is_empty(), "it is noted");
+    let mut next = Plan::new(Epoch(2));
+    next.observe(&engine("e1", 1, 1));
+    next.open(step("a", &[1]), NOW, NOW + 1, |_| false);
+    next.recall("a", notes);
+    let again = assign(&mut next, NOW + 1).remove(0);
+    assert_eq!(again.made.events.len(), 30);
+}
+
+#[test]
+fn samples_are_given_up_by_age_or_when_their_route_is_gone() {
+    let plan = plan(&[], &[step("a", &[1])]);
+    assert!(plan.too_old(&config(), NOW + 39_999).is_empty());
+    assert_eq!(plan.too_old(&config(), NOW + 40_000).len(), 1);
+    assert_eq!(plan.too_old(&Config::default(), NOW).len(), 1);
+}
--- /dev/null
+++ b/components/fleet/tests/state.rs
@@ -0,0 +1,169 @@
+//! The replicated state: what is accepted stays, and every replica computes the same.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use chicoryford_fleet::Command;
+use chicoryford_fleet::Config;
+use chicoryford_fleet::Done;
+use chicoryford_fleet::Listed;
+use chicoryford_fleet::Outline;
+use chicoryford_fleet::Stamped;
+use chicoryford_fleet::State;
+use chicoryford_fleet::copies::PartId;
+use chicoryford_fleet::copies::Place;
+use chicoryford_fleet::step::Result;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::quickcheck;
+
+fn at(at: u64, command: Command) -> Stamped {
+    Stamped { at, command }
+}
+
+fn submit(id: &str, samples: u32, part: u64) -> Command {
+    let step = Outline {
+        id: id.to_owned(),
+        model: "m".to_owned(),
+        samples,
+        age_ms: 1_000,
+        part: PartId(part),
+    };
+    Command::Submit { step: Arc::new(step), place: Place::Stores(BTreeSet::new()) }
+}
+
+fn list(id: &str, indices: &[u32], part: u64) -> Command {
+    let listed = |index: &u32| {
+        let result = Result::Completed {
+            part: PartId(part),
+            place: 0,
+            bytes: 1,
+            versions: vec![1],
+            score: None,
+        };
+        Arc::new(Listed { index: *index, sample: format!("s{index}"), result })
+    };
+    Command::List {
+        step: id.to_owned(),
+        part: Some((PartId(part), Place::Stores(BTreeSet::new()))),
+        results: indices.iter().map(listed).collect(),
+    }
+}
+
+fn configure(version: u64, source: &str) -> Command {
+    let source = source.to_owned().into();
+    Command::Configure(Arc::new(Config { version, source, ..Config::default() }))
+}
+
+#[test]
+fn the_highest_version_is_in_force_and_other_content_under_it_never_shows() {
+    let mut state = State::default();
+    assert_eq!(state.apply(at(1, configure(5, "five"))), Done::Changed);
+    assert_eq!(state.apply(at(2, configure(4, "four"))), Done::Held);
+    assert_eq!(state.apply(at(3, configure(5, "other"))), Done::Held);
+    assert_eq!(&state.config.as_ref().unwrap().source[..], b"five");
+    assert_eq!(state.apply(at(4, configure(9, "nine"))), Done::Changed);
+    let named = Command::Publish { model: "m".to_owned(), version: 3 };
+    assert_eq!(state.apply(at(5, named.clone())), Done::Changed);
+    assert_eq!(state.apply(at(6, named)), Done::Held);
+    let older = Command::Publish { model: "m".to_owned(), version: 2 };
+    assert_eq!(state.apply(at(7, older)), Done::Held);
+    assert_eq!(state.versions["m"], 3);
+}
+
+/// Symptom: a trainer's step runs twice, or a result moves.
+/// Sequence: the acknowledgement of a submission or of a listing is lost, and it is sent again,
+/// through another process and by another leader.
+/// Cause: what was accepted before was not recognised.
+#[test]
+fn what_is_submitted_or_listed_again_changes_nothing() {
+    let mut state = State::default();
+    assert_eq!(state.apply(at(1, submit("a", 3, 10))), Done::Changed);
+    assert_eq!(state.apply(at(2, submit("a", 3, 11))), Done::Held);
+    assert!(!state.parts.contains_key(&PartId(11)));
+    state.apply(at(3, list("a", &[2, 0], 20)));
+    assert_eq!(state.apply(at(4, list("a", &[0], 21))), Done::Held);
+    assert_eq!(state.apply(at(5, list("a", &[0, 1, 7], 22))), Done::Changed);
+    let places: Vec<u32> = state.steps["a"].results.iter().map(|listed| listed.index).collect();
+    assert_eq!(places, [2, 0, 1]);
+    assert!(!state.steps["a"].is_open());
+    assert_eq!(state.apply(at(6, list("b", &[0], 23))), Done::Unknown);
+}
+
+#[test]
+fn an_ended_step_keeps_its_results_until_nobody_may_ask() {
+    let mut state = State::default();
+    state.apply(at(100, submit("a", 2, 10)));
+    state.apply(at(200, list("a", &[0], 20)));
+    let note = Command::Note {
+        step: "a".to_owned(),
+        part: PartId(30),
+        place: Place::Stores(BTreeSet::new()),
+    };
+    assert_eq!(state.apply(at(210, note.clone())), Done::Changed);
+    assert!(state.parts.contains_key(&PartId(30)));
+    assert!(state.expired(10_000_000, 5_000).is_empty(), "it is open");
+    assert_eq!(state.apply(at(300, Command::End { step: "a".to_owned() })), Done::Changed);
+    assert_eq!(state.apply(at(400, Command::End { step: "a".to_owned() })), Done::Held);
+    assert!(!state.parts.contains_key(&PartId(30)), "nothing goes on from a note any more");
+    assert_eq!(state.apply(at(410, note)), Done::Held);
+    assert_eq!(state.steps["a"].results.len(), 1);
+    assert!(state.expired(5_099, 5_000).is_empty());
+    let old = state.expired(5_100, 5_000);
+    assert_eq!(old, ["a"]);
+    state.apply(at(5_200, Command::Forget { steps: old }));
+    assert!(state.steps.is_empty() && state.parts.is_empty());
+}
+
+#[derive(Clone, Debug)]
+struct Commands(Vec<Command>);
+
+impl Arbitrary for Commands {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let one = |g: &mut Gen| {
+            let id = *g.choose(&["a", "b"]).unwrap();
+            let (small, part) = (u8::arbitrary(g) % 4, u64::arbitrary(g));
+            match u8::arbitrary(g) % 5 {
+                0 => submit(id, 4, part),
+                1 => list(id, &[u32::from(small)], part),
+                2 => Command::End { step: id.to_owned() },
+                3 => configure(u64::from(small), id),
+                _ => Command::Publish { model: id.to_owned(), version: u64::from(small) },
+            }
+        };
+        Self((0..g.size()).map(|_| one(g)).collect())
+    }
+}
+
+quickcheck! {
+    fn results_keep_their_places_and_versions_never_go_back(commands: Commands) -> bool {
+        let mut state = State::default();
+        let mut clock = 0;
+        commands.0.into_iter().all(|command| {
+            clock += 1;
+            let before = state.clone();
+            state.apply(at(clock, command));
+            let kept = before.steps.iter().all(|(id, step)| {
+                state.steps[id].results.starts_with(&step.results)
+            });
+            let version = |state: &State| state.config.as_ref().map(|config| config.version);
+            let named = before.versions.iter().all(|(model, version)| state.versions[model] >= *version);
+            kept && named && version(&before) <= version(&state)
+        })
+    }
+
+    fn a_state_that_went_over_the_wire_goes_on_alike(commands: Commands, cut: usize) -> bool {
+        let cut = cut % (commands.0.len() + 1);
+        let mut one = State::default();
+        let mut other = State::default();
+        for (clock, command) in commands.0.into_iter().enumerate() {
+            if clock == cut {
+                let bytes = rmp_serde::to_vec(&one).unwrap();
+                other = rmp_serde::from_slice(&bytes).unwrap();
+            }
+            one.apply(at(clock as u64, command.clone()));
+            other.apply(at(clock as u64, command));
+        }
+        rmp_serde::to_vec(&one).unwrap() == rmp_serde::to_vec(&other).unwrap()
+    }
+}
--- /dev/null
+++ b/components/fleet/tests/swap.rs
@@ -0,0 +1,92 @@
+//! Which engines take new weights.
+
+use std::collections::BTreeMap;
+
+use chicoryford_fleet::Announcement;
+use chicoryford_fleet::Endpoint;
+use chicoryford_fleet::Standing;
+use chicoryford_fleet::plan::Plan;
+use chicoryford_fleet::plan::Seat;
+use chicoryford_fleet::swap::Claim;
+use chicoryford_fleet::swap::Wish;
+use chicoryford_fleet::swap::divide;
+use chicoryford_fleet::swap::wishes;
+use chicoryford_types::Epoch;
+use chicoryford_types::Millis;
+
+fn claim(model: &str, version: u64, demand: u64) -> Claim {
+    Claim { model: model.to_owned(), version, demand, starved: 0 }
+}
+
+fn plan(versions: &[(u64, u64)]) -> Plan {
+    let mut plan = Plan::new(Epoch(1));
+    for (number, (one, two)) in versions.iter().enumerate() {
+        let said = Announcement {
+            id: format!("e{number:02}"),
+            service: "engines".to_owned(),
+            address: "10.0.0.1:80".parse().unwrap(),
+            data_centre: "z".to_owned(),
+            slots: 8,
+            draining: false,
+            models: BTreeMap::from([("one".to_owned(), *one), ("two".to_owned(), *two)]),
+            sequence: 1,
+        };
+        plan.observe(&Endpoint { said, standing: Standing::Ready });
+    }
+    plan
+}
+
+fn wish(plan: &Plan, claims: &[Claim]) -> Vec<Wish> {
+    let seats: Vec<&Seat> = plan.seats().collect();
+    wishes(&seats, claims, Millis(1))
+}
+
+#[test]
+fn engines_are_divided_by_demand_and_each_model_keeps_two() {
+    let engines: Vec<String> = (0..9).map(|n| n.to_string()).collect();
+    let owners = divide(&engines, &[claim("one", 1, 1), claim("two", 1, 100)]);
+    let of = |model: &str| owners.values().filter(|owner| *owner == model).count();
+    assert_eq!((of("one"), of("two")), (2, 7));
+    assert!(divide(&engines, &[]).is_empty());
+    let few = divide(&engines[..1], &[claim("one", 1, 1), claim("two", 1, 1)]);
+    assert_eq!(few.len(), 1);
+}
+
+/// The load: a version every four seconds, loads of about one second, two at once of nine.
+#[test]
+fn no_more_engines_load_at_once_than_the_store_serves() {
+    let mut plan = plan(&[(1, 1); 9]);
+    let claims = [claim("one", 3, 1)];
+    let first = wish(&plan, &claims);
+    assert_eq!(first.len(), 2);
+    plan.seat(&first[0].endpoint).unwrap().loading = Some("one".to_owned());
+    let second = wish(&plan, &claims);
+    assert_eq!(second.len(), 1);
+    assert_ne!(first[0].endpoint, second[0].endpoint);
+}
+
+/// The load: two trainers name versions in turn; engines two versions behind serve no step at all.
+#[test]
+fn engines_that_can_serve_nothing_go_before_those_that_serve_the_current_step() {
+    let plan = plan(&[(4, 1), (2, 1), (3, 1), (4, 1), (4, 1), (4, 1), (4, 1), (4, 1), (4, 1)]);
+    let first = wish(&plan, &[claim("one", 5, 1)]);
+    let names: Vec<&str> = first.iter().map(|wish| wish.endpoint.as_str()).collect();
+    assert_eq!(names, ["e01", "e02"]);
+}
+
+/// Symptom: a step waits for seconds although engines are idle.
+/// Sequence: two models need loads at the same time; samples of one wait because none of its
+/// engines is new enough.
+/// Cause: loads went by version number and not by who waits.
+#[test]
+fn a_model_whose_samples_wait_goes_first() {
+    let plan = plan(&[(1, 8); 9]);
+    let starved = Claim { starved: 5, ..claim("two", 10, 1) };
+    let first = wish(&plan, &[claim("one", 3, 1), starved]);
+    assert!(first.iter().all(|wish| wish.model == "two"), "{first:?}");
+}
+
+#[test]
+fn nothing_is_loaded_that_is_there() {
+    assert!(wish(&plan(&[(3, 3); 9]), &[claim("one", 3, 1), claim("two", 2, 1)]).is_empty());
+}
