Sync a full log file whole before the next one begins; start anew beside a damaged folder

A power loss tore the note in a file that was not the last, and the folder was refused. The control processes' logs share the code. Change: a full file is synced whole; a process whose folder is damaged puts it aside and goes on as one that lost its disk.

--- /dev/null
+++ b/components/depot/tests/depot.rs
@@ -0,0 +1,82 @@
+//! The depot: parts that were synced come back, and those that nobody wants leave the disk.
+
+use std::collections::BTreeSet;
+
+use bytes::Bytes;
+use chicoryford_depot::Depot;
+use chicoryford_depot::Worker;
+use chicoryford_fleet::copies::PartId;
+use chicoryford_storage::Disk;
+
+fn part(number: u64) -> (PartId, Bytes) {
+    (PartId(number), Bytes::from(vec![number as u8; 300_000]))
+}
+
+fn open(folder: &std::path::Path) -> Depot {
+    Depot::open(folder, Disk::default()).unwrap()
+}
+
+#[test]
+fn parts_come_back_after_a_restart_under_the_same_identity() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut depot = open(folder.path());
+    let identity = depot.identity();
+    for number in 0..40 {
+        let (id, bytes) = part(number);
+        depot.put(id, &bytes).unwrap();
+    }
+    depot.sync().unwrap();
+    drop(depot);
+    let mut depot = open(folder.path());
+    assert_eq!(depot.identity(), identity);
+    for number in 0..40 {
+        let (id, bytes) = part(number);
+        assert_eq!(depot.get(id).unwrap(), Some(bytes));
+    }
+    assert_eq!(depot.get(PartId(99)).unwrap(), None);
+    let (id, _) = part(0);
+    depot.put(id, &Bytes::from_static(b"other")).unwrap();
+    assert_eq!(depot.get(id).unwrap(), Some(part(0).1), "a part never changes");
+}
+
+#[test]
+fn a_lost_folder_comes_back_as_another() {
+    let (one, two) = (tempfile::tempdir().unwrap(), tempfile::tempdir().unwrap());
+    assert_ne!(open(one.path()).identity(), open(two.path()).identity());
+}
+
+/// Symptom: a part that was just written is gone.
+/// Sequence: the leader lists what it wants kept; a part is written; the list arrives.
+/// Cause: the list was older than the part.
+#[test]
+fn what_is_not_wanted_leaves_the_disk_but_not_at_first_sight() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut depot = open(folder.path());
+    for number in 0..60 {
+        let (id, bytes) = part(number);
+        depot.put(id, &bytes).unwrap();
+    }
+    depot.sync().unwrap();
+    let full = depot.bytes();
+    let wanted = BTreeSet::from([PartId(58), PartId(59)]);
+    assert_eq!(depot.keep(&wanted).unwrap(), 0, "they are fresh");
+    assert_eq!(depot.keep(&wanted).unwrap(), 58);
+    assert!(depot.bytes() < full / 2, "{} of {full}", depot.bytes());
+    assert_eq!(depot.get(PartId(59)).unwrap(), Some(part(59).1));
+    drop(depot);
+    let depot = open(folder.path());
+    assert_eq!(depot.get(PartId(58)).unwrap(), Some(part(58).1));
+}
+
+#[test]
+fn a_worker_answers_for_its_depot() {
+    let folder = tempfile::tempdir().unwrap();
+    let worker = Worker::start(open(folder.path()), |error| panic!("{error}")).unwrap();
+    let (id, bytes) = part(7);
+    let runtime = tokio::runtime::Builder::new_current_thread().build().unwrap();
+    runtime.block_on(async {
+        assert!(worker.put(id, bytes.clone()).await);
+        assert_eq!(worker.get(id).await, Some(bytes));
+        assert_eq!(worker.get(PartId(8)).await, None);
+    });
+}
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -16,6 +16,9 @@
     pub node: String,
     /// The VM's address.
     pub ip: IpAddr,
+    /// The address on which this process listens, where others reach it at `ip` through something
+    /// in between; `ip` itself by default.
+    pub listen_ip: Option<IpAddr>,
     /// Its data centre.
     pub data_centre: String,
     /// The port on which processes of the system speak to each other; the same on all VMs.
@@ -104,6 +107,11 @@
         self.seeds.iter().map(|seed| self.link_address(*seed)).collect()
     }
 
+    /// Gives the address to listen on for an address at which others reach this process.
+    pub fn listening(&self, reached: SocketAddr) -> SocketAddr {
+        SocketAddr::new(self.listen_ip.unwrap_or(reached.ip()), reached.port())
+    }
+
     /// Gives the address at which this process takes links.
     pub fn own_link(&self) -> SocketAddr {
         SocketAddr::new(self.ip, self.link_port)
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -17,6 +17,7 @@
 use chicoryford_http::Server;
 use chicoryford_http::socket;
 use chicoryford_storage::Disk;
+use chicoryford_storage::StorageError;
 use thiserror::Error;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -79,6 +80,9 @@
     /// The depot's thread could not be started.
     #[error("cannot start the thread of the depot")]
     Thread(#[source] io::Error),
+    /// A damaged folder cannot be put aside.
+    #[error("cannot put a damaged folder aside")]
+    SetAside(#[source] io::Error),
     /// An address cannot be listened on.
     #[error("cannot listen on {0}")]
     Listen(SocketAddr, #[source] io::Error),
@@ -223,12 +227,18 @@
         let settings = &self.settings;
         let (Some(data), Some(_)) = (&settings.data, settings.control) else { return Ok(None) };
         let own = settings.own_link();
-        let listener = listen(own)?;
+        let listener = listen(settings.listening(own))?;
         let seeds = settings.seed_links();
         let founds = settings.first_start && seeds.contains(&own);
         let founders = if founds { seeds } else { Vec::new() };
-        let peers = Peers::default();
-        let (core, reports) = Core::open(&data.join(FOLDER), own, &founders, peers)?;
+        let folder = data.join(FOLDER);
+        let (core, reports) = match Core::open(&folder, own, &founders, Peers::default()) {
+            Err(CoreError::Storage(damage @ StorageError::Corrupt { .. })) => {
+                set_aside(&folder, &damage)?;
+                Core::open(&folder, own, &[], Peers::default())?
+            }
+            opened => opened?,
+        };
         let running = core.clone();
         actix_rt::spawn(async move { running.run(reports).await });
         let lead = Rc::new(RefCell::new(None));
@@ -250,6 +260,7 @@
 
     fn start_control(&self) -> Result<(), StartError> {
         let Some(address) = self.settings.control else { return Ok(()) };
+        let address = self.settings.listening(address);
         let control = Rc::new(Control { link: self.link.clone() });
         let server = Rc::new(Server::default());
         serve(server, address, move |request| control.clone().answer(request))
@@ -257,6 +268,7 @@
 
     fn start_entry(&self) -> Result<(), StartError> {
         let Some(address) = self.settings.entry else { return Ok(()) };
+        let address = self.settings.listening(address);
         let entry = Rc::new(Entry {
             link: self.link.clone(),
             view: self.view.clone(),
@@ -268,6 +280,7 @@
 
     fn start_ready(&self) -> Result<(), StartError> {
         let Some(address) = self.settings.ready else { return Ok(()) };
+        let address = self.settings.listening(address);
         let readiness = Rc::new(Readiness {
             view: self.view.clone(),
             link: self.link.clone(),
@@ -317,12 +330,31 @@
     }
 }
 
+/// Puts a folder aside that held what it must not, so that this process goes on as one that lost
+/// its disk: under another identity, and with what the others have. It could not start otherwise,
+/// again and again, and an operator would have to do just this.
+fn set_aside(folder: &Path, damage: &StorageError) -> Result<(), StartError> {
+    let aside = folder.with_extension("damaged");
+    tracing::error!(event = "folder_damaged", folder = %folder.display(), %damage);
+    if aside.exists() {
+        std::fs::remove_dir_all(&aside).map_err(StartError::SetAside)?;
+    }
+    std::fs::rename(folder, &aside).map_err(StartError::SetAside)
+}
+
 type StartedDepot = (Option<Rc<Worker>>, Option<oneshot::Receiver<DepotError>>);
 
 /// Opens the depot of a VM that stores data and is no replica.
 fn start_depot(settings: &Settings) -> Result<StartedDepot, StartError> {
     let (Some(data), None) = (&settings.data, settings.control) else { return Ok((None, None)) };
-    let depot = Depot::open(&data.join(DEPOT), Disk::default())?;
+    let folder = data.join(DEPOT);
+    let depot = match Depot::open(&folder, Disk::default()) {
+        Err(DepotError::Storage(damage @ StorageError::Corrupt { .. })) => {
+            set_aside(&folder, &damage)?;
+            Depot::open(&folder, Disk::default())?
+        }
+        opened => opened?,
+    };
     let (failed, told) = oneshot::channel();
     let worker = Worker::start(depot, move |error| {
         // The process may be ending already.
--- a/components/storage/src/segment.rs
+++ b/components/storage/src/segment.rs
@@ -167,6 +167,19 @@
         Ok(())
     }
 
+    /// Waits until all is on the disk, the last note of what is synced included. Without that, a
+    /// power loss could tear that note in a file that is not the last one any more, and the whole
+    /// folder would be refused as damaged.
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError::Io`].
+    pub fn finish(&mut self, disk: &Disk) -> Result<(), StorageError> {
+        (disk.sync)(&self.file).map_err(io_error("sync", &self.path))?;
+        self.synced = self.length;
+        Ok(())
+    }
+
     /// Drops the entries from `index` on and syncs.
     ///
     /// # Errors
--- a/components/storage/src/storage.rs
+++ b/components/storage/src/storage.rs
@@ -251,7 +251,7 @@
         if full {
             if let Some(segment) = self.segments.last_mut() {
                 // Only the last segment may have a torn end, so this one must be whole first.
-                segment.sync(&self.disk)?;
+                segment.finish(&self.disk)?;
             }
             let log = self.folder.join(LOG);
             self.segments.push(Segment::create(&self.disk, &log, entries[0].index)?);
--- a/components/storage/tests/storage.rs
+++ b/components/storage/tests/storage.rs
@@ -1,11 +1,14 @@
 //! The storage over its public interface, with a disk that fails on request.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::io;
 use std::io::Write;
+use std::os::unix::fs::MetadataExt;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -155,6 +158,72 @@
     assert_eq!(open(folder.path()).unwrap().1.entries, entries(6, 7, 2));
 }
 
+/// Symptom: a process whose VM lost power cannot start: a file before the last one is damaged.
+/// Sequence: a sync writes a record of what is synced after itself; the next append begins a new
+/// file; power is lost, and that record was never synced.
+/// Cause: the record counted as synced, so a full file was not synced again before the next one
+/// began, though only the last file may have a torn end.
+#[test]
+fn a_full_file_is_on_the_disk_whole_before_the_next_one_begins() {
+    let folder = tempfile::tempdir().unwrap();
+    let synced = Arc::new(Mutex::new(BTreeMap::new()));
+    let noted = synced.clone();
+    let disk = Disk {
+        sync: Arc::new(move |file| {
+            let metadata = file.metadata()?;
+            noted.lock().unwrap().insert(metadata.ino(), metadata.len());
+            file.sync_data()
+        }),
+        ..Disk::default()
+    };
+    let (mut storage, _) = Storage::open(folder.path(), settings(), disk).unwrap();
+    for index in 1..=30 {
+        storage.append(&[entry(index, 1)]).unwrap();
+        storage.sync().unwrap();
+    }
+    let files = segments(folder.path());
+    assert!(files.len() > 2);
+    for file in &files[..files.len() - 1] {
+        let metadata = fs::metadata(file).unwrap();
+        let synced = synced.lock().unwrap()[&metadata.ino()];
+        assert_eq!(synced, metadata.len(), "{}", file.display());
+    }
+    drop(storage);
+    // Power is lost: of each file, what its last sync covered is left.
+    for file in files {
+        let metadata = fs::metadata(&file).unwrap();
+        let left = synced.lock().unwrap()[&metadata.ino()];
+        fs::OpenOptions::new().write(true).open(&file).unwrap().set_len(left).unwrap();
+    }
+    let (_, recovered) = open(folder.path()).unwrap();
+    assert_eq!(recovered.entries, entries(1, 30, 1));
+}
+
+#[test]
+fn entries_can_be_read_back_one_by_one() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut storage, _) = open(folder.path()).unwrap();
+    for index in 1..=30 {
+        storage.append(&[entry(index, 1)]).unwrap();
+        storage.sync().unwrap();
+    }
+    storage.append(&entries(31, 33, 1)).unwrap();
+    for index in 1..=33 {
+        assert_eq!(storage.read(index).unwrap(), Some(entry(index, 1)));
+    }
+    assert_eq!(storage.read(0).unwrap(), None);
+    assert_eq!(storage.read(34).unwrap(), None);
+    let (mut reopened, _) = {
+        drop(storage);
+        open(folder.path()).unwrap()
+    };
+    assert_eq!(reopened.read(17).unwrap(), Some(entry(17, 1)));
+    let snapshot = Snapshot { index: 30, epoch: Epoch(1), body: Bytes::new() };
+    reopened.save_snapshot(&snapshot).unwrap();
+    assert_eq!(reopened.read(1).unwrap(), None, "its file was removed");
+    assert_eq!(reopened.read(33).unwrap(), Some(entry(33, 1)));
+}
+
 #[test]
 fn errors_on_a_second_process_with_the_same_folder() {
     let folder = tempfile::tempdir().unwrap();
