--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -58,6 +58,7 @@
 
 /// A connection to an endpoint, used for one request at a time.
 pub struct Connection {
+    address: SocketAddr,
     stream: TcpStream,
     input: BytesMut,
     /// Set once anything happened after which it must not be used again.
@@ -95,7 +96,7 @@
     /// [`Broken::NotSent`] if there is none within the limit.
     pub async fn open(address: SocketAddr, limit: Duration) -> Result<Self, Broken> {
         let stream = socket::connect(address, limit).await.map_err(Broken::NotSent)?;
-        Ok(Self { stream, input: BytesMut::new(), spoiled: false })
+        Ok(Self { address, stream, input: BytesMut::new(), spoiled: false })
     }
 
     /// Tells whether the connection may carry another request: it is open, and nothing came on it
@@ -117,7 +118,7 @@
     /// [`Broken`], after which the connection is gone.
     pub async fn start(mut self, request: &Request) -> Result<Incoming, Broken> {
         let mut codec = ClientCodec::default();
-        let output = encode(&mut codec, request)?;
+        let output = encode(&mut codec, request, self.address)?;
         self.send(&output).await?;
         let head = loop {
             let decoded = codec.decode(&mut self.input);
@@ -269,11 +270,20 @@
     }
 }
 
-fn encode(codec: &mut ClientCodec, request: &Request) -> Result<BytesMut, Broken> {
+fn encode(
+    codec: &mut ClientCodec,
+    request: &Request,
+    address: SocketAddr,
+) -> Result<BytesMut, Broken> {
     let mut head = RequestHead::default();
     head.method = request.method.clone();
     head.uri = request.target.parse::<Uri>().map_err(|_| Broken::Unfit("target"))?;
-    head.headers = request.headers.0.clone();
+    let mut headers = request.headers.clone();
+    if headers.get("host").is_none() {
+        // A request without one is refused as unfit.
+        headers.set("host", &address.to_string());
+    }
+    head.headers = headers.0;
     let length = request.body.len() as u64;
     let bare = length == 0 && request.method == Method::GET;
     let size = if bare { BodySize::None } else { BodySize::Sized(length) };
--- a/components/http/tests/server.rs
+++ b/components/http/tests/server.rs
@@ -6,9 +6,11 @@
 use std::time::Duration;
 
 use chicoryford_http::Bounds;
+use chicoryford_http::Connection;
 use chicoryford_http::Reply;
 use chicoryford_http::Request;
 use chicoryford_http::Server;
+use chicoryford_http::message::Method;
 use chicoryford_http::message::StatusCode;
 use chicoryford_http::socket;
 use tokio::io::AsyncReadExt;
@@ -134,6 +136,22 @@
     assert!(text.starts_with("HTTP/1.1 408"), "{text}");
 }
 
+#[actix_rt::test]
+async fn the_own_client_is_understood_with_and_without_a_host() {
+    let address = start(Rc::default(), echo).await;
+    for host in [None, Some("a")] {
+        let mut request = Request::new(Method::PUT, "/a?b=c", "body");
+        if let Some(host) = host {
+            request.headers.set("host", host);
+        }
+        let connection = Connection::open(address, WAIT).await.unwrap();
+        let (reply, _) = connection.start(&request).await.unwrap().whole().await.unwrap();
+        assert_eq!(reply.status, StatusCode::OK);
+        assert_eq!(&reply.body[..], b"body");
+        assert_eq!(reply.headers.get("x-target"), Some("/a?b=c"));
+    }
+}
+
 #[actix_rt::test]
 async fn what_is_no_request_is_refused() {
     let address = start(Rc::default(), echo).await;
