Notice connections that only look well; do not borrow runs while telling of them

Change: runs are not borrowed while they are told of; replicas answer that messages arrive, and a connection without that for 0.6 s is replaced; all members speak at least twice a second.

--- a/components/node/src/hub.rs
+++ b/components/node/src/hub.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
@@ -39,9 +40,11 @@
 /// Silence after which a host is taken for lost, and its runs go on elsewhere. It speaks four times
 /// a second.
 const HOST_SILENCE: Duration = Duration::from_millis(800);
-/// Silence after which another member's connection is closed. They speak only when they call; a
-/// dead peer is noticed by the connection itself.
-const MEMBER_SILENCE: Duration = Duration::from_secs(600);
+/// Silence after which another member's connection is closed. They speak at least twice a second; a
+/// connection on which only their words get lost would otherwise look well to both sides.
+const MEMBER_SILENCE: Duration = Duration::from_millis(1_500);
+/// Time between two words to a replica that its messages arrive.
+pub const SEEN: Duration = Duration::from_millis(150);
 /// Time between two words that the leader lives.
 const ALIVE: Duration = Duration::from_millis(200);
 /// Pause after the system refused a new connection.
@@ -175,7 +178,14 @@
     }
 
     async fn take_letters(&self, mut socket: Socket) {
+        let mut said = Instant::now();
         while let Some(Ok(frame)) = socket.next().await {
+            if said.elapsed() >= SEEN {
+                said = Instant::now();
+                if socket.send(Bytes::new()).await.is_err() {
+                    return;
+                }
+            }
             match decode::<Letter>(&frame) {
                 Ok(letter) => self.core.receive(letter),
                 Err(error) => {
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -44,6 +44,8 @@
 const WELCOME: Duration = Duration::from_millis(400);
 /// Silence after which the leader is taken for lost. It says that it lives five times a second.
 const SILENCE: Duration = Duration::from_millis(900);
+/// Time without a call after which a member says that it lives.
+const ALIVE: Duration = Duration::from_millis(450);
 /// Pause between two tries to find the leader.
 const PAUSE: Duration = Duration::from_millis(60);
 /// Calls that may wait to be sent.
@@ -346,7 +348,12 @@
 }
 
 async fn send(mut sink: SplitSink<Socket, Bytes>, mut calls: mpsc::Receiver<Up>) {
-    while let Some(up) = calls.recv().await {
+    loop {
+        let up = match tokio::time::timeout(ALIVE, calls.recv()).await {
+            Ok(Some(up)) => up,
+            Ok(None) => return,
+            Err(_) => Up::Alive,
+        };
         if sink.feed(encode(&up)).await.is_err() {
             return;
         }
--- a/components/node/src/peers.rs
+++ b/components/node/src/peers.rs
@@ -10,6 +10,7 @@
 use futures_util::SinkExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
@@ -26,9 +27,10 @@
 const SEND: Duration = Duration::from_millis(1_500);
 /// Pause after a failure.
 const PAUSE: Duration = Duration::from_millis(50);
-/// The age at which a connection is replaced by a new one. A connection can go silent for good
-/// while new ones work, and heartbeats lost that way depose a leader that is well.
-const SILENT: Duration = Duration::from_millis(700);
+/// How long what was sent may stay without a word from the other side. A connection can go silent
+/// for good while new ones work, something in between still taking its bytes; heartbeats lost that
+/// way depose a leader that is well. The other side answers within [`crate::hub::SEEN`].
+const SILENT: Duration = Duration::from_millis(600);
 
 /// The ways to the other replicas, opened as they are needed.
 #[derive(Default)]
@@ -52,24 +54,49 @@
     }
 }
 
+/// An open connection, and since when it owes a word.
+struct Lane {
+    socket: Framed<TcpStream, LengthDelimitedCodec>,
+    unanswered: Option<Instant>,
+}
+
+impl Lane {
+    /// Tells whether the connection is of no use any more: closed, or silent for too long.
+    fn is_dead(&mut self) -> bool {
+        let mut bytes = [0; 256];
+        loop {
+            match self.socket.get_ref().try_read(&mut bytes) {
+                Ok(0) => return true,
+                Ok(_) => self.unanswered = None,
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => break,
+                Err(_) => return true,
+            }
+        }
+        self.unanswered.is_some_and(|since| since.elapsed() > SILENT)
+    }
+}
+
 async fn carry(address: SocketAddr, mut letters: mpsc::Receiver<Letter>) {
-    let mut socket: Option<Framed<TcpStream, LengthDelimitedCodec>> = None;
+    let mut lane: Option<Lane> = None;
     while let Some(letter) = letters.recv().await {
-        if socket.as_ref().is_some_and(|socket| is_dead(socket.get_ref())) {
-            socket = None;
+        if lane.as_mut().is_some_and(Lane::is_dead) {
+            tracing::info!(event = "peer_lost", %address);
+            lane = None;
         }
-        if socket.is_none() {
-            socket = open(address).await;
+        if lane.is_none() {
+            lane = open(address).await;
         }
-        let Some(open) = &mut socket else {
+        let Some(open) = &mut lane else {
             // What waits is out of date by the time the other side is back.
             while letters.try_recv().is_ok() {}
             tokio::time::sleep(PAUSE).await;
             continue;
         };
-        let sending = pass_on(open, letter, &mut letters);
+        open.unanswered.get_or_insert_with(Instant::now);
+        let sending = pass_on(&mut open.socket, letter, &mut letters);
         if !matches!(tokio::time::timeout(SEND, sending).await, Ok(Ok(()))) {
-            socket = None;
+            tracing::info!(event = "peer_lost", %address);
+            lane = None;
         }
     }
 }
@@ -86,16 +113,10 @@
     <_ as SinkExt<Bytes>>::flush(socket).await
 }
 
-/// Tells whether the other side has closed. It never sends anything on this connection.
-fn is_dead(stream: &TcpStream) -> bool {
-    let mut byte = [0];
-    !matches!(stream.try_read(&mut byte), Err(error) if error.kind() == std::io::ErrorKind::WouldBlock)
-}
-
-async fn open(address: SocketAddr) -> Option<Framed<TcpStream, LengthDelimitedCodec>> {
+async fn open(address: SocketAddr) -> Option<Lane> {
     let stream = socket::connect(address, CONNECT).await.ok()?;
     socket::limit_silence(&stream, SILENT).ok()?;
     let mut socket = Framed::new(stream, frames());
     socket.send(encode(&Hello::Replica)).await.ok()?;
-    Some(socket)
+    Some(Lane { socket, unanswered: None })
 }
--- a/components/node/src/runner.rs
+++ b/components/node/src/runner.rs
@@ -74,14 +74,15 @@
     view: Rc<View>,
     forwarder: Rc<Forwarder>,
     pool: RefCell<Pool>,
-    hosted: RefCell<BTreeMap<(String, u32), Hosted>>,
+    hosted: RefCell<BTreeMap<(String, u32), Rc<Hosted>>>,
     sink: RefCell<Option<Sink>>,
 }
 
 /// Where reports go: to the leader's connection, or within the leader's own process.
+#[derive(Clone)]
 enum Sink {
     Link(mpsc::Sender<Up>),
-    Own(Box<dyn Fn(&Report)>),
+    Own(Rc<dyn Fn(&Report)>),
 }
 
 impl Runner {
@@ -106,7 +107,7 @@
 
     /// Tells the leader's duties in this process.
     pub fn attach_own(&self, tell: impl Fn(&Report) + 'static) {
-        *self.sink.borrow_mut() = Some(Sink::Own(Box::new(tell)));
+        *self.sink.borrow_mut() = Some(Sink::Own(Rc::new(tell)));
     }
 
     /// Tells nobody until the next leader is found. Runs go on.
@@ -137,12 +138,18 @@
     }
 
     fn tell_all(&self) {
-        for hosted in self.hosted.borrow().values() {
+        for hosted in self.all() {
             hosted.state.told.set(0);
-            self.tell(hosted);
+            self.tell(&hosted);
         }
     }
 
+    /// Gives all runs. Telling of one may stop another within the leader's own process, so they
+    /// must not be borrowed meanwhile.
+    fn all(&self) -> Vec<Rc<Hosted>> {
+        self.hosted.borrow().values().cloned().collect()
+    }
+
     fn stop(&self, key: &(String, u32)) {
         if let Some(hosted) = self.hosted.borrow_mut().remove(key) {
             hosted.handle.abort();
@@ -162,7 +169,8 @@
         });
         let job = Rc::new(job);
         let handle = actix_rt::spawn(carry_out(self.clone(), job.clone(), state.clone()));
-        self.hosted.borrow_mut().insert(key, Hosted { job, handle, state });
+        let hosted = Rc::new(Hosted { job, handle, state });
+        self.hosted.borrow_mut().insert(key, hosted);
     }
 
     /// Tells of progress for as long as the process lives.
@@ -170,11 +178,11 @@
         loop {
             tokio::time::sleep(TELL).await;
             let mut told = false;
-            for hosted in self.hosted.borrow().values() {
+            for hosted in self.all() {
                 let running = *hosted.state.standing.borrow() == Standing::Running;
                 let news = hosted.state.made.borrow().events.len() > hosted.state.told.get();
                 if running && news {
-                    self.tell(hosted);
+                    self.tell(&hosted);
                     told = true;
                 }
             }
@@ -222,26 +230,27 @@
             },
             gap_ms: gap_ms as u32,
         };
-        let sent = match &*self.sink.borrow() {
+        let sink = self.sink.borrow().clone();
+        let sent = match sink {
             Some(Sink::Link(up)) => up.try_send(Up::Report(report)).is_ok(),
             Some(Sink::Own(tell)) => {
+                drop(made);
                 tell(&report);
                 true
             }
             None => false,
         };
         if sent {
-            state.told.set(made.events.len());
+            state.told.set(from + events);
             state.told_at.set(state.heard.get());
         }
     }
 
     fn stands(&self, job: &Job, state: &Rc<State>, standing: Standing) {
         *state.standing.borrow_mut() = standing;
-        let hosted = self.hosted.borrow();
-        let found = hosted.get(&(job.step.clone(), job.index));
+        let found = self.hosted.borrow().get(&(job.step.clone(), job.index)).cloned();
         if let Some(hosted) = found.filter(|hosted| Rc::ptr_eq(&hosted.state, state)) {
-            self.tell(hosted);
+            self.tell(&hosted);
         }
     }
 }
