--- a/components/fleet/src/plan.rs
+++ b/components/fleet/src/plan.rs
@@ -358,6 +358,18 @@
         works.map(|work| work.waiting).sum()
     }
 
+    /// Counts the samples of open steps by what they are doing.
+    pub fn counts(&self) -> [(&'static str, usize); 4] {
+        let all = || self.works.values().flat_map(|work| &work.progress);
+        let count = |phase: Phase| all().filter(|progress| progress.phase == phase).count();
+        [
+            ("waiting", count(Phase::Waiting)),
+            ("running", count(Phase::Running)),
+            ("scoring", count(Phase::Scoring)),
+            ("settled", count(Phase::Settled)),
+        ]
+    }
+
     /// Gives the tokens that open steps of a model ask for: its share of the engines.
     pub fn demand(&self, model: &str) -> u64 {
         let works = self.works.values().filter(|work| work.step.model == model);
--- a/components/node/src/copies.rs
+++ b/components/node/src/copies.rs
@@ -23,6 +23,7 @@
 use crate::lead::Lead;
 use crate::message::Ask;
 use crate::message::Told;
+use crate::metrics;
 
 /// How long one store may take to keep a part. A sync takes a few milliseconds, on a slow disk
 /// some ten times as long.
@@ -117,6 +118,9 @@
         let began = clock::now();
         self.cache.borrow_mut().put(part, bytes.clone());
         let have = self.put(part, bytes, BTreeSet::new(), avoid).await;
+        let place = if have.len() >= self.wanted { "stores" } else { "log" };
+        let seconds = clock::now().since(began) as f64 / 1_000.0;
+        metrics::PART_SECONDS.with_label_values(&[place]).observe(seconds);
         if have.len() >= self.wanted {
             return Place::Stores(have);
         }
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -26,6 +26,7 @@
 use crate::message::Answer;
 use crate::message::Call;
 use crate::message::News;
+use crate::metrics;
 use crate::view::View;
 
 /// Milliseconds after which a caller may come back when no leader is known: an election takes
@@ -112,6 +113,10 @@
         let budget = asked.unwrap_or(BUDGET_MS).min(route.timeout_ms.unwrap_or(BUDGET_MS));
         let outcome = self.forwarder.forward(route, request, budget).await;
         let ms = clock::now().since(began);
+        let word = outcome_word(&outcome);
+        metrics::REQUESTS.with_label_values(&[route.name.as_str(), word]).inc();
+        let seconds = metrics::REQUEST_SECONDS.with_label_values(&[route.name.as_str()]);
+        seconds.observe(ms as f64 / 1_000.0);
         let id = plain::attempt(request).unwrap_or_default();
         let (status, why) = match outcome {
             Outcome::Answered(reply, _) => {
@@ -191,6 +196,16 @@
     }
 }
 
+fn outcome_word(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered(reply, _) if reply.status.is_success() => "answered",
+        Outcome::Answered(..) => "failed",
+        Outcome::NotRun(..) => "refused",
+        Outcome::Lost => "lost",
+        Outcome::Late => "late",
+    }
+}
+
 /// Keeps a server's bounds as the configuration says.
 pub fn follow_limits(server: &Server, news: &News) {
     let News::Config(config) = news else { return };
--- a/components/node/src/forward.rs
+++ b/components/node/src/forward.rs
@@ -24,6 +24,7 @@
 
 use crate::clock;
 use crate::message::News;
+use crate::metrics;
 
 /// How long a connection to an endpoint may take to come about. Round trips are a few
 /// milliseconds; an opening packet that is lost is sent again only after a second.
@@ -318,6 +319,7 @@
 impl Attempt<'_> {
     fn end(&mut self, ending: Ending) {
         self.ended = true;
+        metrics::TRIES.with_label_values(&[word(ending)]).inc();
         self.forwarder.picker.borrow_mut().ended(self.id, ending, clock::now());
     }
 
@@ -328,6 +330,16 @@
     }
 }
 
+fn word(ending: Ending) -> &'static str {
+    match ending {
+        Ending::Answered(_) => "answered",
+        Ending::Refused => "refused",
+        Ending::Failed => "failed",
+        Ending::Dropped(_) => "dropped",
+        Ending::Moved => "moved",
+    }
+}
+
 impl Drop for Attempt<'_> {
     fn drop(&mut self) {
         if !self.ended {
--- a/components/node/src/lead.rs
+++ b/components/node/src/lead.rs
@@ -56,6 +56,7 @@
 use crate::message::Answer;
 use crate::message::Call;
 use crate::message::News;
+use crate::metrics;
 use crate::orders::Orders;
 use crate::runner::Runner;
 use crate::settings::Settings;
@@ -302,6 +303,16 @@
         tracing::info!(event = "lead_ended", epoch = self.epoch.0);
     }
 
+    /// Counts the endpoints by standing.
+    pub fn endpoint_counts(&self) -> BTreeMap<String, i64> {
+        let mut counts = BTreeMap::new();
+        for endpoint in self.registry.borrow().all() {
+            let standing = format!("{:?}", endpoint.standing).to_lowercase();
+            *counts.entry(standing).or_default() += 1;
+        }
+        counts
+    }
+
     /// Tells whether this process still surely leads.
     pub fn leads(&self) -> bool {
         self.parts.core.leads()
@@ -404,7 +415,13 @@
 
     async fn propose(&self, command: Command) -> std::result::Result<Done, Answer> {
         let stamped = Stamped { at: self.fleet_now(), command };
-        self.parts.core.propose(&stamped).await.map_err(|why| {
+        let began = clock::now();
+        let done = self.parts.core.propose(&stamped).await;
+        let outcome = if done.is_ok() { "committed" } else { "refused" };
+        let seconds = clock::now().since(began) as f64 / 1_000.0;
+        metrics::COMMITS.with_label_values(&[outcome]).inc();
+        metrics::COMMIT_SECONDS.with_label_values(&[outcome]).observe(seconds);
+        done.map_err(|why| {
             tracing::info!(event = "commit_refused", %why);
             if why.is_final() { Answer::NotNow } else { Answer::Unclear }
         })
@@ -670,6 +687,7 @@
         tracing::info!(
             event = "run_started",
             step = step.id,
+            index,
             sample = sample.id,
             endpoint,
             version,
@@ -705,6 +723,7 @@
             let next = plan.ended(step, index, end, clock::now());
             (next, plan.made(step, index).map_or(0, |made| made.events.len()))
         };
+        metrics::RUNS.with_label_values(&[ending(end)]).inc();
         tracing::info!(event = "run_ended", step, index, ?end, ?next, events);
         if next == Next::GiveUp {
             self.settle(step, index, Verdict::GivenUp);
@@ -751,6 +770,7 @@
             Standing::Scoring => {
                 let events = report.from as usize + report.made.events.len();
                 let endpoint = &report.endpoint;
+                metrics::RUNS.with_label_values(&["whole"]).inc();
                 tracing::info!(event = "run_whole", step, index, endpoint, events, host);
                 self.kick.notify_one();
             }
@@ -867,6 +887,17 @@
     }
 }
 
+fn ending(end: RunEnd) -> &'static str {
+    match end {
+        RunEnd::Failed => "failed",
+        RunEnd::Unfit => "unfit",
+        RunEnd::Full => "full",
+        RunEnd::Moved => "moved",
+        RunEnd::Broken => "broken",
+        RunEnd::Taken => "taken",
+    }
+}
+
 /// Chooses the results from a place on that fit into one answer.
 fn choose_results(results: &[Arc<Listed>], after: u64) -> Vec<Arc<Listed>> {
     let mut bytes = 0;
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod listing;
 pub mod members;
 pub mod message;
+pub mod metrics;
 pub mod orders;
 pub mod peers;
 pub mod ready;
--- /dev/null
+++ b/components/node/src/metrics.rs
@@ -0,0 +1,111 @@
+//! Counters, gauges and latency histograms, served as text on the metrics address.
+
+use std::rc::Rc;
+use std::sync::LazyLock;
+
+use chicoryford_http::Reply;
+use chicoryford_http::Request;
+use chicoryford_http::message::StatusCode;
+use prometheus::Encoder;
+use prometheus::HistogramVec;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
+use prometheus::TextEncoder;
+use prometheus::exponential_buckets;
+use prometheus::register_histogram_vec;
+use prometheus::register_int_counter_vec;
+use prometheus::register_int_gauge;
+use prometheus::register_int_gauge_vec;
+
+use crate::core::Core;
+use crate::lead::Lead;
+use crate::link::Link;
+
+/// The first bound of the histograms in seconds, and how many there are, each twice the one
+/// before: from a round trip to more than a step's time.
+const FIRST: f64 = 0.002;
+const BOUNDS: usize = 14;
+
+fn counter(name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    register_int_counter_vec!(name, help, labels).expect("names are unique and fit")
+}
+
+fn histogram(name: &str, help: &str, labels: &[&str]) -> HistogramVec {
+    let bounds = exponential_buckets(FIRST, 2.0, BOUNDS).expect("the bounds grow");
+    register_histogram_vec!(name, help, labels, bounds).expect("names are unique and fit")
+}
+
+/// Requests at this entry by route and outcome.
+pub static REQUESTS: LazyLock<IntCounterVec> =
+    LazyLock::new(|| counter("requests_total", "Requests by outcome.", &["route", "outcome"]));
+/// Seconds from a request's first byte to its answer.
+pub static REQUEST_SECONDS: LazyLock<HistogramVec> =
+    LazyLock::new(|| histogram("request_seconds", "Time to the answer.", &["route"]));
+/// Attempts at endpoints of plain services by ending.
+pub static TRIES: LazyLock<IntCounterVec> =
+    LazyLock::new(|| counter("tries_total", "Attempts at endpoints by ending.", &["ending"]));
+/// Runs of samples by ending.
+pub static RUNS: LazyLock<IntCounterVec> =
+    LazyLock::new(|| counter("runs_total", "Runs of samples by ending.", &["ending"]));
+/// Commands that this process proposed, by outcome.
+pub static COMMITS: LazyLock<IntCounterVec> =
+    LazyLock::new(|| counter("commits_total", "Proposed commands by outcome.", &["outcome"]));
+/// Seconds until a command was committed.
+pub static COMMIT_SECONDS: LazyLock<HistogramVec> =
+    LazyLock::new(|| histogram("commit_seconds", "Time to a commit.", &["outcome"]));
+/// Seconds until a part was on enough stores.
+pub static PART_SECONDS: LazyLock<HistogramVec> =
+    LazyLock::new(|| histogram("part_seconds", "Time to write a part.", &["place"]));
+/// Orders to engines by how they were taken.
+pub static ORDERS: LazyLock<IntCounterVec> =
+    LazyLock::new(|| counter("orders_total", "Orders to engines by answer.", &["taken"]));
+static LEADS: LazyLock<IntGauge> = LazyLock::new(|| {
+    register_int_gauge!("leads", "Whether this process leads.").expect("names are unique")
+});
+static LEADER_SILENT: LazyLock<IntGauge> = LazyLock::new(|| {
+    register_int_gauge!("leader_silent_ms", "Milliseconds since the leader was heard.")
+        .expect("names are unique")
+});
+static ENDPOINTS: LazyLock<IntGaugeVec> = LazyLock::new(|| {
+    register_int_gauge_vec!("endpoints", "Endpoints by standing, at the leader.", &["standing"])
+        .expect("names are unique")
+});
+static SAMPLES: LazyLock<IntGaugeVec> = LazyLock::new(|| {
+    register_int_gauge_vec!("samples", "Samples of open steps by phase.", &["phase"])
+        .expect("names are unique")
+});
+
+/// What gauges are read from.
+pub struct Sources {
+    /// The way to the leader.
+    pub link: Rc<Link>,
+    /// The replica, in a control process.
+    pub core: Option<Rc<Core>>,
+    /// The leader's duties, while this process leads.
+    pub lead: Rc<std::cell::RefCell<Option<Rc<Lead>>>>,
+}
+
+/// Answers with all metrics as text.
+pub fn answer(sources: &Sources, _: &Request) -> Reply {
+    LEADER_SILENT.set(sources.link.silent_ms() as i64);
+    LEADS.set(i64::from(sources.core.as_ref().is_some_and(|core| core.leads())));
+    ENDPOINTS.reset();
+    SAMPLES.reset();
+    if let Some(lead) = &*sources.lead.borrow() {
+        for (standing, count) in lead.endpoint_counts() {
+            ENDPOINTS.with_label_values(&[standing.as_str()]).set(count);
+        }
+        for (phase, count) in lead.plan.borrow().counts() {
+            SAMPLES.with_label_values(&[phase]).set(count as i64);
+        }
+    }
+    let mut text = Vec::new();
+    match TextEncoder::new().encode(&prometheus::gather(), &mut text) {
+        Ok(()) => Reply::new(StatusCode::OK, text).with("content-type", "text/plain"),
+        Err(error) => {
+            tracing::warn!(event = "metrics_unreadable", %error);
+            Reply::new(StatusCode::INTERNAL_SERVER_ERROR, "")
+        }
+    }
+}
--- a/components/node/src/orders.rs
+++ b/components/node/src/orders.rs
@@ -24,6 +24,7 @@
 
 use crate::clock;
 use crate::lead::Lead;
+use crate::metrics;
 
 /// How long one call to an engine may take. It answers at once; only a lost connection takes long.
 const CALL: Duration = Duration::from_millis(800);
@@ -227,6 +228,7 @@
             Taken::Unclear
         }
     };
+    metrics::ORDERS.with_label_values(&[word(taken)]).inc();
     tracing::info!(
         event = "order_given",
         endpoint = wish.endpoint,
@@ -240,6 +242,18 @@
     taken
 }
 
+fn word(taken: Taken) -> &'static str {
+    match taken {
+        Taken::Started => "started",
+        Taken::Holds => "holds",
+        Taken::Conflict => "conflict",
+        Taken::Fenced => "fenced",
+        Taken::Unfit => "unfit",
+        Taken::Moved => "moved",
+        Taken::Unclear => "unclear",
+    }
+}
+
 async fn await_loaded(lead: &Rc<Lead>, wish: &Wish) -> bool {
     let until = clock::now() + LOAD_LIMIT.as_millis() as u64;
     tokio::time::sleep(LOAD).await;
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -37,6 +37,8 @@
     pub ready: Option<SocketAddr>,
     /// Where endpoints and operators are served.
     pub control: Option<SocketAddr>,
+    /// Where metrics are served.
+    pub metrics: Option<SocketAddr>,
     /// Counted VMs that may be lost at once.
     #[serde(default = "one")]
     pub tolerated: u32,
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -37,6 +37,7 @@
 use crate::link::Link;
 use crate::link::Member;
 use crate::members;
+use crate::metrics;
 use crate::peers::Peers;
 use crate::ready::Readiness;
 use crate::runner::Runner;
@@ -110,6 +111,7 @@
     view: Rc<View>,
     forwarder: Rc<Forwarder>,
     runner: Rc<Runner>,
+    lead: Rc<RefCell<Option<Rc<Lead>>>>,
     stopping: Rc<Cell<bool>>,
     server: Rc<Server>,
     core: Option<Rc<Core>>,
@@ -185,6 +187,7 @@
         };
         let link = Link::new(member, view.clone(), settings.seed_links());
         let process = Self {
+            lead: Rc::default(),
             runner,
             core: None,
             depot_failed,
@@ -207,6 +210,7 @@
         process.start_control()?;
         process.start_entry()?;
         process.start_ready()?;
+        process.start_metrics(core.clone())?;
         let link = process.link.clone();
         actix_rt::spawn(async move { link.run().await });
         let forwarder = process.forwarder.clone();
@@ -241,7 +245,7 @@
         };
         let running = core.clone();
         actix_rt::spawn(async move { running.run(reports).await });
-        let lead = Rc::new(RefCell::new(None));
+        let lead = self.lead.clone();
         let followers = Rc::new(Followers::default());
         let hub = Hub { core: core.clone(), lead: lead.clone(), followers: followers.clone() };
         actix_rt::spawn(Rc::new(hub).run(listener));
@@ -292,6 +296,16 @@
         })
     }
 
+    fn start_metrics(&self, core: Option<Rc<Core>>) -> Result<(), StartError> {
+        let Some(address) = self.settings.metrics else { return Ok(()) };
+        let sources =
+            Rc::new(metrics::Sources { link: self.link.clone(), core, lead: self.lead.clone() });
+        serve(Rc::new(Server::default()), self.settings.listening(address), move |request| {
+            let sources = sources.clone();
+            async move { metrics::answer(&sources, &request) }
+        })
+    }
+
     fn reload(&self, path: &Path, signalled: bool) {
         match settings::load(path) {
             Ok(new) => {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -91,6 +91,13 @@
         #[command(flatten)]
         change: ChangeArgs,
     },
+    /// Print the story of a request, sample or step from processes' logs (docs/OPERATIONS.md).
+    Explain {
+        /// The identity that its sender gave it.
+        id: String,
+        /// The logs, one file a process; standard input if there is none.
+        files: Vec<PathBuf>,
+    },
     /// Print a completion script for a shell.
     Completions {
         /// The shell.
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 mod control;
 mod dump;
 mod endpoints;
+mod explain;
 mod pardon;
 mod status;
 mod stop;
@@ -35,6 +36,7 @@
         Command::Pardon { fingerprint, change } => {
             pardon::run(&connect()?, fingerprint, change, cli.output).await
         }
+        Command::Explain { id, files } => explain::run(id, files),
         Command::Completions { shell } => completions::run(*shell),
     }
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -29,6 +29,9 @@
     /// The client's own settings cannot be read.
     #[error("{}: cannot be read", .0.display())]
     ReadClient(PathBuf, #[source] std::io::Error),
+    /// A log cannot be read.
+    #[error("{}: cannot be read", .0.display())]
+    ReadLog(PathBuf, #[source] std::io::Error),
     /// No address was given.
     #[error("no address: give --address, CHICORYFORD_ADDRESS or a client settings file")]
     NoAddress,
@@ -146,6 +149,7 @@
             Self::Settings(_)
             | Self::Client { .. }
             | Self::ReadClient(..)
+            | Self::ReadLog(..)
             | Self::NoAddress
             | Self::Token(_)
             | Self::Tls(_)
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod docs;
 mod errors;
+mod explain;
 mod fixture;
 mod path;
 mod stop;
