--- a/tests/whole/docs.rs
+++ b/tests/whole/docs.rs
@@ -61,3 +61,30 @@
     let running: BTreeSet<String> = duties.map(|d| d.as_str().unwrap().to_owned()).collect();
     assert_eq!(listed, running);
 }
+
+/// Gives the events that the sources of a folder log.
+fn events(folder: &Path, found: &mut BTreeSet<String>) {
+    for file in fs::read_dir(folder).unwrap() {
+        let path = file.unwrap().path();
+        if path.is_dir() {
+            events(&path, found);
+        } else if path.extension().is_some_and(|e| e == "rs") {
+            let text = fs::read_to_string(&path).unwrap();
+            let names = text.split("event = \"").skip(1).filter_map(|rest| rest.split('"').next());
+            found.extend(names.map(str::to_owned));
+        }
+    }
+}
+
+#[test]
+fn each_log_line_of_a_fleet_is_listed() {
+    let text = fs::read_to_string(root().join("docs/LOGS.md")).unwrap();
+    let names = text.lines().filter_map(|line| line.strip_prefix("| `")?.split('`').next());
+    let listed: BTreeSet<String> = names.map(str::to_owned).collect();
+    let mut found = BTreeSet::new();
+    for crate_name in ["agreement", "depot", "fleet", "http", "node", "storage"] {
+        events(&root().join("components").join(crate_name).join("src"), &mut found);
+    }
+    found.insert("ended_by_fault".to_owned());
+    assert_eq!(found, listed);
+}
