--- a/components/fleet/src/plan.rs
+++ b/components/fleet/src/plan.rs
@@ -44,6 +44,9 @@
 /// event comes after the prompt was read, and hosts tell four times a second, so half a second is
 /// usual; a change of weights takes about one.
 const LAG_MS: u64 = 1_400;
+/// Milliseconds between the end of a step's longest sample and its due time below which no step
+/// counts for more: about what engines need to take new weights and scorers to answer.
+const SPARE_MS: f64 = 1_500.0;
 /// Events of a run after which it is noted on the stores. That is about a second, which is what
 /// the loss of all processes at once costs the longest runs; most runs are over before.
 const NOTED: usize = 24;
@@ -370,10 +373,21 @@
         ]
     }
 
-    /// Gives the tokens that open steps of a model ask for: its share of the engines.
-    pub fn demand(&self, model: &str) -> u64 {
+    /// Gives what the open steps of a model ask for, in tokens that they are expected to take. A
+    /// step whose longest sample takes most of its time counts for more: its samples must all
+    /// start at once, while others can wait for a second turn.
+    pub fn demand(&self, model: &str, stride: u64) -> u64 {
         let works = self.works.values().filter(|work| work.step.model == model);
-        works.flat_map(|work| &work.step.samples).map(|sample| sample.tokens).sum()
+        works.map(|work| self.weight(&work.step, stride)).sum()
+    }
+
+    fn weight(&self, step: &Step, stride: u64) -> u64 {
+        let tokens: u64 = step.samples.iter().map(|sample| sample.expected).sum();
+        let longest = step.samples.iter().map(|sample| sample.tokens).max().unwrap_or_default();
+        let events = longest as f64 / stride.max(1) as f64;
+        let spare_ms = step.due_ms as f64 - events * self.usual_ms;
+        let factor = step.due_ms as f64 / spare_ms.max(SPARE_MS);
+        (tokens as f64 * factor) as u64
     }
 
     /// Chooses the samples that start now: steps by rank and by the time at which they are due,
--- a/components/node/src/orders.rs
+++ b/components/node/src/orders.rs
@@ -35,7 +35,7 @@
 const LOOK: Duration = Duration::from_millis(20);
 /// Time after which a change of weights may be done, and between two looks from then on.
 const LOAD: Duration = Duration::from_millis(900);
-const LOAD_LOOK: Duration = Duration::from_millis(150);
+const LOAD_LOOK: Duration = Duration::from_millis(60);
 /// Time after which a change that is not done is given up. Orders may be carried out twelve
 /// seconds late; until then the engine is ordered anew under a new precondition.
 const LOAD_LIMIT: Duration = Duration::from_secs(5);
@@ -71,7 +71,7 @@
         return;
     }
     for service in config.services.iter().filter(|service| !service.models.is_empty()) {
-        let claims = claims(lead, &service.models);
+        let claims = claims(lead, &service.models, service.stride);
         if claims.is_empty() {
             continue;
         }
@@ -87,7 +87,7 @@
     }
 }
 
-fn claims(lead: &Rc<Lead>, models: &[String]) -> Vec<Claim> {
+fn claims(lead: &Rc<Lead>, models: &[String], stride: u64) -> Vec<Claim> {
     let versions = lead.parts.core.state().versions.clone();
     let plan = lead.plan.borrow();
     let mut orders = lead.orders.borrow_mut();
@@ -97,7 +97,7 @@
             // The most that was asked for at once: between two steps nothing is asked for, and
             // engines must not change owners for that.
             let most = orders.demand.entry(model.clone()).or_default();
-            *most = plan.demand(model).max(*most);
+            *most = plan.demand(model, stride).max(*most);
             let starved = plan.starved(model);
             Claim { model: model.clone(), version, demand: *most, starved }
         })
