--- a/components/fleet/src/config.rs
+++ b/components/fleet/src/config.rs
@@ -68,8 +68,6 @@
     pub name: String,
     /// The models that its endpoints hold, if they are model engines.
     pub models: Vec<String>,
-    /// Tokens in one event of its model engines' streams.
-    pub stride: u64,
     /// Connections that one of its endpoints takes, from everybody together.
     pub connections: u64,
 }
--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -35,9 +35,6 @@
 /// How many times slower than the usual engine one must be for its runs to go on elsewhere. An
 /// engine with all its slots taken is about a tenth slower than an idle one, so this is a fault.
 const SLOW: f64 = 2.0;
-/// Milliseconds between the end of a step's longest sample and its due time below which no step
-/// counts for more: about what engines need to take new weights and scorers to answer.
-const SPARE_MS: f64 = 1_500.0;
 
 /// Plans samples' runs.
 #[derive(Default)]
@@ -168,21 +165,10 @@
         ]
     }
 
-    /// Gives what the open steps of a model ask for, in tokens that they are expected to take. A
-    /// step whose longest sample takes most of its time counts for more: its samples must all
-    /// start at once, while others can wait for a second turn.
-    pub fn demand(&self, model: &str, stride: u64) -> u64 {
+    /// Gives the tokens that open steps of a model ask for: its share of the engines.
+    pub fn demand(&self, model: &str) -> u64 {
         let works = self.works.values().filter(|work| work.step.model == model);
-        works.map(|work| self.weight(&work.step, stride)).sum()
-    }
-
-    fn weight(&self, step: &Step, stride: u64) -> u64 {
-        let tokens: u64 = step.samples.iter().map(|sample| sample.expected).sum();
-        let longest = step.samples.iter().map(|sample| sample.tokens).max().unwrap_or_default();
-        let events = longest as f64 / stride.max(1) as f64;
-        let spare_ms = step.due_ms as f64 - events * self.usual_ms;
-        let factor = step.due_ms as f64 / spare_ms.max(SPARE_MS);
-        (tokens as f64 * factor) as u64
+        works.flat_map(|work| &work.step.samples).map(|sample| sample.tokens).sum()
     }
 
     /// Chooses the samples that start now: steps by rank and by the time at which they are due,
--- a/components/fleet/src/swap.rs
+++ b/components/fleet/src/swap.rs
@@ -14,10 +14,8 @@
 /// The share of a service's engines that may load at once: two of nine. Loads beyond it take
 /// longer in proportion, so more at once only takes more engines out of work.
 const AT_ONCE: (usize, usize) = (2, 9);
-/// The share of the engines that is divided evenly, and only the rest by demand. Demand is measured
-/// in tokens, but a trainer with few of them waits just as much for its engines to take a version,
-/// and for one that was lost.
-const EVEN: (usize, usize) = (1, 2);
+/// Engines that each model gets at least, so that the loss of one does not stop its trainer.
+const LEAST: usize = 2;
 
 /// The share of a model's engines that take each new version first: one of two. An engine serves
 /// the steps of its own version and of the next, so each needs every second version at least.
@@ -51,14 +49,14 @@
     pub version: u64,
 }
 
-/// Divides engines among models: a half evenly, the rest by demand. Engines keep their order, so that
-/// a change of demand moves few of them.
+/// Divides engines among models by demand: each gets [`LEAST`] where there are enough, the rest
+/// goes by tokens. Engines keep their order, so that a change of demand moves few of them.
 pub fn divide(engines: &[String], claims: &[Claim]) -> BTreeMap<String, String> {
     let (count, models) = (engines.len(), claims.len());
     if models == 0 {
         return BTreeMap::new();
     }
-    let least = (count * EVEN.0).div_ceil(EVEN.1 * models).min(count / models);
+    let least = LEAST.min(count / models);
     let spare = count - least * models;
     let total: u64 = claims.iter().map(|claim| claim.demand.max(1)).sum();
     let mut owners = BTreeMap::new();
--- a/components/node/src/orders.rs
+++ b/components/node/src/orders.rs
@@ -71,7 +71,7 @@
         return;
     }
     for service in config.services.iter().filter(|service| !service.models.is_empty()) {
-        let claims = claims(lead, &service.models, service.stride);
+        let claims = claims(lead, &service.models);
         if claims.is_empty() {
             continue;
         }
@@ -87,7 +87,7 @@
     }
 }
 
-fn claims(lead: &Rc<Lead>, models: &[String], stride: u64) -> Vec<Claim> {
+fn claims(lead: &Rc<Lead>, models: &[String]) -> Vec<Claim> {
     let versions = lead.parts.core.state().versions.clone();
     let plan = lead.plan.borrow();
     let mut orders = lead.orders.borrow_mut();
@@ -97,7 +97,7 @@
             // The most that was asked for at once: between two steps nothing is asked for, and
             // engines must not change owners for that.
             let most = orders.demand.entry(model.clone()).or_default();
-            *most = plan.demand(model, stride).max(*most);
+            *most = plan.demand(model).max(*most);
             let starved = plan.starved(model);
             Claim { model: model.clone(), version, demand: *most, starved }
         })
