Take away the runs that a host does not tell of when it connects; move on from a silent host at once

Change: a host tells of all its runs when it connects, and the rest is begun elsewhere; a host silent for 0.65 s is lost at once, without the pause for one whose connection was reset.

--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -73,6 +73,7 @@
                 host: None,
                 avoid: None,
                 claimable: held > Millis::default(),
+                told: false,
                 began: at,
                 heard: at,
                 made: Made::default(),
@@ -274,7 +275,9 @@
     /// Notes which VM hosts a run.
     pub fn hosted(&mut self, step: &str, index: u32, host: &str) {
         if let Some(work) = self.works.get_mut(step) {
-            work.progress[index as usize].host = Some(host.to_owned());
+            let progress = &mut work.progress[index as usize];
+            progress.host = Some(host.to_owned());
+            progress.told = true;
         }
     }
 
--- a/components/fleet/src/plan/reports.rs
+++ b/components/fleet/src/plan/reports.rs
@@ -5,6 +5,7 @@
 use super::Plan;
 use super::work::Next;
 use super::work::Phase;
+use super::work::Progress;
 use super::work::RunEnd;
 use crate::config::Config;
 use crate::run;
@@ -43,6 +44,7 @@
         } else if !live || !same {
             return false;
         }
+        progress.told = true;
         let before = progress.made.events.len();
         if !report.add_to(&mut progress.made) {
             return false;
@@ -76,26 +78,41 @@
 
     /// Takes the runs of a host away: it is lost. They go on elsewhere after the last event told.
     pub fn orphan(&mut self, host: &str) -> usize {
-        let mut freed = Vec::new();
+        self.orphan_if(host, |_| true)
+    }
+
+    /// Notes that a host has connected anew and is about to tell of its runs.
+    pub fn expect(&mut self, host: &str) {
+        let all = self.works.values_mut().flat_map(|work| &mut work.progress);
+        all.filter(|progress| progress.host.as_deref() == Some(host)).for_each(|p| p.told = false);
+    }
+
+    /// Takes the runs of a host away of which it did not tell since it connected: its process is
+    /// another one than that which had them.
+    pub fn orphan_untold(&mut self, host: &str) -> usize {
+        self.orphan_if(host, |progress| !progress.told)
+    }
+
+    fn orphan_if(&mut self, host: &str, lost: impl Fn(&Progress) -> bool) -> usize {
+        let mut orphaned = Vec::new();
         for work in self.works.values_mut() {
             for progress in &mut work.progress {
                 let live = matches!(progress.phase, Phase::Running | Phase::Scoring);
-                if !live || progress.host.as_deref() != Some(host) {
+                if !live || progress.host.as_deref() != Some(host) || !lost(progress) {
                     continue;
                 }
-                if progress.phase == Phase::Running {
-                    freed.push((progress.seat.take(), work.step.model.clone()));
-                }
+                let ran = progress.phase == Phase::Running;
+                orphaned.push((ran, progress.seat.take(), work.step.model.clone()));
                 progress.phase = Phase::Waiting;
                 progress.host = None;
                 progress.claimable = true;
                 work.waiting += 1;
             }
         }
-        for (seat, model) in &freed {
+        for (_, seat, model) in orphaned.iter().filter(|(ran, _, _)| *ran) {
             self.free(seat.as_deref(), model);
         }
-        freed.len()
+        orphaned.len()
     }
 
     /// Takes in how a run ended.
--- a/components/fleet/src/plan/work.rs
+++ b/components/fleet/src/plan/work.rs
@@ -101,6 +101,8 @@
     /// Whether a host that is not known yet may be running it, as one does that was cut off, or
     /// that was told to by the leader before.
     pub(super) claimable: bool,
+    /// Whether its host has told of it since it connected.
+    pub(super) told: bool,
     pub(super) began: Millis,
     pub(super) heard: Millis,
     pub(super) made: Made,
--- a/components/fleet/tests/plan.rs
+++ b/components/fleet/tests/plan.rs
@@ -183,6 +183,26 @@
     assert_eq!(again.made.last.as_deref(), Some("2"));
 }
 
+/// Symptom: a step has all its samples but one, and its trainer waits until it gives up.
+/// Sequence: a host loses power while it calls a scorer, and is back before the leader notices; as
+/// the new process is connected, the leader does not count the host as lost.
+/// Cause: what the process before was doing was taken for what the new one does.
+#[test]
+fn a_host_that_starts_anew_has_only_the_runs_that_it_tells() {
+    let engines = [engine("e1", 1, 1), engine("e2", 1, 1), engine("e3", 1, 1)];
+    let mut plan = plan(&engines, &[step("a", &[3, 2, 1])]);
+    let runs = assign(&mut plan, NOW);
+    assert!(plan.told("a", &report(&runs[0], run::Standing::Scoring, &["x"]), NOW));
+    assert!(plan.told("a", &report(&runs[1], run::Standing::Running, &["y"]), NOW));
+    plan.expect("a");
+    assert!(plan.told("a", &report(&runs[2], run::Standing::Running, &["z"]), NOW));
+    assert_eq!(plan.orphan_untold("a"), 2);
+    let mut again: Vec<u32> = assign(&mut plan, NOW).iter().map(|one| one.index).collect();
+    again.sort_unstable();
+    assert_eq!(again, [0, 1]);
+    assert_eq!(plan.orphan_untold("a"), 0, "the third goes on");
+}
+
 /// Symptom: a sample runs on two engines at once after a change of leader.
 /// Sequence: a leader is lost; its hosts go on; the next leader begins the samples anew before
 /// the hosts have found it.
--- a/components/node/src/hosts.rs
+++ b/components/node/src/hosts.rs
@@ -50,13 +50,14 @@
         host.link = Some(link);
     }
 
-    /// Notes that a host's connection has ended.
-    pub fn lost(&self, node: &str, link: u64) {
+    /// Notes that a host's connection has ended. One that was silent before has had its time.
+    pub fn lost(&self, node: &str, link: u64, silent: bool) {
         let mut known = self.known.borrow_mut();
         let host = known.get_mut(node).filter(|host| host.link == Some(link));
         if let Some(host) = host {
             host.link = None;
-            host.lost = clock::now();
+            let now = clock::now().0;
+            host.lost = Millis(if silent { now.saturating_sub(ABSENT_MS) } else { now });
         }
     }
 
--- a/components/node/src/hub.rs
+++ b/components/node/src/hub.rs
@@ -39,7 +39,7 @@
 const QUEUE: usize = 4_096;
 /// Silence after which a host is taken for lost, and its runs go on elsewhere. It speaks four times
 /// a second.
-const HOST_SILENCE: Duration = Duration::from_millis(800);
+const HOST_SILENCE: Duration = Duration::from_millis(650);
 /// Silence after which another member's connection is closed. They speak at least twice a second; a
 /// connection on which only their words get lost would otherwise look well to both sides.
 const MEMBER_SILENCE: Duration = Duration::from_millis(1_500);
@@ -218,9 +218,17 @@
             lead.copies.connected(store.clone(), data_centre);
         }
         let host = store.as_ref().map(|store| store.node.clone());
+        if let Some(host) = &host {
+            lead.host_connecting(host);
+        }
         let limit = if host.is_some() { HOST_SILENCE } else { MEMBER_SILENCE };
-        let _following =
-            Following { followers: self.followers.clone(), number, store, lead: lead.clone() };
+        let following = Following {
+            followers: self.followers.clone(),
+            number,
+            store,
+            silent: Cell::new(false),
+            lead: lead.clone(),
+        };
         // The follower's own sender is dropped when this process stops leading, which ends the
         // queue; answers still under way hold theirs only for as long as they take.
         let answers = frames.downgrade();
@@ -259,8 +267,11 @@
         };
         let reading = async {
             loop {
-                let frame = tokio::time::timeout(limit, stream.next()).await;
-                let Ok(Some(Ok(frame))) = frame else { return };
+                let Ok(frame) = tokio::time::timeout(limit, stream.next()).await else {
+                    following.silent.set(true);
+                    return;
+                };
+                let Some(Ok(frame)) = frame else { return };
                 let (call_number, call) = match decode::<Up>(&frame) {
                     Ok(Up::Call { number, call }) => (number, call),
                     Ok(Up::Told { number, told }) => {
@@ -305,6 +316,8 @@
     followers: Rc<Followers>,
     number: u64,
     store: Option<StoreId>,
+    /// Whether it ended because nothing was heard for too long.
+    silent: Cell<bool>,
     lead: Rc<Lead>,
 }
 
@@ -313,7 +326,7 @@
         self.followers.all.borrow_mut().remove(&self.number);
         if let Some(store) = &self.store {
             self.lead.copies.disconnected(store);
-            self.lead.host_lost(&store.node, self.number);
+            self.lead.host_lost(&store.node, self.number, self.silent.get());
         }
     }
 }
--- a/components/node/src/lead/runs.rs
+++ b/components/node/src/lead/runs.rs
@@ -80,16 +80,22 @@
         }
     }
 
+    /// Notes that a host has connected and is about to tell of its runs.
+    pub fn host_connecting(&self, host: &str) {
+        self.plan.borrow_mut().expect(host);
+    }
+
     /// Notes that a host is connected and has told of its runs.
     pub fn host_found(&self, host: &str, link: u64) {
-        tracing::info!(event = "host_found", host);
+        let orphaned = self.plan.borrow_mut().orphan_untold(host);
+        tracing::info!(event = "host_found", host, orphaned);
         self.hosts.found(host, link);
         self.kick.notify_one();
     }
 
-    /// Notes that the connection to a host has ended.
-    pub fn host_lost(&self, host: &str, link: u64) {
-        self.hosts.lost(host, link);
+    /// Notes that the connection to a host has ended; `silent` if nothing was heard for too long.
+    pub fn host_lost(&self, host: &str, link: u64, silent: bool) {
+        self.hosts.lost(host, link, silent);
         self.kick.notify_one();
     }
 
