Host runs in the data centre of their engine, keep connections a little longer, a smaller cache

Cause: runs went to the idlest host anywhere, so each host had connections of its own to each engine, and events crossed data centres.

--- a/components/http/src/pool.rs
+++ b/components/http/src/pool.rs
@@ -12,7 +12,7 @@
 const KEPT: Duration = Duration::from_secs(4);
 /// What is taken off the time that the endpoint states, so that it does not close the connection
 /// while the next request is on its way.
-const MARGIN: Duration = Duration::from_millis(500);
+const MARGIN: Duration = Duration::from_millis(150);
 /// Idle connections to one endpoint; more than its requests at a time would never be used.
 const MOST: usize = 16;
 
--- a/components/node/src/copies.rs
+++ b/components/node/src/copies.rs
@@ -42,7 +42,7 @@
 const AT_ONCE: usize = 32;
 /// Bytes of parts that the leader keeps in memory. Trainers read a step's results within some
 /// seconds; a second of the largest site's results is a megabyte.
-const CACHED: usize = 12 << 20;
+const CACHED: usize = 6 << 20;
 /// Looks between two words to the stores about what they may forget.
 const FORGET_LOOKS: u32 = 100;
 
--- a/components/node/src/hosts.rs
+++ b/components/node/src/hosts.rs
@@ -15,6 +15,11 @@
 /// connection that was reset is replaced within about a tenth of a second.
 const ABSENT_MS: u64 = 350;
 
+/// How many times as many runs as the idlest host one may have, and how many more, to be given one
+/// of its own data centre. A run takes a host about a thousandth of a core.
+const UNEVEN: u32 = 2;
+const MORE: u32 = 24;
+
 /// The name of the leader's own process as a host.
 pub const OWN: &str = "";
 
@@ -22,6 +27,7 @@
 struct Host {
     /// The connection; none while it is lost.
     link: Option<u64>,
+    data_centre: String,
     lost: Millis,
     runs: u32,
 }
@@ -40,10 +46,11 @@
     }
 
     /// Notes that a host has connected and told of its runs.
-    pub fn found(&self, node: &str, link: u64) {
+    pub fn found(&self, node: &str, data_centre: &str, link: u64) {
         let mut known = self.known.borrow_mut();
         let host = known.entry(node.to_owned()).or_insert(Host {
             link: None,
+            data_centre: data_centre.to_owned(),
             lost: Millis::default(),
             runs: 0,
         });
@@ -72,17 +79,24 @@
         names
     }
 
-    /// Chooses the host with the fewest runs.
-    pub fn choose(&self) -> String {
+    /// Chooses a host for a run in a data centre: the one there with the fewest runs, so that events
+    /// stay in the data centre and connections to an engine are used again, unless it has many more
+    /// than others.
+    pub fn choose(&self, data_centre: &str) -> String {
         let mut known = self.known.borrow_mut();
-        let live = known.iter_mut().filter(|(_, host)| host.link.is_some());
-        match live.min_by_key(|(_, host)| host.runs) {
-            Some((name, host)) => {
-                host.runs += 1;
-                name.clone()
-            }
-            None => OWN.to_owned(),
+        let live = || known.iter().filter(|(_, host)| host.link.is_some());
+        let fewest = live().min_by_key(|(_, host)| host.runs);
+        let near = live().filter(|(_, host)| host.data_centre == data_centre);
+        let near = near.min_by_key(|(_, host)| host.runs);
+        let Some((other, least)) = fewest.map(|(name, host)| (name.clone(), host.runs)) else {
+            return OWN.to_owned();
+        };
+        let near = near.filter(|(_, host)| host.runs <= UNEVEN * least + MORE);
+        let chosen = near.map_or(other, |(name, _)| name.clone());
+        if let Some(host) = known.get_mut(&chosen) {
+            host.runs += 1;
         }
+        chosen
     }
 
     /// Notes that a host has one run less.
--- a/components/node/src/hub.rs
+++ b/components/node/src/hub.rs
@@ -215,7 +215,7 @@
         let follower = Follower { store: store.clone(), frames: frames.clone() };
         self.followers.all.borrow_mut().insert(number, follower);
         if let Some(store) = &store {
-            lead.copies.connected(store.clone(), data_centre);
+            lead.copies.connected(store.clone(), data_centre.clone());
         }
         let host = store.as_ref().map(|store| store.node.clone());
         if let Some(host) = &host {
@@ -286,7 +286,7 @@
                     }
                     Ok(Up::Reported) => {
                         if let Some(host) = &host {
-                            lead.host_found(host, number);
+                            lead.host_found(host, &data_centre, number);
                         }
                         continue;
                     }
--- a/components/node/src/lead/endpoints.rs
+++ b/components/node/src/lead/endpoints.rs
@@ -103,4 +103,10 @@
         }
         counts
     }
+
+    /// Gives the data centre of an endpoint, as far as it is known.
+    pub(super) fn data_centre(&self, id: &str) -> String {
+        let registry = self.registry.borrow();
+        registry.get(id).map(|endpoint| endpoint.said.data_centre.clone()).unwrap_or_default()
+    }
 }
--- a/components/node/src/lead/runs.rs
+++ b/components/node/src/lead/runs.rs
@@ -22,8 +22,9 @@
     pub(super) fn start_run(&self, assignment: Assignment) {
         let Assignment { run, step, index, endpoint, address, version, made, beside, .. } =
             assignment;
+        let data_centre = self.data_centre(&endpoint);
         let sample = step.samples[index as usize].clone();
-        let host = self.hosts.choose();
+        let host = self.hosts.choose(&data_centre);
         tracing::info!(
             event = "run_started",
             step = step.id,
@@ -86,10 +87,10 @@
     }
 
     /// Notes that a host is connected and has told of its runs.
-    pub fn host_found(&self, host: &str, link: u64) {
+    pub fn host_found(&self, host: &str, data_centre: &str, link: u64) {
         let orphaned = self.plan.borrow_mut().orphan_untold(host);
         tracing::info!(event = "host_found", host, orphaned);
-        self.hosts.found(host, link);
+        self.hosts.found(host, data_centre, link);
         self.kick.notify_one();
     }
 
