Split the hub's serving by direction; end connections that miss news; keep samples of one version whole

A member whose queue was full missed news and believed what was out of date; its connection ends now. The wait for an engine's runs before a change of weights had become zero and is gone; for steps that want one version a sample, runs finish first.

--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -172,6 +172,11 @@
         works.flat_map(|work| &work.step.samples).map(|sample| sample.tokens).sum()
     }
 
+    /// Tells whether samples of a model's open steps must each be made by one version.
+    pub fn is_single(&self, model: &str) -> bool {
+        self.works.values().any(|work| work.step.model == model && work.step.single)
+    }
+
     /// Chooses the samples that start now: steps by rank and by the time at which they are due,
     /// of each the longest samples first, those of a group on one engine where it has room.
     pub fn assign(&mut self, config: &Config, now: Millis) -> Vec<Assignment> {
--- a/components/fleet/tests/plan.rs
+++ b/components/fleet/tests/plan.rs
@@ -324,3 +324,19 @@
     assert_eq!(plan.too_old(&config(), NOW + 40_000).len(), 1);
     assert_eq!(plan.too_old(&Config::default(), NOW).len(), 1);
 }
+
+/// Symptom: a sample of a step that wants one version a sample names two.
+/// Sequence: a run is taken over by another engine, which has a newer version.
+/// Cause: what the first engine made was kept.
+#[test]
+fn a_sample_of_one_version_begins_anew_under_another() {
+    let single = Arc::new(Step { single: true, ..(*step("a", &[1])).clone() });
+    let mut plan = plan(&[engine("e1", 1, 1)], &[single]);
+    assert!(plan.is_single("m") && !plan.is_single("n"));
+    let run = assign(&mut plan, NOW).remove(0);
+    plan.told("a", &report(&run, run::Standing::Running, &["x"]), NOW);
+    plan.orphan("a");
+    plan.forget("e1");
+    plan.observe(&engine("e2", 1, 2));
+    assert!(assign(&mut plan, NOW).remove(0).made.events.is_empty());
+}
--- a/components/node/src/hub.rs
+++ b/components/node/src/hub.rs
@@ -12,6 +12,8 @@
 use chicoryford_http::socket;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
+use futures_util::stream::SplitSink;
+use futures_util::stream::SplitStream;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -23,6 +25,7 @@
 use crate::core::Core;
 use crate::lead::Lead;
 use crate::message::Ask;
+use crate::message::Call;
 use crate::message::Down;
 use crate::message::Hello;
 use crate::message::Letter;
@@ -67,13 +70,11 @@
 }
 
 impl Followers {
-    /// Tells all members something.
+    /// Tells all members something. One whose queue is full would believe what is out of date from
+    /// then on, so its connection ends, and it is told all there is when it follows anew.
     pub fn tell(&self, news: &News) {
         let frame = encode(&Down::News(news.clone()));
-        for follower in self.all.borrow().values() {
-            // A member whose queue is full misses this; it is closed for it and follows anew.
-            let _ = follower.frames.try_send(frame.clone());
-        }
+        self.all.borrow_mut().retain(|_, f| f.frames.try_send(frame.clone()).is_ok());
     }
 
     /// Asks a store; none if it does not answer in time or is not connected.
@@ -204,12 +205,12 @@
             let _ = socket.send(encode(&down)).await;
             return;
         };
-        let (frames, mut queue) = mpsc::channel(QUEUE);
-        let _ = frames.try_send(encode(&Down::Welcome));
-        for news in lead.all_news() {
-            if frames.try_send(encode(&Down::News(news))).is_err() {
-                return;
-            }
+        let news = lead.all_news().into_iter().map(Down::News);
+        let first: Vec<Down> = std::iter::once(Down::Welcome).chain(news).collect();
+        let (frames, mut queue) = mpsc::channel(QUEUE + first.len());
+        for down in first {
+            // There is room for all of them.
+            let _ = frames.try_send(encode(&down));
         }
         let number = self.followers.number();
         let follower = Follower { store: store.clone(), frames: frames.clone() };
@@ -233,81 +234,94 @@
         // queue; answers still under way hold theirs only for as long as they take.
         let answers = frames.downgrade();
         drop(frames);
-        let (mut sink, mut stream) = socket.split();
-        let sending = async {
-            let mut alive = tokio::time::interval(ALIVE);
-            loop {
-                tokio::select! {
-                    frame = queue.recv() => {
-                        let Some(frame) = frame else { return };
-                        if sink.feed(frame).await.is_err() {
-                            return;
-                        }
-                        while let Ok(frame) = queue.try_recv() {
-                            if sink.feed(frame).await.is_err() {
-                                return;
-                            }
-                        }
-                    }
-                    _ = alive.tick() => {
-                        let alive = if lead.leads() {
-                            Down::Alive
-                        } else {
-                            Down::NotLeader { leader: None }
-                        };
-                        if sink.feed(encode(&alive)).await.is_err() {
-                            return;
-                        }
-                    }
-                }
-                if sink.flush().await.is_err() {
-                    return;
-                }
+        let (sink, stream) = socket.split();
+        let reading = Reading { hub: self, lead: &lead, host, data_centre: &data_centre, number };
+        tokio::select! {
+            () = send_frames(sink, &mut queue, &lead) => {}
+            silent = reading.run(stream, limit, answers) => following.silent.set(silent),
+        }
+    }
+}
+
+/// Sends a member what is queued for it, and that the leader lives.
+async fn send_frames(
+    mut sink: SplitSink<Socket, Bytes>,
+    queue: &mut mpsc::Receiver<Bytes>,
+    lead: &Lead,
+) {
+    let mut alive = tokio::time::interval(ALIVE);
+    loop {
+        let first = tokio::select! {
+            frame = queue.recv() => frame,
+            _ = alive.tick() => {
+                let leads = lead.leads();
+                let word = if leads { Down::Alive } else { Down::NotLeader { leader: None } };
+                Some(encode(&word))
             }
         };
-        let reading = async {
-            loop {
-                let Ok(frame) = tokio::time::timeout(limit, stream.next()).await else {
-                    following.silent.set(true);
-                    return;
-                };
-                let Some(Ok(frame)) = frame else { return };
-                let (call_number, call) = match decode::<Up>(&frame) {
-                    Ok(Up::Call { number, call }) => (number, call),
-                    Ok(Up::Told { number, told }) => {
-                        self.followers.told(number, told);
-                        continue;
-                    }
-                    Ok(Up::Report(report)) => {
-                        if let Some(host) = &host {
-                            lead.take_report(host, &report);
-                        }
-                        continue;
-                    }
-                    Ok(Up::Reported) => {
-                        if let Some(host) = &host {
-                            lead.host_found(host, &data_centre, number);
-                        }
-                        continue;
-                    }
-                    Ok(Up::Alive) => continue,
-                    Err(_) => return,
-                };
-                let (lead, answers) = (lead.clone(), answers.clone());
-                actix_rt::spawn(async move {
-                    let answer = lead.answer(call).await;
-                    let Some(answers) = answers.upgrade() else { return };
-                    // Without the answer the member does not know what became of its call, and
-                    // asks again.
-                    let answer = Down::Answer { number: call_number, answer };
-                    let _ = answers.send(encode(&answer)).await;
-                });
+        let Some(first) = first else { return };
+        if sink.feed(first).await.is_err() {
+            return;
+        }
+        while let Ok(frame) = queue.try_recv() {
+            if sink.feed(frame).await.is_err() {
+                return;
             }
-        };
-        tokio::select! {
-            () = sending => {}
-            () = reading => {}
         }
+        if sink.flush().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Reads what one member says.
+struct Reading<'a> {
+    hub: &'a Hub,
+    lead: &'a Rc<Lead>,
+    host: Option<String>,
+    data_centre: &'a str,
+    number: u64,
+}
+
+impl Reading<'_> {
+    /// Reads until the connection ends; tells whether that is because nothing was heard.
+    async fn run(
+        self,
+        mut stream: SplitStream<Socket>,
+        limit: Duration,
+        answers: mpsc::WeakSender<Bytes>,
+    ) -> bool {
+        loop {
+            let Ok(frame) = tokio::time::timeout(limit, stream.next()).await else { return true };
+            let Some(Ok(frame)) = frame else { return false };
+            let Ok(up) = decode::<Up>(&frame) else { return false };
+            self.take(up, &answers);
+        }
+    }
+
+    fn take(&self, up: Up, answers: &mpsc::WeakSender<Bytes>) {
+        match (up, &self.host) {
+            (Up::Call { number, call }, _) => self.answer(number, call, answers.clone()),
+            (Up::Told { number, told }, _) => self.hub.followers.told(number, told),
+            (Up::Report(report), Some(host)) => self.lead.take_report(host, &report),
+            (Up::Reported, Some(host)) => {
+                self.lead.host_found(host, self.data_centre, self.number);
+            }
+            (Up::Report(_) | Up::Reported, None) => {
+                tracing::warn!(event = "link_unreadable", error = "a report of no host");
+            }
+            (Up::Alive, _) => {}
+        }
+    }
+
+    fn answer(&self, number: u64, call: Call, answers: mpsc::WeakSender<Bytes>) {
+        let lead = self.lead.clone();
+        actix_rt::spawn(async move {
+            let answer = lead.answer(call).await;
+            let Some(answers) = answers.upgrade() else { return };
+            // Without the answer the member does not know what became of its call, and asks again.
+            let _ = answers.send(encode(&Down::Answer { number, answer })).await;
+        });
     }
 }
 
--- a/components/node/src/orders.rs
+++ b/components/node/src/orders.rs
@@ -28,11 +28,6 @@
 
 /// How long one call to an engine may take. It answers at once; only a lost connection takes long.
 const CALL: Duration = Duration::from_millis(800);
-/// How long an engine's runs may take to end before it is ordered to change under them. They go
-/// on under the new version, so there is little to wait for.
-const DRAIN: Duration = Duration::from_millis(0);
-/// How often it is looked whether they have ended.
-const LOOK: Duration = Duration::from_millis(20);
 /// Time after which a change of weights may be done, and between two looks from then on.
 const LOAD: Duration = Duration::from_millis(900);
 const LOAD_LOOK: Duration = Duration::from_millis(60);
@@ -126,7 +121,7 @@
 }
 
 async fn try_change(lead: &Rc<Lead>, wish: &Wish) -> &'static str {
-    let runs = await_idle(lead, wish).await;
+    let runs = runs(lead, wish);
     for _ in 0..TRIES {
         let Some(address) = address(lead, wish) else { return "endpoint gone" };
         let report = match ask_report(lead, wish, address).await {
@@ -164,23 +159,10 @@
     "given up"
 }
 
-/// Waits until the engine runs nothing of the model; tells what is to happen to what it runs.
-async fn await_idle(lead: &Rc<Lead>, wish: &Wish) -> Runs {
-    let until = clock::now() + DRAIN.as_millis() as u64;
-    loop {
-        let running = lead
-            .plan
-            .borrow_mut()
-            .seat(&wish.endpoint)
-            .map_or(0, |seat| seat.running.get(&wish.model).copied().unwrap_or_default());
-        if running == 0 {
-            return Runs::Finish;
-        }
-        if clock::now() >= until {
-            return Runs::GoOn;
-        }
-        tokio::time::sleep(LOOK).await;
-    }
+/// Tells what is to happen to the engine's runs of the model. They go on under the new version, so
+/// that nothing waits for them, unless one version must make all of a sample.
+fn runs(lead: &Rc<Lead>, wish: &Wish) -> Runs {
+    if lead.plan.borrow().is_single(&wish.model) { Runs::Finish } else { Runs::GoOn }
 }
 
 fn address(lead: &Rc<Lead>, wish: &Wish) -> Option<SocketAddr> {
