--- a/components/fleet/src/plan/reports.rs
+++ b/components/fleet/src/plan/reports.rs
@@ -82,7 +82,7 @@
     }
 
     /// Notes that a host has connected anew and is about to tell of its runs.
-    pub fn expect(&mut self, host: &str) {
+    pub fn mark_untold(&mut self, host: &str) {
         let all = self.works.values_mut().flat_map(|work| &mut work.progress);
         all.filter(|progress| progress.host.as_deref() == Some(host)).for_each(|p| p.told = false);
     }
--- a/components/fleet/tests/plan.rs
+++ b/components/fleet/tests/plan.rs
@@ -194,7 +194,7 @@
     let runs = assign(&mut plan, NOW);
     assert!(plan.told("a", &report(&runs[0], run::Standing::Scoring, &["x"]), NOW));
     assert!(plan.told("a", &report(&runs[1], run::Standing::Running, &["y"]), NOW));
-    plan.expect("a");
+    plan.mark_untold("a");
     assert!(plan.told("a", &report(&runs[2], run::Standing::Running, &["z"]), NOW));
     assert_eq!(plan.orphan_untold("a"), 2);
     let mut again: Vec<u32> = assign(&mut plan, NOW).iter().map(|one| one.index).collect();
--- a/components/node/src/lead/runs.rs
+++ b/components/node/src/lead/runs.rs
@@ -83,7 +83,7 @@
 
     /// Notes that a host has connected and is about to tell of its runs.
     pub fn host_connecting(&self, host: &str) {
-        self.plan.borrow_mut().expect(host);
+        self.plan.borrow_mut().mark_untold(host);
     }
 
     /// Notes that a host is connected and has told of its runs.
--- /dev/null
+++ b/components/node/tests/forward.rs
@@ -0,0 +1,189 @@
+//! What follows when an attempt at an endpoint fails, on real sockets.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use chicoryford_fleet::Announcement;
+use chicoryford_fleet::Endpoint;
+use chicoryford_fleet::Kind;
+use chicoryford_fleet::Route;
+use chicoryford_fleet::Share;
+use chicoryford_fleet::Standing;
+use chicoryford_http::Request;
+use chicoryford_http::message::Method;
+use chicoryford_node::forward::Forwarder;
+use chicoryford_node::forward::Outcome;
+use chicoryford_node::message::News;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+/// What an endpoint does with each request.
+#[derive(Clone, Copy)]
+enum Does {
+    Answer,
+    Refuse,
+    Fail,
+    Reset,
+    Hang,
+}
+
+struct Stub {
+    address: SocketAddr,
+    asked: Rc<Cell<u32>>,
+}
+
+async fn stub(does: Does) -> Stub {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let asked = Rc::new(Cell::new(0));
+    let count = asked.clone();
+    actix_rt::spawn(async move {
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            actix_rt::spawn(play(stream, does, count.clone()));
+        }
+    });
+    Stub { address, asked }
+}
+
+async fn play(mut stream: TcpStream, does: Does, asked: Rc<Cell<u32>>) {
+    let mut bytes = vec![0; 4_096];
+    while stream.read(&mut bytes).await.is_ok_and(|read| read > 0) {
+        asked.set(asked.get() + 1);
+        let own = "x-attempt-id: id\r\nx-response-stamp: s\r\n";
+        let text = match does {
+            Does::Answer => format!("HTTP/1.1 200 OK\r\n{own}content-length: 2\r\n\r\nok"),
+            Does::Refuse => {
+                "HTTP/1.1 503 x\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n".to_owned()
+            }
+            Does::Fail => format!("HTTP/1.1 500 x\r\n{own}content-length: 0\r\n\r\n"),
+            Does::Reset => {
+                stream.set_zero_linger().unwrap();
+                return;
+            }
+            Does::Hang => {
+                tokio::time::sleep(Duration::from_secs(60)).await;
+                return;
+            }
+        };
+        stream.write_all(text.as_bytes()).await.unwrap();
+    }
+}
+
+fn route(kind: Kind, attempts: u32) -> Route {
+    Route {
+        name: "r".to_owned(),
+        host: "h".to_owned(),
+        prefix: "/".to_owned(),
+        kind,
+        timeout_ms: Some(2_000),
+        target_ms: 150,
+        priority: 1,
+        shares: vec![Share { service: "desk".to_owned(), weight: 1 }],
+        attempts,
+        resumable: false,
+        due_ms: None,
+        age_ms: None,
+        single: false,
+    }
+}
+
+/// Makes a forwarder that knows these endpoints; it asks the first one first.
+fn forwarder(stubs: &[&Stub]) -> Rc<Forwarder> {
+    let forwarder = Forwarder::new();
+    for (number, stub) in stubs.iter().enumerate() {
+        let said = Announcement {
+            id: format!("i{number}"),
+            service: "desk".to_owned(),
+            address: stub.address,
+            data_centre: "z".to_owned(),
+            slots: if number == 0 { 1_000 } else { 1 },
+            draining: false,
+            models: BTreeMap::new(),
+            sequence: 1,
+        };
+        forwarder.learn(&News::Endpoint(Endpoint { said, standing: Standing::Ready }));
+    }
+    forwarder
+}
+
+async fn send(stubs: &[&Stub], kind: Kind, attempts: u32, budget_ms: u64) -> Outcome {
+    let mut request = Request::new(Method::POST, "/x", "body");
+    request.headers.set("host", "h");
+    request.headers.set("x-attempt-id", "id");
+    forwarder(stubs).forward(&route(kind, attempts), &request, budget_ms).await
+}
+
+fn is_success(outcome: &Outcome) -> bool {
+    matches!(outcome, Outcome::Answered(reply, _) if reply.status.is_success())
+}
+
+#[actix_rt::test]
+async fn a_request_that_may_be_repeated_goes_on_after_any_failure() {
+    for does in [Does::Refuse, Does::Fail, Does::Reset] {
+        let (bad, good) = (stub(does).await, stub(Does::Answer).await);
+        let outcome = send(&[&bad, &good], Kind::Idempotent, 3, 1_500).await;
+        assert!(is_success(&outcome), "{outcome:?}");
+    }
+}
+
+/// Symptom: a label is printed twice.
+/// Sequence: the endpoint resets the connection after it has read the request.
+/// Cause: the request was sent to another endpoint though it may have run.
+#[actix_rt::test]
+async fn a_request_that_may_have_run_is_not_repeated() {
+    let (bad, good) = (stub(Does::Reset).await, stub(Does::Reset).await);
+    let outcome = send(&[&bad, &good], Kind::Once, 3, 1_500).await;
+    assert!(matches!(outcome, Outcome::Lost), "{outcome:?}");
+    assert_eq!(bad.asked.get() + good.asked.get(), 1);
+}
+
+#[actix_rt::test]
+async fn a_request_that_did_not_run_goes_on_elsewhere_even_if_it_must_not_be_repeated() {
+    let (bad, good) = (stub(Does::Refuse).await, stub(Does::Answer).await);
+    let outcome = send(&[&bad, &good], Kind::Once, 1, 1_500).await;
+    assert!(is_success(&outcome), "{outcome:?}");
+}
+
+#[actix_rt::test]
+async fn endpoints_that_are_all_full_are_a_refusal_at_once() {
+    let full = stub(Does::Refuse).await;
+    let began = Instant::now();
+    let outcome = send(&[&full], Kind::Once, 1, 5_000).await;
+    assert!(matches!(outcome, Outcome::NotRun(_, after) if after > 0), "{outcome:?}");
+    assert!(began.elapsed() < Duration::from_secs(2));
+}
+
+#[actix_rt::test]
+async fn no_endpoint_is_a_refusal_and_no_answer_in_time_is_not() {
+    let outcome = send(&[], Kind::Idempotent, 2, 1_000).await;
+    assert!(matches!(outcome, Outcome::NotRun(..)), "{outcome:?}");
+    let hanging = stub(Does::Hang).await;
+    let outcome = send(&[&hanging], Kind::Idempotent, 2, 300).await;
+    assert!(matches!(outcome, Outcome::Late), "it may have run: {outcome:?}");
+}
+
+/// The load: one endpoint of some goes silent; callers wait a fraction of a second.
+#[actix_rt::test]
+async fn a_silent_endpoint_gets_company_from_another() {
+    let (silent, good) = (stub(Does::Hang).await, stub(Does::Answer).await);
+    let began = Instant::now();
+    let outcome = send(&[&silent, &good], Kind::Idempotent, 2, 3_000).await;
+    assert!(is_success(&outcome), "{outcome:?}");
+    assert!(began.elapsed() < Duration::from_secs(1));
+}
+
+#[actix_rt::test]
+async fn no_more_endpoints_run_it_than_the_route_allows() {
+    let stubs = [stub(Does::Fail).await, stub(Does::Fail).await, stub(Does::Fail).await];
+    let outcome = send(&[&stubs[0], &stubs[1], &stubs[2]], Kind::Idempotent, 2, 1_500).await;
+    let Outcome::Answered(reply, failures) = outcome else { panic!("{outcome:?}") };
+    assert_eq!((reply.status.as_u16(), failures), (500, 2), "the endpoint's own answer");
+    assert_eq!(stubs.iter().map(|stub| stub.asked.get()).sum::<u32>(), 2);
+}
--- /dev/null
+++ b/components/node/tests/settings.rs
@@ -0,0 +1,42 @@
+//! The settings file of a process of a fleet.
+
+use std::net::SocketAddr;
+
+use chicoryford_node::settings;
+use chicoryford_node::settings::SettingsError;
+
+const MINIMAL: &str = "node: core-1\nip: 10.1.0.5\ndata_centre: ston\nlink_port: 7700\n";
+
+fn load(text: &str) -> Result<settings::Settings, SettingsError> {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("node.yaml");
+    std::fs::write(&file, text).unwrap();
+    settings::load(&file)
+}
+
+#[test]
+fn what_is_left_out_has_its_default() {
+    let settings = load(MINIMAL).unwrap();
+    assert_eq!((settings.tolerated, settings.grace_ms, settings.lease_ms), (1, 8_000, 3_000));
+    assert!(settings.entry.is_none() && settings.data.is_none() && !settings.first_start);
+    let own: SocketAddr = "10.1.0.5:7700".parse().unwrap();
+    assert_eq!(settings.own_link(), own);
+}
+
+#[test]
+fn seeds_are_known_by_their_links_and_a_process_may_listen_elsewhere() {
+    let more = "seeds: [\"10.1.0.5:9000\", \"10.2.0.6:9000\"]\nlisten_ip: 127.0.0.9\n";
+    let settings = load(&format!("{MINIMAL}{more}")).unwrap();
+    let links: Vec<String> = settings.seed_links().iter().map(ToString::to_string).collect();
+    assert_eq!(links, ["10.1.0.5:7700", "10.2.0.6:7700"]);
+    assert_eq!(settings.listening(settings.own_link()).to_string(), "127.0.0.9:7700");
+}
+
+#[test]
+fn a_misspelt_or_missing_field_is_named() {
+    let misspelt = load(&format!("{MINIMAL}seads: []\n")).unwrap_err();
+    let text = format!("{:?}", misspelt);
+    assert!(text.contains("seads"), "{text}");
+    let missing = load("node: core-1\n").unwrap_err();
+    assert!(format!("{missing:?}").contains("ip"));
+}
--- /dev/null
+++ b/tests/whole/logs.rs
@@ -0,0 +1,71 @@
+//! Log lines of a process of a fleet whose reader is stuck.
+
+use std::net::SocketAddr;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use chicoryford_standin::ports;
+use chicoryford_standin::raw;
+use chicoryford_standin::raw::Question;
+
+use crate::fixture::PATIENCE;
+
+/// Lines of about 150 bytes each; twice of what a pipe holds, and more than once.
+const REQUESTS: usize = 1_500;
+
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.0.kill().unwrap();
+        self.0.wait().unwrap();
+    }
+}
+
+fn submit(address: SocketAddr) -> u16 {
+    let question = Question {
+        method: "PUT",
+        path: "/configuration",
+        body: b"{\"Version\": 1, \"Routes\": [{\"Name\": \"no more than this\"}]}",
+        ..Question::default()
+    };
+    raw::ask(address, &question).status
+}
+
+/// Symptom: all requests hang at once.
+/// Sequence: whoever reads the process's standard output stops reading; the pipe fills.
+/// Cause: a request waited for its log line to be written.
+#[test]
+fn a_stuck_reader_of_the_log_holds_up_no_request() {
+    let folder = tempfile::tempdir().unwrap();
+    let control = ports::address();
+    let link = ports::address().port();
+    let settings = folder.path().join("node.yaml");
+    let data = folder.path().join("data");
+    let text = format!(
+        "node: a\nip: {}\ndata_centre: z\nlink_port: {link}\nseeds: [\"{control}\"]\n\
+         first_start: true\ndata: {}\ncontrol: \"{control}\"\n",
+        control.ip(),
+        data.display()
+    );
+    std::fs::write(&settings, text).unwrap();
+    let child = Command::new(env!("CARGO_BIN_EXE_chicoryfordd"))
+        .arg("--node")
+        .arg(&settings)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let _process = Process(child);
+    let began = Instant::now();
+    while submit(control) != 400 {
+        assert!(began.elapsed() < PATIENCE, "the process takes no calls");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    for number in 0..REQUESTS {
+        assert_eq!(submit(control), 400, "request {number}");
+    }
+}
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -6,6 +6,7 @@
 mod errors;
 mod explain;
 mod fixture;
+mod logs;
 mod path;
 mod stop;
 mod tls;
