--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -19,7 +19,6 @@
 use bytes::BytesMut;
 use thiserror::Error;
 use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio_util::codec::Decoder;
 use tokio_util::codec::Encoder;
@@ -183,12 +182,6 @@
     async fn fill(&mut self) -> Result<usize, Broken> {
         self.stream.read_buf(&mut self.input).await.map_err(Broken::Lost)
     }
-
-    /// Closes the connection in both directions.
-    pub async fn close(mut self) {
-        // It is to be gone; that it is gone already is as good.
-        let _ = self.stream.shutdown().await;
-    }
 }
 
 impl Incoming {
--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -1,7 +1,6 @@
 //! The server side: reads whole requests, watches for the caller's leaving, writes whole replies.
 
 use std::cell::Cell;
-use std::cell::RefCell;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -75,17 +74,11 @@
     bounds: Rc<Cell<Bounds>>,
     closing: watch::Sender<bool>,
     busy: Rc<Cell<usize>>,
-    open: Rc<RefCell<usize>>,
 }
 
 impl Default for Server {
     fn default() -> Self {
-        Self {
-            bounds: Rc::default(),
-            closing: watch::Sender::new(false),
-            busy: Rc::default(),
-            open: Rc::default(),
-        }
+        Self { bounds: Rc::default(), closing: watch::Sender::new(false), busy: Rc::default() }
     }
 }
 
@@ -105,11 +98,6 @@
         self.busy.get()
     }
 
-    /// Counts the open connections.
-    pub fn open(&self) -> usize {
-        *self.open.borrow()
-    }
-
     /// Accepts connections and answers their requests with `handler`. The future that it returns
     /// is dropped as soon as the caller closes its connection, which cancels all that it does.
     pub async fn serve<H, F>(&self, listener: TcpListener, handler: H)
@@ -138,12 +126,7 @@
                 closing: self.closing.subscribe(),
                 busy: self.busy.clone(),
             };
-            let (handler, open) = (handler.clone(), self.open.clone());
-            *open.borrow_mut() += 1;
-            actix_rt::spawn(async move {
-                connection.run(handler).await;
-                *open.borrow_mut() -= 1;
-            });
+            actix_rt::spawn(connection.run(handler.clone()));
         }
     }
 }
