Start the samples of a step taken over once all hosts have told

Cause: after a change of leader every sample that no host had claimed waited for 500 ms, whether or not some host was still to tell.

Change: the leader notes which hosts it asked (those connected, and all VMs that hold parts by the log) and frees the steps when the last has told. The fixed time stays as the bound where one does not tell.

Ruled out: freeing without the hosts that the log names (one that is slow to connect may still run a sample: two engines would make it).

--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -7,10 +7,12 @@
 mod notes;
 mod reports;
 mod seat;
+mod takeover;
 mod work;
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use chicoryford_types::Epoch;
@@ -44,6 +46,8 @@
     usual_ms: f64,
     /// The number of the last run.
     run: u64,
+    /// Hosts that were asked what they run and have not told yet.
+    untold: BTreeSet<String>,
 }
 
 impl Plan {
@@ -87,7 +91,7 @@
         let id = step.id.clone();
         let mut order: Vec<u32> = (0..step.samples.len() as u32).collect();
         order.sort_by_key(|index| Reverse(step.samples[*index as usize].expected));
-        self.works.insert(id, Work { step, order, at, held, progress, waiting });
+        self.works.insert(id, Work { step, order, at, held, asked: false, progress, waiting });
     }
 
     /// Forgets a step: it is over. Gives the runs that hosts still have: host, sample, run.
--- a/components/fleet/src/plan/work.rs
+++ b/components/fleet/src/plan/work.rs
@@ -120,6 +120,8 @@
     pub(super) at: Millis,
     /// Until then its samples wait for hosts that may be running them.
     pub(super) held: Millis,
+    /// Whether all hosts were asked what they run of it.
+    pub(super) asked: bool,
     pub(super) progress: Vec<Progress>,
     pub(super) waiting: usize,
 }
--- a/components/fleet/src/state.rs
+++ b/components/fleet/src/state.rs
@@ -265,6 +265,16 @@
         changed(self.steps.len() < before)
     }
 
+    /// Gives the VMs on which parts lie.
+    pub fn store_nodes(&self) -> BTreeSet<String> {
+        let places = self.parts.values().map(|part| &part.place);
+        let stores = places.filter_map(|place| match place {
+            Place::Stores(stores) => Some(stores),
+            Place::Inline(_) => None,
+        });
+        stores.flatten().map(|store| store.node.clone()).collect()
+    }
+
     /// Gives the steps that nobody may ask for any more: `keep_ms` have passed since they were
     /// submitted, and nothing of them runs.
     pub fn expired(&self, now: u64, keep_ms: u64) -> Vec<String> {
--- a/components/fleet/tests/plan.rs
+++ b/components/fleet/tests/plan.rs
@@ -1,6 +1,7 @@
 //! The planner: which sample runs where, and what follows when hosts, engines and words get lost.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use chicoryford_fleet::Announcement;
@@ -223,6 +224,24 @@
     assert!(!plan.told("a", &late, NOW + 600), "it was begun anew meanwhile");
 }
 
+/// Symptom: after the loss of all processes the samples wait half a second more than they must.
+/// Sequence: all hosts are back and have told the next leader that they run nothing.
+/// Cause: the leader waited for a fixed time, as if some host had not told yet.
+#[test]
+fn a_step_that_was_taken_over_starts_once_all_hosts_have_told() {
+    let mut plan = plan(&[engine("e1", 2, 1)], &[]);
+    plan.open(step("a", &[5]), NOW, NOW + 500, |_| false);
+    plan.host_told("h1");
+    assert!(assign(&mut plan, NOW + 10).is_empty(), "nobody was asked about the step yet");
+    plan.await_hosts(BTreeSet::from(["h1".to_owned(), "h2".to_owned()]), NOW + 10);
+    plan.open(step("b", &[5]), NOW, NOW + 500, |_| false);
+    plan.host_told("h1");
+    assert!(assign(&mut plan, NOW + 20).is_empty(), "the other may still run it");
+    plan.host_told("h2");
+    let runs = assign(&mut plan, NOW + 30);
+    assert_eq!(runs.iter().map(|run| run.step.id.as_str()).collect::<Vec<_>>(), ["a"]);
+}
+
 #[test]
 fn a_report_that_does_not_fit_what_is_known_is_not_added() {
     let mut plan = plan(&[engine("e1", 1, 1)], &[step("a", &[1])]);
--- a/components/node/src/hosts.rs
+++ b/components/node/src/hosts.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use chicoryford_fleet::run::Work;
@@ -115,12 +116,14 @@
         self.followers.work(node, work)
     }
 
-    /// Has all hosts tell of their runs again.
-    pub fn ask_all(&self) {
-        for name in self.known.borrow().keys() {
+    /// Has all hosts tell of their runs again; gives which those are.
+    pub fn ask_all(&self) -> BTreeSet<String> {
+        let known: BTreeSet<String> = self.known.borrow().keys().cloned().collect();
+        for name in &known {
             // One that is not connected tells when it is.
             self.work(name, Work::Tell);
         }
+        known
     }
 
     /// Stops a run, or forgets one that has ended.
--- a/components/node/src/lead/runs.rs
+++ b/components/node/src/lead/runs.rs
@@ -89,6 +89,7 @@
     /// Notes that a host is connected and has told of its runs.
     pub fn host_found(&self, host: &str, data_centre: &str, link: u64) {
         let orphaned = self.plan.borrow_mut().orphan_untold(host);
+        self.plan.borrow_mut().host_told(host);
         tracing::info!(event = "host_found", host, orphaned);
         self.hosts.found(host, data_centre, link);
         self.kick.notify_one();
--- a/components/node/src/lead/steps.rs
+++ b/components/node/src/lead/steps.rs
@@ -24,7 +24,8 @@
 use crate::message::Answer;
 
 /// Milliseconds for which hosts may tell that they run samples of a step that was taken over from
-/// the leader before. They notice its loss within 0.9 s, mostly before the next one is elected.
+/// the leader before, if some host does not tell. They notice its loss within 0.9 s, mostly before
+/// the next one is elected.
 const HELD_MS: u64 = 500;
 /// Bytes of text in one answer with results; the bound of a reply is a megabyte.
 const RESULTS: usize = 900 << 10;
@@ -261,7 +262,9 @@
             }
         }
         if !unread.is_empty() {
-            lead.hosts.ask_all();
+            let mut hosts = lead.hosts.ask_all();
+            hosts.extend(lead.parts.core.state().store_nodes());
+            lead.plan.borrow_mut().await_hosts(hosts, clock::now());
         }
         lead.kick.notify_one();
         drop(lead);
--- a/components/node/src/runner.rs
+++ b/components/node/src/runner.rs
@@ -99,10 +99,8 @@
 
     /// Tells a leader that was just found of all runs, and of what happens to them from now on.
     pub fn attach(&self, up: mpsc::Sender<Up>) {
-        *self.sink.borrow_mut() = Some(Sink::Link(up.clone()));
+        *self.sink.borrow_mut() = Some(Sink::Link(up));
         self.tell_all();
-        // The queue is empty, so there is room for all of these.
-        let _ = up.try_send(Up::Reported);
     }
 
     /// Tells the leader's duties in this process.
@@ -142,6 +140,10 @@
             hosted.state.told.set(0);
             self.tell(&hosted);
         }
+        if let Some(Sink::Link(up)) = &*self.sink.borrow() {
+            // Without this word the leader waits a little longer than it must.
+            let _ = up.try_send(Up::Reported);
+        }
     }
 
     /// Gives all runs. Telling of one may stop another within the leader's own process, so they
