A new leader orders at once engines that were not ordered lately

Change: where engines check fences (setting `fenced`, from the platform's bounds), the new leader leaves alone for one lease only those engines of which the leader before told that it orders them. Elsewhere as before. The fence and the expected number of orders guard each order as before.

Ruled out: no wait at all (a leader that is alive and in touch could take turns with the next one); the wait stays where fences are not checked.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod state;
 pub mod step;
 pub mod swap;
+pub mod turn;
 
 pub use config::Config;
 pub use config::Fault;
--- a/components/fleet/src/swap.rs
+++ b/components/fleet/src/swap.rs
@@ -10,6 +10,7 @@
 use chicoryford_types::Millis;
 
 use crate::plan::Seat;
+use crate::turn::Turn;
 
 /// The share of a service's engines that may load at once: two of nine. Loads beyond it take
 /// longer in proportion, so more at once only takes more engines out of work.
@@ -75,7 +76,7 @@
 
 /// Chooses the engines that take new weights now: first for models whose samples wait for them,
 /// then those furthest behind, then the idlest.
-pub fn wishes(seats: &[&Seat], claims: &[Claim], now: Millis) -> Vec<Wish> {
+pub fn wishes(seats: &[&Seat], claims: &[Claim], turn: &Turn, now: Millis) -> Vec<Wish> {
     let mut engines: Vec<String> = seats.iter().map(|seat| seat.endpoint.said.id.clone()).collect();
     engines.sort();
     let owners = divide(&engines, claims);
@@ -85,7 +86,7 @@
     for claim in claims {
         let own = |seat: &&&Seat| owners.get(&seat.endpoint.said.id) == Some(&claim.model);
         let own: Vec<&Seat> = seats.iter().filter(own).copied().collect();
-        behind.extend(behind_of(&own, claim, now));
+        behind.extend(behind_of(&own, claim, turn, now));
     }
     behind.sort();
     let room = most.saturating_sub(busy);
@@ -102,7 +103,7 @@
 /// held, then the runs there.
 type Urgency = (bool, bool, u64, u32);
 
-fn behind_of(own: &[&Seat], claim: &Claim, now: Millis) -> Vec<(Urgency, Wish)> {
+fn behind_of(own: &[&Seat], claim: &Claim, turn: &Turn, now: Millis) -> Vec<(Urgency, Wish)> {
     let held = |seat: &Seat| seat.endpoint.said.models.get(&claim.model).copied();
     let loading = |seat: &Seat| seat.loading.as_deref() == Some(&claim.model);
     let new = own.iter().filter(|seat| held(seat) >= Some(claim.version) || loading(seat)).count();
@@ -111,6 +112,7 @@
     let mut able: Vec<&&Seat> = own
         .iter()
         .filter(|seat| seat.loading.is_none() && seat.is_ready(now))
+        .filter(|seat| turn.may_order(&seat.endpoint.said.id, now))
         .filter(|seat| held(seat).is_some_and(|held| held < claim.version))
         .collect();
     able.sort_by_key(|seat| (held(seat), running(seat, claim), &seat.endpoint.said.id));
--- a/components/fleet/tests/swap.rs
+++ b/components/fleet/tests/swap.rs
@@ -11,6 +11,7 @@
 use chicoryford_fleet::swap::Wish;
 use chicoryford_fleet::swap::divide;
 use chicoryford_fleet::swap::wishes;
+use chicoryford_fleet::turn::Turn;
 use chicoryford_types::Epoch;
 use chicoryford_types::Millis;
 
@@ -38,7 +39,7 @@
 
 fn wish(plan: &Plan, claims: &[Claim]) -> Vec<Wish> {
     let seats: Vec<&Seat> = plan.seats().collect();
-    wishes(&seats, claims, Millis(1))
+    wishes(&seats, claims, &Turn::default(), Millis(1))
 }
 
 #[test]
--- a/components/node/src/forward.rs
+++ b/components/node/src/forward.rs
@@ -89,7 +89,7 @@
             News::Endpoint(endpoint) => picker.observe(endpoint),
             News::Forgotten(id) => picker.forget(id),
             News::Whole(known) => picker.retain(|id| known.contains(id)),
-            News::Config(_) | News::Controls(_) => {}
+            News::Config(_) | News::Controls(_) | News::Ordered(_) => {}
         }
     }
 
--- a/components/node/src/lead/mod.rs
+++ b/components/node/src/lead/mod.rs
@@ -18,7 +18,6 @@
 use chicoryford_fleet::Command;
 use chicoryford_fleet::Config;
 use chicoryford_fleet::Done;
-use chicoryford_fleet::Endpoint;
 use chicoryford_fleet::Registry;
 use chicoryford_fleet::Stamped;
 use chicoryford_fleet::Step;
@@ -27,6 +26,7 @@
 use chicoryford_fleet::plan::Plan;
 use chicoryford_fleet::plan::RunEnd;
 use chicoryford_fleet::step::Result;
+use chicoryford_fleet::turn::Turn;
 use chicoryford_http::Pool;
 use chicoryford_types::Epoch;
 use chicoryford_types::Millis;
@@ -51,6 +51,7 @@
 use crate::orders::Orders;
 use crate::runner::Runner;
 use crate::settings::Settings;
+use crate::view::View;
 
 /// The planner looks around this often, besides when something happens.
 const LOOK: Duration = Duration::from_millis(50);
@@ -107,9 +108,16 @@
 }
 
 impl Lead {
-    /// Begins to lead, from what the log holds and what this process knew of endpoints.
-    pub fn start(parts: Parts, epoch: Epoch, known: Vec<Endpoint>) -> Rc<Self> {
+    /// Begins to lead, from what the log holds and what the leader before told this process.
+    pub fn start(parts: Parts, epoch: Epoch, view: &View) -> Rc<Self> {
         let now = clock::now();
+        let known = view.endpoints();
+        let turn = Turn {
+            began: now,
+            lease_ms: parts.settings.lease_ms,
+            fenced: parts.settings.fenced,
+            ordered: view.ordered(),
+        };
         let fleet_clock = parts.core.state().clock;
         let mut endpoints = parts.core.state().endpoints.clone();
         endpoints.retain(|endpoint| known.iter().all(|other| other.said.id != endpoint.said.id));
@@ -121,7 +129,7 @@
             copies,
             plan: RefCell::new(Plan::new(epoch)),
             pool: RefCell::default(),
-            orders: RefCell::default(),
+            orders: RefCell::new(Orders::new(turn)),
             began: now,
             registry: RefCell::new(Registry::adopt(
                 endpoint::Settings::default(),
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -155,6 +155,8 @@
     Whole(BTreeSet<String>),
     /// Where control processes take links.
     Controls(BTreeSet<SocketAddr>),
+    /// The leader is giving this engine an order. The next leader must know.
+    Ordered(String),
 }
 
 /// What a member asks of the leader.
--- a/components/node/src/orders.rs
+++ b/components/node/src/orders.rs
@@ -10,6 +10,7 @@
 use chicoryford_fleet::swap;
 use chicoryford_fleet::swap::Claim;
 use chicoryford_fleet::swap::Wish;
+use chicoryford_fleet::turn::Turn;
 use chicoryford_http::Broken;
 use chicoryford_http::Connection;
 use chicoryford_http::Reply;
@@ -24,6 +25,7 @@
 
 use crate::clock;
 use crate::lead::Lead;
+use crate::message::News;
 use crate::metrics;
 
 /// How long one call to an engine may take. It answers at once; only a lost connection takes long.
@@ -46,9 +48,15 @@
     demand: BTreeMap<String, u64>,
     /// Set once an engine has refused this epoch: another leads.
     fenced: bool,
+    turn: Turn,
 }
 
 impl Orders {
+    /// Starts from what is known of the orders before.
+    pub fn new(turn: Turn) -> Self {
+        Self { turn, ..Self::default() }
+    }
+
     /// Gives no more orders.
     pub fn stop(&mut self) {
         for (_, task) in std::mem::take(&mut self.tasks) {
@@ -59,10 +67,7 @@
 
 /// Starts the changes of weights that are due.
 pub fn round(lead: &Rc<Lead>, config: &Config, now: Millis) {
-    // The leader before may have given an order just before it was replaced. Engines that do not
-    // check fences would see two holders take turns, so the new one waits for its lease to end.
-    let early = now.since(lead.began) < lead.parts.settings.lease_ms;
-    if early || lead.orders.borrow().fenced {
+    if lead.orders.borrow().fenced {
         return;
     }
     for service in config.services.iter().filter(|service| !service.models.is_empty()) {
@@ -74,7 +79,7 @@
             let plan = lead.plan.borrow();
             let seats: Vec<&Seat> =
                 plan.seats().filter(|seat| seat.endpoint.said.service == service.name).collect();
-            swap::wishes(&seats, &claims, now)
+            swap::wishes(&seats, &claims, &lead.orders.borrow().turn, now)
         };
         for wish in wishes {
             begin(lead, wish);
@@ -202,6 +207,7 @@
         fence: lead.epoch.0,
         sequence: report.sequence,
     };
+    lead.parts.followers.tell(&News::Ordered(wish.endpoint.clone()));
     let request = endpoint::order(&order);
     let taken = match call(lead, wish, address, &request).await {
         Ok(reply) => endpoint::taken(reply.status),
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -48,6 +48,9 @@
     /// Milliseconds in which two leaders must not both give orders to an engine.
     #[serde(default = "three_seconds")]
     pub lease_ms: u64,
+    /// Whether engines refuse orders of an epoch before one that they have seen.
+    #[serde(default)]
+    pub fenced: bool,
     /// Seconds after its submission for which a step's results are kept.
     #[serde(default = "two_minutes")]
     pub keep_s: u64,
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -416,7 +416,7 @@
                 forwarder: forwarder.clone(),
                 runner: runner.clone(),
             };
-            *slot.borrow_mut() = Some(Lead::start(parts, epoch, view.endpoints()));
+            *slot.borrow_mut() = Some(Lead::start(parts, epoch, &view));
         }
         if leading.changed().await.is_err() {
             return;
--- a/components/node/src/view.rs
+++ b/components/node/src/view.rs
@@ -8,7 +8,9 @@
 
 use chicoryford_fleet::Config;
 use chicoryford_fleet::Endpoint;
+use chicoryford_types::Millis;
 
+use crate::clock;
 use crate::message::News;
 
 type Listener = Box<dyn Fn(&News)>;
@@ -19,6 +21,7 @@
     config: RefCell<Option<Arc<Config>>>,
     endpoints: RefCell<BTreeMap<String, Endpoint>>,
     controls: RefCell<BTreeSet<SocketAddr>>,
+    ordered: RefCell<BTreeMap<String, Millis>>,
     listeners: RefCell<Vec<Listener>>,
 }
 
@@ -42,8 +45,15 @@
             }
             News::Forgotten(id) => {
                 self.endpoints.borrow_mut().remove(id);
+                self.ordered.borrow_mut().remove(id);
+            }
+            News::Whole(known) => {
+                self.endpoints.borrow_mut().retain(|id, _| known.contains(id));
+                self.ordered.borrow_mut().retain(|id, _| known.contains(id));
+            }
+            News::Ordered(id) => {
+                self.ordered.borrow_mut().insert(id.clone(), clock::now());
             }
-            News::Whole(known) => self.endpoints.borrow_mut().retain(|id, _| known.contains(id)),
             News::Controls(controls) => *self.controls.borrow_mut() = controls.clone(),
         }
         for listener in self.listeners.borrow().iter() {
@@ -75,6 +85,11 @@
         self.endpoints.borrow().values().cloned().collect()
     }
 
+    /// Gives when leaders told of orders, by the engine.
+    pub fn ordered(&self) -> BTreeMap<String, Millis> {
+        self.ordered.borrow().clone()
+    }
+
     /// Gives the addresses at which control processes take links.
     pub fn controls(&self) -> BTreeSet<SocketAddr> {
         self.controls.borrow().clone()
