Count a scorer's failures also when the time of the call is up

Cause: a scorer that fails at a sample each time, and slowly, took the 2.5 s of a call before its fourth failure; the call ended as late, the failures were forgotten, and the next one began to count anew.

Change: an outcome without an answer tells how many answers had status 500, and the host adds them up over the calls of a sample.

The new test shows it on real sockets.

--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -134,8 +134,8 @@
                 return Reply { headers: reply.headers.end_to_end(), ..reply };
             }
             Outcome::NotRun(why, after_ms) => return self.refuse(request, why, after_ms),
-            Outcome::Lost => (StatusCode::BAD_GATEWAY, "the endpoint's answer was lost"),
-            Outcome::Late => (StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
+            Outcome::Lost(_) => (StatusCode::BAD_GATEWAY, "the endpoint's answer was lost"),
+            Outcome::Late(_) => (StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
         };
         tracing::info!(event = "request_failed", request = id, route = route.name, why, ms);
         platform::failure(status, why)
@@ -201,8 +201,8 @@
         Outcome::Answered(reply, _) if reply.status.is_success() => "answered",
         Outcome::Answered(..) => "failed",
         Outcome::NotRun(..) => "refused",
-        Outcome::Lost => "lost",
-        Outcome::Late => "late",
+        Outcome::Lost(_) => "lost",
+        Outcome::Late(_) => "late",
     }
 }
 
--- a/components/node/src/forward.rs
+++ b/components/node/src/forward.rs
@@ -55,10 +55,10 @@
     Answered(Reply, u32),
     /// It has not run and will not; the caller may come back after so many milliseconds.
     NotRun(&'static str, u64),
-    /// It may have run, and no answer came.
-    Lost,
-    /// It may have run, and the time is up.
-    Late,
+    /// It may have run, and no answer came; how many answers had status 500.
+    Lost(u32),
+    /// It may have run, and the time is up; how many answers had status 500.
+    Late(u32),
 }
 
 /// How one attempt ended.
@@ -124,7 +124,7 @@
             () = timer => {}
         }
         if carry.runs > 0 {
-            Outcome::Late
+            Outcome::Late(carry.failures)
         } else {
             Outcome::NotRun("no endpoint took it in time", FULL_AFTER_MS)
         }
@@ -289,14 +289,14 @@
                 self.runs -= 1;
                 None
             }
-            Tried::Lost => self.once.then_some(Outcome::Lost),
+            Tried::Lost => self.once.then_some(Outcome::Lost(self.failures)),
         }
     }
 
     fn give_up(&mut self, nowhere: Nowhere) -> Outcome {
         match (self.last.take(), nowhere) {
             (Some(reply), _) => Outcome::Answered(reply, self.failures),
-            (None, _) if self.runs > 0 => Outcome::Lost,
+            (None, _) if self.runs > 0 => Outcome::Lost(self.failures),
             (None, Nowhere::NoneReady) => Outcome::NotRun("no endpoint is ready", NONE_AFTER_MS),
             (None, Nowhere::AllTried) => Outcome::NotRun("all endpoints are full", FULL_AFTER_MS),
         }
--- a/components/node/src/runner.rs
+++ b/components/node/src/runner.rs
@@ -407,13 +407,16 @@
                 {
                     return Standing::Finished(Some(score.to_owned()));
                 }
-                if failures >= route.attempts.max(1) {
-                    tracing::info!(event = "scorer_failed", sample = job.sample.id, failures);
-                    return Standing::Unscored;
-                }
             }
             Outcome::NotRun(_, after_ms) => after = Duration::from_millis(after_ms),
-            Outcome::Lost | Outcome::Late => {}
+            // A scorer that fails slowly may take all the time of a call without the last answer.
+            // Were its failures forgotten, the sample would never be given up, and its group,
+            // which waits for it, would never be whole.
+            Outcome::Lost(before) | Outcome::Late(before) => failures += before,
+        }
+        if failures >= route.attempts.max(1) {
+            tracing::info!(event = "scorer_failed", sample = job.sample.id, failures);
+            return Standing::Unscored;
         }
         tokio::time::sleep(after).await;
     }
--- a/components/node/tests/forward.rs
+++ b/components/node/tests/forward.rs
@@ -29,6 +29,7 @@
     Answer,
     Refuse,
     Fail,
+    FailSlowly,
     Reset,
     Hang,
 }
@@ -63,6 +64,10 @@
                 "HTTP/1.1 503 x\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n".to_owned()
             }
             Does::Fail => format!("HTTP/1.1 500 x\r\n{own}content-length: 0\r\n\r\n"),
+            Does::FailSlowly => {
+                tokio::time::sleep(Duration::from_millis(200)).await;
+                format!("HTTP/1.1 500 x\r\n{own}content-length: 0\r\n\r\n")
+            }
             Does::Reset => {
                 stream.set_zero_linger().unwrap();
                 return;
@@ -140,7 +145,7 @@
 async fn a_request_that_may_have_run_is_not_repeated() {
     let (bad, good) = (stub(Does::Reset).await, stub(Does::Reset).await);
     let outcome = send(&[&bad, &good], Kind::Once, 3, 1_500).await;
-    assert!(matches!(outcome, Outcome::Lost), "{outcome:?}");
+    assert!(matches!(outcome, Outcome::Lost(0)), "{outcome:?}");
     assert_eq!(bad.asked.get() + good.asked.get(), 1);
 }
 
@@ -166,7 +171,7 @@
     assert!(matches!(outcome, Outcome::NotRun(..)), "{outcome:?}");
     let hanging = stub(Does::Hang).await;
     let outcome = send(&[&hanging], Kind::Idempotent, 2, 300).await;
-    assert!(matches!(outcome, Outcome::Late), "it may have run: {outcome:?}");
+    assert!(matches!(outcome, Outcome::Late(0)), "it may have run: {outcome:?}");
 }
 
 /// The load: one endpoint of some goes silent; callers wait a fraction of a second.
@@ -187,3 +192,14 @@
     assert_eq!((reply.status.as_u16(), failures), (500, 2), "the endpoint's own answer");
     assert_eq!(stubs.iter().map(|stub| stub.asked.get()).sum::<u32>(), 2);
 }
+
+/// Symptom: a sample is never given up, and its step waits for it until its trainer gives up.
+/// Sequence: the sample's scorer fails at it each time, and so slowly that the time of a call is up
+/// before all attempts have failed; the next call begins to count anew.
+/// Cause: a call that ran out of time did not tell how often the scorer had failed.
+#[actix_rt::test]
+async fn failures_count_also_when_the_time_is_up() {
+    let stubs = [stub(Does::FailSlowly).await, stub(Does::FailSlowly).await];
+    let outcome = send(&[&stubs[0], &stubs[1]], Kind::Idempotent, 9, 700).await;
+    assert!(matches!(outcome, Outcome::Late(2..)), "{outcome:?}");
+}
