Do not stop a run of the leader before whose host tells of it in pieces

Cause: a host tells the next leader of its runs as soon as it finds it; until the leader has read a run's step it can only ignore that, and asks again afterwards. A host's next telling, which carries only what came since, could arrive between the two. Hosts tell four times a second and steps are read within 0.1 s, so about a third of the runs were lost.

Change: such a report changes nothing until all of the run was told.

--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -28,6 +28,7 @@
 pub use work::Next;
 pub use work::Note;
 pub use work::RunEnd;
+pub use work::Told;
 
 use seat::rank;
 use work::Phase;
--- a/components/fleet/src/plan/reports.rs
+++ b/components/fleet/src/plan/reports.rs
@@ -7,6 +7,7 @@
 use super::work::Phase;
 use super::work::Progress;
 use super::work::RunEnd;
+use super::work::Told;
 use crate::config::Config;
 use crate::run;
 use crate::run::Report;
@@ -23,14 +24,21 @@
 const NEWEST: f64 = 0.15;
 
 impl Plan {
-    /// Takes in what a host tells of a run. Tells whether the host is to go on with it: a run that
-    /// was begun elsewhere, or that is over, is to be stopped.
-    pub fn told(&mut self, host: &str, report: &Report, now: Millis) -> bool {
-        let Some(work) = self.works.get_mut(&report.step) else { return false };
-        let Some(progress) = work.progress.get_mut(report.index as usize) else { return false };
+    /// Takes in what a host tells of a run, and tells what follows.
+    pub fn told(&mut self, host: &str, report: &Report, now: Millis) -> Told {
+        let Some(work) = self.works.get_mut(&report.step) else { return Told::Stop };
+        let Some(progress) = work.progress.get_mut(report.index as usize) else {
+            return Told::Stop;
+        };
         let live = matches!(progress.phase, Phase::Running | Phase::Scoring);
         let same = progress.host.as_deref() == Some(host) && progress.run == report.run;
-        if progress.phase == Phase::Waiting && progress.claimable && report.from == 0 {
+        let claimed = progress.phase == Phase::Waiting && progress.claimable;
+        if claimed && report.from > 0 {
+            // It was sent before the host was asked to tell all of it. Stopped for this, the run
+            // would begin anew, and with it all that it has made.
+            return Told::Later;
+        }
+        if claimed {
             // The leader did not know of this run: it was begun under the leader before.
             work.waiting -= 1;
             progress.phase = Phase::Running;
@@ -42,12 +50,12 @@
                 *seat.running.entry(work.step.model.clone()).or_default() += 1;
             }
         } else if !live || !same {
-            return false;
+            return Told::Stop;
         }
         progress.told = true;
         let before = progress.made.events.len();
         if !report.add_to(&mut progress.made) {
-            return false;
+            return Told::Stop;
         }
         progress.noted = progress.noted.min(progress.made.events.len());
         if progress.made.events.len() > before {
@@ -62,7 +70,7 @@
         if report.gap_ms > 0 {
             self.pace(&report.endpoint, f64::from(report.gap_ms), now);
         }
-        true
+        Told::GoOn
     }
 
     pub(super) fn pace(&mut self, seat: &str, gap: f64, now: Millis) {
--- a/components/fleet/src/plan/work.rs
+++ b/components/fleet/src/plan/work.rs
@@ -59,6 +59,17 @@
     Nothing,
 }
 
+/// What follows from a host's report.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Told {
+    /// The host goes on with the run.
+    GoOn,
+    /// The host is to stop it: it was begun elsewhere, or it is over.
+    Stop,
+    /// Nothing yet: the run is of the leader before, and the host is about to tell all of it.
+    Later,
+}
+
 /// A sample that is to run now.
 #[derive(Clone, Debug)]
 pub struct Assignment {
--- a/components/fleet/tests/plan.rs
+++ b/components/fleet/tests/plan.rs
@@ -18,6 +18,7 @@
 use chicoryford_fleet::plan::Next;
 use chicoryford_fleet::plan::Plan;
 use chicoryford_fleet::plan::RunEnd;
+use chicoryford_fleet::plan::Told;
 use chicoryford_fleet::run;
 use chicoryford_fleet::run::Report;
 use chicoryford_types::Epoch;
@@ -160,7 +161,7 @@
     for _ in 0..3 {
         let run = assign(&mut plan, NOW).remove(0);
         order.push(run.step.id.clone());
-        assert!(plan.told("a", &report(&run, run::Standing::Scoring, &["x"]), NOW));
+        assert_eq!(plan.told("a", &report(&run, run::Standing::Scoring, &["x"]), NOW), Told::GoOn);
     }
     assert_eq!(order, ["urgent", "late", "later"]);
 }
@@ -176,8 +177,8 @@
     assert_eq!(plan.ended("a", 0, RunEnd::Taken, NOW), Next::Again);
     let second = assign(&mut plan, NOW).remove(0);
     assert_ne!(first.endpoint, second.endpoint, "it was too slow there");
-    assert!(!plan.told("a", &report(&first, run::Standing::Scoring, &["x"]), NOW));
-    assert!(plan.told("a", &report(&second, run::Standing::Running, &["y"]), NOW));
+    assert_eq!(plan.told("a", &report(&first, run::Standing::Scoring, &["x"]), NOW), Told::Stop);
+    assert_eq!(plan.told("a", &report(&second, run::Standing::Running, &["y"]), NOW), Told::GoOn);
     assert_eq!(plan.made("a", 0).unwrap().events, ["y"]);
 }
 
@@ -188,7 +189,7 @@
 fn a_lost_hosts_runs_go_on_after_the_last_event_that_it_told() {
     let mut plan = plan(&[engine("e1", 1, 1)], &[step("a", &[1])]);
     let run = assign(&mut plan, NOW).remove(0);
-    assert!(plan.told("a", &report(&run, run::Standing::Running, &["x", "y"]), NOW));
+    assert_eq!(plan.told("a", &report(&run, run::Standing::Running, &["x", "y"]), NOW), Told::GoOn);
     assert_eq!(plan.orphan("a"), 1);
     let again = assign(&mut plan, NOW).remove(0);
     assert_eq!(again.made.events, ["x", "y"]);
@@ -204,10 +205,10 @@
     let engines = [engine("e1", 1, 1), engine("e2", 1, 1), engine("e3", 1, 1)];
     let mut plan = plan(&engines, &[step("a", &[3, 2, 1])]);
     let runs = assign(&mut plan, NOW);
-    assert!(plan.told("a", &report(&runs[0], run::Standing::Scoring, &["x"]), NOW));
-    assert!(plan.told("a", &report(&runs[1], run::Standing::Running, &["y"]), NOW));
+    assert_eq!(plan.told("a", &report(&runs[0], run::Standing::Scoring, &["x"]), NOW), Told::GoOn);
+    assert_eq!(plan.told("a", &report(&runs[1], run::Standing::Running, &["y"]), NOW), Told::GoOn);
     plan.mark_untold("a");
-    assert!(plan.told("a", &report(&runs[2], run::Standing::Running, &["z"]), NOW));
+    assert_eq!(plan.told("a", &report(&runs[2], run::Standing::Running, &["z"]), NOW), Told::GoOn);
     assert_eq!(plan.orphan_untold("a"), 2);
     let mut again: Vec<u32> = assign(&mut plan, NOW).iter().map(|one| one.index).collect();
     again.sort_unstable();
@@ -226,13 +227,33 @@
     let mut plan = plan(&[engine("e1", 1, 1), engine("e2", 1, 1)], &[]);
     plan.open(step("a", &[5, 1]), NOW, NOW + 500, |_| false);
     assert!(assign(&mut plan, NOW + 100).is_empty());
-    assert!(plan.told("a", &report(&runs[0], run::Standing::Running, &["x"]), NOW + 100));
+    assert_eq!(
+        plan.told("a", &report(&runs[0], run::Standing::Running, &["x"]), NOW + 100),
+        Told::GoOn
+    );
     let rest = assign(&mut plan, NOW + 500);
     assert_eq!(rest.len(), 1);
     assert_eq!(rest[0].index, runs[1].index);
     assert_ne!(rest[0].endpoint, runs[0].endpoint, "that engine is taken");
     let late = report(&runs[1], run::Standing::Running, &["z"]);
-    assert!(!plan.told("a", &late, NOW + 600), "it was begun anew meanwhile");
+    assert_eq!(plan.told("a", &late, NOW + 600), Told::Stop, "it was begun anew meanwhile");
+}
+
+/// Symptom: after a change of leader a third of the runs begin anew, and the longest are late.
+/// Sequence: a host tells the next leader of a run before the leader has read its step; the host's next
+/// telling, of what came since, arrives when the step has been read, before all is told once more.
+/// Cause: the leader knew nothing of the run and had it stopped.
+#[test]
+fn a_run_of_the_leader_before_is_not_stopped_before_all_of_it_is_told() {
+    let mut before = plan(&[engine("e1", 1, 1)], &[step("a", &[5])]);
+    let run = assign(&mut before, NOW).remove(0);
+    let mut plan = plan(&[engine("e1", 1, 1)], &[]);
+    plan.open(step("a", &[5]), NOW, NOW + 500, |_| false);
+    let news = Report { from: 2, ..report(&run, run::Standing::Running, &["c"]) };
+    assert_eq!(plan.told("a", &news, NOW + 10), Told::Later);
+    let all = report(&run, run::Standing::Running, &["a", "b", "c"]);
+    assert_eq!(plan.told("a", &all, NOW + 20), Told::GoOn);
+    assert_eq!(plan.made("a", 0).unwrap().events.len(), 3);
 }
 
 /// Symptom: after the loss of all processes the samples wait half a second more than they must.
@@ -258,7 +279,7 @@
     let mut plan = plan(&[engine("e1", 1, 1)], &[step("a", &[1])]);
     let run = assign(&mut plan, NOW).remove(0);
     let ahead = Report { from: 3, ..report(&run, run::Standing::Running, &["w"]) };
-    assert!(!plan.told("a", &ahead, NOW));
+    assert_eq!(plan.told("a", &ahead, NOW), Told::Stop);
     assert!(plan.made("a", 0).unwrap().events.is_empty());
 }
 
--- a/components/node/src/lead/runs.rs
+++ b/components/node/src/lead/runs.rs
@@ -4,6 +4,7 @@
 use chicoryford_fleet::plan::Assignment;
 use chicoryford_fleet::plan::Next;
 use chicoryford_fleet::plan::RunEnd;
+use chicoryford_fleet::plan::Told;
 use chicoryford_fleet::run::Job;
 use chicoryford_fleet::run::Report;
 use chicoryford_fleet::run::Standing;
@@ -104,14 +105,18 @@
     /// Takes in what a host tells of a run.
     pub fn take_report(&self, host: &str, report: &Report) {
         let (step, index) = (&report.step, report.index);
-        let goes_on = self.plan.borrow_mut().told(host, report, clock::now());
-        if !goes_on {
-            // The step may still be on its way from the stores; the host tells again later.
-            let unread = self.unread.borrow().contains(step);
-            if !unread {
-                self.hosts.stop(host, step, index, report.run);
+        let told = self.plan.borrow_mut().told(host, report, clock::now());
+        match told {
+            Told::GoOn => {}
+            Told::Stop => {
+                // The step may still be on its way from the stores; the host tells again later.
+                let unread = self.unread.borrow().contains(step);
+                if !unread {
+                    self.hosts.stop(host, step, index, report.run);
+                }
+                return;
             }
-            return;
+            Told::Later => return,
         }
         match &report.standing {
             Standing::Running => {}
