Elect at once also where a replica lost its disk with all others' power

Change: the question goes to the node, whatever its incarnation, and an answer of another incarnation counts: the node runs another process, so the one before is gone with its lease.

--- a/components/agreement/src/receive.rs
+++ b/components/agreement/src/receive.rs
@@ -30,9 +30,10 @@
     }
 
     /// A message for an earlier incarnation of this node's folder is not for this replica: what
-    /// the earlier one knew is lost, and an answer would be counted as if it were not.
+    /// the earlier one knew is lost, and an answer would be counted as if it were not. Whether it
+    /// has restarted is asked of the node, whatever its incarnation.
     fn is_for_me(&self, to: &ReplicaId, body: &Body) -> bool {
-        let hello = matches!(body, Body::Hello);
+        let hello = matches!(body, Body::Hello | Body::Restarted { .. });
         to.node == self.settings.id.node && (hello || *to == self.settings.id)
     }
 
--- a/components/agreement/src/restart.rs
+++ b/components/agreement/src/restart.rs
@@ -7,6 +7,9 @@
 //! none of them leads, no lease can hold, and the election begins at once: after about two round
 //! trips in place of 350 to 700 ms with the election timeout of the control processes.
 //!
+//! One that lost its disk answers as another incarnation. That the node runs another process now says
+//! as much of the one before: it is gone, and its lease with it.
+//!
 //! All must say so, and not a majority, because the silent one may be the leader. All of the last
 //! two memberships must, because a leader may lead until its own removal is committed. The question
 //! carries a number drawn at the start, so that an answer to an earlier process of this replica,
@@ -56,7 +59,7 @@
         self.restart.next = self.now + self.settings.heartbeat_ms / 4;
         let number = self.restart.number;
         for id in self.others() {
-            if !self.restart.others.contains(&id) {
+            if !self.has_restarted(&id) {
                 self.send(id, Body::Restarted { number });
             }
         }
@@ -89,13 +92,17 @@
     }
 
     fn all_restarted(&self) -> bool {
-        let told = |id: &ReplicaId| *id == self.settings.id || self.restart.others.contains(id);
+        let told = |id: &ReplicaId| *id == self.settings.id || self.has_restarted(id);
         if !self.settings.protections.all_restarted {
             return self.members().majority(told);
         }
         self.others().iter().all(told)
     }
 
+    fn has_restarted(&self, id: &ReplicaId) -> bool {
+        self.restart.others.iter().any(|other| other.node == id.node)
+    }
+
     /// Gives all other members by the last two memberships.
     fn others(&self) -> BTreeSet<ReplicaId> {
         let last = self.changes.iter().rev().take(2);
--- a/components/agreement/tests/random/mutation.rs
+++ b/components/agreement/tests/random/mutation.rs
@@ -2,9 +2,11 @@
 
 use chicoryford_agreement::Promise;
 use chicoryford_agreement::Protections;
+use chicoryford_agreement::Role;
 
 use crate::judge::Symptom;
 use crate::number;
+use crate::world::Host;
 use crate::world::Plan;
 use crate::world::World;
 
@@ -73,9 +75,29 @@
 
 #[test]
 fn notices_votes_while_a_leader_is_heard() {
+    // Randomised faults come to this once in a hundred seeds or two, so it is brought about: the
+    // path between the leader and one follower fails again and again, and the other hears both.
     let off = Protections { vote_hold: false, ..Protections::default() };
-    let (inside, _) = report("vote_hold", &plan(off));
-    assert!(matches!(inside, Some(Symptom::LeaseBroken(_))));
+    let noticed = |seed| matches!(cut_paths(seed, off), Some(Symptom::LeaseBroken(_)));
+    let seeds = (1..=SEEDS).filter(|seed| noticed(*seed)).count();
+    println!("without vote_hold: {seeds} of {SEEDS} seeds");
+    assert!(seeds > 0);
+    assert!((1..=SEEDS).all(|seed| cut_paths(seed, Protections::default()).is_none()));
+}
+
+fn cut_paths(seed: u64, protections: Protections) -> Option<Symptom> {
+    let mut world = World::new(Plan { seed, protections, ..Plan::default() });
+    world.run_for(3_000);
+    for _ in 0..10 {
+        let leads = |host: &Host| host.replica.as_ref().is_some_and(|r| r.role() == Role::Leader);
+        let leader = world.hosts.iter().position(leads).unwrap_or_default();
+        let other = (leader + 1) % 3;
+        world.cuts.extend([(leader, other), (other, leader)]);
+        world.run_for(600);
+        world.cuts.clear();
+        world.run_for(600);
+    }
+    world.judge.symptom
 }
 
 #[test]
--- a/components/agreement/tests/random/named.rs
+++ b/components/agreement/tests/random/named.rs
@@ -189,6 +189,32 @@
     }
 }
 
+#[test]
+fn elects_at_once_when_one_of_all_lost_its_disk_besides() {
+    // Symptom: as above, where a VM comes back without its disk.
+    // Sequence: all replicas lose power together, one of them its disk as well; it is back under the
+    // same address as another incarnation.
+    // Cause: the others waited for word of the incarnation that is gone.
+    const SHORTEST: u64 = 150;
+    let mut soon = 0;
+    for seed in 1..=20 {
+        let mut world = World::new(Plan { seed, loss: 0, ..Plan::default() });
+        world.run_for(3_000);
+        world.lose_messages();
+        let wiped = (leader(&world) + seed as usize) % 3;
+        restart(&mut world, &(0..3).filter(|place| *place != wiped).collect::<Vec<_>>());
+        world.lose_disk(wiped);
+        world.boot(wiped);
+        world.run_for(SHORTEST);
+        let leads =
+            |host: &Host| host.replica.as_ref().is_some_and(|r| r.leads(host.clock(world.now)));
+        soon += u32::from(world.hosts.iter().any(leads));
+        world.run_for(2_000);
+        assert_eq!(world.judge.symptom, None);
+    }
+    assert!(soon >= 14, "{soon} of 20");
+}
+
 /// The leader is cut off while all the others restart; its lease still holds.
 fn lease_beside_restarts(plan: Plan) -> Option<Symptom> {
     let mut world = World::new(plan);
