Connect to another replica within 100 ms, or try again

Cause: with VMs that come back 0.15 s apart, replicas opened connections to some that had no power yet; the attempt was given up after 250 ms, and they learned of each other 0.13 to 0.3 s after the last had started.

Change: 100 ms, several round trips between regions.

With it: a line `request_tried` for each request that was late or failed, with its attempts (endpoint, when, expected, beside, how it ended). Without it a late answer could not be traced: its only line said that it was late.

--- a/components/fleet/src/pick.rs
+++ b/components/fleet/src/pick.rs
@@ -60,6 +60,13 @@
     pub id: String,
     /// The address.
     pub address: SocketAddr,
+    /// Milliseconds that the attempt is expected to take.
+    pub expected_ms: u32,
+    /// Attempts of this process that it has already.
+    pub running: u32,
+    /// Milliseconds for which it would rather be left alone: it failed or was full lately, and so
+    /// had all others.
+    pub penalty_ms: u32,
 }
 
 /// Why there is no endpoint to go to.
@@ -145,9 +152,15 @@
             (penalty, seat.expected(now, typical) * (1.0 + self.rng.random_range(0.0..0.1)), seat)
         });
         let best = best.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        let Some((_, _, seat)) = best else { return Err(Nowhere::AllTried) };
+        let Some((penalty, expected, seat)) = best else { return Err(Nowhere::AllTried) };
         let said = &seat.endpoint.said;
-        let target = Target { id: said.id.clone(), address: said.address };
+        let target = Target {
+            id: said.id.clone(),
+            address: said.address,
+            expected_ms: expected as u32,
+            running: seat.running,
+            penalty_ms: penalty as u32,
+        };
         if let Some(seat) = self.seats.get_mut(&target.id) {
             seat.running += 1;
         }
--- a/components/node/src/forward.rs
+++ b/components/node/src/forward.rs
@@ -117,17 +117,23 @@
             failures: 0,
             runs: 0,
             last: None,
+            began: clock::now(),
+            tries: Rc::default(),
         };
         let timer = tokio::time::sleep(Duration::from_millis(budget_ms));
-        tokio::select! {
-            outcome = carry.run() => return outcome,
-            () = timer => {}
-        }
-        if carry.runs > 0 {
-            Outcome::Late(carry.failures)
-        } else {
-            Outcome::NotRun("no endpoint took it in time", FULL_AFTER_MS)
-        }
+        let outcome = tokio::select! {
+            outcome = carry.run() => Some(outcome),
+            () = timer => None,
+        };
+        let outcome = outcome.unwrap_or_else(|| {
+            if carry.runs > 0 {
+                Outcome::Late(carry.failures)
+            } else {
+                Outcome::NotRun("no endpoint took it in time", FULL_AFTER_MS)
+            }
+        });
+        carry.explain(&outcome, route.target_ms);
+        outcome
     }
 
     /// Makes one attempt. `once` says that it must not arrive twice, so that it goes out on a new
@@ -138,9 +144,10 @@
         request: &Request,
         deadline: Millis,
         once: bool,
+        note: (Tries, usize),
     ) -> Tried {
         let began = clock::now();
-        let mut attempt = Attempt { forwarder: self, id: &target.id, began, ended: false };
+        let mut attempt = Attempt { forwarder: self, id: &target.id, began, ended: false, note };
         let left = deadline.since(began);
         let forwarded = plain::forward(request, &target.id, left);
         let kept = self.pool.borrow_mut().take(target.address, &target.id);
@@ -219,6 +226,20 @@
     /// Attempts that may have run.
     runs: u32,
     last: Option<Reply>,
+    began: Millis,
+    tries: Tries,
+}
+
+/// What became of a request's attempts, for its log line.
+type Tries = Rc<RefCell<Vec<Try>>>;
+
+/// One attempt: why it went where it went, and how it ended.
+struct Try {
+    target: Target,
+    /// Milliseconds after the request came.
+    at_ms: u64,
+    /// How it ended, after so many milliseconds; none while it is under way.
+    end: Option<(Ending, u64)>,
 }
 
 impl<'a> Carry<'a> {
@@ -267,9 +288,12 @@
         self.left -= 1;
         self.runs += 1;
         self.tried.push(target.id.clone());
+        let at_ms = clock::now().since(self.began);
+        self.tries.borrow_mut().push(Try { target: target.clone(), at_ms, end: None });
+        let note = (self.tries.clone(), self.tries.borrow().len() - 1);
         let (forwarder, request) = (self.forwarder, self.request);
         let (deadline, once) = (self.deadline, self.once);
-        async move { forwarder.attempt(target, request, deadline, once).await }
+        async move { forwarder.attempt(target, request, deadline, once, note).await }
     }
 
     /// Takes in how an attempt ended; gives the outcome if that settles the request.
@@ -302,23 +326,56 @@
         }
     }
 
+    /// Writes down what became of the attempts of a request that was late or failed: with this line
+    /// alone it can be told whether an endpoint was slow, failed, or was the only one left. The
+    /// others are only counted, so that the volume stays bounded.
+    fn explain(&self, outcome: &Outcome, target_ms: u64) {
+        let ms = clock::now().since(self.began);
+        let good = matches!(outcome, Outcome::Answered(reply, _) if reply.status.is_success());
+        if good && ms <= target_ms {
+            return;
+        }
+        let request = plain::attempt(self.request).unwrap_or_default();
+        let tries: Vec<String> = self.tries.borrow().iter().map(Try::to_string).collect();
+        let tries = tries.join("; ");
+        let (service, rounds) = (self.service, self.rounds);
+        tracing::info!(event = "request_tried", request, service, tries, rounds, ms, target_ms);
+    }
+
     fn hedge_ms(&self) -> u64 {
         let typical = self.forwarder.picker.borrow().typical_ms(self.service);
         typical.map_or(HEDGE_LEAST_MS, |ms| ((ms * HEDGE) as u64).max(HEDGE_LEAST_MS))
     }
 }
 
+impl std::fmt::Display for Try {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Target { id, expected_ms, running, penalty_ms, .. } = &self.target;
+        write!(f, "{id} at={} expected={expected_ms} beside={running}", self.at_ms)?;
+        if *penalty_ms > 0 {
+            write!(f, " penalty={penalty_ms}")?;
+        }
+        match self.end {
+            Some((ending, ms)) => write!(f, " {}={ms}", word(ending)),
+            None => write!(f, " unended"),
+        }
+    }
+}
+
 /// An attempt under way; dropped without an end, its caller has left.
 struct Attempt<'a> {
     forwarder: &'a Forwarder,
     id: &'a str,
     began: Millis,
     ended: bool,
+    note: (Tries, usize),
 }
 
 impl Attempt<'_> {
     fn end(&mut self, ending: Ending) {
         self.ended = true;
+        let (tries, place) = &self.note;
+        tries.borrow_mut()[*place].end = Some((ending, clock::now().since(self.began)));
         metrics::TRIES.with_label_values(&[word(ending)]).inc();
         self.forwarder.picker.borrow_mut().ended(self.id, ending, clock::now());
     }
--- a/components/node/src/peers.rs
+++ b/components/node/src/peers.rs
@@ -21,8 +21,11 @@
 
 /// Messages that wait for one replica; further ones are dropped, as a network would.
 const QUEUE: usize = 512;
-/// How long a connection may take to come about.
-const CONNECT: Duration = Duration::from_millis(250);
+/// How long a connection to another replica may take to come about. Round trips are a few milliseconds,
+/// some tens between regions. A VM that has no power yet does not answer, and the opening packet is
+/// sent again only after a second, so a longer wait delays the election after a loss of all power:
+/// with 250 ms the replicas knew of each other 0.13 to 0.3 s after the last of them had started.
+const CONNECT: Duration = Duration::from_millis(100);
 /// How long one batch of messages may take to leave.
 const SEND: Duration = Duration::from_millis(1_500);
 /// Pause after a failure.
