--- a/components/node/tests/forward.rs
+++ b/components/node/tests/forward.rs
@@ -4,6 +4,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -30,6 +32,7 @@
     Refuse,
     Fail,
     FailSlowly,
+    AnswerSlowly,
     Reset,
     Hang,
 }
@@ -64,6 +67,10 @@
                 "HTTP/1.1 503 x\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n".to_owned()
             }
             Does::Fail => format!("HTTP/1.1 500 x\r\n{own}content-length: 0\r\n\r\n"),
+            Does::AnswerSlowly => {
+                tokio::time::sleep(Duration::from_millis(200)).await;
+                format!("HTTP/1.1 200 OK\r\n{own}content-length: 2\r\n\r\nok")
+            }
             Does::FailSlowly => {
                 tokio::time::sleep(Duration::from_millis(200)).await;
                 format!("HTTP/1.1 500 x\r\n{own}content-length: 0\r\n\r\n")
@@ -203,3 +210,37 @@
     let outcome = send(&[&stubs[0], &stubs[1]], Kind::Idempotent, 9, 700).await;
     assert!(matches!(outcome, Outcome::Late(2..)), "{outcome:?}");
 }
+
+/// Collects log lines.
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<Vec<u8>>>);
+
+impl std::io::Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Symptom: a request was late, and its only log line says just that.
+/// Sequence: one endpoint hangs; the second attempt, elsewhere, is answered.
+/// Cause: attempts that ended well, or were given up for a faster one, were not written down.
+#[actix_rt::test]
+async fn a_late_requests_attempts_are_written_down() {
+    let lines = Lines::default();
+    let copy = lines.clone();
+    let log = tracing_subscriber::fmt().with_ansi(false).with_writer(move || copy.clone()).finish();
+    let _guard = tracing::subscriber::set_default(log);
+    let (bad, good) = (stub(Does::Hang).await, stub(Does::AnswerSlowly).await);
+    let outcome = send(&[&bad, &good], Kind::Idempotent, 3, 1_500).await;
+    assert!(is_success(&outcome), "{outcome:?}");
+    let text = String::from_utf8(lines.0.lock().unwrap().clone()).unwrap();
+    let line = text.lines().find(|line| line.contains("request_tried")).expect("a line");
+    assert!(line.contains("request=\"id\""), "{line}");
+    assert!(line.contains("i0 at=") && line.contains("i1 at="), "{line}");
+    assert!(line.contains("dropped=") && line.contains("answered="), "{line}");
+}
