--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -3,6 +3,7 @@
 //! The leader plans for the whole fleet: nobody else sends samples, so it knows what each engine
 //! has without asking. Hosts carry runs out ([`crate::run`]), and tell the next leader of them.
 
+mod assign;
 mod moves;
 mod notes;
 mod reports;
@@ -18,7 +19,6 @@
 use chicoryford_types::Epoch;
 use chicoryford_types::Millis;
 
-use crate::config::Config;
 use crate::endpoint::Endpoint;
 use crate::step::Step;
 
@@ -30,7 +30,6 @@
 pub use work::RunEnd;
 pub use work::Told;
 
-use seat::rank;
 use work::Phase;
 use work::Progress;
 use work::Work;
@@ -182,109 +181,6 @@
         self.works.values().any(|work| work.step.model == model && work.step.single)
     }
 
-    /// Chooses the samples that start now: steps by rank and by the time at which they are due,
-    /// of each the longest samples first, on the engine with the fewest runs. Each run beside it
-    /// makes a sample half a percent slower (measured), which for the longest is time that its step
-    /// does not have; to read a prompt once more takes 1 to 3 ms. So an engine that has read the
-    /// group's prompt is preferred only among those with as few runs.
-    pub fn assign(&mut self, config: &Config, now: Millis) -> Vec<Assignment> {
-        let mut free: u32 =
-            self.seats.values().filter(|seat| seat.is_ready(now)).map(Seat::room).sum();
-        let mut chosen = Vec::new();
-        let waiting = self.works.values().filter(|work| work.waiting > 0 && work.held <= now);
-        let mut order: Vec<(u32, Millis, String)> = waiting
-            .map(|work| (work.step.priority, work.at + work.step.due_ms, work.step.id.clone()))
-            .collect();
-        order.sort();
-        for (_, _, id) in order {
-            if free == 0 {
-                break;
-            }
-            let before = chosen.len();
-            self.assign_step(&id, config, now, &mut chosen);
-            free = free.saturating_sub((chosen.len() - before) as u32);
-        }
-        chosen
-    }
-
-    fn assign_step(
-        &mut self,
-        id: &str,
-        config: &Config,
-        now: Millis,
-        chosen: &mut Vec<Assignment>,
-    ) {
-        let Some(work) = self.works.get_mut(id) else { return };
-        let step = work.step.clone();
-        let mut homes: BTreeMap<&str, String> = BTreeMap::new();
-        for place in 0..work.order.len() {
-            let index = work.order[place] as usize;
-            let sample = &step.samples[index];
-            let progress = &mut work.progress[index];
-            if progress.phase != Phase::Waiting {
-                if let (Some(seat), false) = (&progress.seat, sample.group.is_empty()) {
-                    homes.entry(&sample.group).or_insert_with(|| seat.clone());
-                }
-                continue;
-            }
-            let Some(route) = config.find(&step.host, &sample.path) else { continue };
-            let avoid = progress.avoid.clone();
-            let fits = |seat: &Seat| {
-                let version = seat.endpoint.said.models.get(&step.model);
-                let loading = seat.loading.as_deref() == Some(&step.model);
-                seat.is_ready(now)
-                    && seat.room() > 0
-                    && !loading
-                    && avoid.as_ref() != Some(&seat.endpoint.said.id)
-                    && route.leads_to(&seat.endpoint.said.service)
-                    && version.is_some_and(|version| *version >= step.least)
-            };
-            let usual = self.usual_ms;
-            let home = homes.get(sample.group.as_str()).and_then(|id| self.seats.get(id));
-            let fitting = self.seats.values().filter(|seat| fits(seat));
-            let best = fitting.min_by(|a, b| rank(a, usual, now).total_cmp(&rank(b, usual, now)));
-            let as_good =
-                |seat: &&Seat| best.is_some_and(|b| rank(seat, usual, now) <= rank(b, usual, now));
-            let seat = home.filter(|seat| fits(seat)).filter(as_good).or(best);
-            let Some(seat) = seat else { continue };
-            let said = &seat.endpoint.said;
-            let version = said.models.get(&step.model).copied().unwrap_or_default();
-            if step.single && progress.made.versions.first().is_some_and(|v| *v != version) {
-                progress.made = Made::default();
-            }
-            let (endpoint, address) = (said.id.clone(), said.address);
-            let beside = seat.load();
-            progress.phase = Phase::Running;
-            progress.seat = Some(endpoint.clone());
-            self.run += 1;
-            progress.run = self.run;
-            progress.host = None;
-            progress.claimable = false;
-            progress.began = now;
-            progress.heard = now;
-            work.waiting -= 1;
-            homes.insert(&sample.group, endpoint.clone());
-            if let Some(seat) = self.seats.get_mut(&endpoint) {
-                *seat.running.entry(step.model.clone()).or_default() += 1;
-            }
-            let made = progress.made.clone();
-            let (step, index) = (step.clone(), index as u32);
-            let began = now;
-            let run = self.run;
-            chosen.push(Assignment {
-                run,
-                step,
-                index,
-                endpoint,
-                address,
-                version,
-                made,
-                beside,
-                began,
-            });
-        }
-    }
-
     /// Notes which VM hosts a run.
     pub fn hosted(&mut self, step: &str, index: u32, host: &str) {
         if let Some(work) = self.works.get_mut(step) {
