Experiment: the entry's watching and the played network in files of their own

Cause: entry.rs (544 lines) did three jobs: it ran attempts, it watched for silent ones and stragglers, and it played engines and network for both.

Change: moved to entry/watch.rs and entry/world.rs; no line of behaviour differs (399, 107 and 63 lines). Its tests pass as before.

--- a/components/experiment/src/entry.rs
+++ b/components/experiment/src/entry.rs
@@ -1,5 +1,8 @@
-//! A fake entry around the real decisions: it holds the attempts in flight and watches for
-//! silence, and knows nothing of the other entries.
+//! A fake entry around the real decisions: it holds the attempts in flight and knows nothing of
+//! the other entries.
+
+mod watch;
+mod world;
 
 use std::collections::HashMap;
 
@@ -10,7 +13,6 @@
 use chicoryford_admission::Lease;
 use chicoryford_admission::Retry;
 use chicoryford_admission::Room;
-use chicoryford_admission::Straggler;
 use chicoryford_admission::Verdict;
 use chicoryford_routing::Ending;
 use chicoryford_routing::Place;
@@ -18,7 +20,6 @@
 use chicoryford_routing::Seat;
 use chicoryford_routing::Want;
 use chicoryford_routing::Why;
-use chicoryford_types::Class;
 use chicoryford_types::Millis;
 use chicoryford_types::Model;
 use chicoryford_types::Outcome;
@@ -29,15 +30,10 @@
 use chicoryford_types::template::Retries;
 
 use crate::arm::Arm;
-use crate::engine::Engine;
 use crate::engine::Job;
 use crate::request::Request;
-use crate::tally::Tally;
 
-/// Milliseconds without a frame after which a stream counts as silent.
-const SILENCE_MS: u64 = 3_000;
-/// Milliseconds without a frame after which an urgent request is rescued.
-const RESCUE_MS: u64 = 1_200;
+pub use world::World;
 
 /// One attempt in flight.
 #[derive(Clone, Debug)]
@@ -187,35 +183,6 @@
         }
     }
 
-    /// Looks for streams that went silent, and for samples that hold up their group.
-    pub fn watch(&mut self, now: u64, floors: &[Version], world: &mut World<'_>) {
-        for flight in &mut self.flights {
-            let engine = &world.engines[flight.seat.0 as usize];
-            let silent = engine.frozen > now || world.is_silent(flight);
-            if !silent {
-                flight.heard = now;
-            }
-        }
-        let mut n = 0;
-        while n < self.flights.len() {
-            let flight = &self.flights[n];
-            let quiet = now - flight.heard;
-            if quiet < SILENCE_MS {
-                n += 1;
-                continue;
-            }
-            let frozen = world.engines[flight.seat.0 as usize].frozen > now;
-            let ending = if frozen { Ending::Failed } else { Ending::Silent };
-            self.lose(now, n, ending, Outcome::Unknown, world);
-        }
-        if self.arm.rescue {
-            self.rescue(now, floors, world);
-        }
-        if self.arm.hedge {
-            self.hedge(now, floors, world);
-        }
-    }
-
     /// An attempt ran to its end.
     pub fn finished(&mut self, now: u64, job: &Job, world: &mut World<'_>) {
         if job.silent {
@@ -410,117 +377,6 @@
             world.tally.wasted += f64::from(engine.cancel(id, flight.attempt));
         }
     }
-
-    /// Gives an urgent request that may run twice a second attempt after a second without a
-    /// frame, for its deadline may be over before the silence counts as a failure.
-    fn rescue(&mut self, now: u64, floors: &[Version], world: &mut World<'_>) {
-        let quiet: Vec<(Request, Seat)> = self
-            .flights
-            .iter()
-            .filter(|f| f.request.class == Class::Urgent && now - f.heard >= RESCUE_MS)
-            .filter(|f| self.alone(f))
-            .map(|f| (f.request.clone(), f.seat))
-            .collect();
-        for (request, seat) in quiet {
-            let floor = floors[request.model];
-            world.tally.hedges += 1;
-            self.launch(now, request, floor, true, &[seat], world);
-        }
-    }
-
-    fn alone(&self, flight: &Flight) -> bool {
-        let same = |other: &&Flight| other.request.id == flight.request.id;
-        self.flights.iter().filter(same).count() == 1
-    }
-
-    fn hedge(&mut self, now: u64, floors: &[Version], world: &mut World<'_>) {
-        let seconds = self.flights.iter().filter(|f| f.second && f.request.sample.is_some());
-        let most = self.flights.len().div_ceil(20);
-        if seconds.count() >= most {
-            return;
-        }
-        let mut found = None;
-        for flight in &self.flights {
-            let Some(sample) = flight.request.sample else { continue };
-            let left = world.missing(sample);
-            let ran_ms = now - flight.started;
-            if left > 2 || ran_ms < flight.expected_ms || !self.alone(flight) {
-                continue;
-            }
-            let (done, rate) = world.progress(flight, ran_ms);
-            let remaining = (flight.request.expected as f32 * 1.5 - done).max(0.0);
-            let straggler = Straggler {
-                group: crate::trainer::SAMPLES as u32,
-                left,
-                ran_ms,
-                expected_ms: flight.expected_ms,
-                again_ms: flight.expected_ms,
-                rest_ms: (remaining / rate.max(0.001)) as u64,
-                room: self.room(now, flight.request.model),
-            };
-            found = Some((straggler, flight.request.clone(), flight.seat));
-            break;
-        }
-        let Some((straggler, request, seat)) = found else { return };
-        if self.admission.may_hedge(&straggler) {
-            world.tally.hedges += 1;
-            let floor = floors[request.model];
-            self.launch(now, request, floor, true, &[seat], world);
-        }
-    }
-}
-
-/// What the entries share only because the experiment plays the network for them.
-pub struct World<'a> {
-    /// The engines.
-    pub engines: &'a mut Vec<Engine>,
-    /// What is measured.
-    pub tally: &'a mut Tally,
-    /// Samples that finished.
-    pub done: &'a mut Vec<(crate::request::SampleOf, Version, f32)>,
-    /// The missing samples of each trainer's groups.
-    pub missing: &'a [Vec<u32>],
-    /// One attempt in this many loses its connection; zero for none.
-    pub silent: u64,
-}
-
-impl World<'_> {
-    fn job(&mut self, entry: usize, attempt: u32, request: &Request) -> Job {
-        let draw = request.id.1.wrapping_mul(31).wrapping_add(u64::from(attempt) * 7);
-        Job {
-            entry,
-            id: request.id,
-            attempt,
-            class: request.class,
-            model: request.model,
-            tokens: request.tokens,
-            done: request.produced.map_or(0.0, |(tokens, _)| tokens),
-            prompt: request.prompt + request.produced.map_or(0, |(tokens, _)| tokens as u32),
-            prefix: request.prefix,
-            prefill: 0.0,
-            version: request.produced.map_or(Version(u64::MAX), |(_, version)| version),
-            silent: self.silent > 0 && draw.is_multiple_of(self.silent),
-        }
-    }
-
-    fn find(&self, flight: &Flight) -> Option<&Job> {
-        let engine = &self.engines[flight.seat.0 as usize];
-        let same = |job: &&Job| job.id == flight.request.id && job.attempt == flight.attempt;
-        engine.running.iter().chain(&engine.queue).find(same)
-    }
-
-    fn is_silent(&self, flight: &Flight) -> bool {
-        self.find(flight).is_none_or(|job| job.silent)
-    }
-
-    fn progress(&self, flight: &Flight, ran_ms: u64) -> (f32, f32) {
-        let done = self.find(flight).map_or(0.0, |job| job.done);
-        (done, done / ran_ms.max(1) as f32)
-    }
-
-    fn missing(&self, sample: crate::request::SampleOf) -> u32 {
-        self.missing[sample.trainer].get(sample.group).copied().unwrap_or(0)
-    }
 }
 
 fn want<'a>(
