Count what links carry, by kind of message and by data centres

Change: the process that takes a link counts both directions (link_bytes_total{kind,from,to}), and writes a line each ten seconds. A replica says in its first frame where it is.

--- a/components/node/src/hub.rs
+++ b/components/node/src/hub.rs
@@ -35,6 +35,8 @@
 use crate::message::decode;
 use crate::message::encode;
 use crate::message::frames;
+use crate::traffic::Traffic;
+use crate::traffic::Way;
 
 /// How long the first frame may take.
 const HELLO: Duration = Duration::from_secs(2);
@@ -58,23 +60,37 @@
 /// A member that follows.
 struct Follower {
     store: Option<StoreId>,
+    data_centre: String,
     frames: mpsc::Sender<Bytes>,
 }
 
 /// The members that follow this process while it leads.
-#[derive(Default)]
 pub struct Followers {
+    traffic: Rc<Traffic>,
     next: Cell<u64>,
     all: RefCell<BTreeMap<u64, Follower>>,
     asked: RefCell<BTreeMap<u64, oneshot::Sender<Told>>>,
 }
 
 impl Followers {
+    /// Starts without any; what is sent to them is counted.
+    pub fn new(traffic: Rc<Traffic>) -> Self {
+        Self {
+            traffic,
+            next: Cell::default(),
+            all: RefCell::default(),
+            asked: RefCell::default(),
+        }
+    }
+
     /// Tells all members something. One whose queue is full would believe what is out of date from
     /// then on, so its connection ends, and it is told all there is when it follows anew.
     pub fn tell(&self, news: &News) {
         let frame = encode(&Down::News(news.clone()));
-        self.all.borrow_mut().retain(|_, f| f.frames.try_send(frame.clone()).is_ok());
+        self.all.borrow_mut().retain(|_, follower| {
+            self.count(news.kind(), &follower.data_centre, &frame);
+            follower.frames.try_send(frame.clone()).is_ok()
+        });
     }
 
     /// Asks a store; none if it does not answer in time or is not connected.
@@ -83,13 +99,16 @@
         let frames = {
             let all = self.all.borrow();
             let found = all.values().find(|follower| follower.store.as_ref() == Some(store));
-            found.map(|follower| follower.frames.clone())
+            found.map(|follower| (follower.frames.clone(), follower.data_centre.clone()))
         };
-        let frames = frames?;
+        let (frames, data_centre) = frames?;
         let (answer, told) = oneshot::channel();
         self.asked.borrow_mut().insert(number, answer);
         let asking = async {
-            frames.send(encode(&Down::Ask { number, ask })).await.ok()?;
+            let kind = ask.kind();
+            let frame = encode(&Down::Ask { number, ask });
+            self.count(kind, &data_centre, &frame);
+            frames.send(frame).await.ok()?;
             told.await.ok()
         };
         let told = tokio::time::timeout(limit, asking).await.ok().flatten();
@@ -102,7 +121,10 @@
         let all = self.all.borrow();
         let hosts = |f: &&Follower| f.store.as_ref().is_some_and(|store| store.node == host);
         let found = all.values().rev().find(hosts);
-        found.is_some_and(|f| f.frames.try_send(encode(&Down::Work(work))).is_ok())
+        let Some(follower) = found else { return false };
+        let frame = encode(&Down::Work(work));
+        self.count("work", &follower.data_centre, &frame);
+        follower.frames.try_send(frame).is_ok()
     }
 
     /// Tells a store something that it does not answer.
@@ -122,6 +144,10 @@
         }
     }
 
+    fn count(&self, kind: &'static str, there: &str, frame: &Bytes) {
+        self.traffic.count(kind, Way::Out, there, frame.len());
+    }
+
     fn number(&self) -> u64 {
         self.next.set(self.next.get() + 1);
         self.next.get()
@@ -142,6 +168,8 @@
     pub lead: Rc<RefCell<Option<Rc<Lead>>>>,
     /// The members that follow.
     pub followers: Rc<Followers>,
+    /// Counts what the links carry.
+    pub traffic: Rc<Traffic>,
 }
 
 impl Hub {
@@ -169,7 +197,7 @@
         let frame = tokio::time::timeout(HELLO, socket.next()).await;
         let Ok(Some(Ok(frame))) = frame else { return };
         match decode::<Hello>(&frame) {
-            Ok(Hello::Replica) => self.take_letters(socket).await,
+            Ok(Hello::Replica { data_centre }) => self.take_letters(socket, &data_centre).await,
             Ok(Hello::Member { node, data_centre, store }) => {
                 let store = store.map(|identity| StoreId { node, identity });
                 self.serve(socket, data_centre, store).await;
@@ -178,9 +206,10 @@
         }
     }
 
-    async fn take_letters(&self, mut socket: Socket) {
+    async fn take_letters(&self, mut socket: Socket, data_centre: &str) {
         let mut said = Instant::now();
         while let Some(Ok(frame)) = socket.next().await {
+            self.traffic.count("letter", Way::In, data_centre, frame.len());
             if said.elapsed() >= SEEN {
                 said = Instant::now();
                 if socket.send(Bytes::new()).await.is_err() {
@@ -209,11 +238,17 @@
         let first: Vec<Down> = std::iter::once(Down::Welcome).chain(news).collect();
         let (frames, mut queue) = mpsc::channel(QUEUE + first.len());
         for down in first {
+            let frame = encode(&down);
+            self.traffic.count("news_first", Way::Out, &data_centre, frame.len());
             // There is room for all of them.
-            let _ = frames.try_send(encode(&down));
+            let _ = frames.try_send(frame);
         }
         let number = self.followers.number();
-        let follower = Follower { store: store.clone(), frames: frames.clone() };
+        let follower = Follower {
+            store: store.clone(),
+            data_centre: data_centre.clone(),
+            frames: frames.clone(),
+        };
         self.followers.all.borrow_mut().insert(number, follower);
         if let Some(store) = &store {
             lead.copies.connected(store.clone(), data_centre.clone());
@@ -295,6 +330,7 @@
             let Ok(frame) = tokio::time::timeout(limit, stream.next()).await else { return true };
             let Some(Ok(frame)) = frame else { return false };
             let Ok(up) = decode::<Up>(&frame) else { return false };
+            self.hub.traffic.count(up.kind(), Way::In, self.data_centre, frame.len());
             self.take(up, &answers);
         }
     }
@@ -316,11 +352,15 @@
 
     fn answer(&self, number: u64, call: Call, answers: mpsc::WeakSender<Bytes>) {
         let lead = self.lead.clone();
+        let (traffic, there) = (self.hub.traffic.clone(), self.data_centre.to_owned());
         actix_rt::spawn(async move {
             let answer = lead.answer(call).await;
             let Some(answers) = answers.upgrade() else { return };
+            let kind = answer.kind();
+            let frame = encode(&Down::Answer { number, answer });
+            traffic.count(kind, Way::Out, &there, frame.len());
             // Without the answer the member does not know what became of its call, and asks again.
-            let _ = answers.send(encode(&Down::Answer { number, answer })).await;
+            let _ = answers.send(frame).await;
         });
     }
 }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod runner;
 pub mod settings;
 pub mod start;
+pub mod traffic;
 pub mod view;
 
 pub use settings::Settings;
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -48,7 +48,10 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum Hello {
     /// Messages of the agreement follow, one way.
-    Replica,
+    Replica {
+        /// The data centre of the sender.
+        data_centre: String,
+    },
     /// A process that follows the leader and calls it.
     Member {
         /// Its VM.
@@ -234,3 +237,69 @@
     /// Whether a store VM is empty.
     Retired(bool),
 }
+
+impl Up {
+    /// Names the kind of message for counters.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Call { call, .. } => call.kind(),
+            Self::Report(_) => "report",
+            Self::Reported | Self::Alive => "alive",
+            Self::Told { told: Told::Part(_), .. } => "part_got",
+            Self::Told { .. } => "part_kept",
+        }
+    }
+}
+
+impl Ask {
+    /// Names the kind of message for counters.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Put(..) => "part_put",
+            Self::Get(_) => "part_get",
+            Self::Keep(_) => "part_keep",
+        }
+    }
+}
+
+impl News {
+    /// Names the kind of message for counters.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Config(_) => "news_config",
+            Self::Endpoint(_) => "news_endpoint",
+            Self::Ordered(_) => "news_ordered",
+            Self::Forgotten(_) | Self::Whole(_) | Self::Controls(_) => "news_other",
+        }
+    }
+}
+
+impl Call {
+    /// Names the kind of message for counters.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Announce(_) | Self::Leave(_) => "call_announce",
+            Self::Configure(_) | Self::ReadConfig => "call_config",
+            Self::Submit(_) => "call_submit",
+            Self::Read { .. } => "call_read",
+            Self::Body { .. } => "call_body",
+            Self::Publish { .. }
+            | Self::End(_)
+            | Self::Retire(_)
+            | Self::Retired(_)
+            | Self::Join(_) => "call_other",
+        }
+    }
+}
+
+impl Answer {
+    /// Names the kind of message for counters.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Results { .. } => "answer_results",
+            Self::Body(_) => "answer_body",
+            Self::Config(_) => "answer_config",
+            _ => "answer_other",
+        }
+    }
+}
--- a/components/node/src/metrics.rs
+++ b/components/node/src/metrics.rs
@@ -60,6 +60,10 @@
 /// Orders to engines by how they were taken.
 pub static ORDERS: LazyLock<IntCounterVec> =
     LazyLock::new(|| counter("orders_total", "Orders to engines by answer.", &["taken"]));
+/// Bytes that the links of this process carried, by kind of message and data centres.
+pub static LINK_BYTES: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counter("link_bytes_total", "Bytes on links by kind and data centres.", &["kind", "from", "to"])
+});
 static LEADS: LazyLock<IntGauge> = LazyLock::new(|| {
     register_int_gauge!("leads", "Whether this process leads.").expect("names are unique")
 });
--- a/components/node/src/peers.rs
+++ b/components/node/src/peers.rs
@@ -36,20 +36,28 @@
 const SILENT: Duration = Duration::from_millis(600);
 
 /// The ways to the other replicas, opened as they are needed.
-#[derive(Default)]
-pub struct Peers(RefCell<BTreeMap<SocketAddr, mpsc::Sender<Letter>>>);
+pub struct Peers {
+    /// Where this process is; the other side is told.
+    data_centre: String,
+    lanes: RefCell<BTreeMap<SocketAddr, mpsc::Sender<Letter>>>,
+}
 
 impl Peers {
+    /// Starts without any connection.
+    pub fn new(data_centre: &str) -> Self {
+        Self { data_centre: data_centre.to_owned(), lanes: RefCell::default() }
+    }
+
     /// Sends a message. It may be lost; the replica repeats what matters.
     pub fn send(&self, letter: Letter) {
         let Ok(address) = letter.to.node.to_string().parse::<SocketAddr>() else {
             tracing::warn!(event = "peer_unreachable", to = %letter.to);
             return;
         };
-        let mut lanes = self.0.borrow_mut();
+        let mut lanes = self.lanes.borrow_mut();
         let lane = lanes.entry(address).or_insert_with(|| {
             let (lane, letters) = mpsc::channel(QUEUE);
-            actix_rt::spawn(carry(address, letters));
+            actix_rt::spawn(carry(address, letters, self.data_centre.clone()));
             lane
         });
         // A full lane drops the message; the replica repeats what matters.
@@ -79,7 +87,7 @@
     }
 }
 
-async fn carry(address: SocketAddr, mut letters: mpsc::Receiver<Letter>) {
+async fn carry(address: SocketAddr, mut letters: mpsc::Receiver<Letter>, data_centre: String) {
     let mut lane: Option<Lane> = None;
     while let Some(letter) = letters.recv().await {
         if lane.as_mut().is_some_and(Lane::is_dead) {
@@ -87,7 +95,7 @@
             lane = None;
         }
         if lane.is_none() {
-            lane = open(address).await;
+            lane = open(address, &data_centre).await;
         }
         let Some(open) = &mut lane else {
             // What waits is out of date by the time the other side is back.
@@ -116,10 +124,11 @@
     <_ as SinkExt<Bytes>>::flush(socket).await
 }
 
-async fn open(address: SocketAddr) -> Option<Lane> {
+async fn open(address: SocketAddr, data_centre: &str) -> Option<Lane> {
     let stream = socket::connect(address, CONNECT).await.ok()?;
     socket::limit_silence(&stream, SILENT).ok()?;
     let mut socket = Framed::new(stream, frames());
-    socket.send(encode(&Hello::Replica)).await.ok()?;
+    let hello = Hello::Replica { data_centre: data_centre.to_owned() };
+    socket.send(encode(&hello)).await.ok()?;
     Some(Lane { socket, unanswered: None })
 }
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -44,6 +44,8 @@
 use crate::settings;
 use crate::settings::Settings;
 use crate::settings::SettingsError;
+use crate::traffic;
+use crate::traffic::Traffic;
 use crate::view::View;
 
 /// The replica's folder below the data folder.
@@ -236,18 +238,25 @@
         let founds = settings.first_start && seeds.contains(&own);
         let founders = if founds { seeds } else { Vec::new() };
         let folder = data.join(FOLDER);
-        let (core, reports) = match Core::open(&folder, own, &founders, Peers::default()) {
+        let (core, reports) = match Core::open(&folder, own, &founders, Peers::new(&settings.data_centre)) {
             Err(CoreError::Storage(damage @ StorageError::Corrupt { .. })) => {
                 set_aside(&folder, &damage)?;
-                Core::open(&folder, own, &[], Peers::default())?
+                Core::open(&folder, own, &[], Peers::new(&settings.data_centre))?
             }
             opened => opened?,
         };
         let running = core.clone();
         actix_rt::spawn(async move { running.run(reports).await });
         let lead = self.lead.clone();
-        let followers = Rc::new(Followers::default());
-        let hub = Hub { core: core.clone(), lead: lead.clone(), followers: followers.clone() };
+        let traffic = Traffic::new(&settings.data_centre);
+        let followers = Rc::new(Followers::new(traffic.clone()));
+        let hub = Hub {
+            core: core.clone(),
+            lead: lead.clone(),
+            followers: followers.clone(),
+            traffic: traffic.clone(),
+        };
+        actix_rt::spawn(traffic::report_on(traffic));
         actix_rt::spawn(Rc::new(hub).run(listener));
         actix_rt::spawn(members::ask(core.clone(), self.link.clone()));
         actix_rt::spawn(lead_when_elected(
--- /dev/null
+++ b/components/node/tests/runner.rs
@@ -0,0 +1,121 @@
+//! What a host tells the leader of its runs, on real sockets.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use chicoryford_fleet::Sample;
+use chicoryford_fleet::plan::Made;
+use chicoryford_fleet::run::Job;
+use chicoryford_fleet::run::Report;
+use chicoryford_fleet::run::Standing;
+use chicoryford_fleet::run::Work;
+use chicoryford_node::forward::Forwarder;
+use chicoryford_node::message::Up;
+use chicoryford_node::runner::Runner;
+use chicoryford_node::view::View;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+/// Events of the engine's one answer, and the time between two of them: long enough for the host to
+/// tell of progress several times.
+const EVENTS: usize = 12;
+const GAP: Duration = Duration::from_millis(60);
+
+/// Answers one request with a stream of events.
+async fn engine() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut bytes = vec![0; 4_096];
+        assert!(stream.read(&mut bytes).await.unwrap() > 0);
+        let head = "HTTP/1.1 200 OK\r\nx-attempt-id: s\r\nx-response-stamp: p\r\n\
+                    transfer-encoding: chunked\r\n\r\n";
+        stream.write_all(head.as_bytes()).await.unwrap();
+        for number in 0..EVENTS {
+            let event = format!("id: {number}\ndata: event {number}\n\n");
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            stream.write_all(chunk.as_bytes()).await.unwrap();
+            tokio::time::sleep(GAP).await;
+        }
+        stream.write_all(b"0\r\n\r\n").await.unwrap();
+        tokio::time::sleep(Duration::from_secs(5)).await;
+    });
+    address
+}
+
+fn job(address: SocketAddr) -> Job {
+    let sample = Sample { id: "s".to_owned(), path: "/x".to_owned(), ..Sample::default() };
+    Job {
+        run: 1,
+        step: "step".to_owned(),
+        index: 0,
+        host: "h".to_owned(),
+        sample,
+        endpoint: "i1".to_owned(),
+        address,
+        version: 1,
+        least: 1,
+        single: false,
+        left_ms: 10_000,
+        made: Made::default(),
+    }
+}
+
+/// Takes reports until the run has finished.
+async fn reports(told: &mut mpsc::Receiver<Up>) -> Vec<Report> {
+    let mut reports: Vec<Report> = Vec::new();
+    while !reports.last().is_some_and(|last| matches!(last.standing, Standing::Finished(_))) {
+        let up = tokio::time::timeout(Duration::from_secs(5), told.recv()).await;
+        if let Up::Report(report) = up.expect("the run goes on").expect("the host lives") {
+            reports.push(report);
+        }
+    }
+    reports
+}
+
+/// Symptom: each text crossed to the leader twice, and in part three times, which was a tenth of all
+/// that the fleet's data centres sent each other. Sequence: a host tells of progress four times a
+/// second, then of the end. Cause: the word of the end brought all events again.
+#[actix_rt::test]
+async fn each_event_is_told_once_while_the_leader_stays() {
+    let runner = Runner::new(Rc::new(View::default()), Forwarder::new());
+    let (up, mut told) = mpsc::channel(1_024);
+    runner.attach(up);
+    actix_rt::spawn(runner.clone().run());
+    runner.take(Work::Run(Box::new(job(engine().await))));
+
+    let reports = reports(&mut told).await;
+
+    let events: usize = reports.iter().map(|report| report.made.events.len()).sum();
+    assert_eq!(events, EVENTS);
+    let mut known = Made::default();
+    assert!(reports.iter().all(|report| report.add_to(&mut known)));
+    let whole: Vec<String> = (0..EVENTS).map(|number| format!("event {number}")).collect();
+    assert_eq!(known.events, whole);
+}
+
+/// The next leader knows nothing of the run, and must be told all of it: what the leader before was
+/// told is lost with it.
+#[actix_rt::test]
+async fn the_next_leader_is_told_all_events() {
+    let runner = Runner::new(Rc::new(View::default()), Forwarder::new());
+    let (up, first) = mpsc::channel(1_024);
+    runner.attach(up);
+    actix_rt::spawn(runner.clone().run());
+    runner.take(Work::Run(Box::new(job(engine().await))));
+    tokio::time::sleep(GAP * (EVENTS as u32) / 2).await;
+    drop(first);
+    runner.detach();
+    let (up, mut told) = mpsc::channel(1_024);
+    runner.attach(up);
+
+    let reports = reports(&mut told).await;
+
+    let mut known = Made::default();
+    assert!(reports.iter().all(|report| report.add_to(&mut known)));
+    assert_eq!(known.events.len(), EVENTS);
+}
