--- a/components/node/src/runner.rs
+++ b/components/node/src/runner.rs
@@ -208,13 +208,13 @@
         });
     }
 
-    /// Tells of a run as it stands; all of it once it has ended, so that nothing is missing.
+    /// Tells of a run as it stands: the events that the leader was not told yet. A leader that was
+    /// just found has been told nothing.
     fn tell(&self, hosted: &Hosted) {
         let state = &hosted.state;
         let made = state.made.borrow();
         let standing = state.standing.borrow().clone();
-        let whole = !matches!(standing, Standing::Running | Standing::Scoring);
-        let from = if whole { 0 } else { state.told.get().min(made.events.len()) };
+        let from = state.told.get().min(made.events.len());
         let events = made.events.len() - from;
         let ms = state.heard.get().since(state.told_at.get());
         let gap_ms = if from > 0 && events > 0 { ms / events as u64 } else { 0 };
