--- a/components/node/src/hub.rs
+++ b/components/node/src/hub.rs
@@ -23,6 +23,9 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::core::Core;
+use crate::frame::decode;
+use crate::frame::encode;
+use crate::frame::frames;
 use crate::lead::Lead;
 use crate::message::Ask;
 use crate::message::Call;
@@ -32,9 +35,6 @@
 use crate::message::News;
 use crate::message::Told;
 use crate::message::Up;
-use crate::message::decode;
-use crate::message::encode;
-use crate::message::frames;
 use crate::traffic::Traffic;
 use crate::traffic::Way;
 
@@ -75,12 +75,7 @@
 impl Followers {
     /// Starts without any; what is sent to them is counted.
     pub fn new(traffic: Rc<Traffic>) -> Self {
-        Self {
-            traffic,
-            next: Cell::default(),
-            all: RefCell::default(),
-            asked: RefCell::default(),
-        }
+        Self { traffic, next: Cell::default(), all: RefCell::default(), asked: RefCell::default() }
     }
 
     /// Tells all members something. One whose queue is full would believe what is out of date from
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod core;
 pub mod entry;
 pub mod forward;
+pub mod frame;
 pub mod hosts;
 pub mod hub;
 pub mod lead;
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -24,6 +24,9 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::clock;
+use crate::frame::decode;
+use crate::frame::encode;
+use crate::frame::frames;
 use crate::message::Answer;
 use crate::message::Ask;
 use crate::message::Call;
@@ -31,9 +34,6 @@
 use crate::message::Hello;
 use crate::message::Told;
 use crate::message::Up;
-use crate::message::decode;
-use crate::message::encode;
-use crate::message::frames;
 use crate::runner::Runner;
 use crate::view::View;
 
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -1,11 +1,10 @@
-//! What the processes of a fleet say to each other, and how it is framed.
+//! What the processes of a fleet say to each other.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use chicoryford_agreement::Message;
 use chicoryford_agreement::ReplicaId;
 use chicoryford_fleet::Announcement;
@@ -18,31 +17,6 @@
 use chicoryford_fleet::run::Work;
 use serde::Deserialize;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
-use tokio_util::codec::LengthDelimitedCodec;
-
-/// Bytes of one frame. A submitted step may have the size of the largest body, and a little more
-/// in this form.
-const FRAME: usize = 96 << 20;
-
-/// Makes the codec of frames.
-pub fn frames() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder().max_frame_length(FRAME).new_codec()
-}
-
-/// Writes a value as the content of a frame.
-pub fn encode(value: &impl Serialize) -> Bytes {
-    rmp_serde::to_vec(value).expect("messages are plain data").into()
-}
-
-/// Reads a value from the content of a frame.
-///
-/// # Errors
-///
-/// What the codec says; the connection is then of no use any more.
-pub fn decode<T: DeserializeOwned>(frame: &BytesMut) -> Result<T, rmp_serde::decode::Error> {
-    rmp_serde::from_slice(frame)
-}
 
 /// The first frame on a connection: what it is for.
 #[derive(Clone, Debug, Deserialize, Serialize)]
--- a/components/node/src/peers.rs
+++ b/components/node/src/peers.rs
@@ -14,10 +14,10 @@
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
+use crate::frame::encode;
+use crate::frame::frames;
 use crate::message::Hello;
 use crate::message::Letter;
-use crate::message::encode;
-use crate::message::frames;
 
 /// Messages that wait for one replica; further ones are dropped, as a network would.
 const QUEUE: usize = 512;
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -238,13 +238,14 @@
         let founds = settings.first_start && seeds.contains(&own);
         let founders = if founds { seeds } else { Vec::new() };
         let folder = data.join(FOLDER);
-        let (core, reports) = match Core::open(&folder, own, &founders, Peers::new(&settings.data_centre)) {
-            Err(CoreError::Storage(damage @ StorageError::Corrupt { .. })) => {
-                set_aside(&folder, &damage)?;
-                Core::open(&folder, own, &[], Peers::new(&settings.data_centre))?
-            }
-            opened => opened?,
-        };
+        let (core, reports) =
+            match Core::open(&folder, own, &founders, Peers::new(&settings.data_centre)) {
+                Err(CoreError::Storage(damage @ StorageError::Corrupt { .. })) => {
+                    set_aside(&folder, &damage)?;
+                    Core::open(&folder, own, &[], Peers::new(&settings.data_centre))?
+                }
+                opened => opened?,
+            };
         let running = core.clone();
         actix_rt::spawn(async move { running.run(reports).await });
         let lead = self.lead.clone();
