Lay one copy of each part near the leader, and ask the nearest holder first

Change: of the data centres without a copy the leader's own comes first; reads ask a near holder first.

--- a/components/fleet/src/copies.rs
+++ b/components/fleet/src/copies.rs
@@ -53,14 +53,17 @@
 /// The store VMs as the leader sees them.
 #[derive(Debug, Default)]
 pub struct Stores {
+    /// The leader's data centre.
+    here: String,
     known: BTreeMap<String, Known>,
     began: Millis,
 }
 
 impl Stores {
-    /// Starts to look at stores; for a while, those that are not seen yet still count.
-    pub fn new(now: Millis) -> Self {
-        Self { known: BTreeMap::new(), began: now }
+    /// Starts to look at stores from a data centre; for a while, those that are not seen yet still
+    /// count.
+    pub fn new(here: &str, now: Millis) -> Self {
+        Self { here: here.to_owned(), known: BTreeMap::new(), began: now }
     }
 
     /// Notes that a store has connected.
@@ -94,8 +97,10 @@
         known.is_some_and(|known| known.connected && known.identity == id.identity)
     }
 
-    /// Chooses stores for a new copy, best first: other data centres than those that have one,
-    /// then those that were given the fewest.
+    /// Chooses stores for a new copy, best first: other data centres than those that have one, of
+    /// these the leader's own, then those that were given the fewest. Spread evenly, four of six
+    /// copies would cross to another data centre, and with one near it is three; what is read again
+    /// is near as well.
     pub fn choose(&self, have: &BTreeSet<StoreId>, avoid: &BTreeSet<String>) -> Vec<StoreId> {
         let nodes: BTreeSet<&str> = have.iter().map(|id| id.node.as_str()).collect();
         let mut used: BTreeSet<&str> = nodes
@@ -110,7 +115,7 @@
                 known.connected && !nodes.contains(node.as_str()) && !avoid.contains(*node)
             })
             .collect();
-        fit.sort_by_key(|(node, known)| (known.puts, *node));
+        fit.sort_by_key(|(node, known)| (self.is_far(known), known.puts, *node));
         let (mut apart, beside): (Vec<_>, Vec<_>) =
             fit.into_iter().partition(|(_, known)| used.insert(&known.data_centre));
         apart.extend(beside);
@@ -121,6 +126,18 @@
         apart.into_iter().map(id).collect()
     }
 
+    /// Gives the stores that can be asked for a part now, nearest first.
+    pub fn holders(&self, stores: &BTreeSet<StoreId>) -> Vec<StoreId> {
+        let mut live: Vec<StoreId> =
+            stores.iter().filter(|id| self.is_connected(id)).cloned().collect();
+        live.sort_by_key(|id| self.known.get(&id.node).is_none_or(|known| self.is_far(known)));
+        live
+    }
+
+    fn is_far(&self, known: &Known) -> bool {
+        known.data_centre != self.here
+    }
+
     /// Counts a copy that a store was given.
     pub fn given(&mut self, id: &StoreId) {
         if let Some(known) = self.known.get_mut(&id.node) {
--- a/components/fleet/tests/copies.rs
+++ b/components/fleet/tests/copies.rs
@@ -12,7 +12,11 @@
 }
 
 fn stores() -> Stores {
-    let mut stores = Stores::new(Millis(0));
+    seen_from("elsewhere")
+}
+
+fn seen_from(here: &str) -> Stores {
+    let mut stores = Stores::new(here, Millis(0));
     for (node, place) in [("a", "x"), ("b", "x"), ("c", "y"), ("d", "z")] {
         stores.connected(id(node, 1), place.to_owned(), Millis(0));
     }
@@ -33,6 +37,29 @@
     assert_eq!(nodes(&chosen), ["b", "a"]);
 }
 
+/// Pattern: each part goes to two of three data centres. Spread evenly, two of three copies cross to
+/// another one; where each byte between data centres is paid for, one near is one less.
+#[test]
+fn one_copy_lies_near_the_leader_and_the_others_elsewhere() {
+    let mut stores = seen_from("y");
+    for _ in 0..10 {
+        let chosen = stores.choose(&BTreeSet::new(), &BTreeSet::new());
+        assert_eq!(chosen[0], id("c", 1), "however many copies it has");
+        chosen[..2].iter().for_each(|id| stores.given(id));
+    }
+    let second = stores.choose(&BTreeSet::from([id("c", 1)]), &BTreeSet::new());
+    assert!(!nodes(&second[..1]).contains(&"c"));
+}
+
+#[test]
+fn the_nearest_holder_that_is_connected_is_asked_first() {
+    let mut stores = seen_from("y");
+    let holders = BTreeSet::from([id("a", 1), id("c", 1), id("d", 2)]);
+    assert_eq!(nodes(&stores.holders(&holders)), ["c", "a"], "d has another disk now");
+    stores.disconnected(&id("c", 1), Millis(1));
+    assert_eq!(nodes(&stores.holders(&holders)), ["a"]);
+}
+
 /// Symptom: what was accepted is gone after the second loss.
 /// Sequence: a store loses its disk and comes back; the other copy's store loses its disk.
 /// Cause: the first store still counted as holding what its lost disk held.
--- a/components/node/src/copies.rs
+++ b/components/node/src/copies.rs
@@ -24,6 +24,7 @@
 use crate::message::Ask;
 use crate::message::Told;
 use crate::metrics;
+use crate::settings::Settings;
 
 /// How long one store may take to keep a part. A sync takes a few milliseconds, on a slow disk
 /// some ten times as long.
@@ -80,12 +81,12 @@
 
 impl Copies {
     /// Starts without any store; as many copies are wanted as VMs may be lost, and one more.
-    pub fn new(followers: Rc<Followers>, tolerated: u32, now: Millis) -> Self {
+    pub fn new(followers: Rc<Followers>, settings: &Settings, now: Millis) -> Self {
         Self {
             followers,
-            stores: RefCell::new(Stores::new(now)),
+            stores: RefCell::new(Stores::new(&settings.data_centre, now)),
             cache: RefCell::default(),
-            wanted: tolerated as usize + 1,
+            wanted: settings.tolerated as usize + 1,
         }
     }
 
@@ -176,7 +177,7 @@
         have
     }
 
-    /// Reads a part from memory or from the first store that gives it.
+    /// Reads a part from memory or from the first store that gives it, the nearest asked first.
     pub async fn read(&self, part: PartId, place: &Place) -> Option<Bytes> {
         if let Some(bytes) = self.cache.borrow().parts.get(&part) {
             return Some(bytes.clone());
@@ -193,8 +194,7 @@
     }
 
     async fn get(&self, part: PartId, stores: &BTreeSet<StoreId>) -> Option<Bytes> {
-        let mut left: VecDeque<StoreId> =
-            stores.iter().filter(|id| self.stores.borrow().is_connected(id)).cloned().collect();
+        let mut left: VecDeque<StoreId> = self.stores.borrow().holders(stores).into();
         let ask = |store: StoreId| async move {
             match self.followers.ask(&store, Ask::Get(part), GET).await {
                 Some(Told::Part(bytes)) => bytes,
--- a/components/node/src/lead/mod.rs
+++ b/components/node/src/lead/mod.rs
@@ -123,7 +123,7 @@
         endpoints.retain(|endpoint| known.iter().all(|other| other.said.id != endpoint.said.id));
         endpoints.extend(known);
         let hosts = Hosts::new(parts.followers.clone(), parts.runner.clone());
-        let copies = Copies::new(parts.followers.clone(), parts.settings.tolerated, now);
+        let copies = Copies::new(parts.followers.clone(), &parts.settings, now);
         let lead = Rc::new(Self {
             epoch,
             copies,
