--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -45,9 +45,9 @@
 const SUBMIT: Duration = Duration::from_millis(2_500);
 /// How long other calls about steps are tried, beyond what they may wait for.
 const ASK: Duration = Duration::from_millis(1_500);
-/// Bytes of results that an entry keeps to give them again: of a step's two hundred texts of six
-/// kilobytes some ten steps, which is as long as trainers and other readers come back to them.
-pub const RECENT: usize = 12 << 20;
+/// Bytes of results that an entry keeps to give them again. Readers come back to a step within
+/// seconds of its results; with three times as much, no more of them found what they asked for.
+pub const RECENT: usize = 4 << 20;
 /// Milliseconds for which a request is forwarded when neither its caller nor its route says.
 const BUDGET_MS: u64 = 30_000;
 
