Believe an endpoint that started again under its identity; take no work from unfit announcements

Cause: an endpoint may start again under the identity that it had and count anew. Its words were then taken for late ones of before, so it got no work. Change: an announcement says when its sender started; a later start begins anew in the registry, the planner and the picker.

--- a/components/fleet/src/endpoint.rs
+++ b/components/fleet/src/endpoint.rs
@@ -10,11 +10,16 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::config::Config;
+
 /// What an endpoint says of itself.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Announcement {
-    /// The incarnation: each start has a new one.
+    /// The incarnation. Most starts have a new one; `born` tells those apart that share one.
     pub id: String,
+    /// The Unix millisecond of its start, by its own clock; zero if it does not say. An endpoint may
+    /// start again under its old identity, with nothing of before, and counts anew from then on.
+    pub born: u64,
     /// The service that it belongs to.
     pub service: String,
     /// Where it answers.
@@ -27,7 +32,7 @@
     pub draining: bool,
     /// The version of each model that it holds.
     pub models: BTreeMap<String, u64>,
-    /// Counts its announcements.
+    /// Counts its announcements since its start.
     pub sequence: u64,
 }
 
@@ -101,6 +106,15 @@
         Self { settings, held: held.collect() }
     }
 
+    /// Tells whether an announcement names a service that the configuration does not. Somebody else
+    /// may have written it, even under the identity of an endpoint that is known; it must then
+    /// change nothing. Without a configuration nothing can be told yet.
+    pub fn is_foreign(&self, said: &Announcement, config: Option<&Config>) -> bool {
+        let Some(config) = config else { return false };
+        let known = self.get(&said.id).is_some_and(|known| known.said.service == said.service);
+        !known && config.services.iter().all(|service| service.name != said.service)
+    }
+
     /// Takes in an announcement.
     pub fn announce(&mut self, said: Announcement, now: Millis) -> Effect {
         let standing = if said.draining { Standing::Draining } else { Standing::Ready };
@@ -111,13 +125,20 @@
             return Effect::Changed;
         };
         let before = &held.endpoint;
-        if before.standing == Standing::Gone || said.sequence <= before.said.sequence {
+        // Its numbers begin anew with each start. Went the numbers alone, an endpoint that started
+        // again under its identity would be taken for its own past, and get no work until it had
+        // announced itself as often as before.
+        let started_again = said.born > before.said.born;
+        let gone = before.standing == Standing::Gone;
+        let late = said.born < before.said.born || said.sequence <= before.said.sequence;
+        if !started_again && (gone || late) {
             return Effect::Old;
         }
         held.heard = now;
-        // An endpoint that leaves does not come back under the same incarnation; a word that it
-        // is ready is one that was overtaken.
-        if before.standing == Standing::Draining && standing == Standing::Ready {
+        // An endpoint that leaves does not come back without a new start; a word that it is ready
+        // is one that was overtaken.
+        let leaves = before.standing == Standing::Draining;
+        if !started_again && leaves && standing == Standing::Ready {
             return Effect::Old;
         }
         let same = Announcement { sequence: before.said.sequence, ..said.clone() } == before.said;
--- a/components/fleet/src/pick.rs
+++ b/components/fleet/src/pick.rs
@@ -93,6 +93,10 @@
     /// Takes in what is known of an endpoint.
     pub fn observe(&mut self, endpoint: &Endpoint) {
         match self.seats.get_mut(&endpoint.said.id) {
+            // Attempts at the start before are still counted, until they end.
+            Some(seat) if seat.endpoint.said.born < endpoint.said.born => {
+                *seat = Seat { running: seat.running, ..Seat::new(endpoint) };
+            }
             Some(seat) => {
                 if seat.endpoint.said.sequence < endpoint.said.sequence {
                     seat.moved = false;
@@ -100,16 +104,7 @@
                 seat.endpoint = endpoint.clone();
             }
             None => {
-                let seat = Seat {
-                    endpoint: endpoint.clone(),
-                    running: 0,
-                    mean_ms: 0.0,
-                    measured: Millis::default(),
-                    failures: 0,
-                    until: Millis::default(),
-                    moved: false,
-                };
-                self.seats.insert(endpoint.said.id.clone(), seat);
+                self.seats.insert(endpoint.said.id.clone(), Seat::new(endpoint));
             }
         }
     }
@@ -218,6 +213,18 @@
 }
 
 impl Seat {
+    fn new(endpoint: &Endpoint) -> Self {
+        Self {
+            endpoint: endpoint.clone(),
+            running: 0,
+            mean_ms: 0.0,
+            measured: Millis::default(),
+            failures: 0,
+            until: Millis::default(),
+            moved: false,
+        }
+    }
+
     fn measure(&mut self, ms: f64, now: Millis) {
         self.mean_ms =
             if self.mean_ms > 0.0 { self.mean_ms + NEWEST * (ms - self.mean_ms) } else { ms };
--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -115,19 +115,15 @@
     /// Takes in what is known of an engine.
     pub fn observe(&mut self, endpoint: &Endpoint) {
         match self.seats.get_mut(&endpoint.said.id) {
+            // Runs and orders of the start before are still counted, until they end.
+            Some(seat) if seat.endpoint.said.born < endpoint.said.born => {
+                let running = std::mem::take(&mut seat.running);
+                let loading = seat.loading.take();
+                *seat = Seat { running, loading, ..Seat::new(endpoint) };
+            }
             Some(seat) => seat.endpoint = endpoint.clone(),
             None => {
-                let seat = Seat {
-                    endpoint: endpoint.clone(),
-                    running: BTreeMap::new(),
-                    loading: None,
-                    pace_ms: 0.0,
-                    paced: Millis::default(),
-                    failures: 0,
-                    until: Millis::default(),
-                    moved: None,
-                };
-                self.seats.insert(endpoint.said.id.clone(), seat);
+                self.seats.insert(endpoint.said.id.clone(), Seat::new(endpoint));
             }
         }
     }
--- a/components/fleet/src/plan/seat.rs
+++ b/components/fleet/src/plan/seat.rs
@@ -27,6 +27,20 @@
 }
 
 impl Seat {
+    /// Starts without runs.
+    pub(super) fn new(endpoint: &Endpoint) -> Self {
+        Self {
+            endpoint: endpoint.clone(),
+            running: BTreeMap::new(),
+            loading: None,
+            pace_ms: 0.0,
+            paced: Millis::default(),
+            failures: 0,
+            until: Millis::default(),
+            moved: None,
+        }
+    }
+
     /// Counts the runs there.
     pub fn load(&self) -> u32 {
         self.running.values().sum()
--- a/components/fleet/tests/endpoint.rs
+++ b/components/fleet/tests/endpoint.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 
 use chicoryford_fleet::Announcement;
+use chicoryford_fleet::Config;
 use chicoryford_fleet::Registry;
+use chicoryford_fleet::Service;
 use chicoryford_fleet::Standing;
 use chicoryford_fleet::endpoint::Effect;
 use chicoryford_types::Millis;
@@ -11,6 +13,7 @@
 fn said(id: &str, sequence: u64) -> Announcement {
     Announcement {
         id: id.to_owned(),
+        born: 0,
         service: "a".to_owned(),
         address: "10.0.0.1:80".parse().unwrap(),
         data_centre: "z".to_owned(),
@@ -93,3 +96,57 @@
     assert_eq!(adopted.learn("i", "m", 4), Effect::Changed);
     assert_eq!(adopted.learn("i", "m", 4), Effect::Heard);
 }
+
+fn reborn(id: &str, born: u64, sequence: u64) -> Announcement {
+    Announcement { born, ..said(id, sequence) }
+}
+
+/// Symptom: an endpoint that is well gets no work for minutes.
+/// Sequence: it crashes and starts again under its identity, and counts its words from one.
+/// Cause: its words were taken for late ones of before, since their numbers were lower.
+#[test]
+fn an_endpoint_that_started_again_is_believed_from_its_first_word() {
+    let mut registry = Registry::default();
+    registry.announce(reborn("i", 100, 50), Millis(0));
+    let again =
+        Announcement { models: BTreeMap::from([("m".to_owned(), 2)]), ..reborn("i", 200, 1) };
+    assert_eq!(registry.announce(again, Millis(1)), Effect::Changed);
+    assert_eq!(registry.get("i").unwrap().said.models["m"], 2);
+    assert_eq!(registry.announce(reborn("i", 200, 2), Millis(2)), Effect::Changed);
+    assert_eq!(registry.announce(reborn("i", 100, 51), Millis(3)), Effect::Old, "of before");
+    assert_eq!(registry.get("i").unwrap().said.born, 200);
+}
+
+/// A start ends what the endpoint said before: that it leaves, and that it is gone.
+#[test]
+fn an_endpoint_that_left_may_start_again_under_its_identity() {
+    for leave in [true, false] {
+        let mut registry = Registry::default();
+        registry.announce(Announcement { draining: true, ..reborn("i", 100, 5) }, Millis(0));
+        if leave {
+            registry.leave("i", Millis(1));
+        }
+        assert_eq!(registry.announce(reborn("i", 100, 6), Millis(2)), Effect::Old);
+        assert_eq!(registry.announce(reborn("i", 200, 1), Millis(3)), Effect::Changed);
+        assert_eq!(standing(&registry, "i"), Some(Standing::Ready));
+    }
+}
+
+/// Symptom: an endpoint of a service is lost to it although it announces itself.
+/// Sequence: somebody else announces the same identity for a service that nobody has configured.
+/// Cause: the word was taken in before it was asked whether it names anything.
+#[test]
+fn a_word_for_an_unknown_service_changes_nothing() {
+    let service = |name: &str| Service { name: name.to_owned(), ..Service::default() };
+    let config = Config { services: vec![service("a")], ..Config::default() };
+    let mut registry = Registry::default();
+    registry.announce(said("i", 1), Millis(0));
+    let foreign = Announcement { service: "x".to_owned(), ..said("i", 2) };
+
+    assert!(registry.is_foreign(&foreign, Some(&config)));
+    assert!(!registry.is_foreign(&foreign, None), "nothing is configured yet");
+    assert!(!registry.is_foreign(&said("j", 1), Some(&config)));
+    let without = Config::default();
+    assert!(!registry.is_foreign(&draining("i", 2), Some(&without)), "its service was taken away");
+    assert!(registry.is_foreign(&said("j", 1), Some(&without)));
+}
--- a/components/fleet/tests/pick.rs
+++ b/components/fleet/tests/pick.rs
@@ -13,6 +13,7 @@
 fn endpoint(id: &str, sequence: u64) -> Endpoint {
     let said = Announcement {
         id: id.to_owned(),
+        born: 0,
         service: "desk".to_owned(),
         address: "10.0.0.1:80".parse().unwrap(),
         data_centre: "z".to_owned(),
@@ -110,3 +111,18 @@
     assert_eq!(picker.pick("desk", &[], Millis(1)), Err(Nowhere::NoneReady));
     assert!(!picker.is_ready("a"));
 }
+
+/// Symptom: an endpoint that started again stays idle. Sequence: it fails a few times as it crashes, or
+/// another endpoint answers at its address; it starts again under its identity. Cause: what was
+/// measured of the start before was held against the next one.
+#[test]
+fn a_new_start_under_the_same_identity_is_a_new_endpoint() {
+    let mut picker = picker(&["a"]);
+    assert_eq!(pick(&mut picker, 0), "a");
+    picker.ended("a", Ending::Moved, Millis(1));
+    assert_eq!(picker.pick("desk", &[], Millis(2)), Err(Nowhere::NoneReady));
+    let mut again = endpoint("a", 1);
+    again.said.born = 10;
+    picker.observe(&again);
+    assert_eq!(pick(&mut picker, 3), "a");
+}
--- a/components/fleet/tests/plan.rs
+++ b/components/fleet/tests/plan.rs
@@ -48,6 +48,7 @@
 fn engine(id: &str, slots: u32, version: u64) -> Endpoint {
     let said = Announcement {
         id: id.to_owned(),
+        born: 0,
         service: "engines".to_owned(),
         address: "10.0.0.1:80".parse().unwrap(),
         data_centre: "z".to_owned(),
--- a/components/fleet/tests/swap.rs
+++ b/components/fleet/tests/swap.rs
@@ -24,6 +24,7 @@
     for (number, (one, two)) in versions.iter().enumerate() {
         let said = Announcement {
             id: format!("e{number:02}"),
+            born: 0,
             service: "engines".to_owned(),
             address: "10.0.0.1:80".parse().unwrap(),
             data_centre: "z".to_owned(),
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -60,6 +60,7 @@
                 control::heard(next.map(|address| address.to_string()).as_deref())
             }
             Ok(Answer::Done) => control::done(),
+            Ok(Answer::Unknown) => control::refused(StatusCode::BAD_REQUEST, "unknown service"),
             Ok(_) | Err(_) => control::refused(StatusCode::SERVICE_UNAVAILABLE, "no leader"),
         }
     }
--- a/components/node/src/lead/endpoints.rs
+++ b/components/node/src/lead/endpoints.rs
@@ -16,6 +16,14 @@
 
 impl Lead {
     pub(super) async fn announce(&self, said: Announcement) -> Answer {
+        if self.registry.borrow().is_foreign(&said, self.config().as_deref()) {
+            tracing::warn!(
+                event = "announcement_foreign",
+                endpoint = said.id,
+                service = said.service
+            );
+            return Answer::Unknown;
+        }
         let (id, draining) = (said.id.clone(), said.draining);
         let effect = self.registry.borrow_mut().announce(said, clock::now());
         self.spread(&id, effect);
@@ -49,7 +57,8 @@
             if let News::Endpoint(endpoint) = &news {
                 let said = &endpoint.said;
                 tracing::info!(event = "endpoint_changed", endpoint = id, service = said.service,
-                    standing = ?endpoint.standing, address = %said.address, sequence = said.sequence,
+                    standing = ?endpoint.standing, address = %said.address, born = said.born,
+                    sequence = said.sequence,
                     models = ?said.models);
             }
             self.parts.followers.tell(&news);
--- a/components/node/tests/forward.rs
+++ b/components/node/tests/forward.rs
@@ -112,6 +112,7 @@
     for (number, stub) in stubs.iter().enumerate() {
         let said = Announcement {
             id: format!("i{number}"),
+            born: 0,
             service: "desk".to_owned(),
             address: stub.address,
             data_centre: "z".to_owned(),
