A disk without room refuses writes and nothing else

Want of room passed for a fault of the disk, after which nothing may be written. Change: what a full disk took of a write is cut off again, and the error says so (StorageError::Full). A store refuses parts at once and gives those it has; a replica waits like before a stalled disk: it acknowledges and votes nothing, the others commit. A sync that fails for want of room still ends writing.

--- a/components/control/src/disk.rs
+++ b/components/control/src/disk.rs
@@ -1,4 +1,10 @@
 //! The duty that writes and syncs, so that the replica never waits for the disk.
+//!
+//! A disk without room is like one that stalls: nothing is acknowledged until there is room again,
+//! other replicas commit without this one, and it gives no vote. Ending the process would only
+//! bring it back before the same full disk.
+
+use std::time::Duration;
 
 use chicoryford_agreement::Snapshot;
 use chicoryford_agreement::Write;
@@ -9,6 +15,9 @@
 
 use crate::convert;
 
+/// Pause before what the disk had no room for is tried again.
+const FULL_PAUSE: Duration = Duration::from_millis(100);
+
 /// One thing to write.
 #[derive(Clone, Debug)]
 pub enum Job {
@@ -51,7 +60,7 @@
         if failed {
             continue;
         }
-        let done = match write_batch(&mut storage, batch) {
+        let done = match write_batch(&mut storage, batch, || jobs.is_closed()) {
             Ok(done) => done,
             Err(error) => vec![Report::Failed(error)],
         };
@@ -64,17 +73,22 @@
     }
 }
 
-fn write_batch(storage: &mut Storage, batch: Vec<Job>) -> Result<Vec<Report>, StorageError> {
+fn write_batch(
+    storage: &mut Storage,
+    batch: Vec<Job>,
+    ending: impl Fn() -> bool,
+) -> Result<Vec<Report>, StorageError> {
     let mut last = None;
     let mut done = Vec::new();
     for job in batch {
         match job {
             Job::Write(write) => {
                 last = Some(write.number);
-                write_one(storage, write)?;
+                when_there_is_room(&ending, || write_one(storage, &write))?;
             }
             Job::Keep(snapshot) => {
-                storage.save_snapshot(&convert::snapshot(&snapshot))?;
+                let kept = convert::snapshot(&snapshot);
+                when_there_is_room(&ending, || storage.save_snapshot(&kept))?;
                 done.push(Report::Kept(snapshot));
             }
         }
@@ -86,12 +100,38 @@
     Ok(done)
 }
 
-fn write_one(storage: &mut Storage, write: Write) -> Result<(), StorageError> {
-    if let Some(hard) = write.hard {
-        storage.save_hard(&convert::hard(hard))?;
+/// Tries a write until the disk has room for it, or nobody waits for it any more. Each write may be
+/// tried again from its beginning.
+fn when_there_is_room(
+    ending: &impl Fn() -> bool,
+    mut write: impl FnMut() -> Result<(), StorageError>,
+) -> Result<(), StorageError> {
+    let mut full = false;
+    loop {
+        match write() {
+            Err(error) if error.is_full() && !ending() => {
+                if !full {
+                    tracing::error!(event = "disk_full", %error);
+                }
+                full = true;
+                std::thread::sleep(FULL_PAUSE);
+            }
+            done => {
+                if full {
+                    tracing::info!(event = "disk_has_room", written = done.is_ok());
+                }
+                return done;
+            }
+        }
+    }
+}
+
+fn write_one(storage: &mut Storage, write: &Write) -> Result<(), StorageError> {
+    if let Some(hard) = &write.hard {
+        storage.save_hard(&convert::hard(hard.clone()))?;
     }
-    if let Some(snapshot) = write.snapshot {
-        storage.save_snapshot(&convert::snapshot(&snapshot))?;
+    if let Some(snapshot) = &write.snapshot {
+        storage.save_snapshot(&convert::snapshot(snapshot))?;
     }
     if let Some(from) = write.truncate {
         storage.truncate(from)?;
--- a/components/control/tests/replicas.rs
+++ b/components/control/tests/replicas.rs
@@ -274,6 +274,34 @@
     });
 }
 
+#[test]
+fn takes_no_change_while_its_disk_has_no_room_and_goes_on_when_it_has() {
+    // Symptom: a control process ends itself again and again. Sequence: its disk fills, a write is
+    // refused, the process restarts and is refused again. Cause: want of room passed for a fault.
+    block_on(async {
+        let full = Arc::new(AtomicBool::new(false));
+        let refusing = full.clone();
+        let disk = Disk {
+            write: Arc::new(move |file, bytes| match refusing.load(Ordering::SeqCst) {
+                true => Err(std::io::ErrorKind::StorageFull.into()),
+                false => std::io::Write::write_all(file, bytes),
+            }),
+            ..Disk::default()
+        };
+        let cluster = Cluster::start(1, Tuning { disk, ..Tuning::default() });
+        let accepted = position(cluster.propose(0, &publish(1)).await);
+        full.store(true, Ordering::SeqCst);
+        let refused = cluster.try_propose(0, &publish(2)).await;
+        assert!(refused.is_err(), "nothing is acknowledged that no disk holds: {refused:?}");
+        let status = cluster.until(0, |s| s.position >= accepted).await;
+        assert_eq!(status.position, accepted);
+        assert!(status.storage.failure.is_none(), "{:?}", status.storage.failure);
+        full.store(false, Ordering::SeqCst);
+        let next = position(cluster.propose(0, &publish(3)).await);
+        assert!(next > accepted);
+    });
+}
+
 #[test]
 fn hands_leadership_over_on_request() {
     block_on(async {
--- a/components/depot/src/depot.rs
+++ b/components/depot/src/depot.rs
@@ -38,6 +38,13 @@
     bytes: Bytes,
 }
 
+impl DepotError {
+    /// Tells whether all that is wrong is that the disk has no room at present.
+    pub fn is_full(&self) -> bool {
+        matches!(self, Self::Storage(error) if error.is_full())
+    }
+}
+
 /// The parts on one disk.
 pub struct Depot {
     storage: Storage,
@@ -79,7 +86,7 @@
     ///
     /// # Errors
     ///
-    /// [`DepotError`]; nothing is written any more then.
+    /// [`DepotError`]; nothing is written any more then, unless the disk only lacks room.
     pub fn put(&mut self, part: PartId, bytes: &Bytes) -> Result<(), DepotError> {
         if self.places.contains_key(&part) {
             return Ok(());
--- a/components/depot/src/worker.rs
+++ b/components/depot/src/worker.rs
@@ -1,5 +1,8 @@
 //! The duty that owns the depot, on a thread of its own, so that a slow disk holds up nothing
 //! else of its process.
+//!
+//! While the disk has no room, parts are refused at once, so that they go to other stores, and
+//! those that are there are still given.
 
 use std::collections::BTreeSet;
 use std::sync::mpsc;
@@ -73,7 +76,37 @@
     }
 }
 
+/// Tells of a disk that is full, and of one that has room again, once each.
+#[derive(Default)]
+struct Room {
+    full: bool,
+}
+
+impl Room {
+    /// Notes what became of a write; tells whether it was done. Other errors are handed on.
+    fn note(&mut self, written: Result<(), DepotError>) -> Result<bool, DepotError> {
+        match written {
+            Err(error) if error.is_full() => {
+                if !self.full {
+                    tracing::error!(event = "disk_full", %error);
+                }
+                self.full = true;
+                Ok(false)
+            }
+            Err(error) => Err(error),
+            Ok(()) => {
+                if self.full {
+                    tracing::info!(event = "disk_has_room", written = true);
+                }
+                self.full = false;
+                Ok(true)
+            }
+        }
+    }
+}
+
 fn run(depot: &mut Depot, queue: &mpsc::Receiver<Job>) -> Result<(), DepotError> {
+    let mut room = Room::default();
     while let Ok(first) = queue.recv() {
         let mut jobs = vec![first];
         while jobs.len() < GROUP {
@@ -84,17 +117,15 @@
         for job in jobs {
             match job {
                 Job::Put(part, bytes, done) => {
-                    depot.put(part, &bytes)?;
-                    synced.push(done);
-                }
-                Job::Get(part, done) => answer(depot, part, done),
-                Job::Keep(wanted) => {
-                    let forgotten = depot.keep(&wanted)?;
-                    if forgotten > 0 {
-                        let (parts, bytes) = (depot.count(), depot.bytes());
-                        tracing::info!(event = "parts_forgotten", forgotten, parts, bytes);
+                    if room.note(depot.put(part, &bytes))? {
+                        synced.push(done);
+                    } else {
+                        // Whoever asked may have left.
+                        let _ = done.send(false);
                     }
                 }
+                Job::Get(part, done) => answer(depot, part, done),
+                Job::Keep(wanted) => forget(depot, &wanted, &mut room)?,
             }
         }
         if !synced.is_empty() {
@@ -108,6 +139,17 @@
     Ok(())
 }
 
+/// Forgets parts. If the disk has no room to note it, their files go with the next that are forgotten.
+fn forget(depot: &mut Depot, wanted: &BTreeSet<PartId>, room: &mut Room) -> Result<(), DepotError> {
+    let before = depot.count();
+    let kept = depot.keep(wanted);
+    if room.note(kept.map(drop))? && depot.count() < before {
+        let (forgotten, parts, bytes) = (before - depot.count(), depot.count(), depot.bytes());
+        tracing::info!(event = "parts_forgotten", forgotten, parts, bytes);
+    }
+    Ok(())
+}
+
 fn answer(depot: &Depot, part: PartId, done: oneshot::Sender<Option<Bytes>>) {
     let found = depot.get(part).unwrap_or_else(|error| {
         // Other copies hold it too; this one counts as lost.
--- a/components/depot/tests/depot.rs
+++ b/components/depot/tests/depot.rs
@@ -1,12 +1,21 @@
 //! The depot: parts that were synced come back, and those that nobody wants leave the disk.
 
 use std::collections::BTreeSet;
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use chicoryford_depot::Depot;
+use chicoryford_depot::DepotError;
 use chicoryford_depot::Worker;
 use chicoryford_fleet::copies::PartId;
 use chicoryford_storage::Disk;
+use chicoryford_storage::StorageError;
 
 fn part(number: u64) -> (PartId, Bytes) {
     (PartId(number), Bytes::from(vec![number as u8; 300_000]))
@@ -16,6 +25,19 @@
     Depot::open(folder, Disk::default()).unwrap()
 }
 
+/// Opens a folder as soon as the thread that had it has let go of it.
+fn reopen(folder: &std::path::Path) -> Depot {
+    let until = Instant::now() + Duration::from_secs(5);
+    loop {
+        match Depot::open(folder, Disk::default()) {
+            Err(DepotError::Storage(StorageError::Locked(_))) if Instant::now() < until => {
+                std::thread::sleep(Duration::from_millis(5));
+            }
+            opened => return opened.unwrap(),
+        }
+    }
+}
+
 #[test]
 fn parts_come_back_after_a_restart_under_the_same_identity() {
     let folder = tempfile::tempdir().unwrap();
@@ -80,3 +102,47 @@
         assert_eq!(worker.get(PartId(8)).await, None);
     });
 }
+
+/// Symptom: a store ends itself again and again, and what it holds cannot be read meanwhile.
+/// Sequence: its disk fills; a part cannot be written; the process ends, starts again, and is asked
+/// to keep the next part. Cause: a disk without room was taken for one that fails.
+#[test]
+fn a_store_without_room_refuses_parts_and_still_gives_those_it_has() {
+    let folder = tempfile::tempdir().unwrap();
+    let full = Arc::new(AtomicBool::new(false));
+    let refusing = full.clone();
+    let disk = Disk {
+        write: Arc::new(move |file, bytes| match refusing.load(Ordering::SeqCst) {
+            true => Err(io::ErrorKind::StorageFull.into()),
+            false => file.write_all(bytes),
+        }),
+        ..Disk::default()
+    };
+    let depot = Depot::open(folder.path(), disk).unwrap();
+    let worker = Worker::start(depot, |error| panic!("{error}")).unwrap();
+    let runtime = tokio::runtime::Builder::new_current_thread().build().unwrap();
+    runtime.block_on(async {
+        let (first, bytes) = part(1);
+        assert!(worker.put(first, bytes.clone()).await);
+        full.store(true, Ordering::SeqCst);
+        for number in 2..20 {
+            let (id, bytes) = part(number);
+            assert!(!worker.put(id, bytes).await, "it is not on the disk");
+            assert_eq!(worker.get(id).await, None);
+        }
+        worker.keep(BTreeSet::new());
+        worker.keep(BTreeSet::new());
+        assert_eq!(worker.get(PartId(2)).await, None);
+        full.store(false, Ordering::SeqCst);
+        for number in 30..50 {
+            let (id, bytes) = part(number);
+            assert!(worker.put(id, bytes).await, "there is room again");
+        }
+    });
+    drop(worker);
+    let depot = reopen(folder.path());
+    for number in 30..50 {
+        let (id, bytes) = part(number);
+        assert_eq!(depot.get(id).unwrap(), Some(bytes));
+    }
+}
--- a/components/kernel/src/ring.rs
+++ b/components/kernel/src/ring.rs
@@ -83,6 +83,11 @@
         self.0.blocking_recv()
     }
 
+    /// Tells whether nobody sends any more; what was sent before may still be there.
+    pub fn is_closed(&self) -> bool {
+        self.0.is_closed()
+    }
+
     /// Takes an item if one is there.
     pub fn take(&mut self) -> Option<T> {
         self.0.try_recv().ok()
--- a/components/storage/src/atomic.rs
+++ b/components/storage/src/atomic.rs
@@ -13,6 +13,7 @@
 
 use crate::disk::Disk;
 use crate::disk::io_error;
+use crate::disk::write_error;
 use crate::error::Damage;
 use crate::error::StorageError;
 
@@ -28,6 +29,7 @@
 /// # Errors
 ///
 /// [`StorageError::Io`]; the old file is then still in place, or the new one is.
+/// [`StorageError::Full`]; the old file is still in place.
 pub fn write<T: Serialize>(
     disk: &Disk,
     path: &Path,
@@ -42,8 +44,12 @@
     whole.extend_from_slice(&checksum(magic, &body).to_be_bytes());
     whole.extend_from_slice(&body);
     let unfinished = path.with_extension(UNFINISHED);
-    let mut file = File::create(&unfinished).map_err(io_error("create", &unfinished))?;
-    (disk.write)(&mut file, &whole).map_err(io_error("write", &unfinished))?;
+    let mut file = File::create(&unfinished).map_err(write_error("create", &unfinished))?;
+    if let Err(error) = (disk.write)(&mut file, &whole) {
+        // It would hold on to room that is wanted.
+        fs::remove_file(&unfinished).map_err(io_error("remove", &unfinished))?;
+        return Err(write_error("write", &unfinished)(error));
+    }
     (disk.sync)(&file).map_err(io_error("sync", &unfinished))?;
     drop(file);
     (disk.rename)(&unfinished, path).map_err(io_error("rename", path))?;
--- a/components/storage/src/disk.rs
+++ b/components/storage/src/disk.rs
@@ -39,6 +39,20 @@
     }
 }
 
+/// The same as [`io_error`] for what a full disk refuses. A sync that fails for want of room is not
+/// among them: what it should have kept may be lost.
+pub(crate) fn write_error<'a>(
+    action: &'static str,
+    path: &'a Path,
+) -> impl Fn(io::Error) -> StorageError + 'a {
+    move |source| match source.kind() {
+        io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => {
+            StorageError::Full(path.to_owned())
+        }
+        _ => io_error(action, path)(source),
+    }
+}
+
 /// Adds to an error of the operating system what was tried with which file.
 pub(crate) fn io_error<'a>(
     action: &'static str,
--- a/components/storage/src/error.rs
+++ b/components/storage/src/error.rs
@@ -21,6 +21,10 @@
         /// What the operating system said.
         source: Arc<io::Error>,
     },
+    /// The disk has no room for a file. Nothing of the operation is left in the folder, and it may
+    /// be tried again.
+    #[error("no room on the disk for {}", .0.display())]
+    Full(PathBuf),
     /// An earlier operation failed, and nothing is written since.
     #[error("the data folder is not written any more: {0}")]
     Poisoned(Arc<StorageError>),
@@ -61,6 +65,13 @@
     },
 }
 
+impl StorageError {
+    /// Tells whether all that is wrong is that the disk has no room at present.
+    pub fn is_full(&self) -> bool {
+        matches!(self, Self::Full(_))
+    }
+}
+
 /// What is wrong at a place in a file.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 pub enum Damage {
--- a/components/storage/src/segment.rs
+++ b/components/storage/src/segment.rs
@@ -14,6 +14,7 @@
 use crate::atomic;
 use crate::disk::Disk;
 use crate::disk::io_error;
+use crate::disk::write_error;
 use crate::entry::Entry;
 use crate::error::Damage;
 use crate::error::StorageError;
@@ -60,15 +61,18 @@
     ///
     /// # Errors
     ///
-    /// [`StorageError::Io`].
+    /// [`StorageError::Io`], or [`StorageError::Full`]; there is no such file then.
     pub fn create(disk: &Disk, folder: &Path, first: u64) -> Result<Self, StorageError> {
         let path = path(folder, first);
         // Every write must go to the end as it is then, also after the file was cut shorter.
         let open = OpenOptions::new().create(true).append(true).open(&path);
-        let mut file = open.map_err(io_error("create", &path))?;
+        let mut file = open.map_err(write_error("create", &path))?;
         file.set_len(0).map_err(io_error("create", &path))?;
         let header = header(first);
-        (disk.write)(&mut file, &header).map_err(io_error("write", &path))?;
+        if let Err(error) = (disk.write)(&mut file, &header) {
+            fs::remove_file(&path).map_err(io_error("remove", &path))?;
+            return Err(write_error("write", &path)(error));
+        }
         (disk.sync)(&file).map_err(io_error("sync", &path))?;
         (disk.sync_folder)(folder).map_err(io_error("sync", folder))?;
         let length = HEADER as u64;
@@ -140,14 +144,20 @@
     ///
     /// # Errors
     ///
-    /// [`StorageError::Io`]; part of them may then have been written.
+    /// [`StorageError::Io`]; part of them may then have been written. [`StorageError::Full`]; none
+    /// of them is then there.
     pub fn append(&mut self, disk: &Disk, entries: &[Entry]) -> Result<(), StorageError> {
+        let before = self.places.len();
         let mut out = Vec::new();
         for entry in entries {
             self.places.push((entry.epoch, self.length + out.len() as u64));
             record::encode(&mut out, self.synced, entry);
         }
-        self.write(disk, &out)
+        let written = self.write(disk, &out);
+        if written.is_err() {
+            self.places.truncate(before);
+        }
+        written
     }
 
     /// Waits until all is on the disk, then notes so in the file.
@@ -162,7 +172,11 @@
         (disk.sync)(&self.file).map_err(io_error("sync", &self.path))?;
         let mut seal = Vec::new();
         record::encode_seal(&mut seal, self.length);
-        self.write(disk, &seal)?;
+        match self.write(disk, &seal) {
+            // What was synced stays so; the note only tells damage from a torn write.
+            Err(error) if error.is_full() => {}
+            noted => noted?,
+        }
         self.synced = self.length;
         Ok(())
     }
@@ -196,8 +210,15 @@
         Ok(())
     }
 
+    /// Writes bytes at the end. What a full disk took of them is cut off again: the next record
+    /// would follow half of one, and the rest of the log be taken for a torn end.
     fn write(&mut self, disk: &Disk, bytes: &[u8]) -> Result<(), StorageError> {
-        (disk.write)(&mut self.file, bytes).map_err(io_error("write", &self.path))?;
+        let written = (disk.write)(&mut self.file, bytes);
+        let written = written.map_err(write_error("write", &self.path));
+        if written.as_ref().is_err_and(StorageError::is_full) {
+            self.file.set_len(self.length).map_err(io_error("cut", &self.path))?;
+        }
+        written?;
         self.length += bytes.len() as u64;
         Ok(())
     }
--- a/components/storage/src/storage.rs
+++ b/components/storage/src/storage.rs
@@ -305,7 +305,9 @@
         operation: impl FnOnce(&mut Self) -> Result<(), StorageError>,
     ) -> Result<(), StorageError> {
         let result = operation(self);
-        if let Err(error) = &result {
+        if let Err(error) = &result
+            && !error.is_full()
+        {
             tracing::error!(event = "storage_failed", %error);
             self.failure = Some(Arc::new(error.clone()));
         }
