Each mechanism that decides where work goes can be switched off by a setting

Cause: what a mechanism is worth can only be told by doing without it, on the same build. Change: the setting 'policy' holds a switch for each of fourteen mechanisms; all are on. Tests: fleet policy.

--- a/components/fleet/src/copies.rs
+++ b/components/fleet/src/copies.rs
@@ -12,6 +12,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::policy::Policy;
+
 /// Identifies a part; drawn by the leader that wrote it.
 #[derive(
     Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
@@ -57,13 +59,19 @@
     here: String,
     known: BTreeMap<String, Known>,
     began: Millis,
+    policy: Policy,
 }
 
 impl Stores {
     /// Starts to look at stores from a data centre; for a while, those that are not seen yet still
     /// count.
     pub fn new(here: &str, now: Millis) -> Self {
-        Self { here: here.to_owned(), known: BTreeMap::new(), began: now }
+        Self { here: here.to_owned(), began: now, ..Self::default() }
+    }
+
+    /// Chooses with these mechanisms.
+    pub fn under(self, policy: Policy) -> Self {
+        Self { policy, ..self }
     }
 
     /// Notes that a store has connected.
@@ -135,7 +143,7 @@
     }
 
     fn is_far(&self, known: &Known) -> bool {
-        known.data_centre != self.here
+        self.policy.near_copies && known.data_centre != self.here
     }
 
     /// Counts a copy that a store was given.
--- a/components/fleet/src/pick.rs
+++ b/components/fleet/src/pick.rs
@@ -13,6 +13,7 @@
 
 use crate::endpoint::Endpoint;
 use crate::endpoint::Standing;
+use crate::policy::Policy;
 
 /// The weight of the newest measurement in the mean: about the last five count.
 const NEWEST: f64 = 0.2;
@@ -82,12 +83,19 @@
 pub struct Picker {
     seats: BTreeMap<String, Seat>,
     rng: SmallRng,
+    policy: Policy,
 }
 
 impl Picker {
     /// Makes one that knows no endpoint. The seed breaks ties.
     pub fn new(seed: u64) -> Self {
-        Self { seats: BTreeMap::new(), rng: SmallRng::seed_from_u64(seed) }
+        let rng = SmallRng::seed_from_u64(seed);
+        Self { seats: BTreeMap::new(), rng, policy: Policy::default() }
+    }
+
+    /// Chooses with these mechanisms.
+    pub fn under(self, policy: Policy) -> Self {
+        Self { policy, ..self }
     }
 
     /// Takes in what is known of an endpoint.
@@ -143,8 +151,13 @@
             ready.into_iter().filter(|seat| !tried.contains(&seat.endpoint.said.id)).collect();
         // Endpoints that failed lately come last, but one of them is better than none.
         let best = fresh.iter().map(|seat| {
-            let penalty = seat.until.since(now);
-            (penalty, seat.expected(now, typical) * (1.0 + self.rng.random_range(0.0..0.1)), seat)
+            let penalty = if self.policy.penalties { seat.until.since(now) } else { 0 };
+            let known = if self.policy.learned_times { seat.mean_ms } else { typical };
+            (
+                penalty,
+                seat.expected(known, now, typical) * (1.0 + self.rng.random_range(0.0..0.1)),
+                seat,
+            )
         });
         let best = best.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         let Some((penalty, expected, seat)) = best else { return Err(Nowhere::AllTried) };
@@ -233,9 +246,9 @@
 
     /// Estimates how long one more attempt takes here. What was measured fades towards what is
     /// typical of the service, so that an endpoint that was slow is tried again.
-    fn expected(&self, now: Millis, typical: f64) -> f64 {
+    fn expected(&self, mean_ms: f64, now: Millis, typical: f64) -> f64 {
         let age = now.since(self.measured) as f64;
-        let known = if self.mean_ms > 0.0 { self.mean_ms } else { typical };
+        let known = if mean_ms > 0.0 { mean_ms } else { typical };
         let mean = typical + (known - typical) * 0.5_f64.powf(age / HALF_MS);
         let slots = f64::from(self.endpoint.said.slots.max(1));
         mean * (1.0 + f64::from(self.running) / slots)
--- a/components/fleet/src/plan/assign.rs
+++ b/components/fleet/src/plan/assign.rs
@@ -63,8 +63,10 @@
             }
             let Some(route) = config.find(&step.host, &sample.path) else { continue };
             let avoid = progress.avoid.as_deref();
-            let search = Search { step: &step, route, avoid, usual: self.usual_ms, now };
+            let usual = if self.policy.engine_paces { self.usual_ms } else { 0.0 };
+            let search = Search { step: &step, route, avoid, usual, now };
             let home = homes.get(sample.group.as_str()).map(String::as_str);
+            let home = home.filter(|_| self.policy.group_homes);
             let Some(seat) = search.choose(&self.seats, home) else { continue };
             self.run += 1;
             work.waiting -= 1;
--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -20,6 +20,7 @@
 use chicoryford_types::Millis;
 
 use crate::endpoint::Endpoint;
+use crate::policy::Policy;
 use crate::step::Step;
 
 pub use seat::Seat;
@@ -48,6 +49,7 @@
     run: u64,
     /// Hosts that were asked what they run and have not told yet.
     untold: BTreeSet<String>,
+    policy: Policy,
 }
 
 impl Plan {
@@ -56,6 +58,11 @@
         Self { run: epoch.0 << 32, ..Self::default() }
     }
 
+    /// Plans with these mechanisms.
+    pub fn under(self, policy: Policy) -> Self {
+        Self { policy, ..self }
+    }
+
     /// Takes in a step that is open. `listed` tells which samples have their results, `at` when it
     /// was submitted, and `held` until when hosts may still tell that they run samples of it.
     pub fn open(
@@ -90,7 +97,9 @@
         let waiting = progress.iter().filter(|p| p.phase == Phase::Waiting).count();
         let id = step.id.clone();
         let mut order: Vec<u32> = (0..step.samples.len() as u32).collect();
-        order.sort_by_key(|index| Reverse(step.samples[*index as usize].expected));
+        if self.policy.longest_first {
+            order.sort_by_key(|index| Reverse(step.samples[*index as usize].expected));
+        }
         self.works.insert(id, Work { step, order, at, held, asked: false, progress, waiting });
     }
 
--- a/components/fleet/src/plan/moves.rs
+++ b/components/fleet/src/plan/moves.rs
@@ -32,7 +32,7 @@
         self.learn_usual(now);
         let usual = self.usual_ms;
         let mut slow = Vec::new();
-        if usual <= 0.0 {
+        if usual <= 0.0 || !self.policy.slow_moves {
             return slow;
         }
         let fast = |seat: &&Seat| seat.is_ready(now) && seat.pace(now) < FAST * usual;
--- a/components/fleet/src/plan/notes.rs
+++ b/components/fleet/src/plan/notes.rs
@@ -29,6 +29,9 @@
     /// Gives what is to be noted: runs that have made much since they were noted last.
     pub fn to_note(&mut self) -> Vec<(String, Vec<Note>)> {
         let mut all = Vec::new();
+        if !self.policy.run_notes {
+            return all;
+        }
         for (id, work) in &mut self.works {
             let mut notes = Vec::new();
             for (index, progress) in work.progress.iter_mut().enumerate() {
--- a/components/fleet/src/swap.rs
+++ b/components/fleet/src/swap.rs
@@ -10,6 +10,7 @@
 use chicoryford_types::Millis;
 
 use crate::plan::Seat;
+use crate::policy::Policy;
 use crate::turn::Turn;
 
 /// The share of a service's engines that may load at once: two of nine. Loads beyond it take
@@ -76,7 +77,13 @@
 
 /// Chooses the engines that take new weights now: first for models whose samples wait for them,
 /// then those furthest behind, then the idlest.
-pub fn wishes(seats: &[&Seat], claims: &[Claim], turn: &Turn, now: Millis) -> Vec<Wish> {
+pub fn wishes(
+    seats: &[&Seat],
+    claims: &[Claim],
+    turn: &Turn,
+    policy: Policy,
+    now: Millis,
+) -> Vec<Wish> {
     let mut engines: Vec<String> = seats.iter().map(|seat| seat.endpoint.said.id.clone()).collect();
     engines.sort();
     let owners = divide(&engines, claims);
@@ -88,9 +95,12 @@
         let own: Vec<&Seat> = seats.iter().filter(own).copied().collect();
         behind.extend(behind_of(&own, claim, turn, now));
     }
-    behind.sort();
+    if policy.load_order {
+        behind.sort();
+    }
     let room = most.saturating_sub(busy);
-    let spare = (most * SPARE.0).div_ceil(SPARE.1).saturating_sub(busy);
+    let spare = if policy.spare_loads { (most * SPARE.0).div_ceil(SPARE.1) } else { 0 };
+    let spare = spare.saturating_sub(busy);
     let chosen = behind.into_iter().enumerate();
     let fits = |place: usize, urgency: &Urgency| place < if urgency.0 { spare } else { room };
     chosen
--- /dev/null
+++ b/components/fleet/tests/policy.rs
@@ -0,0 +1,115 @@
+//! Each switch stops its mechanism and nothing else; settings may name some of them.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use chicoryford_fleet::Announcement;
+use chicoryford_fleet::Config;
+use chicoryford_fleet::Endpoint;
+use chicoryford_fleet::Kind;
+use chicoryford_fleet::Policy;
+use chicoryford_fleet::Route;
+use chicoryford_fleet::Sample;
+use chicoryford_fleet::Share;
+use chicoryford_fleet::Standing;
+use chicoryford_fleet::Step;
+use chicoryford_fleet::copies::StoreId;
+use chicoryford_fleet::copies::Stores;
+use chicoryford_fleet::pick::Ending;
+use chicoryford_fleet::pick::Picker;
+use chicoryford_fleet::plan::Plan;
+use chicoryford_types::Epoch;
+use chicoryford_types::Millis;
+
+fn endpoint(id: &str, service: &str) -> Endpoint {
+    let said = Announcement {
+        id: id.to_owned(),
+        born: 0,
+        service: service.to_owned(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "z".to_owned(),
+        slots: 2,
+        draining: false,
+        models: BTreeMap::from([("m".to_owned(), 1)]),
+        sequence: 1,
+    };
+    Endpoint { said, standing: Standing::Ready }
+}
+
+/// Which endpoint is picked after one of two has failed.
+fn after_a_failure(policy: Policy) -> Vec<String> {
+    let mut picker = Picker::new(7).under(policy);
+    picker.observe(&endpoint("a", "desk"));
+    picker.observe(&endpoint("b", "desk"));
+    let failed = picker.pick("desk", &[], Millis(0)).unwrap().id;
+    picker.ended(&failed, Ending::Failed, Millis(1));
+    let picks = (0..2).map(|_| picker.pick("desk", &[], Millis(2)).unwrap().id);
+    picks.filter(|id| *id == failed).collect()
+}
+
+#[test]
+fn without_penalties_an_endpoint_that_failed_is_asked_again_at_once() {
+    assert!(after_a_failure(Policy::default()).is_empty());
+    let off = Policy { penalties: false, ..Policy::default() };
+    assert_eq!(after_a_failure(off).len(), 1, "two picks go to two endpoints");
+}
+
+/// Which samples start first where there is room for two.
+fn first_started(policy: Policy) -> Vec<u32> {
+    let mut plan = Plan::new(Epoch(1)).under(policy);
+    plan.observe(&endpoint("e", "engines"));
+    let sample = |expected: u64| Sample {
+        id: format!("s{expected}"),
+        path: "/s/1".to_owned(),
+        expected,
+        ..Sample::default()
+    };
+    let step = Step {
+        id: "step".to_owned(),
+        host: "h".to_owned(),
+        model: "m".to_owned(),
+        due_ms: 7_500,
+        age_ms: 40_000,
+        samples: [5, 1, 9, 3].into_iter().map(sample).collect(),
+        ..Step::default()
+    };
+    plan.open(Arc::new(step), Millis(0), Millis::default(), |_| false);
+    let route = Route {
+        name: "r".to_owned(),
+        host: "h".to_owned(),
+        prefix: "/s/".to_owned(),
+        kind: Kind::Step,
+        timeout_ms: None,
+        target_ms: 400,
+        priority: 0,
+        shares: vec![Share { service: "engines".to_owned(), weight: 1 }],
+        attempts: 3,
+        resumable: true,
+        due_ms: Some(7_500),
+        age_ms: Some(40_000),
+        single: false,
+    };
+    let config = Config { version: 1, routes: vec![route], ..Config::default() };
+    plan.assign(&config, Millis(1)).iter().map(|assignment| assignment.index).collect()
+}
+
+#[test]
+fn without_longest_first_samples_start_in_the_order_of_their_step() {
+    assert_eq!(first_started(Policy::default()), [2, 0]);
+    let off = Policy { longest_first: false, ..Policy::default() };
+    assert_eq!(first_started(off), [0, 1]);
+}
+
+#[test]
+fn without_near_copies_parts_are_spread_evenly() {
+    let first = |policy: Policy| {
+        let mut stores = Stores::new("y", Millis(0)).under(policy);
+        for (node, place) in [("a", "x"), ("b", "y")] {
+            let id = StoreId { node: node.to_owned(), identity: 1 };
+            stores.connected(id, place.to_owned(), Millis(0));
+        }
+        stores.choose(&Default::default(), &Default::default())[0].node.clone()
+    };
+    assert_eq!(first(Policy::default()), "b");
+    assert_eq!(first(Policy { near_copies: false, ..Policy::default() }), "a");
+}
--- a/components/fleet/tests/swap.rs
+++ b/components/fleet/tests/swap.rs
@@ -4,6 +4,7 @@
 
 use chicoryford_fleet::Announcement;
 use chicoryford_fleet::Endpoint;
+use chicoryford_fleet::Policy;
 use chicoryford_fleet::Standing;
 use chicoryford_fleet::plan::Plan;
 use chicoryford_fleet::plan::Seat;
@@ -40,7 +41,7 @@
 
 fn wish(plan: &Plan, claims: &[Claim]) -> Vec<Wish> {
     let seats: Vec<&Seat> = plan.seats().collect();
-    wishes(&seats, claims, &Turn::default(), Millis(1))
+    wishes(&seats, claims, &Turn::default(), Policy::default(), Millis(1))
 }
 
 #[test]
--- a/components/node/src/copies.rs
+++ b/components/node/src/copies.rs
@@ -84,7 +84,7 @@
     pub fn new(followers: Rc<Followers>, settings: &Settings, now: Millis) -> Self {
         Self {
             followers,
-            stores: RefCell::new(Stores::new(&settings.data_centre, now)),
+            stores: RefCell::new(Stores::new(&settings.data_centre, now).under(settings.policy)),
             cache: RefCell::default(),
             wanted: settings.tolerated as usize + 1,
         }
--- a/components/node/src/forward.rs
+++ b/components/node/src/forward.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use chicoryford_fleet::Kind;
+use chicoryford_fleet::Policy;
 use chicoryford_fleet::Route;
 use chicoryford_fleet::pick::Ending;
 use chicoryford_fleet::pick::Nowhere;
@@ -73,13 +74,15 @@
 pub struct Forwarder {
     picker: RefCell<Picker>,
     pool: RefCell<Pool>,
+    /// Whether second attempts are made.
+    second: bool,
 }
 
 impl Forwarder {
     /// Makes one that knows no endpoint.
-    pub fn new() -> Rc<Self> {
-        let picker = RefCell::new(Picker::new(rand::random()));
-        Rc::new(Self { picker, pool: RefCell::default() })
+    pub fn new(policy: Policy) -> Rc<Self> {
+        let picker = RefCell::new(Picker::new(rand::random()).under(policy));
+        Rc::new(Self { picker, pool: RefCell::default(), second: policy.second_attempts })
     }
 
     /// Takes in news of endpoints.
@@ -245,7 +248,7 @@
 impl<'a> Carry<'a> {
     async fn run(&mut self) -> Outcome {
         let mut running = FuturesUnordered::new();
-        let mut hedged = self.once;
+        let mut hedged = self.once || !self.forwarder.second;
         loop {
             if running.is_empty() {
                 match self.choose() {
--- a/components/node/src/frame.rs
+++ b/components/node/src/frame.rs
@@ -4,6 +4,8 @@
 //! times. docs/POLICY.md has what compression takes off, and what it costs.
 
 use std::cell::RefCell;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use serde::Serialize;
@@ -30,6 +32,9 @@
 /// Bytes of the length.
 const LENGTH: usize = 4;
 
+/// Whether frames are compressed; those that come are read either way.
+static COMPRESSION: AtomicBool = AtomicBool::new(true);
+
 thread_local! {
     // A context takes some hundred kilobytes to set up, which is more than most messages.
     static COMPRESSOR: RefCell<Option<Compressor<'static>>> = const { RefCell::new(None) };
@@ -58,6 +63,11 @@
     LengthDelimitedCodec::builder().max_frame_length(FRAME).new_codec()
 }
 
+/// Switches the compression of this process's frames on or off.
+pub fn set_compression(on: bool) {
+    COMPRESSION.store(on, Ordering::Relaxed);
+}
+
 /// Writes a value as the content of a frame.
 pub fn encode(value: &impl Serialize) -> Bytes {
     let mut content = vec![PLAIN];
@@ -67,7 +77,7 @@
 
 /// Gives the compressed form, if it is shorter.
 fn compress(message: &[u8]) -> Option<Vec<u8>> {
-    if message.len() < SMALL {
+    if message.len() < SMALL || !COMPRESSION.load(Ordering::Relaxed) {
         return None;
     }
     let length = u32::try_from(message.len()).ok()?;
--- a/components/node/src/hosts.rs
+++ b/components/node/src/hosts.rs
@@ -38,12 +38,14 @@
     followers: Rc<Followers>,
     own: Rc<Runner>,
     known: RefCell<BTreeMap<String, Host>>,
+    /// Whether hosts near the engine come first.
+    near: bool,
 }
 
 impl Hosts {
     /// Starts without any other host than this process, which hosts runs while there is none.
-    pub fn new(followers: Rc<Followers>, own: Rc<Runner>) -> Self {
-        Self { followers, own, known: RefCell::default() }
+    pub fn new(followers: Rc<Followers>, own: Rc<Runner>, near: bool) -> Self {
+        Self { followers, own, known: RefCell::default(), near }
     }
 
     /// Notes that a host has connected and told of its runs.
@@ -92,7 +94,7 @@
         let Some((other, least)) = fewest.map(|(name, host)| (name.clone(), host.runs)) else {
             return OWN.to_owned();
         };
-        let near = near.filter(|(_, host)| host.runs <= UNEVEN * least + MORE);
+        let near = near.filter(|(_, host)| self.near && host.runs <= UNEVEN * least + MORE);
         let chosen = near.map_or(other, |(name, _)| name.clone());
         if let Some(host) = known.get_mut(&chosen) {
             host.runs += 1;
--- a/components/node/src/lead/mod.rs
+++ b/components/node/src/lead/mod.rs
@@ -122,12 +122,13 @@
         let mut endpoints = parts.core.state().endpoints.clone();
         endpoints.retain(|endpoint| known.iter().all(|other| other.said.id != endpoint.said.id));
         endpoints.extend(known);
-        let hosts = Hosts::new(parts.followers.clone(), parts.runner.clone());
+        let near = parts.settings.policy.near_hosts;
+        let hosts = Hosts::new(parts.followers.clone(), parts.runner.clone(), near);
         let copies = Copies::new(parts.followers.clone(), &parts.settings, now);
         let lead = Rc::new(Self {
             epoch,
             copies,
-            plan: RefCell::new(Plan::new(epoch)),
+            plan: RefCell::new(Plan::new(epoch).under(parts.settings.policy)),
             pool: RefCell::default(),
             orders: RefCell::new(Orders::new(turn)),
             began: now,
--- a/components/node/src/orders.rs
+++ b/components/node/src/orders.rs
@@ -79,7 +79,13 @@
             let plan = lead.plan.borrow();
             let seats: Vec<&Seat> =
                 plan.seats().filter(|seat| seat.endpoint.said.service == service.name).collect();
-            swap::wishes(&seats, &claims, &lead.orders.borrow().turn, now)
+            swap::wishes(
+                &seats,
+                &claims,
+                &lead.orders.borrow().turn,
+                lead.parts.settings.policy,
+                now,
+            )
         };
         for wish in wishes {
             begin(lead, wish);
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use chicoryford_fleet::Policy;
 use serde::Deserialize;
 use thiserror::Error;
 
@@ -54,6 +55,9 @@
     /// Seconds after its submission for which a step's results are kept.
     #[serde(default = "two_minutes")]
     pub keep_s: u64,
+    /// Mechanisms that are switched off, to measure what they are worth.
+    #[serde(default)]
+    pub policy: Policy,
     /// What is logged.
     #[serde(default = "info")]
     pub log: String,
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -31,6 +31,7 @@
 use crate::entry;
 use crate::entry::Entry;
 use crate::forward::Forwarder;
+use crate::frame;
 use crate::hub::Followers;
 use crate::hub::Hub;
 use crate::lead::Lead;
@@ -179,7 +180,8 @@
     fn start(settings: Settings) -> Result<Self, StartError> {
         let settings = Rc::new(settings);
         let view = Rc::new(View::default());
-        let forwarder = Forwarder::new();
+        let forwarder = Forwarder::new(settings.policy);
+        frame::set_compression(settings.policy.compression);
         let runner = Runner::new(view.clone(), forwarder.clone());
         let (depot, depot_failed) = start_depot(&settings)?;
         let member = Member {
@@ -284,12 +286,13 @@
     fn start_entry(&self) -> Result<(), StartError> {
         let Some(address) = self.settings.entry else { return Ok(()) };
         let address = self.settings.listening(address);
+        let kept = if self.settings.policy.kept_results { entry::RECENT } else { 0 };
         let entry = Rc::new(Entry {
             link: self.link.clone(),
             view: self.view.clone(),
             forwarder: self.forwarder.clone(),
             started: clock::now(),
-            recent: RefCell::new(Recent::new(entry::RECENT)),
+            recent: RefCell::new(Recent::new(kept)),
         });
         serve(self.server.clone(), address, move |request| entry.clone().answer(request))
     }
--- a/components/node/tests/forward.rs
+++ b/components/node/tests/forward.rs
@@ -12,6 +12,7 @@
 use chicoryford_fleet::Announcement;
 use chicoryford_fleet::Endpoint;
 use chicoryford_fleet::Kind;
+use chicoryford_fleet::Policy;
 use chicoryford_fleet::Route;
 use chicoryford_fleet::Share;
 use chicoryford_fleet::Standing;
@@ -108,7 +109,7 @@
 
 /// Makes a forwarder that knows these endpoints; it asks the first one first.
 fn forwarder(stubs: &[&Stub]) -> Rc<Forwarder> {
-    let forwarder = Forwarder::new();
+    let forwarder = Forwarder::new(Policy::default());
     for (number, stub) in stubs.iter().enumerate() {
         let said = Announcement {
             id: format!("i{number}"),
--- a/components/node/tests/runner.rs
+++ b/components/node/tests/runner.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use chicoryford_fleet::Policy;
 use chicoryford_fleet::Sample;
 use chicoryford_fleet::plan::Made;
 use chicoryford_fleet::run::Job;
@@ -82,7 +83,7 @@
 /// second, then of the end. Cause: the word of the end brought all events again.
 #[actix_rt::test]
 async fn each_event_is_told_once_while_the_leader_stays() {
-    let runner = Runner::new(Rc::new(View::default()), Forwarder::new());
+    let runner = Runner::new(Rc::new(View::default()), Forwarder::new(Policy::default()));
     let (up, mut told) = mpsc::channel(1_024);
     runner.attach(up);
     actix_rt::spawn(runner.clone().run());
@@ -102,7 +103,7 @@
 /// told is lost with it.
 #[actix_rt::test]
 async fn the_next_leader_is_told_all_events() {
-    let runner = Runner::new(Rc::new(View::default()), Forwarder::new());
+    let runner = Runner::new(Rc::new(View::default()), Forwarder::new(Policy::default()));
     let (up, first) = mpsc::channel(1_024);
     runner.attach(up);
     actix_rt::spawn(runner.clone().run());
