Entries read texts of results from stores of their own data centre

Change: the leader's answer names a store in the entry's data centre where one has a copy, and sends only the other texts. The setting policy.near_reads switches it off.

--- a/components/fleet/src/copies.rs
+++ b/components/fleet/src/copies.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 use bytes::Bytes;
 use chicoryford_types::Millis;
@@ -47,6 +48,8 @@
 struct Known {
     identity: u64,
     data_centre: String,
+    /// Where it gives parts.
+    address: SocketAddr,
     connected: bool,
     seen: Millis,
     puts: u64,
@@ -75,9 +78,16 @@
     }
 
     /// Notes that a store has connected.
-    pub fn connected(&mut self, id: StoreId, data_centre: String, now: Millis) {
+    pub fn connected(
+        &mut self,
+        id: StoreId,
+        data_centre: String,
+        address: SocketAddr,
+        now: Millis,
+    ) {
         let puts = self.known.get(&id.node).map_or(0, |known| known.puts);
-        let known = Known { identity: id.identity, data_centre, connected: true, seen: now, puts };
+        let (identity, connected, seen) = (id.identity, true, now);
+        let known = Known { identity, data_centre, address, connected, seen, puts };
         self.known.insert(id.node, known);
     }
 
@@ -142,6 +152,14 @@
         live
     }
 
+    /// Gives where a part can be read in a data centre, if a copy lies there.
+    pub fn beside(&self, place: &Place, data_centre: &str) -> Option<SocketAddr> {
+        let Place::Stores(stores) = place else { return None };
+        let live = stores.iter().filter(|id| self.is_connected(id));
+        let mut known = live.filter_map(|id| self.known.get(&id.node));
+        known.find(|known| known.data_centre == data_centre).map(|known| known.address)
+    }
+
     fn is_far(&self, known: &Known) -> bool {
         self.policy.near_copies && known.data_centre != self.here
     }
--- a/components/fleet/src/policy.rs
+++ b/components/fleet/src/policy.rs
@@ -34,6 +34,8 @@
     pub near_hosts: bool,
     /// One copy of each part lies in the leader's data centre.
     pub near_copies: bool,
+    /// Entries read texts of results from stores of their own data centre.
+    pub near_reads: bool,
     /// Entries keep results that they have read.
     pub kept_results: bool,
     /// Frames between processes are compressed.
@@ -55,6 +57,7 @@
             load_order: true,
             near_hosts: true,
             near_copies: true,
+            near_reads: true,
             kept_results: true,
             compression: true,
         }
--- a/components/fleet/src/step.rs
+++ b/components/fleet/src/step.rs
@@ -1,5 +1,7 @@
 //! Steps of trainers: what is submitted, and what becomes of each sample.
 
+use std::collections::BTreeMap;
+
 use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
@@ -108,6 +110,28 @@
     pub result: Result,
 }
 
+impl Listed {
+    /// Gives the part that holds its text, if it has one.
+    pub fn part(&self) -> Option<PartId> {
+        match &self.result {
+            Result::Completed { part, .. } => Some(*part),
+            Result::GivenUp => None,
+        }
+    }
+
+    /// Puts the verdict together with the texts of parts; none if its text is not among them.
+    pub fn verdict(&self, texts: &BTreeMap<PartId, Vec<String>>) -> Option<Verdict> {
+        let Result::Completed { part, place, versions, score, .. } = &self.result else {
+            return Some(Verdict::GivenUp);
+        };
+        Some(Verdict::Completed {
+            text: texts.get(part)?.get(*place as usize)?.clone(),
+            versions: versions.clone(),
+            score: score.clone(),
+        })
+    }
+}
+
 /// What the log holds of a verdict.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub enum Result {
--- a/components/fleet/tests/copies.rs
+++ b/components/fleet/tests/copies.rs
@@ -1,12 +1,18 @@
 //! Where copies of parts lie, and when one counts no more.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 use chicoryford_fleet::copies::Place;
 use chicoryford_fleet::copies::StoreId;
 use chicoryford_fleet::copies::Stores;
 use chicoryford_types::Millis;
 
+/// Where a store gives parts; the same for all where it does not matter.
+fn address() -> SocketAddr {
+    "10.0.0.1:7".parse().unwrap()
+}
+
 fn id(node: &str, identity: u64) -> StoreId {
     StoreId { node: node.to_owned(), identity }
 }
@@ -18,7 +24,7 @@
 fn seen_from(here: &str) -> Stores {
     let mut stores = Stores::new(here, Millis(0));
     for (node, place) in [("a", "x"), ("b", "x"), ("c", "y"), ("d", "z")] {
-        stores.connected(id(node, 1), place.to_owned(), Millis(0));
+        stores.connected(id(node, 1), place.to_owned(), address(), Millis(0));
     }
     stores
 }
@@ -69,7 +75,7 @@
     let place = Place::Stores(BTreeSet::from([id("a", 1), id("c", 1)]));
     assert_eq!(stores.counted(&place, &BTreeSet::new(), Millis(1)).len(), 2);
     stores.disconnected(&id("a", 1), Millis(10));
-    stores.connected(id("a", 2), "x".to_owned(), Millis(20));
+    stores.connected(id("a", 2), "x".to_owned(), address(), Millis(20));
     let counted = stores.counted(&place, &BTreeSet::new(), Millis(20));
     assert_eq!(nodes(&counted.iter().cloned().collect::<Vec<_>>()), ["c"]);
     let chosen = stores.choose(&counted, &BTreeSet::new());
@@ -99,3 +105,23 @@
     assert_eq!(stores.count(|node| node != "a"), 3);
     assert!(stores.counted(&Place::Inline("x".into()), &leaving, Millis(1)).is_empty());
 }
+
+/// Pattern: many entries of several data centres read the same results. Texts that come through the
+/// leader cross to each of them; a copy nearby need not cross at all.
+#[test]
+fn a_part_is_read_beside_its_reader_where_a_copy_lies() {
+    let mut stores = Stores::new("x", Millis(0));
+    let addresses: Vec<SocketAddr> =
+        (1..=3).map(|port| SocketAddr::from(([10, 0, 0, 1], port))).collect();
+    for (place, (node, data_centre)) in [("a", "x"), ("b", "y"), ("c", "z")].iter().enumerate() {
+        stores.connected(id(node, 1), (*data_centre).to_owned(), addresses[place], Millis(0));
+    }
+    let place = Place::Stores(BTreeSet::from([id("a", 1), id("b", 1), id("c", 2)]));
+
+    assert_eq!(stores.beside(&place, "y"), Some(addresses[1]));
+    assert_eq!(stores.beside(&place, "z"), None, "its disk is another one");
+    assert_eq!(stores.beside(&place, "w"), None, "no copy lies there");
+    assert_eq!(stores.beside(&Place::Inline("text".into()), "y"), None);
+    stores.disconnected(&id("b", 1), Millis(1));
+    assert_eq!(stores.beside(&place, "y"), None, "it may be gone");
+}
--- a/components/fleet/tests/policy.rs
+++ b/components/fleet/tests/policy.rs
@@ -1,6 +1,7 @@
 //! Each switch stops its mechanism and nothing else; settings may name some of them.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use chicoryford_fleet::Announcement;
@@ -21,6 +22,11 @@
 use chicoryford_types::Epoch;
 use chicoryford_types::Millis;
 
+/// Where a store gives parts.
+fn address() -> SocketAddr {
+    "10.0.0.1:7".parse().unwrap()
+}
+
 fn endpoint(id: &str, service: &str) -> Endpoint {
     let said = Announcement {
         id: id.to_owned(),
@@ -106,7 +112,7 @@
         let mut stores = Stores::new("y", Millis(0)).under(policy);
         for (node, place) in [("a", "x"), ("b", "y")] {
             let id = StoreId { node: node.to_owned(), identity: 1 };
-            stores.connected(id, place.to_owned(), Millis(0));
+            stores.connected(id, place.to_owned(), address(), Millis(0));
         }
         stores.choose(&Default::default(), &Default::default())[0].node.clone()
     };
--- a/components/node/src/copies.rs
+++ b/components/node/src/copies.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::rc::Weak;
 use std::time::Duration;
@@ -91,9 +92,9 @@
     }
 
     /// Notes that a store has connected.
-    pub fn connected(&self, store: StoreId, data_centre: String) {
+    pub fn connected(&self, store: StoreId, data_centre: String, address: SocketAddr) {
         tracing::info!(event = "store_found", store = store.node, identity = store.identity);
-        self.stores.borrow_mut().connected(store, data_centre, clock::now());
+        self.stores.borrow_mut().connected(store, data_centre, address, clock::now());
     }
 
     /// Notes that a store's connection has ended.
@@ -177,6 +178,11 @@
         have
     }
 
+    /// Gives where a part can be read in a data centre, if a copy lies there.
+    pub fn beside(&self, place: &Place, data_centre: &str) -> Option<SocketAddr> {
+        self.stores.borrow().beside(place, data_centre)
+    }
+
     /// Reads a part from memory or from the first store that gives it, the nearest asked first.
     pub async fn read(&self, part: PartId, place: &Place) -> Option<Bytes> {
         if let Some(bytes) = self.cache.borrow().parts.get(&part) {
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -30,6 +30,7 @@
 use crate::message::Call;
 use crate::message::News;
 use crate::metrics;
+use crate::parts::Reader;
 use crate::view::View;
 
 /// Milliseconds after which a caller may come back when no leader is known: an election takes
@@ -63,6 +64,10 @@
     pub started: Millis,
     /// Results that were read lately.
     pub recent: RefCell<Recent>,
+    /// The data centre, where texts are read from a store if it has them; empty if they are not.
+    pub near: String,
+    /// Reads them.
+    pub reader: Rc<Reader>,
 }
 
 impl Entry {
@@ -182,18 +187,43 @@
         Some(step::listed(step::results(read.total as usize, after, results)))
     }
 
-    /// Answers with results, and keeps them.
-    fn new_results(
-        &self,
-        step: &str,
-        after: u64,
-        total: u64,
-        listed: Vec<(String, Verdict)>,
-    ) -> Reply {
+    /// Answers with results, and keeps them. Texts that lie nearby are read there; if one does not
+    /// come, the leader gives them all.
+    async fn new_results(&self, step: &str, after: u64, answer: Answer) -> Option<Reply> {
+        let (total, listed) = match self.assemble(answer).await {
+            Some(read) => read,
+            None => {
+                let (step, near) = (step.to_owned(), String::new());
+                let whole = Call::Read { step, after, wait_ms: 0, near };
+                let answer = self.link.call_until_answered(whole, ASK).await.ok()?;
+                self.assemble(answer).await?
+            }
+        };
         let results = listed.iter().map(|(id, verdict)| (id.as_str(), verdict));
         let reply = step::listed(step::results(total as usize, after, results));
         self.recent.borrow_mut().put(step, total, after, listed);
-        reply
+        Some(reply)
+    }
+
+    /// Puts results and their texts together; none if a text is missing.
+    async fn assemble(&self, answer: Answer) -> Option<(u64, Vec<(String, Verdict)>)> {
+        let Answer::Results { total, listed, mut texts, near } = answer else { return None };
+        let reads = near.into_iter().map(|(part, address)| async move {
+            let Some(bytes) = self.reader.read(address, part).await else {
+                tracing::info!(event = "part_not_near", part = part.0, %address);
+                return None;
+            };
+            let read = rmp_serde::from_slice(&bytes);
+            read.inspect_err(|error| tracing::error!(event = "part_unfit", part = part.0, %error))
+                .ok()
+                .map(|texts| (part, texts))
+        });
+        for read in futures_util::future::join_all(reads).await {
+            let (part, read) = read?;
+            texts.insert(part, read);
+        }
+        let results = listed.iter().map(|one| Some((one.sample.clone(), one.verdict(&texts)?)));
+        Some((total, results.collect::<Option<_>>()?))
     }
 
     async fn about_step(&self, call: step::Call) -> Reply {
@@ -207,28 +237,35 @@
             step::Call::Body { .. } | step::Call::End { .. } => Duration::ZERO,
         };
         let asked = match call.clone() {
-            step::Call::Read { step, after, wait_ms } => Call::Read { step, after, wait_ms },
+            step::Call::Read { step, after, wait_ms } => {
+                Call::Read { step, after, wait_ms, near: self.near.clone() }
+            }
             step::Call::Body { step, sample } => Call::Body { step, sample },
             step::Call::End { step } => Call::End(step),
         };
         match (self.link.call_until_answered(asked, wait + ASK).await, &call) {
             (Ok(Answer::Done), _) => platform::control::done(),
-            (Ok(Answer::Results { total, listed }), step::Call::Read { step, after, .. }) => {
-                self.new_results(step, *after, total, listed)
+            (Ok(answer @ Answer::Results { .. }), step::Call::Read { step, after, .. }) => {
+                match self.new_results(step, *after, answer).await {
+                    Some(reply) => reply,
+                    None => self.step_failed(&call),
+                }
             }
             (Ok(Answer::Body(bytes)), _) => step::body(bytes),
             (Ok(Answer::Unknown), _) => {
                 tracing::info!(event = "step_unknown", call = ?call);
                 platform::failure(StatusCode::NOT_FOUND, "no such step")
             }
-            (Ok(_) | Err(_), _) => {
-                let silent_ms = self.link.silent_ms();
-                tracing::info!(event = "step_call_failed", call = ?call, silent_ms);
-                let why = "no leader answered";
-                platform::refusal(StatusCode::SERVICE_UNAVAILABLE, why, NO_LEADER_MS)
-            }
+            (Ok(_) | Err(_), _) => self.step_failed(&call),
         }
     }
+
+    fn step_failed(&self, call: &step::Call) -> Reply {
+        let silent_ms = self.link.silent_ms();
+        tracing::info!(event = "step_call_failed", call = ?call, silent_ms);
+        let why = "no leader answered";
+        platform::refusal(StatusCode::SERVICE_UNAVAILABLE, why, NO_LEADER_MS)
+    }
 }
 
 fn outcome_word(outcome: &Outcome) -> &'static str {
--- a/components/node/src/hub.rs
+++ b/components/node/src/hub.rs
@@ -29,6 +29,7 @@
 use crate::lead::Lead;
 use crate::message::Ask;
 use crate::message::Call;
+use crate::message::Depot;
 use crate::message::Down;
 use crate::message::Hello;
 use crate::message::Letter;
@@ -194,8 +195,7 @@
         match decode::<Hello>(&frame) {
             Ok(Hello::Replica { data_centre }) => self.take_letters(socket, &data_centre).await,
             Ok(Hello::Member { node, data_centre, store }) => {
-                let store = store.map(|identity| StoreId { node, identity });
-                self.serve(socket, data_centre, store).await;
+                self.serve(socket, node, data_centre, store).await;
             }
             Err(error) => tracing::warn!(event = "link_unreadable", %error),
         }
@@ -221,7 +221,13 @@
         }
     }
 
-    async fn serve(&self, mut socket: Socket, data_centre: String, store: Option<StoreId>) {
+    async fn serve(
+        &self,
+        mut socket: Socket,
+        node: String,
+        data_centre: String,
+        depot: Option<Depot>,
+    ) {
         let lead = self.lead.borrow().clone();
         let Some(lead) = lead.filter(|lead| lead.leads()) else {
             let down = Down::NotLeader { leader: self.core.leader() };
@@ -239,14 +245,15 @@
             let _ = frames.try_send(frame);
         }
         let number = self.followers.number();
+        let store = depot.map(|depot| StoreId { node, identity: depot.identity });
         let follower = Follower {
             store: store.clone(),
             data_centre: data_centre.clone(),
             frames: frames.clone(),
         };
         self.followers.all.borrow_mut().insert(number, follower);
-        if let Some(store) = &store {
-            lead.copies.connected(store.clone(), data_centre.clone());
+        if let (Some(store), Some(depot)) = (&store, depot) {
+            lead.copies.connected(store.clone(), data_centre.clone(), depot.address);
         }
         let host = store.as_ref().map(|store| store.node.clone());
         if let Some(host) = &host {
--- a/components/node/src/lead/mod.rs
+++ b/components/node/src/lead/mod.rs
@@ -238,7 +238,9 @@
                 self.commit(Command::Publish { model, version }).await
             }
             Call::Submit(step) => self.submit(step).await,
-            Call::Read { step, after, wait_ms } => self.read(&step, after, wait_ms).await,
+            Call::Read { step, after, wait_ms, near } => {
+                self.read(&step, after, wait_ms, &near).await
+            }
             Call::Body { step, sample } => self.body(&step, &sample).await,
             Call::End(step) => self.end(step).await,
             Call::Retire(node) => self.retire(node).await,
--- a/components/node/src/lead/steps.rs
+++ b/components/node/src/lead/steps.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Weak;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,7 +12,6 @@
 use chicoryford_fleet::Listed;
 use chicoryford_fleet::Outline;
 use chicoryford_fleet::Step;
-use chicoryford_fleet::Verdict;
 use chicoryford_fleet::copies::PartId;
 use chicoryford_fleet::plan::Note;
 use chicoryford_fleet::step::REPLY_BYTES;
@@ -76,7 +76,7 @@
         self.plan.borrow_mut().open(step, clock::now(), Millis::default(), |_| false);
     }
 
-    pub(super) async fn read(&self, step: &str, after: u64, wait_ms: u64) -> Answer {
+    pub(super) async fn read(&self, step: &str, after: u64, wait_ms: u64, near: &str) -> Answer {
         let until = clock::now() + wait_ms;
         let mut listed = self.listed.subscribe();
         loop {
@@ -90,7 +90,7 @@
                 found.results.len() as u64 > after || !found.is_open() || left == 0
             };
             if ready {
-                return self.results(step, after).await;
+                return self.results(step, after, near).await;
             }
             let changed = listed.changed();
             if let Ok(Err(_)) = tokio::time::timeout(Duration::from_millis(left), changed).await {
@@ -99,21 +99,28 @@
         }
     }
 
-    /// Puts results together: what the log says of them, and their texts from the parts.
-    pub(super) async fn results(&self, step: &str, after: u64) -> Answer {
+    /// Puts results together: what the log says of them, and their texts from the parts. Texts that
+    /// the caller can read in its own data centre stay out; within the leader's own it is as near.
+    async fn results(&self, step: &str, after: u64, near: &str) -> Answer {
         let (total, chosen, places) = {
             let state = self.parts.core.state();
             let Some(found) = state.steps.get(step) else { return Answer::Unknown };
             let chosen = choose_results(&found.results, after);
-            let parts: BTreeSet<PartId> =
-                chosen.iter().filter_map(|listed| text_part(listed)).collect();
+            let parts: BTreeSet<PartId> = chosen.iter().filter_map(|one| one.part()).collect();
             let places =
                 parts.iter().filter_map(|part| Some((*part, state.parts.get(part)?.place.clone())));
             let places: Vec<(PartId, copies::Place)> = places.collect();
             (u64::from(found.step.samples), chosen, places)
         };
         let mut texts: BTreeMap<PartId, Vec<String>> = BTreeMap::new();
+        let mut beside: BTreeMap<PartId, SocketAddr> = BTreeMap::new();
+        let far = !near.is_empty() && near != self.parts.settings.data_centre;
         for (part, place) in places {
+            let address = if far { self.copies.beside(&place, near) } else { None };
+            if let Some(address) = address {
+                beside.insert(part, address);
+                continue;
+            }
             let Some(bytes) = self.copies.read(part, &place).await else { return Answer::NotNow };
             match rmp_serde::from_slice(&bytes) {
                 Ok(read) => texts.insert(part, read),
@@ -123,9 +130,7 @@
                 }
             };
         }
-        let listed: Option<Vec<(String, Verdict)>> =
-            chosen.iter().map(|listed| whole(listed, &texts)).collect();
-        listed.map_or(Answer::NotNow, |listed| Answer::Results { total, listed })
+        Answer::Results { total, listed: chosen, texts, near: beside }
     }
 
     pub(super) async fn body(&self, step: &str, sample: &str) -> Answer {
@@ -292,25 +297,3 @@
     };
     reply_bytes(&listed.sample, text)
 }
-
-pub(super) fn text_part(listed: &Listed) -> Option<PartId> {
-    match &listed.result {
-        Result::Completed { part, .. } => Some(*part),
-        Result::GivenUp => None,
-    }
-}
-
-pub(super) fn whole(
-    listed: &Listed,
-    texts: &BTreeMap<PartId, Vec<String>>,
-) -> Option<(String, Verdict)> {
-    let verdict = match &listed.result {
-        Result::GivenUp => Verdict::GivenUp,
-        Result::Completed { part, place, versions, score, .. } => Verdict::Completed {
-            text: texts.get(part)?.get(*place as usize)?.clone(),
-            versions: versions.clone(),
-            score: score.clone(),
-        },
-    };
-    Some((listed.sample.clone(), verdict))
-}
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod message;
 pub mod metrics;
 pub mod orders;
+pub mod parts;
 pub mod peers;
 pub mod ready;
 pub mod runner;
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -30,6 +30,7 @@
 use crate::message::Answer;
 use crate::message::Ask;
 use crate::message::Call;
+use crate::message::Depot;
 use crate::message::Down;
 use crate::message::Hello;
 use crate::message::Told;
@@ -80,6 +81,8 @@
     pub node: String,
     /// Its data centre.
     pub data_centre: String,
+    /// Where it takes links.
+    pub address: SocketAddr,
     /// The depot of a VM that stores data.
     pub depot: Option<Rc<Worker>>,
     /// Hosts runs, on a VM that does.
@@ -242,8 +245,8 @@
     async fn open(&self, address: SocketAddr) -> Option<Socket> {
         let stream = socket::connect(address, CONNECT).await.ok()?;
         let mut socket = Framed::new(stream, frames());
-        let Member { node, data_centre, depot, .. } = self.member.clone();
-        let store = depot.map(|depot| depot.identity());
+        let Member { node, data_centre, depot, address, .. } = self.member.clone();
+        let store = depot.map(|depot| Depot { identity: depot.identity(), address });
         let hello = Hello::Member { node, data_centre, store };
         socket.send(encode(&hello)).await.ok()?;
         Some(socket)
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -1,5 +1,6 @@
 //! What the processes of a fleet say to each other.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,8 +11,8 @@
 use chicoryford_fleet::Announcement;
 use chicoryford_fleet::Config;
 use chicoryford_fleet::Endpoint;
+use chicoryford_fleet::Listed;
 use chicoryford_fleet::Step;
-use chicoryford_fleet::Verdict;
 use chicoryford_fleet::copies::PartId;
 use chicoryford_fleet::run::Report;
 use chicoryford_fleet::run::Work;
@@ -32,11 +33,20 @@
         node: String,
         /// Its data centre.
         data_centre: String,
-        /// The identity of its depot, if its VM stores data.
-        store: Option<u64>,
+        /// Its depot, if its VM stores data.
+        store: Option<Depot>,
     },
 }
 
+/// A depot that a member has.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct Depot {
+    /// Its identity.
+    pub identity: u64,
+    /// Where it gives parts to entries.
+    pub address: SocketAddr,
+}
+
 /// A message of the agreement.
 pub type Letter = Message;
 
@@ -164,6 +174,9 @@
         after: u64,
         /// Milliseconds for which the answer may wait for one.
         wait_ms: u64,
+        /// The data centre in which the caller reads texts from a store, if there is a copy; empty
+        /// if it wants all texts with the answer.
+        near: String,
     },
     /// The body of a sample.
     Body {
@@ -203,8 +216,12 @@
     Results {
         /// The samples of the step.
         total: u64,
-        /// The results, with the identities of their samples.
-        listed: Vec<(String, Verdict)>,
+        /// The results.
+        listed: Vec<Arc<Listed>>,
+        /// Their texts by part, but for those that can be read nearby.
+        texts: BTreeMap<PartId, Vec<String>>,
+        /// Where the other parts can be read nearby.
+        near: BTreeMap<PartId, SocketAddr>,
     },
     /// The body of a sample.
     Body(Bytes),
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -40,6 +40,7 @@
 use crate::link::Member;
 use crate::members;
 use crate::metrics;
+use crate::parts;
 use crate::peers::Peers;
 use crate::ready::Readiness;
 use crate::runner::Runner;
@@ -187,8 +188,9 @@
         let member = Member {
             node: settings.node.clone(),
             data_centre: settings.data_centre.clone(),
+            address: settings.own_link(),
             runner: depot.is_some().then(|| runner.clone()),
-            depot,
+            depot: depot.clone(),
         };
         let link = Link::new(member, view.clone(), settings.seed_links());
         let process = Self {
@@ -212,6 +214,10 @@
             actix_rt::spawn(process.runner.clone().run());
         }
         let core = process.start_core()?;
+        if let Some(depot) = depot {
+            let listener = listen(process.settings.listening(process.settings.own_link()))?;
+            actix_rt::spawn(parts::serve(listener, depot));
+        }
         process.start_control()?;
         process.start_entry()?;
         process.start_ready()?;
@@ -286,6 +292,8 @@
     fn start_entry(&self) -> Result<(), StartError> {
         let Some(address) = self.settings.entry else { return Ok(()) };
         let address = self.settings.listening(address);
+        let near = Some(self.settings.data_centre.clone());
+        let near = near.filter(|_| self.settings.policy.near_reads).unwrap_or_default();
         let kept = if self.settings.policy.kept_results { entry::RECENT } else { 0 };
         let entry = Rc::new(Entry {
             link: self.link.clone(),
@@ -293,6 +301,8 @@
             forwarder: self.forwarder.clone(),
             started: clock::now(),
             recent: RefCell::new(Recent::new(kept)),
+            near,
+            reader: Rc::default(),
         });
         serve(self.server.clone(), address, move |request| entry.clone().answer(request))
     }
--- a/components/node/tests/settings.rs
+++ b/components/node/tests/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use chicoryford_fleet::Policy;
 use chicoryford_node::settings;
 use chicoryford_node::settings::SettingsError;
 
@@ -32,6 +33,14 @@
     assert_eq!(settings.listening(settings.own_link()).to_string(), "127.0.0.9:7700");
 }
 
+#[test]
+fn a_mechanism_can_be_switched_off_by_its_name() {
+    let settings = load(&format!("{MINIMAL}policy: {{ run_notes: false }}\n")).unwrap();
+    assert_eq!(settings.policy, Policy { run_notes: false, ..Policy::default() });
+    let misspelt = load(&format!("{MINIMAL}policy: {{ run_note: false }}\n")).unwrap_err();
+    assert!(format!("{misspelt:?}").contains("run_note"));
+}
+
 #[test]
 fn a_misspelt_or_missing_field_is_named() {
     let misspelt = load(&format!("{MINIMAL}seads: []\n")).unwrap_err();
