--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -41,8 +41,6 @@
 const AHEAD: usize = 64 << 10;
 /// Bytes of a chunked body's framing that are read beyond the body itself.
 const FRAMING: usize = 64 << 10;
-/// Pause after the system refused a new connection, as when descriptors ran out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// What callers may send, and how long they may take.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -106,18 +104,7 @@
         F: Future<Output = Reply> + 'static,
     {
         loop {
-            let stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
-                Err(error) => {
-                    tracing::warn!(event = "accept_failed", %error);
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                    continue;
-                }
-            };
-            if let Err(error) = socket::tune(&stream) {
-                tracing::debug!(event = "socket_untuned", %error);
-                continue;
-            }
+            let stream = socket::accept(&listener).await;
             let connection = Connection {
                 stream,
                 codec: codec(),
--- a/components/http/src/socket.rs
+++ b/components/http/src/socket.rs
@@ -23,6 +23,8 @@
 const PROBE: Duration = Duration::from_secs(1);
 /// Unanswered probes after which a connection is dead.
 const PROBES: u32 = 3;
+/// Pause after the system refused a new connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// New connections that wait to be accepted. An opening packet that finds the queue full is sent
 /// again only after a second.
 const BACKLOG: i32 = 1_024;
@@ -52,6 +54,24 @@
     Ok(stream)
 }
 
+/// Takes the next connection, set up like all others. What goes wrong with one concerns nobody else;
+/// when the system refuses it, for want of descriptors for instance, it may not do so a moment later.
+pub async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => match tune(&stream) {
+                Ok(()) => return stream,
+                // The other side has left already.
+                Err(error) => tracing::debug!(event = "socket_untuned", %error),
+            },
+            Err(error) => {
+                tracing::warn!(event = "accept_failed", %error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Listens on an address.
 ///
 /// # Errors
--- a/components/node/src/hub.rs
+++ b/components/node/src/hub.rs
@@ -53,8 +53,6 @@
 pub const SEEN: Duration = Duration::from_millis(150);
 /// Time between two words that the leader lives.
 const ALIVE: Duration = Duration::from_millis(200);
-/// Pause after the system refused a new connection.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 type Socket = Framed<TcpStream, LengthDelimitedCodec>;
 
@@ -172,20 +170,9 @@
     /// Accepts links.
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
         loop {
-            let stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
-                Err(error) => {
-                    tracing::warn!(event = "accept_failed", %error);
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                    continue;
-                }
-            };
+            let stream = socket::accept(&listener).await;
             let hub = self.clone();
-            actix_rt::spawn(async move {
-                if socket::tune(&stream).is_ok() {
-                    hub.take(Framed::new(stream, frames())).await;
-                }
-            });
+            actix_rt::spawn(async move { hub.take(Framed::new(stream, frames())).await });
         }
     }
 
--- a/components/node/src/parts.rs
+++ b/components/node/src/parts.rs
@@ -40,8 +40,6 @@
 const ASKED: usize = 256;
 /// Silence after which a store closes a connection. An entry opens another when it reads again.
 const IDLE: Duration = Duration::from_secs(20);
-/// Pause after the system refused a new connection.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 type Socket = Framed<TcpStream, LengthDelimitedCodec>;
 
@@ -62,23 +60,12 @@
 /// Gives parts of this VM's depot to entries for as long as the process lives.
 pub async fn serve(listener: TcpListener, depot: Rc<Worker>) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                actix_rt::spawn(give(stream, depot.clone()));
-            }
-            Err(error) => {
-                tracing::warn!(event = "accept_failed", %error);
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        let stream = socket::accept(&listener).await;
+        actix_rt::spawn(give(stream, depot.clone()));
     }
 }
 
 async fn give(stream: TcpStream, depot: Rc<Worker>) {
-    if let Err(error) = socket::tune(&stream) {
-        tracing::warn!(event = "accept_failed", %error);
-        return;
-    }
     let (mut sink, mut asked) = Framed::new(stream, frames()).split();
     while let Ok(Some(Ok(frame))) = tokio::time::timeout(IDLE, asked.next()).await {
         let wanted: Wanted = match decode(&frame) {
