Learn by route what is usual, and of endpoints how many times as long they take

Cause: routes of one service ask for different work (25 ms and 200 ms on one desk service; others run into their timeout at 400 ms). Learned by service, what is usual fitted neither: quick requests got their second attempt when they were late, and endpoints were shunned for the long work that they had been given (expected=168 for one that answers in 20). Change: the picker keeps the median of a route's last 15 answers, and for an endpoint a factor against it. Tests: fleet pick (two routes on one service; a slow endpoint is slow on all routes; gone routes).

--- a/components/fleet/src/pick.rs
+++ b/components/fleet/src/pick.rs
@@ -2,8 +2,13 @@
 //!
 //! Each process goes by what it sees itself: its own attempts under way, how long they took, and
 //! failures. Reports of others would be older than the requests are long.
+//!
+//! Routes of one service may ask for very different work: beside answers of 25 ms, one of 200 ms says
+//! nothing of its endpoint. So what is usual is learned by route, and of an endpoint only how many
+//! times as long it takes.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 use chicoryford_types::Millis;
@@ -17,8 +22,14 @@
 
 /// The weight of the newest measurement in the mean: about the last five count.
 const NEWEST: f64 = 0.2;
-/// Milliseconds that an attempt is expected to take at an endpoint of which nothing is known.
+/// Milliseconds that an attempt is expected to take on a route of which nothing is known.
 const UNKNOWN_MS: f64 = 30.0;
+/// Answers of a route of which the median is its usual time: few enough to follow a change within
+/// seconds, and enough that the one in a hundred that takes five times as long does not show.
+const ANSWERS: usize = 15;
+/// How many times as long as usual one answer counts at most. A single stray would otherwise keep
+/// its endpoint without work for many seconds.
+const STRAY: f64 = 20.0;
 /// Milliseconds without an attempt after which half of what was measured is forgotten. An
 /// endpoint that was slow for some seconds would otherwise never be tried again.
 const HALF_MS: f64 = 3_000.0;
@@ -47,7 +58,8 @@
 struct Seat {
     endpoint: Endpoint,
     running: u32,
-    mean_ms: f64,
+    /// How many times as long as usual it takes.
+    slowness: f64,
     measured: Millis,
     failures: u32,
     until: Millis,
@@ -82,15 +94,36 @@
 /// Chooses endpoints.
 pub struct Picker {
     seats: BTreeMap<String, Seat>,
+    usual: BTreeMap<String, Usual>,
     rng: SmallRng,
     policy: Policy,
 }
 
+/// The latest answers of a route, in milliseconds.
+#[derive(Clone, Debug, Default)]
+struct Usual(VecDeque<f64>);
+
+impl Usual {
+    fn note(&mut self, ms: f64) {
+        if self.0.len() == ANSWERS {
+            self.0.pop_front();
+        }
+        self.0.push_back(ms);
+    }
+
+    fn median(&self) -> Option<f64> {
+        let mut sorted: Vec<f64> = self.0.iter().copied().collect();
+        sorted.sort_by(f64::total_cmp);
+        sorted.get(sorted.len() / 2).copied()
+    }
+}
+
 impl Picker {
     /// Makes one that knows no endpoint. The seed breaks ties.
     pub fn new(seed: u64) -> Self {
         let rng = SmallRng::seed_from_u64(seed);
-        Self { seats: BTreeMap::new(), rng, policy: Policy::default() }
+        let (seats, usual) = (BTreeMap::new(), BTreeMap::new());
+        Self { seats, usual, rng, policy: Policy::default() }
     }
 
     /// Chooses with these mechanisms.
@@ -127,6 +160,11 @@
         self.seats.retain(|id, _| known(id));
     }
 
+    /// Forgets what is usual on all routes that `known` does not name.
+    pub fn retain_routes(&mut self, known: impl Fn(&str) -> bool) {
+        self.usual.retain(|route, _| known(route));
+    }
+
     /// Chooses an endpoint of a service that is not among those tried, and counts the attempt.
     ///
     /// # Errors
@@ -135,10 +173,11 @@
     pub fn pick(
         &mut self,
         service: &str,
+        route: &str,
         tried: &[String],
         now: Millis,
     ) -> Result<Target, Nowhere> {
-        let typical = self.typical_ms(service).unwrap_or(UNKNOWN_MS);
+        let usual = self.usual_ms(route).unwrap_or(UNKNOWN_MS);
         let fits = |seat: &&Seat| {
             let said = &seat.endpoint.said;
             said.service == service && seat.endpoint.standing == Standing::Ready && !seat.moved
@@ -152,12 +191,9 @@
         // Endpoints that failed lately come last, but one of them is better than none.
         let best = fresh.iter().map(|seat| {
             let penalty = if self.policy.penalties { seat.until.since(now) } else { 0 };
-            let known = if self.policy.learned_times { seat.mean_ms } else { typical };
-            (
-                penalty,
-                seat.expected(known, now, typical) * (1.0 + self.rng.random_range(0.0..0.1)),
-                seat,
-            )
+            let slowness = if self.policy.learned_times { seat.slowness_at(now) } else { 1.0 };
+            let expected = seat.expected(usual * slowness);
+            (penalty, expected * (1.0 + self.rng.random_range(0.0..0.1)), seat)
         });
         let best = best.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         let Some((penalty, expected, seat)) = best else { return Err(Nowhere::AllTried) };
@@ -180,38 +216,29 @@
         self.seats.get(id).is_some_and(|seat| seat.endpoint.standing == Standing::Ready)
     }
 
-    /// Counts the endpoints of a service that are ready, and the attempts of this process there.
-    pub fn load(&self, service: &str) -> (u32, u32) {
-        let here = self.seats.values().filter(|seat| {
-            seat.endpoint.said.service == service && seat.endpoint.standing == Standing::Ready
-        });
-        here.fold((0, 0), |(slots, running), seat| {
-            (slots + seat.endpoint.said.slots, running + seat.running)
-        })
-    }
-
-    /// Gives the time that half of the attempts at a service take, as measured here.
-    pub fn typical_ms(&self, service: &str) -> Option<f64> {
-        let here = self.seats.values().filter(|seat| seat.endpoint.said.service == service);
-        let mut means: Vec<f64> =
-            here.map(|seat| seat.mean_ms).filter(|mean| *mean > 0.0).collect();
-        means.sort_by(f64::total_cmp);
-        means.get(means.len() / 2).copied()
+    /// Gives the time that half of a route's answers took lately, as measured here.
+    pub fn usual_ms(&self, route: &str) -> Option<f64> {
+        self.usual.get(route)?.median()
     }
 
-    /// Takes in how an attempt ended.
-    pub fn ended(&mut self, id: &str, ending: Ending, now: Millis) {
+    /// Takes in how an attempt of a route ended.
+    pub fn ended(&mut self, id: &str, route: &str, ending: Ending, now: Millis) {
+        if let Ending::Answered(ms) = ending {
+            self.usual.entry(route.to_owned()).or_default().note(ms as f64);
+        }
+        let usual = self.usual_ms(route).unwrap_or(UNKNOWN_MS).max(1.0);
         let Some(seat) = self.seats.get_mut(id) else { return };
         seat.running = seat.running.saturating_sub(1);
         match ending {
             Ending::Answered(ms) => {
                 seat.failures = 0;
                 seat.until = Millis::default();
-                seat.measure(ms as f64, now);
+                seat.measure(ms as f64 / usual, now);
             }
             Ending::Dropped(ms) => {
-                if ms as f64 > seat.mean_ms {
-                    seat.measure(ms as f64, now);
+                let slowness = ms as f64 / usual;
+                if slowness > seat.slowness {
+                    seat.measure(slowness, now);
                 }
             }
             Ending::Refused => seat.until = now + PENALTY_MS,
@@ -230,7 +257,7 @@
         Self {
             endpoint: endpoint.clone(),
             running: 0,
-            mean_ms: 0.0,
+            slowness: 1.0,
             measured: Millis::default(),
             failures: 0,
             until: Millis::default(),
@@ -238,19 +265,21 @@
         }
     }
 
-    fn measure(&mut self, ms: f64, now: Millis) {
-        self.mean_ms =
-            if self.mean_ms > 0.0 { self.mean_ms + NEWEST * (ms - self.mean_ms) } else { ms };
+    fn measure(&mut self, slowness: f64, now: Millis) {
+        self.slowness += NEWEST * (slowness.min(STRAY) - self.slowness);
         self.measured = now;
     }
 
-    /// Estimates how long one more attempt takes here. What was measured fades towards what is
-    /// typical of the service, so that an endpoint that was slow is tried again.
-    fn expected(&self, mean_ms: f64, now: Millis, typical: f64) -> f64 {
+    /// Gives how many times as long as usual an attempt takes here. What was measured fades towards
+    /// what is usual, so that an endpoint that was slow is tried again.
+    fn slowness_at(&self, now: Millis) -> f64 {
         let age = now.since(self.measured) as f64;
-        let known = if mean_ms > 0.0 { mean_ms } else { typical };
-        let mean = typical + (known - typical) * 0.5_f64.powf(age / HALF_MS);
+        1.0 + (self.slowness - 1.0) * 0.5_f64.powf(age / HALF_MS)
+    }
+
+    /// Estimates how long one more attempt takes here that takes so long by itself.
+    fn expected(&self, alone_ms: f64) -> f64 {
         let slots = f64::from(self.endpoint.said.slots.max(1));
-        mean * (1.0 + f64::from(self.running) / slots)
+        alone_ms * (1.0 + f64::from(self.running) / slots)
     }
 }
--- a/components/fleet/tests/pick.rs
+++ b/components/fleet/tests/pick.rs
@@ -32,7 +32,7 @@
 }
 
 fn pick(picker: &mut Picker, now: u64) -> String {
-    picker.pick("desk", &[], Millis(now)).unwrap().id
+    picker.pick("desk", "route", &[], Millis(now)).unwrap().id
 }
 
 #[test]
@@ -54,14 +54,14 @@
         now += 10;
         let id = pick(&mut picker, now);
         slow += u32::from(id == "a");
-        picker.ended(&id, Ending::Answered(if id == "a" { 100 } else { 25 }), Millis(now));
+        picker.ended(&id, "route", Ending::Answered(if id == "a" { 100 } else { 25 }), Millis(now));
     }
     assert!(slow < 30, "{slow}");
     let later: Vec<String> = (0..30)
         .map(|n| {
             let at = now + 20_000 + n;
             let id = pick(&mut picker, at);
-            picker.ended(&id, Ending::Answered(25), Millis(at));
+            picker.ended(&id, "route", Ending::Answered(25), Millis(at));
             id
         })
         .collect();
@@ -79,7 +79,7 @@
         let id = pick(&mut picker, n * 10);
         let ending = if id == "a" { Ending::Failed } else { Ending::Answered(25) };
         failed += u32::from(id == "a");
-        picker.ended(&id, ending, Millis(n * 10));
+        picker.ended(&id, "route", ending, Millis(n * 10));
     }
     assert!(failed <= 5, "{failed}");
 }
@@ -88,18 +88,18 @@
 fn a_failing_endpoint_is_better_than_none() {
     let mut picker = picker(&["a"]);
     let id = pick(&mut picker, 0);
-    picker.ended(&id, Ending::Failed, Millis(0));
+    picker.ended(&id, "route", Ending::Failed, Millis(0));
     assert_eq!(pick(&mut picker, 1), "a");
-    assert_eq!(picker.pick("desk", &["a".to_owned()], Millis(1)), Err(Nowhere::AllTried));
-    assert_eq!(picker.pick("none", &[], Millis(1)), Err(Nowhere::NoneReady));
+    assert_eq!(picker.pick("desk", "route", &["a".to_owned()], Millis(1)), Err(Nowhere::AllTried));
+    assert_eq!(picker.pick("none", "route", &[], Millis(1)), Err(Nowhere::NoneReady));
 }
 
 #[test]
 fn an_endpoint_that_moved_is_not_used_until_it_is_heard_again() {
     let mut picker = picker(&["a"]);
     let id = pick(&mut picker, 0);
-    picker.ended(&id, Ending::Moved, Millis(0));
-    assert_eq!(picker.pick("desk", &[], Millis(1)), Err(Nowhere::NoneReady));
+    picker.ended(&id, "route", Ending::Moved, Millis(0));
+    assert_eq!(picker.pick("desk", "route", &[], Millis(1)), Err(Nowhere::NoneReady));
     picker.observe(&endpoint("a", 2));
     assert_eq!(pick(&mut picker, 2), "a");
 }
@@ -108,7 +108,7 @@
 fn a_leaving_endpoint_gets_no_work() {
     let mut picker = picker(&["a"]);
     picker.observe(&Endpoint { standing: Standing::Draining, ..endpoint("a", 2) });
-    assert_eq!(picker.pick("desk", &[], Millis(1)), Err(Nowhere::NoneReady));
+    assert_eq!(picker.pick("desk", "route", &[], Millis(1)), Err(Nowhere::NoneReady));
     assert!(!picker.is_ready("a"));
 }
 
@@ -119,10 +119,49 @@
 fn a_new_start_under_the_same_identity_is_a_new_endpoint() {
     let mut picker = picker(&["a"]);
     assert_eq!(pick(&mut picker, 0), "a");
-    picker.ended("a", Ending::Moved, Millis(1));
-    assert_eq!(picker.pick("desk", &[], Millis(2)), Err(Nowhere::NoneReady));
+    picker.ended("a", "route", Ending::Moved, Millis(1));
+    assert_eq!(picker.pick("desk", "route", &[], Millis(2)), Err(Nowhere::NoneReady));
     let mut again = endpoint("a", 1);
     again.said.born = 10;
     picker.observe(&again);
     assert_eq!(pick(&mut picker, 3), "a");
 }
+
+/// The load: one service under two routes, whose answers take 25 ms and 200 ms, with no endpoint any
+/// slower than another. Symptom: second attempts of quick requests begin when they are late already,
+/// and endpoints are shunned for the long work that they were given. Cause: what is usual was learned
+/// by service.
+#[test]
+fn routes_of_one_service_have_their_own_usual_time() {
+    let mut picker = picker(&["a", "b", "c"]);
+    let mut counts = BTreeMap::new();
+    for n in 0..300 {
+        let (route, ms) = if n % 4 == 0 { ("long", 200) } else { ("quick", 25) };
+        let id = picker.pick("desk", route, &[], Millis(n * 10)).unwrap().id;
+        picker.ended(&id, route, Ending::Answered(ms), Millis(n * 10));
+        *counts.entry(id).or_insert(0) += 1;
+    }
+    assert_eq!(picker.usual_ms("quick"), Some(25.0));
+    assert_eq!(picker.usual_ms("long"), Some(200.0));
+    assert_eq!(picker.usual_ms("other"), None);
+    assert!(counts.values().all(|count| (80..=120).contains(count)), "{counts:?}");
+}
+
+/// An endpoint that is slow at one route is slow at the others, too.
+#[test]
+fn what_is_learned_of_an_endpoint_holds_on_all_routes() {
+    let mut picker = picker(&["a", "b"]);
+    for n in 0..40 {
+        let id = picker.pick("desk", "quick", &[], Millis(n * 10)).unwrap().id;
+        picker.ended(&id, "quick", Ending::Answered(if id == "a" { 150 } else { 25 }), Millis(n));
+    }
+    assert_eq!(picker.pick("desk", "long", &[], Millis(410)).unwrap().id, "b");
+}
+
+#[test]
+fn a_route_that_is_gone_is_forgotten() {
+    let mut picker = picker(&["a"]);
+    picker.ended("a", "route", Ending::Answered(25), Millis(1));
+    picker.retain_routes(|route| route != "route");
+    assert_eq!(picker.usual_ms("route"), None);
+}
--- a/components/node/src/forward.rs
+++ b/components/node/src/forward.rs
@@ -1,6 +1,7 @@
 //! Carries a request to endpoints of a plain service until one answers or the time is up.
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -92,7 +93,12 @@
             News::Endpoint(endpoint) => picker.observe(endpoint),
             News::Forgotten(id) => picker.forget(id),
             News::Whole(known) => picker.retain(|id| known.contains(id)),
-            News::Config(_) | News::Controls(_) | News::Ordered(_) => {}
+            News::Config(config) => {
+                let routes: BTreeSet<&str> =
+                    config.routes.iter().map(|route| route.name.as_str()).collect();
+                picker.retain_routes(|route| routes.contains(route));
+            }
+            News::Controls(_) | News::Ordered(_) => {}
         }
     }
 
@@ -111,6 +117,7 @@
         let mut carry = Carry {
             forwarder: self,
             service,
+            route: &route.name,
             request,
             deadline,
             once: route.kind != Kind::Idempotent,
@@ -144,13 +151,15 @@
     async fn attempt(
         &self,
         target: Target,
+        route: &str,
         request: &Request,
         deadline: Millis,
         once: bool,
         note: (Tries, usize),
     ) -> Tried {
         let began = clock::now();
-        let mut attempt = Attempt { forwarder: self, id: &target.id, began, ended: false, note };
+        let mut attempt =
+            Attempt { forwarder: self, id: &target.id, route, began, ended: false, note };
         let left = deadline.since(began);
         let forwarded = plain::forward(request, &target.id, left);
         let kept = self.pool.borrow_mut().take(target.address, &target.id);
@@ -218,6 +227,7 @@
 struct Carry<'a> {
     forwarder: &'a Forwarder,
     service: &'a str,
+    route: &'a str,
     request: &'a Request,
     deadline: Millis,
     once: bool,
@@ -284,7 +294,7 @@
             return Err(Nowhere::AllTried);
         }
         let mut picker = self.forwarder.picker.borrow_mut();
-        picker.pick(self.service, &self.tried, clock::now())
+        picker.pick(self.service, self.route, &self.tried, clock::now())
     }
 
     fn start(&mut self, target: Target) -> impl Future<Output = Tried> + use<'a> {
@@ -294,9 +304,9 @@
         let at_ms = clock::now().since(self.began);
         self.tries.borrow_mut().push(Try { target: target.clone(), at_ms, end: None });
         let note = (self.tries.clone(), self.tries.borrow().len() - 1);
-        let (forwarder, request) = (self.forwarder, self.request);
+        let (forwarder, route, request) = (self.forwarder, self.route, self.request);
         let (deadline, once) = (self.deadline, self.once);
-        async move { forwarder.attempt(target, request, deadline, once, note).await }
+        async move { forwarder.attempt(target, route, request, deadline, once, note).await }
     }
 
     /// Takes in how an attempt ended; gives the outcome if that settles the request.
@@ -346,8 +356,8 @@
     }
 
     fn hedge_ms(&self) -> u64 {
-        let typical = self.forwarder.picker.borrow().typical_ms(self.service);
-        typical.map_or(HEDGE_LEAST_MS, |ms| ((ms * HEDGE) as u64).max(HEDGE_LEAST_MS))
+        let usual = self.forwarder.picker.borrow().usual_ms(self.route);
+        usual.map_or(HEDGE_LEAST_MS, |ms| ((ms * HEDGE) as u64).max(HEDGE_LEAST_MS))
     }
 }
 
@@ -369,6 +379,7 @@
 struct Attempt<'a> {
     forwarder: &'a Forwarder,
     id: &'a str,
+    route: &'a str,
     began: Millis,
     ended: bool,
     note: (Tries, usize),
@@ -380,7 +391,7 @@
         let (tries, place) = &self.note;
         tries.borrow_mut()[*place].end = Some((ending, clock::now().since(self.began)));
         metrics::TRIES.with_label_values(&[word(ending)]).inc();
-        self.forwarder.picker.borrow_mut().ended(self.id, ending, clock::now());
+        self.forwarder.picker.borrow_mut().ended(self.id, self.route, ending, clock::now());
     }
 
     fn log(&self, request: &Request, outcome: &str, error: &Broken) {
