Hosts and the leader log when an order was given, read, and taken back

Cause: nothing told an order that was carried out late from one that the leader gave late, nor whether the host of an ended step's run was told to stop it.

--- a/components/node/src/hosts.rs
+++ b/components/node/src/hosts.rs
@@ -128,9 +128,9 @@
         known
     }
 
-    /// Stops a run, or forgets one that has ended.
-    pub fn stop(&self, node: &str, step: &str, index: u32, run: u64) {
-        // A host that is not connected tells of the run when it is, and is told to stop it then.
-        self.work(node, Work::Stop { step: step.to_owned(), index, run });
+    /// Stops a run, or forgets one that has ended; tells whether its host was told. One that is not
+    /// connected tells of the run when it is, and is told to stop it then.
+    pub fn stop(&self, node: &str, step: &str, index: u32, run: u64) -> bool {
+        self.work(node, Work::Stop { step: step.to_owned(), index, run })
     }
 }
--- a/components/node/src/hub.rs
+++ b/components/node/src/hub.rs
@@ -10,6 +10,7 @@
 use chicoryford_fleet::copies::StoreId;
 use chicoryford_fleet::run::Work;
 use chicoryford_http::socket;
+use chicoryford_types::Millis;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use futures_util::stream::SplitSink;
@@ -60,6 +61,8 @@
 struct Follower {
     store: Option<StoreId>,
     data_centre: String,
+    /// Its own clock in the newest of its words.
+    clock: Millis,
     frames: mpsc::Sender<Bytes>,
 }
 
@@ -116,7 +119,7 @@
         let hosts = |f: &&Follower| f.store.as_ref().is_some_and(|store| store.node == host);
         let found = all.values().rev().find(hosts);
         let Some(follower) = found else { return false };
-        let frame = encode(&Down::Work(work));
+        let frame = encode(&Down::Work { heard: follower.clock, work });
         self.count("work", &follower.data_centre, &frame);
         follower.frames.try_send(frame).is_ok()
     }
@@ -138,6 +141,13 @@
         }
     }
 
+    /// Notes a follower's clock.
+    fn heard(&self, number: u64, clock: Millis) {
+        if let Some(follower) = self.all.borrow_mut().get_mut(&number) {
+            follower.clock = clock;
+        }
+    }
+
     fn count(&self, kind: &'static str, there: &str, frame: &Bytes) {
         self.traffic.count(kind, Way::Out, there, frame.len());
     }
@@ -181,8 +191,8 @@
         let Ok(Some(Ok(frame))) = frame else { return };
         match decode::<Hello>(&frame) {
             Ok(Hello::Replica { data_centre }) => self.take_letters(socket, &data_centre).await,
-            Ok(Hello::Member { node, data_centre, store }) => {
-                self.serve(socket, node, data_centre, store).await;
+            Ok(Hello::Member { node, data_centre, store, clock }) => {
+                self.serve(socket, node, data_centre, store, clock).await;
             }
             Err(error) => tracing::warn!(event = "link_unreadable", %error),
         }
@@ -214,6 +224,7 @@
         node: String,
         data_centre: String,
         depot: Option<Depot>,
+        clock: Millis,
     ) {
         let lead = self.lead.borrow().clone();
         let Some(lead) = lead.filter(|lead| lead.leads()) else {
@@ -236,6 +247,7 @@
         let follower = Follower {
             store: store.clone(),
             data_centre: data_centre.clone(),
+            clock,
             frames: frames.clone(),
         };
         self.followers.all.borrow_mut().insert(number, follower);
@@ -335,6 +347,7 @@
             (Up::Report(_) | Up::Reported, None) => {
                 tracing::warn!(event = "link_unreadable", error = "a report of no host");
             }
+            (Up::Beat(clock), _) => self.hub.followers.heard(self.number, clock),
             (Up::Alive, _) => {}
         }
     }
--- a/components/node/src/lead/runs.rs
+++ b/components/node/src/lead/runs.rs
@@ -31,6 +31,7 @@
             step = step.id,
             index,
             sample = sample.id,
+            run,
             endpoint,
             version,
             after = made.events.len(),
@@ -111,6 +112,8 @@
             Told::Stop => {
                 // The step may still be on its way from the stores; the host tells again later.
                 let unread = self.unread.borrow().contains(step);
+                let (run, standing) = (report.run, &report.standing);
+                tracing::info!(event = "report_refused", step, index, run, host, ?standing, unread);
                 if !unread {
                     self.hosts.stop(host, step, index, report.run);
                 }
--- a/components/node/src/lead/steps.rs
+++ b/components/node/src/lead/steps.rs
@@ -155,16 +155,23 @@
 
     pub(super) fn close(&self, step: &str) {
         if !self.plan.borrow().has(step) {
+            let unread = self.unread.borrow().iter().any(|other| other == step);
+            if unread {
+                tracing::info!(event = "step_closed", step, unread);
+            }
             return;
         }
         let hosted = self.plan.borrow_mut().close(step);
+        let mut untold = 0;
         for (host, index, run) in &hosted {
-            self.hosts.stop(host, step, *index, *run);
+            if !self.hosts.stop(host, step, *index, *run) {
+                untold += 1;
+            }
             self.hosts.done(host);
         }
         let stopped = hosted.len();
         self.listed.send_modify(|count| *count += 1);
-        tracing::info!(event = "step_closed", step, stopped);
+        tracing::info!(event = "step_closed", step, stopped, untold);
     }
 
     /// Takes over an open step of the leader before; tells whether that is done.
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -247,7 +247,7 @@
         let mut socket = Framed::new(stream, frames());
         let Member { node, data_centre, depot, address, .. } = self.member.clone();
         let store = depot.map(|depot| Depot { identity: depot.identity(), address });
-        let hello = Hello::Member { node, data_centre, store };
+        let hello = Hello::Member { node, data_centre, store, clock: clock::now() };
         socket.send(encode(&hello)).await.ok()?;
         Some(socket)
     }
@@ -296,9 +296,9 @@
                 }
             }
             Down::Ask { number, ask } => self.tell(number, ask),
-            Down::Work(work) => {
+            Down::Work { heard, work } => {
                 if let Some(runner) = &self.member.runner {
-                    runner.take(work);
+                    runner.take_order(work, clock::now().since(heard));
                 }
             }
             Down::Welcome | Down::Alive => {}
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -16,6 +16,7 @@
 use chicoryford_fleet::copies::PartId;
 use chicoryford_fleet::run::Report;
 use chicoryford_fleet::run::Work;
+use chicoryford_types::Millis;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -35,6 +36,8 @@
         data_centre: String,
         /// Its depot, if its VM stores data.
         store: Option<Depot>,
+        /// Its clock as it says this.
+        clock: Millis,
     },
 }
 
@@ -64,8 +67,10 @@
     Report(Report),
     /// A host has told of all runs that it has.
     Reported,
-    /// A host lives.
+    /// A member lives.
     Alive,
+    /// A host lives, and this is its clock as it says so.
+    Beat(Millis),
     /// A store answers what the leader asked.
     Told {
         /// The number of the question.
@@ -124,7 +129,14 @@
         ask: Ask,
     },
     /// A host is to carry out or stop a run.
-    Work(Work),
+    Work {
+        /// The host's own clock in the newest of its words that the leader had read by then. The
+        /// leader gave the work after that, so it is no older than this, whatever the clocks of
+        /// the two VMs say and wherever it lay on its way.
+        heard: Millis,
+        /// What is to be done.
+        work: Work,
+    },
     /// The leader still leads.
     Alive,
 }
@@ -235,7 +247,7 @@
         match self {
             Self::Call { call, .. } => call.kind(),
             Self::Report(_) => "report",
-            Self::Reported | Self::Alive => "alive",
+            Self::Reported | Self::Alive | Self::Beat(_) => "alive",
             Self::Told { told: Told::Part(_), .. } => "part_got",
             Self::Told { .. } => "part_kept",
         }
--- a/components/node/src/runner.rs
+++ b/components/node/src/runner.rs
@@ -120,15 +120,33 @@
         }
     }
 
-    /// Takes work.
+    /// Takes work of this process's own duties.
     pub fn take(self: &Rc<Self>, work: Work) {
+        self.take_order(work, 0);
+    }
+
+    /// Takes work that the leader gave, `age_ms` ago at most.
+    pub fn take_order(self: &Rc<Self>, work: Work, age_ms: u64) {
         match work {
-            Work::Run(job) => self.start(*job),
+            Work::Run(job) => {
+                tracing::info!(
+                    event = "run_taken",
+                    step = job.step,
+                    index = job.index,
+                    sample = job.sample.id,
+                    run = job.run,
+                    endpoint = job.endpoint,
+                    age_ms
+                );
+                self.start(*job);
+            }
             Work::Tell => self.tell_all(),
             Work::Stop { step, index, run } => {
                 let key = (step, index);
-                let same = self.hosted.borrow().get(&key).is_some_and(|h| h.job.run == run);
-                if same {
+                let has = self.hosted.borrow().get(&key).map(|hosted| hosted.job.run);
+                let (step, has_run) = (&key.0, has.unwrap_or_default());
+                tracing::info!(event = "run_stopped", step, index, run, has_run, age_ms);
+                if has == Some(run) {
                     self.stop(&key);
                 }
             }
@@ -179,18 +197,16 @@
     pub async fn run(self: Rc<Self>) {
         loop {
             tokio::time::sleep(TELL).await;
-            let mut told = false;
             for hosted in self.all() {
                 let running = *hosted.state.standing.borrow() == Standing::Running;
                 let news = hosted.state.made.borrow().events.len() > hosted.state.told.get();
                 if running && news {
                     self.tell(&hosted);
-                    told = true;
                 }
             }
-            if !told && let Some(Sink::Link(up)) = &*self.sink.borrow() {
+            if let Some(Sink::Link(up)) = &*self.sink.borrow() {
                 // A full queue says that this process lives, too.
-                let _ = up.try_send(Up::Alive);
+                let _ = up.try_send(Up::Beat(clock::now()));
             }
             self.forget_old();
         }
