--- /dev/null
+++ b/components/node/tests/link.rs
@@ -0,0 +1,167 @@
+//! A host's connection to a leader that the test plays, on real sockets: how old an order may be.
+
+use std::cell::Cell;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chicoryford_fleet::Policy;
+use chicoryford_fleet::Sample;
+use chicoryford_fleet::plan::Made;
+use chicoryford_fleet::run::Job;
+use chicoryford_fleet::run::Report;
+use chicoryford_fleet::run::Standing;
+use chicoryford_fleet::run::Work;
+use chicoryford_node::forward::Forwarder;
+use chicoryford_node::frame::decode;
+use chicoryford_node::frame::encode;
+use chicoryford_node::frame::frames;
+use chicoryford_node::link::Link;
+use chicoryford_node::link::Member;
+use chicoryford_node::message::Down;
+use chicoryford_node::message::Hello;
+use chicoryford_node::message::News;
+use chicoryford_node::message::Up;
+use chicoryford_node::runner::Runner;
+use chicoryford_node::view::View;
+use chicoryford_types::Millis;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use futures_util::stream::SplitSink;
+use futures_util::stream::SplitStream;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LengthDelimitedCodec;
+
+/// How long an order lies on its way: longer than the bound after the acknowledgement of an end.
+const LAIN: Duration = Duration::from_millis(3_500);
+/// Time between two words of the leader that it lives.
+const ALIVE: Duration = Duration::from_millis(200);
+
+type Socket = Framed<TcpStream, LengthDelimitedCodec>;
+
+/// The leader's end of the connection, and the host's clock in its last word.
+struct Leader {
+    sink: SplitSink<Socket, Bytes>,
+    stream: SplitStream<Socket>,
+    heard: Millis,
+}
+
+impl Leader {
+    /// Starts a host, and welcomes it.
+    async fn with_host() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let view = Rc::new(View::default());
+        let runner = Runner::new(view.clone(), Forwarder::new(Policy::default()));
+        actix_rt::spawn(runner.clone().run());
+        let member = Member {
+            node: "h".to_owned(),
+            data_centre: "here".to_owned(),
+            address,
+            depot: None,
+            runner: Some(runner),
+        };
+        let link = Link::new(member, view, vec![address]);
+        actix_rt::spawn(async move { link.run().await });
+        let (stream, _) = listener.accept().await.unwrap();
+        let (sink, mut stream) = Framed::new(stream, frames()).split();
+        let hello = stream.next().await.unwrap().unwrap();
+        let Hello::Member { clock, .. } = decode(&hello).unwrap() else { panic!("a member") };
+        let mut leader = Self { sink, stream, heard: clock };
+        leader.say(&Down::Welcome).await;
+        leader.say(&Down::News(News::Whole(BTreeSet::new()))).await;
+        leader
+    }
+
+    async fn say(&mut self, down: &Down) {
+        self.sink.send(encode(down)).await.unwrap();
+    }
+
+    /// Goes on saying that it lives, and hearing the host, for a while; gives what it was told of runs.
+    async fn live(&mut self, time: Duration) -> Vec<Report> {
+        let until = tokio::time::Instant::now() + time;
+        let mut alive = tokio::time::interval(ALIVE);
+        let mut reports = Vec::new();
+        loop {
+            tokio::select! {
+                () = tokio::time::sleep_until(until) => return reports,
+                _ = alive.tick() => self.say(&Down::Alive).await,
+                frame = self.stream.next() => match decode(&frame.unwrap().unwrap()).unwrap() {
+                    Up::Report(report) => reports.push(report),
+                    Up::Beat(clock) => self.heard = clock,
+                    _ => {}
+                },
+            }
+        }
+    }
+}
+
+/// An engine that counts who comes.
+async fn engine() -> (SocketAddr, Rc<Cell<u32>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let came = Rc::<Cell<u32>>::default();
+    let counts = came.clone();
+    actix_rt::spawn(async move {
+        let mut open = Vec::new();
+        loop {
+            open.push(listener.accept().await.unwrap());
+            counts.set(counts.get() + 1);
+        }
+    });
+    (address, came)
+}
+
+fn job(address: SocketAddr) -> Job {
+    Job {
+        run: 1,
+        step: "step".to_owned(),
+        index: 0,
+        host: "h".to_owned(),
+        sample: Sample { id: "s".to_owned(), path: "/x".to_owned(), ..Sample::default() },
+        endpoint: "e".to_owned(),
+        address,
+        version: 1,
+        least: 1,
+        single: false,
+        left_ms: 10_000,
+        made: Made::default(),
+    }
+}
+
+/// Symptom: an engine gets a sample of a step whose end was acknowledged seconds ago.
+/// Sequence: the leader orders a run; the order lies in a queue or a socket, while other frames keep
+/// coming in both directions, so that neither side takes the other for lost; meanwhile the step ends.
+/// Cause: an order was carried out whenever it was read, however long ago it was given.
+#[actix_rt::test]
+async fn an_order_that_lay_on_its_way_is_not_carried_out() {
+    let mut leader = Leader::with_host().await;
+    let (address, came) = engine().await;
+    leader.live(ALIVE * 5).await;
+    let run = Work::Run(Box::new(job(address)));
+    let order = Down::Work { heard: leader.heard, work: run };
+    leader.live(LAIN).await;
+    leader.say(&order).await;
+
+    let reports = leader.live(ALIVE * 5).await;
+
+    assert_eq!(came.get(), 0, "the engine was asked");
+    let ended = reports.iter().any(|report| matches!(report.standing, Standing::Ended(_)));
+    assert!(ended, "the leader would wait for the run: {reports:?}");
+}
+
+/// The other side of it: an order that comes at once is carried out.
+#[actix_rt::test]
+async fn an_order_that_comes_at_once_is_carried_out() {
+    let mut leader = Leader::with_host().await;
+    let (address, came) = engine().await;
+    leader.live(ALIVE * 5).await;
+    let run = Work::Run(Box::new(job(address)));
+    leader.say(&Down::Work { heard: leader.heard, work: run }).await;
+    leader.live(ALIVE * 2).await;
+    assert_eq!(came.get(), 1, "the engine was not asked");
+}
