A host does not carry out an order to run a sample that is over two seconds old

Cause: an order bore no bound in time, so it was carried out whenever it was read, also after the end of its step had been acknowledged, with the word to stop it behind it in the same line. The host now compares the order's age by its own clock (the leader gives the host's last reading back), refuses a late one and says so; the leader gives the sample to another host and takes this one to be behind for a second, as it looks idle.

--- a/components/fleet/src/plan/reports.rs
+++ b/components/fleet/src/plan/reports.rs
@@ -146,7 +146,7 @@
                 progress.avoid.clone_from(&seat);
                 Next::Again
             }
-            RunEnd::Full | RunEnd::Moved | RunEnd::Broken => Next::Again,
+            RunEnd::Full | RunEnd::Moved | RunEnd::Broken | RunEnd::Late => Next::Again,
         };
         progress.phase = match next {
             Next::Again => {
@@ -170,7 +170,7 @@
                 let doublings = (seat.failures - 1).min(DOUBLINGS);
                 seat.until = now + (PENALTY_MS << doublings);
             }
-            RunEnd::Failed | RunEnd::Unfit | RunEnd::Taken => {}
+            RunEnd::Failed | RunEnd::Unfit | RunEnd::Taken | RunEnd::Late => {}
         }
     }
 
--- a/components/fleet/src/plan/work.rs
+++ b/components/fleet/src/plan/work.rs
@@ -46,6 +46,8 @@
     Broken,
     /// The planner took the run away from a slow engine.
     Taken,
+    /// The order reached the host too late; it did not run.
+    Late,
 }
 
 /// What becomes of a sample after its run.
--- a/components/node/src/hosts.rs
+++ b/components/node/src/hosts.rs
@@ -21,6 +21,10 @@
 const UNEVEN: u32 = 2;
 const MORE: u32 = 24;
 
+/// Milliseconds for which a host that carries orders out too late, or has no room for them, is given
+/// none while there is another. It looks idle meanwhile, and would be given all of them.
+const BEHIND_MS: u64 = 1_000;
+
 /// The name of the leader's own process as a host.
 pub const OWN: &str = "";
 
@@ -31,6 +35,8 @@
     data_centre: String,
     lost: Millis,
     runs: u32,
+    /// Until when it is taken to be behind.
+    behind: Millis,
 }
 
 /// The VMs that host runs.
@@ -56,6 +62,7 @@
             data_centre: data_centre.to_owned(),
             lost: Millis::default(),
             runs: 0,
+            behind: Millis::default(),
         });
         host.link = Some(link);
     }
@@ -87,7 +94,11 @@
     /// than others.
     pub fn choose(&self, data_centre: &str) -> String {
         let mut known = self.known.borrow_mut();
-        let live = || known.iter().filter(|(_, host)| host.link.is_some());
+        let now = clock::now();
+        let linked = |host: &Host| host.link.is_some();
+        let prompt = known.values().any(|host| linked(host) && host.behind <= now);
+        let fit = |host: &Host| linked(host) && (!prompt || host.behind <= now);
+        let live = || known.iter().filter(|(_, host)| fit(host));
         let fewest = live().min_by_key(|(_, host)| host.runs);
         let near = live().filter(|(_, host)| host.data_centre == data_centre);
         let near = near.min_by_key(|(_, host)| host.runs);
@@ -102,6 +113,13 @@
         chosen
     }
 
+    /// Notes that a host carries orders out too late, or has no room for them.
+    pub fn behind(&self, node: &str) {
+        if let Some(host) = self.known.borrow_mut().get_mut(node) {
+            host.behind = clock::now() + BEHIND_MS;
+        }
+    }
+
     /// Notes that a host has one run less.
     pub fn done(&self, node: &str) {
         if let Some(host) = self.known.borrow_mut().get_mut(node) {
--- a/components/node/src/lead/runs.rs
+++ b/components/node/src/lead/runs.rs
@@ -130,7 +130,12 @@
                 tracing::info!(event = "run_whole", step, index, endpoint, events, host);
                 self.kick.notify_one();
             }
-            Standing::Ended(end) => self.end_run(step, index, *end),
+            Standing::Ended(end) => {
+                if *end == RunEnd::Late {
+                    self.hosts.behind(host);
+                }
+                self.end_run(step, index, *end);
+            }
             Standing::Unscored => {
                 tracing::info!(event = "sample_given_up", step, index, why = "scorer");
                 self.settle(step, index, Verdict::GivenUp);
@@ -165,5 +170,6 @@
         RunEnd::Moved => "moved",
         RunEnd::Broken => "broken",
         RunEnd::Taken => "taken",
+        RunEnd::Late => "late",
     }
 }
--- a/components/node/src/runner.rs
+++ b/components/node/src/runner.rs
@@ -45,6 +45,13 @@
 const SCORE_MS: u64 = 2_500;
 /// Pause before a scorer is called again.
 const SCORE_PAUSE: Duration = Duration::from_millis(60);
+/// Milliseconds after which an order to run a sample is not carried out any more. An order may lie in
+/// the leader's queue, in sockets or before a busy host for seconds while both sides hear each other,
+/// and its step may have ended meanwhile; a run begun then reaches its engine after the end was
+/// acknowledged, and the word to stop it lies behind it. Three seconds are allowed for an end to take
+/// effect, and a connection takes a quarter of one. An order that comes at once is at most about 250 ms
+/// old, the time between two beats; where VMs were slow or frozen, orders up to 4.5 s old were seen.
+const ORDER_MS: u64 = 2_000;
 /// The urgency of runs; all of them have the same, since the planner keeps the order.
 const URGENCY: u8 = 5;
 /// Milliseconds for which a run that no leader asks about is kept.
@@ -128,6 +135,7 @@
     /// Takes work that the leader gave, `age_ms` ago at most.
     pub fn take_order(self: &Rc<Self>, work: Work, age_ms: u64) {
         match work {
+            Work::Run(job) if age_ms > ORDER_MS => self.refuse(&job, age_ms),
             Work::Run(job) => {
                 tracing::info!(
                     event = "run_taken",
@@ -176,6 +184,27 @@
         }
     }
 
+    /// Tells the leader that an order came too late, so that it gives another. A run of the sample
+    /// that this host has goes on: the leader ended it before, or does not know of it.
+    fn refuse(&self, job: &Job, age_ms: u64) {
+        let (step, index, sample, run) = (&job.step, job.index, &job.sample.id, job.run);
+        tracing::warn!(event = "order_late", step, index, sample, run, age_ms);
+        let report = Report {
+            run: job.run,
+            step: job.step.clone(),
+            index: job.index,
+            endpoint: job.endpoint.clone(),
+            standing: Standing::Ended(RunEnd::Late),
+            from: job.made.events.len() as u32,
+            made: Made { events: Vec::new(), ..job.made.clone() },
+            gap_ms: 0,
+        };
+        if let Some(Sink::Link(up)) = &*self.sink.borrow() {
+            // Without this word the leader begins the sample anew when nothing is heard of it.
+            let _ = up.try_send(Up::Report(report));
+        }
+    }
+
     fn start(self: &Rc<Self>, job: Job) {
         let key = (job.step.clone(), job.index);
         self.stop(&key);
