No order leaves after its leadership, and a host with a full queue follows anew

Cause: frames that waited for a host were still sent when the leadership had ended, orders among them; and a word to stop a run that found no room was dropped, while the host's connection stayed, so nobody said it again. Whether a leadership lasts was asked of the replica, which may lead again in a later epoch; now the leadership knows its own end. A host whose queue is full is cut off and tells of all its runs anew; the order that found no room goes to another host at the next look, without counting against the engine.

--- a/components/node/src/hub.rs
+++ b/components/node/src/hub.rs
@@ -57,13 +57,26 @@
 
 type Socket = Framed<TcpStream, LengthDelimitedCodec>;
 
+/// A frame that waits for a member.
+struct Queued {
+    frame: Bytes,
+    /// Whether it is work for a host, which nobody may give who no longer leads.
+    work: bool,
+}
+
+impl Queued {
+    fn word(frame: Bytes) -> Self {
+        Self { frame, work: false }
+    }
+}
+
 /// A member that follows.
 struct Follower {
     store: Option<StoreId>,
     data_centre: String,
     /// Its own clock in the newest of its words.
     clock: Millis,
-    frames: mpsc::Sender<Bytes>,
+    frames: mpsc::Sender<Queued>,
 }
 
 /// The members that follow this process while it leads.
@@ -86,7 +99,7 @@
         let frame = encode(&Down::News(news.clone()));
         self.all.borrow_mut().retain(|_, follower| {
             self.count(news.kind(), &follower.data_centre, &frame);
-            follower.frames.try_send(frame.clone()).is_ok()
+            follower.frames.try_send(Queued::word(frame.clone())).is_ok()
         });
     }
 
@@ -105,7 +118,7 @@
             let kind = ask.kind();
             let frame = encode(&Down::Ask { number, ask });
             self.count(kind, &data_centre, &frame);
-            frames.send(frame).await.ok()?;
+            frames.send(Queued::word(frame)).await.ok()?;
             told.await.ok()
         };
         let told = tokio::time::timeout(limit, asking).await.ok().flatten();
@@ -113,15 +126,23 @@
         told
     }
 
-    /// Gives a host work; tells whether it is connected and has room for it.
+    /// Gives a host work; tells whether it is connected and has room for it. One whose queue is full
+    /// would never hear of a run that it is to stop, so its connection ends; it tells of all its runs
+    /// when it follows anew, and is told to stop those that nobody wants then.
     pub fn work(&self, host: &str, work: Work) -> bool {
-        let all = self.all.borrow();
-        let hosts = |f: &&Follower| f.store.as_ref().is_some_and(|store| store.node == host);
-        let found = all.values().rev().find(hosts);
-        let Some(follower) = found else { return false };
+        let mut all = self.all.borrow_mut();
+        let hosts = |f: &Follower| f.store.as_ref().is_some_and(|store| store.node == host);
+        let found = all.iter().rev().find(|(_, follower)| hosts(follower));
+        let Some((number, follower)) = found else { return false };
         let frame = encode(&Down::Work { heard: follower.clock, work });
         self.count("work", &follower.data_centre, &frame);
-        follower.frames.try_send(frame).is_ok()
+        let sent = follower.frames.try_send(Queued { frame, work: true }).is_ok();
+        if !sent {
+            let number = *number;
+            tracing::warn!(event = "queue_full", host);
+            all.remove(&number);
+        }
+        sent
     }
 
     /// Tells a store something that it does not answer.
@@ -130,7 +151,8 @@
         let found = all.values().find(|follower| follower.store.as_ref() == Some(store));
         if let Some(follower) = found {
             // It is told again later.
-            let _ = follower.frames.try_send(encode(&Down::Ask { number: 0, ask }));
+            let frame = encode(&Down::Ask { number: 0, ask });
+            let _ = follower.frames.try_send(Queued::word(frame));
         }
     }
 
@@ -240,7 +262,7 @@
             let frame = encode(&down);
             self.traffic.count("news_first", Way::Out, &data_centre, frame.len());
             // There is room for all of them.
-            let _ = frames.try_send(frame);
+            let _ = frames.try_send(Queued::word(frame));
         }
         let number = self.followers.number();
         let store = depot.map(|depot| StoreId { node, identity: depot.identity });
@@ -282,27 +304,29 @@
 /// Sends a member what is queued for it, and that the leader lives.
 async fn send_frames(
     mut sink: SplitSink<Socket, Bytes>,
-    queue: &mut mpsc::Receiver<Bytes>,
+    queue: &mut mpsc::Receiver<Queued>,
     lead: &Lead,
 ) {
     let mut alive = tokio::time::interval(ALIVE);
     loop {
         let first = tokio::select! {
-            frame = queue.recv() => frame,
+            queued = queue.recv() => queued,
             _ = alive.tick() => {
                 let leads = lead.leads();
                 let word = if leads { Down::Alive } else { Down::NotLeader { leader: None } };
-                Some(encode(&word))
+                Some(Queued::word(encode(&word)))
             }
         };
         let Some(first) = first else { return };
-        if sink.feed(first).await.is_err() {
-            return;
-        }
-        while let Ok(frame) = queue.try_recv() {
-            if sink.feed(frame).await.is_err() {
+        let mut next = Some(first);
+        while let Some(Queued { frame, work }) = next {
+            // What waited while the leadership ended is given by nobody any more: the next leader
+            // may have ended the step. Answers and news still go out, they were true.
+            let given = !work || lead.leads();
+            if given && sink.feed(frame).await.is_err() {
                 return;
             }
+            next = queue.try_recv().ok();
         }
         if sink.flush().await.is_err() {
             return;
@@ -325,7 +349,7 @@
         self,
         mut stream: SplitStream<Socket>,
         limit: Duration,
-        answers: mpsc::WeakSender<Bytes>,
+        answers: mpsc::WeakSender<Queued>,
     ) -> bool {
         loop {
             let Ok(frame) = tokio::time::timeout(limit, stream.next()).await else { return true };
@@ -336,7 +360,7 @@
         }
     }
 
-    fn take(&self, up: Up, answers: &mpsc::WeakSender<Bytes>) {
+    fn take(&self, up: Up, answers: &mpsc::WeakSender<Queued>) {
         match (up, &self.host) {
             (Up::Call { number, call }, _) => self.answer(number, call, answers.clone()),
             (Up::Told { number, told }, _) => self.hub.followers.told(number, told),
@@ -352,7 +376,7 @@
         }
     }
 
-    fn answer(&self, number: u64, call: Call, answers: mpsc::WeakSender<Bytes>) {
+    fn answer(&self, number: u64, call: Call, answers: mpsc::WeakSender<Queued>) {
         let lead = self.lead.clone();
         let (traffic, there) = (self.hub.traffic.clone(), self.data_centre.to_owned());
         actix_rt::spawn(async move {
@@ -362,7 +386,7 @@
             let frame = encode(&Down::Answer { number, answer });
             traffic.count(kind, Way::Out, &there, frame.len());
             // Without the answer the member does not know what became of its call, and asks again.
-            let _ = answers.send(frame).await;
+            let _ = answers.send(Queued::word(frame)).await;
         });
     }
 }
--- a/components/node/src/lead/mod.rs
+++ b/components/node/src/lead/mod.rs
@@ -6,6 +6,7 @@
 mod steps;
 mod stores;
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -105,6 +106,8 @@
     hosts: Hosts,
     outbox: Outbox,
     duties: RefCell<Vec<JoinHandle<()>>>,
+    /// Set once this leadership has ended; the process may lead again, in another epoch.
+    ended: Cell<bool>,
 }
 
 impl Lead {
@@ -145,6 +148,7 @@
             hosts,
             outbox: Outbox::default(),
             duties: RefCell::default(),
+            ended: Cell::default(),
             parts,
         });
         lead.adopt();
@@ -187,6 +191,7 @@
 
     /// Ends all that the leader does.
     pub fn stop(&self) {
+        self.ended.set(true);
         self.parts.core.observe(None);
         for duty in self.duties.borrow_mut().drain(..) {
             duty.abort();
@@ -198,9 +203,9 @@
         tracing::info!(event = "lead_ended", epoch = self.epoch.0);
     }
 
-    /// Tells whether this process still surely leads.
+    /// Tells whether this leadership surely lasts.
     pub fn leads(&self) -> bool {
-        self.parts.core.leads()
+        !self.ended.get() && self.parts.core.leads()
     }
 
     /// Gives all that a new follower is told.
--- a/components/node/src/lead/runs.rs
+++ b/components/node/src/lead/runs.rs
@@ -54,12 +54,20 @@
         };
         self.plan.borrow_mut().hosted(&step.id, index, &host);
         if !self.hosts.work(&host, Work::Run(Box::new(job))) {
-            self.end_run(&step.id, index, RunEnd::Broken);
+            // The next look gives it to another host. To look at once would choose this one again,
+            // and again, until its connection has ended.
+            self.hosts.behind(&host);
+            self.finish_run(&step.id, index, RunEnd::Late);
         }
     }
 
     /// Ends a run from here: its host is told to stop it, and the sample waits for another one.
     pub(super) fn end_run(&self, step: &str, index: u32, end: RunEnd) {
+        self.finish_run(step, index, end);
+        self.kick.notify_one();
+    }
+
+    fn finish_run(&self, step: &str, index: u32, end: RunEnd) {
         self.release(step, index);
         let (next, events) = {
             let mut plan = self.plan.borrow_mut();
@@ -71,7 +79,6 @@
         if next == Next::GiveUp {
             self.settle(step, index, Verdict::GivenUp);
         }
-        self.kick.notify_one();
     }
 
     /// Has the host of a sample's run stop it or forget it.
--- a/components/node/tests/lead.rs
+++ b/components/node/tests/lead.rs
@@ -470,3 +470,38 @@
     let late = got.iter().filter(|run| **run >= given).count();
     assert_eq!(late, 0, "of the last thousand, of {} in all", got.len());
 }
+
+/// Symptom: a scorer is called for a step that ended more than three seconds ago.
+/// Sequence: so many frames wait for a host that there is room for no more; a step ends of which it has
+/// a run; the host reads on, and its connection stays.
+/// Cause: a word to stop that finds no room is dropped, and nobody says it again.
+#[actix_rt::test]
+async fn a_word_to_stop_that_finds_no_room_is_said_again() {
+    let (fleet, kept) = (Fleet::start().await, Kept::default());
+    let store = fleet.store(&kept).await;
+    fleet.submit("a").await;
+    drop(store);
+    let lead = fleet.next_lead();
+    let _store = fleet.store(&kept).await;
+    until("the step is read", || lead.plan.borrow().has("a")).await;
+    let (mut stream, alive) = fleet.slow_host().await;
+    lead.take_report("h", &scoring("a"));
+    lead.host_found("h", "here", u64::MAX);
+    assert_eq!(lead.plan.borrow().host("a", 0), Some(("h".to_owned(), 1)));
+    fleet.fill().await;
+    fleet.end("a").await;
+    let ended = Instant::now();
+    let (mut stopped, mut open) = (false, true);
+    while open && !stopped && ended.elapsed() < BOUND {
+        match tokio::time::timeout(BOUND, stream.next()).await {
+            Ok(Some(Ok(frame))) => {
+                let down: Down = decode(&frame).unwrap();
+                stopped = matches!(down, Down::Work { work: Work::Stop { .. } | Work::Tell, .. });
+            }
+            Ok(_) => open = false,
+            Err(_) => {}
+        }
+    }
+    alive.abort();
+    assert!(stopped || !open, "the host is connected, and goes on with the run");
+}
