Steps of the leader before are read each by itself, and hosts are asked once for what was read

Cause: while one step could not be read, all hosts were asked twenty times a second to tell all that they had made of all runs, which costs a host and the leader tenths of a second each time, so that orders wait behind it; steps were read one after the other; runs of a step that ended before its turn were stopped by nobody; a host that was telling at the moment was not asked, and one that told for longer than it may be absent lost the runs of which it had told.

--- a/components/node/src/hosts.rs
+++ b/components/node/src/hosts.rs
@@ -32,6 +32,8 @@
 struct Host {
     /// The connection; none while it is lost.
     link: Option<u64>,
+    /// A newer connection, on which it has not told of all its runs yet.
+    telling: Option<u64>,
     data_centre: String,
     lost: Millis,
     runs: u32,
@@ -59,20 +61,31 @@
         let mut known = self.known.borrow_mut();
         let host = known.entry(node.to_owned()).or_insert(Host {
             link: None,
+            telling: None,
             data_centre: data_centre.to_owned(),
             lost: Millis::default(),
             runs: 0,
             behind: Millis::default(),
         });
         host.link = Some(link);
+        host.telling = None;
+    }
+
+    /// Notes that a host has connected and is about to tell of its runs. It is not gone meanwhile:
+    /// its runs would be taken away although it has just told of them.
+    pub fn connecting(&self, node: &str, link: u64) {
+        if let Some(host) = self.known.borrow_mut().get_mut(node) {
+            host.telling = Some(link);
+        }
     }
 
     /// Notes that a host's connection has ended. One that was silent before has had its time.
     pub fn lost(&self, node: &str, link: u64, silent: bool) {
         let mut known = self.known.borrow_mut();
-        let host = known.get_mut(node).filter(|host| host.link == Some(link));
-        if let Some(host) = host {
-            host.link = None;
+        let this = |host: &&mut Host| host.link == Some(link) || host.telling == Some(link);
+        if let Some(host) = known.get_mut(node).filter(this) {
+            host.link = host.link.filter(|other| *other != link);
+            host.telling = host.telling.filter(|other| *other != link);
             let now = clock::now().0;
             host.lost = Millis(if silent { now.saturating_sub(ABSENT_MS) } else { now });
         }
@@ -82,7 +95,9 @@
     pub fn gone(&self) -> Vec<String> {
         let mut known = self.known.borrow_mut();
         let now = clock::now();
-        let gone = |host: &Host| host.link.is_none() && now.since(host.lost) >= ABSENT_MS;
+        let gone = |host: &Host| {
+            host.link.is_none() && host.telling.is_none() && now.since(host.lost) >= ABSENT_MS
+        };
         let names: Vec<String> =
             known.iter().filter(|(_, host)| gone(host)).map(|(name, _)| name.clone()).collect();
         known.retain(|_, host| !gone(host));
@@ -136,14 +151,16 @@
         self.followers.work(node, work)
     }
 
-    /// Has all hosts tell of their runs again; gives which those are.
+    /// Has all hosts tell of their runs again; gives which those are. One that is telling at this moment
+    /// is asked as well: what it told before may have been passed over.
     pub fn ask_all(&self) -> BTreeSet<String> {
-        let known: BTreeSet<String> = self.known.borrow().keys().cloned().collect();
-        for name in &known {
+        let mut hosts = self.followers.hosts();
+        hosts.extend(self.known.borrow().keys().cloned());
+        for name in &hosts {
             // One that is not connected tells when it is.
             self.work(name, Work::Tell);
         }
-        known
+        hosts
     }
 
     /// Stops a run, or forgets one that has ended; tells whether its host was told. One that is not
--- a/components/node/src/hub.rs
+++ b/components/node/src/hub.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -145,6 +146,12 @@
         sent
     }
 
+    /// Gives the hosts that are connected, those included that are still telling of their runs.
+    pub fn hosts(&self) -> BTreeSet<String> {
+        let all = self.all.borrow();
+        all.values().filter_map(|follower| Some(follower.store.as_ref()?.node.clone())).collect()
+    }
+
     /// Tells a store something that it does not answer.
     pub fn tell_store(&self, store: &StoreId, ask: Ask) {
         let all = self.all.borrow();
@@ -278,7 +285,7 @@
         }
         let host = store.as_ref().map(|store| store.node.clone());
         if let Some(host) = &host {
-            lead.host_connecting(host);
+            lead.host_connecting(host, number);
         }
         let limit = if host.is_some() { HOST_SILENCE } else { MEMBER_SILENCE };
         let following = Following {
--- a/components/node/src/lead/runs.rs
+++ b/components/node/src/lead/runs.rs
@@ -91,7 +91,8 @@
     }
 
     /// Notes that a host has connected and is about to tell of its runs.
-    pub fn host_connecting(&self, host: &str) {
+    pub fn host_connecting(&self, host: &str, link: u64) {
+        self.hosts.connecting(host, link);
         self.plan.borrow_mut().mark_untold(host);
     }
 
@@ -117,8 +118,11 @@
         match told {
             Told::GoOn => {}
             Told::Stop => {
-                // The step may still be on its way from the stores; the host tells again later.
-                let unread = self.unread.borrow().contains(step);
+                // The step may still be on its way from the stores; the host is asked again then.
+                // One that has ended never comes: nobody would stop its run, and its scorer would
+                // be called for as long as it does not answer.
+                let open = self.parts.core.state().steps.get(step).is_some_and(|s| s.is_open());
+                let unread = open && self.unread.borrow().contains(step);
                 let (run, standing) = (report.run, &report.standing);
                 tracing::info!(event = "report_refused", step, index, run, host, ?standing, unread);
                 if !unread {
--- a/components/node/src/lead/steps.rs
+++ b/components/node/src/lead/steps.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::rc::Weak;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,6 +19,8 @@
 use chicoryford_fleet::step::Result;
 use chicoryford_fleet::step::reply_bytes;
 use chicoryford_types::Millis;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 
 use crate::clock;
 use crate::copies;
@@ -199,6 +202,14 @@
         true
     }
 
+    /// Has all hosts tell of their runs again. Steps that were taken over wait for it.
+    fn ask_hosts(&self) {
+        let mut hosts = self.hosts.ask_all();
+        hosts.extend(self.parts.core.state().store_nodes());
+        self.plan.borrow_mut().await_hosts(hosts, clock::now());
+        self.kick.notify_one();
+    }
+
     pub(super) async fn read_step(&self, part: PartId, place: &copies::Place) -> Option<Step> {
         let bytes = self.copies.read(part, place).await?;
         rmp_serde::from_slice(&bytes)
@@ -255,31 +266,57 @@
     }
 }
 
-/// Reads the open steps of the leaders before from the stores.
+/// Reads the open steps of the leaders before from the stores, each by itself, so that one whose part
+/// or notes are slow to come holds up no other.
+///
+/// Hosts told of their runs before a step was read, which was passed over; so they are asked again,
+/// once for all steps that were read meanwhile. To tell all runs takes a host and the leader some
+/// tenths of a second of their processors. Asked at each look while a step cannot be read, hosts and
+/// leader fall behind by seconds, each order waits in that line, and the leadership is lost again.
 pub(super) async fn adopt_steps(lead: Weak<Lead>) {
     if let Some(lead) = lead.upgrade() {
         let state = lead.parts.core.state();
         let open = state.steps.iter().filter(|(_, step)| step.is_open());
         lead.unread.borrow_mut().extend(open.map(|(id, _)| id.clone()));
     }
+    let mut reading = FuturesUnordered::new();
+    let mut begun = BTreeSet::new();
     loop {
         let Some(lead) = lead.upgrade() else { return };
-        let unread = lead.unread.borrow().clone();
-        for id in &unread {
-            let done = lead.plan.borrow().has(id) || lead.adopt_step(id).await;
-            if done {
-                lead.unread.borrow_mut().retain(|other| other != id);
+        for id in lead.unread.borrow().iter() {
+            if begun.insert(id.clone()) {
+                reading.push(read_in(lead.clone(), id.clone()));
             }
         }
-        if !unread.is_empty() {
-            let mut hosts = lead.hosts.ask_all();
-            hosts.extend(lead.parts.core.state().store_nodes());
-            lead.plan.borrow_mut().await_hosts(hosts, clock::now());
+        let pause = tokio::time::sleep(LOOK);
+        tokio::pin!(pause);
+        let mut read = false;
+        loop {
+            tokio::select! {
+                Some((id, done)) = reading.next() => {
+                    begun.remove(&id);
+                    read |= done;
+                    if read && reading.is_empty() {
+                        lead.ask_hosts();
+                        read = false;
+                    }
+                }
+                () = &mut pause => break,
+            }
         }
-        lead.kick.notify_one();
-        drop(lead);
-        tokio::time::sleep(LOOK).await;
+        if read {
+            lead.ask_hosts();
+        }
+    }
+}
+
+/// Takes over one step of the leader before; tells which, and whether that is done.
+async fn read_in(lead: Rc<Lead>, id: String) -> (String, bool) {
+    let done = lead.plan.borrow().has(&id) || lead.adopt_step(&id).await;
+    if done {
+        lead.unread.borrow_mut().retain(|other| *other != id);
     }
+    (id, done)
 }
 
 /// Chooses the results from a place on that fit into one answer.
--- a/components/node/tests/lead.rs
+++ b/components/node/tests/lead.rs
@@ -4,6 +4,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -20,6 +21,7 @@
 use chicoryford_fleet::Step;
 use chicoryford_fleet::copies::PartId;
 use chicoryford_fleet::copies::Place;
+use chicoryford_fleet::copies::StoreId;
 use chicoryford_fleet::plan::Made;
 use chicoryford_fleet::run::Job;
 use chicoryford_fleet::run::Report;
@@ -505,3 +507,81 @@
     alive.abort();
     assert!(stopped || !open, "the host is connected, and goes on with the run");
 }
+
+/// Symptom: a scorer is called for a step that ended more than three seconds ago.
+/// Sequence: the leader changes. A host tells of its runs, which takes a moment; meanwhile the leader
+/// reads the step and asks all hosts again. The host then tells that these were all. The step ends.
+/// Cause: a host that has not told all of its runs yet is not asked again, though what it told so far
+/// was passed over because the step was not read.
+#[actix_rt::test]
+async fn a_host_that_is_telling_when_a_step_is_read_is_asked_again() {
+    let (fleet, kept) = (Fleet::start().await, Kept::default());
+    let store = fleet.store(&kept).await;
+    fleet.submit("a").await;
+    drop(store);
+    let lead = fleet.next_lead();
+    let host = fleet.host(vec![scoring("a")]).await;
+    pause(100).await;
+    assert!(!lead.plan.borrow().has("a"), "it cannot be read yet");
+    let _store = fleet.store(&kept).await;
+    until("the step is read", || lead.plan.borrow().has("a")).await;
+    pause(100).await;
+    host.reported();
+    pause(100).await;
+    fleet.end("a").await;
+    assert!(host.stops("a").await, "the step has ended, and its scorer is called");
+}
+
+/// Symptom: a scorer is called for a step that ended more than three seconds ago.
+/// Sequence: the leader changes. A host tells of a run whose scorer it calls; the step is not read yet.
+/// What was noted of another step lies on a store that does not answer. The first step ends.
+/// Cause: open steps and their notes are read one after the other, and the runs of a step that is
+/// still to be read are stopped only once its turn has come, also if it has ended meanwhile.
+#[actix_rt::test]
+async fn the_runs_of_an_ended_step_are_stopped_though_another_step_is_slow_to_read() {
+    let (fleet, kept) = (Fleet::start().await, Kept::default());
+    let store = fleet.store(&kept).await;
+    fleet.submit("a").await;
+    fleet.submit("b").await;
+    let stores = BTreeSet::from([StoreId { node: "s".to_owned(), identity: STORE }]);
+    for number in 0..6 {
+        let place = Place::Stores(stores.clone());
+        let note = Command::Note { step: "a".to_owned(), part: PartId(number), place };
+        assert!(matches!(fleet.lead().commit(note).await, Answer::Done));
+    }
+    drop(store);
+    fleet.next_lead();
+    let _store = fleet.store(&kept).await;
+    let host = fleet.host(vec![scoring("b")]).await;
+    host.reported();
+    pause(300).await;
+    fleet.end("b").await;
+    assert!(host.stops("b").await, "the step has ended, and its scorer is called");
+}
+
+/// Symptom: a scorer is called for a step that ended more than three seconds ago.
+/// Sequence: a host's connection breaks; it connects again and tells of its runs, which takes a moment,
+/// during which the time is up that it has to come back. It tells that these were all. The step ends.
+/// Cause: the host's runs were taken away although it had told of them, and a run whose scorer is being
+/// called is not told again.
+#[actix_rt::test]
+async fn a_host_that_is_telling_when_its_time_is_up_keeps_its_runs() {
+    let (fleet, kept) = (Fleet::start().await, Kept::default());
+    let store = fleet.store(&kept).await;
+    fleet.submit("a").await;
+    drop(store);
+    let lead = fleet.next_lead();
+    let _store = fleet.store(&kept).await;
+    until("the step is read", || lead.plan.borrow().has("a")).await;
+    let first = fleet.host(vec![scoring("a")]).await;
+    first.reported();
+    until("the run is known", || lead.plan.borrow().host("a", 0).is_some()).await;
+    drop(first);
+    pause(100).await;
+    let host = fleet.host(vec![scoring("a")]).await;
+    pause(500).await;
+    host.reported();
+    pause(100).await;
+    fleet.end("a").await;
+    assert!(host.stops("a").await, "the step has ended, and its scorer is called");
+}
