The end of a run that finds no room is told later, and an end does not cross its step's submission

Cause: a report that found no room on the way to the leader was dropped, and a run that has ended says nothing more; the same for the word that all runs have been told. An end that came while its step was still being written to the stores was answered as that of an unknown step, and the step then ran for nobody.

--- a/components/node/src/lead/mod.rs
+++ b/components/node/src/lead/mod.rs
@@ -97,6 +97,8 @@
     pub began: Millis,
     registry: RefCell<Registry>,
     fleet_clock: u64,
+    /// Steps that are being submitted: on their way to the stores, or into the log.
+    submitting: RefCell<BTreeSet<String>>,
     /// Steps whose submission is on its way into the log.
     submitted: RefCell<BTreeMap<String, Arc<Step>>>,
     /// Open steps whose samples are still to be read from the stores.
@@ -141,6 +143,7 @@
                 now,
             )),
             fleet_clock,
+            submitting: RefCell::default(),
             submitted: RefCell::default(),
             unread: RefCell::default(),
             listed: watch::Sender::new(0),
--- a/components/node/src/lead/steps.rs
+++ b/components/node/src/lead/steps.rs
@@ -39,8 +39,15 @@
         if self.parts.core.state().steps.contains_key(&step.id) {
             return Answer::Done;
         }
+        self.submitting.borrow_mut().insert(step.id.clone());
+        let answer = self.write_step(&step).await;
+        self.submitting.borrow_mut().remove(&step.id);
+        answer
+    }
+
+    async fn write_step(&self, step: &Arc<Step>) -> Answer {
         let part = PartId(rand::random());
-        let bytes = Bytes::from(rmp_serde::to_vec(&*step).expect("steps are plain data"));
+        let bytes = Bytes::from(rmp_serde::to_vec(&**step).expect("steps are plain data"));
         let retired = self.parts.core.state().retired.clone();
         let place = self.copies.write(part, &bytes, &retired).await;
         let outline = Outline {
@@ -151,7 +158,10 @@
 
     pub(super) async fn end(&self, step: String) -> Answer {
         if !self.parts.core.state().steps.contains_key(&step) {
-            return Answer::Unknown;
+            // A step on its way to the stores will be in the log in a moment. Were its end answered as
+            // that of an unknown step, its samples would run for nobody; so the caller comes again.
+            let coming = self.submitting.borrow().contains(&step);
+            return if coming { Answer::NotNow } else { Answer::Unknown };
         }
         self.commit(Command::End { step }).await
     }
--- a/components/node/src/runner.rs
+++ b/components/node/src/runner.rs
@@ -74,6 +74,8 @@
     heard: Cell<Millis>,
     /// When that of the last telling came.
     told_at: Cell<Millis>,
+    /// Whether the last telling found no room on the way to the leader.
+    owed: Cell<bool>,
 }
 
 /// Hosts runs.
@@ -83,6 +85,8 @@
     pool: RefCell<Pool>,
     hosted: RefCell<BTreeMap<(String, u32), Rc<Hosted>>>,
     sink: RefCell<Option<Sink>>,
+    /// Whether the leader is still to be told that all runs have been told.
+    owes_word: Cell<bool>,
 }
 
 /// Where reports go: to the leader's connection, or within the leader's own process.
@@ -101,6 +105,7 @@
             pool: RefCell::default(),
             hosted: RefCell::default(),
             sink: RefCell::default(),
+            owes_word: Cell::default(),
         })
     }
 
@@ -117,6 +122,7 @@
 
     /// Tells nobody until the next leader is found. Runs go on.
     pub fn detach(&self) {
+        self.owes_word.set(false);
         *self.sink.borrow_mut() = None;
     }
 
@@ -166,10 +172,16 @@
             hosted.state.told.set(0);
             self.tell(&hosted);
         }
-        if let Some(Sink::Link(up)) = &*self.sink.borrow() {
-            // Without this word the leader waits a little longer than it must.
-            let _ = up.try_send(Up::Reported);
-        }
+        self.tell_whole();
+    }
+
+    /// Says that all runs have been told; later, if one of them found no room. The leader would take
+    /// that run away otherwise, and give this host nothing without the word.
+    fn tell_whole(&self) {
+        let sink = self.sink.borrow();
+        let Some(Sink::Link(up)) = &*sink else { return };
+        let owed = self.all().iter().any(|hosted| hosted.state.owed.get());
+        self.owes_word.set(owed || up.try_send(Up::Reported).is_err());
     }
 
     /// Gives all runs. Telling of one may stop another within the leader's own process, so they
@@ -215,6 +227,7 @@
             standing: RefCell::new(Standing::Running),
             heard: Cell::new(now),
             told_at: Cell::new(now),
+            owed: Cell::default(),
         });
         let job = Rc::new(job);
         let handle = actix_rt::spawn(carry_out(self.clone(), job.clone(), state.clone()));
@@ -226,13 +239,17 @@
     pub async fn run(self: Rc<Self>) {
         loop {
             tokio::time::sleep(TELL).await;
-            for hosted in self.all() {
+            let all = if self.sink.borrow().is_some() { self.all() } else { Vec::new() };
+            for hosted in all {
                 let running = *hosted.state.standing.borrow() == Standing::Running;
                 let news = hosted.state.made.borrow().events.len() > hosted.state.told.get();
-                if running && news {
+                if running && news || hosted.state.owed.get() {
                     self.tell(&hosted);
                 }
             }
+            if self.owes_word.get() {
+                self.tell_whole();
+            }
             if let Some(Sink::Link(up)) = &*self.sink.borrow() {
                 // A full queue says that this process lives, too.
                 let _ = up.try_send(Up::Beat(clock::now()));
@@ -287,6 +304,8 @@
             }
             None => false,
         };
+        // A run that has ended tells nothing more by itself, and would never be known to have.
+        state.owed.set(!sent);
         if sent {
             state.told.set(from + events);
             state.told_at.set(state.heard.get());
--- a/components/node/tests/lead.rs
+++ b/components/node/tests/lead.rs
@@ -585,3 +585,27 @@
     fleet.end("a").await;
     assert!(host.stops("a").await, "the step has ended, and its scorer is called");
 }
+
+/// Symptom: samples of a step run whose end was answered with "no such step", and nobody ends it again.
+/// Sequence: a step is on its way to the stores, one of which does not answer; its trainer has lost the
+/// connection and ends the step; then the stores' time is up, and the step is committed.
+/// Cause: an end looks only at the steps that the log holds.
+#[actix_rt::test]
+async fn an_end_that_comes_while_its_step_is_being_submitted_is_not_answered_as_unknown() {
+    let fleet = Fleet::start().await;
+    let lead = fleet.lead();
+    // It answers nothing.
+    let _store = greet(fleet.links, "s").await;
+    until("the store is connected", || lead.copies.count(|node| node == "s") == 1).await;
+    let submitting = lead.clone();
+    let submitted =
+        actix_rt::spawn(async move { submitting.answer(Call::Submit(step("a"))).await });
+    pause(200).await;
+    let ended = lead.answer(Call::End("a".to_owned())).await;
+    let submitted = submitted.await.unwrap();
+    let runs = lead.plan.borrow().has("a");
+    assert!(
+        !(runs && matches!(ended, Answer::Unknown)),
+        "submission: {submitted:?}, end: {ended:?}, and its samples run"
+    );
+}
--- a/components/node/tests/runner.rs
+++ b/components/node/tests/runner.rs
@@ -120,3 +120,24 @@
     assert!(reports.iter().all(|report| report.add_to(&mut known)));
     assert_eq!(known.events.len(), EVENTS);
 }
+
+/// Symptom: a sample is whole at its host, and the leader never hears of it.
+/// Sequence: the way to the leader has no room at the moment at which the run finishes; then it has.
+/// Cause: a report that finds no room is dropped, and only runs whose events still come are told of
+/// again.
+#[actix_rt::test]
+async fn the_end_of_a_run_that_finds_no_room_is_told_later() {
+    let runner = Runner::new(Rc::new(View::default()), Forwarder::new(Policy::default()));
+    let (up, mut told) = mpsc::channel(1);
+    runner.attach(up);
+    actix_rt::spawn(runner.clone().run());
+    runner.take(Work::Run(Box::new(job(engine().await))));
+    tokio::time::sleep(GAP * (EVENTS as u32) + Duration::from_millis(500)).await;
+    let mut finished = false;
+    for _ in 0..10 {
+        let up = tokio::time::timeout(Duration::from_secs(1), told.recv()).await;
+        let up = up.expect("the host lives").expect("the host lives");
+        finished |= matches!(up, Up::Report(Report { standing: Standing::Finished(_), .. }));
+    }
+    assert!(finished, "the leader was not told that the run has finished");
+}
