A request that is given up resets its connection

Cause: a run that is stopped, or an attempt for which another was faster, closed its connection; bytes that were written while the network carried nothing still arrive after a close, when it carries again, and the engine begins the sample of a step that has ended. Before: a_request_that_is_given_up_does_not_arrive_any_more sees a plain end after all bytes; after: a reset. A whole exchange still ends with a close (second test).

--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -62,6 +62,20 @@
     input: BytesMut,
     /// Set once anything happened after which it must not be used again.
     spoiled: bool,
+    /// Whether a request is on its way or being answered.
+    busy: bool,
+}
+
+impl Drop for Connection {
+    /// Resets a connection whose exchange is given up. A close would let the bytes that were written
+    /// arrive later, when the network carries them again, and the endpoint would begin what nobody
+    /// wants any more.
+    fn drop(&mut self) {
+        if self.busy {
+            // If it fails, the connection is gone already.
+            let _ = self.stream.set_zero_linger();
+        }
+    }
 }
 
 /// The head of a reply whose body is still to be read.
@@ -95,7 +109,7 @@
     /// [`Broken::NotSent`] if there is none within the limit.
     pub async fn open(address: SocketAddr, limit: Duration) -> Result<Self, Broken> {
         let stream = socket::connect(address, limit).await.map_err(Broken::NotSent)?;
-        Ok(Self { address, stream, input: BytesMut::new(), spoiled: false })
+        Ok(Self { address, stream, input: BytesMut::new(), spoiled: false, busy: false })
     }
 
     /// Tells whether the connection may carry another request: it is open, and nothing came on it
@@ -118,6 +132,7 @@
     pub async fn start(mut self, request: &Request) -> Result<Incoming, Broken> {
         let mut codec = ClientCodec::default();
         let output = encode(&mut codec, request, self.address)?;
+        self.busy = true;
         self.send(&output).await?;
         let head = loop {
             let decoded = codec.decode(&mut self.input);
@@ -243,7 +258,8 @@
 
     /// Gives the connection back for another request, if the reply was read to its end and the
     /// connection is fit for one.
-    pub fn into_connection(self) -> Option<Connection> {
+    pub fn into_connection(mut self) -> Option<Connection> {
+        self.connection.busy = !self.done;
         let fit = self.done && !self.connection.spoiled;
         (fit && self.connection.input.is_empty()).then_some(self.connection)
     }
--- a/components/http/tests/client.rs
+++ b/components/http/tests/client.rs
@@ -176,3 +176,48 @@
     assert!(pool.take(address, "i-1").is_some());
     assert!(pool.take(address, "i-1").is_none(), "it was taken");
 }
+
+/// Symptom: an engine begins a sample seconds after its run was stopped and its step ended.
+/// Sequence: the request is written while the network carries nothing to the engine; the run is stopped,
+/// and its connection closed; the network carries again.
+/// Cause: a close lets all bytes that were written before still arrive. A reset takes them back.
+#[actix_rt::test]
+async fn a_request_that_is_given_up_does_not_arrive_any_more() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    // More than the sockets of both sides hold, so that a part waits on this side.
+    let request = Request::new(Method::POST, "/x", vec![b'x'; 32 << 20]);
+    let connection = Connection::open(address, LIMIT).await.unwrap();
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let given_up = tokio::time::timeout(Duration::from_millis(300), connection.start(&request));
+    assert!(given_up.await.is_err(), "nobody reads it");
+    let mut bytes = vec![0; 1 << 20];
+    let end = loop {
+        match stream.read(&mut bytes).await {
+            Ok(0) => break Ok(()),
+            Ok(_) => {}
+            Err(error) => break Err(error.kind()),
+        }
+    };
+    assert_eq!(end, Err(std::io::ErrorKind::ConnectionReset));
+}
+
+/// The other side of it: a connection whose exchange is whole is closed as usual, since a reset could
+/// take the last bytes of the request from an endpoint that still reads them.
+#[actix_rt::test]
+async fn a_connection_whose_exchange_is_whole_is_closed_without_a_reset() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let connection = Connection::open(address, LIMIT).await.unwrap();
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let request = Request::new(Method::GET, "/x", "");
+    let answering = async {
+        let mut some = [0; 4_096];
+        assert!(stream.read(&mut some).await.unwrap() > 0);
+        stream.write_all(WHOLE).await.unwrap();
+    };
+    let (incoming, ()) = tokio::join!(connection.start(&request), answering);
+    let (_, connection) = incoming.unwrap().whole().await.unwrap();
+    drop(connection);
+    assert_eq!(stream.read(&mut [0; 16]).await.unwrap(), 0);
+}
