A host calls scorers only while a leader gives fresh signs

Cause: a run that is whole calls its scorer until it answers, without any limit, also on a host that has no leader, or whose connection lags behind it; if the step has ended, nobody says so, or the word lies in the lagging line. The leader now gives the host's clock back with its words that it lives, so a sign proves that it led after the host said so; scorers are called for two seconds after the last one, and after a change of leader once the next one has read what the host told and had its turn to stop it. Without the check a_scorer_is_not_called_when_the_leader_gives_no_fresh_sign counts 94 calls against 78; with it it passes, and all 37 tests of the crate.

--- a/components/node/src/hub.rs
+++ b/components/node/src/hub.rs
@@ -177,6 +177,11 @@
         }
     }
 
+    /// Gives a follower's clock in the newest of its words.
+    fn clock(&self, number: u64) -> Millis {
+        self.all.borrow().get(&number).map(|follower| follower.clock).unwrap_or_default()
+    }
+
     fn count(&self, kind: &'static str, there: &str, frame: &Bytes) {
         self.traffic.count(kind, Way::Out, there, frame.len());
     }
@@ -302,7 +307,7 @@
         let (sink, stream) = socket.split();
         let reading = Reading { hub: self, lead: &lead, host, data_centre: &data_centre, number };
         tokio::select! {
-            () = send_frames(sink, &mut queue, &lead) => {}
+            () = send_frames(sink, &mut queue, &lead, &self.followers, number) => {}
             silent = reading.run(stream, limit, answers) => following.silent.set(silent),
         }
     }
@@ -313,6 +318,8 @@
     mut sink: SplitSink<Socket, Bytes>,
     queue: &mut mpsc::Receiver<Queued>,
     lead: &Lead,
+    followers: &Followers,
+    number: u64,
 ) {
     let mut alive = tokio::time::interval(ALIVE);
     loop {
@@ -320,7 +327,9 @@
             queued = queue.recv() => queued,
             _ = alive.tick() => {
                 let leads = lead.leads();
-                let word = if leads { Down::Alive } else { Down::NotLeader { leader: None } };
+                let heard = followers.clock(number);
+                let alive = Down::Alive { heard };
+                let word = if leads { alive } else { Down::NotLeader { leader: None } };
                 Some(Queued::word(encode(&word)))
             }
         };
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -298,10 +298,16 @@
             Down::Ask { number, ask } => self.tell(number, ask),
             Down::Work { heard, work } => {
                 if let Some(runner) = &self.member.runner {
+                    runner.led(heard);
                     runner.take_order(work, clock::now().since(heard));
                 }
             }
-            Down::Welcome | Down::Alive => {}
+            Down::Alive { heard } => {
+                if let Some(runner) = &self.member.runner {
+                    runner.led(heard);
+                }
+            }
+            Down::Welcome => {}
             Down::NotLeader { leader } => {
                 self.leader.set(leader);
                 return false;
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -138,7 +138,11 @@
         work: Work,
     },
     /// The leader still leads.
-    Alive,
+    Alive {
+        /// The member's own clock in the newest of its words that the leader had read by then. The
+        /// leader led after that.
+        heard: Millis,
+    },
 }
 
 /// A change that all members are told.
--- a/components/node/src/runner.rs
+++ b/components/node/src/runner.rs
@@ -52,6 +52,10 @@
 /// effect, and a connection takes a quarter of one. An order that comes at once is at most about 250 ms
 /// old, the time between two beats; where VMs were slow or frozen, orders up to 4.5 s old were seen.
 const ORDER_MS: u64 = 2_000;
+/// Milliseconds for which the leader's last sign counts: it led after this host's clock read what it
+/// gives back. Scorers are called for as long, so that they are over a second before an end that was
+/// acknowledged meanwhile must have taken effect; the next leader is elected within one.
+const LED_MS: u64 = 2_000;
 /// The urgency of runs; all of them have the same, since the planner keeps the order.
 const URGENCY: u8 = 5;
 /// Milliseconds for which a run that no leader asks about is kept.
@@ -87,6 +91,10 @@
     sink: RefCell<Option<Sink>>,
     /// Whether the leader is still to be told that all runs have been told.
     owes_word: Cell<bool>,
+    /// This host's own clock in the newest of its words that a leader is known to have read.
+    led: Cell<Millis>,
+    /// When it last began to tell a leader of its runs.
+    attached: Cell<Millis>,
 }
 
 /// Where reports go: to the leader's connection, or within the leader's own process.
@@ -106,13 +114,43 @@
             hosted: RefCell::default(),
             sink: RefCell::default(),
             owes_word: Cell::default(),
+            led: Cell::default(),
+            attached: Cell::default(),
         })
     }
 
     /// Tells a leader that was just found of all runs, and of what happens to them from now on.
     pub fn attach(&self, up: mpsc::Sender<Up>) {
         *self.sink.borrow_mut() = Some(Sink::Link(up));
+        self.attached.set(clock::now());
         self.tell_all();
+        self.beat();
+    }
+
+    /// Says that this process lives, and what its clock reads.
+    fn beat(&self) {
+        if let Some(Sink::Link(up)) = &*self.sink.borrow() {
+            // A full queue says that this process lives, too.
+            let _ = up.try_send(Up::Beat(clock::now()));
+        }
+    }
+
+    /// Notes a sign of the leader: it led after this host's clock read `heard`.
+    pub fn led(&self, heard: Millis) {
+        self.led.set(self.led.get().max(heard));
+    }
+
+    /// Tells whether a leader wants this host's runs as far as it is known: it led lately, and since it
+    /// was told of them. Its words to stop those that nobody wants came before that sign, on the same
+    /// connection. Without a leader, or on a connection that lags, a step may have ended long ago.
+    fn is_led(&self) -> bool {
+        match &*self.sink.borrow() {
+            Some(Sink::Own(_)) => true,
+            _ => {
+                let led = self.led.get();
+                led >= self.attached.get() && clock::now().since(led) <= LED_MS
+            }
+        }
     }
 
     /// Tells the leader's duties in this process.
@@ -250,10 +288,7 @@
             if self.owes_word.get() {
                 self.tell_whole();
             }
-            if let Some(Sink::Link(up)) = &*self.sink.borrow() {
-                // A full queue says that this process lives, too.
-                let _ = up.try_send(Up::Beat(clock::now()));
-            }
+            self.beat();
             self.forget_old();
         }
     }
@@ -455,6 +490,10 @@
     let request = sample::score_request(scorer);
     let mut failures = 0;
     loop {
+        if !runner.is_led() {
+            tokio::time::sleep(SCORE_PAUSE).await;
+            continue;
+        }
         let config = runner.view.config();
         let route = config.as_ref().and_then(|config| config.find(&scorer.host, &scorer.path));
         let Some(route) = route else {
--- a/components/node/tests/link.rs
+++ b/components/node/tests/link.rs
@@ -1,14 +1,23 @@
 //! A host's connection to a leader that the test plays, on real sockets: how old an order may be.
 
 use std::cell::Cell;
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use chicoryford_fleet::Announcement;
+use chicoryford_fleet::Config;
+use chicoryford_fleet::Endpoint;
+use chicoryford_fleet::Kind;
 use chicoryford_fleet::Policy;
+use chicoryford_fleet::Route;
 use chicoryford_fleet::Sample;
+use chicoryford_fleet::Scorer;
+use chicoryford_fleet::Share;
 use chicoryford_fleet::plan::Made;
 use chicoryford_fleet::run::Job;
 use chicoryford_fleet::run::Report;
@@ -31,6 +40,8 @@
 use futures_util::StreamExt;
 use futures_util::stream::SplitSink;
 use futures_util::stream::SplitStream;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
@@ -48,6 +59,8 @@
     sink: SplitSink<Socket, Bytes>,
     stream: SplitStream<Socket>,
     heard: Millis,
+    /// Whether it reads nothing of the host any more, though it speaks on.
+    lags: bool,
 }
 
 impl Leader {
@@ -56,7 +69,9 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let view = Rc::new(View::default());
-        let runner = Runner::new(view.clone(), Forwarder::new(Policy::default()));
+        let forwarder = Forwarder::new(Policy::default());
+        let runner = Runner::new(view.clone(), forwarder.clone());
+        view.listen(move |news| forwarder.learn(news));
         actix_rt::spawn(runner.clone().run());
         let member = Member {
             node: "h".to_owned(),
@@ -71,7 +86,7 @@
         let (sink, mut stream) = Framed::new(stream, frames()).split();
         let hello = stream.next().await.unwrap().unwrap();
         let Hello::Member { clock, .. } = decode(&hello).unwrap() else { panic!("a member") };
-        let mut leader = Self { sink, stream, heard: clock };
+        let mut leader = Self { sink, stream, heard: clock, lags: false };
         leader.say(&Down::Welcome).await;
         leader.say(&Down::News(News::Whole(BTreeSet::new()))).await;
         leader
@@ -89,10 +104,10 @@
         loop {
             tokio::select! {
                 () = tokio::time::sleep_until(until) => return reports,
-                _ = alive.tick() => self.say(&Down::Alive).await,
+                _ = alive.tick() => self.say(&Down::Alive { heard: self.heard }).await,
                 frame = self.stream.next() => match decode(&frame.unwrap().unwrap()).unwrap() {
                     Up::Report(report) => reports.push(report),
-                    Up::Beat(clock) => self.heard = clock,
+                    Up::Beat(clock) if !self.lags => self.heard = clock,
                     _ => {}
                 },
             }
@@ -100,6 +115,28 @@
     }
 }
 
+/// An endpoint that gives each request the same answer, and counts them.
+async fn endpoint(answer: &'static str) -> (SocketAddr, Rc<Cell<u32>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let asked = Rc::<Cell<u32>>::default();
+    let counts = asked.clone();
+    actix_rt::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let counts = counts.clone();
+            actix_rt::spawn(async move {
+                let mut bytes = vec![0; 4_096];
+                while stream.read(&mut bytes).await.is_ok_and(|read| read > 0) {
+                    counts.set(counts.get() + 1);
+                    stream.write_all(answer.as_bytes()).await.unwrap();
+                }
+            });
+        }
+    });
+    (address, asked)
+}
+
 /// An engine that counts who comes.
 async fn engine() -> (SocketAddr, Rc<Cell<u32>>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -165,3 +202,70 @@
     leader.live(ALIVE * 2).await;
     assert_eq!(came.get(), 1, "the engine was not asked");
 }
+
+const WHOLE: &str = "HTTP/1.1 200 OK\r\nx-attempt-id: s\r\nx-response-stamp: p\r\n\
+                     content-length: 17\r\n\r\nid: 0\ndata: one\n\n";
+const FULL: &str = "HTTP/1.1 503 x\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+
+fn desk(address: SocketAddr) -> Endpoint {
+    let said = Announcement {
+        id: "d".to_owned(),
+        born: 0,
+        service: "desk".to_owned(),
+        address,
+        data_centre: "here".to_owned(),
+        slots: 4,
+        draining: false,
+        models: BTreeMap::new(),
+        sequence: 1,
+    };
+    Endpoint { said, standing: chicoryford_fleet::Standing::Ready }
+}
+
+fn config() -> Config {
+    let route = Route {
+        name: "desk".to_owned(),
+        host: "h".to_owned(),
+        prefix: "/desk/".to_owned(),
+        kind: Kind::Idempotent,
+        timeout_ms: Some(1_000),
+        target_ms: 150,
+        priority: 1,
+        shares: vec![Share { service: "desk".to_owned(), weight: 1 }],
+        attempts: 3,
+        resumable: false,
+        due_ms: None,
+        age_ms: None,
+        single: false,
+    };
+    Config { version: 1, routes: vec![route], ..Config::default() }
+}
+
+/// Symptom: a scorer is called for a step whose end was acknowledged more than three seconds ago.
+/// Sequence: a run is whole, and its scorer is full again and again. The leader's words come late, or
+/// it is another process's turn to lead, which this host does not know; meanwhile the step ends.
+/// Cause: a host went on calling scorers without any limit, whatever it knew of the leader.
+#[actix_rt::test]
+async fn a_scorer_is_not_called_when_the_leader_gives_no_fresh_sign() {
+    let mut leader = Leader::with_host().await;
+    let (engine, _) = endpoint(WHOLE).await;
+    let (scorer, called) = endpoint(FULL).await;
+    leader.say(&Down::News(News::Config(Arc::new(config())))).await;
+    leader.say(&Down::News(News::Endpoint(desk(scorer)))).await;
+    let mut job = job(engine);
+    let (id, host, path) = ("score".to_owned(), "h".to_owned(), "/desk/x".to_owned());
+    job.sample.scorer = Some(Scorer { id, host, path, body: Bytes::new() });
+    leader.say(&Down::Work { heard: leader.heard, work: Work::Run(Box::new(job)) }).await;
+    leader.live(ALIVE * 10).await;
+    assert!(called.get() > 1, "its scorer is called while the leader is fresh");
+
+    leader.lags = true;
+    leader.live(Duration::from_millis(2_700)).await;
+    let before = called.get();
+    leader.live(Duration::from_millis(1_000)).await;
+    assert_eq!(called.get(), before, "calls after the sign has become old");
+
+    leader.lags = false;
+    leader.live(Duration::from_millis(1_000)).await;
+    assert!(called.get() > before, "it goes on with the next fresh sign");
+}
