--- a/components/node/tests/lead.rs
+++ b/components/node/tests/lead.rs
@@ -110,6 +110,18 @@
         fleet
     }
 
+    /// Starts one whose step "a" was accepted by the leader before, and has been read by this one.
+    async fn taken_over() -> (Self, Rc<Lead>, Member) {
+        let (fleet, kept) = (Self::start().await, Kept::default());
+        let store = fleet.store(&kept).await;
+        fleet.submit("a").await;
+        drop(store);
+        let lead = fleet.next_lead();
+        let store = fleet.store(&kept).await;
+        until("the step is read", || lead.plan.borrow().has("a")).await;
+        (fleet, lead, store)
+    }
+
     /// Has another leader follow, which knows what the log holds and nothing else.
     fn next_lead(&self) -> Rc<Lead> {
         if let Some(before) = self.slot.borrow_mut().take() {
@@ -479,13 +491,7 @@
 /// Cause: a word to stop that finds no room is dropped, and nobody says it again.
 #[actix_rt::test]
 async fn a_word_to_stop_that_finds_no_room_is_said_again() {
-    let (fleet, kept) = (Fleet::start().await, Kept::default());
-    let store = fleet.store(&kept).await;
-    fleet.submit("a").await;
-    drop(store);
-    let lead = fleet.next_lead();
-    let _store = fleet.store(&kept).await;
-    until("the step is read", || lead.plan.borrow().has("a")).await;
+    let (fleet, lead, _store) = Fleet::taken_over().await;
     let (mut stream, alive) = fleet.slow_host().await;
     lead.take_report("h", &scoring("a"));
     lead.host_found("h", "here", u64::MAX);
@@ -566,13 +572,7 @@
 /// called is not told again.
 #[actix_rt::test]
 async fn a_host_that_is_telling_when_its_time_is_up_keeps_its_runs() {
-    let (fleet, kept) = (Fleet::start().await, Kept::default());
-    let store = fleet.store(&kept).await;
-    fleet.submit("a").await;
-    drop(store);
-    let lead = fleet.next_lead();
-    let _store = fleet.store(&kept).await;
-    until("the step is read", || lead.plan.borrow().has("a")).await;
+    let (fleet, lead, _store) = Fleet::taken_over().await;
     let first = fleet.host(vec![scoring("a")]).await;
     first.reported();
     until("the run is known", || lead.plan.borrow().host("a", 0).is_some()).await;
