--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -17,6 +17,7 @@
 use actix_http::h1::MessageType;
 use bytes::Bytes;
 use bytes::BytesMut;
+use socket2::SockRef;
 use thiserror::Error;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
@@ -62,20 +63,6 @@
     input: BytesMut,
     /// Set once anything happened after which it must not be used again.
     spoiled: bool,
-    /// Whether a request is on its way or being answered.
-    busy: bool,
-}
-
-impl Drop for Connection {
-    /// Resets a connection whose exchange is given up. A close would let the bytes that were written
-    /// arrive later, when the network carries them again, and the endpoint would begin what nobody
-    /// wants any more.
-    fn drop(&mut self) {
-        if self.busy {
-            // If it fails, the connection is gone already.
-            let _ = self.stream.set_zero_linger();
-        }
-    }
 }
 
 /// The head of a reply whose body is still to be read.
@@ -109,7 +96,7 @@
     /// [`Broken::NotSent`] if there is none within the limit.
     pub async fn open(address: SocketAddr, limit: Duration) -> Result<Self, Broken> {
         let stream = socket::connect(address, limit).await.map_err(Broken::NotSent)?;
-        Ok(Self { address, stream, input: BytesMut::new(), spoiled: false, busy: false })
+        Ok(Self { address, stream, input: BytesMut::new(), spoiled: false })
     }
 
     /// Tells whether the connection may carry another request: it is open, and nothing came on it
@@ -132,7 +119,10 @@
     pub async fn start(mut self, request: &Request) -> Result<Incoming, Broken> {
         let mut codec = ClientCodec::default();
         let output = encode(&mut codec, request, self.address)?;
-        self.busy = true;
+        // A connection whose exchange is given up is reset, also if this process dies meanwhile. A close
+        // would let the bytes that were written arrive later, when the network carries them again, and
+        // the endpoint would begin what nobody wants any more.
+        self.stream.set_zero_linger().map_err(Broken::NotSent)?;
         self.send(&output).await?;
         let head = loop {
             let decoded = codec.decode(&mut self.input);
@@ -258,8 +248,11 @@
 
     /// Gives the connection back for another request, if the reply was read to its end and the
     /// connection is fit for one.
-    pub fn into_connection(mut self) -> Option<Connection> {
-        self.connection.busy = !self.done;
+    pub fn into_connection(self) -> Option<Connection> {
+        if self.done {
+            // Closed as usual from now on. If this fails, the connection is gone already.
+            let _ = SockRef::from(&self.connection.stream).set_linger(None);
+        }
         let fit = self.done && !self.connection.spoiled;
         (fit && self.connection.input.is_empty()).then_some(self.connection)
     }
--- a/components/node/src/hosts.rs
+++ b/components/node/src/hosts.rs
@@ -56,8 +56,9 @@
         Self { followers, own, known: RefCell::default(), near }
     }
 
-    /// Notes that a host has connected and told of its runs.
-    pub fn found(&self, node: &str, data_centre: &str, link: u64) {
+    /// Notes that a host has connected and told of its runs; tells whether that counts. A word that came
+    /// late on a connection before its newest one says nothing of what it tells on that.
+    pub fn found(&self, node: &str, data_centre: &str, link: u64) -> bool {
         let mut known = self.known.borrow_mut();
         let host = known.entry(node.to_owned()).or_insert(Host {
             link: None,
@@ -67,8 +68,12 @@
             runs: 0,
             behind: Millis::default(),
         });
+        if host.link.max(host.telling) > Some(link) {
+            return false;
+        }
         host.link = Some(link);
         host.telling = None;
+        true
     }
 
     /// Notes that a host has connected and is about to tell of its runs. It is not gone meanwhile:
--- a/components/node/src/hub.rs
+++ b/components/node/src/hub.rs
@@ -18,6 +18,7 @@
 use futures_util::stream::SplitStream;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -78,6 +79,8 @@
     /// Its own clock in the newest of its words.
     clock: Millis,
     frames: mpsc::Sender<Queued>,
+    /// Ends its connection, also while that waits for it to read.
+    cut: Rc<Notify>,
 }
 
 /// The members that follow this process while it leads.
@@ -100,7 +103,11 @@
         let frame = encode(&Down::News(news.clone()));
         self.all.borrow_mut().retain(|_, follower| {
             self.count(news.kind(), &follower.data_centre, &frame);
-            follower.frames.try_send(Queued::word(frame.clone())).is_ok()
+            let sent = follower.frames.try_send(Queued::word(frame.clone())).is_ok();
+            if !sent {
+                follower.cut.notify_one();
+            }
+            sent
         });
     }
 
@@ -141,6 +148,7 @@
         if !sent {
             let number = *number;
             tracing::warn!(event = "queue_full", host);
+            follower.cut.notify_one();
             all.remove(&number);
         }
         sent
@@ -278,11 +286,13 @@
         }
         let number = self.followers.number();
         let store = depot.map(|depot| StoreId { node, identity: depot.identity });
+        let cut = Rc::new(Notify::new());
         let follower = Follower {
             store: store.clone(),
             data_centre: data_centre.clone(),
             clock,
             frames: frames.clone(),
+            cut: cut.clone(),
         };
         self.followers.all.borrow_mut().insert(number, follower);
         if let (Some(store), Some(depot)) = (&store, depot) {
@@ -309,6 +319,7 @@
         tokio::select! {
             () = send_frames(sink, &mut queue, &lead, &self.followers, number) => {}
             silent = reading.run(stream, limit, answers) => following.silent.set(silent),
+            () = cut.notified() => {}
         }
     }
 }
@@ -337,8 +348,10 @@
         let mut next = Some(first);
         while let Some(Queued { frame, work }) = next {
             // What waited while the leadership ended is given by nobody any more: the next leader
-            // may have ended the step. Answers and news still go out, they were true.
-            let given = !work || lead.leads();
+            // may have ended the step. Answers and news still go out, they were true. A lease that
+            // runs out for a moment is no such end: a word to stop that was dropped then would not
+            // be said again, and how old an order may be is judged by the host.
+            let given = !work || !lead.has_ended();
             if given && sink.feed(frame).await.is_err() {
                 return;
             }
--- a/components/node/src/lead/mod.rs
+++ b/components/node/src/lead/mod.rs
@@ -98,7 +98,7 @@
     registry: RefCell<Registry>,
     fleet_clock: u64,
     /// Steps that are being submitted: on their way to the stores, or into the log.
-    submitting: RefCell<BTreeSet<String>>,
+    submitting: RefCell<Vec<String>>,
     /// Steps whose submission is on its way into the log.
     submitted: RefCell<BTreeMap<String, Arc<Step>>>,
     /// Open steps whose samples are still to be read from the stores.
@@ -211,6 +211,11 @@
         !self.ended.get() && self.parts.core.leads()
     }
 
+    /// Tells whether this leadership is over.
+    pub fn has_ended(&self) -> bool {
+        self.ended.get()
+    }
+
     /// Gives all that a new follower is told.
     pub fn all_news(&self) -> Vec<News> {
         let mut news = vec![News::Controls(self.controls())];
--- a/components/node/src/lead/runs.rs
+++ b/components/node/src/lead/runs.rs
@@ -98,10 +98,12 @@
 
     /// Notes that a host is connected and has told of its runs.
     pub fn host_found(&self, host: &str, data_centre: &str, link: u64) {
+        if !self.hosts.found(host, data_centre, link) {
+            return;
+        }
         let orphaned = self.plan.borrow_mut().orphan_untold(host);
         self.plan.borrow_mut().host_told(host);
         tracing::info!(event = "host_found", host, orphaned);
-        self.hosts.found(host, data_centre, link);
         self.kick.notify_one();
     }
 
--- a/components/node/src/lead/steps.rs
+++ b/components/node/src/lead/steps.rs
@@ -39,9 +39,13 @@
         if self.parts.core.state().steps.contains_key(&step.id) {
             return Answer::Done;
         }
-        self.submitting.borrow_mut().insert(step.id.clone());
+        // It may be submitted twice at once, so each submission has its own mark.
+        self.submitting.borrow_mut().push(step.id.clone());
         let answer = self.write_step(&step).await;
-        self.submitting.borrow_mut().remove(&step.id);
+        let mut submitting = self.submitting.borrow_mut();
+        if let Some(place) = submitting.iter().position(|id| *id == step.id) {
+            submitting.swap_remove(place);
+        }
         answer
     }
 
@@ -170,6 +174,9 @@
         if !self.plan.borrow().has(step) {
             let unread = self.unread.borrow().iter().any(|other| other == step);
             if unread {
+                // What hosts told of its runs was passed over, and they say nothing more of those
+                // whose scorers they call; asked again, they are told to stop them.
+                self.hosts.ask_all();
                 tracing::info!(event = "step_closed", step, unread);
             }
             return;
--- a/components/node/src/runner/carry.rs
+++ b/components/node/src/runner/carry.rs
@@ -69,6 +69,10 @@
         Some(connection) => connection,
         None => Connection::open(job.address, CONNECT).await?,
     };
+    if clock::now() > state.until {
+        // The loop of this process was held up, or the connection took long.
+        return Ok(Some(RunEnd::Late));
+    }
     let started = connection.start(&request);
     let mut incoming = tokio::time::timeout(SILENCE, started).await.map_err(|_| silent())??;
     let meaning = plain::meaning(incoming.status, &incoming.headers, plain::attempt(&request));
--- a/components/node/src/runner/mod.rs
+++ b/components/node/src/runner/mod.rs
@@ -59,6 +59,8 @@
     told_at: Cell<Millis>,
     /// Whether the last telling found no room on the way to the leader.
     owed: Cell<bool>,
+    /// Until when its order holds; no request is sent after that.
+    until: Millis,
 }
 
 /// Hosts runs.
@@ -176,7 +178,7 @@
                     endpoint = job.endpoint,
                     age_ms
                 );
-                self.start(*job);
+                self.start(*job, clock::now() + (ORDER_MS - age_ms));
             }
             Work::Tell => self.tell_all(),
             Work::Stop { step, index, run } => {
@@ -241,7 +243,7 @@
         }
     }
 
-    fn start(self: &Rc<Self>, job: Job) {
+    fn start(self: &Rc<Self>, job: Job, until: Millis) {
         let key = (job.step.clone(), job.index);
         self.stop(&key);
         let now = clock::now();
@@ -252,6 +254,7 @@
             heard: Cell::new(now),
             told_at: Cell::new(now),
             owed: Cell::default(),
+            until,
         });
         let job = Rc::new(job);
         let handle = actix_rt::spawn(carry::carry_out(self.clone(), job.clone(), state.clone()));
--- a/components/node/tests/lead.rs
+++ b/components/node/tests/lead.rs
@@ -11,8 +11,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chicoryford_depot::Depot as Depository;
+use chicoryford_depot::Worker;
+use chicoryford_fleet::Announcement;
 use chicoryford_fleet::Command;
 use chicoryford_fleet::Config;
+use chicoryford_fleet::Endpoint;
 use chicoryford_fleet::Kind;
 use chicoryford_fleet::Policy;
 use chicoryford_fleet::Route;
@@ -22,11 +26,13 @@
 use chicoryford_fleet::copies::PartId;
 use chicoryford_fleet::copies::Place;
 use chicoryford_fleet::copies::StoreId;
+use chicoryford_fleet::endpoint;
 use chicoryford_fleet::plan::Made;
 use chicoryford_fleet::run::Job;
 use chicoryford_fleet::run::Report;
 use chicoryford_fleet::run::Standing;
 use chicoryford_fleet::run::Work;
+use chicoryford_fleet::step::Scorer;
 use chicoryford_node::Settings;
 use chicoryford_node::clock;
 use chicoryford_node::core::Core;
@@ -38,23 +44,29 @@
 use chicoryford_node::hub::Hub;
 use chicoryford_node::lead::Lead;
 use chicoryford_node::lead::Parts;
+use chicoryford_node::link;
+use chicoryford_node::link::Link;
 use chicoryford_node::message::Answer;
 use chicoryford_node::message::Ask;
 use chicoryford_node::message::Call;
 use chicoryford_node::message::Depot;
 use chicoryford_node::message::Down;
 use chicoryford_node::message::Hello;
+use chicoryford_node::message::News;
 use chicoryford_node::message::Told;
 use chicoryford_node::message::Up;
 use chicoryford_node::peers::Peers;
 use chicoryford_node::runner::Runner;
 use chicoryford_node::traffic::Traffic;
 use chicoryford_node::view::View;
+use chicoryford_storage::Disk;
 use chicoryford_types::Epoch;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use futures_util::stream::SplitStream;
 use tempfile::TempDir;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -609,3 +621,315 @@
         "submission: {submitted:?}, end: {ended:?}, and its samples run"
     );
 }
+
+/// Symptom: a host goes on with a run, or calls its scorer, though its step has ended.
+/// Sequence: the leader has a word to stop in a host's queue; its lease runs out for a moment, since
+/// heartbeats or its own loop are late, and then holds on in the same leadership. The host stays
+/// connected.
+/// Cause: what is work is skipped while the lease does not hold, as if the leadership had ended; words
+/// to stop are skipped too, and nobody says them again.
+#[actix_rt::test]
+async fn a_word_to_stop_is_not_lost_when_the_lease_runs_out_for_a_moment() {
+    let fleet = Fleet::start().await;
+    let lead = fleet.lead();
+    // Nobody knows its step any more. What it tells by itself was answered when it connected, so it
+    // gets the run only after that.
+    let host = fleet.host(Vec::new()).await;
+    host.reported();
+    until("the host is connected", || lead.copies.count(|node| node == "h") == 1).await;
+    pause(300).await;
+    host.runs.borrow_mut().push(scoring("a"));
+    lead.take_report("h", &scoring("a"));
+    // The leader's loop is held up for longer than its lease.
+    std::thread::sleep(Duration::from_millis(460));
+    assert!(!lead.leads(), "the lease holds");
+    until("the lease holds again", || lead.leads()).await;
+    let stopped = host.stops("a").await;
+    let same = lead.leads() && !host.task.is_finished();
+    assert!(stopped || !same, "the same leadership and connection, and the run goes on");
+}
+
+/// Symptom: a host whose queue was full is not told to stop runs of steps that end, for as long as it
+/// takes to read all that was queued.
+/// Sequence: there is no room for more; the host lives and reads slowly; a step ends.
+/// Cause: the follower is forgotten, but its connection is not ended: all that is queued is still sent
+/// first, and the sender waits in a full socket without noticing.
+#[actix_rt::test]
+async fn the_connection_of_a_host_with_a_full_queue_ends() {
+    let fleet = Fleet::start().await;
+    let lead = fleet.lead();
+    let (mut stream, alive) = fleet.slow_host().await;
+    fleet.fill().await;
+    let began = Instant::now();
+    let connected = || lead.copies.count(|node| node == "h") == 1;
+    // Two hundred frames a second.
+    while connected() && began.elapsed() < BOUND {
+        for _ in 0..10 {
+            let _ = tokio::time::timeout(Duration::from_millis(5), stream.next()).await;
+        }
+        pause(50).await;
+    }
+    alive.abort();
+    assert!(!connected(), "three seconds after its queue was full");
+}
+
+/// Passes bytes on between a host and the leader. Once `from` is set, the leader's take longer and longer,
+/// up to `LAG`, while they keep coming. The task ends with the connection.
+async fn slow_line(
+    links: SocketAddr,
+    from: Rc<Cell<Option<Instant>>>,
+) -> (SocketAddr, JoinHandle<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let task = actix_rt::spawn(async move {
+        let (near, _) = listener.accept().await.unwrap();
+        let far = TcpStream::connect(links).await.unwrap();
+        let (mut near_read, mut near_write) = near.into_split();
+        let (mut far_read, mut far_write) = far.into_split();
+        actix_rt::spawn(async move { tokio::io::copy(&mut near_read, &mut far_write).await });
+        let (came, mut waiting) = mpsc::unbounded_channel();
+        actix_rt::spawn(async move {
+            let mut bytes = vec![0; 64 << 10];
+            while let Ok(read @ 1..) = far_read.read(&mut bytes).await {
+                let lag = from.get().map_or(Duration::ZERO, |from| (from.elapsed() / 2).min(LAG));
+                if came.send((Instant::now() + lag, bytes[..read].to_vec())).is_err() {
+                    return;
+                }
+            }
+        });
+        while let Some((at, bytes)) = waiting.recv().await {
+            tokio::time::sleep_until(at).await;
+            if near_write.write_all(&bytes).await.is_err() {
+                return;
+            }
+        }
+    });
+    (address, task)
+}
+
+/// How late the leader's words are at most: orders 4.5 s old were seen.
+const LAG: Duration = Duration::from_millis(4_000);
+
+/// An engine that makes events of one sample until it is told to finish.
+async fn engine(id: &'static str, finish: Rc<Cell<bool>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut bytes = vec![0; 4_096];
+        assert!(stream.read(&mut bytes).await.unwrap() > 0);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-stamp: p\r\n\
+             transfer-encoding: chunked\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let mut number = 0;
+        while !finish.get() {
+            let event = format!("id: {number}\ndata: event {number}\n\n");
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            stream.write_all(chunk.as_bytes()).await.unwrap();
+            number += 1;
+            pause(50).await;
+        }
+        stream.write_all(b"0\r\n\r\n").await.unwrap();
+        pause(5_000).await;
+    });
+    address
+}
+
+/// A scorer that notes when it is called.
+async fn scorer() -> (SocketAddr, Rc<RefCell<Vec<Instant>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let called: Rc<RefCell<Vec<Instant>>> = Rc::default();
+    let notes = called.clone();
+    actix_rt::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut bytes = vec![0; 4_096];
+            if stream.read(&mut bytes).await.unwrap_or(0) > 0 {
+                notes.borrow_mut().push(Instant::now());
+                let reply = "HTTP/1.1 200 OK\r\nx-attempt-id: c\r\nx-response-stamp: p\r\n\
+                             content-length: 0\r\n\r\n";
+                let _ = stream.write_all(reply.as_bytes()).await;
+            }
+        }
+    });
+    (address, called)
+}
+
+/// Symptom: a scorer gets the call of a sample whose step ended more than three seconds ago.
+/// Sequence: the leader's words reach a host some seconds late, while they keep coming, so that neither side
+/// takes the other for lost; the step ends; the host's run of it, which it was ordered in time, is whole
+/// after that, and its scorer is called; then the host reads the word to stop.
+/// Cause: only orders to run have a bound in time. A host calls scorers however old the newest word is that
+/// it has from the leader.
+#[actix_rt::test]
+async fn no_scorer_is_called_long_after_the_end_though_the_word_to_stop_lies_on_its_way() {
+    let (fleet, kept) = (Fleet::start().await, Kept::default());
+    let mut config = config();
+    let route = Route {
+        name: "score".to_owned(),
+        prefix: "/score/".to_owned(),
+        kind: Kind::Idempotent,
+        timeout_ms: Some(2_000),
+        shares: vec![Share { service: "desk".to_owned(), weight: 1 }],
+        due_ms: None,
+        age_ms: None,
+        ..config.routes[0].clone()
+    };
+    config.routes.push(route);
+    config.version = 2;
+    assert!(matches!(
+        fleet.lead().commit(Command::Configure(Arc::new(config))).await,
+        Answer::Done
+    ));
+    let store = fleet.store(&kept).await;
+    fleet.submit("a").await;
+    drop(store);
+    let lead = fleet.next_lead();
+    let _store = fleet.store(&kept).await;
+    until("the step is read", || lead.plan.borrow().has("a")).await;
+
+    let (address, called) = scorer().await;
+    let view = Rc::new(View::default());
+    let forwarder = Forwarder::new(Policy::default());
+    let said = Announcement {
+        id: "i0".to_owned(),
+        born: 0,
+        service: "desk".to_owned(),
+        address,
+        data_centre: "here".to_owned(),
+        slots: 10,
+        draining: false,
+        models: BTreeMap::new(),
+        sequence: 1,
+    };
+    forwarder.learn(&News::Endpoint(Endpoint { said, standing: endpoint::Standing::Ready }));
+    let runner = Runner::new(view.clone(), forwarder);
+    actix_rt::spawn(runner.clone().run());
+    let folder = TempDir::new().unwrap();
+    let depot = Depository::open(folder.path(), Disk::default()).unwrap();
+    let worker = Worker::start(depot, |error| panic!("{error}")).unwrap();
+    let from = Rc::<Cell<Option<Instant>>>::default();
+    let (line, passing) = slow_line(fleet.links, from.clone()).await;
+    let member = link::Member {
+        node: "h".to_owned(),
+        data_centre: "here".to_owned(),
+        address: line,
+        depot: Some(Rc::new(worker)),
+        runner: Some(runner),
+    };
+    let link = Link::new(member, view.clone(), vec![line]);
+    let linked = link.clone();
+    actix_rt::spawn(async move { linked.run().await });
+    until("the host follows", || link.is_connected() && view.config().is_some()).await;
+
+    let finish = Rc::<Cell<bool>>::default();
+    let scorer = Scorer {
+        id: "c".to_owned(),
+        host: "h".to_owned(),
+        path: "/score/1".to_owned(),
+        body: Bytes::new(),
+    };
+    let sample = Sample {
+        id: "a0".to_owned(),
+        path: "/s/1".to_owned(),
+        scorer: Some(scorer),
+        ..Sample::default()
+    };
+    let order = Job {
+        step: "a".to_owned(),
+        sample,
+        address: engine("a0", finish.clone()).await,
+        ..job(1, Bytes::new())
+    };
+    assert!(fleet.followers.work("h", Work::Run(Box::new(order))));
+    let hosted = || lead.plan.borrow().host("a", 0) == Some(("h".to_owned(), 1));
+    until("the run is known", hosted).await;
+    from.set(Some(Instant::now()));
+    tokio::time::sleep(LAG * 2).await;
+    assert!(hosted() && link.is_connected(), "the run goes on, and both sides hear each other");
+    fleet.end("a").await;
+    let ended = Instant::now();
+    tokio::time::sleep(BOUND + Duration::from_millis(150)).await;
+    finish.set(true);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    // A host that connected anew, past the slow line, would show nothing.
+    assert!(!passing.is_finished(), "the connection lasts");
+    let late: Vec<Duration> = called.borrow().iter().map(|at| *at - ended).collect();
+    assert!(late.iter().all(|late| *late <= BOUND), "after the end: {late:?}");
+}
+
+/// Symptom: a scorer is called for a step that ended more than three seconds ago.
+/// Sequence: the leader changes. A host tells of a run whose scorer it calls; the step's part is being read
+/// still, or its notes are, from a store that does not answer. The step ends.
+/// Cause: the run was passed over since its step was still to be read; the host is asked again only when
+/// the reading has come to its end, which takes 0.8 s for each note, and an end meanwhile asks nobody.
+#[actix_rt::test]
+async fn the_runs_of_an_ended_step_are_stopped_though_it_is_slow_to_read_itself() {
+    let (fleet, kept) = (Fleet::start().await, Kept::default());
+    let store = fleet.store(&kept).await;
+    fleet.submit("a").await;
+    let stores = BTreeSet::from([StoreId { node: "s".to_owned(), identity: STORE }]);
+    for number in 0..6 {
+        let place = Place::Stores(stores.clone());
+        let note = Command::Note { step: "a".to_owned(), part: PartId(number), place };
+        assert!(matches!(fleet.lead().commit(note).await, Answer::Done));
+    }
+    drop(store);
+    fleet.next_lead();
+    let _store = fleet.store(&kept).await;
+    let host = fleet.host(vec![scoring("a")]).await;
+    host.reported();
+    pause(300).await;
+    fleet.end("a").await;
+    assert!(host.stops("a").await, "the step has ended, and its scorer is called");
+}
+
+/// Symptom: a scorer is called for a step that ended more than three seconds ago.
+/// Sequence: a host has connected anew and tells of its runs; the leader then reads the last word that came
+/// on the connection before, that all runs were told, and that this connection has ended. The time is up
+/// that the host has to come back. It tells that these were all. The step ends.
+/// Cause: a word of an older connection undoes what was noted of the newer one, on which the host is
+/// telling.
+#[actix_rt::test]
+async fn a_late_word_of_the_connection_before_does_not_take_a_hosts_runs_away() {
+    let (fleet, lead, _store) = Fleet::taken_over().await;
+    let first = fleet.host(vec![scoring("a")]).await;
+    first.reported();
+    until("the run is known", || lead.plan.borrow().host("a", 0).is_some()).await;
+    let host = fleet.host(vec![scoring("a")]).await;
+    pause(100).await;
+    first.reported();
+    pause(100).await;
+    drop(first);
+    pause(600).await;
+    host.reported();
+    pause(100).await;
+    fleet.end("a").await;
+    assert!(host.stops("a").await, "the step has ended, and its scorer is called");
+}
+
+/// A host judges an order's age by its own clock, which the leader gives back. Were it the clock of the
+/// greeting for ever, each order would be refused as too old two seconds after it.
+#[actix_rt::test]
+async fn the_leader_gives_the_hosts_newest_clock_back_with_orders_and_signs() {
+    let fleet = Fleet::start().await;
+    let lead = fleet.lead();
+    let (mut sink, mut stream) = greet(fleet.links, "h").await.split();
+    until("the host is connected", || lead.copies.count(|node| node == "h") == 1).await;
+    let clock = clock::now() + 60_000;
+    sink.send(encode(&Up::Beat(clock))).await.unwrap();
+    pause(300).await;
+    assert!(fleet.followers.work("h", Work::Tell));
+    let (mut order, mut sign) = (None, None);
+    while order.is_none() || sign != Some(clock) {
+        match decode(&stream.next().await.unwrap().unwrap()).unwrap() {
+            Down::Work { heard, .. } => order = Some(heard),
+            Down::Alive { heard } => sign = Some(heard),
+            _ => {}
+        }
+    }
+    assert_eq!(order, Some(clock));
+}
--- a/components/node/tests/link.rs
+++ b/components/node/tests/link.rs
@@ -47,8 +47,9 @@
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
-/// How long an order lies on its way: longer than the bound after the acknowledgement of an end.
-const LAIN: Duration = Duration::from_millis(3_500);
+/// How long an order lies on its way. The bound after the acknowledgement of an end is 3 s; what is
+/// begun after this long would reach its engine after it, as a connection takes a quarter of a second.
+const LAIN: Duration = Duration::from_millis(2_700);
 /// Time between two words of the leader that it lives.
 const ALIVE: Duration = Duration::from_millis(200);
 
--- a/components/node/tests/runner.rs
+++ b/components/node/tests/runner.rs
@@ -141,3 +141,21 @@
     }
     assert!(finished, "the leader was not told that the run has finished");
 }
+
+/// Symptom: a host is connected, and no run is given to it.
+/// Sequence: the way to the leader has no room at the moment at which the host has told of all its runs.
+/// Cause: the word that these were all was dropped, and the leader gives nothing to a host before it.
+#[actix_rt::test]
+async fn the_word_that_all_runs_were_told_is_said_later_if_it_finds_no_room() {
+    let runner = Runner::new(Rc::new(View::default()), Forwarder::new(Policy::default()));
+    let (up, mut told) = mpsc::channel(1);
+    up.try_send(Up::Alive).unwrap();
+    runner.attach(up);
+    actix_rt::spawn(runner.clone().run());
+    let mut reported = false;
+    for _ in 0..6 {
+        let up = tokio::time::timeout(Duration::from_secs(1), told.recv()).await;
+        reported |= matches!(up.expect("the host lives"), Some(Up::Reported));
+    }
+    assert!(reported, "the leader was not told that these were all");
+}
