An engine that answers that it failed is left alone for a moment

Now a failure of the engine's costs it what a broken connection does: 0.2 s, doubled up to 3.2 s, until events come of it again.

--- a/components/fleet/src/plan/reports.rs
+++ b/components/fleet/src/plan/reports.rs
@@ -165,12 +165,15 @@
         match end {
             RunEnd::Full => seat.until = now + FULL_MS,
             RunEnd::Moved => seat.moved = Some(seat.endpoint.said.sequence),
-            RunEnd::Broken => {
+            // An engine that fails at once is always the idlest. Given work again at once, it has samples
+            // of whole steps fail as often as they may; a sample that fails by itself costs a good engine
+            // 0.2 s, in which others take what comes.
+            RunEnd::Broken | RunEnd::Failed => {
                 seat.failures += 1;
                 let doublings = (seat.failures - 1).min(DOUBLINGS);
                 seat.until = now + (PENALTY_MS << doublings);
             }
-            RunEnd::Failed | RunEnd::Unfit | RunEnd::Taken | RunEnd::Late => {}
+            RunEnd::Unfit | RunEnd::Taken | RunEnd::Late => {}
         }
     }
 
--- a/components/fleet/tests/plan.rs
+++ b/components/fleet/tests/plan.rs
@@ -392,3 +392,24 @@
     plan.observe(&engine("e2", 1, 2));
     assert!(assign(&mut plan, NOW).remove(0).made.events.is_empty());
 }
+
+/// Symptom: whole steps are given up within a second, though most engines are well.
+/// Sequence: an engine answers each sample at once that it failed. So it is always the idlest, gets the
+/// next samples and those that have just failed there, and each of them fails as often as it may.
+/// Cause: a failure counted against the sample only, and the engine was given work again at once.
+#[test]
+fn an_engine_that_fails_at_once_is_left_alone_for_a_moment() {
+    let mut plan = plan(&[engine("bad", 4, 1), engine("good", 4, 1)], &[step("a", &[1; 16])]);
+    let (mut on_bad, mut given_up) = (0, 0);
+    // A tenth of a second, in which the good engine makes none of its four.
+    for ms in 0..100 {
+        let now = NOW + ms;
+        for run in assign(&mut plan, now).iter().filter(|run| run.endpoint == "bad") {
+            on_bad += 1;
+            let next = plan.ended("a", run.index, RunEnd::Failed, now);
+            given_up += u32::from(next == Next::GiveUp);
+        }
+    }
+    assert_eq!(given_up, 0, "of 16 samples, {on_bad} runs at the bad engine");
+    assert!(on_bad <= 4, "{on_bad} runs at an engine that has failed at four");
+}
