--- a/components/node/tests/lead.rs
+++ b/components/node/tests/lead.rs
@@ -167,6 +167,16 @@
         assert!(matches!(part.place, Place::Stores(_)), "{part:?}");
     }
 
+    /// Has six parts noted of a step's samples, which the store is said to have and does not give.
+    async fn note(&self, id: &str) {
+        let stores = BTreeSet::from([StoreId { node: "s".to_owned(), identity: STORE }]);
+        for number in 0..6 {
+            let place = Place::Stores(stores.clone());
+            let note = Command::Note { step: id.to_owned(), part: PartId(number), place };
+            assert!(matches!(self.lead().commit(note).await, Answer::Done));
+        }
+    }
+
     /// Ends a step; the end is acknowledged when this returns.
     async fn end(&self, id: &str) {
         let answer = self.lead().answer(Call::End(id.to_owned())).await;
@@ -561,12 +571,7 @@
     let store = fleet.store(&kept).await;
     fleet.submit("a").await;
     fleet.submit("b").await;
-    let stores = BTreeSet::from([StoreId { node: "s".to_owned(), identity: STORE }]);
-    for number in 0..6 {
-        let place = Place::Stores(stores.clone());
-        let note = Command::Note { step: "a".to_owned(), part: PartId(number), place };
-        assert!(matches!(fleet.lead().commit(note).await, Answer::Done));
-    }
+    fleet.note("a").await;
     drop(store);
     fleet.next_lead();
     let _store = fleet.store(&kept).await;
@@ -871,12 +876,7 @@
     let (fleet, kept) = (Fleet::start().await, Kept::default());
     let store = fleet.store(&kept).await;
     fleet.submit("a").await;
-    let stores = BTreeSet::from([StoreId { node: "s".to_owned(), identity: STORE }]);
-    for number in 0..6 {
-        let place = Place::Stores(stores.clone());
-        let note = Command::Note { step: "a".to_owned(), part: PartId(number), place };
-        assert!(matches!(fleet.lead().commit(note).await, Answer::Done));
-    }
+    fleet.note("a").await;
     drop(store);
     fleet.next_lead();
     let _store = fleet.store(&kept).await;
