Control processes answer what changes nothing, and members are told of endpoints that they may call

Cause: with 2,999 endpoints the leader heard each of 2,500 announcements a second and told 67 members of each change of each engine. It fell behind, announcements timed out, 1,100 new connections a second came to each control process, the leadership was lost, and a version acknowledged at 0.5 s could not be read back. Change: a control process that follows the leader answers an announcement that repeats what is known, names itself for the next, and tells the leader once a second whom it heard, with ages by its own clock. All that changes something, and leaving, goes to the leader as before. Entries and stores are told only of endpoints of services to which requests other than steps go; replicas, which may lead next, of all.

--- a/components/fleet/src/config.rs
+++ b/components/fleet/src/config.rs
@@ -169,6 +169,14 @@
         Ok(())
     }
 
+    /// Gives the services to which requests other than steps go: their endpoints are called by entries
+    /// and hosts, while samples go where the leader says.
+    pub fn called_services(&self) -> BTreeSet<&str> {
+        let called = self.routes.iter().filter(|route| route.kind != Kind::Step);
+        let shares = called.flat_map(|route| &route.shares).filter(|share| share.weight > 0);
+        shares.map(|share| share.service.as_str()).collect()
+    }
+
     /// Finds the route with the longest prefix that begins a path.
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
         let here = self.routes.iter().filter(|r| r.host == host && path.starts_with(&r.prefix));
--- a/components/fleet/src/endpoint.rs
+++ b/components/fleet/src/endpoint.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 
 use crate::config::Config;
+use crate::hearing::Sign;
 
 /// What an endpoint says of itself.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
@@ -36,6 +37,13 @@
     pub sequence: u64,
 }
 
+impl Announcement {
+    /// Tells whether this says just what another one said, but for its number.
+    pub fn repeats(&self, other: &Self) -> bool {
+        Self { sequence: other.sequence, ..self.clone() } == *other
+    }
+}
+
 /// Whether an endpoint may be given work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub enum Standing {
@@ -141,12 +149,26 @@
         if !started_again && leaves && standing == Standing::Ready {
             return Effect::Old;
         }
-        let same = Announcement { sequence: before.said.sequence, ..said.clone() } == before.said;
-        let changed = !same || before.standing != standing;
+        let changed = !said.repeats(&before.said) || before.standing != standing;
         held.endpoint = Endpoint { said, standing };
         if changed { Effect::Changed } else { Effect::Heard }
     }
 
+    /// Takes in that a control process has heard an endpoint say again what is known; tells whether
+    /// that is news of it. A sign changes nothing but the time at which it was heard: one of an endpoint
+    /// that leaves, that was taken for silent or that started again meanwhile is older than that.
+    pub fn heard(&mut self, sign: &Sign, now: Millis) -> bool {
+        let Some(held) = self.held.get_mut(&sign.id) else { return false };
+        let said = &mut held.endpoint.said;
+        let ready = held.endpoint.standing == Standing::Ready;
+        if !ready || sign.born != said.born || sign.sequence <= said.sequence {
+            return false;
+        }
+        said.sequence = sign.sequence;
+        held.heard = held.heard.max(Millis(now.0.saturating_sub(sign.age_ms)));
+        true
+    }
+
     /// Notes that an endpoint says it is gone. One that is not known is noted too, so that an
     /// announcement of it that comes later is not believed.
     pub fn leave(&mut self, id: &str, now: Millis) -> Effect {
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod copies;
 pub mod endpoint;
 pub mod events;
+pub mod hearing;
 pub mod pick;
 pub mod plan;
 pub mod policy;
--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -137,6 +137,13 @@
         }
     }
 
+    /// Notes that an engine was heard again, with an announcement of this number.
+    pub fn heard(&mut self, id: &str, sequence: u64) {
+        if let Some(seat) = self.seats.get_mut(id) {
+            seat.endpoint.said.sequence = sequence;
+        }
+    }
+
     /// Forgets an engine.
     pub fn forget(&mut self, id: &str) {
         self.seats.remove(id);
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -1,9 +1,13 @@
 //! Serves endpoints, operators and trainers that name versions.
 
+use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use chicoryford_fleet::Announcement;
+use chicoryford_fleet::hearing::Hearing;
 use chicoryford_http::Reply;
 use chicoryford_http::Request;
 use chicoryford_http::message::StatusCode;
@@ -11,20 +15,34 @@
 use chicoryford_platform::control;
 use chicoryford_platform::control::Call as Asked;
 
+use crate::clock;
 use crate::link::CallError;
 use crate::link::Link;
 use crate::message::Answer;
 use crate::message::Call;
+use crate::metrics;
+use crate::view::View;
 
 /// How long an announcement may take; its sender asks another process after a second.
 const ANNOUNCE: Duration = Duration::from_millis(700);
 /// How long an operator's call is tried; an operator asks another process after a second.
 const OPERATE: Duration = Duration::from_millis(850);
 
-/// Serves control calls through the leader.
+/// How often the leader is told who was heard. An endpoint is taken for silent after six seconds, so
+/// one word may be lost with its connection; endpoints announce themselves about as often.
+const SIGNS: Duration = Duration::from_secs(1);
+
+/// Serves control calls: announcements that change nothing by itself, all else through the leader.
 pub struct Control {
     /// The way to the leader, which may be this process.
     pub link: Rc<Link>,
+    /// What the leader told.
+    pub view: Rc<View>,
+    /// Where this process takes announcements. Endpoints that it has answered go on with it, so they
+    /// spread over the control processes as they first came, and keep their connections.
+    pub own: SocketAddr,
+    /// What was heard and not told the leader yet.
+    pub hearing: RefCell<Hearing>,
 }
 
 impl Control {
@@ -39,7 +57,14 @@
             }
         };
         match asked {
-            Asked::Announce(said) => self.announce(Call::Announce(said)).await,
+            Asked::Announce(said) if self.hears(&said) => {
+                metrics::ANNOUNCEMENTS.with_label_values(&["here"]).inc();
+                self.heard()
+            }
+            Asked::Announce(said) => {
+                metrics::ANNOUNCEMENTS.with_label_values(&["leader"]).inc();
+                self.announce(Call::Announce(said)).await
+            }
             Asked::Leave(id) => self.announce(Call::Leave(id)).await,
             Asked::Configure(source) => match config::read(&source) {
                 Ok(config) => self.configure(config).await,
@@ -54,11 +79,33 @@
         }
     }
 
+    /// Tells whether an announcement changes nothing, and notes that its endpoint was heard. Without a
+    /// leader what is known here may be out of date, so nothing is answered then.
+    fn hears(&self, said: &Announcement) -> bool {
+        let known = self.view.endpoint(&said.id);
+        let led = self.link.is_connected();
+        led && self.hearing.borrow_mut().hear(known.as_deref(), said, clock::now())
+    }
+
+    fn heard(&self) -> Reply {
+        control::heard(Some(&self.own.to_string()))
+    }
+
+    /// Tells the leader who was heard, for as long as the process lives. What does not leave for want
+    /// of a leader is told the next one, with its age.
+    pub async fn tell_on(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(SIGNS).await;
+            let signs = self.hearing.borrow().signs(clock::now());
+            if !signs.is_empty() && self.link.tell_heard(signs) {
+                self.hearing.borrow_mut().clear();
+            }
+        }
+    }
+
     async fn announce(&self, call: Call) -> Reply {
         match self.link.call(call, ANNOUNCE).await {
-            Ok(Answer::Heard(next)) => {
-                control::heard(next.map(|address| address.to_string()).as_deref())
-            }
+            Ok(Answer::Heard) => self.heard(),
             Ok(Answer::Done) => control::done(),
             Ok(Answer::Unknown) => control::refused(StatusCode::BAD_REQUEST, "unknown service"),
             Ok(_) | Err(_) => control::refused(StatusCode::SERVICE_UNAVAILABLE, "no leader"),
--- a/components/node/src/hub.rs
+++ b/components/node/src/hub.rs
@@ -76,6 +76,8 @@
 struct Follower {
     store: Option<StoreId>,
     data_centre: String,
+    /// Whether it may lead next.
+    replica: bool,
     /// Its own clock in the newest of its words.
     clock: Millis,
     frames: mpsc::Sender<Queued>,
@@ -100,8 +102,25 @@
     /// Tells all members something. One whose queue is full would believe what is out of date from
     /// then on, so its connection ends, and it is told all there is when it follows anew.
     pub fn tell(&self, news: &News) {
+        self.tell_those(news, |_| true);
+    }
+
+    /// Tells the members that may lead next something that only a leader needs.
+    pub fn tell_replicas(&self, news: &News) {
+        self.tell_those(news, |follower| follower.replica);
+    }
+
+    /// Tells the members that were not told of all endpoints something.
+    pub fn tell_others(&self, news: &News) {
+        self.tell_those(news, |follower| !follower.replica);
+    }
+
+    fn tell_those(&self, news: &News, wanted: impl Fn(&Follower) -> bool) {
         let frame = encode(&Down::News(news.clone()));
         self.all.borrow_mut().retain(|_, follower| {
+            if !wanted(follower) {
+                return true;
+            }
             self.count(news.kind(), &follower.data_centre, &frame);
             let sent = follower.frames.try_send(Queued::word(frame.clone())).is_ok();
             if !sent {
@@ -206,6 +225,15 @@
     }
 }
 
+/// A member that wants to follow, as it says.
+struct Caller {
+    node: String,
+    data_centre: String,
+    depot: Option<Depot>,
+    replica: bool,
+    clock: Millis,
+}
+
 /// Takes links for as long as the process lives.
 pub struct Hub {
     /// The replica.
@@ -233,8 +261,9 @@
         let Ok(Some(Ok(frame))) = frame else { return };
         match decode::<Hello>(&frame) {
             Ok(Hello::Replica { data_centre }) => self.take_letters(socket, &data_centre).await,
-            Ok(Hello::Member { node, data_centre, store, clock }) => {
-                self.serve(socket, node, data_centre, store, clock).await;
+            Ok(Hello::Member { node, data_centre, store, replica, clock }) => {
+                let caller = Caller { node, data_centre, depot: store, replica, clock };
+                self.serve(socket, caller).await;
             }
             Err(error) => tracing::warn!(event = "link_unreadable", %error),
         }
@@ -260,14 +289,8 @@
         }
     }
 
-    async fn serve(
-        &self,
-        mut socket: Socket,
-        node: String,
-        data_centre: String,
-        depot: Option<Depot>,
-        clock: Millis,
-    ) {
+    async fn serve(&self, mut socket: Socket, caller: Caller) {
+        let Caller { node, data_centre, depot, replica, clock } = caller;
         let lead = self.lead.borrow().clone();
         let Some(lead) = lead.filter(|lead| lead.leads()) else {
             let down = Down::NotLeader { leader: self.core.leader() };
@@ -275,7 +298,7 @@
             let _ = socket.send(encode(&down)).await;
             return;
         };
-        let news = lead.all_news().into_iter().map(Down::News);
+        let news = lead.all_news(replica).into_iter().map(Down::News);
         let first: Vec<Down> = std::iter::once(Down::Welcome).chain(news).collect();
         let (frames, mut queue) = mpsc::channel(QUEUE + first.len());
         for down in first {
@@ -290,6 +313,7 @@
         let follower = Follower {
             store: store.clone(),
             data_centre: data_centre.clone(),
+            replica,
             clock,
             frames: frames.clone(),
             cut: cut.clone(),
@@ -401,6 +425,7 @@
                 tracing::warn!(event = "link_unreadable", error = "a report of no host");
             }
             (Up::Beat(clock), _) => self.hub.followers.heard(self.number, clock),
+            (Up::Heard(signs), _) => self.lead.take_signs(&signs),
             (Up::Alive, _) => {}
         }
     }
--- a/components/node/src/lead/endpoints.rs
+++ b/components/node/src/lead/endpoints.rs
@@ -5,9 +5,11 @@
 
 use chicoryford_fleet::Announcement;
 use chicoryford_fleet::Command;
+use chicoryford_fleet::Config;
 use chicoryford_fleet::Endpoint;
 use chicoryford_fleet::endpoint;
 use chicoryford_fleet::endpoint::Effect;
+use chicoryford_fleet::hearing::Sign;
 
 use crate::clock;
 use crate::lead::Lead;
@@ -30,7 +32,19 @@
         if draining && !matches!(self.forget_leaving(&id).await, Answer::Done) {
             return Answer::NotNow;
         }
-        Answer::Heard(self.parts.settings.control)
+        Answer::Heard
+    }
+
+    /// Takes in whom a control process has heard.
+    pub fn take_signs(&self, signs: &[Sign]) {
+        let now = clock::now();
+        let mut registry = self.registry.borrow_mut();
+        let mut plan = self.plan.borrow_mut();
+        for sign in signs {
+            if registry.heard(sign, now) {
+                plan.heard(&sign.id, sign.sequence);
+            }
+        }
     }
 
     pub(super) async fn leave(&self, id: &str) -> Answer {
@@ -51,6 +65,7 @@
         }
         let Some(endpoint) = self.registry.borrow().get(id).cloned() else { return };
         self.plan.borrow_mut().observe(&endpoint);
+        let service = endpoint.said.service.clone();
         let news = News::Endpoint(endpoint);
         self.parts.forwarder.learn(&news);
         if effect == Effect::Changed {
@@ -61,11 +76,32 @@
                     sequence = said.sequence,
                     models = ?said.models);
             }
-            self.parts.followers.tell(&news);
+            self.parts.followers.tell_replicas(&news);
+            if self.called.borrow().contains(&service) {
+                self.parts.followers.tell_others(&news);
+            }
             self.kick.notify_one();
         }
     }
 
+    /// Tells entries and hosts of endpoints that they may call under a configuration and could not
+    /// under the one before.
+    ///
+    /// They are told of no others. An engine changes with each of its weights, and thousands of them
+    /// told to hundreds of members would take all the leader's time, for news of endpoints to which
+    /// the leader alone sends work.
+    pub(super) fn spread_called(&self, config: &Config) {
+        let called: BTreeSet<String> =
+            config.called_services().into_iter().map(str::to_owned).collect();
+        let before = self.called.replace(called.clone());
+        for endpoint in self.registry.borrow().all() {
+            let service = &endpoint.said.service;
+            if called.contains(service) && !before.contains(service) {
+                self.parts.followers.tell_others(&News::Endpoint(endpoint.clone()));
+            }
+        }
+    }
+
     /// Notes in the log which endpoints are known, if that has changed.
     pub(super) async fn know(&self) -> Answer {
         let live: Vec<Endpoint> = {
--- a/components/node/src/lead/mod.rs
+++ b/components/node/src/lead/mod.rs
@@ -19,6 +19,7 @@
 use chicoryford_fleet::Command;
 use chicoryford_fleet::Config;
 use chicoryford_fleet::Done;
+use chicoryford_fleet::Endpoint;
 use chicoryford_fleet::Registry;
 use chicoryford_fleet::Stamped;
 use chicoryford_fleet::Step;
@@ -96,6 +97,8 @@
     /// When the leadership began.
     pub began: Millis,
     registry: RefCell<Registry>,
+    /// Services whose endpoints entries and hosts call.
+    called: RefCell<BTreeSet<String>>,
     fleet_clock: u64,
     /// Steps that are being submitted: on their way to the stores, or into the log.
     submitting: RefCell<Vec<String>>,
@@ -142,6 +145,7 @@
                 endpoints.into_iter(),
                 now,
             )),
+            called: RefCell::default(),
             fleet_clock,
             submitting: RefCell::default(),
             submitted: RefCell::default(),
@@ -181,6 +185,9 @@
 
     /// Takes over the endpoints.
     fn adopt(&self) {
+        if let Some(config) = self.config() {
+            self.spread_called(&config);
+        }
         let mut plan = self.plan.borrow_mut();
         let registry = self.registry.borrow();
         for endpoint in registry.all() {
@@ -216,14 +223,19 @@
         self.ended.get()
     }
 
-    /// Gives all that a new follower is told.
-    pub fn all_news(&self) -> Vec<News> {
+    /// Gives all that a new follower is told: of endpoints only those that it may call, unless it may
+    /// lead next.
+    pub fn all_news(&self, replica: bool) -> Vec<News> {
         let mut news = vec![News::Controls(self.controls())];
-        let config = self.parts.core.state().config.clone();
-        news.extend(config.map(News::Config));
+        let config = self.config();
+        let called = config.as_ref().map(|config| config.called_services()).unwrap_or_default();
+        let told = |endpoint: &&Endpoint| replica || called.contains(&*endpoint.said.service);
         let registry = self.registry.borrow();
-        news.extend(registry.all().cloned().map(News::Endpoint));
-        news.push(News::Whole(registry.all().map(|endpoint| endpoint.said.id.clone()).collect()));
+        let endpoints: Vec<&Endpoint> = registry.all().filter(told).collect();
+        let ids = endpoints.iter().map(|endpoint| endpoint.said.id.clone()).collect();
+        news.extend(config.clone().map(News::Config));
+        news.extend(endpoints.into_iter().cloned().map(News::Endpoint));
+        news.push(News::Whole(ids));
         news
     }
 
@@ -305,6 +317,7 @@
         match command {
             Command::Configure(config) => {
                 self.parts.followers.tell(&News::Config(config.clone()));
+                self.spread_called(config);
             }
             Command::Submit { step, place } => self.accepted(step, place),
             Command::End { step } => {
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use chicoryford_depot::Worker;
+use chicoryford_fleet::hearing::Sign;
 use chicoryford_http::socket;
 use chicoryford_types::Millis;
 use futures_util::SinkExt;
@@ -83,6 +84,8 @@
     pub data_centre: String,
     /// Where it takes links.
     pub address: SocketAddr,
+    /// Whether it is a replica of the log, which may lead next.
+    pub replica: bool,
     /// The depot of a VM that stores data.
     pub depot: Option<Rc<Worker>>,
     /// Hosts runs, on a VM that does.
@@ -160,6 +163,12 @@
         }
     }
 
+    /// Tells the leader whom this process has heard; tells whether that is on its way.
+    pub fn tell_heard(&self, signs: Vec<Sign>) -> bool {
+        let up = self.up.borrow();
+        up.as_ref().is_some_and(|up| up.try_send(Up::Heard(signs)).is_ok())
+    }
+
     /// Calls the leader, and the next one if it is lost, until the time is up. Only for calls
     /// that do no harm when they are carried out twice.
     ///
@@ -245,9 +254,9 @@
     async fn open(&self, address: SocketAddr) -> Option<Socket> {
         let stream = socket::connect(address, CONNECT).await.ok()?;
         let mut socket = Framed::new(stream, frames());
-        let Member { node, data_centre, depot, address, .. } = self.member.clone();
+        let Member { node, data_centre, depot, address, replica, .. } = self.member.clone();
         let store = depot.map(|depot| Depot { identity: depot.identity(), address });
-        let hello = Hello::Member { node, data_centre, store, clock: clock::now() };
+        let hello = Hello::Member { node, data_centre, store, replica, clock: clock::now() };
         socket.send(encode(&hello)).await.ok()?;
         Some(socket)
     }
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -14,6 +14,7 @@
 use chicoryford_fleet::Listed;
 use chicoryford_fleet::Step;
 use chicoryford_fleet::copies::PartId;
+use chicoryford_fleet::hearing::Sign;
 use chicoryford_fleet::run::Report;
 use chicoryford_fleet::run::Work;
 use chicoryford_types::Millis;
@@ -36,6 +37,8 @@
         data_centre: String,
         /// Its depot, if its VM stores data.
         store: Option<Depot>,
+        /// Whether it may lead next, and so is to know all endpoints.
+        replica: bool,
         /// Its clock as it says this.
         clock: Millis,
     },
@@ -67,6 +70,8 @@
     Report(Report),
     /// A host has told of all runs that it has.
     Reported,
+    /// A control process has heard these endpoints say again what is known of them.
+    Heard(Vec<Sign>),
     /// A member lives.
     Alive,
     /// A host lives, and this is its clock as it says so.
@@ -224,8 +229,8 @@
     Unknown,
     /// Nothing was done: too few VMs would be left.
     TooFew,
-    /// An endpoint was heard; its later words may go to this address.
-    Heard(Option<SocketAddr>),
+    /// An endpoint was heard.
+    Heard,
     /// The newest configuration, if there is one.
     Config(Option<Arc<Config>>),
     /// Results from the place asked for.
@@ -251,6 +256,7 @@
         match self {
             Self::Call { call, .. } => call.kind(),
             Self::Report(_) => "report",
+            Self::Heard(_) => "signs",
             Self::Reported | Self::Alive | Self::Beat(_) => "alive",
             Self::Told { told: Told::Part(_), .. } => "part_got",
             Self::Told { .. } => "part_kept",
--- a/components/node/src/metrics.rs
+++ b/components/node/src/metrics.rs
@@ -42,6 +42,9 @@
 /// Seconds from a request's first byte to its answer.
 pub static REQUEST_SECONDS: LazyLock<HistogramVec> =
     LazyLock::new(|| histogram("request_seconds", "Time to the answer.", &["route"]));
+/// Announcements of endpoints at this control process, by whether it answered itself or the leader did.
+pub static ANNOUNCEMENTS: LazyLock<IntCounterVec> =
+    LazyLock::new(|| counter("announcements_total", "Announcements by who answered.", &["by"]));
 /// Attempts at endpoints of plain services by ending.
 pub static TRIES: LazyLock<IntCounterVec> =
     LazyLock::new(|| counter("tries_total", "Attempts at endpoints by ending.", &["ending"]));
--- a/components/node/src/orders.rs
+++ b/components/node/src/orders.rs
@@ -213,7 +213,7 @@
         fence: lead.epoch.0,
         sequence: report.sequence,
     };
-    lead.parts.followers.tell(&News::Ordered(wish.endpoint.clone()));
+    lead.parts.followers.tell_replicas(&News::Ordered(wish.endpoint.clone()));
     let request = endpoint::order(&order);
     let taken = match call(lead, wish, address, &request).await {
         Ok(reply) => endpoint::taken(reply.status),
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -189,6 +189,7 @@
             node: settings.node.clone(),
             data_centre: settings.data_centre.clone(),
             address: settings.own_link(),
+            replica: settings.data.is_some() && settings.control.is_some(),
             runner: depot.is_some().then(|| runner.clone()),
             depot: depot.clone(),
         };
@@ -283,8 +284,14 @@
 
     fn start_control(&self) -> Result<(), StartError> {
         let Some(address) = self.settings.control else { return Ok(()) };
+        let control = Rc::new(Control {
+            link: self.link.clone(),
+            view: self.view.clone(),
+            own: address,
+            hearing: RefCell::default(),
+        });
+        actix_rt::spawn(control.clone().tell_on());
         let address = self.settings.listening(address);
-        let control = Rc::new(Control { link: self.link.clone() });
         let server = Rc::new(Server::default());
         serve(server, address, move |request| control.clone().answer(request))
     }
--- a/components/node/src/view.rs
+++ b/components/node/src/view.rs
@@ -1,5 +1,6 @@
 //! What a member believes, as the leader last told it.
 
+use std::cell::Ref;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -80,6 +81,11 @@
         self.config.borrow().clone()
     }
 
+    /// Gives an endpoint; it must not be held across a wait.
+    pub fn endpoint(&self, id: &str) -> Option<Ref<'_, Endpoint>> {
+        Ref::filter_map(self.endpoints.borrow(), |all| all.get(id)).ok()
+    }
+
     /// Gives the endpoints.
     pub fn endpoints(&self) -> Vec<Endpoint> {
         self.endpoints.borrow().values().cloned().collect()
--- /dev/null
+++ b/components/node/tests/lead/main.rs
@@ -0,0 +1,7 @@
+//! A leader with hosts, stores and other members that the test plays, on real sockets.
+
+mod fleet;
+mod member;
+mod news;
+mod scorers;
+mod steps;
--- /dev/null
+++ b/components/node/tests/lead/news.rs
@@ -0,0 +1,153 @@
+//! Which members are told of which endpoints, and whom control processes have heard.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicoryford_fleet::Announcement;
+use chicoryford_fleet::Command;
+use chicoryford_fleet::Config;
+use chicoryford_fleet::Kind;
+use chicoryford_fleet::Route;
+use chicoryford_fleet::Service;
+use chicoryford_fleet::Share;
+use chicoryford_fleet::hearing::Sign;
+use chicoryford_node::frame::decode;
+use chicoryford_node::frame::encode;
+use chicoryford_node::message::Answer;
+use chicoryford_node::message::Call;
+use chicoryford_node::message::Down;
+use chicoryford_node::message::News;
+use chicoryford_node::message::Up;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+
+use crate::fleet::Fleet;
+use crate::fleet::config;
+use crate::fleet::pause;
+use crate::member::Socket;
+use crate::member::greet_as;
+
+fn engine(id: &str, sequence: u64) -> Announcement {
+    Announcement {
+        id: id.to_owned(),
+        born: 0,
+        service: "engines".to_owned(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        data_centre: "here".to_owned(),
+        slots: 6,
+        draining: false,
+        models: BTreeMap::from([("m".to_owned(), 1)]),
+        sequence,
+    }
+}
+
+fn desk(id: &str) -> Announcement {
+    Announcement { service: "desk".to_owned(), models: BTreeMap::new(), ..engine(id, 1) }
+}
+
+/// The steps' route, and one for plain requests to the desk.
+fn with_desk(version: u64) -> Config {
+    let steps = config();
+    let route = Route {
+        name: "desk".to_owned(),
+        prefix: "/d/".to_owned(),
+        kind: Kind::Idempotent,
+        shares: vec![Share { service: "desk".to_owned(), weight: 1 }],
+        ..steps.routes[0].clone()
+    };
+    let services =
+        ["desk", "engines"].map(|name| Service { name: name.to_owned(), ..Service::default() });
+    let routes = vec![steps.routes[0].clone(), route];
+    Config { version, routes, services: services.to_vec(), ..steps }
+}
+
+/// The same services, and nothing but steps yet.
+fn steps_only(version: u64) -> Config {
+    let both = with_desk(version);
+    Config { routes: both.routes[..1].to_vec(), ..both }
+}
+
+async fn configure(fleet: &Fleet, config: Config) {
+    let configured = fleet.lead().commit(Command::Configure(Arc::new(config))).await;
+    assert!(matches!(configured, Answer::Done), "{configured:?}");
+}
+
+/// Gives the endpoints of which a member is told within a moment.
+async fn told(socket: &mut Socket) -> Vec<String> {
+    let mut told = Vec::new();
+    while let Ok(frame) = tokio::time::timeout(Duration::from_millis(150), next(socket)).await {
+        if let Down::News(News::Endpoint(endpoint)) = frame {
+            told.push(endpoint.said.id);
+        }
+    }
+    told
+}
+
+/// Gives the next word other than that the leader lives, which comes all the time.
+async fn next(socket: &mut Socket) -> Down {
+    loop {
+        let down = decode(&socket.next().await.unwrap().unwrap()).unwrap();
+        if !matches!(down, Down::Alive { .. }) {
+            return down;
+        }
+    }
+}
+
+async fn announce(fleet: &Fleet, said: Announcement) {
+    let answer = fleet.lead().answer(Call::Announce(said)).await;
+    assert!(matches!(answer, Answer::Heard), "{answer:?}");
+}
+
+/// Load: 3,000 engines that change with each version of the weights, before 300 entries; an engine is
+/// called by nobody but the hosts that the leader names.
+#[actix_rt::test]
+async fn entries_are_told_of_endpoints_that_they_may_call_and_replicas_of_all() {
+    let fleet = Fleet::start().await;
+    configure(&fleet, with_desk(2)).await;
+    announce(&fleet, engine("e1", 1)).await;
+    announce(&fleet, desk("d1")).await;
+    let mut entry = greet_as(fleet.links, "f", false).await;
+    let mut replica = greet_as(fleet.links, "c2", true).await;
+    assert_eq!(told(&mut entry).await, ["d1"]);
+    assert_eq!(told(&mut replica).await, ["d1", "e1"]);
+    announce(&fleet, engine("e2", 1)).await;
+    announce(&fleet, desk("d2")).await;
+    assert_eq!(told(&mut entry).await, ["d2"]);
+    assert_eq!(told(&mut replica).await, ["e2", "d2"]);
+}
+
+/// Symptom: requests of a new route are answered that no endpoint is ready.
+/// Sequence: an entry was told of the endpoints that it could call; a configuration then leads a route
+/// to another service, whose endpoints are all known to the leader.
+/// Cause: only changes of endpoints are told, and these have not changed.
+#[actix_rt::test]
+async fn entries_are_told_of_the_endpoints_of_a_service_that_a_new_route_leads_to() {
+    let fleet = Fleet::start().await;
+    configure(&fleet, steps_only(2)).await;
+    announce(&fleet, desk("d1")).await;
+    announce(&fleet, engine("e1", 1)).await;
+    let mut entry = greet_as(fleet.links, "f", false).await;
+    assert!(told(&mut entry).await.is_empty());
+    configure(&fleet, with_desk(3)).await;
+    assert_eq!(told(&mut entry).await, ["d1"]);
+}
+
+/// Symptom: engines that were heard all the time are taken for silent, and their runs taken away.
+/// Sequence: they announce themselves to a control process that answers by itself.
+/// Cause: the leader judges who is silent by what reaches it, so it is told whom others heard.
+#[actix_rt::test]
+async fn the_leader_counts_what_other_control_processes_heard() {
+    let fleet = Fleet::start().await;
+    configure(&fleet, with_desk(2)).await;
+    announce(&fleet, engine("e", 1)).await;
+    let mut replica = greet_as(fleet.links, "c2", true).await;
+    let sign = |sequence| Sign { id: "e".to_owned(), born: 0, sequence, age_ms: 0 };
+    for sequence in 2..9 {
+        pause(1_000).await;
+        replica.send(encode(&Up::Heard(vec![sign(sequence)]))).await.unwrap();
+    }
+    pause(100).await;
+    let counts = fleet.lead().endpoint_counts();
+    assert_eq!(counts.get("ready"), Some(&1), "{counts:?}");
+}
--- /dev/null
+++ b/components/node/tests/lead/scorers.rs
@@ -0,0 +1,238 @@
+//! What becomes of scorers' calls when a step has ended.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chicoryford_depot::Depot as Depository;
+use chicoryford_depot::Worker;
+use chicoryford_fleet::Announcement;
+use chicoryford_fleet::Command;
+use chicoryford_fleet::Endpoint;
+use chicoryford_fleet::Kind;
+use chicoryford_fleet::Policy;
+use chicoryford_fleet::Route;
+use chicoryford_fleet::Sample;
+use chicoryford_fleet::Share;
+use chicoryford_fleet::endpoint;
+use chicoryford_fleet::run::Job;
+use chicoryford_fleet::run::Work;
+use chicoryford_fleet::step::Scorer;
+use chicoryford_node::forward::Forwarder;
+use chicoryford_node::link;
+use chicoryford_node::link::Link;
+use chicoryford_node::message::Answer;
+use chicoryford_node::message::News;
+use chicoryford_node::runner::Runner;
+use chicoryford_node::view::View;
+use chicoryford_storage::Disk;
+use tempfile::TempDir;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use crate::fleet::Fleet;
+use crate::fleet::config;
+use crate::fleet::job;
+use crate::fleet::pause;
+use crate::fleet::until;
+use crate::member::BOUND;
+use crate::member::Kept;
+
+/// Passes bytes on between a host and the leader. Once `from` is set, the leader's take longer and longer,
+/// up to `LAG`, while they keep coming. The task ends with the connection.
+async fn slow_line(
+    links: SocketAddr,
+    from: Rc<Cell<Option<Instant>>>,
+) -> (SocketAddr, JoinHandle<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let task = actix_rt::spawn(async move {
+        let (near, _) = listener.accept().await.unwrap();
+        let far = TcpStream::connect(links).await.unwrap();
+        let (mut near_read, mut near_write) = near.into_split();
+        let (mut far_read, mut far_write) = far.into_split();
+        actix_rt::spawn(async move { tokio::io::copy(&mut near_read, &mut far_write).await });
+        let (came, mut waiting) = mpsc::unbounded_channel();
+        actix_rt::spawn(async move {
+            let mut bytes = vec![0; 64 << 10];
+            while let Ok(read @ 1..) = far_read.read(&mut bytes).await {
+                let lag = from.get().map_or(Duration::ZERO, |from| (from.elapsed() / 2).min(LAG));
+                if came.send((Instant::now() + lag, bytes[..read].to_vec())).is_err() {
+                    return;
+                }
+            }
+        });
+        while let Some((at, bytes)) = waiting.recv().await {
+            tokio::time::sleep_until(at).await;
+            if near_write.write_all(&bytes).await.is_err() {
+                return;
+            }
+        }
+    });
+    (address, task)
+}
+
+/// How late the leader's words are at most: orders 4.5 s old were seen.
+const LAG: Duration = Duration::from_millis(4_000);
+
+/// An engine that makes events of one sample until it is told to finish.
+async fn engine(id: &'static str, finish: Rc<Cell<bool>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut bytes = vec![0; 4_096];
+        assert!(stream.read(&mut bytes).await.unwrap() > 0);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-stamp: p\r\n\
+             transfer-encoding: chunked\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let mut number = 0;
+        while !finish.get() {
+            let event = format!("id: {number}\ndata: event {number}\n\n");
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            stream.write_all(chunk.as_bytes()).await.unwrap();
+            number += 1;
+            pause(50).await;
+        }
+        stream.write_all(b"0\r\n\r\n").await.unwrap();
+        pause(5_000).await;
+    });
+    address
+}
+
+/// A scorer that notes when it is called.
+async fn scorer() -> (SocketAddr, Rc<RefCell<Vec<Instant>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let called: Rc<RefCell<Vec<Instant>>> = Rc::default();
+    let notes = called.clone();
+    actix_rt::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut bytes = vec![0; 4_096];
+            if stream.read(&mut bytes).await.unwrap_or(0) > 0 {
+                notes.borrow_mut().push(Instant::now());
+                let reply = "HTTP/1.1 200 OK\r\nx-attempt-id: c\r\nx-response-stamp: p\r\n\
+                             content-length: 0\r\n\r\n";
+                let _ = stream.write_all(reply.as_bytes()).await;
+            }
+        }
+    });
+    (address, called)
+}
+
+/// Symptom: a scorer gets the call of a sample whose step ended more than three seconds ago.
+/// Sequence: the leader's words reach a host some seconds late, while they keep coming, so that neither side
+/// takes the other for lost; the step ends; the host's run of it, which it was ordered in time, is whole
+/// after that, and its scorer is called; then the host reads the word to stop.
+/// Cause: only orders to run have a bound in time. A host calls scorers however old the newest word is that
+/// it has from the leader.
+#[actix_rt::test]
+async fn no_scorer_is_called_long_after_the_end_though_the_word_to_stop_lies_on_its_way() {
+    let (fleet, kept) = (Fleet::start().await, Kept::default());
+    let mut config = config();
+    let route = Route {
+        name: "score".to_owned(),
+        prefix: "/score/".to_owned(),
+        kind: Kind::Idempotent,
+        timeout_ms: Some(2_000),
+        shares: vec![Share { service: "desk".to_owned(), weight: 1 }],
+        due_ms: None,
+        age_ms: None,
+        ..config.routes[0].clone()
+    };
+    config.routes.push(route);
+    config.version = 2;
+    assert!(matches!(
+        fleet.lead().commit(Command::Configure(Arc::new(config))).await,
+        Answer::Done
+    ));
+    let store = fleet.store(&kept).await;
+    fleet.submit("a").await;
+    drop(store);
+    let lead = fleet.next_lead();
+    let _store = fleet.store(&kept).await;
+    until("the step is read", || lead.plan.borrow().has("a")).await;
+
+    let (address, called) = scorer().await;
+    let view = Rc::new(View::default());
+    let forwarder = Forwarder::new(Policy::default());
+    let said = Announcement {
+        id: "i0".to_owned(),
+        born: 0,
+        service: "desk".to_owned(),
+        address,
+        data_centre: "here".to_owned(),
+        slots: 10,
+        draining: false,
+        models: BTreeMap::new(),
+        sequence: 1,
+    };
+    forwarder.learn(&News::Endpoint(Endpoint { said, standing: endpoint::Standing::Ready }));
+    let runner = Runner::new(view.clone(), forwarder);
+    actix_rt::spawn(runner.clone().run());
+    let folder = TempDir::new().unwrap();
+    let depot = Depository::open(folder.path(), Disk::default()).unwrap();
+    let worker = Worker::start(depot, |error| panic!("{error}")).unwrap();
+    let from = Rc::<Cell<Option<Instant>>>::default();
+    let (line, passing) = slow_line(fleet.links, from.clone()).await;
+    let member = link::Member {
+        node: "h".to_owned(),
+        data_centre: "here".to_owned(),
+        address: line,
+        replica: false,
+        depot: Some(Rc::new(worker)),
+        runner: Some(runner),
+    };
+    let link = Link::new(member, view.clone(), vec![line]);
+    let linked = link.clone();
+    actix_rt::spawn(async move { linked.run().await });
+    until("the host follows", || link.is_connected() && view.config().is_some()).await;
+
+    let finish = Rc::<Cell<bool>>::default();
+    let scorer = Scorer {
+        id: "c".to_owned(),
+        host: "h".to_owned(),
+        path: "/score/1".to_owned(),
+        body: Bytes::new(),
+    };
+    let sample = Sample {
+        id: "a0".to_owned(),
+        path: "/s/1".to_owned(),
+        scorer: Some(scorer),
+        ..Sample::default()
+    };
+    let order = Job {
+        step: "a".to_owned(),
+        sample,
+        address: engine("a0", finish.clone()).await,
+        ..job(1, Bytes::new())
+    };
+    assert!(fleet.followers.work("h", Work::Run(Box::new(order))));
+    let hosted = || lead.plan.borrow().host("a", 0) == Some(("h".to_owned(), 1));
+    until("the run is known", hosted).await;
+    from.set(Some(Instant::now()));
+    tokio::time::sleep(LAG * 2).await;
+    assert!(hosted() && link.is_connected(), "the run goes on, and both sides hear each other");
+    fleet.end("a").await;
+    let ended = Instant::now();
+    tokio::time::sleep(BOUND + Duration::from_millis(150)).await;
+    finish.set(true);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    // A host that connected anew, past the slow line, would show nothing.
+    assert!(!passing.is_finished(), "the connection lasts");
+    let late: Vec<Duration> = called.borrow().iter().map(|at| *at - ended).collect();
+    assert!(late.iter().all(|late| *late <= BOUND), "after the end: {late:?}");
+}
--- a/components/node/tests/link.rs
+++ b/components/node/tests/link.rs
@@ -78,6 +78,7 @@
             node: "h".to_owned(),
             data_centre: "here".to_owned(),
             address,
+            replica: false,
             depot: None,
             runner: Some(runner),
         };
