The last results of a step are listed together, when a read that waits would end

Cause: a trainer begins a read each half second, or when the one before is answered if that took longer. A result listed just before the last ones is read at once, and the trainer then sleeps while the last ones are listed. Change: verdicts of the last tenth of a step wait for the end of the read that waits for them, half a second if none does, a second at most; nothing waits once the trainer has as many whole groups as it waits for. Cost: whoever wants the first of the last tenth has it up to a second later, within the wait that it stated.

--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -4,6 +4,7 @@
 //! has without asking. Hosts carry runs out ([`crate::run`]), and tell the next leader of them.
 
 mod assign;
+mod gather;
 mod moves;
 mod notes;
 mod reports;
@@ -23,6 +24,9 @@
 use crate::policy::Policy;
 use crate::step::Step;
 
+pub use gather::GATHER_MS;
+pub use gather::LAST_MS;
+pub use gather::MOST_MS;
 pub use seat::Seat;
 pub use work::Assignment;
 pub use work::Made;
--- a/components/fleet/src/policy.rs
+++ b/components/fleet/src/policy.rs
@@ -24,6 +24,8 @@
     pub engine_paces: bool,
     /// Runs on engines that are far slower than usual go on elsewhere.
     pub slow_moves: bool,
+    /// The last results of a step are listed together.
+    pub last_together: bool,
     /// What long runs have made is noted on the stores.
     pub run_notes: bool,
     /// A model's engines beyond half take new weights too, when there is room.
@@ -52,6 +54,7 @@
             group_homes: true,
             engine_paces: true,
             slow_moves: true,
+            last_together: true,
             run_notes: true,
             spare_loads: true,
             load_order: true,
--- a/components/fleet/tests/plan.rs
+++ b/components/fleet/tests/plan.rs
@@ -14,6 +14,9 @@
 use chicoryford_fleet::Standing;
 use chicoryford_fleet::Step;
 use chicoryford_fleet::plan::Assignment;
+use chicoryford_fleet::plan::GATHER_MS;
+use chicoryford_fleet::plan::LAST_MS;
+use chicoryford_fleet::plan::MOST_MS;
 use chicoryford_fleet::plan::Made;
 use chicoryford_fleet::plan::Next;
 use chicoryford_fleet::plan::Plan;
@@ -413,3 +416,61 @@
     assert_eq!(given_up, 0, "of 16 samples, {on_bad} runs at the bad engine");
     assert!(on_bad <= 4, "{on_bad} runs at an engine that has failed at four");
 }
+
+/// A step of `groups` groups of ten, of which its trainer waits for all but one.
+fn grouped(id: &str, groups: usize) -> Arc<Step> {
+    let plain = step(id, &vec![1; groups * 10]);
+    let samples = plain.samples.iter().enumerate();
+    let grouped = samples
+        .map(|(index, sample)| Sample { group: format!("g{}", index / 10), ..sample.clone() });
+    Arc::new(Step { samples: grouped.collect(), wanted: groups as u64 - 1, ..(*plain).clone() })
+}
+
+/// The load: three trainers with steps of 80 to 128 samples, of which the longest three to eight are
+/// cut off at the same length and end 30 to 130 ms apart, 7.3 s after they began. A trainer that has
+/// read something reads again half a second later, and so had its whole step that much later.
+#[test]
+fn the_last_results_of_a_step_wait_for_each_other_and_no_others_do() {
+    let mut plan = plan(&[engine("e1", 30, 1)], &[grouped("a", 3)]);
+    assign(&mut plan, NOW);
+    let (soon, last) = (NOW + GATHER_MS, NOW + LAST_MS);
+    // Two groups are whole but for one sample each, and the third for two.
+    let settled: Vec<u32> = (0..30).filter(|index| ![9, 19, 28, 29].contains(index)).collect();
+    for index in settled {
+        assert_eq!(plan.list_at("a", NOW, None), soon, "{index}");
+        plan.settled("a", index);
+    }
+    plan.settled("a", 9);
+    assert_eq!(plan.list_at("a", NOW, None), last, "three of thirty are left");
+    plan.settled("a", 28);
+    assert_eq!(plan.list_at("a", NOW, None), last);
+    plan.settled("a", 19);
+    assert_eq!(plan.list_at("a", NOW, None), soon, "its trainer has what it waits for");
+}
+
+/// A read that is over goes with what there is, so it is never answered empty for this.
+#[test]
+fn the_last_results_of_a_step_are_listed_before_a_read_that_waits_for_them_is_over() {
+    let mut plan = plan(&[engine("e1", 30, 1)], &[grouped("a", 3)]);
+    assign(&mut plan, NOW);
+    for index in 0..27 {
+        plan.settled("a", if index < 18 { index } else { index + 1 });
+    }
+    let list_at = |read: u64| plan.list_at("a", NOW, Some(NOW + read)).since(NOW);
+    assert_eq!(list_at(700), 650);
+    assert_eq!(list_at(20), GATHER_MS);
+    assert_eq!(list_at(5_000), MOST_MS);
+}
+
+#[test]
+fn the_last_sample_of_a_step_waits_for_nobody() {
+    let mut plan = plan(&[engine("e1", 30, 1)], &[grouped("a", 3)]);
+    assign(&mut plan, NOW);
+    for index in 0..30 {
+        plan.settled("a", index);
+    }
+    let read = Some(NOW + 900);
+    assert_eq!(plan.list_at("a", NOW, read), NOW + GATHER_MS);
+    plan.close("a");
+    assert_eq!(plan.list_at("a", NOW, read), NOW + GATHER_MS, "nor does one of a closed step");
+}
--- a/components/node/src/lead/mod.rs
+++ b/components/node/src/lead/mod.rs
@@ -2,6 +2,7 @@
 //! has samples made.
 
 mod endpoints;
+mod readers;
 mod runs;
 mod steps;
 mod stores;
@@ -54,6 +55,7 @@
 use crate::runner::Runner;
 use crate::settings::Settings;
 use crate::view::View;
+use readers::Readers;
 
 /// The planner looks around this often, besides when something happens.
 const LOOK: Duration = Duration::from_millis(50);
@@ -110,6 +112,8 @@
     kick: Notify,
     hosts: Hosts,
     outbox: Outbox,
+    /// Reads of results that wait.
+    pub(crate) readers: Readers,
     duties: RefCell<Vec<JoinHandle<()>>>,
     /// Set once this leadership has ended; the process may lead again, in another epoch.
     ended: Cell<bool>,
@@ -154,6 +158,7 @@
             kick: Notify::new(),
             hosts,
             outbox: Outbox::default(),
+            readers: Readers::default(),
             duties: RefCell::default(),
             ended: Cell::default(),
             parts,
--- a/components/node/src/lead/steps.rs
+++ b/components/node/src/lead/steps.rs
@@ -93,6 +93,7 @@
     pub(super) async fn read(&self, step: &str, after: u64, wait_ms: u64, near: &str) -> Answer {
         let until = clock::now() + wait_ms;
         let mut listed = self.listed.subscribe();
+        let mut waiting = None;
         loop {
             if !self.leads() {
                 return Answer::NotNow;
@@ -106,6 +107,10 @@
             if ready {
                 return self.results(step, after, near).await;
             }
+            if waiting.is_none() {
+                waiting = Some(self.readers.wait(step, until));
+                self.outbox.look();
+            }
             let changed = listed.changed();
             if let Ok(Err(_)) = tokio::time::timeout(Duration::from_millis(left), changed).await {
                 return Answer::NotNow;
--- a/components/node/src/listing.rs
+++ b/components/node/src/listing.rs
@@ -12,14 +12,13 @@
 use chicoryford_fleet::Verdict;
 use chicoryford_fleet::copies::PartId;
 use chicoryford_fleet::step::Result;
+use chicoryford_types::Millis;
 use tokio::sync::Notify;
 
+use crate::clock;
 use crate::lead::Lead;
 use crate::message::Answer;
 
-/// How long the first of several verdicts waits for others, so that they share a part, an entry
-/// and a sync. It is short beside the half second between two reads of a trainer.
-const GATHER: Duration = Duration::from_millis(25);
 /// Pause after the log did not take them.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -34,19 +33,58 @@
     pub verdict: Verdict,
 }
 
+/// The verdicts of one step that wait to be listed, and since when the first does.
+struct Waiting {
+    since: Millis,
+    settled: Vec<Settled>,
+}
+
 /// Verdicts that wait to be listed.
 #[derive(Default)]
 pub struct Outbox {
-    waiting: RefCell<BTreeMap<String, Vec<Settled>>>,
+    waiting: RefCell<BTreeMap<String, Waiting>>,
     filled: Notify,
 }
 
 impl Outbox {
     /// Adds a verdict.
     pub fn put(&self, step: &str, settled: Settled) {
-        self.waiting.borrow_mut().entry(step.to_owned()).or_default().push(settled);
+        self.add(step, vec![settled]);
+        self.filled.notify_one();
+    }
+
+    fn add(&self, step: &str, settled: Vec<Settled>) {
+        let mut waiting = self.waiting.borrow_mut();
+        let since = clock::now();
+        let begun = || Waiting { since, settled: Vec::new() };
+        waiting.entry(step.to_owned()).or_insert_with(begun).settled.extend(settled);
+    }
+
+    /// Has it looked again when verdicts are to be listed.
+    pub fn look(&self) {
         self.filled.notify_one();
     }
+
+    /// Takes the verdicts of the steps that are due, and tells when the next are; none if there are no
+    /// others. `list_at` tells that from the step and since when the first of its verdicts waits.
+    fn take(
+        &self,
+        now: Millis,
+        list_at: impl Fn(&str, Millis) -> Millis,
+    ) -> (Vec<(String, Vec<Settled>)>, Option<Millis>) {
+        let mut due = Vec::new();
+        let mut next: Option<Millis> = None;
+        self.waiting.borrow_mut().retain(|step, waiting| {
+            let at = list_at(step, waiting.since);
+            if at <= now {
+                due.push((step.clone(), std::mem::take(&mut waiting.settled)));
+            } else {
+                next = Some(next.map_or(at, |next| next.min(at)));
+            }
+            at > now
+        });
+        (due, next)
+    }
 }
 
 /// Lists verdicts until the process no longer leads.
@@ -54,12 +92,22 @@
     loop {
         let Some(lead) = lead.upgrade() else { return };
         let outbox = lead.outbox();
-        if outbox.waiting.borrow().is_empty() {
-            outbox.filled.notified().await;
-            tokio::time::sleep(GATHER).await;
+        let list_at =
+            |step: &str, since| lead.plan.borrow().list_at(step, since, lead.readers.first(step));
+        let (due, next) = outbox.take(clock::now(), list_at);
+        if due.is_empty() {
+            // A verdict that comes meanwhile may be the last that others wait for.
+            let filled = outbox.filled.notified();
+            match next {
+                Some(next) => {
+                    let left = Duration::from_millis(next.since(clock::now()));
+                    drop(tokio::time::timeout(left, filled).await);
+                }
+                None => filled.await,
+            }
+            continue;
         }
-        let waiting = std::mem::take(&mut *outbox.waiting.borrow_mut());
-        let listings = waiting.into_iter().map(|(step, settled)| {
+        let listings = due.into_iter().map(|(step, settled)| {
             let lead = lead.clone();
             async move {
                 let answer = list(&lead, &step, &settled).await;
@@ -71,7 +119,7 @@
         for (step, settled, answer) in done {
             if matches!(answer, Answer::NotNow | Answer::Unclear) {
                 // Listed twice, a sample keeps its first result.
-                outbox.waiting.borrow_mut().entry(step).or_default().extend(settled);
+                outbox.add(&step, settled);
                 held_up = true;
             }
         }
