--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -4,6 +4,7 @@
 //! has without asking. Hosts carry runs out ([`crate::run`]), and tell the next leader of them.
 
 mod assign;
+mod gather;
 mod moves;
 mod notes;
 mod reports;
@@ -23,6 +24,9 @@
 use crate::policy::Policy;
 use crate::step::Step;
 
+pub use gather::GATHER_MS;
+pub use gather::LAST_MS;
+pub use gather::MOST_MS;
 pub use seat::Seat;
 pub use work::Assignment;
 pub use work::Made;
@@ -137,6 +141,13 @@
         }
     }
 
+    /// Notes that an engine was heard again, with an announcement of this number.
+    pub fn heard(&mut self, id: &str, sequence: u64) {
+        if let Some(seat) = self.seats.get_mut(id) {
+            seat.endpoint.said.sequence = sequence;
+        }
+    }
+
     /// Forgets an engine.
     pub fn forget(&mut self, id: &str) {
         self.seats.remove(id);
