--- /dev/null
+++ b/components/fleet/benches/round.rs
@@ -0,0 +1,140 @@
+//! What one round of the leader costs by the number of engines: the planner's looks, the choice of
+//! engines that take new weights, and the samples of a step that start.
+//!
+//! `cargo bench -p chicoryford-fleet --bench round`; docs/SCALE.md notes the figures.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use chicoryford_fleet::Announcement;
+use chicoryford_fleet::Config;
+use chicoryford_fleet::Endpoint;
+use chicoryford_fleet::Kind;
+use chicoryford_fleet::Policy;
+use chicoryford_fleet::Registry;
+use chicoryford_fleet::Route;
+use chicoryford_fleet::Sample;
+use chicoryford_fleet::Share;
+use chicoryford_fleet::Standing;
+use chicoryford_fleet::Step;
+use chicoryford_fleet::endpoint;
+use chicoryford_fleet::plan::Plan;
+use chicoryford_fleet::plan::Seat;
+use chicoryford_fleet::swap;
+use chicoryford_fleet::swap::Claim;
+use chicoryford_fleet::turn::Turn;
+use chicoryford_types::Epoch;
+use chicoryford_types::Millis;
+
+/// Engines: those of the largest deployment, and a tenth, a third and all of those beside 300 VMs.
+const ENGINES: [usize; 4] = [46, 300, 1_000, 3_000];
+/// Samples of a step, as the largest deployment's trainers submit them.
+const SAMPLES: usize = 144;
+/// Rounds that are timed.
+const ROUNDS: u32 = 50;
+const NOW: Millis = Millis(1_000);
+const MODELS: [&str; 3] = ["one", "two", "three"];
+
+fn engine(number: usize) -> Endpoint {
+    let said = Announcement {
+        id: format!("i-{number:010x}"),
+        born: 0,
+        service: "engines".to_owned(),
+        address: "10.0.0.1:80".parse().expect("it is an address"),
+        data_centre: "z".to_owned(),
+        slots: 6,
+        draining: false,
+        models: MODELS.iter().map(|model| ((*model).to_owned(), 4)).collect(),
+        sequence: 1,
+    };
+    Endpoint { said, standing: Standing::Ready }
+}
+
+fn config() -> Config {
+    let route = Route {
+        name: "steps".to_owned(),
+        host: "h".to_owned(),
+        prefix: "/s/".to_owned(),
+        kind: Kind::Step,
+        timeout_ms: None,
+        target_ms: 400,
+        priority: 1,
+        shares: vec![Share { service: "engines".to_owned(), weight: 1 }],
+        attempts: 3,
+        resumable: true,
+        due_ms: Some(7_500),
+        age_ms: Some(40_000),
+        single: false,
+    };
+    Config { version: 1, routes: vec![route], ..Config::default() }
+}
+
+fn step(id: &str) -> Arc<Step> {
+    let sample = |index: usize| Sample {
+        id: format!("{id}{index}"),
+        path: "/s/1".to_owned(),
+        expected: index as u64,
+        group: format!("g{}", index / 8),
+        ..Sample::default()
+    };
+    Arc::new(Step {
+        id: id.to_owned(),
+        host: "h".to_owned(),
+        model: MODELS[0].to_owned(),
+        due_ms: 7_500,
+        age_ms: 40_000,
+        attempts: 3,
+        samples: (0..SAMPLES).map(sample).collect(),
+        ..Step::default()
+    })
+}
+
+/// Gives the microseconds that one call takes.
+fn time(mut work: impl FnMut()) -> f64 {
+    let began = Instant::now();
+    for _ in 0..ROUNDS {
+        work();
+    }
+    began.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS)
+}
+
+fn main() {
+    // Test runners ask every target for its tests.
+    if std::env::args().any(|argument| argument == "--list" || argument == "--test") {
+        return;
+    }
+    println!("engines  registry us  slow runs us  weights us  {SAMPLES} samples us");
+    for count in ENGINES {
+        let engines: Vec<Endpoint> = (0..count).map(engine).collect();
+        let known = engines.iter().cloned();
+        let mut registry = Registry::adopt(endpoint::Settings::default(), known, NOW);
+        let mut plan = Plan::new(Epoch(1));
+        engines.iter().for_each(|engine| plan.observe(engine));
+        let claims = MODELS.map(|model| Claim {
+            model: model.to_owned(),
+            version: 4,
+            demand: 1_000,
+            samples: 2 * SAMPLES,
+            starved: 0,
+        });
+        let (turn, policy) =
+            (Turn { ordered: BTreeMap::new(), ..Turn::default() }, Policy::default());
+        let ticks = time(|| drop(registry.tick(NOW)));
+        let slow = time(|| drop(plan.slow_runs(NOW)));
+        let weights = time(|| {
+            let seats: Vec<&Seat> = plan.seats().collect();
+            drop(swap::wishes(&seats, &claims, &turn, policy, NOW));
+        });
+        let config = config();
+        let mut number = 0;
+        let assigned = time(|| {
+            let id = format!("s{number}");
+            number += 1;
+            plan.open(step(&id), NOW, Millis::default(), |_| false);
+            plan.assign(&config, NOW);
+            plan.close(&id);
+        });
+        println!("{count:7}  {ticks:11.1}  {slow:12.1}  {weights:10.1}  {assigned:14.1}");
+    }
+}
--- a/components/fleet/src/endpoint.rs
+++ b/components/fleet/src/endpoint.rs
@@ -208,6 +208,18 @@
         (changed, forgotten)
     }
 
+    /// Compares with the endpoints that are noted: gives those that may be given work and are new or
+    /// otherwise than noted, and those noted that may not any more.
+    pub fn unlike(&self, noted: &BTreeMap<String, Endpoint>) -> (Vec<Endpoint>, Vec<String>) {
+        let ready = |id: &str| self.get(id).filter(|known| known.standing == Standing::Ready);
+        let same = |known: &Endpoint| {
+            noted.get(&known.said.id).is_some_and(|noted| known.said.repeats(&noted.said))
+        };
+        let live = self.all().filter(|known| known.standing == Standing::Ready && !same(known));
+        let gone = noted.keys().filter(|id| ready(id).is_none());
+        (live.cloned().collect(), gone.cloned().collect())
+    }
+
     /// Gives an endpoint.
     pub fn get(&self, id: &str) -> Option<&Endpoint> {
         self.held.get(id).map(|held| &held.endpoint)
--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -192,6 +192,12 @@
         works.flat_map(|work| &work.step.samples).map(|sample| sample.tokens).sum()
     }
 
+    /// Counts the samples of a model's open steps.
+    pub fn open_samples(&self, model: &str) -> usize {
+        let works = self.works.values().filter(|work| work.step.model == model);
+        works.map(|work| work.step.samples.len()).sum()
+    }
+
     /// Tells whether samples of a model's open steps must each be made by one version.
     pub fn is_single(&self, model: &str) -> bool {
         self.works.values().any(|work| work.step.model == model && work.step.single)
--- a/components/fleet/src/state.rs
+++ b/components/fleet/src/state.rs
@@ -52,8 +52,15 @@
         /// Where it lies.
         place: Place,
     },
-    /// Notes the endpoints that are known, for a leader that finds nobody who knows them.
-    Know(Vec<Endpoint>),
+    /// Notes what has changed of the endpoints that are known, for a leader that finds nobody who knows
+    /// them. Were all noted each time, one of 3,000 endpoints that leaves would wait for half a
+    /// megabyte to be on the disks of a majority before its word is acknowledged.
+    Know {
+        /// Endpoints that are new or otherwise than noted.
+        live: Vec<Endpoint>,
+        /// Endpoints to which no work may go any more.
+        gone: Vec<String>,
+    },
     /// Notes that copies of a part lie elsewhere now.
     Move {
         /// The part.
@@ -153,7 +160,7 @@
     /// Store VMs that are to be emptied.
     pub retired: BTreeSet<String>,
     /// Endpoints that were known lately.
-    pub endpoints: Vec<Endpoint>,
+    pub endpoints: BTreeMap<String, Endpoint>,
 }
 
 impl State {
@@ -167,10 +174,7 @@
             Command::Submit { step, place } => self.submit(step, place),
             Command::List { step, part, results } => self.list(&step, part, results),
             Command::Note { step, part, place } => self.note(&step, part, place),
-            Command::Know(endpoints) => {
-                self.endpoints = endpoints;
-                Done::Changed
-            }
+            Command::Know { live, gone } => self.know(live, &gone),
             Command::Move { part, stores } => self.move_part(part, stores),
             Command::End { step } => self.end(&step),
             Command::Forget { steps } => self.forget(&steps),
@@ -178,6 +182,15 @@
         }
     }
 
+    fn know(&mut self, live: Vec<Endpoint>, gone: &[String]) -> Done {
+        for id in gone {
+            self.endpoints.remove(id);
+        }
+        let live = live.into_iter().map(|endpoint| (endpoint.said.id.clone(), endpoint));
+        self.endpoints.extend(live);
+        Done::Changed
+    }
+
     fn configure(&mut self, config: Arc<Config>) -> Done {
         let newer = self.config.as_ref().is_none_or(|held| held.version < config.version);
         if newer {
--- a/components/fleet/src/swap.rs
+++ b/components/fleet/src/swap.rs
@@ -36,6 +36,8 @@
     pub version: u64,
     /// How much it asks for, in tokens.
     pub demand: u64,
+    /// The most samples that it had open at once.
+    pub samples: usize,
     /// Samples that wait because no engine is new enough.
     pub starved: usize,
 }
@@ -51,9 +53,15 @@
     pub version: u64,
 }
 
+/// Samples for which a model is given one engine. A run beside another takes 0.3% longer, so more
+/// engines than one for two samples make nothing faster, and each takes an order and a load for every
+/// version: 2,900 of them for 3,000 engines and three trainers in half a minute.
+const EACH_SERVES: usize = 2;
+
 /// Divides engines among models by demand: each gets [`LEAST`] where there are enough, the rest
-/// goes by tokens. Engines keep their order, so that a change of demand moves few of them.
-pub fn divide(engines: &[String], claims: &[Claim]) -> BTreeMap<String, String> {
+/// goes by tokens, up to what a model has samples for. Engines keep their order, so that a change of
+/// demand moves few of them; those that nobody needs have no owner.
+pub fn divide<'a>(engines: &[&'a str], claims: &'a [Claim]) -> BTreeMap<&'a str, &'a str> {
     let (count, models) = (engines.len(), claims.len());
     if models == 0 {
         return BTreeMap::new();
@@ -67,10 +75,12 @@
         sum += claim.demand.max(1);
         let share = (spare as u64 * sum + total / 2) / total;
         let end = (least * (place + 1) + share as usize).min(count);
-        for engine in &engines[next..end.max(next)] {
-            owners.insert(engine.clone(), claim.model.clone());
+        let end = end.max(next);
+        let needed = claim.samples.div_ceil(EACH_SERVES).max(LEAST);
+        for engine in engines[next..end].iter().take(needed) {
+            owners.insert(*engine, claim.model.as_str());
         }
-        next = end.max(next);
+        next = end;
     }
     owners
 }
@@ -84,14 +94,14 @@
     policy: Policy,
     now: Millis,
 ) -> Vec<Wish> {
-    let mut engines: Vec<String> = seats.iter().map(|seat| seat.endpoint.said.id.clone()).collect();
-    engines.sort();
+    let mut engines: Vec<&str> = seats.iter().map(|seat| &*seat.endpoint.said.id).collect();
+    engines.sort_unstable();
     let owners = divide(&engines, claims);
     let most = (seats.len() * AT_ONCE.0 / AT_ONCE.1).max(1);
     let busy = seats.iter().filter(|seat| seat.loading.is_some()).count();
     let mut behind: Vec<(Urgency, Wish)> = Vec::new();
     for claim in claims {
-        let own = |seat: &&&Seat| owners.get(&seat.endpoint.said.id) == Some(&claim.model);
+        let own = |seat: &&&Seat| owners.get(&*seat.endpoint.said.id) == Some(&&*claim.model);
         let own: Vec<&Seat> = seats.iter().filter(own).copied().collect();
         behind.extend(behind_of(&own, claim, turn, now));
     }
--- a/components/fleet/tests/endpoint.rs
+++ b/components/fleet/tests/endpoint.rs
@@ -150,3 +150,25 @@
     assert!(!registry.is_foreign(&draining("i", 2), Some(&without)), "its service was taken away");
     assert!(registry.is_foreign(&said("j", 1), Some(&without)));
 }
+
+/// The load: one of 3,000 endpoints leaves, and its word is acknowledged when the log has forgotten it.
+/// What is written for it must not grow with the others.
+#[test]
+fn only_what_changed_of_the_endpoints_is_noted() {
+    let mut registry = Registry::default();
+    for number in 0..3_000 {
+        registry.announce(said(&format!("i{number}"), 1), Millis(0));
+    }
+    let (live, gone) = registry.unlike(&BTreeMap::new());
+    assert_eq!((live.len(), gone.len()), (3_000, 0));
+    let noted: BTreeMap<_, _> =
+        live.into_iter().map(|endpoint| (endpoint.said.id.clone(), endpoint)).collect();
+    registry.announce(said("i7", 2), Millis(1));
+    assert_eq!(registry.unlike(&noted), (Vec::new(), Vec::new()), "a number is no change");
+    let newer = Announcement { models: BTreeMap::from([("m".to_owned(), 2)]), ..said("i7", 3) };
+    registry.announce(newer, Millis(2));
+    registry.announce(draining("i8", 2), Millis(2));
+    let (live, gone) = registry.unlike(&noted);
+    assert_eq!(live.iter().map(|endpoint| &*endpoint.said.id).collect::<Vec<_>>(), ["i7"]);
+    assert_eq!(gone, ["i8"]);
+}
--- a/components/fleet/tests/state.rs
+++ b/components/fleet/tests/state.rs
@@ -1,14 +1,18 @@
 //! The replicated state: what is accepted stays, and every replica computes the same.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use chicoryford_fleet::Announcement;
 use chicoryford_fleet::Command;
 use chicoryford_fleet::Config;
 use chicoryford_fleet::Done;
+use chicoryford_fleet::Endpoint;
 use chicoryford_fleet::Listed;
 use chicoryford_fleet::Outline;
 use chicoryford_fleet::Stamped;
+use chicoryford_fleet::Standing;
 use chicoryford_fleet::State;
 use chicoryford_fleet::copies::PartId;
 use chicoryford_fleet::copies::Place;
@@ -167,3 +171,31 @@
         rmp_serde::to_vec(&one).unwrap() == rmp_serde::to_vec(&other).unwrap()
     }
 }
+
+#[test]
+fn endpoints_are_noted_and_forgotten_one_by_one() {
+    let endpoint = |id: &str, version| Endpoint {
+        said: Announcement {
+            id: id.to_owned(),
+            born: 0,
+            service: "a".to_owned(),
+            address: "10.0.0.1:80".parse().unwrap(),
+            data_centre: "z".to_owned(),
+            slots: 1,
+            draining: false,
+            models: BTreeMap::from([("m".to_owned(), version)]),
+            sequence: 1,
+        },
+        standing: Standing::Ready,
+    };
+    let mut state = State::default();
+    let mut know = |live: &[Endpoint], gone: &[&str]| {
+        let gone = gone.iter().map(|id| (*id).to_owned()).collect();
+        let command = Command::Know { live: live.to_vec(), gone };
+        state.apply(Stamped { at: 1, command });
+        let versions = state.endpoints.values().map(|known| known.said.models["m"]);
+        versions.collect::<Vec<u64>>()
+    };
+    assert_eq!(know(&[endpoint("a", 1), endpoint("b", 1)], &[]), [1, 1]);
+    assert_eq!(know(&[endpoint("b", 2), endpoint("c", 3)], &["a", "d"]), [2, 3]);
+}
--- a/components/fleet/tests/swap.rs
+++ b/components/fleet/tests/swap.rs
@@ -17,7 +17,7 @@
 use chicoryford_types::Millis;
 
 fn claim(model: &str, version: u64, demand: u64) -> Claim {
-    Claim { model: model.to_owned(), version, demand, starved: 0 }
+    Claim { model: model.to_owned(), version, demand, samples: 288, starved: 0 }
 }
 
 fn plan(versions: &[(u64, u64)]) -> Plan {
@@ -47,12 +47,27 @@
 #[test]
 fn engines_are_divided_by_demand_and_each_model_keeps_two() {
     let engines: Vec<String> = (0..9).map(|n| n.to_string()).collect();
-    let owners = divide(&engines, &[claim("one", 1, 1), claim("two", 1, 100)]);
-    let of = |model: &str| owners.values().filter(|owner| *owner == model).count();
+    let engines: Vec<&str> = engines.iter().map(String::as_str).collect();
+    let claims = [claim("one", 1, 1), claim("two", 1, 100)];
+    let owners = divide(&engines, &claims);
+    let of = |model: &str| owners.values().filter(|owner| **owner == model).count();
     assert_eq!((of("one"), of("two")), (2, 7));
     assert!(divide(&engines, &[]).is_empty());
-    let few = divide(&engines[..1], &[claim("one", 1, 1), claim("two", 1, 1)]);
-    assert_eq!(few.len(), 1);
+    let claims = [claim("one", 1, 1), claim("two", 1, 1)];
+    assert_eq!(divide(&engines[..1], &claims).len(), 1);
+}
+
+/// The load: 3,000 engines before three trainers with two steps of 144 samples open at a time. Each
+/// version of a model that all its engines took would be a thousand loads, for a few hundred runs.
+#[test]
+fn a_model_has_no_more_engines_than_its_samples_need() {
+    let engines: Vec<String> = (0..3_000).map(|n| format!("e{n:04}")).collect();
+    let engines: Vec<&str> = engines.iter().map(String::as_str).collect();
+    let mut claims = ["one", "two", "three"].map(|model| claim(model, 2, 1_000));
+    claims[2].samples = 0;
+    let owners = divide(&engines, &claims);
+    let of = |model: &str| owners.values().filter(|owner| **owner == model).count();
+    assert_eq!((of("one"), of("two"), of("three")), (144, 144, 2));
 }
 
 /// The load: a version every four seconds, loads of about one second, two at once of nine.
--- a/components/node/src/lead/endpoints.rs
+++ b/components/node/src/lead/endpoints.rs
@@ -7,7 +7,6 @@
 use chicoryford_fleet::Command;
 use chicoryford_fleet::Config;
 use chicoryford_fleet::Endpoint;
-use chicoryford_fleet::endpoint;
 use chicoryford_fleet::endpoint::Effect;
 use chicoryford_fleet::hearing::Sign;
 
@@ -102,28 +101,24 @@
         }
     }
 
-    /// Notes in the log which endpoints are known, if that has changed.
-    pub(super) async fn know(&self) -> Answer {
-        let live: Vec<Endpoint> = {
-            let registry = self.registry.borrow();
-            let ready = |endpoint: &&Endpoint| endpoint.standing == endpoint::Standing::Ready;
-            registry.all().filter(ready).cloned().collect()
-        };
-        let same = {
-            let state = self.parts.core.state();
-            let ids = |all: &[Endpoint]| -> BTreeSet<String> {
-                all.iter().map(|endpoint| endpoint.said.id.clone()).collect()
-            };
-            ids(&state.endpoints) == ids(&live)
-        };
-        if same { Answer::Done } else { self.commit(Command::Know(live)).await }
+    /// Notes in the log which endpoints are known, if others are than are noted.
+    pub(super) async fn know(&self) {
+        let (live, gone) = self.registry.borrow().unlike(&self.parts.core.state().endpoints);
+        let known =
+            |endpoint: &Endpoint| self.parts.core.state().endpoints.contains_key(&endpoint.said.id);
+        if gone.is_empty() && live.iter().all(known) {
+            return;
+        }
+        self.commit(Command::Know { live, gone }).await;
     }
 
     /// Has the log forget an endpoint that leaves. A leader that is elected later and knows nobody
     /// who heard of it would otherwise send it work again.
     pub(super) async fn forget_leaving(&self, id: &str) -> Answer {
-        let noted = self.parts.core.state().endpoints.iter().any(|known| known.said.id == id);
-        if noted { self.know().await } else { Answer::Done }
+        if !self.parts.core.state().endpoints.contains_key(id) {
+            return Answer::Done;
+        }
+        self.commit(Command::Know { live: Vec::new(), gone: vec![id.to_owned()] }).await
     }
 
     pub(super) fn tick_registry(&self) {
--- a/components/node/src/lead/mod.rs
+++ b/components/node/src/lead/mod.rs
@@ -131,9 +131,9 @@
             ordered: view.ordered(),
         };
         let fleet_clock = parts.core.state().clock;
+        // What this process was told last is newer than what the log holds.
         let mut endpoints = parts.core.state().endpoints.clone();
-        endpoints.retain(|endpoint| known.iter().all(|other| other.said.id != endpoint.said.id));
-        endpoints.extend(known);
+        endpoints.extend(known.into_iter().map(|endpoint| (endpoint.said.id.clone(), endpoint)));
         let near = parts.settings.policy.near_hosts;
         let hosts = Hosts::new(parts.followers.clone(), parts.runner.clone(), near);
         let copies = Copies::new(parts.followers.clone(), &parts.settings, now);
@@ -146,7 +146,7 @@
             began: now,
             registry: RefCell::new(Registry::adopt(
                 endpoint::Settings::default(),
-                endpoints.into_iter(),
+                endpoints.into_values(),
                 now,
             )),
             called: RefCell::default(),
@@ -349,12 +349,13 @@
             }
             Command::Publish { model, version } => {
                 tracing::info!(event = "version_named", model, version);
+                self.orders.borrow_mut().hurry();
             }
             Command::Forget { .. }
             | Command::Retire { .. }
             | Command::Move { .. }
             | Command::Note { .. }
-            | Command::Know(_) => {}
+            | Command::Know { .. } => {}
         }
         self.kick.notify_one();
     }
--- a/components/node/src/orders.rs
+++ b/components/node/src/orders.rs
@@ -36,6 +36,8 @@
 /// Time after which a change that is not done is given up. Orders may be carried out twelve
 /// seconds late; until then the engine is ordered anew under a new precondition.
 const LOAD_LIMIT: Duration = Duration::from_secs(5);
+/// Milliseconds between two looks which engines are to take new weights.
+const LOOK_MS: u64 = 50;
 /// Pause before an engine that did not take an order is asked again.
 const PAUSE: Duration = Duration::from_millis(300);
 /// Orders to one engine for one change.
@@ -45,18 +47,32 @@
 #[derive(Default)]
 pub struct Orders {
     tasks: BTreeMap<String, JoinHandle<()>>,
-    demand: BTreeMap<String, u64>,
+    demand: BTreeMap<String, Demand>,
+    /// When it was last looked which engines are to take new weights.
+    looked: Millis,
     /// Set once an engine has refused this epoch: another leads.
     fenced: bool,
     turn: Turn,
 }
 
+/// What a model's trainer asked for, at most.
+#[derive(Clone, Copy, Default)]
+struct Demand {
+    tokens: u64,
+    samples: usize,
+}
+
 impl Orders {
     /// Starts from what is known of the orders before.
     pub fn new(turn: Turn) -> Self {
         Self { turn, ..Self::default() }
     }
 
+    /// Has the next round look at once: a version was named.
+    pub fn hurry(&mut self) {
+        self.looked = Millis::default();
+    }
+
     /// Gives no more orders.
     pub fn stop(&mut self) {
         for (_, task) in std::mem::take(&mut self.tasks) {
@@ -66,9 +82,16 @@
 }
 
 /// Starts the changes of weights that are due.
+///
+/// To look takes 1.9 ms with 3,000 engines, and rounds come with each sample that is whole, some
+/// hundreds a second; a load takes about a second, so [`LOOK_MS`] later is as good.
 pub fn round(lead: &Rc<Lead>, config: &Config, now: Millis) {
-    if lead.orders.borrow().fenced {
-        return;
+    {
+        let mut orders = lead.orders.borrow_mut();
+        if orders.fenced || now.since(orders.looked) < LOOK_MS {
+            return;
+        }
+        orders.looked = now;
     }
     for service in config.services.iter().filter(|service| !service.models.is_empty()) {
         let claims = claims(lead, &service.models);
@@ -103,9 +126,11 @@
             // The most that was asked for at once: between two steps nothing is asked for, and
             // engines must not change owners for that.
             let most = orders.demand.entry(model.clone()).or_default();
-            *most = plan.demand(model).max(*most);
+            most.tokens = plan.demand(model).max(most.tokens);
+            most.samples = plan.open_samples(model).max(most.samples);
+            let Demand { tokens, samples } = *most;
             let starved = plan.starved(model);
-            Claim { model: model.clone(), version, demand: *most, starved }
+            Claim { model: model.clone(), version, demand: tokens, samples, starved }
         })
         .collect()
 }
