--- a/components/fleet/src/plan/assign.rs
+++ b/components/fleet/src/plan/assign.rs
@@ -15,15 +15,9 @@
 use crate::config::Route;
 use crate::step::Step;
 
-/// The share of a step's samples that start before the others of all steps: the longest fifth.
-const LONG: usize = 5;
-
 impl Plan {
     /// Chooses the samples that start now: steps by rank and by the time at which they are due,
-    /// of each the longest samples first, on the engine with the fewest runs. The longest fifth of
-    /// every step goes before the rest of any. A step takes as long as its longest sample, which has no
-    /// time to lose, and the others have seconds; where three steps of 150 samples came at once
-    /// before 234 slots, the longest of the third began 0.5 s late, and so it ended. Each run beside it
+    /// of each the longest samples first, on the engine with the fewest runs. Each run beside it
     /// makes a sample half a percent slower (measured), which for the longest is time that its step
     /// does not have; to read a prompt once more takes 1 to 3 ms. So an engine that has read the
     /// group's prompt is preferred only among those with as few runs.
@@ -36,15 +30,13 @@
             .map(|work| (work.step.priority, work.at + work.step.due_ms, work.step.id.clone()))
             .collect();
         order.sort();
-        for long in [true, false] {
-            for (_, _, id) in &order {
-                if free == 0 {
-                    return chosen;
-                }
-                let before = chosen.len();
-                self.assign_step(id, long, config, now, &mut chosen);
-                free = free.saturating_sub((chosen.len() - before) as u32);
+        for (_, _, id) in order {
+            if free == 0 {
+                break;
             }
+            let before = chosen.len();
+            self.assign_step(&id, config, now, &mut chosen);
+            free = free.saturating_sub((chosen.len() - before) as u32);
         }
         chosen
     }
@@ -52,7 +44,6 @@
     fn assign_step(
         &mut self,
         id: &str,
-        long: bool,
         config: &Config,
         now: Millis,
         chosen: &mut Vec<Assignment>,
@@ -60,7 +51,6 @@
         let Some(work) = self.works.get_mut(id) else { return };
         let step = work.step.clone();
         let mut homes: BTreeMap<&str, String> = BTreeMap::new();
-        let longest = if self.policy.longest_first { work.order.len().div_ceil(LONG) } else { 0 };
         for place in 0..work.order.len() {
             let index = work.order[place] as usize;
             let sample = &step.samples[index];
@@ -71,14 +61,10 @@
                 }
                 continue;
             }
-            // What was begun has waited before, and is probably long.
-            if (place < longest || !progress.made.events.is_empty()) != long {
-                continue;
-            }
             let Some(route) = config.find(&step.host, &sample.path) else { continue };
             let avoid = progress.avoid.as_deref();
             let usual = if self.policy.engine_paces { self.usual_ms } else { 0.0 };
-            let search = Search { step: &step, route, avoid, usual, long, now };
+            let search = Search { step: &step, route, avoid, usual, now };
             let home = homes.get(sample.group.as_str()).map(String::as_str);
             let home = home.filter(|_| self.policy.group_homes);
             let Some(seat) = search.choose(&self.seats, home) else { continue };
@@ -130,8 +116,6 @@
     /// An engine that was too slow for the sample.
     avoid: Option<&'a str>,
     usual: f64,
-    /// Whether it is for one of the longest samples.
-    long: bool,
     now: Millis,
 }
 
@@ -150,8 +134,7 @@
     }
 
     fn rank(&self, seat: &Seat) -> f64 {
-        let pace = if self.long { seat.last_pace(self.now) } else { seat.pace(self.now) };
-        rank(seat, pace, self.usual)
+        rank(seat, self.usual, self.now)
     }
 
     fn fits(&self, seat: &Seat) -> bool {
--- a/components/fleet/src/plan/moves.rs
+++ b/components/fleet/src/plan/moves.rs
@@ -6,7 +6,6 @@
 
 use super::Plan;
 use super::SLOW;
-use super::seat::KNOWN_MS;
 use super::seat::Seat;
 use super::work::Phase;
 use super::work::Progress;
@@ -72,7 +71,7 @@
     }
 
     pub(super) fn learn_usual(&mut self, now: Millis) {
-        let live = self.seats.values().filter(|seat| now.since(seat.paced) < KNOWN_MS);
+        let live = self.seats.values().filter(|seat| now.since(seat.paced) < 10_000);
         let mut paces: Vec<f64> =
             live.map(|seat| seat.pace_ms).filter(|pace| *pace > 0.0).collect();
         paces.sort_by(f64::total_cmp);
--- a/components/fleet/src/plan/seat.rs
+++ b/components/fleet/src/plan/seat.rs
@@ -9,8 +9,6 @@
 
 /// Milliseconds without news of a pace after which half of it is forgotten.
 pub(super) const HALF_MS: f64 = 2_000.0;
-/// Milliseconds for which a pace is taken to be known: what slows an engine lasts for seconds.
-pub(super) const KNOWN_MS: u64 = 10_000;
 
 /// What the planner knows of an engine.
 #[derive(Clone, Debug)]
@@ -58,23 +56,15 @@
         self.endpoint.said.slots.saturating_sub(self.load())
     }
 
-    /// Gives its pace as far as that still counts: a slow engine is tried again after a while.
     pub(super) fn pace(&self, now: Millis) -> f64 {
         self.pace_ms * 0.5_f64.powf(now.since(self.paced) as f64 / HALF_MS)
     }
-
-    /// Gives its pace as it was last known. The longest samples go by this. One of them that tried again
-    /// an engine that had been slow two seconds before was whole 1.1 s after the others of its step;
-    /// shorter ones have the time to try it, and tell of its pace.
-    pub(super) fn last_pace(&self, now: Millis) -> f64 {
-        if now.since(self.paced) < KNOWN_MS { self.pace_ms } else { self.pace(now) }
-    }
 }
 
-/// Ranks an engine of this pace for one more run: the least loaded first, a slow one by how slow it is.
-pub(super) fn rank(seat: &Seat, pace: f64, usual: f64) -> f64 {
+/// Ranks an engine for one more run: the least loaded first, a slow one by how slow it is.
+pub(super) fn rank(seat: &Seat, usual: f64, now: Millis) -> f64 {
     let slots = f64::from(seat.endpoint.said.slots.max(1));
     let load = f64::from(seat.load()) / slots;
-    let slow = if usual > 0.0 { (pace / usual).max(1.0) } else { 1.0 };
+    let slow = if usual > 0.0 { (seat.pace(now) / usual).max(1.0) } else { 1.0 };
     (1.0 + load) * slow
 }
