An endpoint that left before it was known is not believed, and a test of what control processes answer

Cause: Registry::leave said that it notes an endpoint that is not known, and did not: one that came and left around a change of leader was taken for present again when an older announcement arrived after its word. It is remembered for 12 s now; the new test fails on the code before. The other test has a control process answer by itself what changes nothing, leave the rest to the leader, and answer nothing when it has lost the leader.

--- a/components/fleet/src/endpoint.rs
+++ b/components/fleet/src/endpoint.rs
@@ -91,11 +91,14 @@
     /// Milliseconds after which a silent or gone endpoint is forgotten. Until then its late
     /// announcements are recognised as such.
     pub forget_ms: u64,
+    /// Milliseconds for which an endpoint that nobody knew when it said that it is gone is not believed
+    /// to be there: its announcements come late by seconds, not by tens of them.
+    pub left_ms: u64,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { silent_ms: 6_000, forget_ms: 60_000 }
+        Self { silent_ms: 6_000, forget_ms: 60_000, left_ms: 12_000 }
     }
 }
 
@@ -104,6 +107,8 @@
 pub struct Registry {
     settings: Settings,
     held: BTreeMap<String, Held>,
+    /// Endpoints that were not known when they said that they are gone, and when they said so.
+    left: BTreeMap<String, Millis>,
 }
 
 impl Registry {
@@ -111,7 +116,7 @@
     /// they were.
     pub fn adopt(settings: Settings, known: impl Iterator<Item = Endpoint>, now: Millis) -> Self {
         let held = known.map(|endpoint| (endpoint.said.id.clone(), Held { endpoint, heard: now }));
-        Self { settings, held: held.collect() }
+        Self { settings, held: held.collect(), left: BTreeMap::new() }
     }
 
     /// Tells whether an announcement names a service that the configuration does not. Somebody else
@@ -127,6 +132,9 @@
     pub fn announce(&mut self, said: Announcement, now: Millis) -> Effect {
         let standing = if said.draining { Standing::Draining } else { Standing::Ready };
         let Some(held) = self.held.get_mut(&said.id) else {
+            if self.left.contains_key(&said.id) {
+                return Effect::Old;
+            }
             let id = said.id.clone();
             let endpoint = Endpoint { said, standing };
             self.held.insert(id, Held { endpoint, heard: now });
@@ -172,7 +180,10 @@
     /// Notes that an endpoint says it is gone. One that is not known is noted too, so that an
     /// announcement of it that comes later is not believed.
     pub fn leave(&mut self, id: &str, now: Millis) -> Effect {
-        let Some(held) = self.held.get_mut(id) else { return Effect::Old };
+        let Some(held) = self.held.get_mut(id) else {
+            self.left.insert(id.to_owned(), now);
+            return Effect::Old;
+        };
         held.heard = now;
         if held.endpoint.standing == Standing::Gone {
             return Effect::Old;
@@ -199,6 +210,8 @@
                 changed.push(held.endpoint.clone());
             }
         }
+        let left_ms = self.settings.left_ms;
+        self.left.retain(|_, left| now.since(*left) < left_ms);
         let old = |held: &Held| now.since(held.heard) >= self.settings.forget_ms;
         let forgotten: Vec<String> =
             self.held.iter().filter(|(_, held)| old(held)).map(|(id, _)| id.clone()).collect();
--- a/components/fleet/tests/endpoint.rs
+++ b/components/fleet/tests/endpoint.rs
@@ -172,3 +172,17 @@
     assert_eq!(live.iter().map(|endpoint| &*endpoint.said.id).collect::<Vec<_>>(), ["i7"]);
     assert_eq!(gone, ["i8"]);
 }
+
+/// Symptom: an endpoint that has said that it is gone gets new work.
+/// Sequence: it had just come when the leader changed, and the next one does not know it when it says
+/// that it is gone; an announcement that it sent before arrives after that.
+/// Cause: of an endpoint that was not known nothing was kept.
+#[test]
+fn an_endpoint_that_left_before_it_was_known_is_not_believed_to_be_there() {
+    let mut registry = Registry::default();
+    assert_eq!(registry.leave("i", Millis(0)), Effect::Old);
+    assert_eq!(registry.announce(said("i", 4), Millis(3_000)), Effect::Old);
+    assert_eq!(standing(&registry, "i"), None);
+    registry.tick(Millis(20_000));
+    assert_eq!(registry.announce(said("i", 1), Millis(20_000)), Effect::Changed, "a new start");
+}
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -56,6 +56,11 @@
                 return control::refused(StatusCode::BAD_REQUEST, &error.to_string());
             }
         };
+        self.take(asked).await
+    }
+
+    /// Answers a call that was read.
+    pub async fn take(&self, asked: Asked) -> Reply {
         match asked {
             Asked::Announce(said) if self.hears(&said) => {
                 metrics::ANNOUNCEMENTS.with_label_values(&["here"]).inc();
--- a/components/node/tests/lead/news.rs
+++ b/components/node/tests/lead/news.rs
@@ -1,6 +1,8 @@
 //! Which members are told of which endpoints, and whom control processes have heard.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,19 +14,26 @@
 use chicoryford_fleet::Service;
 use chicoryford_fleet::Share;
 use chicoryford_fleet::hearing::Sign;
+use chicoryford_node::control::Control;
 use chicoryford_node::frame::decode;
 use chicoryford_node::frame::encode;
+use chicoryford_node::link::Link;
+use chicoryford_node::link::Member;
 use chicoryford_node::message::Answer;
 use chicoryford_node::message::Call;
 use chicoryford_node::message::Down;
 use chicoryford_node::message::News;
 use chicoryford_node::message::Up;
+use chicoryford_node::metrics;
+use chicoryford_node::view::View;
+use chicoryford_platform::control::Call as Asked;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 
 use crate::fleet::Fleet;
 use crate::fleet::config;
 use crate::fleet::pause;
+use crate::fleet::until;
 use crate::member::Socket;
 use crate::member::greet_as;
 
@@ -133,6 +142,42 @@
     assert_eq!(told(&mut entry).await, ["d1"]);
 }
 
+/// The load: 3,000 endpoints that say every 1.2 s what is known. Each was a call of the leader.
+#[actix_rt::test]
+async fn a_control_process_answers_what_changes_nothing_and_leaves_the_rest_to_the_leader() {
+    let fleet = Fleet::start().await;
+    configure(&fleet, with_desk(2)).await;
+    let view = Rc::new(View::default());
+    let member = Member {
+        node: "c2".to_owned(),
+        data_centre: "here".to_owned(),
+        address: fleet.links,
+        replica: true,
+        depot: None,
+        runner: None,
+    };
+    let link = Link::new(member, view.clone(), vec![fleet.links]);
+    let following = link.clone();
+    actix_rt::spawn(async move { following.run().await });
+    assert!(link.wait_connected(Duration::from_secs(5)).await);
+    let own = "10.0.0.7:80".parse().unwrap();
+    let control = Control { link: link.clone(), view, own, hearing: RefCell::default() };
+    let heard = async |said| {
+        let reply = control.take(Asked::Announce(said)).await;
+        (reply.status.as_u16(), String::from_utf8_lossy(&reply.body).contains("10.0.0.7:80"))
+    };
+    let here = || metrics::ANNOUNCEMENTS.with_label_values(&["here"]).get();
+    assert_eq!(heard(engine("e", 1)).await, (200, true), "the leader answers for a new one");
+    pause(100).await;
+    assert_eq!((heard(engine("e", 2)).await, here()), ((200, true), 1));
+    let newer = Announcement { models: BTreeMap::from([("m".to_owned(), 2)]), ..engine("e", 3) };
+    assert_eq!((heard(newer).await, here()), ((200, true), 1), "what changes is the leader's");
+    fleet.lead().stop();
+    fleet.slot.borrow_mut().take();
+    until("the leader is lost", || !link.is_connected()).await;
+    assert_eq!((heard(engine("e", 4)).await.0, here()), (503, 1), "what is known may be old");
+}
+
 /// Symptom: engines that were heard all the time are taken for silent, and their runs taken away.
 /// Sequence: they announce themselves to a control process that answers by itself.
 /// Cause: the leader judges who is silent by what reaches it, so it is told whom others heard.
