Tests of announcements without a leader and of reads that end, as strict as they say

Thirteen protections of the new messages were switched off one by one; two mutations found no failing test: a control process that answers without a leader (the test announced a change, which is the leader's anyway), and listing that does not look at reads (the bound was met by the half second without reads). Both tests now fail with them; all thirteen are noticed.

--- a/components/node/tests/lead/listing.rs
+++ b/components/node/tests/lead/listing.rs
@@ -73,7 +73,8 @@
     assert!(waited < Duration::from_millis(WAIT_MS / 2), "{waited:?}");
 }
 
-/// A read is answered with what there is when it is over, so a trainer never waits in vain for this.
+/// A result that nothing completes waits as long as the read does, and is answered with it: a trainer
+/// that is not answered before loses nothing, and never waits in vain.
 #[actix_rt::test]
 async fn a_read_that_is_over_takes_the_results_that_waited_with_it() {
     let fleet = Fleet::start().await;
@@ -87,5 +88,5 @@
     settle(&lead, SAMPLES - 2);
     let (count, waited) = read(&lead, 18).await;
     assert_eq!(count, 1, "the read was answered after {waited:?}");
-    assert!(waited >= Duration::from_millis(WAIT_MS / 2), "{waited:?}");
+    assert!(waited >= Duration::from_millis(WAIT_MS * 4 / 5), "{waited:?}");
 }
--- a/components/node/tests/lead/news.rs
+++ b/components/node/tests/lead/news.rs
@@ -170,12 +170,17 @@
     assert_eq!(heard(engine("e", 1)).await, (200, true), "the leader answers for a new one");
     pause(100).await;
     assert_eq!((heard(engine("e", 2)).await, here()), ((200, true), 1));
-    let newer = Announcement { models: BTreeMap::from([("m".to_owned(), 2)]), ..engine("e", 3) };
-    assert_eq!((heard(newer).await, here()), ((200, true), 1), "what changes is the leader's");
+    let newer = |sequence| {
+        let models = BTreeMap::from([("m".to_owned(), 2)]);
+        Announcement { models, ..engine("e", sequence) }
+    };
+    assert_eq!((heard(newer(3)).await, here()), ((200, true), 1), "what changes is the leader's");
+    pause(100).await;
+    assert_eq!((heard(newer(4)).await, here()), ((200, true), 2));
     fleet.lead().stop();
     fleet.slot.borrow_mut().take();
     until("the leader is lost", || !link.is_connected()).await;
-    assert_eq!((heard(engine("e", 4)).await.0, here()), (503, 1), "what is known may be old");
+    assert_eq!((heard(newer(5)).await.0, here()), (503, 2), "what is known may be old");
 }
 
 /// Symptom: engines that were heard all the time are taken for silent, and their runs taken away.
