--- a/components/fleet/src/swap.rs
+++ b/components/fleet/src/swap.rs
@@ -53,9 +53,9 @@
     pub version: u64,
 }
 
-/// Samples for which a model is given one engine. A run beside another takes 0.3% longer, so more
-/// engines than one for two samples make nothing faster, and each takes an order and a load for every
-/// version: 2,900 of them for 3,000 engines and three trainers in half a minute.
+/// Samples for which a model is given one engine. A run beside another takes half a percent longer, so
+/// more engines than one for two samples make nothing faster, and each takes an order and a load for
+/// every version: 2,900 of them for 3,000 engines and three trainers in half a minute.
 const EACH_SERVES: usize = 2;
 
 /// Divides engines among models by demand: each gets [`LEAST`] where there are enough, the rest
