--- a/components/fleet/benches/round.rs
+++ b/components/fleet/benches/round.rs
@@ -3,19 +3,18 @@
 //!
 //! `cargo bench -p chicoryford-fleet --bench round`; docs/SCALE.md notes the figures.
 
+#[path = "../tests/support/mod.rs"]
+mod support;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Instant;
 
 use chicoryford_fleet::Announcement;
-use chicoryford_fleet::Config;
 use chicoryford_fleet::Endpoint;
-use chicoryford_fleet::Kind;
 use chicoryford_fleet::Policy;
 use chicoryford_fleet::Registry;
-use chicoryford_fleet::Route;
 use chicoryford_fleet::Sample;
-use chicoryford_fleet::Share;
 use chicoryford_fleet::Standing;
 use chicoryford_fleet::Step;
 use chicoryford_fleet::endpoint;
@@ -27,6 +26,9 @@
 use chicoryford_types::Epoch;
 use chicoryford_types::Millis;
 
+use support::said;
+use support::steps_config;
+
 /// Engines: those of the largest deployment, and a tenth, a third and all of those beside 300 VMs.
 const ENGINES: [usize; 4] = [46, 300, 1_000, 3_000];
 /// Samples of a step, as the largest deployment's trainers submit them.
@@ -38,38 +40,14 @@
 
 fn engine(number: usize) -> Endpoint {
     let said = Announcement {
-        id: format!("i-{number:010x}"),
-        born: 0,
         service: "engines".to_owned(),
-        address: "10.0.0.1:80".parse().expect("it is an address"),
-        data_centre: "z".to_owned(),
         slots: 6,
-        draining: false,
         models: MODELS.iter().map(|model| ((*model).to_owned(), 4)).collect(),
-        sequence: 1,
+        ..said(&format!("i-{number:010x}"), 1)
     };
     Endpoint { said, standing: Standing::Ready }
 }
 
-fn config() -> Config {
-    let route = Route {
-        name: "steps".to_owned(),
-        host: "h".to_owned(),
-        prefix: "/s/".to_owned(),
-        kind: Kind::Step,
-        timeout_ms: None,
-        target_ms: 400,
-        priority: 1,
-        shares: vec![Share { service: "engines".to_owned(), weight: 1 }],
-        attempts: 3,
-        resumable: true,
-        due_ms: Some(7_500),
-        age_ms: Some(40_000),
-        single: false,
-    };
-    Config { version: 1, routes: vec![route], ..Config::default() }
-}
-
 fn step(id: &str) -> Arc<Step> {
     let sample = |index: usize| Sample {
         id: format!("{id}{index}"),
@@ -126,7 +104,7 @@
             let seats: Vec<&Seat> = plan.seats().collect();
             drop(swap::wishes(&seats, &claims, &turn, policy, NOW));
         });
-        let config = config();
+        let config = steps_config();
         let mut number = 0;
         let assigned = time(|| {
             let id = format!("s{number}");
--- a/components/fleet/tests/endpoint.rs
+++ b/components/fleet/tests/endpoint.rs
@@ -1,5 +1,7 @@
 //! What is believed of endpoints whose announcements come late, doubled and out of order.
 
+mod support;
+
 use std::collections::BTreeMap;
 
 use chicoryford_fleet::Announcement;
@@ -10,19 +12,7 @@
 use chicoryford_fleet::endpoint::Effect;
 use chicoryford_types::Millis;
 
-fn said(id: &str, sequence: u64) -> Announcement {
-    Announcement {
-        id: id.to_owned(),
-        born: 0,
-        service: "a".to_owned(),
-        address: "10.0.0.1:80".parse().unwrap(),
-        data_centre: "z".to_owned(),
-        slots: 4,
-        draining: false,
-        models: BTreeMap::from([("m".to_owned(), 1)]),
-        sequence,
-    }
-}
+use support::said;
 
 fn draining(id: &str, sequence: u64) -> Announcement {
     Announcement { draining: true, ..said(id, sequence) }
--- a/components/fleet/tests/hearing.rs
+++ b/components/fleet/tests/hearing.rs
@@ -1,5 +1,7 @@
 //! Announcements that change nothing, answered by a control process that does not lead.
 
+mod support;
+
 use std::collections::BTreeMap;
 
 use chicoryford_fleet::Announcement;
@@ -11,18 +13,9 @@
 use chicoryford_fleet::hearing::Sign;
 use chicoryford_types::Millis;
 
+/// An endpoint that says when it started.
 fn said(id: &str, sequence: u64) -> Announcement {
-    Announcement {
-        id: id.to_owned(),
-        born: 7,
-        service: "a".to_owned(),
-        address: "10.0.0.1:80".parse().unwrap(),
-        data_centre: "z".to_owned(),
-        slots: 4,
-        draining: false,
-        models: BTreeMap::from([("m".to_owned(), 1)]),
-        sequence,
-    }
+    Announcement { born: 7, ..support::said(id, sequence) }
 }
 
 fn known(standing: Standing) -> Endpoint {
--- a/components/fleet/tests/plan.rs
+++ b/components/fleet/tests/plan.rs
@@ -1,5 +1,7 @@
 //! The planner: which sample runs where, and what follows when hosts, engines and words get lost.
 
+mod support;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -7,10 +9,7 @@
 use chicoryford_fleet::Announcement;
 use chicoryford_fleet::Config;
 use chicoryford_fleet::Endpoint;
-use chicoryford_fleet::Kind;
-use chicoryford_fleet::Route;
 use chicoryford_fleet::Sample;
-use chicoryford_fleet::Share;
 use chicoryford_fleet::Standing;
 use chicoryford_fleet::Step;
 use chicoryford_fleet::plan::Assignment;
@@ -27,26 +26,9 @@
 use chicoryford_types::Epoch;
 use chicoryford_types::Millis;
 
-const NOW: Millis = Millis(1_000);
+use support::steps_config;
 
-fn config() -> Config {
-    let route = Route {
-        name: "steps".to_owned(),
-        host: "h".to_owned(),
-        prefix: "/s/".to_owned(),
-        kind: Kind::Step,
-        timeout_ms: None,
-        target_ms: 400,
-        priority: 1,
-        shares: vec![Share { service: "engines".to_owned(), weight: 1 }],
-        attempts: 3,
-        resumable: true,
-        due_ms: Some(7_500),
-        age_ms: Some(40_000),
-        single: false,
-    };
-    Config { version: 1, routes: vec![route], ..Config::default() }
-}
+const NOW: Millis = Millis(1_000);
 
 fn engine(id: &str, slots: u32, version: u64) -> Endpoint {
     let said = Announcement {
@@ -98,7 +80,7 @@
 
 /// Assigns what can be, to the host "a".
 fn assign(plan: &mut Plan, now: Millis) -> Vec<Assignment> {
-    let assigned = plan.assign(&config(), now);
+    let assigned = plan.assign(&steps_config(), now);
     for one in &assigned {
         plan.hosted(&one.step.id, one.index, "a");
     }
@@ -375,8 +357,8 @@
 #[test]
 fn samples_are_given_up_by_age_or_when_their_route_is_gone() {
     let plan = plan(&[], &[step("a", &[1])]);
-    assert!(plan.too_old(&config(), NOW + 39_999).is_empty());
-    assert_eq!(plan.too_old(&config(), NOW + 40_000).len(), 1);
+    assert!(plan.too_old(&steps_config(), NOW + 39_999).is_empty());
+    assert_eq!(plan.too_old(&steps_config(), NOW + 40_000).len(), 1);
     assert_eq!(plan.too_old(&Config::default(), NOW).len(), 1);
 }
 
--- a/components/fleet/tests/policy.rs
+++ b/components/fleet/tests/policy.rs
@@ -1,17 +1,15 @@
 //! Each switch stops its mechanism and nothing else; settings may name some of them.
 
+mod support;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use chicoryford_fleet::Announcement;
-use chicoryford_fleet::Config;
 use chicoryford_fleet::Endpoint;
-use chicoryford_fleet::Kind;
 use chicoryford_fleet::Policy;
-use chicoryford_fleet::Route;
 use chicoryford_fleet::Sample;
-use chicoryford_fleet::Share;
 use chicoryford_fleet::Standing;
 use chicoryford_fleet::Step;
 use chicoryford_fleet::copies::StoreId;
@@ -22,6 +20,8 @@
 use chicoryford_types::Epoch;
 use chicoryford_types::Millis;
 
+use support::steps_config;
+
 /// Where a store gives parts.
 fn address() -> SocketAddr {
     "10.0.0.1:7".parse().unwrap()
@@ -80,23 +80,7 @@
         ..Step::default()
     };
     plan.open(Arc::new(step), Millis(0), Millis::default(), |_| false);
-    let route = Route {
-        name: "r".to_owned(),
-        host: "h".to_owned(),
-        prefix: "/s/".to_owned(),
-        kind: Kind::Step,
-        timeout_ms: None,
-        target_ms: 400,
-        priority: 0,
-        shares: vec![Share { service: "engines".to_owned(), weight: 1 }],
-        attempts: 3,
-        resumable: true,
-        due_ms: Some(7_500),
-        age_ms: Some(40_000),
-        single: false,
-    };
-    let config = Config { version: 1, routes: vec![route], ..Config::default() };
-    plan.assign(&config, Millis(1)).iter().map(|assignment| assignment.index).collect()
+    plan.assign(&steps_config(), Millis(1)).iter().map(|assignment| assignment.index).collect()
 }
 
 #[test]
--- a/components/node/tests/lead/listing.rs
+++ b/components/node/tests/lead/listing.rs
@@ -1,5 +1,6 @@
 //! When results are listed and read: the last of a step together.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -37,8 +38,23 @@
     lead.outbox().put("a", Settled { index, sample, verdict: Verdict::GivenUp });
 }
 
+/// Starts a fleet in which all of the step is listed but the last two samples, of which one has its
+/// verdict.
+async fn one_left() -> (Fleet, Rc<Lead>) {
+    let fleet = Fleet::start().await;
+    let lead = fleet.lead();
+    let answer = lead.answer(Call::Submit(two_groups())).await;
+    assert!(matches!(answer, Answer::Done), "{answer:?}");
+    for index in 0..SAMPLES - 2 {
+        settle(&lead, index);
+    }
+    until("the others are listed", || fleet.core.state().steps["a"].results.len() == 18).await;
+    settle(&lead, SAMPLES - 2);
+    (fleet, lead)
+}
+
 /// Reads on from a place as a trainer does; gives how many results came, and after how long.
-async fn read(lead: &std::rc::Rc<Lead>, after: u64) -> (usize, Duration) {
+async fn read(lead: &Rc<Lead>, after: u64) -> (usize, Duration) {
     let began = Instant::now();
     let call = Call::Read { step: "a".to_owned(), after, wait_ms: WAIT_MS, near: String::new() };
     let Answer::Results { listed, .. } = lead.answer(call).await else { panic!("results") };
@@ -51,15 +67,7 @@
 /// Cause: each result was listed by itself as it came.
 #[actix_rt::test]
 async fn the_last_results_of_a_step_come_with_one_read() {
-    let fleet = Fleet::start().await;
-    let lead = fleet.lead();
-    let answer = lead.answer(Call::Submit(two_groups())).await;
-    assert!(matches!(answer, Answer::Done), "{answer:?}");
-    for index in 0..SAMPLES - 2 {
-        settle(&lead, index);
-    }
-    until("the others are listed", || fleet.core.state().steps["a"].results.len() == 18).await;
-    settle(&lead, SAMPLES - 2);
+    let (_fleet, lead) = one_left().await;
     let last = {
         let lead = lead.clone();
         actix_rt::spawn(async move {
@@ -77,15 +85,7 @@
 /// that is not answered before loses nothing, and never waits in vain.
 #[actix_rt::test]
 async fn a_read_that_is_over_takes_the_results_that_waited_with_it() {
-    let fleet = Fleet::start().await;
-    let lead = fleet.lead();
-    let answer = lead.answer(Call::Submit(two_groups())).await;
-    assert!(matches!(answer, Answer::Done), "{answer:?}");
-    for index in 0..SAMPLES - 2 {
-        settle(&lead, index);
-    }
-    until("the others are listed", || fleet.core.state().steps["a"].results.len() == 18).await;
-    settle(&lead, SAMPLES - 2);
+    let (_fleet, lead) = one_left().await;
     let (count, waited) = read(&lead, 18).await;
     assert_eq!(count, 1, "the read was answered after {waited:?}");
     assert!(waited >= Duration::from_millis(WAIT_MS * 4 / 5), "{waited:?}");
--- a/components/node/tests/link.rs
+++ b/components/node/tests/link.rs
@@ -98,6 +98,17 @@
         self.sink.send(encode(down)).await.unwrap();
     }
 
+    /// Orders a run that is whole at once, and whose scorer is this endpoint.
+    async fn order_scored(&mut self, config: Config, scorer: SocketAddr) {
+        let (engine, _) = endpoint(WHOLE).await;
+        self.say(&Down::News(News::Config(Arc::new(config)))).await;
+        self.say(&Down::News(News::Endpoint(desk(scorer)))).await;
+        let mut job = job(engine);
+        let (id, host, path) = ("score".to_owned(), "h".to_owned(), "/desk/x".to_owned());
+        job.sample.scorer = Some(Scorer { id, host, path, body: Bytes::new() });
+        self.say(&Down::Work { heard: self.heard, work: Work::Run(Box::new(job)) }).await;
+    }
+
     /// Goes on saying that it lives, and hearing the host, for a while; gives what it was told of runs.
     async fn live(&mut self, time: Duration) -> Vec<Report> {
         let until = tokio::time::Instant::now() + time;
@@ -250,14 +261,8 @@
 #[actix_rt::test]
 async fn a_scorer_is_not_called_when_the_leader_gives_no_fresh_sign() {
     let mut leader = Leader::with_host().await;
-    let (engine, _) = endpoint(WHOLE).await;
     let (scorer, called) = endpoint(FULL).await;
-    leader.say(&Down::News(News::Config(Arc::new(config())))).await;
-    leader.say(&Down::News(News::Endpoint(desk(scorer)))).await;
-    let mut job = job(engine);
-    let (id, host, path) = ("score".to_owned(), "h".to_owned(), "/desk/x".to_owned());
-    job.sample.scorer = Some(Scorer { id, host, path, body: Bytes::new() });
-    leader.say(&Down::Work { heard: leader.heard, work: Work::Run(Box::new(job)) }).await;
+    leader.order_scored(config(), scorer).await;
     leader.live(ALIVE * 10).await;
     assert!(called.get() > 1, "its scorer is called while the leader is fresh");
 
@@ -279,16 +284,10 @@
 #[actix_rt::test]
 async fn a_scorers_call_under_way_ends_when_the_leaders_sign_has_become_old() {
     let mut leader = Leader::with_host().await;
-    let (engine, _) = endpoint(WHOLE).await;
     let (scorer, open) = hanging().await;
     let mut config = config();
     config.routes[0].timeout_ms = None;
-    leader.say(&Down::News(News::Config(Arc::new(config)))).await;
-    leader.say(&Down::News(News::Endpoint(desk(scorer)))).await;
-    let mut job = job(engine);
-    let (id, host, path) = ("score".to_owned(), "h".to_owned(), "/desk/x".to_owned());
-    job.sample.scorer = Some(Scorer { id, host, path, body: Bytes::new() });
-    leader.say(&Down::Work { heard: leader.heard, work: Work::Run(Box::new(job)) }).await;
+    leader.order_scored(config, scorer).await;
     leader.live(ALIVE * 10).await;
     assert!(open.get() > 0, "its scorer is being called");
 
