Usage: windows by a fleet's time of day, counted once, reported under a lease

Change: entries count requests that began to run (fleet::usage), the leader writes totals into the log, closes windows once all entries have told, and reports them under a lease in the log whose token is its epoch (fleet::duty). Time is the median of all members' clocks (fleet::walltime).

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod config;
 pub mod copies;
+pub mod duty;
 pub mod endpoint;
 pub mod events;
 pub mod hearing;
@@ -17,6 +18,8 @@
 pub mod step;
 pub mod swap;
 pub mod turn;
+pub mod usage;
+pub mod walltime;
 pub mod workspace;
 
 pub use config::Config;
--- a/components/fleet/src/state.rs
+++ b/components/fleet/src/state.rs
@@ -11,9 +11,12 @@
 use crate::copies::PartId;
 use crate::copies::Place;
 use crate::copies::StoreId;
+use crate::duty::Holding;
 use crate::endpoint::Endpoint;
 use crate::step::Listed;
 use crate::step::Outline;
+use crate::usage::Book;
+use crate::usage::Totals;
 
 /// A change of the state.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
@@ -78,6 +81,18 @@
         /// The steps.
         steps: Vec<String>,
     },
+    /// Takes the duty to call the platform, or holds it for longer.
+    Hold(Holding),
+    /// Notes what entries have counted of workspaces' usage.
+    Use(Vec<Totals>),
+    /// Closes a window of usage and those before it: what entries tell of them from now on comes too
+    /// late.
+    CloseWindow {
+        /// The window.
+        window: u64,
+        /// The newest window that the platform is known to have accepted, with all before it.
+        accepted: Option<u64>,
+    },
     /// Notes that a store VM is to be emptied.
     Retire {
         /// The VM.
@@ -161,6 +176,10 @@
     pub retired: BTreeSet<String>,
     /// Endpoints that were known lately.
     pub endpoints: BTreeMap<String, Endpoint>,
+    /// Who may call the platform; nobody before the first.
+    pub holding: Option<Holding>,
+    /// What workspaces have used.
+    pub usage: Book,
 }
 
 impl State {
@@ -178,10 +197,31 @@
             Command::Move { part, stores } => self.move_part(part, stores),
             Command::End { step } => self.end(&step),
             Command::Forget { steps } => self.forget(&steps),
+            Command::Hold(holding) => self.hold(holding),
+            Command::Use(totals) => self.take_usage(totals),
+            Command::CloseWindow { window, accepted } => {
+                changed(self.usage.close(window, accepted))
+            }
             Command::Retire { node } => changed(self.retired.insert(node)),
         }
     }
 
+    fn hold(&mut self, next: Holding) -> Done {
+        let yields = self.holding.as_ref().is_none_or(|held| held.yields_to(&next, self.clock));
+        if yields {
+            self.holding = Some(next);
+        }
+        changed(yields)
+    }
+
+    fn take_usage(&mut self, totals: Vec<Totals>) -> Done {
+        let late = self.usage.take(totals);
+        if late > 0 {
+            tracing::warn!(event = "usage_late", requests = late);
+        }
+        Done::Changed
+    }
+
     fn know(&mut self, live: Vec<Endpoint>, gone: &[String]) -> Done {
         for id in gone {
             self.endpoints.remove(id);
--- /dev/null
+++ b/components/fleet/src/usage/lives.rs
@@ -0,0 +1,59 @@
+//! Which entries are still to tell of a window before it is closed.
+
+use std::collections::BTreeMap;
+
+use chicoryford_types::Millis;
+
+use super::Life;
+use super::Told;
+
+/// Milliseconds after its end before which no window is closed: entries tell each quarter of a second.
+const LEAST_MS: u64 = 600;
+/// Milliseconds after its end at which a window is closed though entries have not told of it: they are
+/// gone, or cut off for longer than can be waited for. Four seconds are left to report it in time.
+const LATEST_MS: u64 = 6_000;
+/// Milliseconds after which a new leader has heard of all entries that are in touch: they notice the
+/// loss of the leader before within 0.9 s, and look for the next one 16 times a second.
+const GATHER_MS: u64 = 2_000;
+
+/// The lives of entries that a leader has heard of.
+#[derive(Debug)]
+pub struct Lives {
+    began: Millis,
+    before: BTreeMap<Life, u64>,
+}
+
+impl Lives {
+    /// Starts when the leadership begins, with the lives that the log knows.
+    pub fn new(began: Millis, known: impl Iterator<Item = Life>) -> Self {
+        Self { began, before: known.map(|life| (life, 0)).collect() }
+    }
+
+    /// Takes in how far an entry has told. Its process before, if there was one on its VM, tells
+    /// nothing more.
+    pub fn heard(&mut self, told: &Told) {
+        let Life { node, number } = &told.life;
+        self.before.retain(|life, _| life.node != *node || life.number == *number);
+        let before = self.before.entry(told.life.clone()).or_default();
+        *before = told.before.max(*before);
+    }
+
+    /// Tells whether a window may be closed that ended `ended_ms` ago. Entries that are waited for in
+    /// vain are not waited for in the next window.
+    pub fn may_close(&mut self, window: u64, ended_ms: u64, now: Millis) -> bool {
+        if ended_ms < LEAST_MS {
+            return false;
+        }
+        if ended_ms < LATEST_MS {
+            let whole = self.before.values().all(|before| *before > window);
+            return whole && now.since(self.began) >= GATHER_MS;
+        }
+        if now.since(self.began) < GATHER_MS {
+            // All processes may just have been lost, so that no window could be closed in time; what
+            // entries that live have counted is still on its way.
+            return false;
+        }
+        self.before.retain(|_, before| *before > window);
+        true
+    }
+}
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -35,6 +35,7 @@
 use crate::message::News;
 use crate::metrics;
 use crate::parts::Reader;
+use crate::usage::Usage;
 use crate::view::View;
 
 /// Milliseconds after which a caller may come back when no leader is known: an election takes
@@ -71,6 +72,8 @@
     pub started: Millis,
     /// Results that were read lately.
     pub recent: RefCell<Recent>,
+    /// Counts what workspaces use, if that is reported.
+    pub usage: Option<Rc<Usage>>,
     /// How long keys are believed without a leader.
     pub trust: Trust,
     /// The data centre, where texts are read from a store if it has them; empty if they are not.
@@ -110,7 +113,7 @@
         let name = workspace.map(|workspace| workspace.name.as_str());
         let keyed = !config.workspaces.is_empty();
         let request = if keyed { plain::admitted(request, name) } else { request };
-        self.forward(&request, route, began).await
+        self.forward(&request, route, name, began).await
     }
 
     /// Lets a caller in, with the workspace that its request is for. A key that is not known is refused
@@ -177,10 +180,17 @@
         platform::refusal(StatusCode::SERVICE_UNAVAILABLE, why, after_ms)
     }
 
-    async fn forward(&self, request: &Request, route: &Route, began: Millis) -> Reply {
+    async fn forward(
+        &self,
+        request: &Request,
+        route: &Route,
+        workspace: Option<&str>,
+        began: Millis,
+    ) -> Reply {
         let asked = plain::budget_ms(request);
         let budget = asked.unwrap_or(BUDGET_MS).min(route.timeout_ms.unwrap_or(BUDGET_MS));
-        let outcome = self.forwarder.forward(route, request, budget).await;
+        let ticket = self.usage.as_ref().zip(workspace).map(|(usage, name)| usage.came(name));
+        let outcome = self.forwarder.forward(route, request, budget, ticket).await;
         let ms = clock::now().since(began);
         let word = outcome_word(&outcome);
         metrics::REQUESTS.with_label_values(&[route.name.as_str(), word]).inc();
--- a/components/node/src/forward.rs
+++ b/components/node/src/forward.rs
@@ -27,6 +27,7 @@
 use crate::clock;
 use crate::message::News;
 use crate::metrics;
+use crate::usage::Ticket;
 
 /// How long a connection to an endpoint may take to come about. Round trips are a few
 /// milliseconds; an opening packet that is lost is sent again only after a second.
@@ -109,7 +110,14 @@
     }
 
     /// Carries a request. Dropping the future closes the connections of its attempts.
-    pub async fn forward(&self, route: &Route, request: &Request, budget_ms: u64) -> Outcome {
+    /// `ticket` notes what its workspace uses.
+    pub async fn forward(
+        &self,
+        route: &Route,
+        request: &Request,
+        budget_ms: u64,
+        ticket: Option<Ticket>,
+    ) -> Outcome {
         let deadline = clock::now() + budget_ms;
         let Some(service) = route.service(rand::random()) else {
             return Outcome::NotRun("the route leads nowhere", NONE_AFTER_MS);
@@ -129,6 +137,7 @@
             last: None,
             began: clock::now(),
             tries: Rc::default(),
+            ticket,
         };
         let timer = tokio::time::sleep(Duration::from_millis(budget_ms));
         let outcome = tokio::select! {
@@ -174,6 +183,7 @@
                 }
             },
         };
+        attempt.send();
         match self.exchange(connection, &forwarded, &target).await {
             Ok((Meaning::Answer, reply)) => {
                 let ms = clock::now().since(began);
@@ -241,6 +251,19 @@
     last: Option<Reply>,
     began: Millis,
     tries: Tries,
+    ticket: Option<Ticket>,
+}
+
+impl Drop for Carry<'_> {
+    /// Notes for its workspace whether the request began to run, and when. It counts once, however
+    /// many endpoints ran it.
+    fn drop(&mut self) {
+        let Some(ticket) = &mut self.ticket else { return };
+        let tries = self.tries.borrow();
+        if let Some(began) = tries.iter().filter_map(Try::began).min() {
+            ticket.began(began);
+        }
+    }
 }
 
 /// What became of a request's attempts, for its log line.
@@ -251,6 +274,8 @@
     target: Target,
     /// Milliseconds after the request came.
     at_ms: u64,
+    /// When the request was written to a connection; none before.
+    sent: Option<Millis>,
     /// How it ended, after so many milliseconds; none while it is under way.
     end: Option<(Ending, u64)>,
 }
@@ -302,7 +327,7 @@
         self.runs += 1;
         self.tried.push(target.id.clone());
         let at_ms = clock::now().since(self.began);
-        self.tries.borrow_mut().push(Try { target: target.clone(), at_ms, end: None });
+        self.tries.borrow_mut().push(Try { target: target.clone(), at_ms, sent: None, end: None });
         let note = (self.tries.clone(), self.tries.borrow().len() - 1);
         let (forwarder, route, request) = (self.forwarder, self.route, self.request);
         let (deadline, once) = (self.deadline, self.once);
@@ -361,6 +386,14 @@
     }
 }
 
+impl Try {
+    /// Gives when the endpoint began to run the request, as far as is known; none if it did not.
+    fn began(&self) -> Option<Millis> {
+        let refused = matches!(self.end, Some((Ending::Refused | Ending::Moved, _)));
+        self.sent.filter(|_| !refused)
+    }
+}
+
 impl std::fmt::Display for Try {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         let Target { id, expected_ms, running, penalty_ms, .. } = &self.target;
@@ -386,6 +419,11 @@
 }
 
 impl Attempt<'_> {
+    fn send(&mut self) {
+        let (tries, place) = &self.note;
+        tries.borrow_mut()[*place].sent = Some(clock::now());
+    }
+
     fn end(&mut self, ending: Ending) {
         self.ended = true;
         let (tries, place) = &self.note;
--- a/components/node/src/hub.rs
+++ b/components/node/src/hub.rs
@@ -10,8 +10,11 @@
 use bytes::Bytes;
 use chicoryford_fleet::copies::StoreId;
 use chicoryford_fleet::run::Work;
+use chicoryford_fleet::walltime;
+use chicoryford_fleet::walltime::Offset;
 use chicoryford_http::socket;
 use chicoryford_types::Millis;
+use chicoryford_types::Unix;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use futures_util::stream::SplitSink;
@@ -25,6 +28,7 @@
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
+use crate::clock;
 use crate::core::Core;
 use crate::frame::decode;
 use crate::frame::encode;
@@ -39,6 +43,7 @@
 use crate::message::News;
 use crate::message::Told;
 use crate::message::Up;
+use crate::metrics;
 use crate::traffic::Traffic;
 use crate::traffic::Way;
 
@@ -54,6 +59,8 @@
 const MEMBER_SILENCE: Duration = Duration::from_millis(1_500);
 /// Time between two words to a replica that its messages arrive.
 pub const SEEN: Duration = Duration::from_millis(150);
+/// Milliseconds between two looks at what members' times of day read.
+const WALL_MS: u64 = 500;
 /// Time between two words that the leader lives.
 const ALIVE: Duration = Duration::from_millis(200);
 
@@ -80,6 +87,8 @@
     replica: bool,
     /// Its own clock in the newest of its words.
     clock: Millis,
+    /// How far its time of day is ahead of this process's clock.
+    wall: Option<Offset>,
     frames: mpsc::Sender<Queued>,
     /// Ends its connection, also while that waits for it to read.
     cut: Rc<Notify>,
@@ -91,12 +100,20 @@
     next: Cell<u64>,
     all: RefCell<BTreeMap<u64, Follower>>,
     asked: RefCell<BTreeMap<u64, oneshot::Sender<Told>>>,
+    /// How far the fleet's time of day is ahead of this process's clock, and when that was found.
+    offset: Cell<(Millis, Option<Offset>)>,
 }
 
 impl Followers {
     /// Starts without any; what is sent to them is counted.
     pub fn new(traffic: Rc<Traffic>) -> Self {
-        Self { traffic, next: Cell::default(), all: RefCell::default(), asked: RefCell::default() }
+        Self {
+            traffic,
+            next: Cell::default(),
+            all: RefCell::default(),
+            asked: RefCell::default(),
+            offset: Cell::default(),
+        }
     }
 
     /// Tells all members something. One whose queue is full would believe what is out of date from
@@ -204,6 +221,29 @@
         }
     }
 
+    /// Notes what a follower's time of day reads.
+    fn read_wall(&self, number: u64, wall: Unix) {
+        if let Some(follower) = self.all.borrow_mut().get_mut(&number) {
+            follower.wall = Some(Offset::of(wall, clock::now()));
+        }
+    }
+
+    /// Gives the fleet's time of day; none while too few members have told theirs.
+    pub fn wall(&self) -> Option<Unix> {
+        let now = clock::now();
+        let (at, mut offset) = self.offset.get();
+        if offset.is_none() || now.since(at) >= WALL_MS {
+            let all = self.all.borrow();
+            let read = || all.values().filter_map(|follower| follower.wall);
+            let enough = read().count() * 2 > all.len();
+            offset = walltime::median(read()).filter(|_| enough);
+            metrics::WALL_ERROR
+                .set(offset.map_or(0, |offset| walltime::error_ms(read(), offset)) as i64);
+            self.offset.set((now, offset));
+        }
+        offset.map(|offset| offset.at(now))
+    }
+
     /// Gives a follower's clock in the newest of its words.
     fn clock(&self, number: u64) -> Millis {
         self.all.borrow().get(&number).map(|follower| follower.clock).unwrap_or_default()
@@ -315,6 +355,7 @@
             data_centre: data_centre.clone(),
             replica,
             clock,
+            wall: None,
             frames: frames.clone(),
             cut: cut.clone(),
         };
@@ -363,7 +404,7 @@
             _ = alive.tick() => {
                 let leads = lead.leads();
                 let heard = followers.clock(number);
-                let alive = Down::Alive { heard };
+                let alive = Down::Alive { heard, wall: followers.wall() };
                 let word = if leads { alive } else { Down::NotLeader { leader: None } };
                 Some(Queued::word(encode(&word)))
             }
@@ -424,9 +465,13 @@
             (Up::Report(_) | Up::Reported, None) => {
                 tracing::warn!(event = "link_unreadable", error = "a report of no host");
             }
-            (Up::Beat(clock), _) => self.hub.followers.heard(self.number, clock),
+            (Up::Beat { clock, wall }, _) => {
+                self.hub.followers.heard(self.number, clock);
+                self.hub.followers.read_wall(self.number, wall);
+            }
+            (Up::Used(told), _) => self.lead.take_usage(told),
             (Up::Heard(signs), _) => self.lead.take_signs(&signs),
-            (Up::Alive, _) => {}
+            (Up::Alive(wall), _) => self.hub.followers.read_wall(self.number, wall),
         }
     }
 
--- a/components/node/src/lead/mod.rs
+++ b/components/node/src/lead/mod.rs
@@ -6,6 +6,7 @@
 mod runs;
 mod steps;
 mod stores;
+mod usage;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -30,6 +31,7 @@
 use chicoryford_fleet::plan::RunEnd;
 use chicoryford_fleet::step::Result;
 use chicoryford_fleet::turn::Turn;
+use chicoryford_fleet::usage::Lives;
 use chicoryford_http::Pool;
 use chicoryford_types::Epoch;
 use chicoryford_types::Millis;
@@ -115,6 +117,7 @@
     /// Reads of results that wait.
     pub(crate) readers: Readers,
     duties: RefCell<Vec<JoinHandle<()>>>,
+    usage: usage::Usage,
     /// Set once this leadership has ended; the process may lead again, in another epoch.
     ended: Cell<bool>,
 }
@@ -137,6 +140,8 @@
         let near = parts.settings.policy.near_hosts;
         let hosts = Hosts::new(parts.followers.clone(), parts.runner.clone(), near);
         let copies = Copies::new(parts.followers.clone(), &parts.settings, now);
+        let lives = Lives::new(now, parts.core.state().usage.lives().cloned());
+        let usage = usage::Usage::new(parts.settings.windows(), lives);
         let lead = Rc::new(Self {
             epoch,
             copies,
@@ -160,6 +165,7 @@
             outbox: Outbox::default(),
             readers: Readers::default(),
             duties: RefCell::default(),
+            usage,
             ended: Cell::default(),
             parts,
         });
@@ -185,6 +191,7 @@
             actix_rt::spawn(members::keep(Rc::downgrade(&lead), Duration::from_millis(MEMBERS_MS))),
         ];
         lead.duties.borrow_mut().extend(duties);
+        lead.duties.borrow_mut().extend(usage::start(&lead));
         lead
     }
 
@@ -355,7 +362,10 @@
             | Command::Retire { .. }
             | Command::Move { .. }
             | Command::Note { .. }
-            | Command::Know { .. } => {}
+            | Command::Know { .. }
+            | Command::Hold(_)
+            | Command::Use(_)
+            | Command::CloseWindow { .. } => {}
         }
         self.kick.notify_one();
     }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod settings;
 pub mod start;
 pub mod traffic;
+pub mod usage;
 pub mod view;
 
 pub use settings::Settings;
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use chicoryford_depot::Worker;
 use chicoryford_fleet::hearing::Sign;
+use chicoryford_fleet::usage;
 use chicoryford_http::socket;
 use chicoryford_types::Millis;
 use futures_util::SinkExt;
@@ -103,6 +104,7 @@
     next: Cell<u64>,
     heard: Cell<Millis>,
     connected: watch::Sender<bool>,
+    connections: Cell<u64>,
 }
 
 impl Link {
@@ -118,6 +120,7 @@
             next: Cell::default(),
             heard: Cell::new(clock::now()),
             connected: watch::Sender::new(false),
+            connections: Cell::default(),
         })
     }
 
@@ -165,8 +168,23 @@
 
     /// Tells the leader whom this process has heard; tells whether that is on its way.
     pub fn tell_heard(&self, signs: Vec<Sign>) -> bool {
+        self.send(Up::Heard(signs))
+    }
+
+    /// Tells the leader what workspaces used; tells whether that is on its way.
+    pub fn tell_used(&self, told: usage::Told) -> bool {
+        self.send(Up::Used(told))
+    }
+
+    fn send(&self, word: Up) -> bool {
         let up = self.up.borrow();
-        up.as_ref().is_some_and(|up| up.try_send(Up::Heard(signs)).is_ok())
+        up.as_ref().is_some_and(|up| up.try_send(word).is_ok())
+    }
+
+    /// Numbers the connection to the leader, from one; what was told on one before may not have
+    /// arrived.
+    pub fn connection(&self) -> u64 {
+        self.connections.get()
     }
 
     /// Calls the leader, and the next one if it is lost, until the time is up. Only for calls
@@ -266,6 +284,7 @@
         let (up, calls) = mpsc::channel(CALLS);
         let (sink, mut stream) = socket.split();
         *self.up.borrow_mut() = Some(up.clone());
+        self.connections.set(self.connections.get() + 1);
         self.heard.set(clock::now());
         if let Some(runner) = &self.member.runner {
             runner.attach(up);
@@ -311,7 +330,10 @@
                     runner.take_order(work, clock::now().since(heard));
                 }
             }
-            Down::Alive { heard } => {
+            Down::Alive { heard, wall } => {
+                if let Some(wall) = wall {
+                    self.view.tell_time(wall);
+                }
                 if let Some(runner) = &self.member.runner {
                     runner.led(heard);
                 }
@@ -380,7 +402,7 @@
         let up = match tokio::time::timeout(ALIVE, calls.recv()).await {
             Ok(Some(up)) => up,
             Ok(None) => return,
-            Err(_) => Up::Alive,
+            Err(_) => Up::Alive(clock::wall()),
         };
         if sink.feed(encode(&up)).await.is_err() {
             return;
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -17,7 +17,9 @@
 use chicoryford_fleet::hearing::Sign;
 use chicoryford_fleet::run::Report;
 use chicoryford_fleet::run::Work;
+use chicoryford_fleet::usage;
 use chicoryford_types::Millis;
+use chicoryford_types::Unix;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -72,10 +74,17 @@
     Reported,
     /// A control process has heard these endpoints say again what is known of them.
     Heard(Vec<Sign>),
-    /// A member lives.
-    Alive,
-    /// A host lives, and this is its clock as it says so.
-    Beat(Millis),
+    /// A member lives, and this is its time of day as it says so.
+    Alive(Unix),
+    /// A host lives.
+    Beat {
+        /// Its clock as it says so.
+        clock: Millis,
+        /// Its time of day.
+        wall: Unix,
+    },
+    /// An entry has counted what workspaces used.
+    Used(usage::Told),
     /// A store answers what the leader asked.
     Told {
         /// The number of the question.
@@ -147,6 +156,8 @@
         /// The member's own clock in the newest of its words that the leader had read by then. The
         /// leader led after that.
         heard: Millis,
+        /// The fleet's time of day as the leader says this, if it knows.
+        wall: Option<Unix>,
     },
 }
 
@@ -257,7 +268,8 @@
             Self::Call { call, .. } => call.kind(),
             Self::Report(_) => "report",
             Self::Heard(_) => "signs",
-            Self::Reported | Self::Alive | Self::Beat(_) => "alive",
+            Self::Reported | Self::Alive(_) | Self::Beat { .. } => "alive",
+            Self::Used(_) => "usage",
             Self::Told { told: Told::Part(_), .. } => "part_got",
             Self::Told { .. } => "part_kept",
         }
--- a/components/node/src/metrics.rs
+++ b/components/node/src/metrics.rs
@@ -63,6 +63,14 @@
 /// Orders to engines by how they were taken.
 pub static ORDERS: LazyLock<IntCounterVec> =
     LazyLock::new(|| counter("orders_total", "Orders to engines by answer.", &["taken"]));
+/// Calls to the platform on the fleet's behalf, by duty and how they were taken.
+pub static DUTY_CALLS: LazyLock<IntCounterVec> =
+    LazyLock::new(|| counter("duty_calls_total", "Calls by answer.", &["duty", "taken"]));
+/// Milliseconds within which half of the members' times of day agree, at the leader.
+pub static WALL_ERROR: LazyLock<IntGauge> = LazyLock::new(|| {
+    register_int_gauge!("wall_error_ms", "Milliseconds by which times of day differ.")
+        .expect("names are unique")
+});
 /// Bytes that the links of this process carried, by kind of message and data centres.
 pub static LINK_BYTES: LazyLock<IntCounterVec> = LazyLock::new(|| {
     counter("link_bytes_total", "Bytes on links by kind and data centres.", &["kind", "from", "to"])
--- a/components/node/src/runner/carry.rs
+++ b/components/node/src/runner/carry.rs
@@ -190,7 +190,7 @@
         let mut after = SCORE_PAUSE;
         // A call may ask several endpoints, for seconds, so it ends with the leader's sign.
         let called = tokio::select! {
-            outcome = runner.forwarder.forward(route, &request, limit) => outcome,
+            outcome = runner.forwarder.forward(route, &request, limit, None) => outcome,
             () = runner.unled() => continue,
         };
         match called {
--- a/components/node/src/runner/mod.rs
+++ b/components/node/src/runner/mod.rs
@@ -113,7 +113,7 @@
     fn beat(&self) {
         if let Some(Sink::Link(up)) = &*self.sink.borrow() {
             // A full queue says that this process lives, too.
-            let _ = up.try_send(Up::Beat(clock::now()));
+            let _ = up.try_send(Up::Beat { clock: clock::now(), wall: clock::wall() });
         }
     }
 
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -7,9 +7,20 @@
 
 use chicoryford_fleet::Policy;
 use chicoryford_fleet::Trust;
+use chicoryford_fleet::usage::Windows;
 use serde::Deserialize;
 use thiserror::Error;
 
+/// A call that the platform wants of one VM at a time.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "snake_case")]
+pub enum Duty {
+    /// Reports of what workspaces used.
+    Usage,
+    /// Orders for numbers of endpoints.
+    Scaling,
+}
+
 /// The settings, as docs/SETTINGS.md lists them.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -60,6 +71,14 @@
     /// Milliseconds of the leader's silence after which keys may have been taken away unheard.
     #[serde(default = "five_seconds")]
     pub revocation_ms: u64,
+    /// Where the platform takes calls on the fleet's behalf.
+    pub platform: Option<SocketAddr>,
+    /// Which calls it wants.
+    #[serde(default)]
+    pub duties: Vec<Duty>,
+    /// Seconds of a window of usage.
+    #[serde(default = "five")]
+    pub usage_window_s: u64,
     /// Seconds after its submission for which a step's results are kept.
     #[serde(default = "two_minutes")]
     pub keep_s: u64,
@@ -83,6 +102,10 @@
     3_000
 }
 
+fn five() -> u64 {
+    5
+}
+
 fn five_seconds() -> u64 {
     5_000
 }
@@ -133,6 +156,16 @@
         Trust { strict: self.strict_keys, limit_ms: self.revocation_ms }
     }
 
+    /// Gives where usage is reported, if it is.
+    pub fn usage_address(&self) -> Option<SocketAddr> {
+        self.platform.filter(|_| self.duties.contains(&Duty::Usage))
+    }
+
+    /// Gives the windows of usage.
+    pub fn windows(&self) -> Windows {
+        Windows { length_ms: self.usage_window_s.max(1) * 1_000 }
+    }
+
     /// Gives the address to listen on for an address at which others reach this process.
     pub fn listening(&self, reached: SocketAddr) -> SocketAddr {
         SocketAddr::new(self.listen_ip.unwrap_or(reached.ip()), reached.port())
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -49,6 +49,7 @@
 use crate::settings::SettingsError;
 use crate::traffic;
 use crate::traffic::Traffic;
+use crate::usage::Usage;
 use crate::view::View;
 
 /// The replica's folder below the data folder.
@@ -302,12 +303,20 @@
         let near = Some(self.settings.data_centre.clone());
         let near = near.filter(|_| self.settings.policy.near_reads).unwrap_or_default();
         let kept = if self.settings.policy.kept_results { entry::RECENT } else { 0 };
+        let usage = self
+            .settings
+            .usage_address()
+            .map(|_| Usage::new(&self.settings.node, self.settings.windows(), self.view.clone()));
+        if let Some(usage) = &usage {
+            actix_rt::spawn(usage.clone().tell_on(self.link.clone()));
+        }
         let entry = Rc::new(Entry {
             link: self.link.clone(),
             view: self.view.clone(),
             forwarder: self.forwarder.clone(),
             started: clock::now(),
             recent: RefCell::new(Recent::new(kept)),
+            usage,
             trust: self.settings.trust(),
             near,
             reader: Rc::default(),
--- a/components/node/src/view.rs
+++ b/components/node/src/view.rs
@@ -9,7 +9,9 @@
 
 use chicoryford_fleet::Config;
 use chicoryford_fleet::Endpoint;
+use chicoryford_fleet::walltime::WallTime;
 use chicoryford_types::Millis;
+use chicoryford_types::Unix;
 
 use crate::clock;
 use crate::message::News;
@@ -17,13 +19,26 @@
 type Listener = Box<dyn Fn(&News)>;
 
 /// What a member believes.
-#[derive(Default)]
 pub struct View {
     config: RefCell<Option<Arc<Config>>>,
     endpoints: RefCell<BTreeMap<String, Endpoint>>,
     controls: RefCell<BTreeSet<SocketAddr>>,
     ordered: RefCell<BTreeMap<String, Millis>>,
     listeners: RefCell<Vec<Listener>>,
+    time: RefCell<WallTime>,
+}
+
+impl Default for View {
+    fn default() -> Self {
+        Self {
+            config: RefCell::default(),
+            endpoints: RefCell::default(),
+            controls: RefCell::default(),
+            ordered: RefCell::default(),
+            listeners: RefCell::default(),
+            time: RefCell::new(WallTime::new(clock::wall(), clock::now())),
+        }
+    }
 }
 
 impl View {
@@ -76,6 +91,21 @@
         newer
     }
 
+    /// Takes in the time of day as the leader told it.
+    pub fn tell_time(&self, wall: Unix) {
+        self.time.borrow_mut().tell(wall, clock::now());
+    }
+
+    /// Gives the fleet's time of day.
+    pub fn wall(&self) -> Unix {
+        self.wall_at(clock::now())
+    }
+
+    /// Gives the fleet's time of day when this VM's steady clock reads `at`.
+    pub fn wall_at(&self, at: Millis) -> Unix {
+        self.time.borrow().at(at)
+    }
+
     /// Gives the configuration in force here.
     pub fn config(&self) -> Option<Arc<Config>> {
         self.config.borrow().clone()
--- a/components/node/tests/forward.rs
+++ b/components/node/tests/forward.rs
@@ -132,7 +132,7 @@
     let mut request = Request::new(Method::POST, "/x", "body");
     request.headers.set("host", "h");
     request.headers.set("x-attempt-id", "id");
-    forwarder(stubs).forward(&route(kind, attempts), &request, budget_ms).await
+    forwarder(stubs).forward(&route(kind, attempts), &request, budget_ms, None).await
 }
 
 fn is_success(outcome: &Outcome) -> bool {
--- a/components/node/tests/lead/fleet.rs
+++ b/components/node/tests/lead/fleet.rs
@@ -41,6 +41,7 @@
 use chicoryford_node::traffic::Traffic;
 use chicoryford_node::view::View;
 use chicoryford_types::Epoch;
+use chicoryford_types::Unix;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use futures_util::stream::SplitStream;
@@ -172,7 +173,7 @@
     pub async fn slow_host(&self) -> (SplitStream<Socket>, JoinHandle<()>) {
         let (mut sink, stream) = greet(self.links, "h").await.split();
         let alive = actix_rt::spawn(async move {
-            while sink.send(encode(&Up::Alive)).await.is_ok() {
+            while sink.send(encode(&Up::Alive(Unix::default()))).await.is_ok() {
                 tokio::time::sleep(ALIVE).await;
             }
         });
@@ -223,6 +224,9 @@
         fenced: true,
         strict_keys: false,
         revocation_ms: 5_000,
+        platform: None,
+        duties: Vec::new(),
+        usage_window_s: 5,
         keep_s: 120,
         policy: Policy::default(),
         log: "info".to_owned(),
--- a/components/node/tests/lead/steps.rs
+++ b/components/node/tests/lead/steps.rs
@@ -10,6 +10,7 @@
 use chicoryford_node::message::Call;
 use chicoryford_node::message::Down;
 use chicoryford_node::message::Up;
+use chicoryford_types::Unix;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use tokio::time::Instant;
@@ -307,14 +308,14 @@
     let (mut sink, mut stream) = greet(fleet.links, "h").await.split();
     until("the host is connected", || lead.copies.count(|node| node == "h") == 1).await;
     let clock = clock::now() + 60_000;
-    sink.send(encode(&Up::Beat(clock))).await.unwrap();
+    sink.send(encode(&Up::Beat { clock, wall: Unix::default() })).await.unwrap();
     pause(300).await;
     assert!(fleet.followers.work("h", Work::Tell));
     let (mut order, mut sign) = (None, None);
     while order.is_none() || sign != Some(clock) {
         match decode(&stream.next().await.unwrap().unwrap()).unwrap() {
             Down::Work { heard, .. } => order = Some(heard),
-            Down::Alive { heard } => sign = Some(heard),
+            Down::Alive { heard, .. } => sign = Some(heard),
             _ => {}
         }
     }
--- a/components/node/tests/link.rs
+++ b/components/node/tests/link.rs
@@ -117,10 +117,10 @@
         loop {
             tokio::select! {
                 () = tokio::time::sleep_until(until) => return reports,
-                _ = alive.tick() => self.say(&Down::Alive { heard: self.heard }).await,
+                _ = alive.tick() => self.say(&Down::Alive { heard: self.heard, wall: None }).await,
                 frame = self.stream.next() => match decode(&frame.unwrap().unwrap()).unwrap() {
                     Up::Report(report) => reports.push(report),
-                    Up::Beat(clock) if !self.lags => self.heard = clock,
+                    Up::Beat { clock, .. } if !self.lags => self.heard = clock,
                     _ => {}
                 },
             }
--- a/components/node/tests/runner.rs
+++ b/components/node/tests/runner.rs
@@ -15,6 +15,7 @@
 use chicoryford_node::message::Up;
 use chicoryford_node::runner::Runner;
 use chicoryford_node::view::View;
+use chicoryford_types::Unix;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -150,7 +151,7 @@
 async fn the_word_that_all_runs_were_told_is_said_later_if_it_finds_no_room() {
     let runner = Runner::new(Rc::new(View::default()), Forwarder::new(Policy::default()));
     let (up, mut told) = mpsc::channel(1);
-    up.try_send(Up::Alive).unwrap();
+    up.try_send(Up::Alive(Unix::default())).unwrap();
     runner.attach(up);
     actix_rt::spawn(runner.clone().run());
     let mut reported = false;
