--- a/components/node/tests/lead/fleet.rs
+++ b/components/node/tests/lead/fleet.rs
@@ -26,6 +26,7 @@
 use chicoryford_fleet::run::Standing;
 use chicoryford_fleet::run::Work;
 use chicoryford_node::Settings;
+use chicoryford_node::clock;
 use chicoryford_node::core::Core;
 use chicoryford_node::forward::Forwarder;
 use chicoryford_node::frame::encode;
@@ -41,7 +42,6 @@
 use chicoryford_node::traffic::Traffic;
 use chicoryford_node::view::View;
 use chicoryford_types::Epoch;
-use chicoryford_types::Unix;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use futures_util::stream::SplitStream;
@@ -70,10 +70,15 @@
 
 impl Fleet {
     pub async fn start() -> Self {
+        Self::start_with(|settings| settings).await
+    }
+
+    /// Starts one whose settings are otherwise than usual.
+    pub async fn start_with(change: impl Fn(Settings) -> Settings) -> Self {
         let folder = TempDir::new().unwrap();
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let links = listener.local_addr().unwrap();
-        let settings = Rc::new(settings(links));
+        let settings = Rc::new(change(settings(links)));
         let (core, reports) =
             Core::open(folder.path(), links, &[links], Peers::new("here")).unwrap();
         let running = core.clone();
@@ -173,7 +178,7 @@
     pub async fn slow_host(&self) -> (SplitStream<Socket>, JoinHandle<()>) {
         let (mut sink, stream) = greet(self.links, "h").await.split();
         let alive = actix_rt::spawn(async move {
-            while sink.send(encode(&Up::Alive(Unix::default()))).await.is_ok() {
+            while sink.send(encode(&Up::Alive(clock::wall()))).await.is_ok() {
                 tokio::time::sleep(ALIVE).await;
             }
         });
--- a/components/node/tests/lead/member.rs
+++ b/components/node/tests/lead/member.rs
@@ -21,7 +21,6 @@
 use chicoryford_node::message::Hello;
 use chicoryford_node::message::Told;
 use chicoryford_node::message::Up;
-use chicoryford_types::Unix;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use tokio::net::TcpStream;
@@ -93,7 +92,7 @@
                         continue;
                     }
                     Some(said) = ups.recv() => said,
-                    _ = alive.tick() => Up::Alive(Unix::default()),
+                    _ = alive.tick() => Up::Alive(clock::wall()),
                 };
                 if socket.send(encode(&said)).await.is_err() {
                     return;
--- a/components/node/tests/runner.rs
+++ b/components/node/tests/runner.rs
@@ -11,11 +11,11 @@
 use chicoryford_fleet::run::Report;
 use chicoryford_fleet::run::Standing;
 use chicoryford_fleet::run::Work;
+use chicoryford_node::clock;
 use chicoryford_node::forward::Forwarder;
 use chicoryford_node::message::Up;
 use chicoryford_node::runner::Runner;
 use chicoryford_node::view::View;
-use chicoryford_types::Unix;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -151,7 +151,7 @@
 async fn the_word_that_all_runs_were_told_is_said_later_if_it_finds_no_room() {
     let runner = Runner::new(Rc::new(View::default()), Forwarder::new(Policy::default()));
     let (up, mut told) = mpsc::channel(1);
-    up.try_send(Up::Alive(Unix::default())).unwrap();
+    up.try_send(Up::Alive(clock::wall())).unwrap();
     runner.attach(up);
     actix_rt::spawn(runner.clone().run());
     let mut reported = false;
