Waiting requests share endpoints by workspace: one line a service, start-time fair queueing

Cause: requests that found all endpoints full each asked again every 30 ms, so a place that came free went to whoever had most requests waiting. Change: they wait in one line a service at each process, the most urgent first, equally urgent ones by start-time fair queueing over workspaces; the first asks for all.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod endpoint;
 pub mod events;
 pub mod hearing;
+pub mod line;
 pub mod pick;
 pub mod plan;
 pub mod policy;
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -28,6 +28,7 @@
 use crate::clock;
 use crate::forward::Forwarder;
 use crate::forward::Outcome;
+use crate::forward::User;
 use crate::link::CallError;
 use crate::link::Link;
 use crate::message::Answer;
@@ -113,7 +114,7 @@
         let name = workspace.map(|workspace| workspace.name.as_str());
         let keyed = !config.workspaces.is_empty();
         let request = if keyed { plain::admitted(request, name) } else { request };
-        self.forward(&request, route, name, began).await
+        self.forward(&request, route, workspace, began).await
     }
 
     /// Lets a caller in, with the workspace that its request is for. A key that is not known is refused
@@ -184,13 +185,18 @@
         &self,
         request: &Request,
         route: &Route,
-        workspace: Option<&str>,
+        workspace: Option<&Workspace>,
         began: Millis,
     ) -> Reply {
         let asked = plain::budget_ms(request);
         let budget = asked.unwrap_or(BUDGET_MS).min(route.timeout_ms.unwrap_or(BUDGET_MS));
-        let ticket = self.usage.as_ref().zip(workspace).map(|(usage, name)| usage.came(name));
-        let outcome = self.forwarder.forward(route, request, budget, ticket).await;
+        let name = workspace.map(|workspace| workspace.name.as_str());
+        let user = User {
+            workspace: name.unwrap_or_default(),
+            rank: workspace.and_then(|one| one.urgency).unwrap_or(route.priority),
+            ticket: self.usage.as_ref().zip(name).map(|(usage, name)| usage.came(name)),
+        };
+        let outcome = self.forwarder.forward(route, request, budget, user).await;
         let ms = clock::now().since(began);
         let word = outcome_word(&outcome);
         metrics::REQUESTS.with_label_values(&[route.name.as_str(), word]).inc();
--- a/components/node/src/forward.rs
+++ b/components/node/src/forward.rs
@@ -8,6 +8,7 @@
 use chicoryford_fleet::Kind;
 use chicoryford_fleet::Policy;
 use chicoryford_fleet::Route;
+use chicoryford_fleet::line::Place;
 use chicoryford_fleet::pick::Ending;
 use chicoryford_fleet::pick::Nowhere;
 use chicoryford_fleet::pick::Picker;
@@ -28,6 +29,7 @@
 use crate::message::News;
 use crate::metrics;
 use crate::usage::Ticket;
+use crate::waiting::Lines;
 
 /// How long a connection to an endpoint may take to come about. Round trips are a few
 /// milliseconds; an opening packet that is lost is sent again only after a second.
@@ -39,11 +41,9 @@
 /// Milliseconds before which no second attempt starts, and when nothing is known of the usual
 /// time.
 const HEDGE_LEAST_MS: u64 = 60;
-/// Pause before endpoints that were all full are asked again.
-const FULL_PAUSE: Duration = Duration::from_millis(30);
-/// Rounds over endpoints that are all full before the request is refused. The caller can wait
-/// just as well, and another entry may know of room.
-const FULL_ROUNDS: u32 = 3;
+/// Milliseconds for which a request waits while endpoints are all full before it is refused. The caller
+/// can wait just as well, and another entry may know of room.
+const FULL_MS: u64 = 90;
 /// Milliseconds after which a caller may come back when endpoints are full: the usual request is
 /// done by then.
 const FULL_AFTER_MS: u64 = 150;
@@ -78,13 +78,26 @@
     pool: RefCell<Pool>,
     /// Whether second attempts are made.
     second: bool,
+    lines: Lines,
+}
+
+/// For whom a request is carried.
+#[derive(Default)]
+pub struct User<'a> {
+    /// The workspace, empty where there are none.
+    pub workspace: &'a str,
+    /// The rank of the request, zero first.
+    pub rank: u32,
+    /// Notes what the workspace uses.
+    pub ticket: Option<Ticket>,
 }
 
 impl Forwarder {
     /// Makes one that knows no endpoint.
     pub fn new(policy: Policy) -> Rc<Self> {
         let picker = RefCell::new(Picker::new(rand::random()).under(policy));
-        Rc::new(Self { picker, pool: RefCell::default(), second: policy.second_attempts })
+        let second = policy.second_attempts;
+        Rc::new(Self { picker, pool: RefCell::default(), second, lines: Lines::default() })
     }
 
     /// Takes in news of endpoints.
@@ -110,13 +123,12 @@
     }
 
     /// Carries a request. Dropping the future closes the connections of its attempts.
-    /// `ticket` notes what its workspace uses.
     pub async fn forward(
         &self,
         route: &Route,
         request: &Request,
         budget_ms: u64,
-        ticket: Option<Ticket>,
+        user: User<'_>,
     ) -> Outcome {
         let deadline = clock::now() + budget_ms;
         let Some(service) = route.service(rand::random()) else {
@@ -131,13 +143,14 @@
             once: route.kind != Kind::Idempotent,
             left: route.attempts.max(1),
             tried: Vec::new(),
-            rounds: 0,
+            place: None,
+            waited_ms: 0,
             failures: 0,
             runs: 0,
             last: None,
             began: clock::now(),
             tries: Rc::default(),
-            ticket,
+            user,
         };
         let timer = tokio::time::sleep(Duration::from_millis(budget_ms));
         let outcome = tokio::select! {
@@ -244,21 +257,24 @@
     /// Endpoints that may still run it.
     left: u32,
     tried: Vec<String>,
-    rounds: u32,
+    /// Its place among those that wait while endpoints are full, if it was first there.
+    place: Option<Place>,
+    /// Milliseconds for which it has waited while endpoints were full.
+    waited_ms: u64,
     failures: u32,
     /// Attempts that may have run.
     runs: u32,
     last: Option<Reply>,
     began: Millis,
     tries: Tries,
-    ticket: Option<Ticket>,
+    user: User<'a>,
 }
 
 impl Drop for Carry<'_> {
     /// Notes for its workspace whether the request began to run, and when. It counts once, however
     /// many endpoints ran it.
     fn drop(&mut self) {
-        let Some(ticket) = &mut self.ticket else { return };
+        let Some(ticket) = &mut self.user.ticket else { return };
         let tries = self.tries.borrow();
         if let Some(began) = tries.iter().filter_map(Try::began).min() {
             ticket.began(began);
@@ -284,14 +300,19 @@
     async fn run(&mut self) -> Outcome {
         let mut running = FuturesUnordered::new();
         let mut hedged = self.once || !self.forwarder.second;
+        if self.forwarder.lines.is_closed(self.service) && !self.wait().await {
+            return self.give_up(Nowhere::AllTried);
+        }
         loop {
             if running.is_empty() {
                 match self.choose() {
                     Ok(target) => running.push(self.start(target)),
-                    Err(Nowhere::AllTried) if self.rounds < FULL_ROUNDS && self.left > 0 => {
-                        self.rounds += 1;
+                    Err(Nowhere::AllTried) if self.left > 0 => {
                         self.tried.clear();
-                        tokio::time::sleep(FULL_PAUSE).await;
+                        self.forwarder.lines.found_full(self.service);
+                        if !self.wait().await {
+                            return self.give_up(Nowhere::AllTried);
+                        }
                         continue;
                     }
                     Err(nowhere) => return self.give_up(nowhere),
@@ -314,6 +335,17 @@
         }
     }
 
+    /// Waits for the turn to ask endpoints that were full; tells whether it came in time.
+    async fn wait(&mut self) -> bool {
+        let began = clock::now();
+        let until = began + FULL_MS.saturating_sub(self.waited_ms);
+        let user = (self.user.workspace, self.user.rank);
+        let place = self.place.take();
+        self.place = self.forwarder.lines.turn(self.service, user, place, until).await;
+        self.waited_ms += clock::now().since(began);
+        self.place.is_some()
+    }
+
     fn choose(&mut self) -> Result<Target, Nowhere> {
         if self.left == 0 {
             return Err(Nowhere::AllTried);
@@ -376,8 +408,8 @@
         let request = plain::attempt(self.request).unwrap_or_default();
         let tries: Vec<String> = self.tries.borrow().iter().map(Try::to_string).collect();
         let tries = tries.join("; ");
-        let (service, rounds) = (self.service, self.rounds);
-        tracing::info!(event = "request_tried", request, service, tries, rounds, ms, target_ms);
+        let (service, waited_ms) = (self.service, self.waited_ms);
+        tracing::info!(event = "request_tried", request, service, tries, waited_ms, ms, target_ms);
     }
 
     fn hedge_ms(&self) -> u64 {
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod traffic;
 pub mod usage;
 pub mod view;
+pub mod waiting;
 
 pub use settings::Settings;
 pub use start::StartError;
--- a/components/node/src/runner/carry.rs
+++ b/components/node/src/runner/carry.rs
@@ -22,6 +22,7 @@
 use super::State;
 use crate::clock;
 use crate::forward::Outcome;
+use crate::forward::User;
 
 /// How long a connection to an engine may take to come about.
 const CONNECT: Duration = Duration::from_millis(250);
@@ -189,8 +190,10 @@
         let limit = route.timeout_ms.unwrap_or(SCORE_MS).min(SCORE_MS);
         let mut after = SCORE_PAUSE;
         // A call may ask several endpoints, for seconds, so it ends with the leader's sign.
+        let workspace = job.workspace.as_deref().unwrap_or_default();
+        let user = User { workspace, rank: route.priority, ticket: None };
         let called = tokio::select! {
-            outcome = runner.forwarder.forward(route, &request, limit, None) => outcome,
+            outcome = runner.forwarder.forward(route, &request, limit, user) => outcome,
             () = runner.unled() => continue,
         };
         match called {
--- a/components/node/tests/forward.rs
+++ b/components/node/tests/forward.rs
@@ -20,6 +20,7 @@
 use chicoryford_http::message::Method;
 use chicoryford_node::forward::Forwarder;
 use chicoryford_node::forward::Outcome;
+use chicoryford_node::forward::User;
 use chicoryford_node::message::News;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -132,7 +133,7 @@
     let mut request = Request::new(Method::POST, "/x", "body");
     request.headers.set("host", "h");
     request.headers.set("x-attempt-id", "id");
-    forwarder(stubs).forward(&route(kind, attempts), &request, budget_ms, None).await
+    forwarder(stubs).forward(&route(kind, attempts), &request, budget_ms, User::default()).await
 }
 
 fn is_success(outcome: &Outcome) -> bool {
