Announcements that change nothing are answered while a leader is elected

Cause: followers refused all announcements from the loss of a leader until the next one had told them all it knows; each of 3,000 endpoints then turned to the next process on a new connection. Change: what repeats what is known of a ready endpoint is answered for 3 s of a leader's silence.

--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -28,6 +28,10 @@
 /// How long an operator's call is tried; an operator asks another process after a second.
 const OPERATE: Duration = Duration::from_millis(850);
 
+/// Milliseconds of the leader's silence for which announcements that change nothing are answered. An
+/// endpoint that is heard here is heard by nobody else, and is taken for silent six seconds after the
+/// leader last heard of it; it needs up to two to turn to another process.
+const UNLED_MS: u64 = 3_000;
 /// How often the leader is told who was heard. An endpoint is taken for silent after six seconds, so
 /// one word may be lost with its connection; endpoints announce themselves about as often.
 const SIGNS: Duration = Duration::from_secs(1);
@@ -84,11 +88,17 @@
         }
     }
 
-    /// Tells whether an announcement changes nothing, and notes that its endpoint was heard. Without a
-    /// leader what is known here may be out of date, so nothing is answered then.
+    /// Tells whether an announcement changes nothing, and notes that its endpoint was heard.
+    ///
+    /// While a leader is elected this goes on by what the leader before told. Were they all refused,
+    /// each of thousands of endpoints would turn to one process after the other, each time on a new
+    /// connection, and that load would hold up the election and whatever ends it: a fleet that has
+    /// fallen into this state stays in it (docs/SCALE.md). What is acknowledged so is only that an
+    /// endpoint lives; one that leaves or changes anything is the leader's in any case. The next leader
+    /// is told who was heard, and when.
     fn hears(&self, said: &Announcement) -> bool {
         let known = self.view.endpoint(&said.id);
-        let led = self.link.is_connected();
+        let led = self.link.is_connected() || self.link.silent_ms() < UNLED_MS;
         led && self.hearing.borrow_mut().hear(known.as_deref(), said, clock::now())
     }
 
