The planner looks at all engines once a step, and a new follower is told all in one frame

Cause: in each round every sample that waited looked at all engines: 9.5 ms a step at 3,000, also when no engine was new enough yet, hundreds of rounds a second; the leader was silent for 0.9 s, members followed anew, and each was told 3,000 endpoints in as many frames, which kept it busy.

--- a/components/fleet/src/plan/assign.rs
+++ b/components/fleet/src/plan/assign.rs
@@ -5,8 +5,8 @@
 use chicoryford_types::Millis;
 
 use super::Plan;
+use super::free::Free;
 use super::seat::Seat;
-use super::seat::rank;
 use super::work::Assignment;
 use super::work::Made;
 use super::work::Phase;
@@ -50,43 +50,53 @@
     ) {
         let Some(work) = self.works.get_mut(id) else { return };
         let step = work.step.clone();
+        let usual = if self.policy.engine_paces { self.usual_ms } else { 0.0 };
         let mut homes: BTreeMap<&str, String> = BTreeMap::new();
-        for place in 0..work.order.len() {
-            let index = work.order[place] as usize;
-            let sample = &step.samples[index];
-            let progress = &mut work.progress[index];
-            if progress.phase != Phase::Waiting {
-                if let (Some(seat), false) = (&progress.seat, sample.group.is_empty()) {
-                    homes.entry(&sample.group).or_insert_with(|| seat.clone());
-                }
-                continue;
+        let mut waiting: Vec<(u32, &Route)> = Vec::new();
+        for index in &work.order {
+            let (sample, progress) =
+                (&step.samples[*index as usize], &work.progress[*index as usize]);
+            if progress.phase == Phase::Waiting {
+                waiting.extend(config.find(&step.host, &sample.path).map(|route| (*index, route)));
+            } else if let (Some(seat), false) = (&progress.seat, sample.group.is_empty()) {
+                homes.entry(&sample.group).or_insert_with(|| seat.clone());
             }
-            let Some(route) = config.find(&step.host, &sample.path) else { continue };
-            let avoid = progress.avoid.as_deref();
-            let usual = if self.policy.engine_paces { self.usual_ms } else { 0.0 };
-            let search = Search { step: &step, route, avoid, usual, now };
-            let home = homes.get(sample.group.as_str()).map(String::as_str);
-            let home = home.filter(|_| self.policy.group_homes);
-            let Some(seat) = search.choose(&self.seats, home) else { continue };
-            self.run += 1;
-            work.waiting -= 1;
-            let mut assignment = Assignment {
-                run: self.run,
-                step: step.clone(),
-                index: index as u32,
-                endpoint: seat.endpoint.said.id.clone(),
-                address: seat.endpoint.said.address,
-                version: seat.endpoint.said.models.get(&step.model).copied().unwrap_or_default(),
-                made: Made::default(),
-                beside: seat.load(),
-                began: now,
-            };
-            progress.begin(&mut assignment);
-            homes.insert(&sample.group, assignment.endpoint.clone());
-            if let Some(seat) = self.seats.get_mut(&assignment.endpoint) {
-                *seat.running.entry(step.model.clone()).or_default() += 1;
+        }
+        // All samples of a step have the same route, but for odd ones.
+        for alike in waiting.chunk_by(|(_, a), (_, b)| std::ptr::eq(*a, *b)) {
+            let route = alike[0].1;
+            let fitting = self.seats.values_mut().filter(|seat| fits(seat, &step, route, now));
+            let mut free = Free::new(fitting, usual, now);
+            for (index, _) in alike {
+                let group = step.samples[*index as usize].group.as_str();
+                let progress = &mut work.progress[*index as usize];
+                let home = homes.get(group).filter(|_| self.policy.group_homes);
+                let home = home.map(String::as_str);
+                let taken = free.take(&step.model, progress.avoid.as_deref(), home);
+                let Some(seat) = taken else { continue };
+                self.run += 1;
+                work.waiting -= 1;
+                let mut assignment = Assignment {
+                    run: self.run,
+                    step: step.clone(),
+                    index: *index,
+                    endpoint: seat.endpoint.said.id.clone(),
+                    address: seat.endpoint.said.address,
+                    version: seat
+                        .endpoint
+                        .said
+                        .models
+                        .get(&step.model)
+                        .copied()
+                        .unwrap_or_default(),
+                    made: Made::default(),
+                    beside: seat.load() - 1,
+                    began: now,
+                };
+                progress.begin(&mut assignment);
+                homes.insert(group, assignment.endpoint.clone());
+                chosen.push(assignment);
             }
-            chosen.push(assignment);
         }
     }
 }
@@ -109,42 +119,12 @@
     }
 }
 
-/// What an engine is wanted for.
-struct Search<'a> {
-    step: &'a Step,
-    route: &'a Route,
-    /// An engine that was too slow for the sample.
-    avoid: Option<&'a str>,
-    usual: f64,
-    now: Millis,
-}
-
-impl Search<'_> {
-    /// Chooses the engine with the fewest runs: the one that has read the group's prompt, `home`, if
-    /// it has as few.
-    fn choose<'s>(
-        &self,
-        seats: &'s BTreeMap<String, Seat>,
-        home: Option<&str>,
-    ) -> Option<&'s Seat> {
-        let fitting = seats.values().filter(|seat| self.fits(seat));
-        let best = fitting.min_by(|a, b| self.rank(a).total_cmp(&self.rank(b)))?;
-        let home = home.and_then(|id| seats.get(id)).filter(|seat| self.fits(seat));
-        home.filter(|home| self.rank(home) <= self.rank(best)).or(Some(best))
-    }
-
-    fn rank(&self, seat: &Seat) -> f64 {
-        rank(seat, self.usual, self.now)
-    }
-
-    fn fits(&self, seat: &Seat) -> bool {
-        let said = &seat.endpoint.said;
-        let version = said.models.get(&self.step.model);
-        seat.is_ready(self.now)
-            && seat.room() > 0
-            && seat.loading.as_deref() != Some(&self.step.model)
-            && self.avoid != Some(&said.id)
-            && self.route.leads_to(&said.service)
-            && version.is_some_and(|version| *version >= self.step.least)
-    }
+/// Tells whether a step's samples may go to an engine, if it has room.
+fn fits(seat: &Seat, step: &Step, route: &Route, now: Millis) -> bool {
+    let said = &seat.endpoint.said;
+    let version = said.models.get(&step.model);
+    seat.is_ready(now)
+        && seat.loading.as_deref() != Some(&step.model)
+        && route.leads_to(&said.service)
+        && version.is_some_and(|version| *version >= step.least)
 }
--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -4,6 +4,7 @@
 //! has without asking. Hosts carry runs out ([`crate::run`]), and tell the next leader of them.
 
 mod assign;
+mod free;
 mod gather;
 mod moves;
 mod notes;
--- a/components/node/src/hub.rs
+++ b/components/node/src/hub.rs
@@ -338,8 +338,7 @@
             let _ = socket.send(encode(&down)).await;
             return;
         };
-        let news = lead.all_news(replica).into_iter().map(Down::News);
-        let first: Vec<Down> = std::iter::once(Down::Welcome).chain(news).collect();
+        let first = [Down::Welcome, Down::Everything(lead.all_news(replica))];
         let (frames, mut queue) = mpsc::channel(QUEUE + first.len());
         for down in first {
             let frame = encode(&down);
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -310,13 +310,11 @@
     /// Takes what the leader sends; tells whether it still leads.
     fn take(&self, down: Down) -> bool {
         match down {
-            Down::News(news) => {
-                let whole = matches!(news, crate::message::News::Whole(_));
-                self.view.learn(news);
-                if whole {
-                    self.connected.send_replace(true);
-                }
+            Down::Everything(all) => {
+                all.into_iter().for_each(|news| self.view.learn(news));
+                self.connected.send_replace(true);
             }
+            Down::News(news) => self.view.learn(news),
             Down::Answer { number, answer } => {
                 if let Some(waiting) = self.waiting.borrow_mut().remove(&number) {
                     // Whoever waited may have left.
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -126,7 +126,9 @@
         /// Who leads, as far as is known.
         leader: Option<SocketAddr>,
     },
-    /// Something changed; the first after the welcome bring all there is.
+    /// All there is, in one frame: it is right behind the welcome.
+    Everything(Vec<News>),
+    /// Something changed.
     News(News),
     /// The answer to a call.
     Answer {
