A read is answered early so that the next one is under way when a step's last results come

Cause: a trainer begins a read each half second at most and goes on at the earliest half a second after its last read began. Where a read ended within half a second before the last results, its step took up to 0.5 s more: haul-drill 0.03 to 0.45 s a step from listed to ended, route-drill 0.04 to 0.85 s. Change: when the last samples run, their end is expected from their pace and the longest sample of late; a read that would end less than half a second before it is answered 0.7 s before it.

--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -50,6 +50,8 @@
     works: BTreeMap<String, Work>,
     seats: BTreeMap<String, Seat>,
     usual_ms: f64,
+    /// The longest samples of late, by model.
+    longest: BTreeMap<String, gather::Longest>,
     /// The number of the last run.
     run: u64,
     /// Hosts that were asked what they run and have not told yet.
@@ -100,6 +102,7 @@
         });
         let progress: Vec<Progress> = progress.collect();
         let waiting = progress.iter().filter(|p| p.phase == Phase::Waiting).count();
+        self.note_step(&step.model);
         let id = step.id.clone();
         let mut order: Vec<u32> = (0..step.samples.len() as u32).collect();
         if self.policy.longest_first {
--- a/components/fleet/src/plan/reports.rs
+++ b/components/fleet/src/plan/reports.rs
@@ -65,7 +65,9 @@
             progress.phase = Phase::Scoring;
             let seat = progress.seat.take();
             let model = work.step.model.clone();
+            let events = progress.made.events.len();
             self.free(seat.as_deref(), &model);
+            self.note_length(&model, events);
         }
         if report.gap_ms > 0 {
             self.pace(&report.endpoint, f64::from(report.gap_ms), now);
--- a/components/fleet/src/policy.rs
+++ b/components/fleet/src/policy.rs
@@ -26,6 +26,8 @@
     pub slow_moves: bool,
     /// The last results of a step are listed together.
     pub last_together: bool,
+    /// A read is answered early so that the next one is under way when a step's last results come.
+    pub timed_reads: bool,
     /// What long runs have made is noted on the stores.
     pub run_notes: bool,
     /// A model's engines beyond half take new weights too, when there is room.
@@ -55,6 +57,7 @@
             engine_paces: true,
             slow_moves: true,
             last_together: true,
+            timed_reads: true,
             run_notes: true,
             spare_loads: true,
             load_order: true,
--- a/components/fleet/tests/plan.rs
+++ b/components/fleet/tests/plan.rs
@@ -456,3 +456,35 @@
     plan.close("a");
     assert_eq!(plan.list_at("a", NOW, read), NOW + GATHER_MS, "nor does one of a closed step");
 }
+
+/// The load: samples that are cut off at the same length, so that the last of a step end together, when
+/// can be told from their pace. A trainer reads at most each half second. A read that is over shortly
+/// before the last results lets it begin the next one too late to go on when they come.
+#[test]
+fn a_read_is_answered_early_so_that_the_next_one_awaits_the_last_results() {
+    let mut plan = plan(&[engine("e1", 40, 1)], &[step("before", &[1]), grouped("a", 3)]);
+    let runs = assign(&mut plan, NOW);
+    let events = |count: usize| vec!["x"; count];
+    let before = runs.iter().find(|run| run.step.id == "before").unwrap();
+    plan.told("a", &report(before, run::Standing::Scoring, &events(100)), NOW);
+    for index in 0..27 {
+        plan.settled("a", if index < 18 { index } else { index + 1 });
+    }
+    let now = NOW + 7_000;
+    // One in each group is left; these have 20 events to go, of 50 ms each.
+    for index in [18, 28, 29] {
+        let run = runs.iter().find(|run| run.step.id == "a" && run.index == index).unwrap();
+        let running = report(run, run::Standing::Running, &events(80));
+        plan.told("a", &Report { gap_ms: 50, ..running }, now);
+    }
+    let end = now + 20 * 50;
+    let list_at = |read: Millis| plan.list_at("a", now, Some(read));
+    let early = list_at(end).0;
+    assert!(early + 500 < end.0 && early + 1_000 > end.0 + 100, "{early} for {end:?}");
+    // A read that is over long before leaves time for another, one that is over later awaits them.
+    assert_eq!(list_at(now + 400), now + 350);
+    assert_eq!(list_at(end + 500), now + MOST_MS);
+    // What comes so late that the next read would begin too late as well waits for the last ones.
+    let late = end.0 - 400;
+    assert_eq!(plan.list_at("a", Millis(late), Some(end)).0, end.0 - 50);
+}
--- a/components/storage/src/storage.rs
+++ b/components/storage/src/storage.rs
@@ -1,7 +1,11 @@
 //! The data folder of a control process.
 
 use std::fs;
+use std::fs::DirBuilder;
 use std::fs::File;
+use std::io;
+use std::os::unix::fs::DirBuilderExt;
+use std::os::unix::fs::PermissionsExt;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -27,6 +31,10 @@
 const HARD_MAGIC: &[u8; 8] = b"cfhardst";
 const LOCK: &str = "lock";
 pub(crate) const LOG: &str = "log";
+/// The mode of a folder that its owner alone can enter.
+const OWNER_ONLY: u32 = 0o700;
+/// The bits of a mode that let others in.
+const OTHERS: u32 = 0o077;
 
 /// How the storage behaves.
 #[derive(Clone, Debug)]
@@ -90,7 +98,7 @@
         disk: Disk,
     ) -> Result<(Self, Recovered), StorageError> {
         let log = folder.join(LOG);
-        fs::create_dir_all(&log).map_err(io_error("create", &log))?;
+        create_private(&log).map_err(io_error("create", &log))?;
         let lock = lock(folder)?;
         remove_unfinished(folder)?;
         let (identity, hard, new) = identify(&disk, folder, settings.identity)?;
@@ -385,3 +393,14 @@
     }
     Ok((segments, entries, cut))
 }
+
+/// Makes a folder that its owner alone can enter: what is stored may show keys of callers. One that
+/// exists is left as it is, with a line in the log if others can read it.
+fn create_private(folder: &Path) -> io::Result<()> {
+    DirBuilder::new().recursive(true).mode(OWNER_ONLY).create(folder)?;
+    let mode = fs::metadata(folder)?.permissions().mode();
+    if mode & OTHERS != 0 {
+        tracing::warn!(event = "folder_open", folder = %folder.display(), mode);
+    }
+    Ok(())
+}
--- a/components/storage/tests/storage.rs
+++ b/components/storage/tests/storage.rs
@@ -517,3 +517,14 @@
     assert_eq!(salvaged.entries.last(), Some(&entry(30, 1)));
     assert_eq!(fs::read(&path).unwrap(), torn);
 }
+
+/// What is stored may show keys of callers, so nobody else on the VM may read it.
+#[test]
+fn a_new_folder_is_its_owners_alone() {
+    let folder = tempfile::tempdir().unwrap();
+    let data = folder.path().join("data");
+    Storage::open(&data, StorageSettings::default(), Disk::default()).unwrap();
+    for made in [data.clone(), data.join("log")] {
+        assert_eq!(fs::metadata(&made).unwrap().mode() & 0o077, 0, "{}", made.display());
+    }
+}
