--- a/components/node/src/lead/usage.rs
+++ b/components/node/src/lead/usage.rs
@@ -127,8 +127,9 @@
         let requests: u64 = counts.values().sum();
         let request = duty::usage(&held?, window, &counts);
         let began = clock::now();
-        let limit = Duration::from_millis(left_ms.min(CALL_MS));
-        let answer = tokio::time::timeout(limit, call(platform, &request)).await;
+        let limit_ms = left_ms.min(CALL_MS);
+        let calling = call(platform, &request, began + limit_ms);
+        let answer = tokio::time::timeout(Duration::from_millis(limit_ms), calling).await;
         let taken = match &answer {
             Ok(Ok(taken)) => *taken,
             Ok(Err(_)) | Err(_) => Taken::Unclear,
@@ -165,9 +166,13 @@
 }
 
 /// Makes one call. Its connection is reset when the call is given up, so that what still waits on the
-/// way is not carried out after the time for which the duty is held.
-async fn call(platform: SocketAddr, request: &Request) -> Result<Taken, Broken> {
+/// way is not carried out after the time for which the duty is held. A VM that was frozen while it
+/// connected sends nothing afterwards: its timers have not noticed the freeze, this clock has.
+async fn call(platform: SocketAddr, request: &Request, until: Millis) -> Result<Taken, Broken> {
     let connection = Connection::open(platform, CONNECT).await?;
+    if clock::now() >= until {
+        return Err(Broken::NotSent(std::io::Error::from(std::io::ErrorKind::TimedOut)));
+    }
     let incoming = connection.start(request).await?;
     let (reply, _) = incoming.whole().await?;
     Ok(duty::taken(reply.status))
