--- a/components/node/tests/lead/fleet.rs
+++ b/components/node/tests/lead/fleet.rs
@@ -15,6 +15,7 @@
 use chicoryford_fleet::Policy;
 use chicoryford_fleet::Route;
 use chicoryford_fleet::Sample;
+use chicoryford_fleet::Service;
 use chicoryford_fleet::Share;
 use chicoryford_fleet::Step;
 use chicoryford_fleet::copies::PartId;
@@ -258,6 +259,22 @@
     Config { version: 1, routes: vec![route], ..Config::default() }
 }
 
+/// The steps' route, and one for plain requests to the desk.
+pub fn with_desk(version: u64) -> Config {
+    let steps = config();
+    let route = Route {
+        name: "desk".to_owned(),
+        prefix: "/d/".to_owned(),
+        kind: Kind::Idempotent,
+        shares: vec![Share { service: "desk".to_owned(), weight: 1 }],
+        ..steps.routes[0].clone()
+    };
+    let services =
+        ["desk", "engines"].map(|name| Service { name: name.to_owned(), ..Service::default() });
+    let routes = vec![steps.routes[0].clone(), route];
+    Config { version, routes, services: services.to_vec(), ..steps }
+}
+
 pub fn step(id: &str) -> Arc<Step> {
     let sample = Sample { id: format!("{id}0"), path: "/s/1".to_owned(), ..Sample::default() };
     Arc::new(Step {
--- a/components/node/tests/lead/keys.rs
+++ b/components/node/tests/lead/keys.rs
@@ -8,11 +8,7 @@
 use chicoryford_fleet::Announcement;
 use chicoryford_fleet::Command;
 use chicoryford_fleet::Config;
-use chicoryford_fleet::Kind;
 use chicoryford_fleet::Policy;
-use chicoryford_fleet::Route;
-use chicoryford_fleet::Service;
-use chicoryford_fleet::Share;
 use chicoryford_fleet::Trust;
 use chicoryford_fleet::Workspace;
 use chicoryford_fleet::recent::Recent;
@@ -33,9 +29,9 @@
 use tokio::net::TcpListener;
 
 use crate::fleet::Fleet;
-use crate::fleet::config;
 use crate::fleet::pause;
 use crate::fleet::until;
+use crate::fleet::with_desk;
 use crate::member::Kept;
 
 /// What the endpoint saw of each request: the key and the workspace.
@@ -49,28 +45,13 @@
 
 /// A route to the desk and one for steps, and these keys of the workspaces "w" and "x".
 fn keyed(version: u64, keys: [&[&str]; 2]) -> Config {
-    let steps = config();
-    let desk = Route {
-        name: "desk".to_owned(),
-        prefix: "/d/".to_owned(),
-        kind: Kind::Idempotent,
-        shares: vec![Share { service: "desk".to_owned(), weight: 1 }],
-        ..steps.routes[0].clone()
-    };
-    let services =
-        ["desk", "engines"].map(|name| Service { name: name.to_owned(), ..Service::default() });
     let workspaces = ["w", "x"].iter().zip(keys).map(|(name, keys)| Workspace {
         name: (*name).to_owned(),
         keys: keys.iter().map(|key| Digest::of(key.as_bytes())).collect(),
         urgency: None,
     });
-    Config {
-        version,
-        routes: vec![steps.routes[0].clone(), desk],
-        services: services.to_vec(),
-        workspaces: workspaces.collect::<Vec<_>>().into(),
-        ..steps
-    }
+    let workspaces = workspaces.collect::<Vec<_>>().into();
+    Config { workspaces, ..with_desk(version) }
 }
 
 async fn endpoint(seen: Seen) -> Announcement {
--- a/components/node/tests/lead/news.rs
+++ b/components/node/tests/lead/news.rs
@@ -9,10 +9,6 @@
 use chicoryford_fleet::Announcement;
 use chicoryford_fleet::Command;
 use chicoryford_fleet::Config;
-use chicoryford_fleet::Kind;
-use chicoryford_fleet::Route;
-use chicoryford_fleet::Service;
-use chicoryford_fleet::Share;
 use chicoryford_fleet::hearing::Sign;
 use chicoryford_node::clock;
 use chicoryford_node::control::Control;
@@ -32,9 +28,9 @@
 use futures_util::StreamExt;
 
 use crate::fleet::Fleet;
-use crate::fleet::config;
 use crate::fleet::pause;
 use crate::fleet::until;
+use crate::fleet::with_desk;
 use crate::member::Socket;
 use crate::member::greet_as;
 
@@ -56,22 +52,6 @@
     Announcement { service: "desk".to_owned(), models: BTreeMap::new(), ..engine(id, 1) }
 }
 
-/// The steps' route, and one for plain requests to the desk.
-fn with_desk(version: u64) -> Config {
-    let steps = config();
-    let route = Route {
-        name: "desk".to_owned(),
-        prefix: "/d/".to_owned(),
-        kind: Kind::Idempotent,
-        shares: vec![Share { service: "desk".to_owned(), weight: 1 }],
-        ..steps.routes[0].clone()
-    };
-    let services =
-        ["desk", "engines"].map(|name| Service { name: name.to_owned(), ..Service::default() });
-    let routes = vec![steps.routes[0].clone(), route];
-    Config { version, routes, services: services.to_vec(), ..steps }
-}
-
 /// The same services, and nothing but steps yet.
 fn steps_only(version: u64) -> Config {
     let both = with_desk(version);
