--- a/components/fleet/tests/plan.rs
+++ b/components/fleet/tests/plan.rs
@@ -488,3 +488,18 @@
     let late = end.0 - 400;
     assert_eq!(plan.list_at("a", Millis(late), Some(end)).0, end.0 - 50);
 }
+
+/// The load: 3,000 engines and a step of 144 samples in groups, beside others that are loaded.
+#[test]
+fn samples_go_to_the_least_loaded_of_many_engines() {
+    let engines: Vec<Endpoint> = (0..3_000).map(|n| engine(&format!("e{n:04}"), 6, 1)).collect();
+    let mut plan = plan(&engines, &[grouped("a", 15), grouped("b", 285)]);
+    let runs = assign(&mut plan, NOW);
+    assert_eq!(runs.len(), 3_000);
+    assert!(
+        runs.iter().all(|run| run.beside == 0),
+        "none is beside another while engines are idle"
+    );
+    let taken: BTreeSet<&str> = runs.iter().map(|run| run.endpoint.as_str()).collect();
+    assert_eq!(taken.len(), 3_000);
+}
