--- a/components/node/src/copies.rs
+++ b/components/node/src/copies.rs
@@ -20,7 +20,7 @@
 use futures_util::stream::FuturesUnordered;
 
 use crate::clock;
-use crate::hub::Followers;
+use crate::followers::Followers;
 use crate::lead::Lead;
 use crate::message::Ask;
 use crate::message::Told;
--- a/components/node/src/forward.rs
+++ b/components/node/src/forward/mod.rs
@@ -1,5 +1,7 @@
 //! Carries a request to endpoints of a plain service until one answers or the time is up.
 
+mod attempt;
+
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -27,9 +29,11 @@
 
 use crate::clock;
 use crate::message::News;
-use crate::metrics;
 use crate::usage::Ticket;
 use crate::waiting::Lines;
+use attempt::Attempt;
+use attempt::Tries;
+use attempt::Try;
 
 /// How long a connection to an endpoint may take to come about. Round trips are a few
 /// milliseconds; an opening packet that is lost is sent again only after a second.
@@ -282,20 +286,6 @@
     }
 }
 
-/// What became of a request's attempts, for its log line.
-type Tries = Rc<RefCell<Vec<Try>>>;
-
-/// One attempt: why it went where it went, and how it ended.
-struct Try {
-    target: Target,
-    /// Milliseconds after the request came.
-    at_ms: u64,
-    /// When the request was written to a connection; none before.
-    sent: Option<Millis>,
-    /// How it ended, after so many milliseconds; none while it is under way.
-    end: Option<(Ending, u64)>,
-}
-
 impl<'a> Carry<'a> {
     async fn run(&mut self) -> Outcome {
         let mut running = FuturesUnordered::new();
@@ -417,75 +407,3 @@
         usual.map_or(HEDGE_LEAST_MS, |ms| ((ms * HEDGE) as u64).max(HEDGE_LEAST_MS))
     }
 }
-
-impl Try {
-    /// Gives when the endpoint began to run the request, as far as is known; none if it did not.
-    fn began(&self) -> Option<Millis> {
-        let refused = matches!(self.end, Some((Ending::Refused | Ending::Moved, _)));
-        self.sent.filter(|_| !refused)
-    }
-}
-
-impl std::fmt::Display for Try {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let Target { id, expected_ms, running, penalty_ms, .. } = &self.target;
-        write!(f, "{id} at={} expected={expected_ms} beside={running}", self.at_ms)?;
-        if *penalty_ms > 0 {
-            write!(f, " penalty={penalty_ms}")?;
-        }
-        match self.end {
-            Some((ending, ms)) => write!(f, " {}={ms}", word(ending)),
-            None => write!(f, " unended"),
-        }
-    }
-}
-
-/// An attempt under way; dropped without an end, its caller has left.
-struct Attempt<'a> {
-    forwarder: &'a Forwarder,
-    id: &'a str,
-    route: &'a str,
-    began: Millis,
-    ended: bool,
-    note: (Tries, usize),
-}
-
-impl Attempt<'_> {
-    fn send(&mut self) {
-        let (tries, place) = &self.note;
-        tries.borrow_mut()[*place].sent = Some(clock::now());
-    }
-
-    fn end(&mut self, ending: Ending) {
-        self.ended = true;
-        let (tries, place) = &self.note;
-        tries.borrow_mut()[*place].end = Some((ending, clock::now().since(self.began)));
-        metrics::TRIES.with_label_values(&[word(ending)]).inc();
-        self.forwarder.picker.borrow_mut().ended(self.id, self.route, ending, clock::now());
-    }
-
-    fn log(&self, request: &Request, outcome: &str, error: &Broken) {
-        let ms = clock::now().since(self.began);
-        let request = plain::attempt(request).unwrap_or_default();
-        tracing::info!(event = "try_ended", request, endpoint = self.id, outcome, ms, %error);
-    }
-}
-
-fn word(ending: Ending) -> &'static str {
-    match ending {
-        Ending::Answered(_) => "answered",
-        Ending::Refused => "refused",
-        Ending::Failed => "failed",
-        Ending::Dropped(_) => "dropped",
-        Ending::Moved => "moved",
-    }
-}
-
-impl Drop for Attempt<'_> {
-    fn drop(&mut self) {
-        if !self.ended {
-            let ms = clock::now().since(self.began);
-            self.end(Ending::Dropped(ms));
-        }
-    }
-}
--- a/components/node/src/hosts.rs
+++ b/components/node/src/hosts.rs
@@ -9,7 +9,7 @@
 use chicoryford_types::Millis;
 
 use crate::clock;
-use crate::hub::Followers;
+use crate::followers::Followers;
 use crate::runner::Runner;
 
 /// Milliseconds for which a host that was lost may come back before its runs go on elsewhere. A
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod copies;
 pub mod core;
 pub mod entry;
+pub mod followers;
 pub mod forward;
 pub mod frame;
 pub mod hosts;
--- a/components/node/tests/hosts.rs
+++ b/components/node/tests/hosts.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use chicoryford_fleet::Policy;
+use chicoryford_node::followers::Followers;
 use chicoryford_node::forward::Forwarder;
 use chicoryford_node::hosts::Hosts;
-use chicoryford_node::hub::Followers;
 use chicoryford_node::runner::Runner;
 use chicoryford_node::traffic::Traffic;
 use chicoryford_node::view::View;
