A sample that is given up for its runs is listed

What callers saw: a step stays without the samples that failed as often as they may, or that can never be made. Their groups are never complete, their trainer waits until its limit, submits the groups again under the same identities in its next step, and there they run again: a content that fails each time is repeated in each step and after each change of leader, beyond what is allowed. A step that is not ended stays open, and its parts on the stores, for ever.

Cause: two steps of one transition each took the sample for theirs. The end of the run moved it to Settled, and the verdict, which is listed only for a sample that is not Settled yet, came second and found it so. The test of the planner had the wrong expectation written down: that nothing is left to list.

On the code before, the new test of the leader fails (the sample is not listed in ten seconds), and two tests of the planner as corrected: the old line asserted that a sample given up has no verdict to list, in its place stand that it has one, once, that it does not run again, and that its engine is free.

Why it works: a sample that is to be given up stands as it did until its verdict is noted, and only that settles it.

--- a/components/fleet/src/plan/reports.rs
+++ b/components/fleet/src/plan/reports.rs
@@ -125,7 +125,8 @@
         orphaned.len()
     }
 
-    /// Takes in how a run ended.
+    /// Takes in how a run ended. A sample that is to be given up stands as it did until its verdict is
+    /// noted ([`Self::settled`]).
     pub fn ended(&mut self, step: &str, index: u32, end: RunEnd, now: Millis) -> Next {
         let Some(work) = self.works.get_mut(step) else { return Next::Nothing };
         let attempts = work.step.attempts.max(1);
@@ -134,7 +135,7 @@
         if progress.phase != Phase::Running {
             return Next::Nothing;
         }
-        let seat = progress.seat.take();
+        let seat = progress.seat.clone();
         progress.host = None;
         progress.avoid = None;
         let next = match end {
@@ -150,14 +151,12 @@
             }
             RunEnd::Full | RunEnd::Moved | RunEnd::Broken | RunEnd::Late => Next::Again,
         };
-        progress.phase = match next {
-            Next::Again => {
-                work.waiting += 1;
-                Phase::Waiting
-            }
-            Next::GiveUp | Next::Nothing => Phase::Settled,
-        };
-        self.free(seat.as_deref(), &model);
+        if next == Next::Again {
+            progress.phase = Phase::Waiting;
+            progress.seat = None;
+            work.waiting += 1;
+            self.free(seat.as_deref(), &model);
+        }
         self.judge(seat.as_deref(), end, now);
         next
     }
--- a/components/fleet/tests/plan.rs
+++ b/components/fleet/tests/plan.rs
@@ -20,6 +20,7 @@
 use chicoryford_fleet::plan::Next;
 use chicoryford_fleet::plan::Plan;
 use chicoryford_fleet::plan::RunEnd;
+use chicoryford_fleet::plan::Seat;
 use chicoryford_fleet::plan::Told;
 use chicoryford_fleet::run;
 use chicoryford_fleet::run::Report;
@@ -287,6 +288,7 @@
         assert_eq!(assign(&mut plan, now).len(), 1);
         assert_eq!(plan.ended("a", 0, RunEnd::Failed, now), next);
     }
+    assert_eq!(plan.settled("a", 0).as_deref(), Some("a0"), "its verdict is to be listed");
     assert!(assign(&mut plan, now + 10_000).is_empty());
 }
 
@@ -295,7 +297,10 @@
     let mut plan = plan(&[engine("e1", 1, 1)], &[step("a", &[1])]);
     assign(&mut plan, NOW);
     assert_eq!(plan.ended("a", 0, RunEnd::Unfit, NOW), Next::GiveUp);
-    assert_eq!(plan.settled("a", 0), None, "it is settled");
+    assert_eq!(plan.settled("a", 0).as_deref(), Some("a0"), "its verdict is to be listed");
+    assert_eq!(plan.settled("a", 0), None, "it has its verdict");
+    assert!(assign(&mut plan, NOW + 10_000).is_empty());
+    assert_eq!(plan.seats().map(Seat::load).sum::<u32>(), 0, "its engine is free");
 }
 
 /// The load: an engine turns three times slower. Its runs would take most of a step's time; any
--- a/components/node/tests/lead/listing.rs
+++ b/components/node/tests/lead/listing.rs
@@ -7,6 +7,10 @@
 use chicoryford_fleet::Sample;
 use chicoryford_fleet::Step;
 use chicoryford_fleet::Verdict;
+use chicoryford_fleet::plan::RunEnd;
+use chicoryford_fleet::run::Report;
+use chicoryford_fleet::run::Standing;
+use chicoryford_fleet::step::Result;
 use chicoryford_node::lead::Lead;
 use chicoryford_node::listing::Settled;
 use chicoryford_node::message::Answer;
@@ -15,6 +19,7 @@
 
 use crate::fleet::Fleet;
 use crate::fleet::pause;
+use crate::fleet::scoring;
 use crate::fleet::step;
 use crate::fleet::until;
 
@@ -61,6 +66,20 @@
     (listed.len(), began.elapsed())
 }
 
+/// Guards against a sample that is given up and never listed, for which its step waits for ever.
+#[actix_rt::test]
+async fn a_sample_that_its_engine_can_never_make_is_listed_as_given_up() {
+    let (fleet, lead, _store) = Fleet::taken_over().await;
+    lead.take_report("h", &told("a", Standing::Running));
+    lead.take_report("h", &told("a", Standing::Ended(RunEnd::Unfit)));
+    until("the sample is listed", || fleet.core.state().steps["a"].results.len() == 1).await;
+    assert_eq!(fleet.core.state().steps["a"].results[0].result, Result::GivenUp);
+}
+
+fn told(step: &str, standing: Standing) -> Report {
+    Report { standing, ..scoring(step) }
+}
+
 /// Symptom: a trainer has its whole step half a second after its last result.
 /// Sequence: a result is listed just before the last ones; the trainer's read is answered with it at
 /// once, and its next read begins half a second later.
