A scorer's call has one budget of endpoints, failures and time, wherever it is carried

What callers saw: endpoints that score got the same call again and again, more of them than its route allows, each time with a new time limit, and after more failures than it may have.

Cause: the bound on repeats was a local variable of one pass over the endpoints. The host makes passes until one succeeds; a pass that was out of time, lost or cut off by the loss of the leader was followed by one with all attempts, all endpoints and a new time limit, and the next host knew nothing of the calls before. The failures of a sample's runs were the leader's memory in the same way.

Class: a budget that belongs to a request, held by whichever loop or process carries it at the moment. One more of this class was found beside it: what was counted in a pass that the loss of the leader cut off was dropped with its future.

Why it works: the budget (Spent, Budget) is an object of the request. A pass adds to it as attempts begin and end, so nothing is lost when it is dropped; attempts that did not run are given back. No endpoint is added beyond what the route allows while those that ran it live. It travels in orders and reports (Cost), merged as a set and a maximum, also from a run that is not wanted any more. Outcome loses its counts: the budget has them. Old and new processes do not understand each other's links, as before.

Tests: the three assertions on counts in outcomes ask the budget for the same numbers.

--- a/components/fleet/src/pick.rs
+++ b/components/fleet/src/pick.rs
@@ -87,7 +87,7 @@
 pub enum Nowhere {
     /// The service has no endpoint that is ready.
     NoneReady,
-    /// All that are ready were tried already.
+    /// None of those that are ready fits: all were tried already.
     AllTried,
 }
 
@@ -165,7 +165,7 @@
         self.usual.retain(|route, _| known(route));
     }
 
-    /// Chooses an endpoint of a service that is not among those tried, and counts the attempt.
+    /// Chooses an endpoint of a service among those that fit, and counts the attempt.
     ///
     /// # Errors
     ///
@@ -174,20 +174,20 @@
         &mut self,
         service: &str,
         route: &str,
-        tried: &[String],
+        fits: impl Fn(&str) -> bool,
         now: Millis,
     ) -> Result<Target, Nowhere> {
         let usual = self.usual_ms(route).unwrap_or(UNKNOWN_MS);
-        let fits = |seat: &&Seat| {
+        let serves = |seat: &&Seat| {
             let said = &seat.endpoint.said;
             said.service == service && seat.endpoint.standing == Standing::Ready && !seat.moved
         };
-        let ready: Vec<&Seat> = self.seats.values().filter(fits).collect();
+        let ready: Vec<&Seat> = self.seats.values().filter(serves).collect();
         if ready.is_empty() {
             return Err(Nowhere::NoneReady);
         }
         let fresh: Vec<&Seat> =
-            ready.into_iter().filter(|seat| !tried.contains(&seat.endpoint.said.id)).collect();
+            ready.into_iter().filter(|seat| fits(&seat.endpoint.said.id)).collect();
         // Endpoints that failed lately come last, but one of them is better than none.
         let best = fresh.iter().map(|seat| {
             let penalty = if self.policy.penalties { seat.until.since(now) } else { 0 };
--- a/components/fleet/src/plan/assign.rs
+++ b/components/fleet/src/plan/assign.rs
@@ -90,6 +90,7 @@
                         .copied()
                         .unwrap_or_default(),
                     made: Made::default(),
+                    cost: progress.cost.clone(),
                     beside: seat.load() - 1,
                     began: now,
                 };
--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -23,6 +23,7 @@
 
 use crate::endpoint::Endpoint;
 use crate::policy::Policy;
+use crate::run::Cost;
 use crate::step::Step;
 
 pub use gather::GATHER_MS;
@@ -96,7 +97,7 @@
                 heard: at,
                 made: Made::default(),
                 noted: 0,
-                failures: 0,
+                cost: Cost::default(),
                 moved: 0,
             }
         });
--- a/components/fleet/src/plan/reports.rs
+++ b/components/fleet/src/plan/reports.rs
@@ -30,6 +30,7 @@
         let Some(progress) = work.progress.get_mut(report.index as usize) else {
             return Told::Stop;
         };
+        progress.cost.merge(&report.cost);
         let live = matches!(progress.phase, Phase::Running | Phase::Scoring);
         let same = progress.host.as_deref() == Some(host) && progress.run == report.run;
         let claimed = progress.phase == Phase::Waiting && progress.claimable;
@@ -141,8 +142,8 @@
         let next = match end {
             RunEnd::Unfit => Next::GiveUp,
             RunEnd::Failed => {
-                progress.failures += 1;
-                if progress.failures >= attempts { Next::GiveUp } else { Next::Again }
+                progress.cost.failures += 1;
+                if progress.cost.failures >= attempts { Next::GiveUp } else { Next::Again }
             }
             RunEnd::Taken => {
                 progress.moved += 1;
--- a/components/fleet/src/plan/work.rs
+++ b/components/fleet/src/plan/work.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::run::Cost;
 use crate::step::Step;
 
 /// What was made of a sample so far.
@@ -89,6 +90,8 @@
     pub version: u64,
     /// What was made of it so far.
     pub made: Made,
+    /// What it has cost so far.
+    pub cost: Cost,
     /// Runs that the engine had already.
     pub beside: u32,
     /// When it was assigned.
@@ -121,7 +124,7 @@
     pub(super) made: Made,
     /// Events that are noted on the stores.
     pub(super) noted: usize,
-    pub(super) failures: u32,
+    pub(super) cost: Cost,
     pub(super) moved: u32,
 }
 
--- a/components/fleet/src/run.rs
+++ b/components/fleet/src/run.rs
@@ -4,6 +4,7 @@
 //! host goes on, and tells the next leader. The leader keeps what was made so far, so a run
 //! outlives its host as well, and goes on elsewhere after the last event that was told.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
@@ -13,6 +14,41 @@
 use crate::plan::RunEnd;
 use crate::step::Sample;
 
+/// What a request has cost so far, over all passes in which it was carried.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Spent {
+    /// Answers that it failed.
+    pub failures: u32,
+    /// The endpoints that may have run it.
+    pub endpoints: BTreeSet<String>,
+}
+
+impl Spent {
+    /// Adds what another process knows.
+    pub fn merge(&mut self, other: &Self) {
+        self.failures = self.failures.max(other.failures);
+        self.endpoints.extend(other.endpoints.iter().cloned());
+    }
+}
+
+/// What a sample has cost so far. It goes with the sample from host to host, and hosts tell the next
+/// leader, so that no process begins to count anew.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Cost {
+    /// Runs that failed.
+    pub failures: u32,
+    /// The calls of its scorer.
+    pub scorer: Spent,
+}
+
+impl Cost {
+    /// Adds what another process knows.
+    pub fn merge(&mut self, other: &Self) {
+        self.failures = self.failures.max(other.failures);
+        self.scorer.merge(&other.scorer);
+    }
+}
+
 /// A run that a host is to carry out.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Job {
@@ -39,10 +75,12 @@
     pub least: u64,
     /// Whether one version must generate all of it.
     pub single: bool,
-    /// Milliseconds for which the run is wanted.
+    /// Milliseconds for which the sample is wanted.
     pub left_ms: u64,
     /// What was made so far.
     pub made: Made,
+    /// What it has cost so far.
+    pub cost: Cost,
 }
 
 /// What a host is to do.
@@ -97,6 +135,8 @@
     pub made: Made,
     /// Mean milliseconds between the events told here; zero if there are too few.
     pub gap_ms: u32,
+    /// What the sample had cost before this run ended.
+    pub cost: Cost,
 }
 
 impl Report {
--- a/components/fleet/tests/pick.rs
+++ b/components/fleet/tests/pick.rs
@@ -32,7 +32,7 @@
 }
 
 fn pick(picker: &mut Picker, now: u64) -> String {
-    picker.pick("desk", "route", &[], Millis(now)).unwrap().id
+    picker.pick("desk", "route", |_| true, Millis(now)).unwrap().id
 }
 
 #[test]
@@ -90,8 +90,8 @@
     let id = pick(&mut picker, 0);
     picker.ended(&id, "route", Ending::Failed, Millis(0));
     assert_eq!(pick(&mut picker, 1), "a");
-    assert_eq!(picker.pick("desk", "route", &["a".to_owned()], Millis(1)), Err(Nowhere::AllTried));
-    assert_eq!(picker.pick("none", "route", &[], Millis(1)), Err(Nowhere::NoneReady));
+    assert_eq!(picker.pick("desk", "route", |id| id != "a", Millis(1)), Err(Nowhere::AllTried));
+    assert_eq!(picker.pick("none", "route", |_| true, Millis(1)), Err(Nowhere::NoneReady));
 }
 
 #[test]
@@ -99,7 +99,7 @@
     let mut picker = picker(&["a"]);
     let id = pick(&mut picker, 0);
     picker.ended(&id, "route", Ending::Moved, Millis(0));
-    assert_eq!(picker.pick("desk", "route", &[], Millis(1)), Err(Nowhere::NoneReady));
+    assert_eq!(picker.pick("desk", "route", |_| true, Millis(1)), Err(Nowhere::NoneReady));
     picker.observe(&endpoint("a", 2));
     assert_eq!(pick(&mut picker, 2), "a");
 }
@@ -108,7 +108,7 @@
 fn a_leaving_endpoint_gets_no_work() {
     let mut picker = picker(&["a"]);
     picker.observe(&Endpoint { standing: Standing::Draining, ..endpoint("a", 2) });
-    assert_eq!(picker.pick("desk", "route", &[], Millis(1)), Err(Nowhere::NoneReady));
+    assert_eq!(picker.pick("desk", "route", |_| true, Millis(1)), Err(Nowhere::NoneReady));
     assert!(!picker.is_ready("a"));
 }
 
@@ -120,7 +120,7 @@
     let mut picker = picker(&["a"]);
     assert_eq!(pick(&mut picker, 0), "a");
     picker.ended("a", "route", Ending::Moved, Millis(1));
-    assert_eq!(picker.pick("desk", "route", &[], Millis(2)), Err(Nowhere::NoneReady));
+    assert_eq!(picker.pick("desk", "route", |_| true, Millis(2)), Err(Nowhere::NoneReady));
     let mut again = endpoint("a", 1);
     again.said.born = 10;
     picker.observe(&again);
@@ -137,7 +137,7 @@
     let mut counts = BTreeMap::new();
     for n in 0..300 {
         let (route, ms) = if n % 4 == 0 { ("long", 200) } else { ("quick", 25) };
-        let id = picker.pick("desk", route, &[], Millis(n * 10)).unwrap().id;
+        let id = picker.pick("desk", route, |_| true, Millis(n * 10)).unwrap().id;
         picker.ended(&id, route, Ending::Answered(ms), Millis(n * 10));
         *counts.entry(id).or_insert(0) += 1;
     }
@@ -152,10 +152,10 @@
 fn what_is_learned_of_an_endpoint_holds_on_all_routes() {
     let mut picker = picker(&["a", "b"]);
     for n in 0..40 {
-        let id = picker.pick("desk", "quick", &[], Millis(n * 10)).unwrap().id;
+        let id = picker.pick("desk", "quick", |_| true, Millis(n * 10)).unwrap().id;
         picker.ended(&id, "quick", Ending::Answered(if id == "a" { 150 } else { 25 }), Millis(n));
     }
-    assert_eq!(picker.pick("desk", "long", &[], Millis(410)).unwrap().id, "b");
+    assert_eq!(picker.pick("desk", "long", |_| true, Millis(410)).unwrap().id, "b");
 }
 
 #[test]
--- a/components/fleet/tests/plan.rs
+++ b/components/fleet/tests/plan.rs
@@ -102,6 +102,7 @@
             versions: vec![1],
         },
         gap_ms: 0,
+        cost: run::Cost::default(),
     }
 }
 
@@ -303,6 +304,37 @@
     assert_eq!(plan.seats().map(Seat::load).sum::<u32>(), 0, "its engine is free");
 }
 
+/// Guards against a sample that may fail as often again after each change of leader.
+#[test]
+fn the_next_leader_goes_on_with_a_samples_failures() {
+    let mut before = plan(&[engine("e1", 1, 1)], &[step("a", &[1])]);
+    for now in [NOW, NOW + 10_000] {
+        assign(&mut before, now);
+        before.ended("a", 0, RunEnd::Failed, now);
+    }
+    let run = assign(&mut before, NOW + 20_000).remove(0);
+    assert_eq!(run.cost.failures, 2);
+    let mut next = Plan::new(Epoch(2));
+    next.open(step("a", &[1]), NOW, NOW + 500, |_| false);
+    let told = Report { cost: run.cost.clone(), ..report(&run, run::Standing::Running, &[]) };
+    assert_eq!(next.told("a", &told, NOW), Told::GoOn);
+    assert_eq!(next.ended("a", 0, RunEnd::Failed, NOW), Next::GiveUp);
+}
+
+/// Guards against a sample whose counts are lost because its run is not wanted any more when its host tells.
+#[test]
+fn a_run_that_is_refused_still_tells_what_its_sample_has_cost() {
+    let mut plan = plan(&[engine("e1", 1, 1)], &[step("a", &[1])]);
+    let run = assign(&mut plan, NOW).remove(0);
+    let scorer = run::Spent { failures: 2, endpoints: BTreeSet::from(["d1".to_owned()]) };
+    let cost = run::Cost { failures: 1, scorer };
+    let told = Report { cost: cost.clone(), ..report(&run, run::Standing::Scoring, &["x"]) };
+    assert_eq!(plan.told("another", &told, NOW), Told::Stop);
+    plan.ended("a", 0, RunEnd::Broken, NOW);
+    let run = assign(&mut plan, NOW + 10_000).remove(0);
+    assert_eq!(run.cost, cost);
+}
+
 /// The load: an engine turns three times slower. Its runs would take most of a step's time; any
 /// other engine with room goes on with them. Without room there they stay.
 #[test]
--- a/components/fleet/tests/policy.rs
+++ b/components/fleet/tests/policy.rs
@@ -47,9 +47,9 @@
     let mut picker = Picker::new(7).under(policy);
     picker.observe(&endpoint("a", "desk"));
     picker.observe(&endpoint("b", "desk"));
-    let failed = picker.pick("desk", "route", &[], Millis(0)).unwrap().id;
+    let failed = picker.pick("desk", "route", |_| true, Millis(0)).unwrap().id;
     picker.ended(&failed, "route", Ending::Failed, Millis(1));
-    let picks = (0..2).map(|_| picker.pick("desk", "route", &[], Millis(2)).unwrap().id);
+    let picks = (0..2).map(|_| picker.pick("desk", "route", |_| true, Millis(2)).unwrap().id);
     picks.filter(|id| *id == failed).collect()
 }
 
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -13,6 +13,7 @@
 use chicoryford_fleet::Verdict;
 use chicoryford_fleet::Workspace;
 use chicoryford_fleet::recent::Recent;
+use chicoryford_fleet::run::Spent;
 use chicoryford_http::Bounds;
 use chicoryford_http::Reply;
 use chicoryford_http::Request;
@@ -26,6 +27,7 @@
 use chicoryford_types::Millis;
 
 use crate::clock;
+use crate::forward::Budget;
 use crate::forward::Forwarder;
 use crate::forward::Outcome;
 use crate::forward::User;
@@ -196,7 +198,8 @@
             rank: workspace.and_then(|one| one.urgency).unwrap_or(route.priority),
             ticket: self.usage.as_ref().zip(name).map(|(usage, name)| usage.came(name)),
         };
-        let outcome = self.forwarder.forward(route, request, budget, user).await;
+        let spending = Budget::new(clock::now() + budget, Spent::default());
+        let outcome = self.forwarder.forward(route, request, &spending, budget, user).await;
         let ms = clock::now().since(began);
         let word = outcome_word(&outcome);
         metrics::REQUESTS.with_label_values(&[route.name.as_str(), word]).inc();
@@ -204,7 +207,7 @@
         seconds.observe(ms as f64 / 1_000.0);
         let id = plain::attempt(request).unwrap_or_default();
         let (status, why) = match outcome {
-            Outcome::Answered(reply, _) => {
+            Outcome::Answered(reply) => {
                 if ms > route.target_ms || !reply.status.is_success() {
                     let status = reply.status.as_u16();
                     tracing::info!(
@@ -219,8 +222,8 @@
                 return Reply { headers: reply.headers.end_to_end(), ..reply };
             }
             Outcome::NotRun(why, after_ms) => return self.refuse(request, why, after_ms),
-            Outcome::Lost(_) => (StatusCode::BAD_GATEWAY, "the endpoint's answer was lost"),
-            Outcome::Late(_) => (StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
+            Outcome::Lost => (StatusCode::BAD_GATEWAY, "the endpoint's answer was lost"),
+            Outcome::Late => (StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
         };
         tracing::info!(event = "request_failed", request = id, route = route.name, why, ms);
         platform::failure(status, why)
@@ -366,11 +369,11 @@
 
 fn outcome_word(outcome: &Outcome) -> &'static str {
     match outcome {
-        Outcome::Answered(reply, _) if reply.status.is_success() => "answered",
+        Outcome::Answered(reply) if reply.status.is_success() => "answered",
         Outcome::Answered(..) => "failed",
         Outcome::NotRun(..) => "refused",
-        Outcome::Lost(_) => "lost",
-        Outcome::Late(_) => "late",
+        Outcome::Lost => "lost",
+        Outcome::Late => "late",
     }
 }
 
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -15,6 +15,7 @@
 use chicoryford_fleet::pick::Nowhere;
 use chicoryford_fleet::pick::Picker;
 use chicoryford_fleet::pick::Target;
+use chicoryford_fleet::run::Spent;
 use chicoryford_http::Broken;
 use chicoryford_http::Connection;
 use chicoryford_http::Pool;
@@ -58,14 +59,34 @@
 /// What became of a request.
 #[derive(Debug)]
 pub enum Outcome {
-    /// An endpoint's answer, and how many answers had status 500, this one included.
-    Answered(Reply, u32),
+    /// An endpoint's answer.
+    Answered(Reply),
     /// It has not run and will not; the caller may come back after so many milliseconds.
     NotRun(&'static str, u64),
-    /// It may have run, and no answer came; how many answers had status 500.
-    Lost(u32),
-    /// It may have run, and the time is up; how many answers had status 500.
-    Late(u32),
+    /// It may have run, and no answer came.
+    Lost,
+    /// It may have run, and the time is up.
+    Late,
+}
+
+/// What a request may cost, over all passes in which it is carried: endpoints are told the same end of
+/// its time in each, and no more of them run it than its route allows.
+#[derive(Debug)]
+pub struct Budget {
+    deadline: Millis,
+    spent: RefCell<Spent>,
+}
+
+impl Budget {
+    /// Makes the budget of a request whose caller waits until then.
+    pub fn new(deadline: Millis, spent: Spent) -> Self {
+        Self { deadline, spent: RefCell::new(spent) }
+    }
+
+    /// Gives what was spent so far.
+    pub fn spent(&self) -> Spent {
+        self.spent.borrow().clone()
+    }
 }
 
 /// How one attempt ended.
@@ -126,15 +147,20 @@
         self.pool.borrow_mut().sweep(|incarnation| picker.is_ready(incarnation));
     }
 
-    /// Carries a request. Dropping the future closes the connections of its attempts.
+    /// Carries a request in one pass, for so many milliseconds at most. Dropping the future closes the
+    /// connections of its attempts.
     pub async fn forward(
         &self,
         route: &Route,
         request: &Request,
-        budget_ms: u64,
+        budget: &Budget,
+        limit_ms: u64,
         user: User<'_>,
     ) -> Outcome {
-        let deadline = clock::now() + budget_ms;
+        let left_ms = budget.deadline.since(clock::now()).min(limit_ms);
+        if left_ms == 0 {
+            return Outcome::NotRun("its time is up", FULL_AFTER_MS);
+        }
         let Some(service) = route.service(rand::random()) else {
             return Outcome::NotRun("the route leads nowhere", NONE_AFTER_MS);
         };
@@ -143,27 +169,28 @@
             service,
             route: &route.name,
             request,
-            deadline,
+            budget,
             once: route.kind != Kind::Idempotent,
-            left: route.attempts.max(1),
+            attempts: route.attempts.max(1),
+            left: route.attempts.saturating_sub(budget.spent.borrow().failures).max(1),
             tried: Vec::new(),
+            added: BTreeSet::new(),
             place: None,
             waited_ms: 0,
-            failures: 0,
             runs: 0,
             last: None,
             began: clock::now(),
             tries: Rc::default(),
             user,
         };
-        let timer = tokio::time::sleep(Duration::from_millis(budget_ms));
+        let timer = tokio::time::sleep(Duration::from_millis(left_ms));
         let outcome = tokio::select! {
             outcome = carry.run() => Some(outcome),
             () = timer => None,
         };
         let outcome = outcome.unwrap_or_else(|| {
             if carry.runs > 0 {
-                Outcome::Late(carry.failures)
+                Outcome::Late
             } else {
                 Outcome::NotRun("no endpoint took it in time", FULL_AFTER_MS)
             }
@@ -256,16 +283,19 @@
     service: &'a str,
     route: &'a str,
     request: &'a Request,
-    deadline: Millis,
+    budget: &'a Budget,
     once: bool,
-    /// Endpoints that may still run it.
+    /// Endpoints that may run it, over all passes.
+    attempts: u32,
+    /// Attempts that are left in this pass.
     left: u32,
     tried: Vec<String>,
+    /// Endpoints that may have run it in this pass, and not before.
+    added: BTreeSet<String>,
     /// Its place among those that wait while endpoints are full, if it was first there.
     place: Option<Place>,
     /// Milliseconds for which it has waited while endpoints were full.
     waited_ms: u64,
-    failures: u32,
     /// Attempts that may have run.
     runs: u32,
     last: Option<Reply>,
@@ -341,29 +371,40 @@
             return Err(Nowhere::AllTried);
         }
         let mut picker = self.forwarder.picker.borrow_mut();
-        picker.pick(self.service, self.route, &self.tried, clock::now())
+        let spent = self.budget.spent.borrow();
+        let live = spent.endpoints.iter().filter(|id| picker.is_ready(id)).count();
+        let may_add = live < self.attempts as usize;
+        let fits = |id: &str| {
+            !self.tried.iter().any(|tried| tried == id) && (may_add || spent.endpoints.contains(id))
+        };
+        picker.pick(self.service, self.route, fits, clock::now())
     }
 
-    fn start(&mut self, target: Target) -> impl Future<Output = Tried> + use<'a> {
+    fn start(&mut self, target: Target) -> impl Future<Output = (String, Tried)> + use<'a> {
         self.left -= 1;
         self.runs += 1;
-        self.tried.push(target.id.clone());
+        let id = target.id.clone();
+        self.tried.push(id.clone());
+        if self.budget.spent.borrow_mut().endpoints.insert(id.clone()) {
+            self.added.insert(id.clone());
+        }
         let at_ms = clock::now().since(self.began);
         self.tries.borrow_mut().push(Try { target: target.clone(), at_ms, sent: None, end: None });
         let note = (self.tries.clone(), self.tries.borrow().len() - 1);
         let (forwarder, route, request) = (self.forwarder, self.route, self.request);
-        let (deadline, once) = (self.deadline, self.once);
-        async move { forwarder.attempt(target, route, request, deadline, once, note).await }
+        let (deadline, once) = (self.budget.deadline, self.once);
+        async move { (id, forwarder.attempt(target, route, request, deadline, once, note).await) }
     }
 
     /// Takes in how an attempt ended; gives the outcome if that settles the request.
-    fn take(&mut self, tried: Tried) -> Option<Outcome> {
+    fn take(&mut self, (id, tried): (String, Tried)) -> Option<Outcome> {
         match tried {
             Tried::Answered(reply) => {
                 // Only this status says that the endpoint failed at it; samples are given up for it.
-                self.failures += u32::from(reply.status == StatusCode::INTERNAL_SERVER_ERROR);
+                let failed = reply.status == StatusCode::INTERNAL_SERVER_ERROR;
+                self.budget.spent.borrow_mut().failures += u32::from(failed);
                 if self.once || !reply.status.is_server_error() {
-                    return Some(Outcome::Answered(reply, self.failures));
+                    return Some(Outcome::Answered(reply));
                 }
                 self.last = Some(reply);
                 None
@@ -371,16 +412,19 @@
             Tried::NotRun | Tried::Unsent => {
                 self.left += 1;
                 self.runs -= 1;
+                if self.added.remove(&id) {
+                    self.budget.spent.borrow_mut().endpoints.remove(&id);
+                }
                 None
             }
-            Tried::Lost => self.once.then_some(Outcome::Lost(self.failures)),
+            Tried::Lost => self.once.then_some(Outcome::Lost),
         }
     }
 
     fn give_up(&mut self, nowhere: Nowhere) -> Outcome {
         match (self.last.take(), nowhere) {
-            (Some(reply), _) => Outcome::Answered(reply, self.failures),
-            (None, _) if self.runs > 0 => Outcome::Lost(self.failures),
+            (Some(reply), _) => Outcome::Answered(reply),
+            (None, _) if self.runs > 0 => Outcome::Lost,
             (None, Nowhere::NoneReady) => Outcome::NotRun("no endpoint is ready", NONE_AFTER_MS),
             (None, Nowhere::AllTried) => Outcome::NotRun("all endpoints are full", FULL_AFTER_MS),
         }
@@ -391,7 +435,7 @@
     /// others are only counted, so that the volume stays bounded.
     fn explain(&self, outcome: &Outcome, target_ms: u64) {
         let ms = clock::now().since(self.began);
-        let good = matches!(outcome, Outcome::Answered(reply, _) if reply.status.is_success());
+        let good = matches!(outcome, Outcome::Answered(reply) if reply.status.is_success());
         if good && ms <= target_ms {
             return;
         }
--- a/components/node/src/lead/runs.rs
+++ b/components/node/src/lead/runs.rs
@@ -23,6 +23,7 @@
     pub(super) fn start_run(&self, assignment: Assignment) {
         let Assignment { run, step, index, endpoint, address, version, made, beside, .. } =
             assignment;
+        let cost = assignment.cost;
         let data_centre = self.data_centre(&endpoint);
         let sample = step.samples[index as usize].clone();
         let host = self.hosts.choose(&data_centre);
@@ -52,6 +53,7 @@
             single: step.single,
             left_ms: step.age_ms.min(step.due_ms + GRACE_MS),
             made,
+            cost,
         };
         self.plan.borrow_mut().hosted(&step.id, index, &host);
         if !self.hosts.work(&host, Work::Run(Box::new(job))) {
--- a/components/node/src/runner/carry.rs
+++ b/components/node/src/runner/carry.rs
@@ -17,10 +17,12 @@
 use chicoryford_platform::sample;
 use chicoryford_platform::sample::Event;
 use chicoryford_platform::sample::Run;
+use chicoryford_types::Millis;
 
 use super::Runner;
 use super::State;
 use crate::clock;
+use crate::forward::Budget;
 use crate::forward::Outcome;
 use crate::forward::User;
 
@@ -44,7 +46,7 @@
     let end = match try_run(&runner, &job, &state).await {
         Ok(None) => {
             runner.stands(&job, &state, Standing::Scoring);
-            let standing = score(&runner, &job).await;
+            let standing = score(&runner, &job, &state).await;
             runner.stands(&job, &state, standing);
             return;
         }
@@ -64,7 +66,7 @@
     job: &Job,
     state: &Rc<State>,
 ) -> Result<Option<RunEnd>, Broken> {
-    let request = request(job);
+    let request = request(job, state.deadline);
     let kept = runner.pool.borrow_mut().take(job.address, &job.endpoint);
     let connection = match kept {
         Some(connection) => connection,
@@ -97,12 +99,12 @@
     Ok(Some(end))
 }
 
-fn request(job: &Job) -> Request {
+fn request(job: &Job, deadline: Millis) -> Request {
     let run = Run {
         host: &job.host,
         incarnation: &job.endpoint,
         version: job.version,
-        left_ms: job.left_ms,
+        left_ms: deadline.since(clock::now()),
         last: job.made.last.as_deref(),
         urgency: URGENCY,
         workspace: job.workspace.as_deref(),
@@ -171,11 +173,12 @@
     true
 }
 
-/// Calls a sample's scorer until it answers, while a leader is known to want that.
-async fn score(runner: &Rc<Runner>, job: &Job) -> Standing {
+/// Calls a sample's scorer until it answers, while a leader is known to want that. The call goes on with
+/// what it has cost before, at whichever host.
+async fn score(runner: &Rc<Runner>, job: &Job, state: &Rc<State>) -> Standing {
     let Some(scorer) = &job.sample.scorer else { return Standing::Finished(None) };
     let request = sample::score_request(scorer, job.workspace.as_deref());
-    let mut failures = 0;
+    let budget = Budget::new(state.deadline, state.cost.borrow().scorer.clone());
     loop {
         if !runner.is_led() {
             tokio::time::sleep(SCORE_PAUSE).await;
@@ -187,33 +190,34 @@
             tokio::time::sleep(SCORE_PAUSE).await;
             continue;
         };
+        let failures = budget.spent().failures;
+        if failures >= route.attempts.max(1) {
+            tracing::info!(event = "scorer_failed", sample = job.sample.id, failures);
+            return Standing::Unscored;
+        }
         let limit = route.timeout_ms.unwrap_or(SCORE_MS).min(SCORE_MS);
         let mut after = SCORE_PAUSE;
         // A call may ask several endpoints, for seconds, so it ends with the leader's sign.
         let workspace = job.workspace.as_deref().unwrap_or_default();
         let user = User { workspace, rank: route.priority, ticket: None };
         let called = tokio::select! {
-            outcome = runner.forwarder.forward(route, &request, limit, user) => outcome,
+            outcome = runner.forwarder.forward(route, &request, &budget, limit, user) => outcome,
             () = runner.unled() => continue,
         };
         match called {
-            Outcome::Answered(reply, before) => {
-                failures += before;
-                if reply.status.is_success()
-                    && let Some(score) = sample::score(&reply.headers)
-                {
+            Outcome::Answered(reply) if reply.status.is_success() => {
+                if let Some(score) = sample::score(&reply.headers) {
                     return Standing::Finished(Some(score.to_owned()));
                 }
             }
             Outcome::NotRun(_, after_ms) => after = Duration::from_millis(after_ms),
-            // A scorer that fails slowly may take all the time of a call without the last answer.
-            // Were its failures forgotten, the sample would never be given up, and its group,
-            // which waits for it, would never be whole.
-            Outcome::Lost(before) | Outcome::Late(before) => failures += before,
+            Outcome::Answered(_) | Outcome::Lost | Outcome::Late => {}
         }
-        if failures >= route.attempts.max(1) {
-            tracing::info!(event = "scorer_failed", sample = job.sample.id, failures);
-            return Standing::Unscored;
+        let spent = budget.spent();
+        let changed = state.cost.borrow().scorer != spent;
+        if changed {
+            state.cost.borrow_mut().scorer = spent;
+            runner.stands(job, state, Standing::Scoring);
         }
         tokio::time::sleep(after).await;
     }
--- a/components/node/src/runner/mod.rs
+++ b/components/node/src/runner/mod.rs
@@ -10,6 +10,7 @@
 
 use chicoryford_fleet::plan::Made;
 use chicoryford_fleet::plan::RunEnd;
+use chicoryford_fleet::run::Cost;
 use chicoryford_fleet::run::Job;
 use chicoryford_fleet::run::Report;
 use chicoryford_fleet::run::Standing;
@@ -62,6 +63,10 @@
     owed: Cell<bool>,
     /// Until when its order holds; no request is sent after that.
     until: Millis,
+    /// Until when the sample is wanted.
+    deadline: Millis,
+    /// What the sample has cost so far.
+    cost: RefCell<Cost>,
 }
 
 /// Hosts runs.
@@ -179,7 +184,7 @@
                     endpoint = job.endpoint,
                     age_ms
                 );
-                self.start(*job, clock::now() + (ORDER_MS - age_ms));
+                self.start(*job, age_ms);
             }
             Work::Tell => self.tell_all(),
             Work::Stop { step, index, run } => {
@@ -237,6 +242,7 @@
             from: job.made.events.len() as u32,
             made: Made { events: Vec::new(), ..job.made.clone() },
             gap_ms: 0,
+            cost: job.cost.clone(),
         };
         if let Some(Sink::Link(up)) = &*self.sink.borrow() {
             // Without this word the leader begins the sample anew when nothing is heard of it.
@@ -244,7 +250,7 @@
         }
     }
 
-    fn start(self: &Rc<Self>, job: Job, until: Millis) {
+    fn start(self: &Rc<Self>, job: Job, age_ms: u64) {
         let key = (job.step.clone(), job.index);
         self.stop(&key);
         let now = clock::now();
@@ -255,7 +261,9 @@
             heard: Cell::new(now),
             told_at: Cell::new(now),
             owed: Cell::default(),
-            until,
+            until: now + (ORDER_MS - age_ms),
+            deadline: now + job.left_ms.saturating_sub(age_ms),
+            cost: RefCell::new(job.cost.clone()),
         });
         let job = Rc::new(job);
         let handle = actix_rt::spawn(carry::carry_out(self.clone(), job.clone(), state.clone()));
@@ -318,6 +326,7 @@
                 versions: made.versions.clone(),
             },
             gap_ms: gap_ms as u32,
+            cost: state.cost.borrow().clone(),
         };
         let sink = self.sink.borrow().clone();
         let sent = match sink {
--- a/components/node/tests/forward.rs
+++ b/components/node/tests/forward.rs
@@ -16,8 +16,11 @@
 use chicoryford_fleet::Route;
 use chicoryford_fleet::Share;
 use chicoryford_fleet::Standing;
+use chicoryford_fleet::run::Spent;
 use chicoryford_http::Request;
 use chicoryford_http::message::Method;
+use chicoryford_node::clock;
+use chicoryford_node::forward::Budget;
 use chicoryford_node::forward::Forwarder;
 use chicoryford_node::forward::Outcome;
 use chicoryford_node::forward::User;
@@ -129,15 +132,33 @@
     forwarder
 }
 
-async fn send(stubs: &[&Stub], kind: Kind, attempts: u32, budget_ms: u64) -> Outcome {
+fn request() -> Request {
     let mut request = Request::new(Method::POST, "/x", "body");
     request.headers.set("host", "h");
     request.headers.set("x-attempt-id", "id");
-    forwarder(stubs).forward(&route(kind, attempts), &request, budget_ms, User::default()).await
+    request
+}
+
+/// Sends a request; gives what became of it, and how many answers had status 500.
+async fn send_counting(
+    stubs: &[&Stub],
+    kind: Kind,
+    attempts: u32,
+    budget_ms: u64,
+) -> (Outcome, u32) {
+    let budget = Budget::new(clock::now() + budget_ms, Spent::default());
+    let (route, request) = (route(kind, attempts), request());
+    let forwarder = forwarder(stubs);
+    let outcome = forwarder.forward(&route, &request, &budget, budget_ms, User::default()).await;
+    (outcome, budget.spent().failures)
+}
+
+async fn send(stubs: &[&Stub], kind: Kind, attempts: u32, budget_ms: u64) -> Outcome {
+    send_counting(stubs, kind, attempts, budget_ms).await.0
 }
 
 fn is_success(outcome: &Outcome) -> bool {
-    matches!(outcome, Outcome::Answered(reply, _) if reply.status.is_success())
+    matches!(outcome, Outcome::Answered(reply) if reply.status.is_success())
 }
 
 #[actix_rt::test]
@@ -155,8 +176,8 @@
 #[actix_rt::test]
 async fn a_request_that_may_have_run_is_not_repeated() {
     let (bad, good) = (stub(Does::Reset).await, stub(Does::Reset).await);
-    let outcome = send(&[&bad, &good], Kind::Once, 3, 1_500).await;
-    assert!(matches!(outcome, Outcome::Lost(0)), "{outcome:?}");
+    let (outcome, failures) = send_counting(&[&bad, &good], Kind::Once, 3, 1_500).await;
+    assert!(matches!((&outcome, failures), (Outcome::Lost, 0)), "{outcome:?} {failures}");
     assert_eq!(bad.asked.get() + good.asked.get(), 1);
 }
 
@@ -181,8 +202,8 @@
     let outcome = send(&[], Kind::Idempotent, 2, 1_000).await;
     assert!(matches!(outcome, Outcome::NotRun(..)), "{outcome:?}");
     let hanging = stub(Does::Hang).await;
-    let outcome = send(&[&hanging], Kind::Idempotent, 2, 300).await;
-    assert!(matches!(outcome, Outcome::Late(0)), "it may have run: {outcome:?}");
+    let (outcome, failures) = send_counting(&[&hanging], Kind::Idempotent, 2, 300).await;
+    assert!(matches!((&outcome, failures), (Outcome::Late, 0)), "it may have run: {outcome:?}");
 }
 
 /// The load: one endpoint of some goes silent; callers wait a fraction of a second.
@@ -198,8 +219,9 @@
 #[actix_rt::test]
 async fn no_more_endpoints_run_it_than_the_route_allows() {
     let stubs = [stub(Does::Fail).await, stub(Does::Fail).await, stub(Does::Fail).await];
-    let outcome = send(&[&stubs[0], &stubs[1], &stubs[2]], Kind::Idempotent, 2, 1_500).await;
-    let Outcome::Answered(reply, failures) = outcome else { panic!("{outcome:?}") };
+    let all = [&stubs[0], &stubs[1], &stubs[2]];
+    let (outcome, failures) = send_counting(&all, Kind::Idempotent, 2, 1_500).await;
+    let Outcome::Answered(reply) = outcome else { panic!("{outcome:?}") };
     assert_eq!((reply.status.as_u16(), failures), (500, 2), "the endpoint's own answer");
     assert_eq!(stubs.iter().map(|stub| stub.asked.get()).sum::<u32>(), 2);
 }
@@ -211,8 +233,9 @@
 #[actix_rt::test]
 async fn failures_count_also_when_the_time_is_up() {
     let stubs = [stub(Does::FailSlowly).await, stub(Does::FailSlowly).await];
-    let outcome = send(&[&stubs[0], &stubs[1]], Kind::Idempotent, 9, 700).await;
-    assert!(matches!(outcome, Outcome::Late(2..)), "{outcome:?}");
+    let (outcome, failures) =
+        send_counting(&[&stubs[0], &stubs[1]], Kind::Idempotent, 9, 700).await;
+    assert!(matches!((&outcome, failures), (Outcome::Late, 2..)), "{outcome:?} {failures}");
 }
 
 /// Collects log lines.
--- a/components/node/tests/lead/fleet.rs
+++ b/components/node/tests/lead/fleet.rs
@@ -22,6 +22,7 @@
 use chicoryford_fleet::copies::Place;
 use chicoryford_fleet::copies::StoreId;
 use chicoryford_fleet::plan::Made;
+use chicoryford_fleet::run::Cost;
 use chicoryford_fleet::run::Job;
 use chicoryford_fleet::run::Report;
 use chicoryford_fleet::run::Standing;
@@ -302,6 +303,7 @@
         from: 0,
         made: Made { events: vec!["x".to_owned()], last: Some("0".to_owned()), versions: vec![1] },
         gap_ms: 0,
+        cost: Cost::default(),
     }
 }
 
@@ -320,6 +322,7 @@
         single: false,
         left_ms: 10_000,
         made: Made::default(),
+        cost: Cost::default(),
     }
 }
 
--- a/components/node/tests/link.rs
+++ b/components/node/tests/link.rs
@@ -19,6 +19,7 @@
 use chicoryford_fleet::Scorer;
 use chicoryford_fleet::Share;
 use chicoryford_fleet::plan::Made;
+use chicoryford_fleet::run::Cost;
 use chicoryford_fleet::run::Job;
 use chicoryford_fleet::run::Report;
 use chicoryford_fleet::run::Standing;
@@ -181,6 +182,7 @@
         single: false,
         left_ms: 10_000,
         made: Made::default(),
+        cost: Cost::default(),
     }
 }
 
--- a/components/node/tests/runner.rs
+++ b/components/node/tests/runner.rs
@@ -7,6 +7,7 @@
 use chicoryford_fleet::Policy;
 use chicoryford_fleet::Sample;
 use chicoryford_fleet::plan::Made;
+use chicoryford_fleet::run::Cost;
 use chicoryford_fleet::run::Job;
 use chicoryford_fleet::run::Report;
 use chicoryford_fleet::run::Standing;
@@ -65,6 +66,7 @@
         single: false,
         left_ms: 10_000,
         made: Made::default(),
+        cost: Cost::default(),
     }
 }
 
--- /dev/null
+++ b/components/node/tests/scorers.rs
@@ -0,0 +1,237 @@
+//! What a host spends on the call of a sample's scorer, on real sockets.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use chicoryford_fleet::Announcement;
+use chicoryford_fleet::Config;
+use chicoryford_fleet::Endpoint;
+use chicoryford_fleet::Kind;
+use chicoryford_fleet::Policy;
+use chicoryford_fleet::Route;
+use chicoryford_fleet::Sample;
+use chicoryford_fleet::Scorer;
+use chicoryford_fleet::Service;
+use chicoryford_fleet::Share;
+use chicoryford_fleet::Standing as EndpointStanding;
+use chicoryford_fleet::plan::Made;
+use chicoryford_fleet::run::Cost;
+use chicoryford_fleet::run::Job;
+use chicoryford_fleet::run::Report;
+use chicoryford_fleet::run::Spent;
+use chicoryford_fleet::run::Standing;
+use chicoryford_fleet::run::Work;
+use chicoryford_node::forward::Forwarder;
+use chicoryford_node::message::News;
+use chicoryford_node::runner::Runner;
+use chicoryford_node::view::View;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+/// Endpoints at which one call may run.
+const ATTEMPTS: u32 = 4;
+/// Endpoints that score: more than one call may run at.
+const SCORERS: usize = 7;
+/// Milliseconds that one pass over the endpoints may take.
+const PASS_MS: u64 = 500;
+/// Milliseconds for which the sample is wanted.
+const WANTED_MS: u64 = 6_000;
+
+/// A call that reached an endpoint.
+#[derive(Clone, Debug)]
+struct Asked {
+    endpoint: usize,
+    at: Instant,
+    left_ms: u64,
+}
+
+type Calls = Rc<RefCell<Vec<Asked>>>;
+
+async fn listen(serve: impl Fn(TcpStream) + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        loop {
+            serve(listener.accept().await.unwrap().0);
+        }
+    });
+    address
+}
+
+/// Answers a run with one event.
+async fn run(mut stream: TcpStream) {
+    let mut bytes = vec![0; 4_096];
+    while stream.read(&mut bytes).await.is_ok_and(|read| read > 0) {
+        let answer = "HTTP/1.1 200 OK\r\nx-attempt-id: s\r\nx-response-stamp: p\r\n\
+                      transfer-encoding: chunked\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n0\r\n\r\n";
+        stream.write_all(answer.as_bytes()).await.unwrap();
+    }
+}
+
+/// Fails a call after a while.
+async fn fail(mut stream: TcpStream, endpoint: usize, time: Duration, calls: Calls) {
+    let mut bytes = vec![0; 4_096];
+    while let Ok(read) = stream.read(&mut bytes).await {
+        if read == 0 {
+            return;
+        }
+        let text = String::from_utf8_lossy(&bytes[..read]).to_lowercase();
+        let left = text.split("x-deadline-ms: ").nth(1).and_then(|rest| rest.split("\r\n").next());
+        let left_ms = left.and_then(|left| left.parse().ok()).expect("a time limit");
+        calls.borrow_mut().push(Asked { endpoint, at: Instant::now(), left_ms });
+        tokio::time::sleep(time).await;
+        let answer = "HTTP/1.1 500 x\r\nx-attempt-id: c\r\nx-response-stamp: p\r\n\
+                      content-length: 0\r\n\r\n";
+        if stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn route(name: &str, kind: Kind, attempts: u32) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "h".to_owned(),
+        prefix: format!("/{name}/"),
+        kind,
+        timeout_ms: Some(PASS_MS),
+        target_ms: 150,
+        priority: 1,
+        shares: vec![Share { service: name.to_owned(), weight: 1 }],
+        attempts,
+        resumable: false,
+        due_ms: None,
+        age_ms: None,
+        single: false,
+        open: false,
+    }
+}
+
+fn config() -> Config {
+    let service = |name: &str| Service { name: name.to_owned(), ..Service::default() };
+    Config {
+        version: 1,
+        routes: vec![route("score", Kind::Idempotent, ATTEMPTS)],
+        services: vec![service("score")],
+        source: Bytes::from_static(b"{}"),
+        ..Config::default()
+    }
+}
+
+/// Starts scorers that fail after so long, and a host that knows them.
+async fn host(time: Duration) -> (Rc<Runner>, Calls) {
+    let view = Rc::new(View::default());
+    let forwarder = Forwarder::new(Policy::default());
+    let learning = forwarder.clone();
+    view.listen(move |news| learning.learn(news));
+    view.learn(News::Config(Arc::new(config())));
+    let calls = Calls::default();
+    for number in 0..SCORERS {
+        let noted = calls.clone();
+        let address = listen(move |stream| {
+            actix_rt::spawn(fail(stream, number, time, noted.clone()));
+        });
+        let said = Announcement {
+            id: format!("i{number}"),
+            born: 0,
+            service: "score".to_owned(),
+            address: address.await,
+            data_centre: "z".to_owned(),
+            slots: 4,
+            draining: false,
+            models: BTreeMap::new(),
+            sequence: 1,
+        };
+        let endpoint = Endpoint { said, standing: EndpointStanding::Ready };
+        view.learn(News::Endpoint(endpoint));
+    }
+    (Runner::new(view, forwarder), calls)
+}
+
+async fn job(cost: Cost) -> Job {
+    let scorer = Scorer {
+        id: "c".to_owned(),
+        host: "h".to_owned(),
+        path: "/score/x".to_owned(),
+        ..Scorer::default()
+    };
+    let sample = Sample {
+        id: "s".to_owned(),
+        path: "/x".to_owned(),
+        scorer: Some(scorer),
+        ..Sample::default()
+    };
+    Job {
+        run: 1,
+        step: "step".to_owned(),
+        index: 0,
+        host: "h".to_owned(),
+        sample,
+        workspace: None,
+        endpoint: "e".to_owned(),
+        address: listen(|stream| {
+            actix_rt::spawn(run(stream));
+        })
+        .await,
+        version: 1,
+        least: 1,
+        single: false,
+        left_ms: WANTED_MS,
+        made: Made::default(),
+        cost,
+    }
+}
+
+/// Has a host carry out a run until its scorer is given up; gives what it told last.
+async fn carry_out(runner: &Rc<Runner>, cost: Cost) -> Report {
+    let told: Rc<RefCell<Vec<Report>>> = Rc::default();
+    let telling = told.clone();
+    runner.attach_own(move |report| telling.borrow_mut().push(report.clone()));
+    runner.take(Work::Run(Box::new(job(cost).await)));
+    let unscored = |report: &&Report| report.standing == Standing::Unscored;
+    for _ in 0..WANTED_MS / 20 {
+        if let Some(last) = told.borrow().last().filter(unscored) {
+            return last.clone();
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("the scorer was not given up: {:?}", told.borrow().last());
+}
+
+/// Guards against a scorer's call that each pass sends to other endpoints, and with a new time limit.
+#[actix_rt::test]
+async fn a_scorer_that_fails_slowly_keeps_to_its_endpoints_and_its_time() {
+    let (runner, calls) = host(Duration::from_millis(300)).await;
+    carry_out(&runner, Cost::default()).await;
+    let calls = calls.borrow();
+    let endpoints: BTreeSet<usize> = calls.iter().map(|call| call.endpoint).collect();
+    assert!(endpoints.len() <= ATTEMPTS as usize, "{calls:?}");
+    let end = |call: &Asked| call.at + Duration::from_millis(call.left_ms);
+    let first = end(&calls[0]);
+    let slack = Duration::from_millis(300);
+    assert!(calls.iter().all(|call| end(call) <= first + slack), "{calls:?}");
+}
+
+/// Guards against a host that begins to count anew what a scorer's call has cost at the host before.
+#[actix_rt::test]
+async fn the_next_host_goes_on_with_what_a_scorers_call_has_cost() {
+    let (runner, calls) = host(Duration::from_millis(10)).await;
+    let spent = |endpoints: &[&str]| Spent {
+        failures: ATTEMPTS - 1,
+        endpoints: endpoints.iter().map(|id| (*id).to_owned()).collect(),
+    };
+    let scorer = spent(&["i0", "i1", "i2", "i3"]);
+    let last = carry_out(&runner, Cost { scorer, ..Cost::default() }).await;
+    assert_eq!(last.cost.scorer.failures, ATTEMPTS);
+    assert_eq!(calls.borrow().len(), 1, "{calls:?}");
+    assert!(calls.borrow()[0].endpoint < ATTEMPTS as usize, "{calls:?}");
+}
