Endpoints are handed what is left of the time, to the same end at each attempt

What callers saw: endpoints worked for requests whose callers had left, and later runs of a sample were given more time than the first.

Cause: three places took a duration for an end. A run got 12.5 s at each start, however late in the life of its step. A request's time began when it was carried and not when it was read, so up to 0.7 s in which an entry waited for its first configuration was handed on. What was left was computed before a connection was opened, which may take 0.25 s.

Class: a relative time limit copied where an end belongs.

Evidence: tests/entry.rs on the code before: an endpoint may work 702 ms longer than the caller waits.

Why it works: a sample's runs and its scorer's calls end when the sample is too old, by the time of its submission; a request's end is fixed when it is read; what is left is computed when the request is written. What a request waits in a socket before a busy process reads it is still not known to it. A step that a new leader adopts ends later by the time without a leader, about a second.

--- a/components/fleet/src/plan/work.rs
+++ b/components/fleet/src/plan/work.rs
@@ -92,6 +92,8 @@
     pub made: Made,
     /// What it has cost so far.
     pub cost: Cost,
+    /// Milliseconds until it is too old.
+    pub left_ms: u64,
     /// Runs that the engine had already.
     pub beside: u32,
     /// When it was assigned.
--- a/components/fleet/src/run.rs
+++ b/components/fleet/src/run.rs
@@ -75,7 +75,7 @@
     pub least: u64,
     /// Whether one version must generate all of it.
     pub single: bool,
-    /// Milliseconds for which the sample is wanted.
+    /// Milliseconds until the sample is too old, and no endpoint is to work for it any more.
     pub left_ms: u64,
     /// What was made so far.
     pub made: Made,
--- a/components/fleet/tests/plan.rs
+++ b/components/fleet/tests/plan.rs
@@ -304,6 +304,16 @@
     assert_eq!(plan.seats().map(Seat::load).sum::<u32>(), 0, "its engine is free");
 }
 
+/// Guards against a run that is given, late in the life of its step, the time that the first one had.
+#[test]
+fn a_later_run_of_a_sample_ends_no_later_than_the_first() {
+    let mut plan = plan(&[engine("e1", 1, 1)], &[step("a", &[1])]);
+    let first = assign(&mut plan, NOW).remove(0);
+    plan.ended("a", 0, RunEnd::Broken, NOW + 9_000);
+    let second = assign(&mut plan, NOW + 10_000).remove(0);
+    assert_eq!((first.left_ms, second.left_ms), (40_000, 30_000));
+}
+
 /// Guards against a sample that may fail as often again after each change of leader.
 #[test]
 fn the_next_leader_goes_on_with_a_samples_failures() {
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -191,15 +191,15 @@
         began: Millis,
     ) -> Reply {
         let asked = plain::budget_ms(request);
-        let budget = asked.unwrap_or(BUDGET_MS).min(route.timeout_ms.unwrap_or(BUDGET_MS));
+        let limit_ms = asked.unwrap_or(BUDGET_MS).min(route.timeout_ms.unwrap_or(BUDGET_MS));
         let name = workspace.map(|workspace| workspace.name.as_str());
         let user = User {
             workspace: name.unwrap_or_default(),
             rank: workspace.and_then(|one| one.urgency).unwrap_or(route.priority),
             ticket: self.usage.as_ref().zip(name).map(|(usage, name)| usage.came(name)),
         };
-        let spending = Budget::new(clock::now() + budget, Spent::default());
-        let outcome = self.forwarder.forward(route, request, &spending, budget, user).await;
+        let budget = Budget::new(began + limit_ms, Spent::default());
+        let outcome = self.forwarder.forward(route, request, &budget, limit_ms, user).await;
         let ms = clock::now().since(began);
         let word = outcome_word(&outcome);
         metrics::REQUESTS.with_label_values(&[route.name.as_str(), word]).inc();
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -213,8 +213,6 @@
         let began = clock::now();
         let mut attempt =
             Attempt { forwarder: self, id: &target.id, route, began, ended: false, note };
-        let left = deadline.since(began);
-        let forwarded = plain::forward(request, &target.id, left);
         let kept = self.pool.borrow_mut().take(target.address, &target.id);
         let connection = match kept.filter(|_| !once) {
             Some(connection) => connection,
@@ -227,6 +225,9 @@
                 }
             },
         };
+        // To open a connection has taken some of the time.
+        let left_ms = deadline.since(clock::now());
+        let forwarded = plain::forward(request, &target.id, left_ms);
         attempt.send();
         match self.exchange(connection, &forwarded, &target).await {
             Ok((Meaning::Answer, reply)) => {
--- a/components/node/src/lead/runs.rs
+++ b/components/node/src/lead/runs.rs
@@ -15,15 +15,11 @@
 use crate::listing::Settled;
 use crate::metrics;
 
-/// Milliseconds for which an engine may go on with a run beyond the time at which results are
-/// due, if nobody stops it.
-const GRACE_MS: u64 = 5_000;
-
 impl Lead {
     pub(super) fn start_run(&self, assignment: Assignment) {
         let Assignment { run, step, index, endpoint, address, version, made, beside, .. } =
             assignment;
-        let cost = assignment.cost;
+        let Assignment { cost, left_ms, .. } = assignment;
         let data_centre = self.data_centre(&endpoint);
         let sample = step.samples[index as usize].clone();
         let host = self.hosts.choose(&data_centre);
@@ -51,7 +47,7 @@
             version,
             least: step.least,
             single: step.single,
-            left_ms: step.age_ms.min(step.due_ms + GRACE_MS),
+            left_ms,
             made,
             cost,
         };
--- /dev/null
+++ b/components/node/tests/entry.rs
@@ -0,0 +1,135 @@
+//! What an entry hands on of a caller's time, on real sockets.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use chicoryford_fleet::Announcement;
+use chicoryford_fleet::Config;
+use chicoryford_fleet::Endpoint;
+use chicoryford_fleet::Kind;
+use chicoryford_fleet::Policy;
+use chicoryford_fleet::Route;
+use chicoryford_fleet::Share;
+use chicoryford_fleet::Standing;
+use chicoryford_fleet::Trust;
+use chicoryford_fleet::recent::Recent;
+use chicoryford_http::Reply;
+use chicoryford_http::Request;
+use chicoryford_http::Server;
+use chicoryford_http::message::Method;
+use chicoryford_http::message::StatusCode;
+use chicoryford_node::clock;
+use chicoryford_node::entry::Entry;
+use chicoryford_node::forward::Forwarder;
+use chicoryford_node::link::Link;
+use chicoryford_node::link::Member;
+use chicoryford_node::message::News;
+use chicoryford_node::view::View;
+use tokio::net::TcpListener;
+
+/// How long the caller waits.
+const WAITS: Duration = Duration::from_millis(1_500);
+
+/// Starts an endpoint that notes until when it may work.
+async fn endpoint(ends: Rc<RefCell<Vec<Instant>>>) -> Endpoint {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = Rc::new(Server::default());
+    actix_rt::spawn(async move {
+        let answer = move |request: Request| {
+            let left = Duration::from_millis(request.headers.number("x-deadline-ms").unwrap());
+            ends.borrow_mut().push(Instant::now() + left);
+            let reply = Reply::new(StatusCode::OK, "ok").with("x-attempt-id", "id");
+            std::future::ready(reply.with("x-response-stamp", "s"))
+        };
+        server.serve(listener, answer).await;
+    });
+    let said = Announcement {
+        id: "d1".to_owned(),
+        born: 0,
+        service: "desk".to_owned(),
+        address,
+        data_centre: "z".to_owned(),
+        slots: 6,
+        draining: false,
+        models: BTreeMap::new(),
+        sequence: 1,
+    };
+    Endpoint { said, standing: Standing::Ready }
+}
+
+fn config() -> Config {
+    let route = Route {
+        name: "desk".to_owned(),
+        host: "h".to_owned(),
+        prefix: "/d/".to_owned(),
+        kind: Kind::Idempotent,
+        timeout_ms: Some(2_000),
+        target_ms: 150,
+        priority: 1,
+        shares: vec![Share { service: "desk".to_owned(), weight: 1 }],
+        attempts: 2,
+        resumable: false,
+        due_ms: None,
+        age_ms: None,
+        single: false,
+        open: false,
+    };
+    Config { version: 1, routes: vec![route], source: Bytes::new(), ..Config::default() }
+}
+
+/// Makes an entry that has just started and is not connected.
+fn entry() -> Rc<Entry> {
+    let (view, forwarder) = (Rc::new(View::default()), Forwarder::new(Policy::default()));
+    let learns = forwarder.clone();
+    view.listen(move |news| learns.learn(news));
+    let member = Member {
+        node: "f".to_owned(),
+        data_centre: "z".to_owned(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        replica: false,
+        depot: None,
+        runner: None,
+    };
+    Rc::new(Entry {
+        link: Link::new(member, view.clone(), Vec::new()),
+        view,
+        forwarder,
+        started: clock::now(),
+        recent: RefCell::new(Recent::new(0)),
+        usage: None,
+        trust: Trust { strict: false, limit_ms: 0 },
+        near: String::new(),
+        reader: Rc::default(),
+    })
+}
+
+/// Guards against endpoints that work on after the caller has left, because time in which its request
+/// waited at the entry is handed on.
+#[actix_rt::test]
+async fn time_in_which_a_request_waited_is_not_handed_on() {
+    let (entry, ends) = (entry(), Rc::default());
+    let endpoint = endpoint(Rc::clone(&ends)).await;
+    let view = entry.view.clone();
+    actix_rt::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        view.learn(News::Config(Arc::new(config())));
+        view.learn(News::Endpoint(endpoint));
+    });
+    let mut request = Request::new(Method::POST, "/d/1", "");
+    request.headers.set("host", "h");
+    request.headers.set("x-attempt-id", "id");
+    request.headers.set("x-deadline-ms", &WAITS.as_millis().to_string());
+    let came = Instant::now();
+
+    let reply = entry.answer(request).await;
+
+    assert_eq!(reply.status, StatusCode::OK);
+    let over = ends.borrow()[0].saturating_duration_since(came + WAITS);
+    assert!(over < Duration::from_millis(100), "{over:?} after the caller has left");
+}
