Hosts that carry the same scorer's call ask the same endpoints, and tell what it costs as it goes

Why it works: which endpoints a call prefers follows from its identity by rendezvous hashing, so hosts that know nothing of each other stay within one set; others are asked only if those did not run it.

--- a/components/fleet/src/pick.rs
+++ b/components/fleet/src/pick.rs
@@ -8,9 +8,11 @@
 //! times as long it takes.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
+use chicoryford_types::Fingerprint;
 use chicoryford_types::Millis;
 use rand::Rng;
 use rand::SeedableRng;
@@ -178,11 +180,7 @@
         now: Millis,
     ) -> Result<Target, Nowhere> {
         let usual = self.usual_ms(route).unwrap_or(UNKNOWN_MS);
-        let serves = |seat: &&Seat| {
-            let said = &seat.endpoint.said;
-            said.service == service && seat.endpoint.standing == Standing::Ready && !seat.moved
-        };
-        let ready: Vec<&Seat> = self.seats.values().filter(serves).collect();
+        let ready: Vec<&Seat> = self.seats.values().filter(|seat| seat.serves(service)).collect();
         if ready.is_empty() {
             return Err(Nowhere::NoneReady);
         }
@@ -211,6 +209,17 @@
         Ok(target)
     }
 
+    /// Gives the endpoints of a service that all processes prefer for one request, by rendezvous hashing:
+    /// if one of them goes, the others stay.
+    pub fn preferred(&self, service: &str, request: &str, count: usize) -> BTreeSet<String> {
+        let ready = self.seats.values().filter(|seat| seat.serves(service));
+        let weigh = |id: &str| Fingerprint::of(format!("{request} {id}").as_bytes());
+        let mut weighed: Vec<(Fingerprint, &str)> =
+            ready.map(|seat| &*seat.endpoint.said.id).map(|id| (weigh(id), id)).collect();
+        weighed.sort_unstable();
+        weighed.into_iter().take(count).map(|(_, id)| id.to_owned()).collect()
+    }
+
     /// Tells whether an endpoint may still be given work.
     pub fn is_ready(&self, id: &str) -> bool {
         self.seats.get(id).is_some_and(|seat| seat.endpoint.standing == Standing::Ready)
@@ -265,6 +274,11 @@
         }
     }
 
+    fn serves(&self, service: &str) -> bool {
+        let Endpoint { said, standing } = &self.endpoint;
+        said.service == service && *standing == Standing::Ready && !self.moved
+    }
+
     fn measure(&mut self, slowness: f64, now: Millis) {
         self.slowness += NEWEST * (slowness.min(STRAY) - self.slowness);
         self.measured = now;
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -13,7 +13,6 @@
 use chicoryford_fleet::Verdict;
 use chicoryford_fleet::Workspace;
 use chicoryford_fleet::recent::Recent;
-use chicoryford_fleet::run::Spent;
 use chicoryford_http::Bounds;
 use chicoryford_http::Reply;
 use chicoryford_http::Request;
@@ -198,7 +197,7 @@
             rank: workspace.and_then(|one| one.urgency).unwrap_or(route.priority),
             ticket: self.usage.as_ref().zip(name).map(|(usage, name)| usage.came(name)),
         };
-        let budget = Budget::new(began + limit_ms, Spent::default());
+        let budget = Budget::new(began + limit_ms);
         let outcome = self.forwarder.forward(route, request, &budget, limit_ms, user).await;
         let ms = clock::now().since(began);
         let word = outcome_word(&outcome);
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -74,13 +74,26 @@
 #[derive(Debug)]
 pub struct Budget {
     deadline: Millis,
+    /// Names the request at whichever process carries it.
+    shared: Option<String>,
     spent: RefCell<Spent>,
 }
 
 impl Budget {
     /// Makes the budget of a request whose caller waits until then.
-    pub fn new(deadline: Millis, spent: Spent) -> Self {
-        Self { deadline, spent: RefCell::new(spent) }
+    pub fn new(deadline: Millis) -> Self {
+        Self { deadline, shared: None, spent: RefCell::default() }
+    }
+
+    /// Makes the budget of a request that other processes may have carried before, or carry as well. All
+    /// of them prefer the same endpoints, so that together they ask no more than one of them may.
+    pub fn shared(id: &str, deadline: Millis, spent: Spent) -> Self {
+        Self { deadline, shared: Some(id.to_owned()), spent: RefCell::new(spent) }
+    }
+
+    /// Gives the milliseconds for which its caller still waits.
+    pub fn left_ms(&self) -> u64 {
+        self.deadline.since(clock::now())
     }
 
     /// Gives what was spent so far.
@@ -157,7 +170,7 @@
         limit_ms: u64,
         user: User<'_>,
     ) -> Outcome {
-        let left_ms = budget.deadline.since(clock::now()).min(limit_ms);
+        let left_ms = budget.left_ms().min(limit_ms);
         if left_ms == 0 {
             return Outcome::NotRun("its time is up", FULL_AFTER_MS);
         }
@@ -378,7 +391,15 @@
         let fits = |id: &str| {
             !self.tried.iter().any(|tried| tried == id) && (may_add || spent.endpoints.contains(id))
         };
-        picker.pick(self.service, self.route, fits, clock::now())
+        let now = clock::now();
+        if let Some(request) = &self.budget.shared {
+            let preferred = picker.preferred(self.service, request, self.attempts as usize);
+            let fits = |id: &str| preferred.contains(id) && fits(id);
+            if let Ok(target) = picker.pick(self.service, self.route, fits, now) {
+                return Ok(target);
+            }
+        }
+        picker.pick(self.service, self.route, fits, now)
     }
 
     fn start(&mut self, target: Target) -> impl Future<Output = (String, Tried)> + use<'a> {
--- a/components/node/src/runner/carry.rs
+++ b/components/node/src/runner/carry.rs
@@ -17,12 +17,10 @@
 use chicoryford_platform::sample;
 use chicoryford_platform::sample::Event;
 use chicoryford_platform::sample::Run;
-use chicoryford_types::Millis;
 
 use super::Runner;
 use super::State;
 use crate::clock;
-use crate::forward::Budget;
 use crate::forward::Outcome;
 use crate::forward::User;
 
@@ -66,7 +64,7 @@
     job: &Job,
     state: &Rc<State>,
 ) -> Result<Option<RunEnd>, Broken> {
-    let request = request(job, state.deadline);
+    let request = request(job, state.budget.left_ms());
     let kept = runner.pool.borrow_mut().take(job.address, &job.endpoint);
     let connection = match kept {
         Some(connection) => connection,
@@ -99,12 +97,12 @@
     Ok(Some(end))
 }
 
-fn request(job: &Job, deadline: Millis) -> Request {
+fn request(job: &Job, left_ms: u64) -> Request {
     let run = Run {
         host: &job.host,
         incarnation: &job.endpoint,
         version: job.version,
-        left_ms: deadline.since(clock::now()),
+        left_ms,
         last: job.made.last.as_deref(),
         urgency: URGENCY,
         workspace: job.workspace.as_deref(),
@@ -178,7 +176,7 @@
 async fn score(runner: &Rc<Runner>, job: &Job, state: &Rc<State>) -> Standing {
     let Some(scorer) = &job.sample.scorer else { return Standing::Finished(None) };
     let request = sample::score_request(scorer, job.workspace.as_deref());
-    let budget = Budget::new(state.deadline, state.cost.borrow().scorer.clone());
+    let budget = &state.budget;
     loop {
         if !runner.is_led() {
             tokio::time::sleep(SCORE_PAUSE).await;
@@ -201,7 +199,7 @@
         let workspace = job.workspace.as_deref().unwrap_or_default();
         let user = User { workspace, rank: route.priority, ticket: None };
         let called = tokio::select! {
-            outcome = runner.forwarder.forward(route, &request, &budget, limit, user) => outcome,
+            outcome = runner.forwarder.forward(route, &request, budget, limit, user) => outcome,
             () = runner.unled() => continue,
         };
         match called {
@@ -213,12 +211,6 @@
             Outcome::NotRun(_, after_ms) => after = Duration::from_millis(after_ms),
             Outcome::Answered(_) | Outcome::Lost | Outcome::Late => {}
         }
-        let spent = budget.spent();
-        let changed = state.cost.borrow().scorer != spent;
-        if changed {
-            state.cost.borrow_mut().scorer = spent;
-            runner.stands(job, state, Standing::Scoring);
-        }
         tokio::time::sleep(after).await;
     }
 }
--- a/components/node/src/runner/mod.rs
+++ b/components/node/src/runner/mod.rs
@@ -13,6 +13,7 @@
 use chicoryford_fleet::run::Cost;
 use chicoryford_fleet::run::Job;
 use chicoryford_fleet::run::Report;
+use chicoryford_fleet::run::Spent;
 use chicoryford_fleet::run::Standing;
 use chicoryford_fleet::run::Work;
 use chicoryford_http::Pool;
@@ -21,6 +22,7 @@
 use tokio::task::JoinHandle;
 
 use crate::clock;
+use crate::forward::Budget;
 use crate::forward::Forwarder;
 use crate::message::Up;
 use crate::view::View;
@@ -63,10 +65,19 @@
     owed: Cell<bool>,
     /// Until when its order holds; no request is sent after that.
     until: Millis,
-    /// Until when the sample is wanted.
-    deadline: Millis,
-    /// What the sample has cost so far.
-    cost: RefCell<Cost>,
+    /// What endpoints may spend on the sample, and what its scorer's call has.
+    budget: Budget,
+    /// What the leader was told of that.
+    told_spent: RefCell<Spent>,
+}
+
+impl State {
+    /// Tells whether the scorer's call has cost what the leader should know, in case this host is lost. Of
+    /// one endpoint that is asked it need not: the next host asks the same.
+    fn has_spent(&self) -> bool {
+        let (spent, told) = (self.budget.spent(), self.told_spent.borrow());
+        spent != *told && (spent.failures > 0 || spent.endpoints.len() > 1)
+    }
 }
 
 /// Hosts runs.
@@ -262,8 +273,12 @@
             told_at: Cell::new(now),
             owed: Cell::default(),
             until: now + (ORDER_MS - age_ms),
-            deadline: now + job.left_ms.saturating_sub(age_ms),
-            cost: RefCell::new(job.cost.clone()),
+            budget: Budget::shared(
+                job.sample.scorer.as_ref().map_or(&job.sample.id, |scorer| &scorer.id),
+                now + job.left_ms.saturating_sub(age_ms),
+                job.cost.scorer.clone(),
+            ),
+            told_spent: RefCell::new(job.cost.scorer.clone()),
         });
         let job = Rc::new(job);
         let handle = actix_rt::spawn(carry::carry_out(self.clone(), job.clone(), state.clone()));
@@ -279,7 +294,7 @@
             for hosted in all {
                 let running = *hosted.state.standing.borrow() == Standing::Running;
                 let news = hosted.state.made.borrow().events.len() > hosted.state.told.get();
-                if running && news || hosted.state.owed.get() {
+                if running && news || hosted.state.owed.get() || hosted.state.has_spent() {
                     self.tell(&hosted);
                 }
             }
@@ -326,8 +341,9 @@
                 versions: made.versions.clone(),
             },
             gap_ms: gap_ms as u32,
-            cost: state.cost.borrow().clone(),
+            cost: Cost { failures: hosted.job.cost.failures, scorer: state.budget.spent() },
         };
+        let spent = report.cost.scorer.clone();
         let sink = self.sink.borrow().clone();
         let sent = match sink {
             Some(Sink::Link(up)) => up.try_send(Up::Report(report)).is_ok(),
@@ -343,6 +359,7 @@
         if sent {
             state.told.set(from + events);
             state.told_at.set(state.heard.get());
+            *state.told_spent.borrow_mut() = spent;
         }
     }
 
--- a/components/node/tests/forward.rs
+++ b/components/node/tests/forward.rs
@@ -16,7 +16,6 @@
 use chicoryford_fleet::Route;
 use chicoryford_fleet::Share;
 use chicoryford_fleet::Standing;
-use chicoryford_fleet::run::Spent;
 use chicoryford_http::Request;
 use chicoryford_http::message::Method;
 use chicoryford_node::clock;
@@ -146,7 +145,7 @@
     attempts: u32,
     budget_ms: u64,
 ) -> (Outcome, u32) {
-    let budget = Budget::new(clock::now() + budget_ms, Spent::default());
+    let budget = Budget::new(clock::now() + budget_ms);
     let (route, request) = (route(kind, attempts), request());
     let forwarder = forwarder(stubs);
     let outcome = forwarder.forward(&route, &request, &budget, budget_ms, User::default()).await;
--- a/components/node/tests/scorers.rs
+++ b/components/node/tests/scorers.rs
@@ -127,14 +127,9 @@
     }
 }
 
-/// Starts scorers that fail after so long, and a host that knows them.
-async fn host(time: Duration) -> (Rc<Runner>, Calls) {
-    let view = Rc::new(View::default());
-    let forwarder = Forwarder::new(Policy::default());
-    let learning = forwarder.clone();
-    view.listen(move |news| learning.learn(news));
-    view.learn(News::Config(Arc::new(config())));
-    let calls = Calls::default();
+/// Starts scorers that fail after so long.
+async fn scorers(time: Duration) -> (Vec<Endpoint>, Calls) {
+    let (mut scorers, calls) = (Vec::new(), Calls::default());
     for number in 0..SCORERS {
         let noted = calls.clone();
         let address = listen(move |stream| {
@@ -151,10 +146,20 @@
             models: BTreeMap::new(),
             sequence: 1,
         };
-        let endpoint = Endpoint { said, standing: EndpointStanding::Ready };
-        view.learn(News::Endpoint(endpoint));
+        scorers.push(Endpoint { said, standing: EndpointStanding::Ready });
     }
-    (Runner::new(view, forwarder), calls)
+    (scorers, calls)
+}
+
+/// Starts a host that knows these scorers.
+fn host(scorers: &[Endpoint]) -> Rc<Runner> {
+    let view = Rc::new(View::default());
+    let forwarder = Forwarder::new(Policy::default());
+    let learning = forwarder.clone();
+    view.listen(move |news| learning.learn(news));
+    view.learn(News::Config(Arc::new(config())));
+    scorers.iter().cloned().for_each(|endpoint| view.learn(News::Endpoint(endpoint)));
+    Runner::new(view, forwarder)
 }
 
 async fn job(cost: Cost) -> Job {
@@ -210,8 +215,8 @@
 /// Guards against a scorer's call that each pass sends to other endpoints, and with a new time limit.
 #[actix_rt::test]
 async fn a_scorer_that_fails_slowly_keeps_to_its_endpoints_and_its_time() {
-    let (runner, calls) = host(Duration::from_millis(300)).await;
-    carry_out(&runner, Cost::default()).await;
+    let (scorers, calls) = scorers(Duration::from_millis(300)).await;
+    carry_out(&host(&scorers), Cost::default()).await;
     let calls = calls.borrow();
     let endpoints: BTreeSet<usize> = calls.iter().map(|call| call.endpoint).collect();
     assert!(endpoints.len() <= ATTEMPTS as usize, "{calls:?}");
@@ -221,16 +226,44 @@
     assert!(calls.iter().all(|call| end(call) <= first + slack), "{calls:?}");
 }
 
+/// Guards against hosts that ask different endpoints, each as many as one call may, while both carry it.
+#[actix_rt::test]
+async fn hosts_that_carry_the_same_call_ask_the_same_endpoints() {
+    let (scorers, calls) = scorers(Duration::from_millis(100)).await;
+    let (first, second) = (host(&scorers), host(&scorers));
+    let both = [&first, &second].map(|host| carry_out(host, Cost::default()));
+    futures_util::future::join_all(both).await;
+    let endpoints: BTreeSet<usize> = calls.borrow().iter().map(|call| call.endpoint).collect();
+    assert!(endpoints.len() <= ATTEMPTS as usize, "{calls:?}");
+}
+
+/// Guards against failures that are lost with their host, because it tells them only when the call is over.
+#[actix_rt::test]
+async fn the_leader_is_told_of_a_scorers_failures_as_they_come() {
+    let (scorers, _calls) = scorers(Duration::from_millis(300)).await;
+    let runner = host(&scorers);
+    let told: Rc<RefCell<Vec<Report>>> = Rc::default();
+    let telling = told.clone();
+    runner.attach_own(move |report| telling.borrow_mut().push(report.clone()));
+    actix_rt::spawn(runner.clone().run());
+    runner.take(Work::Run(Box::new(job(Cost::default()).await)));
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    let told = told.borrow();
+    let last = told.last().expect("a report");
+    assert_eq!(last.standing, Standing::Scoring);
+    assert!(last.cost.scorer.failures > 0, "{last:?}");
+}
+
 /// Guards against a host that begins to count anew what a scorer's call has cost at the host before.
 #[actix_rt::test]
 async fn the_next_host_goes_on_with_what_a_scorers_call_has_cost() {
-    let (runner, calls) = host(Duration::from_millis(10)).await;
+    let (scorers, calls) = scorers(Duration::from_millis(10)).await;
     let spent = |endpoints: &[&str]| Spent {
         failures: ATTEMPTS - 1,
         endpoints: endpoints.iter().map(|id| (*id).to_owned()).collect(),
     };
     let scorer = spent(&["i0", "i1", "i2", "i3"]);
-    let last = carry_out(&runner, Cost { scorer, ..Cost::default() }).await;
+    let last = carry_out(&host(&scorers), Cost { scorer, ..Cost::default() }).await;
     assert_eq!(last.cost.scorer.failures, ATTEMPTS);
     assert_eq!(calls.borrow().len(), 1, "{calls:?}");
     assert!(calls.borrow()[0].endpoint < ATTEMPTS as usize, "{calls:?}");
