A content that has crashed three endpoints is refused by the whole fleet

What callers saw: a request whose content crashes the endpoint that runs it took down one endpoint after the other, three with each time that its caller sent it again, for as long as it came.

Cause: the fleet on the platform had no memory of contents. Each request was judged by itself, each entry for itself; the product's own interface convicts such contents (components/suspects), the fleet did not (docs/PLATFORM.md said so under "Not built").

Class: state that belongs to what is asked, kept with one way of asking it.

Why it works: when a connection breaks without an answer, the entry looks whether the endpoint still takes connections; if it refuses them it has crashed. The leader is told of content and incarnation, a quarter of a second later, unless the request has run to its end elsewhere meanwhile. A refused request is answered 503 at once: it has not run. Samples' runs are not judged yet.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod config;
 pub mod copies;
+pub mod crashes;
 pub mod duty;
 pub mod endpoint;
 pub mod events;
--- a/components/fleet/src/state.rs
+++ b/components/fleet/src/state.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use chicoryford_types::Fingerprint;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -11,6 +12,8 @@
 use crate::copies::PartId;
 use crate::copies::Place;
 use crate::copies::StoreId;
+use crate::crashes;
+use crate::crashes::Crash;
 use crate::duty::Holding;
 use crate::endpoint::Endpoint;
 use crate::step::Listed;
@@ -93,6 +96,10 @@
         /// The newest window that the platform is known to have accepted, with all before it.
         accepted: Option<u64>,
     },
+    /// Notes that an endpoint crashed while it ran a content.
+    Crash(Crash),
+    /// Notes that a content which was suspected ran to its end.
+    Clear(Fingerprint),
     /// Notes that a store VM is to be emptied.
     Retire {
         /// The VM.
@@ -180,6 +187,8 @@
     pub holding: Option<Holding>,
     /// What workspaces have used.
     pub usage: Book,
+    /// Contents that crash endpoints.
+    pub crashes: crashes::Book,
 }
 
 impl State {
@@ -202,6 +211,8 @@
             Command::CloseWindow { window, accepted } => {
                 changed(self.usage.close(window, accepted))
             }
+            Command::Crash(crash) => changed(self.crashes.crashed(crash, self.clock)),
+            Command::Clear(content) => changed(self.crashes.cleared(content)),
             Command::Retire { node } => changed(self.retired.insert(node)),
         }
     }
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -4,12 +4,14 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use chicoryford_fleet::Kind;
 use chicoryford_fleet::Policy;
 use chicoryford_fleet::Route;
+use chicoryford_fleet::crashes::Crash;
 use chicoryford_fleet::line::Place;
 use chicoryford_fleet::pick::Ending;
 use chicoryford_fleet::pick::Nowhere;
@@ -29,6 +31,9 @@
 use futures_util::stream::FuturesUnordered;
 
 use crate::clock;
+use crate::crashes;
+use crate::crashes::Crashes;
+use crate::link::Link;
 use crate::message::News;
 use crate::usage::Ticket;
 use crate::waiting::Lines;
@@ -56,6 +61,12 @@
 /// themselves about every second.
 const NONE_AFTER_MS: u64 = 600;
 
+/// Milliseconds after which a caller may come back with a content that crashes endpoints: it is refused for
+/// a day.
+const REFUSED_AFTER_MS: u64 = 24 * 60 * 60 * 1_000;
+/// Why such a content is refused.
+const CRASHES: &str = "the content crashes endpoints";
+
 /// What became of a request.
 #[derive(Debug)]
 pub enum Outcome {
@@ -108,6 +119,8 @@
     NotRun,
     Unsent,
     Lost,
+    /// The connection to this address ended without an answer.
+    Broken(SocketAddr),
 }
 
 /// Carries requests. One for a process, so that its attempts are all counted.
@@ -117,6 +130,7 @@
     /// Whether second attempts are made.
     second: bool,
     lines: Lines,
+    crashes: Rc<Crashes>,
 }
 
 /// For whom a request is carried.
@@ -135,7 +149,8 @@
     pub fn new(policy: Policy) -> Rc<Self> {
         let picker = RefCell::new(Picker::new(rand::random()).under(policy));
         let second = policy.second_attempts;
-        Rc::new(Self { picker, pool: RefCell::default(), second, lines: Lines::default() })
+        let (pool, lines, crashes) = (RefCell::default(), Lines::default(), Rc::default());
+        Rc::new(Self { picker, pool, second, lines, crashes })
     }
 
     /// Takes in news of endpoints.
@@ -150,10 +165,16 @@
                     config.routes.iter().map(|route| route.name.as_str()).collect();
                 picker.retain_routes(|route| routes.contains(route));
             }
+            News::Refused(refused) => self.crashes.refuse(refused),
             News::Controls(_) | News::Ordered(_) => {}
         }
     }
 
+    /// Tells the leader of requests that crash endpoints, for as long as the process lives.
+    pub async fn tell_crashes(&self, link: Rc<Link>) {
+        self.crashes.clone().tell_on(link).await;
+    }
+
     /// Closes connections that were kept too long.
     pub fn sweep(&self) {
         let picker = self.picker.borrow();
@@ -174,6 +195,9 @@
         if left_ms == 0 {
             return Outcome::NotRun("its time is up", FULL_AFTER_MS);
         }
+        if self.crashes.refuses(request, user.workspace) {
+            return Outcome::NotRun(CRASHES, REFUSED_AFTER_MS);
+        }
         let Some(service) = route.service(rand::random()) else {
             return Outcome::NotRun("the route leads nowhere", NONE_AFTER_MS);
         };
@@ -265,7 +289,11 @@
             Err(error) => {
                 attempt.log(request, "lost", &error);
                 attempt.end(Ending::Failed);
-                if error.is_unsent() { Tried::Unsent } else { Tried::Lost }
+                match error {
+                    error if error.is_unsent() => Tried::Unsent,
+                    Broken::Unfit(_) => Tried::Lost,
+                    _ => Tried::Broken(target.address),
+                }
             }
         }
     }
@@ -339,6 +367,9 @@
         }
         loop {
             if running.is_empty() {
+                if self.forwarder.crashes.refuses(self.request, self.user.workspace) {
+                    return self.refuse();
+                }
                 match self.choose() {
                     Ok(target) => running.push(self.start(target)),
                     Err(Nowhere::AllTried) if self.left > 0 => {
@@ -424,6 +455,7 @@
             Tried::Answered(reply) => {
                 // Only this status says that the endpoint failed at it; samples are given up for it.
                 let failed = reply.status == StatusCode::INTERNAL_SERVER_ERROR;
+                self.forwarder.crashes.ran(self.request, self.user.workspace);
                 self.budget.spent.borrow_mut().failures += u32::from(failed);
                 if self.once || !reply.status.is_server_error() {
                     return Some(Outcome::Answered(reply));
@@ -440,6 +472,19 @@
                 None
             }
             Tried::Lost => self.once.then_some(Outcome::Lost),
+            Tried::Broken(address) => {
+                let content = crashes::content(self.request, self.user.workspace);
+                self.forwarder.crashes.look(Crash { content, endpoint: id }, address);
+                self.once.then_some(Outcome::Lost)
+            }
+        }
+    }
+
+    /// Gives up because others found meanwhile that the content crashes endpoints.
+    fn refuse(&mut self) -> Outcome {
+        match self.give_up(Nowhere::AllTried) {
+            Outcome::NotRun(..) => Outcome::NotRun(CRASHES, REFUSED_AFTER_MS),
+            outcome => outcome,
         }
     }
 
--- a/components/node/src/hub.rs
+++ b/components/node/src/hub.rs
@@ -259,6 +259,8 @@
                 self.hub.followers.read_wall(self.number, wall);
             }
             (Up::Used(told), _) => self.lead.take_usage(told),
+            (Up::Crashed(crash), _) => self.lead.take_crash(crash),
+            (Up::Cleared(content), _) => self.lead.take_cleared(content),
             (Up::Heard(signs), _) => self.lead.take_signs(&signs),
             (Up::Alive(wall), _) => self.hub.followers.read_wall(self.number, wall),
         }
--- a/components/node/src/lead/mod.rs
+++ b/components/node/src/lead/mod.rs
@@ -1,6 +1,7 @@
 //! What a process does while it leads: it keeps the endpoints, commits what is submitted, and
 //! has samples made.
 
+mod crashes;
 mod endpoints;
 mod readers;
 mod runs;
@@ -248,6 +249,7 @@
         news.extend(config.as_ref().map(|config| News::Config(Arc::new(config.told()))));
         news.extend(endpoints.into_iter().cloned().map(News::Endpoint));
         news.push(News::Whole(ids));
+        news.push(News::Refused(self.parts.core.state().crashes.refused()));
         news
     }
 
@@ -354,6 +356,7 @@
                     self.close(step);
                 }
             }
+            Command::Crash(crash) => self.crash_noted(crash),
             Command::Publish { model, version } => {
                 tracing::info!(event = "version_named", model, version);
                 self.orders.borrow_mut().hurry();
@@ -365,6 +368,7 @@
             | Command::Know { .. }
             | Command::Hold(_)
             | Command::Use(_)
+            | Command::Clear(_)
             | Command::CloseWindow { .. } => {}
         }
         self.kick.notify_one();
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod copies;
 pub mod core;
+pub mod crashes;
 pub mod entry;
 pub mod followers;
 pub mod forward;
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -9,9 +9,11 @@
 
 use bytes::Bytes;
 use chicoryford_depot::Worker;
+use chicoryford_fleet::crashes::Crash;
 use chicoryford_fleet::hearing::Sign;
 use chicoryford_fleet::usage;
 use chicoryford_http::socket;
+use chicoryford_types::Fingerprint;
 use chicoryford_types::Millis;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
@@ -176,6 +178,16 @@
         self.send(Up::Used(told))
     }
 
+    /// Tells the leader that an endpoint crashed; tells whether that is on its way.
+    pub fn tell_crash(&self, crash: Crash) -> bool {
+        self.send(Up::Crashed(crash))
+    }
+
+    /// Tells the leader that a content ran to its end; tells whether that is on its way.
+    pub fn tell_cleared(&self, content: Fingerprint) -> bool {
+        self.send(Up::Cleared(content))
+    }
+
     fn send(&self, word: Up) -> bool {
         let up = self.up.borrow();
         up.as_ref().is_some_and(|up| up.try_send(word).is_ok())
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -14,10 +14,12 @@
 use chicoryford_fleet::Listed;
 use chicoryford_fleet::Step;
 use chicoryford_fleet::copies::PartId;
+use chicoryford_fleet::crashes::Crash;
 use chicoryford_fleet::hearing::Sign;
 use chicoryford_fleet::run::Report;
 use chicoryford_fleet::run::Work;
 use chicoryford_fleet::usage;
+use chicoryford_types::Fingerprint;
 use chicoryford_types::Millis;
 use chicoryford_types::Unix;
 use serde::Deserialize;
@@ -85,6 +87,10 @@
     },
     /// An entry has counted what workspaces used.
     Used(usage::Told),
+    /// An endpoint crashed while it ran a request.
+    Crashed(Crash),
+    /// A content that was told to crash endpoints ran to its end.
+    Cleared(Fingerprint),
     /// A store answers what the leader asked.
     Told {
         /// The number of the question.
@@ -178,6 +184,8 @@
     Controls(BTreeSet<SocketAddr>),
     /// The leader is giving this engine an order. The next leader must know.
     Ordered(String),
+    /// Contents that are refused, because they crash endpoints.
+    Refused(BTreeSet<Fingerprint>),
 }
 
 /// What a member asks of the leader.
@@ -272,6 +280,7 @@
             Self::Heard(_) => "signs",
             Self::Reported | Self::Alive(_) | Self::Beat { .. } => "alive",
             Self::Used(_) => "usage",
+            Self::Crashed(_) | Self::Cleared(_) => "crash",
             Self::Told { told: Told::Part(_), .. } => "part_got",
             Self::Told { .. } => "part_kept",
         }
@@ -296,7 +305,9 @@
             Self::Config(_) => "news_config",
             Self::Endpoint(_) => "news_endpoint",
             Self::Ordered(_) => "news_ordered",
-            Self::Forgotten(_) | Self::Whole(_) | Self::Controls(_) => "news_other",
+            Self::Forgotten(_) | Self::Whole(_) | Self::Controls(_) | Self::Refused(_) => {
+                "news_other"
+            }
         }
     }
 }
--- a/components/node/src/metrics.rs
+++ b/components/node/src/metrics.rs
@@ -8,12 +8,14 @@
 use chicoryford_http::message::StatusCode;
 use prometheus::Encoder;
 use prometheus::HistogramVec;
+use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
 use prometheus::IntGaugeVec;
 use prometheus::TextEncoder;
 use prometheus::exponential_buckets;
 use prometheus::register_histogram_vec;
+use prometheus::register_int_counter;
 use prometheus::register_int_counter_vec;
 use prometheus::register_int_gauge;
 use prometheus::register_int_gauge_vec;
@@ -48,6 +50,14 @@
 /// Attempts at endpoints of plain services by ending.
 pub static TRIES: LazyLock<IntCounterVec> =
     LazyLock::new(|| counter("tries_total", "Attempts at endpoints by ending.", &["ending"]));
+/// Endpoints of plain services that crashed while they ran a request of this process.
+pub static CRASHES: LazyLock<IntCounter> = LazyLock::new(|| {
+    register_int_counter!(
+        "endpoint_crashes_total",
+        "Endpoints that crashed while they ran a request."
+    )
+    .expect("names are unique")
+});
 /// Runs of samples by ending.
 pub static RUNS: LazyLock<IntCounterVec> =
     LazyLock::new(|| counter("runs_total", "Runs of samples by ending.", &["ending"]));
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -226,6 +226,8 @@
         process.start_metrics(core.clone())?;
         let link = process.link.clone();
         actix_rt::spawn(async move { link.run().await });
+        let (forwarder, link) = (process.forwarder.clone(), process.link.clone());
+        actix_rt::spawn(async move { forwarder.tell_crashes(link).await });
         let forwarder = process.forwarder.clone();
         actix_rt::spawn(async move {
             loop {
--- a/components/node/src/view.rs
+++ b/components/node/src/view.rs
@@ -70,6 +70,8 @@
             News::Ordered(id) => {
                 self.ordered.borrow_mut().insert(id.clone(), clock::now());
             }
+            // Whoever forwards requests listens.
+            News::Refused(_) => {}
             News::Controls(controls) => *self.controls.borrow_mut() = controls.clone(),
         }
         for listener in self.listeners.borrow().iter() {
--- /dev/null
+++ b/components/node/tests/crashes.rs
@@ -0,0 +1,147 @@
+//! Requests that crash the endpoints that run them, on real sockets.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use chicoryford_fleet::Announcement;
+use chicoryford_fleet::Endpoint;
+use chicoryford_fleet::Kind;
+use chicoryford_fleet::Policy;
+use chicoryford_fleet::Route;
+use chicoryford_fleet::Share;
+use chicoryford_fleet::Standing;
+use chicoryford_http::Request;
+use chicoryford_http::message::Method;
+use chicoryford_node::clock;
+use chicoryford_node::crashes;
+use chicoryford_node::forward::Budget;
+use chicoryford_node::forward::Forwarder;
+use chicoryford_node::forward::Outcome;
+use chicoryford_node::forward::User;
+use chicoryford_node::message::News;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+
+/// What an endpoint does with a request whose body is "bad"; it answers others.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Does {
+    /// It crashes: its connections break, and it takes no others.
+    Crash,
+    /// It closes the connection and goes on.
+    Close,
+}
+
+/// The endpoints that were asked for "bad", in order.
+type Asked = Rc<RefCell<Vec<String>>>;
+
+async fn endpoint(number: usize, does: Does, asked: Asked) -> Endpoint {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let id = format!("i{number}");
+    let said = Announcement {
+        id: id.clone(),
+        born: 0,
+        service: "desk".to_owned(),
+        address,
+        data_centre: "z".to_owned(),
+        slots: 4,
+        draining: false,
+        models: BTreeMap::new(),
+        sequence: 1,
+    };
+    actix_rt::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut bytes = vec![0; 4_096];
+            while stream.read(&mut bytes).await.is_ok_and(|read| read > 0) {
+                if bytes.windows(3).any(|three| three == b"bad") {
+                    asked.borrow_mut().push(id.clone());
+                    if does == Does::Crash {
+                        return;
+                    }
+                    break;
+                }
+                let answer = "HTTP/1.1 200 OK\r\nx-attempt-id: id\r\nx-response-stamp: s\r\n\
+                              content-length: 2\r\n\r\nok";
+                stream.write_all(answer.as_bytes()).await.unwrap();
+            }
+        }
+    });
+    Endpoint { said, standing: Standing::Ready }
+}
+
+async fn forwarder(endpoints: usize, does: Does) -> (Rc<Forwarder>, Asked) {
+    let (forwarder, asked) = (Forwarder::new(Policy::default()), Asked::default());
+    for number in 0..endpoints {
+        forwarder.learn(&News::Endpoint(endpoint(number, does, asked.clone()).await));
+    }
+    (forwarder, asked)
+}
+
+fn request(body: &'static str) -> Request {
+    let mut request = Request::new(Method::POST, "/x", body);
+    request.headers.set("host", "h");
+    request.headers.set("x-attempt-id", "id");
+    request
+}
+
+async fn send(forwarder: &Forwarder, body: &'static str) -> Outcome {
+    let route = Route {
+        name: "r".to_owned(),
+        host: "h".to_owned(),
+        prefix: "/".to_owned(),
+        kind: Kind::Idempotent,
+        timeout_ms: Some(1_500),
+        target_ms: 150,
+        priority: 1,
+        shares: vec![Share { service: "desk".to_owned(), weight: 1 }],
+        attempts: 2,
+        resumable: false,
+        due_ms: None,
+        age_ms: None,
+        single: false,
+        open: false,
+    };
+    let budget = Budget::new(clock::now() + 1_000);
+    let outcome = forwarder.forward(&route, &request(body), &budget, 1_000, User::default()).await;
+    // Until it is known whether endpoints have crashed.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    outcome
+}
+
+/// Guards against a content that takes down one endpoint after the other, each time that it comes again.
+#[actix_rt::test]
+async fn a_content_that_has_crashed_three_endpoints_reaches_no_other() {
+    let (forwarder, asked) = forwarder(8, Does::Crash).await;
+    for _ in 0..4 {
+        send(&forwarder, "bad").await;
+    }
+    assert!(asked.borrow().len() <= 4, "{asked:?}");
+    let refused = send(&forwarder, "bad").await;
+    assert!(matches!(refused, Outcome::NotRun("the content crashes endpoints", _)), "{refused:?}");
+    let other = send(&forwarder, "good").await;
+    assert!(matches!(&other, Outcome::Answered(reply) if reply.status.is_success()), "{other:?}");
+}
+
+/// Guards against a content that is refused although no endpoint has crashed.
+#[actix_rt::test]
+async fn an_endpoint_that_closes_connections_and_lives_convicts_nobody() {
+    let (forwarder, asked) = forwarder(4, Does::Close).await;
+    for _ in 0..4 {
+        assert!(matches!(send(&forwarder, "bad").await, Outcome::Lost));
+    }
+    assert_eq!(asked.borrow().len(), 8, "each time at as many as the route allows");
+}
+
+#[actix_rt::test]
+async fn a_content_that_the_fleet_refuses_is_sent_to_no_endpoint() {
+    let (forwarder, asked) = forwarder(2, Does::Close).await;
+    let content = crashes::content(&request("bad"), "");
+    forwarder.learn(&News::Refused(BTreeSet::from([content])));
+    assert!(matches!(send(&forwarder, "bad").await, Outcome::NotRun(..)));
+    assert!(asked.borrow().is_empty());
+}
--- a/components/node/tests/lead/news.rs
+++ b/components/node/tests/lead/news.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use chicoryford_fleet::Announcement;
 use chicoryford_fleet::Command;
 use chicoryford_fleet::Config;
+use chicoryford_fleet::crashes::Crash;
 use chicoryford_fleet::hearing::Sign;
 use chicoryford_node::clock;
 use chicoryford_node::control::Control;
@@ -24,6 +26,7 @@
 use chicoryford_node::metrics;
 use chicoryford_node::view::View;
 use chicoryford_platform::control::Call as Asked;
+use chicoryford_types::Fingerprint;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 
@@ -229,3 +232,42 @@
     let counts = fleet.lead().endpoint_counts();
     assert_eq!(counts.get("ready"), Some(&1), "{counts:?}");
 }
+
+/// Guards against a content that crashes endpoints through each entry in turn, and again after a change of
+/// leader.
+#[actix_rt::test]
+async fn a_content_that_crashed_endpoints_at_several_entries_is_refused_at_all() {
+    let fleet = Fleet::start().await;
+    let mut entries = Vec::new();
+    for name in ["a", "b", "c"] {
+        entries.push(greet_as(fleet.links, name, false).await);
+    }
+    let content = Fingerprint(7);
+    for (entry, endpoint) in entries.iter_mut().zip(["d1", "d2", "d3"]) {
+        let crash = Crash { content, endpoint: endpoint.to_owned() };
+        entry.send(encode(&Up::Crashed(crash))).await.unwrap();
+    }
+    until("it is refused", || fleet.core.state().crashes.refuses(content)).await;
+    assert!(refused(&mut entries[0]).await.contains(&content));
+    fleet.next_lead();
+    let mut entry = greet_as(fleet.links, "d", false).await;
+    assert!(refused(&mut entry).await.contains(&content));
+}
+
+/// Gives the contents that a member is told to refuse within a moment.
+async fn refused(socket: &mut Socket) -> BTreeSet<Fingerprint> {
+    let mut refused = BTreeSet::new();
+    while let Ok(down) = tokio::time::timeout(Duration::from_millis(150), next(socket)).await {
+        let news = match down {
+            Down::Everything(all) => all,
+            Down::News(news) => vec![news],
+            _ => Vec::new(),
+        };
+        for news in news {
+            if let News::Refused(contents) = news {
+                refused.extend(contents);
+            }
+        }
+    }
+    refused
+}
