Scorers' calls go on in the same order of endpoints at each host when some are down

Cause: when a preferred endpoint did not run the call, the next was the idlest and not the next in the order that all hosts share, so two hosts went on differently.

Why it works: those that did not run a call are passed over and the set is filled up in order; beside it only endpoints that may have run the call before are asked again.

--- a/components/fleet/src/pick.rs
+++ b/components/fleet/src/pick.rs
@@ -209,13 +209,19 @@
         Ok(target)
     }
 
-    /// Gives the endpoints of a service that all processes prefer for one request, by rendezvous hashing:
-    /// if one of them goes, the others stay.
-    pub fn preferred(&self, service: &str, request: &str, count: usize) -> BTreeSet<String> {
+    /// Gives the endpoints of a service, among those that fit, that all processes prefer for one request, by
+    /// rendezvous hashing: if one of them goes, the others stay.
+    pub fn preferred(
+        &self,
+        service: &str,
+        request: &str,
+        count: usize,
+        fits: impl Fn(&str) -> bool,
+    ) -> BTreeSet<String> {
         let ready = self.seats.values().filter(|seat| seat.serves(service));
+        let ready = ready.map(|seat| &*seat.endpoint.said.id).filter(|id| fits(id));
         let weigh = |id: &str| Fingerprint::of(format!("{request} {id}").as_bytes());
-        let mut weighed: Vec<(Fingerprint, &str)> =
-            ready.map(|seat| &*seat.endpoint.said.id).map(|id| (weigh(id), id)).collect();
+        let mut weighed: Vec<(Fingerprint, &str)> = ready.map(|id| (weigh(id), id)).collect();
         weighed.sort_unstable();
         weighed.into_iter().take(count).map(|(_, id)| id.to_owned()).collect()
     }
--- a/components/fleet/tests/pick.rs
+++ b/components/fleet/tests/pick.rs
@@ -165,3 +165,22 @@
     picker.retain_routes(|route| route != "route");
     assert_eq!(picker.usual_ms("route"), None);
 }
+
+/// Guards against processes that carry the same request and ask different endpoints.
+#[test]
+fn all_processes_prefer_the_same_endpoints_and_keep_them_when_another_goes() {
+    let names = ["a", "b", "c", "d", "e", "f", "g"];
+    let (one, mut other) = (picker(&names), picker(&names));
+    for request in 0..50 {
+        let request = format!("r{request}");
+        let preferred = one.preferred("desk", &request, 3, |_| true);
+        assert_eq!(preferred.len(), 3);
+        assert_eq!(other.preferred("desk", &request, 3, |_| true), preferred);
+        let gone = preferred.first().unwrap();
+        let left = one.preferred("desk", &request, 3, |id| id != gone);
+        assert_eq!(left.intersection(&preferred).count(), 2, "{preferred:?} {left:?}");
+    }
+    other.forget("a");
+    let without = other.preferred("desk", "r0", 7, |_| true);
+    assert!(without.len() == 6 && !without.contains("a"));
+}
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -419,17 +419,17 @@
         let spent = self.budget.spent.borrow();
         let live = spent.endpoints.iter().filter(|id| picker.is_ready(id)).count();
         let may_add = live < self.attempts as usize;
+        let tried = |id: &str| self.tried.iter().any(|tried| tried == id);
+        let preferred = self.budget.shared.as_ref().map(|request| {
+            // Those that did not run it are passed over for the next in order.
+            let open = |id: &str| !tried(id) || spent.endpoints.contains(id);
+            picker.preferred(self.service, request, self.attempts as usize, open)
+        });
         let fits = |id: &str| {
-            !self.tried.iter().any(|tried| tried == id) && (may_add || spent.endpoints.contains(id))
+            let may_add = may_add && preferred.as_ref().is_none_or(|some| some.contains(id));
+            !tried(id) && (may_add || spent.endpoints.contains(id))
         };
         let now = clock::now();
-        if let Some(request) = &self.budget.shared {
-            let preferred = picker.preferred(self.service, request, self.attempts as usize);
-            let fits = |id: &str| preferred.contains(id) && fits(id);
-            if let Ok(target) = picker.pick(self.service, self.route, fits, now) {
-                return Ok(target);
-            }
-        }
         picker.pick(self.service, self.route, fits, now)
     }
 
