A sample that comes again in another step is judged by all its runs

What callers saw: a group that was not complete is submitted again under the same identities, with the samples in it that had failed as often as they may or can never be made, and these ran again.

Cause: failures were counted by step.

Why it works: the planner remembers for two minutes what samples that failed have cost. A new leader does not know of steps that were over before; so a content can run as often again after each change of leader, as far as its group comes again at all.

--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -45,6 +45,10 @@
 /// engine with all its slots taken is about a tenth slower than an idle one, so this is a fault.
 const SLOW: f64 = 2.0;
 
+/// Milliseconds for which it is remembered what samples of a step have cost that is over. Their trainer
+/// submits them again in one of its next steps, if at all.
+const PAST_MS: u64 = 120_000;
+
 /// Plans samples' runs.
 #[derive(Default)]
 pub struct Plan {
@@ -57,6 +61,8 @@
     run: u64,
     /// Hosts that were asked what they run and have not told yet.
     untold: BTreeSet<String>,
+    /// Samples that failed in steps that are over, with what they had cost by when, in case they come again.
+    past: BTreeMap<String, (Cost, Millis)>,
     policy: Policy,
 }
 
@@ -84,6 +90,7 @@
             return;
         }
         let progress = (0..step.samples.len() as u32).map(|index| {
+            let past = self.past.get(&step.samples[index as usize].id);
             let phase = if listed(index) { Phase::Settled } else { Phase::Waiting };
             Progress {
                 phase,
@@ -97,7 +104,7 @@
                 heard: at,
                 made: Made::default(),
                 noted: 0,
-                cost: Cost::default(),
+                cost: past.map(|(cost, _)| cost.clone()).unwrap_or_default(),
                 until: at + step.age_ms,
                 moved: 0,
             }
@@ -114,10 +121,15 @@
     }
 
     /// Forgets a step: it is over. Gives the runs that hosts still have: host, sample, run.
-    pub fn close(&mut self, step: &str) -> Vec<(String, u32, u64)> {
+    pub fn close(&mut self, step: &str, now: Millis) -> Vec<(String, u32, u64)> {
         let Some(work) = self.works.remove(step) else { return Vec::new() };
         let mut hosted = Vec::new();
+        self.past.retain(|_, (_, at)| now.since(*at) < PAST_MS);
         for (index, progress) in work.progress.into_iter().enumerate() {
+            if progress.cost.has_failed() {
+                let id = work.step.samples[index].id.clone();
+                self.past.insert(id, (progress.cost, now));
+            }
             if progress.phase == Phase::Running {
                 self.free(progress.seat.as_deref(), &work.step.model);
             }
--- a/components/fleet/src/plan/reports.rs
+++ b/components/fleet/src/plan/reports.rs
@@ -131,7 +131,7 @@
     /// noted ([`Self::settled`]).
     pub fn ended(&mut self, step: &str, index: u32, end: RunEnd, now: Millis) -> Next {
         let Some(work) = self.works.get_mut(step) else { return Next::Nothing };
-        let attempts = work.step.attempts.max(1);
+        let attempts = work.step.attempts;
         let model = work.step.model.clone();
         let progress = &mut work.progress[index as usize];
         if progress.phase != Phase::Running {
@@ -140,19 +140,16 @@
         let seat = progress.seat.clone();
         progress.host = None;
         progress.avoid = None;
-        let next = match end {
-            RunEnd::Unfit => Next::GiveUp,
-            RunEnd::Failed => {
-                progress.cost.failures += 1;
-                if progress.cost.failures >= attempts { Next::GiveUp } else { Next::Again }
-            }
+        match end {
+            RunEnd::Unfit => progress.cost.unfit = true,
+            RunEnd::Failed => progress.cost.failures += 1,
             RunEnd::Taken => {
                 progress.moved += 1;
                 progress.avoid.clone_from(&seat);
-                Next::Again
             }
-            RunEnd::Full | RunEnd::Moved | RunEnd::Broken | RunEnd::Late => Next::Again,
-        };
+            RunEnd::Full | RunEnd::Moved | RunEnd::Broken | RunEnd::Late => {}
+        }
+        let next = if progress.cost.is_over(attempts) { Next::GiveUp } else { Next::Again };
         if next == Next::Again {
             progress.phase = Phase::Waiting;
             progress.seat = None;
@@ -195,6 +192,20 @@
         (before != Phase::Settled).then_some(sample)
     }
 
+    /// Gives the waiting samples that have failed as often as they may, in a step before this one.
+    pub fn failed_before(&self) -> Vec<(String, u32)> {
+        let mut failed = Vec::new();
+        for (id, work) in self.works.iter().filter(|(_, work)| work.waiting > 0) {
+            for (index, progress) in work.progress.iter().enumerate() {
+                let over = progress.cost.is_over(work.step.attempts);
+                if progress.phase == Phase::Waiting && over {
+                    failed.push((id.clone(), index as u32));
+                }
+            }
+        }
+        failed
+    }
+
     /// Gives the samples that have become too old, or whose route is gone.
     pub fn too_old(&self, config: &Config, now: Millis) -> Vec<(String, u32)> {
         let mut lost = Vec::new();
--- a/components/fleet/src/run.rs
+++ b/components/fleet/src/run.rs
@@ -37,6 +37,8 @@
 pub struct Cost {
     /// Runs that failed.
     pub failures: u32,
+    /// Whether an engine answered that it can never be made.
+    pub unfit: bool,
     /// The calls of its scorer.
     pub scorer: Spent,
 }
@@ -45,8 +47,19 @@
     /// Adds what another process knows.
     pub fn merge(&mut self, other: &Self) {
         self.failures = self.failures.max(other.failures);
+        self.unfit |= other.unfit;
         self.scorer.merge(&other.scorer);
     }
+
+    /// Tells whether anything has failed.
+    pub fn has_failed(&self) -> bool {
+        self.unfit || self.failures > 0 || self.scorer.failures > 0
+    }
+
+    /// Tells whether the sample is not to run again, where it may fail so often.
+    pub fn is_over(&self, attempts: u32) -> bool {
+        self.unfit || self.failures >= attempts.max(1)
+    }
 }
 
 /// A run that a host is to carry out.
@@ -137,6 +150,9 @@
     pub gap_ms: u32,
     /// What the sample had cost before this run ended.
     pub cost: Cost,
+    /// Milliseconds until the sample is too old, as the host was told. Time without a leader does not count
+    /// for the next one.
+    pub left_ms: u64,
 }
 
 impl Report {
@@ -150,9 +166,6 @@
         known.events.extend(self.made.events.iter().cloned());
         known.last.clone_from(&self.made.last);
         known.versions.clone_from(&self.made.versions);
-    /// Milliseconds until the sample is too old, as the host was told. Time without a leader does not count
-    /// for the next one.
-    pub left_ms: u64,
         true
     }
 }
--- a/components/node/src/lead/mod.rs
+++ b/components/node/src/lead/mod.rs
@@ -396,6 +396,11 @@
             tracing::info!(event = "sample_given_up", step, index, why = "age");
             self.settle(&step, index, Verdict::GivenUp);
         }
+        let failed = self.plan.borrow().failed_before();
+        for (step, index) in failed {
+            tracing::info!(event = "sample_given_up", step, index, why = "failed before");
+            self.settle(&step, index, Verdict::GivenUp);
+        }
         let lost = self.plan.borrow().lost_runs(now);
         for (step, index) in lost {
             self.end_run(&step, index, RunEnd::Broken);
--- a/components/node/src/lead/steps.rs
+++ b/components/node/src/lead/steps.rs
@@ -186,7 +186,7 @@
             }
             return;
         }
-        let hosted = self.plan.borrow_mut().close(step);
+        let hosted = self.plan.borrow_mut().close(step, clock::now());
         let mut untold = 0;
         for (host, index, run) in &hosted {
             if !self.hosts.stop(host, step, *index, *run) {
--- a/components/node/src/runner/mod.rs
+++ b/components/node/src/runner/mod.rs
@@ -342,7 +342,7 @@
                 versions: made.versions.clone(),
             },
             gap_ms: gap_ms as u32,
-            cost: Cost { failures: hosted.job.cost.failures, scorer: state.budget.spent() },
+            cost: Cost { scorer: state.budget.spent(), ..hosted.job.cost.clone() },
             left_ms: state.budget.left_ms(),
         };
         let spent = report.cost.scorer.clone();
