A sample that crashes engines rests after the third, and is not run again after the sixth

What callers saw: one sample that crashes the engine that runs it took down all engines in turn, eighty times in a soak of 20 s; steps beside it stayed empty, and samples that fail each time ran again after 9 to 11 answers of 500 and 3 to 5 of 422, because engines crashed while they answered.

Cause: an end of a run without an answer said nothing of the sample, and led to another run at once, on any other engine, without a bound.

Found by looking for the cause elsewhere, with a sample of this kind in the soak.

Why it works: the host looks whether the engine still takes connections, as entries do. Only crashes that come before the run has made an event count, and an event clears them, so runs beside the guilty one are not suspected. After three the sample rests for four seconds after each crash, after six until it is too old: it may be given up then and not before. run_started in the log has a sample's failures and crashes, and those of its scorer's call.

--- a/components/fleet/src/plan/assign.rs
+++ b/components/fleet/src/plan/assign.rs
@@ -56,6 +56,9 @@
         for index in &work.order {
             let (sample, progress) =
                 (&step.samples[*index as usize], &work.progress[*index as usize]);
+            if progress.phase == Phase::Waiting && progress.rests > now {
+                continue;
+            }
             if progress.phase == Phase::Waiting {
                 waiting.extend(config.find(&step.host, &sample.path).map(|route| (*index, route)));
             } else if let (Some(seat), false) = (&progress.seat, sample.group.is_empty()) {
--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -106,6 +106,7 @@
                 noted: 0,
                 cost: past.map(|(cost, _)| cost.clone()).unwrap_or_default(),
                 until: at + step.age_ms,
+                rests: Millis::default(),
                 moved: 0,
             }
         });
--- a/components/fleet/src/plan/reports.rs
+++ b/components/fleet/src/plan/reports.rs
@@ -23,6 +23,22 @@
 /// of each run four times a second, so the last second or so counts.
 const NEWEST: f64 = 0.15;
 
+/// Crashes after which a sample is run again only after a rest, and after which it is not run again.
+const SUSPECTED: u32 = 3;
+const CONVICTED: u32 = 6;
+/// Milliseconds of such a rest.
+const REST_MS: u64 = 4_000;
+
+/// Gives the milliseconds for which a sample rests that has crashed so many engines. It is not given up: only
+/// an engine's answer, or its age, allows that.
+fn rest_ms(crashes: u32) -> u64 {
+    match crashes {
+        0..SUSPECTED => 0,
+        SUSPECTED..CONVICTED => REST_MS,
+        _ => u64::MAX,
+    }
+}
+
 impl Plan {
     /// Takes in what a host tells of a run, and tells what follows.
     pub fn told(&mut self, host: &str, report: &Report, now: Millis) -> Told {
@@ -62,6 +78,7 @@
         progress.noted = progress.noted.min(progress.made.events.len());
         if progress.made.events.len() > before {
             progress.heard = now;
+            progress.cost.crashes = 0;
         }
         if report.standing == run::Standing::Scoring && progress.phase == Phase::Running {
             progress.phase = Phase::Scoring;
@@ -147,6 +164,10 @@
                 progress.moved += 1;
                 progress.avoid.clone_from(&seat);
             }
+            RunEnd::Crashed => {
+                progress.cost.crashes += 1;
+                progress.rests = now + rest_ms(progress.cost.crashes);
+            }
             RunEnd::Full | RunEnd::Moved | RunEnd::Broken | RunEnd::Late => {}
         }
         let next = if progress.cost.is_over(attempts) { Next::GiveUp } else { Next::Again };
@@ -168,7 +189,7 @@
             // An engine that fails at once is always the idlest. Given work again at once, it has samples
             // of whole steps fail as often as they may; a sample that fails by itself costs a good engine
             // 0.2 s, in which others take what comes.
-            RunEnd::Broken | RunEnd::Failed => {
+            RunEnd::Broken | RunEnd::Crashed | RunEnd::Failed => {
                 seat.failures += 1;
                 let doublings = (seat.failures - 1).min(DOUBLINGS);
                 seat.until = now + (PENALTY_MS << doublings);
--- a/components/fleet/src/plan/work.rs
+++ b/components/fleet/src/plan/work.rs
@@ -45,6 +45,8 @@
     Moved,
     /// The connection broke or went silent.
     Broken,
+    /// The engine crashed before it had made an event of the sample.
+    Crashed,
     /// The planner took the run away from a slow engine.
     Taken,
     /// The order reached the host too late; it did not run.
@@ -129,6 +131,8 @@
     pub(super) cost: Cost,
     /// When it is too old, as endpoints were told.
     pub(super) until: Millis,
+    /// Until when it is run nowhere, because it crashes engines.
+    pub(super) rests: Millis,
     pub(super) moved: u32,
 }
 
--- a/components/fleet/src/run.rs
+++ b/components/fleet/src/run.rs
@@ -39,6 +39,8 @@
     pub failures: u32,
     /// Whether an engine answered that it can never be made.
     pub unfit: bool,
+    /// Engines that crashed since the last event of it was made.
+    pub crashes: u32,
     /// The calls of its scorer.
     pub scorer: Spent,
 }
@@ -48,12 +50,13 @@
     pub fn merge(&mut self, other: &Self) {
         self.failures = self.failures.max(other.failures);
         self.unfit |= other.unfit;
+        self.crashes = self.crashes.max(other.crashes);
         self.scorer.merge(&other.scorer);
     }
 
     /// Tells whether anything has failed.
     pub fn has_failed(&self) -> bool {
-        self.unfit || self.failures > 0 || self.scorer.failures > 0
+        self.unfit || self.failures + self.crashes + self.scorer.failures > 0
     }
 
     /// Tells whether the sample is not to run again, where it may fail so often.
--- a/components/fleet/tests/plan.rs
+++ b/components/fleet/tests/plan.rs
@@ -305,6 +305,38 @@
     assert_eq!(plan.seats().map(Seat::load).sum::<u32>(), 0, "its engine is free");
 }
 
+/// Guards against a content that crashes the engine that runs it, and is given to one after the other for as
+/// long as its step lives.
+#[test]
+fn a_sample_that_crashes_engines_is_run_again_three_times_at_most() {
+    let mut plan = plan(&[engine("e1", 4, 1), engine("e2", 4, 1)], &[step("a", &[1])]);
+    let mut runs = Vec::new();
+    for ms in (0..39_000).step_by(50) {
+        for run in assign(&mut plan, NOW + ms) {
+            runs.push(ms);
+            plan.ended("a", run.index, RunEnd::Crashed, NOW + ms);
+        }
+    }
+    assert_eq!(runs.len(), 6, "{runs:?}");
+    assert!(runs[2] < 3_000, "the first runs, before it is suspected: {runs:?}");
+    assert!(runs[2..].windows(2).all(|two| two[1] - two[0] >= 4_000), "{runs:?}");
+    assert!(plan.failed_before().is_empty(), "no engine has said that it fails");
+}
+
+/// Guards against a sample that rests because engines crashed beside it, while it was being made.
+#[test]
+fn a_sample_of_which_events_come_is_not_suspected_for_crashes() {
+    let mut plan = plan(&[engine("e1", 4, 1)], &[step("a", &[1])]);
+    for crash in 0..5 {
+        let now = NOW + crash * 4_000;
+        let run = assign(&mut plan, now).remove(0);
+        let events = vec!["x"; crash as usize + 1];
+        assert_eq!(plan.told("a", &report(&run, run::Standing::Running, &events), now), Told::GoOn);
+        plan.ended("a", 0, RunEnd::Crashed, now);
+    }
+    assert_eq!(assign(&mut plan, NOW + 24_000).len(), 1);
+}
+
 /// Guards against a content that fails each time and runs again in each step in which it comes.
 #[test]
 fn a_sample_that_comes_again_in_another_step_is_judged_by_all_its_runs() {
--- a/components/node/src/crashes.rs
+++ b/components/node/src/crashes.rs
@@ -49,14 +49,11 @@
         !watch.is_empty() && watch.refuses(content(request, workspace))
     }
 
-    /// Finds out whether an endpoint that broke off a request has crashed: then it takes no connections.
+    /// Finds out whether an endpoint that broke off a request has crashed.
     pub fn look(self: &Rc<Self>, crash: Crash, address: SocketAddr) {
         let this = self.clone();
         actix_rt::spawn(async move {
-            tokio::time::sleep(LOOK_AFTER).await;
-            if let Err(Broken::NotSent(error)) = Connection::open(address, CONNECT).await
-                && error.kind() == ErrorKind::ConnectionRefused
-            {
+            if has_crashed(address).await {
                 this.crashed(crash);
             }
         });
@@ -110,6 +107,15 @@
     }
 }
 
+/// Tells whether an endpoint whose connection just broke takes no others.
+pub async fn has_crashed(address: SocketAddr) -> bool {
+    tokio::time::sleep(LOOK_AFTER).await;
+    match Connection::open(address, CONNECT).await {
+        Err(Broken::NotSent(error)) => error.kind() == ErrorKind::ConnectionRefused,
+        _ => false,
+    }
+}
+
 /// Gives the fingerprint of what a request asks for, without what differs each time that it comes.
 pub fn content(request: &Request, workspace: &str) -> Fingerprint {
     let host = request.host();
--- a/components/node/src/lead/runs.rs
+++ b/components/node/src/lead/runs.rs
@@ -19,7 +19,7 @@
     pub(super) fn start_run(&self, assignment: Assignment) {
         let Assignment { run, step, index, endpoint, address, version, made, beside, .. } =
             assignment;
-        let Assignment { cost, left_ms, .. } = assignment;
+        let (cost, left_ms) = (assignment.cost, assignment.left_ms);
         let data_centre = self.data_centre(&endpoint);
         let sample = step.samples[index as usize].clone();
         let host = self.hosts.choose(&data_centre);
@@ -33,7 +33,10 @@
             version,
             after = made.events.len(),
             beside,
-            host
+            host,
+            failures = cost.failures,
+            crashes = cost.crashes,
+            scorer_failures = cost.scorer.failures
         );
         let job = Job {
             run,
@@ -181,6 +184,7 @@
         RunEnd::Full => "full",
         RunEnd::Moved => "moved",
         RunEnd::Broken => "broken",
+        RunEnd::Crashed => "crashed",
         RunEnd::Taken => "taken",
         RunEnd::Late => "late",
     }
--- a/components/node/src/runner/carry.rs
+++ b/components/node/src/runner/carry.rs
@@ -21,6 +21,7 @@
 use super::Runner;
 use super::State;
 use crate::clock;
+use crate::crashes::has_crashed;
 use crate::forward::Outcome;
 use crate::forward::User;
 
@@ -52,7 +53,13 @@
         Err(error) => {
             let (sample, events) = (&job.sample.id, state.made.borrow().events.len());
             tracing::info!(event = "run_broken", sample, endpoint = job.endpoint, events, %error);
-            RunEnd::Broken
+            let broke = matches!(error, Broken::Lost(_) | Broken::Short);
+            let barren = events <= job.made.events.len();
+            if broke && barren && has_crashed(job.address).await {
+                RunEnd::Crashed
+            } else {
+                RunEnd::Broken
+            }
         }
     };
     runner.stands(&job, &state, Standing::Ended(end));
