An entry that stood still does not hand on time in which requests lay unread

What callers saw: endpoints worked for callers that had left, after an entry had been frozen or had not got a processor for a while.

Cause: a caller's time began when its request was read. A process that stands still reads late what lies in its sockets, and nothing in a request tells when it came.

Evidence: an entry on a real socket that stands still for 0.9 s while a request comes: without this the endpoint may work 900 ms longer than the caller waits; with it the test holds.

What is read while it comes back, and in the 50 ms after, may have waited all the time that it stood still, which is taken off; but for the time in which the route's answers are due, since a request may as well have come just then.

--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -37,6 +37,7 @@
 use crate::message::News;
 use crate::metrics;
 use crate::parts::Reader;
+use crate::stall::Stall;
 use crate::usage::Usage;
 use crate::view::View;
 
@@ -72,6 +73,8 @@
     pub forwarder: Rc<Forwarder>,
     /// When the process started.
     pub started: Millis,
+    /// When it stood still.
+    pub stall: Rc<Stall>,
     /// Results that were read lately.
     pub recent: RefCell<Recent>,
     /// Counts what workspaces use, if that is reported.
@@ -197,7 +200,7 @@
             rank: workspace.and_then(|one| one.urgency).unwrap_or(route.priority),
             ticket: self.usage.as_ref().zip(name).map(|(usage, name)| usage.came(name)),
         };
-        let budget = Budget::new(began + limit_ms);
+        let budget = Budget::new(began + self.left_ms(route, began, limit_ms));
         let outcome = self.forwarder.forward(route, request, &budget, limit_ms, user).await;
         let ms = clock::now().since(began);
         let word = outcome_word(&outcome);
@@ -228,6 +231,13 @@
         platform::failure(status, why)
     }
 
+    /// Gives what was left of a request's time when it was read. It may as well have come just then, so
+    /// enough is left for an answer in its route's time.
+    fn left_ms(&self, route: &Route, read: Millis, limit_ms: u64) -> u64 {
+        let waited_ms = self.stall.waited_ms(read);
+        limit_ms.saturating_sub(waited_ms).max(limit_ms.min(route.target_ms))
+    }
+
     async fn submit(
         &self,
         request: &Request,
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod ready;
 pub mod runner;
 pub mod settings;
+pub mod stall;
 pub mod start;
 pub mod traffic;
 pub mod usage;
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -47,6 +47,7 @@
 use crate::settings;
 use crate::settings::Settings;
 use crate::settings::SettingsError;
+use crate::stall::Stall;
 use crate::traffic;
 use crate::traffic::Traffic;
 use crate::usage::Usage;
@@ -312,11 +313,15 @@
         if let Some(usage) = &usage {
             actix_rt::spawn(usage.clone().tell_on(self.link.clone()));
         }
+        let stall = Rc::new(Stall::new(clock::now()));
+        let watched = stall.clone();
+        actix_rt::spawn(async move { watched.watch().await });
         let entry = Rc::new(Entry {
             link: self.link.clone(),
             view: self.view.clone(),
             forwarder: self.forwarder.clone(),
             started: clock::now(),
+            stall,
             recent: RefCell::new(Recent::new(kept)),
             usage,
             trust: self.settings.trust(),
--- a/components/node/tests/entry.rs
+++ b/components/node/tests/entry.rs
@@ -2,6 +2,8 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::io::Read;
+use std::io::Write;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,7 +31,9 @@
 use chicoryford_node::link::Link;
 use chicoryford_node::link::Member;
 use chicoryford_node::message::News;
+use chicoryford_node::stall::Stall;
 use chicoryford_node::view::View;
+use chicoryford_types::Millis;
 use tokio::net::TcpListener;
 
 /// How long the caller waits.
@@ -101,6 +105,7 @@
         view,
         forwarder,
         started: clock::now(),
+        stall: Rc::new(Stall::new(clock::now())),
         recent: RefCell::new(Recent::new(0)),
         usage: None,
         trust: Trust { strict: false, limit_ms: 0 },
@@ -133,3 +138,53 @@
     let over = ends.borrow()[0].saturating_duration_since(came + WAITS);
     assert!(over < Duration::from_millis(100), "{over:?} after the caller has left");
 }
+
+/// Guards against endpoints that work on after the caller has left, because its request lay unread before a
+/// process that stood still.
+#[actix_rt::test]
+async fn time_in_which_a_request_lay_unread_is_not_handed_on() {
+    let (entry, ends) = (entry(), Rc::default());
+    let endpoint = endpoint(Rc::clone(&ends)).await;
+    entry.view.learn(News::Config(Arc::new(config())));
+    entry.view.learn(News::Endpoint(endpoint));
+    let (watched, stall) = (entry.stall.clone(), Duration::from_millis(900));
+    actix_rt::spawn(async move { watched.watch().await });
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        let server = Server::default();
+        server.serve(listener, move |request| entry.clone().answer(request)).await;
+    });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let caller = std::thread::spawn(move || {
+        let mut stream = std::net::TcpStream::connect(address).unwrap();
+        let head = "POST /d/1 HTTP/1.1\r\nhost: h\r\nx-attempt-id: id\r\ncontent-length: 0\r\n";
+        let text = format!("{head}x-deadline-ms: {}\r\n\r\n", WAITS.as_millis());
+        stream.write_all(text.as_bytes()).unwrap();
+        let came = Instant::now();
+        let mut answer = [0; 12];
+        stream.read_exact(&mut answer).unwrap();
+        (came, answer)
+    });
+    // The process stands still.
+    std::thread::sleep(stall);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+
+    let (came, answer) = caller.join().unwrap();
+
+    assert_eq!(&answer, b"HTTP/1.1 200");
+    let over = ends.borrow()[0].saturating_duration_since(came + WAITS);
+    assert!(over < Duration::from_millis(100), "{over:?} after the caller has left");
+}
+
+#[test]
+fn a_request_that_comes_while_the_process_runs_has_not_waited() {
+    let stall = Stall::new(Millis(0));
+    (1..20).for_each(|tick| stall.note(Millis(tick * 25)));
+    assert_eq!(stall.waited_ms(Millis(480)), 0);
+    assert_eq!(stall.waited_ms(Millis(1_475)), 1_000, "the process comes back");
+    stall.note(Millis(1_475));
+    assert_eq!(stall.waited_ms(Millis(1_500)), 1_000, "it reads what came meanwhile");
+    stall.note(Millis(1_530));
+    assert_eq!(stall.waited_ms(Millis(1_560)), 0);
+}
--- a/components/node/tests/lead/keys.rs
+++ b/components/node/tests/lead/keys.rs
@@ -24,6 +24,7 @@
 use chicoryford_node::link::Member;
 use chicoryford_node::message::Answer;
 use chicoryford_node::message::Call;
+use chicoryford_node::stall::Stall;
 use chicoryford_node::view::View;
 use chicoryford_types::Digest;
 use tokio::net::TcpListener;
@@ -106,6 +107,7 @@
             view,
             forwarder,
             started: clock::now(),
+            stall: Rc::new(Stall::new(clock::now())),
             recent: RefCell::new(Recent::new(0)),
             usage: None,
             trust,
