--- /dev/null
+++ b/components/node/src/forward/budget.rs
@@ -0,0 +1,41 @@
+//! What a request may cost, and what it has cost so far.
+
+use std::cell::RefCell;
+
+use chicoryford_fleet::run::Spent;
+use chicoryford_types::Millis;
+
+use crate::clock;
+
+/// What a request may cost, over all passes in which it is carried: endpoints are told the same end of
+/// its time in each, and no more of them run it than its route allows.
+#[derive(Debug)]
+pub struct Budget {
+    pub(super) deadline: Millis,
+    /// Names the request at whichever process carries it.
+    pub(super) shared: Option<String>,
+    pub(super) spent: RefCell<Spent>,
+}
+
+impl Budget {
+    /// Makes the budget of a request whose caller waits until then.
+    pub fn new(deadline: Millis) -> Self {
+        Self { deadline, shared: None, spent: RefCell::default() }
+    }
+
+    /// Makes the budget of a request that other processes may have carried before, or carry as well. All
+    /// of them prefer the same endpoints, so that together they ask no more than one of them may.
+    pub fn shared(id: &str, deadline: Millis, spent: Spent) -> Self {
+        Self { deadline, shared: Some(id.to_owned()), spent: RefCell::new(spent) }
+    }
+
+    /// Gives the milliseconds for which its caller still waits.
+    pub fn left_ms(&self) -> u64 {
+        self.deadline.since(clock::now())
+    }
+
+    /// Gives what was spent so far.
+    pub fn spent(&self) -> Spent {
+        self.spent.borrow().clone()
+    }
+}
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -1,6 +1,8 @@
 //! Carries a request to endpoints of a plain service until one answers or the time is up.
 
 mod attempt;
+mod budget;
+mod carry;
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -11,27 +13,19 @@
 use chicoryford_fleet::Kind;
 use chicoryford_fleet::Policy;
 use chicoryford_fleet::Route;
-use chicoryford_fleet::crashes::Crash;
-use chicoryford_fleet::line::Place;
 use chicoryford_fleet::pick::Ending;
-use chicoryford_fleet::pick::Nowhere;
 use chicoryford_fleet::pick::Picker;
 use chicoryford_fleet::pick::Target;
-use chicoryford_fleet::run::Spent;
 use chicoryford_http::Broken;
 use chicoryford_http::Connection;
 use chicoryford_http::Pool;
 use chicoryford_http::Reply;
 use chicoryford_http::Request;
-use chicoryford_http::message::StatusCode;
 use chicoryford_platform::plain;
 use chicoryford_platform::plain::Meaning;
 use chicoryford_types::Millis;
-use futures_util::StreamExt;
-use futures_util::stream::FuturesUnordered;
 
 use crate::clock;
-use crate::crashes;
 use crate::crashes::Crashes;
 use crate::link::Link;
 use crate::message::News;
@@ -39,28 +33,19 @@
 use crate::waiting::Lines;
 use attempt::Attempt;
 use attempt::Tries;
-use attempt::Try;
+use carry::Carry;
+
+pub use budget::Budget;
 
 /// How long a connection to an endpoint may take to come about. Round trips are a few
 /// milliseconds; an opening packet that is lost is sent again only after a second.
 const CONNECT: Duration = Duration::from_millis(250);
-/// Multiples of the usual time after which a second attempt starts beside the first. An endpoint
-/// that turns slow takes about four times as long; one attempt in some hundred takes three times
-/// as long by itself.
-const HEDGE: f64 = 3.0;
-/// Milliseconds before which no second attempt starts, and when nothing is known of the usual
-/// time.
-const HEDGE_LEAST_MS: u64 = 60;
-/// Milliseconds for which a request waits while endpoints are all full before it is refused. The caller
-/// can wait just as well, and another entry may know of room.
-const FULL_MS: u64 = 90;
 /// Milliseconds after which a caller may come back when endpoints are full: the usual request is
 /// done by then.
 const FULL_AFTER_MS: u64 = 150;
 /// Milliseconds after which a caller may come back when no endpoint is ready: endpoints announce
 /// themselves about every second.
 const NONE_AFTER_MS: u64 = 600;
-
 /// Milliseconds after which a caller may come back with a content that crashes endpoints: it is refused for
 /// a day.
 const REFUSED_AFTER_MS: u64 = 24 * 60 * 60 * 1_000;
@@ -80,39 +65,6 @@
     Late,
 }
 
-/// What a request may cost, over all passes in which it is carried: endpoints are told the same end of
-/// its time in each, and no more of them run it than its route allows.
-#[derive(Debug)]
-pub struct Budget {
-    deadline: Millis,
-    /// Names the request at whichever process carries it.
-    shared: Option<String>,
-    spent: RefCell<Spent>,
-}
-
-impl Budget {
-    /// Makes the budget of a request whose caller waits until then.
-    pub fn new(deadline: Millis) -> Self {
-        Self { deadline, shared: None, spent: RefCell::default() }
-    }
-
-    /// Makes the budget of a request that other processes may have carried before, or carry as well. All
-    /// of them prefer the same endpoints, so that together they ask no more than one of them may.
-    pub fn shared(id: &str, deadline: Millis, spent: Spent) -> Self {
-        Self { deadline, shared: Some(id.to_owned()), spent: RefCell::new(spent) }
-    }
-
-    /// Gives the milliseconds for which its caller still waits.
-    pub fn left_ms(&self) -> u64 {
-        self.deadline.since(clock::now())
-    }
-
-    /// Gives what was spent so far.
-    pub fn spent(&self) -> Spent {
-        self.spent.borrow().clone()
-    }
-}
-
 /// How one attempt ended.
 enum Tried {
     Answered(Reply),
@@ -318,203 +270,3 @@
         Ok((meaning, reply))
     }
 }
-
-/// One request on its way.
-struct Carry<'a> {
-    forwarder: &'a Forwarder,
-    service: &'a str,
-    route: &'a str,
-    request: &'a Request,
-    budget: &'a Budget,
-    once: bool,
-    /// Endpoints that may run it, over all passes.
-    attempts: u32,
-    /// Attempts that are left in this pass.
-    left: u32,
-    tried: Vec<String>,
-    /// Endpoints that may have run it in this pass, and not before.
-    added: BTreeSet<String>,
-    /// Its place among those that wait while endpoints are full, if it was first there.
-    place: Option<Place>,
-    /// Milliseconds for which it has waited while endpoints were full.
-    waited_ms: u64,
-    /// Attempts that may have run.
-    runs: u32,
-    last: Option<Reply>,
-    began: Millis,
-    tries: Tries,
-    user: User<'a>,
-}
-
-impl Drop for Carry<'_> {
-    /// Notes for its workspace whether the request began to run, and when. It counts once, however
-    /// many endpoints ran it.
-    fn drop(&mut self) {
-        let Some(ticket) = &mut self.user.ticket else { return };
-        let tries = self.tries.borrow();
-        if let Some(began) = tries.iter().filter_map(Try::began).min() {
-            ticket.began(began);
-        }
-    }
-}
-
-impl<'a> Carry<'a> {
-    async fn run(&mut self) -> Outcome {
-        let mut running = FuturesUnordered::new();
-        let mut hedged = self.once || !self.forwarder.second;
-        if self.forwarder.lines.is_closed(self.service) && !self.wait().await {
-            return self.give_up(Nowhere::AllTried);
-        }
-        loop {
-            if running.is_empty() {
-                if self.forwarder.crashes.refuses(self.request, self.user.workspace) {
-                    return self.refuse();
-                }
-                match self.choose() {
-                    Ok(target) => running.push(self.start(target)),
-                    Err(Nowhere::AllTried) if self.left > 0 => {
-                        self.tried.clear();
-                        self.forwarder.lines.found_full(self.service);
-                        if !self.wait().await {
-                            return self.give_up(Nowhere::AllTried);
-                        }
-                        continue;
-                    }
-                    Err(nowhere) => return self.give_up(nowhere),
-                }
-            }
-            let hedge = Duration::from_millis(self.hedge_ms());
-            let tried = tokio::select! {
-                tried = running.next() => tried,
-                () = tokio::time::sleep(hedge), if !hedged => {
-                    hedged = true;
-                    if let Ok(target) = self.choose() {
-                        running.push(self.start(target));
-                    }
-                    continue;
-                }
-            };
-            if let Some(outcome) = tried.and_then(|tried| self.take(tried)) {
-                return outcome;
-            }
-        }
-    }
-
-    /// Waits for the turn to ask endpoints that were full; tells whether it came in time.
-    async fn wait(&mut self) -> bool {
-        let began = clock::now();
-        let until = began + FULL_MS.saturating_sub(self.waited_ms);
-        let user = (self.user.workspace, self.user.rank);
-        let place = self.place.take();
-        self.place = self.forwarder.lines.turn(self.service, user, place, until).await;
-        self.waited_ms += clock::now().since(began);
-        self.place.is_some()
-    }
-
-    fn choose(&mut self) -> Result<Target, Nowhere> {
-        if self.left == 0 {
-            return Err(Nowhere::AllTried);
-        }
-        let mut picker = self.forwarder.picker.borrow_mut();
-        let spent = self.budget.spent.borrow();
-        let live = spent.endpoints.iter().filter(|id| picker.is_ready(id)).count();
-        let may_add = live < self.attempts as usize;
-        let tried = |id: &str| self.tried.iter().any(|tried| tried == id);
-        let preferred = self.budget.shared.as_ref().map(|request| {
-            // Those that did not run it are passed over for the next in order.
-            let open = |id: &str| !tried(id) || spent.endpoints.contains(id);
-            picker.preferred(self.service, request, self.attempts as usize, open)
-        });
-        let fits = |id: &str| {
-            let may_add = may_add && preferred.as_ref().is_none_or(|some| some.contains(id));
-            !tried(id) && (may_add || spent.endpoints.contains(id))
-        };
-        let now = clock::now();
-        picker.pick(self.service, self.route, fits, now)
-    }
-
-    fn start(&mut self, target: Target) -> impl Future<Output = (String, Tried)> + use<'a> {
-        self.left -= 1;
-        self.runs += 1;
-        let id = target.id.clone();
-        self.tried.push(id.clone());
-        if self.budget.spent.borrow_mut().endpoints.insert(id.clone()) {
-            self.added.insert(id.clone());
-        }
-        let at_ms = clock::now().since(self.began);
-        self.tries.borrow_mut().push(Try { target: target.clone(), at_ms, sent: None, end: None });
-        let note = (self.tries.clone(), self.tries.borrow().len() - 1);
-        let (forwarder, route, request) = (self.forwarder, self.route, self.request);
-        let (deadline, once) = (self.budget.deadline, self.once);
-        async move { (id, forwarder.attempt(target, route, request, deadline, once, note).await) }
-    }
-
-    /// Takes in how an attempt ended; gives the outcome if that settles the request.
-    fn take(&mut self, (id, tried): (String, Tried)) -> Option<Outcome> {
-        match tried {
-            Tried::Answered(reply) => {
-                // Only this status says that the endpoint failed at it; samples are given up for it.
-                let failed = reply.status == StatusCode::INTERNAL_SERVER_ERROR;
-                self.forwarder.crashes.ran(self.request, self.user.workspace);
-                self.budget.spent.borrow_mut().failures += u32::from(failed);
-                if self.once || !reply.status.is_server_error() {
-                    return Some(Outcome::Answered(reply));
-                }
-                self.last = Some(reply);
-                None
-            }
-            Tried::NotRun | Tried::Unsent => {
-                self.left += 1;
-                self.runs -= 1;
-                if self.added.remove(&id) {
-                    self.budget.spent.borrow_mut().endpoints.remove(&id);
-                }
-                None
-            }
-            Tried::Lost => self.once.then_some(Outcome::Lost),
-            Tried::Broken(address) => {
-                let content = crashes::content(self.request, self.user.workspace);
-                self.forwarder.crashes.look(Crash { content, endpoint: id }, address);
-                self.once.then_some(Outcome::Lost)
-            }
-        }
-    }
-
-    /// Gives up because others found meanwhile that the content crashes endpoints.
-    fn refuse(&mut self) -> Outcome {
-        match self.give_up(Nowhere::AllTried) {
-            Outcome::NotRun(..) => Outcome::NotRun(CRASHES, REFUSED_AFTER_MS),
-            outcome => outcome,
-        }
-    }
-
-    fn give_up(&mut self, nowhere: Nowhere) -> Outcome {
-        match (self.last.take(), nowhere) {
-            (Some(reply), _) => Outcome::Answered(reply),
-            (None, _) if self.runs > 0 => Outcome::Lost,
-            (None, Nowhere::NoneReady) => Outcome::NotRun("no endpoint is ready", NONE_AFTER_MS),
-            (None, Nowhere::AllTried) => Outcome::NotRun("all endpoints are full", FULL_AFTER_MS),
-        }
-    }
-
-    /// Writes down what became of the attempts of a request that was late or failed: with this line
-    /// alone it can be told whether an endpoint was slow, failed, or was the only one left. The
-    /// others are only counted, so that the volume stays bounded.
-    fn explain(&self, outcome: &Outcome, target_ms: u64) {
-        let ms = clock::now().since(self.began);
-        let good = matches!(outcome, Outcome::Answered(reply) if reply.status.is_success());
-        if good && ms <= target_ms {
-            return;
-        }
-        let request = plain::attempt(self.request).unwrap_or_default();
-        let tries: Vec<String> = self.tries.borrow().iter().map(Try::to_string).collect();
-        let tries = tries.join("; ");
-        let (service, waited_ms) = (self.service, self.waited_ms);
-        tracing::info!(event = "request_tried", request, service, tries, waited_ms, ms, target_ms);
-    }
-
-    fn hedge_ms(&self) -> u64 {
-        let usual = self.forwarder.picker.borrow().usual_ms(self.route);
-        usual.map_or(HEDGE_LEAST_MS, |ms| ((ms * HEDGE) as u64).max(HEDGE_LEAST_MS))
-    }
-}
--- a/components/node/src/metrics.rs
+++ b/components/node/src/metrics.rs
@@ -47,6 +47,10 @@
 /// Announcements of endpoints at this control process, by whether it answered itself or the leader did.
 pub static ANNOUNCEMENTS: LazyLock<IntCounterVec> =
     LazyLock::new(|| counter("announcements_total", "Announcements by who answered.", &["by"]));
+/// Attempts at endpoints of plain services by why they were made: the first of a request, one beside a
+/// silent one, or one after others that came to nothing.
+pub static ATTEMPTS: LazyLock<IntCounterVec> =
+    LazyLock::new(|| counter("attempts_total", "Attempts at endpoints by reason.", &["why"]));
 /// Attempts at endpoints of plain services by ending.
 pub static TRIES: LazyLock<IntCounterVec> =
     LazyLock::new(|| counter("tries_total", "Attempts at endpoints by ending.", &["ending"]));
