A scorer's call without an endpoint left to ask holds up no other; events clear crashes for good

A call that may ask no other endpoint was taken for one that found all endpoints full, and all requests for that service waited in line for 30 ms, again and again.

A host tells what a sample had cost when its run began. Crashes that an event had cleared since came back with its next word, so a sample that was being made could be suspected. They are taken over from a host only with a run that the leader did not know.

--- a/components/fleet/src/pick.rs
+++ b/components/fleet/src/pick.rs
@@ -209,6 +209,11 @@
         Ok(target)
     }
 
+    /// Tells whether an endpoint of a service is ready that fits.
+    pub fn has_ready(&self, service: &str, fits: impl Fn(&str) -> bool) -> bool {
+        self.seats.values().any(|seat| seat.serves(service) && fits(&seat.endpoint.said.id))
+    }
+
     /// Gives the endpoints of a service, among those that fit, that all processes prefer for one request, by
     /// rendezvous hashing: if one of them goes, the others stay.
     pub fn preferred(
--- a/components/fleet/src/plan/reports.rs
+++ b/components/fleet/src/plan/reports.rs
@@ -63,6 +63,7 @@
             progress.seat = Some(report.endpoint.clone());
             progress.host = Some(host.to_owned());
             progress.run = report.run;
+            progress.cost.crashes = report.cost.crashes;
             progress.began = now;
             if let Some(seat) = self.seats.get_mut(&report.endpoint) {
                 *seat.running.entry(work.step.model.clone()).or_default() += 1;
--- a/components/fleet/src/run.rs
+++ b/components/fleet/src/run.rs
@@ -46,11 +46,10 @@
 }
 
 impl Cost {
-    /// Adds what another process knows.
+    /// Adds what another process knows; but for crashes, which events have cleared since.
     pub fn merge(&mut self, other: &Self) {
         self.failures = self.failures.max(other.failures);
         self.unfit |= other.unfit;
-        self.crashes = self.crashes.max(other.crashes);
         self.scorer.merge(&other.scorer);
     }
 
--- a/components/fleet/tests/plan.rs
+++ b/components/fleet/tests/plan.rs
@@ -327,11 +327,16 @@
 #[test]
 fn a_sample_of_which_events_come_is_not_suspected_for_crashes() {
     let mut plan = plan(&[engine("e1", 4, 1)], &[step("a", &[1])]);
-    for crash in 0..5 {
+    for crash in 0..6 {
         let now = NOW + crash * 4_000;
         let run = assign(&mut plan, now).remove(0);
-        let events = vec!["x"; crash as usize + 1];
-        assert_eq!(plan.told("a", &report(&run, run::Standing::Running, &events), now), Told::GoOn);
+        let events = vec!["x"; crash as usize / 2 + 1];
+        // Each second run makes an event, and both tell once more when nothing is new.
+        for _ in 0..2 {
+            let told = report(&run, run::Standing::Running, &events);
+            let told = Report { cost: run.cost.clone(), ..told };
+            assert_eq!(plan.told("a", &told, now), Told::GoOn);
+        }
         plan.ended("a", 0, RunEnd::Crashed, now);
     }
     assert_eq!(assign(&mut plan, NOW + 24_000).len(), 1);
--- a/components/node/src/forward/carry.rs
+++ b/components/node/src/forward/carry.rs
@@ -95,7 +95,7 @@
                 }
                 match self.choose() {
                     Ok(target) => running.push(self.start(target)),
-                    Err(Nowhere::AllTried) if self.left > 0 => {
+                    Err(Nowhere::AllTried) if self.left > 0 && !self.is_bound() => {
                         self.tried.clear();
                         self.forwarder.lines.found_full(self.service);
                         if !self.wait().await {
@@ -134,6 +134,13 @@
         self.place.is_some()
     }
 
+    /// Tells whether an endpoint is ready that was not tried, and that the budget does not allow: then it is
+    /// not for want of room that there is none.
+    fn is_bound(&self) -> bool {
+        let picker = self.forwarder.picker.borrow();
+        picker.has_ready(self.service, |id| !self.tried.iter().any(|tried| tried == id))
+    }
+
     fn choose(&mut self) -> Result<Target, Nowhere> {
         if self.left == 0 {
             return Err(Nowhere::AllTried);
@@ -152,8 +159,7 @@
             let may_add = may_add && preferred.as_ref().is_none_or(|some| some.contains(id));
             !tried(id) && (may_add || spent.endpoints.contains(id))
         };
-        let now = clock::now();
-        picker.pick(self.service, self.route, fits, now)
+        picker.pick(self.service, self.route, fits, clock::now())
     }
 
     fn start(&mut self, target: Target) -> impl Future<Output = (String, Tried)> + use<'a> {
--- a/components/node/tests/scorers.rs
+++ b/components/node/tests/scorers.rs
@@ -28,7 +28,13 @@
 use chicoryford_fleet::run::Spent;
 use chicoryford_fleet::run::Standing;
 use chicoryford_fleet::run::Work;
+use chicoryford_http::Request;
+use chicoryford_http::message::Method;
+use chicoryford_node::clock;
+use chicoryford_node::forward::Budget;
 use chicoryford_node::forward::Forwarder;
+use chicoryford_node::forward::Outcome;
+use chicoryford_node::forward::User;
 use chicoryford_node::message::News;
 use chicoryford_node::runner::Runner;
 use chicoryford_node::view::View;
@@ -268,3 +274,31 @@
     assert_eq!(calls.borrow().len(), 1, "{calls:?}");
     assert!(calls.borrow()[0].endpoint < ATTEMPTS as usize, "{calls:?}");
 }
+
+/// Guards against a call that has no endpoint left to ask and has other requests wait as if all were full.
+#[actix_rt::test]
+async fn a_call_that_may_ask_no_other_endpoint_holds_up_no_other_request() {
+    let (scorers, _calls) = scorers(Duration::from_millis(1)).await;
+    let forwarder = Forwarder::new(Policy::default());
+    // Those that the call may ask take no connections.
+    let closed = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    for (number, mut endpoint) in scorers.into_iter().enumerate() {
+        if number < ATTEMPTS as usize {
+            endpoint.said.address = closed;
+        }
+        forwarder.learn(&News::Endpoint(endpoint));
+    }
+    let spent = Spent {
+        failures: 0,
+        endpoints: (0..ATTEMPTS).map(|number| format!("i{number}")).collect(),
+    };
+    let request = Request::new(Method::POST, "/score/x", "");
+    let route = route("score", Kind::Idempotent, ATTEMPTS);
+    let until = clock::now() + WANTED_MS;
+    let bound = Budget::shared("c", until, spent);
+    let began = Instant::now();
+    let outcome = forwarder.forward(&route, &request, &bound, PASS_MS, User::default()).await;
+    assert!(matches!(outcome, Outcome::NotRun(..)), "{outcome:?}");
+    assert!(began.elapsed() < Duration::from_millis(60), "{:?}", began.elapsed());
+    assert_eq!(bound.spent().endpoints.len(), ATTEMPTS as usize);
+}
