--- a/components/node/tests/crashes.rs
+++ b/components/node/tests/crashes.rs
@@ -1,18 +1,18 @@
 //! Requests that crash the endpoints that run them, on real sockets.
 
+mod support {
+    pub mod endpoint;
+    pub mod route;
+}
+
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
-use chicoryford_fleet::Announcement;
 use chicoryford_fleet::Endpoint;
 use chicoryford_fleet::Kind;
 use chicoryford_fleet::Policy;
-use chicoryford_fleet::Route;
-use chicoryford_fleet::Share;
-use chicoryford_fleet::Standing;
 use chicoryford_http::Request;
 use chicoryford_http::message::Method;
 use chicoryford_node::clock;
@@ -26,6 +26,9 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 
+use support::endpoint::endpoint;
+use support::route::route;
+
 /// What an endpoint does with a request whose body is "bad"; it answers others.
 #[derive(Clone, Copy, Eq, PartialEq)]
 enum Does {
@@ -38,21 +41,11 @@
 /// The endpoints that were asked for "bad", in order.
 type Asked = Rc<RefCell<Vec<String>>>;
 
-async fn endpoint(number: usize, does: Does, asked: Asked) -> Endpoint {
+async fn crashing(number: usize, does: Does, asked: Asked) -> Endpoint {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let id = format!("i{number}");
-    let said = Announcement {
-        id: id.clone(),
-        born: 0,
-        service: "desk".to_owned(),
-        address,
-        data_centre: "z".to_owned(),
-        slots: 4,
-        draining: false,
-        models: BTreeMap::new(),
-        sequence: 1,
-    };
+    let endpoint = endpoint("desk", &id, address, 4);
     actix_rt::spawn(async move {
         loop {
             let (mut stream, _) = listener.accept().await.unwrap();
@@ -71,13 +64,13 @@
             }
         }
     });
-    Endpoint { said, standing: Standing::Ready }
+    endpoint
 }
 
 async fn forwarder(endpoints: usize, does: Does) -> (Rc<Forwarder>, Asked) {
     let (forwarder, asked) = (Forwarder::new(Policy::default()), Asked::default());
     for number in 0..endpoints {
-        forwarder.learn(&News::Endpoint(endpoint(number, does, asked.clone()).await));
+        forwarder.learn(&News::Endpoint(crashing(number, does, asked.clone()).await));
     }
     (forwarder, asked)
 }
@@ -90,22 +83,7 @@
 }
 
 async fn send(forwarder: &Forwarder, body: &'static str) -> Outcome {
-    let route = Route {
-        name: "r".to_owned(),
-        host: "h".to_owned(),
-        prefix: "/".to_owned(),
-        kind: Kind::Idempotent,
-        timeout_ms: Some(1_500),
-        target_ms: 150,
-        priority: 1,
-        shares: vec![Share { service: "desk".to_owned(), weight: 1 }],
-        attempts: 2,
-        resumable: false,
-        due_ms: None,
-        age_ms: None,
-        single: false,
-        open: false,
-    };
+    let route = route("desk", Kind::Idempotent, 2);
     let budget = Budget::new(clock::now() + 1_000);
     let outcome = forwarder.forward(&route, &request(body), &budget, 1_000, User::default()).await;
     // Until it is known whether endpoints have crashed.
--- a/components/node/tests/entry.rs
+++ b/components/node/tests/entry.rs
@@ -1,7 +1,11 @@
 //! What an entry hands on of a caller's time, on real sockets.
 
+mod support {
+    pub mod endpoint;
+    pub mod route;
+}
+
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::io::Read;
 use std::io::Write;
 use std::rc::Rc;
@@ -10,14 +14,10 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use chicoryford_fleet::Announcement;
 use chicoryford_fleet::Config;
 use chicoryford_fleet::Endpoint;
 use chicoryford_fleet::Kind;
 use chicoryford_fleet::Policy;
-use chicoryford_fleet::Route;
-use chicoryford_fleet::Share;
-use chicoryford_fleet::Standing;
 use chicoryford_fleet::Trust;
 use chicoryford_fleet::recent::Recent;
 use chicoryford_http::Reply;
@@ -36,11 +36,14 @@
 use chicoryford_types::Millis;
 use tokio::net::TcpListener;
 
+use support::endpoint::endpoint;
+use support::route::route;
+
 /// How long the caller waits.
 const WAITS: Duration = Duration::from_millis(1_500);
 
 /// Starts an endpoint that notes until when it may work.
-async fn endpoint(ends: Rc<RefCell<Vec<Instant>>>) -> Endpoint {
+async fn noting(ends: Rc<RefCell<Vec<Instant>>>) -> Endpoint {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let server = Rc::new(Server::default());
@@ -53,37 +56,11 @@
         };
         server.serve(listener, answer).await;
     });
-    let said = Announcement {
-        id: "d1".to_owned(),
-        born: 0,
-        service: "desk".to_owned(),
-        address,
-        data_centre: "z".to_owned(),
-        slots: 6,
-        draining: false,
-        models: BTreeMap::new(),
-        sequence: 1,
-    };
-    Endpoint { said, standing: Standing::Ready }
+    endpoint("desk", "d1", address, 6)
 }
 
 fn config() -> Config {
-    let route = Route {
-        name: "desk".to_owned(),
-        host: "h".to_owned(),
-        prefix: "/d/".to_owned(),
-        kind: Kind::Idempotent,
-        timeout_ms: Some(2_000),
-        target_ms: 150,
-        priority: 1,
-        shares: vec![Share { service: "desk".to_owned(), weight: 1 }],
-        attempts: 2,
-        resumable: false,
-        due_ms: None,
-        age_ms: None,
-        single: false,
-        open: false,
-    };
+    let route = route("desk", Kind::Idempotent, 2);
     Config { version: 1, routes: vec![route], source: Bytes::new(), ..Config::default() }
 }
 
@@ -119,14 +96,14 @@
 #[actix_rt::test]
 async fn time_in_which_a_request_waited_is_not_handed_on() {
     let (entry, ends) = (entry(), Rc::default());
-    let endpoint = endpoint(Rc::clone(&ends)).await;
+    let endpoint = noting(Rc::clone(&ends)).await;
     let view = entry.view.clone();
     actix_rt::spawn(async move {
         tokio::time::sleep(Duration::from_millis(300)).await;
         view.learn(News::Config(Arc::new(config())));
         view.learn(News::Endpoint(endpoint));
     });
-    let mut request = Request::new(Method::POST, "/d/1", "");
+    let mut request = Request::new(Method::POST, "/desk/1", "");
     request.headers.set("host", "h");
     request.headers.set("x-attempt-id", "id");
     request.headers.set("x-deadline-ms", &WAITS.as_millis().to_string());
@@ -144,7 +121,7 @@
 #[actix_rt::test]
 async fn time_in_which_a_request_lay_unread_is_not_handed_on() {
     let (entry, ends) = (entry(), Rc::default());
-    let endpoint = endpoint(Rc::clone(&ends)).await;
+    let endpoint = noting(Rc::clone(&ends)).await;
     entry.view.learn(News::Config(Arc::new(config())));
     entry.view.learn(News::Endpoint(endpoint));
     let (watched, stall) = (entry.stall.clone(), Duration::from_millis(900));
@@ -158,7 +135,7 @@
     tokio::time::sleep(Duration::from_millis(50)).await;
     let caller = std::thread::spawn(move || {
         let mut stream = std::net::TcpStream::connect(address).unwrap();
-        let head = "POST /d/1 HTTP/1.1\r\nhost: h\r\nx-attempt-id: id\r\ncontent-length: 0\r\n";
+        let head = "POST /desk/1 HTTP/1.1\r\nhost: h\r\nx-attempt-id: id\r\ncontent-length: 0\r\n";
         let text = format!("{head}x-deadline-ms: {}\r\n\r\n", WAITS.as_millis());
         stream.write_all(text.as_bytes()).unwrap();
         let came = Instant::now();
--- a/components/node/tests/forward.rs
+++ b/components/node/tests/forward.rs
@@ -1,7 +1,11 @@
 //! What follows when an attempt at an endpoint fails, on real sockets.
 
+mod support {
+    pub mod endpoint;
+    pub mod route;
+}
+
 use std::cell::Cell;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,13 +13,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use chicoryford_fleet::Announcement;
-use chicoryford_fleet::Endpoint;
 use chicoryford_fleet::Kind;
 use chicoryford_fleet::Policy;
-use chicoryford_fleet::Route;
-use chicoryford_fleet::Share;
-use chicoryford_fleet::Standing;
 use chicoryford_http::Request;
 use chicoryford_http::message::Method;
 use chicoryford_node::clock;
@@ -29,6 +28,9 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use support::endpoint::endpoint;
+use support::route::route;
+
 /// What an endpoint does with each request.
 #[derive(Clone, Copy)]
 enum Does {
@@ -92,47 +94,19 @@
     }
 }
 
-fn route(kind: Kind, attempts: u32) -> Route {
-    Route {
-        name: "r".to_owned(),
-        host: "h".to_owned(),
-        prefix: "/".to_owned(),
-        kind,
-        timeout_ms: Some(2_000),
-        target_ms: 150,
-        priority: 1,
-        shares: vec![Share { service: "desk".to_owned(), weight: 1 }],
-        attempts,
-        resumable: false,
-        due_ms: None,
-        age_ms: None,
-        single: false,
-        open: false,
-    }
-}
-
 /// Makes a forwarder that knows these endpoints; it asks the first one first.
 fn forwarder(stubs: &[&Stub]) -> Rc<Forwarder> {
     let forwarder = Forwarder::new(Policy::default());
     for (number, stub) in stubs.iter().enumerate() {
-        let said = Announcement {
-            id: format!("i{number}"),
-            born: 0,
-            service: "desk".to_owned(),
-            address: stub.address,
-            data_centre: "z".to_owned(),
-            slots: if number == 0 { 1_000 } else { 1 },
-            draining: false,
-            models: BTreeMap::new(),
-            sequence: 1,
-        };
-        forwarder.learn(&News::Endpoint(Endpoint { said, standing: Standing::Ready }));
+        let slots = if number == 0 { 1_000 } else { 1 };
+        let endpoint = endpoint("desk", &format!("i{number}"), stub.address, slots);
+        forwarder.learn(&News::Endpoint(endpoint));
     }
     forwarder
 }
 
 fn request() -> Request {
-    let mut request = Request::new(Method::POST, "/x", "body");
+    let mut request = Request::new(Method::POST, "/desk/x", "body");
     request.headers.set("host", "h");
     request.headers.set("x-attempt-id", "id");
     request
@@ -146,7 +120,7 @@
     budget_ms: u64,
 ) -> (Outcome, u32) {
     let budget = Budget::new(clock::now() + budget_ms);
-    let (route, request) = (route(kind, attempts), request());
+    let (route, request) = (route("desk", kind, attempts), request());
     let forwarder = forwarder(stubs);
     let outcome = forwarder.forward(&route, &request, &budget, budget_ms, User::default()).await;
     (outcome, budget.spent().failures)
--- a/components/node/tests/runner.rs
+++ b/components/node/tests/runner.rs
@@ -1,14 +1,15 @@
 //! What a host tells the leader of its runs, on real sockets.
 
+mod support {
+    pub mod job;
+}
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use chicoryford_fleet::Policy;
-use chicoryford_fleet::Sample;
 use chicoryford_fleet::plan::Made;
-use chicoryford_fleet::run::Cost;
-use chicoryford_fleet::run::Job;
 use chicoryford_fleet::run::Report;
 use chicoryford_fleet::run::Standing;
 use chicoryford_fleet::run::Work;
@@ -22,6 +23,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
+use support::job::job;
+
 /// Events of the engine's one answer, and the time between two of them: long enough for the host to
 /// tell of progress several times.
 const EVENTS: usize = 12;
@@ -50,26 +53,6 @@
     address
 }
 
-fn job(address: SocketAddr) -> Job {
-    let sample = Sample { id: "s".to_owned(), path: "/x".to_owned(), ..Sample::default() };
-    Job {
-        run: 1,
-        step: "step".to_owned(),
-        index: 0,
-        host: "h".to_owned(),
-        sample,
-        workspace: None,
-        endpoint: "i1".to_owned(),
-        address,
-        version: 1,
-        least: 1,
-        single: false,
-        left_ms: 10_000,
-        made: Made::default(),
-        cost: Cost::default(),
-    }
-}
-
 /// Takes reports until the run has finished.
 async fn reports(told: &mut mpsc::Receiver<Up>) -> Vec<Report> {
     let mut reports: Vec<Report> = Vec::new();
--- a/components/node/tests/scorers.rs
+++ b/components/node/tests/scorers.rs
@@ -1,7 +1,12 @@
 //! What a host spends on the call of a sample's scorer, on real sockets.
 
+mod support {
+    pub mod endpoint;
+    pub mod job;
+    pub mod route;
+}
+
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,7 +15,6 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use chicoryford_fleet::Announcement;
 use chicoryford_fleet::Config;
 use chicoryford_fleet::Endpoint;
 use chicoryford_fleet::Kind;
@@ -19,9 +23,6 @@
 use chicoryford_fleet::Sample;
 use chicoryford_fleet::Scorer;
 use chicoryford_fleet::Service;
-use chicoryford_fleet::Share;
-use chicoryford_fleet::Standing as EndpointStanding;
-use chicoryford_fleet::plan::Made;
 use chicoryford_fleet::run::Cost;
 use chicoryford_fleet::run::Job;
 use chicoryford_fleet::run::Report;
@@ -43,6 +44,9 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use support::endpoint::endpoint;
+use support::route::route;
+
 /// Endpoints at which one call may run.
 const ATTEMPTS: u32 = 4;
 /// Endpoints that score: more than one call may run at.
@@ -103,30 +107,15 @@
     }
 }
 
-fn route(name: &str, kind: Kind, attempts: u32) -> Route {
-    Route {
-        name: name.to_owned(),
-        host: "h".to_owned(),
-        prefix: format!("/{name}/"),
-        kind,
-        timeout_ms: Some(PASS_MS),
-        target_ms: 150,
-        priority: 1,
-        shares: vec![Share { service: name.to_owned(), weight: 1 }],
-        attempts,
-        resumable: false,
-        due_ms: None,
-        age_ms: None,
-        single: false,
-        open: false,
-    }
+fn scoring() -> Route {
+    Route { timeout_ms: Some(PASS_MS), ..route("score", Kind::Idempotent, ATTEMPTS) }
 }
 
 fn config() -> Config {
     let service = |name: &str| Service { name: name.to_owned(), ..Service::default() };
     Config {
         version: 1,
-        routes: vec![route("score", Kind::Idempotent, ATTEMPTS)],
+        routes: vec![scoring()],
         services: vec![service("score")],
         source: Bytes::from_static(b"{}"),
         ..Config::default()
@@ -141,18 +130,7 @@
         let address = listen(move |stream| {
             actix_rt::spawn(fail(stream, number, time, noted.clone()));
         });
-        let said = Announcement {
-            id: format!("i{number}"),
-            born: 0,
-            service: "score".to_owned(),
-            address: address.await,
-            data_centre: "z".to_owned(),
-            slots: 4,
-            draining: false,
-            models: BTreeMap::new(),
-            sequence: 1,
-        };
-        scorers.push(Endpoint { said, standing: EndpointStanding::Ready });
+        scorers.push(endpoint("score", &format!("i{number}"), address.await, 4));
     }
     (scorers, calls)
 }
@@ -181,25 +159,10 @@
         scorer: Some(scorer),
         ..Sample::default()
     };
-    Job {
-        run: 1,
-        step: "step".to_owned(),
-        index: 0,
-        host: "h".to_owned(),
-        sample,
-        workspace: None,
-        endpoint: "e".to_owned(),
-        address: listen(|stream| {
-            actix_rt::spawn(run(stream));
-        })
-        .await,
-        version: 1,
-        least: 1,
-        single: false,
-        left_ms: WANTED_MS,
-        made: Made::default(),
-        cost,
-    }
+    let address = listen(|stream| {
+        actix_rt::spawn(run(stream));
+    });
+    Job { sample, left_ms: WANTED_MS, cost, ..support::job::job(address.await) }
 }
 
 /// Has a host carry out a run until its scorer is given up; gives what it told last.
@@ -293,7 +256,7 @@
         endpoints: (0..ATTEMPTS).map(|number| format!("i{number}")).collect(),
     };
     let request = Request::new(Method::POST, "/score/x", "");
-    let route = route("score", Kind::Idempotent, ATTEMPTS);
+    let route = scoring();
     let until = clock::now() + WANTED_MS;
     let bound = Budget::shared("c", until, spent);
     let began = Instant::now();
--- /dev/null
+++ b/components/node/tests/support/endpoint.rs
@@ -0,0 +1,24 @@
+//! An endpoint of a plain service.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use chicoryford_fleet::Announcement;
+use chicoryford_fleet::Endpoint;
+use chicoryford_fleet::Standing;
+
+/// Makes an endpoint that is ready.
+pub fn endpoint(service: &str, id: &str, address: SocketAddr, slots: u32) -> Endpoint {
+    let said = Announcement {
+        id: id.to_owned(),
+        born: 0,
+        service: service.to_owned(),
+        address,
+        data_centre: "z".to_owned(),
+        slots,
+        draining: false,
+        models: BTreeMap::new(),
+        sequence: 1,
+    };
+    Endpoint { said, standing: Standing::Ready }
+}
--- /dev/null
+++ b/components/node/tests/support/job.rs
@@ -0,0 +1,29 @@
+//! A run that a host is given.
+
+use std::net::SocketAddr;
+
+use chicoryford_fleet::Sample;
+use chicoryford_fleet::plan::Made;
+use chicoryford_fleet::run::Cost;
+use chicoryford_fleet::run::Job;
+
+/// Makes the run of the sample "s" at an engine.
+pub fn job(address: SocketAddr) -> Job {
+    let sample = Sample { id: "s".to_owned(), path: "/x".to_owned(), ..Sample::default() };
+    Job {
+        run: 1,
+        step: "step".to_owned(),
+        index: 0,
+        host: "h".to_owned(),
+        sample,
+        workspace: None,
+        endpoint: "e".to_owned(),
+        address,
+        version: 1,
+        least: 1,
+        single: false,
+        left_ms: 10_000,
+        made: Made::default(),
+        cost: Cost::default(),
+    }
+}
--- /dev/null
+++ b/components/node/tests/support/route.rs
@@ -0,0 +1,25 @@
+//! A route of a plain service.
+
+use chicoryford_fleet::Kind;
+use chicoryford_fleet::Route;
+use chicoryford_fleet::Share;
+
+/// Makes a route on the host "h" to a service, which all paths below `/SERVICE/` take.
+pub fn route(service: &str, kind: Kind, attempts: u32) -> Route {
+    Route {
+        name: service.to_owned(),
+        host: "h".to_owned(),
+        prefix: format!("/{service}/"),
+        kind,
+        timeout_ms: Some(2_000),
+        target_ms: 150,
+        priority: 1,
+        shares: vec![Share { service: service.to_owned(), weight: 1 }],
+        attempts,
+        resumable: false,
+        due_ms: None,
+        age_ms: None,
+        single: false,
+        open: false,
+    }
+}
