--- a/components/node/tests/lead/fleet.rs
+++ b/components/node/tests/lead/fleet.rs
@@ -308,23 +308,10 @@
     }
 }
 
+/// A run of this number, with a body of its sample.
 pub fn job(number: u64, body: Bytes) -> Job {
-    Job {
-        run: number,
-        step: "step".to_owned(),
-        index: 0,
-        host: "h".to_owned(),
-        sample: Sample { body, ..Sample::default() },
-        workspace: None,
-        endpoint: "e".to_owned(),
-        address: "127.0.0.1:9".parse().unwrap(),
-        version: 1,
-        least: 1,
-        single: false,
-        left_ms: 10_000,
-        made: Made::default(),
-        cost: Cost::default(),
-    }
+    let sample = Sample { body, ..Sample::default() };
+    Job { run: number, sample, ..crate::job::job("127.0.0.1:9".parse().unwrap()) }
 }
 
 pub async fn until(what: &str, is: impl Fn() -> bool) {
--- a/components/node/tests/link.rs
+++ b/components/node/tests/link.rs
@@ -1,5 +1,9 @@
 //! A host's connection to a leader that the test plays, on real sockets: how old an order may be.
 
+mod support {
+    pub mod job;
+}
+
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -15,12 +19,8 @@
 use chicoryford_fleet::Kind;
 use chicoryford_fleet::Policy;
 use chicoryford_fleet::Route;
-use chicoryford_fleet::Sample;
 use chicoryford_fleet::Scorer;
 use chicoryford_fleet::Share;
-use chicoryford_fleet::plan::Made;
-use chicoryford_fleet::run::Cost;
-use chicoryford_fleet::run::Job;
 use chicoryford_fleet::run::Report;
 use chicoryford_fleet::run::Standing;
 use chicoryford_fleet::run::Work;
@@ -48,6 +48,8 @@
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
+use support::job::job;
+
 /// How long an order lies on its way. The bound after the acknowledgement of an end is 3 s; what is
 /// begun after this long would reach its engine after it, as a connection takes a quarter of a second.
 const LAIN: Duration = Duration::from_millis(2_700);
@@ -167,25 +169,6 @@
     (address, came)
 }
 
-fn job(address: SocketAddr) -> Job {
-    Job {
-        run: 1,
-        step: "step".to_owned(),
-        index: 0,
-        host: "h".to_owned(),
-        sample: Sample { id: "s".to_owned(), path: "/x".to_owned(), ..Sample::default() },
-        workspace: None,
-        endpoint: "e".to_owned(),
-        address,
-        version: 1,
-        least: 1,
-        single: false,
-        left_ms: 10_000,
-        made: Made::default(),
-        cost: Cost::default(),
-    }
-}
-
 /// Symptom: an engine gets a sample of a step whose end was acknowledged seconds ago.
 /// Sequence: the leader orders a run; the order lies in a queue or a socket, while other frames keep
 /// coming in both directions, so that neither side takes the other for lost; meanwhile the step ends.
