A scorer's call that comes to nothing is repeated after longer and longer pauses

With it a call comes at most seven times in 2.5 s.

Why it works: the pause doubles from 60 ms to about a second. A refusal still says itself when to come back.

--- a/components/node/src/runner/carry.rs
+++ b/components/node/src/runner/carry.rs
@@ -33,8 +33,9 @@
 /// Milliseconds that one call of a scorer may take. Its work is a fraction of a second, so beyond
 /// this it is lost, and may be repeated.
 const SCORE_MS: u64 = 2_500;
-/// Pause before a scorer is called again.
+/// Pause before a scorer is called again, doubled each time up to the longest.
 const SCORE_PAUSE: Duration = Duration::from_millis(60);
+const LONGEST_SCORE_PAUSE: Duration = Duration::from_millis(960);
 /// The urgency of runs; all of them have the same, since the planner keeps the order.
 const URGENCY: u8 = 5;
 
@@ -184,6 +185,7 @@
     let Some(scorer) = &job.sample.scorer else { return Standing::Finished(None) };
     let request = sample::score_request(scorer, job.workspace.as_deref());
     let budget = &state.budget;
+    let mut pause = SCORE_PAUSE;
     loop {
         if !runner.is_led() {
             tokio::time::sleep(SCORE_PAUSE).await;
@@ -201,7 +203,6 @@
             return Standing::Unscored;
         }
         let limit = route.timeout_ms.unwrap_or(SCORE_MS).min(SCORE_MS);
-        let mut after = SCORE_PAUSE;
         // A call may ask several endpoints, for seconds, so it ends with the leader's sign.
         let workspace = job.workspace.as_deref().unwrap_or_default();
         let user = User { workspace, rank: route.priority, ticket: None };
@@ -209,15 +210,17 @@
             outcome = runner.forwarder.forward(route, &request, budget, limit, user) => outcome,
             () = runner.unled() => continue,
         };
-        match called {
-            Outcome::Answered(reply) if reply.status.is_success() => {
-                if let Some(score) = sample::score(&reply.headers) {
-                    return Standing::Finished(Some(score.to_owned()));
-                }
-            }
-            Outcome::NotRun(_, after_ms) => after = Duration::from_millis(after_ms),
-            Outcome::Answered(_) | Outcome::Lost | Outcome::Late => {}
+        if let Outcome::Answered(reply) = &called
+            && reply.status.is_success()
+            && let Some(score) = sample::score(&reply.headers)
+        {
+            return Standing::Finished(Some(score.to_owned()));
+        }
+        if let Outcome::NotRun(_, after_ms) = called {
+            tokio::time::sleep(Duration::from_millis(after_ms)).await;
+        } else {
+            tokio::time::sleep(pause).await;
+            pause = LONGEST_SCORE_PAUSE.min(2 * pause);
         }
-        tokio::time::sleep(after).await;
     }
 }
--- a/components/node/tests/scorers.rs
+++ b/components/node/tests/scorers.rs
@@ -87,8 +87,9 @@
     }
 }
 
-/// Fails a call after a while.
-async fn fail(mut stream: TcpStream, endpoint: usize, time: Duration, calls: Calls) {
+/// Answers a call with this status after a while.
+async fn answer(mut stream: TcpStream, endpoint: usize, does: (u16, Duration), calls: Calls) {
+    let (status, time) = does;
     let mut bytes = vec![0; 4_096];
     while let Ok(read) = stream.read(&mut bytes).await {
         if read == 0 {
@@ -99,8 +100,10 @@
         let left_ms = left.and_then(|left| left.parse().ok()).expect("a time limit");
         calls.borrow_mut().push(Asked { endpoint, at: Instant::now(), left_ms });
         tokio::time::sleep(time).await;
-        let answer = "HTTP/1.1 500 x\r\nx-attempt-id: c\r\nx-response-stamp: p\r\n\
-                      content-length: 0\r\n\r\n";
+        let answer = format!(
+            "HTTP/1.1 {status} x\r\nx-attempt-id: c\r\nx-response-stamp: p\r\n\
+             content-length: 0\r\n\r\n"
+        );
         if stream.write_all(answer.as_bytes()).await.is_err() {
             return;
         }
@@ -124,11 +127,15 @@
 
 /// Starts scorers that fail after so long.
 async fn scorers(time: Duration) -> (Vec<Endpoint>, Calls) {
+    scorers_that_answer(500, time).await
+}
+
+async fn scorers_that_answer(status: u16, time: Duration) -> (Vec<Endpoint>, Calls) {
     let (mut scorers, calls) = (Vec::new(), Calls::default());
     for number in 0..SCORERS {
         let noted = calls.clone();
         let address = listen(move |stream| {
-            actix_rt::spawn(fail(stream, number, time, noted.clone()));
+            actix_rt::spawn(answer(stream, number, (status, time), noted.clone()));
         });
         scorers.push(endpoint("score", &format!("i{number}"), address.await, 4));
     }
@@ -265,3 +272,14 @@
     assert!(began.elapsed() < Duration::from_millis(60), "{:?}", began.elapsed());
     assert_eq!(bound.spent().endpoints.len(), ATTEMPTS as usize);
 }
+
+/// Guards against a call that is repeated as fast as a scorer answers that it will not do it.
+#[actix_rt::test]
+async fn a_call_that_is_turned_down_is_repeated_less_and_less() {
+    let (scorers, calls) = scorers_that_answer(404, Duration::from_millis(1)).await;
+    let runner = host(&scorers);
+    runner.attach_own(|_| {});
+    runner.take(Work::Run(Box::new(job(Cost::default()).await)));
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    assert!((3..=7).contains(&calls.borrow().len()), "{calls:?}");
+}
