Hosts tell the leader of the first endpoint that a scorer's call asks, too

Cause, from its log: a host asks one endpoint at 2.62 s and is paused at 2.99 s. It tells of a call only once that has failed or asked a second one, because the next host prefers the same endpoints; but three endpoints that had crashed came back under new identities at 2.87 s, and the next host preferred these.

Why it works: whatever a call has cost is told at the next look. What is lost with a host is the last quarter of a second. It costs one more report for a call that lasts so long.

--- a/components/node/src/runner/mod.rs
+++ b/components/node/src/runner/mod.rs
@@ -72,11 +72,10 @@
 }
 
 impl State {
-    /// Tells whether the scorer's call has cost what the leader should know, in case this host is lost. Of
-    /// one endpoint that is asked it need not: the next host asks the same.
+    /// Tells whether the scorer's call has cost what the leader does not know. The next host asks the same
+    /// endpoints, but others may have come meanwhile that it prefers.
     fn has_spent(&self) -> bool {
-        let (spent, told) = (self.budget.spent(), self.told_spent.borrow());
-        spent != *told && (spent.failures > 0 || spent.endpoints.len() > 1)
+        self.budget.spent() != *self.told_spent.borrow()
     }
 }
 
