Hosts tell at once of each endpoint that a scorer's call asks

Cause, from its log: the second endpoint was asked between the last look of the host at 0.90 s and its pause at 0.92 s, so the leader did not know of it.

Why it works: the budget wakes the call's host when an endpoint is added, and the word leaves before anything else is done.

--- a/components/node/src/forward/budget.rs
+++ b/components/node/src/forward/budget.rs
@@ -4,6 +4,7 @@
 
 use chicoryford_fleet::run::Spent;
 use chicoryford_types::Millis;
+use tokio::sync::Notify;
 
 use crate::clock;
 
@@ -15,18 +16,20 @@
     /// Names the request at whichever process carries it.
     pub(super) shared: Option<String>,
     pub(super) spent: RefCell<Spent>,
+    pub(super) grown: Notify,
 }
 
 impl Budget {
     /// Makes the budget of a request whose caller waits until then.
     pub fn new(deadline: Millis) -> Self {
-        Self { deadline, shared: None, spent: RefCell::default() }
+        Self { deadline, shared: None, spent: RefCell::default(), grown: Notify::new() }
     }
 
     /// Makes the budget of a request that other processes may have carried before, or carry as well. All
     /// of them prefer the same endpoints, so that together they ask no more than one of them may.
     pub fn shared(id: &str, deadline: Millis, spent: Spent) -> Self {
-        Self { deadline, shared: Some(id.to_owned()), spent: RefCell::new(spent) }
+        let shared = Some(id.to_owned());
+        Self { deadline, shared, spent: RefCell::new(spent), grown: Notify::new() }
     }
 
     /// Gives the milliseconds for which its caller still waits.
@@ -34,6 +37,11 @@
         self.deadline.since(clock::now())
     }
 
+    /// Waits until an endpoint is asked that was not asked before.
+    pub async fn asked_another(&self) {
+        self.grown.notified().await;
+    }
+
     /// Gives what was spent so far.
     pub fn spent(&self) -> Spent {
         self.spent.borrow().clone()
--- a/components/node/src/forward/carry.rs
+++ b/components/node/src/forward/carry.rs
@@ -175,6 +175,7 @@
         self.tried.push(id.clone());
         if self.budget.spent.borrow_mut().endpoints.insert(id.clone()) {
             self.added.insert(id.clone());
+            self.budget.grown.notify_one();
         }
         let at_ms = clock::now().since(self.began);
         self.tries.borrow_mut().push(Try { target: target.clone(), at_ms, sent: None, end: None });
--- a/components/node/src/runner/carry.rs
+++ b/components/node/src/runner/carry.rs
@@ -1,5 +1,6 @@
 //! Carries out one run: at its engine, then at its scorer.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -206,10 +207,16 @@
         // A call may ask several endpoints, for seconds, so it ends with the leader's sign.
         let workspace = job.workspace.as_deref().unwrap_or_default();
         let user = User { workspace, rank: route.priority, ticket: None };
-        let called = tokio::select! {
-            outcome = runner.forwarder.forward(route, &request, budget, limit, user) => outcome,
-            () = runner.unled() => continue,
+        let mut pass = pin!(runner.forwarder.forward(route, &request, budget, limit, user));
+        let called = loop {
+            tokio::select! {
+                outcome = &mut pass => break Some(outcome),
+                // Told at once: if this host is lost, the next one may prefer endpoints that came since.
+                () = budget.asked_another() => runner.stands(job, state, Standing::Scoring),
+                () = runner.unled() => break None,
+            }
         };
+        let Some(called) = called else { continue };
         if let Outcome::Answered(reply) = &called
             && reply.status.is_success()
             && let Some(score) = sample::score(&reply.headers)
--- a/components/node/src/runner/mod.rs
+++ b/components/node/src/runner/mod.rs
@@ -72,8 +72,7 @@
 }
 
 impl State {
-    /// Tells whether the scorer's call has cost what the leader does not know. The next host asks the same
-    /// endpoints, but others may have come meanwhile that it prefers.
+    /// Tells whether the scorer's call has cost what the leader does not know.
     fn has_spent(&self) -> bool {
         self.budget.spent() != *self.told_spent.borrow()
     }
--- a/components/node/tests/scorers.rs
+++ b/components/node/tests/scorers.rs
@@ -144,12 +144,8 @@
 
 /// Starts a host that knows these scorers.
 fn host(scorers: &[Endpoint]) -> Rc<Runner> {
-    host_under(Policy::default(), scorers)
-}
-
-fn host_under(policy: Policy, scorers: &[Endpoint]) -> Rc<Runner> {
     let view = Rc::new(View::default());
-    let forwarder = Forwarder::new(policy);
+    let forwarder = Forwarder::new(Policy::default());
     let learning = forwarder.clone();
     view.listen(move |news| learning.learn(news));
     view.learn(News::Config(Arc::new(config())));
@@ -237,18 +233,18 @@
 /// Guards against an endpoint that a lost host has asked, and that the next one does not count because it
 /// prefers endpoints that have come since.
 #[actix_rt::test]
-async fn the_leader_is_told_of_the_first_endpoint_that_a_call_asks() {
+async fn the_leader_is_told_at_once_of_each_endpoint_that_a_call_asks() {
     let (scorers, _calls) = scorers(Duration::from_millis(2_000)).await;
-    let runner = host_under(Policy { second_attempts: false, ..Policy::default() }, &scorers);
+    let runner = host(&scorers);
     let told: Rc<RefCell<Vec<Report>>> = Rc::default();
     let telling = told.clone();
     runner.attach_own(move |report| telling.borrow_mut().push(report.clone()));
-    actix_rt::spawn(runner.clone().run());
     runner.take(Work::Run(Box::new(job(Cost::default()).await)));
-    tokio::time::sleep(Duration::from_millis(400)).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    // The second was asked beside the first, which is silent.
     let told = told.borrow();
-    let last = told.last().expect("a report");
-    assert_eq!(last.cost.scorer.endpoints.len(), 1, "{last:?}");
+    let counts: BTreeSet<usize> = told.iter().map(|one| one.cost.scorer.endpoints.len()).collect();
+    assert_eq!(counts, BTreeSet::from([0, 1, 2]), "{told:?}");
 }
 
 /// Guards against a host that begins to count anew what a scorer's call has cost at the host before.
