--- a/components/fleet/src/pick.rs
+++ b/components/fleet/src/pick.rs
@@ -89,7 +89,7 @@
 pub enum Nowhere {
     /// The service has no endpoint that is ready.
     NoneReady,
-    /// None of those that are ready fits: all were tried already.
+    /// None of those that are ready fits.
     AllTried,
 }
 
--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -45,7 +45,7 @@
 /// engine with all its slots taken is about a tenth slower than an idle one, so this is a fault.
 const SLOW: f64 = 2.0;
 
-/// Milliseconds for which it is remembered what samples of a step have cost that is over. Their trainer
+/// Milliseconds for which the planner remembers what samples of a step that is over have cost. Their trainer
 /// submits them again in one of its next steps, if at all.
 const PAST_MS: u64 = 120_000;
 
--- a/components/fleet/src/plan/reports.rs
+++ b/components/fleet/src/plan/reports.rs
@@ -23,10 +23,11 @@
 /// of each run four times a second, so the last second or so counts.
 const NEWEST: f64 = 0.15;
 
-/// Crashes after which a sample is run again only after a rest, and after which it is not run again.
+/// Crashes after which a sample is run again only after a rest.
 const SUSPECTED: u32 = 3;
+/// Crashes after which it is not run again.
 const CONVICTED: u32 = 6;
-/// Milliseconds of such a rest.
+/// Milliseconds of the rest: an engine that crashed is back by then.
 const REST_MS: u64 = 4_000;
 
 /// Gives the milliseconds for which a sample rests that has crashed so many engines. It is not given up: only
--- a/components/fleet/src/run.rs
+++ b/components/fleet/src/run.rs
@@ -14,7 +14,8 @@
 use crate::plan::RunEnd;
 use crate::step::Sample;
 
-/// What a request has cost so far, over all passes in which it was carried.
+/// What a request has cost so far, over all passes in which it was carried: each goes from endpoint to
+/// endpoint until one answers or its time is up.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Spent {
     /// Answers that it failed.
@@ -58,7 +59,7 @@
         self.unfit || self.failures + self.crashes + self.scorer.failures > 0
     }
 
-    /// Tells whether the sample is not to run again, where it may fail so often.
+    /// Tells whether the sample is not to run again on a route that allows so many failures.
     pub fn is_over(&self, attempts: u32) -> bool {
         self.unfit || self.failures >= attempts.max(1)
     }
@@ -152,8 +153,8 @@
     pub gap_ms: u32,
     /// What the sample had cost before this run ended.
     pub cost: Cost,
-    /// Milliseconds until the sample is too old, as the host was told. Time without a leader does not count
-    /// for the next one.
+    /// Milliseconds until the sample is too old, as the host was told; the next leader may know less of how
+    /// long ago it was submitted.
     pub left_ms: u64,
 }
 
--- a/components/node/src/forward/budget.rs
+++ b/components/node/src/forward/budget.rs
@@ -1,4 +1,4 @@
-//! What a request may cost, and what it has cost so far.
+//! What a request may cost: time and endpoints, however often it is carried.
 
 use std::cell::RefCell;
 
