--- a/components/fleet/src/config.rs
+++ b/components/fleet/src/config.rs
@@ -244,8 +244,14 @@
         self.shares.iter().rev().find(|share| share.weight > 0).map(|share| share.service.as_str())
     }
 
+    /// Returns the services that get some of the traffic of the route.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        let shares = self.shares.iter().filter(|share| share.weight > 0);
+        shares.map(|share| share.service.as_str())
+    }
+
     /// Returns whether a service gets some of the traffic of the route.
     pub fn leads_to(&self, service: &str) -> bool {
-        self.shares.iter().any(|share| share.weight > 0 && share.service == service)
+        self.services().any(|known| known == service)
     }
 }
--- a/components/fleet/src/plan/listing.rs
+++ b/components/fleet/src/plan/listing.rs
@@ -8,6 +8,7 @@
 use super::Planner;
 use super::samples::Phase;
 use super::samples::StepPlan;
+use crate::step::Sample;
 
 /// Milliseconds for which every result waits for others, so that they share a part, a log entry and
 /// a sync. This is short compared to the half second between two reads by a trainer.
@@ -128,11 +129,21 @@
 
     /// Returns whether as many groups are complete as the trainer waits for.
     fn has_wanted_groups(&self) -> bool {
+        let complete = self.complete_groups();
+        complete.values().filter(|complete| **complete).count() as u64 >= self.step.wanted_groups
+    }
+
+    /// Returns for each group whether all of its samples have results.
+    pub(super) fn complete_groups(&self) -> BTreeMap<&str, bool> {
         let mut complete: BTreeMap<&str, bool> = BTreeMap::new();
         for (sample, progress) in self.step.samples.iter().zip(&self.progress) {
-            let group = if sample.group.is_empty() { &sample.id } else { &sample.group };
-            *complete.entry(group).or_insert(true) &= progress.phase == Phase::Settled;
+            *complete.entry(group_of(sample)).or_insert(true) &= progress.phase == Phase::Settled;
         }
-        complete.values().filter(|complete| **complete).count() as u64 >= self.step.wanted_groups
+        complete
     }
 }
+
+/// Returns the group of a sample. A sample without a group is a group of its own.
+pub(super) fn group_of(sample: &Sample) -> &str {
+    if sample.group.is_empty() { &sample.id } else { &sample.group }
+}
--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -23,8 +23,11 @@
 use chicoryford_types::Millis;
 
 use crate::endpoint::Endpoint;
+use crate::grant::Grant;
 use crate::policy::Policy;
 use crate::run::Cost;
+use crate::state::COST_TTL_MS;
+use crate::step::Scorer;
 use crate::step::Step;
 
 pub use engine::EngineState;
@@ -46,10 +49,6 @@
 /// all slots in use is about a tenth slower than an idle one, so this ratio indicates a fault.
 const SLOW_RATIO: f64 = 2.0;
 
-/// Milliseconds for which the planner keeps the costs of failed samples of closed steps. If their
-/// trainer submits them again, it does so in one of its next steps.
-const PAST_COST_MS: u64 = 120_000;
-
 /// Schedules the samples of all open steps on the engines.
 #[derive(Default)]
 pub struct Planner {
@@ -63,8 +62,7 @@
     last_run: u64,
     /// Hosts that were asked for their runs and have not reported yet.
     unreported_hosts: BTreeSet<String>,
-    /// Costs of failed samples of closed steps with the time at which the step was closed, in case
-    /// the samples are submitted again.
+    /// Costs of samples that may be submitted again, with the time at which their step was closed.
     past_costs: BTreeMap<String, (Cost, Millis)>,
     policy: Policy,
 }
@@ -139,14 +137,12 @@
     /// Removes a step that has ended and returns the runs that hosts still have, as host, sample
     /// index and run id.
     pub fn close_step(&mut self, step: &str, now: Millis) -> Vec<(String, u32, u64)> {
+        let unfinished = self.unfinished_costs(step);
         let Some(planned) = self.steps.remove(step) else { return Vec::new() };
         let mut hosted = Vec::new();
-        self.past_costs.retain(|_, (_, at)| now.since(*at) < PAST_COST_MS);
+        self.past_costs.retain(|_, (_, at)| now.since(*at) < COST_TTL_MS);
+        self.past_costs.extend(unfinished.into_iter().map(|(id, cost)| (id, (cost, now))));
         for (index, progress) in planned.progress.into_iter().enumerate() {
-            if progress.cost.has_failed() {
-                let id = planned.step.samples[index].id.clone();
-                self.past_costs.insert(id, (progress.cost, now));
-            }
             if progress.phase == Phase::Running {
                 self.release_slot(progress.engine.as_deref(), &planned.step.model);
             }
@@ -155,6 +151,71 @@
         hosted
     }
 
+    /// Returns the costs of the samples of an open step that their trainer may submit again: those
+    /// of incomplete groups. The endpoints that were granted to their scorers' calls are included,
+    /// because a host may have called them without having reported so.
+    pub fn unfinished_costs(&self, step: &str) -> Vec<(String, Cost)> {
+        let Some(planned) = self.steps.get(step) else { return Vec::new() };
+        let complete = planned.complete_groups();
+        let mut costs = Vec::new();
+        for (sample, progress) in planned.step.samples.iter().zip(&planned.progress) {
+            let may_have_run = progress.run > 0 || progress.claimable;
+            let scorer = sample.scorer.as_ref().filter(|_| may_have_run);
+            let granted = scorer.is_some_and(|scorer| !scorer.endpoints.is_empty());
+            let is_complete = complete.get(listing::group_of(sample)).copied().unwrap_or_default();
+            if !progress.cost.has_failed() && (is_complete || !granted) {
+                continue;
+            }
+            let mut cost = progress.cost.clone();
+            if let Some(scorer) = scorer {
+                cost.grant = Grant::of(scorer, &cost.grant);
+            }
+            costs.push((sample.id.clone(), cost));
+        }
+        costs
+    }
+
+    /// Adds costs that were recorded in the log, by sample id. Returns the open samples whose grant
+    /// was extended, as step and index.
+    pub fn restore_costs(&mut self, costs: &[(String, Cost)], now: Millis) -> Vec<(String, u32)> {
+        let mut granted = Vec::new();
+        for (id, cost) in costs {
+            let past = self.past_costs.entry(id.clone()).or_insert_with(|| (cost.clone(), now));
+            past.0.merge(cost);
+            past.1 = now;
+            for (step, planned) in &mut self.steps {
+                let mut samples = planned.step.samples.iter();
+                let Some(index) = samples.position(|sample| sample.id == *id) else { continue };
+                let progress = &mut planned.progress[index];
+                let Some(scorer) = &planned.step.samples[index].scorer else { continue };
+                let before = Grant::of(scorer, &progress.cost.grant);
+                progress.cost.merge(cost);
+                if Grant::of(scorer, &progress.cost.grant) != before {
+                    granted.push((step.clone(), index as u32));
+                }
+            }
+        }
+        granted
+    }
+
+    /// Returns the scorer of a sample and the sample's cost so far.
+    pub fn scorer(&self, step: &str, index: u32) -> Option<(&Scorer, &Cost)> {
+        let planned = self.steps.get(step)?;
+        let scorer = planned.step.samples.get(index as usize)?.scorer.as_ref()?;
+        Some((scorer, &planned.progress.get(index as usize)?.cost))
+    }
+
+    /// Returns whether a sample's scorer is being called.
+    pub fn is_scoring(&self, step: &str, index: u32) -> bool {
+        let progress = self.steps.get(step).and_then(|plan| plan.progress.get(index as usize));
+        progress.is_some_and(|progress| progress.phase == Phase::Scoring)
+    }
+
+    /// Returns the id of a sample.
+    pub fn sample_id(&self, step: &str, index: u32) -> Option<&str> {
+        Some(&self.steps.get(step)?.step.samples.get(index as usize)?.id)
+    }
+
     /// Returns whether a step is open in the planner.
     pub fn has_step(&self, step: &str) -> bool {
         self.steps.contains_key(step)
--- a/components/fleet/src/run.rs
+++ b/components/fleet/src/run.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::grant::Grant;
 use crate::plan::RunEnd;
 use crate::plan::SampleOutput;
 use crate::step::Sample;
@@ -45,6 +46,10 @@
     pub crashes: u32,
     /// The calls of its scorer.
     pub scorer: CallCost,
+    /// What was added to the endpoints that its scorer's call was granted with its step. Reports
+    /// contain only the endpoints that a host found to have ended.
+    #[serde(default)]
+    pub grant: Grant,
 }
 
 impl Cost {
@@ -53,6 +58,7 @@
         self.failures = self.failures.max(other.failures);
         self.unfit |= other.unfit;
         self.scorer.merge(&other.scorer);
+        self.grant.merge(&other.grant);
     }
 
     /// Returns whether anything has failed.
@@ -108,6 +114,17 @@
     Run(Box<Job>),
     /// Report all runs completely again, because the leader may not have known their steps.
     Tell,
+    /// Add endpoints to those that the scorer's call of a run may use.
+    Grant {
+        /// The step.
+        step: String,
+        /// The index of the sample in the step.
+        index: u32,
+        /// The id of the run.
+        run: u64,
+        /// All that was added since the step was accepted.
+        grant: Grant,
+    },
     /// Stop a run, or drop one that has ended.
     Stop {
         /// The step.
--- a/components/fleet/src/state.rs
+++ b/components/fleet/src/state.rs
@@ -16,11 +16,16 @@
 use crate::crashes::Crash;
 use crate::duty::Holding;
 use crate::endpoint::Endpoint;
+use crate::run::Cost;
 use crate::step::ListedResult;
 use crate::step::StepSummary;
 use crate::usage::Totals;
 use crate::usage::UsageState;
 
+/// Milliseconds for which the cost of a sample is kept. If its trainer submits it again, it does so
+/// in one of its next steps.
+pub const COST_TTL_MS: u64 = 120_000;
+
 /// A change of the state.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub enum Command {
@@ -97,6 +102,9 @@
         /// before it.
         accepted: Option<u64>,
     },
+    /// Records what samples have cost, by sample id. It is recorded before a host may rely on it,
+    /// and before a sample that may be submitted again leaves its step.
+    Spend(Vec<(String, Cost)>),
     /// Records that an endpoint crashed while it ran a request with this content.
     Crash(Crash),
     /// Records that a request with a suspected content completed.
@@ -167,6 +175,15 @@
     pub placement: Placement,
 }
 
+/// What a sample has cost, and when that was recorded last, on the fleet clock.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct SampleCost {
+    /// The cost.
+    pub cost: Cost,
+    /// When it was recorded.
+    pub at: u64,
+}
+
 /// The replicated state.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct State {
@@ -190,6 +207,9 @@
     pub usage: UsageState,
     /// Contents of requests that crash endpoints.
     pub crashes: crashes::CrashState,
+    /// The costs of samples that have failed, or that may be submitted again.
+    #[serde(default)]
+    pub costs: BTreeMap<String, SampleCost>,
 }
 
 impl State {
@@ -214,12 +234,26 @@
             Command::CloseWindow { window, accepted } => {
                 changed(self.usage.close(window, accepted))
             }
+            Command::Spend(costs) => self.record_costs(costs),
             Command::Crash(crash) => changed(self.crashes.record_crash(crash, self.clock)),
             Command::Clear(content) => changed(self.crashes.clear_suspect(content)),
             Command::Retire { node } => changed(self.retired.insert(node)),
         }
     }
 
+    fn record_costs(&mut self, costs: Vec<(String, Cost)>) -> ApplyOutcome {
+        let at = self.clock;
+        self.costs.retain(|_, known| at.saturating_sub(known.at) < COST_TTL_MS);
+        for (sample, cost) in costs {
+            let known = self.costs.entry(sample);
+            let known = known.or_insert_with(|| SampleCost { cost: Cost::default(), at });
+            known.cost.merge(&cost);
+            known.cost.crashes = cost.crashes;
+            known.at = at;
+        }
+        ApplyOutcome::Changed
+    }
+
     fn hold(&mut self, next: Holding) -> ApplyOutcome {
         let accepted = self.holding.as_ref().is_none_or(|held| held.can_pass_to(&next, self.clock));
         if accepted {
--- a/components/fleet/src/step.rs
+++ b/components/fleet/src/step.rs
@@ -1,6 +1,7 @@
 //! Steps of trainers: their submission and the results of their samples.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use bytes::Bytes;
 use serde::Deserialize;
@@ -29,6 +30,10 @@
     pub path: String,
     /// The body.
     pub body: Bytes,
+    /// The endpoints that may execute the call ([`crate::grant`]), chosen when its step is accepted.
+    /// They are stored with the step, so that the next leader grants the same ones.
+    #[serde(default)]
+    pub endpoints: BTreeSet<String>,
 }
 
 /// A sample to be generated.
--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -54,6 +54,11 @@
     pub fn is_unsent(&self) -> bool {
         matches!(self, Self::NotSent(_))
     }
+
+    /// Returns whether nothing accepts connections at the endpoint's address.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::NotSent(error) if error.kind() == io::ErrorKind::ConnectionRefused)
+    }
 }
 
 /// A connection to an endpoint, used for one request at a time.
--- a/components/node/src/crashes.rs
+++ b/components/node/src/crashes.rs
@@ -2,7 +2,6 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,7 +9,6 @@
 use chicoryford_fleet::crashes::Crash;
 use chicoryford_fleet::crashes::LocalCrashes;
 use chicoryford_http::Connection;
-use chicoryford_http::ExchangeError;
 use chicoryford_http::Request;
 use chicoryford_types::Fingerprint;
 
@@ -110,10 +108,7 @@
 /// Returns whether an endpoint whose connection has just broken refuses new connections.
 pub async fn has_crashed(address: SocketAddr) -> bool {
     tokio::time::sleep(PROBE_DELAY).await;
-    match Connection::open(address, CONNECT_TIMEOUT).await {
-        Err(ExchangeError::NotSent(error)) => error.kind() == ErrorKind::ConnectionRefused,
-        _ => false,
-    }
+    Connection::open(address, CONNECT_TIMEOUT).await.is_err_and(|error| error.is_refused())
 }
 
 /// Returns the fingerprint of a request's content, without the parts that differ each time it is
--- a/components/node/src/forward/budget.rs
+++ b/components/node/src/forward/budget.rs
@@ -1,7 +1,9 @@
 //! Limits of a request in time and endpoints, over all of its passes.
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 
+use chicoryford_fleet::Grant;
 use chicoryford_fleet::run::CallCost;
 use chicoryford_types::Millis;
 use tokio::sync::Notify;
@@ -10,27 +12,51 @@
 
 /// Limits of a request over all passes in which it is forwarded: endpoints get the same deadline in
 /// each pass, and no more of them run the request than its route allows.
-#[derive(Debug)]
 pub struct Budget {
     pub(super) deadline: Millis,
-    /// Identifies a request that several processes may forward.
-    pub(super) request_id: Option<String>,
     pub(super) spent: RefCell<CallCost>,
-    pub(super) added: Notify,
+    /// The rights to a call that several processes may execute.
+    shared: Option<SharedCall>,
+    /// Notified when the request is sent to another endpoint, or when one was found to have ended.
+    pub(super) changed: Notify,
+}
+
+/// The rights of this process to a call that several processes may execute.
+struct SharedCall {
+    /// The endpoints that may be called.
+    grant: RefCell<Grant>,
+    /// Endpoints that refused a connection.
+    refused: RefCell<BTreeSet<String>>,
+    /// Returns whether the call is still wanted.
+    is_wanted: Box<dyn Fn() -> bool>,
+    /// Notified when the grant is extended.
+    extended: Notify,
 }
 
 impl Budget {
     /// Creates the budget of a request whose caller waits until `deadline`.
     pub fn new(deadline: Millis) -> Self {
-        Self { deadline, request_id: None, spent: RefCell::default(), added: Notify::new() }
+        let (spent, changed) = (RefCell::default(), Notify::new());
+        Self { deadline, spent, shared: None, changed }
     }
 
     /// Creates the budget of a request that other processes may have forwarded before, or may
-    /// forward concurrently. All of them prefer the same endpoints, so that together they use no
-    /// more endpoints than one of them may.
-    pub fn shared(id: &str, deadline: Millis, spent: CallCost) -> Self {
-        let request_id = Some(id.to_owned());
-        Self { deadline, request_id, spent: RefCell::new(spent), added: Notify::new() }
+    /// forward concurrently. It is sent only to endpoints of the grant, and only while `is_wanted`
+    /// returns true, which is evaluated before each attempt: a process that was frozen must not act
+    /// on what it knew before.
+    pub fn shared(
+        deadline: Millis,
+        spent: CallCost,
+        grant: Grant,
+        is_wanted: impl Fn() -> bool + 'static,
+    ) -> Self {
+        let shared = SharedCall {
+            grant: RefCell::new(grant),
+            refused: RefCell::default(),
+            is_wanted: Box::new(is_wanted),
+            extended: Notify::new(),
+        };
+        Self { spent: RefCell::new(spent), shared: Some(shared), ..Self::new(deadline) }
     }
 
     /// Returns the milliseconds for which the caller still waits.
@@ -38,9 +64,76 @@
         self.deadline.since(clock::now())
     }
 
-    /// Waits until the request is sent to an endpoint that it was not sent to before.
-    pub async fn endpoint_added(&self) {
-        self.added.notified().await;
+    /// Returns whether the request may be sent now.
+    pub(super) fn permits_send(&self) -> bool {
+        self.left_ms() > 0 && self.shared.as_ref().is_none_or(|shared| (shared.is_wanted)())
+    }
+
+    /// Returns whether the request may be sent to an endpoint, if at most `limit` endpoints may run
+    /// it.
+    pub(super) fn allows(&self, id: &str, limit: usize) -> bool {
+        if let Some(shared) = &self.shared {
+            return shared.grant.borrow().allows(id);
+        }
+        let spent = self.spent.borrow();
+        spent.endpoints.len() < limit || spent.endpoints.contains(id)
+    }
+
+    /// Returns whether only granted endpoints may be called.
+    pub(super) fn is_shared(&self) -> bool {
+        self.shared.is_some()
+    }
+
+    /// Returns how many granted endpoints fulfil a condition.
+    pub(super) fn count_granted(&self, condition: impl Fn(&str) -> bool) -> usize {
+        let Some(shared) = &self.shared else { return 0 };
+        let grant = shared.grant.borrow();
+        grant.endpoints.iter().filter(|id| grant.allows(id) && condition(id)).count()
+    }
+
+    /// Records that nothing accepts connections at an endpoint's address. If that is so in two
+    /// passes, the endpoint has ended.
+    pub(super) fn record_refusal(&self, id: &str) {
+        let known = self.shared.as_ref().map(|shared| &shared.refused);
+        if known.is_some_and(|refused| !refused.borrow_mut().insert(id.to_owned())) {
+            self.record_end(id);
+        }
+    }
+
+    /// Records that a granted endpoint has ended. The leader may grant another one instead.
+    pub(super) fn record_end(&self, id: &str) {
+        if let Some(shared) = &self.shared
+            && shared.grant.borrow_mut().ended.insert(id.to_owned())
+        {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Adds endpoints to the grant.
+    pub fn extend(&self, added: &Grant) {
+        if let Some(shared) = &self.shared {
+            shared.grant.borrow_mut().merge(added);
+            shared.extended.notify_one();
+        }
+    }
+
+    /// Waits until the grant is extended.
+    pub async fn extended(&self) {
+        match &self.shared {
+            Some(shared) => shared.extended.notified().await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Returns the granted endpoints that have ended.
+    pub fn ended(&self) -> BTreeSet<String> {
+        self.shared.as_ref().map(|shared| shared.grant.borrow().ended.clone()).unwrap_or_default()
+    }
+
+    /// Waits until the request is sent to an endpoint that it was not sent to before, or until an
+    /// endpoint is found to have ended.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
     }
 
     /// Returns what was spent so far.
--- a/components/node/src/forward/dispatch.rs
+++ b/components/node/src/forward/dispatch.rs
@@ -137,32 +137,24 @@
         self.queue_place.is_some()
     }
 
-    /// Returns whether there is an untried ready endpoint that the budget excludes. Then a lack of
-    /// capacity is not the reason that no endpoint can be picked.
+    /// Returns whether the budget excludes an untried ready endpoint, or any attempt now. Then a
+    /// lack of capacity is not the reason that no endpoint can be picked.
     fn is_budget_limited(&self) -> bool {
+        if !self.budget.permits_send() {
+            return true;
+        }
         let picker = self.forwarder.picker.borrow();
         picker.has_ready(self.service, |id| !self.tried.iter().any(|tried| tried == id))
     }
 
     fn pick_endpoint(&mut self) -> Result<Target, PickError> {
-        if self.attempts_left == 0 {
+        if self.attempts_left == 0 || !self.budget.permits_send() {
             return Err(PickError::AllTried);
         }
         let mut picker = self.forwarder.picker.borrow_mut();
-        let spent = self.budget.spent.borrow();
-        let live = spent.endpoints.iter().filter(|id| picker.is_ready(id)).count();
-        let may_add = live < self.max_endpoints as usize;
         let tried = |id: &str| self.tried.iter().any(|tried| tried == id);
-        let preferred = self.budget.request_id.as_ref().map(|request| {
-            // Tried endpoints that did not run the request are replaced by the next in order.
-            let open = |id: &str| !tried(id) || spent.endpoints.contains(id);
-            picker.preferred(self.service, request, self.max_endpoints as usize, open)
-        });
-        let fits = |id: &str| {
-            let may_add =
-                may_add && preferred.as_ref().is_none_or(|preferred| preferred.contains(id));
-            !tried(id) && (may_add || spent.endpoints.contains(id))
-        };
+        let limit = self.max_endpoints as usize;
+        let fits = |id: &str| !tried(id) && self.budget.allows(id, limit);
         picker.pick(self.service, self.route, fits, clock::now())
     }
 
@@ -182,7 +174,7 @@
         self.tried.push(id.clone());
         if self.budget.spent.borrow_mut().endpoints.insert(id.clone()) {
             self.new_endpoints.insert(id.clone());
-            self.budget.added.notify_one();
+            self.budget.changed.notify_one();
         }
         let at_ms = clock::now().since(self.began);
         self.attempt_log.borrow_mut().push(AttemptRecord {
@@ -193,9 +185,9 @@
         });
         let record = (self.attempt_log.clone(), self.attempt_log.borrow().len() - 1);
         let (forwarder, route, request) = (self.forwarder, self.route, self.request);
-        let (deadline, at_most_once) = (self.budget.deadline, self.at_most_once);
+        let (budget, at_most_once) = (self.budget, self.at_most_once);
         async move {
-            (id, forwarder.attempt(target, route, request, deadline, at_most_once, record).await)
+            (id, forwarder.attempt(target, route, request, budget, at_most_once, record).await)
         }
     }
 
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -13,6 +13,7 @@
 use chicoryford_fleet::Policy;
 use chicoryford_fleet::Route;
 use chicoryford_fleet::RouteKind;
+use chicoryford_fleet::grant::NEEDED_ENDPOINTS;
 use chicoryford_fleet::pick::AttemptOutcome;
 use chicoryford_fleet::pick::Picker;
 use chicoryford_fleet::pick::Target;
@@ -23,7 +24,6 @@
 use chicoryford_http::Request;
 use chicoryford_platform::request;
 use chicoryford_platform::request::ReplyKind;
-use chicoryford_types::Millis;
 
 use crate::clock;
 use crate::crashes::Crashes;
@@ -133,6 +133,12 @@
         self.pool.borrow_mut().sweep(|incarnation| picker.is_ready(incarnation));
     }
 
+    /// Returns whether enough granted endpoints are ready for an attempt and a hedge.
+    pub fn can_hedge(&self, budget: &Budget) -> bool {
+        let picker = self.picker.borrow();
+        budget.count_granted(|id| picker.is_ready(id)) >= NEEDED_ENDPOINTS
+    }
+
     /// Forwards a request in one pass of at most `limit_ms`. Dropping the future closes the
     /// connections of its attempts.
     pub async fn forward(
@@ -150,7 +156,7 @@
         if self.crashes.refuses(request, requester.workspace) {
             return Outcome::NotRun(CRASHING_CONTENT, REFUSED_RETRY_AFTER_MS);
         }
-        let Some(service) = route.service(rand::random()) else {
+        let Some(service) = self.choose_service(route, budget) else {
             return Outcome::NotRun("the route leads nowhere", NOT_READY_RETRY_AFTER_MS);
         };
         let mut dispatch = Dispatch {
@@ -188,6 +194,17 @@
         outcome
     }
 
+    /// Chooses the service of a request by the weights of its route. If only some endpoints may be
+    /// called, a service with such endpoints is preferred.
+    fn choose_service<'a>(&self, route: &'a Route, budget: &Budget) -> Option<&'a str> {
+        let picker = self.picker.borrow();
+        let services = route.services();
+        let granted = services.filter(|_| budget.is_shared()).find(|service| {
+            picker.has_ready(service, |id| budget.allows(id, route.attempts as usize))
+        });
+        granted.or_else(|| route.service(rand::random()))
+    }
+
     /// Makes one attempt. `at_most_once` means that the request must not arrive twice; it is then
     /// sent on a new connection, because a broken pooled connection would leave it unknown whether
     /// it arrived.
@@ -196,7 +213,7 @@
         target: Target,
         route: &str,
         request: &Request,
-        deadline: Millis,
+        budget: &Budget,
         at_most_once: bool,
         record: (AttemptLog, usize),
     ) -> AttemptResult {
@@ -211,13 +228,19 @@
                 Err(error) => {
                     attempt.log(request, "unsent", &error);
                     attempt.end(AttemptOutcome::Failed);
+                    if error.is_refused() {
+                        budget.record_refusal(&target.id);
+                    }
                     return AttemptResult::Unsent;
                 }
             },
         };
+        if !budget.permits_send() {
+            attempt.end(AttemptOutcome::Dropped(0));
+            return AttemptResult::Unsent;
+        }
         // Connecting has taken some of the time.
-        let left_ms = deadline.since(clock::now());
-        let forwarded = request::forward(request, &target.id, left_ms);
+        let forwarded = request::forward(request, &target.id, budget.left_ms());
         attempt.send();
         match self.exchange(connection, &forwarded, &target).await {
             Ok((ReplyKind::Answer, reply)) => {
@@ -236,6 +259,7 @@
             }
             Ok((ReplyKind::Moved, _)) => {
                 attempt.end(AttemptOutcome::Moved);
+                budget.record_end(&target.id);
                 AttemptResult::NotRun
             }
             Ok((ReplyKind::Mismatched, _)) => {
--- /dev/null
+++ b/components/node/src/leader/grants.rs
@@ -0,0 +1,119 @@
+//! The leader's grants of endpoints to scorers' calls.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use chicoryford_fleet::Command;
+use chicoryford_fleet::EndpointStatus;
+use chicoryford_fleet::Grant;
+use chicoryford_fleet::Step;
+use chicoryford_fleet::endpoint;
+use chicoryford_fleet::grant::Standing;
+use chicoryford_fleet::run::Cost;
+use chicoryford_fleet::run::HostCommand;
+use rand::seq::SliceRandom;
+
+use crate::clock;
+use crate::leader::Leader;
+
+impl Leader {
+    /// Grants endpoints to the scorers' calls of a new step. The calls are spread evenly over the
+    /// endpoints of their services. A sample that was part of an earlier step keeps its endpoints.
+    pub(super) fn grant_scorers(&self, step: Arc<Step>) -> Arc<Step> {
+        let Some(config) = self.config() else { return step };
+        let mut step = Arc::unwrap_or_clone(step);
+        let state = self.context.replica.state();
+        let mut services: BTreeMap<String, Vec<String>> = BTreeMap::new();
+        for (number, sample) in step.samples.iter_mut().enumerate() {
+            let Some(scorer) = &mut sample.scorer else { continue };
+            if let Some(known) = state.costs.get(&sample.id)
+                && !known.cost.grant.endpoints.is_empty()
+            {
+                scorer.endpoints.clone_from(&known.cost.grant.endpoints);
+                continue;
+            }
+            let Some(route) = config.find(&scorer.host, &scorer.path) else { continue };
+            let Some(service) = route.service(rand::random()) else { continue };
+            let ready =
+                services.entry(service.to_owned()).or_insert_with(|| self.ready_of(service));
+            let count = ready.len().min(route.attempts.max(1) as usize);
+            let chosen = ready.iter().cycle().skip(number * count % ready.len().max(1)).take(count);
+            scorer.endpoints = chosen.cloned().collect();
+        }
+        Arc::new(step)
+    }
+
+    /// Returns the ready endpoints of a service, in random order.
+    fn ready_of(&self, service: &str) -> Vec<String> {
+        let registry = self.registry.borrow();
+        let ready = registry.all().filter(|endpoint| {
+            endpoint.status == EndpointStatus::Ready && endpoint.announcement.service == service
+        });
+        let mut ready: Vec<String> =
+            ready.map(|endpoint| endpoint.announcement.id.clone()).collect();
+        ready.shuffle(&mut rand::rng());
+        ready
+    }
+
+    /// Extends the grant of a sample whose scorer is being called if too few of its endpoints are
+    /// usable. The log records the extension before the host receives it.
+    pub(super) fn extend_grant(self: &Rc<Self>, step: &str, index: u32) {
+        let Some((sample, mut cost, added)) = self.missing_endpoints(step, index) else { return };
+        if !self.extending.borrow_mut().insert(sample.clone()) {
+            return;
+        }
+        let (endpoints, ended) = (&added.endpoints, &added.ended);
+        tracing::info!(event = "grant_extended", step, index, sample, ?endpoints, ?ended);
+        cost.grant.merge(&added);
+        let leader = self.clone();
+        actix_rt::spawn(async move {
+            leader.commit(Command::Spend(vec![(sample.clone(), cost)])).await;
+            leader.extending.borrow_mut().remove(&sample);
+        });
+    }
+
+    /// Returns a sample's id, its cost, and what has to be added to its grant.
+    fn missing_endpoints(&self, step: &str, index: u32) -> Option<(String, Cost, Grant)> {
+        let config = self.config()?;
+        let plan = self.plan.borrow();
+        let (scorer, cost) = plan.scorer(step, index)?;
+        let route = config.find(&scorer.host, &scorer.path)?;
+        let standing = |id: &str| {
+            let registry = self.registry.borrow();
+            let known = registry.get(id);
+            let serves = known.is_some_and(|known| route.leads_to(&known.announcement.service));
+            match known.map(|known| known.status) {
+                Some(EndpointStatus::Gone | EndpointStatus::Silent) => Standing::Ended,
+                Some(_) if !serves && !cost.scorer.endpoints.contains(id) => Standing::Ended,
+                Some(EndpointStatus::Ready) if serves => Standing::Usable,
+                Some(_) => Standing::Unready,
+                None if self.knows_endpoints() => Standing::Ended,
+                None => Standing::Unready,
+            }
+        };
+        let services: BTreeSet<&str> = route.services().collect();
+        let ready = services.into_iter().flat_map(|service| self.ready_of(service));
+        let grant = Grant::of(scorer, &cost.grant);
+        let added = grant.extension(route.attempts.max(1) as usize, standing, ready)?;
+        Some((plan.sample_id(step, index)?.to_owned(), cost.clone(), added))
+    }
+
+    /// Returns whether every active endpoint has announced itself in this term.
+    fn knows_endpoints(&self) -> bool {
+        clock::now().since(self.began) >= endpoint::Settings::default().silent_ms
+    }
+
+    /// Passes recorded costs to the plan, and extended grants to the hosts of their runs.
+    pub(super) fn on_costs_applied(&self, costs: &[(String, Cost)]) {
+        let granted = self.plan.borrow_mut().restore_costs(costs, clock::now());
+        for (step, index) in granted {
+            let plan = self.plan.borrow();
+            let Some((host, run)) = plan.host(&step, index) else { continue };
+            let Some((_, cost)) = plan.scorer(&step, index) else { continue };
+            let grant = cost.grant.clone();
+            self.hosts.send(&host, HostCommand::Grant { step, index, run, grant });
+        }
+    }
+}
--- a/components/node/src/leader/mod.rs
+++ b/components/node/src/leader/mod.rs
@@ -3,6 +3,7 @@
 
 mod crashes;
 mod endpoints;
+mod grants;
 mod readers;
 mod runs;
 mod steps;
@@ -27,10 +28,13 @@
 use chicoryford_fleet::SampleResult;
 use chicoryford_fleet::Stamped;
 use chicoryford_fleet::Step;
+use chicoryford_fleet::copies::PartId;
 use chicoryford_fleet::endpoint;
 use chicoryford_fleet::order_lease::OrderLease;
 use chicoryford_fleet::plan::Planner;
 use chicoryford_fleet::plan::RunEnd;
+use chicoryford_fleet::run::Cost;
+use chicoryford_fleet::run::RunReport;
 use chicoryford_fleet::step::StoredResult;
 use chicoryford_fleet::usage::ReportTracker;
 use chicoryford_http::Pool;
@@ -110,8 +114,8 @@
     /// Ids of steps whose submission is in progress, either on the way to the stores or into the
     /// log.
     submitting: RefCell<Vec<String>>,
-    /// Steps whose submission is being committed to the log.
-    submitted: RefCell<BTreeMap<String, Arc<Step>>>,
+    /// Steps whose submission is being committed to the log, by the part that holds their samples.
+    submitted: RefCell<BTreeMap<PartId, Arc<Step>>>,
     /// Open steps whose samples have not been read from the stores yet.
     unread: RefCell<Vec<String>>,
     /// Changes when results are listed or a step is closed, which wakes up waiting reads.
@@ -123,6 +127,8 @@
     pub(crate) readers: Readers,
     tasks: RefCell<Vec<JoinHandle<()>>>,
     usage: usage::Usage,
+    /// Samples whose grants are being extended.
+    extending: RefCell<BTreeSet<String>>,
     /// Set once this term has ended; the process may lead again in another epoch.
     ended: Cell<bool>,
 }
@@ -173,10 +179,12 @@
             readers: Readers::default(),
             tasks: RefCell::default(),
             usage,
+            extending: RefCell::default(),
             ended: Cell::default(),
             context,
         });
         leader.adopt_endpoints();
+        leader.adopt_costs();
         let weak = Rc::downgrade(&leader);
         leader.context.replica.set_observer(Some(Box::new(move |command, done| {
             if let Some(leader) = weak.upgrade() {
@@ -184,11 +192,14 @@
             }
         })));
         let weak = Rc::downgrade(&leader);
-        leader.context.runner.attach_local(move |report| {
+        let handle_report = move |report: &RunReport| {
             if let Some(leader) = weak.upgrade() {
                 leader.handle_report(hosts::LOCAL, report);
             }
-        });
+        };
+        let weak = Rc::downgrade(&leader);
+        let leads = move || weak.upgrade().is_some_and(|leader| leader.leads());
+        leader.context.runner.attach_leader(handle_report, leads);
         let tasks = [
             actix_rt::spawn(run_planner(Rc::downgrade(&leader))),
             actix_rt::spawn(steps::adopt_steps(Rc::downgrade(&leader))),
@@ -205,6 +216,14 @@
         leader
     }
 
+    /// Passes the recorded costs of samples to the plan.
+    fn adopt_costs(&self) {
+        let state = self.context.replica.state();
+        let costs = state.costs.iter().map(|(id, known)| (id.clone(), known.cost.clone()));
+        let costs: Vec<(String, Cost)> = costs.collect();
+        self.plan.borrow_mut().restore_costs(&costs, self.began);
+    }
+
     /// Passes the adopted endpoints to the plan and to the forwarder.
     fn adopt_endpoints(&self) {
         if let Some(config) = self.config() {
@@ -373,6 +392,7 @@
                 }
             }
             Command::Crash(crash) => self.on_crash_applied(crash),
+            Command::Spend(costs) => self.on_costs_applied(costs),
             Command::Publish { model, version } => {
                 tracing::info!(event = "version_named", model, version);
                 self.orders.borrow_mut().check_at_once();
--- a/components/node/src/leader/runs.rs
+++ b/components/node/src/leader/runs.rs
@@ -1,5 +1,7 @@
 //! The leader's runs: assignment to hosts, and handling of the hosts' reports.
 
+use std::rc::Rc;
+
 use chicoryford_fleet::SampleResult;
 use chicoryford_fleet::plan::AfterRun;
 use chicoryford_fleet::plan::Assignment;
@@ -127,8 +129,9 @@
     }
 
     /// Handles a host's report about a run.
-    pub fn handle_report(&self, host: &str, report: &RunReport) {
+    pub fn handle_report(self: &Rc<Self>, host: &str, report: &RunReport) {
         let (step, index) = (&report.step, report.index);
+        let was_scoring = self.plan.borrow().is_scoring(step, index);
         let action = self.plan.borrow_mut().record_report(host, report, clock::now());
         match action {
             ReportAction::Continue => {}
@@ -150,7 +153,9 @@
         }
         match &report.status {
             RunStatus::Running => {}
+            RunStatus::Scoring if was_scoring => self.extend_grant(step, index),
             RunStatus::Scoring => {
+                self.extend_grant(step, index);
                 let events = report.from as usize + report.output.events.len();
                 let endpoint = &report.endpoint;
                 metrics::RUNS.with_label_values(&["whole"]).inc();
--- a/components/node/src/leader/steps.rs
+++ b/components/node/src/leader/steps.rs
@@ -41,6 +41,7 @@
         }
         // The same step may be submitted twice concurrently, so each submission adds its own entry.
         self.submitting.borrow_mut().push(step.id.clone());
+        let step = self.grant_scorers(step);
         let answer = self.write_step(&step).await;
         let mut submitting = self.submitting.borrow_mut();
         if let Some(place) = submitting.iter().position(|id| *id == step.id) {
@@ -61,15 +62,15 @@
             age_ms: step.age_ms,
             part,
         };
-        self.submitted.borrow_mut().insert(step.id.clone(), step.clone());
+        self.submitted.borrow_mut().insert(part, step.clone());
         let answer =
             self.commit(Command::Submit { step: Arc::new(outline), placement: place }).await;
-        self.submitted.borrow_mut().remove(&step.id);
+        self.submitted.borrow_mut().remove(&part);
         answer
     }
 
     pub(super) fn on_submitted(&self, outline: &StepSummary, place: &copies::Placement) {
-        let Some(step) = self.submitted.borrow().get(&outline.id).cloned() else {
+        let Some(step) = self.submitted.borrow().get(&outline.part).cloned() else {
             // Proposed by an earlier leader; the step is read from the stores.
             self.unread.borrow_mut().push(outline.id.clone());
             return;
@@ -182,7 +183,13 @@
             let is_submitting = self.submitting.borrow().contains(&step);
             return if is_submitting { Answer::NotNow } else { Answer::Unknown };
         }
-        self.commit(Command::End { step }).await
+        let costs = self.plan.borrow().unfinished_costs(&step);
+        if costs.is_empty() {
+            return self.commit(Command::End { step }).await;
+        }
+        // The log keeps their order.
+        let costs = self.commit(Command::Spend(costs));
+        futures_util::future::join(costs, self.commit(Command::End { step })).await.1
     }
 
     pub(super) fn close_step(&self, step: &str) {
--- a/components/node/src/runner/execute.rs
+++ b/components/node/src/runner/execute.rs
@@ -222,9 +222,7 @@
         let outcome = loop {
             tokio::select! {
                 outcome = &mut call => break Some(outcome),
-                // Reported at once: if this host is lost, the next host may prefer endpoints that
-                // have joined since, and would try them in addition.
-                () = budget.endpoint_added() => runner.set_status(job, state, RunStatus::Scoring),
+                () = budget.changed() => runner.set_status(job, state, RunStatus::Scoring),
                 () = runner.confirmation_expired() => break None,
             }
         };
@@ -236,7 +234,12 @@
             return RunStatus::Finished(Some(score.to_owned()));
         }
         if let Outcome::NotRun(_, after_ms) = outcome {
-            tokio::time::sleep(Duration::from_millis(after_ms)).await;
+            if !runner.forwarder.can_hedge(budget) {
+                // The leader then extends the grant.
+                runner.set_status(job, state, RunStatus::Scoring);
+            }
+            let pause = Duration::from_millis(after_ms);
+            let _ = tokio::time::timeout(pause, budget.extended()).await;
         } else {
             tokio::time::sleep(pause).await;
             pause = MAX_SCORE_RETRY_PAUSE.min(2 * pause);
--- a/components/node/src/runner/mod.rs
+++ b/components/node/src/runner/mod.rs
@@ -5,9 +5,11 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
+use chicoryford_fleet::Grant;
 use chicoryford_fleet::plan::RunEnd;
 use chicoryford_fleet::plan::SampleOutput;
 use chicoryford_fleet::run::CallCost;
@@ -101,7 +103,14 @@
 #[derive(Clone)]
 enum Sink {
     Link(mpsc::Sender<MemberMessage>),
-    Local(Rc<dyn Fn(&RunReport)>),
+    Local(LocalLeader),
+}
+
+/// The leader in this process.
+#[derive(Clone)]
+struct LocalLeader {
+    handle_report: Rc<dyn Fn(&RunReport)>,
+    leads: Rc<dyn Fn() -> bool>,
 }
 
 impl Runner {
@@ -148,7 +157,7 @@
     /// connection, a step may have ended long ago.
     fn has_confirmed_leader(&self) -> bool {
         match &*self.sink.borrow() {
-            Some(Sink::Local(_)) => true,
+            Some(Sink::Local(leader)) => (leader.leads)(),
             _ => {
                 let confirmed = self.leader_confirmed.get();
                 confirmed >= self.attached_at.get()
@@ -164,9 +173,19 @@
         }
     }
 
-    /// Sends reports to the leader in this process.
+    /// Sends reports to a leader in this process that does not lose its lease.
     pub fn attach_local(&self, handler: impl Fn(&RunReport) + 'static) {
-        *self.sink.borrow_mut() = Some(Sink::Local(Rc::new(handler)));
+        self.attach_leader(handler, || true);
+    }
+
+    /// Sends reports to the leader in this process. `leads` returns whether its lease is valid.
+    pub fn attach_leader(
+        &self,
+        handler: impl Fn(&RunReport) + 'static,
+        leads: impl Fn() -> bool + 'static,
+    ) {
+        let leader = LocalLeader { handle_report: Rc::new(handler), leads: Rc::new(leads) };
+        *self.sink.borrow_mut() = Some(Sink::Local(leader));
     }
 
     /// Stops reporting until the next leader is found. Runs continue.
@@ -204,6 +223,12 @@
                 self.start(*job, age_ms);
             }
             HostCommand::Tell => self.report_all(),
+            HostCommand::Grant { step, index, run, grant } => {
+                let hosted = self.runs.borrow().get(&(step, index)).cloned();
+                if let Some(hosted) = hosted.filter(|hosted| hosted.job.run == run) {
+                    hosted.state.budget.extend(&grant);
+                }
+            }
             HostCommand::Stop { step, index, run } => {
                 let key = (step, index);
                 let current = self.runs.borrow().get(&key).map(|hosted| hosted.job.run);
@@ -275,6 +300,11 @@
         let key = (job.step.clone(), job.index);
         self.stop(&key);
         let now = clock::now();
+        let scorer = job.sample.scorer.as_ref();
+        let grant = scorer.map(|scorer| Grant::of(scorer, &job.cost.grant)).unwrap_or_default();
+        let runner = Rc::downgrade(self);
+        let is_wanted =
+            move || runner.upgrade().is_some_and(|runner| runner.has_confirmed_leader());
         let state = Rc::new(RunState {
             reported_events: Cell::new(job.output.events.len()),
             output: RefCell::new(job.output.clone()),
@@ -284,9 +314,10 @@
             report_dropped: Cell::default(),
             order_expires: now + (MAX_ORDER_AGE_MS - age_ms),
             budget: Budget::shared(
-                job.sample.scorer.as_ref().map_or(&job.sample.id, |scorer| &scorer.id),
                 now + job.remaining_ms.saturating_sub(age_ms),
                 job.cost.scorer.clone(),
+                grant,
+                is_wanted,
             ),
             reported_spent: RefCell::new(job.cost.scorer.clone()),
         });
@@ -355,16 +386,20 @@
                 versions: output.versions.clone(),
             },
             gap_ms: gap_ms as u32,
-            cost: Cost { scorer: state.budget.spent(), ..hosted.job.cost.clone() },
+            cost: Cost {
+                scorer: state.budget.spent(),
+                grant: Grant { endpoints: BTreeSet::new(), ended: state.budget.ended() },
+                ..hosted.job.cost.clone()
+            },
             remaining_ms: state.budget.left_ms(),
         };
         let spent = report.cost.scorer.clone();
         let sink = self.sink.borrow().clone();
         let sent = match sink {
             Some(Sink::Link(sender)) => sender.try_send(MemberMessage::Report(report)).is_ok(),
-            Some(Sink::Local(handler)) => {
+            Some(Sink::Local(leader)) => {
                 drop(output);
-                handler(&report);
+                (leader.handle_report)(&report);
                 true
             }
             None => false,
--- /dev/null
+++ b/components/node/tests/leader/grants.rs
@@ -0,0 +1,182 @@
+//! Endpoints that the leader grants to scorers' calls.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicoryford_fleet::Grant;
+use chicoryford_fleet::Sample;
+use chicoryford_fleet::Scorer;
+use chicoryford_fleet::Step;
+use chicoryford_fleet::run::HostCommand;
+use chicoryford_fleet::run::Job;
+use chicoryford_fleet::run::RunReport;
+use chicoryford_node::clock;
+use chicoryford_node::frame::decode;
+use chicoryford_node::frame::encode;
+use chicoryford_node::message::Answer;
+use chicoryford_node::message::Call;
+use chicoryford_node::message::LeaderMessage;
+use chicoryford_node::message::MemberMessage;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+
+use crate::fleet::Fleet;
+use crate::fleet::config_with_desk;
+use crate::fleet::scoring_report;
+use crate::fleet::step;
+use crate::fleet::wait_until;
+use crate::member::Socket;
+use crate::member::StoredParts;
+use crate::member::connect_store;
+use crate::updates::announce;
+use crate::updates::configure;
+use crate::updates::desk;
+use crate::updates::engine;
+
+/// The maximum number of endpoints of a call, as in the configuration.
+const ATTEMPTS: usize = 3;
+
+/// Returns a step whose sample has a scorer at the desk.
+fn scored_step(id: &str) -> Arc<Step> {
+    let scorer = Scorer {
+        id: "c".to_owned(),
+        host: "h".to_owned(),
+        path: "/d/1".to_owned(),
+        ..Scorer::default()
+    };
+    let plain = step(id);
+    let sample = Sample { id: "s".to_owned(), scorer: Some(scorer), ..plain.samples[0].clone() };
+    Arc::new(Step { samples: vec![sample], ..(*plain).clone() })
+}
+
+async fn submit(fleet: &Fleet, id: &str) {
+    let answer = fleet.leader().answer(Call::Submit(scored_step(id))).await;
+    assert!(matches!(answer, Answer::Done), "{answer:?}");
+}
+
+async fn announce_desks(fleet: &Fleet, desks: &[&str]) {
+    for id in desks {
+        announce(fleet, desk(id)).await;
+    }
+}
+
+/// Starts a fleet with five desks and an engine.
+async fn fleet() -> Fleet {
+    let fleet = Fleet::start().await;
+    configure(&fleet, config_with_desk(2)).await;
+    announce_desks(&fleet, &["d1", "d2", "d3", "d4", "d5"]).await;
+    announce(&fleet, engine("e", 1)).await;
+    fleet
+}
+
+/// Connects a host that may be given work.
+async fn connect_host(fleet: &Fleet, node: &str) -> Socket {
+    let mut socket = connect_store(fleet.links, node).await;
+    send_heartbeat(&mut socket).await;
+    socket.send(encode(&MemberMessage::Reported)).await.unwrap();
+    socket
+}
+
+async fn send_heartbeat(socket: &mut Socket) {
+    let beat = MemberMessage::Beat { clock: clock::now(), wall: clock::wall() };
+    socket.send(encode(&beat)).await.unwrap();
+}
+
+/// Returns the next order of a kind that a host receives.
+async fn receive<T>(socket: &mut Socket, kind: impl Fn(HostCommand) -> Option<T>) -> T {
+    let received = async {
+        loop {
+            // The leader sends heartbeats as well, so this is not delayed for long.
+            let frame = socket.next().await.unwrap().unwrap();
+            send_heartbeat(socket).await;
+            if let LeaderMessage::Work { work, .. } = decode(&frame).unwrap()
+                && let Some(found) = kind(work)
+            {
+                return found;
+            }
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(5), received).await.expect("an order")
+}
+
+async fn receive_job(socket: &mut Socket) -> Job {
+    receive(socket, |work| match work {
+        HostCommand::Run(job) => Some(*job),
+        _ => None,
+    })
+    .await
+}
+
+/// Returns the endpoints that a host may call for a run.
+fn granted(job: &Job) -> BTreeSet<String> {
+    let scorer = job.sample.scorer.as_ref().expect("a scorer");
+    Grant::of(scorer, &job.cost.grant).endpoints
+}
+
+fn scoring(job: &Job) -> RunReport {
+    RunReport { run: job.run, endpoint: "e".to_owned(), ..scoring_report(&job.step) }
+}
+
+/// The leader and the host of a call are lost at the same time, and endpoints start. Guards against
+/// the next leader granting other endpoints than those that the lost host may still call.
+#[actix_rt::test]
+async fn the_next_leader_grants_the_same_endpoints() {
+    let (fleet, parts) = (fleet().await, StoredParts::default());
+    let store = fleet.store(&parts).await;
+    submit(&fleet, "a").await;
+    let before = granted(&receive_job(&mut connect_host(&fleet, "h1").await).await);
+    assert_eq!(before.len(), ATTEMPTS, "{before:?}");
+    drop(store);
+    let leader = fleet.next_leader();
+    announce_desks(&fleet, &["d6", "d7", "d8", "d9"]).await;
+    announce(&fleet, engine("e", 1)).await;
+    let _store = fleet.store(&parts).await;
+    wait_until("the step is read", || leader.plan.borrow().has_step("a")).await;
+    let after = granted(&receive_job(&mut connect_host(&fleet, "h2").await).await);
+    assert_eq!(after, before);
+}
+
+/// Guards against a replacement of ended endpoints that the next leader does not know of.
+#[actix_rt::test]
+async fn an_extension_is_in_the_log_before_a_host_receives_it() {
+    let (fleet, parts) = (fleet().await, StoredParts::default());
+    let _store = fleet.store(&parts).await;
+    submit(&fleet, "a").await;
+    let mut host = connect_host(&fleet, "h").await;
+    let job = receive_job(&mut host).await;
+    let before: Vec<String> = granted(&job).into_iter().collect();
+    for id in &before[..2] {
+        assert!(matches!(fleet.leader().answer(Call::Leave(id.clone())).await, Answer::Done));
+    }
+    host.send(encode(&MemberMessage::Report(scoring(&job)))).await.unwrap();
+    let grant = receive(&mut host, |work| match work {
+        HostCommand::Grant { grant, .. } => Some(grant),
+        _ => None,
+    })
+    .await;
+    assert_eq!(fleet.replica.state().costs["s"].cost.grant, grant);
+    assert_eq!(grant.ended, before[..2].iter().cloned().collect());
+    assert_eq!(grant.endpoints.len(), 2, "{grant:?}");
+    assert!(grant.endpoints.is_disjoint(&before.into_iter().collect()), "{grant:?}");
+}
+
+/// A step ends while a scorer is called, its sample is submitted again, and the leader changes in
+/// between. Guards against a call that gets other endpoints in each step.
+#[actix_rt::test]
+async fn a_sample_that_is_submitted_again_keeps_its_endpoints() {
+    let (fleet, parts) = (fleet().await, StoredParts::default());
+    let _store = fleet.store(&parts).await;
+    submit(&fleet, "a").await;
+    let mut host = connect_host(&fleet, "h").await;
+    let before = granted(&receive_job(&mut host).await);
+    fleet.end("a").await;
+    drop(host);
+    fleet.next_leader();
+    let _store = fleet.store(&parts).await;
+    announce_desks(&fleet, &["d6", "d7", "d8", "d9"]).await;
+    announce(&fleet, engine("e", 1)).await;
+    submit(&fleet, "b").await;
+    let after = granted(&receive_job(&mut connect_host(&fleet, "h2").await).await);
+    assert_eq!(after, before);
+}
--- a/components/node/tests/leader/main.rs
+++ b/components/node/tests/leader/main.rs
@@ -1,6 +1,7 @@
 //! A leader with hosts, stores and other members simulated by the test, on real sockets.
 
 mod fleet;
+mod grants;
 #[path = "../support/job.rs"]
 mod job;
 mod keys;
--- a/components/node/tests/leader/scorers.rs
+++ b/components/node/tests/leader/scorers.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -212,6 +213,7 @@
         host: "h".to_owned(),
         path: "/score/1".to_owned(),
         body: Bytes::new(),
+        endpoints: BTreeSet::from(["i0".to_owned()]),
     };
     let sample = Sample {
         id: "a0".to_owned(),
--- a/components/node/tests/leader/updates.rs
+++ b/components/node/tests/leader/updates.rs
@@ -37,7 +37,7 @@
 use crate::member::Socket;
 use crate::member::connect_member;
 
-fn engine(id: &str, sequence: u64) -> Announcement {
+pub fn engine(id: &str, sequence: u64) -> Announcement {
     Announcement {
         id: id.to_owned(),
         started_ms: 0,
@@ -51,7 +51,7 @@
     }
 }
 
-fn desk(id: &str) -> Announcement {
+pub fn desk(id: &str) -> Announcement {
     Announcement { service: "desk".to_owned(), models: BTreeMap::new(), ..engine(id, 1) }
 }
 
@@ -61,7 +61,7 @@
     Config { routes: both.routes[..1].to_vec(), ..both }
 }
 
-async fn configure(fleet: &Fleet, config: Config) {
+pub async fn configure(fleet: &Fleet, config: Config) {
     let configured = fleet.leader().commit(Command::Configure(Arc::new(config))).await;
     assert!(matches!(configured, Answer::Done), "{configured:?}");
 }
@@ -93,7 +93,7 @@
     }
 }
 
-async fn announce(fleet: &Fleet, announcement: Announcement) {
+pub async fn announce(fleet: &Fleet, announcement: Announcement) {
     let answer = fleet.leader().answer(Call::Announce(announcement)).await;
     assert!(matches!(answer, Answer::Heard), "{answer:?}");
 }
--- a/components/node/tests/link.rs
+++ b/components/node/tests/link.rs
@@ -110,7 +110,8 @@
         self.send(&LeaderMessage::News(Update::Endpoint(desk(scorer)))).await;
         let mut job = job(engine);
         let (id, host, path) = ("score".to_owned(), "h".to_owned(), "/desk/x".to_owned());
-        job.sample.scorer = Some(Scorer { id, host, path, body: Bytes::new() });
+        let endpoints = BTreeSet::from([desk(scorer).announcement.id]);
+        job.sample.scorer = Some(Scorer { id, host, path, body: Bytes::new(), endpoints });
         self.send(&LeaderMessage::Work {
             member_clock: self.host_clock,
             work: HostCommand::Run(Box::new(job)),
--- a/components/node/tests/scorers.rs
+++ b/components/node/tests/scorers.rs
@@ -6,6 +6,7 @@
     pub mod route;
 }
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -17,6 +18,7 @@
 use bytes::Bytes;
 use chicoryford_fleet::Config;
 use chicoryford_fleet::Endpoint;
+use chicoryford_fleet::Grant;
 use chicoryford_fleet::Policy;
 use chicoryford_fleet::Route;
 use chicoryford_fleet::RouteKind;
@@ -153,11 +155,17 @@
     Runner::new(view, forwarder)
 }
 
+/// Returns the endpoints that the call is granted.
+fn granted() -> BTreeSet<String> {
+    (0..ATTEMPTS).map(|number| format!("i{number}")).collect()
+}
+
 async fn job(cost: Cost) -> Job {
     let scorer = Scorer {
         id: "c".to_owned(),
         host: "h".to_owned(),
         path: "/score/x".to_owned(),
+        endpoints: granted(),
         ..Scorer::default()
     };
     let sample = Sample {
@@ -214,6 +222,40 @@
     assert!(endpoints.len() <= ATTEMPTS as usize, "{calls:?}");
 }
 
+/// Guards against a paused host that asks further endpoints when it resumes, before it reads that its
+/// run was taken away, while the next host already calls endpoints that have started since.
+#[actix_rt::test]
+async fn hosts_that_know_different_endpoints_stay_within_the_same_limit() {
+    let (scorers, calls) = scorers(Duration::from_millis(100)).await;
+    let (first, second) = (host(&scorers[..ATTEMPTS as usize]), host(&scorers[2..]));
+    let both = [&first, &second].map(|host| run_until_given_up(host, Cost::default()));
+    futures_util::future::join_all(both).await;
+    let endpoints: BTreeSet<usize> = calls.borrow().iter().map(|call| call.endpoint).collect();
+    assert!(endpoints.len() <= ATTEMPTS as usize, "{calls:?}");
+}
+
+/// Guards against a hedge after a freeze in which the leader may have given the call to another host.
+/// Its timer has run out, and an idle connection is available, so it would be sent at once.
+#[actix_rt::test]
+async fn a_call_that_is_no_longer_wanted_is_sent_to_no_other_endpoint() {
+    let (scorers, calls) = scorers(Duration::from_millis(400)).await;
+    let forwarder = Forwarder::new(Policy::default());
+    scorers.into_iter().for_each(|endpoint| forwarder.apply(&Update::Endpoint(endpoint)));
+    let wanted = Rc::new(Cell::new(true));
+    let is_wanted = wanted.clone();
+    let grant = Grant { endpoints: granted(), ..Grant::default() };
+    let until = clock::now() + SAMPLE_LIMIT_MS;
+    let budget = Budget::shared(until, CallCost::default(), grant, move || is_wanted.get());
+    let request = Request::new(Method::POST, "/score/x", "");
+    actix_rt::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        wanted.set(false);
+    });
+    let route = scoring();
+    forwarder.forward(&route, &request, &budget, PASS_MS, Requester::default()).await;
+    assert_eq!(calls.borrow().len(), 1, "{calls:?}");
+}
+
 /// Guards against failures that are lost with their host because it reports them only at the end of
 /// the call.
 #[actix_rt::test]
@@ -279,14 +321,12 @@
         }
         forwarder.apply(&Update::Endpoint(endpoint));
     }
-    let spent = CallCost {
-        failures: 0,
-        endpoints: (0..ATTEMPTS).map(|number| format!("i{number}")).collect(),
-    };
+    let spent = CallCost { failures: 0, endpoints: granted() };
+    let grant = Grant { endpoints: granted(), ..Grant::default() };
     let request = Request::new(Method::POST, "/score/x", "");
     let route = scoring();
     let until = clock::now() + SAMPLE_LIMIT_MS;
-    let bound = Budget::shared("c", until, spent);
+    let bound = Budget::shared(until, spent, grant, || true);
     let began = Instant::now();
     let outcome = forwarder.forward(&route, &request, &bound, PASS_MS, Requester::default()).await;
     assert!(matches!(outcome, Outcome::NotRun(..)), "{outcome:?}");
