Grants: endpoints that a host found to have ended are granted to no other call

Cause: an endpoint that crashed and came back under another id stays ready in the registry until it was silent for 6 s.

Change: the leader remembers what hosts found to have ended, and grants it to nobody until it announces itself anew or is forgotten.

--- a/components/node/src/leader/endpoints.rs
+++ b/components/node/src/leader/endpoints.rs
@@ -27,6 +27,10 @@
         }
         let (id, draining) = (announcement.id.clone(), announcement.draining);
         let effect = self.registry.borrow_mut().announce(announcement, clock::now());
+        if effect == Effect::Changed {
+            // It may have restarted under its id.
+            self.found_ended.borrow_mut().remove(&id);
+        }
         self.publish_endpoint(&id, effect);
         if draining && !matches!(self.persist_departure(&id).await, Answer::Done) {
             return Answer::NotNow;
@@ -129,6 +133,7 @@
         }
         for id in forgotten {
             self.plan.borrow_mut().remove_engine(&id);
+            self.found_ended.borrow_mut().remove(&id);
             let update = Update::Forgotten(id);
             self.context.forwarder.apply(&update);
             self.context.followers.broadcast(&update);
--- a/components/node/src/leader/grants.rs
+++ b/components/node/src/leader/grants.rs
@@ -45,11 +45,13 @@
         Arc::new(step)
     }
 
-    /// Returns the ready endpoints of a service, in random order.
+    /// Returns the ready endpoints of a service that no host found to have ended, in random order.
     fn ready_of(&self, service: &str) -> Vec<String> {
-        let registry = self.registry.borrow();
+        let (registry, ended) = (self.registry.borrow(), self.found_ended.borrow());
         let ready = registry.all().filter(|endpoint| {
-            endpoint.status == EndpointStatus::Ready && endpoint.announcement.service == service
+            endpoint.status == EndpointStatus::Ready
+                && endpoint.announcement.service == service
+                && !ended.contains(&endpoint.announcement.id)
         });
         let mut ready: Vec<String> =
             ready.map(|endpoint| endpoint.announcement.id.clone()).collect();
@@ -74,6 +76,12 @@
         });
     }
 
+    /// Records endpoints that a host found to have ended. Until they are noticed to be silent, they
+    /// appear to be ready.
+    pub(super) fn record_ended(&self, ended: &BTreeSet<String>) {
+        self.found_ended.borrow_mut().extend(ended.iter().cloned());
+    }
+
     /// Returns a sample's id, its cost, and what has to be added to its grant.
     fn missing_endpoints(&self, step: &str, index: u32) -> Option<(String, Cost, Grant)> {
         let config = self.config()?;
--- a/components/node/src/leader/mod.rs
+++ b/components/node/src/leader/mod.rs
@@ -127,6 +127,8 @@
     pub(crate) readers: Readers,
     tasks: RefCell<Vec<JoinHandle<()>>>,
     usage: usage::Usage,
+    /// Endpoints that hosts found to have ended.
+    found_ended: RefCell<BTreeSet<String>>,
     /// Samples whose grants are being extended.
     extending: RefCell<BTreeSet<String>>,
     /// Set once this term has ended; the process may lead again in another epoch.
@@ -179,6 +181,7 @@
             readers: Readers::default(),
             tasks: RefCell::default(),
             usage,
+            found_ended: RefCell::default(),
             extending: RefCell::default(),
             ended: Cell::default(),
             context,
