Runner: a run whose scorer is being called is not forgotten after 30 s

A sample whose scorer answers with delay, or is not called for want of a leader, for 30 s after its last event was dropped by its host. The leader waited for the score, so the sample had no result until its age limit (40 s).

Cause: Runner::remove_old_runs took every run that does not run at its engine for one that is over, scoring included.

Change: the rule is a function of the run's status (RunStatus::is_forgettable): while its scorer is called a run is kept until its time limit.

--- a/components/fleet/src/run.rs
+++ b/components/fleet/src/run.rs
@@ -16,6 +16,10 @@
 use crate::plan::SampleOutput;
 use crate::step::Sample;
 
+/// Milliseconds after its last event for which a host keeps a run that has left its engine if no
+/// leader asks for it.
+pub const FINISHED_RUN_TTL_MS: u64 = 30_000;
+
 /// The failures of a call so far, over all of its rounds. In each round, the call is tried at one
 /// endpoint after another until one answers or the time is up.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
@@ -151,6 +155,19 @@
     Unscored,
 }
 
+impl RunStatus {
+    /// Returns whether a host may forget a run that no leader has asked for, `idle_ms` after its last
+    /// event. While its scorer is being called, the run is wanted until its time limit has passed.
+    pub fn is_forgettable(&self, idle_ms: u64, left_ms: u64) -> bool {
+        let is_active = match self {
+            Self::Running => true,
+            Self::Scoring => left_ms > 0,
+            Self::Ended(_) | Self::Finished(_) | Self::Unscored => false,
+        };
+        !is_active && idle_ms >= FINISHED_RUN_TTL_MS
+    }
+}
+
 /// A report of a host about a run.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct RunReport {
--- a/components/node/src/runner/mod.rs
+++ b/components/node/src/runner/mod.rs
@@ -45,9 +45,6 @@
 /// was acknowledged in the meantime must have taken effect: three seconds are allowed for that, and
 /// the next leader is elected within one.
 const MAX_CONFIRMATION_AGE_MS: u64 = 2_000;
-/// Milliseconds after its last event for which a run that has left its engine is kept if no leader
-/// asks for it.
-const FINISHED_RUN_TTL_MS: u64 = 30_000;
 
 /// A run hosted by this process.
 struct HostedRun {
@@ -354,8 +351,9 @@
     fn remove_old_runs(&self) {
         let now = clock::now();
         self.runs.borrow_mut().retain(|_, hosted| {
-            let ended = *hosted.state.status.borrow() != RunStatus::Running;
-            let old = ended && now.since(hosted.state.last_event.get()) >= FINISHED_RUN_TTL_MS;
+            let idle_ms = now.since(hosted.state.last_event.get());
+            let left_ms = hosted.state.budget.left_ms();
+            let old = hosted.state.status.borrow().is_forgettable(idle_ms, left_ms);
             if old {
                 hosted.handle.abort();
             }
