Forward: the attempts of a dropped request are logged

Change: request_tried is written on drop as well, with dropped=true, if an endpoint was tried. Test: the_attempts_of_a_dropped_request_are_logged (no line before).

Ruled out in passing: that a hedge whose timer ran out during a standstill is sent on waking although the answer is there.

--- a/components/node/src/forward/dispatch.rs
+++ b/components/node/src/forward/dispatch.rs
@@ -65,13 +65,18 @@
     pub(super) last_failure: Option<Reply>,
     pub(super) began: Millis,
     pub(super) attempt_log: AttemptLog,
+    /// Whether its outcome was logged, or did not have to be.
+    pub(super) is_logged: bool,
     pub(super) requester: Requester<'a>,
 }
 
 impl Drop for Dispatch<'_> {
-    /// Records for its workspace whether and when the request began to run. It counts once, however
-    /// many endpoints ran it.
+    /// Logs the attempts of a request that was dropped, and records for its workspace whether and when
+    /// the request began to run. It counts once, however many endpoints ran it.
     fn drop(&mut self) {
+        if !self.is_logged && !self.tried.is_empty() {
+            self.log(None);
+        }
         let Some(usage) = &mut self.requester.usage else { return };
         let tries = self.attempt_log.borrow();
         if let Some(began) = tries.iter().filter_map(AttemptRecord::began).min() {
@@ -252,18 +257,34 @@
     /// Logs the attempts of a request that was late or failed. This line alone shows whether an
     /// endpoint was slow, failed, or was the only one left. Other requests are only counted, which
     /// bounds the volume of the log.
-    pub(super) fn log_attempts(&self, outcome: &Outcome, target_ms: u64) {
+    pub(super) fn log_attempts(&mut self, outcome: &Outcome, target_ms: u64) {
+        self.is_logged = true;
         let ms = clock::now().since(self.began);
         let good = matches!(outcome, Outcome::Answered(reply) if reply.status.is_success());
-        if good && ms <= target_ms {
-            return;
+        if !good || ms > target_ms {
+            self.log(Some(target_ms));
         }
+    }
+
+    /// Logs the attempts. `target_ms` is `None` if the request was dropped.
+    fn log(&self, target_ms: Option<u64>) {
+        let ms = clock::now().since(self.began);
+        let dropped = target_ms.is_none();
         let request = request::attempt_id(self.request).unwrap_or_default();
         let tries: Vec<String> =
             self.attempt_log.borrow().iter().map(AttemptRecord::to_string).collect();
         let tries = tries.join("; ");
         let (service, waited_ms) = (self.service, self.waited_ms);
-        tracing::info!(event = "request_tried", request, service, tries, waited_ms, ms, target_ms);
+        tracing::info!(
+            event = "request_tried",
+            request,
+            service,
+            tries,
+            waited_ms,
+            ms,
+            target_ms,
+            dropped
+        );
     }
 
     fn hedge_ms(&self) -> u64 {
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -176,6 +176,7 @@
             last_failure: None,
             began: clock::now(),
             attempt_log: Rc::default(),
+            is_logged: false,
             requester,
         };
         let timer = tokio::time::sleep(Duration::from_millis(left_ms));
--- a/components/node/tests/forward.rs
+++ b/components/node/tests/forward.rs
@@ -244,3 +244,20 @@
     assert!(line.contains("i0 at=") && line.contains("i1 at="), "{line}");
     assert!(line.contains("dropped=") && line.contains("answered="), "{line}");
 }
+
+/// A host's call is dropped when its run is taken away. Guards against a call of which no log line
+/// says at which endpoints it may have run.
+#[actix_rt::test]
+async fn the_attempts_of_a_dropped_request_are_logged() {
+    let lines = LogLines::default();
+    let copy = lines.clone();
+    let log = tracing_subscriber::fmt().with_ansi(false).with_writer(move || copy.clone()).finish();
+    let _guard = tracing::subscriber::set_default(log);
+    let hanging = stub(Behavior::Hang).await;
+    let stubs = [&hanging];
+    let request = send(&stubs, RouteKind::Idempotent, 3, 1_500);
+    assert!(tokio::time::timeout(Duration::from_millis(100), request).await.is_err());
+    let text = String::from_utf8(lines.0.lock().unwrap().clone()).unwrap();
+    let line = text.lines().find(|line| line.contains("request_tried")).expect("a line");
+    assert!(line.contains("i0 at=") && line.contains("dropped=true"), "{line}");
+}
