Planner: a sample whose answers are lost is run again after longer and longer delays

A content whose answer is lost each time, at engines that live, was run again as often as engines could receive it, for as long as its step lived, and each time it kept its engine from other samples for 0.2 s and more.

Cause: RunEnd::Broken stood for two things, a run that did not reach its engine and one that ran without an answer, and had no bound, since neither may give the sample up.

Evidence: the new test with the end as before: 40 s of a step at nine live engines give as many runs as their penalties permit (the test fails); with the change 8 to 12.

Change: hosts report a run that its engine received and did not answer as Unanswered (a reply without meaning for the sample, as a time limit within the engine, too). The third consecutive one delays the next run by 0.5 s, each further one twice as long, up to 8 s; an event resets it. The sample is still not given up: only 422, as many 500 as allowed, or its age permit that. The count goes with the sample (run::Cost).

--- a/components/fleet/src/plan/reports.rs
+++ b/components/fleet/src/plan/reports.rs
@@ -32,6 +32,23 @@
 /// The delay in milliseconds; a crashed engine has restarted by then.
 const CRASH_DELAY_MS: u64 = 4_000;
 
+/// Runs without an answer after which a sample is run again only after a delay.
+const DELAYED_LOSSES: u32 = 3;
+/// The first delay in milliseconds. It doubles with each further run without an answer.
+const LOSS_DELAY_MS: u64 = 500;
+/// Maximum number of doublings of the delay, which limits it to eight seconds.
+const MAX_LOSS_DOUBLINGS: u32 = 4;
+
+/// Returns the milliseconds to wait before a sample runs again after that many consecutive runs
+/// without an answer. The engines are alive, so the sample may be at fault; without a delay, it
+/// would be run for as long as its step lasts, as often as engines can receive it.
+fn loss_delay_ms(losses: u32) -> u64 {
+    match losses.checked_sub(DELAYED_LOSSES) {
+        None => 0,
+        Some(more) => LOSS_DELAY_MS << more.min(MAX_LOSS_DOUBLINGS),
+    }
+}
+
 /// Returns the milliseconds to wait before a sample runs again after it crashed that many engines.
 /// The sample is not given up: only an engine's response or its age permits that.
 fn crash_delay_ms(crashes: u32) -> u64 {
@@ -67,6 +84,7 @@
             progress.host = Some(host.to_owned());
             progress.run = report.run;
             progress.cost.crashes = report.cost.crashes;
+            progress.cost.losses = report.cost.losses;
             progress.started = now;
             if let Some(engine) = self.engines.get_mut(&report.endpoint) {
                 *engine.running.entry(planned.step.model.clone()).or_default() += 1;
@@ -83,6 +101,7 @@
         if progress.output.events.len() > known_events {
             progress.last_event = now;
             progress.cost.crashes = 0;
+            progress.cost.losses = 0;
         }
         if report.status == run::RunStatus::Scoring && progress.phase == Phase::Running {
             progress.phase = Phase::Scoring;
@@ -176,6 +195,10 @@
                 progress.cost.crashes += 1;
                 progress.blocked_until = now + crash_delay_ms(progress.cost.crashes);
             }
+            RunEnd::Unanswered => {
+                progress.cost.losses += 1;
+                progress.blocked_until = now + loss_delay_ms(progress.cost.losses);
+            }
             RunEnd::Full | RunEnd::Moved | RunEnd::Broken | RunEnd::Late => {}
         }
         let next =
@@ -200,7 +223,7 @@
             // would get the samples of whole steps until they reach their failure limit. If a
             // sample itself is at fault, a healthy engine is idle for 0.2 s, during which other
             // engines take its work.
-            RunEnd::Broken | RunEnd::Crashed | RunEnd::Failed => {
+            RunEnd::Broken | RunEnd::Crashed | RunEnd::Unanswered | RunEnd::Failed => {
                 engine.failures += 1;
                 let doublings = (engine.failures - 1).min(MAX_DOUBLINGS);
                 engine.blocked_until = now + (FAILURE_PENALTY_MS << doublings);
--- a/components/fleet/src/plan/samples.rs
+++ b/components/fleet/src/plan/samples.rs
@@ -48,6 +48,8 @@
     Broken,
     /// The engine crashed before it generated an event of the sample.
     Crashed,
+    /// The engine received the run and is alive, but no event of it arrived.
+    Unanswered,
     /// The planner moved the run away from a slow engine.
     Taken,
     /// The order reached the host too late; the run was not started.
@@ -142,7 +144,7 @@
     pub(super) cost: Cost,
     /// When the sample is too old, as communicated to endpoints.
     pub(super) deadline: Millis,
-    /// The sample is not run before this time, because it crashes engines.
+    /// The sample is not run before this time, because it crashes engines or gets no answer.
     pub(super) blocked_until: Millis,
     /// How often the sample was moved away from a slow engine.
     pub(super) moves: u32,
--- a/components/fleet/src/run.rs
+++ b/components/fleet/src/run.rs
@@ -48,6 +48,9 @@
     pub unfit: bool,
     /// Engines that crashed since its last event.
     pub crashes: u32,
+    /// Consecutive runs since its last event that ended without an answer.
+    #[serde(default)]
+    pub losses: u32,
     /// The calls of its scorer.
     pub scorer: CallCost,
     /// What was added to the endpoints that its scorer's call was granted with its step. Reports
@@ -57,7 +60,8 @@
 }
 
 impl Cost {
-    /// Adds the counts of another process, except for crashes, which later events may have reset.
+    /// Adds the counts of another process, except for crashes and lost answers, which later events
+    /// may have reset.
     pub fn merge(&mut self, other: &Self) {
         self.failures = self.failures.max(other.failures);
         self.unfit |= other.unfit;
@@ -67,7 +71,7 @@
 
     /// Returns whether anything has failed.
     pub fn has_failed(&self) -> bool {
-        self.unfit || self.failures + self.crashes + self.scorer.failures > 0
+        self.unfit || self.failures + self.crashes + self.losses + self.scorer.failures > 0
     }
 
     /// Returns whether the sample must not run again on a route that allows this many failures.
--- a/components/fleet/src/state.rs
+++ b/components/fleet/src/state.rs
@@ -249,6 +249,7 @@
             let known = known.or_insert_with(|| SampleCost { cost: Cost::default(), at });
             known.cost.merge(&cost);
             known.cost.crashes = cost.crashes;
+            known.cost.losses = cost.losses;
             known.at = at;
         }
         ApplyOutcome::Changed
--- a/components/fleet/tests/plan.rs
+++ b/components/fleet/tests/plan.rs
@@ -343,6 +343,24 @@
     assert!(planner.exhausted_samples().is_empty(), "no engine reported a failure");
 }
 
+/// Guards against a sample that gets no answer from any engine, although all of them are alive, and
+/// is run again as often as engines can receive it until its step ends.
+#[test]
+fn a_sample_without_answers_is_run_again_after_longer_and_longer_delays() {
+    let engines: Vec<Endpoint> = (0..9).map(|n| engine(&format!("e{n}"), 4, 1)).collect();
+    let mut planner = planner(&engines, &[step("a", &[1])]);
+    let mut runs = Vec::new();
+    for now in (0..40_000).step_by(50) {
+        for _ in assign(&mut planner, NOW + now) {
+            runs.push(now);
+            let next = planner.record_run_end("a", 0, RunEnd::Unanswered, NOW + now);
+            assert_eq!(next, AfterRun::Again, "only an engine's answer permits to give it up");
+        }
+    }
+    assert!((8..=12).contains(&runs.len()), "{runs:?}");
+    assert!(runs[2] < 1_000, "answers that are lost by chance cost no delay: {runs:?}");
+}
+
 /// Guards against delaying a sample because of engine crashes between which it made progress.
 #[test]
 fn a_sample_that_makes_progress_is_not_delayed_for_crashes() {
--- a/components/node/src/leader/runs.rs
+++ b/components/node/src/leader/runs.rs
@@ -47,6 +47,7 @@
             host,
             failures = cost.failures,
             crashes = cost.crashes,
+            losses = cost.losses,
             scorer_failures = cost.scorer.failures
         );
         let job = Job {
@@ -203,6 +204,7 @@
         RunEnd::Moved => "moved",
         RunEnd::Broken => "broken",
         RunEnd::Crashed => "crashed",
+        RunEnd::Unanswered => "unanswered",
         RunEnd::Taken => "taken",
         RunEnd::Late => "late",
     }
--- a/components/node/src/runner/execute.rs
+++ b/components/node/src/runner/execute.rs
@@ -60,6 +60,8 @@
             let made_no_progress = events <= job.output.events.len();
             if connection_broke && made_no_progress && has_crashed(job.address).await {
                 RunEnd::Crashed
+            } else if made_no_progress && !error.is_unsent() {
+                RunEnd::Unanswered
             } else {
                 RunEnd::Broken
             }
@@ -95,7 +97,7 @@
         (ReplyKind::Answer, 422) => RunEnd::Unfit,
         (ReplyKind::Answer, 500) => RunEnd::Failed,
         // For example a timeout within the engine, which says nothing about the sample.
-        (ReplyKind::Answer, _) => RunEnd::Broken,
+        (ReplyKind::Answer, _) => RunEnd::Unanswered,
         (ReplyKind::NotRun, _) => RunEnd::Full,
         (ReplyKind::Moved, _) => RunEnd::Moved,
         (ReplyKind::Mismatched, _) => {
