Leader: what samples have cost is in the log, for open and ended steps

A leader elected since counted the failures of a sample, and of its scorer's call, from zero, if the step had ended before, or if the host that knew them was lost with the leader before. A sample could so run again after more answers of 500, or 422, than allowed.

Cause: costs went from leader to leader only by the reports of hosts that have a run of the sample at that moment. What waits for a run, and what belongs to an ended step, was the leader's memory.

Change: after a run that failed, the second in a row that crashed its engine or got no answer, and each reported failure of a scorer's call, the leader records the cost (Command::Spend, as for grants); the next leader starts with what is recorded. One sample in a hundred fails, so this is a few small commits a second on the largest deployments; not measured alone.

Remains: a failure in the few milliseconds before a leader is lost may be unrecorded.

--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -175,6 +175,14 @@
         costs
     }
 
+    /// Returns the id and the cost of a sample if its next run must not start without them.
+    pub fn limiting_cost(&self, step: &str, index: u32) -> Option<(String, Cost)> {
+        let planned = self.steps.get(step)?;
+        let sample = planned.step.samples.get(index as usize)?;
+        let cost = &planned.progress.get(index as usize)?.cost;
+        cost.is_limiting().then(|| (sample.id.clone(), cost.clone()))
+    }
+
     /// Adds costs that were recorded in the log, by sample id. Returns the open samples whose grant
     /// was extended, as step and index.
     pub fn restore_costs(&mut self, costs: &[(String, Cost)], now: Millis) -> Vec<(String, u32)> {
--- a/components/fleet/src/run.rs
+++ b/components/fleet/src/run.rs
@@ -20,6 +20,9 @@
 /// leader asks for it.
 pub const FINISHED_RUN_TTL_MS: u64 = 30_000;
 
+/// Consecutive runs that crashed engines or got no answer, from which on they are recorded.
+const MIN_RECORDED_RUNS: u32 = 2;
+
 /// The failures of a call so far, over all of its rounds. In each round, the call is tried at one
 /// endpoint after another until one answers or the time is up.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
@@ -74,6 +77,13 @@
         self.unfit || self.failures + self.crashes + self.losses + self.scorer.failures > 0
     }
 
+    /// Returns whether a leader that does not know of this cost would run the sample or call its
+    /// scorer too often. Single crashes and lost answers are too frequent to be recorded one by one.
+    pub fn is_limiting(&self) -> bool {
+        let failures = self.failures + self.scorer.failures;
+        self.unfit || failures > 0 || self.crashes.max(self.losses) >= MIN_RECORDED_RUNS
+    }
+
     /// Returns whether the sample must not run again on a route that allows this many failures.
     pub fn is_exhausted(&self, attempts: u32) -> bool {
         self.unfit || self.failures >= attempts.max(1)
--- a/components/node/src/leader/crashes.rs
+++ b/components/node/src/leader/crashes.rs
@@ -20,7 +20,7 @@
         self.commit_in_background(Command::Clear(content));
     }
 
-    fn commit_in_background(self: &Rc<Self>, command: Command) {
+    pub(super) fn commit_in_background(self: &Rc<Self>, command: Command) {
         let leader = self.clone();
         actix_rt::spawn(async move { leader.commit(command).await });
     }
--- a/components/node/src/leader/grants.rs
+++ b/components/node/src/leader/grants.rs
@@ -113,6 +113,20 @@
         clock::now().since(self.began) >= endpoint::Settings::default().silent_ms
     }
 
+    /// Records the cost of a sample in the log, so that the next leader does not run it or call its
+    /// scorer too often.
+    pub(super) fn record_cost(self: &Rc<Self>, step: &str, index: u32) {
+        let cost = self.plan.borrow().limiting_cost(step, index);
+        if let Some(cost) = cost {
+            self.commit_in_background(Command::Spend(vec![cost]));
+        }
+    }
+
+    /// Returns how often the call of a sample's scorer has failed.
+    pub(super) fn scorer_failures(&self, step: &str, index: u32) -> u32 {
+        self.plan.borrow().scorer(step, index).map_or(0, |(_, cost)| cost.scorer.failures)
+    }
+
     /// Passes recorded costs to the plan, and extended grants to the hosts of their runs.
     pub(super) fn on_costs_applied(&self, costs: &[(String, Cost)]) {
         let granted = self.plan.borrow_mut().restore_costs(costs, clock::now());
--- a/components/node/src/leader/runs.rs
+++ b/components/node/src/leader/runs.rs
@@ -18,7 +18,7 @@
 use crate::metrics;
 
 impl Leader {
-    pub(super) fn start_run(&self, assignment: Assignment) {
+    pub(super) fn start_run(self: &Rc<Self>, assignment: Assignment) {
         let Assignment {
             run,
             step,
@@ -77,12 +77,12 @@
 
     /// Ends a run at the leader's initiative: its host is told to stop it, and the sample waits for
     /// another run.
-    pub(super) fn end_run(&self, step: &str, index: u32, end: RunEnd) {
+    pub(super) fn end_run(self: &Rc<Self>, step: &str, index: u32, end: RunEnd) {
         self.finish_run(step, index, end);
         self.wake_planner.notify_one();
     }
 
-    fn finish_run(&self, step: &str, index: u32, end: RunEnd) {
+    fn finish_run(self: &Rc<Self>, step: &str, index: u32, end: RunEnd) {
         self.release(step, index);
         let (next, events) = {
             let mut plan = self.plan.borrow_mut();
@@ -93,6 +93,8 @@
         tracing::info!(event = "run_ended", step, index, ?end, ?next, events);
         if next == AfterRun::GiveUp {
             self.settle(step, index, SampleResult::GivenUp);
+        } else if matches!(end, RunEnd::Failed | RunEnd::Crashed | RunEnd::Unanswered) {
+            self.record_cost(step, index);
         }
     }
 
@@ -133,6 +135,7 @@
     pub fn handle_report(self: &Rc<Self>, host: &str, report: &RunReport) {
         let (step, index) = (&report.step, report.index);
         self.record_ended(&report.cost.grant.ended);
+        let failures = self.scorer_failures(step, index);
         let was_scoring = self.plan.borrow().is_scoring(step, index);
         let action = self.plan.borrow_mut().record_report(host, report, clock::now());
         match action {
@@ -153,6 +156,9 @@
             }
             ReportAction::Defer => return,
         }
+        if self.scorer_failures(step, index) > failures {
+            self.record_cost(step, index);
+        }
         match &report.status {
             RunStatus::Running => {}
             RunStatus::Scoring if was_scoring => self.extend_grant(step, index),
--- a/components/node/tests/leader/grants.rs
+++ b/components/node/tests/leader/grants.rs
@@ -50,7 +50,7 @@
     Arc::new(Step { samples: vec![sample], ..(*plain).clone() })
 }
 
-async fn submit(fleet: &Fleet, id: &str) {
+pub async fn submit(fleet: &Fleet, id: &str) {
     let answer = fleet.leader().answer(Call::Submit(scored_step(id))).await;
     assert!(matches!(answer, Answer::Done), "{answer:?}");
 }
@@ -62,16 +62,21 @@
 }
 
 /// Starts a fleet with five desks and an engine.
-async fn fleet() -> Fleet {
+pub async fn fleet() -> Fleet {
     let fleet = Fleet::start().await;
     configure(&fleet, config_with_desk(2)).await;
     announce_desks(&fleet, &["d1", "d2", "d3", "d4", "d5"]).await;
-    announce(&fleet, engine("e", 1)).await;
+    announce_engine(&fleet).await;
     fleet
 }
 
+/// Announces the engine to the current leader.
+pub async fn announce_engine(fleet: &Fleet) {
+    announce(fleet, engine("e", 1)).await;
+}
+
 /// Connects a host that may be given work.
-async fn connect_host(fleet: &Fleet, node: &str) -> Socket {
+pub async fn connect_host(fleet: &Fleet, node: &str) -> Socket {
     let mut socket = connect_store(fleet.links, node).await;
     send_heartbeat(&mut socket).await;
     socket.send(encode(&MemberMessage::Reported)).await.unwrap();
@@ -100,7 +105,7 @@
     tokio::time::timeout(Duration::from_secs(5), received).await.expect("an order")
 }
 
-async fn receive_job(socket: &mut Socket) -> Job {
+pub async fn receive_job(socket: &mut Socket) -> Job {
     receive(socket, |work| match work {
         HostCommand::Run(job) => Some(*job),
         _ => None,
@@ -114,7 +119,7 @@
     Grant::of(scorer, &job.cost.grant).endpoints
 }
 
-fn scoring(job: &Job) -> RunReport {
+pub fn scoring(job: &Job) -> RunReport {
     RunReport { run: job.run, endpoint: "e".to_owned(), ..scoring_report(&job.step) }
 }
 
@@ -130,7 +135,7 @@
     drop(store);
     let leader = fleet.next_leader();
     announce_desks(&fleet, &["d6", "d7", "d8", "d9"]).await;
-    announce(&fleet, engine("e", 1)).await;
+    announce_engine(&fleet).await;
     let _store = fleet.store(&parts).await;
     wait_until("the step is read", || leader.plan.borrow().has_step("a")).await;
     let after = granted(&receive_job(&mut connect_host(&fleet, "h2").await).await);
@@ -175,7 +180,7 @@
     fleet.next_leader();
     let _store = fleet.store(&parts).await;
     announce_desks(&fleet, &["d6", "d7", "d8", "d9"]).await;
-    announce(&fleet, engine("e", 1)).await;
+    announce_engine(&fleet).await;
     submit(&fleet, "b").await;
     let after = granted(&receive_job(&mut connect_host(&fleet, "h2").await).await);
     assert_eq!(after, before);
--- a/components/node/tests/leader/main.rs
+++ b/components/node/tests/leader/main.rs
@@ -1,5 +1,6 @@
 //! A leader with hosts, stores and other members simulated by the test, on real sockets.
 
+mod costs;
 mod fleet;
 mod grants;
 #[path = "../support/job.rs"]
