Scorers: a call is repeated only after its failure is recorded

Two hosts that carry the same call at once may each have it fail as often as its route allows.

Cause: each host counts the failures of its own passes, and a pass goes on to the next endpoint after an answer of 500.

Change: a pass of a shared call ends with the first such answer. The host reports it, the leader records it in the log, and answers with the number of failures of all hosts (HostCommand::Grant); then the host repeats the call at once, or gives it up. So a host that is lost or cut off leaves at most the attempts in flight uncounted, one and its hedge.

Test: a_call_is_repeated_only_after_its_failures_are_recorded; without the wait it fails. run_until_given_up in the same file now plays the leader's part and answers reports of failures; its checks are as before.

--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -183,8 +183,9 @@
         cost.is_limiting().then(|| (sample.id.clone(), cost.clone()))
     }
 
-    /// Adds costs that were recorded in the log, by sample id. Returns the open samples whose grant
-    /// was extended, as step and index.
+    /// Adds costs that were recorded in the log, by sample id. Returns the open samples whose hosts
+    /// have to be informed, as step and index: those whose grant was extended, or whose scorer's call
+    /// has failed.
     pub fn restore_costs(&mut self, costs: &[(String, Cost)], now: Millis) -> Vec<(String, u32)> {
         let mut granted = Vec::new();
         for (id, cost) in costs {
@@ -198,7 +199,9 @@
                 let Some(scorer) = &planned.step.samples[index].scorer else { continue };
                 let before = Grant::of(scorer, &progress.cost.grant);
                 progress.cost.merge(cost);
-                if Grant::of(scorer, &progress.cost.grant) != before {
+                let is_extended = Grant::of(scorer, &progress.cost.grant) != before;
+                let waits = progress.phase == Phase::Scoring && cost.scorer.failures > 0;
+                if is_extended || waits {
                     granted.push((step.clone(), index as u32));
                 }
             }
--- a/components/fleet/src/run.rs
+++ b/components/fleet/src/run.rs
@@ -132,7 +132,7 @@
     Run(Box<Job>),
     /// Report all runs completely again, because the leader may not have known their steps.
     Tell,
-    /// Add endpoints to those that the scorer's call of a run may use.
+    /// Continue the scorer's call of a run with what the log has recorded of it.
     Grant {
         /// The step.
         step: String,
@@ -140,8 +140,10 @@
         index: u32,
         /// The id of the run.
         run: u64,
-        /// All that was added since the step was accepted.
+        /// All endpoints that were added since the step was accepted.
         grant: Grant,
+        /// The failures of the call.
+        failures: u32,
     },
     /// Stop a run, or drop one that has ended.
     Stop {
--- a/components/node/src/forward/budget.rs
+++ b/components/node/src/forward/budget.rs
@@ -1,5 +1,6 @@
 //! Limits of a request in time and endpoints, over all of its passes.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 
@@ -25,6 +26,8 @@
 struct SharedCall {
     /// The endpoints that may be called.
     grant: RefCell<Grant>,
+    /// The failures of the call that are recorded.
+    recorded_failures: Cell<u32>,
     /// Endpoints that refused a connection.
     refused: RefCell<BTreeSet<String>>,
     /// Returns whether the call is still wanted.
@@ -52,6 +55,7 @@
     ) -> Self {
         let shared = SharedCall {
             grant: RefCell::new(grant),
+            recorded_failures: Cell::new(spent.failures),
             refused: RefCell::default(),
             is_wanted: Box::new(is_wanted),
             extended: Notify::new(),
@@ -109,14 +113,24 @@
         }
     }
 
-    /// Adds endpoints to the grant.
-    pub fn extend(&self, added: &Grant) {
+    /// Adds endpoints to the grant, and the failures that are recorded, at this process or others.
+    pub fn extend(&self, added: &Grant, failures: u32) {
         if let Some(shared) = &self.shared {
             shared.grant.borrow_mut().merge(added);
+            shared.recorded_failures.set(shared.recorded_failures.get().max(failures));
+            let mut spent = self.spent.borrow_mut();
+            spent.failures = spent.failures.max(failures);
             shared.extended.notify_one();
         }
     }
 
+    /// Returns whether a failure of the call is not recorded yet. If the call were repeated, and this
+    /// process lost, the next one would count from too few failures.
+    pub fn has_unrecorded_failures(&self) -> bool {
+        let recorded = self.shared.as_ref().map(|shared| shared.recorded_failures.get());
+        recorded.is_some_and(|recorded| recorded < self.spent.borrow().failures)
+    }
+
     /// Waits until the grant is extended.
     pub async fn extended(&self) {
         match &self.shared {
--- a/components/node/src/forward/dispatch.rs
+++ b/components/node/src/forward/dispatch.rs
@@ -210,7 +210,9 @@
                 let failed = reply.status == StatusCode::INTERNAL_SERVER_ERROR;
                 self.forwarder.crashes.record_completion(self.request, self.requester.workspace);
                 self.budget.spent.borrow_mut().failures += u32::from(failed);
-                if self.at_most_once || !reply.status.is_server_error() {
+                // A failure of a shared call is recorded before the call is repeated.
+                let is_final = self.at_most_once || (failed && self.budget.is_shared());
+                if is_final || !reply.status.is_server_error() {
                     return Some(Outcome::Answered(reply));
                 }
                 self.last_failure = Some(reply);
--- a/components/node/src/leader/grants.rs
+++ b/components/node/src/leader/grants.rs
@@ -122,20 +122,41 @@
         }
     }
 
-    /// Returns how often the call of a sample's scorer has failed.
-    pub(super) fn scorer_failures(&self, step: &str, index: u32) -> u32 {
-        self.plan.borrow().scorer(step, index).map_or(0, |(_, cost)| cost.scorer.failures)
+    /// Records the failures of a scorer's call that its host has reported. The host repeats the call
+    /// once it knows that they are recorded.
+    pub(super) fn confirm_failures(self: &Rc<Self>, step: &str, index: u32) {
+        let found = {
+            let plan = self.plan.borrow();
+            let failures = plan.scorer(step, index).map(|(_, cost)| cost.scorer.failures);
+            failures.zip(plan.sample_id(step, index).map(str::to_owned))
+        };
+        let Some((failures, sample)) = found.filter(|(failures, _)| *failures > 0) else { return };
+        let recorded =
+            self.context.replica.state().costs.get(&sample).map(|known| known.cost.scorer.failures);
+        if recorded >= Some(failures) {
+            self.send_grant(step, index);
+        } else {
+            self.record_cost(step, index);
+        }
     }
 
     /// Passes recorded costs to the plan, and extended grants to the hosts of their runs.
     pub(super) fn on_costs_applied(&self, costs: &[(String, Cost)]) {
         let granted = self.plan.borrow_mut().restore_costs(costs, clock::now());
         for (step, index) in granted {
-            let plan = self.plan.borrow();
-            let Some((host, run)) = plan.host(&step, index) else { continue };
-            let Some((_, cost)) = plan.scorer(&step, index) else { continue };
-            let grant = cost.grant.clone();
-            self.hosts.send(&host, HostCommand::Grant { step, index, run, grant });
+            self.send_grant(&step, index);
         }
     }
+
+    /// Sends the grant of a sample's call, and the number of its failures, to its host.
+    fn send_grant(&self, step: &str, index: u32) {
+        let found = {
+            let plan = self.plan.borrow();
+            let cost = plan.scorer(step, index).map(|(_, cost)| cost.clone());
+            plan.host(step, index).zip(cost)
+        };
+        let Some(((host, run), cost)) = found else { return };
+        let (step, grant, failures) = (step.to_owned(), cost.grant, cost.scorer.failures);
+        self.hosts.send(&host, HostCommand::Grant { step, index, run, grant, failures });
+    }
 }
--- a/components/node/src/leader/runs.rs
+++ b/components/node/src/leader/runs.rs
@@ -135,7 +135,6 @@
     pub fn handle_report(self: &Rc<Self>, host: &str, report: &RunReport) {
         let (step, index) = (&report.step, report.index);
         self.record_ended(&report.cost.grant.ended);
-        let failures = self.scorer_failures(step, index);
         let was_scoring = self.plan.borrow().is_scoring(step, index);
         let action = self.plan.borrow_mut().record_report(host, report, clock::now());
         match action {
@@ -156,14 +155,15 @@
             }
             ReportAction::Defer => return,
         }
-        if self.scorer_failures(step, index) > failures {
-            self.record_cost(step, index);
-        }
         match &report.status {
             RunStatus::Running => {}
-            RunStatus::Scoring if was_scoring => self.extend_grant(step, index),
+            RunStatus::Scoring if was_scoring => {
+                self.extend_grant(step, index);
+                self.confirm_failures(step, index);
+            }
             RunStatus::Scoring => {
                 self.extend_grant(step, index);
+                self.confirm_failures(step, index);
                 let events = report.from as usize + report.output.events.len();
                 let endpoint = &report.endpoint;
                 metrics::RUNS.with_label_values(&["whole"]).inc();
--- a/components/node/src/runner/execute.rs
+++ b/components/node/src/runner/execute.rs
@@ -19,6 +19,7 @@
 use chicoryford_platform::sample::Event;
 use chicoryford_platform::sample::RunContext;
 
+use super::REPORT_INTERVAL;
 use super::RunState;
 use super::Runner;
 use crate::clock;
@@ -210,6 +211,11 @@
             tokio::time::sleep(SCORE_RETRY_PAUSE).await;
             continue;
         };
+        if budget.has_unrecorded_failures() {
+            runner.set_status(job, state, RunStatus::Scoring);
+            let _ = tokio::time::timeout(REPORT_INTERVAL, budget.extended()).await;
+            continue;
+        }
         let failures = budget.spent().failures;
         if failures >= route.attempts.max(1) {
             tracing::info!(event = "scorer_failed", sample = job.sample.id, failures);
@@ -235,6 +241,9 @@
         {
             return RunStatus::Finished(Some(score.to_owned()));
         }
+        if budget.has_unrecorded_failures() {
+            continue;
+        }
         if let Outcome::NotRun(_, after_ms) = outcome {
             if !runner.forwarder.can_hedge(budget) {
                 // The leader then extends the grant.
--- a/components/node/src/runner/mod.rs
+++ b/components/node/src/runner/mod.rs
@@ -220,10 +220,10 @@
                 self.start(*job, age_ms);
             }
             HostCommand::Tell => self.report_all(),
-            HostCommand::Grant { step, index, run, grant } => {
+            HostCommand::Grant { step, index, run, grant, failures } => {
                 let hosted = self.runs.borrow().get(&(step, index)).cloned();
                 if let Some(hosted) = hosted.filter(|hosted| hosted.job.run == run) {
-                    hosted.state.budget.extend(&grant);
+                    hosted.state.budget.extend(&grant, failures);
                 }
             }
             HostCommand::Stop { step, index, run } => {
--- a/components/node/tests/scorers.rs
+++ b/components/node/tests/scorers.rs
@@ -180,6 +180,12 @@
     Job { sample, remaining_ms: SAMPLE_LIMIT_MS, cost, ..support::job::job(address.await) }
 }
 
+/// Returns the leader's answer to a report of failures.
+fn recorded(failures: u32) -> HostCommand {
+    let (step, grant) = ("step".to_owned(), Grant::default());
+    HostCommand::Grant { step, index: 0, run: 1, grant, failures }
+}
+
 /// Makes a host execute a run until its scorer is given up. Returns the host's last report.
 async fn run_until_given_up(runner: &Rc<Runner>, cost: Cost) -> RunReport {
     let reports: Rc<RefCell<Vec<RunReport>>> = Rc::default();
@@ -191,6 +197,8 @@
         if let Some(last) = reports.borrow().last().filter(unscored) {
             return last.clone();
         }
+        let failures = reports.borrow().last().map_or(0, |last| last.cost.scorer.failures);
+        runner.handle_local(recorded(failures));
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     panic!("the scorer was not given up: {:?}", reports.borrow().last());
@@ -274,6 +282,28 @@
     assert!(last.cost.scorer.failures > 0, "{last:?}");
 }
 
+/// Guards against two hosts of the same call that both have it fail as often as it may: a host
+/// repeats it only when its failures are recorded, and then counts those of the other as well.
+#[actix_rt::test]
+async fn a_call_is_repeated_only_after_its_failures_are_recorded() {
+    let (scorers, calls) = scorers(Duration::from_millis(10)).await;
+    let runner = host(&scorers);
+    let statuses: Rc<RefCell<Vec<RunStatus>>> = Rc::default();
+    let sink = statuses.clone();
+    runner.attach_local(move |report| sink.borrow_mut().push(report.status.clone()));
+    runner.handle_local(HostCommand::Run(Box::new(job(Cost::default()).await)));
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    assert_eq!(calls.borrow().len(), 1, "{calls:?}");
+    // Another host has had it fail as well.
+    runner.handle_local(recorded(ATTEMPTS - 1));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(calls.borrow().len(), 2, "{calls:?}");
+    runner.handle_local(recorded(ATTEMPTS));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(calls.borrow().len(), 2, "{calls:?}");
+    assert_eq!(statuses.borrow().last(), Some(&RunStatus::Unscored));
+}
+
 /// Guards against an endpoint that was used by a lost host and is not counted by the next one,
 /// which prefers endpoints that have joined since.
 #[actix_rt::test]
