Crashes: an endpoint that falls silent counts as crashed by the contents that it did not answer

A content that crashes endpoints which keep their connections open, as a VM without power does, convicted nobody, so it went on to one endpoint after another.

Cause: a crash was told by a refused connection alone.

Change: a process remembers for 12 s which contents got no answer from which endpoint, unless one of their requests completes; if the registry finds the endpoint silent (6 s without an announcement), these count as crashes by the rule there is: three endpoints. A cut silences many endpoints at once, with whatever they run, so endpoints that fall silent within 2.5 s of each other count as one. So a content is refused later than one whose endpoints refuse connections: after 11 s at the earliest.

Tests: fleet crashes (one after another, together, long after) and node crashes (a_content_whose_endpoints_fall_silent_is_sent_to_no_other: with the silence not passed on it fails, the content goes to further endpoints).

--- a/components/fleet/src/crashes.rs
+++ b/components/fleet/src/crashes.rs
@@ -9,6 +9,7 @@
 use chicoryford_suspects::Rule;
 use chicoryford_types::Change;
 use chicoryford_types::Fingerprint;
+use chicoryford_types::Millis;
 use chicoryford_types::Unix;
 use chicoryford_types::config::Conviction;
 use serde::Deserialize;
@@ -17,6 +18,14 @@
 /// Maximum number of contents for which one process records crashes itself.
 const MAX_LOCAL_CONTENTS: usize = 1_024;
 
+/// Milliseconds for which an attempt without an answer is remembered. An endpoint is found to be
+/// silent six seconds after its last announcement, and its attempts end some seconds after it has
+/// crashed.
+const UNANSWERED_TTL_MS: u64 = 12_000;
+/// Minimum milliseconds between two endpoints that fall silent and both count as crashed by the same
+/// content. A cut silences many endpoints at once, with whatever they were running.
+const SILENCE_SPACING_MS: u64 = 2_500;
+
 /// A crash of an endpoint while it ran a request.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
 pub struct Crash {
@@ -91,6 +100,10 @@
 pub struct LocalCrashes {
     refused: BTreeSet<Fingerprint>,
     seen: BTreeMap<Fingerprint, BTreeSet<String>>,
+    /// Attempts without an answer by endpoint, and when they ended.
+    unanswered: BTreeMap<String, BTreeMap<Fingerprint, Millis>>,
+    /// Contents of such attempts at endpoints that fell silent later, and when the last one did.
+    silenced: BTreeMap<Fingerprint, Millis>,
 }
 
 impl LocalCrashes {
@@ -107,15 +120,50 @@
         self.seen.entry(crash.content).or_default().insert(crash.endpoint.clone());
     }
 
+    /// Records that an attempt got no answer, although its endpoint refuses no connections.
+    pub fn record_unanswered(&mut self, attempt: Crash, now: Millis) {
+        for contents in self.unanswered.values_mut() {
+            contents.retain(|_, at| now.since(*at) < UNANSWERED_TTL_MS);
+        }
+        self.unanswered.retain(|_, contents| !contents.is_empty());
+        let count: usize = self.unanswered.values().map(BTreeMap::len).sum();
+        if count < MAX_LOCAL_CONTENTS {
+            let contents = self.unanswered.entry(attempt.endpoint).or_default();
+            contents.insert(attempt.content, now);
+        }
+    }
+
+    /// Records that an endpoint has fallen silent. Returns the crashes that this indicates: those by
+    /// the contents whose attempts got no answer from it.
+    pub fn record_silence(&mut self, endpoint: &str, now: Millis) -> Vec<Crash> {
+        let unanswered = self.unanswered.remove(endpoint).unwrap_or_default();
+        let mut crashes = Vec::new();
+        for (content, at) in unanswered {
+            let last = self.silenced.get(&content);
+            let is_separate = last.is_none_or(|last| now.since(*last) >= SILENCE_SPACING_MS);
+            if now.since(at) < UNANSWERED_TTL_MS && is_separate {
+                self.silenced.insert(content, now);
+                let crash = Crash { content, endpoint: endpoint.to_owned() };
+                self.record_crash(&crash);
+                crashes.push(crash);
+            }
+        }
+        crashes
+    }
+
     /// Records that a request with a content completed. Returns whether this process had seen the
     /// content crash an endpoint.
     pub fn clear_suspect(&mut self, content: Fingerprint) -> bool {
+        for contents in self.unanswered.values_mut() {
+            contents.remove(&content);
+        }
+        self.silenced.remove(&content);
         self.seen.remove(&content).is_some()
     }
 
-    /// Returns whether no content can be rejected.
+    /// Returns whether no content is rejected or suspected.
     pub fn is_empty(&self) -> bool {
-        self.refused.is_empty() && self.seen.is_empty()
+        self.refused.is_empty() && self.seen.is_empty() && self.unanswered.is_empty()
     }
 
     /// Returns whether a content is to be rejected.
--- a/components/fleet/tests/crashes.rs
+++ b/components/fleet/tests/crashes.rs
@@ -6,6 +6,7 @@
 use chicoryford_fleet::crashes::CrashState;
 use chicoryford_fleet::crashes::LocalCrashes;
 use chicoryford_types::Fingerprint;
+use chicoryford_types::Millis;
 
 const BAD: Fingerprint = Fingerprint(1);
 const GOOD: Fingerprint = Fingerprint(2);
@@ -69,3 +70,38 @@
     assert!(local.clear_suspect(BAD));
     assert!(!local.refuses(BAD));
 }
+
+/// Guards against a content that crashes endpoints which fall silent instead of refusing
+/// connections: it went on to the next one for ever.
+#[test]
+fn a_content_whose_endpoints_fall_silent_one_after_another_is_rejected() {
+    let mut local = LocalCrashes::default();
+    for (number, endpoint) in ["a", "b", "c"].into_iter().enumerate() {
+        let at = Millis(10_000 * number as u64);
+        local.record_unanswered(crash(BAD, endpoint), at);
+        local.record_unanswered(crash(GOOD, endpoint), at);
+        local.clear_suspect(GOOD);
+        assert_eq!(local.record_silence(endpoint, at + 6_000), [crash(BAD, endpoint)]);
+    }
+    assert!(local.refuses(BAD) && !local.refuses(GOOD));
+}
+
+/// Guards against rejecting a content because a cut silenced the endpoints that were running it.
+#[test]
+fn endpoints_that_fall_silent_together_count_as_one_crash() {
+    let mut local = LocalCrashes::default();
+    for endpoint in ["a", "b", "c", "d"] {
+        local.record_unanswered(crash(BAD, endpoint), Millis(0));
+    }
+    for (number, endpoint) in ["a", "b", "c", "d"].into_iter().enumerate() {
+        local.record_silence(endpoint, Millis(6_000 + 300 * number as u64));
+    }
+    assert!(!local.refuses(BAD));
+}
+
+#[test]
+fn an_endpoint_that_falls_silent_long_after_an_attempt_was_not_crashed_by_it() {
+    let mut local = LocalCrashes::default();
+    local.record_unanswered(crash(BAD, "a"), Millis(0));
+    assert!(local.record_silence("a", Millis(12_000)).is_empty());
+}
--- a/components/node/src/crashes.rs
+++ b/components/node/src/crashes.rs
@@ -12,6 +12,7 @@
 use chicoryford_http::Request;
 use chicoryford_types::Fingerprint;
 
+use crate::clock;
 use crate::link::Link;
 use crate::metrics;
 
@@ -52,19 +53,34 @@
         let this = self.clone();
         actix_rt::spawn(async move {
             if has_crashed(address).await {
-                this.record_crash(crash);
+                this.watch.borrow_mut().record_crash(&crash);
+                this.report(crash);
+            } else {
+                this.record_unanswered(crash);
             }
         });
     }
 
-    fn record_crash(&self, crash: Crash) {
+    /// Records that an attempt got no answer. Its endpoint may have crashed without closing its
+    /// connections, and falls silent then.
+    pub fn record_unanswered(&self, attempt: Crash) {
+        self.watch.borrow_mut().record_unanswered(attempt, clock::now());
+    }
+
+    /// Records that an endpoint has fallen silent.
+    pub fn record_silence(&self, endpoint: &str) {
+        let crashes = self.watch.borrow_mut().record_silence(endpoint, clock::now());
+        crashes.into_iter().for_each(|crash| self.report(crash));
+    }
+
+    /// Logs a crash, and queues it for the next report to the leader.
+    fn report(&self, crash: Crash) {
         tracing::info!(
             event = "endpoint_crashed",
             endpoint = crash.endpoint,
             content = crash.content.0
         );
         metrics::CRASHES.inc();
-        self.watch.borrow_mut().record_crash(&crash);
         let mut unreported = self.unreported.borrow_mut();
         if unreported.len() < MAX_UNREPORTED {
             unreported.insert(crash);
--- a/components/node/src/forward/attempt.rs
+++ b/components/node/src/forward/attempt.rs
@@ -30,6 +30,12 @@
 }
 
 impl AttemptRecord {
+    /// Returns whether the endpoint had received the request, and had not answered when the attempt was
+    /// cancelled.
+    pub(super) fn was_dropped(&self) -> bool {
+        self.sent.is_some() && matches!(self.end, Some((AttemptOutcome::Dropped(_), _)))
+    }
+
     /// Returns when the endpoint began to run the request, as far as is known; `None` if it did
     /// not.
     pub(super) fn began(&self) -> Option<Millis> {
--- a/components/node/src/forward/dispatch.rs
+++ b/components/node/src/forward/dispatch.rs
@@ -67,6 +67,8 @@
     pub(super) attempt_log: AttemptLog,
     /// Whether its outcome was logged, or did not have to be.
     pub(super) is_logged: bool,
+    /// Whether an endpoint has answered.
+    pub(super) is_answered: bool,
     pub(super) requester: Requester<'a>,
 }
 
@@ -77,6 +79,7 @@
         if !self.is_logged && !self.tried.is_empty() {
             self.log(None);
         }
+        self.record_unanswered();
         let Some(usage) = &mut self.requester.usage else { return };
         let tries = self.attempt_log.borrow();
         if let Some(began) = tries.iter().filter_map(AttemptRecord::began).min() {
@@ -205,6 +208,7 @@
     fn handle_result(&mut self, (id, tried): (String, AttemptResult)) -> Option<Outcome> {
         match tried {
             AttemptResult::Answered(reply) => {
+                self.is_answered = true;
                 // Only this status means that the endpoint failed to process the request; samples
                 // are given up because of it.
                 let failed = reply.status == StatusCode::INTERNAL_SERVER_ERROR;
@@ -268,6 +272,17 @@
         }
     }
 
+    /// Records the attempts that were in progress when the request ended without any answer.
+    fn record_unanswered(&self) {
+        let tries = self.attempt_log.borrow();
+        let dropped = tries.iter().filter(|attempt| !self.is_answered && attempt.was_dropped());
+        for attempt in dropped {
+            let content = crashes::content_fingerprint(self.request, self.requester.workspace);
+            let endpoint = attempt.target.id.clone();
+            self.forwarder.crashes.record_unanswered(Crash { content, endpoint });
+        }
+    }
+
     /// Logs the attempts. `target_ms` is `None` if the request was dropped.
     fn log(&self, target_ms: Option<u64>) {
         let ms = clock::now().since(self.began);
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use chicoryford_fleet::EndpointStatus;
 use chicoryford_fleet::Policy;
 use chicoryford_fleet::Route;
 use chicoryford_fleet::RouteKind;
@@ -109,7 +110,12 @@
     pub fn apply(&self, update: &Update) {
         let mut picker = self.picker.borrow_mut();
         match update {
-            Update::Endpoint(endpoint) => picker.observe(endpoint),
+            Update::Endpoint(endpoint) => {
+                if endpoint.status == EndpointStatus::Silent {
+                    self.crashes.record_silence(&endpoint.announcement.id);
+                }
+                picker.observe(endpoint);
+            }
             Update::Forgotten(id) => picker.forget(id),
             Update::Whole(known) => picker.retain(|id| known.contains(id)),
             Update::Config(config) => {
@@ -177,6 +183,7 @@
             began: clock::now(),
             attempt_log: Rc::default(),
             is_logged: false,
+            is_answered: false,
             requester,
         };
         let timer = tokio::time::sleep(Duration::from_millis(left_ms));
--- a/components/node/tests/crashes.rs
+++ b/components/node/tests/crashes.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use chicoryford_fleet::Endpoint;
+use chicoryford_fleet::EndpointStatus;
 use chicoryford_fleet::Policy;
 use chicoryford_fleet::RouteKind;
 use chicoryford_http::Request;
@@ -36,6 +37,8 @@
     Crash,
     /// It closes the connection and continues.
     Close,
+    /// It falls silent: it neither answers nor closes its connections.
+    Hang,
 }
 
 /// The endpoints that received "bad", in order.
@@ -53,10 +56,11 @@
             while stream.read(&mut bytes).await.is_ok_and(|read| read > 0) {
                 if bytes.windows(3).any(|three| three == b"bad") {
                     received.borrow_mut().push(id.clone());
-                    if behavior == Behavior::Crash {
-                        return;
+                    match behavior {
+                        Behavior::Crash => return,
+                        Behavior::Close => break,
+                        Behavior::Hang => std::future::pending().await,
                     }
-                    break;
                 }
                 let answer = "HTTP/1.1 200 OK\r\nx-attempt-id: id\r\nx-response-stamp: s\r\n\
                               content-length: 2\r\n\r\nok";
@@ -124,3 +128,24 @@
     assert!(matches!(send(&forwarder, "bad").await, Outcome::NotRun(..)));
     assert!(received.borrow().is_empty());
 }
+
+/// Guards against a content that crashes endpoints which keep their connections open, as a VM
+/// without power does: it was sent to one endpoint after another, and no process suspected it.
+#[actix_rt::test]
+async fn a_content_whose_endpoints_fall_silent_is_sent_to_no_other() {
+    let (forwarder, received) = forwarder(8, Behavior::Hang).await;
+    for _ in 0..3 {
+        let asked = received.borrow().len();
+        assert!(matches!(send(&forwarder, "bad").await, Outcome::Late));
+        let silent: Vec<String> = received.borrow()[asked..].to_vec();
+        for id in silent {
+            let mut endpoint = endpoint("desk", &id, "127.0.0.1:9".parse().unwrap(), 4);
+            endpoint.status = EndpointStatus::Silent;
+            forwarder.apply(&Update::Endpoint(endpoint));
+        }
+        tokio::time::sleep(Duration::from_millis(1_600)).await;
+    }
+    let refused = send(&forwarder, "bad").await;
+    assert!(matches!(refused, Outcome::NotRun("the content crashes endpoints", _)), "{refused:?}");
+    assert!(matches!(send(&forwarder, "good").await, Outcome::Answered(_)));
+}
