Crashes: a completed request clears its content at whatever process it completes

A content that was running when an endpoint ended is suspected; a completed request clears it, but only the process that had seen the crash tells of the completion. A paused store saw three endpoints end and completed nothing; the other stores completed dozens of calls with the same content and told nobody. Evidence: six lines content_crashed of one content in the leader's log within 5 s, the last refused=true; no forward after it, and calls of that content answered all the while.

Change: the leader sends the suspected contents to all members (Update::Suspected); each reports, once, a completed request with one of them, and the leader clears it. It commits only if the content is suspected. A content that crashes its endpoints never completes.

Tests: a_content_that_completes_at_another_process_is_no_longer_suspected; without the broadcast it fails (refused after the third crash).

--- a/components/fleet/src/crashes.rs
+++ b/components/fleet/src/crashes.rs
@@ -83,6 +83,11 @@
         self.suspects.remove(&content).is_some()
     }
 
+    /// Returns the contents that are suspected, but not rejected yet.
+    pub fn suspected(&self) -> BTreeSet<Fingerprint> {
+        self.suspects.keys().copied().collect()
+    }
+
     /// Returns the contents that are rejected.
     pub fn refused(&self) -> BTreeSet<Fingerprint> {
         self.convictions.keys().copied().collect()
@@ -99,6 +104,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct LocalCrashes {
     refused: BTreeSet<Fingerprint>,
+    /// Contents that the fleet suspects because other processes have seen crashes.
+    suspected: BTreeSet<Fingerprint>,
     seen: BTreeMap<Fingerprint, BTreeSet<String>>,
     /// Attempts without an answer by endpoint, and when they ended.
     unanswered: BTreeMap<String, BTreeMap<Fingerprint, Millis>>,
@@ -112,6 +119,16 @@
         self.refused = refused;
     }
 
+    /// Sets the contents suspected by the fleet.
+    pub fn set_suspected(&mut self, suspected: BTreeSet<Fingerprint>) {
+        self.suspected = suspected;
+    }
+
+    /// Returns whether the fleet suspects a content, once until it is set again.
+    pub fn take_suspected(&mut self, content: Fingerprint) -> bool {
+        self.suspected.remove(&content)
+    }
+
     /// Records a crash that this process observed.
     pub fn record_crash(&mut self, crash: &Crash) {
         if self.seen.len() >= MAX_LOCAL_CONTENTS && !self.seen.contains_key(&crash.content) {
@@ -163,7 +180,8 @@
 
     /// Returns whether no content is rejected or suspected.
     pub fn is_empty(&self) -> bool {
-        self.refused.is_empty() && self.seen.is_empty() && self.unanswered.is_empty()
+        let is_clear = self.suspected.is_empty() && self.unanswered.is_empty();
+        is_clear && self.refused.is_empty() && self.seen.is_empty()
     }
 
     /// Returns whether a content is to be rejected.
--- a/components/node/src/crashes.rs
+++ b/components/node/src/crashes.rs
@@ -42,6 +42,12 @@
         self.watch.borrow_mut().set_refused(refused.clone());
     }
 
+    /// Replaces the contents that the fleet suspects. If one of their requests completes here, that is
+    /// reported, although other processes have seen the crashes.
+    pub fn suspect(&self, suspected: &BTreeSet<Fingerprint>) {
+        self.watch.borrow_mut().set_suspected(suspected.clone());
+    }
+
     /// Returns whether a request must be refused.
     pub fn refuses(&self, request: &Request, workspace: &str) -> bool {
         let watch = self.watch.borrow();
@@ -93,11 +99,13 @@
             return;
         }
         let content = content_fingerprint(request, workspace);
-        if self.watch.borrow_mut().clear_suspect(content) {
+        let mut watch = self.watch.borrow_mut();
+        let (seen, suspected) = (watch.clear_suspect(content), watch.take_suspected(content));
+        if seen {
             self.unreported.borrow_mut().retain(|crash| crash.content != content);
-            if self.reported.borrow_mut().remove(&content) {
-                self.cleared.borrow_mut().insert(content);
-            }
+        }
+        if suspected || (seen && self.reported.borrow_mut().remove(&content)) {
+            self.cleared.borrow_mut().insert(content);
         }
     }
 
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -124,6 +124,7 @@
                 picker.retain_routes(|route| routes.contains(route));
             }
             Update::Refused(refused) => self.crashes.refuse(refused),
+            Update::Suspected(suspected) => self.crashes.suspect(suspected),
             Update::Controls(_) | Update::Ordered(_) => {}
         }
     }
--- a/components/node/src/leader/crashes.rs
+++ b/components/node/src/leader/crashes.rs
@@ -17,7 +17,10 @@
 
     /// Records that a request with this content completed.
     pub fn record_cleared(self: &Rc<Self>, content: Fingerprint) {
-        self.commit_in_background(Command::Clear(content));
+        // Several processes may report it, each before the others are informed.
+        if self.context.replica.state().crashes.suspected().contains(&content) {
+            self.commit_in_background(Command::Clear(content));
+        }
     }
 
     pub(super) fn commit_in_background(self: &Rc<Self>, command: Command) {
@@ -25,12 +28,19 @@
         actix_rt::spawn(async move { leader.commit(command).await });
     }
 
+    /// Broadcasts the suspected contents.
+    pub(super) fn broadcast_suspected(&self) {
+        let suspected = self.context.replica.state().crashes.suspected();
+        self.context.followers.broadcast(&Update::Suspected(suspected));
+    }
+
     /// Logs an applied crash, and broadcasts the refused contents if this one is refused now.
     pub(super) fn on_crash_applied(&self, crash: &Crash) {
         let refused = self.context.replica.state().crashes.refused();
         let is_refused = refused.contains(&crash.content);
         let (content, endpoint) = (crash.content.0, &crash.endpoint);
         tracing::warn!(event = "content_crashed", content, endpoint, refused = is_refused);
+        self.broadcast_suspected();
         if is_refused {
             self.context.followers.broadcast(&Update::Refused(refused));
         }
--- a/components/node/src/leader/mod.rs
+++ b/components/node/src/leader/mod.rs
@@ -283,7 +283,9 @@
         );
         updates.extend(endpoints.into_iter().cloned().map(Update::Endpoint));
         updates.push(Update::Whole(ids));
-        updates.push(Update::Refused(self.context.replica.state().crashes.refused()));
+        let state = self.context.replica.state();
+        updates.push(Update::Refused(state.crashes.refused()));
+        updates.push(Update::Suspected(state.crashes.suspected()));
         updates
     }
 
@@ -395,6 +397,7 @@
                 }
             }
             Command::Crash(crash) => self.on_crash_applied(crash),
+            Command::Clear(_) => self.broadcast_suspected(),
             Command::Spend(costs) => self.on_costs_applied(costs),
             Command::Publish { model, version } => {
                 tracing::info!(event = "version_named", model, version);
@@ -407,7 +410,6 @@
             | Command::Know { .. }
             | Command::Hold(_)
             | Command::Use(_)
-            | Command::Clear(_)
             | Command::CloseWindow { .. } => {}
         }
         self.wake_planner.notify_one();
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -186,6 +186,8 @@
     Ordered(String),
     /// Contents that are refused because they crash endpoints.
     Refused(BTreeSet<Fingerprint>),
+    /// Contents that are suspected to crash endpoints. Completed requests with them are reported.
+    Suspected(BTreeSet<Fingerprint>),
 }
 
 /// A call from a member to the leader.
@@ -305,9 +307,11 @@
             Self::Config(_) => "news_config",
             Self::Endpoint(_) => "news_endpoint",
             Self::Ordered(_) => "news_ordered",
-            Self::Forgotten(_) | Self::Whole(_) | Self::Controls(_) | Self::Refused(_) => {
-                "news_other"
-            }
+            Self::Forgotten(_)
+            | Self::Whole(_)
+            | Self::Controls(_)
+            | Self::Refused(_)
+            | Self::Suspected(_) => "news_other",
         }
     }
 }
--- a/components/node/src/view.rs
+++ b/components/node/src/view.rs
@@ -70,8 +70,8 @@
             Update::Ordered(id) => {
                 self.order_times.borrow_mut().insert(id.clone(), clock::now());
             }
-            // The forwarder handles this update as a listener.
-            Update::Refused(_) => {}
+            // The forwarder handles these updates as a listener.
+            Update::Refused(_) | Update::Suspected(_) => {}
             Update::Controls(controls) => *self.controls.borrow_mut() = controls.clone(),
         }
         for listener in self.listeners.borrow().iter() {
--- a/components/node/tests/leader/main.rs
+++ b/components/node/tests/leader/main.rs
@@ -1,6 +1,8 @@
 //! A leader with hosts, stores and other members simulated by the test, on real sockets.
 
 mod costs;
+#[path = "../support/endpoint.rs"]
+mod endpoint;
 mod fleet;
 mod grants;
 #[path = "../support/job.rs"]
@@ -8,6 +10,8 @@
 mod keys;
 mod listing;
 mod member;
+#[path = "../support/route.rs"]
+mod route;
 mod scorers;
 mod steps;
 mod updates;
--- a/components/node/tests/leader/updates.rs
+++ b/components/node/tests/leader/updates.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,10 +11,19 @@
 use chicoryford_fleet::Announcement;
 use chicoryford_fleet::Command;
 use chicoryford_fleet::Config;
+use chicoryford_fleet::Policy;
+use chicoryford_fleet::RouteKind;
 use chicoryford_fleet::crashes::Crash;
 use chicoryford_fleet::heartbeats::Heartbeat;
+use chicoryford_http::Request;
+use chicoryford_http::message::Method;
 use chicoryford_node::clock;
 use chicoryford_node::control::Control;
+use chicoryford_node::crashes::content_fingerprint;
+use chicoryford_node::forward::Budget;
+use chicoryford_node::forward::Forwarder;
+use chicoryford_node::forward::Outcome;
+use chicoryford_node::forward::Requester;
 use chicoryford_node::frame::decode;
 use chicoryford_node::frame::encode;
 use chicoryford_node::link::Link;
@@ -29,13 +39,18 @@
 use chicoryford_types::Fingerprint;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 
+use crate::endpoint::endpoint;
 use crate::fleet::Fleet;
 use crate::fleet::config_with_desk;
 use crate::fleet::pause;
 use crate::fleet::wait_until;
 use crate::member::Socket;
 use crate::member::connect_member;
+use crate::route::route;
 
 pub fn engine(id: &str, sequence: u64) -> Announcement {
     Announcement {
@@ -293,3 +308,63 @@
     }
     refused
 }
+
+/// Answers each request.
+async fn answering_endpoint() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut bytes = vec![0; 4_096];
+            assert!(stream.read(&mut bytes).await.unwrap() > 0);
+            let answer = "HTTP/1.1 200 OK\r\nx-attempt-id: id\r\nx-response-stamp: s\r\n\
+                          content-length: 2\r\n\r\nok";
+            stream.write_all(answer.as_bytes()).await.unwrap();
+        }
+    });
+    address
+}
+
+/// Endpoints crash for another reason while they run requests with the same common content, which
+/// completes elsewhere all the time. Guards against refusing this content for a day because the
+/// processes at which it completes are not those that have seen the crashes.
+#[actix_rt::test]
+async fn a_content_that_completes_at_another_process_is_no_longer_suspected() {
+    let fleet = Fleet::start().await;
+    let forwarder = Forwarder::new(Policy::default());
+    let (view, learning) = (Rc::new(View::default()), forwarder.clone());
+    view.subscribe(move |update| learning.apply(update));
+    let member = Member {
+        node: "b".to_owned(),
+        data_centre: "here".to_owned(),
+        address: fleet.links,
+        replica: false,
+        depot: None,
+        runner: None,
+    };
+    let link = Link::new(member, view, vec![fleet.links]);
+    let (linked, reporting) = (link.clone(), link.clone());
+    actix_rt::spawn(async move { linked.run().await });
+    let reporter = forwarder.clone();
+    actix_rt::spawn(async move { reporter.report_crashes(reporting).await });
+    wait_until("the process follows", || link.is_connected()).await;
+    forwarder.apply(&Update::Endpoint(endpoint("desk", "d9", answering_endpoint().await, 4)));
+
+    let mut request = Request::new(Method::POST, "/desk/x", "");
+    request.headers.set("x-attempt-id", "id");
+    let content = content_fingerprint(&request, "");
+    let mut entry = connect_member(fleet.links, "a", false).await;
+    for crashed in ["d1", "d2", "d3", "d4"] {
+        let crash = Crash { content, endpoint: crashed.to_owned() };
+        entry.send(encode(&MemberMessage::Crashed(crash))).await.unwrap();
+        pause(50).await;
+        let budget = Budget::new(clock::now() + 1_000);
+        let route = route("desk", RouteKind::Idempotent, 2);
+        let outcome =
+            forwarder.forward(&route, &request, &budget, 1_000, Requester::default()).await;
+        assert!(matches!(outcome, Outcome::Answered(_)), "{outcome:?}");
+        pause(400).await;
+    }
+    assert!(!fleet.replica.state().crashes.refuses(content));
+}
