Node tests: one way to get the next leader's order

Cause: duplicates showed the same lines in the tests of costs and of grants. Change: next_leaders_job; no check has changed.

--- a/components/node/tests/leader/costs.rs
+++ b/components/node/tests/leader/costs.rs
@@ -13,6 +13,7 @@
 use crate::grants::announce_engine;
 use crate::grants::connect_host;
 use crate::grants::fleet;
+use crate::grants::next_leaders_job;
 use crate::grants::receive_job;
 use crate::grants::scoring;
 use crate::grants::submit;
@@ -42,11 +43,7 @@
     let parts = StoredParts::default();
     let (fleet, store, host, _) = with_failed_sample(&parts).await;
     drop((store, host));
-    let leader = fleet.next_leader();
-    announce_engine(&fleet).await;
-    let _store = fleet.store(&parts).await;
-    wait_until("the step is read", || leader.plan.borrow().has_step("a")).await;
-    let job = receive_job(&mut connect_host(&fleet, "h2").await).await;
+    let job = next_leaders_job(&fleet, &parts, &[]).await;
     assert_eq!(job.cost.failures, 1);
 }
 
@@ -77,10 +74,6 @@
     let recorded = || fleet.replica.state().costs.get("s").map(|one| one.cost.scorer.failures);
     wait_until("the failures are recorded", || recorded() == Some(2)).await;
     drop((store, host));
-    let leader = fleet.next_leader();
-    announce_engine(&fleet).await;
-    let _store = fleet.store(&parts).await;
-    wait_until("the step is read", || leader.plan.borrow().has_step("a")).await;
-    let job = receive_job(&mut connect_host(&fleet, "h2").await).await;
+    let job = next_leaders_job(&fleet, &parts, &[]).await;
     assert_eq!(job.cost.scorer.failures, 2);
 }
--- a/components/node/tests/leader/grants.rs
+++ b/components/node/tests/leader/grants.rs
@@ -113,6 +113,17 @@
     .await
 }
 
+/// Replaces the leader by one that has only the state in the log and reads step "a" from the store,
+/// and announces these desks to it. Returns its order to run the sample of the step.
+pub async fn next_leaders_job(fleet: &Fleet, parts: &StoredParts, desks: &[&str]) -> Job {
+    let leader = fleet.next_leader();
+    announce_desks(fleet, desks).await;
+    announce_engine(fleet).await;
+    let _store = fleet.store(parts).await;
+    wait_until("the step is read", || leader.plan.borrow().has_step("a")).await;
+    receive_job(&mut connect_host(fleet, "h2").await).await
+}
+
 /// Returns the endpoints that a host may call for a run.
 fn granted(job: &Job) -> BTreeSet<String> {
     let scorer = job.sample.scorer.as_ref().expect("a scorer");
@@ -133,13 +144,8 @@
     let before = granted(&receive_job(&mut connect_host(&fleet, "h1").await).await);
     assert_eq!(before.len(), ATTEMPTS, "{before:?}");
     drop(store);
-    let leader = fleet.next_leader();
-    announce_desks(&fleet, &["d6", "d7", "d8", "d9"]).await;
-    announce_engine(&fleet).await;
-    let _store = fleet.store(&parts).await;
-    wait_until("the step is read", || leader.plan.borrow().has_step("a")).await;
-    let after = granted(&receive_job(&mut connect_host(&fleet, "h2").await).await);
-    assert_eq!(after, before);
+    let job = next_leaders_job(&fleet, &parts, &["d6", "d7", "d8", "d9"]).await;
+    assert_eq!(granted(&job), before);
 }
 
 /// Guards against a replacement of ended endpoints that the next leader does not know of.
