Crashes: contents of silent endpoints are forgotten after their spacing

Cause: read of the diff: the times at which endpoints of a content fell silent were kept until the content completed, for a content that never does for ever. Change: they are dropped once they have no effect. The tests of crashes pass.

--- a/components/fleet/src/crashes.rs
+++ b/components/fleet/src/crashes.rs
@@ -154,10 +154,10 @@
     /// the contents whose attempts got no answer from it.
     pub fn record_silence(&mut self, endpoint: &str, now: Millis) -> Vec<Crash> {
         let unanswered = self.unanswered.remove(endpoint).unwrap_or_default();
+        self.silenced.retain(|_, last| now.since(*last) < SILENCE_SPACING_MS);
         let mut crashes = Vec::new();
         for (content, at) in unanswered {
-            let last = self.silenced.get(&content);
-            let is_separate = last.is_none_or(|last| now.since(*last) >= SILENCE_SPACING_MS);
+            let is_separate = !self.silenced.contains_key(&content);
             if now.since(at) < UNANSWERED_TTL_MS && is_separate {
                 self.silenced.insert(content, now);
                 let crash = Crash { content, endpoint: endpoint.to_owned() };
