Stand-ins: a caller's answer may be that of either attempt which ran to its end

Its trace of one: a rescued request whose two attempts both ran to their end, 6 ms apart; the caller got the first one's answer, with the first one's version. That is what a rescue promises: the first attempt that generates tokens wins, and the other one is cancelled, which it may learn of too late (entry/src/run/rescue.rs). The check took the attempt that ended last for the answer, so it was wrong.

Change: an answer must match an attempt that ran to its end (Ran::answers), as before but not only the last; a request with two such attempts still matches one sample alone. An attempt that was cancelled, or a version that no attempt had, is still misattributed.

--- a/components/standin/src/records.rs
+++ b/components/standin/src/records.rs
@@ -136,12 +136,18 @@
 }
 
 impl Ran {
-    /// Assembles the answer that ended with the last completed attempt. Returns `None` if no
-    /// attempt was completed.
-    pub fn whole(&self) -> Option<Whole> {
+    /// Assembles the answers that ended with a completed attempt, one for each. Only a request that
+    /// was rescued or hedged has several: two attempts ran concurrently, and the one that lost
+    /// completed before its cancellation arrived.
+    pub fn answers(&self) -> Vec<Whole> {
         let completed = |how: &str| how == "stop" || how == "length";
-        let (last, (spans, _)) = self.attempts.iter().rev().find(|(_, (_, how))| completed(how))?;
-        let mut spans = spans.clone();
+        let completed = self.attempts.iter().filter(|(_, (_, how))| completed(how));
+        completed.filter_map(|(last, (spans, _))| self.answer(*last, spans)).collect()
+    }
+
+    /// Assembles the answer that ended with an attempt that generated `spans`.
+    fn answer(&self, last: u32, spans: &[Span]) -> Option<Whole> {
+        let mut spans = spans.to_vec();
         let mut from = spans.first()?.0;
         for (earlier, _) in self.attempts.range(..last).rev().map(|(_, attempt)| attempt) {
             if from == 0 {
--- a/examples/demo/verify.rs
+++ b/examples/demo/verify.rs
@@ -114,7 +114,7 @@
     requests: &BTreeMap<String, Ran>,
     files: &[SampleFile],
 ) -> Result<()> {
-    let mut complete: Vec<Whole> = requests.values().filter_map(Ran::whole).collect();
+    let mut complete: Vec<Vec<Whole>> = requests.values().map(Ran::answers).collect();
     for file in files {
         verdict.matches += matching::samples(&mut complete, &file.model, &file.file)?;
         if !file.scored {
