State tests: stored states without costs are read, and costs are kept for a while

Cause: the state that replicas store has a new last field, and the log a new command; nothing showed that a stored state of before is read, nor that costs are merged and dropped. Change: two tests, both pass; no product code.

--- a/components/fleet/tests/state.rs
+++ b/components/fleet/tests/state.rs
@@ -16,6 +16,8 @@
 use chicoryford_fleet::StepSummary;
 use chicoryford_fleet::copies::PartId;
 use chicoryford_fleet::copies::Placement;
+use chicoryford_fleet::run::Cost;
+use chicoryford_fleet::state::COST_TTL_MS;
 use chicoryford_fleet::step::StoredResult;
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
@@ -198,3 +200,33 @@
     assert_eq!(update(&[endpoint("a", 1), endpoint("b", 1)], &[]), [1, 1]);
     assert_eq!(update(&[endpoint("b", 2), endpoint("c", 3)], &["a", "d"]), [2, 3]);
 }
+
+fn spend(sample: &str, failures: u32) -> Command {
+    Command::Spend(vec![(sample.to_owned(), Cost { failures, ..Cost::default() })])
+}
+
+/// Guards against a replica that cannot start with a state that was stored without costs.
+#[test]
+fn a_state_that_was_stored_without_costs_can_be_read() {
+    let mut state = State::default();
+    state.apply(at(7, submit("a", 1, 1)));
+    let bytes = rmp_serde::to_vec(&state).unwrap();
+    // The state is an array whose length is in the first byte; the empty map of costs is its last.
+    assert_eq!((bytes[0] & 0xf0, bytes[bytes.len() - 1]), (0x90, 0x80));
+    let mut before = bytes[..bytes.len() - 1].to_vec();
+    before[0] -= 1;
+    let read: State = rmp_serde::from_slice(&before).unwrap();
+    assert_eq!((read.clock, read.steps.len(), read.costs.len()), (7, 1, 0));
+}
+
+#[test]
+fn costs_are_merged_and_kept_for_a_while() {
+    let mut state = State::default();
+    state.apply(at(0, spend("a", 2)));
+    state.apply(at(1, spend("b", 1)));
+    state.apply(at(COST_TTL_MS - 1, spend("a", 1)));
+    assert_eq!(state.costs["a"].cost.failures, 2, "a cost never decreases");
+    state.apply(at(COST_TTL_MS + 1, spend("c", 1)));
+    let known: Vec<&str> = state.costs.keys().map(String::as_str).collect();
+    assert_eq!(known, ["a", "c"]);
+}
