--- a/components/entry/tests/steps.rs
+++ b/components/entry/tests/steps.rs
@@ -229,11 +229,12 @@
         fixture.post_as(&trainer(), paths::STEP_OPEN, &[], &step()).await;
         let samples = pull_all(&fixture, 4).await;
         let in_time = began.elapsed() <= MAX_HEDGED_TIME;
+        let texts: Vec<&Value> = samples.iter().map(|sample| &sample["text"]).collect();
+        assert!(texts.iter().all(|text| *text == "by sea"), "{texts:?}");
         let ids: BTreeSet<String> =
             samples.iter().map(|s| format!("{}.{}", s["group"], s["number"])).collect();
         assert_eq!((samples.len(), ids.len()), (4, 4));
         if in_time {
-            assert!(samples.iter().all(|sample| sample["text"] == "by sea"));
             assert_eq!(fixture.attempts().len(), 5);
             let dump = fixture.kernel.dumps.take().await;
             assert_eq!(dump["entry"]["admission"]["hedges"], 1);
