Fleet: the processes' timeouts go by the time for which they run

The same fault as in the entry of the product's own interface (docs/incidents/blame-after-a-stall.md), found by looking for it elsewhere: a leader that was stopped for 0.65 s considered all its hosts lost and moved their runs; a host that was stopped for 2.5 s gave up its engines; an entry that was stopped for 0.25 s while it connected recorded a failure of the endpoint, and made a second attempt although the first one's answer was in its socket. Read in the code, not seen in a run.

Change: kernel::run_time in place of the clock for connecting, the events of engines, the silence of leader, hosts and members, stores, orders and hedges. The leader plans only once it has read what arrived during a stall. A request's deadline leaves time to read an answer that is there. The detector of stalls moves to the kernel; entries use the same ticks.

The tests of stalls keep their checks; only the way to start the detector changed.

--- a/components/http/src/socket.rs
+++ b/components/http/src/socket.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use chicoryford_kernel::run_time;
 use socket2::Domain;
 use socket2::Protocol;
 use socket2::SockRef;
@@ -52,7 +53,7 @@
 ///
 /// Returns the reason for which no connection was opened. No byte of a request was sent then.
 pub async fn connect(address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
-    let opened = tokio::time::timeout(limit, TcpStream::connect(address));
+    let opened = run_time::timeout(limit, TcpStream::connect(address));
     let stream = opened.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     configure(&stream)?;
     Ok(stream)
--- a/components/node/src/copies.rs
+++ b/components/node/src/copies.rs
@@ -15,6 +15,7 @@
 pub use chicoryford_fleet::copies::Placement;
 use chicoryford_fleet::copies::StoreId;
 use chicoryford_fleet::copies::Stores;
+use chicoryford_kernel::run_time;
 use chicoryford_types::Millis;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -161,7 +162,7 @@
         for store in left.drain(..missing.min(left.len())).collect::<Vec<_>>() {
             requests.push(ask(store));
         }
-        let timeout = tokio::time::sleep(WRITE_TIMEOUT);
+        let timeout = run_time::sleep(WRITE_TIMEOUT);
         tokio::pin!(timeout);
         while holders.len() < self.wanted && !requests.is_empty() {
             tokio::select! {
@@ -173,7 +174,7 @@
                     Some((_, false)) => requests.extend(left.pop_front().map(ask)),
                     None => break,
                 },
-                () = tokio::time::sleep(PUT_HEDGE_DELAY), if !left.is_empty() => {
+                () = run_time::sleep(PUT_HEDGE_DELAY), if !left.is_empty() => {
                     requests.extend(left.pop_front().map(ask));
                 }
                 () = &mut timeout => break,
@@ -220,7 +221,7 @@
                     Some(Some(bytes)) => return Some(bytes),
                     _ => requests.extend(left.pop_front().map(ask)),
                 },
-                () = tokio::time::sleep(GET_HEDGE_DELAY), if !left.is_empty() => {
+                () = run_time::sleep(GET_HEDGE_DELAY), if !left.is_empty() => {
                     requests.extend(left.pop_front().map(ask));
                 }
             }
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -19,6 +19,7 @@
 use chicoryford_http::Server;
 use chicoryford_http::message::Method;
 use chicoryford_http::message::StatusCode;
+use chicoryford_kernel::run_time::RunTimer;
 use chicoryford_platform as platform;
 use chicoryford_platform::request;
 use chicoryford_platform::step;
@@ -37,7 +38,6 @@
 use crate::message::Update;
 use crate::metrics;
 use crate::parts::PartReader;
-use crate::stall::Stall;
 use crate::usage::Usage;
 use crate::view::View;
 
@@ -75,8 +75,8 @@
     pub forwarder: Rc<Forwarder>,
     /// When the process started.
     pub started: Millis,
-    /// Detects stalls of the process.
-    pub stall: Rc<Stall>,
+    /// Detects stalls, during which requests wait unread.
+    pub timer: RunTimer,
     /// Cache of recently read results.
     pub result_cache: RefCell<ResultCache>,
     /// Counts the usage of workspaces, if it is reported.
@@ -252,7 +252,7 @@
     /// request may have waited unread or may have just arrived, so at least the route's target time
     /// is left.
     fn remaining_ms(&self, route: &Route, read: Millis, limit_ms: u64) -> u64 {
-        let waited_ms = self.stall.waited_ms(read);
+        let waited_ms = self.timer.waited_ms(read);
         limit_ms.saturating_sub(waited_ms).max(limit_ms.min(route.target_ms))
     }
 
--- a/components/node/src/followers.rs
+++ b/components/node/src/followers.rs
@@ -12,6 +12,7 @@
 use chicoryford_fleet::run::HostCommand;
 use chicoryford_fleet::walltime;
 use chicoryford_fleet::walltime::Offset;
+use chicoryford_kernel::run_time;
 use chicoryford_types::Millis;
 use chicoryford_types::Unix;
 use tokio::sync::Notify;
@@ -141,7 +142,7 @@
             frames.send(Queued::message(frame)).await.ok()?;
             reply.await.ok()
         };
-        let reply = tokio::time::timeout(limit, exchange).await.ok().flatten();
+        let reply = run_time::timeout(limit, exchange).await.ok().flatten();
         self.pending_requests.borrow_mut().remove(&number);
         reply
     }
--- a/components/node/src/forward/dispatch.rs
+++ b/components/node/src/forward/dispatch.rs
@@ -10,6 +10,7 @@
 use chicoryford_http::Reply;
 use chicoryford_http::Request;
 use chicoryford_http::message::StatusCode;
+use chicoryford_kernel::run_time;
 use chicoryford_platform::request;
 use chicoryford_types::Millis;
 use futures_util::StreamExt;
@@ -119,7 +120,7 @@
             let hedge = Duration::from_millis(self.hedge_ms());
             let tried = tokio::select! {
                 tried = running.next() => tried,
-                () = tokio::time::sleep(hedge), if !hedged => {
+                () = run_time::sleep(hedge), if !hedged => {
                     hedged = true;
                     if let Ok(target) = self.pick_endpoint() {
                         running.push(self.start_attempt(target));
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -23,6 +23,7 @@
 use chicoryford_http::Pool;
 use chicoryford_http::Reply;
 use chicoryford_http::Request;
+use chicoryford_kernel::run_time;
 use chicoryford_platform::request;
 use chicoryford_platform::request::ReplyKind;
 
@@ -187,12 +188,8 @@
             is_answered: false,
             requester,
         };
-        let timer = tokio::time::sleep(Duration::from_millis(left_ms));
-        let outcome = tokio::select! {
-            outcome = dispatch.run() => Some(outcome),
-            () = timer => None,
-        };
-        let outcome = outcome.unwrap_or_else(|| {
+        let outcome = run_time::deadline(Duration::from_millis(left_ms), dispatch.run()).await;
+        let outcome = outcome.unwrap_or_else(|_| {
             if dispatch.possible_runs > 0 {
                 Outcome::Late
             } else {
--- a/components/node/src/leader/mod.rs
+++ b/components/node/src/leader/mod.rs
@@ -38,6 +38,7 @@
 use chicoryford_fleet::step::StoredResult;
 use chicoryford_fleet::usage::ReportTracker;
 use chicoryford_http::Pool;
+use chicoryford_kernel::run_time::RunTimer;
 use chicoryford_types::Epoch;
 use chicoryford_types::Millis;
 use tokio::sync::Notify;
@@ -464,7 +465,9 @@
 
 async fn run_planner(leader: Weak<Leader>) {
     let mut last_expiry = clock::now();
+    let timer = RunTimer::start();
     loop {
+        timer.read().await;
         let Some(leader) = leader.upgrade() else { return };
         leader.plan_round();
         leader.tick_registry();
--- a/components/node/src/leader/usage.rs
+++ b/components/node/src/leader/usage.rs
@@ -20,6 +20,7 @@
 use chicoryford_http::Connection;
 use chicoryford_http::ExchangeError;
 use chicoryford_http::Request;
+use chicoryford_kernel::run_time;
 use chicoryford_platform::duty;
 use chicoryford_platform::duty::CallOutcome;
 use chicoryford_types::Millis;
@@ -129,7 +130,7 @@
         let began = clock::now();
         let limit_ms = left_ms.min(CALL_TIMEOUT_MS);
         let calling = call(platform, &request, began + limit_ms);
-        let answer = tokio::time::timeout(Duration::from_millis(limit_ms), calling).await;
+        let answer = run_time::deadline(Duration::from_millis(limit_ms), calling).await;
         let taken = match &answer {
             Ok(Ok(taken)) => *taken,
             Ok(Err(_)) | Err(_) => CallOutcome::Unclear,
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -27,7 +27,6 @@
 pub mod replica;
 pub mod runner;
 pub mod settings;
-pub mod stall;
 pub mod start;
 pub mod traffic;
 pub mod usage;
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -13,6 +13,7 @@
 use chicoryford_fleet::heartbeats::Heartbeat;
 use chicoryford_fleet::usage;
 use chicoryford_http::socket;
+use chicoryford_kernel::run_time;
 use chicoryford_types::Fingerprint;
 use chicoryford_types::Millis;
 use futures_util::SinkExt;
@@ -161,7 +162,7 @@
         self.pending_calls.borrow_mut().insert(number, answer);
         let _pending = PendingCall { link: self, number };
         sender.try_send(MemberMessage::Call { number, call }).map_err(|_| CallError::NoLeader)?;
-        match tokio::time::timeout(limit, answered).await {
+        match run_time::deadline(limit, answered).await {
             Ok(Ok(answer)) => Ok(answer),
             Ok(Err(_)) => Err(CallError::Lost),
             Err(_) => Err(CallError::Late),
@@ -306,7 +307,7 @@
         let sending = send_messages(sink, messages);
         let reading = async {
             loop {
-                let frame = tokio::time::timeout(LEADER_TIMEOUT, stream.next()).await;
+                let frame = run_time::timeout(LEADER_TIMEOUT, stream.next()).await;
                 let Ok(Some(Ok(frame))) = frame else { return };
                 let Ok(message) = decode::<LeaderMessage>(&frame) else { return };
                 self.last_message.set(clock::now());
@@ -435,6 +436,6 @@
 }
 
 async fn read_message(socket: &mut Socket, limit: Duration) -> Option<LeaderMessage> {
-    let frame = tokio::time::timeout(limit, socket.next()).await.ok()??;
+    let frame = run_time::timeout(limit, socket.next()).await.ok()??;
     decode(&frame.ok()?).ok()
 }
--- a/components/node/src/link_server.rs
+++ b/components/node/src/link_server.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use chicoryford_fleet::copies::StoreId;
 use chicoryford_http::socket;
+use chicoryford_kernel::run_time;
 use chicoryford_types::Millis;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
@@ -90,7 +91,7 @@
     }
 
     async fn accept(&self, mut socket: Socket) {
-        let frame = tokio::time::timeout(HELLO_TIMEOUT, socket.next()).await;
+        let frame = run_time::timeout(HELLO_TIMEOUT, socket.next()).await;
         let Ok(Some(Ok(frame))) = frame else { return };
         match decode::<Hello>(&frame) {
             Ok(Hello::Replica { data_centre }) => {
@@ -242,7 +243,7 @@
         answers: mpsc::WeakSender<Queued>,
     ) -> bool {
         loop {
-            let Ok(frame) = tokio::time::timeout(limit, stream.next()).await else { return true };
+            let Ok(frame) = run_time::timeout(limit, stream.next()).await else { return true };
             let Some(Ok(frame)) = frame else { return false };
             let Ok(message) = decode::<MemberMessage>(&frame) else { return false };
             self.server.traffic.count(message.kind(), Direction::In, self.data_centre, frame.len());
--- a/components/node/src/orders.rs
+++ b/components/node/src/orders.rs
@@ -16,6 +16,7 @@
 use chicoryford_http::ExchangeError;
 use chicoryford_http::Reply;
 use chicoryford_http::Request;
+use chicoryford_kernel::run_time;
 use chicoryford_platform::endpoint;
 use chicoryford_platform::endpoint::OrderOutcome;
 use chicoryford_platform::endpoint::Report;
@@ -325,5 +326,5 @@
         Ok(reply)
     };
     let timed_out = |_| ExchangeError::Lost(std::io::Error::from(std::io::ErrorKind::TimedOut));
-    tokio::time::timeout(CALL_TIMEOUT, exchange).await.map_err(timed_out)?
+    run_time::timeout(CALL_TIMEOUT, exchange).await.map_err(timed_out)?
 }
--- a/components/node/src/parts.rs
+++ b/components/node/src/parts.rs
@@ -16,6 +16,7 @@
 use chicoryford_depot::Worker;
 use chicoryford_fleet::copies::PartId;
 use chicoryford_http::socket;
+use chicoryford_kernel::run_time;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use futures_util::stream::SplitStream;
@@ -111,7 +112,7 @@
             connection.requests.try_send(encode(&PartRequest { number, part })).ok()?;
             reply.await.ok()?
         };
-        let read = tokio::time::timeout(READ_TIMEOUT, reading).await;
+        let read = run_time::timeout(READ_TIMEOUT, reading).await;
         read.unwrap_or_else(|_| {
             self.connections.borrow_mut().remove(&address);
             None
--- a/components/node/src/peers.rs
+++ b/components/node/src/peers.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use chicoryford_http::socket;
+use chicoryford_kernel::run_time;
 use futures_util::SinkExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -110,7 +111,7 @@
         };
         open.unacknowledged_since.get_or_insert_with(Instant::now);
         let sending = send_batch(&mut open.socket, message, &mut messages);
-        if !matches!(tokio::time::timeout(SEND_TIMEOUT, sending).await, Ok(Ok(()))) {
+        if !matches!(run_time::timeout(SEND_TIMEOUT, sending).await, Ok(Ok(()))) {
             tracing::info!(event = "peer_lost", %address);
             connection = None;
         }
--- a/components/node/src/runner/execute.rs
+++ b/components/node/src/runner/execute.rs
@@ -13,6 +13,7 @@
 use chicoryford_http::ExchangeError;
 use chicoryford_http::IncomingReply;
 use chicoryford_http::Request;
+use chicoryford_kernel::run_time;
 use chicoryford_platform::request;
 use chicoryford_platform::request::ReplyKind;
 use chicoryford_platform::sample;
@@ -90,7 +91,7 @@
     }
     let started = connection.start(&request);
     let mut incoming =
-        tokio::time::timeout(EVENT_TIMEOUT, started).await.map_err(|_| timed_out())??;
+        run_time::timeout(EVENT_TIMEOUT, started).await.map_err(|_| timed_out())??;
     let meaning =
         request::classify_reply(incoming.status, &incoming.headers, request::attempt_id(&request));
     let end = match (meaning, incoming.status.as_u16()) {
@@ -109,7 +110,7 @@
         while incoming.next().await?.is_some() {}
         Ok::<(), ExchangeError>(())
     };
-    if let Ok(Ok(())) = tokio::time::timeout(EVENT_TIMEOUT, rest).await {
+    if let Ok(Ok(())) = run_time::timeout(EVENT_TIMEOUT, rest).await {
         keep_connection(runner, job, incoming);
     }
     Ok(Some(end))
@@ -141,7 +142,7 @@
     let mut version = sample::first_version(&incoming.headers).unwrap_or(job.version);
     let mut reader = SseReader::default();
     loop {
-        let next = tokio::time::timeout(EVENT_TIMEOUT, incoming.next()).await;
+        let next = run_time::timeout(EVENT_TIMEOUT, incoming.next()).await;
         let Some(piece) = next.map_err(|_| timed_out())?? else { break };
         for fields in reader.feed(&piece) {
             let event = sample::parse_event(fields);
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -17,6 +17,7 @@
 use chicoryford_http::Request;
 use chicoryford_http::Server;
 use chicoryford_http::socket;
+use chicoryford_kernel::run_time::RunTimer;
 use chicoryford_storage::Disk;
 use chicoryford_storage::StorageError;
 use thiserror::Error;
@@ -47,7 +48,6 @@
 use crate::settings;
 use crate::settings::Settings;
 use crate::settings::SettingsError;
-use crate::stall::Stall;
 use crate::traffic;
 use crate::traffic::Traffic;
 use crate::usage::Usage;
@@ -315,15 +315,12 @@
         if let Some(usage) = &usage {
             actix_rt::spawn(usage.clone().report_periodically(self.link.clone()));
         }
-        let stall = Rc::new(Stall::new(clock::now()));
-        let watched = stall.clone();
-        actix_rt::spawn(async move { watched.run_ticks().await });
         let entry = Rc::new(Entry {
             link: self.link.clone(),
             view: self.view.clone(),
             forwarder: self.forwarder.clone(),
             started: clock::now(),
-            stall,
+            timer: RunTimer::start(),
             result_cache: RefCell::new(ResultCache::new(kept)),
             usage,
             stale_key_policy: self.settings.stale_key_policy(),
--- a/components/node/tests/entry.rs
+++ b/components/node/tests/entry.rs
@@ -25,13 +25,14 @@
 use chicoryford_http::Server;
 use chicoryford_http::message::Method;
 use chicoryford_http::message::StatusCode;
+use chicoryford_kernel::run_time::RunTimer;
+use chicoryford_kernel::stall::Stall;
 use chicoryford_node::clock;
 use chicoryford_node::entry::Entry;
 use chicoryford_node::forward::Forwarder;
 use chicoryford_node::link::Link;
 use chicoryford_node::link::Member;
 use chicoryford_node::message::Update;
-use chicoryford_node::stall::Stall;
 use chicoryford_node::view::View;
 use chicoryford_types::Millis;
 use tokio::net::TcpListener;
@@ -82,7 +83,7 @@
         view,
         forwarder,
         started: clock::now(),
-        stall: Rc::new(Stall::new(clock::now())),
+        timer: RunTimer::start(),
         result_cache: RefCell::new(ResultCache::new(0)),
         usage: None,
         stale_key_policy: StaleKeyPolicy { strict: false, limit_ms: 0 },
@@ -124,8 +125,7 @@
     let endpoint = recording_endpoint(Rc::clone(&deadlines)).await;
     entry.view.apply(Update::Config(Arc::new(config())));
     entry.view.apply(Update::Endpoint(endpoint));
-    let (watched, stall) = (entry.stall.clone(), Duration::from_millis(900));
-    actix_rt::spawn(async move { watched.run_ticks().await });
+    let stall = Duration::from_millis(900);
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     actix_rt::spawn(async move {
--- a/components/node/tests/leader/keys.rs
+++ b/components/node/tests/leader/keys.rs
@@ -17,6 +17,7 @@
 use chicoryford_http::Server;
 use chicoryford_http::message::Method;
 use chicoryford_http::message::StatusCode;
+use chicoryford_kernel::run_time::RunTimer;
 use chicoryford_node::clock;
 use chicoryford_node::entry::Entry;
 use chicoryford_node::forward::Forwarder;
@@ -24,7 +25,6 @@
 use chicoryford_node::link::Member;
 use chicoryford_node::message::Answer;
 use chicoryford_node::message::Call;
-use chicoryford_node::stall::Stall;
 use chicoryford_node::view::View;
 use chicoryford_types::Digest;
 use tokio::net::TcpListener;
@@ -108,7 +108,7 @@
             view,
             forwarder,
             started: clock::now(),
-            stall: Rc::new(Stall::new(clock::now())),
+            timer: RunTimer::start(),
             result_cache: RefCell::new(ResultCache::new(0)),
             usage: None,
             stale_key_policy,
