Steps: a sample that is reported twice counts once

Trainers saw: the last sample of a group generated again from its start, and the group up to 2 s late.

Cause: the recorded samples were counted by group. A query of the step's progress sets the counts from the ledger; if a record is applied before that and its reply is read after it, the sample is counted once more. The group counts as complete, and its unfinished sample is stopped.

Evidence: logs of failed plays with a line for each start and record of a sample; a sample of a group with one record of two is started again by the next query of the progress, without an attempt_broken or sample_hedged.

Change: a set of samples in place of counts. Test a_sample_recorded_during_a_query_of_the_progress_counts_once: a control process holds the reply back until the progress was queried; 6 attempts for 4 before, 4 now.

--- a/components/entry/src/steps/step.rs
+++ b/components/entry/src/steps/step.rs
@@ -79,7 +79,9 @@
     key: StepKey,
     started: Millis,
     progress: Rc<Progress>,
-    done: BTreeMap<Group, u32>,
+    /// The recorded samples. A sample may be added twice, by a query of the progress and by the reply
+    /// that it is recorded.
+    done: BTreeSet<SampleId>,
     in_flight: BTreeMap<SampleId, InFlight>,
     complete: watch::Sender<BTreeSet<Group>>,
     running: Running,
@@ -111,7 +113,7 @@
         session,
         key,
         progress: Rc::default(),
-        done: BTreeMap::new(),
+        done: BTreeSet::new(),
         in_flight: BTreeMap::new(),
         complete: watch::Sender::new(BTreeSet::new()),
         running: Running::new(),
@@ -186,7 +188,7 @@
         let Some(flight) = self.in_flight.remove(&id) else { return };
         flight.stop.send_replace(true);
         self.timeline.sample_recorded(self.context.now());
-        *self.done.entry(id.group).or_default() += 1;
+        self.done.insert(id);
         self.update_complete();
     }
 
@@ -225,7 +227,7 @@
     fn hedge_candidates(&self) -> Vec<SampleId> {
         let wanted = self.progress.spec.samples;
         let is_almost_complete = |group: &Group| {
-            let done = self.done.get(group).copied().unwrap_or_default();
+            let done = self.count_done(*group);
             (wanted.saturating_sub(done)) * MISSING_DIVISOR <= wanted.max(MISSING_DIVISOR)
         };
         let is_running =
@@ -237,10 +239,16 @@
         candidates.map(|(id, _)| *id).collect()
     }
 
+    fn count_done(&self, group: Group) -> u32 {
+        let first = SampleId { group, number: SampleNo(0) };
+        let last = SampleId { group, number: SampleNo(u32::MAX) };
+        self.done.range(first..=last).count() as u32
+    }
+
     fn late_sample(&self, id: SampleId) -> Option<LateSample> {
         let flight = self.in_flight.get(&id)?;
         let spec = &self.progress.spec;
-        let done = self.done.get(&id.group).copied().unwrap_or_default();
+        let done = self.count_done(id.group);
         let query = EndpointQuery {
             workspace: self.key.workspace.clone(),
             model: spec.model.clone(),
@@ -262,7 +270,8 @@
     fn update_complete(&self) {
         let wanted = self.progress.spec.samples;
         let mut complete: BTreeSet<Group> = self.progress.delivered.iter().copied().collect();
-        complete.extend(self.done.iter().filter(|(_, done)| **done >= wanted).map(|(g, _)| *g));
+        let groups = (0..self.progress.spec.groups.len() as u32).map(Group);
+        complete.extend(groups.filter(|group| self.count_done(*group) >= wanted));
         let changed = self.complete.send_if_modified(|current| {
             let differs = *current != complete;
             *current = complete;
@@ -275,11 +284,8 @@
 
     /// Starts the missing samples, those with the longest expected answers first.
     fn reconcile(&mut self, progress: Progress) {
-        let mut done: BTreeMap<Group, u32> = BTreeMap::new();
-        for (group, _) in &progress.done {
-            *done.entry(*group).or_default() += 1;
-        }
-        self.done = done;
+        let done = progress.done.iter().map(|&(group, number)| SampleId { group, number });
+        self.done = done.collect();
         self.progress = Rc::new(progress);
         self.update_complete();
         let mut missing = self.missing();
--- a/components/entry/tests/steps.rs
+++ b/components/entry/tests/steps.rs
@@ -226,6 +226,37 @@
     });
 }
 
+/// Guards against a sample that is counted twice, once by a query of the step's progress and once
+/// by the reply that it is recorded. Its group then counts as complete, and its last sample is
+/// stopped and run again.
+#[test]
+fn a_sample_recorded_during_a_query_of_the_progress_counts_once() {
+    actix_rt::System::new().block_on(async {
+        let (calls, release) = (AtomicU32::new(0), Arc::new(AtomicU32::new(0)));
+        let released = release.clone();
+        let agent = Agent::new(move |work| {
+            let events = vec![Event::Accepted, tokens("by sea", 1), finished(2)];
+            match calls.fetch_add(1, Ordering::Relaxed) {
+                0 => Plan::Stream(frames(work, events)),
+                _ => Plan::Held(frames(work, events), released.clone()),
+            }
+        });
+        let fixture = Fixture::start(vec![agent]).await;
+        fixture.control.holds_records.store(true, Ordering::Relaxed);
+        fixture.post_as(&trainer(), paths::STEP_OPEN, &[], &step()).await;
+        while fixture.control.count_progress_queries() == 0 {
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+        fixture.control.holds_records.store(false, Ordering::Relaxed);
+        actix_rt::time::sleep(Duration::from_millis(200)).await;
+        release.store(1, Ordering::Relaxed);
+        pull_all(&fixture, 4).await;
+        assert_eq!(fixture.attempts().len(), 4, "no sample was generated twice");
+        fixture.settled().await;
+        fixture.check().await;
+    });
+}
+
 #[test]
 fn a_leaving_entry_finishes_its_samples_and_hands_its_step_over() {
     // Symptom: a planned stop of an entry discards samples, and its steps make no progress until
--- a/components/entry/tests/support/mod.rs
+++ b/components/entry/tests/support/mod.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -223,6 +224,9 @@
     pub state: Mutex<State>,
     /// The proposed commands.
     pub proposed: Mutex<Vec<Command>>,
+    /// Whether the reply that a sample is recorded is sent only after a later query of the progress
+    /// of its step.
+    pub holds_records: AtomicBool,
     config: watch::Sender<Arc<Config>>,
 }
 
@@ -238,6 +242,22 @@
         reply
     }
 
+    /// Returns the number of queries of the progress of a step.
+    pub fn count_progress_queries(&self) -> usize {
+        let is_query = |command: &&Command| match command {
+            Command::Ledger(command) => matches!(**command, LedgerCommand::Progress { .. }),
+            _ => false,
+        };
+        self.proposed.lock().unwrap().iter().filter(is_query).count()
+    }
+
+    async fn hold_record(&self) {
+        let before = self.count_progress_queries();
+        while self.count_progress_queries() == before {
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
     fn renew(&self, renew: SessionRenewal) -> SessionRenewalReply {
         let held = self.state.lock().unwrap().session(renew.session).is_some();
         let orphans = match self.apply(Command::Ledger(Box::new(LedgerCommand::Orphans))) {
@@ -258,8 +278,19 @@
         let mut routes = Routes::default();
         let shared = control.clone();
         routes.add(paths::PROPOSE, &[Kind::Process], move |call| {
-            let reply = reply::msgpack(&shared.apply(call.msgpack().unwrap()));
-            async move { reply }
+            let control = shared.clone();
+            let command: Command = call.msgpack().unwrap();
+            let is_record = matches!(
+                &command,
+                Command::Ledger(command) if matches!(**command, LedgerCommand::Done { .. })
+            );
+            let reply = reply::msgpack(&control.apply(command));
+            async move {
+                if is_record && control.holds_records.load(Ordering::Relaxed) {
+                    control.hold_record().await;
+                }
+                reply
+            }
         });
         let shared = control.clone();
         routes.add(paths::RENEW, &[Kind::Process], move |call| {
@@ -339,8 +370,12 @@
         let _ = tracing_subscriber::fmt().with_test_writer().with_thread_names(true).try_init();
         let keys = keys();
         let (config, follow) = watch::channel(Arc::default());
-        let control =
-            Arc::new(Control { state: Mutex::default(), proposed: Mutex::default(), config });
+        let control = Arc::new(Control {
+            state: Mutex::default(),
+            proposed: Mutex::default(),
+            holds_records: AtomicBool::default(),
+            config,
+        });
         let change = ChangeId(format!("{}.first", chicoryford_kernel::unix().0));
         let template = Box::new(template);
         control.apply(Command::Apply { change, template, base: Base::default() });
