Steps: a sample that is generated and waits to be recorded is not hedged; the test of the count is deterministic

Callers saw: while the control processes are slow, complete samples are generated again at another endpoint; the second run waits for the same control processes.

Change: a run is a candidate for a hedge from its admission until it is generated. New test a_sample_that_waits_to_be_recorded_is_not_hedged: 3 of 3 plays failed before, 3 of 3 pass.

--- a/components/entry/src/steps/in_flight.rs
+++ b/components/entry/src/steps/in_flight.rs
@@ -11,8 +11,8 @@
 /// Progress of the first run of a sample.
 #[derive(Debug, Default)]
 pub struct SampleProgress {
-    /// Measures the run from its admission; `None` while it waits. It does not include stalls of
-    /// this process, during which nothing that the endpoint sent was read.
+    /// Measures the run from its admission; `None` while it waits and once it is generated. It does
+    /// not include stalls of this process, during which nothing that the endpoint sent was read.
     pub timer: RefCell<Option<RunTimer>>,
     /// Number of tokens generated so far.
     pub tokens: Cell<u32>,
--- a/components/entry/src/steps/sample.rs
+++ b/components/entry/src/steps/sample.rs
@@ -198,6 +198,7 @@
             }
         }
         drop((workspace_permit, slot));
+        self.run_progress.timer.replace(None);
         let ms = self.context.now().since(started);
         self.timeline.add(|times| times.generated.add(ms));
         self.shared.staleness.borrow_mut().record_sample(&self.progress.spec.model, ms);
--- a/components/entry/tests/steps.rs
+++ b/components/entry/tests/steps.rs
@@ -9,9 +9,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chicoryford_ledger::LedgerCommand;
+use chicoryford_settings::EntrySettings;
 use chicoryford_state::Command;
+use chicoryford_types::Fingerprint;
 use chicoryford_types::Template;
 use chicoryford_types::Version;
+use chicoryford_types::Work;
 use chicoryford_types::frame::Event;
 use chicoryford_types::frame::Tokens;
 use chicoryford_types::request::StoredAnswer;
@@ -27,6 +31,7 @@
 use support::SERVICE;
 use support::Seen;
 use support::WORKSPACE;
+use support::entry_settings;
 use support::finished;
 use support::frames;
 use support::template;
@@ -241,7 +246,8 @@
                 _ => Plan::Held(frames(work, events), released.clone()),
             }
         });
-        let fixture = Fixture::start(vec![agent]).await;
+        let unhedged = EntrySettings { hedge: false, ..entry_settings() };
+        let fixture = Fixture::start_configured(vec![agent], template(), unhedged).await;
         fixture.control.holds_records.store(true, Ordering::Relaxed);
         fixture.post_as(&trainer(), paths::STEP_OPEN, &[], &step()).await;
         while fixture.control.count_progress_queries() == 0 {
@@ -257,6 +263,55 @@
     });
 }
 
+/// Guards against a second run of a sample that is complete and only waits to be recorded, while the
+/// control processes are slow. The second run would wait for them as well.
+#[test]
+fn a_sample_that_waits_to_be_recorded_is_not_hedged() {
+    actix_rt::System::new().block_on(async {
+        let (calls, release) = (Arc::new(AtomicU32::new(0)), Arc::new(AtomicU32::new(0)));
+        let agent = || {
+            let (calls, released) = (calls.clone(), release.clone());
+            Agent::new(move |work| {
+                let events = vec![Event::Accepted, tokens("by sea", 1), finished(2)];
+                match calls.fetch_add(1, Ordering::Relaxed) {
+                    0 => Plan::Stream(frames(work, events)),
+                    _ => Plan::Held(frames(work, events), released.clone()),
+                }
+            })
+        };
+        let fixture = Fixture::start(vec![agent(), agent()]).await;
+        fixture.control.holds_records.store(true, Ordering::Relaxed);
+        let mut spec = step();
+        spec["samples"] = json!(1);
+        fixture.post_as(&trainer(), paths::STEP_OPEN, &[], &spec).await;
+        let seeds = || -> Vec<u64> {
+            let attempts = fixture.attempts();
+            let seed = |work: &Work| match &work.task {
+                Task::Generate(task) => task.seed,
+                Task::Call(_) => panic!("not a generation"),
+            };
+            attempts.iter().map(seed).collect()
+        };
+        while fixture.control.count_progress_queries() == 0 {
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+        release.store(1, Ordering::Relaxed);
+        let proposed = fixture.control.proposed.lock().unwrap().clone();
+        let recorded = proposed.iter().find_map(|command| match command {
+            Command::Ledger(command) => match &**command {
+                LedgerCommand::Done { group, .. } => Some(*group),
+                _ => None,
+            },
+            _ => None,
+        });
+        let seed = Fingerprint::of(format!("5.{}.0", recorded.unwrap()).as_bytes()).0;
+        assert_eq!(seeds().iter().filter(|other| **other == seed).count(), 1);
+        pull_all(&fixture, 2).await;
+        fixture.settled().await;
+        fixture.check().await;
+    });
+}
+
 #[test]
 fn a_leaving_entry_finishes_its_samples_and_hands_its_step_over() {
     // Symptom: a planned stop of an entry discards samples, and its steps make no progress until
--- a/components/entry/tests/support/mod.rs
+++ b/components/entry/tests/support/mod.rs
@@ -353,8 +353,12 @@
     }
 }
 
-fn settings() -> Settings {
-    let entry = EntrySettings { silence_ms: 150, rescue_ms: 50, ..EntrySettings::default() };
+/// The settings of the entry.
+pub fn entry_settings() -> EntrySettings {
+    EntrySettings { silence_ms: 150, rescue_ms: 50, ..EntrySettings::default() }
+}
+
+fn settings(entry: EntrySettings) -> Settings {
     Settings { node: Node::from("entry-1"), entry: Some(entry), ..Settings::default() }
 }
 
@@ -366,6 +370,15 @@
 
     /// Starts an entry with these agents and this template.
     pub async fn start_with(agents: Vec<Agent>, template: Template) -> Self {
+        Self::start_configured(agents, template, entry_settings()).await
+    }
+
+    /// Starts an entry with these agents, this template and these settings.
+    pub async fn start_configured(
+        agents: Vec<Agent>,
+        template: Template,
+        entry: EntrySettings,
+    ) -> Self {
         // A second test in the same process has the first one's subscriber.
         let _ = tracing_subscriber::fmt().with_test_writer().with_thread_names(true).try_init();
         let keys = keys();
@@ -401,7 +414,7 @@
         kernel.registry.offer(CALLER, Caller { token: Some("process".to_owned()), tls: None });
         kernel.registry.offer(chicoryford_config::SERVICE, ConfigHandle::new(follow));
         kernel.registry.offer(chicoryford_membership::SERVICE, handle);
-        let settings = settings();
+        let settings = settings(entry);
         chicoryford_entry::start(&kernel, &settings).unwrap();
         let served = kernel.clone();
         let routes = move || {
--- a/tests/faults/freezes.rs
+++ b/tests/faults/freezes.rs
@@ -100,8 +100,8 @@
         assert!(report.steps > 0, "{report:?}");
         for entry in ["e1", "e2"] {
             let blamed = system.log_lines(entry, |line| {
-                line.contains("event=\"attempt_broken\"") && line.contains("\"silence\"")
-                    || line.contains("event=\"endpoint_ejected\"")
+                line.contains("event=attempt_broken") && line.contains("silence")
+                    || line.contains("event=endpoint_ejected")
             });
             assert!(blamed.is_empty(), "{entry}, frozen for {freeze_ms} ms: {blamed:#?}");
         }
