Stand-ins: only concurrent attempts may each be a caller's answer, and samples are matched with requests exactly

The records of one show the cause: attempts that ended while the entry was frozen were resumed 3.7 s later, so their requests had two answers, of which only the second was received; the check took the first request with a fitting answer for a sample, and left none for another sample, though an assignment of all samples exists. So the loosened check was wrong in both ways: it passed the answer of an attempt that the entry had given up, and it failed right samples.

Change: an answer is that of the last attempt that ran to its end, or of one that ended at most 1 s before a later one started, as the records' times show; samples are assigned by a matching. Tests only_the_last_of_consecutive_attempts_may_be_the_answer and samples_are_assigned_so_that_each_has_an_answer.

--- a/components/standin/src/matching.rs
+++ b/components/standin/src/matching.rs
@@ -1,6 +1,7 @@
 //! Compares the weight versions in samples and answers with those that the engines recorded.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::io::Result;
 use std::ops::AddAssign;
 use std::path::Path;
@@ -41,31 +42,85 @@
 ///
 /// Returns the operating system's error.
 pub fn samples(requests: &mut Vec<Vec<Whole>>, model: &str, file: &Path) -> Result<Matches> {
-    let mut matches = Matches::default();
-    for sample in records::read::<SampleLine>(file)? {
-        if sample.event != "sample" {
+    let lines = records::read::<SampleLine>(file)?.into_iter();
+    let samples: Vec<Vec<Span>> = lines
+        .filter(|line| line.event == "sample")
+        .map(|line| records::attributed_spans(&line.spans).unwrap_or_default())
+        .collect();
+    let fits = |answer: &Whole, spans: &[Span]| answer.model == model && spans_match(answer, spans);
+    let options = |spans: &Vec<Span>, complete: bool| -> Vec<usize> {
+        let matches = |answers: &Vec<Whole>| {
+            answers.iter().any(|a| (a.from == 0 || !complete) && fits(a, spans))
+        };
+        (0..requests.len()).filter(|index| matches(&requests[*index])).collect()
+    };
+    // Samples are assigned to complete answers first.
+    let mut assignment = Assignment::new(requests.len());
+    for (sample, spans) in samples.iter().enumerate() {
+        assignment.assign(sample, options(spans, true));
+    }
+    let mut matches = Matches { checked: samples.len() as u64, ..Matches::default() };
+    for (sample, spans) in samples.iter().enumerate() {
+        if assignment.is_assigned(sample) {
             continue;
         }
-        matches.checked += 1;
-        let spans = records::attributed_spans(&sample.spans).unwrap_or_default();
-        let fits = |answer: &Whole, complete: bool| {
-            answer.model == model && (answer.from == 0) == complete && spans_match(answer, &spans)
-        };
-        let find = |complete: bool| {
-            requests.iter().position(|answers| answers.iter().any(|answer| fits(answer, complete)))
-        };
-        let complete = find(true);
-        match complete.or_else(|| find(false)) {
-            Some(index) => {
-                matches.prefixes += u64::from(complete.is_none());
-                requests.swap_remove(index);
-            }
-            None => matches.misattributed += 1,
+        match assignment.assign(sample, options(spans, false)) {
+            true => matches.prefixes += 1,
+            false => matches.misattributed += 1,
         }
     }
+    let mut index = 0;
+    requests.retain(|_| {
+        index += 1;
+        assignment.taken[index - 1].is_none()
+    });
     Ok(matches)
 }
 
+/// Assigns samples to requests, at most one to each. A sample that was assigned is moved to another
+/// of its options if that leaves one for a later sample: several requests may have the same answer,
+/// and a request may have several.
+struct Assignment {
+    /// The options of each sample that was assigned.
+    options: BTreeMap<usize, Vec<usize>>,
+    /// The sample that is assigned to each request.
+    taken: Vec<Option<usize>>,
+}
+
+impl Assignment {
+    fn new(requests: usize) -> Self {
+        Self { options: BTreeMap::new(), taken: vec![None; requests] }
+    }
+
+    fn is_assigned(&self, sample: usize) -> bool {
+        self.options.contains_key(&sample)
+    }
+
+    /// Assigns a sample to one of its options. Returns false if there is no such assignment.
+    fn assign(&mut self, sample: usize, options: Vec<usize>) -> bool {
+        self.options.insert(sample, options);
+        let assigned = self.find_option(sample, &mut BTreeSet::new());
+        if !assigned {
+            self.options.remove(&sample);
+        }
+        assigned
+    }
+
+    fn find_option(&mut self, sample: usize, tried: &mut BTreeSet<usize>) -> bool {
+        for request in self.options[&sample].clone() {
+            if !tried.insert(request) {
+                continue;
+            }
+            let holder = self.taken[request];
+            if holder.is_none_or(|holder| self.find_option(holder, tried)) {
+                self.taken[request] = Some(sample);
+                return true;
+            }
+        }
+        false
+    }
+}
+
 /// Compares a caller's records with the engines'. An answer contains its request's identifier, so
 /// that it must match an answer recorded for that request.
 ///
--- a/components/standin/src/records.rs
+++ b/components/standin/src/records.rs
@@ -101,14 +101,36 @@
 /// A span of tokens: first token, end (exclusive), weight version.
 pub type Span = (u32, u32, u64);
 
+/// Milliseconds within which the end of an attempt reaches the entry. An entry may start a second
+/// attempt in the meantime and still use the answer of the first.
+const MAX_DELIVERY_MS: u64 = 1_000;
+
 /// A request in the engines' records: its attempts that ran, in order.
 #[derive(Clone, Debug, Default)]
 pub struct Ran {
     /// The model.
     pub model: String,
-    /// The spans of each attempt and how it ended. An attempt on an engine that was killed is
-    /// missing.
-    pub attempts: BTreeMap<u32, (Vec<Span>, String)>,
+    /// The attempts. An attempt on an engine that was killed has no end.
+    pub attempts: BTreeMap<u32, RanAttempt>,
+}
+
+/// An attempt in the engines' records.
+#[derive(Clone, Debug, Default)]
+pub struct RanAttempt {
+    /// When it started, in Unix milliseconds.
+    pub started: u64,
+    /// When it ended, in Unix milliseconds.
+    pub ended: u64,
+    /// What it generated.
+    pub spans: Vec<Span>,
+    /// How it ended; empty if its end is not recorded.
+    pub how: String,
+}
+
+impl RanAttempt {
+    fn is_completed(&self) -> bool {
+        self.how == "stop" || self.how == "length"
+    }
 }
 
 /// An answer as the engines recorded it.
@@ -126,34 +148,53 @@
 pub fn requests(files: &[PathBuf]) -> Result<BTreeMap<String, Ran>> {
     let mut requests: BTreeMap<String, Ran> = BTreeMap::new();
     for file in files {
-        for line in read::<EngineLine>(file)?.into_iter().filter(|line| line.event == "end") {
+        let lines = read::<EngineLine>(file)?.into_iter();
+        for line in lines.filter(|line| line.event == "start" || line.event == "end") {
             let request = requests.entry(line.request).or_default();
             request.model = line.model;
-            request.attempts.insert(line.attempt, (line.spans, line.how));
+            let attempt = request.attempts.entry(line.attempt).or_default();
+            if line.event == "start" {
+                attempt.started = line.at;
+            } else {
+                let (ended, spans, how) = (line.at, line.spans, line.how);
+                *attempt = RanAttempt { ended, spans, how, ..*attempt };
+            }
         }
     }
     Ok(requests)
 }
 
 impl Ran {
-    /// Assembles the answers that ended with a completed attempt, one for each. Only a request that
-    /// was rescued or hedged has several: two attempts ran concurrently, and the one that lost
-    /// completed before its cancellation arrived.
+    /// Assembles the answers that the caller may have received: that of the last completed attempt,
+    /// and those of earlier ones that ran concurrently with a later one. Only a request that was
+    /// rescued has several: the first attempt that generates tokens wins, and the other one may
+    /// complete before its cancellation arrives.
     pub fn answers(&self) -> Vec<Whole> {
-        let completed = |how: &str| how == "stop" || how == "length";
-        let completed = self.attempts.iter().filter(|(_, (_, how))| completed(how));
-        completed.filter_map(|(last, (spans, _))| self.answer(*last, spans)).collect()
+        let completed = self.attempts.iter().filter(|(_, attempt)| attempt.is_completed());
+        let last = completed.clone().next_back().map(|(number, _)| *number);
+        let is_possible = |number: u32, attempt: &RanAttempt| {
+            Some(number) == last || self.is_concurrent(number, attempt)
+        };
+        let possible = completed.filter(|(number, attempt)| is_possible(**number, attempt));
+        possible.filter_map(|(number, attempt)| self.answer(*number, &attempt.spans)).collect()
+    }
+
+    /// Returns whether a later attempt started before the end of this one can have reached the
+    /// entry.
+    fn is_concurrent(&self, number: u32, attempt: &RanAttempt) -> bool {
+        let mut later = self.attempts.range(number + 1..).map(|(_, later)| later.started);
+        later.any(|started| started <= attempt.ended + MAX_DELIVERY_MS)
     }
 
     /// Assembles the answer that ended with an attempt that generated `spans`.
     fn answer(&self, last: u32, spans: &[Span]) -> Option<Whole> {
         let mut spans = spans.to_vec();
         let mut from = spans.first()?.0;
-        for (earlier, _) in self.attempts.range(..last).rev().map(|(_, attempt)| attempt) {
+        for (_, earlier) in self.attempts.range(..last).rev() {
             if from == 0 {
                 break;
             }
-            let mut kept = spans_before(earlier, from);
+            let mut kept = spans_before(&earlier.spans, from);
             if kept.last().is_some_and(|span| span.1 == from) {
                 from = kept[0].0;
                 kept.extend(spans);
--- a/components/standin/tests/matching.rs
+++ b/components/standin/tests/matching.rs
@@ -6,15 +6,24 @@
 
 use chicoryford_standin::matching;
 use chicoryford_standin::records::Ran;
+use chicoryford_standin::records::RanAttempt;
 use chicoryford_standin::records::Span;
 use tempfile::TempDir;
 
-/// Returns a request with these attempts: what each generated, and how it ended.
+/// Returns a request with these attempts: what each generated, and how it ended. They run
+/// concurrently, or each long after the end of the one before.
+fn ran_with(attempts: &[(&[Span], &str)], concurrent: bool) -> Ran {
+    let attempt = |(number, (spans, how)): (usize, &(&[Span], &str))| {
+        let started = if concurrent { number as u64 } else { 10_000 * number as u64 };
+        let (ended, spans, how) = (started + 100, spans.to_vec(), how.to_string());
+        (number as u32, RanAttempt { started, ended, spans, how })
+    };
+    let attempts = attempts.iter().enumerate().map(attempt).collect();
+    Ran { model: "model".to_owned(), attempts }
+}
+
 fn ran(attempts: &[(&[Span], &str)]) -> Ran {
-    let attempts = attempts.iter().enumerate();
-    let attempts =
-        attempts.map(|(number, (spans, how))| (number as u32, (spans.to_vec(), how.to_string())));
-    Ran { model: "model".to_owned(), attempts: attempts.collect() }
+    ran_with(attempts, true)
 }
 
 fn write(folder: &TempDir, line: &str) -> PathBuf {
@@ -63,3 +72,29 @@
     let matches = matching::samples(&mut vec![both.answers()], "model", &file).unwrap();
     assert_eq!((matches.checked, matches.misattributed), (2, 1));
 }
+
+/// Guards against an answer of an attempt that the entry had given up before it started the next
+/// one.
+#[test]
+fn only_the_last_of_consecutive_attempts_may_be_the_answer() {
+    let both = || ran_with(&[(&[(0, 2, 1)], "stop"), (&[(0, 2, 2)], "stop")], false);
+    assert_eq!((misattributed_call(both(), 1), misattributed_call(both(), 2)), (1, 0));
+}
+
+/// Guards against a false alarm: a sample is compared with a request of which it has one of two
+/// answers, and leaves none for the sample that has the other.
+#[test]
+fn samples_are_assigned_so_that_each_has_an_answer() {
+    let folder = TempDir::new().unwrap();
+    let sample = |version: u64| {
+        format!(
+            r#"{{"event":"sample","tokens":2,"spans":[{{"from":0,"to":2,"version":{version}}}],"step":1,"group":1,"number":1,"score":null}}"#
+        )
+    };
+    let file = write(&folder, &format!("{}\n{}", sample(1), sample(2)));
+    let both = ran(&[(&[(0, 2, 1)], "stop"), (&[(0, 2, 2)], "stop")]);
+    let single = ran(&[(&[(0, 2, 1)], "stop")]);
+    let mut requests = vec![both.answers(), single.answers()];
+    let matches = matching::samples(&mut requests, "model", &file).unwrap();
+    assert_eq!((matches.checked, matches.misattributed, requests.len()), (2, 0, 0));
+}
