Agent: an attempt that ended is reported as ended, not as unknown

Callers saw: a healthy engine ejected for 5 s after entries had been frozen, and refusals while its capacity was missing.

Cause: an agent that recorded the end of a generation, or stopped it, answered a probe with "unknown", and the entry counts that as a failure of the endpoint, as after a crash.

Evidence: in the log of the frozen entries' test on each attempt_broken for silence is followed by attempt_probed state=unknown from an agent that runs, and then endpoint_ejected; the engines' records say that these attempts ended.

Change: state "ended" for attempts without a key that ran to their end or were stopped; the entry counts it like a silent connection. Keyed calls without a stored answer, broken attempts and other incarnations stay unknown. Tests: an_attempt_that_ended_is_reported_as_ended and the check added to a_cancelled_attempt_is_stopped_at_the_engine, unknown before; an_attempt_that_ended_unread_does_not_count_as_an_endpoint_failure.

--- a/components/agent/src/gate/admission.rs
+++ b/components/agent/src/gate/admission.rs
@@ -54,7 +54,7 @@
             _ if !protections.attempts => None,
             AttemptStatus::Ended => {
                 let key = record.key.clone();
-                Some(match self.stored_answer(key.as_ref()) {
+                Some(match self.ended_state(key.as_ref()) {
                     AttemptState::Done(answer) => Verdict::Stored(answer),
                     _ => Verdict::Refuse(duplicate_failure()),
                 })
@@ -171,9 +171,11 @@
         refusal
     }
 
-    /// Returns the stored answer of a key, or [`AttemptState::Unknown`] if none is stored.
-    pub(super) fn stored_answer(&mut self, key: Option<&ScopedKey>) -> AttemptState {
-        match key.and_then(|key| self.history.key(key)).map(|record| &record.status) {
+    /// Returns the state of an attempt that ended: the stored answer of its key, or
+    /// [`AttemptState::Unknown`] if none is stored. An attempt without a key has no answer to store.
+    pub(super) fn ended_state(&mut self, key: Option<&ScopedKey>) -> AttemptState {
+        let Some(key) = key else { return AttemptState::Ended };
+        match self.history.key(key).map(|record| &record.status) {
             Some(KeyStatus::Answered(answer)) => AttemptState::Done(StoredAnswer::clone(answer)),
             _ => AttemptState::Unknown,
         }
--- a/components/agent/src/gate/decide.rs
+++ b/components/agent/src/gate/decide.rs
@@ -126,8 +126,10 @@
         }
         let status = match end {
             AttemptEnd::NotRun => AttemptStatus::Refused,
-            AttemptEnd::Answered(_) | AttemptEnd::Finished => AttemptStatus::Ended,
-            AttemptEnd::Stopped | AttemptEnd::Broken => AttemptStatus::Unknown,
+            AttemptEnd::Answered(_) | AttemptEnd::Finished | AttemptEnd::Stopped => {
+                AttemptStatus::Ended
+            }
+            AttemptEnd::Broken => AttemptStatus::Unknown,
         };
         self.record_key_end(&run.arrival, end);
         self.record_status(id, status, now);
@@ -164,7 +166,7 @@
             }
             Some((AttemptStatus::Refused, _)) => AttemptState::Refused,
             Some((AttemptStatus::Revoked, _)) => AttemptState::Revoked,
-            Some((AttemptStatus::Ended, key)) => self.stored_answer(key.as_ref()),
+            Some((AttemptStatus::Ended, key)) => self.ended_state(key.as_ref()),
             Some((AttemptStatus::Unknown, _)) => AttemptState::Unknown,
         }
     }
--- a/components/agent/src/gate/history.rs
+++ b/components/agent/src/gate/history.rs
@@ -24,7 +24,7 @@
     Refused,
     /// It had not arrived when its state was queried; it must not run.
     Revoked,
-    /// It ran and its end is known.
+    /// It ran and ended, or was stopped, at a working endpoint.
     Ended,
     /// It reached the endpoint, and its outcome is unknown.
     Unknown,
--- a/components/agent/tests/live/work.rs
+++ b/components/agent/tests/live/work.rs
@@ -174,6 +174,19 @@
     });
 }
 
+/// Guards against an agent that reports the result of an attempt as unknown, which counts as a
+/// failure of its endpoint, although it recorded the end.
+#[test]
+fn an_attempt_that_ended_is_reported_as_ended() {
+    run_test(async {
+        let rig = Rig::engine(AgentSettings::default(), EngineSettings::default());
+        let work = generation(1, "go on", 8);
+        rig.run(&work).await.unwrap();
+        assert_eq!(rig.query(&work, true).await, AttemptState::Ended);
+        rig.stop().await;
+    });
+}
+
 #[test]
 fn a_cancelled_attempt_is_stopped_at_the_engine() {
     run_test(async {
@@ -190,6 +203,7 @@
             }
         }
         assert_eq!(rig.count(|line| line["how"] == "stopped"), 1);
+        assert_eq!(rig.query(&work, true).await, AttemptState::Ended);
         rig.stop().await;
     });
 }
--- a/components/entry/src/run/at_most_once/mod.rs
+++ b/components/entry/src/run/at_most_once/mod.rs
@@ -330,7 +330,7 @@
                 Ok(Some(Step::Next(State::Reassign(holder.attempt))))
             }
             AttemptState::Running => Ok(None),
-            AttemptState::Unknown => {
+            AttemptState::Ended | AttemptState::Unknown => {
                 self.settle(holder.attempt, ClaimEnd::Unknown);
                 Err(duplicate_unknown())
             }
--- a/components/entry/src/run/attempt.rs
+++ b/components/entry/src/run/attempt.rs
@@ -244,7 +244,7 @@
         Ok(AttemptState::Revoked | AttemptState::Refused) => ProbeResult::NotRun,
         Ok(AttemptState::Done(answer)) => ProbeResult::Done(answer),
         Ok(AttemptState::Running) => ProbeResult::Running,
-        Ok(AttemptState::Unknown) | Err(_) => ProbeResult::Unknown,
+        Ok(AttemptState::Ended | AttemptState::Unknown) | Err(_) => ProbeResult::Unknown,
     }
 }
 
@@ -254,6 +254,7 @@
         Ok(AttemptState::Running) => "running",
         Ok(AttemptState::Done(_)) => "done",
         Ok(AttemptState::Refused) => "refused",
+        Ok(AttemptState::Ended) => "ended",
         Ok(AttemptState::Unknown) => "unknown",
         Err(_) => "unanswered",
     }
--- a/components/entry/tests/generations.rs
+++ b/components/entry/tests/generations.rs
@@ -222,6 +222,27 @@
     });
 }
 
+/// Guards against ejecting a healthy endpoint whose attempts ended while their connections were
+/// silent.
+#[test]
+fn an_attempt_that_ended_unread_does_not_count_as_an_endpoint_failure() {
+    actix_rt::System::new().block_on(async {
+        let agent = Agent::new(|work| match work.attempt.0 {
+            1 => Plan::Silent(frames(work, vec![Event::Accepted, tokens("the seven ", 3)])),
+            _ => {
+                Plan::Stream(frames(work, vec![Event::Accepted, tokens("o'clock", 3), finished(1)]))
+            }
+        });
+        let fixture = Fixture::start(vec![agent.with_state(|_| AttemptState::Ended)]).await;
+        let seen = fixture.post(paths::CHAT, &[], &chat(false)).await;
+        assert_eq!(seen.json()["choices"][0]["message"]["content"], "the seven o'clock");
+        let dump = fixture.kernel.dumps.take().await;
+        assert_eq!(dump["entry"]["endpoints"][0]["failures"], 0);
+        fixture.settled().await;
+        fixture.check().await;
+    });
+}
+
 #[test]
 fn admission_refuses_with_stable_codes() {
     actix_rt::System::new().block_on(async {
--- a/components/types/src/request.rs
+++ b/components/types/src/request.rs
@@ -132,6 +132,8 @@
     Refused,
     /// The attempt reached the endpoint, but its result is unknown.
     Unknown,
+    /// The attempt ran to its end, or was stopped, at a working endpoint. Its result is not stored.
+    Ended,
 }
 
 /// The answer of a plain service, stored so that resends of the request get the same answer.
