Bodies: a sample is lost only if no live entry has it

Trainers would see: sample_lost, or a sample generated again, although an entry has its bytes.

Cause: a body was asked for at its recorded holders and at the process itself. A copy is stored before its holder is recorded; if the process that repairs is killed in between and the recorded holders are gone too, the bytes lie at an entry that nobody asks. An entry that did not answer counted like one that does not have the body, unless it was a recorded holder.

Change: what the recorded holders do not return is searched at all other live entries, once, concurrently; only if each of them answers without it is a body lost. Pull and repair use the same search.

--- a/components/entry/src/bodies/fetch.rs
+++ b/components/entry/src/bodies/fetch.rs
@@ -1,6 +1,7 @@
 //! Fetches bodies from their holders.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -30,6 +31,17 @@
 /// Retry delay in milliseconds while a holder that should have a body does not respond.
 const RETRY_MS: u64 = 1_000;
 
+/// The result of the search for a body.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Search {
+    /// Its bytes.
+    Found(Bytes),
+    /// A live entry that may have it did not answer.
+    Unanswered,
+    /// No live entry has it.
+    Lost,
+}
+
 /// Fetches bodies and returns them in the order of `held`.
 ///
 /// Each body is requested from one holder after the other until one returns the correct bytes. The
@@ -38,21 +50,32 @@
 ///
 /// # Errors
 ///
-/// Returns [`Code::NoEndpoint`] if a holder that should have a body does not currently respond, and
-/// [`Code::SampleLost`] if all holders of a body are gone.
+/// Returns [`Code::NoEndpoint`] if an entry that may have a body does not currently respond, and
+/// [`Code::SampleLost`] if no live entry has a body.
 pub async fn fetch(context: &Context, held: &[HeldBody]) -> Result<Vec<Bytes>, Failure> {
     let found = try_fetch(context, held).await;
-    let mut bodies = Vec::with_capacity(held.len());
-    for (body, (name, holders)) in found.into_iter().zip(held) {
-        bodies.push(body.ok_or_else(|| missing_failure(context, name, holders))?);
-    }
-    Ok(bodies)
+    let bodies = found.into_iter().zip(held).map(|(search, (name, _))| match search {
+        Search::Found(bytes) => Ok(bytes),
+        Search::Unanswered => Err(unanswered_failure(name)),
+        Search::Lost => Err(lost_failure(name)),
+    });
+    bodies.collect()
 }
 
-/// Fetches bodies like [`fetch`], but returns `None` for a body that no holder returns.
-pub async fn try_fetch(context: &Context, held: &[HeldBody]) -> Vec<Option<Bytes>> {
-    let mut found: Vec<Option<Bytes>> = vec![None; held.len()];
+/// Searches bodies: at their recorded holders and this process, then at all other live entries.
+///
+/// A copy is stored before the ledger names its holder. If the process that stores copies crashes in
+/// between, all recorded holders may be gone while another entry has the bytes. If that entry were
+/// not asked, the trainer would be told that a sample is lost which is not.
+pub async fn try_fetch(context: &Context, held: &[HeldBody]) -> Vec<Search> {
     let members = context.members.view();
+    let mut found: Vec<Search> = held
+        .iter()
+        .map(|(_, holders)| match holders.iter().any(|h| is_likely_held(&members, h)) {
+            true => Search::Unanswered,
+            false => Search::Lost,
+        })
+        .collect();
     let mut stacks: Vec<Vec<Node>> = held
         .iter()
         .enumerate()
@@ -61,22 +84,56 @@
     loop {
         let mut requests: BTreeMap<Node, Vec<usize>> = BTreeMap::new();
         for (index, stack) in stacks.iter_mut().enumerate() {
-            if found[index].is_none()
+            if !is_found(&found[index])
                 && let Some(node) = stack.pop()
             {
                 requests.entry(node).or_default().push(index);
             }
         }
         if requests.is_empty() {
-            return found;
+            break;
         }
-        let chunks = requests.iter().flat_map(|(node, indices)| {
-            indices.chunks(BODIES_PER_CALL).map(move |indices| (node, indices))
-        });
-        let calls = chunks.map(|(node, indices)| fetch_from(context, node, indices, held));
-        let answers: Vec<_> = stream::iter(calls).buffer_unordered(MAX_CALLS).collect().await;
-        for (index, bytes) in answers.into_iter().flatten() {
-            found[index] = Some(bytes);
+        request_all(context, &requests, held, &mut found).await;
+    }
+    let others = members.present().filter(|member| member.roles.entry);
+    let requests = others.map(|member| {
+        let is_unasked = |index: &usize| {
+            let (_, holders) = &held[*index];
+            member.node != context.node && holders.iter().all(|h| h.node != member.node)
+        };
+        let missing = (0..held.len()).filter(|index| !is_found(&found[*index]));
+        (member.node.clone(), missing.filter(is_unasked).collect::<Vec<_>>())
+    });
+    let requests: BTreeMap<Node, Vec<usize>> = requests.filter(|(_, i)| !i.is_empty()).collect();
+    if !requests.is_empty() {
+        request_all(context, &requests, held, &mut found).await;
+        let rescued = requests.values().flatten().collect::<BTreeSet<_>>();
+        let rescued = rescued.into_iter().filter(|index| is_found(&found[**index])).count();
+        tracing::info!(event = "bodies_searched", entries = requests.len(), found = rescued);
+    }
+    found
+}
+
+fn is_found(search: &Search) -> bool {
+    matches!(search, Search::Found(_))
+}
+
+/// Requests bodies from several entries concurrently, and records what they answer.
+async fn request_all(
+    context: &Context,
+    requests: &BTreeMap<Node, Vec<usize>>,
+    held: &[HeldBody],
+    found: &mut [Search],
+) {
+    let chunks = requests.iter().flat_map(|(node, indices)| {
+        indices.chunks(BODIES_PER_CALL).map(move |indices| (node, indices))
+    });
+    let calls = chunks.map(|(node, indices)| fetch_from(context, node, indices, held));
+    let answers: Vec<_> = stream::iter(calls).buffer_unordered(MAX_CALLS).collect().await;
+    for (index, search) in answers.into_iter().flatten() {
+        match (&found[index], search) {
+            (Search::Found(_), _) | (_, Search::Lost) => {}
+            (_, search) => found[index] = search,
         }
     }
 }
@@ -98,10 +155,6 @@
         (is_own, is_likely_held(members, holder), is_near, (index + turn) % holders.len().max(1))
     });
     let mut stack: Vec<_> = ranked.into_iter().map(|(_, holder)| holder.node.clone()).collect();
-    // A copy is stored here before the ledger names this process as a holder. If the owner of the
-    // step crashes in between, all recorded holders may be gone while this process has the bytes.
-    // Without this lookup the trainer would be told that the sample is lost, and it would never be
-    // repaired.
     if stack.last() != Some(&context.node) {
         stack.push(context.node.clone());
     }
@@ -117,24 +170,29 @@
     })
 }
 
+/// Requests bodies from one entry. Bodies that a live entry does not answer for are unanswered.
 async fn fetch_from(
     context: &Context,
     node: &Node,
     indices: &[usize],
     held: &[HeldBody],
-) -> Vec<(usize, Bytes)> {
+) -> Vec<(usize, Search)> {
     let mut found = Vec::new();
     let mut rest = indices;
     while !rest.is_empty() {
         let names = rest.iter().map(|index| held[*index].0.clone()).collect();
-        let Some(bodies) = get(context, node, names).await else { return found };
+        let bodies = get(context, node, names).await.unwrap_or_default();
         if bodies.is_empty() {
+            if context.members.view().present().any(|member| member.node == *node) {
+                found.extend(rest.iter().map(|index| (*index, Search::Unanswered)));
+            }
             return found;
         }
         let (requested, remaining) = rest.split_at(bodies.len().min(rest.len()));
         for (index, bytes) in requested.iter().zip(bodies) {
             let name = &held[*index].0;
-            found.extend(bytes.filter(|b| check(context, node, name, b)).map(|b| (*index, b)));
+            let bytes = bytes.filter(|bytes| check(context, node, name, bytes));
+            found.push((*index, bytes.map_or(Search::Lost, Search::Found)));
         }
         rest = remaining;
     }
@@ -170,19 +228,18 @@
     is_genuine
 }
 
-/// Returns the failure for a missing body: either its holders currently do not respond, or the body
-/// is lost.
-fn missing_failure(context: &Context, name: &BodyName, holders: &[Holder]) -> Failure {
-    let members = context.members.view();
+fn unanswered_failure(name: &BodyName) -> Failure {
+    let BodyName { group, number, .. } = name;
+    let detail = format!("no holder of sample {group}.{number} currently responds");
+    Failure::not_run(Code::NoEndpoint, detail).retry_after(RETRY_MS)
+}
+
+fn lost_failure(name: &BodyName) -> Failure {
     let BodyName { key, group, number, .. } = name;
-    if holders.iter().any(|holder| is_likely_held(&members, holder)) {
-        let detail = format!("no holder of sample {group}.{number} currently responds");
-        return Failure::not_run(Code::NoEndpoint, detail).retry_after(RETRY_MS);
-    }
     let (workspace, step) = (&key.workspace, key.step);
     tracing::error!(event = "body_lost", %workspace, %step, %group, %number);
     let detail = format!(
-        "all holders of sample {group}.{number} of step {step} are gone; \
+        "no entry has sample {group}.{number} of step {step}; \
          acknowledge the cursor to continue without its batch"
     );
     Failure::not_run(Code::SampleLost, detail)
--- a/components/entry/src/bodies/repair.rs
+++ b/components/entry/src/bodies/repair.rs
@@ -12,6 +12,7 @@
 use futures_util::stream;
 
 use crate::bodies::fetch;
+use crate::bodies::fetch::Search;
 use crate::bodies::handle::HeldBody;
 use crate::bodies::replicate;
 use crate::context::Context;
@@ -45,13 +46,22 @@
     context.kernel.metrics.count("entry.bodies.repaired", repaired as i64);
 }
 
-async fn repair_body(context: &Context, lacking: UnderReplicated, body: Option<Bytes>) -> bool {
+async fn repair_body(context: &Context, lacking: UnderReplicated, body: Search) -> bool {
     match body {
-        Some(bytes) => copy(context, lacking, &bytes).await,
-        None => reopen(context, lacking).await,
+        Search::Found(bytes) => copy(context, lacking, &bytes).await,
+        Search::Unanswered => {
+            log_not_repaired(&lacking, "a live entry does not answer");
+            false
+        }
+        Search::Lost => reopen(context, lacking).await,
     }
 }
 
+fn log_not_repaired(lacking: &UnderReplicated, why: &str) {
+    let (group, number) = (lacking.name.group, lacking.name.number);
+    tracing::warn!(event = "body_not_repaired", %group, %number, sealed = lacking.sealed, why);
+}
+
 /// Copies a body to other processes and records the new holders. The ledger refuses the change if
 /// another repair was faster.
 async fn copy(context: &Context, lacking: UnderReplicated, bytes: &Bytes) -> bool {
@@ -71,17 +81,19 @@
     propose_repair(context, command).await
 }
 
-/// Reopens a sample whose bytes no holder has, so that it runs again. If a holder is up but does
-/// not respond, the sample is left to the next audit. A sample that is part of a batch cannot run
-/// again (docs/STEPS.md).
+/// Reopens a sample whose bytes no live entry has, so that it runs again. A sample that is part of a
+/// batch cannot run again (docs/STEPS.md).
 async fn reopen(context: &Context, lacking: UnderReplicated) -> bool {
-    let UnderReplicated { name, from, sealed } = lacking;
+    if lacking.sealed {
+        log_not_repaired(&lacking, "it is in a batch");
+        return false;
+    }
     let eligible = eligible_holders(context);
-    if sealed || from.iter().any(|holder| eligible.contains(holder)) {
-        let (group, number) = (name.group, name.number);
-        tracing::warn!(event = "body_not_repaired", %group, %number, sealed);
+    if lacking.from.iter().any(|holder| eligible.contains(holder)) {
+        log_not_repaired(&lacking, "a holder that is up does not have it");
         return false;
     }
+    let UnderReplicated { name, from, .. } = lacking;
     let (group, number) = (name.group, name.number);
     tracing::warn!(event = "sample_reopened", %group, %number);
     propose_repair(context, LedgerCommand::Lost { name, from }).await
--- a/components/entry/tests/support/mod.rs
+++ b/components/entry/tests/support/mod.rs
@@ -11,7 +11,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chicoryford_bodies::Store;
+use chicoryford_bodies::message::Found;
+use chicoryford_bodies::message::Get;
 use chicoryford_config::Handle as ConfigHandle;
+use chicoryford_entry::context::Context;
 use chicoryford_kernel::Kernel;
 use chicoryford_kernel::Metrics;
 use chicoryford_ledger::LedgerCommand;
@@ -301,6 +305,32 @@
     })
 }
 
+/// The body store of another entry.
+#[derive(Default)]
+pub struct Peer {
+    /// The bodies that it stores.
+    pub store: Mutex<Store>,
+}
+
+impl Peer {
+    fn get(&self, request: &Get) -> Found {
+        let store = self.store.lock().unwrap();
+        Found { bodies: request.names.iter().map(|name| store.get(name)).collect() }
+    }
+}
+
+fn serve_peer(peer: Arc<Peer>, keys: Arc<Keys>) -> String {
+    listen(keys, move || {
+        let mut routes = Routes::default();
+        let shared = peer.clone();
+        routes.add(paths::BODY_GET, &[Kind::Process], move |call| {
+            let reply = reply::msgpack(&shared.get(&call.msgpack().unwrap()));
+            async move { reply }
+        });
+        routes
+    })
+}
+
 /// An entry and its fake agents.
 pub struct Fixture {
     /// The control process.
@@ -457,6 +487,27 @@
         Seen { status, body: body.into(), retry_after }
     }
 
+    /// Adds another entry with a body store.
+    pub fn add_entry(&self, name: &str) -> Arc<Peer> {
+        let peer = Arc::new(Peer { store: Mutex::new(Store::new(1 << 20)) });
+        self.add_entry_at(name, serve_peer(peer.clone(), self.keys.clone()));
+        peer
+    }
+
+    /// Adds another entry at an address.
+    pub fn add_entry_at(&self, name: &str, address: String) {
+        let roles = Roles { entry: true, ..Roles::default() };
+        let member = Member { node: Node::from(name), address, roles, ..Member::default() };
+        self.change_members(|members| {
+            members.known.insert(member.node.clone(), Known { member, ..Known::default() });
+        });
+    }
+
+    /// Returns the services of the entry, as one of its threads uses them.
+    pub fn context(&self) -> Context {
+        Context::new(&self.kernel, &settings(entry_settings())).unwrap()
+    }
+
     /// Changes the members.
     pub fn change_members(&self, change: impl FnOnce(&mut Members)) {
         self.members.send_modify(|members| change(Arc::make_mut(members)));
