Bodies: an acknowledged batch is dropped at every live entry

Cause: the drop of an acknowledged batch went to the recorded holders. A copy whose holder was never recorded (a repairer killed in between, a put that timed out after it was stored, another digest by a hedge's loser) stayed until an audit, every 60 s for bodies older than 60 s.

An entry of an earlier release drops what is named, as before. The wait of 60 s in the tests stays.

--- a/components/bodies/src/message.rs
+++ b/components/bodies/src/message.rs
@@ -3,6 +3,8 @@
 use bytes::Bytes;
 use chicoryford_ledger::BodyName;
 use chicoryford_ledger::Holder;
+use chicoryford_ledger::StepKey;
+use chicoryford_types::Group;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -42,6 +44,9 @@
 pub struct Drop {
     /// The bodies.
     pub names: Vec<BodyName>,
+    /// Groups of which no body is needed. A process of an earlier release does not send them.
+    #[serde(default)]
+    pub groups: Vec<(StepKey, Group)>,
 }
 
 /// The bodies were dropped, or were not stored.
--- a/components/bodies/src/store.rs
+++ b/components/bodies/src/store.rs
@@ -8,6 +8,7 @@
 use chicoryford_ledger::StepKey;
 use chicoryford_ledger::audit::NeededGroups;
 use chicoryford_types::Digest;
+use chicoryford_types::Group;
 use chicoryford_types::Millis;
 use thiserror::Error;
 
@@ -91,6 +92,15 @@
         true
     }
 
+    /// Removes all bodies of a group. Returns their number.
+    pub fn remove_group(&mut self, key: &StepKey, group: Group) -> usize {
+        let first = BodyName { key: key.clone(), group, ..BodyName::default() };
+        let names = self.bodies.range(first..).map(|(name, _)| name);
+        let names = names.take_while(|name| name.key == *key && name.group == group);
+        let names: Vec<BodyName> = names.cloned().collect();
+        names.iter().filter(|name| self.remove(name)).count()
+    }
+
     /// Drops the bodies that the ledger no longer needs, among the steps in the audit reply.
     /// Returns their number.
     pub fn retain(&mut self, needed: &[NeededGroups], now: Millis) -> usize {
--- a/components/entry/src/bodies/replicate.rs
+++ b/components/entry/src/bodies/replicate.rs
@@ -1,6 +1,6 @@
 //! Stores a body at enough entries, and drops it there when it is no longer needed.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -17,10 +17,13 @@
 use chicoryford_ledger::BodyName;
 use chicoryford_ledger::HOLDERS_PER_BODY;
 use chicoryford_ledger::Holder;
+use chicoryford_ledger::StepKey;
+use chicoryford_types::Group;
 use chicoryford_types::Member;
 use chicoryford_types::Node;
 use chicoryford_wire::paths;
 use futures_util::StreamExt;
+use futures_util::stream;
 use futures_util::stream::FuturesUnordered;
 
 use crate::admit;
@@ -30,6 +33,8 @@
 
 /// Timeout for storing a body at one process, after which the next one is tried.
 const PUT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum number of concurrent calls that drop the bodies of a batch.
+const MAX_DROPS: usize = 16;
 
 /// Lists the entries that may store bodies: those that are present and not leaving.
 pub fn eligible_entries(context: &Context) -> Vec<Member> {
@@ -120,31 +125,30 @@
     }
 }
 
-/// Drops the bodies of an acknowledged batch at their holders. Holders that are not reached drop
-/// them after their next audit.
+/// Drops the bodies of an acknowledged batch at all live entries. A copy may lie at an entry that the
+/// ledger does not name: it was stored, and its holder was not recorded. Entries that are not
+/// reached drop them after their next audit.
 pub async fn discard(context: Context, held: Vec<HeldBody>) {
-    let mut by_node: BTreeMap<Node, Vec<BodyName>> = BTreeMap::new();
-    for (name, holders) in held {
-        for holder in holders {
-            by_node.entry(holder.node).or_default().push(name.clone());
-        }
+    let groups: BTreeSet<(StepKey, Group)> =
+        held.iter().map(|(name, _)| (name.key.clone(), name.group)).collect();
+    if groups.is_empty() {
+        return;
     }
-    for (node, names) in by_node {
-        if node == context.node {
-            let mut store = context.bodies.store();
-            names.iter().for_each(|name| {
-                store.remove(name);
-            });
-            continue;
-        }
-        let members = context.members.view();
-        let Some(known) = members.known.get(&node) else { continue };
-        let address = &known.member.address;
-        let drop = Drop { names };
-        let dropped = context.client.call(address, paths::BODY_DROP, &drop, PUT_TIMEOUT);
-        let dropped: Result<Dropped, _> = dropped.await;
-        if let Err(error) = dropped {
-            tracing::debug!(event = "bodies_not_dropped", %node, %error);
-        }
+    let drop = Drop {
+        names: held.into_iter().map(|(name, _)| name).collect(),
+        groups: groups.into_iter().collect(),
+    };
+    routes::remove(&context, &drop);
+    let members = context.members.view();
+    let is_other = |member: &&Member| member.roles.entry && member.node != context.node;
+    let drops = members.present().filter(is_other).map(|member| drop_at(&context, member, &drop));
+    stream::iter(drops).buffer_unordered(MAX_DROPS).collect::<()>().await;
+}
+
+async fn drop_at(context: &Context, member: &Member, drop: &Drop) {
+    let dropped = context.client.call(&member.address, paths::BODY_DROP, drop, PUT_TIMEOUT);
+    let dropped: Result<Dropped, _> = dropped.await;
+    if let Err(error) = dropped {
+        tracing::debug!(event = "bodies_not_dropped", node = %member.node, %error);
     }
 }
--- a/components/entry/src/bodies/routes.rs
+++ b/components/entry/src/bodies/routes.rs
@@ -86,10 +86,18 @@
 pub async fn discard(context: Context, call: Call) -> Reply {
     match call.msgpack::<Drop>() {
         Ok(drop) => {
-            let mut store = context.bodies.store();
-            let count = drop.names.iter().filter(|name| store.remove(name)).count() as u32;
+            let count = remove(&context, &drop);
             reply::msgpack(&Dropped { count })
         }
         Err(failure) => reply::peer_failure(&failure),
     }
 }
+
+/// Removes bodies from the store of this process. Returns their number.
+pub fn remove(context: &Context, drop: &Drop) -> u32 {
+    let mut store = context.bodies.store();
+    let named = drop.names.iter().filter(|name| store.remove(name)).count();
+    let grouped: usize =
+        drop.groups.iter().map(|(key, group)| store.remove_group(key, *group)).sum();
+    (named + grouped) as u32
+}
--- a/components/entry/tests/bodies.rs
+++ b/components/entry/tests/bodies.rs
@@ -6,6 +6,7 @@
 use chicoryford_entry::bodies::fetch;
 use chicoryford_entry::bodies::handle::HeldBody;
 use chicoryford_entry::bodies::repair;
+use chicoryford_entry::bodies::replicate;
 use chicoryford_ledger::BodyName;
 use chicoryford_ledger::Holder;
 use chicoryford_ledger::LedgerCommand;
@@ -96,3 +97,26 @@
         assert!(reopened(&fixture));
     });
 }
+
+/// Guards against copies that stay for minutes, because a process was killed after it had stored
+/// them and before it had recorded their holder, or because a second run made other bytes.
+#[test]
+fn the_bodies_of_an_acknowledged_batch_are_dropped_at_every_live_entry() {
+    actix_rt::System::new().block_on(async {
+        let fixture = Fixture::start(Vec::new()).await;
+        let (second, context) = (fixture.add_entry("entry-2"), fixture.context());
+        let other_bytes = Bytes::from_static(b"the same sample of a second run");
+        let other = BodyName { digest: Digest::of(&other_bytes), ..name() };
+        let unfinished = BodyName { group: Group(1), ..name() };
+        let bytes = Bytes::from_static(BYTES);
+        for (name, bytes) in [(name(), &bytes), (other, &other_bytes), (unfinished.clone(), &bytes)]
+        {
+            second.store.lock().unwrap().put(name.clone(), bytes.clone(), Millis(0)).unwrap();
+            context.bodies.store().put(name, bytes.clone(), Millis(0)).unwrap();
+        }
+        replicate::discard(context.clone(), vec![orphaned()]).await;
+        for store in [&*second.store.lock().unwrap(), &*context.bodies.store()] {
+            assert_eq!((store.len(), store.get(&unfinished)), (1, Some(bytes.clone())));
+        }
+    });
+}
--- a/components/entry/tests/support/mod.rs
+++ b/components/entry/tests/support/mod.rs
@@ -12,6 +12,8 @@
 
 use bytes::Bytes;
 use chicoryford_bodies::Store;
+use chicoryford_bodies::message::Drop;
+use chicoryford_bodies::message::Dropped;
 use chicoryford_bodies::message::Found;
 use chicoryford_bodies::message::Get;
 use chicoryford_config::Handle as ConfigHandle;
@@ -317,6 +319,13 @@
         let store = self.store.lock().unwrap();
         Found { bodies: request.names.iter().map(|name| store.get(name)).collect() }
     }
+
+    fn discard(&self, request: &Drop) -> Dropped {
+        let mut store = self.store.lock().unwrap();
+        let named = request.names.iter().filter(|name| store.remove(name)).count();
+        let grouped: usize = request.groups.iter().map(|(k, g)| store.remove_group(k, *g)).sum();
+        Dropped { count: (named + grouped) as u32 }
+    }
 }
 
 fn serve_peer(peer: Arc<Peer>, keys: Arc<Keys>) -> String {
@@ -327,6 +336,11 @@
             let reply = reply::msgpack(&shared.get(&call.msgpack().unwrap()));
             async move { reply }
         });
+        let shared = peer.clone();
+        routes.add(paths::BODY_DROP, &[Kind::Process], move |call| {
+            let reply = reply::msgpack(&shared.discard(&call.msgpack().unwrap()));
+            async move { reply }
+        });
         routes
     })
 }
--- a/tests/whole/bodies.rs
+++ b/tests/whole/bodies.rs
@@ -31,6 +31,9 @@
 /// Copies of all bodies of the step, three of each.
 const COPIES: u64 = (GROUPS * SAMPLES * 3) as u64;
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Time within which the owner of a step starts to repair the copies of an entry that is dead: it
+/// learns at its next renewal which they are.
+const REPAIR_TIME: Duration = Duration::from_millis(1_500);
 
 /// A process with the control and agent roles, and entries in three data centres.
 struct Cluster {
@@ -173,6 +176,11 @@
         known.values().filter(is_entry).count() >= count
     }
 
+    fn is_dead(&self, entry: usize, other: usize) -> bool {
+        let seen = self.get(entry, paths::MEMBERS).json();
+        seen["known"][format!("entry-{other}")]["standing"] == "dead"
+    }
+
     fn pull(&self, entry: usize, cursor: u64) -> Answer {
         let pull = json!({"workspace": "desk", "cursor": cursor, "groups": 3});
         self.post(entry, paths::STEP_PULL, &pull)
@@ -230,6 +238,27 @@
     cluster.wait("acknowledged bodies are dropped", || cluster.count_bodies(3) == 0);
 }
 
+#[test]
+fn copies_of_a_killed_repair_are_dropped_with_their_batch() {
+    // Guards against copies that stay for minutes because no record names them. An entry is killed,
+    // and the owner of the step repairs its copies; the entry that is to store them is frozen, so
+    // that the owner is killed before it has recorded them. The entry resumes and stores them.
+    let mut cluster = Cluster::start(5);
+    cluster.open_step(&[0, 1, 2, 3, 4]);
+    // The other entry of the same data centre.
+    let heir = 1;
+    let before = cluster.count_bodies(heir);
+    cluster.kill(4);
+    cluster.wait("entry 0 sees that entry 4 is dead", || cluster.is_dead(0, 4));
+    cluster.processes[1 + heir].freeze().unwrap();
+    thread::sleep(REPAIR_TIME);
+    cluster.kill(0);
+    cluster.processes[1 + heir].thaw().unwrap();
+    cluster.wait("the copies are stored", || cluster.count_bodies(heir) > before);
+    check_each_delivered_once(&cluster.pull_all(3));
+    cluster.wait("acknowledged bodies are dropped", || cluster.count_copies(&[1, 2, 3]) == 0);
+}
+
 #[test]
 fn a_restart_of_all_entries_one_after_the_other_loses_nothing() {
     // Guards against losing a trainer's batch during an update of all entries. Each entry is asked
