Steps: no sample is hedged before what arrived during a stall is read

Evidence: its log has sample_hedged with ran_ms=128 and tokens=0 in the two milliseconds after the resumption, when its endpoint had not yet been read. The run time excludes the stall, but the sample was 78 ms old before it, and the tick in which the process resumes counts 50 ms.

Change: a run is no candidate for a hedge while what arrived during a stall may be unread (RunTimer::is_reading). Test what_arrived_is_unread_for_a_while_after_a_stall.

--- a/components/entry/src/steps/step.rs
+++ b/components/entry/src/steps/step.rs
@@ -230,8 +230,11 @@
             let done = self.count_done(*group);
             (wanted.saturating_sub(done)) * MISSING_DIVISOR <= wanted.max(MISSING_DIVISOR)
         };
-        let is_running =
-            |flight: &InFlight| !flight.hedged && flight.first_run.timer.borrow().is_some();
+        // After a stall, what its endpoint has sent may be unread.
+        let is_running = |flight: &InFlight| {
+            let timer = flight.first_run.timer.borrow();
+            !flight.hedged && timer.as_ref().is_some_and(|timer| !timer.is_reading())
+        };
         let candidates = self
             .in_flight
             .iter()
--- a/components/kernel/src/run_time.rs
+++ b/components/kernel/src/run_time.rs
@@ -123,6 +123,12 @@
         .await;
     }
 
+    /// Returns whether what arrived during a stall may be unread.
+    pub fn is_reading(&self) -> bool {
+        self.stall.record_tick(clock::now());
+        self.stall.read_ms(self.started_ms) > 0
+    }
+
     /// Waits until the thread has read what arrived during a stall, if there was one.
     pub async fn read(&self) {
         self.passed(Instant::now()).await;
--- a/components/kernel/tests/run_time.rs
+++ b/components/kernel/tests/run_time.rs
@@ -68,6 +68,19 @@
     });
 }
 
+/// Guards against decisions on what this thread knew before a stall.
+#[test]
+fn what_arrived_is_unread_for_a_while_after_a_stall() {
+    run(|| async {
+        let timer = RunTimer::start();
+        assert!(!timer.is_reading());
+        std::thread::sleep(STALL);
+        assert!(timer.is_reading());
+        actix_rt::time::sleep(Duration::from_millis(2 * READ_MS)).await;
+        assert!(!timer.is_reading());
+    });
+}
+
 /// Guards against a process that is stalled again and again and never considers anyone silent.
 #[test]
 fn a_timeout_expires_between_stalls() {
