Router: the learned times of endpoints leave out stalls of the entry

Cause: the duration of an attempt is the time from its start to its end by the clock. An attempt that ran during the stall taught the router that its endpoint takes 5.8 s, and a hedge starts after one and a half times that.

Change: the router counts for how long it was stalled, and takes that off each attempt's duration.

--- a/components/entry/src/router/duty.rs
+++ b/components/entry/src/router/duty.rs
@@ -10,10 +10,12 @@
 use chicoryford_kernel::Receiver;
 use chicoryford_kernel::duty::DutyError;
 use chicoryford_kernel::ring;
+use chicoryford_kernel::run_time::RunTimer;
 use chicoryford_routing::Location;
 use chicoryford_settings::Settings;
 use chicoryford_types::Config;
 use chicoryford_types::Members;
+use chicoryford_types::Millis;
 use chicoryford_types::RequestId;
 use tokio::sync::watch;
 
@@ -69,7 +71,8 @@
     };
     kernel.duty("router", move |kernel| async move {
         let state = RouterState::new(bounds, rand::random());
-        let duty = Duty { kernel, state, router, waiting: HashMap::new(), ticks: 0 };
+        let (began, timer) = (kernel.now(), RunTimer::start());
+        let duty = Duty { kernel, state, router, waiting: HashMap::new(), ticks: 0, began, timer };
         duty.run(receiver, members, config).await;
     })?;
     Ok(())
@@ -81,6 +84,8 @@
     router: Router,
     waiting: HashMap<RequestId, AdmitSender>,
     ticks: u64,
+    began: Millis,
+    timer: RunTimer,
 }
 
 impl Duty {
@@ -127,6 +132,7 @@
 
     fn handle(&mut self, message: RouterMessage) {
         let now = self.kernel.now();
+        self.state.stalled_ms = now.since(self.began).saturating_sub(self.timer.elapsed_ms());
         match message {
             RouterMessage::Admit(query, sender) => {
                 let request = query.request;
--- a/components/entry/src/router/placement.rs
+++ b/components/entry/src/router/placement.rs
@@ -30,6 +30,8 @@
     model: Model,
     pick: Pick,
     started: Millis,
+    /// For how long the process had been stalled when the attempt started.
+    stalled_ms: u64,
     tokens: u32,
 }
 
@@ -62,7 +64,14 @@
         self.capacities.started(&query.model);
         self.last_attempt += 1;
         let (seat, model) = (choice.endpoint, query.model.clone());
-        let running = RunningAttempt { seat, model, pick: pick.clone(), started: now, tokens };
+        let running = RunningAttempt {
+            seat,
+            model,
+            pick: pick.clone(),
+            started: now,
+            stalled_ms: self.stalled_ms,
+            tokens,
+        };
         self.running.insert(self.last_attempt, running);
         Ok((self.last_attempt, pick))
     }
@@ -105,10 +114,12 @@
     /// Records the end of an attempt and the number of tokens it produced.
     pub fn attempt_ended(&mut self, id: u64, end: AttemptEnd, tokens: u32, now: Millis) {
         let Some(running) = self.running.remove(&id) else { return };
-        let RunningAttempt { seat, model, pick, started, tokens: expected } = running;
+        let RunningAttempt { seat, model, pick, started, stalled_ms, tokens: expected } = running;
         let left = expected.saturating_sub(tokens);
         self.capacities.ended(&model);
-        self.routing.finished(now, seat, end.ending(), now.since(started), tokens, left);
+        let stalled_ms = self.stalled_ms.saturating_sub(stalled_ms);
+        let ms = now.since(started).saturating_sub(stalled_ms);
+        self.routing.finished(now, seat, end.ending(), ms, tokens, left);
         match end {
             AttemptEnd::Ran(load) => {
                 if tokens > 0 {
--- a/components/entry/src/router/state.rs
+++ b/components/entry/src/router/state.rs
@@ -65,6 +65,9 @@
     pub admission: Admission,
     /// Number of entries present, including this one.
     pub entries: u32,
+    /// Milliseconds for which this process has been stalled so far. They do not count as time that
+    /// endpoints took.
+    pub stalled_ms: u64,
     rank: u32,
     members: Arc<Members>,
     config: Arc<Config>,
@@ -94,6 +97,7 @@
             routing: Router::new(routing, bounds.place.clone(), seed),
             admission: Admission::new(admission, seed.rotate_left(32)),
             entries: 1,
+            stalled_ms: 0,
             rank: 0,
             members: Arc::default(),
             config: Arc::default(),
--- a/components/entry/tests/router_state.rs
+++ b/components/entry/tests/router_state.rs
@@ -9,6 +9,7 @@
 use chicoryford_entry::router::RouterState;
 use chicoryford_entry::router::state::AdmitResult;
 use chicoryford_entry::router::state::Bounds;
+use chicoryford_routing::RouteRequest;
 use chicoryford_types::Class;
 use chicoryford_types::Config;
 use chicoryford_types::Endpoint;
@@ -197,3 +198,33 @@
         idle && run.state.admission.running() == 0
     }
 }
+
+/// Returns the expected duration of an attempt after one that took 50 ms, and during which this
+/// process was also stalled.
+fn expected_after_stall(stall_ms: u64) -> u64 {
+    let mut state = RouterState::new(Bounds { running: 4, ..Bounds::default() }, 1);
+    state.update_members(members(1, 0), Millis(0));
+    let query = EndpointQuery { model: Model::from("m"), tokens: 8, ..EndpointQuery::default() };
+    let (attempt, _) = state.choose(&query, Millis(1_000)).unwrap();
+    state.stalled_ms += stall_ms;
+    let now = Millis(1_050 + stall_ms);
+    state.attempt_ended(attempt, AttemptEnd::Ran(None), 8, now);
+    let request = RouteRequest {
+        model: &query.model,
+        class: Class::Batch,
+        prefix: query.prefix,
+        prompt_tokens: 0,
+        output_tokens: 8,
+        floor: None,
+        exclude: &[],
+        suspect: false,
+    };
+    state.routing.choose(now, &request).unwrap().expected_ms
+}
+
+/// Guards against an endpoint that counts as slow because this process was stalled while an attempt
+/// ran there; the last samples of groups were then hedged seconds late.
+#[test]
+fn a_stall_does_not_count_as_the_time_of_an_endpoint() {
+    assert_eq!(expected_after_stall(5_000), expected_after_stall(0));
+}
