--- a/components/node/tests/leader/grants.rs
+++ b/components/node/tests/leader/grants.rs
@@ -4,9 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chicoryford_fleet::Announcement;
+use chicoryford_fleet::Config;
 use chicoryford_fleet::Grant;
+use chicoryford_fleet::Route;
 use chicoryford_fleet::Sample;
 use chicoryford_fleet::Scorer;
+use chicoryford_fleet::Service;
+use chicoryford_fleet::Share;
 use chicoryford_fleet::Step;
 use chicoryford_fleet::run::HostCommand;
 use chicoryford_fleet::run::Job;
@@ -191,3 +196,35 @@
     let after = granted(&receive_job(&mut connect_host(&fleet, "h2").await).await);
     assert_eq!(after, before);
 }
+
+/// The host of a call is lost before it tells which endpoint it has called, and the route of the call
+/// is changed to another service. Guards against a call that runs at more endpoints than its route
+/// allows: the lost host may have called endpoints of the former service, which still execute it.
+#[actix_rt::test]
+async fn endpoints_of_a_former_service_that_a_lost_host_may_have_called_count() {
+    let (fleet, parts) = (fleet().await, StoredParts::default());
+    let _store = fleet.store(&parts).await;
+    submit(&fleet, "a").await;
+    receive_job(&mut connect_host(&fleet, "h1").await).await;
+    let mut host = connect_host(&fleet, "h2").await;
+    let others = config_with_desk(3);
+    let shares = vec![Share { service: "other".to_owned(), weight: 1 }];
+    let mut routes = others.routes.clone();
+    routes[1] = Route { shares, ..routes[1].clone() };
+    let mut services = others.services.clone();
+    services.push(Service { name: "other".to_owned(), ..Service::default() });
+    configure(&fleet, Config { routes, services, ..others }).await;
+    for id in ["o1", "o2", "o3"] {
+        announce(&fleet, Announcement { service: "other".to_owned(), ..desk(id) }).await;
+    }
+    let job = receive_job(&mut host).await;
+    host.send(encode(&MemberMessage::Report(scoring(&job)))).await.unwrap();
+    let grant = receive(&mut host, |work| match work {
+        HostCommand::Grant { grant, .. } => Some(grant),
+        _ => None,
+    })
+    .await;
+    let added = grant.endpoints.iter().filter(|id| id.starts_with('o')).count();
+    // One call and its hedge may be on their way at the lost host.
+    assert!(added + 2 <= ATTEMPTS, "{added} endpoints were granted beside those of the lost host");
+}
