Kernel: further stalls do not extend a deadline; the list of log lines knows the detector of stalls

- node forward failures_count_also_when_the_time_is_up: a request with 700 ms had four failures of 0.25 s and more.
Each stall of 0.1 s gave it another 0.1 s to read, so that its deadline moved on with a process that was stalled again and again.
What arrived during a stall is now read once, for 0.1 s at most, when the deadline passes.
Test repeated_stalls_do_not_extend_a_deadline, which would not end before.
- whole docs each_log_line_of_a_fleet_is_listed: stood_still had moved to the kernel, which the test did not read.
It reads the file now.

--- a/components/kernel/src/run_time.rs
+++ b/components/kernel/src/run_time.rs
@@ -67,16 +67,6 @@
     }
 }
 
-async fn sleep_while(left: impl Fn() -> Duration) {
-    loop {
-        let left = left();
-        if left.is_zero() {
-            return;
-        }
-        actix_rt::time::sleep(left).await;
-    }
-}
-
 /// Measures the time for which this thread runs.
 #[derive(Debug)]
 pub struct RunTimer {
@@ -109,18 +99,25 @@
 
     /// Waits until the thread has run for `limit`, and has read what arrived during a stall.
     pub async fn expired(&self, limit: Duration) {
-        sleep_while(|| self.left(limit)).await;
+        loop {
+            let left = self.left(limit);
+            if left.is_zero() {
+                return;
+            }
+            actix_rt::time::sleep(left).await;
+        }
     }
 
     /// Waits until a time has passed by the clock, and the thread has read what arrived during a
-    /// stall.
+    /// stall. Further stalls do not extend the time to read, so that a deadline holds at a thread
+    /// that is stalled again and again.
     pub async fn passed(&self, until: Instant) {
-        sleep_while(|| {
-            self.stall.record_tick(clock::now());
-            let read = Duration::from_millis(self.stall.read_ms(self.started_ms));
-            until.saturating_duration_since(Instant::now()).max(read)
-        })
-        .await;
+        actix_rt::time::sleep_until(until).await;
+        self.stall.record_tick(clock::now());
+        let read_ms = self.stall.read_ms(self.started_ms);
+        if read_ms > 0 {
+            actix_rt::time::sleep(Duration::from_millis(read_ms)).await;
+        }
     }
 
     /// Returns whether what arrived during a stall may be unread.
--- a/components/kernel/tests/run_time.rs
+++ b/components/kernel/tests/run_time.rs
@@ -53,6 +53,24 @@
     });
 }
 
+/// Guards against a deadline that moves on with each stall of a process that is stalled again and
+/// again.
+#[test]
+fn repeated_stalls_do_not_extend_a_deadline() {
+    run(|| async {
+        let busy = actix_rt::spawn(async {
+            loop {
+                std::thread::sleep(Duration::from_millis(120));
+                actix_rt::time::sleep(Duration::from_millis(20)).await;
+            }
+        });
+        let started = Instant::now();
+        assert!(run_time::deadline(LIMIT, std::future::pending::<()>()).await.is_err());
+        assert!(started.elapsed() < Duration::from_millis(700), "{:?}", started.elapsed());
+        busy.abort();
+    });
+}
+
 #[test]
 fn silence_expires_after_the_limit_of_run_time() {
     run(|| async {
--- a/tests/whole/docs.rs
+++ b/tests/whole/docs.rs
@@ -62,17 +62,15 @@
     assert_eq!(listed, running);
 }
 
-/// Adds the log events in the sources of a folder to `found`.
-fn events(folder: &Path, found: &mut BTreeSet<String>) {
-    for file in fs::read_dir(folder).unwrap() {
-        let path = file.unwrap().path();
-        if path.is_dir() {
-            events(&path, found);
-        } else if path.extension().is_some_and(|e| e == "rs") {
-            let text = fs::read_to_string(&path).unwrap();
-            let names = text.split("event = \"").skip(1).filter_map(|rest| rest.split('"').next());
-            found.extend(names.map(str::to_owned));
-        }
+/// Adds the log events in a source file, or in the sources of a folder, to `found`.
+fn events(path: &Path, found: &mut BTreeSet<String>) {
+    if path.is_dir() {
+        let files = fs::read_dir(path).unwrap();
+        files.for_each(|file| events(&file.unwrap().path(), found));
+    } else if path.extension().is_some_and(|e| e == "rs") {
+        let text = fs::read_to_string(path).unwrap();
+        let names = text.split("event = \"").skip(1).filter_map(|rest| rest.split('"').next());
+        found.extend(names.map(str::to_owned));
     }
 }
 
@@ -85,6 +83,8 @@
     for crate_name in ["agreement", "depot", "fleet", "http", "node", "storage"] {
         events(&root().join("components").join(crate_name).join("src"), &mut found);
     }
+    // Of the kernel, a fleet uses the detector of stalls.
+    events(&root().join("components/kernel/src/stall.rs"), &mut found);
     found.insert("ended_by_fault".to_owned());
     assert_eq!(found, listed);
 }
