--- a/components/standin/tests/matching.rs
+++ b/components/standin/tests/matching.rs
@@ -32,6 +32,17 @@
     file
 }
 
+/// Writes samples of these versions.
+fn write_samples(folder: &TempDir, versions: &[u64]) -> PathBuf {
+    let sample = |version: &u64| {
+        format!(
+            r#"{{"event":"sample","tokens":2,"spans":[{{"from":0,"to":2,"version":{version}}}],"step":1,"group":1,"number":1,"score":null}}"#
+        )
+    };
+    let lines: Vec<String> = versions.iter().map(sample).collect();
+    write(folder, &lines.join("\n"))
+}
+
 /// Returns how many of one caller's answers of a version are misattributed.
 fn misattributed_call(ran: Ran, version: u64) -> u64 {
     let folder = TempDir::new().unwrap();
@@ -62,12 +73,7 @@
 #[test]
 fn a_request_with_two_completed_attempts_matches_one_sample() {
     let folder = TempDir::new().unwrap();
-    let sample = |version: u64| {
-        format!(
-            r#"{{"event":"sample","tokens":2,"spans":[{{"from":0,"to":2,"version":{version}}}],"step":1,"group":1,"number":1,"score":null}}"#
-        )
-    };
-    let file = write(&folder, &format!("{}\n{}", sample(1), sample(2)));
+    let file = write_samples(&folder, &[1, 2]);
     let both = ran(&[(&[(0, 2, 1)], "stop"), (&[(0, 2, 2)], "stop")]);
     let matches = matching::samples(&mut vec![both.answers()], "model", &file).unwrap();
     assert_eq!((matches.checked, matches.misattributed), (2, 1));
@@ -86,12 +92,7 @@
 #[test]
 fn samples_are_assigned_so_that_each_has_an_answer() {
     let folder = TempDir::new().unwrap();
-    let sample = |version: u64| {
-        format!(
-            r#"{{"event":"sample","tokens":2,"spans":[{{"from":0,"to":2,"version":{version}}}],"step":1,"group":1,"number":1,"score":null}}"#
-        )
-    };
-    let file = write(&folder, &format!("{}\n{}", sample(1), sample(2)));
+    let file = write_samples(&folder, &[1, 2]);
     let both = ran(&[(&[(0, 2, 1)], "stop"), (&[(0, 2, 2)], "stop")]);
     let single = ran(&[(&[(0, 2, 1)], "stop")]);
     let mut requests = vec![both.answers(), single.answers()];
