--- a/components/entry/src/bodies/fetch.rs
+++ b/components/entry/src/bodies/fetch.rs
@@ -66,7 +66,7 @@
 ///
 /// A copy is stored before the ledger names its holder. If the process that stores copies crashes in
 /// between, all recorded holders may be gone while another entry has the bytes. If that entry were
-/// not asked, the trainer would be told that a sample is lost which is not.
+/// not asked, the trainer would receive `sample_lost` for a sample that exists.
 pub async fn try_fetch(context: &Context, held: &[HeldBody]) -> Vec<Search> {
     let members = context.members.view();
     let mut found: Vec<Search> = held
--- a/components/entry/tests/bodies.rs
+++ b/components/entry/tests/bodies.rs
@@ -51,7 +51,7 @@
     fixture.control.proposed.lock().unwrap().iter().any(is_lost)
 }
 
-/// Guards against a trainer that is told that a sample is lost, or runs it again, although an entry
+/// Guards against a sample that is reported as lost, or generated again, although an entry
 /// has its bytes: the owner of the step was killed after it had stored a copy there, and before it
 /// had recorded the new holder.
 #[test]
--- a/components/node/tests/leader/grants.rs
+++ b/components/node/tests/leader/grants.rs
@@ -197,7 +197,7 @@
     assert_eq!(after, before);
 }
 
-/// The host of a call is lost before it tells which endpoint it has called, and the route of the call
+/// The host of a call is lost before it reports which endpoint it called, and the route of the call
 /// is changed to another service. Guards against a call that runs at more endpoints than its route
 /// allows: the lost host may have called endpoints of the former service, which still execute it.
 #[actix_rt::test]
