Grants: endpoints of a former service that a lost host may have called count

Cause: when the route of a scorer's call changed to another service, the leader took all granted endpoints of the former service that no host had reported as ended, also if a host was lost that may have called two of them (one call and its hedge). With them a call could run at more endpoints than its route allows.

Change: the cost of a sample counts the hosts that were lost with a run of it; it travels with the sample like its failures. For each, two granted endpoints of a former service count as executing the call. Ruled out: counting all of them without knowing of a lost host, with which a call whose route is changed could be made nowhere.

--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -94,19 +94,23 @@
         let progress = (0..step.samples.len() as u32).map(|index| {
             let past = self.past_costs.get(&step.samples[index as usize].id);
             let phase = if listed(index) { Phase::Settled } else { Phase::Waiting };
+            let claimable = held > Millis::default();
+            let mut cost = past.map(|(cost, _)| cost.clone()).unwrap_or_default();
+            // Until a host reports the sample, its host may have been lost with the leader.
+            cost.lost_hosts += u32::from(claimable);
             Progress {
                 phase,
                 engine: None,
                 run: 0,
                 host: None,
                 avoided_engine: None,
-                claimable: held > Millis::default(),
+                claimable,
                 reported: false,
                 started: at,
                 last_event: at,
                 output: SampleOutput::default(),
                 checkpointed: 0,
-                cost: past.map(|(cost, _)| cost.clone()).unwrap_or_default(),
+                cost,
                 deadline: at + step.age_ms,
                 blocked_until: Millis::default(),
                 moves: 0,
--- a/components/fleet/src/plan/reports.rs
+++ b/components/fleet/src/plan/reports.rs
@@ -66,11 +66,15 @@
         let Some(progress) = planned.progress.get_mut(report.index as usize) else {
             return ReportAction::Stop;
         };
+        let unclaimed = progress.phase == Phase::Waiting && progress.claimable;
+        if unclaimed && report.from == 0 {
+            // The host was not lost: it reports what it called.
+            progress.cost.lost_hosts = progress.cost.lost_hosts.saturating_sub(1);
+        }
         progress.cost.merge(&report.cost);
         progress.deadline = progress.deadline.min(now + report.remaining_ms);
         let active = matches!(progress.phase, Phase::Running | Phase::Scoring);
         let same_run = progress.host.as_deref() == Some(host) && progress.run == report.run;
-        let unclaimed = progress.phase == Phase::Waiting && progress.claimable;
         if unclaimed && report.from > 0 {
             // The report was sent before the host was asked for its complete output. Stopping the
             // run now would make it start again and lose its output.
@@ -162,6 +166,7 @@
                 progress.phase = Phase::Waiting;
                 progress.host = None;
                 progress.claimable = true;
+                progress.cost.lost_hosts += 1;
                 planned.waiting += 1;
             }
         }
--- a/components/fleet/src/run.rs
+++ b/components/fleet/src/run.rs
@@ -60,6 +60,10 @@
     /// contain only the endpoints that a host found to have ended.
     #[serde(default)]
     pub grant: Grant,
+    /// Hosts that were lost with a run of the sample. Each of them may have called endpoints that it
+    /// did not report.
+    #[serde(default)]
+    pub lost_hosts: u32,
 }
 
 impl Cost {
@@ -67,6 +71,7 @@
     /// may have reset.
     pub fn merge(&mut self, other: &Self) {
         self.failures = self.failures.max(other.failures);
+        self.lost_hosts = self.lost_hosts.max(other.lost_hosts);
         self.unfit |= other.unfit;
         self.scorer.merge(&other.scorer);
         self.grant.merge(&other.grant);
--- a/components/node/src/leader/grants.rs
+++ b/components/node/src/leader/grants.rs
@@ -10,6 +10,7 @@
 use chicoryford_fleet::Grant;
 use chicoryford_fleet::Step;
 use chicoryford_fleet::endpoint;
+use chicoryford_fleet::grant::NEEDED_ENDPOINTS;
 use chicoryford_fleet::grant::Standing;
 use chicoryford_fleet::run::Cost;
 use chicoryford_fleet::run::HostCommand;
@@ -88,13 +89,28 @@
         let plan = self.plan.borrow();
         let (scorer, cost) = plan.scorer(step, index)?;
         let route = config.find(&scorer.host, &scorer.path)?;
+        let grant = Grant::of(scorer, &cost.grant);
+        let registry = self.registry.borrow();
+        let is_former = |id: &str| {
+            registry.get(id).is_some_and(|known| !route.leads_to(&known.announcement.service))
+        };
+        // Hosts report the endpoints that they call, but a lost host may have called some of the
+        // former service without reporting them. Its call may still run there.
+        let uncalled = grant
+            .endpoints
+            .iter()
+            .filter(|id| grant.allows(id) && is_former(id) && !cost.scorer.endpoints.contains(*id));
+        let unreported: BTreeSet<&str> = uncalled
+            .map(String::as_str)
+            .take(NEEDED_ENDPOINTS * cost.lost_hosts as usize)
+            .collect();
         let standing = |id: &str| {
-            let registry = self.registry.borrow();
             let known = registry.get(id);
             let serves = known.is_some_and(|known| route.leads_to(&known.announcement.service));
+            let may_run = || cost.scorer.endpoints.contains(id) || unreported.contains(id);
             match known.map(|known| known.status) {
                 Some(EndpointStatus::Gone | EndpointStatus::Silent) => Standing::Ended,
-                Some(_) if !serves && !cost.scorer.endpoints.contains(id) => Standing::Ended,
+                Some(_) if !serves && !may_run() => Standing::Ended,
                 Some(EndpointStatus::Ready) if serves => Standing::Usable,
                 Some(_) => Standing::Unready,
                 None if self.knows_endpoints() => Standing::Ended,
@@ -103,7 +119,6 @@
         };
         let services: BTreeSet<&str> = route.services().collect();
         let ready = services.into_iter().flat_map(|service| self.ready_of(service));
-        let grant = Grant::of(scorer, &cost.grant);
         let added = grant.extension(route.attempts.max(1) as usize, standing, ready)?;
         Some((plan.sample_id(step, index)?.to_owned(), cost.clone(), added))
     }
