Registry: nobody is silent unless control processes report

Cause: the leader hears of most announcements by the reports of control processes. While these could not follow it, it took 7,851 to 9,131 of 9,172 endpoints for silent 6 s after it had begun (entry, at 12.5 and 19.5 s), told all replicas, and then got each announcement as a change.

Change: an endpoint is silent if it was not heard of for 6 s in which the control process that last reported it did so, and most control processes did. Reports are sent every second, also empty ones. An active endpoint is not forgotten before it is silent.

Weighed: a bound on how many may become silent at once; it needs a figure that tells a lost data centre from a lost leader, which the reports tell without one.

--- a/components/fleet/src/endpoint.rs
+++ b/components/fleet/src/endpoint.rs
@@ -12,6 +12,8 @@
 
 use crate::config::Config;
 use crate::heartbeats::Heartbeat;
+use crate::reporters::ReporterId;
+use crate::reporters::Reporters;
 
 /// What an endpoint announces about itself.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
@@ -82,6 +84,14 @@
 struct Entry {
     endpoint: Endpoint,
     last_heard: Millis,
+    /// The control process that last reported it.
+    reporter: Option<ReporterId>,
+}
+
+impl Entry {
+    fn new(endpoint: Endpoint, now: Millis) -> Self {
+        Self { endpoint, last_heard: now, reporter: None }
+    }
 }
 
 /// Timeouts of the registry.
@@ -113,6 +123,8 @@
     /// Endpoints that were unknown when they announced that they are gone, with the time of that
     /// announcement.
     left: BTreeMap<String, Millis>,
+    /// The control processes that report heartbeats.
+    reporters: Reporters,
 }
 
 impl Registry {
@@ -123,10 +135,15 @@
         known: impl Iterator<Item = Endpoint>,
         now: Millis,
     ) -> Self {
-        let entries = known.map(|endpoint| {
-            (endpoint.announcement.id.clone(), Entry { endpoint, last_heard: now })
-        });
-        Self { settings, entries: entries.collect(), left: BTreeMap::new() }
+        let entries = known
+            .map(|endpoint| (endpoint.announcement.id.clone(), Entry::new(endpoint, now)))
+            .collect();
+        Self { settings, entries, ..Self::default() }
+    }
+
+    /// Returns the control processes that report heartbeats.
+    pub fn reporters(&mut self) -> &mut Reporters {
+        &mut self.reporters
     }
 
     /// Returns whether an announcement names a service that is not in the configuration. It may
@@ -150,7 +167,7 @@
             }
             let id = announcement.id.clone();
             let endpoint = Endpoint { announcement, status };
-            self.entries.insert(id, Entry { endpoint, last_heard: now });
+            self.entries.insert(id, Entry::new(endpoint, now));
             return Effect::Changed;
         };
         let previous = &entry.endpoint;
@@ -195,6 +212,28 @@
         true
     }
 
+    /// Records the heartbeats that the control process on a VM reports, and returns those that are
+    /// newer than the last announcement.
+    pub fn record_report<'a>(
+        &mut self,
+        node: &str,
+        heartbeats: &'a [Heartbeat],
+        now: Millis,
+    ) -> Vec<&'a Heartbeat> {
+        let reporter = self.reporters.record(node, now);
+        let mut newer = Vec::new();
+        for heartbeat in heartbeats {
+            if !self.record_heartbeat(heartbeat, now) {
+                continue;
+            }
+            if let Some(entry) = self.entries.get_mut(&heartbeat.id) {
+                entry.reporter = Some(reporter);
+            }
+            newer.push(heartbeat);
+        }
+        newer
+    }
+
     /// Records that an endpoint announced that it is gone. This is also recorded for an unknown
     /// endpoint, so that its late announcements are ignored.
     pub fn leave(&mut self, id: &str, now: Millis) -> Effect {
@@ -220,9 +259,11 @@
     /// Applies the timeouts and returns the endpoints that changed and the ids of those that were
     /// removed.
     pub fn tick(&mut self, now: Millis) -> (Vec<Endpoint>, Vec<String>) {
+        self.reporters.tick(now);
         let mut changed = Vec::new();
         for entry in self.entries.values_mut() {
-            let is_silent = now.since(entry.last_heard) >= self.settings.silent_ms;
+            let since = self.reporters.silent_since(entry.last_heard, entry.reporter);
+            let is_silent = now.since(since) >= self.settings.silent_ms;
             let is_active =
                 matches!(entry.endpoint.status, EndpointStatus::Ready | EndpointStatus::Draining);
             if is_silent && is_active {
@@ -232,7 +273,10 @@
         }
         let left_ms = self.settings.left_ms;
         self.left.retain(|_, left| now.since(*left) < left_ms);
-        let is_expired = |entry: &Entry| now.since(entry.last_heard) >= self.settings.forget_ms;
+        let is_expired = |entry: &Entry| {
+            matches!(entry.endpoint.status, EndpointStatus::Gone | EndpointStatus::Silent)
+                && now.since(entry.last_heard) >= self.settings.forget_ms
+        };
         let removed: Vec<String> = self
             .entries
             .iter()
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod plan;
 pub mod policy;
 pub mod ranges;
+pub mod reporters;
 pub mod result_cache;
 pub mod run;
 pub mod sse;
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -118,8 +118,9 @@
     pub async fn report_periodically(self: Rc<Self>) {
         loop {
             tokio::time::sleep(REPORT_INTERVAL).await;
+            // An empty report shows that this process would report heartbeats.
             let pending = self.heartbeats.borrow().pending(clock::now());
-            if !pending.is_empty() && self.link.report_heartbeats(pending) {
+            if self.link.report_heartbeats(pending) {
                 self.heartbeats.borrow_mut().clear();
             }
         }
--- a/components/node/src/leader/endpoints.rs
+++ b/components/node/src/leader/endpoints.rs
@@ -38,15 +38,13 @@
         Answer::Heard
     }
 
-    /// Records the endpoints whose unchanged announcements a control process has answered itself.
-    pub fn record_heartbeats(&self, heartbeats: &[Heartbeat]) {
-        let now = clock::now();
+    /// Records the endpoints whose unchanged announcements the control process on a VM has answered
+    /// itself.
+    pub fn record_heartbeats(&self, node: &str, heartbeats: &[Heartbeat]) {
         let mut registry = self.registry.borrow_mut();
         let mut plan = self.plan.borrow_mut();
-        for heartbeat in heartbeats {
-            if registry.record_heartbeat(heartbeat, now) {
-                plan.record_heartbeat(&heartbeat.id, heartbeat.sequence);
-            }
+        for heartbeat in registry.record_report(node, heartbeats, clock::now()) {
+            plan.record_heartbeat(&heartbeat.id, heartbeat.sequence);
         }
     }
 
--- a/components/node/src/leader/mod.rs
+++ b/components/node/src/leader/mod.rs
@@ -195,6 +195,7 @@
             ended: Cell::default(),
             context,
         });
+        leader.expect_reporters(leader.control_addresses().len());
         leader.adopt_endpoints();
         leader.adopt_costs();
         let weak = Rc::downgrade(&leader);
@@ -301,7 +302,15 @@
 
     /// Broadcasts the addresses of the control processes.
     pub fn broadcast_controls(&self) {
-        self.context.followers.broadcast(&Update::Controls(self.control_addresses()));
+        let controls = self.control_addresses();
+        self.expect_reporters(controls.len());
+        self.context.followers.broadcast(&Update::Controls(controls));
+    }
+
+    /// Sets how many control processes exist. Nobody is considered silent unless most of them
+    /// report.
+    fn expect_reporters(&self, controls: usize) {
+        self.registry.borrow_mut().reporters().set_quorum(controls / 2 + 1);
     }
 
     /// Handles a call from a member.
--- a/components/node/src/link_server.rs
+++ b/components/node/src/link_server.rs
@@ -138,7 +138,7 @@
         // The queue has just been created, so it has room.
         let _ = frames.try_send(Queued::message(encode(&LeaderMessage::Welcome)));
         let number = self.followers.next_number();
-        let store = depot.map(|depot| StoreId { node, identity: depot.identity });
+        let store = depot.map(|depot| StoreId { node: node.clone(), identity: depot.identity });
         let disconnect = Rc::new(Notify::new());
         let follower = Follower {
             store: store.clone(),
@@ -173,6 +173,7 @@
         let reader = MemberReader {
             server: self,
             leader: &leader,
+            node: &node,
             host,
             data_centre: &data_centre,
             replica,
@@ -229,6 +230,7 @@
 struct MemberReader<'a> {
     server: &'a LinkServer,
     leader: &'a Rc<Leader>,
+    node: &'a str,
     host: Option<String>,
     data_centre: &'a str,
     replica: bool,
@@ -272,7 +274,9 @@
             (MemberMessage::Used(report), _) => self.leader.record_usage(report),
             (MemberMessage::Crashed(crash), _) => self.leader.record_crash(crash),
             (MemberMessage::Cleared(content), _) => self.leader.record_cleared(content),
-            (MemberMessage::Heard(heartbeats), _) => self.leader.record_heartbeats(&heartbeats),
+            (MemberMessage::Heard(heartbeats), _) => {
+                self.leader.record_heartbeats(self.node, &heartbeats)
+            }
             (MemberMessage::Known(digests), _) => self.send_first_state(&digests, answers),
             (MemberMessage::Alive(wall), _) => {
                 self.server.followers.record_wall_clock(self.number, wall)
