Crashes: a content that has just completed is not blamed for endpoints that end

Only completions after a suspicion cleared it; that the content had run all the time before counted for nothing, so it was refused everywhere.

Change: each process remembers for 30 s which contents have completed (at most 1,024) and does not report an end of an endpoint for them. A content that crashes endpoints never completes, so it is convicted as before. Fingerprints are computed without copying the body, since each completion needs one now.

Ruled out: counting crashes at a slower pace, which lets a crashing content through more endpoints.

Before: a_content_that_has_completed_is_not_blamed_for_endpoints_that_end fails (there was nothing to remember). After: 246 tests of fleet, node and types pass.

--- a/components/fleet/src/crashes.rs
+++ b/components/fleet/src/crashes.rs
@@ -26,6 +26,10 @@
 /// content. A cut silences many endpoints at once, with whatever they were running.
 const SILENCE_SPACING_MS: u64 = 2_500;
 
+/// Milliseconds for which a completed content is remembered. A content that crashes endpoints does
+/// so each time; one that has completed a moment ago ran on endpoints that ended for another reason.
+const COMPLETED_TTL_MS: u64 = 30_000;
+
 /// A crash of an endpoint while it ran a request.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
 pub struct Crash {
@@ -111,6 +115,8 @@
     unanswered: BTreeMap<String, BTreeMap<Fingerprint, Millis>>,
     /// Contents of such attempts at endpoints that fell silent later, and when the last one did.
     silenced: BTreeMap<Fingerprint, Millis>,
+    /// Contents with a request that completed, and when the last one did.
+    completed: BTreeMap<Fingerprint, Millis>,
 }
 
 impl LocalCrashes {
@@ -157,7 +163,8 @@
         self.silenced.retain(|_, last| now.since(*last) < SILENCE_SPACING_MS);
         let mut crashes = Vec::new();
         for (content, at) in unanswered {
-            let is_separate = !self.silenced.contains_key(&content);
+            let is_separate =
+                !self.silenced.contains_key(&content) && !self.has_completed(content, now);
             if now.since(at) < UNANSWERED_TTL_MS && is_separate {
                 self.silenced.insert(content, now);
                 let crash = Crash { content, endpoint: endpoint.to_owned() };
@@ -168,6 +175,22 @@
         crashes
     }
 
+    /// Remembers that a request with a content completed.
+    pub fn record_completion(&mut self, content: Fingerprint, now: Millis) {
+        if self.completed.len() >= MAX_LOCAL_CONTENTS && !self.completed.contains_key(&content) {
+            self.completed.retain(|_, at| now.since(*at) < COMPLETED_TTL_MS);
+            if self.completed.len() >= MAX_LOCAL_CONTENTS {
+                self.completed.pop_first();
+            }
+        }
+        self.completed.insert(content, now);
+    }
+
+    /// Returns whether a request with a content has completed recently.
+    pub fn has_completed(&self, content: Fingerprint, now: Millis) -> bool {
+        self.completed.get(&content).is_some_and(|at| now.since(*at) < COMPLETED_TTL_MS)
+    }
+
     /// Records that a request with a content completed. Returns whether this process had seen the
     /// content crash an endpoint.
     pub fn clear_suspect(&mut self, content: Fingerprint) -> bool {
--- a/components/fleet/tests/crashes.rs
+++ b/components/fleet/tests/crashes.rs
@@ -105,3 +105,34 @@
     local.record_unanswered(crash(BAD, "a"), Millis(0));
     assert!(local.record_silence("a", Millis(12_000)).is_empty());
 }
+
+/// Endpoints are restarted faster than requests complete, while all requests have the same content.
+/// Guards against refusing a content that has run on other endpoints all the time: nothing with it
+/// is executed any more then.
+#[test]
+fn a_content_that_has_completed_is_not_blamed_for_endpoints_that_end() {
+    let mut local = LocalCrashes::default();
+    local.record_completion(GOOD, Millis(0));
+    for (number, endpoint) in ["a", "b", "c", "d", "e"].into_iter().enumerate() {
+        let now = Millis(500 * number as u64);
+        assert!(local.has_completed(GOOD, now));
+        local.record_unanswered(crash(GOOD, endpoint), now);
+        assert!(local.record_silence(endpoint, now + 3_000).is_empty());
+    }
+    assert!(!local.refuses(GOOD));
+    assert!(!local.has_completed(BAD, Millis(0)));
+}
+
+/// Guards against protecting a content for ever, and against keeping all contents.
+#[test]
+fn a_completion_is_forgotten() {
+    let mut local = LocalCrashes::default();
+    for content in 0..5_000 {
+        local.record_completion(Fingerprint(content), Millis(1));
+    }
+    let is_kept = |content: &u64| local.has_completed(Fingerprint(*content), Millis(1));
+    assert!((0..5_000).filter(is_kept).count() <= 1_024);
+    local.record_completion(GOOD, Millis(1));
+    assert!(local.has_completed(GOOD, Millis(30_000)));
+    assert!(!local.has_completed(GOOD, Millis(30_001)));
+}
--- a/components/node/src/crashes.rs
+++ b/components/node/src/crashes.rs
@@ -59,14 +59,29 @@
         let this = self.clone();
         actix_rt::spawn(async move {
             if has_crashed(address).await {
-                this.watch.borrow_mut().record_crash(&crash);
-                this.report(crash);
+                this.record_crash(crash);
             } else {
                 this.record_unanswered(crash);
             }
         });
     }
 
+    /// Records that an endpoint crashed while it ran a request. If the same content has completed
+    /// recently, it was not the reason.
+    fn record_crash(&self, crash: Crash) {
+        if self.watch.borrow().has_completed(crash.content, clock::now()) {
+            tracing::info!(
+                event = "endpoint_ended",
+                endpoint = crash.endpoint,
+                content = crash.content.0,
+                completed_before = true
+            );
+            return;
+        }
+        self.watch.borrow_mut().record_crash(&crash);
+        self.report(crash);
+    }
+
     /// Records that an attempt got no answer. Its endpoint may have crashed without closing its
     /// connections, and falls silent then.
     pub fn record_unanswered(&self, attempt: Crash) {
@@ -95,11 +110,9 @@
 
     /// Records that a request completed.
     pub fn record_completion(&self, request: &Request, workspace: &str) {
-        if self.watch.borrow().is_empty() {
-            return;
-        }
         let content = content_fingerprint(request, workspace);
         let mut watch = self.watch.borrow_mut();
+        watch.record_completion(content, clock::now());
         let (seen, suspected) = (watch.clear_suspect(content), watch.take_suspected(content));
         if seen {
             self.unreported.borrow_mut().retain(|crash| crash.content != content);
@@ -140,7 +153,5 @@
 pub fn content_fingerprint(request: &Request, workspace: &str) -> Fingerprint {
     let host = request.host();
     let head = format!("{} {host} {} {workspace}\n", request.method, request.target);
-    let mut bytes = head.into_bytes();
-    bytes.extend_from_slice(&request.body);
-    Fingerprint::of(&bytes)
+    Fingerprint::of_parts(&[head.as_bytes(), &request.body])
 }
--- a/components/types/src/digest.rs
+++ b/components/types/src/digest.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 use sha2::Digest as _;
 use sha2::Sha256;
+use xxhash_rust::xxh3::Xxh3;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ids::Fingerprint;
@@ -38,4 +39,11 @@
     pub fn of(content: &[u8]) -> Self {
         Self(xxh3_64(content))
     }
+
+    /// Computes the fingerprint of content that consists of several parts, without copying them.
+    pub fn of_parts(parts: &[&[u8]]) -> Self {
+        let mut hasher = Xxh3::new();
+        parts.iter().for_each(|part| hasher.update(part));
+        Self(hasher.digest())
+    }
 }
