Planner: rounds examine engines only for work; hosts are found without a search

Cause: rounds of the leader follow each event of a sample, hundreds a second, and each of them examined every engine: for slow runs (a map of the free slots of all fast engines, each with an exponential of its age), for free slots though nothing waited, for starved samples of each model, for the engines of each model (engines x models), and for silent endpoints. Each order to a host searched all members. The benchmark of a round had not shown it, because its engines have no pace yet.

Change: slow and lost runs and silent endpoints are looked for 20 times a second, engines that may take over slow runs once a step, and only if a run of it is slow; free slots and starved samples only if samples wait; engines by model in one pass; hosts by name. Announcements are compared without a copy.

Weighed: an index of engines by model and version for steps that wait (some 5 MB at 8,000 engines of 8 models; not needed at this size).

Tests: engines examined at 1,000, 2,000 and 4,000 engines: none in a round without waiting samples, at most one pass for slow runs, two with slow runs. Both fail before (visits were not bounded; the pass for slow runs alone was one a round).

--- a/components/fleet/src/endpoint.rs
+++ b/components/fleet/src/endpoint.rs
@@ -43,7 +43,25 @@
 impl Announcement {
     /// Returns whether this announcement equals another one except for its sequence number.
     pub fn is_repeat_of(&self, other: &Self) -> bool {
-        Self { sequence: other.sequence, ..self.clone() } == *other
+        let Self {
+            id,
+            started_ms,
+            service,
+            address,
+            data_centre,
+            slots,
+            draining,
+            models,
+            sequence: _,
+        } = self;
+        *id == other.id
+            && *started_ms == other.started_ms
+            && *service == other.service
+            && *address == other.address
+            && *data_centre == other.data_centre
+            && *slots == other.slots
+            && *draining == other.draining
+            && *models == other.models
     }
 }
 
--- a/components/fleet/src/plan/assign.rs
+++ b/components/fleet/src/plan/assign.rs
@@ -25,12 +25,6 @@
     /// 1 to 3 ms. An engine that has already read the group's prompt is therefore preferred only
     /// over engines with the same load.
     pub fn assign(&mut self, config: &Config, now: Millis) -> Vec<Assignment> {
-        let mut free_slots: u32 = self
-            .engines
-            .values()
-            .filter(|engine| engine.is_ready(now))
-            .map(EngineState::free_slots)
-            .sum();
         let mut assignments = Vec::new();
         let waiting =
             self.steps.values().filter(|planned| planned.waiting > 0 && planned.held_until <= now);
@@ -43,7 +37,13 @@
                 )
             })
             .collect();
+        if order.is_empty() {
+            return assignments;
+        }
         order.sort();
+        self.visits.set(self.visits.get() + self.engines.len() as u64);
+        let ready = self.engines.values().filter(|engine| engine.is_ready(now));
+        let mut free_slots: u32 = ready.map(EngineState::free_slots).sum();
         for (_, _, id) in order {
             if free_slots == 0 {
                 break;
@@ -84,6 +84,7 @@
         // are handled together.
         for same_route in waiting.chunk_by(|(_, a), (_, b)| std::ptr::eq(*a, *b)) {
             let route = same_route[0].1;
+            self.visits.set(self.visits.get() + self.engines.len() as u64);
             let eligible =
                 self.engines.values_mut().filter(|engine| is_eligible(engine, &step, route, now));
             let mut candidates = Candidates::new(eligible, median_pace, now);
--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -14,6 +14,7 @@
 mod samples;
 mod takeover;
 
+use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -65,6 +66,8 @@
     /// Costs of samples that may be submitted again, with the time at which their step was closed.
     past_costs: BTreeMap<String, (Cost, Millis)>,
     policy: Policy,
+    /// Engines examined so far.
+    visits: Cell<u64>,
 }
 
 impl Planner {
@@ -277,9 +280,19 @@
         self.engines.get_mut(id)
     }
 
+    /// Returns how many engines were examined so far, which measures the planner's work.
+    pub fn visits(&self) -> u64 {
+        self.visits.get()
+    }
+
     /// Returns the number of waiting samples of a model for which no engine has a new enough
     /// version.
     pub fn starved_samples(&self, model: &str) -> usize {
+        let waits = |planned: &StepPlan| planned.step.model == model && planned.waiting > 0;
+        if !self.steps.values().any(waits) {
+            return 0;
+        }
+        self.visits.set(self.visits.get() + self.engines.len() as u64);
         let newest =
             self.engines.values().filter(|engine| engine.loading.as_deref() != Some(model));
         let newest =
--- a/components/fleet/src/plan/reassign.rs
+++ b/components/fleet/src/plan/reassign.rs
@@ -1,6 +1,7 @@
 //! Finds runs to move to a faster engine and runs that are lost.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 
 use chicoryford_types::Millis;
 
@@ -9,6 +10,7 @@
 use super::engine::EngineState;
 use super::samples::Phase;
 use super::samples::Progress;
+use super::samples::StepPlan;
 
 /// Maximum pace of an engine, as a multiple of the median, at which it may take over a slow run.
 const MAX_FAST_RATIO: f64 = 1.4;
@@ -37,15 +39,11 @@
         if median_pace <= 0.0 || !self.policy.slow_moves {
             return slow;
         }
-        let fast = |engine: &&EngineState| {
-            engine.is_ready(now) && engine.pace(now) < MAX_FAST_RATIO * median_pace
-        };
-        let mut free_slots: BTreeMap<&str, u32> = BTreeMap::new();
-        for engine in self.engines.values().filter(fast) {
-            free_slots.insert(&engine.endpoint.announcement.id, engine.free_slots());
-        }
+        // Free slots that were given to slow runs, by engine.
+        let mut taken: BTreeMap<&str, u32> = BTreeMap::new();
         for (id, planned) in &self.steps {
             let model = &planned.step.model;
+            let mut targets = None;
             for (index, progress) in planned.progress.iter().enumerate() {
                 let Some(engine) = progress.engine.as_ref().and_then(|id| self.engines.get(id))
                 else {
@@ -61,17 +59,16 @@
                 {
                     continue;
                 }
-                let target = self.engines.values().filter(fast).find(|other| {
-                    let announcement = &other.endpoint.announcement;
-                    let version = announcement.models.get(model).copied().unwrap_or_default();
-                    announcement.id != engine.endpoint.announcement.id
-                        && other.loading.as_ref() != Some(model)
-                        && version >= planned.step.min_version
-                        && free_slots.get(announcement.id.as_str()).is_some_and(|free| *free > 0)
-                });
-                let Some(target) = target else { continue };
-                if let Some(free) = free_slots.get_mut(target.endpoint.announcement.id.as_str()) {
-                    *free -= 1;
+                let targets =
+                    targets.get_or_insert_with(|| self.fast_engines(planned, &taken, now));
+                let own = engine.endpoint.announcement.id.as_str();
+                let is_other = |target: &(&str, u32)| target.0 != own;
+                let Some(position) = targets.iter().position(is_other) else { continue };
+                let (target, free) = &mut targets[position];
+                *taken.entry(target).or_default() += 1;
+                *free -= 1;
+                if *free == 0 {
+                    targets.remove(position);
                 }
                 slow.push((id.clone(), index as u32));
             }
@@ -79,8 +76,35 @@
         slow
     }
 
+    /// Returns the engines that may take over slow runs of a step, with their free slots except for
+    /// those that are taken.
+    fn fast_engines(
+        &self,
+        planned: &StepPlan,
+        taken: &BTreeMap<&str, u32>,
+        now: Millis,
+    ) -> VecDeque<(&str, u32)> {
+        self.visits.set(self.visits.get() + self.engines.len() as u64);
+        let model = &planned.step.model;
+        let fast = self.engines.values().filter(|engine| {
+            let version = engine.endpoint.announcement.models.get(model).copied();
+            engine.is_ready(now)
+                && engine.pace(now) < MAX_FAST_RATIO * self.median_pace_ms
+                && engine.loading.as_ref() != Some(model)
+                && version.unwrap_or_default() >= planned.step.min_version
+        });
+        let with_free_slots = fast.filter_map(|engine| {
+            let id = engine.endpoint.announcement.id.as_str();
+            let taken = taken.get(id).copied().unwrap_or_default();
+            let free = engine.free_slots().saturating_sub(taken);
+            (free > 0).then_some((id, free))
+        });
+        with_free_slots.collect()
+    }
+
     /// Recomputes the median pace from the engines measured within the last ten seconds.
     pub(super) fn update_median_pace(&mut self, now: Millis) {
+        self.visits.set(self.visits.get() + self.engines.len() as u64);
         let measured = self.engines.values().filter(|engine| now.since(engine.paced_at) < 10_000);
         let mut paces: Vec<f64> =
             measured.map(|engine| engine.pace_ms).filter(|pace| *pace > 0.0).collect();
--- a/components/fleet/src/swap.rs
+++ b/components/fleet/src/swap.rs
@@ -105,12 +105,15 @@
     let assigned = assign_engines(&ids, demands);
     let max_loading = (engines.len() * MAX_LOADING_SHARE.0 / MAX_LOADING_SHARE.1).max(1);
     let loading = engines.iter().filter(|engine| engine.loading.is_some()).count();
+    let mut own_engines: BTreeMap<&str, Vec<&EngineState>> = BTreeMap::new();
+    for engine in engines {
+        if let Some(model) = assigned.get(&*engine.endpoint.announcement.id) {
+            own_engines.entry(model).or_default().push(engine);
+        }
+    }
     let mut outdated: Vec<(Urgency, WeightLoad)> = Vec::new();
     for demand in demands {
-        let own_engines = |engine: &&&EngineState| {
-            assigned.get(&*engine.endpoint.announcement.id) == Some(&&*demand.model)
-        };
-        let own_engines: Vec<&EngineState> = engines.iter().filter(own_engines).copied().collect();
+        let own_engines = own_engines.remove(&*demand.model).unwrap_or_default();
         outdated.extend(outdated_engines(&own_engines, demand, order_lease, now));
     }
     if policy.load_order {
--- a/components/fleet/tests/plan.rs
+++ b/components/fleet/tests/plan.rs
@@ -484,6 +484,46 @@
     assert_eq!(from.endpoint, slow);
 }
 
+/// Guards against rounds that examine every engine for each run, or though nothing waits and no run
+/// is slow. Rounds follow each event of a sample, hundreds a second.
+#[test]
+fn a_round_without_work_examines_each_engine_at_most_once() {
+    for size in [1_000, 2_000, 4_000_usize] {
+        let engines: Vec<Endpoint> =
+            (0..size).map(|number| engine(&format!("e{number:04}"), 1, 1)).collect();
+        let mut planner = planner(&engines, &[step("a", &[1; 100])]);
+        let runs = assign(&mut planner, NOW);
+        assert_eq!(runs.len(), 100);
+        assert!(planner.visits() <= 2 * size as u64, "{} of {size}", planner.visits());
+        for run in &runs {
+            let sent = RunReport { gap_ms: 40, ..report(run, run::RunStatus::Running, &["x"]) };
+            planner.record_report("a", &sent, NOW);
+        }
+        let before = planner.visits();
+        assert!(assign(&mut planner, NOW).is_empty());
+        assert_eq!(planner.starved_samples("m"), 0);
+        assert_eq!(planner.visits(), before, "nothing waits");
+        assert!(planner.slow_runs(NOW).is_empty());
+        assert!(planner.visits() - before <= size as u64, "no run is slow");
+    }
+}
+
+/// Guards against examining every engine for each slow run.
+#[test]
+fn the_engines_that_take_over_slow_runs_are_looked_up_once_for_each_step() {
+    for size in [1_000, 2_000, 4_000_usize] {
+        let engines: Vec<Endpoint> =
+            (0..size).map(|number| engine(&format!("e{number:04}"), 1, 1)).collect();
+        let mut planner = planner(&engines, &[step("a", &[1; 100])]);
+        let runs = assign(&mut planner, NOW);
+        let sent = RunReport { gap_ms: 40, ..report(&runs[0], run::RunStatus::Running, &["x"]) };
+        planner.record_report("a", &sent, NOW);
+        let before = planner.visits();
+        assert!(planner.slow_runs(NOW + 1_500).len() >= 99, "no event arrived");
+        assert!(planner.visits() - before <= 2 * size as u64, "{}", planner.visits() - before);
+    }
+}
+
 #[test]
 fn a_run_without_events_is_lost() {
     let mut planner = planner(&[engine("e1", 1, 1)], &[step("a", &[1])]);
--- a/components/node/src/followers.rs
+++ b/components/node/src/followers.rs
@@ -69,6 +69,9 @@
     traffic: Rc<Traffic>,
     next: Cell<u64>,
     members: RefCell<BTreeMap<u64, Follower>>,
+    /// The VMs that store data, with the number of each of their connections. Work is sent to them
+    /// thousands of times a second, and they are few among the members.
+    stores: RefCell<BTreeSet<(String, u64)>>,
     pending_requests: RefCell<BTreeMap<u64, oneshot::Sender<StoreReply>>>,
     /// How far the fleet's wall clock is ahead of this process's clock, and when that was
     /// determined.
@@ -82,6 +85,7 @@
             traffic,
             next: Cell::default(),
             members: RefCell::default(),
+            stores: RefCell::default(),
             pending_requests: RefCell::default(),
             wall_offset: Cell::default(),
         }
@@ -129,7 +133,7 @@
         let number = self.next_number();
         let frames = {
             let all = self.members.borrow();
-            let found = all.values().find(|follower| follower.store.as_ref() == Some(store));
+            let found = self.store_link(store).and_then(|number| all.get(&number));
             found.map(|follower| (follower.frames.clone(), follower.data_centre.clone()))
         };
         let (frames, data_centre) = frames?;
@@ -152,14 +156,13 @@
     /// it follows again, it reports all its runs, and is told to stop the unwanted ones.
     pub fn send_work(&self, host: &str, work: HostCommand) -> bool {
         let mut all = self.members.borrow_mut();
-        let is_host = |f: &Follower| f.store.as_ref().is_some_and(|store| store.node == host);
-        let found = all.iter().rev().find(|(_, follower)| is_host(follower));
-        let Some((number, follower)) = found else { return false };
+        let found = self.links(host).into_iter().rev().find(|number| all.contains_key(number));
+        let Some(number) = found else { return false };
+        let follower = &all[&number];
         let frame = encode(&LeaderMessage::Work { member_clock: follower.clock, work });
         self.count("work", &follower.data_centre, &frame);
         let sent = follower.frames.try_send(Queued { frame, is_work: true }).is_ok();
         if !sent {
-            let number = *number;
             tracing::warn!(event = "queue_full", host);
             follower.disconnect.notify_one();
             all.remove(&number);
@@ -169,14 +172,30 @@
 
     /// Returns the connected hosts, including those that have not reported all their runs yet.
     pub fn hosts(&self) -> BTreeSet<String> {
+        let (all, stores) = (self.members.borrow(), self.stores.borrow());
+        let connected = stores.iter().filter(|(_, number)| all.contains_key(number));
+        connected.map(|(node, _)| node.clone()).collect()
+    }
+
+    /// Returns the connections of a VM that stores data, the newest last. Some may have ended.
+    fn links(&self, node: &str) -> Vec<u64> {
+        let stores = self.stores.borrow();
+        let links = stores.range((node.to_owned(), 0)..=(node.to_owned(), u64::MAX));
+        links.map(|(_, number)| *number).collect()
+    }
+
+    /// Returns the connection of a store.
+    fn store_link(&self, store: &StoreId) -> Option<u64> {
         let all = self.members.borrow();
-        all.values().filter_map(|follower| Some(follower.store.as_ref()?.node.clone())).collect()
+        let is_store =
+            |number: &u64| all.get(number).is_some_and(|f| f.store.as_ref() == Some(store));
+        self.links(&store.node).into_iter().find(is_store)
     }
 
     /// Sends a request without a reply to a store.
     pub fn notify_store(&self, store: &StoreId, request: StoreRequest) {
         let all = self.members.borrow();
-        let found = all.values().find(|follower| follower.store.as_ref() == Some(store));
+        let found = self.store_link(store).and_then(|number| all.get(&number));
         if let Some(follower) = found {
             // The request is repeated later.
             let frame = encode(&LeaderMessage::Ask { number: 0, request });
@@ -240,17 +259,22 @@
 
     /// Adds a member.
     pub(crate) fn add(&self, number: u64, follower: Follower) {
+        if let Some(store) = &follower.store {
+            self.stores.borrow_mut().insert((store.node.clone(), number));
+        }
         self.members.borrow_mut().insert(number, follower);
     }
 
     /// Removes a member whose connection has ended.
     pub(crate) fn remove(&self, number: u64) {
         self.members.borrow_mut().remove(&number);
+        self.stores.borrow_mut().retain(|(_, other)| *other != number);
     }
 
     /// Closes all connections.
     pub fn clear(&self) {
         self.members.borrow_mut().clear();
+        self.stores.borrow_mut().clear();
         self.pending_requests.borrow_mut().clear();
     }
 }
--- a/components/node/src/leader/mod.rs
+++ b/components/node/src/leader/mod.rs
@@ -139,6 +139,8 @@
     found_ended: RefCell<BTreeSet<String>>,
     /// Samples whose grants are being extended.
     extending: RefCell<BTreeSet<String>>,
+    /// When runs were last checked for whether they need another engine.
+    runs_checked: Cell<Millis>,
     /// Set once this term has ended; the process may lead again in another epoch.
     ended: Cell<bool>,
 }
@@ -192,6 +194,7 @@
             usage,
             found_ended: RefCell::default(),
             extending: RefCell::default(),
+            runs_checked: Cell::default(),
             ended: Cell::default(),
             context,
         });
@@ -456,6 +459,20 @@
             tracing::info!(event = "sample_given_up", step, index, why = "failed before");
             self.settle(&step, index, SampleResult::GivenUp);
         }
+        self.end_lost_and_slow_runs(now);
+        let assigned = self.plan.borrow_mut().assign(&config, now);
+        for assignment in assigned {
+            self.start_run(assignment);
+        }
+    }
+
+    /// Ends runs that need another engine. They are noticed by the time that passes, so events need
+    /// no additional check: it examines every engine.
+    fn end_lost_and_slow_runs(self: &Rc<Self>, now: Millis) {
+        if now.since(self.runs_checked.get()) < PLAN_INTERVAL.as_millis() as u64 {
+            return;
+        }
+        self.runs_checked.set(now);
         let lost = self.plan.borrow().lost_runs(now);
         for (step, index) in lost {
             self.end_run(&step, index, RunEnd::Broken);
@@ -464,10 +481,6 @@
         for (step, index) in slow {
             self.end_run(&step, index, RunEnd::Taken);
         }
-        let assigned = self.plan.borrow_mut().assign(&config, now);
-        for assignment in assigned {
-            self.start_run(assignment);
-        }
     }
 
     /// Returns the queue of verdicts that wait to be listed.
@@ -478,12 +491,16 @@
 
 async fn run_planner(leader: Weak<Leader>) {
     let mut last_expiry = clock::now();
+    let mut last_tick = Millis::default();
     let timer = RunTimer::start();
     loop {
         timer.read().await;
         let Some(leader) = leader.upgrade() else { return };
         leader.plan_round();
-        leader.tick_registry();
+        if clock::now().since(last_tick) >= PLAN_INTERVAL.as_millis() as u64 {
+            last_tick = clock::now();
+            leader.tick_registry();
+        }
         if clock::now().since(last_expiry) >= EXPIRE_STEPS_INTERVAL_MS {
             last_expiry = clock::now();
             leader.forget_expired_steps().await;
