Fleet: the state of an announcement is compared in one place; the benchmark of a round has engines with paces

Digests and repeated announcements compare the same fields, which stood twice. A function of the picker that nothing uses any more is removed.

The benchmark had no measured paces before, and thus no slow runs.

--- a/components/fleet/benches/round.rs
+++ b/components/fleet/benches/round.rs
@@ -12,6 +12,7 @@
 use std::time::Instant;
 
 use chicoryford_fleet::Announcement;
+use chicoryford_fleet::Config;
 use chicoryford_fleet::Endpoint;
 use chicoryford_fleet::EndpointStatus;
 use chicoryford_fleet::Policy;
@@ -22,6 +23,10 @@
 use chicoryford_fleet::order_lease::OrderLease;
 use chicoryford_fleet::plan::EngineState;
 use chicoryford_fleet::plan::Planner;
+use chicoryford_fleet::plan::SampleOutput;
+use chicoryford_fleet::run::Cost;
+use chicoryford_fleet::run::RunReport;
+use chicoryford_fleet::run::RunStatus;
 use chicoryford_fleet::swap;
 use chicoryford_fleet::swap::ModelDemand;
 use chicoryford_types::Epoch;
@@ -30,9 +35,8 @@
 use support::announcement;
 use support::steps_config;
 
-/// Numbers of engines: that of the largest deployment, and a tenth, a third and all of those of a
-/// fleet with 300 VMs.
-const ENGINES: [usize; 4] = [46, 300, 1_000, 3_000];
+/// Numbers of engines: a few, those of fleets with 30, 100, 300 and 1,000 VMs, and twice as many.
+const ENGINES: [usize; 6] = [46, 300, 1_000, 3_000, 10_000, 20_000];
 /// Samples per step, as submitted by trainers of the largest deployment.
 const SAMPLES: usize = 144;
 /// Timed rounds.
@@ -70,6 +74,27 @@
     })
 }
 
+/// Starts the samples of a step and reports their pace: without measured paces, no run can be slow.
+fn run_step(planner: &mut Planner, config: &Config) {
+    planner.open_step(step("running"), NOW, Millis::default(), |_| false);
+    for run in planner.assign(config, NOW) {
+        let report = RunReport {
+            run: run.run,
+            step: run.step.id.clone(),
+            index: run.index,
+            endpoint: run.endpoint,
+            status: RunStatus::Running,
+            from: 0,
+            output: SampleOutput { events: vec!["x".to_owned()], ..SampleOutput::default() },
+            gap_ms: 40,
+            cost: Cost::default(),
+            remaining_ms: 40_000,
+        };
+        planner.set_host(&report.step, report.index, "h");
+        planner.record_report("h", &report, NOW);
+    }
+}
+
 /// Returns the microseconds per call.
 fn time(mut work: impl FnMut()) -> f64 {
     let began = Instant::now();
@@ -102,13 +127,14 @@
             OrderLease { last_orders: BTreeMap::new(), ..OrderLease::default() },
             Policy::default(),
         );
+        let config = steps_config();
+        run_step(&mut planner, &config);
         let ticks = time(|| drop(registry.tick(NOW)));
         let slow = time(|| drop(planner.slow_runs(NOW)));
         let weights = time(|| {
             let engines: Vec<&EngineState> = planner.engines().collect();
             drop(swap::select_loads(&engines, &demands, &order_lease, policy, NOW));
         });
-        let config = steps_config();
         let mut number = 0;
         let assigned = time(|| {
             let id = format!("s{number}");
--- a/components/fleet/src/endpoint.rs
+++ b/components/fleet/src/endpoint.rs
@@ -4,6 +4,7 @@
 //! their sender has stopped and another endpoint uses its address.
 
 use std::collections::BTreeMap;
+use std::hash::Hash;
 use std::net::SocketAddr;
 
 use chicoryford_types::Millis;
@@ -43,6 +44,11 @@
 impl Announcement {
     /// Returns whether this announcement equals another one except for its sequence number.
     pub fn is_repeat_of(&self, other: &Self) -> bool {
+        self.state() == other.state()
+    }
+
+    /// Returns everything but the sequence number, which changes with each announcement.
+    pub fn state(&self) -> impl Hash + PartialEq {
         let Self {
             id,
             started_ms,
@@ -54,14 +60,7 @@
             models,
             sequence: _,
         } = self;
-        *id == other.id
-            && *started_ms == other.started_ms
-            && *service == other.service
-            && *address == other.address
-            && *data_centre == other.data_centre
-            && *slots == other.slots
-            && *draining == other.draining
-            && *models == other.models
+        (id, started_ms, service, address, data_centre, slots, draining, models)
     }
 }
 
--- a/components/fleet/src/pick.rs
+++ b/components/fleet/src/pick.rs
@@ -168,11 +168,6 @@
         self.endpoints.remove(id);
     }
 
-    /// Removes all endpoints for which `known` returns false.
-    pub fn retain(&mut self, known: impl Fn(&str) -> bool) {
-        self.endpoints.retain(|id, _| known(id));
-    }
-
     /// Removes the measured durations of all routes for which `known` returns false.
     pub fn retain_routes(&mut self, known: impl Fn(&str) -> bool) {
         self.recent_times.retain(|route, _| known(route));
--- a/components/fleet/src/ranges.rs
+++ b/components/fleet/src/ranges.rs
@@ -18,7 +18,6 @@
 use xxhash_rust::xxh3::Xxh3;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::endpoint::Announcement;
 use crate::endpoint::Endpoint;
 
 /// Endpoints per range. A change of one endpoint makes a follower receive its whole range.
@@ -183,20 +182,7 @@
 
 /// Returns the digest of an endpoint's state.
 fn endpoint_digest(endpoint: &Endpoint) -> u64 {
-    let Endpoint { announcement, status } = endpoint;
-    let Announcement {
-        id,
-        started_ms,
-        service,
-        address,
-        data_centre,
-        slots,
-        draining,
-        models,
-        sequence: _,
-    } = announcement;
     let mut hasher = Xxh3::new();
-    (id, started_ms, service, address, data_centre, slots, draining, models, status)
-        .hash(&mut hasher);
+    (endpoint.announcement.state(), endpoint.status).hash(&mut hasher);
     hasher.finish()
 }
