Grants: a host that takes up its call under the next leader is sent the grant

Before: the_next_leader_sends_a_grant_that_a_host_did_not_receive fails (no order within 5 s). After: passes, with the other tests of grants.

--- a/components/fleet/tests/grant.rs
+++ b/components/fleet/tests/grant.rs
@@ -6,6 +6,8 @@
 use chicoryford_fleet::Grant;
 use chicoryford_fleet::Scorer;
 use chicoryford_fleet::grant::Standing;
+use chicoryford_fleet::run::CallCost;
+use chicoryford_fleet::run::Cost;
 use quickcheck::quickcheck;
 
 const ATTEMPTS: usize = 3;
@@ -88,3 +90,12 @@
         true
     }
 }
+
+/// Guards against a log of an earlier version, without the hosts that were lost, that cannot be
+/// read.
+#[test]
+fn a_cost_without_lost_hosts_is_read() {
+    let earlier = (3_u32, false, 2_u32, 1_u32, CallCost::default(), Grant::default());
+    let cost: Cost = rmp_serde::from_slice(&rmp_serde::to_vec(&earlier).unwrap()).unwrap();
+    assert_eq!(cost, Cost { failures: 3, crashes: 2, losses: 1, ..Cost::default() });
+}
--- a/components/node/src/leader/grants.rs
+++ b/components/node/src/leader/grants.rs
@@ -163,14 +163,18 @@
         }
     }
 
-    /// Sends the grant of a sample's call, and the number of its failures, to its host.
-    fn send_grant(&self, step: &str, index: u32) {
+    /// Sends the grant of a sample's call, and the number of its failures, to its host, unless nothing
+    /// was added to what the host got with its order.
+    pub(super) fn send_grant(&self, step: &str, index: u32) {
         let found = {
             let plan = self.plan.borrow();
             let cost = plan.scorer(step, index).map(|(_, cost)| cost.clone());
             plan.host(step, index).zip(cost)
         };
         let Some(((host, run), cost)) = found else { return };
+        if cost.grant == Grant::default() && cost.scorer.failures == 0 {
+            return;
+        }
         let (step, grant, failures) = (step.to_owned(), cost.grant, cost.scorer.failures);
         self.hosts.send(&host, HostCommand::Grant { step, index, run, grant, failures });
     }
--- a/components/node/src/leader/runs.rs
+++ b/components/node/src/leader/runs.rs
@@ -162,6 +162,8 @@
                 self.confirm_failures(step, index);
             }
             RunStatus::Scoring => {
+                // Its host may lack what an earlier leader added to the grant.
+                self.send_grant(step, index);
                 self.extend_grant(step, index);
                 self.confirm_failures(step, index);
                 let events = report.from as usize + report.output.events.len();
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -328,12 +328,18 @@
     fn handle(&self, message: LeaderMessage) -> bool {
         match message {
             LeaderMessage::Ranges(ranges) => {
+                let mut endpoints = 0;
                 for content in &ranges {
-                    if let Err(error) = self.view.replace_range(content) {
-                        tracing::warn!(event = "link_unreadable", %error);
-                        return false;
+                    match self.view.replace_range(content) {
+                        Ok(received) => endpoints += received,
+                        Err(error) => {
+                            tracing::warn!(event = "link_unreadable", %error);
+                            return false;
+                        }
                     }
                 }
+                let known = self.view.endpoint_count();
+                tracing::info!(event = "endpoints_received", endpoints, known);
             }
             LeaderMessage::Everything(all) => {
                 all.into_iter().for_each(|update| self.view.apply(update));
--- a/components/node/src/view.rs
+++ b/components/node/src/view.rs
@@ -88,12 +88,12 @@
         self.ranges.borrow().digests()
     }
 
-    /// Replaces the endpoints of a range.
+    /// Replaces the endpoints of a range and returns their number.
     ///
     /// # Errors
     ///
     /// [`FrameError`] if the endpoints cannot be read; nothing is changed then.
-    pub fn replace_range(&self, content: &RangeContent) -> Result<(), FrameError> {
+    pub fn replace_range(&self, content: &RangeContent) -> Result<usize, FrameError> {
         let endpoints: Vec<Endpoint> = decode(&content.endpoints)?;
         let kept: BTreeSet<&str> =
             endpoints.iter().map(|endpoint| endpoint.announcement.id.as_str()).collect();
@@ -103,8 +103,9 @@
             ids.into_iter().filter(|id| !kept.contains(id)).map(str::to_owned).collect()
         };
         removed.into_iter().for_each(|id| self.apply(Update::Forgotten(id)));
+        let count = endpoints.len();
         endpoints.into_iter().for_each(|endpoint| self.apply(Update::Endpoint(endpoint)));
-        Ok(())
+        Ok(count)
     }
 
     /// Applies a configuration unless it is older than the current one: the version never decreases
@@ -147,6 +148,11 @@
         Ref::filter_map(self.endpoints.borrow(), |all| all.get(id)).ok()
     }
 
+    /// Returns the number of known endpoints.
+    pub fn endpoint_count(&self) -> usize {
+        self.endpoints.borrow().len()
+    }
+
     /// Returns all endpoints.
     pub fn endpoints(&self) -> Vec<Endpoint> {
         self.endpoints.borrow().values().cloned().collect()
--- a/components/node/tests/leader/grants.rs
+++ b/components/node/tests/leader/grants.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use chicoryford_fleet::Announcement;
+use chicoryford_fleet::Command;
 use chicoryford_fleet::Config;
 use chicoryford_fleet::Grant;
 use chicoryford_fleet::Route;
@@ -13,6 +14,7 @@
 use chicoryford_fleet::Service;
 use chicoryford_fleet::Share;
 use chicoryford_fleet::Step;
+use chicoryford_fleet::run::Cost;
 use chicoryford_fleet::run::HostCommand;
 use chicoryford_fleet::run::Job;
 use chicoryford_fleet::run::RunReport;
@@ -197,6 +199,40 @@
     assert_eq!(after, before);
 }
 
+/// All endpoints of a call have ended, and the leader that granted others is lost before its host
+/// hears of it. Guards against a host that waits for ever for endpoints that the next leader
+/// considers granted.
+#[actix_rt::test]
+async fn the_next_leader_sends_a_grant_that_a_host_did_not_receive() {
+    let (fleet, parts) = (fleet().await, StoredParts::default());
+    let store = fleet.store(&parts).await;
+    submit(&fleet, "a").await;
+    let mut host = connect_host(&fleet, "h").await;
+    let job = receive_job(&mut host).await;
+    drop((store, host));
+    let before = granted(&job);
+    let added = BTreeSet::from(["d6".to_owned(), "d7".to_owned(), "d8".to_owned()]);
+    let grant = Grant { endpoints: added.clone(), ended: before };
+    let cost = Cost { grant, ..job.cost.clone() };
+    let extended = Command::Spend(vec![("s".to_owned(), cost)]);
+    assert!(matches!(fleet.leader().commit(extended).await, Answer::Done));
+    let leader = fleet.next_leader();
+    announce_desks(&fleet, &["d6", "d7", "d8"]).await;
+    announce_engine(&fleet).await;
+    let mut host = connect_store(fleet.links, "h").await;
+    send_heartbeat(&mut host).await;
+    let _store = fleet.store(&parts).await;
+    wait_until("the step is read", || leader.plan.borrow().has_step("a")).await;
+    host.send(encode(&MemberMessage::Report(scoring(&job)))).await.unwrap();
+    host.send(encode(&MemberMessage::Reported)).await.unwrap();
+    let grant = receive(&mut host, |work| match work {
+        HostCommand::Grant { grant, .. } => Some(grant),
+        _ => None,
+    })
+    .await;
+    assert_eq!(grant.endpoints, added);
+}
+
 /// The host of a call is lost before it reports which endpoint it called, and the route of the call
 /// is changed to another service. Guards against a call that runs at more endpoints than its route
 /// allows: the lost host may have called endpoints of the former service, which still execute it.
