Planner: a failure that the previous leader recorded counts once

Trace: the leader recorded the second failure (committed), and was lost before its host forgot the run; the host reported the run to the next leader, failed, with one failure before it; the next leader knew of two from the log and counted a third.

Change: a failure counts on top of those that the host knew before the run, and never lowers what is recorded. Two runs that fail under two leaders at the same time may count as one, which lets a sample run once more; the other way round a sample ends that may still run.

Before: a_failure_that_the_previous_leader_recorded_counts_once fails (given up after two of three). After: passes, with the other tests of the planner.

--- a/components/fleet/src/plan/assign.rs
+++ b/components/fleet/src/plan/assign.rs
@@ -142,6 +142,7 @@
         self.run = assignment.run;
         self.host = None;
         self.claimable = false;
+        self.failures_before = self.cost.failures;
         self.started = assignment.started;
         self.last_event = assignment.started;
     }
--- a/components/fleet/src/plan/reports.rs
+++ b/components/fleet/src/plan/reports.rs
@@ -89,6 +89,7 @@
             progress.run = report.run;
             progress.cost.crashes = report.cost.crashes;
             progress.cost.losses = report.cost.losses;
+            progress.failures_before = report.cost.failures;
             progress.started = now;
             if let Some(engine) = self.engines.get_mut(&report.endpoint) {
                 *engine.running.entry(planned.step.model.clone()).or_default() += 1;
@@ -191,7 +192,10 @@
         progress.avoided_engine = None;
         match end {
             RunEnd::Unfit => progress.cost.unfit = true,
-            RunEnd::Failed => progress.cost.failures += 1,
+            RunEnd::Failed => {
+                let failures = progress.failures_before + 1;
+                progress.cost.failures = progress.cost.failures.max(failures);
+            }
             RunEnd::Taken => {
                 progress.moves += 1;
                 progress.avoided_engine.clone_from(&engine);
--- a/components/fleet/src/plan/samples.rs
+++ b/components/fleet/src/plan/samples.rs
@@ -142,6 +142,9 @@
     /// The number of events in checkpoints on the stores.
     pub(super) checkpointed: usize,
     pub(super) cost: Cost,
+    /// The failures of the sample before its current run, as known to the host. The cost may count the
+    /// failure of this run already, if it was recorded by the previous leader.
+    pub(super) failures_before: u32,
     /// When the sample is too old, as communicated to endpoints.
     pub(super) deadline: Millis,
     /// The sample is not run before this time, because it crashes engines or gets no answer.
--- a/components/fleet/tests/plan.rs
+++ b/components/fleet/tests/plan.rs
@@ -441,6 +441,30 @@
     assert_eq!(next.record_run_end("a", 0, RunEnd::Failed, NOW), AfterRun::GiveUp);
 }
 
+/// A leader records the second failure of a sample and is lost before the host forgets the run. Guards
+/// against giving the sample up after two failures of three: the next leader counted the second one
+/// again.
+#[test]
+fn a_failure_that_the_previous_leader_recorded_counts_once() {
+    let mut planner = planner(&[engine("e1", 1, 1)], &[step("a", &[1])]);
+    assign(&mut planner, NOW);
+    planner.record_run_end("a", 0, RunEnd::Failed, NOW);
+    let run = assign(&mut planner, NOW + 1_000).remove(0);
+    let sent = report(&run, run::RunStatus::Ended(RunEnd::Failed), &[]);
+    let sent = RunReport { cost: run.cost.clone(), ..sent };
+    planner.record_run_end("a", 0, RunEnd::Failed, NOW + 1_000);
+    let recorded = planner.limiting_cost("a", 0).expect("a recorded cost");
+    assert_eq!(recorded.1.failures, 2);
+    let mut next = Planner::new(Epoch(2));
+    next.update_engine(&engine("e1", 1, 1));
+    next.restore_costs(&[recorded], NOW);
+    next.open_step(step("a", &[1]), NOW, NOW + 5_000, |_| false);
+    assert_eq!(next.record_report("h", &sent, NOW + 2_000), ReportAction::Continue);
+    assert_eq!(next.record_run_end("a", 0, RunEnd::Failed, NOW + 2_000), AfterRun::Again);
+    let run = assign(&mut next, NOW + 10_000).remove(0);
+    assert_eq!(run.cost.failures, 2);
+}
+
 /// Guards against losing the costs of a sample when its run is rejected.
 #[test]
 fn a_rejected_report_still_adds_its_costs() {
