--- a/components/node/tests/leader/updates.rs
+++ b/components/node/tests/leader/updates.rs
@@ -274,6 +274,10 @@
     for number in 0..ENDPOINTS {
         let answer = fleet.leader().answer(Call::Announce(engine(&number.to_string(), 1))).await;
         assert!(matches!(answer, Answer::Heard), "{answer:?}");
+        if number % 100 == 0 {
+            // The replica needs the thread to renew its lease.
+            pause(1).await;
+        }
     }
     let (control, link) = control(&fleet).await;
     fleet.leader().stop();
--- a/tests/whole/bodies.rs
+++ b/tests/whole/bodies.rs
@@ -186,6 +186,18 @@
         self.post(entry, paths::STEP_PULL, &pull)
     }
 
+    /// Pulls the first batch. A pull is answered with 202 while no group is whole yet.
+    fn first_batch(&self, entry: usize) -> Answer {
+        let mut answer = self.pull(entry, 1);
+        self.wait("the first batch is whole", || {
+            if answer.status == 202 {
+                answer = self.pull(entry, 1);
+            }
+            answer.status != 202
+        });
+        answer
+    }
+
     /// Pulls each batch twice and acknowledges it, until all samples are delivered. Checks that the
     /// second pull returns the same batch.
     fn pull_all(&self, entry: usize) -> Vec<Value> {
@@ -221,7 +233,7 @@
     // copies are not restored.
     let mut cluster = Cluster::start(5);
     cluster.open_step(&[0, 1, 2, 3, 4]);
-    let first = cluster.pull(3, 1);
+    let first = cluster.first_batch(3);
     assert_eq!(first.status, 200, "{first:?}");
     cluster.kill(4);
     cluster.wait("the copies of entry 4 are restored", || {
@@ -267,7 +279,7 @@
     // elsewhere.
     let mut cluster = Cluster::start(3);
     cluster.open_step(&[0, 1, 2]);
-    let first = cluster.pull(0, 1);
+    let first = cluster.first_batch(0);
     assert_eq!(first.status, 200, "{first:?}");
     for entry in 0..3 {
         assert!(cluster.processes[1 + entry].stop(WAIT_TIMEOUT).unwrap());
@@ -287,7 +299,7 @@
     // that do not answer, and must not fail at the first one.
     let mut cluster = Cluster::start(3);
     cluster.open_step(&[0, 1, 2]);
-    let first = cluster.pull(0, 1);
+    let first = cluster.first_batch(0);
     assert_eq!(first.status, 200, "{first:?}");
     cluster.kill(1);
     cluster.kill(2);
