Grants: a host that reports after its run was moved holds no call up

Callers saw: a scorer's call made nowhere until its sample was too old. A host lost its connection, its sample was ordered elsewhere, the host came back within a second and reported which endpoint it had called; then the route of the call was changed.

Cause: the cost of a sample counted hosts that the leader noticed as lost. A host that came back lowered that count only if its sample had not been ordered elsewhere. So the endpoint that it reported and two that it might have called counted, three of three.

Weighed: (1) runs whose calls are not known, by run id, each with the number of endpoints that it may have called without having reported so; (2) the same two endpoints for all hosts of a call, others only at the leader's word. (2) knows the endpoints by name and does not grow with the hosts that are lost, but a call whose two endpoints are slow would wait for the leader before the third, and grants in existing logs name three. (1) is built: the number of a run only decreases, so what several processes know merges into the lowest, a count cannot come back from a job or the log, and a leader that is new adds at most one run, until the host of that run reports.

Change: Cost::open_runs in place of Cost::lost_hosts. Every run that is taken away before its host reported for the last time is open, also one that was moved or silent. Each report about it lowers its number, the last one to zero, and the grant of the call is looked at again.

After: the test passes; a_last_report_about_a_moved_run_extends_the_grant is new, and a_host_that_reports_to_each_leader_is_not_counted_as_lost and a_host_that_was_lost_before_its_step_ended_counts_for_the_next_leader, which held before, hold.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod endpoint;
 pub mod grant;
 pub mod heartbeats;
+pub mod open_runs;
 pub mod order_lease;
 pub mod pick;
 pub mod plan;
--- a/components/fleet/src/plan/assign.rs
+++ b/components/fleet/src/plan/assign.rs
@@ -142,6 +142,9 @@
         self.run = assignment.run;
         self.host = None;
         self.claimable = false;
+        self.called_before.clone_from(&self.cost.scorer.endpoints);
+        self.calls_reported = 0;
+        self.run_closed = false;
         self.failures_before = self.cost.failures;
         self.started = assignment.started;
         self.last_event = assignment.started;
--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -9,6 +9,7 @@
 mod checkpoints;
 mod engine;
 mod listing;
+mod open_runs;
 mod reassign;
 mod reports;
 mod samples;
@@ -42,6 +43,7 @@
 pub use samples::RunEnd;
 pub use samples::SampleOutput;
 
+use open_runs::OpenRun;
 use samples::Phase;
 use samples::Progress;
 use samples::StepPlan;
@@ -53,6 +55,8 @@
 /// Schedules the samples of all open steps on the engines.
 #[derive(Default)]
 pub struct Planner {
+    /// The epoch of the leader.
+    epoch: Epoch,
     steps: BTreeMap<String, StepPlan>,
     engines: BTreeMap<String, EngineState>,
     /// Median milliseconds between events of the engines; zero before the first measurement.
@@ -65,6 +69,8 @@
     unreported_hosts: BTreeSet<String>,
     /// Costs of samples that may be submitted again, with the time at which their step was closed.
     past_costs: BTreeMap<String, (Cost, Millis)>,
+    /// Runs that were taken away from their hosts, by id.
+    open_runs: BTreeMap<u64, OpenRun>,
     policy: Policy,
     /// Engines examined so far.
     visits: Cell<u64>,
@@ -73,7 +79,7 @@
 impl Planner {
     /// Creates the planner of a leader. Run ids contain the epoch, so they differ between leaders.
     pub fn new(epoch: Epoch) -> Self {
-        Self { last_run: epoch.0 << 32, ..Self::default() }
+        Self { epoch, last_run: epoch.0 << 32, ..Self::default() }
     }
 
     /// Sets which scheduling mechanisms are enabled.
@@ -98,9 +104,8 @@
             let past = self.past_costs.get(&step.samples[index as usize].id);
             let phase = if listed(index) { Phase::Settled } else { Phase::Waiting };
             let claimable = held > Millis::default();
-            let mut cost = past.map(|(cost, _)| cost.clone()).unwrap_or_default();
-            // Until a host reports the sample, its host may have been lost with the leader.
-            cost.lost_hosts += u32::from(claimable);
+            let has_scorer = step.samples[index as usize].scorer.is_some();
+            let cost = past.map(|(cost, _)| cost.clone()).unwrap_or_default();
             Progress {
                 phase,
                 engine: None,
@@ -109,6 +114,11 @@
                 avoided_engine: None,
                 claimable,
                 reported: false,
+                has_scorer,
+                inherited: claimable && has_scorer && phase == Phase::Waiting,
+                called_before: BTreeSet::new(),
+                calls_reported: 0,
+                run_closed: false,
                 started: at,
                 last_event: at,
                 output: SampleOutput::default(),
--- /dev/null
+++ b/components/fleet/src/plan/open_runs.rs
@@ -0,0 +1,152 @@
+//! Tracks runs that were taken away from their hosts, until these report for the last time.
+//!
+//! A host reports each endpoint that it calls, but the report may be lost or still on its way when the
+//! run is taken away. The endpoints that it may have called meanwhile count against the limit of the
+//! call ([`crate::open_runs`]).
+
+use std::collections::BTreeSet;
+
+use super::Planner;
+use super::samples::Phase;
+use super::samples::Progress;
+use crate::open_runs::MAX_UNREPORTED_CALLS;
+use crate::open_runs::OpenRuns;
+use crate::run::RunReport;
+use crate::run::RunStatus;
+
+/// A run that was taken away from its host, which may still report what it called.
+pub(super) struct OpenRun {
+    /// The step of the run.
+    pub(super) step: String,
+    /// The index of the sample in the step.
+    pub(super) index: u32,
+    /// The endpoints that were known to have been called when the run was ordered.
+    pub(super) called_before: BTreeSet<String>,
+}
+
+impl OpenRun {
+    /// Returns how many endpoints the run may have called without having reported so. The report
+    /// contains all endpoints that it has called, and those that it knew of before.
+    fn unreported_calls(&self, report: &RunReport) -> u32 {
+        if report.status.is_final() {
+            return 0;
+        }
+        let called = report.cost.scorer.endpoints.difference(&self.called_before).count();
+        MAX_UNREPORTED_CALLS.saturating_sub(called as u32)
+    }
+}
+
+impl Progress {
+    /// Returns the id of the run that the sample has now, if any.
+    fn current_run(&self) -> Option<u64> {
+        let is_active = matches!(self.phase, Phase::Running | Phase::Scoring);
+        is_active.then_some(self.run)
+    }
+
+    /// Records what the current run has reported about its calls.
+    pub(super) fn record_calls(&mut self, report: &RunReport) {
+        let called = report.cost.scorer.endpoints.difference(&self.called_before).count();
+        self.calls_reported = self.calls_reported.max(called as u32);
+        self.run_closed |= report.status.is_final();
+        if self.run_closed && self.cost.open_runs.contains(self.run) {
+            self.cost.open_runs.limit(self.run, 0);
+        }
+    }
+
+    /// Takes the current run away from its host. Returns it if the host may have called endpoints
+    /// without having reported so.
+    pub(super) fn open_run(&mut self, step: &str, index: u32) -> Option<OpenRun> {
+        if !self.has_scorer || self.run_closed {
+            return None;
+        }
+        let calls = MAX_UNREPORTED_CALLS.saturating_sub(self.calls_reported);
+        self.cost.open_runs.limit(self.run, calls);
+        let called_before = self.called_before.clone();
+        Some(OpenRun { step: step.to_owned(), index, called_before })
+    }
+
+    /// Returns whether a report reveals the run that an earlier leader ordered last. The log contains
+    /// all open runs before the next one is ordered, so it contains none that is newer. A run that has
+    /// ended at its host may have been followed by another one.
+    fn is_inherited(&self, report: &RunReport, marker: u64) -> bool {
+        self.inherited
+            && report.run < marker
+            && !matches!(report.status, RunStatus::Ended(_))
+            && self.cost.open_runs.newest_except(marker).is_none_or(|newest| newest < report.run)
+    }
+
+    /// Records whether a report reveals the run that an earlier leader ordered last. Returns it in that
+    /// case, as the host may have called endpoints that it has not reported yet.
+    pub(super) fn find_inherited(&mut self, report: &RunReport, marker: u64) -> Option<OpenRun> {
+        if !self.is_inherited(report, marker) {
+            return None;
+        }
+        self.inherited = false;
+        if self.cost.open_runs.contains(marker) {
+            self.cost.open_runs.limit(marker, 0);
+        }
+        let called_before = self.cost.scorer.endpoints.clone();
+        Some(OpenRun { step: report.step.clone(), index: report.index, called_before })
+    }
+
+    /// Makes a run of an earlier leader, or one whose host was disconnected, the current run.
+    pub(super) fn adopt_run(&mut self, host: &str, report: &RunReport, called: BTreeSet<String>) {
+        self.phase = Phase::Running;
+        self.engine = Some(report.endpoint.clone());
+        self.host = Some(host.to_owned());
+        self.run = report.run;
+        self.called_before = called;
+        self.calls_reported = 0;
+        self.run_closed = false;
+        self.cost.crashes = report.cost.crashes;
+        self.cost.losses = report.cost.losses;
+        self.failures_before = report.cost.failures;
+    }
+}
+
+impl Planner {
+    /// Returns the id that stands for a run of an earlier leader until its host reports it. It is older
+    /// than the runs of this leader and newer than those of earlier ones.
+    pub(super) fn inherited_run(&self) -> u64 {
+        self.epoch.0 << 32
+    }
+
+    /// Returns how many endpoints hosts may have called for a sample without having reported so, not
+    /// counting the host of its current run.
+    pub fn unreported_calls(&self, step: &str, index: u32) -> usize {
+        let planned = self.steps.get(step);
+        let Some(progress) = planned.and_then(|planned| planned.progress.get(index as usize))
+        else {
+            return 0;
+        };
+        let open = self.all_open_runs(progress);
+        open.calls_except(progress.current_run().unwrap_or_default())
+    }
+
+    /// Returns the open runs of a sample, including one of an earlier leader that is not known.
+    fn all_open_runs(&self, progress: &Progress) -> OpenRuns {
+        let mut open = progress.cost.open_runs.clone();
+        if progress.inherited {
+            open.limit(self.inherited_run(), MAX_UNREPORTED_CALLS);
+        }
+        open
+    }
+
+    /// Records what a host reports about a run that was taken away from it. Returns the sample, as step
+    /// and index, if fewer endpoints than before may have been called without being reported.
+    pub fn record_late_calls(&mut self, report: &RunReport) -> Option<(String, u32)> {
+        let run = self.open_runs.get(&report.run)?;
+        let calls = run.unreported_calls(report);
+        let (step, index) = (run.step.clone(), run.index);
+        let progress = self.steps.get_mut(&step)?.progress.get_mut(index as usize)?;
+        if progress.current_run() == Some(report.run) {
+            return None;
+        }
+        progress.cost.merge(&report.cost);
+        progress.cost.open_runs.limit(report.run, calls);
+        if report.status.is_final() {
+            self.open_runs.remove(&report.run);
+        }
+        Some((step, index))
+    }
+}
--- a/components/fleet/src/plan/reports.rs
+++ b/components/fleet/src/plan/reports.rs
@@ -62,34 +62,31 @@
 impl Planner {
     /// Records a report of a host about a run and returns how the host proceeds.
     pub fn record_report(&mut self, host: &str, report: &RunReport, now: Millis) -> ReportAction {
+        let marker = self.inherited_run();
         let Some(planned) = self.steps.get_mut(&report.step) else { return ReportAction::Stop };
         let Some(progress) = planned.progress.get_mut(report.index as usize) else {
             return ReportAction::Stop;
         };
+        let active = matches!(progress.phase, Phase::Running | Phase::Scoring);
+        let same_run = progress.host.as_deref() == Some(host) && progress.run == report.run;
         let unclaimed = progress.phase == Phase::Waiting && progress.claimable;
-        if unclaimed && report.from == 0 {
-            // The host was not lost: it reports what it called.
-            progress.cost.lost_hosts = progress.cost.lost_hosts.saturating_sub(1);
+        let is_deferred = unclaimed && report.from > 0;
+        if !is_deferred && let Some(open) = progress.find_inherited(report, marker) {
+            self.open_runs.insert(report.run, open);
         }
+        let known_calls = unclaimed.then(|| progress.cost.scorer.endpoints.clone());
         progress.cost.merge(&report.cost);
         progress.deadline = progress.deadline.min(now + report.remaining_ms);
-        let active = matches!(progress.phase, Phase::Running | Phase::Scoring);
-        let same_run = progress.host.as_deref() == Some(host) && progress.run == report.run;
-        if unclaimed && report.from > 0 {
+        if is_deferred {
             // The report was sent before the host was asked for its complete output. Stopping the
             // run now would make it start again and lose its output.
             return ReportAction::Defer;
         }
-        if unclaimed {
+        if let Some(known_calls) = known_calls {
             // The run was started under the previous leader and is new to this one.
             planned.waiting -= 1;
-            progress.phase = Phase::Running;
-            progress.engine = Some(report.endpoint.clone());
-            progress.host = Some(host.to_owned());
-            progress.run = report.run;
-            progress.cost.crashes = report.cost.crashes;
-            progress.cost.losses = report.cost.losses;
-            progress.failures_before = report.cost.failures;
+            let known = self.open_runs.remove(&report.run).map(|run| run.called_before);
+            progress.adopt_run(host, report, known.unwrap_or(known_calls));
             progress.started = now;
             if let Some(engine) = self.engines.get_mut(&report.endpoint) {
                 *engine.running.entry(planned.step.model.clone()).or_default() += 1;
@@ -97,6 +94,7 @@
         } else if !active || !same_run {
             return ReportAction::Stop;
         }
+        progress.record_calls(report);
         progress.reported = true;
         let known_events = progress.output.events.len();
         if !report.append_to(&mut progress.output) {
@@ -156,18 +154,19 @@
     /// Returns the active runs of a host for which `is_lost` is true to the queue.
     fn orphan_runs_if(&mut self, host: &str, is_lost: impl Fn(&Progress) -> bool) -> usize {
         let mut orphaned = Vec::new();
-        for planned in self.steps.values_mut() {
-            for progress in &mut planned.progress {
+        for (step, planned) in &mut self.steps {
+            for (index, progress) in planned.progress.iter_mut().enumerate() {
                 let active = matches!(progress.phase, Phase::Running | Phase::Scoring);
                 if !active || progress.host.as_deref() != Some(host) || !is_lost(progress) {
                     continue;
                 }
                 let was_running = progress.phase == Phase::Running;
+                let open = progress.open_run(step, index as u32);
+                self.open_runs.extend(open.map(|open| (progress.run, open)));
                 orphaned.push((was_running, progress.engine.take(), planned.step.model.clone()));
                 progress.phase = Phase::Waiting;
                 progress.host = None;
                 progress.claimable = true;
-                progress.cost.lost_hosts += 1;
                 planned.waiting += 1;
             }
         }
@@ -188,6 +187,11 @@
             return AfterRun::Nothing;
         }
         let engine = progress.engine.clone();
+        // An order that came too late was not executed.
+        if end != RunEnd::Late {
+            let open = progress.open_run(step, index);
+            self.open_runs.extend(open.map(|open| (progress.run, open)));
+        }
         progress.host = None;
         progress.avoided_engine = None;
         match end {
--- a/components/fleet/src/plan/samples.rs
+++ b/components/fleet/src/plan/samples.rs
@@ -1,5 +1,6 @@
 //! Samples of open steps: their output and their state.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -134,6 +135,16 @@
     pub(super) claimable: bool,
     /// Whether the host has reported the run since it last connected.
     pub(super) reported: bool,
+    /// Whether a scorer is called for the sample.
+    pub(super) has_scorer: bool,
+    /// Whether an earlier leader may have ordered a run that this one does not know.
+    pub(super) inherited: bool,
+    /// The endpoints that were known to have been called when the current run was ordered.
+    pub(super) called_before: BTreeSet<String>,
+    /// The number of further endpoints that the current run has reported to call.
+    pub(super) calls_reported: u32,
+    /// Whether the host has reported the current run for the last time, or never got it.
+    pub(super) run_closed: bool,
     /// When the current run was assigned.
     pub(super) started: Millis,
     /// When the last new event was reported.
--- a/components/fleet/src/run.rs
+++ b/components/fleet/src/run.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use crate::grant::Grant;
+use crate::open_runs::OpenRuns;
 use crate::plan::RunEnd;
 use crate::plan::SampleOutput;
 use crate::step::Sample;
@@ -60,10 +61,9 @@
     /// contain only the endpoints that a host found to have ended.
     #[serde(default)]
     pub grant: Grant,
-    /// Hosts that were lost with a run of the sample. Each of them may have called endpoints that it
-    /// did not report.
+    /// Runs that were taken away from their hosts before these reported for the last time.
     #[serde(default)]
-    pub lost_hosts: u32,
+    pub open_runs: OpenRuns,
 }
 
 impl Cost {
@@ -71,7 +71,7 @@
     /// may have reset.
     pub fn merge(&mut self, other: &Self) {
         self.failures = self.failures.max(other.failures);
-        self.lost_hosts = self.lost_hosts.max(other.lost_hosts);
+        self.open_runs.merge(&other.open_runs);
         self.unfit |= other.unfit;
         self.scorer.merge(&other.scorer);
         self.grant.merge(&other.grant);
@@ -177,6 +177,14 @@
 }
 
 impl RunStatus {
+    /// Returns whether the run has ended at its host, which calls nothing for it any more.
+    pub fn is_final(&self) -> bool {
+        match self {
+            Self::Running | Self::Scoring => false,
+            Self::Ended(_) | Self::Finished(_) | Self::Unscored => true,
+        }
+    }
+
     /// Returns whether a host may forget a run that no leader has asked for, `idle_ms` after its last
     /// event. While its scorer is being called, the run is wanted until its time limit has passed.
     pub fn is_forgettable(&self, idle_ms: u64, left_ms: u64) -> bool {
--- a/components/node/src/leader/grants.rs
+++ b/components/node/src/leader/grants.rs
@@ -10,7 +10,6 @@
 use chicoryford_fleet::Grant;
 use chicoryford_fleet::Step;
 use chicoryford_fleet::endpoint;
-use chicoryford_fleet::grant::NEEDED_ENDPOINTS;
 use chicoryford_fleet::grant::Standing;
 use chicoryford_fleet::run::Cost;
 use chicoryford_fleet::run::HostCommand;
@@ -63,6 +62,9 @@
     /// Extends the grant of a sample whose scorer is being called if too few of its endpoints are
     /// usable. The log records the extension before the host receives it.
     pub(super) fn extend_grant(self: &Rc<Self>, step: &str, index: u32) {
+        if !self.plan.borrow().is_scoring(step, index) {
+            return;
+        }
         let Some((sample, mut cost, added)) = self.missing_endpoints(step, index) else { return };
         if !self.extending.borrow_mut().insert(sample.clone()) {
             return;
@@ -94,16 +96,14 @@
         let is_former = |id: &str| {
             registry.get(id).is_some_and(|known| !route.leads_to(&known.announcement.service))
         };
-        // Hosts report the endpoints that they call, but a lost host may have called some of the
-        // former service without reporting them. Its call may still run there.
+        // Hosts report the endpoints that they call, but one whose run was taken away may have called
+        // some of the former service without having reported so. Its call may still run there.
         let uncalled = grant
             .endpoints
             .iter()
             .filter(|id| grant.allows(id) && is_former(id) && !cost.scorer.endpoints.contains(*id));
-        let unreported: BTreeSet<&str> = uncalled
-            .map(String::as_str)
-            .take(NEEDED_ENDPOINTS * cost.lost_hosts as usize)
-            .collect();
+        let unreported: BTreeSet<&str> =
+            uncalled.map(String::as_str).take(plan.unreported_calls(step, index)).collect();
         let standing = |id: &str| {
             let known = registry.get(id);
             let serves = known.is_some_and(|known| route.leads_to(&known.announcement.service));
--- a/components/node/src/leader/runs.rs
+++ b/components/node/src/leader/runs.rs
@@ -137,6 +137,10 @@
         self.record_ended(&report.cost.grant.ended);
         let was_scoring = self.plan.borrow().is_scoring(step, index);
         let action = self.plan.borrow_mut().record_report(host, report, clock::now());
+        let late = self.plan.borrow_mut().record_late_calls(report);
+        if let Some((step, index)) = late {
+            self.extend_grant(&step, index);
+        }
         match action {
             ReportAction::Continue => {}
             ReportAction::Stop => {
--- a/components/node/tests/leader/grants.rs
+++ b/components/node/tests/leader/grants.rs
@@ -14,10 +14,13 @@
 use chicoryford_fleet::Service;
 use chicoryford_fleet::Share;
 use chicoryford_fleet::Step;
+use chicoryford_fleet::plan::RunEnd;
+use chicoryford_fleet::run::CallCost;
 use chicoryford_fleet::run::Cost;
 use chicoryford_fleet::run::HostCommand;
 use chicoryford_fleet::run::Job;
 use chicoryford_fleet::run::RunReport;
+use chicoryford_fleet::run::RunStatus;
 use chicoryford_node::clock;
 use chicoryford_node::frame::decode;
 use chicoryford_node::frame::encode;
@@ -30,9 +33,11 @@
 
 use crate::fleet::Fleet;
 use crate::fleet::config_with_desk;
+use crate::fleet::pause;
 use crate::fleet::scoring_report;
 use crate::fleet::step;
 use crate::fleet::wait_until;
+use crate::member::Member;
 use crate::member::Socket;
 use crate::member::StoredParts;
 use crate::member::connect_store;
@@ -43,6 +48,12 @@
 
 /// The maximum number of endpoints of a call, as in the configuration.
 const ATTEMPTS: usize = 3;
+/// The endpoints of the service to which the scorers' calls are routed at first.
+const DESKS: [&str; 5] = ["d1", "d2", "d3", "d4", "d5"];
+/// The endpoints of the service to which their route is changed.
+const OTHERS: [&str; 3] = ["o1", "o2", "o3"];
+/// Milliseconds within which a grant is in the log after a report, many times as long as a commit.
+const GRANT_MS: u64 = 400;
 
 /// Returns a step whose sample has a scorer at the desk.
 fn scored_step(id: &str) -> Arc<Step> {
@@ -72,7 +83,7 @@
 pub async fn fleet() -> Fleet {
     let fleet = Fleet::start().await;
     configure(&fleet, config_with_desk(2)).await;
-    announce_desks(&fleet, &["d1", "d2", "d3", "d4", "d5"]).await;
+    announce_desks(&fleet, &DESKS).await;
     announce_engine(&fleet).await;
     fleet
 }
@@ -112,6 +123,15 @@
     tokio::time::timeout(Duration::from_secs(5), received).await.expect("an order")
 }
 
+/// Waits until a host is ordered to stop a run.
+async fn receive_stop(socket: &mut Socket, stopped: u64) {
+    receive(socket, |work| match work {
+        HostCommand::Stop { run, .. } => (run == stopped).then_some(()),
+        _ => None,
+    })
+    .await;
+}
+
 pub async fn receive_job(socket: &mut Socket) -> Job {
     receive(socket, |work| match work {
         HostCommand::Run(job) => Some(*job),
@@ -264,3 +284,139 @@
     // One call and its hedge may be on their way at the lost host.
     assert!(added + 2 <= ATTEMPTS, "{added} endpoints were granted beside those of the lost host");
 }
+
+/// Changes the route of the scorers' calls to another service, whose endpoints are `ids`.
+async fn change_route(fleet: &Fleet, ids: &[&str]) {
+    let before = config_with_desk(3);
+    let shares = vec![Share { service: "other".to_owned(), weight: 1 }];
+    let routes = vec![before.routes[0].clone(), Route { shares, ..before.routes[1].clone() }];
+    let mut services = before.services.clone();
+    services.push(Service { name: "other".to_owned(), ..Service::default() });
+    configure(fleet, Config { routes, services, ..before }).await;
+    for id in ids {
+        announce(fleet, Announcement { service: "other".to_owned(), ..desk(id) }).await;
+    }
+}
+
+/// Returns the report of a host that is calling these endpoints.
+fn calling(job: &Job, endpoints: &[&str]) -> RunReport {
+    let endpoints = endpoints.iter().map(|id| (*id).to_owned()).collect();
+    let scorer = CallCost { endpoints, ..job.cost.scorer.clone() };
+    RunReport { cost: Cost { scorer, ..job.cost.clone() }, ..scoring(job) }
+}
+
+async fn send_report(host: &mut Socket, report: RunReport) {
+    host.send(encode(&MemberMessage::Report(report))).await.unwrap();
+}
+
+/// Returns how many endpoints of the other service the sample is granted once its host has reported
+/// that it calls the scorer.
+async fn granted_others(fleet: &Fleet, host: &mut Socket, job: &Job) -> usize {
+    send_report(host, scoring(job)).await;
+    let leader = fleet.leader();
+    wait_until("the scorer is called", || leader.plan.borrow().is_scoring(&job.step, 0)).await;
+    // A grant is in the log before a host receives it.
+    pause(GRANT_MS).await;
+    others_in_log(fleet)
+}
+
+fn others_in_log(fleet: &Fleet) -> usize {
+    let state = fleet.replica.state();
+    let known = state.costs.get("s").map(|known| &known.cost.grant);
+    known.map_or(0, |grant| grant.endpoints.iter().filter(|id| id.starts_with('o')).count())
+}
+
+/// Announces all endpoints to a new leader, connects the store from which it reads step "a", and
+/// returns the store.
+async fn read_step(fleet: &Fleet, parts: &StoredParts) -> Member {
+    let leader = fleet.leader();
+    announce_desks(fleet, &DESKS).await;
+    announce_engine(fleet).await;
+    let store = fleet.store(parts).await;
+    wait_until("the step is read", || leader.plan.borrow().has_step("a")).await;
+    store
+}
+
+/// Guards against the loss of a host being forgotten with the step in which it was noticed, also by
+/// the next leader.
+#[actix_rt::test]
+async fn a_host_that_was_lost_before_its_step_ended_counts_for_the_next_leader() {
+    let (fleet, parts) = (fleet().await, StoredParts::default());
+    let store = fleet.store(&parts).await;
+    submit(&fleet, "a").await;
+    receive_job(&mut connect_host(&fleet, "h1").await).await;
+    let leader = fleet.leader();
+    wait_until("the loss is noticed", || leader.plan.borrow().host("a", 0).is_none()).await;
+    fleet.end("a").await;
+    drop(store);
+    fleet.next_leader();
+    announce_desks(&fleet, &DESKS).await;
+    announce_engine(&fleet).await;
+    let _store = fleet.store(&parts).await;
+    change_route(&fleet, &OTHERS).await;
+    submit(&fleet, "b").await;
+    let mut host = connect_host(&fleet, "h2").await;
+    let job = receive_job(&mut host).await;
+    assert_eq!(granted_others(&fleet, &mut host, &job).await, ATTEMPTS - 2);
+}
+
+/// A host loses its connection for a moment, and its sample is ordered elsewhere. Guards against a
+/// call that is made nowhere although the host has reported which endpoint it called.
+#[actix_rt::test]
+async fn a_host_that_reports_after_its_run_was_moved_holds_no_call_up() {
+    let (fleet, parts) = (fleet().await, StoredParts::default());
+    let _store = fleet.store(&parts).await;
+    submit(&fleet, "a").await;
+    let first = receive_job(&mut connect_host(&fleet, "h1").await).await;
+    let mut host = connect_host(&fleet, "h2").await;
+    let job = receive_job(&mut host).await;
+    let mut returned = connect_store(fleet.links, "h1").await;
+    let called = granted(&first).into_iter().next().unwrap();
+    send_report(&mut returned, calling(&first, &[&called])).await;
+    receive_stop(&mut returned, first.run).await;
+    change_route(&fleet, &OTHERS).await;
+    // The endpoint that it reported, and one that it may have called before it was stopped.
+    assert_eq!(granted_others(&fleet, &mut host, &job).await, ATTEMPTS - 2);
+}
+
+/// Guards against a call that is not made at further endpoints once the host whose run was moved has
+/// reported for the last time.
+#[actix_rt::test]
+async fn a_last_report_about_a_moved_run_extends_the_grant() {
+    let (fleet, parts) = (fleet().await, StoredParts::default());
+    let _store = fleet.store(&parts).await;
+    submit(&fleet, "a").await;
+    let first = receive_job(&mut connect_host(&fleet, "h1").await).await;
+    let mut host = connect_host(&fleet, "h2").await;
+    let job = receive_job(&mut host).await;
+    change_route(&fleet, &OTHERS).await;
+    assert_eq!(granted_others(&fleet, &mut host, &job).await, ATTEMPTS - 2);
+    let mut returned = connect_store(fleet.links, "h1").await;
+    let called = granted(&first).into_iter().next().unwrap();
+    let status = RunStatus::Ended(RunEnd::Taken);
+    send_report(&mut returned, RunReport { status, ..calling(&first, &[&called]) }).await;
+    wait_until("the grant is extended", || others_in_log(&fleet) == ATTEMPTS - 1).await;
+}
+
+/// Guards against a host that is counted as lost by each leader although it reports to all of them.
+#[actix_rt::test]
+async fn a_host_that_reports_to_each_leader_is_not_counted_as_lost() {
+    let (fleet, parts) = (fleet().await, StoredParts::default());
+    let mut store = fleet.store(&parts).await;
+    submit(&fleet, "a").await;
+    let mut host = connect_host(&fleet, "h1").await;
+    let job = receive_job(&mut host).await;
+    for _ in 0..3 {
+        drop((host, store));
+        fleet.next_leader();
+        host = connect_store(fleet.links, "h1").await;
+        send_heartbeat(&mut host).await;
+        store = read_step(&fleet, &parts).await;
+        send_report(&mut host, scoring(&job)).await;
+        host.send(encode(&MemberMessage::Reported)).await.unwrap();
+        let leader = fleet.leader();
+        wait_until("the run is known", || leader.plan.borrow().is_scoring("a", 0)).await;
+    }
+    change_route(&fleet, &OTHERS).await;
+    assert_eq!(granted_others(&fleet, &mut host, &job).await, ATTEMPTS);
+}
