Leader: open runs are in the log before their samples are ordered again

Callers saw: a scorer's call at 4 endpoints of 3. A host was lost with the call, the sample was ordered at the next host, that one was lost together with the leader, and the route of the call was changed.

Cause: the loss of the first host was known to the leader only; the log learned of it if something else of the cost was recorded. The next leader knew of one run that it had not ordered itself, where there were two.

Weighed: (1) recording each order before it is sent: exact, but a commit for each of thousands of runs; (2) recording the open runs of a sample before it is ordered again: then at most the newest order is not in the log, and the next leader counts it as one run until its host reports. (2) is built. A sample whose open runs are not logged is held back for one commit; samples that are held back at the same time share a command.

A record of costs now looks at each open sample once, not once for each cost.

--- a/components/fleet/src/plan/assign.rs
+++ b/components/fleet/src/plan/assign.rs
@@ -7,6 +7,7 @@
 use super::Planner;
 use super::candidates::Candidates;
 use super::engine::EngineState;
+use super::open_runs::are_runs_logged;
 use super::samples::Assignment;
 use super::samples::Phase;
 use super::samples::Progress;
@@ -26,6 +27,7 @@
     /// over engines with the same load.
     pub fn assign(&mut self, config: &Config, now: Millis) -> Vec<Assignment> {
         let mut assignments = Vec::new();
+        self.unlogged_samples.clear();
         let waiting =
             self.steps.values().filter(|planned| planned.waiting > 0 && planned.held_until <= now);
         let mut order: Vec<(u32, Millis, String)> = waiting
@@ -63,6 +65,7 @@
         now: Millis,
         assignments: &mut Vec<Assignment>,
     ) {
+        let marker = self.inherited_run();
         let Some(planned) = self.steps.get_mut(id) else { return };
         let step = planned.step.clone();
         let median_pace = if self.policy.engine_paces { self.median_pace_ms } else { 0.0 };
@@ -74,6 +77,12 @@
             if progress.phase == Phase::Waiting && progress.blocked_until > now {
                 continue;
             }
+            if progress.phase == Phase::Waiting
+                && !are_runs_logged(sample, progress, &self.past_costs, marker)
+            {
+                self.unlogged_samples.push((id.to_owned(), *index));
+                continue;
+            }
             if progress.phase == Phase::Waiting {
                 waiting.extend(config.find(&step.host, &sample.path).map(|route| (*index, route)));
             } else if let (Some(engine), false) = (&progress.engine, sample.group.is_empty()) {
--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -52,6 +52,16 @@
 /// all slots in use is about a tenth slower than an idle one, so this ratio indicates a fault.
 const SLOW_RATIO: f64 = 2.0;
 
+/// The cost of a sample beyond its step.
+#[derive(Default)]
+struct PastCost {
+    cost: Cost,
+    /// When it was recorded, or when its step was closed.
+    at: Millis,
+    /// The open runs that the log contains.
+    logged_runs: BTreeSet<u64>,
+}
+
 /// Schedules the samples of all open steps on the engines.
 #[derive(Default)]
 pub struct Planner {
@@ -67,10 +77,12 @@
     last_run: u64,
     /// Hosts that were asked for their runs and have not reported yet.
     unreported_hosts: BTreeSet<String>,
-    /// Costs of samples that may be submitted again, with the time at which their step was closed.
-    past_costs: BTreeMap<String, (Cost, Millis)>,
+    /// Costs of samples that were recorded, or that may be submitted again.
+    past_costs: BTreeMap<String, PastCost>,
     /// Runs that were taken away from their hosts, by id.
     open_runs: BTreeMap<u64, OpenRun>,
+    /// Samples that the last assignment held back until their open runs are logged, as step and index.
+    unlogged_samples: Vec<(String, u32)>,
     policy: Policy,
     /// Engines examined so far.
     visits: Cell<u64>,
@@ -105,7 +117,7 @@
             let phase = if listed(index) { Phase::Settled } else { Phase::Waiting };
             let claimable = held > Millis::default();
             let has_scorer = step.samples[index as usize].scorer.is_some();
-            let cost = past.map(|(cost, _)| cost.clone()).unwrap_or_default();
+            let cost = past.map(|past| past.cost.clone()).unwrap_or_default();
             Progress {
                 phase,
                 engine: None,
@@ -158,8 +170,11 @@
         let unfinished = self.unfinished_costs(step);
         let Some(planned) = self.steps.remove(step) else { return Vec::new() };
         let mut hosted = Vec::new();
-        self.past_costs.retain(|_, (_, at)| now.since(*at) < COST_TTL_MS);
-        self.past_costs.extend(unfinished.into_iter().map(|(id, cost)| (id, (cost, now))));
+        self.past_costs.retain(|_, past| now.since(past.at) < COST_TTL_MS);
+        for (id, cost) in unfinished {
+            let past = self.past_costs.entry(id).or_default();
+            *past = PastCost { cost, at: now, logged_runs: std::mem::take(&mut past.logged_runs) };
+        }
         for (index, progress) in planned.progress.into_iter().enumerate() {
             if progress.phase == Phase::Running {
                 self.release_slot(progress.engine.as_deref(), &planned.step.model);
@@ -205,16 +220,21 @@
     /// have to be informed, as step and index: those whose grant was extended, or whose scorer's call
     /// has failed.
     pub fn restore_costs(&mut self, costs: &[(String, Cost)], now: Millis) -> Vec<(String, u32)> {
-        let mut granted = Vec::new();
         for (id, cost) in costs {
-            let past = self.past_costs.entry(id.clone()).or_insert_with(|| (cost.clone(), now));
-            past.0.merge(cost);
-            past.1 = now;
-            for (step, planned) in &mut self.steps {
-                let mut samples = planned.step.samples.iter();
-                let Some(index) = samples.position(|sample| sample.id == *id) else { continue };
+            let past = self.past_costs.entry(id.clone());
+            let past =
+                past.or_insert_with(|| PastCost { cost: cost.clone(), ..PastCost::default() });
+            past.cost.merge(cost);
+            past.logged_runs.extend(cost.open_runs.open());
+            past.at = now;
+        }
+        let costs: BTreeMap<&str, &Cost> = costs.iter().map(|(id, cost)| (&**id, cost)).collect();
+        let mut granted = Vec::new();
+        for (step, planned) in &mut self.steps {
+            for (index, sample) in planned.step.samples.iter().enumerate() {
+                let Some(cost) = costs.get(sample.id.as_str()) else { continue };
                 let progress = &mut planned.progress[index];
-                let Some(scorer) = &planned.step.samples[index].scorer else { continue };
+                let Some(scorer) = &sample.scorer else { continue };
                 let before = Grant::of(scorer, &progress.cost.grant);
                 progress.cost.merge(cost);
                 let is_extended = Grant::of(scorer, &progress.cost.grant) != before;
--- a/components/fleet/src/plan/open_runs.rs
+++ b/components/fleet/src/plan/open_runs.rs
@@ -4,15 +4,23 @@
 //! run is taken away. The endpoints that it may have called meanwhile count against the limit of the
 //! call ([`crate::open_runs`]).
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use super::PastCost;
 use super::Planner;
 use super::samples::Phase;
 use super::samples::Progress;
 use crate::open_runs::MAX_UNREPORTED_CALLS;
 use crate::open_runs::OpenRuns;
+use crate::run::Cost;
 use crate::run::RunReport;
 use crate::run::RunStatus;
+use crate::step::Sample;
+
+/// The maximum number of costs in one command. After a change of leader, thousands of samples may
+/// wait, and larger commands would delay the others.
+const MAX_LOGGED_COSTS: usize = 1_000;
 
 /// A run that was taken away from its host, which may still report what it called.
 pub(super) struct OpenRun {
@@ -104,6 +112,22 @@
     }
 }
 
+/// Returns whether the log contains all open runs of a sample, so that it may be ordered. `marker` is
+/// the run that stands for an unknown one.
+pub(super) fn are_runs_logged(
+    sample: &Sample,
+    progress: &Progress,
+    past_costs: &BTreeMap<String, PastCost>,
+    marker: u64,
+) -> bool {
+    if progress.inherited && !progress.cost.open_runs.contains(marker) {
+        return false;
+    }
+    let past = || past_costs.get(&sample.id);
+    let is_logged = |run| past().is_some_and(|past| past.logged_runs.contains(&run));
+    progress.cost.open_runs.open().all(is_logged)
+}
+
 impl Planner {
     /// Returns the id that stands for a run of an earlier leader until its host reports it. It is older
     /// than the runs of this leader and newer than those of earlier ones.
@@ -132,6 +156,19 @@
         open
     }
 
+    /// Returns the costs of samples that the last assignment held back because the log does not contain
+    /// all of their open runs. If they were ordered, the next leader would know of this order only.
+    pub fn unlogged_costs(&self) -> Vec<(String, Cost)> {
+        let costs = self.unlogged_samples.iter().filter_map(|(step, index)| {
+            let planned = self.steps.get(step)?;
+            let progress = planned.progress.get(*index as usize)?;
+            let open_runs = self.all_open_runs(progress);
+            let id = planned.step.samples.get(*index as usize)?.id.clone();
+            Some((id, Cost { open_runs, ..progress.cost.clone() }))
+        });
+        costs.take(MAX_LOGGED_COSTS).collect()
+    }
+
     /// Records what a host reports about a run that was taken away from it. Returns the sample, as step
     /// and index, if fewer endpoints than before may have been called without being reported.
     pub fn record_late_calls(&mut self, report: &RunReport) -> Option<(String, u32)> {
--- a/components/node/src/leader/grants.rs
+++ b/components/node/src/leader/grants.rs
@@ -137,6 +137,25 @@
         }
     }
 
+    /// Records open runs of samples that are held back because of them. Otherwise the next leader would
+    /// not know of these runs if their hosts were lost.
+    pub(super) fn record_open_runs(self: &Rc<Self>) {
+        if self.recording_runs.get() {
+            return;
+        }
+        let costs = self.plan.borrow().unlogged_costs();
+        if costs.is_empty() {
+            return;
+        }
+        tracing::info!(event = "open_runs_recorded", samples = costs.len());
+        self.recording_runs.set(true);
+        let leader = self.clone();
+        actix_rt::spawn(async move {
+            leader.commit(Command::Spend(costs)).await;
+            leader.recording_runs.set(false);
+        });
+    }
+
     /// Records the failures of a scorer's call that its host has reported. The host repeats the call
     /// once it knows that they are recorded.
     pub(super) fn confirm_failures(self: &Rc<Self>, step: &str, index: u32) {
--- a/components/node/src/leader/mod.rs
+++ b/components/node/src/leader/mod.rs
@@ -139,6 +139,8 @@
     found_ended: RefCell<BTreeSet<String>>,
     /// Samples whose grants are being extended.
     extending: RefCell<BTreeSet<String>>,
+    /// Whether open runs are being recorded.
+    recording_runs: Cell<bool>,
     /// When runs were last checked for whether they need another engine.
     runs_checked: Cell<Millis>,
     /// Set once this term has ended; the process may lead again in another epoch.
@@ -194,6 +196,7 @@
             usage,
             found_ended: RefCell::default(),
             extending: RefCell::default(),
+            recording_runs: Cell::default(),
             runs_checked: Cell::default(),
             ended: Cell::default(),
             context,
@@ -461,6 +464,7 @@
         }
         self.end_lost_and_slow_runs(now);
         let assigned = self.plan.borrow_mut().assign(&config, now);
+        self.record_open_runs();
         for assignment in assigned {
             self.start_run(assignment);
         }
--- a/components/node/tests/leader/grants.rs
+++ b/components/node/tests/leader/grants.rs
@@ -420,3 +420,22 @@
     change_route(&fleet, &OTHERS).await;
     assert_eq!(granted_others(&fleet, &mut host, &job).await, ATTEMPTS);
 }
+
+/// A host is lost before it reports, and the next one together with the leader. Guards against a
+/// leader that knows of only one of the two.
+#[actix_rt::test]
+async fn a_host_that_was_lost_before_the_leader_counts_for_the_next_one() {
+    let (fleet, parts) = (fleet().await, StoredParts::default());
+    let store = fleet.store(&parts).await;
+    submit(&fleet, "a").await;
+    receive_job(&mut connect_host(&fleet, "h1").await).await;
+    receive_job(&mut connect_host(&fleet, "h2").await).await;
+    drop(store);
+    fleet.next_leader();
+    let mut host = connect_host(&fleet, "h3").await;
+    let _store = read_step(&fleet, &parts).await;
+    let job = receive_job(&mut host).await;
+    change_route(&fleet, &OTHERS).await;
+    // Each lost host may have called two of the three endpoints of the former service.
+    assert_eq!(granted_others(&fleet, &mut host, &job).await, 0);
+}
