Leader: the end of a step records the runs whose hosts may still call

Callers saw: a scorer's call at 5 endpoints of 3. A step ended while a host had its run and had reported nothing, the route of the call was changed, and the sample came again in the next step.

Cause: the end of a step recorded the endpoints that were granted, but not that a host could still call them. The run is stopped, but until its host knows that, it calls them.

Weighed: (1) to record the open runs with the costs, before the end; (2) to acknowledge the end only when the hosts have reported for the last time. (2) would be exact, but an end must take effect while hosts are cut off. (1) is built; the runs of a sample travel with it to its next step, and a report about a run of an ended step lowers them there.

While an end is being committed, no sample of the step is ordered: one that was ordered after its cost was read would not be recorded.

--- a/components/fleet/src/plan/assign.rs
+++ b/components/fleet/src/plan/assign.rs
@@ -28,8 +28,10 @@
     pub fn assign(&mut self, config: &Config, now: Millis) -> Vec<Assignment> {
         let mut assignments = Vec::new();
         self.unlogged_samples.clear();
-        let waiting =
-            self.steps.values().filter(|planned| planned.waiting > 0 && planned.held_until <= now);
+        let waiting = self
+            .steps
+            .values()
+            .filter(|planned| planned.waiting > 0 && planned.held_until <= now && !planned.ending);
         let mut order: Vec<(u32, Millis, String)> = waiting
             .map(|planned| {
                 (
--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -60,6 +60,8 @@
     at: Millis,
     /// The open runs that the log contains.
     logged_runs: BTreeSet<u64>,
+    /// The newest step that contains the sample, and its index there.
+    place: Option<(String, u32)>,
 }
 
 /// Schedules the samples of all open steps on the engines.
@@ -113,7 +115,11 @@
             return;
         }
         let progress = (0..step.samples.len() as u32).map(|index| {
-            let past = self.past_costs.get(&step.samples[index as usize].id);
+            let past = self.past_costs.get_mut(&step.samples[index as usize].id);
+            let past = past.map(|past| {
+                past.place = Some((step.id.clone(), index));
+                &*past
+            });
             let phase = if listed(index) { Phase::Settled } else { Phase::Waiting };
             let claimable = held > Millis::default();
             let has_scorer = step.samples[index as usize].scorer.is_some();
@@ -158,52 +164,63 @@
                 submitted_at: at,
                 held_until: held,
                 hosts_asked: false,
+                ending: false,
                 progress,
                 waiting,
             },
         );
     }
 
+    /// Stops or resumes the assignment of a step's samples, which stops while the end of the step is
+    /// being committed: their costs are recorded before.
+    pub fn set_ending(&mut self, step: &str, ending: bool) {
+        if let Some(planned) = self.steps.get_mut(step) {
+            planned.ending = ending;
+        }
+    }
+
     /// Removes a step that has ended and returns the runs that hosts still have, as host, sample
     /// index and run id.
     pub fn close_step(&mut self, step: &str, now: Millis) -> Vec<(String, u32, u64)> {
         let unfinished = self.unfinished_costs(step);
-        let Some(planned) = self.steps.remove(step) else { return Vec::new() };
-        let mut hosted = Vec::new();
+        let Some(mut planned) = self.steps.remove(step) else { return Vec::new() };
         self.past_costs.retain(|_, past| now.since(past.at) < COST_TTL_MS);
+        self.open_runs.retain(|_, run| now.since(run.known_since) < COST_TTL_MS);
         for (id, cost) in unfinished {
             let past = self.past_costs.entry(id).or_default();
-            *past = PastCost { cost, at: now, logged_runs: std::mem::take(&mut past.logged_runs) };
+            (past.cost, past.at) = (cost, now);
         }
-        for (index, progress) in planned.progress.into_iter().enumerate() {
+        let mut hosted = Vec::new();
+        for (index, progress) in planned.progress.iter_mut().enumerate() {
+            self.open_runs.extend(progress.take_run(&planned.step.samples[index].id));
             if progress.phase == Phase::Running {
                 self.release_slot(progress.engine.as_deref(), &planned.step.model);
             }
-            hosted.extend(progress.host.map(|host| (host, index as u32, progress.run)));
+            let host = progress.host.take();
+            hosted.extend(host.map(|host| (host, index as u32, progress.run)));
         }
         hosted
     }
 
     /// Returns the costs of the samples of an open step that their trainer may submit again: those
     /// of incomplete groups. The endpoints that were granted to their scorers' calls are included,
-    /// because a host may have called them without having reported so.
+    /// and all runs whose hosts may still call them.
     pub fn unfinished_costs(&self, step: &str) -> Vec<(String, Cost)> {
         let Some(planned) = self.steps.get(step) else { return Vec::new() };
         let complete = planned.complete_groups();
         let mut costs = Vec::new();
         for (sample, progress) in planned.step.samples.iter().zip(&planned.progress) {
             let may_have_run = progress.run > 0 || progress.claimable;
-            let scorer = sample.scorer.as_ref().filter(|_| may_have_run);
-            let granted = scorer.is_some_and(|scorer| !scorer.endpoints.is_empty());
+            let grant = sample.scorer.as_ref().filter(|_| may_have_run);
+            let grant = grant.map(|scorer| Grant::of(scorer, &progress.cost.grant));
+            let granted = grant.as_ref().is_some_and(|grant| !grant.endpoints.is_empty());
             let is_complete = complete.get(listing::group_of(sample)).copied().unwrap_or_default();
             if !progress.cost.has_failed() && (is_complete || !granted) {
                 continue;
             }
-            let mut cost = progress.cost.clone();
-            if let Some(scorer) = scorer {
-                cost.grant = Grant::of(scorer, &cost.grant);
-            }
-            costs.push((sample.id.clone(), cost));
+            let open_runs = self.all_open_runs(progress);
+            let grant = grant.unwrap_or_else(|| progress.cost.grant.clone());
+            costs.push((sample.id.clone(), Cost { open_runs, grant, ..progress.cost.clone() }));
         }
         costs
     }
@@ -227,12 +244,22 @@
             past.cost.merge(cost);
             past.logged_runs.extend(cost.open_runs.open());
             past.at = now;
+            for run in cost.open_runs.open() {
+                self.open_runs.entry(run).or_insert_with(|| OpenRun {
+                    sample: id.clone(),
+                    called_before: cost.scorer.endpoints.clone(),
+                    known_since: now,
+                });
+            }
         }
         let costs: BTreeMap<&str, &Cost> = costs.iter().map(|(id, cost)| (&**id, cost)).collect();
         let mut granted = Vec::new();
         for (step, planned) in &mut self.steps {
             for (index, sample) in planned.step.samples.iter().enumerate() {
                 let Some(cost) = costs.get(sample.id.as_str()) else { continue };
+                if let Some(past) = self.past_costs.get_mut(&sample.id) {
+                    past.place = Some((step.clone(), index as u32));
+                }
                 let progress = &mut planned.progress[index];
                 let Some(scorer) = &sample.scorer else { continue };
                 let before = Grant::of(scorer, &progress.cost.grant);
--- a/components/fleet/src/plan/open_runs.rs
+++ b/components/fleet/src/plan/open_runs.rs
@@ -7,6 +7,8 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use chicoryford_types::Millis;
+
 use super::PastCost;
 use super::Planner;
 use super::samples::Phase;
@@ -24,12 +26,12 @@
 
 /// A run that was taken away from its host, which may still report what it called.
 pub(super) struct OpenRun {
-    /// The step of the run.
-    pub(super) step: String,
-    /// The index of the sample in the step.
-    pub(super) index: u32,
+    /// The id of the sample, which may be part of another step by then.
+    pub(super) sample: String,
     /// The endpoints that were known to have been called when the run was ordered.
     pub(super) called_before: BTreeSet<String>,
+    /// When the run was ordered, or when this leader learned of it.
+    pub(super) known_since: Millis,
 }
 
 impl OpenRun {
@@ -61,16 +63,25 @@
         }
     }
 
-    /// Takes the current run away from its host. Returns it if the host may have called endpoints
+    /// Returns whether the host of the newest run may call endpoints without having reported so.
+    fn is_run_open(&self) -> bool {
+        self.has_scorer && self.phase != Phase::Waiting && self.run > 0 && !self.run_closed
+    }
+
+    /// Takes the newest run away from its host. Returns it if the host may have called endpoints
     /// without having reported so.
-    pub(super) fn open_run(&mut self, step: &str, index: u32) -> Option<OpenRun> {
-        if !self.has_scorer || self.run_closed {
+    pub(super) fn take_run(&mut self, sample: &str) -> Option<(u64, OpenRun)> {
+        if !self.is_run_open() {
             return None;
         }
-        let calls = MAX_UNREPORTED_CALLS.saturating_sub(self.calls_reported);
-        self.cost.open_runs.limit(self.run, calls);
-        let called_before = self.called_before.clone();
-        Some(OpenRun { step: step.to_owned(), index, called_before })
+        self.cost.open_runs.limit(self.run, self.unreported_calls());
+        let (called_before, known_since) = (self.called_before.clone(), self.started);
+        Some((self.run, OpenRun { sample: sample.to_owned(), called_before, known_since }))
+    }
+
+    /// Returns how many endpoints the newest run may have called without having reported so.
+    fn unreported_calls(&self) -> u32 {
+        MAX_UNREPORTED_CALLS.saturating_sub(self.calls_reported)
     }
 
     /// Returns whether a report reveals the run that an earlier leader ordered last. The log contains
@@ -83,18 +94,17 @@
             && self.cost.open_runs.newest_except(marker).is_none_or(|newest| newest < report.run)
     }
 
-    /// Records whether a report reveals the run that an earlier leader ordered last. Returns it in that
-    /// case, as the host may have called endpoints that it has not reported yet.
-    pub(super) fn find_inherited(&mut self, report: &RunReport, marker: u64) -> Option<OpenRun> {
+    /// Records whether a report reveals the run that an earlier leader ordered last. Returns whether it
+    /// does.
+    pub(super) fn find_inherited(&mut self, report: &RunReport, marker: u64) -> bool {
         if !self.is_inherited(report, marker) {
-            return None;
+            return false;
         }
         self.inherited = false;
         if self.cost.open_runs.contains(marker) {
             self.cost.open_runs.limit(marker, 0);
         }
-        let called_before = self.cost.scorer.endpoints.clone();
-        Some(OpenRun { step: report.step.clone(), index: report.index, called_before })
+        true
     }
 
     /// Makes a run of an earlier leader, or one whose host was disconnected, the current run.
@@ -147,9 +157,13 @@
         open.calls_except(progress.current_run().unwrap_or_default())
     }
 
-    /// Returns the open runs of a sample, including one of an earlier leader that is not known.
-    fn all_open_runs(&self, progress: &Progress) -> OpenRuns {
+    /// Returns the open runs of a sample, including the newest one and one of an earlier leader that is
+    /// not known.
+    pub(super) fn all_open_runs(&self, progress: &Progress) -> OpenRuns {
         let mut open = progress.cost.open_runs.clone();
+        if progress.is_run_open() {
+            open.limit(progress.run, progress.unreported_calls());
+        }
         if progress.inherited {
             open.limit(self.inherited_run(), MAX_UNREPORTED_CALLS);
         }
@@ -169,21 +183,27 @@
         costs.take(MAX_LOGGED_COSTS).collect()
     }
 
-    /// Records what a host reports about a run that was taken away from it. Returns the sample, as step
-    /// and index, if fewer endpoints than before may have been called without being reported.
+    /// Records what a host reports about a run that was taken away from it, also if its step has ended.
+    /// Returns the place of the sample in an open step, as step and index: fewer endpoints than before
+    /// may have been called without being reported.
     pub fn record_late_calls(&mut self, report: &RunReport) -> Option<(String, u32)> {
         let run = self.open_runs.get(&report.run)?;
-        let calls = run.unreported_calls(report);
-        let (step, index) = (run.step.clone(), run.index);
-        let progress = self.steps.get_mut(&step)?.progress.get_mut(index as usize)?;
-        if progress.current_run() == Some(report.run) {
-            return None;
-        }
-        progress.cost.merge(&report.cost);
-        progress.cost.open_runs.limit(report.run, calls);
+        let (sample, calls) = (run.sample.clone(), run.unreported_calls(report));
         if report.status.is_final() {
             self.open_runs.remove(&report.run);
         }
+        let record = |cost: &mut Cost| {
+            cost.merge(&report.cost);
+            cost.open_runs.limit(report.run, calls);
+        };
+        let past = self.past_costs.get_mut(&sample);
+        let newest = past.and_then(|past| {
+            record(&mut past.cost);
+            past.place.clone()
+        });
+        let (step, index) = newest.unwrap_or_else(|| (report.step.clone(), report.index));
+        let progress = self.steps.get_mut(&step)?.progress.get_mut(index as usize)?;
+        record(&mut progress.cost);
         Some((step, index))
     }
 }
--- a/components/fleet/src/plan/reports.rs
+++ b/components/fleet/src/plan/reports.rs
@@ -3,6 +3,7 @@
 use chicoryford_types::Millis;
 
 use super::Planner;
+use super::open_runs::OpenRun;
 use super::samples::AfterRun;
 use super::samples::Phase;
 use super::samples::Progress;
@@ -71,7 +72,12 @@
         let same_run = progress.host.as_deref() == Some(host) && progress.run == report.run;
         let unclaimed = progress.phase == Phase::Waiting && progress.claimable;
         let is_deferred = unclaimed && report.from > 0;
-        if !is_deferred && let Some(open) = progress.find_inherited(report, marker) {
+        if !is_deferred && progress.find_inherited(report, marker) {
+            let open = OpenRun {
+                sample: planned.step.samples[report.index as usize].id.clone(),
+                called_before: progress.cost.scorer.endpoints.clone(),
+                known_since: now,
+            };
             self.open_runs.insert(report.run, open);
         }
         let known_calls = unclaimed.then(|| progress.cost.scorer.endpoints.clone());
@@ -154,15 +160,14 @@
     /// Returns the active runs of a host for which `is_lost` is true to the queue.
     fn orphan_runs_if(&mut self, host: &str, is_lost: impl Fn(&Progress) -> bool) -> usize {
         let mut orphaned = Vec::new();
-        for (step, planned) in &mut self.steps {
-            for (index, progress) in planned.progress.iter_mut().enumerate() {
+        for planned in self.steps.values_mut() {
+            for (sample, progress) in planned.step.samples.iter().zip(&mut planned.progress) {
                 let active = matches!(progress.phase, Phase::Running | Phase::Scoring);
                 if !active || progress.host.as_deref() != Some(host) || !is_lost(progress) {
                     continue;
                 }
                 let was_running = progress.phase == Phase::Running;
-                let open = progress.open_run(step, index as u32);
-                self.open_runs.extend(open.map(|open| (progress.run, open)));
+                self.open_runs.extend(progress.take_run(&sample.id));
                 orphaned.push((was_running, progress.engine.take(), planned.step.model.clone()));
                 progress.phase = Phase::Waiting;
                 progress.host = None;
@@ -189,8 +194,8 @@
         let engine = progress.engine.clone();
         // An order that came too late was not executed.
         if end != RunEnd::Late {
-            let open = progress.open_run(step, index);
-            self.open_runs.extend(open.map(|open| (progress.run, open)));
+            let sample = &planned.step.samples[index as usize].id;
+            self.open_runs.extend(progress.take_run(sample));
         }
         progress.host = None;
         progress.avoided_engine = None;
--- a/components/fleet/src/plan/samples.rs
+++ b/components/fleet/src/plan/samples.rs
@@ -175,6 +175,8 @@
     pub(super) held_until: Millis,
     /// Whether all hosts were asked for their runs of the step.
     pub(super) hosts_asked: bool,
+    /// Whether its end is being committed.
+    pub(super) ending: bool,
     pub(super) progress: Vec<Progress>,
     /// The number of waiting samples.
     pub(super) waiting: usize,
--- a/components/node/src/leader/steps.rs
+++ b/components/node/src/leader/steps.rs
@@ -183,13 +183,18 @@
             let is_submitting = self.submitting.borrow().contains(&step);
             return if is_submitting { Answer::NotNow } else { Answer::Unknown };
         }
+        // A sample that is ordered after its cost was read would not be recorded.
+        self.plan.borrow_mut().set_ending(&step, true);
         let costs = self.plan.borrow().unfinished_costs(&step);
-        if costs.is_empty() {
-            return self.commit(Command::End { step }).await;
-        }
-        // The log keeps their order.
-        let costs = self.commit(Command::Spend(costs));
-        futures_util::future::join(costs, self.commit(Command::End { step })).await.1
+        let end = self.commit(Command::End { step: step.clone() });
+        let answer = if costs.is_empty() {
+            end.await
+        } else {
+            // The log keeps their order.
+            futures_util::future::join(self.commit(Command::Spend(costs)), end).await.1
+        };
+        self.plan.borrow_mut().set_ending(&step, false);
+        answer
     }
 
     pub(super) fn close_step(&self, step: &str) {
--- a/components/node/tests/leader/grants.rs
+++ b/components/node/tests/leader/grants.rs
@@ -439,3 +439,43 @@
     // Each lost host may have called two of the three endpoints of the former service.
     assert_eq!(granted_others(&fleet, &mut host, &job).await, 0);
 }
+
+/// Guards against a step's end that hides a host which may have called endpoints: the sample is
+/// submitted again in the next step.
+#[actix_rt::test]
+async fn a_host_that_did_not_report_before_its_step_ended_counts() {
+    let (fleet, parts) = (fleet().await, StoredParts::default());
+    let _store = fleet.store(&parts).await;
+    submit(&fleet, "a").await;
+    let mut unreported = connect_host(&fleet, "h1").await;
+    receive_job(&mut unreported).await;
+    fleet.end("a").await;
+    drop(unreported);
+    change_route(&fleet, &OTHERS).await;
+    submit(&fleet, "b").await;
+    let mut host = connect_host(&fleet, "h2").await;
+    let job = receive_job(&mut host).await;
+    assert_eq!(granted_others(&fleet, &mut host, &job).await, ATTEMPTS - 2);
+}
+
+/// Guards against a leader that does not know what a host may have called in a step that ended under
+/// the previous leader.
+#[actix_rt::test]
+async fn a_host_that_did_not_report_before_its_step_ended_counts_for_the_next_leader() {
+    let (fleet, parts) = (fleet().await, StoredParts::default());
+    let store = fleet.store(&parts).await;
+    submit(&fleet, "a").await;
+    let mut unreported = connect_host(&fleet, "h1").await;
+    receive_job(&mut unreported).await;
+    fleet.end("a").await;
+    drop((unreported, store));
+    fleet.next_leader();
+    announce_desks(&fleet, &DESKS).await;
+    announce_engine(&fleet).await;
+    let _store = fleet.store(&parts).await;
+    change_route(&fleet, &OTHERS).await;
+    submit(&fleet, "b").await;
+    let mut host = connect_host(&fleet, "h2").await;
+    let job = receive_job(&mut host).await;
+    assert_eq!(granted_others(&fleet, &mut host, &job).await, ATTEMPTS - 2);
+}
