Grants: what a host may have called is counted, not named

Callers saw, in tests: a scorer's call at 4 endpoints of 3. The leader took the first two endpoints of the former service, by name, for those that a lost host may have called. One of them had ended, or the host reported that it had called the third, which the leader had taken for uncalled and replaced. A later replacement did not count them at all.

Cause: a number of unknown calls was turned into names. Those that were not named were recorded as ended, and nothing told them from endpoints that have ended.

Evidence: an_endpoint_that_has_ended_is_not_one_that_a_lost_host_calls and a_last_report_about_a_moved_run_extends_the_grant, for each of the three endpoints that may have ended or have been called, failed before (2 granted, must be 1; 3 granted, must be 2).

Change: the limit of a call is reduced by the calls that may run at endpoints which are not called any more: known ones, and as many unreported ones as there are such endpoints alive. All of these are withdrawn from the grant, so the number cannot be exceeded whichever of them were called. Endpoints that a host found to have ended are told from withdrawn ones: a host reports only those that it found itself. Before, it returned withdrawn ones, and the leader took them for ended for all other calls (withdrawn_endpoints_are_not_reported_as_ended failed before).

--- a/components/node/src/forward/budget.rs
+++ b/components/node/src/forward/budget.rs
@@ -30,6 +30,8 @@
     recorded_failures: Cell<u32>,
     /// Endpoints that refused a connection.
     refused: RefCell<BTreeSet<String>>,
+    /// Endpoints that this process found to have ended.
+    ended: RefCell<BTreeSet<String>>,
     /// Returns whether the call is still wanted.
     is_wanted: Box<dyn Fn() -> bool>,
     /// Notified when the grant is extended.
@@ -57,6 +59,7 @@
             grant: RefCell::new(grant),
             recorded_failures: Cell::new(spent.failures),
             refused: RefCell::default(),
+            ended: RefCell::default(),
             is_wanted: Box::new(is_wanted),
             extended: Notify::new(),
         };
@@ -109,6 +112,7 @@
         if let Some(shared) = &self.shared
             && shared.grant.borrow_mut().ended.insert(id.to_owned())
         {
+            shared.ended.borrow_mut().insert(id.to_owned());
             self.changed.notify_one();
         }
     }
@@ -139,9 +143,10 @@
         }
     }
 
-    /// Returns the granted endpoints that have ended.
+    /// Returns the granted endpoints that this process found to have ended. Others that are not called
+    /// any more may be alive.
     pub fn ended(&self) -> BTreeSet<String> {
-        self.shared.as_ref().map(|shared| shared.grant.borrow().ended.clone()).unwrap_or_default()
+        self.shared.as_ref().map(|shared| shared.ended.borrow().clone()).unwrap_or_default()
     }
 
     /// Waits until the request is sent to an endpoint that it was not sent to before, or until an
--- a/components/node/src/leader/grants.rs
+++ b/components/node/src/leader/grants.rs
@@ -13,6 +13,7 @@
 use chicoryford_fleet::grant::Standing;
 use chicoryford_fleet::run::Cost;
 use chicoryford_fleet::run::HostCommand;
+use chicoryford_fleet::run::RunReport;
 use rand::seq::SliceRandom;
 
 use crate::clock;
@@ -80,9 +81,22 @@
     }
 
     /// Records endpoints that a host found to have ended. Until they are noticed to be silent, they
-    /// appear to be ready.
-    pub(super) fn record_ended(&self, ended: &BTreeSet<String>) {
-        self.found_ended.borrow_mut().extend(ended.iter().cloned());
+    /// appear to be ready. Those that are not called any more because the route of the call was changed
+    /// are alive.
+    pub(super) fn record_ended(&self, report: &RunReport) {
+        let config = self.config();
+        let plan = self.plan.borrow();
+        let known = plan.scorer(&report.step, report.index).zip(config.as_deref());
+        let route = known.and_then(|((scorer, _), config)| config.find(&scorer.host, &scorer.path));
+        let registry = self.registry.borrow();
+        let is_withdrawn = |id: &str| {
+            let service = registry.get(id).map(|known| &known.announcement.service);
+            let leads_there = service.zip(route).map(|(service, route)| route.leads_to(service));
+            let is_known = known.is_some_and(|((_, cost), _)| cost.grant.ended.contains(id));
+            is_known && leads_there == Some(false)
+        };
+        let found = report.cost.grant.ended.iter().filter(|id| !is_withdrawn(id));
+        self.found_ended.borrow_mut().extend(found.cloned());
     }
 
     /// Returns a sample's id, its cost, and what has to be added to its grant.
@@ -93,36 +107,44 @@
         let route = config.find(&scorer.host, &scorer.path)?;
         let grant = Grant::of(scorer, &cost.grant);
         let registry = self.registry.borrow();
-        let is_former = |id: &str| {
-            registry.get(id).is_some_and(|known| !route.leads_to(&known.announcement.service))
+        let serves =
+            |id: &str| registry.get(id).map(|known| route.leads_to(&known.announcement.service));
+        let is_called = |id: &str| cost.scorer.endpoints.contains(id);
+        // Endpoints that are not called any more, because the route does not lead to them now or did
+        // not when the grant was last extended, may still execute a call that was made before.
+        let is_left = |id: &str| {
+            !self.is_endpoint_gone(id) && (!grant.allows(id) || serves(id) == Some(false))
         };
-        // Hosts report the endpoints that they call, but one whose run was taken away may have called
-        // some of the former service without having reported so. Its call may still run there.
-        let uncalled = grant
-            .endpoints
-            .iter()
-            .filter(|id| grant.allows(id) && is_former(id) && !cost.scorer.endpoints.contains(*id));
-        let unreported: BTreeSet<&str> =
-            uncalled.map(String::as_str).take(plan.unreported_calls(step, index)).collect();
-        let standing = |id: &str| {
-            let known = registry.get(id);
-            let serves = known.is_some_and(|known| route.leads_to(&known.announcement.service));
-            let may_run = || cost.scorer.endpoints.contains(id) || unreported.contains(id);
-            match known.map(|known| known.status) {
-                Some(EndpointStatus::Gone | EndpointStatus::Silent) => Standing::Ended,
-                Some(_) if !serves && !may_run() => Standing::Ended,
-                Some(EndpointStatus::Ready) if serves => Standing::Usable,
-                Some(_) => Standing::Unready,
-                None if self.knows_endpoints() => Standing::Ended,
-                None => Standing::Unready,
-            }
+        let left = grant.endpoints.iter().filter(|id| is_left(id));
+        let (called, uncalled): (Vec<&String>, Vec<&String>) = left.partition(|id| is_called(id));
+        let withdrawn = called.into_iter().filter(|id| !grant.allows(id)).count();
+        let unreported = plan.unreported_calls(step, index).min(uncalled.len());
+        let attempts = (route.attempts.max(1) as usize).saturating_sub(withdrawn + unreported);
+        let standing = |id: &str| match registry.get(id).map(|known| known.status) {
+            Some(EndpointStatus::Gone | EndpointStatus::Silent) => Standing::Ended,
+            Some(_) if serves(id) == Some(false) && !is_called(id) => Standing::Ended,
+            Some(EndpointStatus::Ready) if serves(id) == Some(true) => Standing::Usable,
+            Some(_) => Standing::Unready,
+            None if self.knows_endpoints() => Standing::Ended,
+            None => Standing::Unready,
         };
         let services: BTreeSet<&str> = route.services().collect();
         let ready = services.into_iter().flat_map(|service| self.ready_of(service));
-        let added = grant.extension(route.attempts.max(1) as usize, standing, ready)?;
+        let added = grant.extension(attempts, standing, ready)?;
         Some((plan.sample_id(step, index)?.to_owned(), cost.clone(), added))
     }
 
+    /// Returns whether an endpoint executes nothing any more.
+    fn is_endpoint_gone(&self, id: &str) -> bool {
+        if self.found_ended.borrow().contains(id) {
+            return true;
+        }
+        match self.registry.borrow().get(id).map(|known| known.status) {
+            Some(status) => matches!(status, EndpointStatus::Gone | EndpointStatus::Silent),
+            None => self.knows_endpoints(),
+        }
+    }
+
     /// Returns whether every active endpoint has announced itself in this term.
     fn knows_endpoints(&self) -> bool {
         clock::now().since(self.began) >= endpoint::Settings::default().silent_ms
--- a/components/node/src/leader/runs.rs
+++ b/components/node/src/leader/runs.rs
@@ -134,7 +134,7 @@
     /// Handles a host's report about a run.
     pub fn handle_report(self: &Rc<Self>, host: &str, report: &RunReport) {
         let (step, index) = (&report.step, report.index);
-        self.record_ended(&report.cost.grant.ended);
+        self.record_ended(report);
         let was_scoring = self.plan.borrow().is_scoring(step, index);
         let action = self.plan.borrow_mut().record_report(host, report, clock::now());
         let late = self.plan.borrow_mut().record_late_calls(report);
--- a/components/node/tests/leader/grants.rs
+++ b/components/node/tests/leader/grants.rs
@@ -380,22 +380,69 @@
 }
 
 /// Guards against a call that is not made at further endpoints once the host whose run was moved has
-/// reported for the last time.
+/// reported for the last time, and against a report that names an endpoint which was taken to be
+/// uncalled.
 #[actix_rt::test]
 async fn a_last_report_about_a_moved_run_extends_the_grant() {
+    for position in 0..ATTEMPTS {
+        let (fleet, parts) = (fleet().await, StoredParts::default());
+        let _store = fleet.store(&parts).await;
+        submit(&fleet, "a").await;
+        let first = receive_job(&mut connect_host(&fleet, "h1").await).await;
+        let mut host = connect_host(&fleet, "h2").await;
+        let job = receive_job(&mut host).await;
+        change_route(&fleet, &OTHERS).await;
+        assert_eq!(granted_others(&fleet, &mut host, &job).await, ATTEMPTS - 2);
+        let mut returned = connect_store(fleet.links, "h1").await;
+        let called = granted(&first).into_iter().nth(position).unwrap();
+        let status = RunStatus::Ended(RunEnd::Taken);
+        send_report(&mut returned, RunReport { status, ..calling(&first, &[&called]) }).await;
+        wait_until("the grant is extended", || others_in_log(&fleet) > ATTEMPTS - 2).await;
+        assert_eq!(others_in_log(&fleet), ATTEMPTS - 1, "{called}");
+    }
+}
+
+/// One of the granted endpoints has ended before the route is changed. Guards against a lost host that
+/// is taken to have called it, and not the others.
+#[actix_rt::test]
+async fn an_endpoint_that_has_ended_is_not_one_that_a_lost_host_calls() {
+    for position in 0..ATTEMPTS {
+        let (fleet, parts) = (fleet().await, StoredParts::default());
+        let _store = fleet.store(&parts).await;
+        submit(&fleet, "a").await;
+        let first = receive_job(&mut connect_host(&fleet, "h1").await).await;
+        let mut host = connect_host(&fleet, "h2").await;
+        let job = receive_job(&mut host).await;
+        let ended = granted(&first).into_iter().nth(position).unwrap();
+        assert!(matches!(fleet.leader().answer(Call::Leave(ended)).await, Answer::Done));
+        change_route(&fleet, &OTHERS).await;
+        assert_eq!(granted_others(&fleet, &mut host, &job).await, ATTEMPTS - 2);
+    }
+}
+
+/// An endpoint of the other service ends after the route was changed. Guards against a replacement that
+/// is granted in addition to the endpoints of the former service that a lost host may have called.
+#[actix_rt::test]
+async fn a_lost_host_counts_each_time_an_endpoint_is_replaced() {
     let (fleet, parts) = (fleet().await, StoredParts::default());
     let _store = fleet.store(&parts).await;
     submit(&fleet, "a").await;
-    let first = receive_job(&mut connect_host(&fleet, "h1").await).await;
+    receive_job(&mut connect_host(&fleet, "h1").await).await;
     let mut host = connect_host(&fleet, "h2").await;
     let job = receive_job(&mut host).await;
     change_route(&fleet, &OTHERS).await;
     assert_eq!(granted_others(&fleet, &mut host, &job).await, ATTEMPTS - 2);
-    let mut returned = connect_store(fleet.links, "h1").await;
-    let called = granted(&first).into_iter().next().unwrap();
-    let status = RunStatus::Ended(RunEnd::Taken);
-    send_report(&mut returned, RunReport { status, ..calling(&first, &[&called]) }).await;
-    wait_until("the grant is extended", || others_in_log(&fleet) == ATTEMPTS - 1).await;
+    let grant = fleet.replica.state().costs["s"].cost.grant.clone();
+    let other = grant.endpoints.iter().find(|id| id.starts_with('o')).unwrap().clone();
+    assert!(matches!(fleet.leader().answer(Call::Leave(other.clone())).await, Answer::Done));
+    // As a host that was given the whole grant reports it.
+    let cost = Cost { grant: Grant { endpoints: BTreeSet::new(), ..grant }, ..job.cost.clone() };
+    send_report(&mut host, RunReport { cost, ..scoring(&job) }).await;
+    wait_until("the endpoint is replaced", || others_in_log(&fleet) > ATTEMPTS - 2).await;
+    pause(GRANT_MS).await;
+    let grant = fleet.replica.state().costs["s"].cost.grant.clone();
+    let live = grant.endpoints.iter().filter(|id| id.starts_with('o') && **id != other).count();
+    assert_eq!(live, ATTEMPTS - 2);
 }
 
 /// Guards against a host that is counted as lost by each leader although it reports to all of them.
--- a/components/node/tests/scorers.rs
+++ b/components/node/tests/scorers.rs
@@ -374,3 +374,14 @@
     tokio::time::sleep(Duration::from_millis(2_500)).await;
     assert!((3..=7).contains(&calls.borrow().len()), "{calls:?}");
 }
+
+/// Guards against endpoints that the leader has withdrawn being reported as ended: the route of the call
+/// was changed, and other calls may still need them.
+#[test]
+fn withdrawn_endpoints_are_not_reported_as_ended() {
+    let ids = |ids: &[&str]| ids.iter().map(|id| (*id).to_owned()).collect::<BTreeSet<String>>();
+    let grant = Grant { endpoints: ids(&["d1", "d2"]), ended: BTreeSet::new() };
+    let budget = Budget::shared(clock::now() + 1_000, CallCost::default(), grant, || true);
+    budget.extend(&Grant { endpoints: ids(&["o1"]), ended: ids(&["d1", "d2"]) }, 0);
+    assert_eq!(budget.ended(), BTreeSet::new());
+}
