Hosts: a run that is stopped reports its calls for the last time

Callers saw nothing by themselves; the leader had to assume that the host of each run that was moved, or whose step ended, had called two endpoints that it did not know of. A call whose route was changed was granted fewer endpoints than it may use.

Cause: an order to stop dropped the run without a report. What its call had used since the last report, or that it had used nothing, was lost with it.

Evidence: a_run_that_is_stopped_reports_its_calls_for_the_last_time failed before (its last report: Scoring).

Change: a host reports a run with a scorer once more when it is stopped or replaced, unless it had ended. The leader closes the run with it, in the step where the sample is by then, and does not answer it.

--- a/components/node/src/leader/runs.rs
+++ b/components/node/src/leader/runs.rs
@@ -48,7 +48,8 @@
             failures = cost.failures,
             crashes = cost.crashes,
             losses = cost.losses,
-            scorer_failures = cost.scorer.failures
+            scorer_failures = cost.scorer.failures,
+            unreported = cost.open_runs.calls_except(run)
         );
         let job = Job {
             run,
@@ -152,7 +153,9 @@
                 let unread = open && self.unread.borrow().contains(step);
                 let (run, standing) = (report.run, &report.status);
                 tracing::info!(event = "report_refused", step, index, run, host, ?standing, unread);
-                if !unread {
+                // A host that reports this has stopped the run.
+                let is_stopped = report.status == RunStatus::Ended(RunEnd::Taken);
+                if !unread && !is_stopped {
                     self.hosts.stop(host, step, index, report.run);
                 }
                 return;
--- a/components/node/src/runner/mod.rs
+++ b/components/node/src/runner/mod.rs
@@ -53,6 +53,39 @@
     state: Rc<RunState>,
 }
 
+impl HostedRun {
+    /// Returns a report of the run with the events that were not reported yet, which are all events
+    /// after a change of leader.
+    fn next_report(&self) -> RunReport {
+        let (job, state) = (&self.job, &self.state);
+        let output = state.output.borrow();
+        let from = state.reported_events.get().min(output.events.len());
+        let events = output.events.len() - from;
+        let ms = state.last_event.get().since(state.last_reported_event.get());
+        let gap_ms = if from > 0 && events > 0 { ms / events as u64 } else { 0 };
+        RunReport {
+            run: job.run,
+            step: job.step.clone(),
+            index: job.index,
+            endpoint: job.endpoint.clone(),
+            status: state.status.borrow().clone(),
+            from: from as u32,
+            output: SampleOutput {
+                events: output.events[from..].to_vec(),
+                last_id: output.last_id.clone(),
+                versions: output.versions.clone(),
+            },
+            gap_ms: gap_ms as u32,
+            cost: Cost {
+                scorer: state.budget.spent(),
+                grant: Grant { endpoints: BTreeSet::new(), ended: state.budget.ended() },
+                ..job.cost.clone()
+            },
+            remaining_ms: state.budget.left_ms(),
+        }
+    }
+}
+
 /// State shared by the task of a run and its reports.
 struct RunState {
     output: RefCell<SampleOutput>,
@@ -263,8 +296,34 @@
     }
 
     fn stop(&self, key: &(String, u32)) {
-        if let Some(hosted) = self.runs.borrow_mut().remove(key) {
+        let hosted = self.runs.borrow_mut().remove(key);
+        if let Some(hosted) = hosted {
             hosted.handle.abort();
+            self.report_stopped(&hosted);
+        }
+    }
+
+    /// Reports a run that was stopped for the last time. Until then, the leader assumes that its
+    /// scorer's call was sent to endpoints that were not reported.
+    fn report_stopped(&self, hosted: &HostedRun) {
+        let state = &hosted.state;
+        if hosted.job.sample.scorer.is_none() || state.status.borrow().is_final() {
+            return;
+        }
+        *state.status.borrow_mut() = RunStatus::Ended(RunEnd::Taken);
+        state.reported_events.set(state.output.borrow().events.len());
+        let (report, sink) = (hosted.next_report(), self.sink.borrow().clone());
+        match sink {
+            Some(Sink::Link(sender)) => {
+                let sent = sender.try_send(MemberMessage::Report(report)).is_ok();
+                let (step, index, run) = (&hosted.job.step, hosted.job.index, hosted.job.run);
+                tracing::info!(event = "last_report", step, index, run, sent);
+            }
+            // The leader in this process is busy with the order to stop the run.
+            Some(Sink::Local(leader)) => {
+                actix_rt::spawn(async move { (leader.handle_report)(&report) });
+            }
+            None => {}
         }
     }
 
@@ -361,42 +420,16 @@
         });
     }
 
-    /// Reports the state of a run with the events that were not reported yet, which are all events
-    /// after a change of leader.
+    /// Reports the state of a run.
     fn report(&self, hosted: &HostedRun) {
         let state = &hosted.state;
-        let output = state.output.borrow();
-        let status = state.status.borrow().clone();
-        let from = state.reported_events.get().min(output.events.len());
-        let events = output.events.len() - from;
-        let ms = state.last_event.get().since(state.last_reported_event.get());
-        let gap_ms = if from > 0 && events > 0 { ms / events as u64 } else { 0 };
-        let report = RunReport {
-            run: hosted.job.run,
-            step: hosted.job.step.clone(),
-            index: hosted.job.index,
-            endpoint: hosted.job.endpoint.clone(),
-            status,
-            from: from as u32,
-            output: SampleOutput {
-                events: output.events[from..].to_vec(),
-                last_id: output.last_id.clone(),
-                versions: output.versions.clone(),
-            },
-            gap_ms: gap_ms as u32,
-            cost: Cost {
-                scorer: state.budget.spent(),
-                grant: Grant { endpoints: BTreeSet::new(), ended: state.budget.ended() },
-                ..hosted.job.cost.clone()
-            },
-            remaining_ms: state.budget.left_ms(),
-        };
-        let spent = report.cost.scorer.clone();
+        let report = hosted.next_report();
+        let (spent, events) = (report.cost.scorer.clone(), report.output.events.len());
+        let from = report.from as usize;
         let sink = self.sink.borrow().clone();
         let sent = match sink {
             Some(Sink::Link(sender)) => sender.try_send(MemberMessage::Report(report)).is_ok(),
             Some(Sink::Local(leader)) => {
-                drop(output);
                 (leader.handle_report)(&report);
                 true
             }
--- a/components/node/tests/scorers.rs
+++ b/components/node/tests/scorers.rs
@@ -38,6 +38,7 @@
 use chicoryford_node::forward::Forwarder;
 use chicoryford_node::forward::Outcome;
 use chicoryford_node::forward::Requester;
+use chicoryford_node::message::MemberMessage;
 use chicoryford_node::message::Update;
 use chicoryford_node::runner::Runner;
 use chicoryford_node::view::View;
@@ -45,6 +46,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::mpsc;
 
 use support::endpoint::endpoint;
 use support::route::route;
@@ -375,6 +377,33 @@
     assert!((3..=7).contains(&calls.borrow().len()), "{calls:?}");
 }
 
+/// Guards against a run that is stopped without a last report: the leader would have to assume that its
+/// scorer's call was sent to endpoints that it does not know of.
+#[actix_rt::test]
+async fn a_run_that_is_stopped_reports_its_calls_for_the_last_time() {
+    let (scorers, calls) = scorers(Duration::from_millis(400)).await;
+    let runner = host(&scorers);
+    let (sender, mut messages) = mpsc::channel(64);
+    runner.attach(sender);
+    runner.record_confirmation(clock::now());
+    runner.handle_local(HostCommand::Run(Box::new(job(Cost::default()).await)));
+    while calls.borrow().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    runner.handle_local(HostCommand::Stop { step: "step".to_owned(), index: 0, run: 1 });
+    let mut last = None;
+    while let Ok(message) = messages.try_recv() {
+        if let MemberMessage::Report(report) = message {
+            last = Some(report);
+        }
+    }
+    let last = last.expect("a report");
+    assert!(last.status.is_final(), "{:?}", last.status);
+    let called: BTreeSet<String> =
+        calls.borrow().iter().map(|call| format!("i{}", call.endpoint)).collect();
+    assert!(last.cost.scorer.endpoints.is_superset(&called), "{called:?}");
+}
+
 /// Guards against endpoints that the leader has withdrawn being reported as ended: the route of the call
 /// was changed, and other calls may still need them.
 #[test]
