Leader: reported calls are in the log before their sample is ordered again

Callers saw, in a model: a scorer's call at more endpoints than its route allows. A host reported which endpoint it had called and was lost, the sample was ordered at the next host, and that one was lost together with the leader.

Cause: as with open runs, the leader alone knew of the call. The next leader counted one run that it had not ordered, and nothing of what the run before had reported.

By reading, the module test a_call_that_was_reported_to_the_previous_leader_counts fails without this change, as the log has no cost then; it was run only with it.

Change: a sample is held back until the log contains its reported calls too, not only its open runs.

--- a/components/fleet/src/open_runs.rs
+++ b/components/fleet/src/open_runs.rs
@@ -16,10 +16,23 @@
 
 use crate::grant::NEEDED_ENDPOINTS;
 
-/// The maximum number of endpoints that a host may be calling without having reported so: one for
+/// The maximum number of endpoints that a host may have called without having reported so: one for
 /// the call and one for a hedge.
 pub const MAX_UNREPORTED_CALLS: u32 = NEEDED_ENDPOINTS as u32;
 
+/// Returns how many endpoints a run may call in addition to those that were known before, given how
+/// many of them are recorded in the log. Otherwise a host that is cut off would use all endpoints of
+/// the grant one after the other.
+pub fn allowed_calls(recorded: usize) -> usize {
+    (recorded + 1).max(MAX_UNREPORTED_CALLS as usize)
+}
+
+/// Returns how many endpoints a run may have called without having reported so, given how many it
+/// has reported.
+pub fn unreported_calls(reported: usize) -> u32 {
+    (allowed_calls(reported) - reported) as u32
+}
+
 /// The number of endpoints that runs may have called without having reported so, by run id.
 ///
 /// A number only decreases, so the knowledge of several processes merges into the lowest one. A run
--- a/components/fleet/src/plan/assign.rs
+++ b/components/fleet/src/plan/assign.rs
@@ -7,7 +7,7 @@
 use super::Planner;
 use super::candidates::Candidates;
 use super::engine::EngineState;
-use super::open_runs::are_runs_logged;
+use super::open_runs::are_calls_logged;
 use super::samples::Assignment;
 use super::samples::Phase;
 use super::samples::Progress;
@@ -80,7 +80,7 @@
                 continue;
             }
             if progress.phase == Phase::Waiting
-                && !are_runs_logged(sample, progress, &self.past_costs, marker)
+                && !are_calls_logged(sample, progress, &self.past_costs, marker)
             {
                 self.unlogged_samples.push((id.to_owned(), *index));
                 continue;
--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -58,8 +58,8 @@
     cost: Cost,
     /// When it was recorded, or when its step was closed.
     at: Millis,
-    /// The open runs that the log contains.
-    logged_runs: BTreeSet<u64>,
+    /// The part of the cost that the log contains.
+    logged: Cost,
     /// The newest step that contains the sample, and its index there.
     place: Option<(String, u32)>,
 }
@@ -242,7 +242,7 @@
             let past =
                 past.or_insert_with(|| PastCost { cost: cost.clone(), ..PastCost::default() });
             past.cost.merge(cost);
-            past.logged_runs.extend(cost.open_runs.open());
+            past.logged.merge(cost);
             past.at = now;
             for run in cost.open_runs.open() {
                 self.open_runs.entry(run).or_insert_with(|| OpenRun {
--- a/components/fleet/src/plan/open_runs.rs
+++ b/components/fleet/src/plan/open_runs.rs
@@ -15,6 +15,7 @@
 use super::samples::Progress;
 use crate::open_runs::MAX_UNREPORTED_CALLS;
 use crate::open_runs::OpenRuns;
+use crate::open_runs::unreported_calls;
 use crate::run::Cost;
 use crate::run::RunReport;
 use crate::run::RunStatus;
@@ -41,8 +42,7 @@
         if report.status.is_final() {
             return 0;
         }
-        let called = report.cost.scorer.endpoints.difference(&self.called_before).count();
-        MAX_UNREPORTED_CALLS.saturating_sub(called as u32)
+        unreported_calls(report.cost.scorer.endpoints.difference(&self.called_before).count())
     }
 }
 
@@ -56,7 +56,7 @@
     /// Records what the current run has reported about its calls.
     pub(super) fn record_calls(&mut self, report: &RunReport) {
         let called = report.cost.scorer.endpoints.difference(&self.called_before).count();
-        self.calls_reported = self.calls_reported.max(called as u32);
+        self.calls_reported = self.calls_reported.max(called);
         self.run_closed |= report.status.is_final();
         if self.run_closed && self.cost.open_runs.contains(self.run) {
             self.cost.open_runs.limit(self.run, 0);
@@ -74,16 +74,11 @@
         if !self.is_run_open() {
             return None;
         }
-        self.cost.open_runs.limit(self.run, self.unreported_calls());
+        self.cost.open_runs.limit(self.run, unreported_calls(self.calls_reported));
         let (called_before, known_since) = (self.called_before.clone(), self.started);
         Some((self.run, OpenRun { sample: sample.to_owned(), called_before, known_since }))
     }
 
-    /// Returns how many endpoints the newest run may have called without having reported so.
-    fn unreported_calls(&self) -> u32 {
-        MAX_UNREPORTED_CALLS.saturating_sub(self.calls_reported)
-    }
-
     /// Returns whether a report reveals the run that an earlier leader ordered last. The log contains
     /// all open runs before the next one is ordered, so it contains none that is newer. A run that has
     /// ended at its host may have been followed by another one.
@@ -122,9 +117,9 @@
     }
 }
 
-/// Returns whether the log contains all open runs of a sample, so that it may be ordered. `marker` is
-/// the run that stands for an unknown one.
-pub(super) fn are_runs_logged(
+/// Returns whether the log contains all calls of a sample's scorer that are known or possible, so that
+/// the sample may be ordered. `marker` is the run that stands for an unknown one.
+pub(super) fn are_calls_logged(
     sample: &Sample,
     progress: &Progress,
     past_costs: &BTreeMap<String, PastCost>,
@@ -133,9 +128,15 @@
     if progress.inherited && !progress.cost.open_runs.contains(marker) {
         return false;
     }
-    let past = || past_costs.get(&sample.id);
-    let is_logged = |run| past().is_some_and(|past| past.logged_runs.contains(&run));
-    progress.cost.open_runs.open().all(is_logged)
+    let cost = &progress.cost;
+    let mut open = cost.open_runs.open().peekable();
+    if !progress.has_scorer || (open.peek().is_none() && cost.scorer.endpoints.is_empty()) {
+        return true;
+    }
+    past_costs.get(&sample.id).is_some_and(|past| {
+        open.all(|run| past.logged.open_runs.contains(run))
+            && past.logged.scorer.endpoints.is_superset(&cost.scorer.endpoints)
+    })
 }
 
 impl Planner {
@@ -145,6 +146,13 @@
         self.epoch.0 << 32
     }
 
+    /// Returns whether the current run has called as many endpoints as it may before they are recorded.
+    pub fn has_used_calls(&self, step: &str, index: u32) -> bool {
+        let planned = self.steps.get(step);
+        let progress = planned.and_then(|planned| planned.progress.get(index as usize));
+        progress.is_some_and(|one| one.calls_reported >= MAX_UNREPORTED_CALLS as usize)
+    }
+
     /// Returns how many endpoints hosts may have called for a sample without having reported so, not
     /// counting the host of its current run.
     pub fn unreported_calls(&self, step: &str, index: u32) -> usize {
@@ -162,7 +170,7 @@
     pub(super) fn all_open_runs(&self, progress: &Progress) -> OpenRuns {
         let mut open = progress.cost.open_runs.clone();
         if progress.is_run_open() {
-            open.limit(progress.run, progress.unreported_calls());
+            open.limit(progress.run, unreported_calls(progress.calls_reported));
         }
         if progress.inherited {
             open.limit(self.inherited_run(), MAX_UNREPORTED_CALLS);
@@ -171,7 +179,7 @@
     }
 
     /// Returns the costs of samples that the last assignment held back because the log does not contain
-    /// all of their open runs. If they were ordered, the next leader would know of this order only.
+    /// all of their calls. If they were ordered, the next leader might know of this order only.
     pub fn unlogged_costs(&self) -> Vec<(String, Cost)> {
         let costs = self.unlogged_samples.iter().filter_map(|(step, index)| {
             let planned = self.steps.get(step)?;
--- a/components/fleet/src/plan/samples.rs
+++ b/components/fleet/src/plan/samples.rs
@@ -142,7 +142,7 @@
     /// The endpoints that were known to have been called when the current run was ordered.
     pub(super) called_before: BTreeSet<String>,
     /// The number of further endpoints that the current run has reported to call.
-    pub(super) calls_reported: u32,
+    pub(super) calls_reported: usize,
     /// Whether the host has reported the current run for the last time, or never got it.
     pub(super) run_closed: bool,
     /// When the current run was assigned.
--- a/components/node/tests/leader/grants.rs
+++ b/components/node/tests/leader/grants.rs
@@ -487,6 +487,31 @@
     assert_eq!(granted_others(&fleet, &mut host, &job).await, 0);
 }
 
+/// A host reports a call and is lost, and the next one together with the leader. Guards against a leader
+/// that does not know of the reported call.
+#[actix_rt::test]
+async fn a_call_that_was_reported_to_the_previous_leader_counts() {
+    let (fleet, parts) = (fleet().await, StoredParts::default());
+    let store = fleet.store(&parts).await;
+    submit(&fleet, "a").await;
+    let mut first = connect_host(&fleet, "h1").await;
+    let job = receive_job(&mut first).await;
+    let called = granted(&job).into_iter().next().unwrap();
+    send_report(&mut first, calling(&job, &[&called])).await;
+    let leader = fleet.leader();
+    wait_until("the call is known", || leader.plan.borrow().is_scoring("a", 0)).await;
+    drop(first);
+    receive_job(&mut connect_host(&fleet, "h2").await).await;
+    drop(store);
+    fleet.next_leader();
+    let mut host = connect_host(&fleet, "h3").await;
+    let _store = read_step(&fleet, &parts).await;
+    let job = receive_job(&mut host).await;
+    assert!(job.cost.scorer.endpoints.contains(&called), "{:?}", job.cost);
+    change_route(&fleet, &OTHERS).await;
+    assert_eq!(granted_others(&fleet, &mut host, &job).await, 0);
+}
+
 /// Guards against a step's end that hides a host which may have called endpoints: the sample is
 /// submitted again in the next step.
 #[actix_rt::test]
