Hosts: a third endpoint is called only after the first two are recorded

Callers saw, in a model: a scorer's call at one endpoint more than its route allows. The leader counts two unreported calls of a host, one and its hedge. A host that is cut off goes on for up to two seconds, and called a third endpoint, and a fourth, once the first two had failed.

Cause: the grant bounded what all hosts may call together, but nothing bounded what one host may call without the leader's knowledge.

Evidence: the model, before: "3 calls are not known, 2 are counted", each of three plays, in six events. a_third_endpoint_is_called_only_after_the_first_two_are_recorded calls scorers that answer 503: without the limit it goes on to the next endpoint at once.

Weighed: (1) the leader counts all granted endpoints for each host that it does not know everything of: a call whose route is changed would be made nowhere (ruled out before); (2) a third endpoint waits for the echo of the host's clock, by which the leader has read the report: the next leader would not know it; (3) a third endpoint waits until the log contains the calls before. (3) is built. It costs a commit for each call that uses two endpoints, which few do, and calls at the first two may be repeated meanwhile.

Change: HostCommand::Recorded says which calls the log contains. A run that has reported two or more may have called one more.

--- a/components/fleet/src/run.rs
+++ b/components/fleet/src/run.rs
@@ -150,6 +150,18 @@
         /// The failures of the call.
         failures: u32,
     },
+    /// The log has recorded that the scorer's call of a run was sent to these endpoints, so that it may
+    /// be sent to another one.
+    Recorded {
+        /// The step.
+        step: String,
+        /// The index of the sample in the step.
+        index: u32,
+        /// The id of the run.
+        run: u64,
+        /// The endpoints.
+        endpoints: BTreeSet<String>,
+    },
     /// Stop a run, or drop one that has ended.
     Stop {
         /// The step.
--- a/components/node/src/forward/budget.rs
+++ b/components/node/src/forward/budget.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 
 use chicoryford_fleet::Grant;
+use chicoryford_fleet::open_runs::allowed_calls;
 use chicoryford_fleet::run::CallCost;
 use chicoryford_types::Millis;
 use tokio::sync::Notify;
@@ -26,6 +27,10 @@
 struct SharedCall {
     /// The endpoints that may be called.
     grant: RefCell<Grant>,
+    /// The endpoints to which other processes are known to have sent the call.
+    called_before: BTreeSet<String>,
+    /// The endpoints that the log contains.
+    recorded_calls: RefCell<BTreeSet<String>>,
     /// The failures of the call that are recorded.
     recorded_failures: Cell<u32>,
     /// Endpoints that refused a connection.
@@ -38,6 +43,15 @@
     extended: Notify,
 }
 
+impl SharedCall {
+    /// Returns whether the call may be sent to an endpoint to which it was not sent before.
+    fn may_call(&self, spent: &CallCost) -> bool {
+        let own = || spent.endpoints.difference(&self.called_before);
+        let recorded = self.recorded_calls.borrow();
+        own().count() < allowed_calls(own().filter(|id| recorded.contains(*id)).count())
+    }
+}
+
 impl Budget {
     /// Creates the budget of a request whose caller waits until `deadline`.
     pub fn new(deadline: Millis) -> Self {
@@ -57,6 +71,8 @@
     ) -> Self {
         let shared = SharedCall {
             grant: RefCell::new(grant),
+            called_before: spent.endpoints.clone(),
+            recorded_calls: RefCell::default(),
             recorded_failures: Cell::new(spent.failures),
             refused: RefCell::default(),
             ended: RefCell::default(),
@@ -79,10 +95,11 @@
     /// Returns whether the request may be sent to an endpoint, if at most `limit` endpoints may run
     /// it.
     pub(super) fn allows(&self, id: &str, limit: usize) -> bool {
+        let spent = self.spent.borrow();
         if let Some(shared) = &self.shared {
-            return shared.grant.borrow().allows(id);
+            let is_called = spent.endpoints.contains(id);
+            return shared.grant.borrow().allows(id) && (is_called || shared.may_call(&spent));
         }
-        let spent = self.spent.borrow();
         spent.endpoints.len() < limit || spent.endpoints.contains(id)
     }
 
@@ -128,6 +145,14 @@
         }
     }
 
+    /// Records that the log contains the endpoints to which the call was sent.
+    pub fn record_calls(&self, endpoints: &BTreeSet<String>) {
+        if let Some(shared) = &self.shared {
+            shared.recorded_calls.borrow_mut().extend(endpoints.iter().cloned());
+            shared.extended.notify_one();
+        }
+    }
+
     /// Returns whether a failure of the call is not recorded yet. If the call were repeated, and this
     /// process lost, the next one would count from too few failures.
     pub fn has_unrecorded_failures(&self) -> bool {
@@ -135,7 +160,7 @@
         recorded.is_some_and(|recorded| recorded < self.spent.borrow().failures)
     }
 
-    /// Waits until the grant is extended.
+    /// Waits until the grant is extended, or more of the call is recorded.
     pub async fn extended(&self) {
         match &self.shared {
             Some(shared) => shared.extended.notified().await,
--- a/components/node/src/leader/grants.rs
+++ b/components/node/src/leader/grants.rs
@@ -18,6 +18,7 @@
 
 use crate::clock;
 use crate::leader::Leader;
+use crate::message::Answer;
 
 impl Leader {
     /// Grants endpoints to the scorers' calls of a new step. The calls are spread evenly over the
@@ -196,6 +197,48 @@
         }
     }
 
+    /// Records the endpoints that a run has called if it may call others only then.
+    pub(super) fn confirm_calls(self: &Rc<Self>, step: &str, index: u32) {
+        let Some((sample, cost)) = self.used_calls(step, index) else { return };
+        let is_recorded = {
+            let state = self.context.replica.state();
+            let known = state.costs.get(&sample).map(|known| &known.cost.scorer.endpoints);
+            known.is_some_and(|known| known.is_superset(&cost.scorer.endpoints))
+        };
+        if is_recorded {
+            self.send_recorded(step, index, cost.scorer.endpoints);
+            return;
+        }
+        let (leader, step) = (self.clone(), step.to_owned());
+        actix_rt::spawn(async move {
+            let endpoints = cost.scorer.endpoints.clone();
+            let recorded = leader.commit(Command::Spend(vec![(sample, cost)])).await;
+            if matches!(recorded, Answer::Done) {
+                leader.send_recorded(&step, index, endpoints);
+            }
+        });
+    }
+
+    /// Returns the id and the cost of a sample whose current run has called as many endpoints as it may
+    /// before they are recorded, unless its call has reached all that its route allows.
+    fn used_calls(&self, step: &str, index: u32) -> Option<(String, Cost)> {
+        let config = self.config()?;
+        let plan = self.plan.borrow();
+        let (scorer, cost) = plan.scorer(step, index)?;
+        let route = config.find(&scorer.host, &scorer.path)?;
+        let may_use_more = cost.scorer.endpoints.len() < route.attempts as usize;
+        let is_wanted = may_use_more && plan.has_used_calls(step, index);
+        is_wanted.then(|| Some((plan.sample_id(step, index)?.to_owned(), cost.clone())))?
+    }
+
+    fn send_recorded(&self, step: &str, index: u32, endpoints: BTreeSet<String>) {
+        let hosted = self.plan.borrow().host(step, index);
+        if let Some((host, run)) = hosted {
+            let step = step.to_owned();
+            self.hosts.send(&host, HostCommand::Recorded { step, index, run, endpoints });
+        }
+    }
+
     /// Passes recorded costs to the plan, and extended grants to the hosts of their runs.
     pub(super) fn on_costs_applied(&self, costs: &[(String, Cost)]) {
         let granted = self.plan.borrow_mut().restore_costs(costs, clock::now());
--- a/components/node/src/leader/runs.rs
+++ b/components/node/src/leader/runs.rs
@@ -167,12 +167,14 @@
             RunStatus::Scoring if was_scoring => {
                 self.extend_grant(step, index);
                 self.confirm_failures(step, index);
+                self.confirm_calls(step, index);
             }
             RunStatus::Scoring => {
                 // Its host may lack what an earlier leader added to the grant.
                 self.send_grant(step, index);
                 self.extend_grant(step, index);
                 self.confirm_failures(step, index);
+                self.confirm_calls(step, index);
                 let events = report.from as usize + report.output.events.len();
                 let endpoint = &report.endpoint;
                 metrics::RUNS.with_label_values(&["whole"]).inc();
--- a/components/node/src/runner/mod.rs
+++ b/components/node/src/runner/mod.rs
@@ -259,6 +259,12 @@
                     hosted.state.budget.extend(&grant, failures);
                 }
             }
+            HostCommand::Recorded { step, index, run, endpoints } => {
+                let hosted = self.runs.borrow().get(&(step, index)).cloned();
+                if let Some(hosted) = hosted.filter(|hosted| hosted.job.run == run) {
+                    hosted.state.budget.record_calls(&endpoints);
+                }
+            }
             HostCommand::Stop { step, index, run } => {
                 let key = (step, index);
                 let current = self.runs.borrow().get(&key).map(|hosted| hosted.job.run);
--- a/components/node/tests/leader/grants.rs
+++ b/components/node/tests/leader/grants.rs
@@ -551,3 +551,23 @@
     let job = receive_job(&mut host).await;
     assert_eq!(granted_others(&fleet, &mut host, &job).await, ATTEMPTS - 2);
 }
+
+/// Guards against a host that uses all granted endpoints one after the other while it is cut off: those
+/// that it has called are recorded before it may call another one.
+#[actix_rt::test]
+async fn the_calls_of_a_run_are_recorded_before_it_may_make_more() {
+    let (fleet, parts) = (fleet().await, StoredParts::default());
+    let _store = fleet.store(&parts).await;
+    submit(&fleet, "a").await;
+    let mut host = connect_host(&fleet, "h").await;
+    let job = receive_job(&mut host).await;
+    let ids: Vec<String> = granted(&job).into_iter().collect();
+    send_report(&mut host, calling(&job, &[&ids[0], &ids[1]])).await;
+    let recorded = receive(&mut host, |work| match work {
+        HostCommand::Recorded { run, endpoints, .. } => (run == job.run).then_some(endpoints),
+        _ => None,
+    })
+    .await;
+    assert_eq!(recorded, ids[..2].iter().cloned().collect());
+    assert_eq!(fleet.replica.state().costs["s"].cost.scorer.endpoints, recorded);
+}
--- a/components/node/tests/scorers.rs
+++ b/components/node/tests/scorers.rs
@@ -404,6 +404,27 @@
     assert!(last.cost.scorer.endpoints.is_superset(&called), "{called:?}");
 }
 
+/// Guards against a host that uses all granted endpoints one after the other while it is cut off from the
+/// leader, which can count only so many unreported calls.
+#[actix_rt::test]
+async fn a_third_endpoint_is_called_only_after_the_first_two_are_recorded() {
+    let (scorers, calls) = scorers_with_status(503, Duration::from_millis(5)).await;
+    let runner = host(&scorers);
+    let reports: Rc<RefCell<Vec<RunReport>>> = Rc::default();
+    let sink = reports.clone();
+    runner.attach_local(move |report| sink.borrow_mut().push(report.clone()));
+    runner.handle_local(HostCommand::Run(Box::new(job(Cost::default()).await)));
+    let called =
+        || -> BTreeSet<usize> { calls.borrow().iter().map(|call| call.endpoint).collect() };
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(called().len(), 2, "{calls:?}");
+    let endpoints = reports.borrow().last().unwrap().cost.scorer.endpoints.clone();
+    let step = "step".to_owned();
+    runner.handle_local(HostCommand::Recorded { step, index: 0, run: 1, endpoints });
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(called().len(), 3, "{calls:?}");
+}
+
 /// Guards against endpoints that the leader has withdrawn being reported as ended: the route of the call
 /// was changed, and other calls may still need them.
 #[test]
