--- a/components/node/tests/leader/grants.rs
+++ b/components/node/tests/leader/grants.rs
@@ -487,8 +487,8 @@
     assert_eq!(granted_others(&fleet, &mut host, &job).await, 0);
 }
 
-/// A host reports a call and is lost, and the next one together with the leader. Guards against a leader
-/// that does not know of the reported call.
+/// A host reports a call with the end of its run, and the next host is lost together with the leader.
+/// Guards against a leader that does not know of the reported call.
 #[actix_rt::test]
 async fn a_call_that_was_reported_to_the_previous_leader_counts() {
     let (fleet, parts) = (fleet().await, StoredParts::default());
@@ -497,9 +497,8 @@
     let mut first = connect_host(&fleet, "h1").await;
     let job = receive_job(&mut first).await;
     let called = granted(&job).into_iter().next().unwrap();
-    send_report(&mut first, calling(&job, &[&called])).await;
-    let leader = fleet.leader();
-    wait_until("the call is known", || leader.plan.borrow().is_scoring("a", 0)).await;
+    let status = RunStatus::Ended(RunEnd::Broken);
+    send_report(&mut first, RunReport { status, ..calling(&job, &[&called]) }).await;
     drop(first);
     receive_job(&mut connect_host(&fleet, "h2").await).await;
     drop(store);
