Leader: a step that ends before it is read keeps its calls

Callers saw, in a test: a sample's scorer called at endpoints other than those that its call had been granted. Its step ended just after a change of leader, before the new leader had read the step from the stores, and the sample came again in the next step.

Cause: the end of a step records the costs of its samples as the plan knows them. A step that was not read is not in the plan, so neither the endpoints that were granted nor the run of the previous leader were recorded.

Weighed: (1) the end waits, for half a second at most, until the step is read; (2) the step is read after its end, and submissions wait meanwhile. (2) would hold up steps that have nothing to do with it. (1) is built. A step that cannot be read in that time ends as before: it must be possible to end it. That remains.

--- a/components/node/src/leader/steps.rs
+++ b/components/node/src/leader/steps.rs
@@ -32,6 +32,9 @@
 /// some host does not report. Hosts notice the loss of the previous leader within 0.9 s, mostly
 /// before the next one is elected.
 const HOST_REPORTS_WAIT_MS: u64 = 500;
+/// Milliseconds for which the end of a step waits until the step is read from the stores. They connect
+/// to a new leader within some tenths of a second; a step that cannot be read must end as well.
+const UNREAD_END_WAIT_MS: u64 = 500;
 
 impl Leader {
     /// Accepts a step: writes its samples to enough stores and commits their location to the log.
@@ -183,6 +186,11 @@
             let is_submitting = self.submitting.borrow().contains(&step);
             return if is_submitting { Answer::NotNow } else { Answer::Unknown };
         }
+        // The endpoints that were granted, and may be called, are stored with the step.
+        let until = clock::now() + UNREAD_END_WAIT_MS;
+        while self.is_unread(&step) && clock::now() < until {
+            tokio::time::sleep(PLAN_INTERVAL).await;
+        }
         // A sample that is ordered after its cost was read would not be recorded.
         self.plan.borrow_mut().set_ending(&step, true);
         let costs = self.plan.borrow().unfinished_costs(&step);
@@ -197,6 +205,13 @@
         answer
     }
 
+    /// Returns whether a step is open and was not read from the stores yet.
+    fn is_unread(&self, step: &str) -> bool {
+        let state = self.context.replica.state();
+        let is_open = state.steps.get(step).is_some_and(|found| found.is_open());
+        is_open && !self.plan.borrow().has_step(step)
+    }
+
     pub(super) fn close_step(&self, step: &str) {
         if !self.plan.borrow().has_step(step) {
             let unread = self.unread.borrow().iter().any(|other| other == step);
--- a/components/node/tests/leader/grants.rs
+++ b/components/node/tests/leader/grants.rs
@@ -337,6 +337,33 @@
     store
 }
 
+/// A step is ended as soon as a leader has taken over, before it has read the step from the stores.
+/// Guards against an end that hides the endpoints which were granted, and the host that may call them.
+#[actix_rt::test]
+async fn a_step_that_ends_before_it_is_read_keeps_its_calls() {
+    let (fleet, parts) = (fleet().await, StoredParts::default());
+    let store = fleet.store(&parts).await;
+    submit(&fleet, "a").await;
+    let mut unreported = connect_host(&fleet, "h1").await;
+    let before = granted(&receive_job(&mut unreported).await);
+    drop((unreported, store));
+    fleet.next_leader();
+    let connected = async {
+        pause(50).await;
+        fleet.store(&parts).await
+    };
+    let (_, _store) = futures_util::future::join(fleet.end("a"), connected).await;
+    announce_desks(&fleet, &DESKS).await;
+    announce_engine(&fleet).await;
+    // The store may host runs as well, and is not preferred.
+    let mut host = connect_host(&fleet, "h2").await;
+    submit(&fleet, "b").await;
+    let job = receive_job(&mut host).await;
+    assert_eq!(granted(&job), before);
+    change_route(&fleet, &OTHERS).await;
+    assert_eq!(granted_others(&fleet, &mut host, &job).await, ATTEMPTS - 2);
+}
+
 /// Guards against the loss of a host being forgotten with the step in which it was noticed, also by
 /// the next leader.
 #[actix_rt::test]
