Grants: calls at endpoints that have ended do not use up what a run may call

Callers saw, in tests of the change before: a call made nowhere. Its host had called as many endpoints as the route allows, all of them ended, and the leader did not record its calls any more, so it could not call those that were granted in their place. Or both that it had called were gone before they were recorded, and it did not report that it needed others, as two of the granted ones were ready.

Cause: both counted endpoints that cannot be called. The first counted ended ones, the second ones that the host may not call yet.

Evidence: a_run_whose_endpoints_have_ended_may_call_others and a_host_that_may_call_no_ready_endpoint_reports_so failed before.

Change: the leader counts calls at endpoints that are alive; the host counts endpoints that it may call.

--- a/components/node/src/forward/budget.rs
+++ b/components/node/src/forward/budget.rs
@@ -108,11 +108,14 @@
         self.shared.is_some()
     }
 
-    /// Returns how many granted endpoints fulfil a condition.
-    pub(super) fn count_granted(&self, condition: impl Fn(&str) -> bool) -> usize {
+    /// Returns how many granted endpoints may be called now and fulfil a condition.
+    pub(super) fn count_callable(&self, condition: impl Fn(&str) -> bool) -> usize {
         let Some(shared) = &self.shared else { return 0 };
+        let spent = self.spent.borrow();
         let grant = shared.grant.borrow();
-        grant.endpoints.iter().filter(|id| grant.allows(id) && condition(id)).count()
+        let may_call = |id: &str| spent.endpoints.contains(id) || shared.may_call(&spent);
+        let callable = grant.endpoints.iter().filter(|id| grant.allows(id) && may_call(id));
+        callable.filter(|id| condition(id)).count()
     }
 
     /// Records that nothing accepts connections at an endpoint's address. If that is so in two
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -140,10 +140,10 @@
         self.pool.borrow_mut().sweep(|incarnation| picker.is_ready(incarnation));
     }
 
-    /// Returns whether enough granted endpoints are ready for an attempt and a hedge.
+    /// Returns whether enough endpoints that may be called are ready for an attempt and a hedge.
     pub fn can_hedge(&self, budget: &Budget) -> bool {
         let picker = self.picker.borrow();
-        budget.count_granted(|id| picker.is_ready(id)) >= NEEDED_ENDPOINTS
+        budget.count_callable(|id| picker.is_ready(id)) >= NEEDED_ENDPOINTS
     }
 
     /// Forwards a request in one pass of at most `limit_ms`. Dropping the future closes the
--- a/components/node/src/leader/grants.rs
+++ b/components/node/src/leader/grants.rs
@@ -220,15 +220,18 @@
     }
 
     /// Returns the id and the cost of a sample whose current run has called as many endpoints as it may
-    /// before they are recorded, unless its call has reached all that its route allows.
+    /// before they are recorded, unless its call executes at all that its route allows.
     fn used_calls(&self, step: &str, index: u32) -> Option<(String, Cost)> {
         let config = self.config()?;
         let plan = self.plan.borrow();
-        let (scorer, cost) = plan.scorer(step, index)?;
+        let (scorer, cost) =
+            plan.scorer(step, index).filter(|_| plan.has_used_calls(step, index))?;
         let route = config.find(&scorer.host, &scorer.path)?;
-        let may_use_more = cost.scorer.endpoints.len() < route.attempts as usize;
-        let is_wanted = may_use_more && plan.has_used_calls(step, index);
-        is_wanted.then(|| Some((plan.sample_id(step, index)?.to_owned(), cost.clone())))?
+        let live = cost.scorer.endpoints.iter().filter(|id| !self.is_endpoint_gone(id)).count();
+        if live >= route.attempts.max(1) as usize {
+            return None;
+        }
+        Some((plan.sample_id(step, index)?.to_owned(), cost.clone()))
     }
 
     fn send_recorded(&self, step: &str, index: u32, endpoints: BTreeSet<String>) {
--- a/components/node/tests/leader/grants.rs
+++ b/components/node/tests/leader/grants.rs
@@ -538,6 +538,30 @@
     assert_eq!(granted_others(&fleet, &mut host, &job).await, 0);
 }
 
+/// Guards against a host that may call none of the endpoints which replace those that it has called: they
+/// have ended, so the call does not execute there any more.
+#[actix_rt::test]
+async fn a_run_whose_endpoints_have_ended_may_call_others() {
+    let (fleet, parts) = (fleet().await, StoredParts::default());
+    let _store = fleet.store(&parts).await;
+    submit(&fleet, "a").await;
+    let mut host = connect_host(&fleet, "h").await;
+    let job = receive_job(&mut host).await;
+    let ids: Vec<String> = granted(&job).into_iter().collect();
+    let called: Vec<&str> = ids.iter().map(String::as_str).collect();
+    send_report(&mut host, calling(&job, &called)).await;
+    for id in &ids {
+        assert!(matches!(fleet.leader().answer(Call::Leave(id.clone())).await, Answer::Done));
+    }
+    send_report(&mut host, calling(&job, &called)).await;
+    let recorded = receive(&mut host, |work| match work {
+        HostCommand::Recorded { endpoints, .. } => Some(endpoints),
+        _ => None,
+    })
+    .await;
+    assert_eq!(recorded, ids.into_iter().collect());
+}
+
 /// Guards against a step's end that hides a host which may have called endpoints: the sample is
 /// submitted again in the next step.
 #[actix_rt::test]
--- a/components/node/tests/scorers.rs
+++ b/components/node/tests/scorers.rs
@@ -18,6 +18,7 @@
 use bytes::Bytes;
 use chicoryford_fleet::Config;
 use chicoryford_fleet::Endpoint;
+use chicoryford_fleet::EndpointStatus;
 use chicoryford_fleet::Grant;
 use chicoryford_fleet::Policy;
 use chicoryford_fleet::Route;
@@ -148,13 +149,18 @@
 
 /// Creates a host with these scorers.
 fn host(scorers: &[Endpoint]) -> Rc<Runner> {
+    host_with_view(scorers).0
+}
+
+/// Creates a host with these scorers, and returns it with its view.
+fn host_with_view(scorers: &[Endpoint]) -> (Rc<Runner>, Rc<View>) {
     let view = Rc::new(View::default());
     let forwarder = Forwarder::new(Policy::default());
     let learning = forwarder.clone();
     view.subscribe(move |update| learning.apply(update));
     view.apply(Update::Config(Arc::new(config())));
     scorers.iter().cloned().for_each(|endpoint| view.apply(Update::Endpoint(endpoint)));
-    Runner::new(view, forwarder)
+    (Runner::new(view.clone(), forwarder), view)
 }
 
 /// Returns the endpoints that the call is granted.
@@ -425,6 +431,27 @@
     assert_eq!(called().len(), 3, "{calls:?}");
 }
 
+/// Guards against a call that waits for ever because its host does not report that it may call none of
+/// the ready endpoints: both that it has called are gone, and were not recorded.
+#[actix_rt::test]
+async fn a_host_that_may_call_no_ready_endpoint_reports_so() {
+    let (scorers, calls) = scorers_with_status(503, Duration::from_millis(5)).await;
+    let (runner, view) = host_with_view(&scorers);
+    let reports: Rc<Cell<usize>> = Rc::default();
+    let count = reports.clone();
+    runner.attach_local(move |_| count.set(count.get() + 1));
+    runner.handle_local(HostCommand::Run(Box::new(job(Cost::default()).await)));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let called: BTreeSet<usize> = calls.borrow().iter().map(|call| call.endpoint).collect();
+    for number in called {
+        let status = EndpointStatus::Gone;
+        view.apply(Update::Endpoint(Endpoint { status, ..scorers[number].clone() }));
+    }
+    let before = reports.get();
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert!(reports.get() > before, "{before} reports");
+}
+
 /// Guards against endpoints that the leader has withdrawn being reported as ended: the route of the call
 /// was changed, and other calls may still need them.
 #[test]
