--- a/components/node/tests/leader/grants.rs
+++ b/components/node/tests/leader/grants.rs
@@ -326,13 +326,40 @@
     known.map_or(0, |grant| grant.endpoints.iter().filter(|id| id.starts_with('o')).count())
 }
 
-/// Announces all endpoints to a new leader, connects the store from which it reads step "a", and
-/// returns the store.
-async fn read_step(fleet: &Fleet, parts: &StoredParts) -> Member {
-    let leader = fleet.leader();
+/// Starts a fleet to which step "a" is submitted, and returns it with the parts of its store and the
+/// store.
+async fn submitted() -> (Fleet, StoredParts, Member) {
+    let (fleet, parts) = (fleet().await, StoredParts::default());
+    let store = fleet.store(&parts).await;
+    submit(&fleet, "a").await;
+    (fleet, parts, store)
+}
+
+/// Submits the sample of step "a" again in step "b", and returns a host with its order to run it.
+async fn job_of_next_step(fleet: &Fleet) -> (Socket, Job) {
+    submit(fleet, "b").await;
+    let mut host = connect_host(fleet, "h2").await;
+    let job = receive_job(&mut host).await;
+    (host, job)
+}
+
+/// Replaces the leader by one that knows all endpoints and has a store, and returns the store.
+async fn change_leader(fleet: &Fleet, parts: &StoredParts) -> Member {
+    fleet.next_leader();
+    connect_all(fleet, parts).await
+}
+
+/// Announces all endpoints to the leader, connects its store, and returns the store.
+async fn connect_all(fleet: &Fleet, parts: &StoredParts) -> Member {
     announce_desks(fleet, &DESKS).await;
     announce_engine(fleet).await;
-    let store = fleet.store(parts).await;
+    fleet.store(parts).await
+}
+
+/// Does the same with a store from which the leader reads step "a".
+async fn read_step(fleet: &Fleet, parts: &StoredParts) -> Member {
+    let store = connect_all(fleet, parts).await;
+    let leader = fleet.leader();
     wait_until("the step is read", || leader.plan.borrow().has_step("a")).await;
     store
 }
@@ -341,9 +368,7 @@
 /// Guards against an end that hides the endpoints which were granted, and the host that may call them.
 #[actix_rt::test]
 async fn a_step_that_ends_before_it_is_read_keeps_its_calls() {
-    let (fleet, parts) = (fleet().await, StoredParts::default());
-    let store = fleet.store(&parts).await;
-    submit(&fleet, "a").await;
+    let (fleet, parts, store) = submitted().await;
     let mut unreported = connect_host(&fleet, "h1").await;
     let before = granted(&receive_job(&mut unreported).await);
     drop((unreported, store));
@@ -368,22 +393,15 @@
 /// the next leader.
 #[actix_rt::test]
 async fn a_host_that_was_lost_before_its_step_ended_counts_for_the_next_leader() {
-    let (fleet, parts) = (fleet().await, StoredParts::default());
-    let store = fleet.store(&parts).await;
-    submit(&fleet, "a").await;
+    let (fleet, parts, store) = submitted().await;
     receive_job(&mut connect_host(&fleet, "h1").await).await;
     let leader = fleet.leader();
     wait_until("the loss is noticed", || leader.plan.borrow().host("a", 0).is_none()).await;
     fleet.end("a").await;
     drop(store);
-    fleet.next_leader();
-    announce_desks(&fleet, &DESKS).await;
-    announce_engine(&fleet).await;
-    let _store = fleet.store(&parts).await;
+    let _store = change_leader(&fleet, &parts).await;
     change_route(&fleet, &OTHERS).await;
-    submit(&fleet, "b").await;
-    let mut host = connect_host(&fleet, "h2").await;
-    let job = receive_job(&mut host).await;
+    let (mut host, job) = job_of_next_step(&fleet).await;
     assert_eq!(granted_others(&fleet, &mut host, &job).await, ATTEMPTS - 2);
 }
 
@@ -391,9 +409,7 @@
 /// call that is made nowhere although the host has reported which endpoint it called.
 #[actix_rt::test]
 async fn a_host_that_reports_after_its_run_was_moved_holds_no_call_up() {
-    let (fleet, parts) = (fleet().await, StoredParts::default());
-    let _store = fleet.store(&parts).await;
-    submit(&fleet, "a").await;
+    let (fleet, _parts, _store) = submitted().await;
     let first = receive_job(&mut connect_host(&fleet, "h1").await).await;
     let mut host = connect_host(&fleet, "h2").await;
     let job = receive_job(&mut host).await;
@@ -412,9 +428,7 @@
 #[actix_rt::test]
 async fn a_last_report_about_a_moved_run_extends_the_grant() {
     for position in 0..ATTEMPTS {
-        let (fleet, parts) = (fleet().await, StoredParts::default());
-        let _store = fleet.store(&parts).await;
-        submit(&fleet, "a").await;
+        let (fleet, _parts, _store) = submitted().await;
         let first = receive_job(&mut connect_host(&fleet, "h1").await).await;
         let mut host = connect_host(&fleet, "h2").await;
         let job = receive_job(&mut host).await;
@@ -434,9 +448,7 @@
 #[actix_rt::test]
 async fn an_endpoint_that_has_ended_is_not_one_that_a_lost_host_calls() {
     for position in 0..ATTEMPTS {
-        let (fleet, parts) = (fleet().await, StoredParts::default());
-        let _store = fleet.store(&parts).await;
-        submit(&fleet, "a").await;
+        let (fleet, _parts, _store) = submitted().await;
         let first = receive_job(&mut connect_host(&fleet, "h1").await).await;
         let mut host = connect_host(&fleet, "h2").await;
         let job = receive_job(&mut host).await;
@@ -451,9 +463,7 @@
 /// is granted in addition to the endpoints of the former service that a lost host may have called.
 #[actix_rt::test]
 async fn a_lost_host_counts_each_time_an_endpoint_is_replaced() {
-    let (fleet, parts) = (fleet().await, StoredParts::default());
-    let _store = fleet.store(&parts).await;
-    submit(&fleet, "a").await;
+    let (fleet, _parts, _store) = submitted().await;
     receive_job(&mut connect_host(&fleet, "h1").await).await;
     let mut host = connect_host(&fleet, "h2").await;
     let job = receive_job(&mut host).await;
@@ -475,9 +485,7 @@
 /// Guards against a host that is counted as lost by each leader although it reports to all of them.
 #[actix_rt::test]
 async fn a_host_that_reports_to_each_leader_is_not_counted_as_lost() {
-    let (fleet, parts) = (fleet().await, StoredParts::default());
-    let mut store = fleet.store(&parts).await;
-    submit(&fleet, "a").await;
+    let (fleet, parts, mut store) = submitted().await;
     let mut host = connect_host(&fleet, "h1").await;
     let job = receive_job(&mut host).await;
     for _ in 0..3 {
@@ -499,9 +507,7 @@
 /// leader that knows of only one of the two.
 #[actix_rt::test]
 async fn a_host_that_was_lost_before_the_leader_counts_for_the_next_one() {
-    let (fleet, parts) = (fleet().await, StoredParts::default());
-    let store = fleet.store(&parts).await;
-    submit(&fleet, "a").await;
+    let (fleet, parts, store) = submitted().await;
     receive_job(&mut connect_host(&fleet, "h1").await).await;
     receive_job(&mut connect_host(&fleet, "h2").await).await;
     drop(store);
@@ -518,9 +524,7 @@
 /// Guards against a leader that does not know of the reported call.
 #[actix_rt::test]
 async fn a_call_that_was_reported_to_the_previous_leader_counts() {
-    let (fleet, parts) = (fleet().await, StoredParts::default());
-    let store = fleet.store(&parts).await;
-    submit(&fleet, "a").await;
+    let (fleet, parts, store) = submitted().await;
     let mut first = connect_host(&fleet, "h1").await;
     let job = receive_job(&mut first).await;
     let called = granted(&job).into_iter().next().unwrap();
@@ -542,9 +546,7 @@
 /// have ended, so the call does not execute there any more.
 #[actix_rt::test]
 async fn a_run_whose_endpoints_have_ended_may_call_others() {
-    let (fleet, parts) = (fleet().await, StoredParts::default());
-    let _store = fleet.store(&parts).await;
-    submit(&fleet, "a").await;
+    let (fleet, _parts, _store) = submitted().await;
     let mut host = connect_host(&fleet, "h").await;
     let job = receive_job(&mut host).await;
     let ids: Vec<String> = granted(&job).into_iter().collect();
@@ -566,17 +568,13 @@
 /// submitted again in the next step.
 #[actix_rt::test]
 async fn a_host_that_did_not_report_before_its_step_ended_counts() {
-    let (fleet, parts) = (fleet().await, StoredParts::default());
-    let _store = fleet.store(&parts).await;
-    submit(&fleet, "a").await;
+    let (fleet, _parts, _store) = submitted().await;
     let mut unreported = connect_host(&fleet, "h1").await;
     receive_job(&mut unreported).await;
     fleet.end("a").await;
     drop(unreported);
     change_route(&fleet, &OTHERS).await;
-    submit(&fleet, "b").await;
-    let mut host = connect_host(&fleet, "h2").await;
-    let job = receive_job(&mut host).await;
+    let (mut host, job) = job_of_next_step(&fleet).await;
     assert_eq!(granted_others(&fleet, &mut host, &job).await, ATTEMPTS - 2);
 }
 
@@ -584,21 +582,14 @@
 /// the previous leader.
 #[actix_rt::test]
 async fn a_host_that_did_not_report_before_its_step_ended_counts_for_the_next_leader() {
-    let (fleet, parts) = (fleet().await, StoredParts::default());
-    let store = fleet.store(&parts).await;
-    submit(&fleet, "a").await;
+    let (fleet, parts, store) = submitted().await;
     let mut unreported = connect_host(&fleet, "h1").await;
     receive_job(&mut unreported).await;
     fleet.end("a").await;
     drop((unreported, store));
-    fleet.next_leader();
-    announce_desks(&fleet, &DESKS).await;
-    announce_engine(&fleet).await;
-    let _store = fleet.store(&parts).await;
+    let _store = change_leader(&fleet, &parts).await;
     change_route(&fleet, &OTHERS).await;
-    submit(&fleet, "b").await;
-    let mut host = connect_host(&fleet, "h2").await;
-    let job = receive_job(&mut host).await;
+    let (mut host, job) = job_of_next_step(&fleet).await;
     assert_eq!(granted_others(&fleet, &mut host, &job).await, ATTEMPTS - 2);
 }
 
@@ -606,9 +597,7 @@
 /// that it has called are recorded before it may call another one.
 #[actix_rt::test]
 async fn the_calls_of_a_run_are_recorded_before_it_may_make_more() {
-    let (fleet, parts) = (fleet().await, StoredParts::default());
-    let _store = fleet.store(&parts).await;
-    submit(&fleet, "a").await;
+    let (fleet, _parts, _store) = submitted().await;
     let mut host = connect_host(&fleet, "h").await;
     let job = receive_job(&mut host).await;
     let ids: Vec<String> = granted(&job).into_iter().collect();
