--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -320,6 +320,66 @@
             task.cancel()
 
 
+class Engine(Sampler):
+    """A model sampler: streams the events of a run, one each `step_s` seconds."""
+
+    def __init__(self, fleet, name, service, number, zone, model="daka51", events=10,
+                 step_s=0.04, slots=8):
+        super().__init__(fleet, name, service, number, zone, slots=slots)
+        self.model, self.events, self.step_s, self.version = model, events, step_s, 1
+
+    def state(self):
+        models = [{"Name": self.model, "Version": self.version, "Adapters": []}]
+        return {**super().state(), "Stage": "both", "Models": models}
+
+    async def serve(self, reader, writer):
+        task = asyncio.current_task()
+        self.tasks.add(task)
+        try:
+            while True:
+                line, headers, body = await read_message(reader)
+                wanted = headers.get("x-expected-instance")
+                request = headers.get("x-attempt-id", "")
+                version = headers.get("x-expected-version", str(self.version))
+                if (wanted and wanted != self.name) or version != str(self.version):
+                    writer.write(self.reply("421 Misdirected Request", request))
+                elif line.startswith("GET"):
+                    writer.write(self.reply("200 OK", request, json.dumps(self.report()).encode()))
+                else:
+                    await self.run(writer, request, int(headers.get("last-event-id") or 0))
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
+            pass
+        except asyncio.CancelledError:
+            pass  # The sampler exits.
+        finally:
+            self.tasks.discard(task)
+            writer.close()
+
+    def report(self):
+        return {"Stage": "both", "Models": self.state()["Models"], "Busy": False, "Sequence": 0,
+                "Waiting": 0, "Running": self.running, "KvCacheUsed": 0, "KvCacheTotal": 90000,
+                "Handles": 0}
+
+    async def run(self, writer, request, after):
+        self.arrivals.append((now(), request))
+        self.fleet.record("run", sampler=self.name, request=request, after=after)
+        self.running += 1
+        try:
+            writer.write(("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                          f"X-Attempt-Id: {request}\r\nX-Weight-Versions: {self.version}\r\n"
+                          f"X-Response-Stamp: mac-{self.name}-{request}\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n").encode())
+            for number in range(after + 1, self.events + 1):
+                await asyncio.sleep(self.step_s)
+                event = f"id: {number}\ndata: {request}-{number}\n\n".encode()
+                writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                await writer.drain()
+            writer.write(b"0\r\n\r\n")
+        finally:
+            self.running -= 1
+
+
 def manifest(version, routes, services):
     return {
         "Version": version, "Routes": routes, "Services": services,
