--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -305,28 +305,38 @@
             self.running -= 1
         return self.reply("200 OK", request, b"done", f"mac-{self.name}-{request}")
 
-    def reply(self, status, request, body=b"", stamp=None):
+    def reply(self, status, request, body=b"", stamp=None, refused=False):
         lines = [f"HTTP/1.1 {status}", f"X-Attempt-Id: {request}",
                  f"X-Instance-Id: {self.name}", f"Content-Length: {len(body)}"]
         if stamp:
             lines.append(f"X-Response-Stamp: {stamp}")
+        if refused:
+            lines.append("X-Not-Executed: 1")
         return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
     def exit(self):
         """Ends the sampler: it accepts nothing more, and what it runs is lost."""
         self.beating = False
         self.server.close()
+        if getattr(self, "loading", None):
+            self.loading.cancel()
         for task in list(self.tasks):
             task.cancel()
 
 
 class Engine(Sampler):
-    """A model sampler: streams the events of a run, one each `step_s` seconds."""
+    """A model sampler: streams the events of a run, one each `step_s` seconds.
+
+    The data of an event names its number, the version that made it, and the run.
+    """
+
+    runs = 0
 
     def __init__(self, fleet, name, service, number, zone, model="daka51", events=10,
-                 step_s=0.04, slots=8):
+                 step_s=0.04, slots=8, version=1):
         super().__init__(fleet, name, service, number, zone, slots=slots)
-        self.model, self.events, self.step_s, self.version = model, events, step_s, 1
+        self.model, self.events, self.step_s, self.version = model, events, step_s, version
+        self.orders, self.loading = 0, None
 
     def state(self):
         models = [{"Name": self.model, "Version": self.version, "Adapters": []}]
@@ -338,13 +348,17 @@
         try:
             while True:
                 line, headers, body = await read_message(reader)
-                wanted = headers.get("x-expected-instance")
                 request = headers.get("x-attempt-id", "")
+                wanted = headers.get("x-expected-instance")
                 version = headers.get("x-expected-version", str(self.version))
                 if (wanted and wanted != self.name) or version != str(self.version):
                     writer.write(self.reply("421 Misdirected Request", request))
                 elif line.startswith("GET"):
                     writer.write(self.reply("200 OK", request, json.dumps(self.report()).encode()))
+                elif line.split()[1] == "/order":
+                    writer.write(self.order(json.loads(body)))
+                elif self.loading:
+                    writer.write(self.reply("503 Service Unavailable", request, refused=True))
                 else:
                     await self.run(writer, request, int(headers.get("last-event-id") or 0))
                 await writer.drain()
@@ -357,22 +371,48 @@
             writer.close()
 
     def report(self):
-        return {"Stage": "both", "Models": self.state()["Models"], "Busy": False, "Sequence": 0,
-                "Waiting": 0, "Running": self.running, "KvCacheUsed": 0, "KvCacheTotal": 90000,
-                "Handles": 0}
+        models = [{"Name": self.model, "Version": self.version, "Adapters": []}]
+        return {"Stage": "both", "Models": models, "Busy": bool(self.loading),
+                "Sequence": self.orders, "Waiting": 0, "Running": self.running,
+                "KvCacheUsed": 0, "KvCacheTotal": 90000, "Handles": 0}
+
+    def order(self, order):
+        """Takes an order to change the version, which waits for the runs if it says so."""
+        self.fleet.record("order", sampler=self.name, version=order["Version"],
+                          mode=order["SwitchMode"], holder=order["Holder"])
+        if order["Version"] == self.version:
+            return self.reply("200 OK", "")
+        if self.loading or order.get("Precondition", self.orders) != self.orders:
+            return self.reply("409 Conflict", "")
+        self.orders += 1
+        self.loading = asyncio.create_task(self.load(order["Version"], order["SwitchMode"]))
+        return self.reply("202 Accepted", "")
+
+    async def load(self, version, mode):
+        while mode == "wait" and self.running:
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.9)
+        self.version, self.loading = version, None
 
     async def run(self, writer, request, after):
+        Engine.runs += 1
+        run = Engine.runs
         self.arrivals.append((now(), request))
-        self.fleet.record("run", sampler=self.name, request=request, after=after)
+        self.fleet.record("run", sampler=self.name, request=request, run=run, after=after,
+                          version=self.version)
         self.running += 1
         try:
             writer.write(("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                           f"X-Attempt-Id: {request}\r\nX-Weight-Versions: {self.version}\r\n"
                           f"X-Response-Stamp: mac-{self.name}-{request}\r\n"
                           "Transfer-Encoding: chunked\r\n\r\n").encode())
+            shown = self.version
             for number in range(after + 1, self.events + 1):
                 await asyncio.sleep(self.step_s)
-                event = f"id: {number}\ndata: {request}-{number}\n\n".encode()
+                event = f"id: {number}\ndata: {number}:v{self.version}:run{run}\n\n"
+                if self.version != shown:
+                    event, shown = f"x-weight-versions: {self.version}\n" + event, self.version
+                event = event.encode()
                 writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
                 await writer.drain()
             writer.write(b"0\r\n\r\n")
