--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -26,6 +26,9 @@
 
 # Bounds of the installation that the settings describe.
 CONTACT_S = 3.0
+CATCH_UP_S = 4.2
+RECOVERY_S = 12.0
+GRACE_S = 8.0
 DRAIN_S = 2.0
 BEAT_S = 1.2
 
@@ -197,6 +200,14 @@
         for node in self.nodes:
             node.start()
 
+    def add_core(self):
+        """Adds an empty control process at a new address."""
+        node = Node(self, "core", len(self.cores) + 1)
+        node.first = False
+        self.cores.append(node)
+        node.start()
+        return node
+
     def check_alive(self):
         for node in self.nodes:
             if node.child.poll() is not None:
