Review: the scripts read TROUBLE themselves, and errors in them are no broken rule

An unforeseen exception ended a script with 1, which says that the rule was broken; it ends with 2 now. SIGTERM ends the processes too. No check or bound is changed.

--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -440,16 +440,24 @@
 
 
 def run(case, record_path):
-    """Runs a case: a coroutine function that returns whether the rule held."""
+    """Runs a case: a coroutine function that returns whether the rule held.
+
+    Whatever else ends it, an error in the script too, means that the case could not run.
+    """
     record = Record(record_path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record("begin", trouble=trouble)
+    # The processes are ended also when the script is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         held = asyncio.run(asyncio.wait_for(case(record, trouble), 110))
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:
         record("cannot_run", why=repr(error))
         print("cannot run:", repr(error))
         return 2
+    except (KeyboardInterrupt, SystemExit):
+        record("cannot_run", why="ended by a signal")
+        return 2
     record("end", held=held)
     print("the rule held" if held else "the rule was broken")
     return 0 if held else 1
