--- a/components/fleet/tests/plan.rs
+++ b/components/fleet/tests/plan.rs
@@ -28,86 +28,14 @@
 use chicoryford_types::Epoch;
 use chicoryford_types::Millis;
 
+use support::planner::NOW;
+use support::planner::assign;
+use support::planner::engine;
+use support::planner::planner;
+use support::planner::report;
+use support::planner::step;
 use support::steps_config;
 
-const NOW: Millis = Millis(1_000);
-
-fn engine(id: &str, slots: u32, version: u64) -> Endpoint {
-    let announcement = Announcement {
-        id: id.to_owned(),
-        started_ms: 0,
-        service: "engines".to_owned(),
-        address: "10.0.0.1:80".parse().unwrap(),
-        data_centre: "z".to_owned(),
-        slots,
-        draining: false,
-        models: BTreeMap::from([("m".to_owned(), version)]),
-        sequence: 1,
-    };
-    Endpoint { announcement, status: EndpointStatus::Ready }
-}
-
-fn step(id: &str, expected: &[u64]) -> Arc<Step> {
-    let sample = |(index, expected): (usize, &u64)| Sample {
-        id: format!("{id}{index}"),
-        path: "/s/1".to_owned(),
-        expected_tokens: *expected,
-        tokens: *expected,
-        ..Sample::default()
-    };
-    Arc::new(Step {
-        id: id.to_owned(),
-        host: "h".to_owned(),
-        model: "m".to_owned(),
-        min_version: 1,
-        due_ms: 7_500,
-        age_ms: 40_000,
-        attempts: 3,
-        priority: 1,
-        samples: expected.iter().enumerate().map(sample).collect(),
-        ..Step::default()
-    })
-}
-
-fn planner(engines: &[Endpoint], steps: &[Arc<Step>]) -> Planner {
-    let mut planner = Planner::new(Epoch(1));
-    for engine in engines {
-        planner.update_engine(engine);
-    }
-    for step in steps {
-        planner.open_step(step.clone(), NOW, Millis::default(), |_| false);
-    }
-    planner
-}
-
-/// Assigns all samples that can start to the host "a".
-fn assign(planner: &mut Planner, now: Millis) -> Vec<Assignment> {
-    let assigned = planner.assign(&steps_config(), now);
-    for one in &assigned {
-        planner.set_host(&one.step.id, one.index, "a");
-    }
-    assigned
-}
-
-fn report(run: &Assignment, status: run::RunStatus, events: &[&str]) -> RunReport {
-    RunReport {
-        run: run.run,
-        step: run.step.id.clone(),
-        index: run.index,
-        endpoint: run.endpoint.clone(),
-        status,
-        from: 0,
-        output: SampleOutput {
-            events: events.iter().map(|event| (*event).to_owned()).collect(),
-            last_id: Some(events.len().to_string()),
-            versions: vec![1],
-        },
-        gap_ms: 0,
-        cost: run::Cost::default(),
-        remaining_ms: 40_000,
-    }
-}
-
 #[test]
 fn engines_respect_their_slots_and_the_minimum_version() {
     let engines = [engine("e1", 2, 1), engine("e2", 1, 1), engine("old", 9, 0)];
--- a/components/fleet/tests/support/mod.rs
+++ b/components/fleet/tests/support/mod.rs
@@ -1,8 +1,10 @@
-//! Shared test data: announcements of endpoints and a configuration with a route for steps.
+//! Shared test data: announcements of endpoints, a configuration with a route for steps, and a planner.
 
 // Each test file is compiled as a separate program and uses only some of these functions.
 #![allow(dead_code)]
 
+pub mod planner;
+
 use std::collections::BTreeMap;
 
 use chicoryford_fleet::Announcement;
