Logs: what a new leader restores of a step's runs, and which output a run discards

Three explanations were open: the run after the loss was given a joined output by its host; by the leader's checkpoints; or the two outputs were joined before the loss. The log of the leader could not tell them apart: step_adopted said nothing of checkpoints, run_started not that an output was discarded, and a checkpoint that was not written or not read left no line of its own.

Change: run_started has discarded; step_adopted has parts, resumed, events and rejected; checkpoints_skipped and checkpoint_unread are new, one line a part.

--- a/components/fleet/src/plan/assign.rs
+++ b/components/fleet/src/plan/assign.rs
@@ -123,6 +123,7 @@
                         .copied()
                         .unwrap_or_default(),
                     output: SampleOutput::default(),
+                    discarded: 0,
                     cost: progress.cost.clone(),
                     remaining_ms: progress.deadline.since(now),
                     other_runs: engine.load() - 1,
@@ -145,6 +146,7 @@
         if assignment.step.single_version
             && self.output.versions.first().is_some_and(|v| *v != version)
         {
+            assignment.discarded = self.output.events.len();
             self.output = SampleOutput::default();
         }
         assignment.output = self.output.clone();
--- a/components/fleet/src/plan/checkpoints.rs
+++ b/components/fleet/src/plan/checkpoints.rs
@@ -10,23 +10,44 @@
 /// checkpointed.
 const CHECKPOINT_EVENTS: usize = 24;
 
+/// The result of restoring the checkpoints of a step.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Restored {
+    /// Samples with restored events.
+    pub samples: usize,
+    /// The restored events of all samples.
+    pub events: usize,
+    /// Checkpoints that were rejected because they do not continue the output restored before them.
+    pub rejected: usize,
+}
+
 impl Planner {
     /// Restores the checkpoints of a step that was taken over from a previous leader.
-    pub fn restore_checkpoints(&mut self, step: &str, checkpoints: Vec<Checkpoint>) {
-        let Some(planned) = self.steps.get_mut(step) else { return };
+    pub fn restore_checkpoints(&mut self, step: &str, checkpoints: Vec<Checkpoint>) -> Restored {
+        let mut restored = Restored::default();
+        let Some(planned) = self.steps.get_mut(step) else { return restored };
         for checkpoint in checkpoints {
             let Some(progress) = planned.progress.get_mut(checkpoint.index as usize) else {
                 continue;
             };
+            if progress.phase != Phase::Waiting {
+                continue;
+            }
             let from = checkpoint.from as usize;
-            if progress.phase == Phase::Waiting && from <= progress.output.events.len() {
-                progress.output.events.truncate(from);
-                progress.output.events.extend(checkpoint.output.events);
-                progress.output.last_id = checkpoint.output.last_id;
-                progress.output.versions = checkpoint.output.versions;
-                progress.checkpointed = progress.output.events.len();
+            if from > progress.output.events.len() {
+                restored.rejected += 1;
+                continue;
             }
+            progress.output.events.truncate(from);
+            progress.output.events.extend(checkpoint.output.events);
+            progress.output.last_id = checkpoint.output.last_id;
+            progress.output.versions = checkpoint.output.versions;
+            progress.checkpointed = progress.output.events.len();
         }
+        let lengths = planned.progress.iter().map(|progress| progress.checkpointed);
+        restored.samples = lengths.clone().filter(|events| *events > 0).count();
+        restored.events = lengths.sum();
+        restored
     }
 
     /// Returns, by step, checkpoints of the runs that have produced at least `CHECKPOINT_EVENTS`
--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -32,6 +32,7 @@
 use crate::step::Scorer;
 use crate::step::Step;
 
+pub use checkpoints::Restored;
 pub use engine::EngineState;
 pub use listing::FINAL_LIST_DELAY_MS;
 pub use listing::LIST_DELAY_MS;
--- a/components/fleet/src/plan/samples.rs
+++ b/components/fleet/src/plan/samples.rs
@@ -97,6 +97,8 @@
     pub version: u64,
     /// The output so far.
     pub output: SampleOutput,
+    /// Number of events that were discarded because the engine has another version.
+    pub discarded: usize,
     /// The cost so far.
     pub cost: Cost,
     /// Milliseconds until the sample is too old.
--- a/components/node/src/leader/runs.rs
+++ b/components/node/src/leader/runs.rs
@@ -27,6 +27,7 @@
             address,
             version,
             output,
+            discarded,
             other_runs: beside,
             ..
         } = assignment;
@@ -43,6 +44,7 @@
             endpoint,
             version,
             after = output.events.len(),
+            discarded,
             beside,
             host,
             failures = cost.failures,
--- a/components/node/src/leader/steps.rs
+++ b/components/node/src/leader/steps.rs
@@ -15,6 +15,7 @@
 use chicoryford_fleet::StepSummary;
 use chicoryford_fleet::copies::PartId;
 use chicoryford_fleet::plan::Checkpoint;
+use chicoryford_fleet::plan::Restored;
 use chicoryford_fleet::step::MAX_REPLY_BYTES;
 use chicoryford_fleet::step::StoredResult;
 use chicoryford_fleet::step::reply_bytes;
@@ -260,8 +261,17 @@
             plan.open_step(Arc::new(step), Millis(at), reports_until, |index| {
                 open.is_listed(index)
             });
-            plan.restore_checkpoints(id, checkpoints);
-            tracing::info!(event = "step_adopted", step = id, listed = open.results.len());
+            let parts = open.checkpoints.len();
+            let Restored { samples, events, rejected } = plan.restore_checkpoints(id, checkpoints);
+            tracing::info!(
+                event = "step_adopted",
+                step = id,
+                listed = open.results.len(),
+                parts,
+                resumed = samples,
+                events,
+                rejected
+            );
         }
         true
     }
@@ -294,7 +304,10 @@
         };
         let mut checkpoints = Vec::new();
         for (part, place) in places {
-            let Some(bytes) = self.copies.read(part, &place).await else { continue };
+            let Some(bytes) = self.copies.read(part, &place).await else {
+                tracing::warn!(event = "checkpoint_unread", step = id, part = part.0);
+                continue;
+            };
             match rmp_serde::from_slice::<Vec<Checkpoint>>(&bytes) {
                 Ok(read) => checkpoints.extend(read),
                 Err(error) => tracing::error!(event = "part_unfit", part = part.0, %error),
@@ -319,6 +332,9 @@
                 // volume of data.
                 if matches!(place, copies::Placement::Stores(_)) {
                     self.commit(Command::Note { step, part, placement: place }).await;
+                } else {
+                    let samples = checkpoints.len();
+                    tracing::warn!(event = "checkpoints_skipped", step, part = part.0, samples);
                 }
             }
         });
