Checkpoints: one of another run does not continue a restored output

Cause: a checkpoint says from which event it goes on, but not of which output. Whatever was restored before it, if it was long enough, was joined with it, and got its versions. Two outputs of a sample meet in the checkpoints of one step in at least four ways: the output is discarded because the next engine has another version; a checkpoint of the second output finds no stores, or cannot be read later, while the next one can; a leader adopts a run that another host, or the leader before, had started, and which has fewer events. The last one needs no SingleVersion.

Four tests of the planner failed on the code before: a_checkpoint_does_not_continue_a_discarded_output, ..._one_that_is_missing (skipped and unreadable), ..._one_of_another_run, and a random one over hosts, versions and leaders that change, which finds a joined output in six events. With the old rule put back all five tests of the file fail.

Change: a checkpoint contains the digest of the events before its first one, and is restored only where that is what has been restored so far. What is restored is then an output that some leader has known of, whatever became of the checkpoints between.

Weighed: (1) the digest; (2) the first checkpoint of each run begins at its first event or at the first that it added, and a gap ends the restoring. (2) does not tell which output an adopted run had before its first new event, so each run would have to write all of its events again: up to 144 of 150 where (1) needs 24.

Checkpoints of the release before have no digest: one that holds the first event is restored, others are passed over and counted in rejected.

--- a/components/fleet/src/plan/checkpoints.rs
+++ b/components/fleet/src/plan/checkpoints.rs
@@ -33,12 +33,11 @@
             if progress.phase != Phase::Waiting {
                 continue;
             }
-            let from = checkpoint.from as usize;
-            if from > progress.output.events.len() {
+            if !checkpoint.fits(&progress.output) {
                 restored.rejected += 1;
                 continue;
             }
-            progress.output.events.truncate(from);
+            progress.output.events.truncate(checkpoint.from as usize);
             progress.output.events.extend(checkpoint.output.events);
             progress.output.last_id = checkpoint.output.last_id;
             progress.output.versions = checkpoint.output.versions;
@@ -69,8 +68,10 @@
                 progress.checkpointed = output.events.len();
                 let events = output.events[from..].to_vec();
                 let (last_id, versions) = (output.last_id.clone(), output.versions.clone());
+                let continues = Some(output.digest(from));
                 let output = SampleOutput { events, last_id, versions };
-                checkpoints.push(Checkpoint { index: index as u32, from: from as u32, output });
+                let (index, from) = (index as u32, from as u32);
+                checkpoints.push(Checkpoint { index, from, output, continues });
             }
             if !checkpoints.is_empty() {
                 by_step.push((id.clone(), checkpoints));
--- a/components/fleet/src/plan/samples.rs
+++ b/components/fleet/src/plan/samples.rs
@@ -7,6 +7,7 @@
 use chicoryford_types::Millis;
 use serde::Deserialize;
 use serde::Serialize;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::run::Cost;
 use crate::step::Step;
@@ -22,6 +23,19 @@
     pub versions: Vec<u64>,
 }
 
+impl SampleOutput {
+    /// Returns a digest of the first `count` events, which tells whether two outputs begin with the
+    /// same ones.
+    pub(super) fn digest(&self, count: usize) -> u64 {
+        let mut hasher = Xxh3::new();
+        for event in &self.events[..count] {
+            hasher.update(&(event.len() as u64).to_le_bytes());
+            hasher.update(event.as_bytes());
+        }
+        hasher.digest()
+    }
+}
+
 /// The output of a sample from an event on, as stored in a checkpoint.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Checkpoint {
@@ -31,6 +45,21 @@
     pub from: u32,
     /// The events from there on, the id of the last one, and all versions so far.
     pub output: SampleOutput,
+    /// The digest of the events before. `None` in a checkpoint of a release that did not record it,
+    /// which says of all events only if it begins with the first one.
+    #[serde(default)]
+    pub continues: Option<u64>,
+}
+
+impl Checkpoint {
+    /// Returns whether it continues the output restored so far. Checkpoints of several runs of a
+    /// sample follow each other, some may be missing, and events of two runs must not be joined
+    /// (docs/PLATFORM.md).
+    pub(super) fn fits(&self, restored: &SampleOutput) -> bool {
+        let from = self.from as usize;
+        let digest = (from <= restored.events.len()).then(|| restored.digest(from));
+        from == 0 || (digest.is_some() && digest == self.continues)
+    }
 }
 
 /// How a run ended.
