Checkpoints: they count for the output that they contain, not for the next one

Callers saw, with the change before: after the loss of all processes a sample begins again from its first event, though its run had been checkpointed.

Cause: checkpointed, the number of events that are in checkpoints, stayed when an output was discarded, and a report lowered it to the number of events known after it. So no checkpoint of the next output began at its first event, and each one was rejected. The same holds for a run that a new leader adopts: only the events that it shares with the restored output are in the checkpoints.

Evidence: a_run_resumes_from_all_checkpoints_after_an_output_was_discarded and an_adopted_run_resumes_from_all_checkpoints failed before (28 events of the discarded output, and 30 of the other run, were restored in place of 76 and 64).

Change: a discarded output resets the count; a report lowers it to the events that it leaves unchanged, which RunReport::append_to returns. A report that only adds events compares nothing.

--- a/components/fleet/src/plan/reports.rs
+++ b/components/fleet/src/plan/reports.rs
@@ -103,10 +103,10 @@
         progress.record_calls(report);
         progress.reported = true;
         let known_events = progress.output.events.len();
-        if !report.append_to(&mut progress.output) {
+        let Some(unchanged) = report.append_to(&mut progress.output) else {
             return ReportAction::Stop;
-        }
-        progress.checkpointed = progress.checkpointed.min(progress.output.events.len());
+        };
+        progress.checkpointed = progress.checkpointed.min(unchanged);
         if progress.output.events.len() > known_events {
             progress.last_event = now;
             progress.cost.crashes = 0;
--- a/components/fleet/src/plan/samples.rs
+++ b/components/fleet/src/plan/samples.rs
@@ -181,7 +181,7 @@
     /// When the last new event was reported.
     pub(super) last_event: Millis,
     pub(super) output: SampleOutput,
-    /// The number of events in checkpoints on the stores.
+    /// The number of events of the output that are in checkpoints on the stores.
     pub(super) checkpointed: usize,
     pub(super) cost: Cost,
     /// The failures of the sample before its current run, as known to the host. The cost may count the
--- a/components/fleet/src/run.rs
+++ b/components/fleet/src/run.rs
@@ -236,17 +236,16 @@
 }
 
 impl RunReport {
-    /// Appends the reported events to the known output, replacing overlapping events. Returns false
-    /// if there is a gap between them.
-    pub fn append_to(&self, known: &mut SampleOutput) -> bool {
+    /// Appends the reported events to the known output, replacing overlapping events. Returns how
+    /// many of the known events are unchanged, or `None` if there is a gap.
+    pub fn append_to(&self, known: &mut SampleOutput) -> Option<usize> {
         let from = self.from as usize;
-        if from > known.events.len() {
-            return false;
-        }
+        let overlap = known.events.get(from..)?.iter().zip(&self.output.events);
+        let unchanged = from + overlap.take_while(|(known, event)| known == event).count();
         known.events.truncate(from);
         known.events.extend(self.output.events.iter().cloned());
         known.last_id.clone_from(&self.output.last_id);
         known.versions.clone_from(&self.output.versions);
-        true
+        Some(unchanged)
     }
 }
--- a/components/fleet/tests/checkpoints.rs
+++ b/components/fleet/tests/checkpoints.rs
@@ -128,6 +128,46 @@
     assert!([output(events("y", 30), 1), output(events("x", 40), 1)].contains(restored));
 }
 
+/// Guards against work that is repeated from the first event: after an output was discarded, no
+/// checkpoint began at the first event of the next one, so none of them could be restored.
+#[test]
+fn a_run_resumes_from_all_checkpoints_after_an_output_was_discarded() {
+    let step = single_version_step();
+    let mut planner = planner(&[engine("e1", 1, 1)], std::slice::from_ref(&step));
+    let run = assign(&mut planner, NOW).remove(0);
+    report_events(&mut planner, &run, 1, events("x", 28));
+    let mut log = take(&mut planner);
+    let run = restart_under_version_2(&mut planner);
+    for count in [4, 28, 52, 76] {
+        report_events(&mut planner, &run, 2, events("y", count));
+        log.extend(take(&mut planner));
+    }
+    let restored = restore(2, &step, log);
+    assert_eq!(restored.output("a", 0), Some(&output(events("y", 76), 2)));
+}
+
+/// Guards against work that is repeated: the events that an adopted run does not share with the
+/// output known before counted as checkpointed, so its checkpoints could not be restored.
+#[test]
+fn an_adopted_run_resumes_from_all_checkpoints() {
+    let step = step("a", &[1]);
+    let mut first = planner(&[engine("e1", 1, 1)], std::slice::from_ref(&step));
+    let cut_off = assign(&mut first, NOW).remove(0);
+    report_events(&mut first, &cut_off, 1, events("x", 6));
+    first.orphan_runs("a");
+    let run = assign(&mut first, NOW).remove(0);
+    let other = [events("x", 6), events("y", 24)].concat();
+    report_events(&mut first, &run, 1, other);
+    let mut log = take(&mut first);
+    let mut second = restore(2, &step, log.clone());
+    for count in [10, 40, 64] {
+        report_events(&mut second, &cut_off, 1, events("x", count));
+        log.extend(take(&mut second));
+    }
+    let restored = restore(3, &step, log);
+    assert_eq!(restored.output("a", 0), Some(&output(events("x", 64), 1)));
+}
+
 /// A sample whose runs, hosts and leaders come and go, and the checkpoints in the log.
 struct Model {
     step: Arc<Step>,
--- a/components/node/tests/runner.rs
+++ b/components/node/tests/runner.rs
@@ -83,7 +83,7 @@
     let events: usize = reports.iter().map(|report| report.output.events.len()).sum();
     assert_eq!(events, EVENTS);
     let mut known = SampleOutput::default();
-    assert!(reports.iter().all(|report| report.append_to(&mut known)));
+    assert!(reports.iter().all(|report| report.append_to(&mut known).is_some()));
     let whole: Vec<String> = (0..EVENTS).map(|number| format!("event {number}")).collect();
     assert_eq!(known.events, whole);
 }
@@ -105,7 +105,7 @@
     let reports = reports(&mut messages).await;
 
     let mut known = SampleOutput::default();
-    assert!(reports.iter().all(|report| report.append_to(&mut known)));
+    assert!(reports.iter().all(|report| report.append_to(&mut known).is_some()));
     assert_eq!(known.events.len(), EVENTS);
 }
 
