Checkpoints: what finds no stores is contained in the next one

Cause: take_checkpoints marks events as checkpointed before they are written. write_checkpoints skipped a checkpoint that found no stores, or whose record in the log was refused, so the next one continued events that no checkpoint has.

Evidence: a_checkpoint_that_finds_no_stores_is_contained_in_the_next_one, a leader with stores on real sockets, failed before: the first checkpoint on the stores began at event 30.

Change: the leader reports to the planner what was not written, and the next checkpoint begins where the last written one ends. It is tried after 24 further events, as before, not at each check, so that a leader without stores does not write four times a second.

--- a/components/fleet/src/plan/assign.rs
+++ b/components/fleet/src/plan/assign.rs
@@ -148,7 +148,7 @@
         {
             assignment.discarded = self.output.events.len();
             self.output = SampleOutput::default();
-            self.checkpointed = 0;
+            self.keep_checkpointed(0);
         }
         assignment.output = self.output.clone();
         self.phase = Phase::Running;
--- a/components/fleet/src/plan/checkpoints.rs
+++ b/components/fleet/src/plan/checkpoints.rs
@@ -3,6 +3,7 @@
 use super::Planner;
 use super::samples::Checkpoint;
 use super::samples::Phase;
+use super::samples::Progress;
 use super::samples::SampleOutput;
 
 /// Events after which a run is checkpointed. This takes about a second, which is how much work the
@@ -42,6 +43,7 @@
             progress.output.last_id = checkpoint.output.last_id;
             progress.output.versions = checkpoint.output.versions;
             progress.checkpointed = progress.output.events.len();
+            progress.attempted = progress.checkpointed;
         }
         let lengths = planned.progress.iter().map(|progress| progress.checkpointed);
         restored.samples = lengths.clone().filter(|events| *events > 0).count();
@@ -50,7 +52,8 @@
     }
 
     /// Returns, by step, checkpoints of the runs that have produced at least `CHECKPOINT_EVENTS`
-    /// since their last one, and marks these events as checkpointed.
+    /// since their last one, and marks these events as checkpointed. What is not written must be
+    /// reported by [`Self::record_unwritten`].
     pub fn take_checkpoints(&mut self) -> Vec<(String, Vec<Checkpoint>)> {
         let mut by_step = Vec::new();
         if !self.policy.run_notes {
@@ -60,12 +63,13 @@
             let mut checkpoints = Vec::new();
             for (index, progress) in planned.progress.iter_mut().enumerate() {
                 let output = &progress.output;
-                let new_events = output.events.len().saturating_sub(progress.checkpointed);
+                let new_events = output.events.len().saturating_sub(progress.attempted);
                 if progress.phase != Phase::Running || new_events < CHECKPOINT_EVENTS {
                     continue;
                 }
                 let from = progress.checkpointed;
                 progress.checkpointed = output.events.len();
+                progress.attempted = progress.checkpointed;
                 let events = output.events[from..].to_vec();
                 let (last_id, versions) = (output.last_id.clone(), output.versions.clone());
                 let continues = Some(output.digest(from));
@@ -79,4 +83,23 @@
         }
         by_step
     }
+
+    /// Records that checkpoints are not on the stores. The next ones of their runs, after further
+    /// `CHECKPOINT_EVENTS`, contain their events.
+    pub fn record_unwritten(&mut self, step: &str, checkpoints: &[Checkpoint]) {
+        let Some(planned) = self.steps.get_mut(step) else { return };
+        for checkpoint in checkpoints {
+            if let Some(progress) = planned.progress.get_mut(checkpoint.index as usize) {
+                progress.checkpointed = progress.checkpointed.min(checkpoint.from as usize);
+            }
+        }
+    }
+}
+
+impl Progress {
+    /// Records that only the first `count` events of the output are still the same ones.
+    pub(super) fn keep_checkpointed(&mut self, count: usize) {
+        self.checkpointed = self.checkpointed.min(count);
+        self.attempted = self.attempted.min(count);
+    }
 }
--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -142,6 +142,7 @@
                 last_event: at,
                 output: SampleOutput::default(),
                 checkpointed: 0,
+                attempted: 0,
                 failures_before: cost.failures,
                 cost,
                 deadline: at + step.age_ms,
--- a/components/fleet/src/plan/reports.rs
+++ b/components/fleet/src/plan/reports.rs
@@ -106,7 +106,7 @@
         let Some(unchanged) = report.append_to(&mut progress.output) else {
             return ReportAction::Stop;
         };
-        progress.checkpointed = progress.checkpointed.min(unchanged);
+        progress.keep_checkpointed(unchanged);
         if progress.output.events.len() > known_events {
             progress.last_event = now;
             progress.cost.crashes = 0;
--- a/components/fleet/src/plan/samples.rs
+++ b/components/fleet/src/plan/samples.rs
@@ -183,6 +183,8 @@
     pub(super) output: SampleOutput,
     /// The number of events of the output that are in checkpoints on the stores.
     pub(super) checkpointed: usize,
+    /// The number of events of the output at the last attempt to write a checkpoint.
+    pub(super) attempted: usize,
     pub(super) cost: Cost,
     /// The failures of the sample before its current run, as known to the host. The cost may count the
     /// failure of this run already, if it was recorded by the previous leader.
--- a/components/fleet/tests/checkpoints.rs
+++ b/components/fleet/tests/checkpoints.rs
@@ -205,11 +205,14 @@
         self.known.push(self.output());
     }
 
-    /// Takes checkpoints. They may be skipped, or be on stores that do not return them.
-    fn checkpoint(&mut self, skipped: bool, readable: bool) {
+    /// Takes checkpoints. They may not be written, which the leader knows or not, or be on stores
+    /// that do not return them.
+    fn checkpoint(&mut self, skipped: bool, known: bool, readable: bool) {
         let taken = take(&mut self.planner);
         if !skipped {
             self.log.extend(taken.into_iter().map(|checkpoint| (checkpoint, readable)));
+        } else if known {
+            self.planner.record_unwritten("a", &taken);
         }
     }
 
@@ -255,8 +258,8 @@
         for (event, count) in events {
             match event % 8 {
                 0..3 => model.report(usize::from(count % 40)),
-                3 => model.checkpoint(false, true),
-                4 => model.checkpoint(count % 2 == 0, count % 3 == 0),
+                3 => model.checkpoint(false, false, true),
+                4 => model.checkpoint(count % 2 == 0, count % 4 == 0, count % 3 == 0),
                 5 => model.lose_host(false),
                 6 => model.lose_host(true),
                 _ => {
--- a/components/node/src/leader/steps.rs
+++ b/components/node/src/leader/steps.rs
@@ -328,14 +328,16 @@
                     rmp_serde::to_vec(&checkpoints).expect("checkpoints are plain data"),
                 );
                 let place = self.copies.write(part, &bytes, retired).await;
-                // Without enough stores the checkpoint is skipped: the log is not meant for this
-                // volume of data.
-                if matches!(place, copies::Placement::Stores(_)) {
-                    self.commit(Command::Note { step, part, placement: place }).await;
-                } else {
+                // The log is not meant for this volume of data.
+                let is_stored = matches!(place, copies::Placement::Stores(_));
+                if !is_stored {
                     let samples = checkpoints.len();
                     tracing::warn!(event = "checkpoints_skipped", step, part = part.0, samples);
                 }
+                let note = Command::Note { step: step.clone(), part, placement: place };
+                if !is_stored || !matches!(self.commit(note).await, Answer::Done) {
+                    self.plan.borrow_mut().record_unwritten(&step, &checkpoints);
+                }
             }
         });
         futures_util::future::join_all(writes).await;
--- a/components/node/tests/leader/main.rs
+++ b/components/node/tests/leader/main.rs
@@ -1,5 +1,6 @@
 //! A leader with hosts, stores and other members simulated by the test, on real sockets.
 
+mod checkpoints;
 mod costs;
 #[path = "../support/endpoint.rs"]
 mod endpoint;
