Logs: what is damaged in a segment, and which record says that it had been synced

The offset alone cannot tell a lost sync mark from a lost entry, nor real damage of synced content from a record that vouches for more than was synced.

Change: segment_damaged has the zeros at the offset, the entry expected there, and the record that proves the sync, with what it vouches for; folder_damaged has kind and offset ahead of the long text.

Run: real processes on loopback, the files changed as a loss of power may leave them (the last sync mark that an entry follows set to zero; all from the next mark on cut), 2 of 3 control processes: both report folder_damaged, and for the 15 s watched every read of the acknowledged configuration is answered 503 "no leader is known".

A second trial, on this commit's build, 3 of 5 processes with part of the mark lost, gave segment_damaged lines whose proof is the entry directly behind the mark, which vouches for the 33 bytes of the mark, that no sync covers.

--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -400,7 +400,12 @@
 /// operator does just this.
 fn set_aside(folder: &Path, damage: &StorageError) -> Result<(), StartError> {
     let aside = folder.with_extension("damaged");
-    tracing::error!(event = "folder_damaged", folder = %folder.display(), %damage);
+    // The kind of damage comes before the text of the error, which is long and may be cut off.
+    let (kind, offset) = match damage {
+        StorageError::Corrupt { what, offset, .. } => (Some(*what), Some(*offset)),
+        _ => (None, None),
+    };
+    tracing::error!(event = "folder_damaged", ?kind, offset, folder = %folder.display(), %damage);
     if aside.exists() {
         std::fs::remove_dir_all(&aside).map_err(StartError::SetAside)?;
     }
--- a/components/storage/src/record.rs
+++ b/components/storage/src/record.rs
@@ -74,14 +74,27 @@
     Some(Record { synced: number(9), entry, length })
 }
 
-/// Returns whether some intact record after the offset `bad` proves that the segment had been
+/// An intact record that proves that the segment had been synced beyond some offset before it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SyncProof {
+    /// The offset of the record.
+    pub offset: u64,
+    /// The offset up to which the segment was known to be synced.
+    pub synced: u64,
+    /// The index of its entry; none if the record is a sync mark.
+    pub index: Option<u64>,
+}
+
+/// Returns the first intact record after the offset `bad` that proves that the segment had been
 /// synced beyond that offset.
-pub fn proves_synced(segment: &[u8], bad: usize) -> bool {
+pub fn find_proof(segment: &[u8], bad: usize) -> Option<SyncProof> {
     let rest = bad + 1..segment.len().saturating_sub(HEADER_BYTES - 1);
-    rest.into_iter().any(|at| {
+    rest.into_iter().find_map(|at| {
         let synced = segment[at + 9..at + 17].try_into().expect("8 bytes");
         let synced = u64::from_be_bytes(synced);
         // The comparison comes first because checksums at every offset would take minutes.
-        synced > bad as u64 && synced <= at as u64 && decode(&segment[at..]).is_some()
+        let can_prove = synced > bad as u64 && synced <= at as u64;
+        let record = can_prove.then(|| decode(&segment[at..])).flatten()?;
+        Some(SyncProof { offset: at as u64, synced, index: record.entry.map(|entry| entry.index) })
     })
 }
--- a/components/storage/src/segment.rs
+++ b/components/storage/src/segment.rs
@@ -19,6 +19,7 @@
 use crate::error::Damage;
 use crate::error::StorageError;
 use crate::record;
+use crate::record::SyncProof;
 
 /// Length in bytes of the header: magic, format, first index, checksum.
 pub const HEADER_BYTES: usize = 8 + 4 + 8 + 4;
@@ -262,13 +263,32 @@
     let (entries, offsets, intact_bytes) =
         scan(&file_bytes, first).map_err(|at| corrupt(at, Damage::Order))?;
     let torn = intact_bytes < file_bytes.len();
-    if torn && (!last || record::proves_synced(&file_bytes, intact_bytes)) {
+    let proof = torn.then(|| record::find_proof(&file_bytes, intact_bytes)).flatten();
+    if torn && (!last || proof.is_some()) {
+        log_damage(path, &file_bytes, first + entries.len() as u64, intact_bytes, proof);
         return Err(corrupt(intact_bytes as u64, Damage::Checksum));
     }
     let truncated_bytes = (file_bytes.len() - intact_bytes) as u64;
     Ok(Some(Read { entries, offsets, intact_bytes: intact_bytes as u64, truncated_bytes }))
 }
 
+/// Logs what is known of a damaged record. A write that a power loss dropped reads as zeros; the
+/// proof says which record relied on the damaged one, and how many bytes of the file it vouches for.
+fn log_damage(path: &Path, bytes: &[u8], next: u64, offset: usize, proof: Option<SyncProof>) {
+    let zeros = bytes[offset..].iter().take_while(|byte| **byte == 0).count();
+    tracing::error!(
+        event = "segment_damaged",
+        file = %path.display(),
+        offset,
+        next,
+        zeros,
+        length = bytes.len(),
+        proof_offset = proof.map(|proof| proof.offset),
+        proof_synced = proof.map(|proof| proof.synced),
+        proof_index = proof.and_then(|proof| proof.index)
+    );
+}
+
 fn header(first: u64) -> [u8; HEADER_BYTES] {
     let mut header = [0; HEADER_BYTES];
     header[..8].copy_from_slice(MAGIC);
