Storage: a record vouches for no sync mark that its sync did not cover

Cause: Segment::sync syncs, then appends a sync mark, and counted this mark as synced too. The next record says so. If power is lost before the next sync, the mark may be missing or torn while the record behind it is there. On start the missing mark is then damage before a byte that a later record says was synced, the folder is put aside, and the replica goes on as one that lost its disk. Under load a record follows each mark at once, so that a loss of power of all takes a majority in this way; nothing of what was synced was lost. With depots, which use the same storage, it costs copies of accepted steps.

With honest syncs no other record can be found damaged there: an entry counts as synced only after its sync.

Change: only what a sync has covered counts as synced. Whether something is left to sync is told by the length after the last mark. Bytes and syncs are the same as before (a_sync_without_new_entries_writes_nothing).

--- a/components/storage/src/segment.rs
+++ b/components/storage/src/segment.rs
@@ -37,8 +37,11 @@
     pub offsets: Vec<(Epoch, u64)>,
     /// Number of bytes written.
     pub length: u64,
-    /// Number of bytes known to be synced.
+    /// Number of bytes that a sync has covered. The sync mark that follows them is not among them:
+    /// a record that vouched for it would make its loss look like damage of synced content.
     pub synced: u64,
+    /// Number of bytes when nothing but sync marks had been written since the last sync.
+    marked: u64,
     file: File,
 }
 
@@ -79,7 +82,8 @@
         (disk.sync)(&file).map_err(io_error("sync", &path))?;
         (disk.sync_folder)(folder).map_err(io_error("sync", folder))?;
         let length = HEADER_BYTES as u64;
-        Ok(Self { path, first, offsets: Vec::new(), length, synced: length, file })
+        let offsets = Vec::new();
+        Ok(Self { path, first, offsets, length, synced: length, marked: length, file })
     }
 
     /// Opens a segment. Only the last one of a log may have a torn end, which is truncated.
@@ -103,10 +107,9 @@
         // After a kill of the process alone, the content that was read may be only in the kernel's
         // page cache. It counts as synced only after this sync.
         (disk.sync)(&file).map_err(io_error("sync", path))?;
-        let Read { entries, offsets, intact_bytes, truncated_bytes } = read;
+        let Read { entries, offsets, intact_bytes: length, truncated_bytes } = read;
         let path = path.to_owned();
-        let segment =
-            Self { path, first, offsets, length: intact_bytes, synced: intact_bytes, file };
+        let segment = Self { path, first, offsets, length, synced: length, marked: length, file };
         Ok(Some(Loaded { segment, entries, truncated_bytes }))
     }
 
@@ -170,19 +173,20 @@
     ///
     /// Returns [`StorageError::Io`].
     pub fn sync(&mut self, disk: &Disk) -> Result<(), StorageError> {
-        if self.synced == self.length {
+        if self.marked == self.length {
             return Ok(());
         }
         (disk.sync)(&self.file).map_err(io_error("sync", &self.path))?;
+        self.synced = self.length;
         let mut mark = Vec::new();
-        record::encode_sync_mark(&mut mark, self.length);
+        record::encode_sync_mark(&mut mark, self.synced);
         match self.write(disk, &mark) {
             // The entries are synced nevertheless. The sync mark only serves to distinguish damage
             // from a torn write.
             Err(error) if error.is_full() => {}
             written => written?,
         }
-        self.synced = self.length;
+        self.marked = self.length;
         Ok(())
     }
 
@@ -195,6 +199,7 @@
     pub fn finish(&mut self, disk: &Disk) -> Result<(), StorageError> {
         (disk.sync)(&self.file).map_err(io_error("sync", &self.path))?;
         self.synced = self.length;
+        self.marked = self.length;
         Ok(())
     }
 
@@ -211,6 +216,7 @@
         self.offsets.truncate(kept_entries);
         self.length = offset;
         self.synced = offset;
+        self.marked = offset;
         Ok(())
     }
 
--- a/components/storage/tests/storage.rs
+++ b/components/storage/tests/storage.rs
@@ -199,6 +199,28 @@
     assert_eq!(recovered.entries, entries(1, 30, 1));
 }
 
+/// Guards against a log that grows while nothing is appended: a sync mark is not covered by its sync,
+/// and must not count as something to be synced.
+#[test]
+fn a_sync_without_new_entries_writes_nothing() {
+    let folder = tempfile::tempdir().unwrap();
+    let syncs = Arc::new(AtomicUsize::new(0));
+    let counter = syncs.clone();
+    let disk = Disk {
+        sync: Arc::new(move |file| {
+            counter.fetch_add(1, Ordering::SeqCst);
+            file.sync_data()
+        }),
+        ..Disk::default()
+    };
+    let (mut storage, _) = Storage::open(folder.path(), settings(), disk).unwrap();
+    storage.append(&entries(1, 3, 1)).unwrap();
+    storage.sync().unwrap();
+    let before = (storage.bytes(), syncs.load(Ordering::SeqCst));
+    storage.sync().unwrap();
+    assert_eq!((storage.bytes(), syncs.load(Ordering::SeqCst)), before);
+}
+
 #[test]
 fn entries_can_be_read_one_by_one() {
     let folder = tempfile::tempdir().unwrap();
