Storage: entries that a full disk refused do not come back after a loss of power

Callers saw: nothing so far; found by the test of losses of power.

Cause: a write that fails in the middle because the disk is full is cut off again, but the cut was not synced. If power is lost before the next sync, the cut may be lost and the refused entries be there, in place of others that were written under the same indices since. A replica that wrote other content under the same index and epoch would then contradict the others, which the agreement cannot notice.

Change: the cut is synced. That costs a sync only when a write finds the disk full.

--- a/components/storage/src/segment.rs
+++ b/components/storage/src/segment.rs
@@ -222,12 +222,14 @@
 
     /// Appends bytes. If the disk is full, the part that was written is truncated again. Otherwise
     /// the next record would follow an incomplete one, and the rest of the log would be treated as
-    /// a torn end.
+    /// a torn end. The truncation is synced: after a power loss, entries that were refused must not
+    /// be there in place of those that were written afterwards under the same indices.
     fn write(&mut self, disk: &Disk, bytes: &[u8]) -> Result<(), StorageError> {
         let written = (disk.write)(&mut self.file, bytes);
         let written = written.map_err(write_error("write", &self.path));
         if written.as_ref().is_err_and(StorageError::is_full) {
             self.file.set_len(self.length).map_err(io_error("cut", &self.path))?;
+            (disk.sync)(&self.file).map_err(io_error("sync", &self.path))?;
         }
         written?;
         self.length += bytes.len() as u64;
--- a/components/storage/tests/power_loss.rs
+++ b/components/storage/tests/power_loss.rs
@@ -245,3 +245,11 @@
         play_all_points(history * 1_000, false);
     }
 }
+
+/// Guards against entries that come back after a full disk refused them.
+#[test]
+fn a_loss_of_power_brings_nothing_back_that_a_full_disk_refused() {
+    for history in 0..HISTORIES {
+        play_all_points(history * 1_000, true);
+    }
+}
