Storage: a new folder is durable before anything in it counts as durable

Callers saw: nothing so far; found while looking for writes that no sync covers.

Cause: the folder of a replica or a depot is created in the data folder, and everything in it is synced, but not the list of files in which the folder itself stands. After a loss of power the whole folder may be missing, with all that was acknowledged from it. The same holds for a folder that was put aside as damaged: the rename may be undone, and the folder that took its place is gone.

Evidence: a_new_folder_is_durable_before_its_identity_is failed before: the parent was never synced.

Change: as long as a folder has no identity, its parent and itself are synced before one is written. That costs two syncs at the first start.

--- a/components/storage/src/storage.rs
+++ b/components/storage/src/storage.rs
@@ -101,6 +101,9 @@
     ) -> Result<(Self, Recovered), StorageError> {
         let log = folder.join(LOG_FOLDER);
         create_private(&log).map_err(io_error("create", &log))?;
+        if !folder.join(IDENTITY_FILE).exists() {
+            sync_new_folder(&disk, folder)?;
+        }
         let lock = lock(folder)?;
         remove_unfinished(folder)?;
         let (identity, hard, is_new) = load_identity(&disk, folder, settings.identity)?;
@@ -336,6 +339,17 @@
     }
 }
 
+/// Makes a new folder durable before anything in it counts as durable: a power loss could otherwise
+/// remove the folder from its parent, with all that was synced in it.
+fn sync_new_folder(disk: &Disk, folder: &Path) -> Result<(), StorageError> {
+    let parent = folder.parent().filter(|parent| !parent.as_os_str().is_empty());
+    let parent = parent.unwrap_or(Path::new("."));
+    for synced in [parent, folder] {
+        (disk.sync_folder)(synced).map_err(io_error("sync", synced))?;
+    }
+    Ok(())
+}
+
 fn lock(folder: &Path) -> Result<File, StorageError> {
     let path = folder.join(LOCK_FILE);
     let file = File::create(&path).map_err(io_error("create", &path))?;
--- a/components/storage/tests/storage.rs
+++ b/components/storage/tests/storage.rs
@@ -541,6 +541,26 @@
     assert_eq!(fs::read(&path).unwrap(), torn);
 }
 
+/// Guards against a whole folder that is missing after a loss of power though everything in it was
+/// synced, because its parent was not.
+#[test]
+fn a_new_folder_is_durable_before_its_identity_is() {
+    let parent = tempfile::tempdir().unwrap();
+    let synced = Arc::new(Mutex::new(Vec::new()));
+    let recorder = synced.clone();
+    let disk = Disk {
+        sync_folder: Arc::new(move |folder| {
+            recorder.lock().unwrap().push(folder.to_owned());
+            Ok(())
+        }),
+        ..Disk::default()
+    };
+    let folder = parent.path().join("data");
+    Storage::open(&folder, settings(), disk).unwrap();
+    let synced = synced.lock().unwrap();
+    assert_eq!(synced[..2], [parent.path().to_owned(), folder]);
+}
+
 /// The stored data may contain keys of callers, so no other user of the VM may read it.
 #[test]
 fn a_new_folder_is_accessible_only_by_its_owner() {
--- a/components/storage/tests/support/power.rs
+++ b/components/storage/tests/support/power.rs
@@ -207,6 +207,9 @@
             sync_folder: Arc::new(move |folder| {
                 let mut state = sync_folder.lock().unwrap();
                 state.begin()?;
+                if !folder.starts_with(&state.root) {
+                    return Ok(());
+                }
                 let names = state.names(folder);
                 state.synced_names.insert(folder.to_owned(), names);
                 Ok(())
