--- a/components/fleet/tests/plan.rs
+++ b/components/fleet/tests/plan.rs
@@ -3,18 +3,14 @@
 
 mod support;
 
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use chicoryford_fleet::Announcement;
 use chicoryford_fleet::Config;
 use chicoryford_fleet::Endpoint;
-use chicoryford_fleet::EndpointStatus;
 use chicoryford_fleet::Sample;
 use chicoryford_fleet::Step;
 use chicoryford_fleet::plan::AfterRun;
-use chicoryford_fleet::plan::Assignment;
 use chicoryford_fleet::plan::EngineState;
 use chicoryford_fleet::plan::FINAL_LIST_DELAY_MS;
 use chicoryford_fleet::plan::LIST_DELAY_MS;
@@ -22,7 +18,6 @@
 use chicoryford_fleet::plan::Planner;
 use chicoryford_fleet::plan::ReportAction;
 use chicoryford_fleet::plan::RunEnd;
-use chicoryford_fleet::plan::SampleOutput;
 use chicoryford_fleet::run;
 use chicoryford_fleet::run::RunReport;
 use chicoryford_types::Epoch;
