Stores: a part is not recorded on a store that was emptied while it was written

Cause: the leader reads which stores are retired, writes a part, and records the place up to 0.6 s later without looking again. A store that had taken the part was retired in between; no recorded part lay there, so it was reported to be empty and removed with its disk. The part was then recorded there and on one other store, whose disk was lost. The same holds for results, checkpoints and repairs.

Weighed: (1) a store counts as empty only when no write is in progress that may use it; (2) the place is checked again before it is proposed, and other stores get the part. (1) delays the removal by each write; (2) costs a write only where a store was retired meanwhile. (2) is built. A retirement counts from its proposal, so that the log has no place on a store after its retirement, also if the leader changes; what the log has before it is counted when the store is asked whether it is empty.

--- a/components/node/src/copies.rs
+++ b/components/node/src/copies.rs
@@ -117,13 +117,29 @@
         self.stores.borrow().is_known(node)
     }
 
-    /// Writes a part to enough stores and returns the place to record in the log. If there are not
-    /// enough stores, the part itself goes into the log. The control processes' disks are small, so
-    /// this is only meant for the time until stores are back.
-    pub async fn write(&self, part: PartId, bytes: &Bytes, avoid: &BTreeSet<String>) -> Placement {
+    /// Writes a part to enough stores and returns the place to record in the log, which the caller
+    /// proposes before it waits for anything else. If there are not enough stores, the part itself
+    /// goes into the log. The control processes' disks are small, so this is only meant for the time
+    /// until stores are back.
+    ///
+    /// `retired` returns the stores that must not be used. A store that is retired during the write
+    /// may be reported to be empty at once and be removed, so its copy does not count.
+    pub async fn write(
+        &self,
+        part: PartId,
+        bytes: &Bytes,
+        retired: impl Fn() -> BTreeSet<String>,
+    ) -> Placement {
         let began = clock::now();
         self.cache.borrow_mut().put(part, bytes.clone());
-        let holders = self.put(part, bytes, BTreeSet::new(), avoid).await;
+        let mut avoid = retired();
+        let mut holders = self.put(part, bytes, BTreeSet::new(), &avoid).await;
+        while is_on(&holders, &retired()) {
+            avoid = retired();
+            holders.retain(|store| !avoid.contains(&store.node));
+            tracing::info!(event = "part_moved", part = part.0, kept = holders.len());
+            holders = self.put(part, bytes, holders, &avoid).await;
+        }
         let place = if holders.len() >= self.wanted { "stores" } else { "log" };
         let seconds = clock::now().since(began) as f64 / 1_000.0;
         metrics::PART_SECONDS.with_label_values(&[place]).observe(seconds);
@@ -254,9 +270,13 @@
         counted: BTreeSet<StoreId>,
     ) {
         let Some(bytes) = self.read(part, &place).await else { return };
-        let avoid = leader.context.replica.state().retired.clone();
+        let avoid = leader.retired_stores();
         let before = counted.len();
         let stores = self.put(part, &bytes, counted, &avoid).await;
+        if is_on(&stores, &leader.retired_stores()) {
+            // The next round chooses other stores.
+            return;
+        }
         if stores.len() >= self.wanted || stores.len() > before.max(1) && before > 0 {
             leader.commit(Command::Move { part, stores }).await;
         }
@@ -278,6 +298,11 @@
     }
 }
 
+/// Returns whether some of the stores are on these VMs.
+fn is_on(stores: &BTreeSet<StoreId>, nodes: &BTreeSet<String>) -> bool {
+    stores.iter().any(|store| nodes.contains(&store.node))
+}
+
 /// Restores missing copies for as long as this process leads.
 pub async fn run_repairs(leader: Weak<Leader>) {
     let mut rounds = 0;
--- a/components/node/src/leader/mod.rs
+++ b/components/node/src/leader/mod.rs
@@ -124,6 +124,8 @@
     submitting: RefCell<Vec<String>>,
     /// Steps whose submission is being committed to the log, by the part that holds their samples.
     submitted: RefCell<BTreeMap<PartId, Arc<Step>>>,
+    /// Stores whose retirement was proposed in this term.
+    retiring: RefCell<BTreeSet<String>>,
     /// Open steps whose samples have not been read from the stores yet.
     unread: RefCell<Vec<String>>,
     /// Changes when results are listed or a step is closed, which wakes up waiting reads.
@@ -186,6 +188,7 @@
             start_clock,
             submitting: RefCell::default(),
             submitted: RefCell::default(),
+            retiring: RefCell::default(),
             unread: RefCell::default(),
             listed: watch::Sender::new(0),
             wake_planner: Notify::new(),
--- a/components/node/src/leader/steps.rs
+++ b/components/node/src/leader/steps.rs
@@ -57,8 +57,7 @@
     async fn write_step(&self, step: &Arc<Step>) -> Answer {
         let part = PartId(rand::random());
         let bytes = Bytes::from(rmp_serde::to_vec(&**step).expect("steps are plain data"));
-        let retired = self.context.replica.state().retired.clone();
-        let place = self.copies.write(part, &bytes, &retired).await;
+        let place = self.copies.write(part, &bytes, || self.retired_stores()).await;
         let outline = StepSummary {
             id: step.id.clone(),
             model: step.model.clone(),
@@ -319,15 +318,13 @@
     /// Writes checkpoints of long runs to the stores.
     pub(super) async fn write_checkpoints(&self) {
         let checkpoints = self.plan.borrow_mut().take_checkpoints();
-        let retired = self.context.replica.state().retired.clone();
         let writes = checkpoints.into_iter().map(|(step, checkpoints)| {
-            let retired = &retired;
             async move {
                 let part = PartId(rand::random());
                 let bytes = Bytes::from(
                     rmp_serde::to_vec(&checkpoints).expect("checkpoints are plain data"),
                 );
-                let place = self.copies.write(part, &bytes, retired).await;
+                let place = self.copies.write(part, &bytes, || self.retired_stores()).await;
                 // The log is not meant for this volume of data.
                 let is_stored = matches!(place, copies::Placement::Stores(_));
                 if !is_stored {
--- a/components/node/src/leader/stores.rs
+++ b/components/node/src/leader/stores.rs
@@ -1,5 +1,7 @@
 //! Retiring store VMs: their parts are copied elsewhere first.
 
+use std::collections::BTreeSet;
+
 use chicoryford_fleet::Command;
 
 use crate::copies;
@@ -8,10 +10,10 @@
 
 impl Leader {
     pub(super) async fn retire(&self, node: String) -> Answer {
-        let retired = self.context.replica.state().retired.clone();
-        if retired.contains(&node) {
+        if self.context.replica.state().retired.contains(&node) {
             return Answer::Done;
         }
+        let retired = self.retired_stores();
         if !self.copies.has(&node) {
             return Answer::Unknown;
         }
@@ -20,7 +22,19 @@
             return Answer::TooFew;
         }
         tracing::info!(event = "store_retires", store = node, left);
-        self.commit(Command::Retire { node }).await
+        self.retiring.borrow_mut().insert(node.clone());
+        let answer = self.commit(Command::Retire { node: node.clone() }).await;
+        if matches!(answer, Answer::NotNow) {
+            self.retiring.borrow_mut().remove(&node);
+        }
+        answer
+    }
+
+    /// Returns the stores that must not get further parts: those that are retired, and those whose
+    /// retirement is being committed. A place that is recorded in the log after the retirement would
+    /// be missed when the store is reported to be empty.
+    pub(crate) fn retired_stores(&self) -> BTreeSet<String> {
+        self.context.replica.state().retired.union(&self.retiring.borrow()).cloned().collect()
     }
 
     pub(super) fn retired(&self, node: &str) -> Answer {
--- a/components/node/src/listing.rs
+++ b/components/node/src/listing.rs
@@ -157,8 +157,8 @@
     let mut written = None;
     if !texts.is_empty() {
         let bytes = Bytes::from(rmp_serde::to_vec(&texts).expect("texts are plain data"));
-        let retired = leader.context.replica.state().retired.clone();
-        written = Some((part, leader.copies.write(part, &bytes, &retired).await));
+        let place = leader.copies.write(part, &bytes, || leader.retired_stores()).await;
+        written = Some((part, place));
     }
     leader.commit(Command::List { step: step.to_owned(), part: written, results }).await
 }
