Control: a voter that stops gives up a surplus seat before it is gone

Cause: a replica that joins while all voters are alive becomes a fourth voter. One that is stopped left its seat behind, which the leader removes after 1.5 s of silence. Until then three of four voters are a majority, so the loss of one disk leaves two, and nobody can add the one that comes back empty.

Weighed: (1) a joining replica stays a non-voter until a voter is gone: the loss of a disk just after the stop then leaves one of three; (2) a shorter silence before the removal: the gap gets smaller, and voters that are only slow are removed; (3) a voter that is asked to stop has itself removed before it ends. (3) is built: it hands the leadership over, and asks the leader to remove it if the voters are an even number, for at most 2 s; it does not ask to join again meanwhile. With an odd number of voters nothing changes.

--- a/components/node/src/leader/mod.rs
+++ b/components/node/src/leader/mod.rs
@@ -344,6 +344,7 @@
             Call::Retire(node) => self.retire(node).await,
             Call::Retired(node) => self.retired(&node),
             Call::Join(id) => members::join(self, id).await,
+            Call::Resign(id) => members::resign(self, id).await,
         }
     }
 
--- a/components/node/src/members.rs
+++ b/components/node/src/members.rs
@@ -1,6 +1,8 @@
-//! Membership of the replicas: a new replica, or one that lost its disk, asks to join, and the
-//! leader removes replicas that are permanently lost. Neither needs an operator.
+//! Membership of the replicas: a new replica, or one that lost its disk, asks to join, one that stops
+//! gives up a surplus seat, and the leader removes replicas that are permanently lost. None of this
+//! needs an operator.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::rc::Weak;
 use std::time::Duration;
@@ -10,6 +12,7 @@
 use chicoryford_agreement::ReplicaId;
 use chicoryford_agreement::Status;
 
+use crate::clock;
 use crate::leader::Leader;
 use crate::link::Link;
 use crate::message::Answer;
@@ -26,8 +29,13 @@
 const REMOVE_NON_VOTER_MS: u64 = 10_000;
 /// Interval of requests to join.
 const JOIN_INTERVAL: Duration = Duration::from_millis(400);
-/// Timeout of a request to join.
+/// Timeout of a request to join, or to resign.
 const JOIN_TIMEOUT: Duration = Duration::from_secs(1);
+/// Milliseconds for which a replica that stops tries to resign. Another change of the members may be
+/// in progress, or the next leader not be known yet.
+const RESIGN_LIMIT_MS: u64 = 2_000;
+/// Interval of requests to resign.
+const RESIGN_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Adds a replica to the members.
 pub async fn join(leader: &Rc<Leader>, id: ReplicaId) -> Answer {
@@ -82,6 +90,49 @@
     }
 }
 
+/// Removes a replica that is about to stop, if it is a surplus voter.
+pub async fn resign(leader: &Rc<Leader>, id: ReplicaId) -> Answer {
+    let status = leader.context.replica.status();
+    if !is_surplus(&status, &id) {
+        return Answer::Done;
+    }
+    if status.id == id {
+        // The leadership is handed over first.
+        return Answer::NotNow;
+    }
+    let done = leader.context.replica.change(MembershipChange::Remove(id.clone())).await;
+    let outcome = done.as_ref().map_or_else(ToString::to_string, |_| "removed".to_owned());
+    tracing::info!(event = "replica_resigns", replica = %id, outcome);
+    leader.broadcast_controls();
+    match done {
+        Ok(_) => Answer::Done,
+        Err(Refusal::Unknown { .. }) => Answer::Unclear,
+        Err(_) => Answer::NotNow,
+    }
+}
+
+/// Asks the leader to remove this replica, which is about to stop, if it is a surplus voter. While
+/// its seat is there without it, the voters tolerate one loss less: of four voters, the loss of one
+/// more disk would leave no majority for good.
+pub async fn give_up_seat(replica: &LocalReplica, link: &Link) {
+    let began = clock::now();
+    while is_surplus(&replica.status(), replica.id()) && clock::now().since(began) < RESIGN_LIMIT_MS
+    {
+        let answer = link.call(Call::Resign(replica.id().clone()), JOIN_TIMEOUT).await;
+        let ms = clock::now().since(began);
+        tracing::info!(event = "resign_asked", replica = %replica.id(), answer = ?answer, ms);
+        if matches!(answer, Ok(Answer::Done)) {
+            return;
+        }
+        tokio::time::sleep(RESIGN_INTERVAL).await;
+    }
+}
+
+/// Returns whether a replica is a voter, and the others tolerate as many losses without it.
+fn is_surplus(status: &Status, id: &ReplicaId) -> bool {
+    status.members.is_voter(id) && status.members.voters().count().is_multiple_of(2)
+}
+
 fn member_to_remove(status: &Status) -> Option<ReplicaId> {
     let even = status.members.voters().count().is_multiple_of(2);
     let lost = status.peers.iter().filter(|peer| {
@@ -92,12 +143,12 @@
     lost.max_by_key(|peer| peer.silent_ms).map(|peer| peer.id.clone())
 }
 
-/// Asks to join while this replica receives nothing from a leader.
-pub async fn run_joins(replica: Rc<LocalReplica>, link: Rc<Link>) {
+/// Asks to join while this replica receives nothing from a leader and is not about to stop.
+pub async fn run_joins(replica: Rc<LocalReplica>, link: Rc<Link>, stopping: Rc<Cell<bool>>) {
     loop {
         tokio::time::sleep(JOIN_INTERVAL).await;
         let has_leader = replica.leader().is_some();
-        if has_leader || !link.is_connected() {
+        if has_leader || stopping.get() || !link.is_connected() {
             continue;
         }
         let answer = link.call(Call::Join(replica.id().clone()), JOIN_TIMEOUT).await;
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -242,6 +242,8 @@
     Retired(String),
     /// A replica that receives nothing from a leader asks to become a member.
     Join(ReplicaId),
+    /// Remove a replica that is about to stop from the voters, if there are more than needed.
+    Resign(ReplicaId),
 }
 
 /// The leader's answer to a call.
@@ -333,7 +335,8 @@
             | Self::End(_)
             | Self::Retire(_)
             | Self::Retired(_)
-            | Self::Join(_) => "call_other",
+            | Self::Join(_)
+            | Self::Resign(_) => "call_other",
         }
     }
 }
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -275,7 +275,11 @@
         };
         actix_rt::spawn(traffic::report_periodically(traffic));
         actix_rt::spawn(Rc::new(link_server).run(listener));
-        actix_rt::spawn(members::run_joins(replica.clone(), self.link.clone()));
+        actix_rt::spawn(members::run_joins(
+            replica.clone(),
+            self.link.clone(),
+            self.stopping.clone(),
+        ));
         actix_rt::spawn(run_leadership(
             replica.clone(),
             leader,
@@ -378,6 +382,7 @@
             while replica.leads() && clock::now().since(began) < HAND_OVER_TIMEOUT_MS {
                 tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
             }
+            members::give_up_seat(replica, &self.link).await;
         }
         if self.settings.entry.is_some() {
             let limit = self.settings.grace_ms.saturating_sub(KILL_MARGIN_MS);
