--- a/components/fleet/src/plan/samples.rs
+++ b/components/fleet/src/plan/samples.rs
@@ -45,8 +45,8 @@
     pub from: u32,
     /// The events from there on, the id of the last one, and all versions so far.
     pub output: SampleOutput,
-    /// The digest of the events before. `None` in a checkpoint of a release that did not record it,
-    /// which says of all events only if it begins with the first one.
+    /// The digest of the events before. `None` in checkpoints of releases that did not record it;
+    /// these are restored only if they begin with the first event.
     #[serde(default)]
     pub continues: Option<u64>,
 }
--- a/components/fleet/tests/checkpoints.rs
+++ b/components/fleet/tests/checkpoints.rs
@@ -48,14 +48,19 @@
     assert_eq!(planner.record_report("a", &sent, NOW), ReportAction::Continue);
 }
 
-/// Loses the host of the run, and starts the sample again on an engine with version 2.
-fn restart_under_version_2(planner: &mut Planner) -> Assignment {
+/// Returns a planner whose sample runs again under version 2, after an output of version 1 with 28
+/// events was discarded, the run, and the checkpoint of the discarded output.
+fn restarted_under_version_2() -> (Planner, Assignment, Vec<Checkpoint>) {
+    let mut planner = planner(&[engine("e1", 1, 1)], &[single_version_step()]);
+    let run = assign(&mut planner, NOW).remove(0);
+    report_events(&mut planner, &run, 1, events("x", 28));
+    let log = take(&mut planner);
     planner.orphan_runs("a");
     planner.remove_engine("e1");
     planner.update_engine(&engine("e2", 1, 2));
-    let run = assign(planner, NOW).remove(0);
+    let run = assign(&mut planner, NOW).remove(0);
     assert!(run.output.events.is_empty(), "the output of version 1 is discarded");
-    run
+    (planner, run, log)
 }
 
 fn take(planner: &mut Planner) -> Vec<Checkpoint> {
@@ -74,16 +79,11 @@
 /// is discarded after its checkpoint, and the next run is checkpointed.
 #[test]
 fn a_checkpoint_does_not_continue_a_discarded_output() {
-    let step = single_version_step();
-    let mut planner = planner(&[engine("e1", 1, 1)], std::slice::from_ref(&step));
-    let run = assign(&mut planner, NOW).remove(0);
-    report_events(&mut planner, &run, 1, events("x", 28));
-    let mut log = take(&mut planner);
-    let run = restart_under_version_2(&mut planner);
+    let (mut planner, run, mut log) = restarted_under_version_2();
     report_events(&mut planner, &run, 2, events("y", 4));
     report_events(&mut planner, &run, 2, events("y", 29));
     log.extend(take(&mut planner));
-    let restored = restore(2, &step, log);
+    let restored = restore(2, &single_version_step(), log);
     let restored = restored.output("a", 0).unwrap();
     assert!([output(events("x", 28), 1), output(events("y", 29), 2)].contains(restored));
 }
@@ -92,17 +92,12 @@
 /// checkpoint of the second run finds no stores, or cannot be read; the one after it can.
 #[test]
 fn a_checkpoint_does_not_continue_one_that_is_missing() {
-    let step = single_version_step();
-    let mut planner = planner(&[engine("e1", 1, 1)], std::slice::from_ref(&step));
-    let run = assign(&mut planner, NOW).remove(0);
-    report_events(&mut planner, &run, 1, events("x", 28));
-    let mut log = take(&mut planner);
-    let run = restart_under_version_2(&mut planner);
+    let (mut planner, run, mut log) = restarted_under_version_2();
     report_events(&mut planner, &run, 2, events("y", 24));
     take(&mut planner);
     report_events(&mut planner, &run, 2, events("y", 48));
     log.extend(take(&mut planner));
-    let restored = restore(2, &step, log);
+    let restored = restore(2, &single_version_step(), log);
     let restored = restored.output("a", 0).unwrap();
     assert!([output(events("x", 28), 1), output(events("y", 48), 2)].contains(restored));
 }
@@ -132,17 +127,12 @@
 /// checkpoint began at the first event of the next one, so none of them could be restored.
 #[test]
 fn a_run_resumes_from_all_checkpoints_after_an_output_was_discarded() {
-    let step = single_version_step();
-    let mut planner = planner(&[engine("e1", 1, 1)], std::slice::from_ref(&step));
-    let run = assign(&mut planner, NOW).remove(0);
-    report_events(&mut planner, &run, 1, events("x", 28));
-    let mut log = take(&mut planner);
-    let run = restart_under_version_2(&mut planner);
+    let (mut planner, run, mut log) = restarted_under_version_2();
     for count in [4, 28, 52, 76] {
         report_events(&mut planner, &run, 2, events("y", count));
         log.extend(take(&mut planner));
     }
-    let restored = restore(2, &step, log);
+    let restored = restore(2, &single_version_step(), log);
     assert_eq!(restored.output("a", 0), Some(&output(events("y", 76), 2)));
 }
 
--- a/components/node/src/copies.rs
+++ b/components/node/src/copies.rs
@@ -132,13 +132,15 @@
     ) -> Placement {
         let began = clock::now();
         self.cache.borrow_mut().put(part, bytes.clone());
-        let mut avoid = retired();
-        let mut holders = self.put(part, bytes, BTreeSet::new(), &avoid).await;
-        while is_on(&holders, &retired()) {
-            avoid = retired();
-            holders.retain(|store| !avoid.contains(&store.node));
-            tracing::info!(event = "part_moved", part = part.0, kept = holders.len());
+        let mut holders = BTreeSet::new();
+        loop {
+            let avoid = retired();
+            holders.retain(|store: &StoreId| !avoid.contains(&store.node));
             holders = self.put(part, bytes, holders, &avoid).await;
+            if !is_on(&holders, &retired()) {
+                break;
+            }
+            tracing::info!(event = "part_moved", part = part.0, stores = holders.len());
         }
         let place = if holders.len() >= self.wanted { "stores" } else { "log" };
         let seconds = clock::now().since(began) as f64 / 1_000.0;
--- a/components/node/src/leader/steps.rs
+++ b/components/node/src/leader/steps.rs
@@ -325,7 +325,7 @@
                     rmp_serde::to_vec(&checkpoints).expect("checkpoints are plain data"),
                 );
                 let place = self.copies.write(part, &bytes, || self.retired_stores()).await;
-                // The log is not meant for this volume of data.
+                // A checkpoint is not put into the log, which is not meant for this volume of data.
                 let is_stored = matches!(place, copies::Placement::Stores(_));
                 if !is_stored {
                     let samples = checkpoints.len();
