--- a/components/storage/tests/power_loss.rs
+++ b/components/storage/tests/power_loss.rs
@@ -7,8 +7,10 @@
 use std::path::Path;
 
 use bytes::Bytes;
+use chicoryford_storage::Disk;
 use chicoryford_storage::Entry;
 use chicoryford_storage::HardState;
+use chicoryford_storage::Recovered;
 use chicoryford_storage::Snapshot;
 use chicoryford_storage::Storage;
 use chicoryford_storage::StorageError;
@@ -39,8 +41,9 @@
     log: Vec<Entry>,
     /// The log as of the last sync, and each state of it since then.
     states: Vec<Vec<Entry>>,
+    /// The saved hard state, and the one that is being saved.
     hard: Vec<HardState>,
-    /// The indices of the newest snapshots.
+    /// The index of the newest snapshot, and of the one that is being saved.
     covered: Vec<u64>,
     epoch: u64,
 }
@@ -154,10 +157,7 @@
 
     /// Opens the folder after a loss of power and checks what is left.
     fn check(&mut self, folder: &Path) {
-        let (storage, recovered) = match open(folder, chicoryford_storage::Disk::default()) {
-            Ok(opened) => opened,
-            Err(error) => panic!("{error}"),
-        };
+        let (storage, recovered) = open(folder, Disk::default()).unwrap();
         assert!(self.hard.contains(&recovered.hard), "{:?}", recovered.hard);
         let covered = recovered.snapshot.map_or(0, |snapshot| snapshot.index);
         assert!(self.covered.contains(&covered), "{covered} of {:?}", self.covered);
@@ -182,10 +182,7 @@
     }
 }
 
-fn open(
-    folder: &Path,
-    disk: chicoryford_storage::Disk,
-) -> Result<(Storage, chicoryford_storage::Recovered), StorageError> {
+fn open(folder: &Path, disk: Disk) -> Result<(Storage, Recovered), StorageError> {
     let settings =
         StorageSettings { segment_bytes: 400, retained_entries: 2, identity: Incarnation(7) };
     Storage::open(folder, settings, disk)
