Logs: with which role a replica stops, and whether it leaves its seat behind

Of a control process that stopped, the log had only what it asked and was answered. Whether it was the leader then, and whether it left a seat behind, had to be read from the others.

--- a/components/node/src/members.rs
+++ b/components/node/src/members.rs
@@ -111,6 +111,20 @@
     }
 }
 
+/// Logs with which role this replica stops, and whether it leaves its seat behind.
+pub fn log_stop(replica: &LocalReplica) {
+    let status = replica.status();
+    tracing::info!(
+        event = "replica_stops",
+        replica = %status.id,
+        role = ?status.role,
+        epoch = status.epoch.0,
+        leader = status.leader.as_ref().map(ToString::to_string).unwrap_or_default(),
+        voters = status.members.voters().count(),
+        keeps_seat = status.members.is_voter(&status.id),
+    );
+}
+
 /// Asks the leader to remove this replica, which is about to stop, if it is a surplus voter. While
 /// its seat is there without it, the voters tolerate one loss less: of four voters, the loss of one
 /// more disk would leave no majority for good.
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -383,6 +383,7 @@
                 tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
             }
             members::give_up_seat(replica, &self.link).await;
+            members::log_stop(replica);
         }
         if self.settings.entry.is_some() {
             let limit = self.settings.grace_ms.saturating_sub(KILL_MARGIN_MS);
