--- a/components/agreement/src/lib.rs
+++ b/components/agreement/src/lib.rs
@@ -27,6 +27,7 @@
 mod replicate;
 mod restart;
 pub mod saved;
+pub mod seats;
 pub mod settings;
 mod snapshot;
 pub mod status;
