Agreement: a replica whose seat was taken gets one again when it is back

What callers saw: while a control process was being replaced as planned, another one hung for 2.5 s. All went on, the old process was stopped, and then one disk was lost, seconds later: no configuration was accepted or read any more (503).

Cause: a successor that joins while a voter is silent takes that voter's seat. It went on naming the one that it had replaced, also as a voter, and the leader removes whom a voter names. So the process that had hung was added and removed as often as it asked. The voters were one fewer than the processes, the stopped process left a seat that was needed, and one more loss left one of three.

Evidence: found by random histories (a test that follows).

Fix: when a replica is added, nobody replaces it any more.

--- a/components/agreement/src/membership.rs
+++ b/components/agreement/src/membership.rs
@@ -41,6 +41,11 @@
                 if members.contains(&id) {
                     return Err(Refusal::InvalidChange);
                 }
+                // A replica that took the seat of this one keeps it beside this one.
+                let others = members.replicas.values_mut();
+                others
+                    .filter(|info| info.replaces.as_ref() == Some(&id))
+                    .for_each(|info| info.replaces = None);
                 members.replicas.insert(id, ReplicaInfo { address, voter: false, replaces });
             }
             MembershipChange::Promote(id) => {
--- a/components/agreement/tests/random/regressions.rs
+++ b/components/agreement/tests/random/regressions.rs
@@ -8,6 +8,7 @@
 use chicoryford_agreement::Founder;
 use chicoryford_agreement::HardState;
 use chicoryford_agreement::Membership;
+use chicoryford_agreement::MembershipChange;
 use chicoryford_agreement::Message;
 use chicoryford_agreement::Payload;
 use chicoryford_agreement::Protections;
@@ -17,6 +18,7 @@
 use chicoryford_agreement::Role;
 use chicoryford_agreement::Saved;
 use chicoryford_agreement::Settings;
+use chicoryford_agreement::Token;
 use chicoryford_types::Epoch;
 use chicoryford_types::Incarnation;
 use chicoryford_types::Millis;
@@ -176,6 +178,34 @@
     }
 }
 
+fn change(sim: &mut Simulation, change: MembershipChange) {
+    sim.token += 1;
+    let (leader, token) = (leader(sim), Token(sim.token));
+    sim.handle_event(leader, Event::ChangeMembers { token, change });
+    sim.run_for(2_000);
+}
+
+#[test]
+fn admits_a_replica_again_whose_seat_was_taken() {
+    // Guards against a control process that hung for a second and never gets a vote again: a
+    // replica that joined meanwhile took its seat, and went on naming the one that it replaced,
+    // which was removed as often as it was added. The losses that the voters tolerate then were
+    // one fewer than the processes.
+    let mut sim = Simulation::new(Plan { loss_percent: 0, ..Plan::default() });
+    sim.run_for(3_000);
+    let hung = (leader(&sim) + 1) % 3;
+    let (old, new) = (sim.hosts[hung].id.clone(), sim.hosts[3].id.clone());
+    let address = String::new();
+    sim.isolate(hung);
+    let replaces = Some(old.clone());
+    change(&mut sim, MembershipChange::Add { id: new, address: address.clone(), replaces });
+    sim.blocked_links.clear();
+    change(&mut sim, MembershipChange::Add { id: old.clone(), address, replaces: None });
+    let members = sim.hosts[leader(&sim)].replica.as_ref().unwrap().members();
+    assert!(members.is_voter(&old), "{members:?}");
+    assert_eq!(members.voters().count(), 4);
+}
+
 fn restart(sim: &mut Simulation, places: &[usize]) {
     for node in places {
         sim.crash(*node);
