Agreement: a removed replica forgets the leader that sends it nothing any more

A replica asks to join when it knows no leader. One that was removed, and whose log says so, may not stand for election, and only an election made it forget the leader. It named the one it had heard last for good, and never asked.

Evidence: found by random histories; its status named a leader and members without itself until the end.

--- a/components/agreement/src/replica.rs
+++ b/components/agreement/src/replica.rs
@@ -244,8 +244,14 @@
         self.contact_founders();
         self.query_restarts();
         let due = self.role != Role::Leader && self.now >= self.election_deadline;
-        if due && self.can_campaign() {
+        if !due {
+            return;
+        }
+        if self.can_campaign() {
             self.start_election();
+        } else {
+            // A replica that was removed hears from no leader any more, and has to ask to be added.
+            self.leader = None;
         }
     }
 
--- a/components/agreement/tests/random/regressions.rs
+++ b/components/agreement/tests/random/regressions.rs
@@ -206,6 +206,21 @@
     assert_eq!(members.voters().count(), 4);
 }
 
+#[test]
+fn forgets_its_leader_after_its_own_removal() {
+    // Guards against a control process that never asks to join again: it was removed, knows of
+    // that, and went on naming the leader that sends it nothing any more.
+    let mut a = replica(&[&["a", "b", "c"], &["b", "c"]]);
+    a.handle(Millis(0), Event::Tick);
+    let prev = EntryId { epoch: Epoch(1), index: 2 };
+    let body = Body::Append { prev, entries: Vec::new(), commit: 2, round: 1 };
+    let message = Message { from: id("b"), to: id("a"), epoch: Epoch(1), body };
+    a.handle(Millis(10), Event::Message(message));
+    assert_eq!(a.leader(), Some(&id("b")));
+    a.handle(Millis(5_000), Event::Tick);
+    assert_eq!(a.leader(), None);
+}
+
 fn restart(sim: &mut Simulation, places: &[usize]) {
     for node in places {
         sim.crash(*node);
