Control: a process that stops gives up its seat also while it leads

Cause: a stopping process handed its leadership over once, and then asked the leader for its removal, for 2 s. If it was elected after that, or handed over to the very process that was lost, it was the leader itself: it answered its own request NotNow ("the leadership is handed over first") 13 times and more, and ended with its seat and its leadership. Two of four voters were left.

Fix: what a stopping replica does next follows from its status, each 50 ms, until it may stop: a leader whose seat is not needed removes itself, which hands over to a voter that has that entry, so one that lives; one whose seat is needed hands over, again if need be; others ask the leader. The limit is the grace period, not 2 s, as the seat must be gone before the process is. A draining replica may still be elected: of four voters of which one is lost it may be the only one with the whole log. A leader whose removal is under way refuses commands, so that none is left in doubt by it.

--- a/components/agreement/src/replicate.rs
+++ b/components/agreement/src/replicate.rs
@@ -71,7 +71,8 @@
         let Some(lead) = &self.leader_state else {
             return Some(Refusal::NotLeader { leader: self.leader.clone() });
         };
-        if lead.hand_over.is_some() {
+        // A leader that removes itself steps down with the commit of that change.
+        if lead.hand_over.is_some() || !self.members().is_voter(&self.settings.id) {
             return Some(Refusal::HandingOver);
         }
         let uncommitted = self.log.last().index - self.commit;
--- a/components/agreement/src/seats.rs
+++ b/components/agreement/src/seats.rs
@@ -1,10 +1,11 @@
 //! Rules of membership that need no operator: which member a new replica replaces, which member is
-//! removed, and whether a replica that is about to stop gives up its seat (docs/AGREEMENT.md).
+//! removed, and what a replica does that is about to stop (docs/AGREEMENT.md).
 //!
 //! The rules are decisions on the status of a replica. Its process asks for them at intervals and
 //! carries them out.
 
 use crate::identity::ReplicaId;
+use crate::status::Role;
 use crate::status::Status;
 
 /// Milliseconds of silence after which a voter may be replaced by a replica that asks to join. If
@@ -15,6 +16,33 @@
 /// Milliseconds of silence after which a non-voting replica is removed.
 const REMOVE_NON_VOTER_MS: u64 = 10_000;
 
+/// What a replica that is about to stop does next.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DrainStep {
+    /// Removes itself, because it leads and its seat is not needed.
+    RemoveSelf,
+    /// Waits for a membership change that is in progress.
+    AwaitChange,
+    /// Hands the leadership over. Its seat is needed, and waits for its return.
+    HandOver,
+    /// Asks the leader whether it may stop.
+    AskLeader {
+        /// Whether its seat is not needed according to its own log.
+        surplus: bool,
+    },
+}
+
+/// What the leader does when a replica asks to give up its seat because it is about to stop.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Departure {
+    /// Nothing: the replica is not a voter.
+    Gone,
+    /// Removes the replica.
+    Remove,
+    /// Keeps its seat, which is needed.
+    Keep,
+}
+
 /// Returns the member that a new replica replaces: the previous replica on its VM, or a lost voter
 /// that no other replica replaces yet.
 pub fn member_to_replace(status: &Status, id: &ReplicaId) -> Option<ReplicaId> {
@@ -44,9 +72,29 @@
     lost.max_by_key(|peer| peer.silent_ms).map(|peer| peer.id.clone())
 }
 
+/// Returns what the leader does when a replica is about to stop.
+pub fn departure(status: &Status, id: &ReplicaId) -> Departure {
+    if !status.members.is_voter(id) {
+        return Departure::Gone;
+    }
+    if is_surplus(status, id) { Departure::Remove } else { Departure::Keep }
+}
+
+/// Returns what a replica that is about to stop does next.
+pub fn drain_step(status: &Status) -> DrainStep {
+    if status.role == Role::Leader {
+        return match departure(status, &status.id) {
+            Departure::Remove => DrainStep::RemoveSelf,
+            Departure::Gone => DrainStep::AwaitChange,
+            Departure::Keep => DrainStep::HandOver,
+        };
+    }
+    DrainStep::AskLeader { surplus: is_surplus(status, &status.id) }
+}
+
 /// Returns whether a replica is a voter, and the others tolerate as many losses without it. Of two
 /// voters none is surplus: what the other one accepted alone would be lost with its disk.
-pub fn is_surplus(status: &Status, id: &ReplicaId) -> bool {
+fn is_surplus(status: &Status, id: &ReplicaId) -> bool {
     let voters = status.members.voters().count();
     status.members.is_voter(id) && voters > 2 && voters.is_multiple_of(2)
 }
--- a/components/node/src/members.rs
+++ b/components/node/src/members.rs
@@ -11,6 +11,9 @@
 use chicoryford_agreement::Refusal;
 use chicoryford_agreement::ReplicaId;
 use chicoryford_agreement::seats;
+use chicoryford_agreement::seats::Departure;
+use chicoryford_agreement::seats::DrainStep;
+use chicoryford_fleet::ApplyOutcome;
 
 use crate::clock;
 use crate::leader::Leader;
@@ -23,11 +26,10 @@
 const JOIN_INTERVAL: Duration = Duration::from_millis(400);
 /// Timeout of a request to join, or to resign.
 const JOIN_TIMEOUT: Duration = Duration::from_secs(1);
-/// Milliseconds for which a replica that stops tries to resign. Another change of the members may be
-/// in progress, or the next leader not be known yet.
-const RESIGN_LIMIT_MS: u64 = 2_000;
-/// Interval of requests to resign.
-const RESIGN_INTERVAL: Duration = Duration::from_millis(100);
+/// Timeout for handing over the leadership, in milliseconds.
+const HAND_OVER_TIMEOUT_MS: u64 = 1_200;
+/// Interval between the steps of a replica that is about to stop.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Adds a replica to the members.
 pub async fn join(leader: &Rc<Leader>, id: ReplicaId) -> Answer {
@@ -64,29 +66,74 @@
     }
 }
 
-/// Removes a replica that is about to stop, if it is a surplus voter.
+/// Removes a replica that is about to stop, if its seat is not needed.
 pub async fn resign(leader: &Rc<Leader>, id: ReplicaId) -> Answer {
-    let status = leader.context.replica.status();
-    if !seats::is_surplus(&status, &id) {
-        return Answer::Done;
-    }
-    if status.id == id {
-        // The leadership is handed over first.
-        return Answer::NotNow;
+    let replica = &leader.context.replica;
+    let departure = seats::departure(&replica.status(), &id);
+    tracing::info!(event = "departure_decided", replica = %id, departure = ?departure);
+    match departure {
+        Departure::Gone | Departure::Keep => Answer::Done,
+        Departure::Remove => {
+            let done = remove(replica, &id).await;
+            leader.broadcast_controls();
+            match done {
+                Ok(_) => Answer::Done,
+                Err(Refusal::Unknown { .. }) => Answer::Unclear,
+                Err(_) => Answer::NotNow,
+            }
+        }
     }
-    let done = leader.context.replica.change(MembershipChange::Remove(id.clone())).await;
+}
+
+/// Removes a replica that is about to stop.
+async fn remove(replica: &LocalReplica, id: &ReplicaId) -> Result<ApplyOutcome, Refusal> {
+    let done = replica.change(MembershipChange::Remove(id.clone())).await;
     let outcome = done.as_ref().map_or_else(ToString::to_string, |_| "removed".to_owned());
     tracing::info!(event = "replica_resigns", replica = %id, outcome);
-    leader.broadcast_controls();
-    match done {
-        Ok(_) => Answer::Done,
-        Err(Refusal::Unknown { .. }) => Answer::Unclear,
-        Err(_) => Answer::NotNow,
+    done
+}
+
+/// Gives up the leadership before this replica stops, and its seat if the others do not need it.
+/// While the seat of a replica that does not return is there, the voters tolerate one loss less: of
+/// four voters, the loss of one more disk would leave no majority for good. The replica therefore
+/// votes until the seat is gone, or for `limit_ms` at most.
+pub async fn leave(replica: &LocalReplica, link: &Link, limit_ms: u64) {
+    let deadline = clock::now() + limit_ms;
+    let mut unsettled = None;
+    loop {
+        let step = seats::drain_step(&replica.status());
+        let now = clock::now();
+        let until = match step {
+            DrainStep::AskLeader { surplus: false } => break,
+            DrainStep::HandOver => {
+                deadline.min(*unsettled.get_or_insert(now) + HAND_OVER_TIMEOUT_MS)
+            }
+            _ => deadline,
+        };
+        if now >= until {
+            break;
+        }
+        match step {
+            DrainStep::HandOver => replica.hand_over(),
+            // The next step depends on whether it was removed.
+            DrainStep::RemoveSelf => _ = remove(replica, replica.id()).await,
+            DrainStep::AskLeader { .. } => {
+                let limit = Duration::from_millis(until.since(now)).min(JOIN_TIMEOUT);
+                let answer = link.call(Call::Resign(replica.id().clone()), limit).await;
+                tracing::info!(event = "resign_asked", replica = %replica.id(), answer = ?answer);
+                if matches!(answer, Ok(Answer::Done)) {
+                    break;
+                }
+            }
+            DrainStep::AwaitChange => {}
+        }
+        tokio::time::sleep(DRAIN_INTERVAL).await;
     }
+    log_stop(replica);
 }
 
 /// Logs with which role this replica stops, and whether it leaves its seat behind.
-pub fn log_stop(replica: &LocalReplica) {
+fn log_stop(replica: &LocalReplica) {
     let status = replica.status();
     tracing::info!(
         event = "replica_stops",
@@ -99,22 +146,6 @@
     );
 }
 
-/// Asks the leader to remove this replica, which is about to stop, if it is a surplus voter. While
-/// its seat is there without it, the voters tolerate one loss less: of four voters, the loss of one
-/// more disk would leave no majority for good.
-pub async fn give_up_seat(replica: &LocalReplica, link: &Link) {
-    let until = clock::now() + RESIGN_LIMIT_MS;
-    while seats::is_surplus(&replica.status(), replica.id()) && clock::now() < until {
-        let limit = Duration::from_millis(until.since(clock::now())).min(JOIN_TIMEOUT);
-        let answer = link.call(Call::Resign(replica.id().clone()), limit).await;
-        tracing::info!(event = "resign_asked", replica = %replica.id(), answer = ?answer);
-        if matches!(answer, Ok(Answer::Done)) {
-            return;
-        }
-        tokio::time::sleep(RESIGN_INTERVAL).await;
-    }
-}
-
 /// Asks to join while this replica receives nothing from a leader and is not about to stop.
 pub async fn run_joins(replica: Rc<LocalReplica>, link: Rc<Link>, stopping: Rc<Cell<bool>>) {
     loop {
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -67,8 +67,6 @@
 const MIN_DRAIN_MS: u64 = 3_200;
 /// Milliseconds before the kill at which the process exits by itself.
 const KILL_MARGIN_MS: u64 = 500;
-/// Timeout for handing over the leadership, in milliseconds.
-const HAND_OVER_TIMEOUT_MS: u64 = 1_200;
 /// Interval between checks whether the process is drained.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Pause before a process with a failed disk exits, so that it does not restart in a tight loop.
@@ -374,19 +372,14 @@
 
     async fn drain(&self) {
         let began = clock::now();
+        let limit = self.settings.grace_ms.saturating_sub(KILL_MARGIN_MS);
         self.stopping.set(true);
         self.server.close();
         tracing::info!(event = "draining", in_progress = self.server.active_requests());
         if let Some(replica) = &self.replica {
-            replica.hand_over();
-            while replica.leads() && clock::now().since(began) < HAND_OVER_TIMEOUT_MS {
-                tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
-            }
-            members::give_up_seat(replica, &self.link).await;
-            members::log_stop(replica);
+            members::leave(replica, &self.link, limit).await;
         }
         if self.settings.entry.is_some() {
-            let limit = self.settings.grace_ms.saturating_sub(KILL_MARGIN_MS);
             loop {
                 let ms = clock::now().since(began);
                 let idle = self.server.active_requests() == 0 && ms >= MIN_DRAIN_MS;
