Control: a seat is surplus by the losses that the voters tolerate, not by their parity

What callers saw: two control processes of three were replaced at once, as planned, and one disk was lost afterwards, also seconds later: no configuration was accepted or read any more (503).

Cause: with both successors there are five voters. Whether a stopping voter gives up its seat, and whether a silent one is removed, was asked of even numbers only. Neither of the two gave up its seat, nobody removed them, and one more loss left two of five.

Fix: a seat is surplus if the others tolerate as many losses without it, or as many as the settings ask for (tolerated, 1 at least). It is the same rule for a stopping voter and for a silent one.

--- a/components/agreement/src/seats.rs
+++ b/components/agreement/src/seats.rs
@@ -62,39 +62,44 @@
 }
 
 /// Returns a lost member that the leader removes.
-pub fn member_to_remove(status: &Status) -> Option<ReplicaId> {
-    let even = status.members.voters().count().is_multiple_of(2);
+pub fn member_to_remove(status: &Status, tolerated: usize) -> Option<ReplicaId> {
     let lost = status.peers.iter().filter(|peer| {
         let voter = status.members.is_voter(&peer.id);
         let limit = if voter { REMOVE_SURPLUS_VOTER_MS } else { REMOVE_NON_VOTER_MS };
-        peer.silent_ms >= limit && (even || !voter)
+        peer.silent_ms >= limit && (!voter || is_surplus(status, &peer.id, tolerated))
     });
     lost.max_by_key(|peer| peer.silent_ms).map(|peer| peer.id.clone())
 }
 
 /// Returns what the leader does when a replica is about to stop.
-pub fn departure(status: &Status, id: &ReplicaId) -> Departure {
+pub fn departure(status: &Status, id: &ReplicaId, tolerated: usize) -> Departure {
     if !status.members.is_voter(id) {
         return Departure::Gone;
     }
-    if is_surplus(status, id) { Departure::Remove } else { Departure::Keep }
+    if is_surplus(status, id, tolerated) { Departure::Remove } else { Departure::Keep }
 }
 
 /// Returns what a replica that is about to stop does next.
-pub fn drain_step(status: &Status) -> DrainStep {
+pub fn drain_step(status: &Status, tolerated: usize) -> DrainStep {
     if status.role == Role::Leader {
-        return match departure(status, &status.id) {
+        return match departure(status, &status.id, tolerated) {
             Departure::Remove => DrainStep::RemoveSelf,
             Departure::Gone => DrainStep::AwaitChange,
             Departure::Keep => DrainStep::HandOver,
         };
     }
-    DrainStep::AskLeader { surplus: is_surplus(status, &status.id) }
+    DrainStep::AskLeader { surplus: is_surplus(status, &status.id, tolerated) }
 }
 
-/// Returns whether a replica is a voter, and the others tolerate as many losses without it. Of two
-/// voters none is surplus: what the other one accepted alone would be lost with its disk.
-fn is_surplus(status: &Status, id: &ReplicaId) -> bool {
-    let voters = status.members.voters().count();
-    status.members.is_voter(id) && voters > 2 && voters.is_multiple_of(2)
+/// Returns whether a replica is a voter whose seat is not needed.
+fn is_surplus(status: &Status, id: &ReplicaId, tolerated: usize) -> bool {
+    status.members.is_voter(id) && can_spare_one(status.members.voters().count(), tolerated)
+}
+
+/// Returns whether one of so many voters can go: the others tolerate as many losses without it, or
+/// as many as they have to. Of two voters none can: what the other one accepted alone would be lost
+/// with its disk.
+fn can_spare_one(voters: usize, tolerated: usize) -> bool {
+    let losses = |voters: usize| (voters - 1) / 2;
+    voters > 2 && losses(voters - 1) >= losses(voters).min(tolerated.max(1))
 }
--- a/components/agreement/tests/seats.rs
+++ b/components/agreement/tests/seats.rs
@@ -1,6 +1,7 @@
 //! Tests of the rules of membership.
 
 use chicoryford_agreement::Membership;
+use chicoryford_agreement::PeerStatus;
 use chicoryford_agreement::ReplicaId;
 use chicoryford_agreement::ReplicaInfo;
 use chicoryford_agreement::Role;
@@ -27,8 +28,33 @@
 /// up, and leaves its seat behind.
 #[test]
 fn a_leader_that_stops_removes_itself_if_its_seat_is_surplus() {
-    assert_eq!(seats::drain_step(&status(4, Role::Leader)), DrainStep::RemoveSelf);
-    assert_eq!(seats::drain_step(&status(3, Role::Leader)), DrainStep::HandOver);
+    assert_eq!(seats::drain_step(&status(4, Role::Leader), 1), DrainStep::RemoveSelf);
+    assert_eq!(seats::drain_step(&status(3, Role::Leader), 1), DrainStep::HandOver);
+}
+
+/// Guards against a seat that is left behind beside another one: after two of five voters were
+/// replaced, the loss of one more left two of five.
+#[test]
+fn more_voters_than_the_losses_need_are_surplus() {
+    let departure =
+        |voters, tolerated| seats::departure(&status(voters, Role::Leader), &id("b"), tolerated);
+    let removed: Vec<usize> = (1..=7).filter(|n| departure(*n, 1) == Departure::Remove).collect();
+    assert_eq!(removed, [4, 5, 6, 7]);
+    let removed: Vec<usize> = (1..=7).filter(|n| departure(*n, 2) == Departure::Remove).collect();
+    assert_eq!(removed, [4, 6, 7]);
+    assert_eq!(departure(3, 0), Departure::Keep);
+}
+
+/// Guards against the seat of a process that was killed, not stopped, beside another one.
+#[test]
+fn a_silent_voter_is_removed_if_more_are_left_than_the_losses_need() {
+    let silent = |voters| Status {
+        peers: vec![PeerStatus { id: id("b"), silent_ms: 2_000, ..PeerStatus::default() }],
+        ..status(voters, Role::Leader)
+    };
+    assert_eq!(seats::member_to_remove(&silent(5), 1), Some(id("b")));
+    assert_eq!(seats::member_to_remove(&silent(5), 2), None);
+    assert_eq!(seats::member_to_remove(&silent(3), 1), None);
 }
 
 /// Guards against configuration that is accepted by one control process alone: the other of two
@@ -36,6 +62,6 @@
 #[test]
 fn of_two_voters_none_gives_up_its_seat() {
     let both = status(2, Role::Leader);
-    assert_eq!(seats::departure(&both, &id("b")), Departure::Keep);
-    assert_eq!(seats::drain_step(&both), DrainStep::HandOver);
+    assert_eq!(seats::departure(&both, &id("b"), 1), Departure::Keep);
+    assert_eq!(seats::drain_step(&both, 1), DrainStep::HandOver);
 }
--- a/components/node/src/members.rs
+++ b/components/node/src/members.rs
@@ -16,6 +16,7 @@
 use chicoryford_fleet::ApplyOutcome;
 
 use crate::clock;
+use crate::leader::Context;
 use crate::leader::Leader;
 use crate::link::Link;
 use crate::message::Answer;
@@ -58,7 +59,8 @@
         tokio::time::sleep(every).await;
         let Some(leader) = leader.upgrade() else { return };
         let status = leader.context.replica.status();
-        let Some(id) = seats::member_to_remove(&status) else { continue };
+        let tolerated = leader.context.settings.tolerated as usize;
+        let Some(id) = seats::member_to_remove(&status, tolerated) else { continue };
         let done = leader.context.replica.change(MembershipChange::Remove(id.clone())).await;
         let outcome = done.map_or_else(|why| why.to_string(), |_| "removed".to_owned());
         tracing::info!(event = "replica_removed", replica = %id, outcome);
@@ -68,8 +70,8 @@
 
 /// Removes a replica that is about to stop, if its seat is not needed.
 pub async fn resign(leader: &Rc<Leader>, id: ReplicaId) -> Answer {
-    let replica = &leader.context.replica;
-    let departure = seats::departure(&replica.status(), &id);
+    let Context { replica, settings, .. } = &leader.context;
+    let departure = seats::departure(&replica.status(), &id, settings.tolerated as usize);
     tracing::info!(event = "departure_decided", replica = %id, departure = ?departure);
     match departure {
         Departure::Gone | Departure::Keep => Answer::Done,
@@ -97,11 +99,11 @@
 /// While the seat of a replica that does not return is there, the voters tolerate one loss less: of
 /// four voters, the loss of one more disk would leave no majority for good. The replica therefore
 /// votes until the seat is gone, or for `limit_ms` at most.
-pub async fn leave(replica: &LocalReplica, link: &Link, limit_ms: u64) {
+pub async fn leave(replica: &LocalReplica, link: &Link, tolerated: usize, limit_ms: u64) {
     let deadline = clock::now() + limit_ms;
     let mut unsettled = None;
     loop {
-        let step = seats::drain_step(&replica.status());
+        let step = seats::drain_step(&replica.status(), tolerated);
         let now = clock::now();
         let until = match step {
             DrainStep::AskLeader { surplus: false } => break,
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -377,7 +377,8 @@
         self.server.close();
         tracing::info!(event = "draining", in_progress = self.server.active_requests());
         if let Some(replica) = &self.replica {
-            members::leave(replica, &self.link, limit).await;
+            let tolerated = self.settings.tolerated as usize;
+            members::leave(replica, &self.link, tolerated, limit).await;
         }
         if self.settings.entry.is_some() {
             loop {
