Control: a stopping process ends only once its removal is committed

The leader answered Done to a request to resign as soon as its own log no longer had the seat, so also when the removal that it had begun a moment before was not committed yet: a request whose answer was late (a slow disk, a limit of 1 s a call) or lost with the connection was asked again and answered at once. If the leader's disk was lost then, the others knew nothing of the removal and counted the seat of a process that had ended: two of four.

Fix: the status says whether the last change of the members may still be undone, and until then the answer is NotNow. a_removed_replica_stops_once_its_removal_is_committed cannot be built before; with the status ignored it fails.

--- a/components/agreement/src/check.rs
+++ b/components/agreement/src/check.rs
@@ -20,12 +20,14 @@
     /// Returns the status of the replica.
     pub fn status(&self) -> Status {
         let lease = self.leader_state.as_ref().map_or(0, |lead| lead.lease_until.since(self.now));
+        let changed = self.memberships.last().map_or(0, |(index, _)| *index);
         Status {
             id: self.settings.id.clone(),
             role: self.reported_role(),
             epoch: self.hard.epoch,
             leader: self.leader.clone(),
             members: self.members().clone(),
+            changing: changed > self.commit,
             last: self.log.last(),
             commit: self.commit,
             durable: self.durable.index,
--- a/components/agreement/src/seats.rs
+++ b/components/agreement/src/seats.rs
@@ -25,7 +25,7 @@
     AwaitChange,
     /// Hands the leadership over. Its seat is needed, and waits for its return.
     HandOver,
-    /// Asks the leader whether it may stop.
+    /// Asks the leader whether it may stop, because its own log may be out of date.
     AskLeader {
         /// Whether its seat is not needed according to its own log.
         surplus: bool,
@@ -39,6 +39,8 @@
     Gone,
     /// Removes the replica.
     Remove,
+    /// Asks the replica to wait for a membership change that is in progress.
+    Wait,
     /// Keeps its seat, which is needed.
     Keep,
 }
@@ -74,9 +76,12 @@
 /// Returns what the leader does when a replica is about to stop.
 pub fn departure(status: &Status, id: &ReplicaId, tolerated: usize) -> Departure {
     if !status.members.is_voter(id) {
-        return Departure::Gone;
+        return if status.changing { Departure::Wait } else { Departure::Gone };
     }
-    if is_surplus(status, id, tolerated) { Departure::Remove } else { Departure::Keep }
+    if is_surplus(status, id, tolerated) {
+        return Departure::Remove;
+    }
+    Departure::Keep
 }
 
 /// Returns what a replica that is about to stop does next.
@@ -84,11 +89,12 @@
     if status.role == Role::Leader {
         return match departure(status, &status.id, tolerated) {
             Departure::Remove => DrainStep::RemoveSelf,
-            Departure::Gone => DrainStep::AwaitChange,
+            Departure::Gone | Departure::Wait => DrainStep::AwaitChange,
             Departure::Keep => DrainStep::HandOver,
         };
     }
-    DrainStep::AskLeader { surplus: is_surplus(status, &status.id, tolerated) }
+    let surplus = is_surplus(status, &status.id, tolerated);
+    DrainStep::AskLeader { surplus: surplus || status.changing }
 }
 
 /// Returns whether a replica is a voter whose seat is not needed.
--- a/components/agreement/src/status.rs
+++ b/components/agreement/src/status.rs
@@ -55,6 +55,9 @@
     pub leader: Option<ReplicaId>,
     /// The members according to its log.
     pub members: Membership,
+    /// Whether the last change of the members may still be undone, as far as this replica knows.
+    #[serde(default)]
+    pub changing: bool,
     /// The last entry of its log.
     pub last: EntryId,
     /// The index of the last entry known to be committed.
--- a/components/agreement/tests/seats.rs
+++ b/components/agreement/tests/seats.rs
@@ -57,6 +57,18 @@
     assert_eq!(seats::member_to_remove(&silent(3), 1), None);
 }
 
+/// Guards against a process that ends when its removal is on its way, and may still be undone: the
+/// next leader, without that entry, would count its seat.
+#[test]
+fn a_removed_replica_stops_once_its_removal_is_committed() {
+    let mut status = status(4, Role::Leader);
+    status.members.replicas.remove(&id("b"));
+    status.changing = true;
+    assert_eq!(seats::departure(&status, &id("b"), 1), Departure::Wait);
+    status.changing = false;
+    assert_eq!(seats::departure(&status, &id("b"), 1), Departure::Gone);
+}
+
 /// Guards against configuration that is accepted by one control process alone: the other of two
 /// voters gave up its seat.
 #[test]
--- a/components/node/src/members.rs
+++ b/components/node/src/members.rs
@@ -75,6 +75,7 @@
     tracing::info!(event = "departure_decided", replica = %id, departure = ?departure);
     match departure {
         Departure::Gone | Departure::Keep => Answer::Done,
+        Departure::Wait => Answer::NotNow,
         Departure::Remove => {
             let done = remove(replica, &id).await;
             leader.broadcast_controls();
