Control: a stopping process waits for the successor that is becoming a voter

A process that was stopped while its successor was still catching up had one of three seats, which was needed, and ended. A moment later the successor became the fourth voter, and until the silence of the first was noticed (1.5 s), one lost disk left two of four.

--- a/components/agreement/src/seats.rs
+++ b/components/agreement/src/seats.rs
@@ -81,7 +81,9 @@
     if is_surplus(status, id, tolerated) {
         return Departure::Remove;
     }
-    Departure::Keep
+    let voters = status.members.voters().count();
+    let joining = newcomers(status).filter(|id| is_live(status, id)).count();
+    if can_spare_one(voters + joining, tolerated) { Departure::Wait } else { Departure::Keep }
 }
 
 /// Returns what a replica that is about to stop does next.
@@ -93,8 +95,10 @@
             Departure::Keep => DrainStep::HandOver,
         };
     }
-    let surplus = is_surplus(status, &status.id, tolerated);
-    DrainStep::AskLeader { surplus: surplus || status.changing }
+    // Only the leader knows which newcomers are alive.
+    let voters = status.members.voters().count() + newcomers(status).count();
+    let spare = status.members.is_voter(&status.id) && can_spare_one(voters, tolerated);
+    DrainStep::AskLeader { surplus: spare || status.changing }
 }
 
 /// Returns whether a replica is a voter whose seat is not needed.
@@ -109,3 +113,17 @@
     let losses = |voters: usize| (voters - 1) / 2;
     voters > 2 && losses(voters - 1) >= losses(voters).min(tolerated.max(1))
 }
+
+/// Returns the replicas that will become voters beside all present ones.
+fn newcomers(status: &Status) -> impl Iterator<Item = &ReplicaId> {
+    let members = &status.members;
+    let joining = members.replicas.iter().filter(|(_, seat)| {
+        !seat.voter && seat.replaces.as_ref().is_none_or(|old| !members.is_voter(old))
+    });
+    joining.map(|(id, _)| id)
+}
+
+fn is_live(status: &Status, id: &ReplicaId) -> bool {
+    let peer = status.peers.iter().find(|peer| peer.id == *id);
+    peer.is_some_and(|peer| peer.silent_ms < REPLACEABLE_AFTER_MS)
+}
--- a/components/agreement/tests/seats.rs
+++ b/components/agreement/tests/seats.rs
@@ -69,6 +69,23 @@
     assert_eq!(seats::departure(&status, &id("b"), 1), Departure::Gone);
 }
 
+/// Guards against a process that ends just before its successor becomes a voter, and leaves four
+/// voters of which one is gone.
+#[test]
+fn a_replica_whose_successor_is_joining_waits_for_it() {
+    let mut status = status(3, Role::Leader);
+    status.members.replicas.insert(id("d"), ReplicaInfo::default());
+    status.peers = vec![PeerStatus { id: id("d"), ..PeerStatus::default() }];
+    assert_eq!(seats::departure(&status, &id("b"), 1), Departure::Wait);
+    assert_eq!(seats::drain_step(&status, 1), DrainStep::AwaitChange);
+    status.peers[0].silent_ms = 2_000;
+    assert_eq!(seats::departure(&status, &id("b"), 1), Departure::Keep);
+    status.peers[0].silent_ms = 0;
+    let replaces = Some(id("c"));
+    status.members.replicas.insert(id("d"), ReplicaInfo { replaces, ..ReplicaInfo::default() });
+    assert_eq!(seats::departure(&status, &id("b"), 1), Departure::Keep);
+}
+
 /// Guards against configuration that is accepted by one control process alone: the other of two
 /// voters gave up its seat.
 #[test]
