Control: a stopping process asks the leader also if its own log says that its seat is needed

Whether a follower is a surplus voter was decided by its own log.

Now the leader decides; without one, a process whose seat is needed by its own log waits 1.2 s at most, as for a hand-over. Cost: one call to the leader at each planned stop of a control process.

--- a/components/agreement/tests/seats.rs
+++ b/components/agreement/tests/seats.rs
@@ -86,6 +86,17 @@
     assert_eq!(seats::departure(&status, &id("b"), 1), Departure::Keep);
 }
 
+/// Guards against a process whose log is out of date, and which ends with a seat that it takes for
+/// needed.
+#[test]
+fn a_follower_that_stops_asks_the_leader_in_any_case() {
+    let surplus = |voters| seats::drain_step(&status(voters, Role::Follower), 1);
+    assert_eq!(surplus(3), DrainStep::AskLeader { surplus: false });
+    assert_eq!(surplus(4), DrainStep::AskLeader { surplus: true });
+    let removed = Status { id: id("x"), changing: true, ..status(3, Role::Follower) };
+    assert_eq!(seats::drain_step(&removed, 1), DrainStep::AskLeader { surplus: true });
+}
+
 /// Guards against configuration that is accepted by one control process alone: the other of two
 /// voters gave up its seat.
 #[test]
--- a/components/node/src/members.rs
+++ b/components/node/src/members.rs
@@ -27,7 +27,8 @@
 const JOIN_INTERVAL: Duration = Duration::from_millis(400);
 /// Timeout of a request to join, or to resign.
 const JOIN_TIMEOUT: Duration = Duration::from_secs(1);
-/// Timeout for handing over the leadership, in milliseconds.
+/// Milliseconds for which a replica whose seat is needed hands over its leadership, or looks for the
+/// leader, before it stops.
 const HAND_OVER_TIMEOUT_MS: u64 = 1_200;
 /// Interval between the steps of a replica that is about to stop.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
@@ -107,8 +108,7 @@
         let step = seats::drain_step(&replica.status(), tolerated);
         let now = clock::now();
         let until = match step {
-            DrainStep::AskLeader { surplus: false } => break,
-            DrainStep::HandOver => {
+            DrainStep::HandOver | DrainStep::AskLeader { surplus: false } => {
                 deadline.min(*unsettled.get_or_insert(now) + HAND_OVER_TIMEOUT_MS)
             }
             _ => deadline,
