Tests: random histories of planned replacements beside tolerated losses

After each round control must accept entries again and exactly the present VMs must have seats; what is accepted is never lost, and every surplus seat is given up within the grace period. A stopping VM that is killed counts as lost, until its silence shows.

In the simulation the disk's report now waits while a process hangs. It was lost, which no process does.

--- a/components/agreement/tests/random/faults.rs
+++ b/components/agreement/tests/random/faults.rs
@@ -153,9 +153,13 @@
 
     /// Suspends a process, which resumes with its clock far ahead.
     fn freeze(&mut self, node: usize) {
-        self.hosts[node].frozen = true;
         let pause = self.rng.random_range(50..2_500);
-        self.schedule(pause, SimEvent::Thaw(node));
+        self.freeze_for(node, pause);
+    }
+
+    pub fn freeze_for(&mut self, node: usize, ms: u64) {
+        self.hosts[node].frozen = true;
+        self.schedule(ms, SimEvent::Thaw(node));
     }
 
     fn fail_storage(&mut self, node: usize) {
--- a/components/agreement/tests/random/main.rs
+++ b/components/agreement/tests/random/main.rs
@@ -4,6 +4,7 @@
 mod disk;
 mod faults;
 mod mutation;
+mod planned;
 mod regressions;
 mod simulation;
 
--- a/components/agreement/tests/random/simulation.rs
+++ b/components/agreement/tests/random/simulation.rs
@@ -35,6 +35,8 @@
 pub struct Plan {
     pub seed: u64,
     pub replicas: usize,
+    /// Replicas that start empty and do not belong to the founders.
+    pub spares: usize,
     pub max_events: u64,
     /// Message loss in percent.
     pub loss_percent: u32,
@@ -52,6 +54,7 @@
         Self {
             seed: 1,
             replicas: 3,
+            spares: 2,
             max_events: 50_000,
             loss_percent: 4,
             fault_interval_ms: 250,
@@ -126,7 +129,8 @@
             sequence: 0,
             plan,
         };
-        let names: Vec<String> = (0..sim.plan.replicas + 2).map(|n| format!("n{n}")).collect();
+        let names: Vec<String> =
+            (0..sim.plan.replicas + sim.plan.spares).map(|n| format!("n{n}")).collect();
         let first = &names[..sim.plan.replicas];
         let founders = first.iter().map(|name| founder(name)).collect::<Vec<_>>();
         for (node, name) in names.iter().enumerate() {
@@ -137,7 +141,8 @@
         sim
     }
 
-    fn add_host(&mut self, name: &str, founders: Vec<Founder>) {
+    /// Starts a replica on a new node.
+    pub fn add_host(&mut self, name: &str, founders: Vec<Founder>) -> usize {
         let node = self.hosts.len();
         self.hosts.push(Host {
             id: ReplicaId::new(name, Incarnation(1)),
@@ -153,6 +158,7 @@
         });
         self.boot(node);
         self.schedule(TICK_MS, SimEvent::Tick(node));
+        node
     }
 
     pub fn schedule(&mut self, after: u64, event: SimEvent) {
@@ -273,6 +279,11 @@
         if host.replica.is_none() || host.id.incarnation != incarnation {
             return;
         }
+        if host.frozen {
+            // The report of the disk waits until the process continues.
+            self.schedule(TICK_MS, SimEvent::Synced(node, incarnation));
+            return;
+        }
         host.syncing = false;
         if let Some(write) = host.disk.sync() {
             self.handle_event(node, Event::Synced { write });
