Control: a process that also serves callers settles its seat again when its requests have ended

A process with entry and control gave up its leadership, or its seat, right after SIGTERM, and then served its callers for 3.2 s and more. If its seat became surplus in that time (a successor joined), or it was elected, it ended with its seat, or as the leader: four voters, one of them gone, and one lost disk left two.

--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -20,6 +20,7 @@
 use chicoryford_kernel::run_time::RunTimer;
 use chicoryford_storage::Disk;
 use chicoryford_storage::StorageError;
+use chicoryford_types::Millis;
 use thiserror::Error;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -376,10 +377,7 @@
         self.stopping.set(true);
         self.server.close();
         tracing::info!(event = "draining", in_progress = self.server.active_requests());
-        if let Some(replica) = &self.replica {
-            let tolerated = self.settings.tolerated as usize;
-            members::leave(replica, &self.link, tolerated, limit).await;
-        }
+        self.leave(began, limit).await;
         if self.settings.entry.is_some() {
             loop {
                 let ms = clock::now().since(began);
@@ -389,10 +387,20 @@
                 }
                 tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
             }
+            // While requests ended, the replica may have been elected, or its seat become surplus.
+            self.leave(began, limit).await;
         }
         let (ms, in_progress) = (clock::now().since(began), self.server.active_requests());
         tracing::info!(event = "stopped", ms, in_progress);
     }
+
+    /// Gives up the leadership, and the replica's seat if the others do not need it, until `limit`
+    /// milliseconds after the drain began.
+    async fn leave(&self, began: Millis, limit: u64) {
+        let Some(replica) = &self.replica else { return };
+        let left = (began + limit).since(clock::now());
+        members::leave(replica, &self.link, self.settings.tolerated as usize, left).await;
+    }
 }
 
 /// Moves a damaged folder aside, so that this process continues like one that lost its disk: with a
