Logs: a stopping replica says whether it was released, not what its own log says of its seat

replica_stops had keeps_seat=true for a follower whose removal the leader had just committed: a removed replica is sent nothing more, so its own log still lists it. The leader's departure_decided says what became of the seat. No behaviour changes.

--- a/components/node/src/members.rs
+++ b/components/node/src/members.rs
@@ -104,7 +104,7 @@
 pub async fn leave(replica: &LocalReplica, link: &Link, tolerated: usize, limit_ms: u64) {
     let deadline = clock::now() + limit_ms;
     let mut unsettled = None;
-    loop {
+    let outcome = loop {
         let step = seats::drain_step(&replica.status(), tolerated);
         let now = clock::now();
         let until = match step {
@@ -114,7 +114,7 @@
             _ => deadline,
         };
         if now >= until {
-            break;
+            break "timed_out";
         }
         match step {
             DrainStep::HandOver => replica.hand_over(),
@@ -125,27 +125,22 @@
                 let answer = link.call(Call::Resign(replica.id().clone()), limit).await;
                 tracing::info!(event = "resign_asked", replica = %replica.id(), answer = ?answer);
                 if matches!(answer, Ok(Answer::Done)) {
-                    break;
+                    break "released";
                 }
             }
             DrainStep::AwaitChange => {}
         }
         tokio::time::sleep(DRAIN_INTERVAL).await;
-    }
-    log_stop(replica);
-}
-
-/// Logs with which role this replica stops, and whether it leaves its seat behind.
-fn log_stop(replica: &LocalReplica) {
+    };
     let status = replica.status();
     tracing::info!(
         event = "replica_stops",
         replica = %status.id,
+        outcome,
         role = ?status.role,
         epoch = status.epoch.0,
         leader = status.leader.as_ref().map(ToString::to_string).unwrap_or_default(),
         voters = status.members.voters().count(),
-        keeps_seat = status.members.is_voter(&status.id),
     );
 }
 
