--- a/components/agreement/src/replica.rs
+++ b/components/agreement/src/replica.rs
@@ -250,7 +250,7 @@
         if self.can_campaign() {
             self.start_election();
         } else {
-            // A replica that was removed hears from no leader any more, and has to ask to be added.
+            // A removed replica receives nothing from a leader and must ask to join.
             self.leader = None;
         }
     }
