--- /dev/null
+++ b/components/fleet/src/baseline.rs
@@ -0,0 +1,37 @@
+//! The lowest recent value of a measurement: what it is without load.
+//!
+//! A moving average follows the load, so it cannot show that everything is slower than usual at the
+//! same time. The lowest value of the last minute can.
+
+use std::collections::VecDeque;
+
+use chicoryford_types::Millis;
+
+/// Length in milliseconds of a bucket of measurements.
+const BUCKET_MS: u64 = 10_000;
+/// Number of buckets, which together cover the last minute.
+const BUCKET_COUNT: usize = 6;
+
+/// The lowest value per bucket, oldest first.
+#[derive(Clone, Debug, Default)]
+pub struct Baseline(VecDeque<(u64, f64)>);
+
+impl Baseline {
+    /// Records a measurement.
+    pub fn record(&mut self, value: f64, now: Millis) {
+        let number = now.0 / BUCKET_MS;
+        match self.0.back_mut() {
+            Some((last, lowest)) if *last == number => *lowest = lowest.min(value),
+            _ => self.0.push_back((number, value)),
+        }
+        while self.0.len() > BUCKET_COUNT {
+            self.0.pop_front();
+        }
+    }
+
+    /// Returns the lowest value of the latest buckets, or `None` before the first measurement. Times
+    /// without measurements do not count, because they show nothing.
+    pub fn value(&self) -> Option<f64> {
+        self.0.iter().map(|(_, lowest)| *lowest).min_by(f64::total_cmp)
+    }
+}
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! decisions are returned. The processes that use it are in the node crate; docs/PLATFORM.md
 //! describes how they work together.
 
+pub mod baseline;
 pub mod config;
 pub mod copies;
 pub mod crashes;
--- a/components/fleet/src/pick.rs
+++ b/components/fleet/src/pick.rs
@@ -18,6 +18,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::baseline::Baseline;
 use crate::endpoint::Endpoint;
 use crate::endpoint::EndpointStatus;
 use crate::policy::Policy;
@@ -111,18 +112,28 @@
 
 /// Durations of the latest answers of a route, in milliseconds.
 #[derive(Clone, Debug, Default)]
-struct RecentTimes(VecDeque<f64>);
+struct RecentTimes {
+    latest: VecDeque<f64>,
+    baseline: Baseline,
+}
 
 impl RecentTimes {
-    fn record(&mut self, ms: f64) {
-        if self.0.len() == MEDIAN_ANSWERS {
-            self.0.pop_front();
+    /// Adds an answer. The median of a few answers may be low by chance, so it counts for the
+    /// baseline only once there are enough.
+    fn record(&mut self, ms: f64, now: Millis) {
+        if self.latest.len() == MEDIAN_ANSWERS {
+            self.latest.pop_front();
+        }
+        self.latest.push_back(ms);
+        if self.latest.len() == MEDIAN_ANSWERS
+            && let Some(median) = self.median()
+        {
+            self.baseline.record(median, now);
         }
-        self.0.push_back(ms);
     }
 
     fn median(&self) -> Option<f64> {
-        let mut sorted: Vec<f64> = self.0.iter().copied().collect();
+        let mut sorted: Vec<f64> = self.latest.iter().copied().collect();
         sorted.sort_by(f64::total_cmp);
         sorted.get(sorted.len() / 2).copied()
     }
@@ -252,10 +263,16 @@
         self.recent_times.get(route)?.median()
     }
 
+    /// Returns the lowest median duration of a route in the last minute, which the load of the
+    /// moment does not raise.
+    pub fn baseline_ms(&self, route: &str) -> Option<f64> {
+        self.recent_times.get(route)?.baseline.value()
+    }
+
     /// Records how an attempt on a route ended.
     pub fn record_outcome(&mut self, id: &str, route: &str, outcome: AttemptOutcome, now: Millis) {
         if let AttemptOutcome::Answered(ms) = outcome {
-            self.recent_times.entry(route.to_owned()).or_default().record(ms as f64);
+            self.recent_times.entry(route.to_owned()).or_default().record(ms as f64, now);
         }
         let usual_ms = self.median_ms(route).unwrap_or(UNKNOWN_DURATION_MS).max(1.0);
         let Some(state) = self.endpoints.get_mut(id) else { return };
