Planner: speeds of engines, long samples on fast ones

Cause: on engines of two speeds, the longest samples of a step ran on slow engines while short ones occupied the fast ones, so steps were late. Change: with `engine_speeds` the planner estimates the usual pace of each engine, gives long samples the fast engines, and moves long runs to fast engines with free slots. The replicated state has the speeds of engines that differ from the median. Off by default.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod reporters;
 pub mod result_cache;
 pub mod run;
+pub mod speeds;
 pub mod sse;
 pub mod state;
 pub mod step;
--- a/components/fleet/src/plan/assign.rs
+++ b/components/fleet/src/plan/assign.rs
@@ -6,20 +6,84 @@
 
 use super::Planner;
 use super::candidates::Candidates;
+use super::candidates::FastUse;
 use super::engine::EngineState;
+use super::engine::RankBasis;
+use super::lengths::SampleLengths;
 use super::open_runs::are_calls_logged;
 use super::samples::Assignment;
 use super::samples::Phase;
 use super::samples::Progress;
 use super::samples::SampleOutput;
+use super::samples::StepPlan;
 use crate::config::Config;
 use crate::config::Route;
 use crate::step::Step;
 
+/// Share of the fast engines' slots that stays free for long samples. Samples of several steps arrive
+/// within tenths of a second and may fill all engines; a long sample that starts on another engine
+/// or waits for a fast one makes its step late.
+const RESERVED_FAST_SHARE: f64 = 0.25;
+/// A sample is long if it takes more than this share of the time that its step has.
+const LONG_SHARE: f64 = 0.25;
+
+/// The free slots in a round.
+#[derive(Clone, Copy, Debug, Default)]
+struct FreeSlots {
+    /// Of engines that are not fast.
+    other: u32,
+    /// Of fast engines.
+    fast: u32,
+    /// Of fast engines, and only for long samples.
+    reserved: u32,
+}
+
+impl FreeSlots {
+    /// Counts the free slots of the engines that may be assigned runs.
+    fn count<'a>(engines: impl Iterator<Item = &'a EngineState>, basis: &RankBasis) -> Self {
+        let (mut slots, mut fast_slots) = (Self::default(), 0);
+        for engine in engines.filter(|engine| engine.is_ready(basis.now)) {
+            if basis.is_fast(engine) {
+                slots.fast += engine.free_slots();
+                fast_slots += engine.endpoint.announcement.slots;
+            } else {
+                slots.other += engine.free_slots();
+            }
+        }
+        slots.reserved = (f64::from(fast_slots) * RESERVED_FAST_SHARE) as u32;
+        slots
+    }
+
+    fn is_empty(self) -> bool {
+        self.other + self.fast == 0
+    }
+
+    /// Returns whether samples that are not long may still start.
+    fn has_room(self) -> bool {
+        self.other > 0 || self.fast > self.reserved
+    }
+
+    /// Returns how a sample may use the fast engines.
+    fn fast_use(self, is_long: bool) -> FastUse {
+        match is_long {
+            true => FastUse::ByRank,
+            false if self.fast > self.reserved => FastUse::Last,
+            false => FastUse::Never,
+        }
+    }
+
+    /// Records that a slot was taken.
+    fn take(&mut self, is_fast: bool) {
+        let slots = if is_fast { &mut self.fast } else { &mut self.other };
+        *slots = slots.saturating_sub(1);
+    }
+}
+
 impl Planner {
     /// Returns the samples that start now and the engine for each. Steps are ordered by priority
     /// and then by due time; within a step the longest samples come first. Each sample goes to the
-    /// engine with the fewest runs.
+    /// engine with the fewest runs. If some engines are faster than others, long samples go to
+    /// these, and other samples only if no other engine has a free slot.
     ///
     /// Every concurrent run on the same engine makes a sample half a percent slower. The longest
     /// samples have no time to spare within their step, while reading a prompt once more takes only
@@ -46,31 +110,52 @@
         }
         order.sort();
         self.visits.set(self.visits.get() + self.engines.len() as u64);
-        let ready = self.engines.values().filter(|engine| engine.is_ready(now));
-        let mut free_slots: u32 = ready.map(EngineState::free_slots).sum();
+        let basis = self.rank_basis(now);
+        let mut free_slots = FreeSlots::count(self.engines.values(), &basis);
         for (_, _, id) in order {
-            if free_slots == 0 {
+            if free_slots.is_empty() {
                 break;
             }
-            let before = assignments.len();
-            self.assign_step(&id, config, now, &mut assignments);
-            free_slots = free_slots.saturating_sub((assignments.len() - before) as u32);
+            // Without this check, rounds would examine all engines for steps whose samples wait
+            // beside reserved slots.
+            if free_slots.has_room() || self.has_long_sample(&id, &basis) {
+                self.assign_step(&id, config, basis, &mut free_slots, &mut assignments);
+            }
         }
         assignments
     }
 
+    /// Returns what engines are compared with at this time.
+    fn rank_basis(&self, now: Millis) -> RankBasis {
+        let differs = self.policy.engine_speeds && self.median_speed.differs();
+        RankBasis {
+            pace_ms: if self.policy.engine_paces { self.median_pace_ms } else { 0.0 },
+            speed: differs.then_some(self.median_speed),
+            now,
+        }
+    }
+
+    /// Returns whether a long sample of a step waits.
+    fn has_long_sample(&self, id: &str, basis: &RankBasis) -> bool {
+        self.steps.get(id).is_some_and(|planned| {
+            planned.has_waiting_long(self.lengths.get(&planned.step.model), basis)
+        })
+    }
+
     /// Assigns the waiting samples of a step and appends the assignments.
     fn assign_step(
         &mut self,
         id: &str,
         config: &Config,
-        now: Millis,
+        basis: RankBasis,
+        free_slots: &mut FreeSlots,
         assignments: &mut Vec<Assignment>,
     ) {
+        let now = basis.now;
         let marker = self.inherited_run();
         let Some(planned) = self.steps.get_mut(id) else { return };
         let step = planned.step.clone();
-        let median_pace = if self.policy.engine_paces { self.median_pace_ms } else { 0.0 };
+        let lengths = self.lengths.get(&step.model);
         let mut group_engines: BTreeMap<&str, String> = BTreeMap::new();
         let mut waiting: Vec<(u32, &Route)> = Vec::new();
         for index in &planned.order {
@@ -98,15 +183,25 @@
             self.visits.set(self.visits.get() + self.engines.len() as u64);
             let eligible =
                 self.engines.values_mut().filter(|engine| is_eligible(engine, &step, route, now));
-            let mut candidates = Candidates::new(eligible, median_pace, now);
+            let mut candidates = Candidates::new(eligible, basis);
             for (index, _) in same_route {
                 let group = step.samples[*index as usize].group.as_str();
                 let progress = &mut planned.progress[*index as usize];
                 let preferred = group_engines.get(group).filter(|_| self.policy.group_homes);
                 let preferred = preferred.map(String::as_str);
-                let reserved =
-                    candidates.reserve(&step.model, progress.avoided_engine.as_deref(), preferred);
-                let Some(engine) = reserved else { continue };
+                let avoided = progress.avoided_engine.as_deref();
+                let destination = progress.reserved_engine.take();
+                let is_long =
+                    destination.is_some() || is_long(&step, *index, progress, lengths, &basis);
+                let fast_use = free_slots.fast_use(is_long);
+                let destination =
+                    destination.and_then(|id| candidates.reserve_on(&id, &step.model));
+                let engine = match destination {
+                    Some(index) => Some(candidates.engine(index)),
+                    None => candidates.reserve(&step.model, avoided, preferred, fast_use),
+                };
+                let Some(engine) = engine else { continue };
+                free_slots.take(basis.is_fast(engine));
                 self.last_run += 1;
                 planned.waiting -= 1;
                 let mut assignment = Assignment {
@@ -165,8 +260,39 @@
     }
 }
 
+/// Returns whether a sample takes a large share of the time that its step has, so that it decides
+/// when its step ends. Until lengths have been learned, every sample is treated as long.
+fn is_long(
+    step: &Step,
+    index: u32,
+    progress: &Progress,
+    lengths: Option<&SampleLengths>,
+    basis: &RankBasis,
+) -> bool {
+    let Some(median) = basis.speed else { return true };
+    let expected_tokens = step.samples[index as usize].expected_tokens;
+    let lengths = lengths.filter(|known| known.expected_events(expected_tokens).is_some());
+    lengths.is_none_or(|known| {
+        let remaining = known.remaining_events(expected_tokens, progress.output.events.len());
+        remaining * median.ms > LONG_SHARE * step.due_ms as f64
+    })
+}
+
+impl StepPlan {
+    /// Returns whether a waiting sample is long.
+    fn has_waiting_long(&self, lengths: Option<&SampleLengths>, basis: &RankBasis) -> bool {
+        let mut all = self.progress.iter().enumerate();
+        all.any(|(index, progress)| {
+            progress.phase == Phase::Waiting
+                && progress.blocked_until <= basis.now
+                && (progress.reserved_engine.is_some()
+                    || is_long(&self.step, index as u32, progress, lengths, basis))
+        })
+    }
+}
+
 /// Returns whether an engine is eligible for samples of a step, regardless of free slots.
-fn is_eligible(engine: &EngineState, step: &Step, route: &Route, now: Millis) -> bool {
+pub(super) fn is_eligible(engine: &EngineState, step: &Step, route: &Route, now: Millis) -> bool {
     let announcement = &engine.endpoint.announcement;
     let version = announcement.models.get(&step.model);
     engine.is_ready(now)
--- a/components/fleet/src/plan/candidates.rs
+++ b/components/fleet/src/plan/candidates.rs
@@ -8,9 +8,8 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-use chicoryford_types::Millis;
-
 use super::engine::EngineState;
+use super::engine::RankBasis;
 use super::engine::rank;
 
 /// An engine's rank when it was last computed.
@@ -40,31 +39,43 @@
     }
 }
 
+/// How a sample may use fast engines.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum FastUse {
+    /// Like all others, by rank.
+    ByRank,
+    /// Only if no other engine has a free slot.
+    Last,
+    /// Not at all.
+    Never,
+}
+
 /// Eligible engines for a step, ordered by rank.
 pub(super) struct Candidates<'a> {
     /// Sorted by engine id.
     engines: Vec<&'a mut EngineState>,
-    /// Ranks may be stale: an engine can be reserved for its group while it is not at the head of
-    /// the queue.
+    /// Engines that are not fast. Ranks may be stale: an engine can be reserved for its group while
+    /// it is not at the head of the queue.
     queue: BinaryHeap<Reverse<Ranked>>,
-    median_pace: f64,
-    now: Millis,
+    /// Fast engines.
+    fast_queue: BinaryHeap<Reverse<Ranked>>,
+    basis: RankBasis,
 }
 
 impl<'a> Candidates<'a> {
     /// Ranks the engines, which must be sorted by id. Engines without free slots are left out.
     pub(super) fn new(
         engines: impl Iterator<Item = &'a mut EngineState>,
-        median_pace: f64,
-        now: Millis,
+        basis: RankBasis,
     ) -> Self {
         let engines: Vec<&'a mut EngineState> =
             engines.filter(|engine| engine.free_slots() > 0).collect();
-        let ranked = |(index, engine): (usize, &&mut EngineState)| {
-            Reverse(Ranked { rank: rank(engine, median_pace, now), index })
-        };
-        let queue = engines.iter().enumerate().map(ranked).collect();
-        Self { engines, queue, median_pace, now }
+        let (mut queue, mut fast_queue) = (Vec::new(), Vec::new());
+        for (index, engine) in engines.iter().enumerate() {
+            let ranked = Reverse(Ranked { rank: rank(engine, &basis), index });
+            if basis.is_fast(engine) { fast_queue.push(ranked) } else { queue.push(ranked) }
+        }
+        Self { engines, queue: queue.into(), fast_queue: fast_queue.into(), basis }
     }
 
     /// Reserves a slot for a run of `model` and returns the engine: the best-ranked one, or
@@ -75,35 +86,73 @@
         model: &str,
         avoid: Option<&str>,
         preferred: Option<&str>,
+        fast_use: FastUse,
     ) -> Option<&EngineState> {
         let mut avoided = None;
         let best = loop {
-            let Some(best) = self.pop_best() else { break None };
+            let Some(best) = self.pop_best(fast_use) else { break None };
             if avoid != Some(self.id(best.index)) {
                 break Some(best);
             }
             avoided = Some(best);
         };
-        self.queue.extend(avoided.map(Reverse));
+        if let Some(avoided) = avoided {
+            self.push(avoided);
+        }
         let best = best?;
         let preferred = preferred
             .filter(|preferred| avoid != Some(preferred))
             .and_then(|preferred| self.find(preferred));
         let preferred = preferred.filter(|index| {
-            self.engines[*index].free_slots() > 0 && self.rank(*index) <= best.rank
+            self.engines[*index].free_slots() > 0
+                && self.rank(*index) <= best.rank
+                && (fast_use == FastUse::ByRank || self.is_fast(*index) == self.is_fast(best.index))
         });
         let index = preferred.unwrap_or(best.index);
         *self.engines[index].running.entry(model.to_owned()).or_default() += 1;
         if self.engines[best.index].free_slots() > 0 {
-            self.queue.push(Reverse(Ranked { rank: self.rank(best.index), ..best }));
+            self.push(Ranked { rank: self.rank(best.index), ..best });
         }
         Some(self.engines[index])
     }
 
-    /// Pops the best engine whose queued rank is up to date, re-queueing engines with stale ranks.
-    fn pop_best(&mut self) -> Option<Ranked> {
+    /// Reserves a slot of a certain engine for a run of `model`. Returns its index, or `None` if the
+    /// engine is not eligible or has no free slot.
+    pub(super) fn reserve_on(&mut self, engine: &str, model: &str) -> Option<usize> {
+        let index = self.find(engine).filter(|index| self.engines[*index].free_slots() > 0)?;
+        *self.engines[index].running.entry(model.to_owned()).or_default() += 1;
+        Some(index)
+    }
+
+    /// Returns an engine by its index.
+    pub(super) fn engine(&self, index: usize) -> &EngineState {
+        self.engines[index]
+    }
+
+    /// Pops the best engine that a sample may use.
+    fn pop_best(&mut self, fast_use: FastUse) -> Option<Ranked> {
+        let other = self.pop_from(false);
+        let fast = match fast_use {
+            FastUse::Never => None,
+            FastUse::Last if other.is_some() => None,
+            FastUse::Last | FastUse::ByRank => self.pop_from(true),
+        };
+        match (fast, other) {
+            (Some(fast), Some(other)) => {
+                let (best, rest) = if fast < other { (fast, other) } else { (other, fast) };
+                self.push(rest);
+                Some(best)
+            }
+            (fast, other) => fast.or(other),
+        }
+    }
+
+    /// Pops the best engine of a queue whose queued rank is up to date, re-queueing engines with
+    /// stale ranks.
+    fn pop_from(&mut self, fast: bool) -> Option<Ranked> {
         loop {
-            let Reverse(first) = self.queue.pop()?;
+            let queue = if fast { &mut self.fast_queue } else { &mut self.queue };
+            let Reverse(first) = queue.pop()?;
             if self.engines[first.index].free_slots() == 0 {
                 continue;
             }
@@ -111,12 +160,22 @@
             if rank.total_cmp(&first.rank) == Ordering::Equal {
                 return Some(first);
             }
-            self.queue.push(Reverse(Ranked { rank, ..first }));
+            self.push(Ranked { rank, ..first });
         }
     }
 
+    fn push(&mut self, ranked: Ranked) {
+        let is_fast = self.is_fast(ranked.index);
+        let queue = if is_fast { &mut self.fast_queue } else { &mut self.queue };
+        queue.push(Reverse(ranked));
+    }
+
     fn rank(&self, index: usize) -> f64 {
-        rank(self.engines[index], self.median_pace, self.now)
+        rank(self.engines[index], &self.basis)
+    }
+
+    fn is_fast(&self, index: usize) -> bool {
+        self.basis.is_fast(self.engines[index])
     }
 
     fn id(&self, index: usize) -> &str {
--- a/components/fleet/src/plan/engine.rs
+++ b/components/fleet/src/plan/engine.rs
@@ -4,6 +4,9 @@
 
 use chicoryford_types::Millis;
 
+use super::speed::MedianSpeed;
+use super::speed::Speed;
+use super::speed::SpeedClass;
 use crate::endpoint::Endpoint;
 use crate::endpoint::EndpointStatus;
 
@@ -23,6 +26,8 @@
     pub(super) pace_ms: f64,
     /// When the pace was last measured.
     pub(super) paced_at: Millis,
+    /// The speed of its hardware, measured only with `engine_speeds`.
+    pub(super) speed: Speed,
     /// Consecutive failures.
     pub(super) failures: u32,
     /// No runs are assigned before this time.
@@ -41,6 +46,7 @@
             loading: None,
             pace_ms: 0.0,
             paced_at: Millis::default(),
+            speed: Speed::default(),
             failures: 0,
             blocked_until: Millis::default(),
             moved_sequence: None,
@@ -72,11 +78,34 @@
     }
 }
 
-/// Ranks an engine for another run, lower is better: by its load, multiplied by how much slower
-/// than `median_pace` it is.
-pub(super) fn rank(engine: &EngineState, median_pace: f64, now: Millis) -> f64 {
+/// What engines are compared with when they are ranked.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RankBasis {
+    /// The median of the recent paces; zero if these are not used.
+    pub(super) pace_ms: f64,
+    /// The median of the usual paces, if some engines are fast or slow.
+    pub(super) speed: Option<MedianSpeed>,
+    /// When the engines are ranked.
+    pub(super) now: Millis,
+}
+
+impl RankBasis {
+    /// Returns whether an engine is fast and therefore meant for long samples.
+    pub(super) fn is_fast(&self, engine: &EngineState) -> bool {
+        self.speed.is_some_and(|median| engine.speed.class(median.ms) == SpeedClass::Fast)
+    }
+}
+
+/// Ranks an engine for another run, lower is better: by its load, multiplied by how much slower it
+/// is than the median. Without `engine_speeds`, and if all engines are alike, no engine counts as
+/// faster than the median: its recent pace would be noise.
+pub(super) fn rank(engine: &EngineState, basis: &RankBasis) -> f64 {
     let slots = f64::from(engine.endpoint.announcement.slots.max(1));
     let load = f64::from(engine.load()) / slots;
-    let slowdown = if median_pace > 0.0 { (engine.pace(now) / median_pace).max(1.0) } else { 1.0 };
-    (1.0 + load) * slowdown
+    let ratio = match basis.speed {
+        Some(median) => engine.speed.expected_ratio(median.ms, basis.now),
+        None if basis.pace_ms > 0.0 => (engine.pace(basis.now) / basis.pace_ms).max(1.0),
+        None => 1.0,
+    };
+    (1.0 + load) * ratio
 }
--- a/components/fleet/src/plan/listing.rs
+++ b/components/fleet/src/plan/listing.rs
@@ -6,6 +6,7 @@
 use chicoryford_types::Millis;
 
 use super::Planner;
+use super::engine::EngineState;
 use super::samples::Phase;
 use super::samples::StepPlan;
 use crate::step::Sample;
@@ -75,7 +76,11 @@
     /// long as the longest recent sample of the model. Shorter runs end earlier. Returns `None` if
     /// a sample has not started.
     fn expected_end(&self, planned: &StepPlan) -> Option<Millis> {
-        let longest = self.longest_outputs.get(&planned.step.model)?.max_events();
+        let model = &planned.step.model;
+        let mut longest = self.longest_outputs.get(model)?.max_events();
+        if let Some(lengths) = self.lengths.get(model) {
+            longest = longest.max(lengths.longest());
+        }
         let mut end = Millis::default();
         for progress in &planned.progress {
             match progress.phase {
@@ -84,7 +89,7 @@
                 Phase::Running => {}
             }
             let engine = self.engines.get(progress.engine.as_ref()?)?;
-            let pace = if engine.pace_ms > 0.0 { engine.pace_ms } else { self.median_pace_ms };
+            let pace = self.expected_pace(engine, progress.last_event);
             let remaining = longest.saturating_sub(progress.output.events.len());
             end =
                 end.max(progress.last_event + (remaining as f64 * pace) as u64 + SCORE_AND_LIST_MS);
@@ -92,6 +97,18 @@
         Some(end)
     }
 
+    /// Returns the milliseconds between events that are expected of an engine. The recent pace of
+    /// an engine that got no runs since a slowdown is out of date, and an engine of another speed
+    /// that has not been measured by this leader is not like the median.
+    fn expected_pace(&self, engine: &EngineState, now: Millis) -> f64 {
+        let speed = &engine.speed;
+        match speed.usual_ms() {
+            Some(usual_ms) => usual_ms * speed.slowdown(now),
+            None if engine.pace_ms > 0.0 => engine.pace_ms,
+            None => self.median_pace_ms,
+        }
+    }
+
     /// Records the length in events of a finished sample.
     pub(super) fn record_length(&mut self, model: &str, events: usize) {
         let longest = self.longest_outputs.entry(model.to_owned()).or_default();
--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -8,12 +8,15 @@
 mod candidates;
 mod checkpoints;
 mod engine;
+mod lengths;
 mod listing;
 mod open_runs;
 mod reassign;
 mod reports;
 mod samples;
+mod speed;
 mod takeover;
+mod upgrade;
 
 use std::cell::Cell;
 use std::cmp::Reverse;
@@ -43,11 +46,14 @@
 pub use samples::ReportAction;
 pub use samples::RunEnd;
 pub use samples::SampleOutput;
+pub use upgrade::RunMove;
 
+use lengths::SampleLengths;
 use open_runs::OpenRun;
 use samples::Phase;
 use samples::Progress;
 use samples::StepPlan;
+use speed::MedianSpeed;
 
 /// Pace of an engine, as a multiple of the median, above which its runs are moved. An engine with
 /// all slots in use is about a tenth slower than an idle one, so this ratio indicates a fault.
@@ -76,6 +82,10 @@
     median_pace_ms: f64,
     /// The longest recent samples, by model.
     longest_outputs: BTreeMap<String, listing::LongestOutput>,
+    /// The median of the engines' usual speeds, known only with `engine_speeds`.
+    median_speed: MedianSpeed,
+    /// The lengths of completed samples, by model; learned only with `engine_speeds`.
+    lengths: BTreeMap<String, SampleLengths>,
     /// The id of the last run.
     last_run: u64,
     /// Hosts that were asked for their runs and have not reported yet.
@@ -148,6 +158,7 @@
                 deadline: at + step.age_ms,
                 blocked_until: Millis::default(),
                 moves: 0,
+                reserved_engine: None,
             }
         });
         let progress: Vec<Progress> = progress.collect();
--- a/components/fleet/src/plan/reassign.rs
+++ b/components/fleet/src/plan/reassign.rs
@@ -16,7 +16,7 @@
 const MAX_FAST_RATIO: f64 = 1.4;
 
 /// How often a sample may be moved.
-const MAX_MOVES: u32 = 4;
+pub(super) const MAX_MOVES: u32 = 4;
 
 /// Milliseconds without events after which a run counts as slow regardless of its engine's pace.
 /// The first event follows the reading of the prompt, and hosts report four times a second, so gaps
@@ -112,6 +112,9 @@
         if let Some(median) = paces.get(paces.len() / 2) {
             self.median_pace_ms = *median;
         }
+        if self.policy.engine_speeds {
+            self.update_median_speed();
+        }
     }
 
     /// Returns runs without events for so long that they cannot still be active.
--- a/components/fleet/src/plan/reports.rs
+++ b/components/fleet/src/plan/reports.rs
@@ -117,11 +117,16 @@
             let engine = progress.engine.take();
             let model = planned.step.model.clone();
             let events = progress.output.events.len();
+            let expected = planned.step.samples[report.index as usize].expected_tokens;
             self.release_slot(engine.as_deref(), &model);
             self.record_length(&model, events);
+            if self.policy.engine_speeds {
+                self.lengths.entry(model).or_default().record(expected, events, now);
+            }
         }
         if report.gap_ms > 0 {
             self.record_pace(&report.endpoint, f64::from(report.gap_ms), now);
+            self.record_speed(report, now);
         }
         ReportAction::Continue
     }
@@ -138,6 +143,16 @@
         }
     }
 
+    /// Updates the estimate of an engine's speed.
+    fn record_speed(&mut self, report: &RunReport, now: Millis) {
+        if !self.policy.engine_speeds {
+            return;
+        }
+        if let Some(engine) = self.engines.get_mut(&report.endpoint) {
+            engine.speed.record(f64::from(report.gap_ms), report.output.events.len(), now);
+        }
+    }
+
     /// Returns all runs of a lost host to the queue and returns their number. They resume elsewhere
     /// after the last reported event.
     pub fn orphan_runs(&mut self, host: &str) -> usize {
@@ -199,6 +214,9 @@
         }
         progress.host = None;
         progress.avoided_engine = None;
+        if end != RunEnd::Taken {
+            progress.reserved_engine = None;
+        }
         match end {
             RunEnd::Unfit => progress.cost.unfit = true,
             RunEnd::Failed => {
--- a/components/fleet/src/plan/samples.rs
+++ b/components/fleet/src/plan/samples.rs
@@ -193,8 +193,10 @@
     pub(super) deadline: Millis,
     /// The sample is not run before this time, because it crashes engines or gets no answer.
     pub(super) blocked_until: Millis,
-    /// How often the sample was moved away from a slow engine.
+    /// How often the sample was moved to another engine.
     pub(super) moves: u32,
+    /// A faster engine with a free slot for the next run.
+    pub(super) reserved_engine: Option<String>,
 }
 
 /// The schedule of an open step.
--- a/components/fleet/src/policy.rs
+++ b/components/fleet/src/policy.rs
@@ -1,6 +1,6 @@
 //! Switches for the mechanisms that decide where work is sent.
 //!
-//! All of them are enabled by default. Disabling one serves to measure its effect on a deployment
+//! Most of them are enabled by default. Disabling one serves to measure its effect on a deployment
 //! (docs/POLICY.md), or to avoid it where it does harm.
 
 use serde::Deserialize;
@@ -23,6 +23,9 @@
     pub group_homes: bool,
     /// Assign runs to engines slower than usual only after the others.
     pub engine_paces: bool,
+    /// Prefer engines that are always faster than the others for the samples that decide when their
+    /// step ends. Disabled by default.
+    pub engine_speeds: bool,
     /// Move runs away from engines that are much slower than usual.
     pub slow_moves: bool,
     /// List the last results of a step together.
@@ -57,6 +60,7 @@
             longest_first: true,
             group_homes: true,
             engine_paces: true,
+            engine_speeds: false,
             slow_moves: true,
             last_together: true,
             timed_reads: true,
--- a/components/fleet/src/state.rs
+++ b/components/fleet/src/state.rs
@@ -17,6 +17,8 @@
 use crate::duty::Holding;
 use crate::endpoint::Endpoint;
 use crate::run::Cost;
+use crate::speeds::SpeedChanges;
+use crate::speeds::SpeedState;
 use crate::step::ListedResult;
 use crate::step::StepSummary;
 use crate::usage::Totals;
@@ -114,6 +116,8 @@
         /// The VM.
         node: String,
     },
+    /// Records the speeds of engines that differ from the median.
+    Speeds(SpeedChanges),
 }
 
 /// A command stamped with the fleet clock when the leader proposed it.
@@ -210,6 +214,9 @@
     /// The costs of samples that have failed, or that may be submitted again.
     #[serde(default)]
     pub costs: BTreeMap<String, SampleCost>,
+    /// The speeds of engines that differ from the median.
+    #[serde(default)]
+    pub speeds: SpeedState,
 }
 
 impl State {
@@ -238,6 +245,7 @@
             Command::Crash(crash) => changed(self.crashes.record_crash(crash, self.clock)),
             Command::Clear(content) => changed(self.crashes.clear_suspect(content)),
             Command::Retire { node } => changed(self.retired.insert(node)),
+            Command::Speeds(changes) => changed(self.speeds.record(changes, &self.endpoints)),
         }
     }
 
@@ -274,6 +282,10 @@
     fn update_endpoints(&mut self, live: Vec<Endpoint>, gone: &[String]) -> ApplyOutcome {
         for id in gone {
             self.endpoints.remove(id);
+            self.speeds.remove(id);
+        }
+        for endpoint in &live {
+            self.speeds.record_announcement(&endpoint.announcement);
         }
         let live = live.into_iter().map(|endpoint| (endpoint.announcement.id.clone(), endpoint));
         self.endpoints.extend(live);
