Leader: records speeds, moves runs to faster engines

Cause: the planner's decisions about faster engines had no effect, and a new leader did not know which engines are fast.

--- a/components/fleet/src/plan/speed.rs
+++ b/components/fleet/src/plan/speed.rs
@@ -13,8 +13,7 @@
 pub(super) const SLOW_CLASS_RATIO: f64 = 1.33;
 
 /// Milliseconds between two updates of an estimate, and the measured time that an update needs.
-/// Hosts report four times a second. Events that arrived together after a pause of their host cover
-/// less measured time and are averaged with the next ones.
+/// Hosts report four times a second.
 const MIN_MEASURED_MS: f64 = 200.0;
 /// Time constant in milliseconds with which a shorter pace is adopted: within about a second, as
 /// an engine cannot be faster than its hardware.
@@ -25,9 +24,6 @@
 /// A measurement counts as at most this multiple of the usual pace when the usual pace is raised.
 /// Without this limit, 8 s at a quarter of the speed would double the usual pace.
 const MAX_UP_RATIO: f64 = 1.5;
-/// A measurement counts as at least this multiple of the usual pace when the usual pace is lowered,
-/// so that a single one cannot halve it.
-const MIN_DOWN_RATIO: f64 = 0.6;
 /// Time constant in milliseconds of the recent slowdown.
 const RECENT_TIME_MS: f64 = 800.0;
 /// Milliseconds without measurements after which half of the excess of a slow engine's pace over
@@ -51,6 +47,10 @@
     usual_ms: f64,
     /// The recent pace as a multiple of the usual one, at least 1, at the last measurement.
     slowdown: f64,
+    /// The last measurement, if it was below the usual pace. The usual pace is lowered only by two
+    /// such measurements in a row, to the larger one: events that arrived together after a pause of
+    /// their host look like those of a fast engine once.
+    low_ms: Option<f64>,
     /// When the estimate was last updated.
     measured_at: Millis,
     /// Milliseconds and events measured since the last update.
@@ -63,6 +63,7 @@
         Self {
             usual_ms: 0.0,
             slowdown: 1.0,
+            low_ms: None,
             measured_at: Millis::default(),
             pending_ms: 0.0,
             pending_events: 0.0,
@@ -107,9 +108,16 @@
 
     fn update(&mut self, pace_ms: f64, measured_ms: f64, now: Millis) {
         let before = self.slowdown(now);
-        let limited = pace_ms.clamp(self.usual_ms * MIN_DOWN_RATIO, self.usual_ms * MAX_UP_RATIO);
-        let time_ms = if pace_ms < self.usual_ms { DOWN_TIME_MS } else { UP_TIME_MS };
-        self.usual_ms += (limited - self.usual_ms) * weight(measured_ms, time_ms);
+        if pace_ms < self.usual_ms {
+            if let Some(low_ms) = self.low_ms.replace(pace_ms) {
+                let lower_ms = pace_ms.max(low_ms);
+                self.usual_ms -= (self.usual_ms - lower_ms) * weight(measured_ms, DOWN_TIME_MS);
+            }
+        } else {
+            self.low_ms = None;
+            let higher_ms = pace_ms.min(self.usual_ms * MAX_UP_RATIO);
+            self.usual_ms += (higher_ms - self.usual_ms) * weight(measured_ms, UP_TIME_MS);
+        }
         let recent = (pace_ms / self.usual_ms).max(1.0);
         self.slowdown = before + (recent - before) * weight(measured_ms, RECENT_TIME_MS);
     }
--- a/components/fleet/src/plan/upgrade.rs
+++ b/components/fleet/src/plan/upgrade.rs
@@ -112,11 +112,12 @@
             return moves;
         }
         let slots = self.free_fast_slots(now);
-        let Some(best) = slots.first().map(|slot| slot.ratio) else { return moves };
-        let mut candidates = self.slower_runs(config, now);
+        let Some(best) = slots.iter().map(|slot| slot.ratio).min_by(f64::total_cmp) else {
+            return moves;
+        };
         let min_gain_ms = MOVE_COST_MS + MIN_SAVED_MS;
         let gain_ms = |one: &Candidate, ratio: f64| one.remaining * (one.ratio - ratio) * median.ms;
-        candidates.retain(|one| gain_ms(one, best) > min_gain_ms);
+        let mut candidates = self.slower_runs(best, config, now);
         candidates.sort_by(|a, b| {
             let by_gain = gain_ms(b, best).total_cmp(&gain_ms(a, best));
             a.priority.cmp(&b.priority).then(by_gain)
@@ -188,22 +189,28 @@
         slots
     }
 
-    /// Returns the runs on engines that are not among the fastest, or are slower than usual.
-    fn slower_runs<'a>(&'a self, config: &'a Config, now: Millis) -> Vec<Candidate<'a>> {
+    /// Returns the runs that would gain enough on an engine with this expected pace, which is a
+    /// multiple of the median.
+    fn slower_runs<'a>(
+        &'a self,
+        best_ratio: f64,
+        config: &'a Config,
+        now: Millis,
+    ) -> Vec<Candidate<'a>> {
         let median = self.median_speed;
         let mut candidates = Vec::new();
         for planned in self.steps.values().filter(|planned| !planned.ending) {
             let step = &*planned.step;
             let Some(lengths) = self.lengths.get(&step.model) else { continue };
             for (index, progress) in planned.progress.iter().enumerate() {
-                if progress.phase != Phase::Running || progress.moves >= MAX_MOVES {
+                // A run without a host was assigned in this round and has not been ordered yet.
+                let is_ordered = progress.phase == Phase::Running && progress.host.is_some();
+                if !is_ordered || progress.moves >= MAX_MOVES {
                     continue;
                 }
                 let sample = &step.samples[index];
                 let from = progress.engine.as_ref().and_then(|id| self.engines.get(id));
-                let Some((from, route)) = from.zip(config.find(&step.host, &sample.path)) else {
-                    continue;
-                };
+                let Some(from) = from else { continue };
                 // A change of weights pauses the runs of the model briefly.
                 if from.loading.as_ref() == Some(&step.model) {
                     continue;
@@ -211,6 +218,11 @@
                 let produced = progress.output.events.len();
                 let remaining = lengths.remaining_events(sample.expected_tokens, produced);
                 let ratio = from.speed.expected_ratio(median.ms, now);
+                let gain_ms = remaining * (ratio - best_ratio) * median.ms;
+                if gain_ms <= MOVE_COST_MS + MIN_SAVED_MS {
+                    continue;
+                }
+                let Some(route) = config.find(&step.host, &sample.path) else { continue };
                 let version = progress.output.versions.first().copied();
                 candidates.push(Candidate {
                     priority: step.priority,
--- a/components/node/src/leader/mod.rs
+++ b/components/node/src/leader/mod.rs
@@ -7,6 +7,7 @@
 mod grants;
 mod readers;
 mod runs;
+mod speeds;
 mod steps;
 mod stores;
 mod usage;
@@ -207,6 +208,7 @@
         leader.expect_reporters(leader.control_addresses().len());
         leader.adopt_endpoints();
         leader.adopt_costs();
+        leader.adopt_speeds();
         let weak = Rc::downgrade(&leader);
         leader.context.replica.set_observer(Some(Box::new(move |command, done| {
             if let Some(leader) = weak.upgrade() {
@@ -433,6 +435,7 @@
             | Command::Note { .. }
             | Command::Know { .. }
             | Command::Hold(_)
+            | Command::Speeds(_)
             | Command::Use(_)
             | Command::CloseWindow { .. } => {}
         }
@@ -466,8 +469,15 @@
             tracing::info!(event = "sample_given_up", step, index, why = "failed before");
             self.settle(&step, index, SampleResult::GivenUp);
         }
-        self.end_lost_and_slow_runs(now);
-        let assigned = self.plan.borrow_mut().assign(&config, now);
+        let is_check_due = now.since(self.runs_checked.get()) >= PLAN_INTERVAL.as_millis() as u64;
+        if is_check_due {
+            self.runs_checked.set(now);
+            self.end_lost_and_slow_runs(now);
+        }
+        let mut assigned = self.plan.borrow_mut().assign(&config, now);
+        if is_check_due && self.move_to_faster_engines(&config, now) {
+            assigned.extend(self.plan.borrow_mut().assign(&config, now));
+        }
         self.record_open_runs();
         for assignment in assigned {
             self.start_run(assignment);
@@ -477,16 +487,13 @@
     /// Ends runs that need another engine. They are noticed by the time that passes, so events need
     /// no additional check: it examines every engine.
     fn end_lost_and_slow_runs(self: &Rc<Self>, now: Millis) {
-        if now.since(self.runs_checked.get()) < PLAN_INTERVAL.as_millis() as u64 {
-            return;
-        }
-        self.runs_checked.set(now);
         let lost = self.plan.borrow().lost_runs(now);
         for (step, index) in lost {
             self.end_run(&step, index, RunEnd::Broken);
         }
         let slow = self.plan.borrow_mut().slow_runs(now);
         for (step, index) in slow {
+            metrics::MOVED_RUNS.with_label_values(&["slow"]).inc();
             self.end_run(&step, index, RunEnd::Taken);
         }
     }
@@ -522,7 +529,7 @@
     }
 }
 
-/// Persists run progress and known endpoints, which would otherwise be lost if all processes failed
+/// Persists run progress, known endpoints and speeds of engines, which would otherwise be lost if all processes failed
 /// at once.
 async fn run_persistence(leader: Weak<Leader>) {
     let mut last_persisted = clock::now();
@@ -533,6 +540,7 @@
         if clock::now().since(last_persisted) >= PERSIST_ENDPOINTS_INTERVAL_MS {
             last_persisted = clock::now();
             leader.persist_endpoints().await;
+            leader.persist_speeds().await;
         }
     }
 }
--- a/components/node/src/metrics.rs
+++ b/components/node/src/metrics.rs
@@ -66,6 +66,10 @@
 /// Runs of samples by outcome.
 pub static RUNS: LazyLock<IntCounterVec> =
     LazyLock::new(|| counter("runs_total", "Runs of samples by ending.", &["ending"]));
+/// Runs that were moved to another engine, by reason: the new engine is always faster, or the run's
+/// engine was slower than usual.
+pub static MOVED_RUNS: LazyLock<IntCounterVec> =
+    LazyLock::new(|| counter("runs_moved_total", "Runs moved to other engines.", &["reason"]));
 /// Commands that this process proposed, by outcome.
 pub static COMMITS: LazyLock<IntCounterVec> =
     LazyLock::new(|| counter("commits_total", "Proposed commands by outcome.", &["outcome"]));
@@ -106,6 +110,11 @@
         .expect("names are unique")
 });
 
+static FAST_ENGINES: LazyLock<IntGauge> = LazyLock::new(|| {
+    register_int_gauge!("fast_engines", "Engines that are always faster than the median.")
+        .expect("names are unique")
+});
+
 /// The sources of the gauges.
 pub struct Sources {
     /// The connection to the leader.
@@ -122,6 +131,7 @@
     LEADS.set(i64::from(sources.replica.as_ref().is_some_and(|replica| replica.leads())));
     ENDPOINTS.reset();
     SAMPLES.reset();
+    FAST_ENGINES.set(0);
     if let Some(leader) = &*sources.leader.borrow() {
         for (standing, count) in leader.endpoint_counts() {
             ENDPOINTS.with_label_values(&[standing.as_str()]).set(count);
@@ -129,6 +139,7 @@
         for (phase, count) in leader.plan.borrow().phase_counts() {
             SAMPLES.with_label_values(&[phase]).set(count as i64);
         }
+        FAST_ENGINES.set(leader.plan.borrow().fast_engine_count() as i64);
     }
     let mut text = Vec::new();
     match TextEncoder::new().encode(&prometheus::gather(), &mut text) {
