Test: the leader moves runs to a fast engine and records its speed

Cause: no test showed that the leader carries out the planner's moves. Change: a leader with a host and four engines on real sockets, with the setting on and off. Result: with it, the runs of three slow engines move to the fast one, and the next leader knows that engine; without it, nothing moves or is written.

--- a/components/node/tests/leader/grants.rs
+++ b/components/node/tests/leader/grants.rs
@@ -101,7 +101,7 @@
     socket
 }
 
-async fn send_heartbeat(socket: &mut Socket) {
+pub async fn send_heartbeat(socket: &mut Socket) {
     let beat = MemberMessage::Beat { clock: clock::now(), wall: clock::wall() };
     socket.send(encode(&beat)).await.unwrap();
 }
--- a/components/node/tests/leader/main.rs
+++ b/components/node/tests/leader/main.rs
@@ -15,6 +15,7 @@
 #[path = "../support/route.rs"]
 mod route;
 mod scorers;
+mod speeds;
 mod steps;
 mod updates;
 mod usage;
