--- a/components/fleet/tests/speeds.rs
+++ b/components/fleet/tests/speeds.rs
@@ -575,6 +575,44 @@
     assert_eq!(fleet.planner.fast_engine_count(), 1);
 }
 
+/// Guards against a fast engine that no longer counts as fast, or is never tried again, after six
+/// seconds at a quarter of its speed. Its runs report the same slowdown.
+#[test]
+fn a_slowdown_changes_the_usual_pace_little_and_is_forgotten_without_measurements() {
+    let mut fleet = measured(&ONE_FAST);
+    for _ in 0..24 {
+        fleet.advance(&[4.0 * FAST_MS, OTHER_MS, OTHER_MS, OTHER_MS]);
+        (0..5).for_each(|_| fleet.report(0, 4 * FAST_MS as u32, 2));
+        fleet.planner.slow_runs(fleet.now);
+        assert_eq!(fleet.planner.fast_engine_count(), 1);
+    }
+    let (mut planner, now) = fleet.complete();
+    let mut starts_on_it = |now: Millis| {
+        planner.open_step(step("a", &[LONG]), now, Millis::default(), |_| false);
+        let runs = assign(&mut planner, now);
+        planner.close_step("a", now);
+        on_first(&runs, "a") == 1
+    };
+    assert!(!starts_on_it(now), "it is slower than the others");
+    assert!(starts_on_it(now + 8_000));
+}
+
+/// Guards against a run that is ended before its order was sent, and is then ordered although another
+/// one has replaced it.
+#[test]
+fn a_run_that_was_assigned_in_the_same_round_does_not_move() {
+    let (mut planner, now) = measured(&ONE_FAST).complete();
+    let mut draining = engine(&name(0), 6, 1);
+    draining.status = EndpointStatus::Draining;
+    planner.update_engine(&draining);
+    planner.open_step(step("a", &[LONG]), now, Millis::default(), |_| false);
+    assert_eq!(planner.assign(&steps_config(), now).len(), 1);
+    planner.update_engine(&engine(&name(0), 6, 1));
+    assert!(planner.reserve_faster_engines(&steps_config(), now).is_empty());
+    planner.set_host("a", 0, "a");
+    assert_eq!(planner.reserve_faster_engines(&steps_config(), now).len(), 1);
+}
+
 /// Guards against noise that is taken for a difference of hardware, in either direction.
 #[test]
 fn noise_changes_neither_which_engines_are_fast_nor_the_others() {
