Fleet: concurrency windows for scorers' calls

Cause: hosts fill the slots and queues of all endpoints with scorers' calls when steps end, and callers wait behind them. The leader sends the number of hosts with each run. The switch paced_scorers is off by default.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod heartbeats;
 pub mod open_runs;
 pub mod order_lease;
+pub mod pacing;
 pub mod pick;
 pub mod plan;
 pub mod policy;
--- a/components/fleet/src/pick.rs
+++ b/components/fleet/src/pick.rs
@@ -235,6 +235,13 @@
             .any(|state| state.serves(service) && fits(&state.endpoint.announcement.id))
     }
 
+    /// Returns the ready endpoints of a service for which `fits` returns true.
+    pub fn ready_ids(&self, service: &str, fits: impl Fn(&str) -> bool) -> BTreeSet<String> {
+        let ready = self.endpoints.values().filter(|state| state.serves(service));
+        let ids = ready.map(|state| &*state.endpoint.announcement.id).filter(|id| fits(id));
+        ids.map(str::to_owned).collect()
+    }
+
     /// Returns the endpoints that every process prefers for a request, among those for which `fits`
     /// returns true. They are selected by rendezvous hashing, so the others stay the same if one of
     /// them is removed.
--- a/components/fleet/src/policy.rs
+++ b/components/fleet/src/policy.rs
@@ -1,7 +1,8 @@
 //! Switches for the mechanisms that decide where work is sent.
 //!
-//! All of them are enabled by default. Disabling one serves to measure its effect on a deployment
-//! (docs/POLICY.md), or to avoid it where it does harm.
+//! Most of them are enabled by default. Disabling one serves to measure its effect on a deployment
+//! (docs/POLICY.md), or to avoid it where it does harm. Mechanisms that only some deployments need
+//! are disabled by default.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -46,6 +47,9 @@
     pub kept_results: bool,
     /// Compress frames between processes.
     pub compression: bool,
+    /// Limit the concurrent scorers' calls of a host at each endpoint, so that callers find free
+    /// slots. Disabled by default.
+    pub paced_scorers: bool,
 }
 
 impl Default for Policy {
@@ -68,6 +72,7 @@
             near_reads: true,
             kept_results: true,
             compression: true,
+            paced_scorers: false,
         }
     }
 }
--- a/components/fleet/src/run.rs
+++ b/components/fleet/src/run.rs
@@ -128,6 +128,10 @@
     pub output: SampleOutput,
     /// The failures so far.
     pub cost: Cost,
+    /// The number of hosts that the leader uses; zero if unknown. Each host uses its share of the
+    /// slots for scorers' calls.
+    #[serde(default)]
+    pub hosts: u32,
 }
 
 /// A command to a host.
--- a/components/node/src/hosts.rs
+++ b/components/node/src/hosts.rs
@@ -117,6 +117,12 @@
         names
     }
 
+    /// Returns the number of hosts. A disconnected host counts until its runs are moved, because it
+    /// may still execute them. Without other hosts, this process is the only one.
+    pub fn count(&self) -> u32 {
+        self.known.borrow().len().max(1) as u32
+    }
+
     /// Chooses a host for a run in a data centre: the one there with the fewest runs, so that
     /// events stay in the data centre and connections to an engine are reused, unless it has many
     /// more runs than others.
--- a/components/node/src/leader/runs.rs
+++ b/components/node/src/leader/runs.rs
@@ -68,6 +68,7 @@
             remaining_ms: left_ms,
             output,
             cost,
+            hosts: self.hosts.count(),
         };
         self.plan.borrow_mut().set_host(&step.id, index, &host);
         if !self.hosts.send(&host, HostCommand::Run(Box::new(job))) {
--- a/components/node/tests/support/job.rs
+++ b/components/node/tests/support/job.rs
@@ -25,5 +25,6 @@
         remaining_ms: 10_000,
         output: SampleOutput::default(),
         cost: Cost::default(),
+        hosts: 0,
     }
 }
