Node: scorers' calls wait at their host for a window

Cause: a host sends all scorers' calls of a step at once, so that they fill the queues of the endpoints. Change: a scorer's call is sent only to endpoints whose windows have room. Otherwise it waits in a queue at the host, by rank and arrival, without taking time or attempts of its pass. First and second attempts count.

--- a/components/node/src/forward/budget.rs
+++ b/components/node/src/forward/budget.rs
@@ -6,6 +6,7 @@
 
 use chicoryford_fleet::Grant;
 use chicoryford_fleet::open_runs::allowed_calls;
+use chicoryford_fleet::pacing::CallPlace;
 use chicoryford_fleet::run::CallCost;
 use chicoryford_types::Millis;
 use tokio::sync::Notify;
@@ -21,6 +22,8 @@
     shared: Option<SharedCall>,
     /// Notified when the request is sent to another endpoint, or when one was found to have ended.
     pub(super) changed: Notify,
+    /// Its place among the calls that wait for windows, which it keeps over all passes.
+    pub(super) place: Cell<Option<CallPlace>>,
 }
 
 /// The rights of this process to a call that several processes may execute.
@@ -56,7 +59,7 @@
     /// Creates the budget of a request whose caller waits until `deadline`.
     pub fn new(deadline: Millis) -> Self {
         let (spent, changed) = (RefCell::default(), Notify::new());
-        Self { deadline, spent, shared: None, changed }
+        Self { deadline, spent, shared: None, changed, place: Cell::default() }
     }
 
     /// Creates the budget of a request that other processes may have forwarded before, or may
--- a/components/node/src/forward/dispatch.rs
+++ b/components/node/src/forward/dispatch.rs
@@ -1,5 +1,6 @@
 //! Dispatches one request: tries endpoints until one answers.
 
+use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -10,7 +11,6 @@
 use chicoryford_http::Reply;
 use chicoryford_http::Request;
 use chicoryford_http::message::StatusCode;
-use chicoryford_kernel::run_time;
 use chicoryford_platform::request;
 use chicoryford_types::Millis;
 use futures_util::StreamExt;
@@ -61,6 +61,8 @@
     pub(super) queue_place: Option<QueuePosition>,
     /// Milliseconds for which it has waited because all endpoints were full.
     pub(super) waited_ms: u64,
+    /// Milliseconds for which it has waited because the windows of its endpoints were full.
+    pub(super) paced_ms: Cell<u64>,
     /// Number of attempts that may have run.
     pub(super) possible_runs: u32,
     pub(super) last_failure: Option<Reply>,
@@ -104,6 +106,10 @@
                 }
                 match self.pick_endpoint() {
                     Ok(target) => running.push(self.start_attempt(target)),
+                    Err(PickError::AllTried) if self.is_paced() => {
+                        self.wait_for_window().await;
+                        continue;
+                    }
                     Err(PickError::AllTried)
                         if self.attempts_left > 0 && !self.is_budget_limited() =>
                     {
@@ -120,7 +126,7 @@
             let hedge = Duration::from_millis(self.hedge_ms());
             let tried = tokio::select! {
                 tried = running.next() => tried,
-                () = run_time::sleep(hedge), if !hedged => {
+                () = self.hedge_due(hedge), if !hedged => {
                     hedged = true;
                     if let Ok(target) = self.pick_endpoint() {
                         running.push(self.start_attempt(target));
@@ -161,12 +167,16 @@
             return Err(PickError::AllTried);
         }
         let mut picker = self.forwarder.picker.borrow_mut();
-        let tried = |id: &str| self.tried.iter().any(|tried| tried == id);
-        let limit = self.max_endpoints as usize;
-        let fits = |id: &str| !tried(id) && self.budget.allows(id, limit);
+        let fits = |id: &str| self.may_try(id) && self.has_window(id);
         picker.pick(self.service, self.route, fits, clock::now())
     }
 
+    /// Returns whether the budget allows an endpoint that was not tried yet.
+    pub(super) fn may_try(&self, id: &str) -> bool {
+        let tried = self.tried.iter().any(|tried| tried == id);
+        !tried && self.budget.allows(id, self.max_endpoints as usize)
+    }
+
     fn start_attempt(
         &mut self,
         target: Target,
@@ -195,7 +205,9 @@
         let record = (self.attempt_log.clone(), self.attempt_log.borrow().len() - 1);
         let (forwarder, route, request) = (self.forwarder, self.route, self.request);
         let (budget, at_most_once) = (self.budget, self.at_most_once);
+        let paced = self.start_paced(&id, &record);
         async move {
+            let _paced = paced;
             (id, forwarder.attempt(target, route, request, budget, at_most_once, record).await)
         }
     }
@@ -293,12 +305,14 @@
             self.attempt_log.borrow().iter().map(AttemptRecord::to_string).collect();
         let tries = tries.join("; ");
         let (service, waited_ms) = (self.service, self.waited_ms);
+        let paced_ms = self.budget.is_shared().then(|| self.paced_ms.get());
         tracing::info!(
             event = "request_tried",
             request,
             service,
             tries,
             waited_ms,
+            paced_ms,
             ms,
             target_ms,
             dropped
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -3,7 +3,9 @@
 mod attempt;
 mod budget;
 mod dispatch;
+mod pacing;
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -36,6 +38,7 @@
 use attempt::Attempt;
 use attempt::AttemptLog;
 use dispatch::Dispatch;
+use pacing::Pacing;
 
 pub use budget::Budget;
 
@@ -84,6 +87,8 @@
     /// Whether a slow attempt is hedged by a second one.
     hedging: bool,
     queues: WaitQueues,
+    /// Limits scorers' calls, if that is enabled.
+    pacing: Option<Pacing>,
     crashes: Rc<Crashes>,
 }
 
@@ -104,11 +109,22 @@
         let picker = RefCell::new(Picker::new(rand::random()).with_policy(policy));
         let hedging = policy.second_attempts;
         let (pool, queues, crashes) = (RefCell::default(), WaitQueues::default(), Rc::default());
-        Rc::new(Self { picker, pool, hedging, queues, crashes })
+        let pacing = policy.paced_scorers.then(Pacing::default);
+        Rc::new(Self { picker, pool, hedging, queues, pacing, crashes })
+    }
+
+    /// Sets the number of hosts whose scorers' calls share the endpoints; zero if unknown.
+    pub fn set_hosts(&self, hosts: u32) {
+        if let Some(pacing) = &self.pacing {
+            pacing.set_hosts(hosts);
+        }
     }
 
     /// Applies an update to endpoints, routes and refused contents.
     pub fn apply(&self, update: &Update) {
+        if let Some(pacing) = &self.pacing {
+            pacing.apply(update);
+        }
         let mut picker = self.picker.borrow_mut();
         match update {
             Update::Endpoint(endpoint) => {
@@ -156,8 +172,7 @@
         limit_ms: u64,
         requester: Requester<'_>,
     ) -> Outcome {
-        let left_ms = budget.left_ms().min(limit_ms);
-        if left_ms == 0 {
+        if budget.left_ms().min(limit_ms) == 0 {
             return Outcome::NotRun("its time is up", FULL_RETRY_AFTER_MS);
         }
         if self.crashes.refuses(request, requester.workspace) {
@@ -179,6 +194,7 @@
             new_endpoints: BTreeSet::new(),
             queue_place: None,
             waited_ms: 0,
+            paced_ms: Cell::default(),
             possible_runs: 0,
             last_failure: None,
             began: clock::now(),
@@ -187,6 +203,8 @@
             is_answered: false,
             requester,
         };
+        dispatch.wait_before_pass().await;
+        let left_ms = budget.left_ms().min(limit_ms);
         let outcome = run_time::deadline(Duration::from_millis(left_ms), dispatch.run()).await;
         let outcome = outcome.unwrap_or_else(|_| {
             if dispatch.possible_runs > 0 {
--- a/components/node/src/metrics.rs
+++ b/components/node/src/metrics.rs
@@ -55,6 +55,22 @@
 /// Attempts at endpoints of plain services by outcome.
 pub static ATTEMPT_ENDINGS: LazyLock<IntCounterVec> =
     LazyLock::new(|| counter("tries_total", "Attempts at endpoints by ending.", &["ending"]));
+/// Scorers' calls that wait at this host for a window of an endpoint with room.
+pub static SCORER_CALLS_WAITING: LazyLock<IntGauge> = LazyLock::new(|| {
+    register_int_gauge!("scorer_calls_waiting", "Scorers' calls that wait at this host.")
+        .expect("names are unique")
+});
+/// Seconds for which scorers' calls waited for a window with room, without those that did not wait.
+pub static SCORER_WAIT_SECONDS: LazyLock<HistogramVec> =
+    LazyLock::new(|| histogram("scorer_wait_seconds", "Time until a window had room.", &["route"]));
+/// Windows of endpoints that this host made smaller, because an endpoint was slow, full or failed.
+pub static SCORER_WINDOW_CUTS: LazyLock<IntCounter> = LazyLock::new(|| {
+    register_int_counter!(
+        "scorer_window_cuts_total",
+        "Windows for scorers' calls that were made smaller."
+    )
+    .expect("names are unique")
+});
 /// Endpoints of plain services that crashed while they ran a request of this process.
 pub static CRASHES: LazyLock<IntCounter> = LazyLock::new(|| {
     register_int_counter!(
--- a/components/node/src/runner/mod.rs
+++ b/components/node/src/runner/mod.rs
@@ -361,6 +361,7 @@
     fn start(self: &Rc<Self>, job: Job, age_ms: u64) {
         let key = (job.step.clone(), job.index);
         self.stop(&key);
+        self.forwarder.set_hosts(job.hosts);
         let now = clock::now();
         let scorer = job.sample.scorer.as_ref();
         let grant = scorer.map(|scorer| Grant::of(scorer, &job.cost.grant)).unwrap_or_default();
