--- a/components/node/tests/hosts.rs
+++ b/components/node/tests/hosts.rs
@@ -56,3 +56,18 @@
     tokio::time::sleep(LONGER_THAN_GRACE).await;
     assert_eq!(hosts.take_expired(), ["a".to_owned()]);
 }
+
+/// Hosts share the endpoints of scorers. Guards against a share that is too large while a host that
+/// was disconnected for a moment still calls scorers, or too small after its loss.
+#[tokio::test]
+async fn a_lost_host_counts_until_its_runs_are_moved() {
+    let hosts = hosts();
+    assert_eq!(hosts.count(), 2);
+    hosts.disconnected("a", 1, false);
+    assert_eq!((hosts.take_expired().len(), hosts.count()), (0, 2));
+    tokio::time::sleep(LONGER_THAN_GRACE).await;
+    assert_eq!((hosts.take_expired().len(), hosts.count()), (1, 1));
+    hosts.disconnected("b", 2, true);
+    hosts.take_expired();
+    assert_eq!(hosts.count(), 1, "the leader's own process");
+}
--- a/components/node/tests/leader/grants.rs
+++ b/components/node/tests/leader/grants.rs
@@ -610,3 +610,24 @@
     assert_eq!(recorded, ids[..2].iter().cloned().collect());
     assert_eq!(fleet.replica.state().costs["s"].cost.scorer.endpoints, recorded);
 }
+
+/// Guards against hosts that do not know how many others share the endpoints of their scorers.
+#[actix_rt::test]
+async fn each_run_tells_its_host_the_number_of_hosts() {
+    let (fleet, parts) = (fleet().await, StoredParts::default());
+    let _store = fleet.store(&parts).await;
+    let mut hosts = [connect_host(&fleet, "h1").await, connect_host(&fleet, "h2").await];
+    // Hosts are not told when the leader knows them, and are lost if they stay silent.
+    for _ in 0..10 {
+        pause(50).await;
+        send_heartbeat(&mut hosts[0]).await;
+        send_heartbeat(&mut hosts[1]).await;
+    }
+    submit(&fleet, "a").await;
+    let [first, second] = &mut hosts;
+    let job = tokio::select! {
+        job = receive_job(first) => job,
+        job = receive_job(second) => job,
+    };
+    assert_eq!(job.hosts, 2);
+}
--- a/components/node/tests/pacing.rs
+++ b/components/node/tests/pacing.rs
@@ -2,6 +2,7 @@
 
 mod support {
     pub mod endpoint;
+    pub mod job;
     pub mod route;
 }
 
@@ -19,6 +20,8 @@
 use chicoryford_fleet::Route;
 use chicoryford_fleet::RouteKind;
 use chicoryford_fleet::run::CallCost;
+use chicoryford_fleet::run::HostCommand;
+use chicoryford_fleet::run::Job;
 use chicoryford_http::Request;
 use chicoryford_http::message::Method;
 use chicoryford_node::clock;
@@ -27,6 +30,8 @@
 use chicoryford_node::forward::Outcome;
 use chicoryford_node::forward::Requester;
 use chicoryford_node::message::Update;
+use chicoryford_node::runner::Runner;
+use chicoryford_node::view::View;
 use futures_util::future::join_all;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -109,7 +114,7 @@
     }
 }
 
-/// Creates a host's forwarder with these endpoints.
+/// Creates the forwarder of a host with these endpoints, which has received a run.
 fn forwarder(paced: bool, fakes: &[&Rc<FakeEndpoint>]) -> Rc<Forwarder> {
     let policy = Policy { paced_scorers: paced, ..Policy::default() };
     let forwarder = Forwarder::new(policy);
@@ -117,7 +122,9 @@
         let endpoint = endpoint("score", &format!("i{number}"), fake.address, SLOTS);
         forwarder.apply(&Update::Endpoint(endpoint));
     }
-    forwarder.set_hosts(HOSTS);
+    let runner = Runner::new(Rc::new(View::default()), forwarder.clone());
+    let job = Job { hosts: HOSTS, ..support::job::job("127.0.0.1:9".parse().unwrap()) };
+    runner.handle_local(HostCommand::Run(Box::new(job)));
     forwarder
 }
 
--- a/components/node/tests/settings.rs
+++ b/components/node/tests/settings.rs
@@ -38,6 +38,9 @@
 fn a_mechanism_can_be_switched_off_by_its_name() {
     let settings = load(&format!("{MINIMAL}policy: {{ run_notes: false }}\n")).unwrap();
     assert_eq!(settings.policy, Policy { run_notes: false, ..Policy::default() });
+    let settings = load(&format!("{MINIMAL}policy:\n  paced_scorers: true\n")).unwrap();
+    assert_eq!(settings.policy, Policy { paced_scorers: true, ..Policy::default() });
+    assert!(!Policy::default().paced_scorers);
     let misspelt = load(&format!("{MINIMAL}policy: {{ run_note: false }}\n")).unwrap_err();
     assert!(format!("{misspelt:?}").contains("run_note"));
 }
