--- a/components/fleet/tests/pacing.rs
+++ b/components/fleet/tests/pacing.rs
@@ -226,12 +226,14 @@
     place: Option<CallPlace>,
 }
 
+/// The calls in the slots of a server with the times at which they end, and those behind them.
+type Server = (Vec<(u64, Call)>, VecDeque<Call>);
+
 /// Entries, and hosts with their windows if their calls are paced, in front of servers with limited
 /// queues.
 struct Model {
     sources: Vec<(Picker, Option<Pacer>)>,
-    /// The calls in the slots of each server with the times at which they end, and those behind.
-    servers: Vec<(Vec<(u64, Call)>, VecDeque<Call>)>,
+    servers: Vec<Server>,
     pending: Vec<Call>,
     /// Times to the answers of callers, and of scorers' calls.
     times: [Vec<u64>; 2],
