Node: requests that are not paced start no timer

Cause: each request started a timer before its pass, also those of callers. Change: a request without a window returns before that. Result: the tests of pacing, forward and scorers pass.

--- a/components/node/src/forward/pacing.rs
+++ b/components/node/src/forward/pacing.rs
@@ -173,6 +173,9 @@
     /// Waits before the first attempt of a pass. A pass is as long as an answer may take, so the
     /// wait must not shorten it: the attempt would be cancelled although the endpoint works on it.
     pub(super) async fn wait_before_pass(&self) {
+        if self.pacing().is_none() {
+            return;
+        }
         let left = Duration::from_millis(self.budget.left_ms());
         // The caller of this function checks the time left.
         let _ = run_time::deadline(left, self.wait_for_window()).await;
