Fleet, node: second attempts within a share, and a connection fallback

A process sent a second attempt for each slow repeatable request, also while the whole service was slow, and an attempt at an unreachable endpoint held its request for up to 250 ms.

Second attempts take credit that first attempts earn, per service and process, and are withheld while the service is slow or full. An attempt without a connection after 30 ms is followed by one at another endpoint; a gate lets one of them be sent. Both are off unless the settings say otherwise.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod endpoint;
 pub mod grant;
 pub mod heartbeats;
+pub mod hedge;
 pub mod open_runs;
 pub mod order_lease;
 pub mod pick;
--- a/components/fleet/src/policy.rs
+++ b/components/fleet/src/policy.rs
@@ -1,7 +1,7 @@
 //! Switches for the mechanisms that decide where work is sent.
 //!
-//! All of them are enabled by default. Disabling one serves to measure its effect on a deployment
-//! (docs/POLICY.md), or to avoid it where it does harm.
+//! All of them are enabled by default, except those of docs/design/hard-load.md. Disabling one serves
+//! to measure its effect on a deployment (docs/POLICY.md), or to avoid it where it does harm.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -46,6 +46,8 @@
     pub kept_results: bool,
     /// Compress frames between processes.
     pub compression: bool,
+    /// Start another attempt if one has no connection after some round trips; off by default.
+    pub connect_fallback: bool,
 }
 
 impl Default for Policy {
@@ -68,6 +70,7 @@
             near_reads: true,
             kept_results: true,
             compression: true,
+            connect_fallback: false,
         }
     }
 }
--- a/components/node/src/forward/attempt.rs
+++ b/components/node/src/forward/attempt.rs
@@ -1,8 +1,8 @@
 //! One attempt at an endpoint, and its record for the log.
 
-use std::cell::RefCell;
 use std::rc::Rc;
 
+use chicoryford_fleet::hedge::SendOrder;
 use chicoryford_fleet::pick::AttemptOutcome;
 use chicoryford_fleet::pick::Target;
 use chicoryford_http::ExchangeError;
@@ -11,16 +11,41 @@
 use chicoryford_types::Millis;
 
 use super::Forwarder;
+use super::gate::Attempts;
 use crate::clock;
 use crate::metrics;
 
-/// The records of a request's attempts, for its log line.
-pub(super) type AttemptLog = Rc<RefCell<Vec<AttemptRecord>>>;
+/// Why an attempt was made.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum AttemptReason {
+    /// It is the first one.
+    First,
+    /// Another attempt takes too long.
+    Beside,
+    /// The attempts before it have ended without a result.
+    Again,
+    /// Another attempt could not connect in time.
+    Connect,
+}
+
+impl AttemptReason {
+    /// Returns the name for logs and metrics.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Beside => "beside",
+            Self::Again => "again",
+            Self::Connect => "connect",
+        }
+    }
+}
 
 /// The record of one attempt: which endpoint was chosen and why, and how the attempt ended.
 pub(super) struct AttemptRecord {
     /// The chosen endpoint.
     pub(super) target: Target,
+    /// Why it was made.
+    pub(super) reason: AttemptReason,
     /// Milliseconds between the arrival of the request and the start of the attempt.
     pub(super) at_ms: u64,
     /// When the request was written to a connection; `None` before that.
@@ -49,6 +74,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         let Target { id, expected_ms, running, penalty_ms, .. } = &self.target;
         write!(f, "{id} at={} expected={expected_ms} beside={running}", self.at_ms)?;
+        write!(f, " why={}", self.reason.as_str())?;
         if *penalty_ms > 0 {
             write!(f, " penalty={penalty_ms}")?;
         }
@@ -63,33 +89,72 @@
 pub(super) struct Attempt<'a> {
     /// The forwarder that chose the endpoint, and whose statistics record the end.
     pub(super) forwarder: &'a Forwarder,
-    /// The endpoint's incarnation.
-    pub(super) id: &'a str,
+    /// The chosen endpoint.
+    pub(super) target: Target,
+    /// The service.
+    pub(super) service: &'a str,
     /// The route.
     pub(super) route: &'a str,
+    /// Whether the request must not arrive twice.
+    pub(super) at_most_once: bool,
     /// When it began.
     pub(super) began: Millis,
     /// Whether its end was recorded.
     pub(super) ended: bool,
-    /// The attempt log and the index of this attempt in it.
-    pub(super) record: (AttemptLog, usize),
+    /// The attempts of the request, and the index of this one.
+    pub(super) record: (Rc<Attempts>, usize),
 }
 
 impl Attempt<'_> {
+    /// Waits until the request may be sent on the connection of this attempt. Returns whether it had
+    /// to wait, in which case its duration counts from now on.
+    pub(super) async fn wait_to_send(&mut self) -> bool {
+        let (attempts, index) = &self.record;
+        let was_held = attempts.wait_to_send(*index).await;
+        if was_held {
+            self.began = clock::now();
+        }
+        was_held
+    }
+
     /// Records that the request is being written.
     pub(super) fn send(&mut self) {
-        let (log, index) = &self.record;
-        log.borrow_mut()[*index].sent = Some(clock::now());
+        let (attempts, index) = &self.record;
+        attempts.records.borrow_mut()[*index].sent = Some(clock::now());
+        let order = attempts.gate.borrow_mut().send(*index);
+        attempts.sent.notify_one();
+        if self.at_most_once {
+            return;
+        }
+        match order {
+            SendOrder::First => {
+                metrics::FIRST_ATTEMPTS.with_label_values(&[self.service]).inc();
+                self.forwarder.hedging.borrow_mut().record_first(self.service);
+            }
+            SendOrder::Second => {
+                metrics::SECOND_ATTEMPTS.with_label_values(&[self.service, "sent"]).inc();
+            }
+            SendOrder::Again => {}
+        }
     }
 
     /// Records how it ended.
     pub(super) fn end(&mut self, ending: AttemptOutcome) {
         self.ended = true;
-        let (log, index) = &self.record;
-        log.borrow_mut()[*index].end = Some((ending, clock::now().since(self.began)));
+        let (attempts, index) = &self.record;
+        let was_sent = {
+            let record = &mut attempts.records.borrow_mut()[*index];
+            record.end = Some((ending, clock::now().since(self.began)));
+            record.sent.is_some()
+        };
+        attempts.end(*index);
+        if was_sent {
+            let refused = ending == AttemptOutcome::Refused;
+            self.forwarder.hedging.borrow_mut().record_end(self.service, refused);
+        }
         metrics::ATTEMPT_ENDINGS.with_label_values(&[outcome_label(ending)]).inc();
         self.forwarder.picker.borrow_mut().record_outcome(
-            self.id,
+            &self.target.id,
             self.route,
             ending,
             clock::now(),
@@ -100,7 +165,7 @@
     pub(super) fn log(&self, request: &Request, outcome: &str, error: &ExchangeError) {
         let ms = clock::now().since(self.began);
         let request = request::attempt_id(request).unwrap_or_default();
-        tracing::info!(event = "try_ended", request, endpoint = self.id, outcome, ms, %error);
+        tracing::info!(event = "try_ended", request, endpoint = self.target.id, outcome, ms, %error);
     }
 }
 
@@ -118,7 +183,9 @@
     fn drop(&mut self) {
         if !self.ended {
             let ms = clock::now().since(self.began);
-            self.end(AttemptOutcome::Dropped(ms));
+            let (attempts, index) = &self.record;
+            let ending = attempts.gate.borrow().drop_outcome(*index, ms);
+            self.end(ending);
         }
     }
 }
--- a/components/node/src/forward/dispatch.rs
+++ b/components/node/src/forward/dispatch.rs
@@ -1,9 +1,12 @@
 //! Dispatches one request: tries endpoints until one answers.
 
 use std::collections::BTreeSet;
+use std::rc::Rc;
 use std::time::Duration;
 
 use chicoryford_fleet::crashes::Crash;
+use chicoryford_fleet::hedge::HedgeDecision;
+use chicoryford_fleet::hedge::RouteTimes;
 use chicoryford_fleet::pick::PickError;
 use chicoryford_fleet::pick::Target;
 use chicoryford_fleet::wait_queue::QueuePosition;
@@ -25,8 +28,10 @@
 use super::Outcome;
 use super::REFUSED_RETRY_AFTER_MS;
 use super::Requester;
-use super::attempt::AttemptLog;
+use super::attempt::Attempt;
+use super::attempt::AttemptReason;
 use super::attempt::AttemptRecord;
+use super::gate::Attempts;
 use crate::clock;
 use crate::crashes;
 use crate::metrics;
@@ -38,6 +43,9 @@
 /// Minimum time before a second attempt in milliseconds, also used while the usual response time is
 /// unknown.
 const MIN_HEDGE_MS: u64 = 60;
+/// Minimum milliseconds before a connection fallback. In this time, the thread reads its sockets, and
+/// may find that the connection was established while it did not run.
+const MIN_WAIT_MS: u64 = 1;
 /// Milliseconds for which a request waits while all endpoints are full before it is refused. The
 /// caller can wait just as well, and another entry may find a free endpoint.
 const MAX_FULL_WAIT_MS: u64 = 90;
@@ -65,7 +73,11 @@
     pub(super) possible_runs: u32,
     pub(super) last_failure: Option<Reply>,
     pub(super) began: Millis,
-    pub(super) attempt_log: AttemptLog,
+    pub(super) attempts: Rc<Attempts>,
+    /// What was decided when a second attempt was due.
+    pub(super) hedge: Option<HedgeDecision>,
+    /// The attempt that was answered with success.
+    pub(super) winner: Option<usize>,
     /// Whether its outcome was logged, or did not have to be.
     pub(super) is_logged: bool,
     /// Whether an endpoint has answered.
@@ -81,8 +93,9 @@
             self.log(None);
         }
         self.record_unanswered();
+        self.record_seconds();
         let Some(usage) = &mut self.requester.usage else { return };
-        let tries = self.attempt_log.borrow();
+        let tries = self.attempts.records.borrow();
         if let Some(began) = tries.iter().filter_map(AttemptRecord::began).min() {
             usage.record_start(began);
         }
@@ -93,17 +106,24 @@
     /// Tries endpoints until the outcome is known.
     pub(super) async fn run(&mut self) -> Outcome {
         let mut running = FuturesUnordered::new();
-        let mut hedged = self.at_most_once || !self.forwarder.hedging;
+        let mut hedged = self.at_most_once;
+        let fallback = self.forwarder.policy.connect_fallback;
         if self.forwarder.queues.must_wait(self.service) && !self.wait_for_turn().await {
             return self.give_up(PickError::AllTried);
         }
         loop {
-            if running.is_empty() {
-                if self.forwarder.crashes.refuses(self.request, self.requester.workspace) {
-                    return self.refuse_content();
-                }
+            let is_idle = running.is_empty();
+            // After a failure, an attempt that was held is sent next.
+            let sends_next = is_idle || (fallback && self.attempts.gate.borrow().in_flight() == 0);
+            if sends_next && self.forwarder.crashes.refuses(self.request, self.requester.workspace)
+            {
+                return self.refuse_content();
+            }
+            if is_idle {
+                let is_first = self.attempts.records.borrow().is_empty();
+                let reason = if is_first { AttemptReason::First } else { AttemptReason::Again };
                 match self.pick_endpoint() {
-                    Ok(target) => running.push(self.start_attempt(target)),
+                    Ok(target) => running.push(self.start_attempt(target, reason)),
                     Err(PickError::AllTried)
                         if self.attempts_left > 0 && !self.is_budget_limited() =>
                     {
@@ -118,12 +138,27 @@
                 }
             }
             let hedge = Duration::from_millis(self.hedge_ms());
+            // With the fallback, a second attempt is due only after an attempt was sent.
+            let is_sent = !fallback || self.attempts.gate.borrow().in_flight() > 0;
+            let fallback_ms = self.attempts.gate.borrow().fallback_wait(clock::now());
+            let fallback_wait =
+                Duration::from_millis(fallback_ms.unwrap_or_default().max(MIN_WAIT_MS));
+            let attempts = self.attempts.clone();
+            // A connection that is established when the time is up counts as in time.
             let tried = tokio::select! {
+                biased;
                 tried = running.next() => tried,
-                () = run_time::sleep(hedge), if !hedged => {
+                () = attempts.sent.notified(), if fallback && !hedged => continue,
+                () = run_time::sleep(fallback_wait), if fallback_ms.is_some() => {
+                    if let Some(target) = self.fall_back(&mut running) {
+                        running.push(self.start_attempt(target, AttemptReason::Connect));
+                    }
+                    continue;
+                }
+                () = run_time::sleep(hedge), if !hedged && is_sent => {
                     hedged = true;
-                    if let Ok(target) = self.pick_endpoint() {
-                        running.push(self.start_attempt(target));
+                    if let Some(target) = self.hedge() {
+                        running.push(self.start_attempt(target, AttemptReason::Beside));
                     }
                     continue;
                 }
@@ -131,6 +166,117 @@
             if let Some(outcome) = tried.and_then(|tried| self.handle_result(tried)) {
                 return outcome;
             }
+            let gate = self.attempts.gate.borrow();
+            let needs_no_permit = gate.in_flight() == 0 || gate.live() <= 1;
+            drop(gate);
+            if needs_no_permit {
+                self.refund();
+            }
+        }
+    }
+
+    /// Decides whether a second attempt that is due is made. Returns its endpoint if it needs a new
+    /// connection.
+    fn hedge(&mut self) -> Option<Target> {
+        let times = {
+            let picker = self.forwarder.picker.borrow();
+            let (median_ms, baseline_ms) =
+                (picker.median_ms(self.route), picker.baseline_ms(self.route));
+            RouteTimes { median_ms, baseline_ms }
+        };
+        let decision = if self.forwarder.policy.second_attempts {
+            self.forwarder.hedging.borrow_mut().decide(self.service, times)
+        } else {
+            HedgeDecision::Off
+        };
+        self.hedge = Some(decision);
+        let withheld = match decision {
+            HedgeDecision::Send => None,
+            HedgeDecision::Limit => Some("withheld_limit"),
+            HedgeDecision::Slow => Some("withheld_slow"),
+            HedgeDecision::Off => return None,
+        };
+        if let Some(withheld) = withheld {
+            metrics::SECOND_ATTEMPTS.with_label_values(&[self.service, withheld]).inc();
+            return None;
+        }
+        self.attempts.permit();
+        if self.attempts.gate.borrow().held() > 0 {
+            return None;
+        }
+        let target = self.pick_endpoint().ok();
+        if target.is_none() && self.attempts.gate.borrow().live() <= 1 {
+            self.hedge = None;
+            self.refund();
+        }
+        target
+    }
+
+    /// Returns the credit of a second attempt that was permitted and not sent.
+    fn refund(&self) {
+        if self.attempts.gate.borrow_mut().withdraw() {
+            self.forwarder.hedging.borrow_mut().refund(self.service);
+        }
+    }
+
+    /// Chooses an endpoint in place of one that could not be connected to in time. Attempts that are
+    /// still connecting go on beside it only if the request may be repeated and its route allows
+    /// one more; otherwise they are abandoned, which closes their connections before the next one
+    /// is opened.
+    fn fall_back<F>(&mut self, running: &mut FuturesUnordered<F>) -> Option<Target> {
+        // The attempt may have been connected, or have ended, at the same moment.
+        if self.attempts.gate.borrow().fallback_wait(clock::now()) != Some(0) {
+            return None;
+        }
+        self.attempts.gate.borrow_mut().count_fallback();
+        if !self.at_most_once
+            && let Ok(target) = self.pick_endpoint()
+        {
+            return Some(target);
+        }
+        if self.attempts.gate.borrow().in_flight() > 0 {
+            return None;
+        }
+        let ids: Vec<String> = {
+            let (records, gate) = (self.attempts.records.borrow(), self.attempts.gate.borrow());
+            gate.live_attempts().map(|index| records[index].target.id.clone()).collect()
+        };
+        let released: Vec<bool> = ids.iter().map(|id| self.uncount(id)).collect();
+        let target = self.pick_endpoint().ok();
+        if target.is_some() {
+            running.clear();
+            return target;
+        }
+        for (id, was_new) in ids.iter().zip(released) {
+            self.attempts_left -= 1;
+            self.possible_runs += 1;
+            if was_new {
+                self.budget.spent.borrow_mut().endpoints.insert(id.clone());
+                self.new_endpoints.insert(id.clone());
+            }
+        }
+        None
+    }
+
+    /// Removes an attempt that was not sent from the counts. Returns whether it was the first one at
+    /// its endpoint.
+    fn uncount(&mut self, id: &str) -> bool {
+        self.attempts_left += 1;
+        self.possible_runs -= 1;
+        let was_new = self.new_endpoints.remove(id);
+        if was_new {
+            self.budget.spent.borrow_mut().endpoints.remove(id);
+        }
+        was_new
+    }
+
+    /// Counts the second attempts that won and those that were wasted, and returns the credit of one
+    /// that was not sent.
+    fn record_seconds(&self) {
+        self.refund();
+        for second in self.attempts.gate.borrow().seconds() {
+            let outcome = if self.winner == Some(*second) { "won" } else { "wasted" };
+            metrics::SECOND_ATTEMPTS.with_label_values(&[self.service, outcome]).inc();
         }
     }
 
@@ -170,43 +316,45 @@
     fn start_attempt(
         &mut self,
         target: Target,
-    ) -> impl Future<Output = (String, AttemptResult)> + use<'a> {
-        let why = match (self.attempt_log.borrow().is_empty(), self.in_progress()) {
-            (true, _) => "first",
-            (false, true) => "beside",
-            (false, false) => "again",
-        };
-        metrics::ATTEMPTS.with_label_values(&[why]).inc();
+        reason: AttemptReason,
+    ) -> impl Future<Output = (usize, AttemptResult)> + use<'a> {
+        metrics::ATTEMPTS.with_label_values(&[reason.as_str()]).inc();
         self.attempts_left -= 1;
         self.possible_runs += 1;
         let id = target.id.clone();
         self.tried.push(id.clone());
         if self.budget.spent.borrow_mut().endpoints.insert(id.clone()) {
-            self.new_endpoints.insert(id.clone());
+            self.new_endpoints.insert(id);
             self.budget.changed.notify_one();
         }
-        let at_ms = clock::now().since(self.began);
-        self.attempt_log.borrow_mut().push(AttemptRecord {
+        let began = clock::now();
+        let index = self.attempts.gate.borrow_mut().start(began);
+        self.attempts.records.borrow_mut().push(AttemptRecord {
             target: target.clone(),
-            at_ms,
+            reason,
+            at_ms: began.since(self.began),
             sent: None,
             end: None,
         });
-        let record = (self.attempt_log.clone(), self.attempt_log.borrow().len() - 1);
-        let (forwarder, route, request) = (self.forwarder, self.route, self.request);
-        let (budget, at_most_once) = (self.budget, self.at_most_once);
-        async move {
-            (id, forwarder.attempt(target, route, request, budget, at_most_once, record).await)
-        }
-    }
-
-    /// Returns whether an attempt is in progress.
-    fn in_progress(&self) -> bool {
-        self.attempt_log.borrow().iter().any(|attempt| attempt.end.is_none())
+        let (forwarder, request, budget) = (self.forwarder, self.request, self.budget);
+        // The attempt exists from here on, so that its end is recorded even if the future is
+        // dropped before it is polled.
+        let attempt = Attempt {
+            forwarder,
+            target,
+            service: self.service,
+            route: self.route,
+            at_most_once: self.at_most_once,
+            began,
+            ended: false,
+            record: (self.attempts.clone(), index),
+        };
+        async move { (index, forwarder.attempt(attempt, request, budget).await) }
     }
 
     /// Handles the result of an attempt. Returns the outcome if it decides the request.
-    fn handle_result(&mut self, (id, tried): (String, AttemptResult)) -> Option<Outcome> {
+    fn handle_result(&mut self, (index, tried): (usize, AttemptResult)) -> Option<Outcome> {
+        let id = self.attempts.records.borrow()[index].target.id.clone();
         match tried {
             AttemptResult::Answered(reply) => {
                 self.is_answered = true;
@@ -217,6 +365,9 @@
                 self.budget.spent.borrow_mut().failures += u32::from(failed);
                 // A failure of a shared call is recorded before the call is repeated.
                 let is_final = self.at_most_once || (failed && self.budget.is_shared());
+                if !reply.status.is_server_error() {
+                    self.winner = Some(index);
+                }
                 if is_final || !reply.status.is_server_error() {
                     return Some(Outcome::Answered(reply));
                 }
@@ -224,11 +375,7 @@
                 None
             }
             AttemptResult::NotRun | AttemptResult::Unsent => {
-                self.attempts_left += 1;
-                self.possible_runs -= 1;
-                if self.new_endpoints.remove(&id) {
-                    self.budget.spent.borrow_mut().endpoints.remove(&id);
-                }
+                self.uncount(&id);
                 None
             }
             AttemptResult::Lost => self.at_most_once.then_some(Outcome::Lost),
@@ -275,7 +422,7 @@
 
     /// Records the attempts that were in progress when the request ended without any answer.
     fn record_unanswered(&self) {
-        let tries = self.attempt_log.borrow();
+        let tries = self.attempts.records.borrow();
         let dropped = tries.iter().filter(|attempt| !self.is_answered && attempt.was_dropped());
         for attempt in dropped {
             let content = crashes::content_fingerprint(self.request, self.requester.workspace);
@@ -290,14 +437,16 @@
         let dropped = target_ms.is_none();
         let request = request::attempt_id(self.request).unwrap_or_default();
         let tries: Vec<String> =
-            self.attempt_log.borrow().iter().map(AttemptRecord::to_string).collect();
+            self.attempts.records.borrow().iter().map(AttemptRecord::to_string).collect();
         let tries = tries.join("; ");
         let (service, waited_ms) = (self.service, self.waited_ms);
+        let hedge = self.hedge.map(HedgeDecision::as_str);
         tracing::info!(
             event = "request_tried",
             request,
             service,
             tries,
+            hedge,
             waited_ms,
             ms,
             target_ms,
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod budget;
 mod dispatch;
+mod gate;
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -15,6 +16,8 @@
 use chicoryford_fleet::Route;
 use chicoryford_fleet::RouteKind;
 use chicoryford_fleet::grant::NEEDED_ENDPOINTS;
+use chicoryford_fleet::hedge::Hedging;
+use chicoryford_fleet::hedge::SecondAttempts;
 use chicoryford_fleet::pick::AttemptOutcome;
 use chicoryford_fleet::pick::Picker;
 use chicoryford_fleet::pick::Target;
@@ -34,8 +37,8 @@
 use crate::usage::RequestUsage;
 use crate::wait_queues::WaitQueues;
 use attempt::Attempt;
-use attempt::AttemptLog;
 use dispatch::Dispatch;
+use gate::Attempts;
 
 pub use budget::Budget;
 
@@ -81,8 +84,9 @@
 pub struct Forwarder {
     picker: RefCell<Picker>,
     pool: RefCell<Pool>,
-    /// Whether a slow attempt is hedged by a second one.
-    hedging: bool,
+    /// Decides which second attempts are sent.
+    hedging: RefCell<Hedging>,
+    policy: Policy,
     queues: WaitQueues,
     crashes: Rc<Crashes>,
 }
@@ -99,12 +103,17 @@
 }
 
 impl Forwarder {
-    /// Creates a forwarder without endpoints.
+    /// Creates a forwarder without endpoints, and without limits of second attempts.
     pub fn new(policy: Policy) -> Rc<Self> {
+        Self::with_limits(policy, SecondAttempts::default())
+    }
+
+    /// Creates a forwarder without endpoints, and with limits of second attempts.
+    pub fn with_limits(policy: Policy, limits: SecondAttempts) -> Rc<Self> {
         let picker = RefCell::new(Picker::new(rand::random()).with_policy(policy));
-        let hedging = policy.second_attempts;
+        let hedging = RefCell::new(Hedging::new(limits));
         let (pool, queues, crashes) = (RefCell::default(), WaitQueues::default(), Rc::default());
-        Rc::new(Self { picker, pool, hedging, queues, crashes })
+        Rc::new(Self { picker, pool, hedging, policy, queues, crashes })
     }
 
     /// Applies an update to endpoints, routes and refused contents.
@@ -122,6 +131,9 @@
                 let routes: BTreeSet<&str> =
                     config.routes.iter().map(|route| route.name.as_str()).collect();
                 picker.retain_routes(|route| routes.contains(route));
+                let services = &config.services;
+                let known = |name: &str| services.iter().any(|service| service.name == name);
+                self.hedging.borrow_mut().retain_services(known);
             }
             Update::Refused(refused) => self.crashes.refuse(refused),
             Update::Suspected(suspected) => self.crashes.suspect(suspected),
@@ -182,7 +194,9 @@
             possible_runs: 0,
             last_failure: None,
             began: clock::now(),
-            attempt_log: Rc::default(),
+            attempts: Rc::new(Attempts::new(self.policy.connect_fallback)),
+            hedge: None,
+            winner: None,
             is_logged: false,
             is_answered: false,
             requester,
@@ -210,23 +224,17 @@
         granted.or_else(|| route.service(rand::random()))
     }
 
-    /// Makes one attempt. `at_most_once` means that the request must not arrive twice; it is then
-    /// sent on a new connection, because a broken pooled connection would leave it unknown whether
-    /// it arrived.
+    /// Makes one attempt. A request that must not arrive twice is sent on a new connection, because a
+    /// broken pooled connection would leave it unknown whether it arrived.
     async fn attempt(
         &self,
-        target: Target,
-        route: &str,
+        mut attempt: Attempt<'_>,
         request: &Request,
         budget: &Budget,
-        at_most_once: bool,
-        record: (AttemptLog, usize),
     ) -> AttemptResult {
-        let began = clock::now();
-        let mut attempt =
-            Attempt { forwarder: self, id: &target.id, route, began, ended: false, record };
+        let target = attempt.target.clone();
         let pooled = self.pool.borrow_mut().take(target.address, &target.id);
-        let connection = match pooled.filter(|_| !at_most_once) {
+        let mut connection = match pooled.filter(|_| !attempt.at_most_once) {
             Some(connection) => connection,
             None => match Connection::open(target.address, CONNECT_TIMEOUT).await {
                 Ok(connection) => connection,
@@ -240,7 +248,9 @@
                 }
             },
         };
-        if !budget.permits_send() {
+        // The endpoint may have closed a connection that was held.
+        let is_stale = attempt.wait_to_send().await && !connection.is_clean();
+        if is_stale || !budget.permits_send() {
             attempt.end(AttemptOutcome::Dropped(0));
             return AttemptResult::Unsent;
         }
@@ -249,7 +259,7 @@
         attempt.send();
         match self.exchange(connection, &forwarded, &target).await {
             Ok((ReplyKind::Answer, reply)) => {
-                let ms = clock::now().since(began);
+                let ms = clock::now().since(attempt.began);
                 let failed = reply.status.is_server_error();
                 attempt.end(if failed {
                     AttemptOutcome::Failed
--- a/components/node/src/metrics.rs
+++ b/components/node/src/metrics.rs
@@ -49,12 +49,25 @@
 pub static ANNOUNCEMENTS: LazyLock<IntCounterVec> =
     LazyLock::new(|| counter("announcements_total", "Announcements by who answered.", &["by"]));
 /// Attempts at endpoints of plain services by reason: the first of a request, a hedge of a silent
-/// one, or a retry after failed ones.
+/// one, a retry after failed ones, or one in place of an attempt that could not connect.
 pub static ATTEMPTS: LazyLock<IntCounterVec> =
     LazyLock::new(|| counter("attempts_total", "Attempts at endpoints by reason.", &["why"]));
 /// Attempts at endpoints of plain services by outcome.
 pub static ATTEMPT_ENDINGS: LazyLock<IntCounterVec> =
     LazyLock::new(|| counter("tries_total", "Attempts at endpoints by ending.", &["ending"]));
+/// First attempts of repeatable requests that were sent, by service.
+pub static FIRST_ATTEMPTS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counter("first_attempts_total", "First attempts of repeatable requests.", &["service"])
+});
+/// Second attempts of repeatable requests by service and outcome: sent, and of these won or wasted;
+/// withheld by the limit, or because the service as a whole was slow.
+pub static SECOND_ATTEMPTS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counter(
+        "second_attempts_total",
+        "Second attempts of repeatable requests by outcome.",
+        &["service", "outcome"],
+    )
+});
 /// Endpoints of plain services that crashed while they ran a request of this process.
 pub static CRASHES: LazyLock<IntCounter> = LazyLock::new(|| {
     register_int_counter!(
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -7,6 +7,7 @@
 
 use chicoryford_fleet::Policy;
 use chicoryford_fleet::StaleKeyPolicy;
+use chicoryford_fleet::hedge::SecondAttempts;
 use chicoryford_fleet::usage::Windows;
 use serde::Deserialize;
 use thiserror::Error;
@@ -86,6 +87,9 @@
     /// Mechanisms that are switched off in order to measure their effect.
     #[serde(default)]
     pub policy: Policy,
+    /// Limits of second attempts per service.
+    #[serde(default)]
+    pub second_attempts: SecondAttempts,
     /// What is logged.
     #[serde(default = "info")]
     pub log: String,
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -183,7 +183,7 @@
     fn start(settings: Settings) -> Result<Self, StartError> {
         let settings = Rc::new(settings);
         let view = Rc::new(View::default());
-        let forwarder = Forwarder::new(settings.policy);
+        let forwarder = Forwarder::with_limits(settings.policy, settings.second_attempts.clone());
         frame::set_compression(settings.policy.compression);
         let runner = Runner::new(view.clone(), forwarder.clone());
         let (depot, depot_failed) = start_depot(&settings)?;
--- /dev/null
+++ b/components/node/tests/hedge.rs
@@ -0,0 +1,436 @@
+//! Limits of second attempts, and the fallback of attempts that cannot connect, on real sockets.
+
+mod support {
+    pub mod endpoint;
+    pub mod route;
+}
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use chicoryford_fleet::Endpoint;
+use chicoryford_fleet::Policy;
+use chicoryford_fleet::RouteKind;
+use chicoryford_fleet::hedge::AttemptShare;
+use chicoryford_fleet::hedge::SecondAttempts;
+use chicoryford_http::Request;
+use chicoryford_http::message::Method;
+use chicoryford_node::clock;
+use chicoryford_node::forward::Budget;
+use chicoryford_node::forward::Forwarder;
+use chicoryford_node::forward::Outcome;
+use chicoryford_node::forward::Requester;
+use chicoryford_node::message::Update;
+use chicoryford_node::metrics;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+
+use support::endpoint::endpoint;
+use support::route::route;
+
+/// Target latency of the route in milliseconds.
+const TARGET: Duration = Duration::from_millis(150);
+/// Time after which a lost SYN packet has been sent again.
+const SYN_RETRY: Duration = Duration::from_millis(1_500);
+/// Time after the start of a request at which the second endpoint becomes known, so that the first
+/// attempt is made at the first one.
+const SECOND_KNOWN: Duration = Duration::from_millis(10);
+
+/// An endpoint that answers after a delay that tests change; `None` for never.
+struct Stub {
+    address: SocketAddr,
+    delay: Rc<Cell<Option<u64>>>,
+    requests: Rc<Cell<u32>>,
+    /// Number of connections that the process was opening to an address when a request came.
+    opening: Rc<Cell<usize>>,
+}
+
+async fn stub(delay_ms: Option<u64>, watched: Option<SocketAddr>) -> Stub {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let delay = Rc::new(Cell::new(delay_ms));
+    let (requests, opening) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+    let stub = Stub {
+        address,
+        delay: delay.clone(),
+        requests: requests.clone(),
+        opening: opening.clone(),
+    };
+    actix_rt::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let (delay, requests, opening) = (delay.clone(), requests.clone(), opening.clone());
+            actix_rt::spawn(async move {
+                let mut bytes = vec![0; 4_096];
+                while stream.read(&mut bytes).await.is_ok_and(|read| read > 0) {
+                    requests.set(requests.get() + 1);
+                    opening.set(watched.map_or(0, connections_being_opened));
+                    let delay_ms = delay.get().unwrap_or(60_000);
+                    tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+                    let text = "HTTP/1.1 200 OK\r\nx-attempt-id: id\r\nx-response-stamp: s\r\n\
+                                content-length: 2\r\n\r\nok";
+                    if stream.write_all(text.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    stub
+}
+
+/// Counts this VM's connections to an address that are not established yet. The kernel lists remote
+/// addresses as hexadecimal numbers, and the state of such connections is 02.
+fn connections_being_opened(address: SocketAddr) -> usize {
+    let table = std::fs::read_to_string("/proc/self/net/tcp").unwrap();
+    let remote = format!(":{:04X}", address.port());
+    let is_opening = |line: &&str| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        fields.len() > 3 && fields[2].ends_with(&remote) && fields[3] == "02"
+    };
+    table.lines().filter(is_opening).count()
+}
+
+/// An endpoint to which no connection can be established, because its queue of connections is full.
+struct Unreachable {
+    listener: TcpListener,
+    address: SocketAddr,
+    _queued: Vec<TcpStream>,
+}
+
+async fn unreachable() -> Unreachable {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut queued = Vec::new();
+    let limit = Duration::from_millis(100);
+    while let Ok(stream) = tokio::time::timeout(limit, TcpStream::connect(address)).await {
+        queued.push(stream.unwrap());
+    }
+    Unreachable { listener, address, _queued: queued }
+}
+
+impl Unreachable {
+    /// Makes the endpoint reachable. Returns the number of bytes that it receives within the time in
+    /// which connection attempts are repeated.
+    async fn received_later(self) -> usize {
+        let received = Rc::new(Cell::new(0));
+        let until = tokio::time::Instant::now() + SYN_RETRY;
+        while let Ok(accepted) = tokio::time::timeout_at(until, self.listener.accept()).await {
+            let (mut stream, _) = accepted.unwrap();
+            let received = received.clone();
+            actix_rt::spawn(async move {
+                let mut bytes = vec![0; 4_096];
+                while let Ok(read) = stream.read(&mut bytes).await
+                    && read > 0
+                {
+                    received.set(received.get() + read);
+                }
+            });
+        }
+        received.get()
+    }
+}
+
+fn request() -> Request {
+    let mut request = Request::new(Method::POST, "/desk/x", "body");
+    request.headers.set("host", "h");
+    request.headers.set("x-attempt-id", "id");
+    request
+}
+
+fn with_fallback() -> Rc<Forwarder> {
+    Forwarder::new(Policy { connect_fallback: true, ..Policy::default() })
+}
+
+fn with_share(share: f64) -> Rc<Forwarder> {
+    let share = Some(AttemptShare::try_from(share).unwrap());
+    Forwarder::with_limits(Policy::default(), SecondAttempts { share, ..SecondAttempts::default() })
+}
+
+/// Sends a request whose first attempt is made at the first endpoint, and others at the rest.
+async fn send(
+    forwarder: &Forwarder,
+    service: &str,
+    endpoints: &[SocketAddr],
+    (kind, attempts): (RouteKind, u32),
+    limit_ms: u64,
+) -> Outcome {
+    let endpoints: Vec<Endpoint> = endpoints
+        .iter()
+        .enumerate()
+        .map(|(number, address)| endpoint(service, &format!("i{number}"), *address, 8))
+        .collect();
+    for endpoint in &endpoints {
+        forwarder.apply(&Update::Forgotten(endpoint.announcement.id.clone()));
+    }
+    forwarder.apply(&Update::Endpoint(endpoints[0].clone()));
+    let budget = Budget::new(clock::now() + limit_ms);
+    let (route, request) = (route(service, kind, attempts), request());
+    let add = async {
+        tokio::time::sleep(SECOND_KNOWN).await;
+        for endpoint in &endpoints[1..] {
+            forwarder.apply(&Update::Endpoint(endpoint.clone()));
+        }
+    };
+    let sent = forwarder.forward(&route, &request, &budget, limit_ms, Requester::default());
+    futures_util::future::join(sent, add).await.0
+}
+
+fn is_success(outcome: &Outcome) -> bool {
+    matches!(outcome, Outcome::Answered(reply) if reply.status.is_success())
+}
+
+/// An endpoint is unreachable. Guards against callers that are late because the connection to it is
+/// awaited, and against a request that may not run twice and is sent to both endpoints: the first
+/// connection is given up before the second endpoint gets the request, and nothing is sent to the
+/// first one when it is reachable again.
+#[actix_rt::test]
+async fn a_request_that_may_not_run_twice_leaves_an_unreachable_endpoint_before_it_is_sent() {
+    let dark = unreachable().await;
+    let good = stub(Some(0), Some(dark.address)).await;
+    let began = Instant::now();
+    let addresses = [dark.address, good.address];
+    let outcome = send(&with_fallback(), "desk", &addresses, (RouteKind::Once, 1), 2_000).await;
+    assert!(is_success(&outcome), "{outcome:?}");
+    assert!(began.elapsed() < TARGET, "{:?}", began.elapsed());
+    assert_eq!((good.requests.get(), good.opening.get()), (1, 0));
+    assert_eq!(dark.received_later().await, 0);
+    assert_eq!(good.requests.get(), 1);
+}
+
+/// The same without the fallback. Guards against a test above that passes without it.
+#[actix_rt::test]
+async fn without_the_fallback_an_unreachable_endpoint_makes_a_request_late() {
+    let dark = unreachable().await;
+    let good = stub(Some(0), None).await;
+    let began = Instant::now();
+    let addresses = [dark.address, good.address];
+    let forwarder = Forwarder::new(Policy::default());
+    let outcome = send(&forwarder, "desk", &addresses, (RouteKind::Once, 1), 2_000).await;
+    assert!(is_success(&outcome), "{outcome:?}");
+    assert!(began.elapsed() > TARGET, "{:?}", began.elapsed());
+}
+
+/// Guards against a repeatable request that gives up a connection which might be established next,
+/// and against one whose route allows a single endpoint and which waits for the unreachable one.
+#[actix_rt::test]
+async fn a_repeatable_request_keeps_the_first_connection_if_its_route_allows_two() {
+    for (attempts, opening) in [(2, 1), (1, 0)] {
+        let dark = unreachable().await;
+        let good = stub(Some(0), Some(dark.address)).await;
+        let began = Instant::now();
+        let (forwarder, kind) = (with_fallback(), (RouteKind::Idempotent, attempts));
+        let addresses = [dark.address, good.address];
+        let outcome = send(&forwarder, "desk", &addresses, kind, 2_000).await;
+        assert!(is_success(&outcome), "{outcome:?}");
+        assert!(began.elapsed() < TARGET, "{:?}", began.elapsed());
+        assert_eq!((good.requests.get(), good.opening.get()), (1, opening));
+        assert_eq!(dark.received_later().await, 0);
+    }
+}
+
+/// Guards against a fallback that counts as a second attempt, and needs credit.
+#[actix_rt::test]
+async fn a_fallback_is_no_extra_work() {
+    let dark = unreachable().await;
+    let good = stub(Some(0), None).await;
+    let policy = Policy { connect_fallback: true, ..Policy::default() };
+    let share = Some(AttemptShare::try_from(0.0).unwrap());
+    let limits = SecondAttempts { share, ..SecondAttempts::default() };
+    let forwarder = Forwarder::with_limits(policy, limits);
+    let addresses = [dark.address, good.address];
+    let kind = (RouteKind::Idempotent, 2);
+    let outcome = send(&forwarder, "fallback", &addresses, kind, 2_000).await;
+    assert!(is_success(&outcome), "{outcome:?}");
+    let first = metrics::FIRST_ATTEMPTS.with_label_values(&["fallback"]).get();
+    assert_eq!((first, second_attempts("fallback")), (1, [0; 5]));
+}
+
+/// Two endpoints of three are unreachable. Guards against a fallback that is made once only.
+#[actix_rt::test]
+async fn a_fallback_to_an_unreachable_endpoint_is_followed_by_another_one() {
+    let (first, second) = (unreachable().await, unreachable().await);
+    let good = stub(Some(0), None).await;
+    let addresses = [first.address, second.address, good.address];
+    for kind in [RouteKind::Once, RouteKind::Idempotent] {
+        let began = Instant::now();
+        let outcome = send(&with_fallback(), "desk", &addresses, (kind, 3), 2_000).await;
+        assert!(is_success(&outcome), "{outcome:?}");
+        assert!(began.elapsed() < TARGET, "{:?}", began.elapsed());
+    }
+    assert_eq!(first.received_later().await + second.received_later().await, 0);
+}
+
+/// Guards against the fallback abandoning the only endpoint, or one that was sent the request.
+#[actix_rt::test]
+async fn a_request_without_another_endpoint_keeps_its_attempt() {
+    let slow = stub(Some(80), None).await;
+    for kind in [RouteKind::Once, RouteKind::Idempotent] {
+        let outcome = send(&with_fallback(), "desk", &[slow.address], (kind, 1), 2_000).await;
+        assert!(is_success(&outcome), "{outcome:?}");
+    }
+    let good = stub(Some(0), None).await;
+    let addresses = [slow.address, good.address];
+    let outcome = send(&with_fallback(), "desk", &addresses, (RouteKind::Once, 1), 2_000).await;
+    assert!(is_success(&outcome), "{outcome:?}");
+    assert_eq!((slow.requests.get(), good.requests.get()), (3, 0));
+}
+
+/// Returns how many second attempts were sent, won, wasted, and withheld by the limit or because
+/// the service is slow.
+fn second_attempts(service: &str) -> [u64; 5] {
+    ["sent", "won", "wasted", "withheld_limit", "withheld_slow"]
+        .map(|outcome| metrics::SECOND_ATTEMPTS.with_label_values(&[service, outcome]).get())
+}
+
+/// Collects log lines.
+#[derive(Clone, Default)]
+struct LogLines(Arc<Mutex<Vec<u8>>>);
+
+impl std::io::Write for LogLines {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+impl LogLines {
+    /// Collects the log lines of this thread.
+    fn collect(&self) -> tracing::subscriber::DefaultGuard {
+        let copy = self.clone();
+        let log = tracing_subscriber::fmt().with_ansi(false).with_writer(move || copy.clone());
+        tracing::subscriber::set_default(log.finish())
+    }
+
+    /// Returns the lines about the attempts of requests since the last call.
+    fn take(&self) -> String {
+        let text = String::from_utf8(std::mem::take(&mut *self.0.lock().unwrap())).unwrap();
+        let lines = text.lines().filter(|line| line.contains("request_tried"));
+        lines.collect::<Vec<&str>>().join("\n")
+    }
+}
+
+const REPEATABLE: (RouteKind, u32) = (RouteKind::Idempotent, 2);
+
+/// An endpoint does not answer, or answers late. Guards against second attempts without credit, and
+/// against metrics and log lines that do not say how many were made and why others were not.
+#[actix_rt::test]
+async fn second_attempts_need_credit_and_are_counted_and_logged() {
+    let lines = LogLines::default();
+    let _guard = lines.collect();
+    let (first, second) = (stub(None, None).await, stub(Some(0), None).await);
+    let addresses = [first.address, second.address];
+    // Each request earns half a second attempt.
+    let forwarder = with_share(0.5);
+    let outcome = send(&forwarder, "counted", &addresses, REPEATABLE, 200).await;
+    assert!(matches!(outcome, Outcome::Late), "{outcome:?}");
+    assert_eq!((second_attempts("counted"), second.requests.get()), ([0, 0, 0, 1, 0], 0));
+    let line = lines.take();
+    assert!(line.contains("hedge=\"limit\"") && line.contains("why=first"), "{line}");
+
+    let outcome = send(&forwarder, "counted", &addresses, REPEATABLE, 200).await;
+    assert!(is_success(&outcome), "{outcome:?}");
+    assert_eq!((second_attempts("counted"), second.requests.get()), ([1, 1, 0, 1, 0], 1));
+
+    let outcome = send(&forwarder, "counted", &addresses, REPEATABLE, 200).await;
+    assert!(matches!(outcome, Outcome::Late), "{outcome:?}");
+    lines.take();
+    first.delay.set(Some(200));
+    second.delay.set(None);
+    let outcome = send(&forwarder, "counted", &addresses, REPEATABLE, 1_000).await;
+    assert!(is_success(&outcome), "{outcome:?}");
+    assert_eq!(second_attempts("counted"), [2, 1, 1, 2, 0]);
+    assert_eq!(metrics::FIRST_ATTEMPTS.with_label_values(&["counted"]).get(), 4);
+    let line = lines.take();
+    assert!(line.contains("hedge=\"sent\"") && line.contains("why=beside"), "{line}");
+}
+
+/// All endpoints of a service become slow. Guards against second attempts that make it slower,
+/// although there is credit for them.
+#[actix_rt::test]
+async fn no_second_attempt_is_made_while_the_service_is_slow() {
+    let lines = LogLines::default();
+    let _guard = lines.collect();
+    let (first, second) = (stub(Some(0), None).await, stub(Some(0), None).await);
+    let addresses = [first.address, second.address];
+    let forwarder = with_share(1.0);
+    for _ in 0..15 {
+        assert!(is_success(&send(&forwarder, "slow", &addresses, REPEATABLE, 1_000).await));
+    }
+    first.delay.set(Some(50));
+    for _ in 0..8 {
+        assert!(is_success(&send(&forwarder, "slow", &addresses, REPEATABLE, 1_000).await));
+    }
+    assert_eq!(second_attempts("slow"), [0; 5]);
+    first.delay.set(None);
+    let outcome = send(&forwarder, "slow", &addresses, REPEATABLE, 400).await;
+    assert!(matches!(outcome, Outcome::Late), "{outcome:?}");
+    assert_eq!((second_attempts("slow"), second.requests.get()), ([0, 0, 0, 0, 1], 0));
+    let line = lines.take();
+    assert!(line.contains("hedge=\"slow\""), "{line}");
+}
+
+/// Guards against a second attempt at a service with a share of zero, or with the mechanism off.
+#[actix_rt::test]
+async fn no_second_attempt_is_made_if_they_are_switched_off() {
+    let lines = LogLines::default();
+    let _guard = lines.collect();
+    let (first, second) = (stub(None, None).await, stub(Some(0), None).await);
+    let addresses = [first.address, second.address];
+    let policy = Policy { second_attempts: false, ..Policy::default() };
+    for forwarder in [with_share(0.0), Forwarder::new(policy)] {
+        let outcome = send(&forwarder, "off", &addresses, REPEATABLE, 200).await;
+        assert!(matches!(outcome, Outcome::Late), "{outcome:?}");
+        let line = lines.take();
+        assert!(line.contains("hedge=\"off\""), "{line}");
+    }
+    assert_eq!((second_attempts("off"), second.requests.get()), ([0; 5], 0));
+}
+
+/// Guards against a request with side effects that is sent to a second endpoint because the first
+/// one is slow, and against credit that it earns for others.
+#[actix_rt::test]
+async fn a_request_that_cannot_be_repeated_never_gets_a_second_attempt() {
+    let (first, second) = (stub(None, None).await, stub(Some(0), None).await);
+    let addresses = [first.address, second.address];
+    for forwarder in [with_share(1.0), with_fallback()] {
+        let outcome = send(&forwarder, "once", &addresses, (RouteKind::Once, 3), 300).await;
+        assert!(matches!(outcome, Outcome::Late), "{outcome:?}");
+    }
+    assert_eq!((first.requests.get(), second.requests.get()), (2, 0));
+    assert_eq!(second_attempts("once"), [0; 5]);
+    assert_eq!(metrics::FIRST_ATTEMPTS.with_label_values(&["once"]).get(), 0);
+}
+
+/// The endpoint of a second attempt accepts no connections. Guards against credit that is lost with
+/// an attempt that was not sent.
+#[actix_rt::test]
+async fn the_credit_of_an_unsent_second_attempt_is_refunded() {
+    let (first, second) = (stub(None, None).await, stub(Some(0), None).await);
+    let closed = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    let forwarder = with_share(0.5);
+    let addresses = [first.address, closed];
+    for _ in 0..2 {
+        send(&forwarder, "refunded", &addresses, REPEATABLE, 200).await;
+    }
+    assert_eq!(second_attempts("refunded"), [0, 0, 0, 1, 0]);
+    // The credit of 1.0 is still there; without the refund it would be 0.5 now.
+    let addresses = [first.address, second.address];
+    let outcome = send(&forwarder, "refunded", &addresses, REPEATABLE, 200).await;
+    assert!(is_success(&outcome), "{outcome:?}");
+    assert_eq!(second_attempts("refunded"), [1, 1, 0, 1, 0]);
+}
--- a/components/node/tests/leader/fleet.rs
+++ b/components/node/tests/leader/fleet.rs
@@ -21,6 +21,7 @@
 use chicoryford_fleet::copies::PartId;
 use chicoryford_fleet::copies::Placement;
 use chicoryford_fleet::copies::StoreId;
+use chicoryford_fleet::hedge::SecondAttempts;
 use chicoryford_fleet::plan::SampleOutput;
 use chicoryford_fleet::run::Cost;
 use chicoryford_fleet::run::HostCommand;
@@ -240,6 +241,7 @@
         usage_window_s: 5,
         keep_s: 120,
         policy: Policy::default(),
+        second_attempts: SecondAttempts::default(),
         log: "info".to_owned(),
     }
 }
--- a/components/node/tests/settings.rs
+++ b/components/node/tests/settings.rs
@@ -1,8 +1,11 @@
 //! The settings file of a process of a fleet.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use chicoryford_fleet::Policy;
+use chicoryford_fleet::hedge::AttemptShare;
+use chicoryford_fleet::hedge::SecondAttempts;
 use chicoryford_node::settings;
 use chicoryford_node::settings::SettingsError;
 
@@ -50,3 +53,21 @@
     let missing = load("node: core-1\n").unwrap_err();
     assert!(format!("{missing:?}").contains("ip"));
 }
+
+/// Guards against a limit of second attempts that is read as another one, or silently ignored.
+#[test]
+fn shares_of_second_attempts_are_read_and_checked() {
+    let share = |share: f64| AttemptShare::try_from(share).unwrap();
+    assert_eq!(load(MINIMAL).unwrap().second_attempts, SecondAttempts::default());
+    let text = "policy:\n  connect_fallback: true\nsecond_attempts:\n  share: 0.05\n";
+    let settings = load(&format!("{MINIMAL}{text}")).unwrap();
+    assert!(settings.policy.connect_fallback && !Policy::default().connect_fallback);
+    assert_eq!(settings.second_attempts.share, Some(share(0.05)));
+    let text = "second_attempts: { share: 0, services: { desk: 0.02 } }\n";
+    let limits = load(&format!("{MINIMAL}{text}")).unwrap().second_attempts;
+    let services = BTreeMap::from([("desk".to_owned(), share(0.02))]);
+    assert_eq!(limits, SecondAttempts { share: Some(share(0.0)), services });
+    for unfit in ["{ share: 5 }", "{ share: -0.1 }", "{ shares: 0.05 }"] {
+        assert!(load(&format!("{MINIMAL}second_attempts: {unfit}\n")).is_err(), "{unfit}");
+    }
+}
