--- a/components/fleet/src/policy.rs
+++ b/components/fleet/src/policy.rs
@@ -53,6 +53,8 @@
     /// Limit the concurrent scorers' calls of a host at each endpoint, so that callers find free
     /// slots. Disabled by default.
     pub paced_scorers: bool,
+    /// Start another attempt if one has no connection after some round trips; off by default.
+    pub connect_fallback: bool,
 }
 
 impl Default for Policy {
@@ -77,6 +79,7 @@
             kept_results: true,
             compression: true,
             paced_scorers: false,
+            connect_fallback: false,
         }
     }
 }
--- a/components/node/src/forward/pacing.rs
+++ b/components/node/src/forward/pacing.rs
@@ -18,8 +18,8 @@
 use tokio::sync::Notify;
 
 use super::Forwarder;
-use super::attempt::AttemptLog;
 use super::dispatch::Dispatch;
+use super::gate::Attempts;
 use crate::clock;
 use crate::message::Update;
 use crate::metrics;
@@ -100,14 +100,14 @@
     pacing: &'a Pacing,
     id: String,
     route: &'a str,
-    /// The attempt log and the index of this attempt in it.
-    record: (AttemptLog, usize),
+    /// The attempts of the request, and the index of this one.
+    record: (Rc<Attempts>, usize),
 }
 
 impl Drop for PacedAttempt<'_> {
     fn drop(&mut self) {
-        let (log, index) = &self.record;
-        let end = log.borrow().get(*index).and_then(|record| record.end);
+        let (attempts, index) = &self.record;
+        let end = attempts.records.borrow().get(*index).and_then(|record| record.end);
         let outcome = end.map_or(AttemptOutcome::Dropped(0), |(outcome, _)| outcome);
         let baseline = self.forwarder.picker.borrow().baseline_ms(self.route);
         if self.pacing.pacer.borrow_mut().record_end(&self.id, outcome, baseline) {
@@ -188,15 +188,11 @@
     }
 
     /// Counts an attempt that starts now against the window of its endpoint.
-    pub(super) fn start_paced(
-        &self,
-        id: &str,
-        record: &(AttemptLog, usize),
-    ) -> Option<PacedAttempt<'a>> {
+    pub(super) fn start_paced(&self, id: &str, index: usize) -> Option<PacedAttempt<'a>> {
         let (pacing, _) = self.pacing()?;
         pacing.pacer.borrow_mut().record_start(id);
         pacing.wake_next();
-        let (forwarder, record) = (self.forwarder, record.clone());
+        let (forwarder, record) = (self.forwarder, (self.attempts.clone(), index));
         Some(PacedAttempt { forwarder, pacing, id: id.to_owned(), route: self.route, record })
     }
 }
