Fleet: decide which endpoints are unreachable for all processes

Each process discovered for itself, and again after each penalty, that an endpoint cannot be connected to. The pure module reachability decides for the leader which endpoints are marked by two reporters, and for members when to report and when to probe; the picker uses marked endpoints only if no other one passes the filter. policy.shared_reachability enables it and is off by default.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod plan;
 pub mod policy;
 pub mod ranges;
+pub mod reachability;
 pub mod reporters;
 pub mod result_cache;
 pub mod run;
--- a/components/fleet/src/pick.rs
+++ b/components/fleet/src/pick.rs
@@ -22,6 +22,7 @@
 use crate::endpoint::Endpoint;
 use crate::endpoint::EndpointStatus;
 use crate::policy::Policy;
+use crate::reachability::LocalReachability;
 
 /// Weight of the newest measurement in the moving average, which covers about the last five.
 const NEWEST_WEIGHT: f64 = 0.2;
@@ -42,6 +43,9 @@
 const FAILURE_PENALTY_MS: u64 = 250;
 /// Maximum number of doublings of the penalty, which limits it to four seconds.
 const MAX_DOUBLINGS: u32 = 4;
+/// Penalty in milliseconds of an endpoint that is known to be unreachable. It is longer than any
+/// penalty for failures, so that such an endpoint is used only if no other one passes the filter.
+const UNREACHABLE_PENALTY_MS: u64 = 10_000;
 
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -108,6 +112,7 @@
     recent_times: BTreeMap<String, RecentTimes>,
     rng: SmallRng,
     policy: Policy,
+    reachability: LocalReachability,
 }
 
 /// Durations of the latest answers of a route, in milliseconds.
@@ -144,14 +149,21 @@
     pub fn new(seed: u64) -> Self {
         let rng = SmallRng::seed_from_u64(seed);
         let (endpoints, recent_times) = (BTreeMap::new(), BTreeMap::new());
-        Self { endpoints, recent_times, rng, policy: Policy::default() }
+        let reachability = LocalReachability::new(seed);
+        Self { endpoints, recent_times, rng, policy: Policy::default(), reachability }
     }
 
     /// Sets which mechanisms are enabled.
-    pub fn with_policy(self, policy: Policy) -> Self {
+    pub fn with_policy(mut self, policy: Policy) -> Self {
+        self.reachability.set_enabled(policy.shared_reachability);
         Self { policy, ..self }
     }
 
+    /// Returns what is known of unreachable endpoints.
+    pub fn reachability(&mut self) -> &mut LocalReachability {
+        &mut self.reachability
+    }
+
     /// Adds an endpoint or updates it.
     pub fn observe(&mut self, endpoint: &Endpoint) {
         match self.endpoints.get_mut(&endpoint.announcement.id) {
@@ -208,6 +220,8 @@
         // Endpoints that failed recently are used only if there are no others.
         let best = candidates.iter().map(|state| {
             let penalty = if self.policy.penalties { state.avoided_until.since(now) } else { 0 };
+            let unreachable = state.is_unreachable(&self.reachability, now);
+            let penalty = penalty + if unreachable { UNREACHABLE_PENALTY_MS } else { 0 };
             let slowness = if self.policy.learned_times { state.slowness_at(now) } else { 1.0 };
             let expected = state.expected_ms(usual_ms * slowness);
             (penalty, expected * (1.0 + self.rng.random_range(0.0..0.1)), state)
@@ -228,6 +242,28 @@
         Ok(target)
     }
 
+    /// Chooses an unreachable endpoint of a service that is due to be probed, among those for which
+    /// `fits` returns true, and counts the attempt.
+    pub fn pick_probe(
+        &mut self,
+        service: &str,
+        route: &str,
+        fits: impl Fn(&str) -> bool,
+        now: Millis,
+    ) -> Option<Target> {
+        if !self.reachability.is_probe_due(now) {
+            return None;
+        }
+        let candidates = self.endpoints.values().filter(|state| {
+            state.serves(service)
+                && state.is_unreachable(&self.reachability, now)
+                && fits(&state.endpoint.announcement.id)
+        });
+        let ids = candidates.map(|state| &*state.endpoint.announcement.id).collect();
+        let probed = self.reachability.start_probe(ids, now)?;
+        self.pick(service, route, |id| id == probed, now).ok()
+    }
+
     /// Returns whether a service has a ready endpoint for which `fits` returns true.
     pub fn has_ready(&self, service: &str, fits: impl Fn(&str) -> bool) -> bool {
         self.endpoints
@@ -318,6 +354,11 @@
         announcement.service == service && *status == EndpointStatus::Ready && !self.moved
     }
 
+    fn is_unreachable(&self, reachability: &LocalReachability, now: Millis) -> bool {
+        let announcement = &self.endpoint.announcement;
+        reachability.is_unreachable(&announcement.id, announcement.started_ms, now)
+    }
+
     fn record_slowness(&mut self, slowness: f64, now: Millis) {
         self.slowness += NEWEST_WEIGHT * (slowness.min(MAX_SLOWNESS) - self.slowness);
         self.measured_at = now;
--- a/components/fleet/src/policy.rs
+++ b/components/fleet/src/policy.rs
@@ -1,6 +1,6 @@
 //! Switches for the mechanisms that decide where work is sent.
 //!
-//! All of them are enabled by default. Disabling one serves to measure its effect on a deployment
+//! They are enabled by default unless stated otherwise. Disabling one serves to measure its effect on a deployment
 //! (docs/POLICY.md), or to avoid it where it does harm.
 
 use serde::Deserialize;
@@ -46,6 +46,9 @@
     pub kept_results: bool,
     /// Compress frames between processes.
     pub compression: bool,
+    /// Tell other processes, through the leader, which endpoints of plain services are unreachable.
+    /// Disabled by default.
+    pub shared_reachability: bool,
 }
 
 impl Default for Policy {
@@ -68,6 +71,7 @@
             near_reads: true,
             kept_results: true,
             compression: true,
+            shared_reachability: false,
         }
     }
 }
