Node: share which endpoints are unreachable through the leader

Each entry and host discovered unreachable endpoints for itself, at 60 to 250 ms a connection. Members now report failed connections to the leader, which broadcasts the endpoints that two processes report. A connection attempt continues in the background when a second attempt overtakes it, so that its failure is reported too.

Tested with a leader and followers on loopback sockets.

--- a/components/fleet/src/pick.rs
+++ b/components/fleet/src/pick.rs
@@ -294,6 +294,17 @@
         self.endpoints.get(id).is_some_and(|state| state.endpoint.status == EndpointStatus::Ready)
     }
 
+    /// Returns the start time of an endpoint.
+    pub fn started_ms(&self, id: &str) -> Option<u64> {
+        self.endpoints.get(id).map(|state| state.endpoint.announcement.started_ms)
+    }
+
+    /// Returns whether an endpoint is known to be unreachable.
+    pub fn is_unreachable(&self, id: &str, now: Millis) -> bool {
+        let state = self.endpoints.get(id);
+        state.is_some_and(|state| state.is_unreachable(&self.reachability, now))
+    }
+
     /// Returns the median duration of a route's recent answers, as measured by this process.
     pub fn median_ms(&self, route: &str) -> Option<f64> {
         self.recent_times.get(route)?.median()
--- a/components/node/src/followers.rs
+++ b/components/node/src/followers.rs
@@ -122,6 +122,11 @@
         });
     }
 
+    /// Returns the number of connected members.
+    pub fn count_members(&self) -> usize {
+        self.members.borrow().len()
+    }
+
     /// Sends a request to a store. Returns `None` if the store is not connected or does not answer
     /// in time.
     pub async fn request(
--- a/components/node/src/forward/dispatch.rs
+++ b/components/node/src/forward/dispatch.rs
@@ -164,6 +164,13 @@
         let tried = |id: &str| self.tried.iter().any(|tried| tried == id);
         let limit = self.max_endpoints as usize;
         let fits = |id: &str| !tried(id) && self.budget.allows(id, limit);
+        // A probe may fail, after which the request needs another attempt.
+        if self.tried.is_empty()
+            && self.attempts_left > 1
+            && let Some(target) = picker.pick_probe(self.service, self.route, fits, clock::now())
+        {
+            return Ok(target);
+        }
         picker.pick(self.service, self.route, fits, clock::now())
     }
 
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod budget;
 mod dispatch;
+mod reachability;
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -36,6 +37,7 @@
 use attempt::Attempt;
 use attempt::AttemptLog;
 use dispatch::Dispatch;
+use reachability::Reporter;
 
 pub use budget::Budget;
 
@@ -79,12 +81,13 @@
 
 /// Forwards requests. Each process has one, so that it counts all of its attempts.
 pub struct Forwarder {
-    picker: RefCell<Picker>,
+    picker: Rc<RefCell<Picker>>,
     pool: RefCell<Pool>,
     /// Whether a slow attempt is hedged by a second one.
     hedging: bool,
     queues: WaitQueues,
     crashes: Rc<Crashes>,
+    reporter: Rc<Reporter>,
 }
 
 /// On whose behalf a request is forwarded.
@@ -101,10 +104,11 @@
 impl Forwarder {
     /// Creates a forwarder without endpoints.
     pub fn new(policy: Policy) -> Rc<Self> {
-        let picker = RefCell::new(Picker::new(rand::random()).with_policy(policy));
+        let picker = Rc::new(RefCell::new(Picker::new(rand::random()).with_policy(policy)));
+        let reporter = Rc::new(Reporter::new(picker.clone()));
         let hedging = policy.second_attempts;
         let (pool, queues, crashes) = (RefCell::default(), WaitQueues::default(), Rc::default());
-        Rc::new(Self { picker, pool, hedging, queues, crashes })
+        Rc::new(Self { picker, pool, hedging, queues, crashes, reporter })
     }
 
     /// Applies an update to endpoints, routes and refused contents.
@@ -125,6 +129,7 @@
             }
             Update::Refused(refused) => self.crashes.refuse(refused),
             Update::Suspected(suspected) => self.crashes.suspect(suspected),
+            Update::Unreachable(set) => picker.reachability().replace_set(set, clock::now()),
             Update::Controls(_) | Update::Ordered(_) => {}
         }
     }
@@ -134,6 +139,11 @@
         self.crashes.clone().report_periodically(link).await;
     }
 
+    /// Reports to the leader which endpoints can be connected to, for as long as the process runs.
+    pub async fn report_reachability(&self, link: Rc<Link>) {
+        self.reporter.clone().run(link).await;
+    }
+
     /// Closes connections that have been idle too long.
     pub fn sweep(&self) {
         let picker = self.picker.borrow();
@@ -226,9 +236,11 @@
         let mut attempt =
             Attempt { forwarder: self, id: &target.id, route, began, ended: false, record };
         let pooled = self.pool.borrow_mut().take(target.address, &target.id);
-        let connection = match pooled.filter(|_| !at_most_once) {
+        // A connection from before an outage may never answer, and says nothing about its end.
+        let is_reusable = !at_most_once && !self.reporter.is_unreachable(&target.id);
+        let connection = match pooled.filter(|_| is_reusable) {
             Some(connection) => connection,
-            None => match Connection::open(target.address, CONNECT_TIMEOUT).await {
+            None => match self.reporter.connect(&target).await {
                 Ok(connection) => connection,
                 Err(error) => {
                     attempt.log(request, "unsent", &error);
--- a/components/node/src/leader/first_state.rs
+++ b/components/node/src/leader/first_state.rs
@@ -10,6 +10,7 @@
 use chicoryford_fleet::Registry;
 use chicoryford_fleet::ranges::RangeCache;
 use chicoryford_fleet::ranges::RangeContent;
+use chicoryford_fleet::reachability::UnreachableSet;
 use chicoryford_types::Fingerprint;
 
 use crate::frame::encode;
@@ -27,6 +28,8 @@
     pub(super) refused: BTreeSet<Fingerprint>,
     /// Contents that are suspected to crash endpoints.
     pub(super) suspected: BTreeSet<Fingerprint>,
+    /// Endpoints that are marked as unreachable, if that is shared.
+    pub(super) unreachable: Option<UnreachableSet>,
 }
 
 /// The encoded state for new followers.
@@ -95,6 +98,7 @@
         updates.extend(config.map(Update::Config));
         updates.push(Update::Refused(common.refused.clone()));
         updates.push(Update::Suspected(common.suspected.clone()));
+        updates.extend(common.unreachable.clone().map(Update::Unreachable));
         let frame = encode(&LeaderMessage::Everything(updates));
         self.common = Some((common, frame.clone()));
         frame
--- a/components/node/src/leader/mod.rs
+++ b/components/node/src/leader/mod.rs
@@ -5,6 +5,7 @@
 mod endpoints;
 mod first_state;
 mod grants;
+mod reachability;
 mod readers;
 mod runs;
 mod steps;
@@ -34,6 +35,7 @@
 use chicoryford_fleet::order_lease::OrderLease;
 use chicoryford_fleet::plan::Planner;
 use chicoryford_fleet::plan::RunEnd;
+use chicoryford_fleet::reachability::ReachabilityTracker;
 use chicoryford_fleet::run::Cost;
 use chicoryford_fleet::run::RunReport;
 use chicoryford_fleet::step::StoredResult;
@@ -139,6 +141,8 @@
     usage: usage::Usage,
     /// Endpoints that hosts found to have ended.
     found_ended: RefCell<BTreeSet<String>>,
+    /// Reports of members about endpoints that cannot be connected to.
+    reachability: RefCell<ReachabilityTracker>,
     /// Samples whose grants are being extended.
     extending: RefCell<BTreeSet<String>>,
     /// Whether open runs are being recorded.
@@ -198,6 +202,7 @@
             tasks: RefCell::default(),
             usage,
             found_ended: RefCell::default(),
+            reachability: RefCell::default(),
             extending: RefCell::default(),
             recording_runs: Cell::default(),
             runs_checked: Cell::default(),
@@ -228,6 +233,7 @@
             actix_rt::spawn(copies::run_repairs(Rc::downgrade(&leader))),
             actix_rt::spawn(run_persistence(Rc::downgrade(&leader))),
             actix_rt::spawn(crate::listing::run(Rc::downgrade(&leader))),
+            actix_rt::spawn(reachability::run(Rc::downgrade(&leader))),
             actix_rt::spawn(members::run_removals(
                 Rc::downgrade(&leader),
                 Duration::from_millis(CHECK_MEMBERS_INTERVAL_MS),
@@ -300,6 +306,7 @@
             config: state.config.clone(),
             refused: state.crashes.refused(),
             suspected: state.crashes.suspected(),
+            unreachable: self.unreachable_set(),
         };
         [encode_uncompressed(&LeaderMessage::Ranges(ranges)), first_state.encode_common(common)]
     }
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -11,6 +11,7 @@
 use chicoryford_depot::Worker;
 use chicoryford_fleet::crashes::Crash;
 use chicoryford_fleet::heartbeats::Heartbeat;
+use chicoryford_fleet::reachability::Report;
 use chicoryford_fleet::usage;
 use chicoryford_http::socket;
 use chicoryford_kernel::run_time;
@@ -190,6 +191,16 @@
         self.send(MemberMessage::Cleared(content))
     }
 
+    /// Reports whether an endpoint could be connected to. Returns whether the report was queued.
+    pub fn report_reachability(&self, report: Report) -> bool {
+        let Report { endpoint, started_ms, reached } = report;
+        self.send(if reached {
+            MemberMessage::Reachable { endpoint, started_ms }
+        } else {
+            MemberMessage::Unreachable { endpoint, started_ms }
+        })
+    }
+
     fn send(&self, message: MemberMessage) -> bool {
         let sender = self.sender.borrow();
         sender.as_ref().is_some_and(|sender| sender.try_send(message).is_ok())
--- a/components/node/src/link_server.rs
+++ b/components/node/src/link_server.rs
@@ -274,6 +274,12 @@
             (MemberMessage::Used(report), _) => self.leader.record_usage(report),
             (MemberMessage::Crashed(crash), _) => self.leader.record_crash(crash),
             (MemberMessage::Cleared(content), _) => self.leader.record_cleared(content),
+            (MemberMessage::Unreachable { endpoint, started_ms }, _) => {
+                self.leader.record_unreachable(self.node, &endpoint, started_ms);
+            }
+            (MemberMessage::Reachable { endpoint, started_ms }, _) => {
+                self.leader.record_reachable(self.node, &endpoint, started_ms);
+            }
             (MemberMessage::Heard(heartbeats), _) => {
                 self.leader.record_heartbeats(self.node, &heartbeats)
             }
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -17,6 +17,7 @@
 use chicoryford_fleet::crashes::Crash;
 use chicoryford_fleet::heartbeats::Heartbeat;
 use chicoryford_fleet::ranges::RangeContent;
+use chicoryford_fleet::reachability::UnreachableSet;
 use chicoryford_fleet::run::HostCommand;
 use chicoryford_fleet::run::RunReport;
 use chicoryford_fleet::usage;
@@ -102,6 +103,20 @@
         /// The answer.
         reply: StoreReply,
     },
+    /// An endpoint of a plain service could not be connected to.
+    Unreachable {
+        /// The endpoint id.
+        endpoint: String,
+        /// The start time of the endpoint.
+        started_ms: u64,
+    },
+    /// An endpoint that was reported or marked as unreachable was connected to.
+    Reachable {
+        /// The endpoint id.
+        endpoint: String,
+        /// The start time of the endpoint.
+        started_ms: u64,
+    },
 }
 
 /// A request of the leader to a store.
@@ -193,6 +208,8 @@
     Refused(BTreeSet<Fingerprint>),
     /// Contents that are suspected to crash endpoints. Completed requests with them are reported.
     Suspected(BTreeSet<Fingerprint>),
+    /// All endpoints that are marked as unreachable.
+    Unreachable(UnreachableSet),
 }
 
 /// A call from a member to the leader.
@@ -291,6 +308,7 @@
             Self::Reported | Self::Alive(_) | Self::Beat { .. } => "alive",
             Self::Used(_) => "usage",
             Self::Crashed(_) | Self::Cleared(_) => "crash",
+            Self::Unreachable { .. } | Self::Reachable { .. } => "reachability",
             Self::Told { reply: StoreReply::Part(_), .. } => "part_got",
             Self::Told { .. } => "part_kept",
         }
@@ -315,9 +333,11 @@
             Self::Config(_) => "news_config",
             Self::Endpoint(_) => "news_endpoint",
             Self::Ordered(_) => "news_ordered",
-            Self::Forgotten(_) | Self::Controls(_) | Self::Refused(_) | Self::Suspected(_) => {
-                "news_other"
-            }
+            Self::Forgotten(_)
+            | Self::Controls(_)
+            | Self::Refused(_)
+            | Self::Suspected(_)
+            | Self::Unreachable(_) => "news_other",
         }
     }
 }
--- a/components/node/src/metrics.rs
+++ b/components/node/src/metrics.rs
@@ -101,6 +101,13 @@
     register_int_gauge_vec!("endpoints", "Endpoints by standing, at the leader.", &["standing"])
         .expect("names are unique")
 });
+static UNREACHABLE: LazyLock<IntGauge> = LazyLock::new(|| {
+    register_int_gauge!(
+        "unreachable_endpoints",
+        "Endpoints that are marked as unreachable, at the leader."
+    )
+    .expect("names are unique")
+});
 static SAMPLES: LazyLock<IntGaugeVec> = LazyLock::new(|| {
     register_int_gauge_vec!("samples", "Samples of open steps by phase.", &["phase"])
         .expect("names are unique")
@@ -121,11 +128,13 @@
     LEADER_SILENT.set(sources.link.silent_ms() as i64);
     LEADS.set(i64::from(sources.replica.as_ref().is_some_and(|replica| replica.leads())));
     ENDPOINTS.reset();
+    UNREACHABLE.set(0);
     SAMPLES.reset();
     if let Some(leader) = &*sources.leader.borrow() {
         for (standing, count) in leader.endpoint_counts() {
             ENDPOINTS.with_label_values(&[standing.as_str()]).set(count);
         }
+        UNREACHABLE.set(leader.unreachable_count() as i64);
         for (phase, count) in leader.plan.borrow().phase_counts() {
             SAMPLES.with_label_values(&[phase]).set(count as i64);
         }
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -230,6 +230,8 @@
         actix_rt::spawn(async move { link.run().await });
         let (forwarder, link) = (process.forwarder.clone(), process.link.clone());
         actix_rt::spawn(async move { forwarder.report_crashes(link).await });
+        let (forwarder, link) = (process.forwarder.clone(), process.link.clone());
+        actix_rt::spawn(async move { forwarder.report_reachability(link).await });
         let forwarder = process.forwarder.clone();
         actix_rt::spawn(async move {
             loop {
--- a/components/node/src/view.rs
+++ b/components/node/src/view.rs
@@ -75,7 +75,7 @@
                 self.order_times.borrow_mut().insert(id.clone(), clock::now());
             }
             // The forwarder handles these updates as a listener.
-            Update::Refused(_) | Update::Suspected(_) => {}
+            Update::Refused(_) | Update::Suspected(_) | Update::Unreachable(_) => {}
             Update::Controls(controls) => *self.controls.borrow_mut() = controls.clone(),
         }
         for listener in self.listeners.borrow().iter() {
--- a/components/node/tests/leader/main.rs
+++ b/components/node/tests/leader/main.rs
@@ -11,6 +11,7 @@
 mod keys;
 mod listing;
 mod member;
+mod reachability;
 mod retired;
 #[path = "../support/route.rs"]
 mod route;
--- /dev/null
+++ b/components/node/tests/leader/reachability.rs
@@ -0,0 +1,384 @@
+//! Endpoints that some processes cannot connect to, on real sockets.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use chicoryford_fleet::Policy;
+use chicoryford_fleet::RouteKind;
+use chicoryford_http::Request;
+use chicoryford_http::message::Method;
+use chicoryford_node::Settings;
+use chicoryford_node::clock;
+use chicoryford_node::forward::Budget;
+use chicoryford_node::forward::Forwarder;
+use chicoryford_node::forward::Outcome;
+use chicoryford_node::forward::Requester;
+use chicoryford_node::frame::decode;
+use chicoryford_node::frame::encode;
+use chicoryford_node::link::Link;
+use chicoryford_node::link::Member;
+use chicoryford_node::message::Answer;
+use chicoryford_node::message::Call;
+use chicoryford_node::message::LeaderMessage;
+use chicoryford_node::message::MemberMessage;
+use chicoryford_node::message::Update;
+use chicoryford_node::view::View;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use crate::endpoint::endpoint;
+use crate::fleet::Fleet;
+use crate::fleet::config_with_desk;
+use crate::fleet::pause;
+use crate::fleet::wait_until;
+use crate::member::Socket;
+use crate::member::connect_member;
+use crate::route::route;
+use crate::updates::configure;
+use crate::updates::engine;
+
+/// Number of requests that a follower sends to show which endpoints it avoids. If it avoided none,
+/// it would miss one of three endpoints by chance once in 10^7 times.
+const REQUEST_COUNT: usize = 40;
+/// Number of connections that fill the queue of a listener with a backlog of one.
+const BACKLOG_CONNECTIONS: usize = 4;
+
+/// Starts a fleet that shares reachability, with the service "desk".
+async fn sharing_fleet() -> Fleet {
+    let policy = Policy { shared_reachability: true, ..Policy::default() };
+    let fleet = Fleet::start_with(|settings| Settings { policy, ..settings }).await;
+    configure(&fleet, config_with_desk(2)).await;
+    fleet
+}
+
+async fn announce(fleet: &Fleet, id: &str, address: SocketAddr) {
+    let announcement = endpoint("desk", id, address, 4).announcement;
+    let answer = fleet.leader().answer(Call::Announce(announcement)).await;
+    assert!(matches!(answer, Answer::Heard), "{answer:?}");
+}
+
+/// A follower with its forwarder.
+struct Follower {
+    forwarder: Rc<Forwarder>,
+    link: Rc<Link>,
+    /// The number of endpoints that it has been told to avoid.
+    avoided: Rc<Cell<usize>>,
+}
+
+impl Follower {
+    async fn start(fleet: &Fleet, node: &str) -> Self {
+        Self::start_with(fleet, node, true).await
+    }
+
+    async fn start_with(fleet: &Fleet, node: &str, shared_reachability: bool) -> Self {
+        // Equally loaded endpoints are chosen at random, however fast they are.
+        let policy = Policy { shared_reachability, learned_times: false, ..Policy::default() };
+        let forwarder = Forwarder::new(policy);
+        let (view, applies) = (Rc::new(View::default()), forwarder.clone());
+        let avoided = Rc::<Cell<usize>>::default();
+        let count = avoided.clone();
+        view.subscribe(move |update| {
+            if let Update::Unreachable(set) = update {
+                count.set(set.endpoints.len());
+            }
+            applies.apply(update);
+        });
+        let member = Member {
+            node: node.to_owned(),
+            data_centre: "here".to_owned(),
+            address: fleet.links,
+            replica: false,
+            depot: None,
+            runner: None,
+        };
+        let link = Link::new(member, view, vec![fleet.links]);
+        let (linked, reporting, reporter) = (link.clone(), link.clone(), forwarder.clone());
+        actix_rt::spawn(async move { linked.run().await });
+        actix_rt::spawn(async move { reporter.report_reachability(reporting).await });
+        wait_until("the process follows", || link.is_connected()).await;
+        Self { forwarder, link, avoided }
+    }
+
+    /// Sends a request.
+    async fn send(&self) -> Outcome {
+        let mut request = Request::new(Method::POST, "/desk/x", "");
+        request.headers.set("x-attempt-id", "id");
+        let budget = Budget::new(clock::now() + 1_000);
+        let route = route("desk", RouteKind::Idempotent, 3);
+        self.forwarder.forward(&route, &request, &budget, 1_000, Requester::default()).await
+    }
+
+    /// Sends requests and returns how long the slowest one took. All of them must be answered.
+    async fn slowest(&self) -> Duration {
+        let mut slowest = Duration::ZERO;
+        for _ in 0..REQUEST_COUNT {
+            let began = Instant::now();
+            let outcome = self.send().await;
+            assert!(matches!(outcome, Outcome::Answered(_)), "{outcome:?}");
+            slowest = slowest.max(began.elapsed());
+        }
+        slowest
+    }
+}
+
+/// Answers each request.
+async fn answering() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    actix_rt::spawn(answer_all(listener));
+    address
+}
+
+async fn answer_all(listener: TcpListener) {
+    loop {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        actix_rt::spawn(async move {
+            let mut bytes = vec![0; 4_096];
+            while stream.read(&mut bytes).await.is_ok_and(|read| read > 0) {
+                let answer = "HTTP/1.1 200 OK\r\nx-attempt-id: id\r\nx-response-stamp: s\r\n\
+                              content-length: 2\r\n\r\nok";
+                if stream.write_all(answer.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+/// An address at which connections are neither accepted nor refused, as at a VM without power.
+struct Unanswered {
+    address: SocketAddr,
+    listener: TcpListener,
+    pending: Vec<TcpStream>,
+}
+
+impl Unanswered {
+    async fn start() -> Self {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let listener = socket.listen(1).unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut pending = Vec::new();
+        for _ in 0..BACKLOG_CONNECTIONS {
+            let opening = TcpStream::connect(address);
+            match tokio::time::timeout(Duration::from_millis(100), opening).await {
+                Ok(stream) => pending.push(stream.unwrap()),
+                Err(_) => return Self { address, listener, pending },
+            }
+        }
+        panic!("the queue of the listener is not full");
+    }
+
+    /// Answers from now on.
+    fn recover(self) {
+        drop(self.pending);
+        actix_rt::spawn(answer_all(self.listener));
+    }
+}
+
+/// Returns the newest set of unreachable endpoints that a member receives within a short time.
+async fn received_set(socket: &mut Socket) -> Option<BTreeMap<String, u64>> {
+    let mut newest = None;
+    let next = async |socket: &mut Socket| {
+        tokio::time::timeout(Duration::from_millis(300), socket.next()).await.ok()
+    };
+    let until = Instant::now() + Duration::from_secs(1);
+    while let Some(frame) = next(socket).await
+        && Instant::now() < until
+    {
+        let updates = match decode(&frame.unwrap().unwrap()).unwrap() {
+            LeaderMessage::Everything(all) => all,
+            LeaderMessage::News(update) => vec![update],
+            _ => Vec::new(),
+        };
+        for update in updates {
+            if let Update::Unreachable(set) = update {
+                newest = Some(set.endpoints);
+            }
+        }
+    }
+    newest
+}
+
+async fn report(member: &mut Socket, endpoint: &str, started_ms: u64) {
+    let endpoint = endpoint.to_owned();
+    let message = MemberMessage::Unreachable { endpoint, started_ms };
+    member.send(encode(&message)).await.unwrap();
+}
+
+/// Guards against each entry finding out for itself that an endpoint does not answer. The attempts of
+/// the reporting entries are overtaken by second attempts, and dropped before they fail.
+#[actix_rt::test]
+async fn what_two_followers_find_unreachable_a_third_one_avoids() {
+    let fleet = sharing_fleet().await;
+    let silent = Unanswered::start().await;
+    announce(&fleet, "d0", silent.address).await;
+    announce(&fleet, "d1", answering().await).await;
+    announce(&fleet, "d2", answering().await).await;
+    let mut reporters = Vec::new();
+    for node in ["a", "b"] {
+        reporters.push(Follower::start(&fleet, node).await);
+    }
+    let avoiding = Follower::start(&fleet, "c").await;
+    pause(100).await;
+
+    let leader = fleet.leader();
+    let marked = async {
+        while leader.unreachable_count() == 0 {
+            futures_util::future::join_all(reporters.iter().map(Follower::send)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(5), marked).await.expect("the endpoint is marked");
+    pause(50).await;
+
+    let slowest = avoiding.slowest().await;
+    assert!(slowest < Duration::from_millis(50), "a request tried the endpoint: {slowest:?}");
+    silent.recover();
+}
+
+/// Guards against a process that is cut off and takes endpoints away from the others.
+#[actix_rt::test]
+async fn what_one_follower_reports_no_other_avoids() {
+    let fleet = sharing_fleet().await;
+    announce(&fleet, "d0", answering().await).await;
+    announce(&fleet, "d1", answering().await).await;
+    let mut cut_off = connect_member(fleet.links, "a", false).await;
+    let mut again = connect_member(fleet.links, "a", false).await;
+    for member in [&mut cut_off, &mut again] {
+        report(member, "d0", 0).await;
+    }
+    pause(100).await;
+    assert_eq!(fleet.leader().unreachable_count(), 0, "both connections are of one process");
+    report(&mut connect_member(fleet.links, "b", false).await, "d0", 0).await;
+    wait_until("another process reports it", || fleet.leader().unreachable_count() == 1).await;
+}
+
+/// Guards against followers that do not learn of the set because they connect after its broadcast,
+/// and against a set that outlives the leader's knowledge.
+#[actix_rt::test]
+async fn a_new_follower_gets_the_set_and_a_new_leader_begins_without_one() {
+    let fleet = sharing_fleet().await;
+    announce(&fleet, "d0", "127.0.0.1:9".parse().unwrap()).await;
+    announce(&fleet, "d1", answering().await).await;
+    for node in ["a", "b"] {
+        report(&mut connect_member(fleet.links, node, false).await, "d0", 0).await;
+    }
+    wait_until("the endpoint is marked", || fleet.leader().unreachable_count() == 1).await;
+    pause(50).await;
+    let mut late = connect_member(fleet.links, "c", false).await;
+    assert_eq!(received_set(&mut late).await, Some(BTreeMap::from([("d0".to_owned(), 0)])));
+    fleet.next_leader();
+    let mut next = connect_member(fleet.links, "c", false).await;
+    assert_eq!(received_set(&mut next).await, Some(BTreeMap::new()));
+}
+
+/// Guards against a new leader for which callers have to find out again what the followers know.
+#[actix_rt::test]
+async fn followers_report_to_a_new_leader_what_they_have_just_found() {
+    let fleet = sharing_fleet().await;
+    let silent = Unanswered::start().await;
+    announce(&fleet, "d0", silent.address).await;
+    announce(&fleet, "d1", answering().await).await;
+    let followers = [Follower::start(&fleet, "a").await, Follower::start(&fleet, "b").await];
+    pause(100).await;
+    let leader = fleet.leader();
+    let marked = async {
+        while leader.unreachable_count() == 0 {
+            futures_util::future::join_all(followers.iter().map(Follower::send)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(5), marked).await.expect("the endpoint is marked");
+
+    let next = fleet.next_leader();
+    announce(&fleet, "d0", silent.address).await;
+    announce(&fleet, "d1", "127.0.0.1:9".parse().unwrap()).await;
+    let learned = || next.unreachable_count() == 1;
+    let began = Instant::now();
+    wait_until("the next leader knows it", learned).await;
+    assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
+    assert!(followers.iter().all(|follower| follower.link.is_connected()));
+}
+
+/// Guards against an endpoint that is avoided after it can be reached again: one of the processes
+/// probes it with a request, and that ends the state for all.
+#[actix_rt::test]
+async fn a_successful_probe_ends_the_state_for_all() {
+    let fleet = sharing_fleet().await;
+    announce(&fleet, "d0", answering().await).await;
+    announce(&fleet, "d1", answering().await).await;
+    let probing = Follower::start(&fleet, "c").await;
+    let other = Follower::start(&fleet, "d").await;
+    let mut cut_off = connect_member(fleet.links, "a", false).await;
+    report(&mut connect_member(fleet.links, "b", false).await, "d0", 0).await;
+    report(&mut cut_off, "d0", 0).await;
+    wait_until("the endpoint is marked", || fleet.leader().unreachable_count() == 1).await;
+    wait_until("the other process avoids it", || other.avoided.get() == 1).await;
+    let (began, mut reported) = (Instant::now(), Instant::now());
+    while fleet.leader().unreachable_count() == 1 {
+        assert!(began.elapsed() < Duration::from_secs(10), "no process probes it");
+        assert!(matches!(probing.send().await, Outcome::Answered(_)));
+        // The mark does not expire.
+        if reported.elapsed() > Duration::from_millis(500) {
+            report(&mut cut_off, "d0", 0).await;
+            reported = Instant::now();
+        }
+        pause(10).await;
+    }
+    wait_until("the other process uses it again", || other.avoided.get() == 0).await;
+}
+
+/// Guards against marks on engines, at which the leader decides where samples run, on endpoints of an
+/// earlier start, and on those that nobody knows.
+#[actix_rt::test]
+async fn reports_of_engines_and_of_earlier_starts_mark_nothing() {
+    let fleet = sharing_fleet().await;
+    for id in ["e0", "e1"] {
+        fleet.leader().answer(Call::Announce(engine(id, 1))).await;
+    }
+    for id in ["d0", "d1"] {
+        let mut announcement = endpoint("desk", id, answering().await, 4).announcement;
+        announcement.started_ms = 5;
+        fleet.leader().answer(Call::Announce(announcement)).await;
+    }
+    for node in ["a", "b"] {
+        let mut member = connect_member(fleet.links, node, false).await;
+        for (id, started_ms) in [("e0", 0), ("d0", 4), ("x", 0)] {
+            report(&mut member, id, started_ms).await;
+        }
+    }
+    pause(100).await;
+    assert_eq!(fleet.leader().unreachable_count(), 0);
+}
+
+/// Guards against effects of the setting while it is off, at the leader or at a follower.
+#[actix_rt::test]
+async fn nothing_is_shared_when_it_is_off() {
+    let fleet = Fleet::start().await;
+    configure(&fleet, config_with_desk(2)).await;
+    announce(&fleet, "d0", answering().await).await;
+    announce(&fleet, "d1", answering().await).await;
+    for node in ["a", "b"] {
+        report(&mut connect_member(fleet.links, node, false).await, "d0", 0).await;
+    }
+    pause(100).await;
+    assert_eq!(fleet.leader().unreachable_count(), 0);
+    let mut member = connect_member(fleet.links, "c", false).await;
+    assert_eq!(received_set(&mut member).await, None);
+
+    let fleet = sharing_fleet().await;
+    announce(&fleet, "d0", "127.0.0.1:9".parse().unwrap()).await;
+    announce(&fleet, "d1", answering().await).await;
+    for node in ["a", "b"] {
+        Follower::start_with(&fleet, node, false).await.slowest().await;
+    }
+    assert_eq!(fleet.leader().unreachable_count(), 0);
+}
