--- a/components/fleet/tests/reachability.rs
+++ b/components/fleet/tests/reachability.rs
@@ -612,6 +612,19 @@
     }
 }
 
+/// Guards against a new leader that must wait until callers find out again, and against reports of
+/// endpoints that have been reached or were last tried long ago.
+#[test]
+fn a_member_repeats_its_recent_reports_to_a_new_leader() {
+    let mut member = member(1);
+    member.record_failure("e0", 1, Millis(0));
+    member.record_failure("e1", 1, Millis(1_500));
+    member.record_failure("e2", 1, Millis(1_500));
+    assert!(member.record_success("e2", 1).is_some(), "it is reported, as the failure was");
+    let repeated = member.reports_for_new_leader(Millis(2_500));
+    assert_eq!(repeated, [Report { endpoint: "e1".to_owned(), started_ms: 1, reached: false }]);
+}
+
 /// Guards against a member that is cut off from the leader and avoids endpoints which have been
 /// reachable for a long time.
 #[test]
--- a/components/node/tests/settings.rs
+++ b/components/node/tests/settings.rs
@@ -42,6 +42,15 @@
     assert!(format!("{misspelt:?}").contains("run_note"));
 }
 
+/// Guards against a settings file that does not enable what it names, and against enabling it in
+/// deployments that do not name it.
+#[test]
+fn reachability_is_shared_only_if_the_settings_say_so() {
+    assert!(!load(MINIMAL).unwrap().policy.shared_reachability);
+    let settings = load(&format!("{MINIMAL}policy:\n  shared_reachability: true\n")).unwrap();
+    assert_eq!(settings.policy, Policy { shared_reachability: true, ..Policy::default() });
+}
+
 #[test]
 fn a_misspelt_or_missing_field_is_named() {
     let misspelt = load(&format!("{MINIMAL}seads: []\n")).unwrap_err();
