--- a/components/fleet/src/policy.rs
+++ b/components/fleet/src/policy.rs
@@ -55,6 +55,9 @@
     pub paced_scorers: bool,
     /// Start another attempt if one has no connection after some round trips; off by default.
     pub connect_fallback: bool,
+    /// Tell other processes, through the leader, which endpoints of plain services are unreachable.
+    /// Disabled by default.
+    pub shared_reachability: bool,
 }
 
 impl Default for Policy {
@@ -80,6 +83,7 @@
             compression: true,
             paced_scorers: false,
             connect_fallback: false,
+            shared_reachability: false,
         }
     }
 }
--- a/components/node/src/forward/dispatch.rs
+++ b/components/node/src/forward/dispatch.rs
@@ -315,6 +315,13 @@
         }
         let mut picker = self.forwarder.picker.borrow_mut();
         let fits = |id: &str| self.may_try(id) && self.has_window(id);
+        // A probe may fail, after which the request needs another attempt.
+        if self.tried.is_empty()
+            && self.attempts_left > 1
+            && let Some(target) = picker.pick_probe(self.service, self.route, fits, clock::now())
+        {
+            return Ok(target);
+        }
         picker.pick(self.service, self.route, fits, clock::now())
     }
 
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -5,6 +5,7 @@
 mod dispatch;
 mod gate;
 mod pacing;
+mod reachability;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -42,6 +43,7 @@
 use dispatch::Dispatch;
 use gate::Attempts;
 use pacing::Pacing;
+use reachability::Reporter;
 
 pub use budget::Budget;
 
@@ -85,7 +87,7 @@
 
 /// Forwards requests. Each process has one, so that it counts all of its attempts.
 pub struct Forwarder {
-    picker: RefCell<Picker>,
+    picker: Rc<RefCell<Picker>>,
     pool: RefCell<Pool>,
     /// Decides which second attempts are sent.
     hedging: RefCell<Hedging>,
@@ -94,6 +96,7 @@
     /// Limits scorers' calls, if that is enabled.
     pacing: Option<Pacing>,
     crashes: Rc<Crashes>,
+    reporter: Rc<Reporter>,
 }
 
 /// On whose behalf a request is forwarded.
@@ -115,11 +118,12 @@
 
     /// Creates a forwarder without endpoints, and with limits of second attempts.
     pub fn with_limits(policy: Policy, limits: SecondAttempts) -> Rc<Self> {
-        let picker = RefCell::new(Picker::new(rand::random()).with_policy(policy));
+        let picker = Rc::new(RefCell::new(Picker::new(rand::random()).with_policy(policy)));
+        let reporter = Rc::new(Reporter::new(picker.clone()));
         let hedging = RefCell::new(Hedging::new(limits));
         let (pool, queues, crashes) = (RefCell::default(), WaitQueues::default(), Rc::default());
         let pacing = policy.paced_scorers.then(Pacing::default);
-        Rc::new(Self { picker, pool, hedging, policy, queues, pacing, crashes })
+        Rc::new(Self { picker, pool, hedging, policy, queues, pacing, crashes, reporter })
     }
 
     /// Sets the number of hosts whose scorers' calls share the endpoints; zero if unknown.
@@ -153,6 +157,7 @@
             }
             Update::Refused(refused) => self.crashes.refuse(refused),
             Update::Suspected(suspected) => self.crashes.suspect(suspected),
+            Update::Unreachable(set) => picker.reachability().replace_set(set, clock::now()),
             Update::Controls(_) | Update::Ordered(_) => {}
         }
     }
@@ -162,6 +167,11 @@
         self.crashes.clone().report_periodically(link).await;
     }
 
+    /// Reports to the leader which endpoints can be connected to, for as long as the process runs.
+    pub async fn report_reachability(&self, link: Rc<Link>) {
+        self.reporter.clone().run(link).await;
+    }
+
     /// Closes connections that have been idle too long.
     pub fn sweep(&self) {
         let picker = self.picker.borrow();
@@ -252,9 +262,11 @@
     ) -> AttemptResult {
         let target = attempt.target.clone();
         let pooled = self.pool.borrow_mut().take(target.address, &target.id);
-        let mut connection = match pooled.filter(|_| !attempt.at_most_once) {
+        // A connection from before an outage may never answer, and says nothing about its end.
+        let is_reusable = !attempt.at_most_once && !self.reporter.is_unreachable(&target.id);
+        let mut connection = match pooled.filter(|_| is_reusable) {
             Some(connection) => connection,
-            None => match Connection::open(target.address, CONNECT_TIMEOUT).await {
+            None => match self.reporter.connect(&target).await {
                 Ok(connection) => connection,
                 Err(error) => {
                     attempt.log(request, "unsent", &error);
