Leader: a refused retirement says how many stores run and are needed

The 409 to a request to retire a store VM named no numbers, so operators could not tell how many stores to start first.

The leader answers with the number of stores left and needed, and logs them (retirement_refused). The status is unchanged.

--- a/components/fleet/src/copies.rs
+++ b/components/fleet/src/copies.rs
@@ -31,6 +31,25 @@
     pub identity: u64,
 }
 
+/// Why a store VM cannot be retired.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct StoreShortage {
+    /// The number of stores that are running, without the one to be retired.
+    pub left: usize,
+    /// The number of stores that must be running besides the one to be retired.
+    pub needed: usize,
+}
+
+impl StoreShortage {
+    /// Checks whether a store may be retired while `left` others are running. Each part is on one
+    /// more store than the number of VMs that may be lost, so that many must remain to take its
+    /// parts.
+    pub fn after_retirement(left: usize, tolerated: u32) -> Option<Self> {
+        let needed = tolerated as usize + 1;
+        (left < needed).then_some(Self { left, needed })
+    }
+}
+
 /// Where a part is stored.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub enum Placement {
--- a/components/fleet/tests/copies.rs
+++ b/components/fleet/tests/copies.rs
@@ -5,6 +5,7 @@
 
 use chicoryford_fleet::copies::Placement;
 use chicoryford_fleet::copies::StoreId;
+use chicoryford_fleet::copies::StoreShortage;
 use chicoryford_fleet::copies::Stores;
 use chicoryford_types::Millis;
 
@@ -132,3 +133,18 @@
     stores.disconnected(&id("b", 1), Millis(1));
     assert_eq!(stores.address_in(&placement, "y"), None, "it is not connected");
 }
+
+/// Guards against a fleet that is left with fewer stores than copies of each part, and against a
+/// retirement that is refused although enough stores remain.
+#[test]
+fn a_store_is_retired_only_if_enough_others_run() {
+    for tolerated in 0..4 {
+        let needed = tolerated as usize + 1;
+        for left in 0..needed {
+            let shortage = StoreShortage { left, needed };
+            assert_eq!(StoreShortage::after_retirement(left, tolerated), Some(shortage));
+        }
+        assert_eq!(StoreShortage::after_retirement(needed, tolerated), None);
+        assert_eq!(StoreShortage::after_retirement(needed + 1, tolerated), None);
+    }
+}
--- a/components/node/src/leader/stores.rs
+++ b/components/node/src/leader/stores.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use chicoryford_fleet::Command;
+use chicoryford_fleet::copies::StoreShortage;
 
 use crate::copies;
 use crate::leader::Leader;
@@ -18,8 +19,12 @@
             return Answer::Unknown;
         }
         let left = self.copies.count(|other| other != node && !retired.contains(other));
-        if left < self.context.settings.tolerated as usize + 1 {
-            return Answer::TooFew;
+        if let Some(shortage) =
+            StoreShortage::after_retirement(left, self.context.settings.tolerated)
+        {
+            let StoreShortage { left, needed } = shortage;
+            tracing::info!(event = "retirement_refused", store = node, left, needed);
+            return Answer::TooFew(shortage);
         }
         tracing::info!(event = "store_retires", store = node, left);
         self.retiring.borrow_mut().insert(node.clone());
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -14,6 +14,7 @@
 use chicoryford_fleet::ListedResult;
 use chicoryford_fleet::Step;
 use chicoryford_fleet::copies::PartId;
+use chicoryford_fleet::copies::StoreShortage;
 use chicoryford_fleet::crashes::Crash;
 use chicoryford_fleet::heartbeats::Heartbeat;
 use chicoryford_fleet::ranges::RangeContent;
@@ -257,8 +258,8 @@
     Unclear,
     /// The object of the call does not exist.
     Unknown,
-    /// Nothing was done: too few VMs would be left.
-    TooFew,
+    /// Nothing was done: too few store VMs would be left.
+    TooFew(StoreShortage),
     /// The announcement was recorded.
     Heard,
     /// The newest configuration, if there is one.
--- a/components/node/tests/leader/retired.rs
+++ b/components/node/tests/leader/retired.rs
@@ -2,6 +2,7 @@
 
 use chicoryford_fleet::copies::PartId;
 use chicoryford_fleet::copies::Placement;
+use chicoryford_fleet::copies::StoreShortage;
 use chicoryford_node::Settings;
 use chicoryford_node::message::Answer;
 use chicoryford_node::message::Call;
@@ -22,6 +23,28 @@
     }
 }
 
+/// Guards against an operator who retires a store, is refused, and is not told what to do: the answer
+/// must say how many stores are left and needed, and retiring must work once another one runs.
+#[actix_rt::test]
+async fn a_store_that_is_needed_is_not_retired_until_another_one_runs() {
+    let fleet = Fleet::start_with(|settings| Settings { tolerated: 1, ..settings }).await;
+    let parts = StoredParts::default();
+    let mut stores = Vec::new();
+    for name in ["s1", "s2"] {
+        stores.push(Member::connect(fleet.links, name, parts.clone(), Vec::new()).await);
+    }
+    let leader = fleet.leader();
+    wait_until("the stores are connected", || leader.copies.count(|_| true) == 2).await;
+    let refused = leader.answer(Call::Retire("s1".to_owned())).await;
+    let Answer::TooFew(shortage) = refused else { panic!("{refused:?}") };
+    assert_eq!(shortage, StoreShortage { left: 1, needed: 2 });
+    assert!(fleet.replica.state().retired.is_empty());
+    stores.push(Member::connect(fleet.links, "s3", parts.clone(), Vec::new()).await);
+    wait_until("another store is connected", || leader.copies.count(|_| true) == 3).await;
+    let retired = leader.answer(Call::Retire("s1".to_owned())).await;
+    assert!(matches!(retired, Answer::Done), "{retired:?}");
+}
+
 /// Guards against an accepted step that is lost with one disk. A store has taken the step's part
 /// when it is emptied, another one does not answer, and the part is recorded after the emptied store
 /// was reported to be empty, and was removed.
