Fleet: findings about a configuration, and its differences from another

Config::check reports the first reason for a refusal, and nothing about routes that match no request or limits that contradict each other, so an operator learns of them one submission at a time or under load.

check.rs computes all reasons, with the same code as Config::check, and warnings about entries without effect. diff.rs compares two configurations; keys are only counted.

--- a/components/fleet/src/config.rs
+++ b/components/fleet/src/config.rs
@@ -179,14 +179,9 @@
         let known: BTreeSet<&str> = self.services.iter().map(|s| s.name.as_str()).collect();
         let mut prefixes: BTreeMap<(&str, &str), &str> = BTreeMap::new();
         for route in &self.routes {
-            check_route(route, &known)?;
-            let prefix = (route.host.as_str(), route.prefix.as_str());
-            if let Some(first) = prefixes.insert(prefix, &route.name) {
-                return Err(ConfigError::DuplicateRoute {
-                    first: first.to_owned(),
-                    second: route.name.clone(),
-                    prefix: route.prefix.clone(),
-                });
+            let duplicate = record_prefix(&mut prefixes, route);
+            if let Some(error) = route_errors(route, &known).into_iter().chain(duplicate).next() {
+                return Err(error);
             }
         }
         Ok(())
@@ -213,21 +208,37 @@
     }
 }
 
-fn check_route(route: &Route, known: &BTreeSet<&str>) -> Result<(), ConfigError> {
+/// Records the host and prefix of a route, and returns an error if an earlier route has the same.
+pub(crate) fn record_prefix<'a>(
+    prefixes: &mut BTreeMap<(&'a str, &'a str), &'a str>,
+    route: &'a Route,
+) -> Option<ConfigError> {
+    let first = prefixes.insert((route.host.as_str(), route.prefix.as_str()), &route.name)?;
+    Some(ConfigError::DuplicateRoute {
+        first: first.to_owned(),
+        second: route.name.clone(),
+        prefix: route.prefix.clone(),
+    })
+}
+
+/// Returns the reasons for which a route is rejected by itself.
+pub(crate) fn route_errors(route: &Route, known: &BTreeSet<&str>) -> Vec<ConfigError> {
     let name = || route.name.clone();
+    let mut errors = Vec::new();
     if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
-        return Err(ConfigError::BadPrefix { route: name(), prefix: route.prefix.clone() });
+        errors.push(ConfigError::BadPrefix { route: name(), prefix: route.prefix.clone() });
     }
-    if let Some(share) = route.shares.iter().find(|s| !known.contains(s.service.as_str())) {
-        return Err(ConfigError::UnknownService { route: name(), service: share.service.clone() });
+    for share in route.shares.iter().filter(|share| !known.contains(share.service.as_str())) {
+        let service = share.service.clone();
+        errors.push(ConfigError::UnknownService { route: name(), service });
     }
     if route.shares.iter().all(|share| share.weight == 0) {
-        return Err(ConfigError::ZeroWeight { route: name() });
+        errors.push(ConfigError::ZeroWeight { route: name() });
     }
     if route.timeout_ms == Some(0) {
-        return Err(ConfigError::ZeroTimeout { route: name() });
+        errors.push(ConfigError::ZeroTimeout { route: name() });
     }
-    Ok(())
+    errors
 }
 
 impl Route {
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -5,9 +5,11 @@
 //! describes how they work together.
 
 pub mod baseline;
+pub mod check;
 pub mod config;
 pub mod copies;
 pub mod crashes;
+pub mod diff;
 pub mod duty;
 pub mod endpoint;
 pub mod grant;
--- a/components/fleet/src/workspace.rs
+++ b/components/fleet/src/workspace.rs
@@ -145,23 +145,27 @@
     ///
     /// The [`ConfigError`] names the workspaces, never a key.
     pub fn check(&self) -> Result<(), ConfigError> {
+        self.errors().into_iter().next().map_or(Ok(()), |(_, error)| Err(error))
+    }
+
+    /// Returns the errors of [`Workspaces::check`], each with the index of its workspace.
+    pub(crate) fn errors(&self) -> Vec<(usize, ConfigError)> {
+        let mut errors = Vec::new();
         let mut names: BTreeSet<&str> = BTreeSet::new();
         let mut holders: BTreeMap<Digest, &str> = BTreeMap::new();
-        for workspace in &self.all {
+        for (index, workspace) in self.all.iter().enumerate() {
             let name = workspace.name.as_str();
             if !names.insert(name) {
-                return Err(ConfigError::DuplicateWorkspace { name: name.to_owned() });
+                errors.push((index, ConfigError::DuplicateWorkspace { name: name.to_owned() }));
             }
             for key in &workspace.keys {
                 let first = *holders.entry(*key).or_insert(name);
                 if first != name {
-                    return Err(ConfigError::SharedKey {
-                        first: first.to_owned(),
-                        second: name.to_owned(),
-                    });
+                    let (first, second) = (first.to_owned(), name.to_owned());
+                    errors.push((index, ConfigError::SharedKey { first, second }));
                 }
             }
         }
-        Ok(())
+        errors
     }
 }
