Client: config check, for templates and configurations of a fleet

An operator could check a template's syntax, but not learn of names that do not exist, of limits that contradict each other, or of what a file would change, and could check a configuration of a fleet only by submitting it.

It sends only reads.

--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod check;
 pub mod error;
+pub mod findings;
 pub mod load;
 pub mod locate;
 pub mod process;
--- a/components/settings/src/template.rs
+++ b/components/settings/src/template.rs
@@ -29,10 +29,28 @@
 ///
 /// Returns the errors of [`load_templates`].
 pub fn parse_templates(file: &Path, text: &str) -> Result<Vec<Template>, SettingsError> {
-    let starts = document_starts(text);
     let mut templates = Vec::new();
+    for parsed in parse_each(file, text) {
+        let (from, template, faults) = parsed?;
+        load::reject_faults(file, text, from, faults)?;
+        templates.push(template);
+    }
+    Ok(templates)
+}
+
+/// A template with the first line of its document and its faults.
+pub(crate) type Parsed = (usize, Template, Vec<Fault>);
+
+/// Parses all templates of a file, also those after one with faults.
+pub(crate) fn parse_all(file: &Path, text: &str) -> Result<Vec<Parsed>, SettingsError> {
+    parse_each(file, text).collect()
+}
+
+fn parse_each(file: &Path, text: &str) -> impl Iterator<Item = Result<Parsed, SettingsError>> {
+    let starts = document_starts(text);
     let mut seen = BTreeSet::new();
-    for (index, deserializer) in serde_yaml_ng::Deserializer::from_str(text).enumerate() {
+    let documents = serde_yaml_ng::Deserializer::from_str(text).enumerate();
+    documents.map(move |(index, deserializer)| {
         let template: Template = load::parse_document(file, deserializer)?;
         let mut faults = check(&template);
         if !seen.insert(template.workspace.clone()) {
@@ -40,10 +58,8 @@
             faults.push(Fault { field: "workspace".to_owned(), problem: duplicate });
         }
         let from = starts.get(index).copied().unwrap_or(1);
-        load::reject_faults(file, text, from, faults)?;
-        templates.push(template);
-    }
-    Ok(templates)
+        Ok((from, template, faults))
+    })
 }
 
 /// Returns all faults of a template.
--- a/components/wire/src/keys.rs
+++ b/components/wire/src/keys.rs
@@ -138,6 +138,16 @@
     rest.is_none().then(|| (Digest::of(token.as_bytes()), Identity { kind, principal }))
 }
 
+/// Reads who has a key in a key file, without keeping the tokens.
+///
+/// # Errors
+///
+/// Returns [`KeyError`] if the file cannot be read or has a malformed line.
+pub fn read_holders(path: &Path) -> Result<Vec<Identity>, KeyError> {
+    let text = fs::read_to_string(path).map_err(|e| KeyError::Read(path.to_owned(), e))?;
+    Ok(parse(path, &text)?.into_iter().map(|(_, identity)| identity).collect())
+}
+
 /// Reads the token that authenticates a process or client, which is the first line of a file.
 ///
 /// # Errors
--- a/components/wire/tests/keys.rs
+++ b/components/wire/tests/keys.rs
@@ -5,6 +5,8 @@
 
 use chicoryford_types::Principal;
 use chicoryford_wire::Keys;
+use chicoryford_wire::keys::Kind;
+use chicoryford_wire::keys::read_holders;
 
 #[test]
 fn can_rotate_tokens_without_a_restart() {
@@ -29,3 +31,14 @@
     let rest = error.strip_prefix(&file.path().display().to_string()).unwrap();
     assert_eq!(rest, ":1: a key reads `<caller|trainer|operator|process> <name> <token>`");
 }
+
+/// Guards against a check of templates that prints tokens or reports callers with a key as unknown.
+#[test]
+fn can_read_holders_without_tokens() {
+    let file = tempfile::NamedTempFile::new().unwrap();
+    fs::write(file.path(), "caller desk secret-token\ntrainer coach other-token\n").unwrap();
+    let holders = read_holders(file.path()).unwrap();
+    let kinds: Vec<_> = holders.iter().map(|h| (h.kind, h.principal.as_str())).collect();
+    assert_eq!(kinds, [(Kind::Caller, "desk"), (Kind::Trainer, "coach")]);
+    assert!(!format!("{holders:?}").contains("token"));
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -5,6 +5,7 @@
 use clap::Args;
 use clap::Parser;
 use clap::Subcommand;
+use clap::ValueEnum;
 use clap_complete::Shell;
 
 use crate::output::Format;
@@ -37,7 +38,7 @@
   6  unknown: the request was sent and its answer lost; send it again with the --change printed";
 
 /// How to reach the system; flags go before the environment, which goes before the file.
-#[derive(Args, Debug)]
+#[derive(Args, Clone, Debug)]
 #[command(next_help_heading = "Reaching the system")]
 pub struct Reach {
     /// An entry or control process, as IP:PORT; repeat for several, which are tried in turn.
@@ -63,6 +64,9 @@
     /// Check, apply, read and compare templates.
     #[command(subcommand)]
     Template(TemplateCommand),
+    /// Check configurations before they are submitted.
+    #[command(subcommand)]
+    Config(ConfigCommand),
     /// Apply the templates of a file; the same as `template apply`.
     Apply(ApplyArgs),
     /// Plan, cancel and watch stops.
@@ -163,6 +167,41 @@
     },
 }
 
+/// Check configurations before they are submitted.
+#[derive(Debug, Subcommand)]
+pub enum ConfigCommand {
+    /// Report errors, entries that can never match, limits that contradict each other, and what
+    /// differs from the version in force. Nothing is changed.
+    Check(CheckArgs),
+}
+
+/// Check a configuration.
+#[derive(Args, Debug)]
+pub struct CheckArgs {
+    /// The file: templates in YAML, or a configuration of a fleet in JSON.
+    pub file: PathBuf,
+    /// Also compare with the version in force, read from this process, as IP:PORT: an entry or
+    /// control process for templates, a control process of the fleet for its configuration.
+    #[arg(long, value_name = "ADDRESS")]
+    pub against: Option<String>,
+    /// The form of the file; if it is left out, a file that begins with `{` is a configuration of a
+    /// fleet.
+    #[arg(long, value_enum)]
+    pub format: Option<ConfigForm>,
+    /// The keys file of the processes, to find callers and trainers of templates that have no key.
+    #[arg(long, value_name = "FILE")]
+    pub keys: Option<PathBuf>,
+}
+
+/// The form of a configuration file.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, ValueEnum)]
+pub enum ConfigForm {
+    /// Templates of workspaces.
+    Template,
+    /// The routes, services and limits of a fleet on the users' platform.
+    Platform,
+}
+
 /// Apply templates.
 #[derive(Args, Debug)]
 pub struct ApplyArgs {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 mod base;
 mod completions;
+mod config;
 mod control;
 mod dump;
 mod endpoints;
@@ -14,6 +15,7 @@
 
 use crate::cli::Cli;
 use crate::cli::Command;
+use crate::cli::ConfigCommand;
 use crate::connect::Connection;
 use crate::error::CmdError;
 
@@ -26,6 +28,10 @@
     let connect = || Connection::new(&cli.reach);
     match &cli.command {
         Command::Template(command) => template::run(command, connect, cli.output).await,
+        Command::Config(ConfigCommand::Check(args)) => {
+            let connect = |address: &str| Connection::to_address(&cli.reach, address);
+            config::check(args, connect, cli.output).await
+        }
         Command::Apply(args) => template::apply(&connect()?, args, cli.output).await,
         Command::Stop(command) => stop::run(&connect()?, command, cli.output).await,
         Command::Weights(command) => weights::run(&connect()?, command, cli.output).await,
--- a/src/connect.rs
+++ b/src/connect.rs
@@ -35,6 +35,8 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 const MAX_ANSWER_BYTES: usize = 64 << 20;
+/// Where control processes of a fleet return the configuration in force.
+const FLEET_CONFIG: &str = "/configuration";
 
 /// The client's own settings.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -120,6 +122,48 @@
         Ok(Self { client: Client::new(token, roots), addresses: settings.addresses, timeout })
     }
 
+    /// Prepares a connection to the process at `address` instead of the configured ones.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`Connection::new`].
+    pub fn to_address(reach: &Reach, address: &str) -> Result<Self, CmdError> {
+        Self::new(&Reach { address: vec![address.to_owned()], ..reach.clone() })
+    }
+
+    /// Reads the configuration in force of a fleet, as it was submitted. Control processes answer
+    /// in the format of the users' platform, in which 503 means that no leader can answer now or
+    /// that there is no configuration yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CmdError`] if no address gave a configuration in time.
+    pub async fn fleet_config(&self) -> Result<Vec<u8>, CmdError> {
+        let started = Instant::now();
+        loop {
+            let mut last = CmdError::NoAddress;
+            for address in &self.addresses {
+                let url = self.client.url(address, FLEET_CONFIG);
+                last = match self.send_once(address, FLEET_CONFIG, None).await {
+                    RequestResult::Answer(200, answer) => return Ok(answer),
+                    RequestResult::Answer(503 | 504, _) => {
+                        CmdError::NotNow(format!("{url}: no leader, or no configuration yet"))
+                    }
+                    RequestResult::Answer(status, _) => {
+                        let detail = format!("HTTP status {status}");
+                        return Err(CmdError::Shape { path: FLEET_CONFIG, detail });
+                    }
+                    RequestResult::NotSent(detail) => CmdError::Unreachable(detail),
+                    RequestResult::Lost(detail) => CmdError::NotNow(detail),
+                };
+            }
+            if started.elapsed() >= self.timeout {
+                return Err(last);
+            }
+            actix_rt::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
     /// Sends a read-only request.
     ///
     /// # Errors
--- a/src/error.rs
+++ b/src/error.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use chicoryford_config::in_force::InForce;
+use chicoryford_fleet::ConfigError;
 use chicoryford_settings::SettingsError;
 use chicoryford_state::Refusal;
 use chicoryford_types::Failure;
@@ -85,6 +86,25 @@
         /// The processes that were behind at the last poll.
         behind: Box<Behind>,
     },
+    /// A configuration would be refused or ignored.
+    #[error("{}: {errors} of the findings are errors", .file.display())]
+    Rejected {
+        /// The file.
+        file: PathBuf,
+        /// How many errors it has.
+        errors: usize,
+    },
+    /// A file is not a configuration.
+    #[error("{}: {source}", .file.display())]
+    Config {
+        /// The file.
+        file: PathBuf,
+        /// What is wrong with it.
+        source: ConfigError,
+    },
+    /// The configuration in force cannot be read now.
+    #[error("the configuration in force cannot be read now: {0}")]
+    NotNow(String),
     /// There are differences, and `--exit-code` was given.
     #[error("there are differences")]
     Differs,
@@ -155,12 +175,14 @@
             | Self::NoAddress
             | Self::Token(_)
             | Self::Tls(_)
+            | Self::Rejected { .. }
+            | Self::Config { .. }
             | Self::Fingerprint(_) => exit::USAGE,
             Self::Refused(refusal) => match **refusal {
                 Refusal::Conflict { .. } => exit::CONFLICT,
                 _ => exit::FAILED,
             },
-            Self::Unreachable(_) => exit::NOT_RUN,
+            Self::Unreachable(_) | Self::NotNow(_) => exit::NOT_RUN,
             Self::Failure(failure) if is_transient(failure) => exit::NOT_RUN,
             Self::Failure(failure) if failure.outcome == Outcome::Unknown => exit::UNKNOWN,
             Self::Lost { .. } => exit::UNKNOWN,
