Client: tests of config check against real processes

Nothing showed that config check reads the version in force without changing it, or that no key reaches its output.

The tests run it against a control process of a fleet and against a daemon with a template, compare exit codes and rows, and search each output for every key of the files.

--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -3,6 +3,7 @@
 
 mod bodies;
 mod client;
+mod config;
 mod docs;
 mod errors;
 mod explain;
