--- a/src/error.rs
+++ b/src/error.rs
@@ -87,7 +87,7 @@
         behind: Box<Behind>,
     },
     /// A configuration would be refused or ignored.
-    #[error("{}: {errors} of the findings are errors", .file.display())]
+    #[error("{}: cannot be used (errors: {errors})", .file.display())]
     Rejected {
         /// The file.
         file: PathBuf,
