Forwarding: attempts at endpoints that become unreachable are given up

Once all processes know that the endpoint is unreachable, the attempt is given up and the request is tried elsewhere, if it may be repeated.

--- a/components/node/src/forward/dispatch.rs
+++ b/components/node/src/forward/dispatch.rs
@@ -51,6 +51,9 @@
 /// caller can wait just as well, and another entry may find a free endpoint.
 const MAX_FULL_WAIT_MS: u64 = 90;
 
+/// Interval between checks whether the endpoints of the attempts in flight have become unreachable.
+const CUT_OFF_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+
 /// The state of one request in one pass.
 pub(super) struct Dispatch<'a> {
     pub(super) forwarder: &'a Forwarder,
@@ -169,6 +172,12 @@
                     }
                     continue;
                 }
+                () = run_time::sleep(CUT_OFF_CHECK_INTERVAL), if hedged && !self.at_most_once => {
+                    if self.is_cut_off() {
+                        running.clear();
+                    }
+                    continue;
+                }
             };
             if let Some(outcome) = tried.and_then(|tried| self.handle_result(tried)) {
                 return outcome;
--- a/components/node/src/forward/reachability.rs
+++ b/components/node/src/forward/reachability.rs
@@ -17,6 +17,7 @@
 use tokio::sync::Notify;
 
 use super::CONNECT_TIMEOUT;
+use super::dispatch::Dispatch;
 use crate::clock;
 use crate::link::Link;
 
@@ -139,6 +140,25 @@
     }
 }
 
+impl Dispatch<'_> {
+    /// Returns whether all attempts in flight are at endpoints that have become unreachable, and
+    /// another endpoint can be tried. Such attempts are not answered, and those on pooled connections
+    /// do not fail either.
+    pub(super) fn is_cut_off(&self) -> bool {
+        let gate = self.attempts.gate.borrow();
+        if self.attempts_left == 0 || gate.in_flight() == 0 || gate.in_flight() < gate.live() {
+            return false;
+        }
+        let reporter = &self.forwarder.reporter;
+        let records = self.attempts.records.borrow();
+        let mut in_flight = records.iter().filter(|record| record.end.is_none());
+        in_flight.all(|record| reporter.is_unreachable(&record.target.id))
+            && self.forwarder.picker.borrow().has_ready(self.service, |id| {
+                self.may_try(id) && self.has_window(id) && !reporter.is_unreachable(id)
+            })
+    }
+}
+
 /// Returns whether an error shows that an endpoint cannot be connected to. Others, such as a lack of
 /// file descriptors, are faults of this process.
 fn shows_unreachable(error: &ExchangeError) -> bool {
