--- a/components/fleet/benches/round.rs
+++ b/components/fleet/benches/round.rs
@@ -133,7 +133,7 @@
         let slow = time(|| drop(planner.slow_runs(NOW)));
         let weights = time(|| {
             let engines: Vec<&EngineState> = planner.engines().collect();
-            drop(swap::select_loads(&engines, &demands, &order_lease, policy, NOW));
+            drop(swap::select_loads(&engines, &demands, &order_lease, policy, |_| false, NOW));
         });
         let mut number = 0;
         let assigned = time(|| {
--- a/components/fleet/src/plan/upgrade.rs
+++ b/components/fleet/src/plan/upgrade.rs
@@ -245,6 +245,14 @@
         self.median_speed.update(self.engines.values().filter(ready).map(|engine| &engine.speed));
     }
 
+    /// Returns whether an engine is fast; never without `engine_speeds`.
+    pub fn is_fast(&self, engine: &EngineState) -> bool {
+        let median = self.median_speed;
+        self.policy.engine_speeds
+            && median.differs()
+            && engine.speed.class(median.ms) == SpeedClass::Fast
+    }
+
     /// Returns the number of fast engines.
     pub fn fast_engine_count(&self) -> usize {
         self.median_speed.fast
--- a/components/fleet/src/swap.rs
+++ b/components/fleet/src/swap.rs
@@ -66,15 +66,34 @@
 pub fn assign_engines<'a>(
     engines: &[&'a str],
     demands: &'a [ModelDemand],
+) -> BTreeMap<&'a str, &'a str> {
+    assign_more_engines(engines, demands, BTreeMap::new())
+}
+
+/// Assigns engines of two classes so that each model gets its share of the fast ones. Divided
+/// together, a model may get none, and its longest samples then make all of its steps late.
+pub fn assign_classes<'a>(
+    fast: &[&'a str],
+    others: &[&'a str],
+    demands: &'a [ModelDemand],
+) -> BTreeMap<&'a str, &'a str> {
+    let assigned = assign_more_engines(fast, demands, BTreeMap::new());
+    assign_more_engines(others, demands, assigned)
+}
+
+/// Assigns further engines to models.
+fn assign_more_engines<'a>(
+    engines: &[&'a str],
+    demands: &'a [ModelDemand],
+    mut assigned: BTreeMap<&'a str, &'a str>,
 ) -> BTreeMap<&'a str, &'a str> {
     let (count, models) = (engines.len(), demands.len());
     if models == 0 {
-        return BTreeMap::new();
+        return assigned;
     }
     let minimum = MIN_ENGINES.min(count / models);
     let spare = count - minimum * models;
     let total: u64 = demands.iter().map(|demand| demand.tokens.max(1)).sum();
-    let mut assigned = BTreeMap::new();
     let (mut next, mut tokens) = (0, 0);
     for (index, demand) in demands.iter().enumerate() {
         tokens += demand.tokens.max(1);
@@ -82,6 +101,8 @@
         let end = (minimum * (index + 1) + share as usize).min(count);
         let end = end.max(next);
         let needed_engines = demand.peak_samples.div_ceil(SAMPLES_PER_ENGINE).max(MIN_ENGINES);
+        let held = assigned.values().filter(|model| **model == demand.model).count();
+        let needed_engines = needed_engines.saturating_sub(held);
         for engine in engines[next..end].iter().take(needed_engines) {
             assigned.insert(*engine, demand.model.as_str());
         }
@@ -91,18 +112,23 @@
 }
 
 /// Selects the engines that load new weights now: first those of models whose samples wait for
-/// them, then those with the oldest versions, then the least loaded.
+/// them, then those with the oldest versions, then the least loaded. Engines for which `is_fast`
+/// returns true are divided among the models by themselves.
 pub fn select_loads(
     engines: &[&EngineState],
     demands: &[ModelDemand],
     order_lease: &OrderLease,
     policy: Policy,
+    is_fast: impl Fn(&EngineState) -> bool,
     now: Millis,
 ) -> Vec<WeightLoad> {
-    let mut ids: Vec<&str> =
-        engines.iter().map(|engine| &*engine.endpoint.announcement.id).collect();
-    ids.sort_unstable();
-    let assigned = assign_engines(&ids, demands);
+    let sorted_ids = |fast: bool| {
+        let of_class = engines.iter().filter(|engine| is_fast(engine) == fast);
+        let mut ids: Vec<&str> = of_class.map(|engine| &*engine.endpoint.announcement.id).collect();
+        ids.sort_unstable();
+        ids
+    };
+    let assigned = assign_classes(&sorted_ids(true), &sorted_ids(false), demands);
     let max_loading = (engines.len() * MAX_LOADING_SHARE.0 / MAX_LOADING_SHARE.1).max(1);
     let loading = engines.iter().filter(|engine| engine.loading.is_some()).count();
     let mut own_engines: BTreeMap<&str, Vec<&EngineState>> = BTreeMap::new();
--- a/components/fleet/tests/swap.rs
+++ b/components/fleet/tests/swap.rs
@@ -11,6 +11,7 @@
 use chicoryford_fleet::plan::Planner;
 use chicoryford_fleet::swap::ModelDemand;
 use chicoryford_fleet::swap::WeightLoad;
+use chicoryford_fleet::swap::assign_classes;
 use chicoryford_fleet::swap::assign_engines;
 use chicoryford_fleet::swap::select_loads;
 use chicoryford_types::Epoch;
@@ -41,7 +42,37 @@
 
 fn selected(planner: &Planner, demands: &[ModelDemand]) -> Vec<WeightLoad> {
     let engines: Vec<&EngineState> = planner.engines().collect();
-    select_loads(&engines, demands, &OrderLease::default(), Policy::default(), Millis(1))
+    let policy = Policy::default();
+    select_loads(&engines, demands, &OrderLease::default(), policy, |_| false, Millis(1))
+}
+
+/// Guards against steps that are always late because their model has no fast engine: divided
+/// together, by their ids, the fast engines may all go to one model.
+#[test]
+fn each_model_gets_its_share_of_the_fast_engines() {
+    let ids: Vec<String> = (0..44).map(|n| format!("e{n:02}")).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let demands = ["one", "two", "three", "four"].map(|model| demand(model, 2, 100));
+    let (others, fast) = ids.split_at(33);
+    let fast_engines = |assigned: &BTreeMap<&str, &str>, model: &str| {
+        fast.iter().filter(|id| assigned.get(**id) == Some(&model)).count()
+    };
+    let together = assign_engines(&ids, &demands);
+    assert_eq!(fast_engines(&together, "one"), 0);
+    let assigned = assign_classes(fast, others, &demands);
+    for demand in &demands {
+        assert!(fast_engines(&assigned, &demand.model) >= 2, "{assigned:?}");
+    }
+    assert_eq!(assigned.len(), 44);
+}
+
+/// Guards against other decisions where no engine is fast.
+#[test]
+fn without_fast_engines_the_division_is_the_same() {
+    let ids: Vec<String> = (0..44).map(|n| format!("e{n:02}")).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let demands = [demand("one", 1, 7), demand("two", 1, 100), demand("three", 1, 30)];
+    assert_eq!(assign_classes(&[], &ids, &demands), assign_engines(&ids, &demands));
 }
 
 #[test]
--- a/components/node/src/orders.rs
+++ b/components/node/src/orders.rs
@@ -112,6 +112,7 @@
                 &model_demands,
                 &leader.orders.borrow().lease,
                 leader.context.settings.policy,
+                |engine| plan.is_fast(engine),
                 now,
             )
         };
