Planner: a load of weights is no slowdown of an engine

A load pauses the runs of its engine for about a second, and the pause was part of the next reported gap. The engine then counted as slowed, and its runs were moved, also from fast engines.

Engines now record when a load ended. With engine_speeds, a report whose events may have waited for a load changes neither the speed nor the pace of its engine. Without engine_speeds, decisions are the same as before.

--- a/components/fleet/src/plan/engine.rs
+++ b/components/fleet/src/plan/engine.rs
@@ -13,6 +13,10 @@
 /// Half-life in milliseconds of a measured pace, which decays while there are no new measurements.
 pub(super) const PACE_HALF_LIFE_MS: f64 = 2_000.0;
 
+/// Milliseconds by which the last event of a report may be older than its arrival. Hosts report four
+/// times a second.
+const MAX_REPORT_AGE_MS: u64 = 250;
+
 /// What the planner knows about an engine.
 #[derive(Clone, Debug)]
 pub struct EngineState {
@@ -22,6 +26,8 @@
     pub running: BTreeMap<String, u32>,
     /// The model whose weights are being loaded or are about to be.
     pub loading: Option<String>,
+    /// When the last load of weights ended.
+    pub(super) loaded_at: Option<Millis>,
     /// Moving average of the milliseconds between events; zero before the first measurement.
     pub(super) pace_ms: f64,
     /// When the pace was last measured.
@@ -44,6 +50,7 @@
             endpoint: endpoint.clone(),
             running: BTreeMap::new(),
             loading: None,
+            loaded_at: None,
             pace_ms: 0.0,
             paced_at: Millis::default(),
             speed: Speed::default(),
@@ -53,6 +60,21 @@
         }
     }
 
+    /// Records that the load of weights ended, successfully or not.
+    pub fn end_load(&mut self, now: Millis) {
+        self.loading = None;
+        self.loaded_at = Some(now);
+    }
+
+    /// Returns whether events that were reported now, and took so many milliseconds, may have waited
+    /// for a load of weights. A load pauses the runs of an engine for about a second, which says
+    /// nothing about its speed.
+    pub(super) fn has_paused_for_load(&self, measured_ms: u64, now: Millis) -> bool {
+        let since_load_ms = self.loaded_at.map(|at| now.since(at));
+        self.loading.is_some()
+            || since_load_ms.is_some_and(|since_ms| since_ms < measured_ms + MAX_REPORT_AGE_MS)
+    }
+
     /// Returns the number of active runs.
     pub fn load(&self) -> u32 {
         self.running.values().sum()
--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -319,8 +319,8 @@
                 if engine.endpoint.announcement.started_ms < endpoint.announcement.started_ms =>
             {
                 let running = std::mem::take(&mut engine.running);
-                let loading = engine.loading.take();
-                *engine = EngineState { running, loading, ..EngineState::new(endpoint) };
+                let (loading, loaded_at) = (engine.loading.take(), engine.loaded_at);
+                *engine = EngineState { running, loading, loaded_at, ..EngineState::new(endpoint) };
             }
             Some(engine) => engine.endpoint = endpoint.clone(),
             None => {
--- a/components/fleet/src/plan/reports.rs
+++ b/components/fleet/src/plan/reports.rs
@@ -124,13 +124,29 @@
                 self.lengths.entry(model).or_default().record(expected, events, now);
             }
         }
-        if report.gap_ms > 0 {
+        if report.gap_ms > 0 && !self.has_paused_for_load(report, now) {
             self.record_pace(&report.endpoint, f64::from(report.gap_ms), now);
             self.record_speed(report, now);
         }
         ReportAction::Continue
     }
 
+    /// Returns whether the events of a report are no measurement of the engine's speed, because it
+    /// loaded weights meanwhile. Moving its runs would cost more than the load.
+    fn has_paused_for_load(&mut self, report: &RunReport, now: Millis) -> bool {
+        if !self.policy.engine_speeds {
+            return false;
+        }
+        let Some(engine) = self.engines.get_mut(&report.endpoint) else { return false };
+        let measured_ms = u64::from(report.gap_ms) * report.output.events.len() as u64;
+        let has_paused = engine.has_paused_for_load(measured_ms, now);
+        if has_paused {
+            // Events show that the engine works, whatever their pace.
+            engine.failures = 0;
+        }
+        has_paused
+    }
+
     /// Updates an engine's pace with the mean milliseconds between events of a run.
     pub(super) fn record_pace(&mut self, engine: &str, gap: f64, now: Millis) {
         let Some(engine) = self.engines.get_mut(engine) else { return };
--- a/components/fleet/tests/speeds.rs
+++ b/components/fleet/tests/speeds.rs
@@ -566,6 +566,32 @@
     }
 }
 
+/// Guards against runs that leave an engine, or an engine that counts as slow, because its runs paused
+/// while it loaded weights.
+#[test]
+fn a_report_that_spans_a_load_of_weights_is_no_slowdown() {
+    for (number, pace) in [(0, FAST_MS), (1, OTHER_MS)] {
+        let mut fleet = measured(&ONE_FAST);
+        let id = name(number);
+        fleet.planner.engine_mut(&id).unwrap().loading = Some("m".to_owned());
+        fleet.now = fleet.now + 1_000;
+        let load = fleet.planner.engine_mut(&id).unwrap();
+        load.end_load(fleet.now);
+        // Each of several runs reports the pause and five events after it.
+        fleet.now = fleet.now + 5 * pace as u64 + 100;
+        (0..6).for_each(|_| fleet.report(number, 220, 5));
+        assert_eq!(fleet.planner.slow_runs(fleet.now), [], "{id}");
+        let moves = fleet.planner.reserve_faster_engines(&steps_config(), fleet.now);
+        assert!(moves.iter().all(|one| one.from != id), "{moves:?}");
+        assert_eq!(fleet.planner.fast_engine_count(), 1);
+        // A pause without a load is still a slowdown.
+        fleet.now = fleet.now + 2_000;
+        (0..6).for_each(|_| fleet.report(number, 220, 5));
+        let run = ("warm".to_owned(), fleet.runs[number].index);
+        assert!(fleet.planner.slow_runs(fleet.now).contains(&run), "{id}");
+    }
+}
+
 /// Guards against a fast engine that is not recognised until a step is over.
 #[test]
 fn a_fast_engine_is_recognised_within_a_second() {
--- a/components/node/src/orders.rs
+++ b/components/node/src/orders.rs
@@ -156,7 +156,7 @@
     let WeightLoad { endpoint, model, version } = &load;
     tracing::info!(event = "weights_changed", endpoint, model, version, outcome, ms);
     if let Some(engine) = leader.plan.borrow_mut().engine_mut(endpoint) {
-        engine.loading = None;
+        engine.end_load(clock::now());
     }
     leader.orders.borrow_mut().tasks.remove(endpoint);
 }
