Planner: count the reserved fast slots among eligible engines

The share of the fast slots that is reserved for long samples was counted over the whole fleet. Short samples of a model that only fast engines serve therefore waited beside free slots that no other engine could replace.

The share is now counted among the engines that are eligible for the samples of a step, and nothing is reserved if all of them are fast. Which steps have to wait follows from the same rule, from free slots grouped by service, model and version in the one pass of a round.

--- a/components/fleet/src/plan/assign.rs
+++ b/components/fleet/src/plan/assign.rs
@@ -6,9 +6,9 @@
 
 use super::Planner;
 use super::candidates::Candidates;
-use super::candidates::FastUse;
 use super::engine::EngineState;
 use super::engine::RankBasis;
+use super::free_slots::RoundSlots;
 use super::lengths::SampleLengths;
 use super::open_runs::are_calls_logged;
 use super::samples::Assignment;
@@ -20,65 +20,9 @@
 use crate::config::Route;
 use crate::step::Step;
 
-/// Share of the fast engines' slots that stays free for long samples. Samples of several steps arrive
-/// within tenths of a second and may fill all engines; a long sample that starts on another engine
-/// or waits for a fast one makes its step late.
-const RESERVED_FAST_SHARE: f64 = 0.25;
 /// A sample is long if it takes more than this share of the time that its step has.
 const LONG_SHARE: f64 = 0.25;
 
-/// The free slots in a round.
-#[derive(Clone, Copy, Debug, Default)]
-struct FreeSlots {
-    /// Of engines that are not fast.
-    other: u32,
-    /// Of fast engines.
-    fast: u32,
-    /// Of fast engines, and only for long samples.
-    reserved: u32,
-}
-
-impl FreeSlots {
-    /// Counts the free slots of the engines that may be assigned runs.
-    fn count<'a>(engines: impl Iterator<Item = &'a EngineState>, basis: &RankBasis) -> Self {
-        let (mut slots, mut fast_slots) = (Self::default(), 0);
-        for engine in engines.filter(|engine| engine.is_ready(basis.now)) {
-            if basis.is_fast(engine) {
-                slots.fast += engine.free_slots();
-                fast_slots += engine.endpoint.announcement.slots;
-            } else {
-                slots.other += engine.free_slots();
-            }
-        }
-        slots.reserved = (f64::from(fast_slots) * RESERVED_FAST_SHARE) as u32;
-        slots
-    }
-
-    fn is_empty(self) -> bool {
-        self.other + self.fast == 0
-    }
-
-    /// Returns whether samples that are not long may still start.
-    fn has_room(self) -> bool {
-        self.other > 0 || self.fast > self.reserved
-    }
-
-    /// Returns how a sample may use the fast engines.
-    fn fast_use(self, is_long: bool) -> FastUse {
-        match is_long {
-            true => FastUse::ByRank,
-            false if self.fast > self.reserved => FastUse::Last,
-            false => FastUse::Never,
-        }
-    }
-
-    /// Records that a slot was taken.
-    fn take(&mut self, is_fast: bool) {
-        let slots = if is_fast { &mut self.fast } else { &mut self.other };
-        *slots = slots.saturating_sub(1);
-    }
-}
-
 impl Planner {
     /// Returns the samples that start now and the engine for each. Steps are ordered by priority
     /// and then by due time; within a step the longest samples come first. Each sample goes to the
@@ -111,14 +55,14 @@
         order.sort();
         self.visits.set(self.visits.get() + self.engines.len() as u64);
         let basis = self.rank_basis(now);
-        let mut free_slots = FreeSlots::count(self.engines.values(), &basis);
+        let mut free_slots = RoundSlots::count(self.engines.values(), basis);
         for (_, _, id) in order {
             if free_slots.is_empty() {
                 break;
             }
             // Without this check, rounds would examine all engines for steps whose samples wait
             // beside reserved slots.
-            if free_slots.has_room() || self.has_long_sample(&id, &basis) {
+            if self.has_room(&id, &free_slots) || self.has_long_sample(&id, &basis) {
                 self.assign_step(&id, config, basis, &mut free_slots, &mut assignments);
             }
         }
@@ -135,6 +79,13 @@
         }
     }
 
+    /// Returns whether samples of a step that are not long may start.
+    fn has_room(&self, id: &str, free_slots: &RoundSlots) -> bool {
+        self.steps.get(id).is_some_and(|planned| {
+            free_slots.has_room(&planned.step.model, planned.step.min_version)
+        })
+    }
+
     /// Returns whether a long sample of a step waits.
     fn has_long_sample(&self, id: &str, basis: &RankBasis) -> bool {
         self.steps.get(id).is_some_and(|planned| {
@@ -148,7 +99,7 @@
         id: &str,
         config: &Config,
         basis: RankBasis,
-        free_slots: &mut FreeSlots,
+        free_slots: &mut RoundSlots,
         assignments: &mut Vec<Assignment>,
     ) {
         let now = basis.now;
@@ -193,15 +144,14 @@
                 let destination = progress.reserved_engine.take();
                 let is_long =
                     destination.is_some() || is_long(&step, *index, progress, lengths, &basis);
-                let fast_use = free_slots.fast_use(is_long);
                 let destination =
                     destination.and_then(|id| candidates.reserve_on(&id, &step.model));
                 let engine = match destination {
                     Some(index) => Some(candidates.engine(index)),
-                    None => candidates.reserve(&step.model, avoided, preferred, fast_use),
+                    None => candidates.reserve(&step.model, avoided, preferred, is_long),
                 };
                 let Some(engine) = engine else { continue };
-                free_slots.take(basis.is_fast(engine));
+                free_slots.take(engine);
                 self.last_run += 1;
                 planned.waiting -= 1;
                 let mut assignment = Assignment {
--- a/components/fleet/src/plan/candidates.rs
+++ b/components/fleet/src/plan/candidates.rs
@@ -11,6 +11,8 @@
 use super::engine::EngineState;
 use super::engine::RankBasis;
 use super::engine::rank;
+use super::free_slots::FastUse;
+use super::free_slots::FreeSlots;
 
 /// An engine's rank when it was last computed.
 #[derive(Clone, Copy, Debug)]
@@ -39,17 +41,6 @@
     }
 }
 
-/// How a sample may use fast engines.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum FastUse {
-    /// Like all others, by rank.
-    ByRank,
-    /// Only if no other engine has a free slot.
-    Last,
-    /// Not at all.
-    Never,
-}
-
 /// Eligible engines for a step, ordered by rank.
 pub(super) struct Candidates<'a> {
     /// Sorted by engine id.
@@ -59,6 +50,8 @@
     queue: BinaryHeap<Reverse<Ranked>>,
     /// Fast engines.
     fast_queue: BinaryHeap<Reverse<Ranked>>,
+    /// The slots of all eligible engines.
+    free_slots: FreeSlots,
     basis: RankBasis,
 }
 
@@ -68,6 +61,8 @@
         engines: impl Iterator<Item = &'a mut EngineState>,
         basis: RankBasis,
     ) -> Self {
+        let mut free_slots = FreeSlots::default();
+        let engines = engines.inspect(|engine| free_slots.add(engine, basis.is_fast(engine)));
         let engines: Vec<&'a mut EngineState> =
             engines.filter(|engine| engine.free_slots() > 0).collect();
         let (mut queue, mut fast_queue) = (Vec::new(), Vec::new());
@@ -75,19 +70,21 @@
             let ranked = Reverse(Ranked { rank: rank(engine, &basis), index });
             if basis.is_fast(engine) { fast_queue.push(ranked) } else { queue.push(ranked) }
         }
-        Self { engines, queue: queue.into(), fast_queue: fast_queue.into(), basis }
+        Self { engines, queue: queue.into(), fast_queue: fast_queue.into(), free_slots, basis }
     }
 
     /// Reserves a slot for a run of `model` and returns the engine: the best-ranked one, or
     /// `preferred`, which has already read the prompt, if its rank is as good. The engine `avoid`
-    /// is skipped.
+    /// is skipped. A sample that is not long uses fast engines only if no other engine has a free
+    /// slot, and leaves a share of their slots free.
     pub(super) fn reserve(
         &mut self,
         model: &str,
         avoid: Option<&str>,
         preferred: Option<&str>,
-        fast_use: FastUse,
+        is_long: bool,
     ) -> Option<&EngineState> {
+        let fast_use = self.free_slots.fast_use(is_long);
         let mut avoided = None;
         let best = loop {
             let Some(best) = self.pop_best(fast_use) else { break None };
@@ -109,6 +106,7 @@
                 && (fast_use == FastUse::ByRank || self.is_fast(*index) == self.is_fast(best.index))
         });
         let index = preferred.unwrap_or(best.index);
+        self.free_slots.take(self.is_fast(index));
         *self.engines[index].running.entry(model.to_owned()).or_default() += 1;
         if self.engines[best.index].free_slots() > 0 {
             self.push(Ranked { rank: self.rank(best.index), ..best });
@@ -120,6 +118,7 @@
     /// engine is not eligible or has no free slot.
     pub(super) fn reserve_on(&mut self, engine: &str, model: &str) -> Option<usize> {
         let index = self.find(engine).filter(|index| self.engines[*index].free_slots() > 0)?;
+        self.free_slots.take(self.is_fast(index));
         *self.engines[index].running.entry(model.to_owned()).or_default() += 1;
         Some(index)
     }
--- a/components/fleet/src/plan/engine.rs
+++ b/components/fleet/src/plan/engine.rs
@@ -94,6 +94,14 @@
         self.endpoint.announcement.slots.saturating_sub(self.load())
     }
 
+    /// Returns the models that runs may use, and their versions. Weights that are being loaded are
+    /// not usable.
+    pub(super) fn usable_models(&self) -> impl Iterator<Item = (&str, u64)> {
+        let models = self.endpoint.announcement.models.iter();
+        let models = models.filter(|(model, _)| self.loading.as_ref() != Some(*model));
+        models.map(|(model, version)| (model.as_str(), *version))
+    }
+
     /// Returns the decayed pace in milliseconds between events.
     pub(super) fn pace(&self, now: Millis) -> f64 {
         self.pace_ms * 0.5_f64.powf(now.since(self.paced_at) as f64 / PACE_HALF_LIFE_MS)
--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -8,6 +8,7 @@
 mod candidates;
 mod checkpoints;
 mod engine;
+mod free_slots;
 mod lengths;
 mod listing;
 mod open_runs;
--- a/components/fleet/tests/speeds.rs
+++ b/components/fleet/tests/speeds.rs
@@ -423,6 +423,33 @@
     assert!(planner.visits() - visits <= 8, "the step without long samples is not looked at");
 }
 
+/// Guards against samples that wait while the only engines with their model, all of them fast, have
+/// free slots that are reserved for long samples.
+#[test]
+fn a_model_that_only_fast_engines_have_uses_all_of_their_slots() {
+    let (mut planner, now) = measured(&ONE_FAST).complete();
+    let mut only = engine(&name(0), 6, 1);
+    only.announcement.models.insert("n".to_owned(), 1);
+    planner.update_engine(&only);
+    let of_n = |id: &str, samples: &[u64]| {
+        Arc::new(Step { model: "n".to_owned(), ..(*step(id, samples)).clone() })
+    };
+    // The lengths of the second model are known as well.
+    planner.open_step(of_n("warm", &[SHORT; 6]), now, Millis::default(), |_| false);
+    for run in assign(&mut planner, now) {
+        planner.record_report("a", &report(&run, RunStatus::Scoring, &["x"; 20]), now);
+        planner.settle("warm", run.index);
+    }
+    planner.close_step("warm", now);
+    planner.open_step(of_n("a", &[SHORT; 5]), now, Millis::default(), |_| false);
+    assert_eq!(assign(&mut planner, now).len(), 5);
+    // The remaining slot counts as reserved for the samples of the other model only.
+    planner.open_step(step("b", &[SHORT; 40]), now, Millis::default(), |_| false);
+    assert_eq!(on_first(&assign(&mut planner, now), "b"), 0);
+    planner.open_step(of_n("c", &[SHORT; 2]), now, Millis::default(), |_| false);
+    assert_eq!(assign(&mut planner, now).len(), 1);
+}
+
 /// Guards against urgent steps that end late because long samples of other steps occupy the fast
 /// engines.
 #[test]
