Planner: collect free slots only if a run would gain from one

Every round built and sorted the free slots of the fastest engines, also when no run could move, and this work was not counted. Rounds follow each event of a sample.

One pass now finds the best pace of an engine with a free slot; the slots are collected only if some run would gain from it. The visits count the slots, once collected and once for each kind of sample.

--- a/components/fleet/src/plan/upgrade.rs
+++ b/components/fleet/src/plan/upgrade.rs
@@ -93,8 +93,9 @@
     /// leader ends them with [`RunEnd::Taken`](super::RunEnd::Taken), and the next assignment gives
     /// each sample the reserved slot if it is still free.
     ///
-    /// Runs of urgent steps come first, then those that save most time. Each engine is examined
-    /// once, and each free slot at most once for each kind of sample.
+    /// Runs of urgent steps come first, then those that save most time. Rounds follow each event of
+    /// a sample, and in most of them no run would gain: then each engine is examined once.
+    /// Otherwise it is examined twice, and each free slot once for each kind of sample.
     pub fn reserve_faster_engines(&mut self, config: &Config, now: Millis) -> Vec<RunMove> {
         let moves = self.find_moves(config, now);
         for one in &moves {
@@ -111,13 +112,14 @@
         if !self.policy.engine_speeds || !median.differs() {
             return moves;
         }
-        let slots = self.free_fast_slots(now);
-        let Some(best) = slots.iter().map(|slot| slot.ratio).min_by(f64::total_cmp) else {
-            return moves;
-        };
+        let Some(best) = self.best_free_ratio(now) else { return moves };
         let min_gain_ms = MOVE_COST_MS + MIN_SAVED_MS;
         let gain_ms = |one: &Candidate, ratio: f64| one.remaining * (one.ratio - ratio) * median.ms;
         let mut candidates = self.slower_runs(best, config, now);
+        if candidates.is_empty() {
+            return moves;
+        }
+        let slots = self.free_fast_slots(now);
         candidates.sort_by(|a, b| {
             let by_gain = gain_ms(b, best).total_cmp(&gain_ms(a, best));
             a.priority.cmp(&b.priority).then(by_gain)
@@ -132,6 +134,7 @@
                 one.route.name.as_str(),
             );
             let queue = eligible.entry(requirements).or_insert_with(|| {
+                self.visits.set(self.visits.get() + slots.len() as u64);
                 let fits = |slot: &&FreeSlot| one.accepts(slot.engine, now);
                 slots.iter().filter(fits).copied().collect()
             });
@@ -157,6 +160,24 @@
         moves
     }
 
+    /// Returns the lowest expected pace of the fastest engines with free slots, as a multiple of the
+    /// median.
+    fn best_free_ratio(&self, now: Millis) -> Option<f64> {
+        self.visits.set(self.visits.get() + self.engines.len() as u64);
+        let free = self.engines.values().filter(|engine| engine.free_slots() > 0);
+        let free = free.filter(|engine| self.is_destination(engine, now));
+        let ratios = free.map(|engine| engine.speed.expected_ratio(self.median_speed.ms, now));
+        ratios.min_by(f64::total_cmp)
+    }
+
+    /// Returns whether runs may be moved to an engine.
+    fn is_destination(&self, engine: &EngineState, now: Millis) -> bool {
+        let median = self.median_speed;
+        median.is_fastest(engine.speed.class(median.ms))
+            && engine.is_ready(now)
+            && engine.loading.is_none()
+    }
+
     /// Returns the free slots of the fastest engines that are not reserved, best first.
     fn free_fast_slots(&self, now: Millis) -> Vec<FreeSlot<'_>> {
         let mut reserved: BTreeMap<&str, u32> = BTreeMap::new();
@@ -170,10 +191,7 @@
         let median = self.median_speed;
         let mut slots = Vec::new();
         for (id, engine) in &self.engines {
-            let is_destination = median.is_fastest(engine.speed.class(median.ms))
-                && engine.is_ready(now)
-                && engine.loading.is_none();
-            if !is_destination {
+            if !self.is_destination(engine, now) {
                 continue;
             }
             let count = f64::from(engine.endpoint.announcement.slots.max(1));
@@ -185,6 +203,7 @@
                 FreeSlot { ratio, rank, engine, position }
             }));
         }
+        self.visits.set(self.visits.get() + slots.len() as u64);
         slots.sort_by(|a, b| a.rank.total_cmp(&b.rank));
         slots
     }
