Planner: learn lengths from samples with hints, limit them later

Samples without expected tokens counted as short and added events to the sums, so that all others seemed longer. The longest completed sample limited what is expected of the others from the first completion on, and the short samples of a step are completed first.

Samples without a hint now count as long and do not enter the sums. The limit applies once 100 samples of the model were completed in the last two periods.

--- a/components/fleet/tests/speeds.rs
+++ b/components/fleet/tests/speeds.rs
@@ -354,7 +354,7 @@
     }
 
     /// Completes all samples. The planner learns that 20 tokens make an event, and that samples may
-    /// be as long as 160 events.
+    /// be as long as 160 events, from 100 samples.
     fn complete(mut self) -> (Planner, Millis) {
         for run in &self.runs {
             let count = if run.index == 0 { 160 } else { 20 };
@@ -365,11 +365,13 @@
         self.planner.close_step("warm", self.now);
         let mut planner = self.planner;
         // Most of the learned lengths are those of ordinary samples.
-        planner.open_step(step("usual", &[400; 24]), self.now, Millis::default(), |_| false);
-        for run in assign(&mut planner, self.now) {
-            let sent = report(&run, RunStatus::Scoring, &["x"; 20]);
-            planner.record_report("a", &sent, self.now);
-            planner.settle("usual", run.index);
+        planner.open_step(step("usual", &[400; 96]), self.now, Millis::default(), |_| false);
+        for _ in 0..5 {
+            for run in assign(&mut planner, self.now) {
+                let sent = report(&run, RunStatus::Scoring, &["x"; 20]);
+                planner.record_report("a", &sent, self.now);
+                planner.settle("usual", run.index);
+            }
         }
         planner.close_step("usual", self.now);
         (planner, self.now)
@@ -423,6 +425,53 @@
     assert!(planner.visits() - visits <= 8, "the step without long samples is not looked at");
 }
 
+/// Guards against long samples that are treated as short because their trainer gives no hints, and
+/// because completed samples without hints distort what is expected of the others.
+#[test]
+fn samples_without_a_hint_count_as_long_and_do_not_distort_the_others() {
+    let (mut planner, now) = measured(&ONE_FAST).complete();
+    planner.open_step(step("none", &[0; 500]), now, Millis::default(), |_| false);
+    let first = assign(&mut planner, now);
+    assert_eq!(on_first(&first, "none"), 6, "all slots are used");
+    let mut runs = first;
+    while !runs.is_empty() {
+        for run in &runs {
+            planner.record_report("a", &report(run, RunStatus::Scoring, &["x"; 150]), now);
+            planner.settle("none", run.index);
+        }
+        runs = assign(&mut planner, now);
+    }
+    planner.close_step("none", now);
+    planner.open_step(step("a", &[SHORT; 8]), now, Millis::default(), |_| false);
+    assert_eq!(on_first(&assign(&mut planner, now), "a"), 0, "these are still short");
+}
+
+/// Guards against long runs that stay on slow engines because the first completed samples of a model,
+/// which are short, limit what is expected of them.
+#[test]
+fn a_few_short_samples_do_not_limit_the_expected_length() {
+    for (completed, moves) in [(40, 1), (120, 0)] {
+        let mut planner = measured(&ONE_FAST).planner;
+        let now = NOW + 1_000;
+        planner.close_step("warm", now);
+        planner.open_step(step("first", &vec![400; completed]), now, Millis::default(), |_| false);
+        for _ in 0..completed.div_ceil(20) {
+            for run in assign(&mut planner, now) {
+                planner.record_report("a", &report(&run, RunStatus::Scoring, &["x"; 20]), now);
+                planner.settle("first", run.index);
+            }
+        }
+        let mut draining = engine(&name(0), 6, 1);
+        draining.status = EndpointStatus::Draining;
+        planner.update_engine(&draining);
+        planner.open_step(step("a", &[LONG]), now, Millis::default(), |_| false);
+        assert_eq!(assign(&mut planner, now).len(), 1);
+        planner.update_engine(&engine(&name(0), 6, 1));
+        let found = planner.reserve_faster_engines(&steps_config(), now).len();
+        assert_eq!(found, moves, "{completed} completed samples");
+    }
+}
+
 /// Guards against samples that wait while the only engines with their model, all of them fast, have
 /// free slots that are reserved for long samples.
 #[test]
