Planner: begin a speed estimate with the larger of two measurements

Events that arrive together after a pause of their host look like those of a fast engine. Later estimates needed two such measurements in a row, but the first one was adopted at once.

The estimate now begins with the larger of the first two measurements, at least 200 ms apart. Until then, the engine counts as the median.

--- a/components/fleet/src/plan/speed.rs
+++ b/components/fleet/src/plan/speed.rs
@@ -51,6 +51,9 @@
     /// such measurements in a row, to the larger one: events that arrived together after a pause of
     /// their host look like those of a fast engine once.
     low_ms: Option<f64>,
+    /// The first measurement, until there is a second one. The estimate begins with the larger one,
+    /// for the same reason.
+    first_ms: Option<f64>,
     /// When the estimate was last updated.
     measured_at: Millis,
     /// Milliseconds and events measured since the last update.
@@ -64,6 +67,7 @@
             usual_ms: 0.0,
             slowdown: 1.0,
             low_ms: None,
+            first_ms: None,
             measured_at: Millis::default(),
             pending_ms: 0.0,
             pending_events: 0.0,
@@ -92,12 +96,13 @@
         self.pending_events += events as f64;
         let elapsed_ms = now.since(self.measured_at) as f64;
         let is_first = self.usual_ms == 0.0;
-        if self.pending_ms < MIN_MEASURED_MS || !is_first && elapsed_ms < MIN_MEASURED_MS {
+        if self.pending_ms < MIN_MEASURED_MS || elapsed_ms < MIN_MEASURED_MS {
             return;
         }
         let pace_ms = self.pending_ms / self.pending_events;
         if is_first {
-            self.usual_ms = pace_ms;
+            let first_ms = self.first_ms.replace(pace_ms);
+            self.usual_ms = first_ms.map_or(0.0, |first_ms| pace_ms.max(first_ms));
         } else {
             // Concurrent runs measure the same time.
             self.update(pace_ms, self.pending_ms.min(elapsed_ms), now);
--- a/components/fleet/tests/speeds.rs
+++ b/components/fleet/tests/speeds.rs
@@ -668,6 +668,20 @@
     }
 }
 
+/// Guards against an engine that counts as fast because its first events arrived together, after a
+/// pause of their host.
+#[test]
+fn a_burst_in_the_first_measurement_makes_no_engine_fast() {
+    let mut fleet = Measured::new(4);
+    fleet.now = fleet.now + 250;
+    fleet.report(0, 5, 60);
+    (1..4).for_each(|number| fleet.report(number, 57, 4));
+    for _ in 0..4 {
+        fleet.advance(&[OTHER_MS; 4]);
+        assert_eq!(fleet.planner.fast_engine_count(), 0);
+    }
+}
+
 /// Guards against a fast engine that is not recognised until a step is over.
 #[test]
 fn a_fast_engine_is_recognised_within_a_second() {
