Planner: don't move runs of steps that get no assignments

Moves checked whether a step was being ended, but not whether its samples wait for the reports of hosts after a change of leader. A run that was ended then could not start again until that time.

Both are now checked.

--- a/components/fleet/src/plan/upgrade.rs
+++ b/components/fleet/src/plan/upgrade.rs
@@ -11,6 +11,7 @@
 use super::engine::EngineState;
 use super::reassign::MAX_MOVES;
 use super::samples::Phase;
+use super::samples::StepPlan;
 use super::speed::SLOW_CLASS_RATIO;
 use super::speed::Speed;
 use super::speed::SpeedClass;
@@ -218,7 +219,9 @@
     ) -> Vec<Candidate<'a>> {
         let median = self.median_speed;
         let mut candidates = Vec::new();
-        for planned in self.steps.values().filter(|planned| !planned.ending) {
+        // Samples of the other steps would wait after their run was ended.
+        let may_assign = |planned: &&StepPlan| !planned.ending && planned.held_until <= now;
+        for planned in self.steps.values().filter(may_assign) {
             let step = &*planned.step;
             let Some(lengths) = self.lengths.get(&step.model) else { continue };
             for (index, progress) in planned.progress.iter().enumerate() {
--- a/components/fleet/tests/speeds.rs
+++ b/components/fleet/tests/speeds.rs
@@ -599,6 +599,23 @@
     assert_eq!(moves(&mut planner, now).len(), 1);
 }
 
+/// Guards against runs that are ended although their samples may not start again yet: their step
+/// waits for the reports of hosts, or is being ended.
+#[test]
+fn runs_of_steps_without_assignments_do_not_move() {
+    let (mut planner, now) = measured(&ONE_FAST).complete();
+    let held = now + 1_000;
+    planner.open_step(step("a", &[LONG]), now, held, |_| false);
+    let run = Assignment { run: 7, endpoint: name(1), ..long_run_elsewhere(|_| {}).1 };
+    // The run was started by the previous leader.
+    planner.record_report("a", &report(&run, RunStatus::Running, &["x"; 4]), now);
+    assert_eq!(planner.reserve_faster_engines(&steps_config(), now + 500), []);
+    planner.set_ending("a", true);
+    assert_eq!(planner.reserve_faster_engines(&steps_config(), held), []);
+    planner.set_ending("a", false);
+    assert_eq!(planner.reserve_faster_engines(&steps_config(), held).len(), 1);
+}
+
 /// Guards against a sample that moves between engines of changing speed until its step ends.
 #[test]
 fn a_sample_moves_at_most_four_times() {
