Planner: order the slots for moves by expected pace

The slots were ordered by load times pace, but only the first one was examined. A run stayed where it was if it gained too little on an idle engine, although it would have gained enough on a faster one with a higher load.

Slots are now ordered by the expected pace, in which each concurrent run counts with half a percent, and the gain follows from the same figure. If the first slot saves too little, all others do.

--- a/components/fleet/src/plan/upgrade.rs
+++ b/components/fleet/src/plan/upgrade.rs
@@ -31,6 +31,9 @@
 /// Milliseconds by which a move must shorten a run beyond its cost. Expected lengths are often far
 /// off, so moves for smaller gains would often be in vain.
 const MIN_SAVED_MS: f64 = 600.0;
+/// Share by which each concurrent run on an engine makes the others slower. It also spreads moves
+/// over engines of the same pace.
+const LOAD_SLOWDOWN: f64 = 0.005;
 /// A recorded speed is changed only if it differs by more than this share, so that noise causes no
 /// writes.
 const RECORDED_TOLERANCE: f64 = 0.1;
@@ -76,10 +79,8 @@
 /// A free slot of a fast engine.
 #[derive(Clone, Copy)]
 struct FreeSlot<'a> {
-    /// The expected pace of the engine as a multiple of the median.
+    /// The expected pace of a run in this slot as a multiple of the median.
     ratio: f64,
-    /// The rank of the engine for a run in this slot.
-    rank: f64,
     engine: &'a EngineState,
     /// The number of slots of the engine that are used before this one.
     position: u32,
@@ -167,10 +168,17 @@
         self.visits.set(self.visits.get() + self.engines.len() as u64);
         let free = self.engines.values().filter(|engine| engine.free_slots() > 0);
         let free = free.filter(|engine| self.is_destination(engine, now));
-        let ratios = free.map(|engine| engine.speed.expected_ratio(self.median_speed.ms, now));
+        let ratios = free.map(|engine| self.slot_ratio(engine, engine.load(), now));
         ratios.min_by(f64::total_cmp)
     }
 
+    /// Returns the expected pace of a run on an engine with that many others, as a multiple of the
+    /// median.
+    fn slot_ratio(&self, engine: &EngineState, others: u32, now: Millis) -> f64 {
+        let ratio = engine.speed.expected_ratio(self.median_speed.ms, now);
+        ratio * (1.0 + LOAD_SLOWDOWN * f64::from(others))
+    }
+
     /// Returns whether runs may be moved to an engine.
     fn is_destination(&self, engine: &EngineState, now: Millis) -> bool {
         let median = self.median_speed;
@@ -179,7 +187,8 @@
             && engine.loading.is_none()
     }
 
-    /// Returns the free slots of the fastest engines that are not reserved, best first.
+    /// Returns the free slots of the fastest engines that are not reserved, fastest
+    /// first. If a run gains too little in the first one, it gains too little in all.
     fn free_fast_slots(&self, now: Millis) -> Vec<FreeSlot<'_>> {
         let mut reserved: BTreeMap<&str, u32> = BTreeMap::new();
         for planned in self.steps.values().filter(|planned| planned.waiting > 0) {
@@ -189,23 +198,20 @@
             }
         }
         self.visits.set(self.visits.get() + self.engines.len() as u64);
-        let median = self.median_speed;
         let mut slots = Vec::new();
         for (id, engine) in &self.engines {
             if !self.is_destination(engine, now) {
                 continue;
             }
-            let count = f64::from(engine.endpoint.announcement.slots.max(1));
             let reserved = reserved.get(id.as_str()).copied().unwrap_or_default();
-            let ratio = engine.speed.expected_ratio(median.ms, now);
             let first = engine.load() + reserved;
             slots.extend((first..engine.endpoint.announcement.slots).map(|position| {
-                let rank = (1.0 + f64::from(position) / count) * ratio;
-                FreeSlot { ratio, rank, engine, position }
+                let ratio = self.slot_ratio(engine, position, now);
+                FreeSlot { ratio, engine, position }
             }));
         }
         self.visits.set(self.visits.get() + slots.len() as u64);
-        slots.sort_by(|a, b| a.rank.total_cmp(&b.rank));
+        slots.sort_by(|a, b| a.ratio.total_cmp(&b.ratio));
         slots
     }
 
--- a/components/fleet/tests/speeds.rs
+++ b/components/fleet/tests/speeds.rs
@@ -60,6 +60,10 @@
     format!("e{number:04}")
 }
 
+fn with_status(number: usize, status: EndpointStatus) -> Endpoint {
+    Endpoint { status, ..engine(&name(number), 6, 1) }
+}
+
 fn engines(count: usize) -> Vec<Endpoint> {
     (0..count).map(|number| engine(&name(number), 6, 1)).collect()
 }
@@ -559,6 +563,26 @@
     assert!(planner.reserve_faster_engines(&steps_config(), now).is_empty());
 }
 
+/// Guards against a long run that stays on a slow engine because an idle engine, on which it would
+/// gain too little, comes before a faster one with a higher load.
+#[test]
+fn a_run_moves_to_a_loaded_engine_if_idle_ones_are_too_slow_for_it() {
+    let paces = [26.0, 42.0, 57.0, 57.0, 57.0, 57.0, 57.0];
+    let (mut planner, now) = measured(&paces).complete();
+    planner.update_engine(&with_status(1, EndpointStatus::Draining));
+    planner.open_step(step("load", &[LONG; 5]), now, Millis::default(), |_| false);
+    assert_eq!(on_first(&assign(&mut planner, now), "load"), 5);
+    planner.update_engine(&with_status(0, EndpointStatus::Draining));
+    planner.open_step(step("a", &[1_000]), now, Millis::default(), |_| false);
+    assert_eq!(assign(&mut planner, now)[0].endpoint, name(2));
+    planner.update_engine(&with_status(0, EndpointStatus::Ready));
+    planner.update_engine(&with_status(1, EndpointStatus::Ready));
+    let moves = planner.reserve_faster_engines(&steps_config(), now + 250);
+    let places: Vec<(&str, &str)> =
+        moves.iter().map(|one| (one.step.as_str(), one.to.as_str())).collect();
+    assert_eq!(places, [("a", name(0).as_str())]);
+}
+
 /// Guards against two runs that are moved to the same slot while the first one waits until the log
 /// has the calls of its scorer.
 #[test]
