Planner: don't class engines with less than 8 ms between events

Reports contain whole milliseconds, rounded down. At 1 to 3 ms between events, equal engines could count as fast or slow.

Engines whose usual pace is below 8 ms are now neither.

--- a/components/fleet/src/plan/speed.rs
+++ b/components/fleet/src/plan/speed.rs
@@ -11,6 +11,9 @@
 const FAST_RATIO: f64 = 0.75;
 /// An engine is slow if its usual pace is at least this multiple of the median.
 pub(super) const SLOW_CLASS_RATIO: f64 = 1.33;
+/// Usual milliseconds between events below which an engine is neither fast nor slow. Hosts report
+/// whole milliseconds, rounded down, so at a few milliseconds equal engines seem to differ by half.
+const MIN_CLASSED_MS: f64 = 8.0;
 
 /// Milliseconds between two updates of an estimate, and the measured time that an update needs.
 /// Hosts report four times a second.
@@ -136,7 +139,8 @@
 
     /// Returns how the usual pace compares with the median. An unknown one counts as the median.
     pub(super) fn class(&self, median_ms: f64) -> SpeedClass {
-        let ratio = if median_ms > 0.0 { self.usual_ms / median_ms } else { 0.0 };
+        let is_classed = median_ms > 0.0 && self.usual_ms >= MIN_CLASSED_MS;
+        let ratio = if is_classed { self.usual_ms / median_ms } else { 0.0 };
         match ratio {
             0.0 => SpeedClass::Normal,
             ..=FAST_RATIO => SpeedClass::Fast,
