--- a/components/fleet/src/plan/upgrade.rs
+++ b/components/fleet/src/plan/upgrade.rs
@@ -11,6 +11,7 @@
 use super::engine::EngineState;
 use super::reassign::MAX_MOVES;
 use super::samples::Phase;
+use super::samples::StepPlan;
 use super::speed::SLOW_CLASS_RATIO;
 use super::speed::Speed;
 use super::speed::SpeedClass;
@@ -30,6 +31,9 @@
 /// Milliseconds by which a move must shorten a run beyond its cost. Expected lengths are often far
 /// off, so moves for smaller gains would often be in vain.
 const MIN_SAVED_MS: f64 = 600.0;
+/// Share by which each concurrent run on an engine makes the others slower. It also spreads moves
+/// over engines of the same pace.
+const LOAD_SLOWDOWN: f64 = 0.005;
 /// A recorded speed is changed only if it differs by more than this share, so that noise causes no
 /// writes.
 const RECORDED_TOLERANCE: f64 = 0.1;
@@ -75,10 +79,8 @@
 /// A free slot of a fast engine.
 #[derive(Clone, Copy)]
 struct FreeSlot<'a> {
-    /// The expected pace of the engine as a multiple of the median.
+    /// The expected pace of a run in this slot as a multiple of the median.
     ratio: f64,
-    /// The rank of the engine for a run in this slot.
-    rank: f64,
     engine: &'a EngineState,
     /// The number of slots of the engine that are used before this one.
     position: u32,
@@ -93,8 +95,9 @@
     /// leader ends them with [`RunEnd::Taken`](super::RunEnd::Taken), and the next assignment gives
     /// each sample the reserved slot if it is still free.
     ///
-    /// Runs of urgent steps come first, then those that save most time. Each engine is examined
-    /// once, and each free slot at most once for each kind of sample.
+    /// Runs of urgent steps come first, then those that save most time. Rounds follow each event of
+    /// a sample, and in most of them no run would gain: then each engine is examined once.
+    /// Otherwise it is examined twice, and each free slot once for each kind of sample.
     pub fn reserve_faster_engines(&mut self, config: &Config, now: Millis) -> Vec<RunMove> {
         let moves = self.find_moves(config, now);
         for one in &moves {
@@ -111,13 +114,14 @@
         if !self.policy.engine_speeds || !median.differs() {
             return moves;
         }
-        let slots = self.free_fast_slots(now);
-        let Some(best) = slots.iter().map(|slot| slot.ratio).min_by(f64::total_cmp) else {
-            return moves;
-        };
+        let Some(best) = self.best_free_ratio(now) else { return moves };
         let min_gain_ms = MOVE_COST_MS + MIN_SAVED_MS;
         let gain_ms = |one: &Candidate, ratio: f64| one.remaining * (one.ratio - ratio) * median.ms;
         let mut candidates = self.slower_runs(best, config, now);
+        if candidates.is_empty() {
+            return moves;
+        }
+        let slots = self.free_fast_slots(now);
         candidates.sort_by(|a, b| {
             let by_gain = gain_ms(b, best).total_cmp(&gain_ms(a, best));
             a.priority.cmp(&b.priority).then(by_gain)
@@ -132,6 +136,7 @@
                 one.route.name.as_str(),
             );
             let queue = eligible.entry(requirements).or_insert_with(|| {
+                self.visits.set(self.visits.get() + slots.len() as u64);
                 let fits = |slot: &&FreeSlot| one.accepts(slot.engine, now);
                 slots.iter().filter(fits).copied().collect()
             });
@@ -157,7 +162,33 @@
         moves
     }
 
-    /// Returns the free slots of the fastest engines that are not reserved, best first.
+    /// Returns the lowest expected pace of the fastest engines with free slots, as a multiple of the
+    /// median.
+    fn best_free_ratio(&self, now: Millis) -> Option<f64> {
+        self.visits.set(self.visits.get() + self.engines.len() as u64);
+        let free = self.engines.values().filter(|engine| engine.free_slots() > 0);
+        let free = free.filter(|engine| self.is_destination(engine, now));
+        let ratios = free.map(|engine| self.slot_ratio(engine, engine.load(), now));
+        ratios.min_by(f64::total_cmp)
+    }
+
+    /// Returns the expected pace of a run on an engine with that many others, as a multiple of the
+    /// median.
+    fn slot_ratio(&self, engine: &EngineState, others: u32, now: Millis) -> f64 {
+        let ratio = engine.speed.expected_ratio(self.median_speed.ms, now);
+        ratio * (1.0 + LOAD_SLOWDOWN * f64::from(others))
+    }
+
+    /// Returns whether runs may be moved to an engine.
+    fn is_destination(&self, engine: &EngineState, now: Millis) -> bool {
+        let median = self.median_speed;
+        median.is_fastest(engine.speed.class(median.ms))
+            && engine.is_ready(now)
+            && engine.loading.is_none()
+    }
+
+    /// Returns the free slots of the fastest engines that are not reserved, fastest
+    /// first. If a run gains too little in the first one, it gains too little in all.
     fn free_fast_slots(&self, now: Millis) -> Vec<FreeSlot<'_>> {
         let mut reserved: BTreeMap<&str, u32> = BTreeMap::new();
         for planned in self.steps.values().filter(|planned| planned.waiting > 0) {
@@ -167,25 +198,20 @@
             }
         }
         self.visits.set(self.visits.get() + self.engines.len() as u64);
-        let median = self.median_speed;
         let mut slots = Vec::new();
         for (id, engine) in &self.engines {
-            let is_destination = median.is_fastest(engine.speed.class(median.ms))
-                && engine.is_ready(now)
-                && engine.loading.is_none();
-            if !is_destination {
+            if !self.is_destination(engine, now) {
                 continue;
             }
-            let count = f64::from(engine.endpoint.announcement.slots.max(1));
             let reserved = reserved.get(id.as_str()).copied().unwrap_or_default();
-            let ratio = engine.speed.expected_ratio(median.ms, now);
             let first = engine.load() + reserved;
             slots.extend((first..engine.endpoint.announcement.slots).map(|position| {
-                let rank = (1.0 + f64::from(position) / count) * ratio;
-                FreeSlot { ratio, rank, engine, position }
+                let ratio = self.slot_ratio(engine, position, now);
+                FreeSlot { ratio, engine, position }
             }));
         }
-        slots.sort_by(|a, b| a.rank.total_cmp(&b.rank));
+        self.visits.set(self.visits.get() + slots.len() as u64);
+        slots.sort_by(|a, b| a.ratio.total_cmp(&b.ratio));
         slots
     }
 
@@ -199,7 +225,9 @@
     ) -> Vec<Candidate<'a>> {
         let median = self.median_speed;
         let mut candidates = Vec::new();
-        for planned in self.steps.values().filter(|planned| !planned.ending) {
+        // Samples of the other steps would wait after their run was ended.
+        let may_assign = |planned: &&StepPlan| !planned.ending && planned.held_until <= now;
+        for planned in self.steps.values().filter(may_assign) {
             let step = &*planned.step;
             let Some(lengths) = self.lengths.get(&step.model) else { continue };
             for (index, progress) in planned.progress.iter().enumerate() {
