Pacing: full windows send no call to an unreachable endpoint

Cause: the windows filter endpoints before the penalty for unreachable ones applies. When the windows of all reachable endpoints were full, an unreachable endpoint with room was the only one that passed the filter.

Change: a paced call wants unreachable endpoints only if it has no reachable one left, and is sent only to endpoints that it wants.

Result: calls wait for a window of a reachable endpoint.

--- a/components/fleet/src/pick.rs
+++ b/components/fleet/src/pick.rs
@@ -278,6 +278,21 @@
         ids.map(str::to_owned).collect()
     }
 
+    /// Returns the ready endpoints of a service for which `fits` returns true. Those that are known
+    /// to be unreachable are included only if there are no others.
+    pub fn wanted_ids(
+        &self,
+        service: &str,
+        fits: impl Fn(&str) -> bool,
+        now: Millis,
+    ) -> BTreeSet<String> {
+        let mut ids = self.ready_ids(service, fits);
+        if ids.iter().any(|id| !self.is_unreachable(id, now)) {
+            ids.retain(|id| !self.is_unreachable(id, now));
+        }
+        ids
+    }
+
     /// Returns the endpoints that every process prefers for a request, among those for which `fits`
     /// returns true. They are selected by rendezvous hashing, so the others stay the same if one of
     /// them is removed.
--- a/components/node/src/forward/dispatch.rs
+++ b/components/node/src/forward/dispatch.rs
@@ -313,6 +313,7 @@
         if self.attempts_left == 0 || !self.budget.permits_send() {
             return Err(PickError::AllTried);
         }
+        let paced = self.paced_endpoints();
         let mut picker = self.forwarder.picker.borrow_mut();
         let fits = |id: &str| self.may_try(id) && self.has_window(id);
         // A probe may fail, after which the request needs another attempt.
@@ -322,7 +323,8 @@
         {
             return Ok(target);
         }
-        picker.pick(self.service, self.route, fits, clock::now())
+        let is_wanted = |id: &str| paced.as_ref().is_none_or(|paced| paced.contains(id));
+        picker.pick(self.service, self.route, |id| is_wanted(id) && fits(id), clock::now())
     }
 
     /// Returns whether the budget allows an endpoint that was not tried yet.
--- a/components/node/src/forward/pacing.rs
+++ b/components/node/src/forward/pacing.rs
@@ -135,12 +135,20 @@
         self.pacing().is_none_or(|(pacing, place)| pacing.pacer.borrow().admits(place, id))
     }
 
-    /// Returns the endpoints that could be tried now if their windows had room.
+    /// Returns the endpoints that could be tried now if their windows had room. A full window of a
+    /// reachable endpoint is no reason to try an unreachable one.
     fn wanted_endpoints(&self) -> BTreeSet<String> {
         if self.attempts_left == 0 || !self.budget.permits_send() {
             return BTreeSet::new();
         }
-        self.forwarder.picker.borrow().ready_ids(self.service, |id| self.may_try(id))
+        let picker = self.forwarder.picker.borrow();
+        picker.wanted_ids(self.service, |id| self.may_try(id), clock::now())
+    }
+
+    /// Returns the endpoints for which the request waits if their windows are full, or `None` if it
+    /// is not paced.
+    pub(super) fn paced_endpoints(&self) -> Option<BTreeSet<String>> {
+        self.pacing().map(|_| self.wanted_endpoints())
     }
 
     /// Returns whether only full windows prevent an attempt.
--- a/components/node/tests/pacing.rs
+++ b/components/node/tests/pacing.rs
@@ -8,6 +8,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -19,6 +20,7 @@
 use chicoryford_fleet::Policy;
 use chicoryford_fleet::Route;
 use chicoryford_fleet::RouteKind;
+use chicoryford_fleet::reachability::UnreachableSet;
 use chicoryford_fleet::run::CallCost;
 use chicoryford_fleet::run::HostCommand;
 use chicoryford_fleet::run::Job;
@@ -116,7 +118,10 @@
 
 /// Creates the forwarder of a host with these endpoints, which has received a run.
 fn forwarder(paced: bool, fakes: &[&Rc<FakeEndpoint>]) -> Rc<Forwarder> {
-    let policy = Policy { paced_scorers: paced, ..Policy::default() };
+    forwarder_with(Policy { paced_scorers: paced, ..Policy::default() }, fakes)
+}
+
+fn forwarder_with(policy: Policy, fakes: &[&Rc<FakeEndpoint>]) -> Rc<Forwarder> {
     let forwarder = Forwarder::new(policy);
     for (number, fake) in fakes.iter().enumerate() {
         let endpoint = endpoint("score", &format!("i{number}"), fake.address, SLOTS);
@@ -283,6 +288,37 @@
     assert_eq!(*fake.calls.borrow(), ["first", "last"]);
 }
 
+/// Guards against calls that are sent to an unreachable endpoint because the windows of all reachable
+/// ones are full, and against calls that are not sent at all if no reachable endpoint is left.
+#[actix_rt::test]
+async fn full_windows_send_no_call_to_an_unreachable_endpoint() {
+    let (full, unreachable) = (FakeEndpoint::start(true).await, FakeEndpoint::start(false).await);
+    // A second attempt has no reachable endpoint left.
+    let policy = Policy {
+        paced_scorers: true,
+        shared_reachability: true,
+        second_attempts: false,
+        ..Policy::default()
+    };
+    let forwarder = forwarder_with(policy, &[&full, &unreachable]);
+    // No probe is due during the test.
+    let endpoints = BTreeMap::from([("i1".to_owned(), 0)]);
+    let set = UnreachableSet { endpoints, probe_ms: 100_000_000 };
+    forwarder.apply(&Update::Unreachable(set));
+    let calls = join_all((0..6).map(|_| call(&forwarder, "c", 1, 2, LONG_MS)));
+    let open = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        full.hangs.set(false);
+    };
+    let (outcomes, ()) = tokio::join!(calls, open);
+    assert!(outcomes.iter().all(is_success), "{outcomes:?}");
+    assert_eq!(unreachable.calls.borrow().len(), 0);
+    forwarder.apply(&Update::Forgotten("i0".to_owned()));
+    let last = call(&forwarder, "last", 1, 2, LONG_MS).await;
+    assert!(is_success(&last), "{last:?}");
+    assert_eq!(*unreachable.calls.borrow(), ["last"]);
+}
+
 /// Collects log lines.
 #[derive(Clone, Default)]
 struct LogLines(Arc<Mutex<Vec<u8>>>);
