--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -152,7 +152,10 @@
             Ok(Answer::Config(Some(config))) => control::config_reply(config.source.clone()),
             Ok(Answer::Retired(completed)) => control::retirement_reply(completed),
             Ok(Answer::Unknown) => control::error_reply(StatusCode::NOT_FOUND, "unknown VM"),
-            Ok(Answer::TooFew(shortage)) => control::shortage_reply(&shortage),
+            Ok(Answer::Shortage(shortage)) => control::shortage_reply(&shortage),
+            Ok(Answer::TooFew) => {
+                control::error_reply(StatusCode::CONFLICT, "too few store VMs would be left")
+            }
             Ok(_) => control::error_reply(StatusCode::SERVICE_UNAVAILABLE, "not now"),
             Err(CallError::NoLeader) => {
                 control::error_reply(StatusCode::SERVICE_UNAVAILABLE, "no leader is known")
--- a/components/node/src/leader/stores.rs
+++ b/components/node/src/leader/stores.rs
@@ -24,7 +24,7 @@
         {
             let StoreShortage { left, needed } = shortage;
             tracing::info!(event = "retirement_refused", store = node, left, needed);
-            return Answer::TooFew(shortage);
+            return Answer::Shortage(shortage);
         }
         tracing::info!(event = "store_retires", store = node, left);
         self.retiring.borrow_mut().insert(node.clone());
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -275,8 +275,9 @@
     Unclear,
     /// The object of the call does not exist.
     Unknown,
-    /// Nothing was done: too few store VMs would be left.
-    TooFew(StoreShortage),
+    /// Nothing was done: too few store VMs would be left. Earlier releases send it instead of
+    /// [`Answer::Shortage`].
+    TooFew,
     /// The announcement was recorded.
     Heard,
     /// The newest configuration, if there is one.
@@ -296,6 +297,8 @@
     Body(Bytes),
     /// Whether a store VM is empty.
     Retired(bool),
+    /// Nothing was done: too few store VMs would be left.
+    Shortage(StoreShortage),
 }
 
 impl MemberMessage {
--- a/components/node/tests/frame.rs
+++ b/components/node/tests/frame.rs
@@ -3,10 +3,12 @@
 use chicoryford_node::frame::FrameError;
 use chicoryford_node::frame::decode;
 use chicoryford_node::frame::encode;
+use chicoryford_node::message::Answer;
 use quickcheck::quickcheck;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use serde::Serialize;
 
 /// Bytes of a long text, such as that of a sample. Random letters compress the least.
 const TEXT_BYTES: usize = 6_000;
@@ -36,6 +38,19 @@
     assert!(encode(&bytes).len() <= plain.len() + 1);
 }
 
+/// Guards against an answer of an earlier release that closes the connection, because its form was
+/// changed and it cannot be decoded.
+#[test]
+fn a_refused_retirement_of_an_earlier_release_is_decoded() {
+    #[derive(Serialize)]
+    enum EarlierAnswer {
+        TooFew,
+    }
+
+    let answer = decode::<Answer>(&encode(&EarlierAnswer::TooFew)).unwrap();
+    assert!(matches!(answer, Answer::TooFew), "{answer:?}");
+}
+
 /// Guards against allocating memory for a damaged length of gigabytes, after which the process was
 /// killed.
 #[test]
--- a/components/node/tests/leader/retired.rs
+++ b/components/node/tests/leader/retired.rs
@@ -36,7 +36,7 @@
     let leader = fleet.leader();
     wait_until("the stores are connected", || leader.copies.count(|_| true) == 2).await;
     let refused = leader.answer(Call::Retire("s1".to_owned())).await;
-    let Answer::TooFew(shortage) = refused else { panic!("{refused:?}") };
+    let Answer::Shortage(shortage) = refused else { panic!("{refused:?}") };
     assert_eq!(shortage, StoreShortage { left: 1, needed: 2 });
     assert!(fleet.replica.state().retired.is_empty());
     stores.push(Member::connect(fleet.links, "s3", parts.clone(), Vec::new()).await);
