Reachability: a leader that shares nothing ends its predecessor's set

Cause: a leader with the setting off sends no set. Its messages renew the lifetime of the one that members have from its predecessor, so they avoid those endpoints as long as it leads.

Change: a first state without a set is applied with an empty one.

Result: members use the endpoints again as soon as they follow such a leader. The new test fails without this.

--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -12,6 +12,7 @@
 use chicoryford_fleet::crashes::Crash;
 use chicoryford_fleet::heartbeats::Heartbeat;
 use chicoryford_fleet::reachability::Report;
+use chicoryford_fleet::reachability::UnreachableSet;
 use chicoryford_fleet::usage;
 use chicoryford_http::socket;
 use chicoryford_kernel::run_time;
@@ -41,6 +42,7 @@
 use crate::message::MemberMessage;
 use crate::message::StoreReply;
 use crate::message::StoreRequest;
+use crate::message::Update;
 use crate::runner::Runner;
 use crate::view::View;
 
@@ -352,7 +354,12 @@
                 let known = self.view.endpoint_count();
                 tracing::info!(event = "endpoints_received", endpoints, known);
             }
-            LeaderMessage::Everything(all) => {
+            LeaderMessage::Everything(mut all) => {
+                // A leader that shares no reachability sends no set, and would never change the one
+                // of its predecessor.
+                if !all.iter().any(|update| matches!(update, Update::Unreachable(_))) {
+                    all.insert(0, Update::Unreachable(UnreachableSet::default()));
+                }
                 all.into_iter().for_each(|update| self.view.apply(update));
                 self.connected.send_replace(true);
             }
--- a/components/node/tests/leader/fleet.rs
+++ b/components/node/tests/leader/fleet.rs
@@ -62,7 +62,7 @@
 
 /// One control process, whose replica is the only one and therefore leads.
 pub struct Fleet {
-    settings: Rc<Settings>,
+    pub settings: Rc<Settings>,
     pub replica: Rc<LocalReplica>,
     pub followers: Rc<Followers>,
     pub current_leader: Rc<RefCell<Option<Rc<Leader>>>>,
@@ -121,6 +121,11 @@
 
     /// Replaces the leader by one that has only the state in the log.
     pub fn next_leader(&self) -> Rc<Leader> {
+        self.next_leader_with(self.settings.clone())
+    }
+
+    /// Replaces the leader by one with other settings.
+    pub fn next_leader_with(&self, settings: Rc<Settings>) -> Rc<Leader> {
         if let Some(before) = self.current_leader.borrow_mut().take() {
             before.stop();
         }
@@ -129,7 +134,7 @@
         let context = Context {
             replica: self.replica.clone(),
             followers: self.followers.clone(),
-            settings: self.settings.clone(),
+            settings,
             forwarder: forwarder.clone(),
             runner: Runner::new(view.clone(), forwarder),
         };
--- a/components/node/tests/leader/reachability.rs
+++ b/components/node/tests/leader/reachability.rs
@@ -365,6 +365,23 @@
     wait_until("the other process uses it again", || other.avoided.get() == 0).await;
 }
 
+/// Guards against a set that is kept under a leader which sends none, because sharing was switched off
+/// there: nobody would ever remove an endpoint from it.
+#[actix_rt::test]
+async fn a_leader_that_shares_nothing_ends_the_set_of_its_predecessor() {
+    let fleet = sharing_fleet().await;
+    announce(&fleet, "d0", "127.0.0.1:9".parse().unwrap()).await;
+    announce(&fleet, "d1", answering().await).await;
+    let follower = Follower::start(&fleet, "c").await;
+    for node in ["a", "b"] {
+        report(&mut connect_member(fleet.links, node, false).await, "d0", 0).await;
+    }
+    wait_until("the follower avoids it", || follower.avoided.get() == 1).await;
+    let settings = Settings { policy: Policy::default(), ..Settings::clone(&fleet.settings) };
+    fleet.next_leader_with(Rc::new(settings));
+    wait_until("the follower uses it again", || follower.avoided.get() == 0).await;
+}
+
 /// Guards against marks on engines, at which the leader decides where samples run, on endpoints of an
 /// earlier start, and on those that nobody knows.
 #[actix_rt::test]
