Reachability: only requests that can afford a failed connection probe

Cause: any request with another attempt could be used as a probe, also one whose time is up before the connection fails and another attempt has been answered, or one that may run once and waits for the whole connection timeout.

Change: a probe needs more than twice the connection timeout left, and a request that may run once probes only with the connection fallback.

--- a/components/node/src/forward/dispatch.rs
+++ b/components/node/src/forward/dispatch.rs
@@ -22,6 +22,7 @@
 
 use super::AttemptResult;
 use super::Budget;
+use super::CONNECT_TIMEOUT;
 use super::CRASHING_CONTENT;
 use super::FULL_RETRY_AFTER_MS;
 use super::Forwarder;
@@ -316,9 +317,7 @@
         let paced = self.paced_endpoints();
         let mut picker = self.forwarder.picker.borrow_mut();
         let fits = |id: &str| self.may_try(id) && self.has_window(id);
-        // A probe may fail, after which the request needs another attempt.
-        if self.tried.is_empty()
-            && self.attempts_left > 1
+        if self.can_probe()
             && let Some(target) = picker.pick_probe(self.service, self.route, fits, clock::now())
         {
             return Ok(target);
@@ -327,6 +326,17 @@
         picker.pick(self.service, self.route, |id| is_wanted(id) && fits(id), clock::now())
     }
 
+    /// Returns whether the request can be used as a probe. If the probe fails, it needs another
+    /// attempt and time for it, and a request that may run once would wait for the whole connection
+    /// timeout if its connection were not given up earlier.
+    fn can_probe(&self) -> bool {
+        let min_left_ms = 2 * CONNECT_TIMEOUT.as_millis() as u64;
+        self.tried.is_empty()
+            && self.attempts_left > 1
+            && self.budget.left_ms() > min_left_ms
+            && (!self.at_most_once || self.forwarder.policy.connect_fallback)
+    }
+
     /// Returns whether the budget allows an endpoint that was not tried yet.
     pub(super) fn may_try(&self, id: &str) -> bool {
         let tried = self.tried.iter().any(|tried| tried == id);
