Reachability: a process that reaches an endpoint again counts again

Cause: a process whose report was contradicted by another one is not counted about that endpoint for 5 s, also after it has reached the endpoint itself, and so is no longer cut off.

Change: its report that the endpoint is reachable ends this.

Result: the new test fails without this.

--- a/components/fleet/src/reachability.rs
+++ b/components/fleet/src/reachability.rs
@@ -175,6 +175,7 @@
         let others = std::mem::take(&mut reports.reporters).into_iter();
         let recent = others.filter(|(other, at)| other != reporter && is_in_window(*at, now));
         reports.contradicted.extend(recent.map(|(other, _)| (other, now)));
+        reports.contradicted.remove(reporter);
         let was_marked = reports.marked_at.take().is_some();
         was_marked.then(|| reports.transition(id, Reason::Reached, vec![reporter.to_owned()]))
     }
--- a/components/fleet/tests/reachability.rs
+++ b/components/fleet/tests/reachability.rs
@@ -579,6 +579,18 @@
     assert_eq!(leader.marked(until), ["e0"], "the probes renew the mark");
 }
 
+/// Guards against processes whose reports do not count after they were cut off for a moment.
+#[test]
+fn reports_of_a_process_that_reaches_the_endpoint_again_count_again() {
+    let mut leader = Leader::new(desk(4));
+    leader.report("a", "e1", 0);
+    leader.tracker.record_reachable("c", "e1", 1, Millis(100));
+    leader.tracker.record_reachable("a", "e1", 1, Millis(200));
+    leader.report("a", "e1", 1_500);
+    leader.report("b", "e1", 1_500);
+    assert_eq!(leader.marked(1_500), ["e1"]);
+}
+
 /// Guards against a process that probes more often than once a second, in a fleet of any size.
 #[test]
 fn a_process_probes_at_most_once_a_second() {
