Reachability: broadcasts do not hasten probes; old failures are not repeated

Cause: each set that a process receives drew another time of its next probe, and the earliest one counted. Failures up to 2 s old were repeated to a new leader, which counts them as new ones of the last second.

Change: a time is drawn only if none is set or the interval has become shorter. Failures are repeated for as long as they count for marking, 1 s.

--- a/components/fleet/src/reachability.rs
+++ b/components/fleet/src/reachability.rs
@@ -355,15 +355,23 @@
         if !self.enabled {
             return;
         }
+        let is_shorter = set.probe_ms < self.set.probe_ms;
         self.set = set.clone();
         self.leader_heard = now;
         self.probed.retain(|id, _| set.endpoints.contains_key(id));
         self.probing.retain(|id| set.endpoints.contains_key(id));
+        if set.endpoints.is_empty() {
+            self.next_probe = None;
+            return;
+        }
+        // If each set drew a new time, frequent sets would make all processes probe early.
+        if self.next_probe.is_some() && !is_shorter {
+            return;
+        }
         let delay = (set.probe_ms as f64 * self.rng.random_range(0.0..1.0)) as u64;
         let earliest = self.last_probe.map_or(now, |last| last + MIN_PROBE_INTERVAL_MS);
         let candidate = earliest.max(now + delay);
-        let next = self.next_probe.map_or(candidate, |next| next.min(candidate));
-        self.next_probe = (!set.endpoints.is_empty()).then_some(next);
+        self.next_probe = Some(self.next_probe.map_or(candidate, |next| next.min(candidate)));
     }
 
     /// Records when the last message of the leader arrived. The set is dropped some time after that:
@@ -411,14 +419,14 @@
 
     /// Returns the recent reports for a leader that has just been connected. It knows nothing, and
     /// callers would have to find out again.
-    pub fn reports_for_new_leader(&mut self, now: Millis) -> Vec<Report> {
-        self.reported.retain(|_, (_, at)| now.since(*at) < MARK_MS);
+    pub fn reports_for_new_leader(&self, now: Millis) -> Vec<Report> {
+        let recent = self.reported.iter().filter(|(_, (_, at))| is_in_window(*at, now));
         let report = |(id, (started_ms, _)): (&String, &(u64, Millis))| Report {
             endpoint: id.clone(),
             started_ms: *started_ms,
             reached: false,
         };
-        self.reported.iter().map(report).collect()
+        recent.map(report).collect()
     }
 
     /// Returns whether a probe is due.
--- a/components/fleet/tests/reachability.rs
+++ b/components/fleet/tests/reachability.rs
@@ -591,6 +591,32 @@
     assert_eq!(leader.marked(1_500), ["e1"]);
 }
 
+/// Guards against a crowd of broadcasts that makes each process probe early, because each of them
+/// draws a new time.
+#[test]
+fn broadcasts_do_not_hasten_probes() {
+    let mut members: Vec<LocalReachability> = (0..400).map(member).collect();
+    let set = UnreachableSet { probe_ms: 80_000, ..set(&["e1"]) };
+    for now in (0..10_000).step_by(100) {
+        members.iter_mut().for_each(|member| member.replace_set(&set, Millis(now)));
+    }
+    let due = members.iter().filter(|member| member.is_probe_due(Millis(9_999))).count();
+    // 400 processes with an interval of 80 s make five probes per second.
+    assert!((25..=100).contains(&due), "{due}");
+    let set = UnreachableSet { probe_ms: 1_000, ..set };
+    members.iter_mut().for_each(|member| member.replace_set(&set, Millis(10_000)));
+    let due = members.iter().filter(|member| member.is_probe_due(Millis(11_000))).count();
+    assert_eq!(due, 400, "a shorter interval applies at once");
+}
+
+/// Guards against failures that a new leader counts as if they had just happened.
+#[test]
+fn failures_of_more_than_a_second_ago_are_not_repeated_to_a_new_leader() {
+    let mut member = member(1);
+    member.record_failure("e0", 1, Millis(0));
+    assert!(member.reports_for_new_leader(Millis(1_001)).is_empty());
+}
+
 /// Guards against a process that probes more often than once a second, in a fleet of any size.
 #[test]
 fn a_process_probes_at_most_once_a_second() {
