Reachability: the leader counts ready endpoints at most twice a second

Cause: while any endpoint was reported, the leader visited the whole registry every 20 ms to find out how many endpoints may be marked.

Change: the counts are kept for 500 ms, and are made only when an endpoint is due to be marked or marks have to be limited again. A service that was not counted is counted at once, so that marking is not delayed.

Result: marks follow a service that has become smaller within 500 ms.

--- a/components/fleet/src/reachability.rs
+++ b/components/fleet/src/reachability.rs
@@ -30,6 +30,8 @@
 const MARK_MS: u64 = 2_000;
 /// Minimum milliseconds between two broadcasts, which go to hundreds of members.
 const BROADCAST_INTERVAL_MS: u64 = 100;
+/// Minimum milliseconds between two counts of the ready endpoints, which visit the whole registry.
+const COUNT_INTERVAL_MS: u64 = 500;
 /// Milliseconds for which reports of a process do not count for an endpoint that another process
 /// has reached shortly after its report. While some processes are cut off from an endpoint, it would
 /// otherwise be marked again after each successful probe.
@@ -127,6 +129,9 @@
     reports: BTreeMap<String, EndpointReports>,
     published: UnreachableSet,
     published_at: Option<Millis>,
+    /// How many endpoints of each reported service may be marked.
+    limits: BTreeMap<String, usize>,
+    counted_at: Option<Millis>,
 }
 
 impl ReachabilityTracker {
@@ -195,12 +200,22 @@
             }
             ended.is_none()
         });
-        let mut limits = self.limits(registry);
+        let is_recent = self.counted_at.is_some_and(|at| now.since(at) < COUNT_INTERVAL_MS);
+        let mut due = self.reports.values().filter(|reports| reports.is_due()).peekable();
+        let has_due = due.peek().is_some();
+        let is_counted = due.all(|reports| self.limits.contains_key(&reports.service));
+        if !has_due && (is_recent || self.marked_count() == 0) {
+            return transitions;
+        }
+        if !is_recent || !is_counted {
+            self.limits = self.count_limits(registry);
+            self.counted_at = Some(now);
+        }
+        let mut limits = self.limits.clone();
         self.enforce_limits(&mut limits, &mut transitions);
         for (id, reports) in &mut self.reports {
-            let is_due = reports.marked_at.is_none() && reports.reporters.len() >= MIN_REPORTERS;
             let limit = limits.entry(reports.service.clone()).or_default();
-            if is_due && *limit > 0 {
+            if reports.is_due() && *limit > 0 {
                 *limit -= 1;
                 reports.marked_at = Some(now);
                 transitions.push(reports.transition(id, Reason::Reported, reports.reporters()));
@@ -210,7 +225,7 @@
     }
 
     /// Returns how many endpoints of each reported service may be marked.
-    fn limits(&self, registry: &Registry) -> BTreeMap<String, usize> {
+    fn count_limits(&self, registry: &Registry) -> BTreeMap<String, usize> {
         let services = self.reports.values().map(|reports| (reports.service.clone(), 0));
         let mut limits: BTreeMap<String, usize> = services.collect();
         let ready = registry.all().filter(|endpoint| endpoint.status == EndpointStatus::Ready);
@@ -272,6 +287,11 @@
 }
 
 impl EndpointReports {
+    /// Returns whether enough processes report the endpoint, and it is not marked yet.
+    fn is_due(&self) -> bool {
+        self.marked_at.is_none() && self.reporters.len() >= MIN_REPORTERS
+    }
+
     /// Removes expired reports. Returns why nothing has to be kept about the endpoint, if so.
     fn expire(&mut self, endpoint: Option<&Endpoint>, now: Millis) -> Option<Reason> {
         let is_current = endpoint.is_some_and(|endpoint| {
