Reachability: the probe interval follows the number of processes

Cause: the interval was computed only when the set changed. A new leader marks the first endpoints while few members are connected, and all members kept the interval for that few.

Change: it is computed each time, and the set is broadcast if it has changed by more than a factor of two.

Result: the new test fails without this.

--- a/components/fleet/src/reachability.rs
+++ b/components/fleet/src/reachability.rs
@@ -30,6 +30,8 @@
 const MARK_MS: u64 = 2_000;
 /// Minimum milliseconds between two broadcasts, which go to hundreds of members.
 const BROADCAST_INTERVAL_MS: u64 = 100;
+/// Factor by which the interval between probes must change for the set to be broadcast because of it.
+const PROBE_CHANGE_FACTOR: u64 = 2;
 /// Minimum milliseconds between two counts of the ready endpoints, which visit the whole registry.
 const COUNT_INTERVAL_MS: u64 = 500;
 /// Milliseconds for which reports of a process do not count for an endpoint that another process
@@ -266,10 +268,15 @@
         let endpoints: BTreeMap<String, u64> =
             marked.map(|(id, reports)| (id.clone(), reports.started_ms)).collect();
         let is_recent = self.published_at.is_some_and(|at| now.since(at) < BROADCAST_INTERVAL_MS);
-        if endpoints == self.published.endpoints || is_recent {
+        // After a change of leader, the first endpoints are marked while few members are connected.
+        let probe_ms = probe_interval_ms(processes, endpoints.len());
+        let (shorter, longer) =
+            (probe_ms.min(self.published.probe_ms), probe_ms.max(self.published.probe_ms));
+        let has_new_interval = !endpoints.is_empty() && longer > PROBE_CHANGE_FACTOR * shorter;
+        let has_changed = endpoints != self.published.endpoints || has_new_interval;
+        if is_recent || !has_changed {
             return None;
         }
-        let probe_ms = probe_interval_ms(processes, endpoints.len());
         self.published = UnreachableSet { endpoints, probe_ms };
         self.published_at = Some(now);
         Some(self.published.clone())
--- a/components/fleet/tests/reachability.rs
+++ b/components/fleet/tests/reachability.rs
@@ -634,6 +634,26 @@
     assert_eq!(leader.marked(500).len(), 3);
 }
 
+/// Guards against processes that keep the probe interval of two processes, because a new leader marked
+/// the endpoint while only two were connected to it.
+#[test]
+fn the_probe_interval_follows_the_number_of_processes() {
+    let mut leader = Leader::new(desk(4));
+    leader.report("a", "e1", 0);
+    leader.report("b", "e1", 0);
+    assert_eq!(leader.marked(0), ["e1"]);
+    assert_eq!(leader.tracker.published().probe_ms, 2_000);
+    let set = leader.tracker.take_broadcast(400, Millis(200)).expect("a broadcast");
+    // Five probes per second are made by 400 processes.
+    assert_eq!(set.probe_ms, 80_000);
+    assert!(leader.tracker.take_broadcast(450, Millis(400)).is_none(), "it changed little");
+    leader.tracker.record_reachable("c", "e1", 1, Millis(500));
+    assert!(
+        leader.tracker.take_broadcast(400, Millis(600)).is_some_and(|s| s.endpoints.is_empty())
+    );
+    assert!(leader.tracker.take_broadcast(2, Millis(800)).is_none(), "there is nothing to probe");
+}
+
 /// Guards against a process that probes more often than once a second, in a fleet of any size.
 #[test]
 fn a_process_probes_at_most_once_a_second() {
