Reachability: lifetime of marks and rate of broadcasts follow their load

Cause: a mark lives 2 s after the last report, but a process probes at most one endpoint per second. The whole set was broadcast up to ten times a second, however large it was.

Change: the lifetime grows with marked endpoints over processes, up to 30 s, since probes alone would clear many marks slowly. The leader sends at most 100,000 entries per second over all members, with at most 5 s between two broadcasts.

The existing tests pass the number of processes to the update.

--- a/components/fleet/src/reachability.rs
+++ b/components/fleet/src/reachability.rs
@@ -26,10 +26,24 @@
 /// Number of processes that must report an endpoint. A process that is cut off itself reports every
 /// endpoint.
 const MIN_REPORTERS: usize = 2;
-/// Milliseconds after the last report for which an endpoint stays marked.
+/// Milliseconds after the last report for which an endpoint stays marked, if there are enough
+/// processes to probe each marked endpoint about once per second.
 const MARK_MS: u64 = 2_000;
+/// Number of marked endpoints per process by which the lifetime of marks is multiplied, in halves. A
+/// process probes one endpoint in about 1.25 s, and processes probe in different orders, so the
+/// probes of one endpoint are not evenly spaced.
+const MARKS_PER_PROCESS_FACTOR: usize = 2;
+/// Maximum milliseconds after the last report for which an endpoint stays marked. When many endpoints
+/// are reachable again at the same time, probes alone would clear their marks only after minutes.
+const MAX_MARK_MS: u64 = 30_000;
 /// Minimum milliseconds between two broadcasts, which go to hundreds of members.
 const BROADCAST_INTERVAL_MS: u64 = 100;
+/// Maximum number of entries that the leader sends per second in broadcasts, over all members. An
+/// entry takes about 40 bytes.
+const BROADCAST_ENTRIES_PER_SECOND: usize = 100_000;
+/// Maximum milliseconds between two broadcasts. Members would otherwise avoid endpoints for too long
+/// after these can be reached again.
+const MAX_BROADCAST_INTERVAL_MS: u64 = 5_000;
 /// Factor by which the interval between probes must change for the set to be broadcast because of it.
 const PROBE_CHANGE_FACTOR: u64 = 2;
 /// Minimum milliseconds between two counts of the ready endpoints, which visit the whole registry.
@@ -131,6 +145,8 @@
     reports: BTreeMap<String, EndpointReports>,
     published: UnreachableSet,
     published_at: Option<Millis>,
+    /// The number of members to which the set was published.
+    published_to: usize,
     /// How many endpoints of each reported service may be marked.
     limits: BTreeMap<String, usize>,
     counted_at: Option<Millis>,
@@ -187,14 +203,20 @@
         was_marked.then(|| reports.transition(id, Reason::Reached, vec![reporter.to_owned()]))
     }
 
-    /// Marks and unmarks endpoints. Returns the transitions.
-    pub fn update(&mut self, registry: &Registry, now: Millis) -> Vec<Transition> {
+    /// Marks and unmarks endpoints in a fleet with this many processes. Returns the transitions.
+    pub fn update(
+        &mut self,
+        registry: &Registry,
+        processes: usize,
+        now: Millis,
+    ) -> Vec<Transition> {
         let mut transitions = Vec::new();
         if self.reports.is_empty() {
             return transitions;
         }
+        let mark_ms = mark_ms(processes, self.marked_count());
         self.reports.retain(|id, reports| {
-            let ended = reports.expire(registry.get(id), now);
+            let ended = reports.expire(registry.get(id), mark_ms, now);
             if let Some(reason) = ended
                 && reports.marked_at.is_some()
             {
@@ -267,7 +289,9 @@
         let marked = self.reports.iter().filter(|(_, reports)| reports.marked_at.is_some());
         let endpoints: BTreeMap<String, u64> =
             marked.map(|(id, reports)| (id.clone(), reports.started_ms)).collect();
-        let is_recent = self.published_at.is_some_and(|at| now.since(at) < BROADCAST_INTERVAL_MS);
+        let published_entries = self.published.endpoints.len() * self.published_to;
+        let interval_ms = broadcast_interval_ms(published_entries);
+        let is_recent = self.published_at.is_some_and(|at| now.since(at) < interval_ms);
         // After a change of leader, the first endpoints are marked while few members are connected.
         let probe_ms = probe_interval_ms(processes, endpoints.len());
         let (shorter, longer) =
@@ -279,6 +303,7 @@
         }
         self.published = UnreachableSet { endpoints, probe_ms };
         self.published_at = Some(now);
+        self.published_to = processes;
         Some(self.published.clone())
     }
 
@@ -299,8 +324,9 @@
         self.marked_at.is_none() && self.reporters.len() >= MIN_REPORTERS
     }
 
-    /// Removes expired reports. Returns why nothing has to be kept about the endpoint, if so.
-    fn expire(&mut self, endpoint: Option<&Endpoint>, now: Millis) -> Option<Reason> {
+    /// Removes expired reports. Returns why nothing has to be kept about the endpoint, if so. A mark
+    /// ends `mark_ms` after the last report.
+    fn expire(&mut self, endpoint: Option<&Endpoint>, mark_ms: u64, now: Millis) -> Option<Reason> {
         let is_current = endpoint.is_some_and(|endpoint| {
             let started_ms = endpoint.announcement.started_ms;
             endpoint.status == EndpointStatus::Ready && started_ms == self.started_ms
@@ -310,7 +336,7 @@
         }
         self.contradicted.retain(|_, at| now.since(*at) < CONTRADICTED_MS);
         if self.marked_at.is_some() {
-            return (now.since(self.last_report) >= MARK_MS).then_some(Reason::Expired);
+            return (now.since(self.last_report) >= mark_ms).then_some(Reason::Expired);
         }
         self.reporters.retain(|_, at| is_in_window(*at, now));
         let is_empty = self.reporters.is_empty() && self.contradicted.is_empty();
@@ -323,6 +349,20 @@
     now.since(at) <= MARK_WINDOW_MS
 }
 
+/// Returns the milliseconds after the last report for which endpoints stay marked. With more marked
+/// endpoints than processes, each of them is probed less than once per second.
+fn mark_ms(processes: usize, marked: usize) -> u64 {
+    let factor = MARKS_PER_PROCESS_FACTOR * marked / processes.max(1);
+    (MARK_MS * factor as u64).clamp(MARK_MS, MAX_MARK_MS)
+}
+
+/// Returns the milliseconds until the next broadcast after one with this many entries over all
+/// members.
+fn broadcast_interval_ms(entries: usize) -> u64 {
+    let interval_ms = (entries * 1_000 / BROADCAST_ENTRIES_PER_SECOND) as u64;
+    interval_ms.clamp(BROADCAST_INTERVAL_MS, MAX_BROADCAST_INTERVAL_MS)
+}
+
 /// Returns the milliseconds between two probes of one process. If each made one per second, a large
 /// fleet would spend many requests on probes.
 fn probe_interval_ms(processes: usize, endpoints: usize) -> u64 {
--- a/components/fleet/tests/reachability.rs
+++ b/components/fleet/tests/reachability.rs
@@ -77,7 +77,7 @@
 
     /// Updates the marks and returns the ids of the marked endpoints.
     fn marked(&mut self, now: u64) -> Vec<String> {
-        self.tracker.update(&self.registry, Millis(now));
+        self.tracker.update(&self.registry, 2, Millis(now));
         let set = self.tracker.take_broadcast(2, Millis(now));
         let set = set.unwrap_or_else(|| self.tracker.published().clone());
         set.endpoints.into_keys().collect()
@@ -280,7 +280,7 @@
                 self.pickers[process].reachability().replace_set(&set, now);
             }
             Event::Tick => {
-                self.leader.tracker.update(&self.leader.registry, now);
+                self.leader.tracker.update(&self.leader.registry, self.pickers.len(), now);
                 if let Some(set) = self.leader.tracker.take_broadcast(self.pickers.len(), now) {
                     for process in 0..self.pickers.len() {
                         self.schedule(MESSAGE_MS, Event::Set { process, set: set.clone() });
@@ -536,7 +536,7 @@
     for now in 0..200 {
         leader.report("a", &format!("e{now}"), now * 5);
         leader.report("b", &format!("e{now}"), now * 5);
-        leader.tracker.update(&leader.registry, Millis(now * 5));
+        leader.tracker.update(&leader.registry, 2, Millis(now * 5));
         broadcasts += usize::from(leader.tracker.take_broadcast(2, Millis(now * 5)).is_some());
     }
     assert!((5..=10).contains(&broadcasts), "{broadcasts}");
@@ -566,7 +566,7 @@
                 }
             }
         }
-        leader.tracker.update(&leader.registry, Millis(now));
+        leader.tracker.update(&leader.registry, members.len(), Millis(now));
         if let Some(set) = leader.tracker.take_broadcast(members.len(), Millis(now)) {
             broadcast_at.get_or_insert(now);
             members.iter_mut().for_each(|member| member.replace_set(&set, Millis(now)));
@@ -579,6 +579,26 @@
     assert_eq!(leader.marked(until), ["e0"], "the probes renew the mark");
 }
 
+/// Guards against processes that keep the probe interval of two processes, because a new leader marked
+/// the endpoint while only two were connected to it.
+#[test]
+fn the_probe_interval_follows_the_number_of_processes() {
+    let mut leader = Leader::new(desk(4));
+    leader.report("a", "e1", 0);
+    leader.report("b", "e1", 0);
+    assert_eq!(leader.marked(0), ["e1"]);
+    assert_eq!(leader.tracker.published().probe_ms, 2_000);
+    let set = leader.tracker.take_broadcast(400, Millis(200)).expect("a broadcast");
+    // Five probes per second are made by 400 processes.
+    assert_eq!(set.probe_ms, 80_000);
+    assert!(leader.tracker.take_broadcast(450, Millis(400)).is_none(), "it changed little");
+    leader.tracker.record_reachable("c", "e1", 1, Millis(500));
+    assert!(
+        leader.tracker.take_broadcast(400, Millis(600)).is_some_and(|s| s.endpoints.is_empty())
+    );
+    assert!(leader.tracker.take_broadcast(2, Millis(800)).is_none(), "there is nothing to probe");
+}
+
 /// Guards against processes whose reports do not count after they were cut off for a moment.
 #[test]
 fn reports_of_a_process_that_reaches_the_endpoint_again_count_again() {
@@ -591,6 +611,23 @@
     assert_eq!(leader.marked(1_500), ["e1"]);
 }
 
+/// Guards against a leader that counts all endpoints of the fleet 50 times a second while any of them
+/// is reported.
+#[test]
+fn marks_are_limited_again_at_most_twice_a_second() {
+    let mut leader = Leader::new(desk(11));
+    for id in 0..5 {
+        leader.report("a", &format!("e{id}"), 0);
+        leader.report("b", &format!("e{id}"), 0);
+    }
+    assert_eq!(leader.marked(0).len(), 5);
+    let mut endpoints = desk(11);
+    endpoints[7..].iter_mut().for_each(|one| one.status = EndpointStatus::Gone);
+    leader.registry = registry(&endpoints);
+    assert_eq!(leader.marked(480).len(), 5);
+    assert_eq!(leader.marked(500).len(), 3);
+}
+
 /// Guards against a crowd of broadcasts that makes each process probe early, because each of them
 /// draws a new time.
 #[test]
@@ -617,41 +654,59 @@
     assert!(member.reports_for_new_leader(Millis(1_001)).is_empty());
 }
 
-/// Guards against a leader that counts all endpoints of the fleet 50 times a second while any of them
-/// is reported.
+/// Guards against marks that lapse between two probes while few processes probe many endpoints, so
+/// that requests find out again and again that they are unreachable.
 #[test]
-fn marks_are_limited_again_at_most_twice_a_second() {
-    let mut leader = Leader::new(desk(11));
-    for id in 0..5 {
-        leader.report("a", &format!("e{id}"), 0);
-        leader.report("b", &format!("e{id}"), 0);
+fn marks_of_many_endpoints_are_renewed_by_few_processes() {
+    let (marked, until) = (20, 60_000);
+    let mut leader = Leader::new(desk(2 * marked));
+    let ids: Vec<String> = (0..marked).map(|number| format!("e{number}")).collect();
+    let mut members: Vec<LocalReachability> = (0..4).map(member).collect();
+    for id in &ids {
+        leader.report("p0", id, 0);
+        leader.report("p1", id, 0);
     }
-    assert_eq!(leader.marked(0).len(), 5);
-    let mut endpoints = desk(11);
-    endpoints[7..].iter_mut().for_each(|one| one.status = EndpointStatus::Gone);
-    leader.registry = registry(&endpoints);
-    assert_eq!(leader.marked(480).len(), 5);
-    assert_eq!(leader.marked(500).len(), 3);
+    let mut lapsed = 0;
+    for now in (0..until).step_by(TICK_MS as usize) {
+        let transitions = leader.tracker.update(&leader.registry, members.len(), Millis(now));
+        lapsed += transitions.iter().filter(|one| one.reason == Reason::Expired).count();
+        if let Some(set) = leader.tracker.take_broadcast(members.len(), Millis(now)) {
+            members.iter_mut().for_each(|member| member.replace_set(&set, Millis(now)));
+        }
+        for (number, member) in members.iter_mut().enumerate() {
+            member.record_leader(Millis(now));
+            if !member.is_probe_due(Millis(now)) {
+                continue;
+            }
+            let known = ids.iter().filter(|id| member.is_unreachable(id, 1, Millis(now)));
+            let known = known.map(String::as_str).collect();
+            let Some(probed) = member.start_probe(known, Millis(now)) else { continue };
+            if member.record_failure(&probed, 1, Millis(now)).is_some() {
+                leader.report(&format!("p{number}"), &probed, now);
+            }
+        }
+    }
+    assert!(lapsed <= 2, "{lapsed} marks lapsed");
 }
 
-/// Guards against processes that keep the probe interval of two processes, because a new leader marked
-/// the endpoint while only two were connected to it.
+/// Guards against a leader whose link is full of sets while many endpoints change.
 #[test]
-fn the_probe_interval_follows_the_number_of_processes() {
-    let mut leader = Leader::new(desk(4));
-    leader.report("a", "e1", 0);
-    leader.report("b", "e1", 0);
-    assert_eq!(leader.marked(0), ["e1"]);
-    assert_eq!(leader.tracker.published().probe_ms, 2_000);
-    let set = leader.tracker.take_broadcast(400, Millis(200)).expect("a broadcast");
-    // Five probes per second are made by 400 processes.
-    assert_eq!(set.probe_ms, 80_000);
-    assert!(leader.tracker.take_broadcast(450, Millis(400)).is_none(), "it changed little");
-    leader.tracker.record_reachable("c", "e1", 1, Millis(500));
-    assert!(
-        leader.tracker.take_broadcast(400, Millis(600)).is_some_and(|s| s.endpoints.is_empty())
-    );
-    assert!(leader.tracker.take_broadcast(2, Millis(800)).is_none(), "there is nothing to probe");
+fn large_sets_are_broadcast_less_often() {
+    let members = 400;
+    let mut leader = Leader::new(desk(2_000));
+    let mut sent = Vec::new();
+    for now in (0..5_000).step_by(5) {
+        let id = format!("e{}", now / 5);
+        leader.report("a", &id, now);
+        leader.report("b", &id, now);
+        leader.tracker.update(&leader.registry, members, Millis(now));
+        let set = leader.tracker.take_broadcast(members, Millis(now));
+        sent.extend(set.map(|set| set.endpoints.len() * members));
+    }
+    // What the last set costs counts for the time after it.
+    sent.pop();
+    let total: usize = sent.iter().sum();
+    assert!((1..=5 * 100_000).contains(&total), "{total} entries in 5 s");
 }
 
 /// Guards against a process that probes more often than once a second, in a fleet of any size.
--- a/components/node/src/leader/reachability.rs
+++ b/components/node/src/leader/reachability.rs
@@ -54,10 +54,11 @@
     /// Evaluates the reports, and broadcasts the set if it has changed.
     fn update_reachability(&self) {
         let (now, followers) = (clock::now(), &self.context.followers);
+        let processes = followers.count_members();
         let mut tracker = self.reachability.borrow_mut();
-        let transitions = tracker.update(&self.registry.borrow(), now);
+        let transitions = tracker.update(&self.registry.borrow(), processes, now);
         transitions.iter().for_each(log_transition);
-        if let Some(set) = tracker.take_broadcast(followers.count_members(), now) {
+        if let Some(set) = tracker.take_broadcast(processes, now) {
             followers.broadcast(&Update::Unreachable(set));
         }
     }
