Reachability: the test of reports uses the designed rate of probes as its bound

Cause: the bound of 40 reports per second was eight times the designed rate, five per second in 400 processes.

Change: the bounds are three times the rate in any second, and one and a half times in all; fewer than half of the designed probes fail too.

--- a/components/fleet/tests/reachability.rs
+++ b/components/fleet/tests/reachability.rs
@@ -575,7 +575,14 @@
     assert!(broadcast_at.is_some_and(|at| (2_000..2_100).contains(&at)), "{broadcast_at:?}");
     assert!(before.values().all(|count| *count <= 400), "{before:?}");
     let peak = after.values().max().copied().unwrap_or(0);
-    assert!((1..=40).contains(&peak), "only probes are reported: {after:?}");
+    // All processes together probe once per second, and once more per 100 processes. The probes are
+    // random, so the number in one second varies by about its square root.
+    let per_second = 1 + members.len() / 100;
+    let seconds = ((until - leader_reads_from) / 1_000) as usize;
+    let total: usize = after.values().sum();
+    assert!(peak <= 3 * per_second, "only probes are reported: {after:?}");
+    let designed = per_second * seconds;
+    assert!((designed / 2..=designed * 3 / 2).contains(&total), "{total} of {designed}: {after:?}");
     assert_eq!(leader.marked(until), ["e0"], "the probes renew the mark");
 }
 
