Config check: a template that is not UTF-8 is an error

Cause: the check replaced invalid bytes, so it accepted a file that template check and apply cannot read.

Change: invalid UTF-8 is refused with the error of a file that cannot be read, and its position.

Result: the exit code is that of template check. The new test fails without this.

--- a/src/cmd/config.rs
+++ b/src/cmd/config.rs
@@ -1,6 +1,7 @@
 //! `chicoryford config`.
 
 use std::collections::BTreeSet;
+use std::io;
 use std::path::Path;
 
 use bytes::Bytes;
@@ -182,7 +183,9 @@
     text: &[u8],
     to: Option<&Connection>,
 ) -> Result<(Report, Result<(), CmdError>), CmdError> {
-    let text = String::from_utf8_lossy(text);
+    let text = std::str::from_utf8(text).map_err(|error| {
+        SettingsError::Read(args.file.clone(), io::Error::new(io::ErrorKind::InvalidData, error))
+    })?;
     let (in_force, read) = match to {
         Some(to) => split(read_templates(to).await),
         None => (None, Ok(())),
@@ -194,7 +197,7 @@
         known.trainers = Some(names(&holders, Kind::Trainer));
     }
     known.models = in_force.as_ref().map(|(config, members)| models(config, members));
-    let (templates, findings) = findings::check_templates(&args.file, &text, &known)?;
+    let (templates, findings) = findings::check_templates(&args.file, text, &known)?;
     let finding = |finding: TemplateFinding| {
         let severity = if finding.problem.is_error() { ERROR } else { WARNING };
         let (kind, detail) = (finding.problem.kind(), finding.problem.to_string());
--- a/tests/whole/config.rs
+++ b/tests/whole/config.rs
@@ -162,6 +162,28 @@
     assert_eq!(code(&check(&[&write(&folder, flow), "--format", "template"])), 0);
 }
 
+/// Guards against a check that accepts a file which is refused when it is applied, because it is not
+/// valid UTF-8.
+#[test]
+fn a_template_that_is_not_utf8_is_refused_as_by_template_check() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("template.yaml");
+    let text = [b"# Caf\xe9\n", TEMPLATE.as_bytes()].concat();
+    std::fs::write(&file, text).unwrap();
+    let file = file.to_str().unwrap();
+    let run = |arguments: &[&str]| {
+        let output = Command::new(env!("CARGO_BIN_EXE_chicoryford")).args(arguments).output();
+        output.unwrap()
+    };
+    let (checked, template) = (run(&["config", "check", file]), run(&["template", "check", file]));
+    assert_eq!(code(&checked), code(&template), "{checked:?}");
+    assert_ne!(code(&checked), 0);
+    for output in [checked, template] {
+        let error = String::from_utf8(output.stderr).unwrap();
+        assert!(error.contains(&format!("{file}: cannot be read")), "{error}");
+    }
+}
+
 /// Guards against a comparison that fails silently, so that "no differences" is believed, and against
 /// findings that are lost because of it.
 #[test]
