--- a/components/fleet/src/reachability.rs
+++ b/components/fleet/src/reachability.rs
@@ -26,10 +26,28 @@
 /// Number of processes that must report an endpoint. A process that is cut off itself reports every
 /// endpoint.
 const MIN_REPORTERS: usize = 2;
-/// Milliseconds after the last report for which an endpoint stays marked.
+/// Milliseconds after the last report for which an endpoint stays marked, if there are enough
+/// processes to probe each marked endpoint about once per second.
 const MARK_MS: u64 = 2_000;
+/// Number of marked endpoints per process by which the lifetime of marks is multiplied, in halves. A
+/// process probes one endpoint in about 1.25 s, and processes probe in different orders, so the
+/// probes of one endpoint are not evenly spaced.
+const MARKS_PER_PROCESS_FACTOR: usize = 2;
+/// Maximum milliseconds after the last report for which an endpoint stays marked. When many endpoints
+/// are reachable again at the same time, probes alone would clear their marks only after minutes.
+const MAX_MARK_MS: u64 = 30_000;
 /// Minimum milliseconds between two broadcasts, which go to hundreds of members.
 const BROADCAST_INTERVAL_MS: u64 = 100;
+/// Maximum number of entries that the leader sends per second in broadcasts, over all members. An
+/// entry takes about 40 bytes.
+const BROADCAST_ENTRIES_PER_SECOND: usize = 100_000;
+/// Maximum milliseconds between two broadcasts. Members would otherwise avoid endpoints for too long
+/// after these can be reached again.
+const MAX_BROADCAST_INTERVAL_MS: u64 = 5_000;
+/// Factor by which the interval between probes must change for the set to be broadcast because of it.
+const PROBE_CHANGE_FACTOR: u64 = 2;
+/// Minimum milliseconds between two counts of the ready endpoints, which visit the whole registry.
+const COUNT_INTERVAL_MS: u64 = 500;
 /// Milliseconds for which reports of a process do not count for an endpoint that another process
 /// has reached shortly after its report. While some processes are cut off from an endpoint, it would
 /// otherwise be marked again after each successful probe.
@@ -127,6 +145,11 @@
     reports: BTreeMap<String, EndpointReports>,
     published: UnreachableSet,
     published_at: Option<Millis>,
+    /// The number of members to which the set was published.
+    published_to: usize,
+    /// How many endpoints of each reported service may be marked.
+    limits: BTreeMap<String, usize>,
+    counted_at: Option<Millis>,
 }
 
 impl ReachabilityTracker {
@@ -175,18 +198,25 @@
         let others = std::mem::take(&mut reports.reporters).into_iter();
         let recent = others.filter(|(other, at)| other != reporter && is_in_window(*at, now));
         reports.contradicted.extend(recent.map(|(other, _)| (other, now)));
+        reports.contradicted.remove(reporter);
         let was_marked = reports.marked_at.take().is_some();
         was_marked.then(|| reports.transition(id, Reason::Reached, vec![reporter.to_owned()]))
     }
 
-    /// Marks and unmarks endpoints. Returns the transitions.
-    pub fn update(&mut self, registry: &Registry, now: Millis) -> Vec<Transition> {
+    /// Marks and unmarks endpoints in a fleet with this many processes. Returns the transitions.
+    pub fn update(
+        &mut self,
+        registry: &Registry,
+        processes: usize,
+        now: Millis,
+    ) -> Vec<Transition> {
         let mut transitions = Vec::new();
         if self.reports.is_empty() {
             return transitions;
         }
+        let mark_ms = mark_ms(processes, self.marked_count());
         self.reports.retain(|id, reports| {
-            let ended = reports.expire(registry.get(id), now);
+            let ended = reports.expire(registry.get(id), mark_ms, now);
             if let Some(reason) = ended
                 && reports.marked_at.is_some()
             {
@@ -194,12 +224,22 @@
             }
             ended.is_none()
         });
-        let mut limits = self.limits(registry);
+        let is_recent = self.counted_at.is_some_and(|at| now.since(at) < COUNT_INTERVAL_MS);
+        let mut due = self.reports.values().filter(|reports| reports.is_due()).peekable();
+        let has_due = due.peek().is_some();
+        let is_counted = due.all(|reports| self.limits.contains_key(&reports.service));
+        if !has_due && (is_recent || self.marked_count() == 0) {
+            return transitions;
+        }
+        if !is_recent || !is_counted {
+            self.limits = self.count_limits(registry);
+            self.counted_at = Some(now);
+        }
+        let mut limits = self.limits.clone();
         self.enforce_limits(&mut limits, &mut transitions);
         for (id, reports) in &mut self.reports {
-            let is_due = reports.marked_at.is_none() && reports.reporters.len() >= MIN_REPORTERS;
             let limit = limits.entry(reports.service.clone()).or_default();
-            if is_due && *limit > 0 {
+            if reports.is_due() && *limit > 0 {
                 *limit -= 1;
                 reports.marked_at = Some(now);
                 transitions.push(reports.transition(id, Reason::Reported, reports.reporters()));
@@ -209,7 +249,7 @@
     }
 
     /// Returns how many endpoints of each reported service may be marked.
-    fn limits(&self, registry: &Registry) -> BTreeMap<String, usize> {
+    fn count_limits(&self, registry: &Registry) -> BTreeMap<String, usize> {
         let services = self.reports.values().map(|reports| (reports.service.clone(), 0));
         let mut limits: BTreeMap<String, usize> = services.collect();
         let ready = registry.all().filter(|endpoint| endpoint.status == EndpointStatus::Ready);
@@ -249,13 +289,21 @@
         let marked = self.reports.iter().filter(|(_, reports)| reports.marked_at.is_some());
         let endpoints: BTreeMap<String, u64> =
             marked.map(|(id, reports)| (id.clone(), reports.started_ms)).collect();
-        let is_recent = self.published_at.is_some_and(|at| now.since(at) < BROADCAST_INTERVAL_MS);
-        if endpoints == self.published.endpoints || is_recent {
+        let published_entries = self.published.endpoints.len() * self.published_to;
+        let interval_ms = broadcast_interval_ms(published_entries);
+        let is_recent = self.published_at.is_some_and(|at| now.since(at) < interval_ms);
+        // After a change of leader, the first endpoints are marked while few members are connected.
+        let probe_ms = probe_interval_ms(processes, endpoints.len());
+        let (shorter, longer) =
+            (probe_ms.min(self.published.probe_ms), probe_ms.max(self.published.probe_ms));
+        let has_new_interval = !endpoints.is_empty() && longer > PROBE_CHANGE_FACTOR * shorter;
+        let has_changed = endpoints != self.published.endpoints || has_new_interval;
+        if is_recent || !has_changed {
             return None;
         }
-        let probe_ms = probe_interval_ms(processes, endpoints.len());
         self.published = UnreachableSet { endpoints, probe_ms };
         self.published_at = Some(now);
+        self.published_to = processes;
         Some(self.published.clone())
     }
 
@@ -271,8 +319,14 @@
 }
 
 impl EndpointReports {
-    /// Removes expired reports. Returns why nothing has to be kept about the endpoint, if so.
-    fn expire(&mut self, endpoint: Option<&Endpoint>, now: Millis) -> Option<Reason> {
+    /// Returns whether enough processes report the endpoint, and it is not marked yet.
+    fn is_due(&self) -> bool {
+        self.marked_at.is_none() && self.reporters.len() >= MIN_REPORTERS
+    }
+
+    /// Removes expired reports. Returns why nothing has to be kept about the endpoint, if so. A mark
+    /// ends `mark_ms` after the last report.
+    fn expire(&mut self, endpoint: Option<&Endpoint>, mark_ms: u64, now: Millis) -> Option<Reason> {
         let is_current = endpoint.is_some_and(|endpoint| {
             let started_ms = endpoint.announcement.started_ms;
             endpoint.status == EndpointStatus::Ready && started_ms == self.started_ms
@@ -282,7 +336,7 @@
         }
         self.contradicted.retain(|_, at| now.since(*at) < CONTRADICTED_MS);
         if self.marked_at.is_some() {
-            return (now.since(self.last_report) >= MARK_MS).then_some(Reason::Expired);
+            return (now.since(self.last_report) >= mark_ms).then_some(Reason::Expired);
         }
         self.reporters.retain(|_, at| is_in_window(*at, now));
         let is_empty = self.reporters.is_empty() && self.contradicted.is_empty();
@@ -295,6 +349,20 @@
     now.since(at) <= MARK_WINDOW_MS
 }
 
+/// Returns the milliseconds after the last report for which endpoints stay marked. With more marked
+/// endpoints than processes, each of them is probed less than once per second.
+fn mark_ms(processes: usize, marked: usize) -> u64 {
+    let factor = MARKS_PER_PROCESS_FACTOR * marked / processes.max(1);
+    (MARK_MS * factor as u64).clamp(MARK_MS, MAX_MARK_MS)
+}
+
+/// Returns the milliseconds until the next broadcast after one with this many entries over all
+/// members.
+fn broadcast_interval_ms(entries: usize) -> u64 {
+    let interval_ms = (entries * 1_000 / BROADCAST_ENTRIES_PER_SECOND) as u64;
+    interval_ms.clamp(BROADCAST_INTERVAL_MS, MAX_BROADCAST_INTERVAL_MS)
+}
+
 /// Returns the milliseconds between two probes of one process. If each made one per second, a large
 /// fleet would spend many requests on probes.
 fn probe_interval_ms(processes: usize, endpoints: usize) -> u64 {
@@ -354,15 +422,23 @@
         if !self.enabled {
             return;
         }
+        let is_shorter = set.probe_ms < self.set.probe_ms;
         self.set = set.clone();
         self.leader_heard = now;
         self.probed.retain(|id, _| set.endpoints.contains_key(id));
         self.probing.retain(|id| set.endpoints.contains_key(id));
+        if set.endpoints.is_empty() {
+            self.next_probe = None;
+            return;
+        }
+        // If each set drew a new time, frequent sets would make all processes probe early.
+        if self.next_probe.is_some() && !is_shorter {
+            return;
+        }
         let delay = (set.probe_ms as f64 * self.rng.random_range(0.0..1.0)) as u64;
         let earliest = self.last_probe.map_or(now, |last| last + MIN_PROBE_INTERVAL_MS);
         let candidate = earliest.max(now + delay);
-        let next = self.next_probe.map_or(candidate, |next| next.min(candidate));
-        self.next_probe = (!set.endpoints.is_empty()).then_some(next);
+        self.next_probe = Some(self.next_probe.map_or(candidate, |next| next.min(candidate)));
     }
 
     /// Records when the last message of the leader arrived. The set is dropped some time after that:
@@ -410,14 +486,14 @@
 
     /// Returns the recent reports for a leader that has just been connected. It knows nothing, and
     /// callers would have to find out again.
-    pub fn reports_for_new_leader(&mut self, now: Millis) -> Vec<Report> {
-        self.reported.retain(|_, (_, at)| now.since(*at) < MARK_MS);
+    pub fn reports_for_new_leader(&self, now: Millis) -> Vec<Report> {
+        let recent = self.reported.iter().filter(|(_, (_, at))| is_in_window(*at, now));
         let report = |(id, (started_ms, _)): (&String, &(u64, Millis))| Report {
             endpoint: id.clone(),
             started_ms: *started_ms,
             reached: false,
         };
-        self.reported.iter().map(report).collect()
+        recent.map(report).collect()
     }
 
     /// Returns whether a probe is due.
