Send the number of hosts in a command of its own

Structs are encoded by position, so a host of an earlier version cannot read a run with the added field `hosts`, also with all new settings off.

The field is removed. With `paced_scorers`, the leader sends `HostCommand::HostCount` before a run if the host was last told another number. A new leader sends it once all connected hosts and those that hold data of open steps have reported, at the latest 500 ms after it began.

The test `each_run_tells_its_host_the_number_of_hosts` is replaced, because the field no longer exists, by one that checks the number before the first run, no repetition, and the new number after a second host has joined.

--- a/components/fleet/src/pacing.rs
+++ b/components/fleet/src/pacing.rs
@@ -98,8 +98,7 @@
 }
 
 impl Pacer {
-    /// Sets the number of hosts that share the endpoints. Zero, from a leader that does not send
-    /// it, keeps the last known number.
+    /// Sets the number of hosts that share the endpoints. Zero keeps the last known number.
     pub fn set_hosts(&mut self, hosts: u32) {
         if hosts > 0 {
             self.hosts = hosts;
--- a/components/fleet/src/run.rs
+++ b/components/fleet/src/run.rs
@@ -128,10 +128,6 @@
     pub output: SampleOutput,
     /// The failures so far.
     pub cost: Cost,
-    /// The number of hosts that the leader uses; zero if unknown. Each host uses its share of the
-    /// slots for scorers' calls.
-    #[serde(default)]
-    pub hosts: u32,
 }
 
 /// A command to a host.
@@ -175,6 +171,9 @@
         /// The id of the run; another run of the same sample continues.
         run: u64,
     },
+    /// The number of hosts that share the slots for scorers' calls. It is not part of [`Job`] because
+    /// structs are encoded by position: a host of an earlier version could not read a longer one.
+    HostCount(u32),
 }
 
 /// The status of a run.
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -126,7 +126,7 @@
         Rc::new(Self { picker, pool, hedging, policy, queues, pacing, crashes, reporter })
     }
 
-    /// Sets the number of hosts whose scorers' calls share the endpoints; zero if unknown.
+    /// Sets the number of hosts whose scorers' calls share the endpoints.
     pub fn set_hosts(&self, hosts: u32) {
         if let Some(pacing) = &self.pacing {
             pacing.set_hosts(hosts);
--- a/components/node/src/hosts.rs
+++ b/components/node/src/hosts.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use chicoryford_fleet::run::HostCommand;
+use chicoryford_fleet::run::Job;
 use chicoryford_types::Millis;
 
 use crate::clock;
@@ -48,6 +49,8 @@
     followers: Rc<Followers>,
     local: Rc<Runner>,
     known: RefCell<BTreeMap<String, Host>>,
+    /// The number of hosts that each host was last told.
+    sent_counts: RefCell<BTreeMap<String, u32>>,
     /// Whether hosts near the engine are preferred.
     prefer_near: bool,
 }
@@ -56,7 +59,8 @@
     /// Creates an instance with only this process as a host, which hosts runs while there is no
     /// other.
     pub fn new(followers: Rc<Followers>, local: Rc<Runner>, prefer_near: bool) -> Self {
-        Self { followers, local, known: RefCell::default(), prefer_near }
+        let (known, sent_counts) = (RefCell::default(), RefCell::default());
+        Self { followers, local, known, sent_counts, prefer_near }
     }
 
     /// Records that a host has reported all its runs on a connection. Returns whether that counts:
@@ -76,6 +80,8 @@
         }
         host.link = Some(link);
         host.reporting_link = None;
+        // The host may have restarted.
+        self.sent_counts.borrow_mut().remove(node);
         true
     }
 
@@ -114,6 +120,7 @@
         let names: Vec<String> =
             known.iter().filter(|(_, host)| is_gone(host)).map(|(name, _)| name.clone()).collect();
         known.retain(|_, host| !is_gone(host));
+        self.sent_counts.borrow_mut().retain(|name, _| !names.contains(name));
         names
     }
 
@@ -123,6 +130,14 @@
         self.known.borrow().len().max(1) as u32
     }
 
+    /// Returns whether these hosts, and those that are connected, have reported all their runs. False
+    /// if there are none, because a new leader then knows nothing about hosts yet.
+    pub fn all_reported(&self, mut expected: BTreeSet<String>) -> bool {
+        expected.extend(self.followers.hosts());
+        let known = self.known.borrow();
+        !expected.is_empty() && expected.iter().all(|name| known.contains_key(name))
+    }
+
     /// Chooses a host for a run in a data centre: the one there with the fewest runs, so that
     /// events stay in the data centre and connections to an engine are reused, unless it has many
     /// more runs than others.
@@ -173,6 +188,18 @@
         self.followers.send_work(node, work)
     }
 
+    /// Sends a run to a host, preceded by the number of hosts if that is given and the host was told
+    /// another one. Returns whether the run was sent.
+    pub fn send_run(&self, node: &str, job: Box<Job>, count: Option<u32>) -> bool {
+        let known = self.sent_counts.borrow().get(node).copied();
+        if let Some(count) = count.filter(|count| known != Some(*count))
+            && self.send(node, HostCommand::HostCount(count))
+        {
+            self.sent_counts.borrow_mut().insert(node.to_owned(), count);
+        }
+        self.send(node, HostCommand::Run(job))
+    }
+
     /// Asks all hosts to report their runs again, and returns their names. A host that is still
     /// reporting is asked as well, because its earlier reports may have been ignored.
     pub fn request_reports(&self) -> BTreeSet<String> {
--- a/components/node/src/leader/runs.rs
+++ b/components/node/src/leader/runs.rs
@@ -7,13 +7,13 @@
 use chicoryford_fleet::plan::Assignment;
 use chicoryford_fleet::plan::ReportAction;
 use chicoryford_fleet::plan::RunEnd;
-use chicoryford_fleet::run::HostCommand;
 use chicoryford_fleet::run::Job;
 use chicoryford_fleet::run::RunReport;
 use chicoryford_fleet::run::RunStatus;
 
 use crate::clock;
 use crate::leader::Leader;
+use crate::leader::steps::HOST_REPORTS_WAIT_MS;
 use crate::listing::SampleVerdict;
 use crate::metrics;
 
@@ -68,10 +68,9 @@
             remaining_ms: left_ms,
             output,
             cost,
-            hosts: self.hosts.count(),
         };
         self.plan.borrow_mut().set_host(&step.id, index, &host);
-        if !self.hosts.send(&host, HostCommand::Run(Box::new(job))) {
+        if !self.hosts.send_run(&host, Box::new(job), self.host_count()) {
             // The next planning round assigns the run to another host. Planning again at once would
             // choose the same host repeatedly until its connection has ended.
             self.hosts.mark_overloaded(&host);
@@ -79,6 +78,19 @@
         }
     }
 
+    /// Returns the number of hosts that share the slots for scorers' calls, if calls are paced. A new
+    /// leader does not know it before the hosts have reported: until then, they keep the last known
+    /// number, because too low a number would let them fill the queues of endpoints. A host that does
+    /// not report within the time for which steps wait for it is not counted.
+    fn host_count(&self) -> Option<u32> {
+        let is_paced = self.context.settings.policy.paced_scorers;
+        let is_complete = || {
+            clock::now().since(self.began) >= HOST_REPORTS_WAIT_MS
+                || self.hosts.all_reported(self.context.replica.state().store_nodes())
+        };
+        (is_paced && is_complete()).then(|| self.hosts.count())
+    }
+
     /// Ends a run at the leader's initiative: its host is told to stop it, and the sample waits for
     /// another run.
     pub(super) fn end_run(self: &Rc<Self>, step: &str, index: u32, end: RunEnd) {
--- a/components/node/src/leader/steps.rs
+++ b/components/node/src/leader/steps.rs
@@ -32,7 +32,7 @@
 /// Milliseconds for which a step that was taken over waits for reports about its running samples if
 /// some host does not report. Hosts notice the loss of the previous leader within 0.9 s, mostly
 /// before the next one is elected.
-const HOST_REPORTS_WAIT_MS: u64 = 500;
+pub(super) const HOST_REPORTS_WAIT_MS: u64 = 500;
 /// Milliseconds for which the end of a step waits until the step is read from the stores. They connect
 /// to a new leader within some tenths of a second; a step that cannot be read must end as well.
 const UNREAD_END_WAIT_MS: u64 = 500;
--- a/components/node/src/runner/mod.rs
+++ b/components/node/src/runner/mod.rs
@@ -253,6 +253,7 @@
                 self.start(*job, age_ms);
             }
             HostCommand::Tell => self.report_all(),
+            HostCommand::HostCount(hosts) => self.forwarder.set_hosts(hosts),
             HostCommand::Grant { step, index, run, grant, failures } => {
                 let hosted = self.runs.borrow().get(&(step, index)).cloned();
                 if let Some(hosted) = hosted.filter(|hosted| hosted.job.run == run) {
@@ -361,7 +362,6 @@
     fn start(self: &Rc<Self>, job: Job, age_ms: u64) {
         let key = (job.step.clone(), job.index);
         self.stop(&key);
-        self.forwarder.set_hosts(job.hosts);
         let now = clock::now();
         let scorer = job.sample.scorer.as_ref();
         let grant = scorer.map(|scorer| Grant::of(scorer, &job.cost.grant)).unwrap_or_default();
--- a/components/node/tests/hosts.rs
+++ b/components/node/tests/hosts.rs
@@ -57,6 +57,16 @@
     assert_eq!(hosts.take_expired(), ["a".to_owned()]);
 }
 
+/// Guards against a new leader that takes the hosts which have reported so far for all of them.
+#[test]
+fn the_number_of_hosts_is_known_once_all_expected_ones_have_reported() {
+    let hosts = hosts();
+    let reported =
+        |names: &[&str]| hosts.all_reported(names.iter().map(|name| (*name).to_owned()).collect());
+    assert!(reported(&["a", "b"]) && !reported(&["a", "c"]));
+    assert!(!reported(&[]), "a new leader does not know yet which hosts there are");
+}
+
 /// Hosts share the endpoints of scorers. Guards against a share that is too large while a host that
 /// was disconnected for a moment still calls scorers, or too small after its loss.
 #[tokio::test]
--- a/components/node/tests/leader/grants.rs
+++ b/components/node/tests/leader/grants.rs
@@ -1,5 +1,6 @@
 //! Endpoints that the leader grants to scorers' calls.
 
+use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,6 +9,7 @@
 use chicoryford_fleet::Command;
 use chicoryford_fleet::Config;
 use chicoryford_fleet::Grant;
+use chicoryford_fleet::Policy;
 use chicoryford_fleet::Route;
 use chicoryford_fleet::Sample;
 use chicoryford_fleet::Scorer;
@@ -21,6 +23,7 @@
 use chicoryford_fleet::run::Job;
 use chicoryford_fleet::run::RunReport;
 use chicoryford_fleet::run::RunStatus;
+use chicoryford_node::Settings;
 use chicoryford_node::clock;
 use chicoryford_node::frame::decode;
 use chicoryford_node::frame::encode;
@@ -611,23 +614,88 @@
     assert_eq!(fleet.replica.state().costs["s"].cost.scorer.endpoints, recorded);
 }
 
-/// Guards against hosts that do not know how many others share the endpoints of their scorers.
-#[actix_rt::test]
-async fn each_run_tells_its_host_the_number_of_hosts() {
-    let (fleet, parts) = (fleet().await, StoredParts::default());
-    let _store = fleet.store(&parts).await;
-    let mut hosts = [connect_host(&fleet, "h1").await, connect_host(&fleet, "h2").await];
-    // Hosts are not told when the leader knows them, and are lost if they stay silent.
-    for _ in 0..10 {
+/// Returns the numbers of hosts that a host is told before the run of a step.
+async fn counts_before_run(socket: &mut Socket, step: &str) -> Vec<u32> {
+    let counts: RefCell<Vec<u32>> = RefCell::default();
+    receive(socket, |work| match work {
+        HostCommand::HostCount(count) => {
+            counts.borrow_mut().push(count);
+            None
+        }
+        HostCommand::Run(job) => (job.step == step).then_some(()),
+        _ => None,
+    })
+    .await;
+    counts.into_inner()
+}
+
+async fn fleet_with_pacing(paced_scorers: bool) -> Fleet {
+    let policy = Policy { paced_scorers, ..Policy::default() };
+    let fleet = Fleet::start_with(|settings| Settings { policy, ..settings }).await;
+    configure(&fleet, config_with_desk(2)).await;
+    announce_desks(&fleet, &DESKS).await;
+    announce_engine(&fleet).await;
+    fleet
+}
+
+/// Keeps hosts connected until the leader no longer waits for reports of others.
+async fn outlast_reports(hosts: &mut [&mut Socket]) {
+    for _ in 0..12 {
         pause(50).await;
-        send_heartbeat(&mut hosts[0]).await;
-        send_heartbeat(&mut hosts[1]).await;
+        for host in &mut *hosts {
+            send_heartbeat(host).await;
+        }
     }
+}
+
+/// Guards against hosts that do not know how many others share the endpoints of their scorers, and
+/// against a message with each run.
+#[actix_rt::test]
+async fn hosts_are_told_their_number_before_a_run_if_it_has_changed() {
+    let (fleet, parts) = (fleet_with_pacing(true).await, StoredParts::default());
+    let _store = fleet.store(&parts).await;
+    let mut first = connect_host(&fleet, "h1").await;
+    outlast_reports(&mut [&mut first]).await;
     submit(&fleet, "a").await;
-    let [first, second] = &mut hosts;
-    let job = tokio::select! {
-        job = receive_job(first) => job,
-        job = receive_job(second) => job,
+    assert_eq!(counts_before_run(&mut first, "a").await, [1]);
+    submit(&fleet, "b").await;
+    assert_eq!(counts_before_run(&mut first, "b").await, [0; 0], "it knows the number");
+    let mut second = connect_host(&fleet, "h2").await;
+    outlast_reports(&mut [&mut first, &mut second]).await;
+    submit(&fleet, "c").await;
+    let counts = tokio::select! {
+        counts = counts_before_run(&mut first, "c") => counts,
+        counts = counts_before_run(&mut second, "c") => counts,
     };
-    assert_eq!(job.hosts, 2);
+    assert_eq!(counts, [2]);
+}
+
+/// Guards against a command that hosts of an earlier version cannot read, although nothing needs it.
+#[actix_rt::test]
+async fn without_pacing_hosts_are_not_told_their_number() {
+    let (fleet, parts) = (fleet_with_pacing(false).await, StoredParts::default());
+    let _store = fleet.store(&parts).await;
+    let mut host = connect_host(&fleet, "h1").await;
+    outlast_reports(&mut [&mut host]).await;
+    submit(&fleet, "a").await;
+    assert_eq!(counts_before_run(&mut host, "a").await, [0; 0]);
+}
+
+/// Guards against a new leader that counts only the hosts which have reported so far: the first ones
+/// would use the slots of the others as well.
+#[actix_rt::test]
+async fn a_new_leader_tells_no_number_before_the_hosts_have_reported() {
+    let (fleet, parts) = (fleet_with_pacing(true).await, StoredParts::default());
+    let _store = fleet.store(&parts).await;
+    fleet.next_leader();
+    announce_desks(&fleet, &DESKS).await;
+    announce_engine(&fleet).await;
+    let _store = fleet.store(&parts).await;
+    let _silent = connect_store(fleet.links, "h2").await;
+    let mut host = connect_host(&fleet, "h1").await;
+    submit(&fleet, "a").await;
+    assert_eq!(counts_before_run(&mut host, "a").await, [0; 0]);
+    outlast_reports(&mut [&mut host]).await;
+    submit(&fleet, "b").await;
+    assert_eq!(counts_before_run(&mut host, "b").await, [1], "the other one is lost");
 }
--- a/components/node/tests/pacing.rs
+++ b/components/node/tests/pacing.rs
@@ -2,7 +2,6 @@
 
 mod support {
     pub mod endpoint;
-    pub mod job;
     pub mod route;
 }
 
@@ -21,7 +20,6 @@
 use chicoryford_fleet::RouteKind;
 use chicoryford_fleet::run::CallCost;
 use chicoryford_fleet::run::HostCommand;
-use chicoryford_fleet::run::Job;
 use chicoryford_http::Request;
 use chicoryford_http::message::Method;
 use chicoryford_node::clock;
@@ -114,7 +112,7 @@
     }
 }
 
-/// Creates the forwarder of a host with these endpoints, which has received a run.
+/// Creates the forwarder of a host with these endpoints, which knows the number of hosts.
 fn forwarder(paced: bool, fakes: &[&Rc<FakeEndpoint>]) -> Rc<Forwarder> {
     let policy = Policy { paced_scorers: paced, ..Policy::default() };
     let forwarder = Forwarder::new(policy);
@@ -123,8 +121,7 @@
         forwarder.apply(&Update::Endpoint(endpoint));
     }
     let runner = Runner::new(Rc::new(View::default()), forwarder.clone());
-    let job = Job { hosts: HOSTS, ..support::job::job("127.0.0.1:9".parse().unwrap()) };
-    runner.handle_local(HostCommand::Run(Box::new(job)));
+    runner.handle_local(HostCommand::HostCount(HOSTS));
     forwarder
 }
 
--- a/components/node/tests/support/job.rs
+++ b/components/node/tests/support/job.rs
@@ -25,6 +25,5 @@
         remaining_ms: 10_000,
         output: SampleOutput::default(),
         cost: Cost::default(),
-        hosts: 0,
     }
 }
