Compare scorers' calls with a baseline of at least 5 ms

With a baseline of 0 or 1 ms, each answer of 3 ms cut the window of its endpoint, because durations are whole milliseconds.

`MIN_BASELINE_MS` moves from `hedge` to `baseline`, and both modules use it.

--- a/components/fleet/src/baseline.rs
+++ b/components/fleet/src/baseline.rs
@@ -9,8 +9,13 @@
 
 /// Length in milliseconds of a bucket of measurements.
 const BUCKET_MS: u64 = 10_000;
-/// Number of buckets, which together cover the last minute.
-const BUCKET_COUNT: usize = 6;
+/// Number of buckets, which together cover a minute.
+const BUCKET_COUNT: u64 = 6;
+
+/// Lowest baseline in milliseconds that durations are compared with. Durations are whole
+/// milliseconds, so an answer of 1 ms would otherwise be infinitely many times as slow as one of
+/// 0 ms.
+pub const MIN_BASELINE_MS: f64 = 5.0;
 
 /// The lowest value per bucket, oldest first.
 #[derive(Clone, Debug, Default)]
--- a/components/fleet/src/hedge.rs
+++ b/components/fleet/src/hedge.rs
@@ -14,6 +14,7 @@
 use serde::Deserialize;
 use thiserror::Error;
 
+use crate::baseline::MIN_BASELINE_MS;
 use crate::pick::AttemptOutcome;
 
 /// Millionths of a second attempt, the unit of credit. Sums of integers are exact, so rounding
@@ -29,9 +30,6 @@
 /// Multiple of the baseline of a route above which the median of its recent answers shows that the
 /// service as a whole is slow.
 const SLOW_FACTOR: f64 = 2.0;
-/// Lowest baseline in milliseconds that is compared with. Durations are whole milliseconds, so an
-/// answer of 1 ms would otherwise be infinitely many times as slow as one of 0 ms.
-const MIN_BASELINE_MS: f64 = 5.0;
 /// Milliseconds after which an attempt without a connection is followed by another one. A round
 /// trip takes a few milliseconds, and a lost SYN packet is sent again only after a second.
 pub const CONNECT_FALLBACK_MS: u64 = 30;
--- a/components/fleet/src/pacing.rs
+++ b/components/fleet/src/pacing.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use crate::baseline::MIN_BASELINE_MS;
 use crate::endpoint::Endpoint;
 use crate::pick::AttemptOutcome;
 
@@ -195,8 +196,10 @@
         let Some(window) = self.windows.get_mut(id) else { return false };
         let before = window.size(hosts);
         window.running = window.running.saturating_sub(1);
-        let is_slow =
-            |ms: u64| baseline_ms.is_some_and(|baseline| ms as f64 > MAX_SLOWNESS * baseline);
+        let is_slow = |ms: u64| {
+            let baseline = baseline_ms.map(|baseline| baseline.max(MIN_BASELINE_MS));
+            baseline.is_some_and(|baseline| ms as f64 > MAX_SLOWNESS * baseline)
+        };
         match outcome {
             AttemptOutcome::Answered(ms) if !is_slow(ms) => window.record_timely_answer(hosts),
             // An attempt that was cancelled early shows nothing.
--- a/components/fleet/tests/pacing.rs
+++ b/components/fleet/tests/pacing.rs
@@ -119,6 +119,20 @@
     }
 }
 
+/// Guards against windows that are cut by answers of a few milliseconds where the fastest ones take
+/// one or none.
+#[test]
+fn answers_of_a_few_milliseconds_are_never_slow() {
+    for baseline_ms in [0.0, 1.0] {
+        let mut pacer = pacer(1, &["a"]);
+        grow(&mut pacer, "a");
+        pacer.record_start("a");
+        let answer = |ms: u64| AttemptOutcome::Answered(ms);
+        assert!(!pacer.record_end("a", answer(3), Some(baseline_ms)), "{baseline_ms}");
+        assert!(pacer.record_end("a", answer(11), Some(baseline_ms)), "{baseline_ms}");
+    }
+}
+
 /// Guards against capacity that stays unused after the loss of a host, and against a window that
 /// exceeds its share after a host has joined.
 #[test]
