Drop baseline values older than a minute

The last six buckets with measurements were kept, which could be hours old after idle time: all answers then looked slow if the work had become longer.

A new measurement drops the buckets from more than a minute before it.

--- a/components/fleet/src/baseline.rs
+++ b/components/fleet/src/baseline.rs
@@ -1,7 +1,7 @@
 //! The lowest recent value of a measurement: what it is without load.
 //!
 //! A moving average follows the load, so it cannot show that everything is slower than usual at the
-//! same time. The lowest value of the last minute can.
+//! same time. The lowest value of the minute up to the latest measurement can.
 
 use std::collections::VecDeque;
 
@@ -22,20 +22,18 @@
 pub struct Baseline(VecDeque<(u64, f64)>);
 
 impl Baseline {
-    /// Records a measurement.
+    /// Records a measurement, and drops those from more than a minute before it.
     pub fn record(&mut self, value: f64, now: Millis) {
         let number = now.0 / BUCKET_MS;
         match self.0.back_mut() {
             Some((last, lowest)) if *last == number => *lowest = lowest.min(value),
             _ => self.0.push_back((number, value)),
         }
-        while self.0.len() > BUCKET_COUNT {
-            self.0.pop_front();
-        }
+        self.0.retain(|(bucket, _)| bucket + BUCKET_COUNT > number);
     }
 
-    /// Returns the lowest value of the latest buckets, or `None` before the first measurement. Times
-    /// without measurements do not count, because they show nothing.
+    /// Returns the lowest value of the minute that ends with the latest measurement, or `None` before
+    /// the first one. An idle time shows nothing, so it does not remove the value by itself.
     pub fn value(&self) -> Option<f64> {
         self.0.iter().map(|(_, lowest)| *lowest).min_by(f64::total_cmp)
     }
--- a/components/fleet/src/hedge.rs
+++ b/components/fleet/src/hedge.rs
@@ -105,7 +105,7 @@
 pub struct RouteTimes {
     /// The median of the recent answers.
     pub median_ms: Option<f64>,
-    /// The lowest median of the last minute.
+    /// The lowest median of the minute that ends with the latest answer.
     pub baseline_ms: Option<f64>,
 }
 
