Queue second attempts only if they would be sent

A call waited for a window for its second attempt before it was known whether one may be made, and the wait counted as the wait of the call.

`Hedging::preview` decides without taking credit. Second attempts wait behind the first ones of their rank, only while they would be sent, and their wait is in neither `paced_ms` nor the metrics of waiting calls.

--- a/components/fleet/src/hedge.rs
+++ b/components/fleet/src/hedge.rs
@@ -168,24 +168,33 @@
         }
     }
 
-    /// Decides whether a second attempt that is due may be sent. If so, its credit is taken, and has
-    /// to be returned by [`Hedging::refund`] if the attempt is not sent.
-    pub fn decide(&mut self, service: &str, times: RouteTimes) -> HedgeDecision {
+    /// Returns what [`Hedging::decide`] would decide now, without taking credit. A second attempt that
+    /// has to wait first takes its credit when it is sent.
+    pub fn preview(&self, service: &str, times: RouteTimes) -> HedgeDecision {
         let Some(AttemptShare(share)) = self.limits.share(service) else {
             return HedgeDecision::Send;
         };
         if share == 0 {
             return HedgeDecision::Off;
         }
-        let state = self.service(service);
-        if times.is_slow() || state.is_full() {
+        let state = self.services.get(service);
+        if times.is_slow() || state.is_some_and(ServiceState::is_full) {
             return HedgeDecision::Slow;
         }
-        let Some(left) = state.credit.checked_sub(MILLIONTHS) else {
-            return HedgeDecision::Limit;
-        };
-        state.credit = left;
-        HedgeDecision::Send
+        let has_credit = state.is_some_and(|state| state.credit >= MILLIONTHS);
+        if has_credit { HedgeDecision::Send } else { HedgeDecision::Limit }
+    }
+
+    /// Decides whether a second attempt that is due may be sent. If so, its credit is taken, and has
+    /// to be returned by [`Hedging::refund`] if the attempt is not sent.
+    pub fn decide(&mut self, service: &str, times: RouteTimes) -> HedgeDecision {
+        let decision = self.preview(service, times);
+        if decision == HedgeDecision::Send
+            && let Some(state) = self.services.get_mut(service)
+        {
+            state.credit = state.credit.saturating_sub(MILLIONTHS);
+        }
+        decision
     }
 
     /// Returns the credit of a second attempt that was not sent.
--- a/components/fleet/src/pacing.rs
+++ b/components/fleet/src/pacing.rs
@@ -22,13 +22,22 @@
 /// Divisor of a window after a sign of overload.
 const CUT_DIVISOR: u32 = 2;
 
-/// Position of a call in the queue: by rank, then by arrival.
+/// Position of a call in the queue: by rank, then first attempts before second ones, then by arrival.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct CallPlace {
     rank: u32,
+    is_second: bool,
     arrival: u64,
 }
 
+impl CallPlace {
+    /// Returns the place of a second attempt of the same call: behind the first attempts of its rank,
+    /// whose calls have nothing in progress yet.
+    pub fn for_second(self) -> Self {
+        Self { is_second: true, ..self }
+    }
+}
+
 /// The window of an endpoint.
 #[derive(Clone, Debug)]
 struct Window {
@@ -145,7 +154,7 @@
     /// often it waits.
     pub fn assign_place(&mut self, rank: u32) -> CallPlace {
         self.last_arrival += 1;
-        CallPlace { rank, arrival: self.last_arrival }
+        CallPlace { rank, is_second: false, arrival: self.last_arrival }
     }
 
     /// Returns whether the window of an endpoint has room.
--- a/components/fleet/tests/hedge.rs
+++ b/components/fleet/tests/hedge.rs
@@ -224,6 +224,21 @@
     assert_eq!(sent(&mut full, "desk"), 5, "a refund does not exceed the bound either");
 }
 
+/// Guards against a second attempt that takes credit while it waits, and against one that waits although
+/// it would not be sent.
+#[test]
+fn a_preview_is_what_would_be_decided_and_takes_no_credit() {
+    let times = RouteTimes::default();
+    let mut one = process(0.05, 20);
+    (0..3).for_each(|_| assert_eq!(one.preview("desk", times), HedgeDecision::Send));
+    assert_eq!(sent(&mut one, "desk"), 1);
+    assert_eq!(one.preview("desk", times), HedgeDecision::Limit);
+    assert_eq!(process(0.0, 20).preview("desk", times), HedgeDecision::Off);
+    let slow = RouteTimes { median_ms: Some(51.0), baseline_ms: Some(25.0) };
+    assert_eq!(process(0.5, 20).preview("desk", slow), HedgeDecision::Slow);
+    assert_eq!(Hedging::default().preview("desk", slow), HedgeDecision::Send);
+}
+
 /// Guards against credit that is lost in attempts that find no connection, exactly while endpoints
 /// are unreachable.
 #[test]
--- a/components/fleet/tests/pacing.rs
+++ b/components/fleet/tests/pacing.rs
@@ -193,6 +193,23 @@
     assert_eq!(order, [places[3], places[1], places[0], places[2]]);
 }
 
+/// Guards against a second attempt that delays a call of its rank which has no attempt yet.
+#[test]
+fn second_attempts_wait_behind_the_first_ones_of_their_rank() {
+    let mut pacer = pacer(6, &["a"]);
+    let early = pacer.assign_place(1);
+    assert_eq!(fill(&mut pacer, "a"), 1);
+    let (late, other) = (pacer.assign_place(1), pacer.assign_place(2));
+    for place in [early.for_second(), late, other] {
+        pacer.wait(place, wanted(&["a"]));
+    }
+    end(&mut pacer, "a", 1, AttemptOutcome::Answered(80));
+    for place in [late, early.for_second(), other] {
+        assert_eq!(pacer.next_call(), Some(place));
+        pacer.leave(place);
+    }
+}
+
 /// Guards against the windows of an earlier incarnation, and against calls to it that are forgotten
 /// while they are in flight.
 #[test]
--- a/components/node/src/forward/dispatch.rs
+++ b/components/node/src/forward/dispatch.rs
@@ -70,9 +70,12 @@
     pub(super) queue_place: Option<QueuePosition>,
     /// Milliseconds for which it has waited because all endpoints were full.
     pub(super) waited_ms: u64,
-    /// Milliseconds for which it has waited because the windows of its endpoints were full.
+    /// Milliseconds for which its first attempts have waited because the windows of its endpoints were
+    /// full.
     pub(super) paced_ms: Cell<u64>,
     /// Number of attempts that may have run.
+    /// Whether the endpoint of a second attempt is being chosen, which other calls may be ahead of.
+    pub(super) picks_second: Cell<bool>,
     pub(super) possible_runs: u32,
     pub(super) last_failure: Option<Reply>,
     pub(super) began: Millis,
@@ -185,14 +188,8 @@
     /// Decides whether a second attempt that is due is made. Returns its endpoint if it needs a new
     /// connection.
     fn hedge(&mut self) -> Option<Target> {
-        let times = {
-            let picker = self.forwarder.picker.borrow();
-            let (median_ms, baseline_ms) =
-                (picker.median_ms(self.route), picker.baseline_ms(self.route));
-            RouteTimes { median_ms, baseline_ms }
-        };
         let decision = if self.forwarder.policy.second_attempts {
-            self.forwarder.hedging.borrow_mut().decide(self.service, times)
+            self.forwarder.hedging.borrow_mut().decide(self.service, self.route_times())
         } else {
             HedgeDecision::Off
         };
@@ -213,7 +210,9 @@
         }
         let target = self.pick_endpoint().ok();
         if target.is_none() && self.attempts.gate.borrow().live() <= 1 {
+        self.picks_second.set(true);
             self.hedge = None;
+        self.picks_second.set(false);
             self.refund();
         }
         target
@@ -221,6 +220,20 @@
 
     /// Returns the credit of a second attempt that was permitted and not sent.
     fn refund(&self) {
+    fn route_times(&self) -> RouteTimes {
+        let picker = self.forwarder.picker.borrow();
+        let (median_ms, baseline_ms) =
+            (picker.median_ms(self.route), picker.baseline_ms(self.route));
+        RouteTimes { median_ms, baseline_ms }
+    }
+
+    /// Returns whether a second attempt that is due now would be sent.
+    pub(super) fn would_hedge(&self) -> bool {
+        self.forwarder.policy.second_attempts
+            && self.forwarder.hedging.borrow().preview(self.service, self.route_times())
+                == HedgeDecision::Send
+    }
+
         if self.attempts.gate.borrow_mut().withdraw() {
             self.forwarder.hedging.borrow_mut().refund(self.service);
         }
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -217,6 +217,7 @@
             queue_place: None,
             waited_ms: 0,
             paced_ms: Cell::default(),
+            picks_second: Cell::default(),
             possible_runs: 0,
             last_failure: None,
             began: clock::now(),
--- a/components/node/src/forward/pacing.rs
+++ b/components/node/src/forward/pacing.rs
@@ -67,26 +67,36 @@
     route: &'a str,
     turn: Rc<Notify>,
     began: Millis,
-    /// The time for which the call has waited in all.
-    paced_ms: &'a Cell<u64>,
+    /// The time for which the call has waited in all; `None` for a second attempt, whose wait does not
+    /// delay the first one.
+    paced_ms: Option<&'a Cell<u64>>,
 }
 
 impl<'a> QueuedCall<'a> {
-    fn new(pacing: &'a Pacing, place: CallPlace, route: &'a str, paced_ms: &'a Cell<u64>) -> Self {
+    fn new(
+        pacing: &'a Pacing,
+        place: CallPlace,
+        route: &'a str,
+        paced_ms: Option<&'a Cell<u64>>,
+    ) -> Self {
         let turn = Rc::new(Notify::new());
         pacing.turns.borrow_mut().insert(place, turn.clone());
-        metrics::SCORER_CALLS_WAITING.inc();
+        if paced_ms.is_some() {
+            metrics::SCORER_CALLS_WAITING.inc();
+        }
         Self { pacing, place, route, turn, began: clock::now(), paced_ms }
     }
 }
 
 impl Drop for QueuedCall<'_> {
     fn drop(&mut self) {
-        let waited = clock::now().since(self.began);
-        self.paced_ms.set(self.paced_ms.get() + waited);
-        metrics::SCORER_CALLS_WAITING.dec();
-        let seconds = Duration::from_millis(waited).as_secs_f64();
-        metrics::SCORER_WAIT_SECONDS.with_label_values(&[self.route]).observe(seconds);
+        if let Some(paced_ms) = self.paced_ms {
+            let waited = clock::now().since(self.began);
+            paced_ms.set(paced_ms.get() + waited);
+            metrics::SCORER_CALLS_WAITING.dec();
+            let seconds = Duration::from_millis(waited).as_secs_f64();
+            metrics::SCORER_WAIT_SECONDS.with_label_values(&[self.route]).observe(seconds);
+        }
         self.pacing.turns.borrow_mut().remove(&self.place);
         self.pacing.pacer.borrow_mut().leave(self.place);
         self.pacing.wake_next();
@@ -132,7 +142,10 @@
 
     /// Returns whether the window of an endpoint has room for this request.
     pub(super) fn has_window(&self, id: &str) -> bool {
-        self.pacing().is_none_or(|(pacing, place)| pacing.pacer.borrow().admits(place, id))
+        self.pacing().is_none_or(|(pacing, place)| {
+            let place = if self.picks_second.get() { place.for_second() } else { place };
+            pacing.pacer.borrow().admits(place, id)
+        })
     }
 
     /// Returns the endpoints that could be tried now if their windows had room.
@@ -153,13 +166,25 @@
     pub(super) async fn wait_for_window(&self) {
         let Some((pacing, place)) = self.pacing() else { return };
         let mut queued = None;
-        loop {
+        self.wait_in_queue(pacing, place, Some(&self.paced_ms), || true).await;
+    }
+
+    /// Waits while `is_due` returns true and only full windows prevent an attempt.
+    async fn wait_in_queue(
+        &self,
+        pacing: &Pacing,
+        place: CallPlace,
+        paced_ms: Option<&Cell<u64>>,
+        is_due: impl Fn() -> bool,
+    ) {
+        while is_due() {
             let wanted = self.wanted_endpoints();
-            if wanted.is_empty() || wanted.iter().any(|id| self.has_window(id)) {
+            let is_admitted = |id: &String| pacing.pacer.borrow().admits(place, id);
+            if wanted.is_empty() || wanted.iter().any(is_admitted) {
                 return;
             }
-            let queued = queued
-                .get_or_insert_with(|| QueuedCall::new(pacing, place, self.route, &self.paced_ms));
+            let queued =
+                queued.get_or_insert_with(|| QueuedCall::new(pacing, place, self.route, paced_ms));
             pacing.pacer.borrow_mut().wait(place, wanted);
             // The call may have given up endpoints that others wait for.
             pacing.wake_next();
@@ -181,10 +206,14 @@
         let _ = run_time::deadline(left, self.wait_for_window()).await;
     }
 
-    /// Waits until a second attempt is due, and for a window for it.
+    /// Waits until a second attempt is due, and for a window for it while it would be sent. One that
+    /// would not be sent must not wait: nothing of this call would use the window.
     pub(super) async fn hedge_due(&self, pause: Duration) {
         run_time::sleep(pause).await;
-        self.wait_for_window().await;
+        if let Some((pacing, place)) = self.pacing() {
+            let is_due = || self.would_hedge();
+            self.wait_in_queue(pacing, place.for_second(), None, is_due).await;
+        }
     }
 
     /// Counts an attempt that starts now against the window of its endpoint.
