Count a connection fallback only if it is made

All three fallbacks were used up within 3 ms if no endpoint could be chosen.

A fallback without an endpoint is tried again after 10 ms and not counted.

--- a/components/fleet/src/hedge.rs
+++ b/components/fleet/src/hedge.rs
@@ -33,6 +33,9 @@
 /// Milliseconds after which an attempt without a connection is followed by another one. A round
 /// trip takes a few milliseconds, and a lost SYN packet is sent again only after a second.
 pub const CONNECT_FALLBACK_MS: u64 = 30;
+/// Milliseconds after which a fallback is tried again if no endpoint could be chosen. An endpoint may
+/// become free or ready meanwhile.
+const FALLBACK_RETRY_MS: u64 = 10;
 /// Maximum number of connection fallbacks of a request in one pass. The attempt after the last one
 /// has the full time to connect, so that endpoints whose round trips take longer than
 /// [`CONNECT_FALLBACK_MS`] are reached.
@@ -251,6 +254,8 @@
     /// Whether an attempt was sent.
     was_sent: bool,
     fallbacks: u32,
+    /// When a fallback may be tried again for which no endpoint could be chosen.
+    next_fallback: Millis,
 }
 
 impl SendGate {
@@ -352,18 +357,27 @@
             Phase::Connecting(started) => Some(*started),
             _ => None,
         });
-        Some((started.max()? + CONNECT_FALLBACK_MS).since(now))
+        let due = started.max()? + CONNECT_FALLBACK_MS;
+        Some(due.max(self.next_fallback).since(now))
     }
 
-    /// Records that a connection fallback was due.
+    /// Records that a connection fallback is made.
     pub fn count_fallback(&mut self) {
         self.fallbacks += 1;
     }
 
-    /// Returns the outcome of an attempt that is dropped `ms` after it began. One that was held says
-    /// nothing about its endpoint. One that did not connect in time counts as failed, so that other
-    /// requests avoid the endpoint.
-    pub fn drop_outcome(&self, attempt: usize, ms: u64) -> AttemptOutcome {
+    /// Records that no endpoint could be chosen for a connection fallback. It is tried again after
+    /// [`FALLBACK_RETRY_MS`].
+    pub fn defer_fallback(&mut self, now: Millis) {
+        self.next_fallback = now + FALLBACK_RETRY_MS;
+    }
+
+    /// Returns the outcome of an attempt that is dropped after the thread has run for `ran_ms` since
+    /// it began. `had_time` means that it has run for [`CONNECT_FALLBACK_MS`], and has read what
+    /// arrived during a stall: otherwise the connection may have been established unnoticed. An
+    /// attempt that was held says nothing about its endpoint. One that did not connect in time counts
+    /// as failed, so that other requests avoid the endpoint.
+    pub fn drop_outcome(&self, attempt: usize, ran_ms: u64, had_time: bool) -> AttemptOutcome {
         match self.phases[attempt] {
             Phase::Held => AttemptOutcome::Dropped(0),
             Phase::Connecting(_) if self.fallback && ms >= CONNECT_FALLBACK_MS => {
--- a/components/fleet/tests/hedge.rs
+++ b/components/fleet/tests/hedge.rs
@@ -378,6 +378,25 @@
     assert_eq!((fallbacks, gate.live()), (3, 4));
 }
 
+/// All other endpoints are full when a fallback is due. Guards against fallbacks that are used up
+/// within a few milliseconds before one of them has room.
+#[test]
+fn a_fallback_without_an_endpoint_is_tried_again_and_not_counted() {
+    let mut gate = gate(&[0]);
+    let mut now = Millis(30);
+    for _ in 0..20 {
+        assert_eq!(gate.fallback_wait(now), Some(0));
+        gate.defer_fallback(now);
+        assert_eq!(gate.fallback_wait(now), Some(10));
+        now = now + 10;
+    }
+    for made in 1..=3 {
+        assert_eq!(gate.fallback_wait(now), Some(0), "fallback {made}");
+        gate.count_fallback();
+    }
+    assert_eq!(gate.fallback_wait(now), None);
+}
+
 /// Guards against an unreachable endpoint that is tried again by each request, and against one that
 /// is avoided because its connection was not needed.
 #[test]
--- a/components/node/src/forward/dispatch.rs
+++ b/components/node/src/forward/dispatch.rs
@@ -248,7 +248,17 @@
         if self.attempts.gate.borrow().fallback_wait(clock::now()) != Some(0) {
             return None;
         }
-        self.attempts.gate.borrow_mut().count_fallback();
+        let target = self.pick_fallback(running);
+        let mut gate = self.attempts.gate.borrow_mut();
+        if target.is_some() {
+            gate.count_fallback();
+        } else {
+            gate.defer_fallback(clock::now());
+        }
+        target
+    }
+
+    fn pick_fallback<F>(&mut self, running: &mut FuturesUnordered<F>) -> Option<Target> {
         if !self.at_most_once
             && let Ok(target) = self.pick_endpoint()
         {
