Measure abandoned attempts by the run time of the thread

A stall of the thread marked a healthy endpoint as failed, because the time to connect went by the clock while the fallback goes by the run time.

Dropped attempts are measured with `RunTimer`.

--- a/components/fleet/src/hedge.rs
+++ b/components/fleet/src/hedge.rs
@@ -380,10 +380,8 @@
     pub fn drop_outcome(&self, attempt: usize, ran_ms: u64, had_time: bool) -> AttemptOutcome {
         match self.phases[attempt] {
             Phase::Held => AttemptOutcome::Dropped(0),
-            Phase::Connecting(_) if self.fallback && ms >= CONNECT_FALLBACK_MS => {
-                AttemptOutcome::Failed
-            }
-            _ => AttemptOutcome::Dropped(ms),
+            Phase::Connecting(_) if self.fallback && had_time => AttemptOutcome::Failed,
+            _ => AttemptOutcome::Dropped(ran_ms),
         }
     }
 
--- a/components/node/src/forward/attempt.rs
+++ b/components/node/src/forward/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt at an endpoint, and its record for the log.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use chicoryford_fleet::hedge::SendOrder;
 use chicoryford_fleet::hedge::CONNECT_FALLBACK_MS;
@@ -8,6 +9,7 @@
 use chicoryford_fleet::pick::Target;
 use chicoryford_http::ExchangeError;
 use chicoryford_http::Request;
+use chicoryford_kernel::run_time::RunTimer;
 use chicoryford_platform::request;
 use chicoryford_types::Millis;
 
@@ -100,6 +102,8 @@
     pub(super) at_most_once: bool,
     /// When it began.
     pub(super) began: Millis,
+    /// Measures for how long the thread has run since then.
+    pub(super) timer: RunTimer,
     /// Whether its end was recorded.
     pub(super) ended: bool,
     /// The attempts of the request, and the index of this one.
@@ -114,6 +118,7 @@
         let was_held = attempts.wait_to_send(*index).await;
         if was_held {
             self.began = clock::now();
+            self.timer = RunTimer::start();
         }
         was_held
     }
@@ -183,9 +188,10 @@
 impl Drop for Attempt<'_> {
     fn drop(&mut self) {
         if !self.ended {
-            let ms = clock::now().since(self.began);
+            let had_time = self.timer.left(Duration::from_millis(CONNECT_FALLBACK_MS)).is_zero();
+            let ran_ms = self.timer.elapsed_ms();
             let (attempts, index) = &self.record;
-            let ending = attempts.gate.borrow().drop_outcome(*index, ms);
+            let ending = attempts.gate.borrow().drop_outcome(*index, ran_ms, had_time);
             self.end(ending);
         }
     }
--- a/components/node/src/forward/dispatch.rs
+++ b/components/node/src/forward/dispatch.rs
@@ -15,6 +15,7 @@
 use chicoryford_http::Request;
 use chicoryford_http::message::StatusCode;
 use chicoryford_kernel::run_time;
+use chicoryford_kernel::run_time::RunTimer;
 use chicoryford_platform::request;
 use chicoryford_types::Millis;
 use futures_util::StreamExt;
@@ -402,6 +403,7 @@
         let id = self.attempts.records.borrow()[index].target.id.clone();
         match tried {
             AttemptResult::Answered(reply) => {
+            timer: RunTimer::start(),
                 self.is_answered = true;
                 // Only this status means that the endpoint failed to process the request; samples
                 // are given up because of it.
