Uncount endpoints that were sent nothing when a pass ends

Attempts that were dropped before they were sent stayed in the budget, so that no other endpoint could run the request in a later pass.

Endpoints that are new in the pass and were sent nothing are removed.

--- a/components/node/src/forward/dispatch.rs
+++ b/components/node/src/forward/dispatch.rs
@@ -99,6 +99,7 @@
         if !self.is_logged && !self.tried.is_empty() {
             self.log(None);
         }
+        self.uncount_unsent();
         self.record_unanswered();
         self.record_seconds();
         let Some(usage) = &mut self.requester.usage else { return };
@@ -301,6 +302,19 @@
         was_new
     }
 
+    /// Removes the endpoints from the budget that were chosen first in this pass and were sent
+    /// nothing, so that a later pass may use others in their place.
+    fn uncount_unsent(&self) {
+        let records = self.attempts.records.borrow();
+        let was_sent = |id: &String| {
+            records.iter().any(|record| record.target.id == *id && record.sent.is_some())
+        };
+        let mut spent = self.budget.spent.borrow_mut();
+        for id in self.new_endpoints.iter().filter(|id| !was_sent(id)) {
+            spent.endpoints.remove(id);
+        }
+    }
+
     /// Counts the second attempts that won and those that were wasted, and returns the credit of one
     /// that was not sent.
     fn record_seconds(&self) {
