--- a/components/fleet/src/pick.rs
+++ b/components/fleet/src/pick.rs
@@ -271,11 +271,9 @@
             .any(|state| state.serves(service) && fits(&state.endpoint.announcement.id))
     }
 
-    /// Returns the ready endpoints of a service for which `fits` returns true.
-    pub fn ready_ids(&self, service: &str, fits: impl Fn(&str) -> bool) -> BTreeSet<String> {
-        let ready = self.endpoints.values().filter(|state| state.serves(service));
-        let ids = ready.map(|state| &*state.endpoint.announcement.id).filter(|id| fits(id));
-        ids.map(str::to_owned).collect()
+    /// Returns whether an endpoint serves a service and is ready.
+    pub fn serves(&self, service: &str, id: &str) -> bool {
+        self.endpoints.get(id).is_some_and(|state| state.serves(service))
     }
 
     /// Returns the endpoints that every process prefers for a request, among those for which `fits`
--- a/components/node/src/forward/budget.rs
+++ b/components/node/src/forward/budget.rs
@@ -111,6 +111,14 @@
         self.shared.is_some()
     }
 
+    /// Returns the granted endpoints that fulfil a condition. A call waits with hundreds of others, so
+    /// it examines its few endpoints and not all of the fleet.
+    pub(super) fn granted(&self, condition: impl Fn(&str) -> bool) -> BTreeSet<String> {
+        let Some(shared) = &self.shared else { return BTreeSet::new() };
+        let grant = shared.grant.borrow();
+        grant.endpoints.iter().filter(|id| condition(id)).cloned().collect()
+    }
+
     /// Returns how many granted endpoints may be called now and fulfil a condition.
     pub(super) fn count_callable(&self, condition: impl Fn(&str) -> bool) -> usize {
         let Some(shared) = &self.shared else { return 0 };
--- a/components/node/src/forward/pacing.rs
+++ b/components/node/src/forward/pacing.rs
@@ -153,7 +153,8 @@
         if self.attempts_left == 0 || !self.budget.permits_send() {
             return BTreeSet::new();
         }
-        self.forwarder.picker.borrow().ready_ids(self.service, |id| self.may_try(id))
+        let picker = self.forwarder.picker.borrow();
+        self.budget.granted(|id| picker.serves(self.service, id) && self.may_try(id))
     }
 
     /// Returns whether only full windows prevent an attempt.
