--- a/components/node/src/forward/attempt.rs
+++ b/components/node/src/forward/attempt.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use chicoryford_fleet::hedge::SendOrder;
 use chicoryford_fleet::hedge::CONNECT_FALLBACK_MS;
+use chicoryford_fleet::hedge::SendOrder;
 use chicoryford_fleet::pick::AttemptOutcome;
 use chicoryford_fleet::pick::Target;
 use chicoryford_http::ExchangeError;
--- a/components/node/src/forward/dispatch.rs
+++ b/components/node/src/forward/dispatch.rs
@@ -74,9 +74,9 @@
     /// Milliseconds for which its first attempts have waited because the windows of its endpoints were
     /// full.
     pub(super) paced_ms: Cell<u64>,
-    /// Number of attempts that may have run.
     /// Whether the endpoint of a second attempt is being chosen, which other calls may be ahead of.
     pub(super) picks_second: Cell<bool>,
+    /// Number of attempts that may have run.
     pub(super) possible_runs: u32,
     pub(super) last_failure: Option<Reply>,
     pub(super) began: Millis,
@@ -210,18 +210,16 @@
         if self.attempts.gate.borrow().held() > 0 {
             return None;
         }
+        self.picks_second.set(true);
         let target = self.pick_endpoint().ok();
+        self.picks_second.set(false);
         if target.is_none() && self.attempts.gate.borrow().live() <= 1 {
-        self.picks_second.set(true);
             self.hedge = None;
-        self.picks_second.set(false);
             self.refund();
         }
         target
     }
 
-    /// Returns the credit of a second attempt that was permitted and not sent.
-    fn refund(&self) {
     fn route_times(&self) -> RouteTimes {
         let picker = self.forwarder.picker.borrow();
         let (median_ms, baseline_ms) =
@@ -236,6 +234,8 @@
                 == HedgeDecision::Send
     }
 
+    /// Returns the credit of a second attempt that was permitted and not sent.
+    fn refund(&self) {
         if self.attempts.gate.borrow_mut().withdraw() {
             self.forwarder.hedging.borrow_mut().refund(self.service);
         }
@@ -403,6 +403,7 @@
             route: self.route,
             at_most_once: self.at_most_once,
             began,
+            timer: RunTimer::start(),
             ended: false,
             record: (self.attempts.clone(), index),
         };
@@ -417,7 +418,6 @@
         let id = self.attempts.records.borrow()[index].target.id.clone();
         match tried {
             AttemptResult::Answered(reply) => {
-            timer: RunTimer::start(),
                 self.is_answered = true;
                 // Only this status means that the endpoint failed to process the request; samples
                 // are given up because of it.
--- a/components/node/src/forward/pacing.rs
+++ b/components/node/src/forward/pacing.rs
@@ -166,7 +166,6 @@
     /// Waits while only full windows prevent an attempt.
     pub(super) async fn wait_for_window(&self) {
         let Some((pacing, place)) = self.pacing() else { return };
-        let mut queued = None;
         self.wait_in_queue(pacing, place, Some(&self.paced_ms), || true).await;
     }
 
@@ -178,6 +177,7 @@
         paced_ms: Option<&Cell<u64>>,
         is_due: impl Fn() -> bool,
     ) {
+        let mut queued = None;
         while is_due() {
             let wanted = self.wanted_endpoints();
             let is_admitted = |id: &String| pacing.pacer.borrow().admits(place, id);
