--- a/components/fleet/src/hedge.rs
+++ b/components/fleet/src/hedge.rs
@@ -151,7 +151,8 @@
         Self { limits, services: BTreeMap::new() }
     }
 
-    /// Records that the first attempt of a repeatable request was sent, which earns credit.
+    /// Records that the first attempt of a repeatable request was sent in a pass, which earns credit.
+    /// The limit holds for attempts, so it is recorded once per pass.
     pub fn record_first(&mut self, service: &str) {
         if let Some(AttemptShare(millionths)) = self.limits.share(service) {
             self.service(service).add_credit(millionths);
