--- a/components/node/tests/pacing.rs
+++ b/components/node/tests/pacing.rs
@@ -439,7 +439,7 @@
     assert_eq!(metrics::ATTEMPTS.with_label_values(&["connect"]).get(), 1);
 }
 
-/// Calls are dropped while they wait, connect, run, and wait for a second attempt. Guards against windows
+/// Calls are dropped while they wait, connect, and run. Guards against windows
 /// that stay full, and against a queue that is never empty again.
 #[actix_rt::test]
 async fn windows_are_free_after_calls_were_dropped_in_each_phase() {
