--- a/components/fleet/src/baseline.rs
+++ b/components/fleet/src/baseline.rs
@@ -32,8 +32,8 @@
         self.0.retain(|(bucket, _)| bucket + BUCKET_COUNT > number);
     }
 
-    /// Returns the lowest value of the minute that ends with the latest measurement, or `None` before
-    /// the first one. An idle time shows nothing, so it does not remove the value by itself.
+    /// Returns the lowest value of the minute that ends with the latest measurement, or `None`
+    /// before the first one. An idle time shows nothing, so it does not remove the value by itself.
     pub fn value(&self) -> Option<f64> {
         self.0.iter().map(|(_, lowest)| *lowest).min_by(f64::total_cmp)
     }
--- a/components/fleet/src/check.rs
+++ b/components/fleet/src/check.rs
@@ -1,5 +1,5 @@
-//! Findings about a configuration before it is submitted: what would be refused, what can never take
-//! effect, and which limits contradict each other.
+//! Findings about a configuration before it is submitted: what would be refused, what can never
+//! take effect, and which limits contradict each other.
 //!
 //! A finding contains no key of a workspace, because operators paste the output into issues.
 
@@ -138,7 +138,7 @@
         /// The service.
         service: String,
     },
-    /// Samples are sent to a service whose engines are never told to load a version.
+    /// Samples are sent to a service whose engines are never ordered to load a version.
     #[error("route {route:?} sends samples to service {service:?}, which lists no models")]
     NoModels {
         /// The route.
@@ -280,8 +280,8 @@
     findings
 }
 
-/// Returns whether a configuration would be ignored because another one is in force. An equal version
-/// is ignored too, which does not matter if the configurations are equal.
+/// Returns whether a configuration would be ignored because another one is in force. An equal
+/// version is ignored too, which does not matter if the configurations are equal.
 pub fn check_version(config: &Config, in_force: &Config) -> Option<Finding> {
     let is_same = config.without_source() == in_force.without_source();
     let problem = Problem::OldVersion { version: config.version, in_force: in_force.version };
--- a/components/fleet/src/hedge.rs
+++ b/components/fleet/src/hedge.rs
@@ -20,8 +20,8 @@
 /// Millionths of a second attempt, the unit of credit. Sums of integers are exact, so rounding
 /// cannot exceed the limit.
 const MILLIONTHS: u64 = 1_000_000;
-/// Maximum credit of a service in second attempts. Without a bound, hours without slow answers would
-/// permit thousands of second attempts within seconds.
+/// Maximum credit of a service in second attempts. Without a bound, hours without slow answers
+/// would permit thousands of second attempts within seconds.
 const MAX_CREDIT: u64 = 5;
 /// Number of recent attempts at a service that show whether it is full.
 const RECENT_ATTEMPTS: usize = 20;
@@ -33,8 +33,8 @@
 /// Milliseconds after which an attempt without a connection is followed by another one. A round
 /// trip takes a few milliseconds, and a lost SYN packet is sent again only after a second.
 pub const CONNECT_FALLBACK_MS: u64 = 30;
-/// Milliseconds after which a fallback is tried again if no endpoint could be chosen. An endpoint may
-/// become free or ready meanwhile.
+/// Milliseconds after which a fallback is tried again if no endpoint could be chosen. An endpoint
+/// may become free or ready meanwhile.
 const FALLBACK_RETRY_MS: u64 = 10;
 /// Maximum number of connection fallbacks of a request in one pass. The attempt after the last one
 /// has the full time to connect, so that endpoints whose round trips take longer than
@@ -151,8 +151,8 @@
         Self { limits, services: BTreeMap::new() }
     }
 
-    /// Records that the first attempt of a repeatable request was sent in a pass, which earns credit.
-    /// The limit holds for attempts, so it is recorded once per pass.
+    /// Records that the first attempt of a repeatable request was sent in a pass, which earns
+    /// credit. The limit holds for attempts, so it is recorded once per pass.
     pub fn record_first(&mut self, service: &str) {
         if let Some(AttemptShare(millionths)) = self.limits.share(service) {
             self.service(service).add_credit(millionths);
@@ -172,8 +172,8 @@
         }
     }
 
-    /// Returns what [`Hedging::decide`] would decide now, without taking credit. A second attempt that
-    /// has to wait first takes its credit when it is sent.
+    /// Returns what [`Hedging::decide`] would decide now, without taking credit. A second attempt
+    /// that has to wait first takes its credit when it is sent.
     pub fn preview(&self, service: &str, times: RouteTimes) -> HedgeDecision {
         let Some(AttemptShare(share)) = self.limits.share(service) else {
             return HedgeDecision::Send;
@@ -189,8 +189,8 @@
         if has_credit { HedgeDecision::Send } else { HedgeDecision::Limit }
     }
 
-    /// Decides whether a second attempt that is due may be sent. If so, its credit is taken, and has
-    /// to be returned by [`Hedging::refund`] if the attempt is not sent.
+    /// Decides whether a second attempt that is due may be sent. If so, its credit is taken, and
+    /// has to be returned by [`Hedging::refund`] if the attempt is not sent.
     pub fn decide(&mut self, service: &str, times: RouteTimes) -> HedgeDecision {
         let decision = self.preview(service, times);
         if decision == HedgeDecision::Send
@@ -242,8 +242,8 @@
     Again,
 }
 
-/// Decides which attempts of one request are sent. One is in flight at a time, and one more for each
-/// permit for a second attempt.
+/// Decides which attempts of one request are sent. One is in flight at a time, and one more for
+/// each permit for a second attempt.
 #[derive(Clone, Debug, Default)]
 pub struct SendGate {
     /// Whether an attempt that cannot connect is followed by another one.
@@ -271,8 +271,8 @@
         self.phases.len() - 1
     }
 
-    /// Records that an attempt has a connection. Returns whether it may be sent now; otherwise it is
-    /// held until [`SendGate::may_send`] returns true.
+    /// Records that an attempt has a connection. Returns whether it may be sent now; otherwise it
+    /// is held until [`SendGate::may_send`] returns true.
     pub fn connect(&mut self, attempt: usize) -> bool {
         let may_send = self.may_send();
         if !may_send {
@@ -373,11 +373,11 @@
         self.next_fallback = now + FALLBACK_RETRY_MS;
     }
 
-    /// Returns the outcome of an attempt that is dropped after the thread has run for `ran_ms` since
-    /// it began. `had_time` means that it has run for [`CONNECT_FALLBACK_MS`], and has read what
-    /// arrived during a stall: otherwise the connection may have been established unnoticed. An
-    /// attempt that was held says nothing about its endpoint. One that did not connect in time counts
-    /// as failed, so that other requests avoid the endpoint.
+    /// Returns the outcome of an attempt that is dropped after the thread has run for `ran_ms`
+    /// since it began. `had_time` means that it has run for [`CONNECT_FALLBACK_MS`], and has read
+    /// what arrived during a stall: otherwise the connection may have been established unnoticed.
+    /// An attempt that was held says nothing about its endpoint. One that did not connect in time
+    /// counts as failed, so that other requests avoid the endpoint.
     pub fn drop_outcome(&self, attempt: usize, ran_ms: u64, had_time: bool) -> AttemptOutcome {
         match self.phases[attempt] {
             Phase::Held => AttemptOutcome::Dropped(0),
--- a/components/fleet/src/pacing.rs
+++ b/components/fleet/src/pacing.rs
@@ -22,7 +22,8 @@
 /// Divisor of a window after a sign of overload.
 const CUT_DIVISOR: u32 = 2;
 
-/// Position of a call in the queue: by rank, then first attempts before second ones, then by arrival.
+/// Position of a call in the queue: by rank, then first attempts before second ones, then by
+/// arrival.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct CallPlace {
     rank: u32,
@@ -31,8 +32,8 @@
 }
 
 impl CallPlace {
-    /// Returns the place of a second attempt of the same call: behind the first attempts of its rank,
-    /// whose calls have nothing in progress yet.
+    /// Returns the place of a second attempt of the same call: behind the first attempts of its
+    /// rank, whose calls have nothing in progress yet.
     pub fn for_second(self) -> Self {
         Self { is_second: true, ..self }
     }
@@ -157,13 +158,13 @@
         CallPlace { rank, is_second: false, arrival: self.last_arrival }
     }
 
-    /// Returns whether the window of an endpoint has room.
+    /// Returns whether the window of an endpoint is not full.
     fn has_room(&self, id: &str) -> bool {
         let window = self.windows.get(id).filter(|window| !window.forgotten);
         window.is_some_and(|window| window.running < window.size(self.hosts))
     }
 
-    /// Returns whether a call may be sent to an endpoint now: its window has room, which no call
+    /// Returns whether a call may be sent to an endpoint now: its window is not full, which no call
     /// ahead in the queue waits for.
     pub fn admits(&self, place: CallPlace, id: &str) -> bool {
         self.has_room(id) && !self.waiting.range(..place).any(|(_, wanted)| wanted.contains(id))
--- a/components/fleet/src/pick.rs
+++ b/components/fleet/src/pick.rs
@@ -323,8 +323,8 @@
         self.recent_times.get(route)?.median()
     }
 
-    /// Returns the lowest median duration of a route in the minute that ends with its latest answer,
-    /// which the load of the moment does not raise.
+    /// Returns the lowest median duration of a route in the minute that ends with its latest
+    /// answer, which the load of the moment does not raise.
     pub fn baseline_ms(&self, route: &str) -> Option<f64> {
         self.recent_times.get(route)?.baseline.value()
     }
--- a/components/fleet/src/plan/assign.rs
+++ b/components/fleet/src/plan/assign.rs
@@ -211,7 +211,8 @@
 }
 
 /// Returns whether a sample takes a large share of the time that its step has, so that it decides
-/// when its step ends. Until lengths have been learned, every sample is treated as long, and so is one without a hint.
+/// when its step ends. Until lengths have been learned, every sample is treated as long, and so is
+/// one without a hint.
 fn is_long(
     step: &Step,
     index: u32,
--- a/components/fleet/src/plan/candidates.rs
+++ b/components/fleet/src/plan/candidates.rs
@@ -114,8 +114,8 @@
         Some(self.engines[index])
     }
 
-    /// Reserves a slot of a certain engine for a run of `model`. Returns its index, or `None` if the
-    /// engine is not eligible or has no free slot.
+    /// Reserves a slot of a certain engine for a run of `model`. Returns its index, or `None` if
+    /// the engine is not eligible or has no free slot.
     pub(super) fn reserve_on(&mut self, engine: &str, model: &str) -> Option<usize> {
         let index = self.find(engine).filter(|index| self.engines[*index].free_slots() > 0)?;
         self.free_slots.take(self.is_fast(index));
--- a/components/fleet/src/plan/engine.rs
+++ b/components/fleet/src/plan/engine.rs
@@ -13,8 +13,8 @@
 /// Half-life in milliseconds of a measured pace, which decays while there are no new measurements.
 pub(super) const PACE_HALF_LIFE_MS: f64 = 2_000.0;
 
-/// Milliseconds by which the last event of a report may be older than its arrival. Hosts report four
-/// times a second.
+/// Milliseconds by which the last event of a report may be older than its arrival. Hosts report
+/// four times a second.
 const MAX_REPORT_AGE_MS: u64 = 250;
 
 /// What the planner knows about an engine.
@@ -66,9 +66,9 @@
         self.loaded_at = Some(now);
     }
 
-    /// Returns whether events that were reported now, and took so many milliseconds, may have waited
-    /// for a load of weights. A load pauses the runs of an engine for about a second, which says
-    /// nothing about its speed.
+    /// Returns whether events that were reported now, and took so many milliseconds, may have
+    /// waited for a load of weights. A load pauses the runs of an engine for about a second, which
+    /// says nothing about its speed.
     pub(super) fn has_paused_for_load(&self, measured_ms: u64, now: Millis) -> bool {
         let since_load_ms = self.loaded_at.map(|at| now.since(at));
         self.loading.is_some()
--- a/components/fleet/src/plan/free_slots.rs
+++ b/components/fleet/src/plan/free_slots.rs
@@ -3,9 +3,9 @@
 use super::engine::EngineState;
 use super::engine::RankBasis;
 
-/// Share of the fast engines' slots that stays free for long samples. Samples of several steps arrive
-/// within tenths of a second and may fill all engines; a long sample that starts on another engine
-/// or waits for a fast one makes its step late.
+/// Share of the fast engines' slots that stays free for long samples. Samples of several steps
+/// arrive within tenths of a second and may fill all engines; a long sample that starts on another
+/// engine or waits for a fast one makes its step late.
 const RESERVED_FAST_SHARE: f64 = 0.25;
 
 /// How a sample may use fast engines.
--- a/components/fleet/src/plan/lengths.rs
+++ b/components/fleet/src/plan/lengths.rs
@@ -57,8 +57,8 @@
         is_known.then(|| self.longest())
     }
 
-    /// Returns the number of events expected of a sample, or `None` if nothing was expected of it or
-    /// of any completed sample.
+    /// Returns the number of events expected of a sample, or `None` if nothing was expected of it
+    /// or of any completed sample.
     pub(super) fn expected_events(&self, expected_tokens: u64) -> Option<f64> {
         (self.tokens > 0.0 && expected_tokens > 0)
             .then(|| expected_tokens as f64 * self.events / self.tokens)
--- a/components/fleet/src/plan/speed.rs
+++ b/components/fleet/src/plan/speed.rs
@@ -1,7 +1,8 @@
 //! Estimates the speed of engines from the reported gaps between events.
 //!
 //! Some fleets contain engines of several speeds. The longest samples of a step are then in time
-//! only on the fast ones, so the planner must tell fast hardware from a slowdown that passes.
+//! only on the fast ones, so the planner must distinguish fast hardware from a slowdown that
+//! passes.
 
 use chicoryford_types::Millis;
 
--- a/components/fleet/src/plan/upgrade.rs
+++ b/components/fleet/src/plan/upgrade.rs
@@ -162,8 +162,8 @@
         moves
     }
 
-    /// Returns the lowest expected pace of the fastest engines with free slots, as a multiple of the
-    /// median.
+    /// Returns the lowest expected pace of the fastest engines with free slots, as a multiple of
+    /// the median.
     fn best_free_ratio(&self, now: Millis) -> Option<f64> {
         self.visits.set(self.visits.get() + self.engines.len() as u64);
         let free = self.engines.values().filter(|engine| engine.free_slots() > 0);
--- a/components/fleet/src/policy.rs
+++ b/components/fleet/src/policy.rs
@@ -55,8 +55,8 @@
     pub paced_scorers: bool,
     /// Start another attempt if one has no connection after some round trips; off by default.
     pub connect_fallback: bool,
-    /// Tell other processes, through the leader, which endpoints of plain services are unreachable.
-    /// Disabled by default.
+    /// Inform other processes, through the leader, which endpoints of plain services are
+    /// unreachable. Disabled by default.
     pub shared_reachability: bool,
 }
 
--- a/components/fleet/src/reachability.rs
+++ b/components/fleet/src/reachability.rs
@@ -2,8 +2,8 @@
 //!
 //! A connection to an unreachable endpoint costs a caller up to a quarter of a second, and without
 //! sharing each process discovers each such endpoint for itself. Members report failed connections
-//! to the leader ([`LocalReachability`]). The leader marks an endpoint once two processes report it,
-//! and broadcasts the marked ones ([`ReachabilityTracker`]).
+//! to the leader ([`LocalReachability`]). The leader marks an endpoint once two processes report
+//! it, and broadcasts the marked ones ([`ReachabilityTracker`]).
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -29,28 +29,30 @@
 /// Milliseconds after the last report for which an endpoint stays marked, if there are enough
 /// processes to probe each marked endpoint about once per second.
 const MARK_MS: u64 = 2_000;
-/// Number of marked endpoints per process by which the lifetime of marks is multiplied, in halves. A
-/// process probes one endpoint in about 1.25 s, and processes probe in different orders, so the
+/// Number of marked endpoints per process by which the lifetime of marks is multiplied, in halves.
+/// A process probes one endpoint in about 1.25 s, and processes probe in different orders, so the
 /// probes of one endpoint are not evenly spaced.
 const MARKS_PER_PROCESS_FACTOR: usize = 2;
-/// Maximum milliseconds after the last report for which an endpoint stays marked. When many endpoints
-/// are reachable again at the same time, probes alone would clear their marks only after minutes.
+/// Maximum milliseconds after the last report for which an endpoint stays marked. When many
+/// endpoints are reachable again at the same time, probes alone would clear their marks only after
+/// minutes.
 const MAX_MARK_MS: u64 = 30_000;
 /// Minimum milliseconds between two broadcasts, which go to hundreds of members.
 const BROADCAST_INTERVAL_MS: u64 = 100;
 /// Maximum number of entries that the leader sends per second in broadcasts, over all members. An
 /// entry takes about 40 bytes.
 const BROADCAST_ENTRIES_PER_SECOND: usize = 100_000;
-/// Maximum milliseconds between two broadcasts. Members would otherwise avoid endpoints for too long
-/// after these can be reached again.
+/// Maximum milliseconds between two broadcasts. Members would otherwise avoid endpoints for too
+/// long after these can be reached again.
 const MAX_BROADCAST_INTERVAL_MS: u64 = 5_000;
-/// Factor by which the interval between probes must change for the set to be broadcast because of it.
+/// Factor by which the interval between probes must change for the set to be broadcast because of
+/// it.
 const PROBE_CHANGE_FACTOR: u64 = 2;
 /// Minimum milliseconds between two counts of the ready endpoints, which visit the whole registry.
 const COUNT_INTERVAL_MS: u64 = 500;
 /// Milliseconds for which reports of a process do not count for an endpoint that another process
-/// has reached shortly after its report. While some processes are cut off from an endpoint, it would
-/// otherwise be marked again after each successful probe.
+/// has reached shortly after its report. While some processes are cut off from an endpoint, it
+/// would otherwise be marked again after each successful probe.
 const CONTRADICTED_MS: u64 = 5_000;
 /// The leader marks at most one in this many ready endpoints of a service. If more of them seem
 /// unreachable, it is more likely that the reporters are cut off.
@@ -60,9 +62,10 @@
 const SET_LIFETIME_MS: u64 = 3_000;
 /// Minimum milliseconds between two probes of a process.
 const MIN_PROBE_INTERVAL_MS: u64 = 1_000;
-/// Number of processes for which the fleet makes one more probe per second at each endpoint; it makes
-/// at least one. If none is made for two seconds, the mark ends although the endpoint is unreachable,
-/// and the number of requests that find this out again grows with the number of processes.
+/// Number of processes for which the fleet makes one more probe per second at each endpoint; it
+/// makes at least one. If none is made for two seconds, the mark ends although the endpoint is
+/// unreachable, and the number of requests that find this out again grows with the number of
+/// processes.
 const PROCESSES_PER_PROBE: usize = 100;
 /// Maximum share of the probe interval that is added at random, so that processes which learned of
 /// an endpoint at the same time do not all probe it at the same time.
@@ -324,8 +327,8 @@
         self.marked_at.is_none() && self.reporters.len() >= MIN_REPORTERS
     }
 
-    /// Removes expired reports. Returns why nothing has to be kept about the endpoint, if so. A mark
-    /// ends `mark_ms` after the last report.
+    /// Removes expired reports. Returns why nothing has to be kept about the endpoint, if so. A
+    /// mark ends `mark_ms` after the last report.
     fn expire(&mut self, endpoint: Option<&Endpoint>, mark_ms: u64, now: Millis) -> Option<Reason> {
         let is_current = endpoint.is_some_and(|endpoint| {
             let started_ms = endpoint.announcement.started_ms;
@@ -376,7 +379,7 @@
 pub struct LocalReachability {
     enabled: bool,
     set: UnreachableSet,
-    /// When the leader was last heard.
+    /// When the last message of the leader arrived.
     leader_heard: Millis,
     /// The start time and the time of the last report of endpoints that this process reported.
     reported: BTreeMap<String, (u64, Millis)>,
@@ -406,8 +409,8 @@
         }
     }
 
-    /// Sets whether connection results are shared. If they are not, this process avoids, reports and
-    /// probes nothing.
+    /// Sets whether connection results are shared. If they are not, this process avoids, reports
+    /// and probes nothing.
     pub fn set_enabled(&mut self, enabled: bool) {
         self.enabled = enabled;
     }
@@ -441,8 +444,9 @@
         self.next_probe = Some(self.next_probe.map_or(candidate, |next| next.min(candidate)));
     }
 
-    /// Records when the last message of the leader arrived. The set is dropped some time after that:
-    /// the process may be cut off, and others cannot tell it which endpoints are reachable again.
+    /// Records when the last message of the leader arrived. The set is dropped some time after
+    /// that: the process may be cut off, and others cannot inform it which endpoints are reachable
+    /// again.
     pub fn record_leader(&mut self, heard: Millis) {
         self.leader_heard = self.leader_heard.max(heard);
     }
--- a/components/fleet/src/run.rs
+++ b/components/fleet/src/run.rs
@@ -171,8 +171,9 @@
         /// The id of the run; another run of the same sample continues.
         run: u64,
     },
-    /// The number of hosts that share the slots for scorers' calls. It is not part of [`Job`] because
-    /// structs are encoded by position: a host of an earlier version could not read a longer one.
+    /// The number of hosts that share the slots for scorers' calls. It is not part of [`Job`]
+    /// because structs are encoded by position: a host of an earlier version could not read a
+    /// longer one.
     HostCount(u32),
 }
 
--- a/components/fleet/tests/baseline.rs
+++ b/components/fleet/tests/baseline.rs
@@ -25,8 +25,8 @@
     assert_eq!(baseline.value(), Some(200.0));
 }
 
-/// Guards against a baseline from before an idle time, which makes all later answers look slow if the
-/// work has become longer meanwhile.
+/// Guards against a baseline from before an idle time, which makes all later answers look slow if
+/// the work has become longer meanwhile.
 #[test]
 fn values_from_before_an_idle_time_end_with_the_next_measurement() {
     let mut baseline = Baseline::default();
--- a/components/fleet/tests/hedge.rs
+++ b/components/fleet/tests/hedge.rs
@@ -28,7 +28,8 @@
 const LEARNING_MS: u64 = 3_000;
 /// Requests per second of one process.
 const RATE: f64 = 20.0;
-/// Second attempts that are due start after this multiple of the median, and this many milliseconds.
+/// Second attempts that are due start after this multiple of the median, and this many
+/// milliseconds.
 const HEDGE_FACTOR: f64 = 3.0;
 const MIN_HEDGE_MS: u64 = 60;
 
@@ -207,8 +208,8 @@
     assert_eq!(decide(3.0, 0.0), HedgeDecision::Send);
 }
 
-/// Guards against a second attempt before the first ones have earned it: a fleet whose processes are
-/// all restarted would send one per process at once.
+/// Guards against a second attempt before the first ones have earned it: a fleet whose processes
+/// are all restarted would send one per process at once.
 #[test]
 fn a_process_begins_without_credit() {
     assert_eq!(sent(&mut process(0.05, 19), "desk"), 0);
@@ -224,8 +225,8 @@
     assert_eq!(sent(&mut full, "desk"), 5, "a refund does not exceed the bound either");
 }
 
-/// Guards against a second attempt that takes credit while it waits, and against one that waits although
-/// it would not be sent.
+/// Guards against a second attempt that takes credit while it waits, and against one that waits
+/// although it would not be sent.
 #[test]
 fn a_preview_is_what_would_be_decided_and_takes_no_credit() {
     let times = RouteTimes::default();
@@ -303,8 +304,8 @@
     gate
 }
 
-/// An endpoint accepts a connection late, when another one has been sent the request. Guards against
-/// two endpoints that run the request without credit for that.
+/// An endpoint accepts a connection late, when another one has been sent the request. Guards
+/// against two endpoints that run the request without credit for that.
 #[test]
 fn an_attempt_that_connects_late_is_sent_only_after_the_other_one_failed() {
     let mut gate = gate(&[0, 30]);
@@ -379,7 +380,7 @@
 }
 
 /// All other endpoints are full when a fallback is due. Guards against fallbacks that are used up
-/// within a few milliseconds before one of them has room.
+/// within a few milliseconds before one of them has a free slot.
 #[test]
 fn a_fallback_without_an_endpoint_is_tried_again_and_not_counted() {
     let mut gate = gate(&[0]);
--- a/components/fleet/tests/pacing.rs
+++ b/components/fleet/tests/pacing.rs
@@ -105,8 +105,8 @@
     }
 }
 
-/// Guards against windows that shrink because second attempts were faster, or because the address of
-/// an endpoint has changed.
+/// Guards against windows that shrink because second attempts were faster, or because the address
+/// of an endpoint has changed.
 #[test]
 fn attempts_that_show_nothing_leave_a_window_as_it_is() {
     use AttemptOutcome::*;
@@ -153,7 +153,8 @@
     assert_eq!(grow(&mut pacer(0, &["a"]), "a"), SLOTS);
 }
 
-/// Guards against a host that sends no calls to healthy endpoints while one of them does not answer.
+/// Guards against a host that sends no calls to healthy endpoints while one of them does not
+/// answer.
 #[test]
 fn an_endpoint_that_hangs_holds_only_its_own_window() {
     let mut pacer = pacer(3, &["hanging", "good"]);
@@ -240,8 +241,8 @@
 const SCORER_MS: u64 = 80;
 const CALLER_TARGET_MS: u64 = 150;
 const SCORER_LIMIT_MS: u64 = 2_000;
-/// The required share of callers that are answered in time: at least 95 of 100 in a crowd beside slow
-/// and unreachable endpoints.
+/// The required share of callers that are answered in time: at least 95 of 100 in a spike beside
+/// slow and unreachable endpoints.
 const MIN_IN_TIME: f64 = 0.95;
 /// Steps end together: their calls come in bursts, which are 90 a second on average.
 const BURST: usize = 300;
--- a/components/fleet/tests/reachability.rs
+++ b/components/fleet/tests/reachability.rs
@@ -339,7 +339,7 @@
     }
 }
 
-/// A crowd of callers at 20 entries, 12 times as many as usual, and the scorers' calls of 3 hosts.
+/// A spike of callers at 20 entries, 12 times as many as usual, and the scorers' calls of 3 hosts.
 /// Second attempts are withheld, as they are while a service is slow.
 fn crowd() -> Load {
     Load {
@@ -586,8 +586,8 @@
     assert_eq!(leader.marked(until), ["e0"], "the probes renew the mark");
 }
 
-/// Guards against processes that keep the probe interval of two processes, because a new leader marked
-/// the endpoint while only two were connected to it.
+/// Guards against processes that keep the probe interval of two processes, because a new leader
+/// marked the endpoint while only two were connected to it.
 #[test]
 fn the_probe_interval_follows_the_number_of_processes() {
     let mut leader = Leader::new(desk(4));
@@ -618,8 +618,8 @@
     assert_eq!(leader.marked(1_500), ["e1"]);
 }
 
-/// Guards against a leader that counts all endpoints of the fleet 50 times a second while any of them
-/// is reported.
+/// Guards against a leader that counts all endpoints of the fleet 50 times a second while any of
+/// them is reported.
 #[test]
 fn marks_are_limited_again_at_most_twice_a_second() {
     let mut leader = Leader::new(desk(11));
@@ -635,7 +635,7 @@
     assert_eq!(leader.marked(500).len(), 3);
 }
 
-/// Guards against a crowd of broadcasts that makes each process probe early, because each of them
+/// Guards against many broadcasts that make each process probe early, because each of them
 /// draws a new time.
 #[test]
 fn broadcasts_do_not_hasten_probes() {
--- a/components/fleet/tests/speeds.rs
+++ b/components/fleet/tests/speeds.rs
@@ -1,5 +1,5 @@
-//! Tests of the planner on engines of several speeds: which samples the fast ones get, how speeds are
-//! estimated, and what the next leader knows of them.
+//! Tests of the planner on engines of several speeds: which samples the fast ones get, how speeds
+//! are estimated, and what the next leader knows of them.
 
 mod support;
 
@@ -216,7 +216,8 @@
         }
     }
 
-    /// Opens `steps` steps of each of four trainers, every four seconds within 300 ms of each other.
+    /// Opens `steps` steps of each of four trainers, every four seconds within 300 ms of each
+    /// other.
     fn run_trainers(&mut self, seed: u64, steps: u64) {
         let mut rng = SmallRng::seed_from_u64(seed);
         let normal = |rng: &mut SmallRng| (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0;
@@ -249,8 +250,8 @@
     (0..44).map(|number| if number % 4 == 0 { FAST_MS } else { OTHER_MS }).collect()
 }
 
-/// Guards against late steps because the longest samples run on slow engines while short ones occupy
-/// the fast ones.
+/// Guards against late steps because the longest samples run on slow engines while short ones
+/// occupy the fast ones.
 #[test]
 fn four_trainers_within_300_ms_are_in_time_on_engines_of_two_speeds() {
     for seed in 1..=2 {
@@ -299,8 +300,8 @@
     assert_eq!(run(true), run(false));
 }
 
-/// Guards against a fast engine that is avoided, or no longer counts as fast, after it was slow for a
-/// while; and against runs that stay on it meanwhile.
+/// Guards against a fast engine that is avoided, or no longer counts as fast, after it was slow for
+/// a while; and against runs that stay on it meanwhile.
 #[test]
 fn an_engine_that_was_slow_for_six_seconds_is_used_again() {
     let mut simulation = Simulation::new(true, &two_speeds());
@@ -450,8 +451,8 @@
     assert_eq!(on_first(&assign(&mut planner, now), "a"), 0, "these are still short");
 }
 
-/// Guards against long runs that stay on slow engines because the first completed samples of a model,
-/// which are short, limit what is expected of them.
+/// Guards against long runs that stay on slow engines because the first completed samples of a
+/// model, which are short, limit what is expected of them.
 #[test]
 fn a_few_short_samples_do_not_limit_the_expected_length() {
     for (completed, moves) in [(40, 1), (120, 0)] {
@@ -545,8 +546,8 @@
     (planner, run, now + 250)
 }
 
-/// Guards against a long run that stays on a slow engine while a fast one has free slots, and against
-/// the loss of its output when it moves.
+/// Guards against a long run that stays on a slow engine while a fast one has free slots, and
+/// against the loss of its output when it moves.
 #[test]
 fn a_long_run_moves_to_the_fast_engine_and_resumes_there() {
     let (mut planner, run, now) = long_run_elsewhere(|_| {});
@@ -602,8 +603,8 @@
     assert!(planner.reserve_faster_engines(&steps_config(), now).is_empty());
 }
 
-/// Guards against moves that end in a pause for new weights, lose the output of a sample, or find no
-/// engine that may run it.
+/// Guards against moves that end in a pause for new weights, lose the output of a sample, or find
+/// no engine that may run it.
 #[test]
 fn runs_do_not_move_to_engines_that_load_are_too_old_or_not_ready() {
     let moves = |planner: &mut Planner, now| planner.reserve_faster_engines(&steps_config(), now);
@@ -683,8 +684,8 @@
     }
 }
 
-/// Guards against runs that leave an engine, or an engine that counts as slow, because its runs paused
-/// while it loaded weights.
+/// Guards against runs that leave an engine, or an engine that counts as slow, because its runs
+/// paused while it loaded weights.
 #[test]
 fn a_report_that_spans_a_load_of_weights_is_no_slowdown() {
     for (number, pace) in [(0, FAST_MS), (1, OTHER_MS)] {
@@ -754,8 +755,8 @@
     assert!(starts_on_it(now + 8_000));
 }
 
-/// Guards against a run that is ended before its order was sent, and is then ordered although another
-/// one has replaced it.
+/// Guards against a run that is ended before its order was sent, and is then ordered although
+/// another one has replaced it.
 #[test]
 fn a_run_that_was_assigned_in_the_same_round_does_not_move() {
     let (mut planner, now) = measured(&ONE_FAST).complete();
@@ -788,7 +789,8 @@
     }
 }
 
-/// Guards against equal engines that count as fast or slow because reports contain whole milliseconds.
+/// Guards against equal engines that count as fast or slow because reports contain whole
+/// milliseconds.
 #[test]
 fn engines_with_a_few_milliseconds_between_events_are_not_classed() {
     for paces in [[1.0, 2.0, 2.0, 2.0], [2.0, 1.0, 1.0, 1.0], [3.0, 2.0, 2.0, 2.0]] {
@@ -853,8 +855,8 @@
     SpeedChanges { median_us: 57_000, changes: paces.iter().map(change).collect() }
 }
 
-/// Guards against long samples on slow engines after a change of leader, until all engines have been
-/// measured again.
+/// Guards against long samples on slow engines after a change of leader, until all engines have
+/// been measured again.
 #[test]
 fn a_new_leader_knows_the_recorded_speeds_before_its_first_round() {
     let fleet = measured(&ONE_FAST);
--- a/components/node/src/forward/attempt.rs
+++ b/components/node/src/forward/attempt.rs
@@ -111,8 +111,8 @@
 }
 
 impl Attempt<'_> {
-    /// Waits until the request may be sent on the connection of this attempt. Returns whether it had
-    /// to wait, in which case its duration counts from now on.
+    /// Waits until the request may be sent on the connection of this attempt. Returns whether it
+    /// had to wait, in which case its duration counts from now on.
     pub(super) async fn wait_to_send(&mut self) -> bool {
         let (attempts, index) = &self.record;
         let was_held = attempts.wait_to_send(*index).await;
--- a/components/node/src/forward/budget.rs
+++ b/components/node/src/forward/budget.rs
@@ -111,8 +111,8 @@
         self.shared.is_some()
     }
 
-    /// Returns the granted endpoints that fulfil a condition. A call waits with hundreds of others, so
-    /// it examines its few endpoints and not all of the fleet.
+    /// Returns the granted endpoints that fulfil a condition. A call waits with hundreds of others,
+    /// so it examines its few endpoints and not all of the fleet.
     pub(super) fn granted(&self, condition: impl Fn(&str) -> bool) -> BTreeSet<String> {
         let Some(shared) = &self.shared else { return BTreeSet::new() };
         let grant = shared.grant.borrow();
--- a/components/node/src/forward/dispatch.rs
+++ b/components/node/src/forward/dispatch.rs
@@ -46,8 +46,8 @@
 /// Minimum time before a second attempt in milliseconds, also used while the usual response time is
 /// unknown.
 const MIN_HEDGE_MS: u64 = 60;
-/// Minimum milliseconds before a connection fallback. In this time, the thread reads its sockets, and
-/// may find that the connection was established while it did not run.
+/// Minimum milliseconds before a connection fallback. In this time, the thread reads its sockets,
+/// and may find that the connection was established while it did not run.
 const MIN_WAIT_MS: u64 = 1;
 /// Milliseconds for which a request waits while all endpoints are full before it is refused. The
 /// caller can wait just as well, and another entry may find a free endpoint.
@@ -75,8 +75,8 @@
     pub(super) queue_place: Option<QueuePosition>,
     /// Milliseconds for which it has waited because all endpoints were full.
     pub(super) waited_ms: u64,
-    /// Milliseconds for which its first attempts have waited because the windows of its endpoints were
-    /// full.
+    /// Milliseconds for which its first attempts have waited because the windows of its endpoints
+    /// were full.
     pub(super) paced_ms: Cell<u64>,
     /// Whether the endpoint of a second attempt is being chosen, which other calls may be ahead of.
     pub(super) picks_second: Cell<bool>,
@@ -251,10 +251,10 @@
         }
     }
 
-    /// Chooses an endpoint in place of one that could not be connected to in time. Attempts that are
-    /// still connecting go on beside it only if the request may be repeated and its route allows
-    /// one more; otherwise they are abandoned, which closes their connections before the next one
-    /// is opened.
+    /// Chooses an endpoint in place of one that could not be connected to in time. Attempts that
+    /// are still connecting go on beside it only if the request may be repeated and its route
+    /// allows one more; otherwise they are abandoned, which closes their connections before the
+    /// next one is opened.
     fn fall_back<F>(&mut self, running: &mut FuturesUnordered<F>) -> Option<Target> {
         // The attempt may have been connected, or have ended, at the same moment.
         if self.attempts.gate.borrow().fallback_wait(clock::now()) != Some(0) {
@@ -300,8 +300,8 @@
         None
     }
 
-    /// Removes an attempt that was not sent from the counts. Returns whether it was the first one at
-    /// its endpoint.
+    /// Removes an attempt that was not sent from the counts. Returns whether it was the first one
+    /// at its endpoint.
     fn uncount(&mut self, id: &str) -> bool {
         self.attempts_left += 1;
         self.possible_runs -= 1;
@@ -325,8 +325,8 @@
         }
     }
 
-    /// Counts the second attempts that won and those that were wasted, and returns the credit of one
-    /// that was not sent.
+    /// Counts the second attempts that won and those that were wasted, and returns the credit of
+    /// one that was not sent.
     fn record_seconds(&self) {
         self.refund();
         for second in self.attempts.gate.borrow().seconds() {
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -253,8 +253,8 @@
         granted.or_else(|| route.service(rand::random()))
     }
 
-    /// Makes one attempt. A request that must not arrive twice is sent on a new connection, because a
-    /// broken pooled connection would leave it unknown whether it arrived.
+    /// Makes one attempt. A request that must not arrive twice is sent on a new connection, because
+    /// a broken pooled connection would leave it unknown whether it arrived.
     async fn attempt(
         &self,
         mut attempt: Attempt<'_>,
--- a/components/node/src/forward/pacing.rs
+++ b/components/node/src/forward/pacing.rs
@@ -67,8 +67,8 @@
     route: &'a str,
     turn: Rc<Notify>,
     began: Millis,
-    /// The time for which the call has waited in all; `None` for a second attempt, whose wait does not
-    /// delay the first one.
+    /// The time for which the call has waited in all; `None` for a second attempt, whose wait does
+    /// not delay the first one.
     paced_ms: Option<&'a Cell<u64>>,
 }
 
@@ -140,7 +140,7 @@
         Some((pacing, place))
     }
 
-    /// Returns whether the window of an endpoint has room for this request.
+    /// Returns whether the window of an endpoint is not full for this request.
     pub(super) fn has_window(&self, id: &str) -> bool {
         self.pacing().is_none_or(|(pacing, place)| {
             let place = if self.picks_second.get() { place.for_second() } else { place };
@@ -148,8 +148,8 @@
         })
     }
 
-    /// Returns the endpoints that could be tried now if their windows had room. A full window of a
-    /// reachable endpoint is no reason to try an unreachable one.
+    /// Returns the endpoints that could be tried now if their windows were not full. A full window
+    /// of a reachable endpoint is no reason to try an unreachable one.
     fn wanted_endpoints(&self) -> BTreeSet<String> {
         if self.attempts_left == 0 || !self.budget.permits_send() {
             return BTreeSet::new();
@@ -215,8 +215,8 @@
         let _ = run_time::deadline(left, self.wait_for_window()).await;
     }
 
-    /// Waits until a second attempt is due, and for a window for it while it would be sent. One that
-    /// would not be sent must not wait: nothing of this call would use the window.
+    /// Waits until a second attempt is due, and for a window for it while it would be sent. One
+    /// that would not be sent must not wait: nothing of this call would use the window.
     pub(super) async fn hedge_due(&self, pause: Duration) {
         run_time::sleep(pause).await;
         if let Some((pacing, place)) = self.pacing() {
--- a/components/node/src/forward/reachability.rs
+++ b/components/node/src/forward/reachability.rs
@@ -142,8 +142,8 @@
 
 impl Dispatch<'_> {
     /// Returns whether all attempts in flight are at endpoints that have become unreachable, and
-    /// another endpoint can be tried. Such attempts are not answered, and those on pooled connections
-    /// do not fail either.
+    /// another endpoint can be tried. Such attempts are not answered, and those on pooled
+    /// connections do not fail either.
     pub(super) fn is_cut_off(&self) -> bool {
         let gate = self.attempts.gate.borrow();
         if self.attempts_left == 0 || gate.in_flight() == 0 || gate.in_flight() < gate.live() {
@@ -159,8 +159,8 @@
     }
 }
 
-/// Returns whether an error shows that an endpoint cannot be connected to. Others, such as a lack of
-/// file descriptors, are faults of this process.
+/// Returns whether an error shows that an endpoint cannot be connected to. Others, such as a lack
+/// of file descriptors, are faults of this process.
 fn shows_unreachable(error: &ExchangeError) -> bool {
     let ExchangeError::NotSent(error) = error else { return false };
     matches!(
--- a/components/node/src/hosts.rs
+++ b/components/node/src/hosts.rs
@@ -49,7 +49,7 @@
     followers: Rc<Followers>,
     local: Rc<Runner>,
     known: RefCell<BTreeMap<String, Host>>,
-    /// The number of hosts that each host was last told.
+    /// The number of hosts that each host was last sent.
     sent_counts: RefCell<BTreeMap<String, u32>>,
     /// Whether hosts near the engine are preferred.
     prefer_near: bool,
@@ -130,8 +130,8 @@
         self.known.borrow().len().max(1) as u32
     }
 
-    /// Returns whether these hosts, and those that are connected, have reported all their runs. False
-    /// if there are none, because a new leader then knows nothing about hosts yet.
+    /// Returns whether these hosts, and those that are connected, have reported all their runs.
+    /// False if there are none, because a new leader then knows nothing about hosts yet.
     pub fn all_reported(&self, mut expected: BTreeSet<String>) -> bool {
         expected.extend(self.followers.hosts());
         let known = self.known.borrow();
@@ -188,8 +188,8 @@
         self.followers.send_work(node, work)
     }
 
-    /// Sends a run to a host, preceded by the number of hosts if that is given and the host was told
-    /// another one. Returns whether the run was sent.
+    /// Sends a run to a host, preceded by the number of hosts if that is given and the host was
+    /// sent another one. Returns whether the run was sent.
     pub fn send_run(&self, node: &str, job: Box<Job>, count: Option<u32>) -> bool {
         let known = self.sent_counts.borrow().get(node).copied();
         if let Some(count) = count.filter(|count| known != Some(*count))
--- a/components/node/src/leader/mod.rs
+++ b/components/node/src/leader/mod.rs
@@ -536,8 +536,8 @@
     }
 }
 
-/// Persists run progress, known endpoints and speeds of engines, which would otherwise be lost if all
-/// processes failed at once.
+/// Persists run progress, known endpoints and speeds of engines, which would otherwise be lost if
+/// all processes failed at once.
 async fn run_persistence(leader: Weak<Leader>) {
     let mut last_persisted = clock::now();
     loop {
--- a/components/node/src/leader/runs.rs
+++ b/components/node/src/leader/runs.rs
@@ -78,10 +78,10 @@
         }
     }
 
-    /// Returns the number of hosts that share the slots for scorers' calls, if calls are paced. A new
-    /// leader does not know it before the hosts have reported: until then, they keep the last known
-    /// number, because too low a number would let them fill the queues of endpoints. A host that does
-    /// not report within the time for which steps wait for it is not counted.
+    /// Returns the number of hosts that share the slots for scorers' calls, if calls are paced. A
+    /// new leader does not know it before the hosts have reported: until then, they keep the last
+    /// known number, because too low a number would let them fill the queues of endpoints. A host
+    /// that does not report within the time for which steps wait for it is not counted.
     fn host_count(&self) -> Option<u32> {
         let is_paced = self.context.settings.policy.paced_scorers;
         let is_complete = || {
--- a/components/node/src/metrics.rs
+++ b/components/node/src/metrics.rs
@@ -55,12 +55,13 @@
 /// Attempts at endpoints of plain services by outcome.
 pub static ATTEMPT_ENDINGS: LazyLock<IntCounterVec> =
     LazyLock::new(|| counter("tries_total", "Attempts at endpoints by ending.", &["ending"]));
-/// Scorers' calls that wait at this host for a window of an endpoint with room.
+/// Scorers' calls that wait at this host for a window that is not full.
 pub static SCORER_CALLS_WAITING: LazyLock<IntGauge> = LazyLock::new(|| {
     register_int_gauge!("scorer_calls_waiting", "Scorers' calls that wait at this host.")
         .expect("names are unique")
 });
-/// Seconds for which scorers' calls waited for a window with room, without those that did not wait.
+/// Seconds for which scorers' calls waited for a window that is not full, without those that did
+/// not wait.
 pub static SCORER_WAIT_SECONDS: LazyLock<HistogramVec> =
     LazyLock::new(|| histogram("scorer_wait_seconds", "Time until a window had room.", &["route"]));
 /// Windows of endpoints that this host made smaller, because an endpoint was slow, full or failed.
--- a/components/node/tests/cut_off.rs
+++ b/components/node/tests/cut_off.rs
@@ -33,8 +33,8 @@
 
 /// Time limit of the requests in milliseconds.
 const LIMIT_MS: u64 = 1_500;
-/// Time after the start of a request at which its endpoint is marked as unreachable. A second attempt
-/// is due by then.
+/// Time after the start of a request at which its endpoint is marked as unreachable. A second
+/// attempt is due by then.
 const MARKED_AFTER: Duration = Duration::from_millis(200);
 
 /// Answers its first request and no further one. Returns the number of requests.
@@ -71,9 +71,9 @@
     forwarder.forward(&route, &request, &budget, LIMIT_MS, Requester::default()).await
 }
 
-/// Sends a request on a pooled connection that has gone silent, and marks its endpoint as unreachable
-/// while it is in flight. No second attempts are allowed. Returns the outcome and the number of
-/// requests that the other endpoint got.
+/// Sends a request on a pooled connection that has gone silent, and marks its endpoint as
+/// unreachable while it is in flight. No second attempts are allowed. Returns the outcome and the
+/// number of requests that the other endpoint got.
 async fn send_to_silent(shared_reachability: bool, kind: RouteKind) -> (Outcome, u32) {
     let policy = Policy { shared_reachability, ..Policy::default() };
     let limits = SecondAttempts {
@@ -95,9 +95,9 @@
     (outcome, requests.get())
 }
 
-/// Guards against callers that wait until their time is up for an endpoint that all processes know to
-/// be unreachable: an attempt on a pooled connection does not fail there, and a second attempt may be
-/// withheld by its limit.
+/// Guards against callers that wait until their time is up for an endpoint that all processes know
+/// to be unreachable: an attempt on a pooled connection does not fail there, and a second attempt
+/// may be withheld by its limit.
 #[actix_rt::test]
 async fn a_request_at_an_endpoint_that_becomes_unreachable_is_tried_elsewhere() {
     let (outcome, requests) = send_to_silent(true, RouteKind::Idempotent).await;
--- a/components/node/tests/hedge.rs
+++ b/components/node/tests/hedge.rs
@@ -108,8 +108,8 @@
     table.lines().filter(is_opening).count()
 }
 
-/// Makes an endpoint reachable. Returns the number of bytes that it receives within the time in which
-/// connection attempts are repeated.
+/// Makes an endpoint reachable. Returns the number of bytes that it receives within the time in
+/// which connection attempts are repeated.
 async fn received_later(endpoint: Unreachable) -> usize {
     let received = Rc::new(Cell::new(0));
     let until = tokio::time::Instant::now() + SYN_RETRY;
@@ -472,8 +472,8 @@
     assert_eq!(second_attempts("refunded"), [1, 1, 0, 1, 0]);
 }
 
-/// The thread stands still while an attempt connects. Guards against a healthy endpoint that counts as
-/// failed because the thread did not see that the connection was established.
+/// The thread stands still while an attempt connects. Guards against a healthy endpoint that counts
+/// as failed because the thread did not see that the connection was established.
 #[actix_rt::test]
 async fn a_stall_of_the_thread_does_not_make_an_endpoint_fail() {
     let lines = LogLines::default();
@@ -495,8 +495,8 @@
     assert!(line.contains(" dropped=") && !line.contains(" failed="), "{line}");
 }
 
-/// The time of a pass is up before a connection is established. Guards against an endpoint that counts
-/// as one that may have run the request, so that no other may run it.
+/// The time of a pass is up before a connection is established. Guards against an endpoint that
+/// counts as one that may have run the request, so that no other may run it.
 #[actix_rt::test]
 async fn an_endpoint_that_was_sent_nothing_is_not_counted_when_a_pass_ends() {
     let dark = unreachable().await;
--- a/components/node/tests/leader/grants.rs
+++ b/components/node/tests/leader/grants.rs
@@ -614,7 +614,7 @@
     assert_eq!(fleet.replica.state().costs["s"].cost.scorer.endpoints, recorded);
 }
 
-/// Returns the numbers of hosts that a host is told before the run of a step.
+/// Returns the numbers of hosts that a host is sent before the run of a step.
 async fn counts_before_run(socket: &mut Socket, step: &str) -> Vec<u32> {
     let counts: RefCell<Vec<u32>> = RefCell::default();
     receive(socket, |work| match work {
@@ -670,7 +670,8 @@
     assert_eq!(counts, [2]);
 }
 
-/// Guards against a command that hosts of an earlier version cannot read, although nothing needs it.
+/// Guards against a command that hosts of an earlier version cannot read, although nothing needs
+/// it.
 #[actix_rt::test]
 async fn without_pacing_hosts_are_not_told_their_number() {
     let (fleet, parts) = (fleet_with_pacing(false).await, StoredParts::default());
@@ -681,8 +682,8 @@
     assert_eq!(counts_before_run(&mut host, "a").await, [0; 0]);
 }
 
-/// Guards against a new leader that counts only the hosts which have reported so far: the first ones
-/// would use the slots of the others as well.
+/// Guards against a new leader that counts only the hosts which have reported so far: the first
+/// ones would use the slots of the others as well.
 #[actix_rt::test]
 async fn a_new_leader_tells_no_number_before_the_hosts_have_reported() {
     let (fleet, parts) = (fleet_with_pacing(true).await, StoredParts::default());
--- a/components/node/tests/leader/reachability.rs
+++ b/components/node/tests/leader/reachability.rs
@@ -51,7 +51,8 @@
 const REQUEST_COUNT: usize = 40;
 /// Time after which a request at an endpoint that does not answer gets a second attempt.
 const SECOND_ATTEMPT_AFTER: Duration = Duration::from_millis(60);
-/// Milliseconds after which a request is dropped, before its connection attempt fails or is reported.
+/// Milliseconds after which a request is dropped, before its connection attempt fails or is
+/// reported.
 const DROP_AFTER_MS: u64 = 25;
 /// Number of connections that fill the queue of a listener with a backlog of one.
 const BACKLOG_CONNECTIONS: usize = 4;
@@ -74,7 +75,7 @@
 struct Follower {
     forwarder: Rc<Forwarder>,
     link: Rc<Link>,
-    /// The number of endpoints that it has been told to avoid.
+    /// The number of endpoints that it has to avoid.
     avoided: Rc<Cell<usize>>,
 }
 
@@ -254,8 +255,8 @@
     silent.recover();
 }
 
-/// Guards against unreachable endpoints that nobody reports, because every attempt is dropped before
-/// its connection fails: its caller leaves, or another attempt is answered first.
+/// Guards against unreachable endpoints that nobody reports, because every attempt is dropped
+/// before its connection fails: its caller leaves, or another attempt is answered first.
 #[actix_rt::test]
 async fn attempts_that_are_dropped_early_are_reported_too() {
     let fleet = sharing_fleet().await;
@@ -365,8 +366,8 @@
     wait_until("the other process uses it again", || other.avoided.get() == 0).await;
 }
 
-/// Guards against a set that is kept under a leader which sends none, because sharing was switched off
-/// there: nobody would ever remove an endpoint from it.
+/// Guards against a set that is kept under a leader which sends none, because sharing was switched
+/// off there: nobody would ever remove an endpoint from it.
 #[actix_rt::test]
 async fn a_leader_that_shares_nothing_ends_the_set_of_its_predecessor() {
     let fleet = sharing_fleet().await;
@@ -382,8 +383,8 @@
     wait_until("the follower uses it again", || follower.avoided.get() == 0).await;
 }
 
-/// Guards against marks on engines, at which the leader decides where samples run, on endpoints of an
-/// earlier start, and on those that nobody knows.
+/// Guards against marks on engines, at which the leader decides where samples run, on endpoints of
+/// an earlier start, and on those that nobody knows.
 #[actix_rt::test]
 async fn reports_of_engines_and_of_earlier_starts_mark_nothing() {
     let fleet = sharing_fleet().await;
--- a/components/node/tests/leader/retired.rs
+++ b/components/node/tests/leader/retired.rs
@@ -23,8 +23,9 @@
     }
 }
 
-/// Guards against an operator who retires a store, is refused, and is not told what to do: the answer
-/// must say how many stores are left and needed, and retiring must work once another one runs.
+/// Guards against an operator who retires a store, is refused, and does not learn what to do: the
+/// answer must say how many stores are left and needed, and retiring must work once another one
+/// runs.
 #[actix_rt::test]
 async fn a_store_that_is_needed_is_not_retired_until_another_one_runs() {
     let fleet = Fleet::start_with(|settings| Settings { tolerated: 1, ..settings }).await;
--- a/components/node/tests/pacing.rs
+++ b/components/node/tests/pacing.rs
@@ -221,8 +221,8 @@
     assert_eq!(*fake.calls.borrow(), ["first", "next"]);
 }
 
-/// Guards against a wait that takes the time of the attempt: the attempt would be cancelled although
-/// the endpoint works on it.
+/// Guards against a wait that takes the time of the attempt: the attempt would be cancelled
+/// although the endpoint works on it.
 #[actix_rt::test]
 async fn a_call_that_has_waited_has_the_whole_time_of_a_pass() {
     let fake = FakeEndpoint::start(true).await;
@@ -295,8 +295,9 @@
     assert_eq!(*fake.calls.borrow(), ["first", "last"]);
 }
 
-/// Guards against calls that are sent to an unreachable endpoint because the windows of all reachable
-/// ones are full, and against calls that are not sent at all if no reachable endpoint is left.
+/// Guards against calls that are sent to an unreachable endpoint because the windows of all
+/// reachable ones are full, and against calls that are not sent at all if no reachable endpoint is
+/// left.
 #[actix_rt::test]
 async fn full_windows_send_no_call_to_an_unreachable_endpoint() {
     let (full, unreachable) = (FakeEndpoint::start(true).await, FakeEndpoint::start(false).await);
@@ -384,9 +385,9 @@
     assert!((250..1_000).contains(&paced_ms("second")), "{text}");
 }
 
-/// Both windows are full when a second attempt is due. Guards against one that would not be sent and
-/// waits for a window all the same, and against a wait of second attempts that is reported as the wait
-/// of their calls.
+/// Both windows are full when a second attempt is due. Guards against one that would not be sent
+/// and waits for a window all the same, and against a wait of second attempts that is reported as
+/// the wait of their calls.
 #[actix_rt::test]
 async fn a_second_attempt_waits_only_if_it_would_be_sent_and_not_on_behalf_of_its_call() {
     let lines = LogLines::default();
@@ -417,8 +418,9 @@
     }
 }
 
-/// A call that cannot connect falls back while the window of its other endpoint is full. Guards against
-/// fallbacks that are used up before the window has room, so that the call waits for the connection.
+/// A call that cannot connect falls back while the window of its other endpoint is full. Guards
+/// against fallbacks that are used up before the window has a free slot, so that the call waits for
+/// the connection.
 #[actix_rt::test]
 async fn a_fallback_is_made_when_a_full_window_has_room_again() {
     let (busy, dark) = (FakeEndpoint::start(true).await, unreachable().await);
--- a/src/cmd/config.rs
+++ b/src/cmd/config.rs
@@ -63,8 +63,8 @@
 const PRESENT: &str = "present";
 const ABSENT: &str = "-";
 
-/// Checks a configuration, and compares it with the version in force if an address is given. Nothing
-/// is changed.
+/// Checks a configuration, and compares it with the version in force if an address is given.
+/// Nothing is changed.
 ///
 /// # Errors
 ///
--- a/tests/whole/config.rs
+++ b/tests/whole/config.rs
@@ -1,5 +1,5 @@
-//! Tests of `chicoryford config check`: exit codes, comparison with the version in force, and that no
-//! key is printed.
+//! Tests of `chicoryford config check`: exit codes, comparison with the version in force, and that
+//! no key is printed.
 
 use std::net::SocketAddr;
 use std::process::Child;
@@ -162,8 +162,8 @@
     assert_eq!(code(&check(&[&write(&folder, flow), "--format", "template"])), 0);
 }
 
-/// Guards against a check that accepts a file which is refused when it is applied, because it is not
-/// valid UTF-8.
+/// Guards against a check that accepts a file which is refused when it is applied, because it is
+/// not valid UTF-8.
 #[test]
 fn a_template_that_is_not_utf8_is_refused_as_by_template_check() {
     let folder = tempfile::tempdir().unwrap();
@@ -184,8 +184,8 @@
     }
 }
 
-/// Guards against a comparison that fails silently, so that "no differences" is believed, and against
-/// findings that are lost because of it.
+/// Guards against a comparison that fails silently, so that "no differences" is believed, and
+/// against findings that are lost because of it.
 #[test]
 fn an_address_that_does_not_answer_is_reported_after_the_findings() {
     let folder = tempfile::tempdir().unwrap();
