Forwarding: no checks for unreachable endpoints where reachability is not shared

Cause: found while reading the diff: each request that had waited for its second attempt woke every 25 ms, also with the setting off, where nothing can be found. Decisions are the same (tests/cut_off.rs).

--- a/components/node/src/forward/dispatch.rs
+++ b/components/node/src/forward/dispatch.rs
@@ -120,6 +120,7 @@
         let mut running = FuturesUnordered::new();
         let mut hedged = self.at_most_once;
         let fallback = self.forwarder.policy.connect_fallback;
+        let may_give_up = !self.at_most_once && self.forwarder.policy.shared_reachability;
         if self.forwarder.queues.must_wait(self.service) && !self.wait_for_turn().await {
             return self.give_up(PickError::AllTried);
         }
@@ -178,7 +179,7 @@
                     }
                     continue;
                 }
-                () = run_time::sleep(CUT_OFF_CHECK_INTERVAL), if hedged && !self.at_most_once => {
+                () = run_time::sleep(CUT_OFF_CHECK_INTERVAL), if hedged && may_give_up => {
                     if self.is_cut_off() {
                         running.clear();
                     }
