Forwarding: modules for second attempts, the connection fallback and the choice of endpoints

When a second attempt is due and permitted is in second_attempts.rs, the replacement of an attempt that cannot connect in fallback.rs, and the choice of an endpoint within the budget in selection.rs. The functions are moved as they are.

--- a/components/node/src/forward/dispatch.rs
+++ b/components/node/src/forward/dispatch.rs
@@ -7,7 +7,6 @@
 
 use chicoryford_fleet::crashes::Crash;
 use chicoryford_fleet::hedge::HedgeDecision;
-use chicoryford_fleet::hedge::RouteTimes;
 use chicoryford_fleet::pick::PickError;
 use chicoryford_fleet::pick::Target;
 use chicoryford_fleet::wait_queue::QueuePosition;
@@ -23,7 +22,6 @@
 
 use super::AttemptResult;
 use super::Budget;
-use super::CONNECT_TIMEOUT;
 use super::CRASHING_CONTENT;
 use super::FULL_RETRY_AFTER_MS;
 use super::Forwarder;
@@ -39,20 +37,9 @@
 use crate::crashes;
 use crate::metrics;
 
-/// Multiple of the usual response time after which a second attempt starts concurrently. An
-/// endpoint that becomes slow takes about four times as long; about one attempt in a hundred takes
-/// three times as long by chance.
-const HEDGE_FACTOR: f64 = 3.0;
-/// Minimum time before a second attempt in milliseconds, also used while the usual response time is
-/// unknown.
-const MIN_HEDGE_MS: u64 = 60;
 /// Minimum milliseconds before a connection fallback. In this time, the thread reads its sockets,
 /// and may find that the connection was established while it did not run.
 const MIN_WAIT_MS: u64 = 1;
-/// Milliseconds for which a request waits while all endpoints are full before it is refused. The
-/// caller can wait just as well, and another entry may find a free endpoint.
-const MAX_FULL_WAIT_MS: u64 = 90;
-
 /// Interval between checks whether the endpoints of the attempts in flight have become unreachable.
 const CUT_OFF_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -198,199 +185,6 @@
         }
     }
 
-    /// Decides whether a second attempt that is due is made. Returns its endpoint if it needs a new
-    /// connection.
-    fn hedge(&mut self) -> Option<Target> {
-        let decision = if self.forwarder.policy.second_attempts {
-            self.forwarder.hedging.borrow_mut().decide(self.service, self.route_times())
-        } else {
-            HedgeDecision::Off
-        };
-        self.hedge = Some(decision);
-        let withheld = match decision {
-            HedgeDecision::Send => None,
-            HedgeDecision::Limit => Some("withheld_limit"),
-            HedgeDecision::Slow => Some("withheld_slow"),
-            HedgeDecision::Off => return None,
-        };
-        if let Some(withheld) = withheld {
-            metrics::SECOND_ATTEMPTS.with_label_values(&[self.service, withheld]).inc();
-            return None;
-        }
-        self.attempts.permit();
-        if self.attempts.gate.borrow().held() > 0 {
-            return None;
-        }
-        self.picks_second.set(true);
-        let target = self.pick_endpoint().ok();
-        self.picks_second.set(false);
-        if target.is_none() && self.attempts.gate.borrow().live() <= 1 {
-            self.hedge = None;
-            self.refund();
-        }
-        target
-    }
-
-    fn route_times(&self) -> RouteTimes {
-        let picker = self.forwarder.picker.borrow();
-        let (median_ms, baseline_ms) =
-            (picker.median_ms(self.route), picker.baseline_ms(self.route));
-        RouteTimes { median_ms, baseline_ms }
-    }
-
-    /// Returns whether a second attempt that is due now would be sent.
-    pub(super) fn would_hedge(&self) -> bool {
-        self.forwarder.policy.second_attempts
-            && self.forwarder.hedging.borrow().preview(self.service, self.route_times())
-                == HedgeDecision::Send
-    }
-
-    /// Returns the credit of a second attempt that was permitted and not sent.
-    fn refund(&self) {
-        if self.attempts.gate.borrow_mut().withdraw() {
-            self.forwarder.hedging.borrow_mut().refund(self.service);
-        }
-    }
-
-    /// Chooses an endpoint in place of one that could not be connected to in time. Attempts that
-    /// are still connecting go on beside it only if the request may be repeated and its route
-    /// allows one more; otherwise they are abandoned, which closes their connections before the
-    /// next one is opened.
-    fn fall_back<F>(&mut self, running: &mut FuturesUnordered<F>) -> Option<Target> {
-        // The attempt may have been connected, or have ended, at the same moment.
-        if self.attempts.gate.borrow().fallback_wait(clock::now()) != Some(0) {
-            return None;
-        }
-        let target = self.pick_fallback(running);
-        let mut gate = self.attempts.gate.borrow_mut();
-        if target.is_some() {
-            gate.count_fallback();
-        } else {
-            gate.defer_fallback(clock::now());
-        }
-        target
-    }
-
-    fn pick_fallback<F>(&mut self, running: &mut FuturesUnordered<F>) -> Option<Target> {
-        if !self.at_most_once
-            && let Ok(target) = self.pick_endpoint()
-        {
-            return Some(target);
-        }
-        if self.attempts.gate.borrow().in_flight() > 0 {
-            return None;
-        }
-        let ids: Vec<String> = {
-            let (records, gate) = (self.attempts.records.borrow(), self.attempts.gate.borrow());
-            gate.live_attempts().map(|index| records[index].target.id.clone()).collect()
-        };
-        let released: Vec<bool> = ids.iter().map(|id| self.uncount(id)).collect();
-        let target = self.pick_endpoint().ok();
-        if target.is_some() {
-            running.clear();
-            return target;
-        }
-        for (id, was_new) in ids.iter().zip(released) {
-            self.attempts_left -= 1;
-            self.possible_runs += 1;
-            if was_new {
-                self.budget.spent.borrow_mut().endpoints.insert(id.clone());
-                self.new_endpoints.insert(id.clone());
-            }
-        }
-        None
-    }
-
-    /// Removes an attempt that was not sent from the counts. Returns whether it was the first one
-    /// at its endpoint.
-    fn uncount(&mut self, id: &str) -> bool {
-        self.attempts_left += 1;
-        self.possible_runs -= 1;
-        let was_new = self.new_endpoints.remove(id);
-        if was_new {
-            self.budget.spent.borrow_mut().endpoints.remove(id);
-        }
-        was_new
-    }
-
-    /// Removes the endpoints from the budget that were chosen first in this pass and were sent
-    /// nothing, so that a later pass may use others in their place.
-    fn uncount_unsent(&self) {
-        let records = self.attempts.records.borrow();
-        let was_sent = |id: &String| {
-            records.iter().any(|record| record.target.id == *id && record.sent.is_some())
-        };
-        let mut spent = self.budget.spent.borrow_mut();
-        for id in self.new_endpoints.iter().filter(|id| !was_sent(id)) {
-            spent.endpoints.remove(id);
-        }
-    }
-
-    /// Counts the second attempts that won and those that were wasted, and returns the credit of
-    /// one that was not sent.
-    fn record_seconds(&self) {
-        self.refund();
-        for second in self.attempts.gate.borrow().seconds() {
-            let outcome = if self.winner == Some(*second) { "won" } else { "wasted" };
-            metrics::SECOND_ATTEMPTS.with_label_values(&[self.service, outcome]).inc();
-        }
-    }
-
-    /// Waits in the queue while all endpoints are full. Returns whether the turn came in time.
-    async fn wait_for_turn(&mut self) -> bool {
-        let began = clock::now();
-        let until = began + MAX_FULL_WAIT_MS.saturating_sub(self.waited_ms);
-        let queued_as = (self.requester.workspace, self.requester.rank);
-        let place = self.queue_place.take();
-        self.queue_place =
-            self.forwarder.queues.wait_for_turn(self.service, queued_as, place, until).await;
-        self.waited_ms += clock::now().since(began);
-        self.queue_place.is_some()
-    }
-
-    /// Returns whether the budget excludes an untried ready endpoint, or any attempt now. Then a
-    /// lack of capacity is not the reason that no endpoint can be picked.
-    fn is_budget_limited(&self) -> bool {
-        if !self.budget.permits_send() {
-            return true;
-        }
-        let picker = self.forwarder.picker.borrow();
-        picker.has_ready(self.service, |id| !self.tried.iter().any(|tried| tried == id))
-    }
-
-    fn pick_endpoint(&mut self) -> Result<Target, PickError> {
-        if self.attempts_left == 0 || !self.budget.permits_send() {
-            return Err(PickError::AllTried);
-        }
-        let paced = self.paced_endpoints();
-        let mut picker = self.forwarder.picker.borrow_mut();
-        let fits = |id: &str| self.may_try(id) && self.has_window(id);
-        if self.can_probe()
-            && let Some(target) = picker.pick_probe(self.service, self.route, fits, clock::now())
-        {
-            return Ok(target);
-        }
-        let is_wanted = |id: &str| paced.as_ref().is_none_or(|paced| paced.contains(id));
-        picker.pick(self.service, self.route, |id| is_wanted(id) && fits(id), clock::now())
-    }
-
-    /// Returns whether the request can be used as a probe. If the probe fails, it needs another
-    /// attempt and time for it, and a request that may run once would wait for the whole connection
-    /// timeout if its connection were not given up earlier.
-    fn can_probe(&self) -> bool {
-        let min_left_ms = 2 * CONNECT_TIMEOUT.as_millis() as u64;
-        self.tried.is_empty()
-            && self.attempts_left > 1
-            && self.budget.left_ms() > min_left_ms
-            && (!self.at_most_once || self.forwarder.policy.connect_fallback)
-    }
-
-    /// Returns whether the budget allows an endpoint that was not tried yet.
-    pub(super) fn may_try(&self, id: &str) -> bool {
-        let tried = self.tried.iter().any(|tried| tried == id);
-        !tried && self.budget.allows(id, self.max_endpoints as usize)
-    }
-
     fn start_attempt(
         &mut self,
         target: Target,
@@ -538,9 +332,4 @@
             dropped
         );
     }
-
-    fn hedge_ms(&self) -> u64 {
-        let usual = self.forwarder.picker.borrow().median_ms(self.route);
-        usual.map_or(MIN_HEDGE_MS, |ms| ((ms * HEDGE_FACTOR) as u64).max(MIN_HEDGE_MS))
-    }
 }
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -3,9 +3,12 @@
 mod attempt;
 mod budget;
 mod dispatch;
+mod fallback;
 mod gate;
 mod pacing;
 mod reachability;
+mod second_attempts;
+mod selection;
 
 use std::cell::Cell;
 use std::cell::RefCell;
