Tests: checks of platform documents are in platform/tests

tests/whole/config.rs contained names of the platform's formats, which only platform/ may know. Its tests with such documents are now in platform/tests/client/config.rs. They remain a module of the test `whole`, since only the package that builds the binaries can name them. The two tests that had both kinds of documents are divided; each case is kept. The search of outputs for keys is kept too: for all tokens in each test, and for the keys of the configuration in those that use it.

--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -10,5 +10,7 @@
 mod fixture;
 mod logs;
 mod path;
+#[path = "../../platform/tests/client/config.rs"]
+mod platform_config;
 mod stop;
 mod tls;
