Tests: shared set-up in the tests of reachability

The tests of reachability repeated the endpoint that answers, the request, the marked set, the process that follows a leader and the reports of two processes. No test or check is removed; the check that the queue of an unreachable endpoint's listener is full is now made for all users of that stub. The test of crashes in leader/updates.rs uses the same stubs.

--- a/components/node/tests/cut_off.rs
+++ b/components/node/tests/cut_off.rs
@@ -1,35 +1,29 @@
 //! Requests in flight at an endpoint that becomes unreachable, on real sockets.
 
 mod support {
+    pub mod answering;
     pub mod endpoint;
+    pub mod marked;
     pub mod route;
+    pub mod send;
 }
 
-use std::cell::Cell;
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use chicoryford_fleet::Policy;
 use chicoryford_fleet::RouteKind;
 use chicoryford_fleet::hedge::AttemptShare;
 use chicoryford_fleet::hedge::SecondAttempts;
-use chicoryford_fleet::reachability::UnreachableSet;
-use chicoryford_http::Request;
-use chicoryford_http::message::Method;
-use chicoryford_node::clock;
-use chicoryford_node::forward::Budget;
 use chicoryford_node::forward::Forwarder;
 use chicoryford_node::forward::Outcome;
-use chicoryford_node::forward::Requester;
 use chicoryford_node::message::Update;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
 
+use support::answering::answer;
+use support::answering::listener;
 use support::endpoint::endpoint;
+use support::marked::marked;
 use support::route::route;
+use support::send::send;
 
 /// Time limit of the requests in milliseconds.
 const LIMIT_MS: u64 = 1_500;
@@ -37,38 +31,8 @@
 /// attempt is due by then.
 const MARKED_AFTER: Duration = Duration::from_millis(200);
 
-/// Answers its first request and no further one. Returns the number of requests.
-async fn silent_after_one() -> (SocketAddr, Rc<Cell<u32>>) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let requests = Rc::new(Cell::new(0));
-    let count = requests.clone();
-    actix_rt::spawn(async move {
-        loop {
-            let (mut stream, _) = listener.accept().await.unwrap();
-            let count = count.clone();
-            actix_rt::spawn(async move {
-                let mut bytes = vec![0; 4_096];
-                while stream.read(&mut bytes).await.is_ok_and(|read| read > 0) {
-                    count.set(count.get() + 1);
-                    let text = "HTTP/1.1 200 OK\r\nx-attempt-id: id\r\nx-response-stamp: s\r\n\
-                                content-length: 2\r\n\r\nok";
-                    if count.get() == 1 && stream.write_all(text.as_bytes()).await.is_err() {
-                        return;
-                    }
-                }
-            });
-        }
-    });
-    (address, requests)
-}
-
-async fn send(forwarder: &Forwarder, kind: RouteKind) -> Outcome {
-    let mut request = Request::new(Method::POST, "/desk/x", "");
-    request.headers.set("x-attempt-id", "id");
-    let budget = Budget::new(clock::now() + LIMIT_MS);
-    let route = route("desk", kind, 3);
-    forwarder.forward(&route, &request, &budget, LIMIT_MS, Requester::default()).await
+async fn send_to_desk(forwarder: &Forwarder, kind: RouteKind) -> Outcome {
+    send(forwarder, &route("desk", kind, 3), LIMIT_MS).await
 }
 
 /// Sends a request on a pooled connection that has gone silent, and marks its endpoint as
@@ -81,18 +45,19 @@
         ..SecondAttempts::default()
     };
     let forwarder = Forwarder::with_limits(policy, limits);
-    let (first, _) = silent_after_one().await;
+    // The first endpoint answers one request, which leaves a connection in the pool.
+    let (first, _) = answer(listener().await, 1);
     forwarder.apply(&Update::Endpoint(endpoint("desk", "a", first, 4)));
-    assert!(matches!(send(&forwarder, RouteKind::Idempotent).await, Outcome::Answered(_)));
-    let (second, requests) = silent_after_one().await;
+    let pooled = send_to_desk(&forwarder, RouteKind::Idempotent).await;
+    assert!(matches!(pooled, Outcome::Answered(_)), "{pooled:?}");
+    let (second, requests) = answer(listener().await, 1);
     let other = async {
         tokio::time::sleep(MARKED_AFTER).await;
         forwarder.apply(&Update::Endpoint(endpoint("desk", "b", second, 4)));
-        let endpoints = BTreeMap::from([("a".to_owned(), 0)]);
-        forwarder.apply(&Update::Unreachable(UnreachableSet { endpoints, probe_ms: 10_000 }));
+        forwarder.apply(&marked("a", 10_000));
     };
-    let (outcome, ()) = tokio::join!(send(&forwarder, kind), other);
-    (outcome, requests.get())
+    let (outcome, ()) = tokio::join!(send_to_desk(&forwarder, kind), other);
+    (outcome, requests.borrow().iter().sum())
 }
 
 /// Guards against callers that wait until their time is up for an endpoint that all processes know
--- a/components/node/tests/leader/main.rs
+++ b/components/node/tests/leader/main.rs
@@ -1,10 +1,13 @@
 //! A leader with hosts, stores and other members simulated by the test, on real sockets.
 
+#[path = "../support/answering.rs"]
+mod answering;
 mod checkpoints;
 mod costs;
 #[path = "../support/endpoint.rs"]
 mod endpoint;
 mod fleet;
+mod follower;
 mod grants;
 #[path = "../support/job.rs"]
 mod job;
@@ -16,7 +19,11 @@
 #[path = "../support/route.rs"]
 mod route;
 mod scorers;
+#[path = "../support/send.rs"]
+mod send;
 mod speeds;
 mod steps;
+#[path = "../support/unreachable.rs"]
+mod unreachable;
 mod updates;
 mod usage;
--- a/components/node/tests/leader/reachability.rs
+++ b/components/node/tests/leader/reachability.rs
@@ -8,18 +8,12 @@
 
 use chicoryford_fleet::Policy;
 use chicoryford_fleet::RouteKind;
-use chicoryford_http::Request;
-use chicoryford_http::message::Method;
 use chicoryford_node::Settings;
-use chicoryford_node::clock;
-use chicoryford_node::forward::Budget;
 use chicoryford_node::forward::Forwarder;
 use chicoryford_node::forward::Outcome;
-use chicoryford_node::forward::Requester;
 use chicoryford_node::frame::decode;
 use chicoryford_node::frame::encode;
 use chicoryford_node::link::Link;
-use chicoryford_node::link::Member;
 use chicoryford_node::message::Answer;
 use chicoryford_node::message::Call;
 use chicoryford_node::message::LeaderMessage;
@@ -28,21 +22,21 @@
 use chicoryford_node::view::View;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
-use tokio::net::TcpSocket;
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::answering::answer;
+use crate::answering::listener;
 use crate::endpoint::endpoint;
 use crate::fleet::Fleet;
 use crate::fleet::config_with_desk;
 use crate::fleet::pause;
 use crate::fleet::wait_until;
+use crate::follower::follow;
 use crate::member::Socket;
 use crate::member::connect_member;
 use crate::route::route;
+use crate::send::send;
+use crate::unreachable::unreachable;
 use crate::updates::configure;
 use crate::updates::engine;
 
@@ -51,11 +45,11 @@
 const REQUEST_COUNT: usize = 40;
 /// Time after which a request at an endpoint that does not answer gets a second attempt.
 const SECOND_ATTEMPT_AFTER: Duration = Duration::from_millis(60);
+/// Time limit of a request in milliseconds.
+const LIMIT_MS: u64 = 1_000;
 /// Milliseconds after which a request is dropped, before its connection attempt fails or is
 /// reported.
 const DROP_AFTER_MS: u64 = 25;
-/// Number of connections that fill the queue of a listener with a backlog of one.
-const BACKLOG_CONNECTIONS: usize = 4;
 
 /// Starts a fleet that shares reachability, with the service "desk".
 async fn sharing_fleet() -> Fleet {
@@ -65,6 +59,15 @@
     fleet
 }
 
+/// Starts a fleet that shares reachability, with an endpoint "d0" at this address and an endpoint
+/// "d1" that answers.
+async fn fleet_with_desks(address: SocketAddr) -> Fleet {
+    let fleet = sharing_fleet().await;
+    announce(&fleet, "d0", address).await;
+    announce(&fleet, "d1", answering().await).await;
+    fleet
+}
+
 async fn announce(fleet: &Fleet, id: &str, address: SocketAddr) {
     let announcement = endpoint("desk", id, address, 4).announcement;
     let answer = fleet.leader().answer(Call::Announce(announcement)).await;
@@ -97,34 +100,20 @@
             }
             applies.apply(update);
         });
-        let member = Member {
-            node: node.to_owned(),
-            data_centre: "here".to_owned(),
-            address: fleet.links,
-            replica: false,
-            depot: None,
-            runner: None,
-        };
-        let link = Link::new(member, view, vec![fleet.links]);
-        let (linked, reporting, reporter) = (link.clone(), link.clone(), forwarder.clone());
-        actix_rt::spawn(async move { linked.run().await });
+        let link = follow(fleet, node, view).await;
+        let (reporting, reporter) = (link.clone(), forwarder.clone());
         actix_rt::spawn(async move { reporter.report_reachability(reporting).await });
-        wait_until("the process follows", || link.is_connected()).await;
         Self { forwarder, link, avoided }
     }
 
     /// Sends a request.
     async fn send(&self) -> Outcome {
-        self.send_within(1_000).await
+        self.send_within(LIMIT_MS).await
     }
 
     /// Sends a request that is dropped if it is not answered within so many milliseconds.
     async fn send_within(&self, limit_ms: u64) -> Outcome {
-        let mut request = Request::new(Method::POST, "/desk/x", "");
-        request.headers.set("x-attempt-id", "id");
-        let budget = Budget::new(clock::now() + limit_ms);
-        let route = route("desk", RouteKind::Idempotent, 3);
-        self.forwarder.forward(&route, &request, &budget, limit_ms, Requester::default()).await
+        send(&self.forwarder, &route("desk", RouteKind::Idempotent, 3), limit_ms).await
     }
 
     /// Sends requests and returns how many of them needed a second attempt. All of them must be
@@ -141,59 +130,21 @@
     }
 }
 
-/// Answers each request.
+/// Starts an endpoint that answers each request. Returns its address.
 async fn answering() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    actix_rt::spawn(answer_all(listener));
-    address
-}
-
-async fn answer_all(listener: TcpListener) {
-    loop {
-        let (mut stream, _) = listener.accept().await.unwrap();
-        actix_rt::spawn(async move {
-            let mut bytes = vec![0; 4_096];
-            while stream.read(&mut bytes).await.is_ok_and(|read| read > 0) {
-                let answer = "HTTP/1.1 200 OK\r\nx-attempt-id: id\r\nx-response-stamp: s\r\n\
-                              content-length: 2\r\n\r\nok";
-                if stream.write_all(answer.as_bytes()).await.is_err() {
-                    return;
-                }
-            }
-        });
-    }
+    answer(listener().await, u32::MAX).0
 }
 
-/// An address at which connections are neither accepted nor refused, as at a VM without power.
-struct Unanswered {
-    address: SocketAddr,
-    listener: TcpListener,
-    pending: Vec<TcpStream>,
-}
-
-impl Unanswered {
-    async fn start() -> Self {
-        let socket = TcpSocket::new_v4().unwrap();
-        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
-        let listener = socket.listen(1).unwrap();
-        let address = listener.local_addr().unwrap();
-        let mut pending = Vec::new();
-        for _ in 0..BACKLOG_CONNECTIONS {
-            let opening = TcpStream::connect(address);
-            match tokio::time::timeout(Duration::from_millis(100), opening).await {
-                Ok(stream) => pending.push(stream.unwrap()),
-                Err(_) => return Self { address, listener, pending },
-            }
+/// Sends requests of these processes until an endpoint is marked as unreachable.
+async fn send_until_marked(fleet: &Fleet, followers: &[Follower], limit_ms: u64) {
+    let leader = fleet.leader();
+    let marked = async {
+        while leader.unreachable_count() == 0 {
+            let sent = followers.iter().map(|follower| follower.send_within(limit_ms));
+            futures_util::future::join_all(sent).await;
         }
-        panic!("the queue of the listener is not full");
-    }
-
-    /// Answers from now on.
-    fn recover(self) {
-        drop(self.pending);
-        actix_rt::spawn(answer_all(self.listener));
-    }
+    };
+    tokio::time::timeout(Duration::from_secs(5), marked).await.expect("the endpoint is marked");
 }
 
 /// Returns the newest set of unreachable endpoints that a member receives within a short time.
@@ -226,61 +177,46 @@
     member.send(encode(&message)).await.unwrap();
 }
 
+/// Reports an endpoint in the name of two processes, which is enough for it to be marked.
+async fn report_by_two(fleet: &Fleet, endpoint: &str) {
+    for node in ["a", "b"] {
+        report(&mut connect_member(fleet.links, node, false).await, endpoint, 0).await;
+    }
+}
+
 /// Guards against each entry finding out for itself that an endpoint does not answer.
 #[actix_rt::test]
 async fn what_two_followers_find_unreachable_a_third_one_avoids() {
-    let fleet = sharing_fleet().await;
-    let silent = Unanswered::start().await;
-    announce(&fleet, "d0", silent.address).await;
-    announce(&fleet, "d1", answering().await).await;
+    let silent = unreachable().await;
+    let fleet = fleet_with_desks(silent.address()).await;
     announce(&fleet, "d2", answering().await).await;
-    let mut reporters = Vec::new();
-    for node in ["a", "b"] {
-        reporters.push(Follower::start(&fleet, node).await);
-    }
+    let reporters = [Follower::start(&fleet, "a").await, Follower::start(&fleet, "b").await];
     let avoiding = Follower::start(&fleet, "c").await;
     pause(100).await;
 
-    let leader = fleet.leader();
-    let marked = async {
-        while leader.unreachable_count() == 0 {
-            futures_util::future::join_all(reporters.iter().map(Follower::send)).await;
-        }
-    };
-    tokio::time::timeout(Duration::from_secs(5), marked).await.expect("the endpoint is marked");
+    send_until_marked(&fleet, &reporters, LIMIT_MS).await;
     pause(50).await;
 
     let slow = avoiding.count_slow().await;
     assert!(slow <= 1, "more requests than a probe tried the endpoint: {slow}");
-    silent.recover();
+    answer(silent.listener, u32::MAX);
 }
 
 /// Guards against unreachable endpoints that nobody reports, because every attempt is dropped
 /// before its connection fails: its caller leaves, or another attempt is answered first.
 #[actix_rt::test]
 async fn attempts_that_are_dropped_early_are_reported_too() {
-    let fleet = sharing_fleet().await;
-    let silent = Unanswered::start().await;
-    announce(&fleet, "d0", silent.address).await;
-    announce(&fleet, "d1", answering().await).await;
+    let silent = unreachable().await;
+    let fleet = fleet_with_desks(silent.address()).await;
     let followers = [Follower::start(&fleet, "a").await, Follower::start(&fleet, "b").await];
     pause(100).await;
-    let leader = fleet.leader();
-    let marked = async {
-        while leader.unreachable_count() == 0 {
-            let sent = followers.iter().map(|follower| follower.send_within(DROP_AFTER_MS));
-            futures_util::future::join_all(sent).await;
-        }
-    };
-    tokio::time::timeout(Duration::from_secs(5), marked).await.expect("the endpoint is marked");
+    send_until_marked(&fleet, &followers, DROP_AFTER_MS).await;
 }
 
 /// Guards against a process that is cut off and takes endpoints away from the others.
 #[actix_rt::test]
 async fn what_one_follower_reports_no_other_avoids() {
-    let fleet = sharing_fleet().await;
-    announce(&fleet, "d0", answering().await).await;
-    announce(&fleet, "d1", answering().await).await;
+    let fleet = fleet_with_desks(answering().await).await;
     let mut cut_off = connect_member(fleet.links, "a", false).await;
     let mut again = connect_member(fleet.links, "a", false).await;
     for member in [&mut cut_off, &mut again] {
@@ -296,12 +232,8 @@
 /// and against a set that outlives the leader's knowledge.
 #[actix_rt::test]
 async fn a_new_follower_gets_the_set_and_a_new_leader_begins_without_one() {
-    let fleet = sharing_fleet().await;
-    announce(&fleet, "d0", "127.0.0.1:9".parse().unwrap()).await;
-    announce(&fleet, "d1", answering().await).await;
-    for node in ["a", "b"] {
-        report(&mut connect_member(fleet.links, node, false).await, "d0", 0).await;
-    }
+    let fleet = fleet_with_desks("127.0.0.1:9".parse().unwrap()).await;
+    report_by_two(&fleet, "d0").await;
     wait_until("the endpoint is marked", || fleet.leader().unreachable_count() == 1).await;
     pause(50).await;
     let mut late = connect_member(fleet.links, "c", false).await;
@@ -314,22 +246,14 @@
 /// Guards against a new leader for which callers have to find out again what the followers know.
 #[actix_rt::test]
 async fn followers_report_to_a_new_leader_what_they_have_just_found() {
-    let fleet = sharing_fleet().await;
-    let silent = Unanswered::start().await;
-    announce(&fleet, "d0", silent.address).await;
-    announce(&fleet, "d1", answering().await).await;
+    let silent = unreachable().await;
+    let fleet = fleet_with_desks(silent.address()).await;
     let followers = [Follower::start(&fleet, "a").await, Follower::start(&fleet, "b").await];
     pause(100).await;
-    let leader = fleet.leader();
-    let marked = async {
-        while leader.unreachable_count() == 0 {
-            futures_util::future::join_all(followers.iter().map(Follower::send)).await;
-        }
-    };
-    tokio::time::timeout(Duration::from_secs(5), marked).await.expect("the endpoint is marked");
+    send_until_marked(&fleet, &followers, LIMIT_MS).await;
 
     let next = fleet.next_leader();
-    announce(&fleet, "d0", silent.address).await;
+    announce(&fleet, "d0", silent.address()).await;
     announce(&fleet, "d1", "127.0.0.1:9".parse().unwrap()).await;
     let learned = || next.unreachable_count() == 1;
     let began = Instant::now();
@@ -342,9 +266,7 @@
 /// probes it with a request, and that ends the state for all.
 #[actix_rt::test]
 async fn a_successful_probe_ends_the_state_for_all() {
-    let fleet = sharing_fleet().await;
-    announce(&fleet, "d0", answering().await).await;
-    announce(&fleet, "d1", answering().await).await;
+    let fleet = fleet_with_desks(answering().await).await;
     let probing = Follower::start(&fleet, "c").await;
     let other = Follower::start(&fleet, "d").await;
     let mut cut_off = connect_member(fleet.links, "a", false).await;
@@ -370,13 +292,9 @@
 /// off there: nobody would ever remove an endpoint from it.
 #[actix_rt::test]
 async fn a_leader_that_shares_nothing_ends_the_set_of_its_predecessor() {
-    let fleet = sharing_fleet().await;
-    announce(&fleet, "d0", "127.0.0.1:9".parse().unwrap()).await;
-    announce(&fleet, "d1", answering().await).await;
+    let fleet = fleet_with_desks("127.0.0.1:9".parse().unwrap()).await;
     let follower = Follower::start(&fleet, "c").await;
-    for node in ["a", "b"] {
-        report(&mut connect_member(fleet.links, node, false).await, "d0", 0).await;
-    }
+    report_by_two(&fleet, "d0").await;
     wait_until("the follower avoids it", || follower.avoided.get() == 1).await;
     let settings = Settings { policy: Policy::default(), ..Settings::clone(&fleet.settings) };
     fleet.next_leader_with(Rc::new(settings));
@@ -413,17 +331,13 @@
     configure(&fleet, config_with_desk(2)).await;
     announce(&fleet, "d0", answering().await).await;
     announce(&fleet, "d1", answering().await).await;
-    for node in ["a", "b"] {
-        report(&mut connect_member(fleet.links, node, false).await, "d0", 0).await;
-    }
+    report_by_two(&fleet, "d0").await;
     pause(100).await;
     assert_eq!(fleet.leader().unreachable_count(), 0);
     let mut member = connect_member(fleet.links, "c", false).await;
     assert_eq!(received_set(&mut member).await, None);
 
-    let fleet = sharing_fleet().await;
-    announce(&fleet, "d0", "127.0.0.1:9".parse().unwrap()).await;
-    announce(&fleet, "d1", answering().await).await;
+    let fleet = fleet_with_desks("127.0.0.1:9".parse().unwrap()).await;
     for node in ["a", "b"] {
         Follower::start_with(&fleet, node, false).await.count_slow().await;
     }
--- a/components/node/tests/leader/updates.rs
+++ b/components/node/tests/leader/updates.rs
@@ -3,7 +3,6 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,10 +22,8 @@
 use chicoryford_node::clock;
 use chicoryford_node::control::Control;
 use chicoryford_node::crashes::content_fingerprint;
-use chicoryford_node::forward::Budget;
 use chicoryford_node::forward::Forwarder;
 use chicoryford_node::forward::Outcome;
-use chicoryford_node::forward::Requester;
 use chicoryford_node::frame::decode;
 use chicoryford_node::frame::encode;
 use chicoryford_node::link::Link;
@@ -42,19 +39,20 @@
 use chicoryford_types::Fingerprint;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
 
+use crate::answering::answer;
+use crate::answering::listener;
 use crate::endpoint::endpoint;
 use crate::fleet::Fleet;
 use crate::fleet::config_with_desk;
 use crate::fleet::pause;
 use crate::fleet::wait_until;
+use crate::follower::follow;
 use crate::member::Socket;
 use crate::member::connect_knowing;
 use crate::member::connect_member;
 use crate::route::route;
+use crate::send::send;
 
 pub fn engine(id: &str, sequence: u64) -> Announcement {
     Announcement {
@@ -354,23 +352,6 @@
     refused
 }
 
-/// Answers each request.
-async fn answering_endpoint() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    actix_rt::spawn(async move {
-        loop {
-            let (mut stream, _) = listener.accept().await.unwrap();
-            let mut bytes = vec![0; 4_096];
-            assert!(stream.read(&mut bytes).await.unwrap() > 0);
-            let answer = "HTTP/1.1 200 OK\r\nx-attempt-id: id\r\nx-response-stamp: s\r\n\
-                          content-length: 2\r\n\r\nok";
-            stream.write_all(answer.as_bytes()).await.unwrap();
-        }
-    });
-    address
-}
-
 /// Endpoints crash for another reason while they run requests with the same common content, which
 /// completes elsewhere all the time. Guards against refusing this content for a day because the
 /// processes at which it completes are not those that have seen the crashes.
@@ -380,21 +361,11 @@
     let forwarder = Forwarder::new(Policy::default());
     let (view, learning) = (Rc::new(View::default()), forwarder.clone());
     view.subscribe(move |update| learning.apply(update));
-    let member = Member {
-        node: "b".to_owned(),
-        data_centre: "here".to_owned(),
-        address: fleet.links,
-        replica: false,
-        depot: None,
-        runner: None,
-    };
-    let link = Link::new(member, view, vec![fleet.links]);
-    let (linked, reporting) = (link.clone(), link.clone());
-    actix_rt::spawn(async move { linked.run().await });
+    let link = follow(&fleet, "b", view).await;
     let reporter = forwarder.clone();
-    actix_rt::spawn(async move { reporter.report_crashes(reporting).await });
-    wait_until("the process follows", || link.is_connected()).await;
-    forwarder.apply(&Update::Endpoint(endpoint("desk", "d9", answering_endpoint().await, 4)));
+    actix_rt::spawn(async move { reporter.report_crashes(link).await });
+    let (address, _) = answer(listener().await, u32::MAX);
+    forwarder.apply(&Update::Endpoint(endpoint("desk", "d9", address, 4)));
 
     let mut request = Request::new(Method::POST, "/desk/x", "");
     request.headers.set("x-attempt-id", "id");
@@ -404,10 +375,7 @@
         let crash = Crash { content, endpoint: crashed.to_owned() };
         entry.send(encode(&MemberMessage::Crashed(crash))).await.unwrap();
         pause(50).await;
-        let budget = Budget::new(clock::now() + 1_000);
-        let route = route("desk", RouteKind::Idempotent, 2);
-        let outcome =
-            forwarder.forward(&route, &request, &budget, 1_000, Requester::default()).await;
+        let outcome = send(&forwarder, &route("desk", RouteKind::Idempotent, 2), 1_000).await;
         assert!(matches!(outcome, Outcome::Answered(_)), "{outcome:?}");
         pause(400).await;
     }
--- a/components/node/tests/support/unreachable.rs
+++ b/components/node/tests/support/unreachable.rs
@@ -7,6 +7,9 @@
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
+/// Number of connections that fill the queue of a listener with a backlog of one.
+const BACKLOG_CONNECTIONS: usize = 4;
+
 /// An endpoint to which no connection can be established, because its queue of connections is full.
 pub struct Unreachable {
     pub listener: TcpListener,
@@ -29,6 +32,7 @@
     let limit = Duration::from_millis(100);
     while let Ok(stream) = tokio::time::timeout(limit, TcpStream::connect(address)).await {
         queued.push(stream.unwrap());
+        assert!(queued.len() < BACKLOG_CONNECTIONS, "the queue of the listener is not full");
     }
     Unreachable { listener, _queued: queued }
 }
