Tests: how the second attempt of a scorer's call ends

No test covered a second attempt that is in flight, or that waits for a window, when its call ends. Both are handled; now one test lets the first attempt answer, the second one answer or be refused, and the call be dropped, and the other ends a call whose second attempt waits. Both windows must be free, the queue empty and the credit kept.

--- a/components/node/tests/pacing.rs
+++ b/components/node/tests/pacing.rs
@@ -2,13 +2,12 @@
 
 mod support {
     pub mod endpoint;
+    pub mod fake_endpoint;
+    pub mod marked;
     pub mod route;
     pub mod unreachable;
 }
 
-use std::cell::Cell;
-use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,7 +21,6 @@
 use chicoryford_fleet::RouteKind;
 use chicoryford_fleet::hedge::AttemptShare;
 use chicoryford_fleet::hedge::SecondAttempts;
-use chicoryford_fleet::reachability::UnreachableSet;
 use chicoryford_fleet::run::CallCost;
 use chicoryford_fleet::run::HostCommand;
 use chicoryford_http::Request;
@@ -37,12 +35,10 @@
 use chicoryford_node::runner::Runner;
 use chicoryford_node::view::View;
 use futures_util::future::join_all;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 
 use support::endpoint::endpoint;
+use support::fake_endpoint::FakeEndpoint;
+use support::marked::marked;
 use support::route::route;
 use support::unreachable::unreachable;
 
@@ -50,75 +46,9 @@
 const HOSTS: u32 = 3;
 /// The upper bound of a window.
 const WINDOW: u32 = SLOTS / HOSTS;
-/// The time for which an endpoint works on a call.
-const WORK: Duration = Duration::from_millis(20);
 /// A time for which calls of these tests do not wait.
 const LONG_MS: u64 = 10_000;
 
-/// An endpoint that answers after a while, or never.
-struct FakeEndpoint {
-    address: SocketAddr,
-    running: Cell<u32>,
-    most_running: Cell<u32>,
-    hangs: Cell<bool>,
-    /// The calls in the order of their arrival.
-    calls: RefCell<Vec<String>>,
-}
-
-impl FakeEndpoint {
-    async fn start(hangs: bool) -> Rc<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let fake = Rc::new(Self {
-            address: listener.local_addr().unwrap(),
-            running: Cell::default(),
-            most_running: Cell::default(),
-            hangs: Cell::new(hangs),
-            calls: RefCell::default(),
-        });
-        let served = fake.clone();
-        actix_rt::spawn(async move {
-            loop {
-                let (stream, _) = listener.accept().await.unwrap();
-                actix_rt::spawn(served.clone().serve(stream));
-            }
-        });
-        fake
-    }
-
-    async fn serve(self: Rc<Self>, mut stream: TcpStream) {
-        let mut bytes = vec![0; 4_096];
-        while let Ok(read @ 1..) = stream.read(&mut bytes).await {
-            let text = String::from_utf8_lossy(&bytes[..read]).to_lowercase();
-            let id = text.split("x-attempt-id: ").nth(1).and_then(|rest| rest.split("\r\n").next());
-            let id = id.expect("an id").to_owned();
-            self.calls.borrow_mut().push(id.clone());
-            self.running.set(self.running.get() + 1);
-            self.most_running.set(self.most_running.get().max(self.running.get()));
-            let work = async {
-                tokio::time::sleep(WORK).await;
-                while self.hangs.get() {
-                    tokio::time::sleep(WORK).await;
-                }
-            };
-            // A call is abandoned when its connection is closed.
-            let mut rest = [0];
-            let abandoned = tokio::select! {
-                () = work => false,
-                _ = stream.read(&mut rest) => true,
-            };
-            self.running.set(self.running.get() - 1);
-            if abandoned {
-                return;
-            }
-            let head = format!("x-attempt-id: {id}\r\nx-response-stamp: s\r\ncontent-length: 0");
-            let answer = format!("HTTP/1.1 200 OK\r\n{head}\r\n\r\n");
-            if stream.write_all(answer.as_bytes()).await.is_err() {
-                return;
-            }
-        }
-    }
-}
-
 /// Creates the forwarder of a host with these endpoints, which knows the number of hosts.
 fn forwarder(paced: bool, fakes: &[&Rc<FakeEndpoint>]) -> Rc<Forwarder> {
     let policy = Policy { paced_scorers: paced, ..Policy::default() };
@@ -147,14 +77,25 @@
 
 /// Calls a scorer that may run at the first `granted` endpoints.
 async fn call(forwarder: &Forwarder, id: &str, rank: u32, granted: u32, limit_ms: u64) -> Outcome {
-    let endpoints: BTreeSet<String> = (0..granted).map(|number| format!("i{number}")).collect();
+    let endpoints = (0..granted).map(|number| format!("i{number}")).collect();
+    call_at(forwarder, id, rank, endpoints, limit_ms).await
+}
+
+/// Calls a scorer that may run at these endpoints.
+async fn call_at(
+    forwarder: &Forwarder,
+    id: &str,
+    rank: u32,
+    endpoints: BTreeSet<String>,
+    limit_ms: u64,
+) -> Outcome {
+    let route = scoring(endpoints.len() as u32, limit_ms);
     let grant = Grant { endpoints, ..Grant::default() };
     let budget = Budget::shared(clock::now() + limit_ms, CallCost::default(), grant, || true);
     let mut request = Request::new(Method::POST, "/score/x", "");
     request.headers.set("host", "h");
     request.headers.set("x-attempt-id", id);
     let requester = Requester { rank, ..Requester::default() };
-    let route = scoring(granted, limit_ms);
     forwarder.forward(&route, &request, &budget, limit_ms.min(2_500), requester).await
 }
 
@@ -162,6 +103,16 @@
     matches!(outcome, Outcome::Answered(reply) if reply.status.is_success())
 }
 
+/// Waits until a condition is fulfilled.
+async fn wait_until(condition: impl Fn() -> bool) {
+    let fulfilled = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(5), fulfilled).await.expect("the condition holds");
+}
+
 /// Sends two bursts of calls. Returns the most calls that each endpoint had at once.
 async fn two_bursts(paced: bool) -> Vec<u32> {
     const CALLS: u32 = 30;
@@ -310,9 +261,7 @@
     };
     let forwarder = forwarder_with(policy, None, &[full.address, unreachable.address]);
     // No probe is due during the test.
-    let endpoints = BTreeMap::from([("i1".to_owned(), 0)]);
-    let set = UnreachableSet { endpoints, probe_ms: 100_000_000 };
-    forwarder.apply(&Update::Unreachable(set));
+    forwarder.apply(&marked("i1", 100_000_000));
     let calls = join_all((0..6).map(|_| call(&forwarder, "c", 1, 2, LONG_MS)));
     let open = async {
         tokio::time::sleep(Duration::from_millis(300)).await;
@@ -462,3 +411,117 @@
         busy.hangs.set(true);
     }
 }
+
+/// How a call with a second attempt ends.
+#[derive(Clone, Copy, Debug)]
+enum CallEnd {
+    FirstAnswers,
+    SecondAnswers,
+    SecondIsRefused,
+    Dropped,
+}
+
+/// Checks that a call at each endpoint is sent at once, which needs a free window.
+async fn check_windows_are_free(forwarder: &Forwarder, fakes: &[Rc<FakeEndpoint>], end: CallEnd) {
+    for (number, fake) in fakes.iter().enumerate() {
+        fake.hangs.set(false);
+        let endpoints = BTreeSet::from([format!("i{number}")]);
+        let next = call_at(forwarder, "next", 9, endpoints, 1_000).await;
+        assert!(is_success(&next), "{end:?}, endpoint {number}: {next:?}");
+    }
+}
+
+/// Both attempts of a call are in flight. Guards against a window that stays full after the attempt
+/// in it was answered, refused or dropped, and against an endpoint that continues to work on an
+/// attempt whose call has ended.
+#[actix_rt::test]
+async fn both_windows_are_free_after_a_second_attempt_was_sent() {
+    for end in
+        [CallEnd::FirstAnswers, CallEnd::SecondAnswers, CallEnd::SecondIsRefused, CallEnd::Dropped]
+    {
+        let fakes = [FakeEndpoint::start(true).await, FakeEndpoint::start(true).await];
+        let forwarder = forwarder(true, &[&fakes[0], &fakes[1]]);
+        let called = call(&forwarder, "c", 1, 2, LONG_MS);
+        let is_sent = |fake: &Rc<FakeEndpoint>| fake.running.get() == 1;
+        let both_sent = async {
+            wait_until(|| fakes.iter().any(is_sent)).await;
+            let first = fakes.iter().position(is_sent).unwrap();
+            wait_until(|| fakes.iter().all(is_sent)).await;
+            let (first, second) = (&fakes[first], &fakes[1 - first]);
+            match end {
+                CallEnd::FirstAnswers => first.hangs.set(false),
+                CallEnd::SecondAnswers => second.hangs.set(false),
+                CallEnd::SecondIsRefused => {
+                    second.refuses.set(true);
+                    second.hangs.set(false);
+                    wait_until(|| second.running.get() == 0).await;
+                    assert!(is_sent(first), "the first attempt goes on");
+                    second.refuses.set(false);
+                    first.hangs.set(false);
+                }
+                CallEnd::Dropped => {}
+            }
+        };
+        if matches!(end, CallEnd::Dropped) {
+            let dropped = async {
+                tokio::select! { _ = called => {}, () = both_sent => {} }
+            };
+            dropped.await;
+        } else {
+            let (outcome, ()) = tokio::join!(called, both_sent);
+            assert!(is_success(&outcome), "{end:?}: {outcome:?}");
+        }
+        wait_until(|| fakes.iter().all(|fake| fake.running.get() == 0)).await;
+        check_windows_are_free(&forwarder, &fakes, end).await;
+    }
+}
+
+/// The first attempt of a call is in flight, and the second one waits for the window of the other
+/// endpoint, which another call fills. Guards against a second attempt that is sent after its call
+/// has ended, against one that keeps its place in the queue, so that no call behind it is sent, and
+/// against the loss of credit by a second attempt that was never sent.
+#[actix_rt::test]
+async fn a_second_attempt_leaves_the_queue_when_its_call_ends() {
+    for end in [CallEnd::FirstAnswers, CallEnd::Dropped] {
+        let fakes = [FakeEndpoint::start(true).await, FakeEndpoint::start(true).await];
+        let policy = Policy { paced_scorers: true, ..Policy::default() };
+        // The first two calls together earn one second attempt.
+        let addresses = [fakes[0].address, fakes[1].address];
+        let forwarder = forwarder_with(policy, Some(0.5), &addresses);
+        let filled = BTreeSet::from(["i1".to_owned()]);
+        let filling = call_at(&forwarder, "filling", 1, filled, LONG_MS);
+        let called = async {
+            wait_until(|| fakes[1].running.get() == 1).await;
+            let called = call(&forwarder, "c", 1, 2, LONG_MS);
+            let waits = async {
+                wait_until(|| fakes[0].running.get() == 1).await;
+                // A second attempt is due after 60 ms.
+                tokio::time::sleep(Duration::from_millis(150)).await;
+                assert_eq!(fakes[1].calls.borrow().len(), 1, "the second attempt waits");
+            };
+            if matches!(end, CallEnd::Dropped) {
+                tokio::select! { _ = called => {}, () = waits => {} }
+            } else {
+                let answer = async {
+                    waits.await;
+                    fakes[0].hangs.set(false);
+                };
+                let (outcome, ()) = tokio::join!(called, answer);
+                assert!(is_success(&outcome), "{outcome:?}");
+            }
+            fakes[1].hangs.set(false);
+        };
+        let (filling, ()) = tokio::join!(filling, called);
+        assert!(is_success(&filling), "{end:?}: {filling:?}");
+        assert_eq!(*fakes[1].calls.borrow(), ["filling"], "{end:?}");
+        fakes.iter().for_each(|fake| fake.hangs.set(true));
+        let again = call(&forwarder, "again", 1, 2, LONG_MS);
+        let both_sent = async {
+            wait_until(|| fakes.iter().all(|fake| fake.running.get() == 1)).await;
+            fakes[0].hangs.set(false);
+        };
+        let (again, ()) = tokio::join!(again, both_sent);
+        assert!(is_success(&again), "{end:?}: {again:?}");
+        check_windows_are_free(&forwarder, &fakes, end).await;
+    }
+}
