Entry: do not spend a request's attempts on endpoints that stay silent

Cause: regions cut::serves_repeatable_callers_and_refuses_labels_at_once got 502 "silence" once. Reproduced by stopping the agent of the own region for 6 s while two regions were frozen: the first attempt waited for the own agent, the second attempt went to the frozen region, the own agent was declared dead meanwhile, and the third and last attempt went to the frozen region again, as "an endpoint where an attempt failed is better than none". 502 after 11.24 s, with 9 s of the deadline left.

Change: the request records which agents answered neither on the connection of its attempt nor on a new one. If all endpoints are to be avoided, those whose agents respond come first. While only silent ones are left, the request waits until one reports its load or is announced again, for up to three quarters of its time. A second attempt of an urgent request is never made at the endpoint of the first one; before, it was if there was no other.

--- a/components/entry/src/router/mod.rs
+++ b/components/entry/src/router/mod.rs
@@ -21,4 +21,6 @@
 pub use query::LateSample;
 pub use query::Pick;
 pub use query::RetryQuery;
+pub use query::Reuse;
+pub use query::SilentEndpoint;
 pub use state::RouterState;
--- a/components/entry/src/router/placement.rs
+++ b/components/entry/src/router/placement.rs
@@ -12,6 +12,7 @@
 use crate::router::query::EndpointQuery;
 use crate::router::query::LateSample;
 use crate::router::query::Pick;
+use crate::router::query::Reuse;
 use crate::router::state::PlacedAttempt;
 use crate::router::state::RouterState;
 
@@ -46,8 +47,13 @@
         let avoid: Vec<EndpointId> =
             query.avoid.iter().filter_map(|endpoint| self.routing.find(endpoint)).collect();
         let mut chosen = self.query_routing(query, tokens, &avoid, now);
-        if chosen == Err(NoEndpoint::Excluded) {
-            // An endpoint where an attempt failed is better than none.
+        // An endpoint where an attempt failed is better than none, but not one whose agent is still
+        // silent: the attempts of a request are few, and each there costs seconds.
+        if chosen == Err(NoEndpoint::Excluded) && query.reuse != Reuse::Never {
+            let silent = self.silent_endpoints(query);
+            chosen = self.query_routing(query, tokens, &silent, now);
+        }
+        if chosen == Err(NoEndpoint::Excluded) && query.reuse == Reuse::Any {
             chosen = self.query_routing(query, tokens, &[], now);
         }
         let choice = chosen.map_err(|none| no_endpoint(none, &query.model))?;
@@ -76,6 +82,18 @@
         Ok((self.last_attempt, pick))
     }
 
+    /// Returns the silent endpoints of a request whose agents were not heard since.
+    fn silent_endpoints(&self, query: &EndpointQuery) -> Vec<EndpointId> {
+        let is_silent = |id: EndpointId, since: Millis| {
+            self.routing.state(id).is_some_and(|state| !state.was_heard_after(since))
+        };
+        let silent = query.silent.iter().filter_map(|silent| {
+            let id = self.routing.find(&silent.endpoint)?;
+            is_silent(id, silent.since).then_some(id)
+        });
+        silent.collect()
+    }
+
     fn query_routing(
         &mut self,
         query: &EndpointQuery,
--- a/components/entry/src/router/query.rs
+++ b/components/entry/src/router/query.rs
@@ -14,6 +14,27 @@
 use chicoryford_types::Version;
 use chicoryford_types::Workspace;
 
+/// An endpoint whose agent stopped sending on an attempt of a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SilentEndpoint {
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// When the silence was detected.
+    pub since: Millis,
+}
+
+/// Which endpoints an attempt may use if all others are to be avoided.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Reuse {
+    /// All endpoints, but preferably those that are not silent.
+    #[default]
+    Any,
+    /// Endpoints that are not silent, or whose agents were heard again since.
+    Heard,
+    /// None.
+    Never,
+}
+
 /// Describes an attempt that needs an endpoint.
 #[derive(Clone, Debug, Default)]
 pub struct EndpointQuery {
@@ -29,6 +50,10 @@
     pub deadline: Millis,
     /// Endpoints to avoid, because an attempt failed there.
     pub avoid: Vec<Endpoint>,
+    /// Endpoints whose agents stopped sending on an attempt of the request.
+    pub silent: Vec<SilentEndpoint>,
+    /// Which endpoints may be used if all others are in `avoid`.
+    pub reuse: Reuse,
     /// The oldest version that may produce its tokens.
     pub floor: Option<Version>,
     /// Whether its content is suspected of crashing endpoints.
--- a/components/entry/src/run/attempt.rs
+++ b/components/entry/src/run/attempt.rs
@@ -217,8 +217,10 @@
     Done(StoredAnswer),
     /// It is still running.
     Running,
-    /// Its end is unknown, or its agent does not respond.
+    /// Its end is unknown.
     Unknown,
+    /// Its agent does not respond.
+    NoResponse,
 }
 
 /// Queries the agent for the state of a lost attempt, and records for the health of the endpoint
@@ -244,7 +246,8 @@
         Ok(AttemptState::Revoked | AttemptState::Refused) => ProbeResult::NotRun,
         Ok(AttemptState::Done(answer)) => ProbeResult::Done(answer),
         Ok(AttemptState::Running) => ProbeResult::Running,
-        Ok(AttemptState::Ended | AttemptState::Unknown) | Err(_) => ProbeResult::Unknown,
+        Ok(AttemptState::Ended | AttemptState::Unknown) => ProbeResult::Unknown,
+        Err(_) => ProbeResult::NoResponse,
     }
 }
 
--- a/components/entry/src/run/attempts.rs
+++ b/components/entry/src/run/attempts.rs
@@ -4,7 +4,9 @@
 
 use chicoryford_types::Attempt as Number;
 use chicoryford_types::Code;
+use chicoryford_types::Endpoint;
 use chicoryford_types::Failure;
+use chicoryford_types::Millis;
 use chicoryford_types::Outcome;
 use chicoryford_types::Work;
 use chicoryford_types::request::AttemptQuestion;
@@ -14,6 +16,9 @@
 use crate::context::Context;
 use crate::router::AttemptEnd;
 use crate::router::AttemptPermit;
+use crate::router::EndpointQuery;
+use crate::router::Reuse;
+use crate::router::SilentEndpoint;
 use crate::run::attempt;
 use crate::run::attempt::Attempt;
 use crate::run::attempt::AttemptError;
@@ -24,6 +29,8 @@
 /// Number of refusals by leaving endpoints that a request may receive before they count as
 /// failures.
 const MAX_DRAINING_REFUSALS: u32 = 8;
+/// Interval at which a request that waits for an endpoint which is not silent queries the router.
+const CHOICE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// An attempt in progress and its permit.
 pub struct LiveAttempt {
@@ -103,14 +110,44 @@
     pub async fn prepare(&mut self, task: &Task) -> Result<(AttemptPermit, Work), Failure> {
         let permit = match self.first.take() {
             Some(permit) => permit,
-            None => {
-                let chosen = self.context.router.choose(self.job.endpoint_query()).await;
-                chosen.map_err(|refusal| self.no_endpoint(refusal))?
-            }
+            None => self.choose().await.map_err(|refusal| self.no_endpoint(refusal))?,
         };
+        Ok(self.assign(task, permit))
+    }
+
+    /// Builds the message of the next attempt for the endpoint of `permit`.
+    pub fn assign(&mut self, task: &Task, permit: AttemptPermit) -> (AttemptPermit, Work) {
         self.job.attempt = self.job.attempt.next();
         let work = self.job.work(task.clone(), &permit.pick, self.context.now());
-        Ok((permit, work))
+        (permit, work)
+    }
+
+    /// Chooses the endpoint of a further attempt.
+    ///
+    /// While the only endpoints are those that went silent on this request, it waits until one is
+    /// heard again, for at most three quarters of the time left: an agent that stood still for 10 s
+    /// was a member again 3 s later. Otherwise a region that is cut off, and
+    /// whose own endpoint stands still for a few seconds, would use up the attempts of its requests
+    /// at endpoints that are out of reach.
+    async fn choose(&self) -> Result<AttemptPermit, Failure> {
+        let router = &self.context.router;
+        let now = self.context.now();
+        let until = now + self.job.remaining_ms(now) / 4 * 3;
+        while !self.job.silent.is_empty() && self.context.now() < until {
+            let query = EndpointQuery { reuse: Reuse::Heard, ..self.job.endpoint_query() };
+            match router.choose(query).await {
+                Err(refusal) if refusal.code != Code::Draining => {
+                    actix_rt::time::sleep(CHOICE_INTERVAL).await;
+                }
+                chosen => return chosen,
+            }
+        }
+        router.choose(self.job.endpoint_query()).await
+    }
+
+    fn record_silence(&mut self, endpoint: Endpoint, since: Millis) {
+        self.job.silent.retain(|silent| silent.endpoint != endpoint);
+        self.job.silent.push(SilentEndpoint { endpoint, since });
     }
 
     /// Handles an attempt that failed before its first event: waits until the request may be
@@ -143,6 +180,7 @@
                 permit.end = AttemptEnd::Failed;
             }
             AttemptError::Lost(_) => {
+                self.record_silence(permit.pick.endpoint.clone(), self.context.now());
                 let question = AttemptQuestion {
                     request: self.job.request,
                     attempt: number,
@@ -197,15 +235,18 @@
                 failure
             }
             AttemptError::Lost(failure) => {
-                let cancel = self.job.repeatable;
+                let (cancel, since) = (self.job.repeatable, self.context.now());
                 let probed =
                     attempt::probe_lost(&self.context, &mut permit, request, number, cancel).await;
+                if matches!(probed, ProbeResult::NoResponse) {
+                    self.record_silence(endpoint.clone(), since);
+                }
                 match probed {
                     ProbeResult::NotRun => {
                         Failure::not_run(Code::EndpointFailed, "the connection was lost")
                     }
                     ProbeResult::Done(answer) => return Ok(Recovery::Answered(answer)),
-                    ProbeResult::Running | ProbeResult::Unknown => {
+                    ProbeResult::Running | ProbeResult::Unknown | ProbeResult::NoResponse => {
                         self.may_have_run = true;
                         if !self.job.repeatable {
                             return Err(failure);
--- a/components/entry/src/run/job.rs
+++ b/components/entry/src/run/job.rs
@@ -20,6 +20,8 @@
 use crate::router::EndpointQuery;
 use crate::router::Pick;
 use crate::router::RetryQuery;
+use crate::router::Reuse;
+use crate::router::SilentEndpoint;
 
 /// Length in bytes of the prompt prefix that is hashed. Engines report the hashes of blocks of this
 /// length.
@@ -56,6 +58,8 @@
     pub attempt: Attempt,
     /// Endpoints to avoid, because an attempt failed there.
     pub avoid: Vec<Endpoint>,
+    /// Endpoints whose agents stopped sending on an attempt.
+    pub silent: Vec<SilentEndpoint>,
     /// Number of attempts that were refused because their endpoints were leaving.
     pub draining_refusals: u32,
     /// The hash of the prompt's prefix, if the prompt is long enough to be cached.
@@ -109,6 +113,8 @@
             class: self.class,
             deadline: self.deadline,
             avoid: self.avoid.clone(),
+            silent: self.silent.clone(),
+            reuse: Reuse::Any,
             floor: self.floor,
             suspect: self.suspect,
             prefix: self.prefix,
--- a/components/entry/src/run/rescue.rs
+++ b/components/entry/src/run/rescue.rs
@@ -23,6 +23,8 @@
 
 use crate::context::Context;
 use crate::router::AttemptPermit;
+use crate::router::EndpointQuery;
+use crate::router::Reuse;
 use crate::run::attempt;
 use crate::run::attempt::Attempt;
 use crate::run::attempt::AttemptError;
@@ -107,9 +109,12 @@
 ) -> Option<PendingAttempt> {
     let context = attempts.context.clone();
     let retry = attempts.job.retry_query(Outcome::Unknown);
-    context.router.retry_delay(retry).await?;
     attempts.job.avoid.push(endpoint);
-    let (permit, work) = attempts.prepare(task).await.ok()?;
+    // The endpoint is chosen first: without another one, no retry is taken from the budget.
+    let query = EndpointQuery { reuse: Reuse::Never, ..attempts.job.endpoint_query() };
+    let permit = context.router.choose(query).await.ok()?;
+    context.router.retry_delay(retry).await?;
+    let (permit, work) = attempts.assign(task, permit);
     let (request, elsewhere) = (attempts.job.request, &permit.pick.endpoint);
     tracing::info!(event = "request_rescued", %request, endpoint = %elsewhere);
     context.kernel.metrics.count("entry.rescued", 1);
@@ -197,7 +202,7 @@
 pub async fn cancel(context: Context, mut permit: AttemptPermit, question: AttemptQuestion) {
     let AttemptQuestion { request, attempt, .. } = question;
     let probed = attempt::probe_lost(&context, &mut permit, request, attempt, true).await;
-    if matches!(probed, ProbeResult::Unknown) {
+    if matches!(probed, ProbeResult::Unknown | ProbeResult::NoResponse) {
         probe::cancel(&context, &permit.pick.address, question);
     }
 }
--- a/components/entry/tests/rescue.rs
+++ b/components/entry/tests/rescue.rs
@@ -129,6 +129,23 @@
     });
 }
 
+#[test]
+fn no_second_attempt_is_made_at_the_same_endpoint() {
+    // Guards against a second attempt at the only endpoint, which is already silent: it uses up an
+    // attempt and a retry that the request needs later.
+    actix_rt::System::new().block_on(async {
+        let mut only = agents(1);
+        only.truncate(1);
+        let fixture = Fixture::start_with(only, urgent()).await;
+        let late = ("chicoryford-deadline-ms", "2000");
+        let seen = fixture.post(paths::CHAT, &[late], &chat()).await;
+        assert_eq!(seen.json()["error"]["code"], "deadline_passed", "{}", seen.text());
+        assert_eq!(fixture.attempts().len(), 1);
+        fixture.settled().await;
+        fixture.check().await;
+    });
+}
+
 #[test]
 fn the_rescue_delay_is_learned() {
     let model = Model::from(MODEL);
--- a/components/routing/src/endpoint.rs
+++ b/components/routing/src/endpoint.rs
@@ -91,6 +91,9 @@
     pub cache_reset: Millis,
     /// When it last became usable.
     pub usable_since: Millis,
+    /// When its announcement last made it usable again after it was absent, unhealthy, draining or
+    /// restarted.
+    pub returned_at: Millis,
     /// Mean milliseconds per token without load.
     pub token_ms: f32,
     /// Mean milliseconds per attempt.
@@ -176,6 +179,7 @@
         self.limit.set_max(self.slots);
         if !was_usable && info.healthy && !info.draining {
             self.usable_since = now;
+            self.returned_at = now;
             self.cache_reset = now;
         }
     }
@@ -216,6 +220,12 @@
         true
     }
 
+    /// Returns whether the agent reported its load, or made the endpoint usable again, after
+    /// `since`.
+    pub fn was_heard_after(&self, since: Millis) -> bool {
+        self.returned_at > since || self.reported_at.is_some_and(|at| at > since)
+    }
+
     /// Counts the start of an attempt.
     pub fn started(&mut self, now: Millis, tokens: u32) {
         self.history.record(now, self.own_in_flight, self.own_in_flight + 1);
--- a/tests/regions/cut.rs
+++ b/tests/regions/cut.rs
@@ -16,6 +16,10 @@
 /// time that it needs, to allow for a busy machine.
 const DETECTION_TIME: Duration = Duration::from_secs(8);
 
+/// Time for which an agent stands still. Three attempts without a pause between them end in less,
+/// each after 3 s of silence and 2 s in which its agent does not answer.
+const STANDSTILL: Duration = Duration::from_secs(10);
+
 #[test]
 fn serves_repeatable_callers_and_refuses_labels_at_once() {
     // Guards against slow refusals and unanswered callers in a region that is cut off from the two
@@ -74,6 +78,31 @@
     }
 }
 
+#[test]
+fn serves_repeatable_callers_although_their_own_agent_stands_still_for_a_while() {
+    // Guards against a request that uses up its attempts at an endpoint of a region that is out of
+    // reach while the agent of its own region stands still for less than the time left.
+    let all = Regions::start();
+    all.set_frozen(1, true);
+    all.set_frozen(2, true);
+    assert_eq!(all.print_label(0, "refused").code(), "no_quorum");
+    let own = all.regions[0].processes.iter().find(|process| process.name == "agent-0").unwrap();
+    let all = &all;
+    std::thread::scope(|scope| {
+        own.freeze().unwrap();
+        for caller in ["desk", "harbour"] {
+            scope.spawn(move || {
+                let sent = Instant::now();
+                let answer = all.complete(0, caller, "on?");
+                println!("{caller} was answered {} after {:?}", answer.status, sent.elapsed());
+                assert_eq!(answer.status, 200, "{caller}: {answer:?}");
+            });
+        }
+        std::thread::sleep(STANDSTILL);
+        own.thaw().unwrap();
+    });
+}
+
 #[test]
 fn keeps_a_trainers_cursor_while_it_is_cut_off() {
     // Guards against a batch that a trainer gets twice or never. The trainer pulls a batch, its
