Tests of forwarding: failures at the time limit without a tie

Cause: both endpoints of failures_count_also_when_the_time_is_up failed each request after 200 ms, and the time was up after 700 ms.

Change: each endpoint fails its first request late and never answers another one. Attempts are therefore still running when the time is up, and the outcome is always late. The check is stricter: exactly two failures are counted, and an attempt was made after them.

--- a/components/node/tests/forward.rs
+++ b/components/node/tests/forward.rs
@@ -37,7 +37,8 @@
     Answer,
     Refuse,
     Fail,
-    FailSlowly,
+    /// Fails the first request late, and never answers another one.
+    FailOnceSlowly,
     AnswerSlowly,
     Reset,
     Hang,
@@ -77,7 +78,7 @@
                 tokio::time::sleep(Duration::from_millis(200)).await;
                 format!("HTTP/1.1 200 OK\r\n{own}content-length: 2\r\n\r\nok")
             }
-            Behavior::FailSlowly => {
+            Behavior::FailOnceSlowly if requests.get() == 1 => {
                 tokio::time::sleep(Duration::from_millis(200)).await;
                 format!("HTTP/1.1 500 x\r\n{own}content-length: 0\r\n\r\n")
             }
@@ -85,7 +86,7 @@
                 stream.set_zero_linger().unwrap();
                 return;
             }
-            Behavior::Hang => {
+            Behavior::Hang | Behavior::FailOnceSlowly => {
                 tokio::time::sleep(Duration::from_secs(60)).await;
                 return;
             }
@@ -203,12 +204,17 @@
 /// A scorer may fail so slowly that a call times out before all attempts have failed. Guards
 /// against losing the count of failures then: the next call started at zero, so the sample was
 /// never given up, and its step waited until its trainer gave up.
+///
+/// After their failures the endpoints hang, so that attempts are still running when the time is up.
+/// If the last failure came at that moment, either of the two could decide the request.
 #[actix_rt::test]
 async fn failures_count_also_when_the_time_is_up() {
-    let stubs = [stub(Behavior::FailSlowly).await, stub(Behavior::FailSlowly).await];
+    let stubs = [stub(Behavior::FailOnceSlowly).await, stub(Behavior::FailOnceSlowly).await];
     let (outcome, failures) =
-        send_counting(&[&stubs[0], &stubs[1]], RouteKind::Idempotent, 9, 700).await;
-    assert!(matches!((&outcome, failures), (Outcome::Late, 2..)), "{outcome:?} {failures}");
+        send_counting(&[&stubs[0], &stubs[1]], RouteKind::Idempotent, 9, 1_500).await;
+    assert!(matches!((&outcome, failures), (Outcome::Late, 2)), "{outcome:?} {failures}");
+    let requests = stubs.each_ref().map(|stub| stub.requests.get());
+    assert!(requests.iter().sum::<u32>() > 2, "an attempt after the failures: {requests:?}");
 }
 
 /// Collects log lines.
