Planner: no reserved fast slot for a less urgent short sample

Cause: the quarter of the fast slots that is kept for long samples is counted over the engines that are eligible for a step. Steps of a model differ in these by oldest version and route. A short sample could therefore get a fast slot that had just been refused to a short sample of a more urgent step.

Change: an engine for which a more urgent sample of the model waits is withheld from the short samples of later steps in the same round. Samples that may not start now (delayed, calls not logged) or that avoid the engine withhold nothing. Nothing changes without engine_speeds or while no engine is fast or slow.

--- a/components/fleet/src/plan/assign.rs
+++ b/components/fleet/src/plan/assign.rs
@@ -11,6 +11,7 @@
 use super::free_slots::RoundSlots;
 use super::lengths::SampleLengths;
 use super::open_runs::are_calls_logged;
+use super::refused::Refused;
 use super::samples::Assignment;
 use super::samples::Phase;
 use super::samples::Progress;
@@ -27,7 +28,8 @@
     /// Returns the samples that start now and the engine for each. Steps are ordered by priority
     /// and then by due time; within a step the longest samples come first. Each sample goes to the
     /// engine with the fewest runs. If some engines are faster than others, long samples go to
-    /// these, and other samples only if no other engine has a free slot.
+    /// these, and other samples only if no other engine has a free slot. A fast slot that is
+    /// reserved for long samples is given to no other sample of a less urgent step either.
     ///
     /// Every concurrent run on the same engine makes a sample half a percent slower. The longest
     /// samples have no time to spare within their step, while reading a prompt once more takes only
@@ -56,14 +58,24 @@
         self.visits.set(self.visits.get() + self.engines.len() as u64);
         let basis = self.rank_basis(now);
         let mut free_slots = RoundSlots::count(self.engines.values(), basis);
+        // Steps with samples that wait although their turn has come.
+        let mut passed: Vec<String> = Vec::new();
         for (_, _, id) in order {
             if free_slots.is_empty() {
                 break;
             }
+            let has_room = self.has_room(&id, &free_slots);
             // Without this check, rounds would examine all engines for steps whose samples wait
             // beside reserved slots.
-            if self.has_room(&id, &free_slots) || self.has_long_sample(&id, &basis) {
-                self.assign_step(&id, config, basis, &mut free_slots, &mut assignments);
+            if has_room || self.has_long_sample(&id, &basis) {
+                let model = self.steps.get(&id).map(|planned| planned.step.model.as_str());
+                let model = model.filter(|_| has_room && basis.speed.is_some());
+                let refused = model.map(|model| self.refused_samples(model, &passed, config, now));
+                let refused = refused.unwrap_or_default();
+                self.assign_step(&id, config, basis, &refused, &mut free_slots, &mut assignments);
+            }
+            if self.steps.get(&id).is_some_and(|planned| planned.waiting > 0) {
+                passed.push(id);
             }
         }
         assignments
@@ -93,12 +105,14 @@
         })
     }
 
-    /// Assigns the waiting samples of a step and appends the assignments.
+    /// Assigns the waiting samples of a step and appends the assignments. `refused` are samples of
+    /// more urgent steps that wait.
     fn assign_step(
         &mut self,
         id: &str,
         config: &Config,
         basis: RankBasis,
+        refused: &[Refused],
         free_slots: &mut RoundSlots,
         assignments: &mut Vec<Assignment>,
     ) {
@@ -134,7 +148,9 @@
             self.visits.set(self.visits.get() + self.engines.len() as u64);
             let eligible =
                 self.engines.values_mut().filter(|engine| is_eligible(engine, &step, route, now));
-            let mut candidates = Candidates::new(eligible, basis);
+            let is_withheld =
+                |engine: &EngineState| refused.iter().any(|one| one.could_use(engine, now));
+            let mut candidates = Candidates::new(eligible, basis, is_withheld);
             for (index, _) in same_route {
                 let group = step.samples[*index as usize].group.as_str();
                 let progress = &mut planned.progress[*index as usize];
--- a/components/fleet/src/plan/candidates.rs
+++ b/components/fleet/src/plan/candidates.rs
@@ -41,36 +41,54 @@
     }
 }
 
+/// Which samples may use an engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Kind {
+    /// All, as it is not fast.
+    Other,
+    /// Long ones, and others if they find no other engine.
+    Fast,
+    /// Long ones only, as others of more urgent steps wait for it.
+    Withheld,
+}
+
 /// Eligible engines for a step, ordered by rank.
 pub(super) struct Candidates<'a> {
     /// Sorted by engine id.
     engines: Vec<&'a mut EngineState>,
-    /// Engines that are not fast. Ranks may be stale: an engine can be reserved for its group while
-    /// it is not at the head of the queue.
-    queue: BinaryHeap<Reverse<Ranked>>,
-    /// Fast engines.
-    fast_queue: BinaryHeap<Reverse<Ranked>>,
+    kinds: Vec<Kind>,
+    /// The engines of each kind. Ranks may be stale: an engine can be reserved for its group while
+    /// it is not at the head of its queue.
+    queues: [BinaryHeap<Reverse<Ranked>>; 3],
     /// The slots of all eligible engines.
     free_slots: FreeSlots,
     basis: RankBasis,
 }
 
 impl<'a> Candidates<'a> {
-    /// Ranks the engines, which must be sorted by id. Engines without free slots are left out.
+    /// Ranks the engines, which must be sorted by id. Engines without free slots are left out. Fast
+    /// ones for which `is_withheld` returns true are used by long samples only.
     pub(super) fn new(
         engines: impl Iterator<Item = &'a mut EngineState>,
         basis: RankBasis,
+        is_withheld: impl Fn(&EngineState) -> bool,
     ) -> Self {
         let mut free_slots = FreeSlots::default();
         let engines = engines.inspect(|engine| free_slots.add(engine, basis.is_fast(engine)));
         let engines: Vec<&'a mut EngineState> =
             engines.filter(|engine| engine.free_slots() > 0).collect();
-        let (mut queue, mut fast_queue) = (Vec::new(), Vec::new());
+        let kinds = engines.iter().map(|engine| match basis.is_fast(engine) {
+            false => Kind::Other,
+            true if is_withheld(engine) => Kind::Withheld,
+            true => Kind::Fast,
+        });
+        let kinds: Vec<Kind> = kinds.collect();
+        let mut queues: [Vec<Reverse<Ranked>>; 3] = Default::default();
         for (index, engine) in engines.iter().enumerate() {
-            let ranked = Reverse(Ranked { rank: rank(engine, &basis), index });
-            if basis.is_fast(engine) { fast_queue.push(ranked) } else { queue.push(ranked) }
+            let ranked = Ranked { rank: rank(engine, &basis), index };
+            queues[kinds[index] as usize].push(Reverse(ranked));
         }
-        Self { engines, queue: queue.into(), fast_queue: fast_queue.into(), free_slots, basis }
+        Self { engines, kinds, queues: queues.map(BinaryHeap::from), free_slots, basis }
     }
 
     /// Reserves a slot for a run of `model` and returns the engine: the best-ranked one, or
@@ -87,7 +105,7 @@
         let fast_use = self.free_slots.fast_use(is_long);
         let mut avoided = None;
         let best = loop {
-            let Some(best) = self.pop_best(fast_use) else { break None };
+            let Some(best) = self.pop_best(fast_use, is_long) else { break None };
             if avoid != Some(self.id(best.index)) {
                 break Some(best);
             }
@@ -104,6 +122,7 @@
             self.engines[*index].free_slots() > 0
                 && self.rank(*index) <= best.rank
                 && (fast_use == FastUse::ByRank || self.is_fast(*index) == self.is_fast(best.index))
+                && (is_long || self.kinds[*index] != Kind::Withheld)
         });
         let index = preferred.unwrap_or(best.index);
         self.free_slots.take(self.is_fast(index));
@@ -129,29 +148,31 @@
     }
 
     /// Pops the best engine that a sample may use.
-    fn pop_best(&mut self, fast_use: FastUse) -> Option<Ranked> {
-        let other = self.pop_from(false);
-        let fast = match fast_use {
-            FastUse::Never => None,
-            FastUse::Last if other.is_some() => None,
-            FastUse::Last | FastUse::ByRank => self.pop_from(true),
+    fn pop_best(&mut self, fast_use: FastUse, is_long: bool) -> Option<Ranked> {
+        let mut best = self.pop_from(Kind::Other);
+        let uses_fast = match fast_use {
+            FastUse::Never => false,
+            FastUse::Last => best.is_none(),
+            FastUse::ByRank => true,
         };
-        match (fast, other) {
-            (Some(fast), Some(other)) => {
-                let (best, rest) = if fast < other { (fast, other) } else { (other, fast) };
-                self.push(rest);
-                Some(best)
-            }
-            (fast, other) => fast.or(other),
+        let kinds = [(Kind::Fast, uses_fast), (Kind::Withheld, uses_fast && is_long)];
+        for (kind, _) in kinds.iter().filter(|(_, is_used)| *is_used) {
+            let Some(other) = self.pop_from(*kind) else { continue };
+            let Some(first) = best else {
+                best = Some(other);
+                continue;
+            };
+            self.push(first.max(other));
+            best = Some(first.min(other));
         }
+        best
     }
 
     /// Pops the best engine of a queue whose queued rank is up to date, re-queueing engines with
     /// stale ranks.
-    fn pop_from(&mut self, fast: bool) -> Option<Ranked> {
+    fn pop_from(&mut self, kind: Kind) -> Option<Ranked> {
         loop {
-            let queue = if fast { &mut self.fast_queue } else { &mut self.queue };
-            let Reverse(first) = queue.pop()?;
+            let Reverse(first) = self.queues[kind as usize].pop()?;
             if self.engines[first.index].free_slots() == 0 {
                 continue;
             }
@@ -164,9 +185,7 @@
     }
 
     fn push(&mut self, ranked: Ranked) {
-        let is_fast = self.is_fast(ranked.index);
-        let queue = if is_fast { &mut self.fast_queue } else { &mut self.queue };
-        queue.push(Reverse(ranked));
+        self.queues[self.kinds[ranked.index] as usize].push(Reverse(ranked));
     }
 
     fn rank(&self, index: usize) -> f64 {
@@ -174,7 +193,7 @@
     }
 
     fn is_fast(&self, index: usize) -> bool {
-        self.basis.is_fast(self.engines[index])
+        self.kinds[index] != Kind::Other
     }
 
     fn id(&self, index: usize) -> &str {
--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -13,6 +13,7 @@
 mod listing;
 mod open_runs;
 mod reassign;
+mod refused;
 mod reports;
 mod samples;
 mod speed;
