Engine speeds: loads of the previous leader and bursts are no measurements

Cause: a new leader did not know which engines load weights on an order of its predecessor, measured the pause, and took the engine for slow. And a burst that several runs of an engine report within 250 ms counted as two measurements, so that two in a row made the engine fast.

Change: each control process records announced orders until the versions of the engine change (observed_loads.rs). A new leader measures no engine whose load may go on, for at most 5 s after the last order. A measurement that has to be confirmed is confirmed only by reports that arrive 240 ms later or more.

Tests: the noise test checks the recorded speeds in its loop. The test of engines that are alike adds hardware that differs by up to 15%, readings that are off by up to 15%, and an engine that is 2.5 times slower for 6 s. New tests for bursts and for inherited loads, in the fleet crate and through the leader.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod grant;
 pub mod heartbeats;
 pub mod hedge;
+pub mod observed_loads;
 pub mod open_runs;
 pub mod order_lease;
 pub mod pacing;
--- a/components/fleet/src/plan/engine.rs
+++ b/components/fleet/src/plan/engine.rs
@@ -17,6 +17,22 @@
 /// four times a second.
 const MAX_REPORT_AGE_MS: u64 = 250;
 
+/// Milliseconds after an order of an earlier leader in which its load may last. A leader repeats an
+/// order after 5 s, so a later load has a later order.
+const INHERITED_LOAD_MS: u64 = 5_000;
+
+/// A load of weights that an earlier leader ordered.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) enum InheritedLoad {
+    /// There is none, or it has ended.
+    #[default]
+    None,
+    /// It was ordered at this time, and the versions have not changed since.
+    Ordered(Millis),
+    /// The versions have changed since the last report about a run on the engine.
+    Loaded,
+}
+
 /// What the planner knows about an engine.
 #[derive(Clone, Debug)]
 pub struct EngineState {
@@ -28,6 +44,8 @@
     pub loading: Option<String>,
     /// When the last load of weights ended.
     pub(super) loaded_at: Option<Millis>,
+    /// The load that an earlier leader ordered, which delays measurements until it has ended.
+    pub(super) inherited_load: InheritedLoad,
     /// Moving average of the milliseconds between events; zero before the first measurement.
     pub(super) pace_ms: f64,
     /// When the pace was last measured.
@@ -51,6 +69,7 @@
             running: BTreeMap::new(),
             loading: None,
             loaded_at: None,
+            inherited_load: InheritedLoad::None,
             pace_ms: 0.0,
             paced_at: Millis::default(),
             speed: Speed::default(),
@@ -63,16 +82,37 @@
     /// Records that the load of weights ended, successfully or not.
     pub fn end_load(&mut self, now: Millis) {
         self.loading = None;
+        self.inherited_load = InheritedLoad::None;
         self.loaded_at = Some(now);
     }
 
+    /// Updates the endpoint of the same incarnation. New versions end a load that an earlier leader
+    /// ordered.
+    pub(super) fn update_endpoint(&mut self, endpoint: &Endpoint) {
+        let has_new_versions = self.endpoint.announcement.models != endpoint.announcement.models;
+        if has_new_versions && self.inherited_load != InheritedLoad::None {
+            self.inherited_load = InheritedLoad::Loaded;
+        }
+        self.endpoint = endpoint.clone();
+    }
+
     /// Returns whether events that were reported now, and took so many milliseconds, may have
     /// waited for a load of weights. A load pauses the runs of an engine for about a second, which
     /// says nothing about its speed.
-    pub(super) fn has_paused_for_load(&self, measured_ms: u64, now: Millis) -> bool {
+    pub(super) fn has_paused_for_load(&mut self, measured_ms: u64, now: Millis) -> bool {
+        let reported_ms = measured_ms + MAX_REPORT_AGE_MS;
+        match self.inherited_load {
+            InheritedLoad::Ordered(at) if now.since(at) < INHERITED_LOAD_MS + reported_ms => {
+                return true;
+            }
+            InheritedLoad::Loaded => {
+                self.inherited_load = InheritedLoad::None;
+                self.loaded_at = Some(now);
+            }
+            InheritedLoad::Ordered(_) | InheritedLoad::None => {}
+        }
         let since_load_ms = self.loaded_at.map(|at| now.since(at));
-        self.loading.is_some()
-            || since_load_ms.is_some_and(|since_ms| since_ms < measured_ms + MAX_REPORT_AGE_MS)
+        self.loading.is_some() || since_load_ms.is_some_and(|since_ms| since_ms < reported_ms)
     }
 
     /// Returns the number of active runs.
--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -324,7 +324,7 @@
                 let (loading, loaded_at) = (engine.loading.take(), engine.loaded_at);
                 *engine = EngineState { running, loading, loaded_at, ..EngineState::new(endpoint) };
             }
-            Some(engine) => engine.endpoint = endpoint.clone(),
+            Some(engine) => engine.update_endpoint(endpoint),
             None => {
                 self.engines.insert(endpoint.announcement.id.clone(), EngineState::new(endpoint));
             }
--- a/components/fleet/src/plan/speed.rs
+++ b/components/fleet/src/plan/speed.rs
@@ -19,6 +19,9 @@
 /// Milliseconds between two updates of an estimate, and the measured time that an update needs.
 /// Hosts report four times a second.
 const MIN_MEASURED_MS: f64 = 200.0;
+/// Milliseconds after a measurement in which other runs may still report the same events. Hosts
+/// report each run every 250 ms, sometimes a few milliseconds early.
+const REPEATED_MS: f64 = 240.0;
 /// Time constant in milliseconds with which a shorter pace is adopted: within about a second, as
 /// an engine cannot be faster than its hardware.
 const DOWN_TIME_MS: f64 = 400.0;
@@ -92,21 +95,27 @@
 
     /// Records that the last `events` events of a run arrived with a mean gap of `gap_ms`. A gap of
     /// zero is no measurement.
+    ///
+    /// A burst that several runs report is one measurement: after one that has to be confirmed,
+    /// reports are ignored until they cannot contain the same events.
     pub(super) fn record(&mut self, gap_ms: f64, events: usize, now: Millis) {
-        if gap_ms <= 0.0 || events == 0 {
+        let elapsed_ms = now.since(self.measured_at) as f64;
+        let is_unconfirmed = self.low_ms.is_some() || self.first_ms.is_some();
+        if gap_ms <= 0.0 || events == 0 || (is_unconfirmed && elapsed_ms < REPEATED_MS) {
             return;
         }
         self.pending_ms += gap_ms * events as f64;
         self.pending_events += events as f64;
-        let elapsed_ms = now.since(self.measured_at) as f64;
         let is_first = self.usual_ms == 0.0;
         if self.pending_ms < MIN_MEASURED_MS || elapsed_ms < MIN_MEASURED_MS {
             return;
         }
         let pace_ms = self.pending_ms / self.pending_events;
         if is_first {
-            let first_ms = self.first_ms.replace(pace_ms);
-            self.usual_ms = first_ms.map_or(0.0, |first_ms| pace_ms.max(first_ms));
+            match self.first_ms.take() {
+                Some(first_ms) => self.usual_ms = pace_ms.max(first_ms),
+                None => self.first_ms = Some(pace_ms),
+            }
         } else {
             // Concurrent runs measure the same time.
             self.update(pace_ms, self.pending_ms.min(elapsed_ms), now);
--- a/components/fleet/src/plan/upgrade.rs
+++ b/components/fleet/src/plan/upgrade.rs
@@ -9,6 +9,7 @@
 use super::Planner;
 use super::assign::is_eligible;
 use super::engine::EngineState;
+use super::engine::InheritedLoad;
 use super::reassign::MAX_MOVES;
 use super::samples::Phase;
 use super::samples::StepPlan;
@@ -19,6 +20,7 @@
 use crate::config::Route;
 use crate::endpoint::Endpoint;
 use crate::endpoint::EndpointStatus;
+use crate::observed_loads::ObservedLoads;
 use crate::speeds::MAX_SPEED_CHANGES;
 use crate::speeds::SpeedChange;
 use crate::speeds::SpeedChanges;
@@ -303,6 +305,18 @@
         self.update_median_speed();
     }
 
+    /// Adopts the loads of weights that earlier leaders have ordered, so that a pause for them is not
+    /// taken for slowness. The engines must be known already.
+    pub fn inherit_loads(&mut self, observed: &ObservedLoads) {
+        for (id, load) in observed.all() {
+            let Some(engine) = self.engines.get_mut(id) else { continue };
+            match load.loaded_at {
+                Some(at) => engine.loaded_at = Some(at),
+                None => engine.inherited_load = InheritedLoad::Ordered(load.ordered_at),
+            }
+        }
+    }
+
     /// Returns the changes of the recorded speeds that are to be committed, if any: of engines that
     /// are fast or slow and whose record is missing or differs, and of recorded ones that equal the
     /// median again. Engines whose endpoints are not recorded wait until they are.
--- a/components/fleet/tests/speeds.rs
+++ b/components/fleet/tests/speeds.rs
@@ -16,6 +16,7 @@
 use chicoryford_fleet::Stamped;
 use chicoryford_fleet::State;
 use chicoryford_fleet::Step;
+use chicoryford_fleet::observed_loads::ObservedLoads;
 use chicoryford_fleet::plan::Assignment;
 use chicoryford_fleet::plan::Planner;
 use chicoryford_fleet::plan::RunEnd;
@@ -94,6 +95,9 @@
     lost: Option<(Millis, Vec<String>)>,
     /// An engine that is slower by a factor for some time.
     slowed: Option<(String, Range<Millis>, f64)>,
+    /// The share by which each reported pace is off, at most, in either direction.
+    reading_error: f64,
+    readings: SmallRng,
 }
 
 impl Simulation {
@@ -112,6 +116,8 @@
             started: Vec::new(),
             lost: None,
             slowed: None,
+            reading_error: 0.0,
+            readings: SmallRng::seed_from_u64(7),
         }
     }
 
@@ -137,7 +143,8 @@
             if events == length || self.now >= one.reports_at {
                 let status = if events == length { RunStatus::Scoring } else { RunStatus::Running };
                 let output = vec!["x"; events - one.reported];
-                let (gap_ms, from) = (pace as u32, one.reported as u32);
+                let error = self.reading_error * (2.0 * self.readings.random::<f64>() - 1.0);
+                let (gap_ms, from) = ((pace * (1.0 + error)) as u32, one.reported as u32);
                 let gap_ms = if from > 0 && !output.is_empty() { gap_ms } else { 0 };
                 let sent = RunReport { gap_ms, from, ..report(&one.run, status, &output) };
                 self.planner.record_report("a", &sent, self.now);
@@ -284,12 +291,17 @@
 }
 
 /// Guards against different decisions, and with them other risks, in fleets whose engines have the
-/// same speed.
+/// same speed, also if their readings vary by 15% and one of them is slow for a while.
 #[test]
 fn engines_alike_get_the_same_assignments_as_without_speeds() {
     let paces: Vec<f64> = (0..44).map(|number| 40.0 + f64::from(number * 7 % 11) * 0.4).collect();
-    let run = |engine_speeds: bool| {
-        let mut simulation = Simulation::new(engine_speeds, &paces);
+    let varied: Vec<f64> = (0..44).map(|number| 37.0 + f64::from(number * 7 % 11) * 0.6).collect();
+    let run = |engine_speeds: bool, paces: &[f64], is_noisy: bool| {
+        let mut simulation = Simulation::new(engine_speeds, paces);
+        if is_noisy {
+            simulation.reading_error = 0.15;
+            simulation.slowed = Some((name(3), NOW + 2_000..NOW + 8_000, 2.5));
+        }
         simulation.run_trainers(5, 3);
         assert_eq!(simulation.planner.fast_engine_count(), 0);
         let state = State::default();
@@ -297,7 +309,9 @@
         assert_eq!(changes, None, "nothing is written");
         (simulation.moves.len(), simulation.started)
     };
-    assert_eq!(run(true), run(false));
+    for (paces, is_noisy) in [(&paces, false), (&varied, true)] {
+        assert_eq!(run(true, paces, is_noisy), run(false, paces, is_noisy));
+    }
 }
 
 /// Guards against a fast engine that is avoided, or no longer counts as fast, after it was slow for
@@ -724,6 +738,93 @@
     }
 }
 
+/// Guards against an engine that counts as fast because several of its runs report the same burst
+/// within the 250 ms between two reports of a run.
+#[test]
+fn a_burst_that_several_runs_report_is_one_measurement() {
+    let report_burst = |fleet: &mut Measured, since_ms: u64| {
+        for after_ms in [since_ms, 0, 60, 110, 65] {
+            fleet.now = fleet.now + after_ms;
+            fleet.report(0, 10, 25);
+            fleet.planner.slow_runs(fleet.now);
+            assert_eq!(fleet.planner.fast_engine_count(), 0);
+        }
+        for _ in 0..8 {
+            fleet.advance(&[OTHER_MS; 4]);
+            assert_eq!(fleet.planner.fast_engine_count(), 0);
+        }
+    };
+    let mut fleet = measured(&[OTHER_MS; 4]);
+    [250, 100, 1_000].iter().for_each(|since_ms| report_burst(&mut fleet, *since_ms));
+    // The same holds for the first measurement.
+    let mut fleet = Measured::new(4);
+    fleet.now = fleet.now + 250;
+    (1..4).for_each(|number| fleet.report(number, 57, 4));
+    fleet.now = fleet.now + 250;
+    (1..4).for_each(|number| fleet.report(number, 57, 4));
+    report_burst(&mut fleet, 0);
+}
+
+/// Guards against a new leader that takes an engine for slow, or moves runs away from it, because
+/// the engine loads weights on an order of the previous leader.
+#[test]
+fn a_load_that_the_previous_leader_ordered_is_no_slowdown() {
+    let order = |ms: u64, loaded_ms: Option<u64>| {
+        let mut loads = ObservedLoads::default();
+        loads.record_order(&name(0), Millis(NOW.0 + 9_000 - ms));
+        if let Some(ms) = loaded_ms {
+            let (before, after) = (engine(&name(0), 6, 1), engine(&name(0), 6, 2));
+            loads.record_endpoint(&before, &after, Millis(NOW.0 + 9_000 - ms));
+        }
+        loads
+    };
+    // Whether the engine counts as slow after the reports of a second, and before and after these
+    // its endpoint is announced with this version.
+    let is_slow = |loads: &ObservedLoads, before: u64, after: u64| {
+        let mut fleet = Measured::new(4);
+        fleet.now = NOW + 9_000;
+        fleet.planner.inherit_loads(loads);
+        fleet.planner.update_engine(&engine(&name(0), 6, before));
+        for _ in 0..4 {
+            fleet.now = fleet.now + 250;
+            (1..4).for_each(|number| fleet.report(number, 57, 4));
+            fleet.report(0, 220, 1);
+        }
+        fleet.planner.update_engine(&engine(&name(0), 6, after));
+        fleet.report(0, 220, 5);
+        let run = ("warm".to_owned(), fleet.runs[0].index);
+        let is_moved = fleet.planner.slow_runs(fleet.now).contains(&run);
+        let changes = fleet.planner.speed_changes(&SpeedState::default(), &known(&engines(4)));
+        assert_eq!(changes.is_some(), is_moved);
+        is_moved
+    };
+    assert!(is_slow(&ObservedLoads::default(), 1, 1), "there was no order");
+    assert!(!is_slow(&order(800, None), 1, 1), "it still loads");
+    assert!(!is_slow(&order(800, None), 1, 2), "the load has ended");
+    assert!(!is_slow(&order(3_000, None), 1, 1), "it may still load");
+    assert!(is_slow(&order(7_000, None), 1, 1), "an order is repeated earlier");
+    assert!(is_slow(&order(800, Some(0)), 2, 2), "the load ended a second ago");
+    assert!(is_slow(&order(800, None), 2, 2), "the load ended at the beginning");
+}
+
+/// Guards against a first report to a new leader that counts as slowness because it contains the end
+/// of a load that the process has observed.
+#[test]
+fn a_report_that_spans_an_observed_load_is_no_slowdown() {
+    let (before, after) = (engine(&name(0), 6, 1), engine(&name(0), 6, 2));
+    for (loaded_ms, is_slow) in [(300, false), (2_000, true)] {
+        let mut fleet = measured(&[OTHER_MS; 4]);
+        fleet.now = fleet.now + 2_000;
+        let mut loads = ObservedLoads::default();
+        loads.record_order(&name(0), NOW);
+        loads.record_endpoint(&before, &after, Millis(fleet.now.0 - loaded_ms));
+        fleet.planner.inherit_loads(&loads);
+        (0..6).for_each(|_| fleet.report(0, 220, 5));
+        let run = ("warm".to_owned(), fleet.runs[0].index);
+        assert_eq!(fleet.planner.slow_runs(fleet.now).contains(&run), is_slow, "{loaded_ms}");
+    }
+}
+
 /// Guards against a fast engine that is not recognised until a step is over.
 #[test]
 fn a_fast_engine_is_recognised_within_a_second() {
@@ -783,9 +884,9 @@
                 paces.iter().map(|pace| pace * if rng.random_bool(0.15) { 2.5 } else { 1.0 });
             fleet.advance(&noisy.collect::<Vec<f64>>());
             assert_eq!(fleet.planner.fast_engine_count(), fast);
+            let changes = fleet.planner.speed_changes(&SpeedState::default(), &known(&engines(16)));
+            assert_eq!(changes.map_or(0, |changes| changes.changes.len()), fast);
         }
-        let changes = fleet.planner.speed_changes(&SpeedState::default(), &known(&engines(16)));
-        assert_eq!(changes.map_or(0, |changes| changes.changes.len()), fast);
     }
 }
 
--- a/components/node/src/leader/mod.rs
+++ b/components/node/src/leader/mod.rs
@@ -214,6 +214,7 @@
         leader.adopt_endpoints();
         leader.adopt_costs();
         leader.adopt_speeds();
+        leader.plan.borrow_mut().inherit_loads(&view.observed_loads());
         let weak = Rc::downgrade(&leader);
         leader.context.replica.set_observer(Some(Box::new(move |command, done| {
             if let Some(leader) = weak.upgrade() {
--- a/components/node/src/view.rs
+++ b/components/node/src/view.rs
@@ -9,6 +9,7 @@
 
 use chicoryford_fleet::Config;
 use chicoryford_fleet::Endpoint;
+use chicoryford_fleet::observed_loads::ObservedLoads;
 use chicoryford_fleet::ranges::RangeContent;
 use chicoryford_fleet::ranges::RangeIndex;
 use chicoryford_fleet::walltime::WallTime;
@@ -29,6 +30,7 @@
     ranges: RefCell<RangeIndex>,
     controls: RefCell<BTreeSet<SocketAddr>>,
     order_times: RefCell<BTreeMap<String, Millis>>,
+    observed_loads: RefCell<ObservedLoads>,
     listeners: RefCell<Vec<Listener>>,
     wall_clock: RefCell<WallTime>,
 }
@@ -41,6 +43,7 @@
             ranges: RefCell::default(),
             controls: RefCell::default(),
             order_times: RefCell::default(),
+            observed_loads: RefCell::default(),
             listeners: RefCell::default(),
             wall_clock: RefCell::new(WallTime::new(clock::wall(), clock::now())),
         }
@@ -64,15 +67,21 @@
             Update::Endpoint(endpoint) => {
                 let id = endpoint.announcement.id.clone();
                 self.ranges.borrow_mut().insert(endpoint);
-                self.endpoints.borrow_mut().insert(id, endpoint.clone());
+                let before = self.endpoints.borrow_mut().insert(id, endpoint.clone());
+                if let Some(before) = before {
+                    let mut loads = self.observed_loads.borrow_mut();
+                    loads.record_endpoint(&before, endpoint, clock::now());
+                }
             }
             Update::Forgotten(id) => {
                 self.ranges.borrow_mut().remove(id);
                 self.endpoints.borrow_mut().remove(id);
                 self.order_times.borrow_mut().remove(id);
+                self.observed_loads.borrow_mut().remove(id);
             }
             Update::Ordered(id) => {
                 self.order_times.borrow_mut().insert(id.clone(), clock::now());
+                self.observed_loads.borrow_mut().record_order(id, clock::now());
             }
             // The forwarder handles these updates as a listener.
             Update::Refused(_) | Update::Suspected(_) | Update::Unreachable(_) => {}
@@ -163,6 +172,11 @@
         self.order_times.borrow().clone()
     }
 
+    /// Returns the loads of weights that leaders have ordered.
+    pub fn observed_loads(&self) -> ObservedLoads {
+        self.observed_loads.borrow().clone()
+    }
+
     /// Returns the link addresses of the control processes.
     pub fn controls(&self) -> BTreeSet<SocketAddr> {
         self.controls.borrow().clone()
--- a/components/node/tests/leader/fleet.rs
+++ b/components/node/tests/leader/fleet.rs
@@ -126,10 +126,14 @@
 
     /// Replaces the leader by one with other settings.
     pub fn next_leader_with(&self, settings: Rc<Settings>) -> Rc<Leader> {
+        self.next_leader_from(settings, Rc::new(View::default()))
+    }
+
+    /// Replaces the leader by one whose process has received the updates in `view`.
+    pub fn next_leader_from(&self, settings: Rc<Settings>, view: Rc<View>) -> Rc<Leader> {
         if let Some(before) = self.current_leader.borrow_mut().take() {
             before.stop();
         }
-        let view = Rc::new(View::default());
         let forwarder = Forwarder::new(Policy::default());
         let context = Context {
             replica: self.replica.clone(),
--- a/components/node/tests/leader/speeds.rs
+++ b/components/node/tests/leader/speeds.rs
@@ -1,8 +1,11 @@
 //! Engines of several speeds: the leader moves long runs, and the next leader knows the speeds.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use chicoryford_fleet::Endpoint;
+use chicoryford_fleet::EndpointStatus;
 use chicoryford_fleet::Policy;
 use chicoryford_fleet::Sample;
 use chicoryford_fleet::Step;
@@ -11,11 +14,15 @@
 use chicoryford_fleet::run::RunReport;
 use chicoryford_fleet::run::RunStatus;
 use chicoryford_node::Settings;
+use chicoryford_node::clock;
 use chicoryford_node::frame::encode;
 use chicoryford_node::message::Answer;
 use chicoryford_node::message::Call;
 use chicoryford_node::message::MemberMessage;
+use chicoryford_node::message::Update;
 use chicoryford_node::metrics;
+use chicoryford_node::view::View;
+use chicoryford_types::Millis;
 use futures_util::SinkExt;
 
 use crate::fleet::Fleet;
@@ -149,3 +156,54 @@
     }
     assert!(fleet.replica.state().speeds.engines.is_empty());
 }
+
+/// Returns whether the next leader would move the run of the first engine, which reports a pause,
+/// after its process has received these updates.
+async fn moves_paused_run(updates: Vec<Update>) -> bool {
+    let (fleet, _store, _host) = fleet(true).await;
+    let view = Rc::new(View::default());
+    for id in ENGINES {
+        let announcement = engine(id, 1);
+        view.apply(Update::Endpoint(Endpoint { announcement, status: EndpointStatus::Ready }));
+    }
+    updates.into_iter().for_each(|update| view.apply(update));
+    let leader = fleet.next_leader_from(fleet.settings.clone(), view);
+    let (config, now) = (leader.config().unwrap(), clock::now());
+    // Nothing else runs until the end, as the test awaits nothing.
+    let mut plan = leader.plan.borrow_mut();
+    let plain = step("b");
+    let samples = vec![plain.samples[0].clone(); ENGINES.len()];
+    let step = Arc::new(Step { samples, ..(*plain).clone() });
+    plan.open_step(step, now, Millis::default(), |_| false);
+    let runs = plan.assign(&config, now);
+    assert_eq!(runs.len(), ENGINES.len());
+    for run in &runs {
+        plan.set_host("b", run.index, "h");
+        let gap_ms = if run.endpoint == ENGINES[0] { 220 } else { 57 };
+        let output = SampleOutput { events: vec!["x".to_owned(); 5], ..SampleOutput::default() };
+        let sent = RunReport {
+            run: run.run,
+            index: run.index,
+            endpoint: run.endpoint.clone(),
+            status: RunStatus::Running,
+            output,
+            gap_ms,
+            ..scoring_report("b")
+        };
+        plan.record_report("h", &sent, now);
+    }
+    plan.slow_runs(now).iter().any(|(step, _)| step == "b")
+}
+
+/// Guards against a new leader that takes an engine for slow although its process knows that the
+/// previous leader has ordered the engine to load weights.
+#[actix_rt::test]
+async fn the_next_leader_knows_which_engines_load_weights() {
+    let ordered = || Update::Ordered(ENGINES[0].to_owned());
+    assert!(moves_paused_run(Vec::new()).await, "there was no order");
+    assert!(!moves_paused_run(vec![ordered()]).await);
+    let mut announcement = engine(ENGINES[0], 2);
+    announcement.models.insert("m".to_owned(), 2);
+    let loaded = Update::Endpoint(Endpoint { announcement, status: EndpointStatus::Ready });
+    assert!(!moves_paused_run(vec![ordered(), loaded]).await, "the load has just ended");
+}
