Tests of forwarding: one subscriber for the log lines of all threads

Cause: a test of second attempts missed a log line once with the threaded runner. Each test had a subscriber for its own thread. A call site caches whether any subscriber wants its lines; while one subscriber existed and a test without one reached the call site first, the cached answer was "never", and the lines of the other test were suppressed too.

Change: tests/support/log_lines.rs, used by forward, hedge and pacing in place of three copies, installs one subscriber for the process and collects the lines of each thread apart.

--- a/components/node/tests/forward.rs
+++ b/components/node/tests/forward.rs
@@ -2,14 +2,13 @@
 
 mod support {
     pub mod endpoint;
+    pub mod log_lines;
     pub mod route;
 }
 
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -29,6 +28,7 @@
 use tokio::net::TcpStream;
 
 use support::endpoint::endpoint;
+use support::log_lines::LogLines;
 use support::route::route;
 
 /// What a stub endpoint does with each request.
@@ -217,35 +217,17 @@
     assert!(requests.iter().sum::<u32>() > 2, "an attempt after the failures: {requests:?}");
 }
 
-/// Collects log lines.
-#[derive(Clone, Default)]
-struct LogLines(Arc<Mutex<Vec<u8>>>);
-
-impl std::io::Write for LogLines {
-    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
-        self.0.lock().unwrap().extend_from_slice(bytes);
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> std::io::Result<()> {
-        Ok(())
-    }
-}
-
 /// A first endpoint hangs, and the second attempt is answered late. Guards against a log line
 /// without the attempts that succeeded or were abandoned for a faster one, which would not explain
 /// the delay.
 #[actix_rt::test]
 async fn the_attempts_of_a_late_request_are_logged() {
-    let lines = LogLines::default();
-    let copy = lines.clone();
-    let log = tracing_subscriber::fmt().with_ansi(false).with_writer(move || copy.clone()).finish();
-    let _guard = tracing::subscriber::set_default(log);
+    let lines = LogLines::collect();
     let (bad, good) = (stub(Behavior::Hang).await, stub(Behavior::AnswerSlowly).await);
     let outcome = send(&[&bad, &good], RouteKind::Idempotent, 3, 1_500).await;
     assert!(is_success(&outcome), "{outcome:?}");
-    let text = String::from_utf8(lines.0.lock().unwrap().clone()).unwrap();
-    let line = text.lines().find(|line| line.contains("request_tried")).expect("a line");
+    let lines = lines.take();
+    let line = lines.first().expect("a line");
     assert!(line.contains("request=\"id\""), "{line}");
     assert!(line.contains("i0 at=") && line.contains("i1 at="), "{line}");
     assert!(line.contains("dropped=") && line.contains("answered="), "{line}");
@@ -255,15 +237,12 @@
 /// says at which endpoints it may have run.
 #[actix_rt::test]
 async fn the_attempts_of_a_dropped_request_are_logged() {
-    let lines = LogLines::default();
-    let copy = lines.clone();
-    let log = tracing_subscriber::fmt().with_ansi(false).with_writer(move || copy.clone()).finish();
-    let _guard = tracing::subscriber::set_default(log);
+    let lines = LogLines::collect();
     let hanging = stub(Behavior::Hang).await;
     let stubs = [&hanging];
     let request = send(&stubs, RouteKind::Idempotent, 3, 1_500);
     assert!(tokio::time::timeout(Duration::from_millis(100), request).await.is_err());
-    let text = String::from_utf8(lines.0.lock().unwrap().clone()).unwrap();
-    let line = text.lines().find(|line| line.contains("request_tried")).expect("a line");
+    let lines = lines.take();
+    let line = lines.first().expect("a line");
     assert!(line.contains("i0 at=") && line.contains("dropped=true"), "{line}");
 }
--- a/components/node/tests/hedge.rs
+++ b/components/node/tests/hedge.rs
@@ -2,6 +2,7 @@
 
 mod support {
     pub mod endpoint;
+    pub mod log_lines;
     pub mod route;
     pub mod unreachable;
 }
@@ -9,8 +10,6 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -34,6 +33,7 @@
 use tokio::net::TcpListener;
 
 use support::endpoint::endpoint;
+use support::log_lines::LogLines;
 use support::route::route;
 use support::unreachable::Unreachable;
 use support::unreachable::unreachable;
@@ -318,45 +318,13 @@
         .map(|outcome| metrics::SECOND_ATTEMPTS.with_label_values(&[service, outcome]).get())
 }
 
-/// Collects log lines.
-#[derive(Clone, Default)]
-struct LogLines(Arc<Mutex<Vec<u8>>>);
-
-impl std::io::Write for LogLines {
-    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
-        self.0.lock().unwrap().extend_from_slice(bytes);
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> std::io::Result<()> {
-        Ok(())
-    }
-}
-
-impl LogLines {
-    /// Collects the log lines of this thread.
-    fn collect(&self) -> tracing::subscriber::DefaultGuard {
-        let copy = self.clone();
-        let log = tracing_subscriber::fmt().with_ansi(false).with_writer(move || copy.clone());
-        tracing::subscriber::set_default(log.finish())
-    }
-
-    /// Returns the lines about the attempts of requests since the last call.
-    fn take(&self) -> String {
-        let text = String::from_utf8(std::mem::take(&mut *self.0.lock().unwrap())).unwrap();
-        let lines = text.lines().filter(|line| line.contains("request_tried"));
-        lines.collect::<Vec<&str>>().join("\n")
-    }
-}
-
 const REPEATABLE: (RouteKind, u32) = (RouteKind::Idempotent, 2);
 
 /// An endpoint does not answer, or answers late. Guards against second attempts without credit, and
 /// against metrics and log lines that do not say how many were made and why others were not.
 #[actix_rt::test]
 async fn second_attempts_need_credit_and_are_counted_and_logged() {
-    let lines = LogLines::default();
-    let _guard = lines.collect();
+    let lines = LogLines::collect();
     let (first, second) = (stub(None, None).await, stub(Some(0), None).await);
     let addresses = [first.address, second.address];
     // Each request earns half a second attempt.
@@ -364,7 +332,7 @@
     let outcome = send(&forwarder, "counted", &addresses, REPEATABLE, LIMIT_MS).await;
     assert!(matches!(outcome, Outcome::Late), "{outcome:?}");
     assert_eq!((second_attempts("counted"), second.requests.get()), ([0, 0, 0, 1, 0], 0));
-    let line = lines.take();
+    let line = lines.take().join("\n");
     assert!(line.contains("hedge=\"limit\"") && line.contains("why=first"), "{line}");
 
     let outcome = send(&forwarder, "counted", &addresses, REPEATABLE, LIMIT_MS).await;
@@ -380,7 +348,7 @@
     assert!(is_success(&outcome), "{outcome:?}");
     assert_eq!(second_attempts("counted"), [2, 1, 1, 2, 0]);
     assert_eq!(metrics::FIRST_ATTEMPTS.with_label_values(&["counted"]).get(), 4);
-    let line = lines.take();
+    let line = lines.take().join("\n");
     assert!(line.contains("hedge=\"sent\"") && line.contains("why=beside"), "{line}");
 }
 
@@ -388,8 +356,7 @@
 /// although there is credit for them.
 #[actix_rt::test]
 async fn no_second_attempt_is_made_while_the_service_is_slow() {
-    let lines = LogLines::default();
-    let _guard = lines.collect();
+    let lines = LogLines::collect();
     let (first, second) = (stub(Some(0), None).await, stub(Some(0), None).await);
     let addresses = [first.address, second.address];
     let forwarder = with_share(1.0);
@@ -405,22 +372,21 @@
     let outcome = send(&forwarder, "slow", &addresses, REPEATABLE, LIMIT_MS).await;
     assert!(matches!(outcome, Outcome::Late), "{outcome:?}");
     assert_eq!((second_attempts("slow"), second.requests.get()), ([0, 0, 0, 0, 1], 0));
-    let line = lines.take();
+    let line = lines.take().join("\n");
     assert!(line.contains("hedge=\"slow\""), "{line}");
 }
 
 /// Guards against a second attempt at a service with a share of zero, or with the mechanism off.
 #[actix_rt::test]
 async fn no_second_attempt_is_made_if_they_are_switched_off() {
-    let lines = LogLines::default();
-    let _guard = lines.collect();
+    let lines = LogLines::collect();
     let (first, second) = (stub(None, None).await, stub(Some(0), None).await);
     let addresses = [first.address, second.address];
     let policy = Policy { second_attempts: false, ..Policy::default() };
     for forwarder in [with_share(0.0), Forwarder::new(policy)] {
         let outcome = send(&forwarder, "off", &addresses, REPEATABLE, LIMIT_MS).await;
         assert!(matches!(outcome, Outcome::Late), "{outcome:?}");
-        let line = lines.take();
+        let line = lines.take().join("\n");
         assert!(line.contains("hedge=\"off\""), "{line}");
     }
     assert_eq!((second_attempts("off"), second.requests.get()), ([0; 5], 0));
@@ -464,8 +430,7 @@
 /// as failed because the thread did not see that the connection was established.
 #[actix_rt::test]
 async fn a_stall_of_the_thread_does_not_make_an_endpoint_fail() {
-    let lines = LogLines::default();
-    let _guard = lines.collect();
+    let lines = LogLines::collect();
     let dark = unreachable().await;
     let forwarder = with_fallback();
     let addresses = [dark.address()];
@@ -479,7 +444,7 @@
         outcome = sent => panic!("{outcome:?}"),
         () = stall => {}
     }
-    let line = lines.take();
+    let line = lines.take().join("\n");
     assert!(line.contains(" dropped=") && !line.contains(" failed="), "{line}");
 }
 
--- a/components/node/tests/pacing.rs
+++ b/components/node/tests/pacing.rs
@@ -2,6 +2,7 @@
 
 mod support {
     pub mod endpoint;
+    pub mod log_lines;
     pub mod route;
     pub mod unreachable;
 }
@@ -12,8 +13,6 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 
 use chicoryford_fleet::Grant;
@@ -43,6 +42,7 @@
 use tokio::net::TcpStream;
 
 use support::endpoint::endpoint;
+use support::log_lines::LogLines;
 use support::route::route;
 use support::unreachable::unreachable;
 
@@ -327,44 +327,10 @@
     assert_eq!(*unreachable.calls.borrow(), ["last"]);
 }
 
-/// Collects log lines.
-#[derive(Clone, Default)]
-struct LogLines(Arc<Mutex<Vec<u8>>>);
-
-impl LogLines {
-    /// Collects the log lines of this thread.
-    fn collect(&self) -> tracing::subscriber::DefaultGuard {
-        let copy = self.clone();
-        let log = tracing_subscriber::fmt().with_ansi(false).with_writer(move || copy.clone());
-        tracing::subscriber::set_default(log.finish())
-    }
-
-    /// Returns the lines about the attempts of calls since the last call of this function.
-    fn take(&self) -> Vec<String> {
-        let text = String::from_utf8(std::mem::take(&mut *self.0.lock().unwrap())).unwrap();
-        let lines = text.lines().filter(|line| line.contains("request_tried"));
-        lines.map(str::to_owned).collect()
-    }
-}
-
-impl std::io::Write for LogLines {
-    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
-        self.0.lock().unwrap().extend_from_slice(bytes);
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> std::io::Result<()> {
-        Ok(())
-    }
-}
-
 /// Guards against a late call whose log line does not say that it waited at its host.
 #[actix_rt::test]
 async fn the_wait_for_a_window_is_logged() {
-    let lines = LogLines::default();
-    let copy = lines.clone();
-    let log = tracing_subscriber::fmt().with_ansi(false).with_writer(move || copy.clone()).finish();
-    let _guard = tracing::subscriber::set_default(log);
+    let lines = LogLines::collect();
     let fake = FakeEndpoint::start(true).await;
     let forwarder = forwarder(true, &[&fake]);
     let open = async {
@@ -374,15 +340,14 @@
     let first = call(&forwarder, "first", 1, 1, LONG_MS);
     let second = call(&forwarder, "second", 1, 1, LONG_MS);
     tokio::join!(first, second, open);
-    let text = String::from_utf8(lines.0.lock().unwrap().clone()).unwrap();
+    let lines = lines.take();
     let paced_ms = |id: &str| {
-        let mut lines = text.lines().filter(|line| line.contains("request_tried"));
-        let line = lines.find(|line| line.contains(&format!("request=\"{id}\"")));
+        let line = lines.iter().find(|line| line.contains(&format!("request=\"{id}\"")));
         let rest = line.and_then(|line| line.split("paced_ms=").nth(1)).expect("a line");
         rest.split(' ').next().unwrap().parse::<u64>().unwrap()
     };
-    assert_eq!(paced_ms("first"), 0, "{text}");
-    assert!((250..1_000).contains(&paced_ms("second")), "{text}");
+    assert_eq!(paced_ms("first"), 0, "{lines:?}");
+    assert!((250..1_000).contains(&paced_ms("second")), "{lines:?}");
 }
 
 /// Both windows are full when a second attempt is due. Guards against one that would not be sent
@@ -390,8 +355,7 @@
 /// the wait of their calls.
 #[actix_rt::test]
 async fn a_second_attempt_waits_only_if_it_would_be_sent_and_not_on_behalf_of_its_call() {
-    let lines = LogLines::default();
-    let _guard = lines.collect();
+    let lines = LogLines::collect();
     let on = Policy { paced_scorers: true, ..Policy::default() };
     let off = Policy { second_attempts: false, ..on };
     let cases = [
