--- a/components/fleet/src/reachability/tracker.rs
+++ b/components/fleet/src/reachability/tracker.rs
@@ -70,7 +70,7 @@
 pub struct Transition {
     /// The endpoint id.
     pub endpoint: String,
-    /// Its service.
+    /// The service to which it belongs, for the log.
     pub service: String,
     /// The reason, which is [`Reason::Reported`] if the endpoint has been marked.
     pub reason: Reason,
--- a/components/fleet/tests/reachability/fixture.rs
+++ b/components/fleet/tests/reachability/fixture.rs
@@ -38,7 +38,6 @@
     (0..count).map(|number| endpoint(&format!("e{number}"), "desk", 1)).collect()
 }
 
-/// A leader with its endpoints.
 pub struct Leader {
     pub tracker: ReachabilityTracker,
     pub registry: Registry,
--- a/components/fleet/tests/reachability/simulation.rs
+++ b/components/fleet/tests/reachability/simulation.rs
@@ -51,10 +51,9 @@
     NewLeader,
 }
 
-/// A request in the simulation.
 struct Request {
     process: usize,
-    /// Milliseconds of work.
+    /// Milliseconds for which an endpoint works on it.
     work_ms: u64,
     tried: BTreeSet<String>,
     answered: bool,
@@ -64,7 +63,7 @@
 pub struct Load {
     pub endpoints: usize,
     pub unreachable: usize,
-    /// Milliseconds of the outage.
+    /// The time in milliseconds in which these endpoints are unreachable.
     pub outage: std::ops::Range<u64>,
     /// Number of processes that send requests of 25 ms, and how many each sends per second.
     pub entries: (usize, f64),
@@ -77,7 +76,6 @@
     pub until: u64,
 }
 
-/// The results of a simulation.
 #[derive(Default)]
 pub struct Totals {
     /// Attempts at unreachable endpoints.
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -78,7 +78,6 @@
     Late,
 }
 
-/// The result of one attempt.
 enum AttemptResult {
     Answered(Reply),
     NotRun,
--- a/components/node/src/leader/mod.rs
+++ b/components/node/src/leader/mod.rs
@@ -75,11 +75,11 @@
 
 /// Dependencies of the leader, which outlive each term of leadership.
 pub struct Context {
-    /// The replica.
+    /// This process's replica of the log, which a term reads and proposes commands to.
     pub replica: Rc<LocalReplica>,
     /// The connected members.
     pub followers: Rc<Followers>,
-    /// The settings.
+    /// The settings of this process.
     pub settings: Rc<Settings>,
     /// Forwards calls to scorers.
     pub forwarder: Rc<Forwarder>,
--- a/components/node/tests/leader/reachability.rs
+++ b/components/node/tests/leader/reachability.rs
@@ -106,7 +106,6 @@
         Self { forwarder, link, avoided }
     }
 
-    /// Sends a request.
     async fn send(&self) -> Outcome {
         self.send_within(LIMIT_MS).await
     }
--- a/components/node/tests/support/fake_endpoint.rs
+++ b/components/node/tests/support/fake_endpoint.rs
@@ -27,7 +27,6 @@
 }
 
 impl FakeEndpoint {
-    /// Starts an endpoint.
     pub async fn start(hangs: bool) -> Rc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let fake = Rc::new(Self {
--- a/tests/whole/config.rs
+++ b/tests/whole/config.rs
@@ -56,12 +56,11 @@
     assert!(!stdout(&output).contains("no differences"), "{output:?}");
 }
 
-/// Returns the exit code.
+/// Returns the exit code, or -1 if a signal ended the process.
 pub fn code(output: &Output) -> i32 {
     output.status.code().unwrap_or(-1)
 }
 
-/// Returns the standard output.
 pub fn stdout(output: &Output) -> String {
     String::from_utf8_lossy(&output.stdout).into_owned()
 }
