Wait queue: refused requests do not count against their workspace

Cause: each request advanced the virtual time of its workspace when it was queued, also if it was refused later. After an excess, a workspace got nothing until the queue was empty or the virtual time had caught up.

A request that found all endpoints full again returns to its previous turn.

In the test of a request that keeps its position, admit now returns the position to return to.

--- a/components/node/src/wait_queues.rs
+++ b/components/node/src/wait_queues.rs
@@ -56,8 +56,7 @@
             let left = until.since(now);
             let turn = self.queues.borrow()[service].wait_ms(place, now);
             if turn == Some(0) {
-                entry.admit();
-                return Some(place);
+                return Some(entry.admit());
             }
             if left == 0 {
                 return None;
@@ -79,10 +78,10 @@
 }
 
 impl QueueEntry<'_> {
-    fn admit(&self) {
-        if let Some(queue) = self.owner.queues.borrow_mut().get_mut(self.service) {
-            queue.admit(self.place);
-        }
+    /// Admits the request and returns the place at which it may wait again.
+    fn admit(&self) -> QueuePosition {
+        let mut queues = self.owner.queues.borrow_mut();
+        queues.get_mut(self.service).map_or(self.place, |queue| queue.admit(self.place))
     }
 }
 
