Kernel: measure the lag of a thread

Overload protection needs the mean delay with which a thread runs after its scheduled time. The ticks that detect stalls now record it over a second.

--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod dump;
 pub mod duty;
+pub mod lag;
 pub mod metrics;
 pub mod phase;
 pub mod registry;
--- a/components/kernel/src/run_time.rs
+++ b/components/kernel/src/run_time.rs
@@ -18,6 +18,7 @@
 use thiserror::Error;
 
 use crate::clock;
+use crate::lag::Lag;
 use crate::stall::Stall;
 use crate::stall::TICK_INTERVAL;
 
@@ -28,6 +29,7 @@
 /// The run time of a thread. Ticks are recorded while there are timers.
 struct ThreadTime {
     stall: Rc<Stall>,
+    lag: Rc<RefCell<Lag>>,
     timers: Cell<usize>,
     ticks: RefCell<Option<JoinHandle<()>>>,
 }
@@ -35,7 +37,7 @@
 impl Default for ThreadTime {
     fn default() -> Self {
         let stall = Rc::new(Stall::new(clock::now()));
-        Self { stall, timers: Cell::default(), ticks: RefCell::default() }
+        Self { stall, lag: Rc::default(), timers: Cell::default(), ticks: RefCell::default() }
     }
 }
 
@@ -46,8 +48,10 @@
         let is_ticking = self.ticks.borrow().as_ref().is_some_and(|ticks| !ticks.is_finished());
         if is_ticking {
             self.stall.record_tick(now);
+            self.lag.borrow_mut().record_tick(now);
         } else {
             self.stall.restart(now);
+            self.lag.borrow_mut().restart(now);
             *self.ticks.borrow_mut() = Some(actix_rt::spawn(run_ticks()));
         }
         self.timers.set(self.timers.get() + 1);
@@ -56,9 +60,12 @@
 
 async fn run_ticks() {
     loop {
+        THREAD.with(|thread| thread.lag.borrow_mut().schedule(TICK_INTERVAL.as_millis() as u64));
         actix_rt::time::sleep(TICK_INTERVAL).await;
         let has_timers = THREAD.with(|thread| {
-            thread.stall.record_tick(clock::now());
+            let now = clock::now();
+            thread.stall.record_tick(now);
+            thread.lag.borrow_mut().record_scheduled(now);
             thread.timers.get() > 0
         });
         if !has_timers {
@@ -73,6 +80,7 @@
     started_ms: u64,
     /// A timer belongs to its thread.
     stall: Rc<Stall>,
+    lag: Rc<RefCell<Lag>>,
 }
 
 impl RunTimer {
@@ -80,20 +88,21 @@
     pub fn start() -> Self {
         THREAD.with(|thread| {
             thread.add_timer();
-            Self { started_ms: thread.stall.ran_ms(), stall: thread.stall.clone() }
+            let (stall, lag) = (thread.stall.clone(), thread.lag.clone());
+            Self { started_ms: stall.ran_ms(), stall, lag }
         })
     }
 
     /// Returns the milliseconds for which the thread has run since the start.
     pub fn elapsed_ms(&self) -> u64 {
-        self.stall.record_tick(clock::now());
+        self.record_tick();
         self.stall.ran_ms() - self.started_ms
     }
 
     /// Returns the time left until the thread has run for `limit`, and has read what arrived during
     /// a stall.
     pub fn left(&self, limit: Duration) -> Duration {
-        self.stall.record_tick(clock::now());
+        self.record_tick();
         Duration::from_millis(self.stall.left_ms(self.started_ms, limit.as_millis() as u64))
     }
 
@@ -113,7 +122,7 @@
     /// that is stalled again and again.
     pub async fn passed(&self, until: Instant) {
         actix_rt::time::sleep_until(until).await;
-        self.stall.record_tick(clock::now());
+        self.record_tick();
         let read_ms = self.stall.read_ms(self.started_ms);
         if read_ms > 0 {
             actix_rt::time::sleep(Duration::from_millis(read_ms)).await;
@@ -122,7 +131,7 @@
 
     /// Returns whether what arrived during a stall may be unread.
     pub fn is_reading(&self) -> bool {
-        self.stall.record_tick(clock::now());
+        self.record_tick();
         self.stall.read_ms(self.started_ms) > 0
     }
 
@@ -131,10 +140,22 @@
         self.passed(Instant::now()).await;
     }
 
+    /// Returns the mean delay of this thread's ticks over the last second in milliseconds.
+    pub fn lag_ms(&self) -> u64 {
+        self.record_tick();
+        self.lag.borrow_mut().mean_ms(clock::now())
+    }
+
     /// Returns the milliseconds for which a request that is read now may have waited unread.
     pub fn waited_ms(&self, now: Millis) -> u64 {
         self.stall.waited_ms(now)
     }
+
+    fn record_tick(&self) {
+        let now = clock::now();
+        self.stall.record_tick(now);
+        self.lag.borrow_mut().record_tick(now);
+    }
 }
 
 impl Drop for RunTimer {
