Fleet: decide when an entry is overloaded

A lag of up to 60 ms has no effect, whatever the target times are, because stalls of 100 ms again and again are measured as 50 ms. policy.overload_protection is off by default.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod hedge;
 pub mod open_runs;
 pub mod order_lease;
+pub mod overload;
 pub mod pacing;
 pub mod pick;
 pub mod plan;
--- a/components/fleet/src/policy.rs
+++ b/components/fleet/src/policy.rs
@@ -58,6 +58,9 @@
     /// Inform other processes, through the leader, which endpoints of plain services are
     /// unreachable. Disabled by default.
     pub shared_reachability: bool,
+    /// Let an entry that approaches its limits divert new connections and refuse new requests.
+    /// Disabled by default.
+    pub overload_protection: bool,
 }
 
 impl Default for Policy {
@@ -84,6 +87,7 @@
             paced_scorers: false,
             connect_fallback: false,
             shared_reachability: false,
+            overload_protection: false,
         }
     }
 }
