Entry: overload protection

An entry accepted requests until it was killed. With policy.overload_protection it now measures its lag, evaluates its level every 100 ms and when a request begins, fails readiness checks and closes connections at the level divert, and refuses new requests before their bodies are read at the level refuse. Stalled replies are cut while memory requires it. The limits are the new settings memory_mb and descriptors; zero means none, as the platform may leave them empty.

--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod message;
 pub mod metrics;
 pub mod orders;
+pub mod overload;
 pub mod parts;
 pub mod peers;
 pub mod ready;
--- a/components/node/src/metrics.rs
+++ b/components/node/src/metrics.rs
@@ -124,6 +124,27 @@
 pub static LINK_BYTES: LazyLock<IntCounterVec> = LazyLock::new(|| {
     counter("link_bytes_total", "Bytes on links by kind and data centres.", &["kind", "from", "to"])
 });
+/// Bytes of requests and replies that this entry holds for its callers.
+pub static ENTRY_HELD_BYTES: LazyLock<IntGauge> = LazyLock::new(|| {
+    register_int_gauge!("entry_held_bytes", "Bytes held for callers.").expect("names are unique")
+});
+/// Open connections of callers.
+pub static ENTRY_CONNECTIONS: LazyLock<IntGauge> = LazyLock::new(|| {
+    register_int_gauge!("entry_connections", "Connections of callers.").expect("names are unique")
+});
+/// Mean delay of this entry's thread over the last second in milliseconds.
+pub static ENTRY_LAG: LazyLock<IntGauge> = LazyLock::new(|| {
+    register_int_gauge!("entry_lag_ms", "Mean delay of the thread.").expect("names are unique")
+});
+/// Level of overload protection: 0 normal, 1 divert, 2 refuse.
+pub static ENTRY_OVERLOAD_LEVEL: LazyLock<IntGauge> = LazyLock::new(|| {
+    register_int_gauge!("entry_overload_level", "0 normal, 1 divert, 2 refuse.")
+        .expect("names are unique")
+});
+/// Requests that were refused by overload protection.
+pub static OVERLOAD_REFUSALS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counter("entry_overload_refusals_total", "Requests refused by overload protection.", &["cause"])
+});
 static LEADS: LazyLock<IntGauge> = LazyLock::new(|| {
     register_int_gauge!("leads", "Whether this process leads.").expect("names are unique")
 });
--- /dev/null
+++ b/components/node/src/overload.rs
@@ -0,0 +1,146 @@
+//! Applies overload protection to an entry: measures what it holds, and refuses requests before
+//! their bodies are read. [`chicoryford_fleet::overload`] makes the decisions.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use chicoryford_fleet::overload::Cause;
+use chicoryford_fleet::overload::Decision;
+use chicoryford_fleet::overload::Level;
+use chicoryford_fleet::overload::Limits;
+use chicoryford_fleet::overload::Overload;
+use chicoryford_fleet::overload::RETRY_AFTER_MS;
+use chicoryford_fleet::overload::UnreadReply;
+use chicoryford_fleet::overload::Usage;
+use chicoryford_http::Admission;
+use chicoryford_http::Load;
+use chicoryford_http::Reply;
+use chicoryford_http::Request;
+use chicoryford_http::Server;
+use chicoryford_http::message::StatusCode;
+use chicoryford_kernel::run_time::RunTimer;
+use chicoryford_platform as platform;
+use chicoryford_platform::request;
+
+use crate::clock;
+use crate::link::Link;
+use crate::metrics;
+use crate::view::View;
+
+/// Interval of evaluations, in addition to those when requests begin.
+const EVALUATION_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The overload protection of an entry.
+pub struct OverloadProtection {
+    overload: RefCell<Overload>,
+    decision: Cell<Decision>,
+    load: Rc<Load>,
+    timer: RunTimer,
+    view: Rc<View>,
+    link: Rc<Link>,
+}
+
+impl OverloadProtection {
+    /// Protects a server, of which no connection has been accepted yet.
+    pub fn start(limits: Limits, server: &Server, view: Rc<View>, link: Rc<Link>) -> Rc<Self> {
+        let protection = Rc::new(Self {
+            overload: RefCell::new(Overload::new(limits)),
+            decision: Cell::default(),
+            load: server.load(),
+            timer: RunTimer::start(),
+            view,
+            link,
+        });
+        server.set_admission(protection.clone());
+        actix_rt::spawn(protection.clone().evaluate_periodically());
+        protection
+    }
+
+    /// Returns whether new connections should go to other entries.
+    pub fn diverts(&self) -> bool {
+        self.decision.get().level >= Level::Divert
+    }
+
+    async fn evaluate_periodically(self: Rc<Self>) {
+        loop {
+            actix_rt::time::sleep(EVALUATION_INTERVAL).await;
+            let usage = self.evaluate();
+            metrics::ENTRY_HELD_BYTES.set(usage.held_bytes as i64);
+            metrics::ENTRY_CONNECTIONS.set(usage.connections as i64);
+            metrics::ENTRY_LAG.set(usage.lag_ms as i64);
+            self.cut_stalled_replies();
+        }
+    }
+
+    fn evaluate(&self) -> Usage {
+        let usage = Usage {
+            held_bytes: self.load.held_bytes(),
+            connections: self.load.connections() as u64,
+            lag_ms: self.timer.lag_ms(),
+        };
+        let target_ms = self.view.config().and_then(|config| {
+            let targets = config.routes.iter().map(|route| route.target_ms);
+            // A route without a target has zero.
+            targets.filter(|target_ms| *target_ms > 0).min()
+        });
+        let decision = self.overload.borrow_mut().update(usage, target_ms, clock::now());
+        let before = self.decision.replace(decision);
+        if decision.level != before.level {
+            let cause = decision.cause.or(before.cause).map_or("", Cause::as_str);
+            tracing::warn!(
+                event = "overload",
+                level = decision.level.as_str(),
+                cause,
+                held_bytes = usage.held_bytes,
+                connections = usage.connections,
+                lag_ms = usage.lag_ms
+            );
+        }
+        metrics::ENTRY_OVERLOAD_LEVEL.set(decision.level as i64);
+        usage
+    }
+
+    fn cut_stalled_replies(&self) {
+        if self.decision.get().level < Level::Refuse {
+            return;
+        }
+        let unread: Vec<UnreadReply> = self
+            .load
+            .unread_replies()
+            .into_iter()
+            .map(|reply| UnreadReply {
+                id: reply.id,
+                bytes: reply.bytes,
+                stalled_ms: reply.stalled_ms,
+            })
+            .collect();
+        let cut = self.overload.borrow().replies_to_cut(self.load.held_bytes(), &unread);
+        for reply in cut {
+            tracing::warn!(
+                event = "slow_reader_cut",
+                bytes = reply.bytes,
+                stalled_ms = reply.stalled_ms
+            );
+            self.load.cut_reply(reply.id);
+        }
+    }
+}
+
+impl Admission for OverloadProtection {
+    fn refusal(&self, request: &Request) -> Option<Reply> {
+        self.evaluate();
+        let decision = self.decision.get();
+        let cause = decision.cause.filter(|_| decision.level == Level::Refuse)?;
+        metrics::OVERLOAD_REFUSALS.with_label_values(&[cause.as_str()]).inc();
+        let (id, why) = (request::attempt_id(request).unwrap_or_default(), cause.refusal_reason());
+        let (after_ms, silent_ms) = (RETRY_AFTER_MS, self.link.silent_ms());
+        tracing::info!(event = "request_refused", request = id, why, after_ms, silent_ms);
+        Some(platform::refusal(StatusCode::SERVICE_UNAVAILABLE, why, after_ms))
+    }
+
+    fn closes_connections(&self) -> bool {
+        self.diverts()
+    }
+}
--- a/components/node/src/ready.rs
+++ b/components/node/src/ready.rs
@@ -8,6 +8,7 @@
 use chicoryford_http::message::StatusCode;
 
 use crate::link::Link;
+use crate::overload::OverloadProtection;
 use crate::view::View;
 
 /// Silence of the leader, in milliseconds, after which new callers should use another process. An
@@ -22,6 +23,8 @@
     pub link: Rc<Link>,
     /// Whether the process was asked to stop.
     pub stopping: Rc<Cell<bool>>,
+    /// The overload protection of the entry, if it is enabled.
+    pub overload: Option<Rc<OverloadProtection>>,
 }
 
 impl Readiness {
@@ -29,7 +32,8 @@
     pub fn answer(&self, _: &Request) -> Reply {
         let ready = !self.stopping.get()
             && self.view.config().is_some()
-            && self.link.silent_ms() < DISCONNECTED_MS;
+            && self.link.silent_ms() < DISCONNECTED_MS
+            && !self.overload.as_ref().is_some_and(|overload| overload.diverts());
         if ready {
             Reply::new(StatusCode::OK, "ready")
         } else {
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -8,6 +8,7 @@
 use chicoryford_fleet::Policy;
 use chicoryford_fleet::StaleKeyPolicy;
 use chicoryford_fleet::hedge::SecondAttempts;
+use chicoryford_fleet::overload::Limits;
 use chicoryford_fleet::usage::Windows;
 use serde::Deserialize;
 use thiserror::Error;
@@ -84,6 +85,11 @@
     /// Seconds after its submission for which a step's results are kept.
     #[serde(default = "two_minutes")]
     pub keep_s: u64,
+    /// Memory limit of the process in MB (10^6 bytes). Without it, or with zero, memory is not
+    /// limited.
+    pub memory_mb: Option<u64>,
+    /// File descriptor limit of the process. Without it, or with zero, descriptors are not limited.
+    pub descriptors: Option<u64>,
     /// Mechanisms that are switched off in order to measure their effect.
     #[serde(default)]
     pub policy: Policy,
@@ -171,6 +177,12 @@
         Windows { length_ms: self.usage_window_s.max(1) * 1_000 }
     }
 
+    /// Returns the limits of this process.
+    pub fn limits(&self) -> Limits {
+        let limit = |limit: Option<u64>| limit.filter(|limit| *limit > 0);
+        Limits { memory_mb: limit(self.memory_mb), descriptors: limit(self.descriptors) }
+    }
+
     /// Returns the address to listen on for an address at which others reach this process.
     pub fn listen_address(&self, reached: SocketAddr) -> SocketAddr {
         SocketAddr::new(self.listen_ip.unwrap_or(reached.ip()), reached.port())
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -40,6 +40,7 @@
 use crate::link_server::LinkServer;
 use crate::members;
 use crate::metrics;
+use crate::overload::OverloadProtection;
 use crate::parts;
 use crate::peers::Peers;
 use crate::ready::Readiness;
@@ -223,8 +224,9 @@
             actix_rt::spawn(parts::serve(listener, depot));
         }
         process.start_control()?;
+        let overload = process.start_overload_protection();
         process.start_entry()?;
-        process.start_ready()?;
+        process.start_ready(overload)?;
         process.start_metrics(replica.clone())?;
         let link = process.link.clone();
         actix_rt::spawn(async move { link.run().await });
@@ -335,13 +337,23 @@
         serve(self.server.clone(), address, move |request| entry.clone().answer(request))
     }
 
-    fn start_ready(&self) -> Result<(), StartError> {
+    fn start_overload_protection(&self) -> Option<Rc<OverloadProtection>> {
+        let settings = &self.settings;
+        let enabled = settings.policy.overload_protection && settings.entry.is_some();
+        enabled.then(|| {
+            let (view, link) = (self.view.clone(), self.link.clone());
+            OverloadProtection::start(settings.limits(), &self.server, view, link)
+        })
+    }
+
+    fn start_ready(&self, overload: Option<Rc<OverloadProtection>>) -> Result<(), StartError> {
         let Some(address) = self.settings.ready else { return Ok(()) };
         let address = self.settings.listen_address(address);
         let readiness = Rc::new(Readiness {
             view: self.view.clone(),
             link: self.link.clone(),
             stopping: self.stopping.clone(),
+            overload,
         });
         serve(Rc::new(Server::default()), address, move |request| {
             let readiness = readiness.clone();
--- a/components/node/tests/leader/fleet.rs
+++ b/components/node/tests/leader/fleet.rs
@@ -223,6 +223,8 @@
 
 pub fn settings(links: SocketAddr) -> Settings {
     Settings {
+        memory_mb: None,
+        descriptors: None,
         node: "c".to_owned(),
         ip: links.ip(),
         listen_ip: None,
--- a/components/node/tests/settings.rs
+++ b/components/node/tests/settings.rs
@@ -6,6 +6,7 @@
 use chicoryford_fleet::Policy;
 use chicoryford_fleet::hedge::AttemptShare;
 use chicoryford_fleet::hedge::SecondAttempts;
+use chicoryford_fleet::overload::Limits;
 use chicoryford_node::settings;
 use chicoryford_node::settings::SettingsError;
 
@@ -57,6 +58,20 @@
     assert_eq!(settings.policy, Policy { shared_reachability: true, ..Policy::default() });
 }
 
+/// Guards against protection that deployments get without asking, and against limits that are not
+/// read.
+#[test]
+fn overload_protection_is_enabled_and_limited_by_the_settings() {
+    let settings = load(MINIMAL).unwrap();
+    assert!(!settings.policy.overload_protection);
+    assert_eq!(settings.limits(), Limits::default());
+    let text = "memory_mb: 120\ndescriptors: 3075\npolicy:\n  overload_protection: true\n";
+    let settings = load(&format!("{MINIMAL}{text}")).unwrap();
+    assert_eq!(settings.policy, Policy { overload_protection: true, ..Policy::default() });
+    let limits = Limits { memory_mb: Some(120), descriptors: Some(3_075) };
+    assert_eq!(settings.limits(), limits);
+}
+
 #[test]
 fn a_misspelt_or_missing_field_is_named() {
     let misspelt = load(&format!("{MINIMAL}seads: []\n")).unwrap_err();
