--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod observed_loads;
 pub mod open_runs;
 pub mod order_lease;
+pub mod overload;
 pub mod pacing;
 pub mod pick;
 pub mod plan;
