Planner order test: satisfy clippy

Cause: an unused import, remainders that clippy wants as is_multiple_of, and a deprecated method of quickcheck.

Run: cargo clippy of the test plan_order with -D warnings.

--- a/components/fleet/tests/plan_order.rs
+++ b/components/fleet/tests/plan_order.rs
@@ -11,7 +11,6 @@
 use chicoryford_fleet::Endpoint;
 use chicoryford_fleet::EndpointStatus;
 use chicoryford_fleet::Policy;
-use chicoryford_fleet::Sample;
 use chicoryford_fleet::Share;
 use chicoryford_fleet::Step;
 use chicoryford_fleet::plan::AfterRun;
@@ -106,7 +105,7 @@
     let held = versions.iter().filter(|(_, version)| *version > 0);
     one.announcement.models =
         held.map(|(model, version)| ((*model).to_owned(), u64::from(*version))).collect();
-    if place % 5 == 0 {
+    if place.is_multiple_of(5) {
         one.announcement.service = "more".to_owned();
     }
     one
@@ -121,7 +120,8 @@
         learn_lengths(&mut planner);
         engines.iter().for_each(|engine| planner.update_engine(engine));
         // Engines without a record count as equal to the median.
-        let fast = engines.iter().zip(draws).filter(|(_, draw)| two_speeds && draw.2 % 3 == 0);
+        let fast =
+            engines.iter().zip(draws).filter(|(_, draw)| two_speeds && draw.2.is_multiple_of(3));
         make_fast(&mut planner, fast.map(|(engine, _)| engine.announcement.id.as_str()), NOW);
         Self {
             planner,
@@ -160,7 +160,7 @@
         one.priority = u32::from(a % 2);
         one.due_ms = [6_000, 7_500, 9_000][usize::from(a / 2 % 3)];
         one.min_version = u64::from(a / 6 % 2) + 1;
-        one.model = if a / 12 % 4 == 0 { "n" } else { "m" }.to_owned();
+        one.model = if (a / 12).is_multiple_of(4) { "n" } else { "m" }.to_owned();
         for (index, sample) in one.samples.iter_mut().enumerate() {
             let to_both = (a / 48 + index as u8 / 4) % 2 == 1;
             sample.path = if to_both { "/t/1" } else { "/s/1" }.to_owned();
@@ -233,7 +233,7 @@
 
     fn change_status(&mut self, a: u8, b: u8) {
         if let Some(engine) = pick(&mut self.engines, a) {
-            let is_ready = b % 2 == 0;
+            let is_ready = b.is_multiple_of(2);
             engine.status = if is_ready { EndpointStatus::Ready } else { EndpointStatus::Draining };
             self.planner.update_engine(engine);
         }
@@ -243,7 +243,7 @@
     fn load(&mut self, a: u8, b: u8) {
         let Some(engine) = pick(&mut self.engines, a) else { return };
         let id = engine.announcement.id.clone();
-        let model = if b % 4 == 0 { "n" } else { "m" }.to_owned();
+        let model = if b.is_multiple_of(4) { "n" } else { "m" }.to_owned();
         let known = self.planner.engine_mut(&id).expect("it is known");
         if let Some(model) = known.loading.clone() {
             known.end_load(self.now);
@@ -418,7 +418,7 @@
     };
     let property: fn((Vec<EngineDraw>, Vec<EventDraw>)) = property;
     let size = Gen::new(MAX_EVENTS);
-    QuickCheck::new().r#gen(size).tests(LOADS).quickcheck(property);
+    QuickCheck::new().rng(size).tests(LOADS).quickcheck(property);
 }
 
 /// Guards against a sample that starts before one of a more urgent step that could use its slot,
