Pacing: waiting calls wake others only if they give up an endpoint

Cause: found by a review: each waiting call woke the next one at each check, ten times a second, which examined the whole queue.

Change: the queue tells whether a call has given up an endpoint.

Overload: the shortest target time of the routes is found once for each version of the configuration, not at each request.

--- a/components/fleet/src/pacing.rs
+++ b/components/fleet/src/pacing.rs
@@ -170,9 +170,12 @@
         self.has_room(id) && !self.waiting.range(..place).any(|(_, wanted)| wanted.contains(id))
     }
 
-    /// Adds a call to the queue, or replaces the endpoints that it may use.
-    pub fn wait(&mut self, place: CallPlace, wanted: BTreeSet<String>) {
+    /// Adds a call to the queue, or replaces the endpoints that it may use. Returns whether it has
+    /// given up an endpoint, which a call behind it may use now.
+    pub fn wait(&mut self, place: CallPlace, wanted: BTreeSet<String>) -> bool {
+        let given_up = self.waiting.get(&place).is_some_and(|before| !before.is_subset(&wanted));
         self.waiting.insert(place, wanted);
+        given_up
     }
 
     /// Removes a call from the queue, because it is about to be sent or is no longer wanted.
--- a/components/fleet/tests/pacing.rs
+++ b/components/fleet/tests/pacing.rs
@@ -178,7 +178,9 @@
     let mut pacer = pacer(6, &["a"]);
     assert_eq!(fill(&mut pacer, "a"), 1);
     let places: Vec<CallPlace> = [2, 1, 2, 0].map(|rank| pacer.assign_place(rank)).into();
-    places.iter().rev().for_each(|place| pacer.wait(*place, wanted(&["a"])));
+    for place in places.iter().rev() {
+        pacer.wait(*place, wanted(&["a"]));
+    }
     let mut order = Vec::new();
     for _ in &places {
         assert_eq!(pacer.next_call(), None, "the window is full");
@@ -194,6 +196,21 @@
     assert_eq!(order, [places[3], places[1], places[0], places[2]]);
 }
 
+/// Guards against a load of a thousand waiting calls that keeps the processor busy: each of them
+/// checks its endpoints ten times a second, and examined the whole queue to wake others although it
+/// had given up no endpoint.
+#[test]
+fn a_waiting_call_wakes_others_only_if_it_gives_up_an_endpoint() {
+    let mut pacer = pacer(6, &["a", "b"]);
+    let place = pacer.assign_place(1);
+    assert!(!pacer.wait(place, wanted(&["a"])), "it has just begun to wait");
+    assert!(!pacer.wait(place, wanted(&["a"])));
+    assert!(!pacer.wait(place, wanted(&["a", "b"])), "its grant was extended");
+    assert!(pacer.wait(place, wanted(&["b"])), "another call may use a");
+    pacer.leave(place);
+    assert!(!pacer.wait(place, wanted(&["a"])));
+}
+
 /// Guards against a second attempt that delays a call of its rank which has no attempt yet.
 #[test]
 fn second_attempts_wait_behind_the_first_ones_of_their_rank() {
--- a/components/node/src/forward/pacing.rs
+++ b/components/node/src/forward/pacing.rs
@@ -194,9 +194,12 @@
             }
             let queued =
                 queued.get_or_insert_with(|| QueuedCall::new(pacing, place, self.route, paced_ms));
-            pacing.pacer.borrow_mut().wait(place, wanted);
-            // The call may have given up endpoints that others wait for.
-            pacing.wake_next();
+            // Without this condition, each of many waiting calls would examine the whole queue at
+            // each check.
+            let given_up = pacing.pacer.borrow_mut().wait(place, wanted);
+            if given_up {
+                pacing.wake_next();
+            }
             tokio::select! {
                 () = queued.turn.notified() => {}
                 () = tokio::time::sleep(RECHECK_INTERVAL) => {}
--- a/components/node/src/overload.rs
+++ b/components/node/src/overload.rs
@@ -36,6 +36,8 @@
 pub struct OverloadProtection {
     overload: RefCell<Overload>,
     decision: Cell<Decision>,
+    /// The version of a configuration, and the shortest target time of its routes.
+    target: Cell<(Option<u64>, Option<u64>)>,
     load: Rc<Load>,
     timer: RunTimer,
     view: Rc<View>,
@@ -48,6 +50,7 @@
         let protection = Rc::new(Self {
             overload: RefCell::new(Overload::new(limits)),
             decision: Cell::default(),
+            target: Cell::default(),
             load: server.load(),
             timer: RunTimer::start(),
             view,
@@ -80,11 +83,7 @@
             connections: self.load.connections() as u64,
             lag_ms: self.timer.lag_ms(),
         };
-        let target_ms = self.view.config().and_then(|config| {
-            let targets = config.routes.iter().map(|route| route.target_ms);
-            // A route without a target has zero.
-            targets.filter(|target_ms| *target_ms > 0).min()
-        });
+        let target_ms = self.target_ms();
         let decision = self.overload.borrow_mut().update(usage, target_ms, clock::now());
         let before = self.decision.replace(decision);
         if decision.level != before.level {
@@ -102,6 +101,21 @@
         usage
     }
 
+    /// Returns the shortest target time of the routes. A configuration may have many routes, so they
+    /// are examined once for each version.
+    fn target_ms(&self) -> Option<u64> {
+        let config = self.view.config()?;
+        let (version, target_ms) = self.target.get();
+        if version == Some(config.version) {
+            return target_ms;
+        }
+        let targets = config.routes.iter().map(|route| route.target_ms);
+        // A route without a target has zero.
+        let target_ms = targets.filter(|target_ms| *target_ms > 0).min();
+        self.target.set((Some(config.version), target_ms));
+        target_ms
+    }
+
     fn cut_stalled_replies(&self) {
         if self.decision.get().level < Level::Refuse {
             return;
