--- a/components/entry/src/router/placement.rs
+++ b/components/entry/src/router/placement.rs
@@ -82,7 +82,7 @@
         Ok((self.last_attempt, pick))
     }
 
-    /// Returns the silent endpoints of a request whose agents were not heard since.
+    /// Returns the silent endpoints of a request whose agents have sent nothing since then.
     fn silent_endpoints(&self, query: &EndpointQuery) -> Vec<EndpointId> {
         let is_silent = |id: EndpointId, since: Millis| {
             self.routing.state(id).is_some_and(|state| !state.was_heard_after(since))
--- a/components/entry/src/router/query.rs
+++ b/components/entry/src/router/query.rs
@@ -29,7 +29,7 @@
     /// All endpoints, but preferably those that are not silent.
     #[default]
     Any,
-    /// Endpoints that are not silent, or whose agents were heard again since.
+    /// Endpoints that are not silent, or whose agents have reported or returned since then.
     Heard,
     /// None.
     Never,
--- a/components/entry/src/run/attempts.rs
+++ b/components/entry/src/run/attempts.rs
@@ -124,11 +124,11 @@
 
     /// Chooses the endpoint of a further attempt.
     ///
-    /// While the only endpoints are those that went silent on this request, it waits until one is
-    /// heard again, for at most three quarters of the time left: an agent that stood still for 10 s
-    /// was a member again 3 s later. Otherwise a region that is cut off, and
-    /// whose own endpoint stands still for a few seconds, would use up the attempts of its requests
-    /// at endpoints that are out of reach.
+    /// While the only endpoints are those that went silent on this request, it waits until an agent
+    /// reports its load or is announced again, for at most three quarters of the time left: an agent
+    /// that did not run for 10 s was a member again 3 s later. Otherwise a region that is cut off,
+    /// and whose own endpoint does not run for a few seconds, would use up the attempts of its
+    /// requests at unreachable endpoints.
     async fn choose(&self) -> Result<AttemptPermit, Failure> {
         let router = &self.context.router;
         let now = self.context.now();
--- a/components/entry/tests/silent_endpoints.rs
+++ b/components/entry/tests/silent_endpoints.rs
@@ -117,7 +117,7 @@
 
 #[test]
 fn a_silent_endpoint_is_better_than_none_at_last() {
-    // Guards against a request that fails without a further attempt when no agent is heard in time.
+    // Guards against a request that fails without a further attempt when no agent reports in time.
     let chosen = choose(&mut router(1), &query(&[NEAR, FAR], Reuse::Any), 12_000);
     assert!(chosen.is_some());
 }
--- a/components/fleet/src/overload.rs
+++ b/components/fleet/src/overload.rs
@@ -13,7 +13,7 @@
 const MIN_BUDGET_BYTES: u64 = 4 * BYTES_PER_MB;
 const BYTES_PER_MB: u64 = 1_000_000;
 /// Percentages of the memory budget at which the levels are entered. The half of the memory that is
-/// not in the budget has room for the copies of bodies at the endpoints' connections.
+/// not in the budget is for copies of bodies that are sent to endpoints.
 const MEMORY_PERCENT: Percentages = Percentages { divert: 50, refuse: 80 };
 /// Percentages of the descriptors for callers at which the levels are entered.
 const CONNECTIONS_PERCENT: Percentages = Percentages { divert: 80, refuse: 95 };
