--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -337,6 +337,11 @@
         }
     }
 
+    /// Returns the number of endpoints that this process knows.
+    pub fn known_endpoints(&self) -> usize {
+        self.view.endpoint_count()
+    }
+
     /// Handles a message from the leader. Returns whether the sender still leads.
     fn handle(&self, message: LeaderMessage) -> bool {
         match message {
@@ -351,7 +356,7 @@
                         }
                     }
                 }
-                let known = self.view.endpoint_count();
+                let known = self.known_endpoints();
                 tracing::info!(event = "endpoints_received", endpoints, known);
             }
             LeaderMessage::Everything(mut all) => {
--- a/components/node/src/metrics.rs
+++ b/components/node/src/metrics.rs
@@ -163,6 +163,10 @@
     )
     .expect("names are unique")
 });
+static KNOWN_ENDPOINTS: LazyLock<IntGauge> = LazyLock::new(|| {
+    register_int_gauge!("known_endpoints", "Endpoints that this process knows.")
+        .expect("names are unique")
+});
 static SAMPLES: LazyLock<IntGaugeVec> = LazyLock::new(|| {
     register_int_gauge_vec!("samples", "Samples of open steps by phase.", &["phase"])
         .expect("names are unique")
@@ -186,6 +190,7 @@
 /// Answers with all metrics as text.
 pub fn answer(sources: &Sources, _: &Request) -> Reply {
     LEADER_SILENT.set(sources.link.silent_ms() as i64);
+    KNOWN_ENDPOINTS.set(sources.link.known_endpoints() as i64);
     LEADS.set(i64::from(sources.replica.as_ref().is_some_and(|replica| replica.leads())));
     ENDPOINTS.reset();
     UNREACHABLE.set(0);
