Ignore late announcements of an earlier start in scorers' windows

An announcement of an earlier start replaced the slots of the window. With fewer slots, the next answer in time also removed what the window had grown, so the present start had to grow it again.

A window now belongs to the latest start of its endpoint. Only an endpoint that was removed may come back with an earlier start, because its clock may have been set back; its window starts at the lower bound, and calls in flight count.

--- a/components/fleet/src/pacing.rs
+++ b/components/fleet/src/pacing.rs
@@ -117,19 +117,21 @@
     }
 
     /// Adds an endpoint or updates it. Its window starts at the lower bound, again after each
-    /// restart.
+    /// restart. Late announcements of an earlier start are ignored.
     pub fn observe(&mut self, endpoint: &Endpoint) {
         let announcement = &endpoint.announcement;
         let new = Window::new(endpoint);
         match self.windows.get_mut(&announcement.id) {
-            // Calls from before the restart still count until they end.
-            Some(window) if window.started_ms < announcement.started_ms => {
-                *window = Window { running: window.running, ..new };
-            }
-            Some(window) => {
+            Some(window) if window.started_ms == announcement.started_ms => {
                 window.slots = announcement.slots;
                 window.forgotten = false;
             }
+            // Calls from before the restart still count until they end. An endpoint that was
+            // removed may come back with an earlier start time, because its clock was set back.
+            Some(window) if window.forgotten || window.started_ms < announcement.started_ms => {
+                *window = Window { running: window.running, ..new };
+            }
+            Some(_) => {}
             None => {
                 self.windows.insert(announcement.id.clone(), new);
             }
--- a/components/fleet/tests/pacing.rs
+++ b/components/fleet/tests/pacing.rs
@@ -246,6 +246,42 @@
     assert_eq!(fill(&mut pacer, "a"), SLOTS / 2);
 }
 
+/// Guards against a window that loses its size because a process sends what it knew of an earlier
+/// start of the endpoint.
+#[test]
+fn a_late_announcement_of_an_earlier_start_changes_nothing() {
+    let mut current = endpoint("a");
+    current.announcement.started_ms = 2;
+    let mut earlier = endpoint("a");
+    earlier.announcement.started_ms = 1;
+    earlier.announcement.slots = 1;
+    let mut pacer = pacer(1, &[]);
+    pacer.observe(&current);
+    grow(&mut pacer, "a");
+    pacer.observe(&earlier);
+    assert_eq!(fill(&mut pacer, "a"), SLOTS, "the slots of the earlier start");
+    end(&mut pacer, "a", SLOTS, AttemptOutcome::Answered(80));
+    pacer.observe(&current);
+    assert_eq!(fill(&mut pacer, "a"), SLOTS, "the window has lost its size");
+}
+
+/// Guards against an endpoint that gets no calls after it was removed and came back with a clock
+/// that was set back.
+#[test]
+fn an_endpoint_that_was_removed_may_come_back_with_an_earlier_start() {
+    let mut removed = endpoint("a");
+    removed.announcement.started_ms = 2;
+    let mut pacer = pacer(1, &[]);
+    pacer.observe(&removed);
+    grow(&mut pacer, "a");
+    pacer.record_start("a");
+    pacer.forget("a");
+    let mut back = endpoint("a");
+    back.announcement.started_ms = 1;
+    pacer.observe(&back);
+    assert_eq!(fill(&mut pacer, "a"), SLOTS / 2 - 1, "one call from before counts");
+}
+
 const HOSTS: usize = 3;
 const ENTRIES: usize = 20;
 const ENDPOINTS: usize = 11;
