Queue scorers' calls whose endpoint becomes unreachable

A call whose second attempt waited for a window was not checked for being cut off, and one whose second attempt was withheld checked every 25 ms whether a window had room, without a place in the queue. Both waited behind the first attempts of all later calls, up to their whole pass.

Such a call now abandons its attempt if its grant has a reachable endpoint, and waits as a first attempt in its original place. Waiting calls no longer check every 100 ms whether they may be sent: they are woken when a window opens for them, when an endpoint of their grant or its mark changes, and when their grant is extended or their calls are recorded.

Without the change fail a_call_whose_endpoint_becomes_unreachable_waits_ahead_of_later_calls, waiting_calls_check_nothing_without_a_cause and a_window_that_opens_wakes_one_waiting_call.

--- a/components/fleet/src/pacing.rs
+++ b/components/fleet/src/pacing.rs
@@ -105,6 +105,9 @@
     windows: BTreeMap<String, Window>,
     /// The waiting calls, with the endpoints that each of them may use.
     waiting: BTreeMap<CallPlace, BTreeSet<String>>,
+    /// The calls that must be checked again when the state of an endpoint changes, with all
+    /// endpoints that each of them is granted.
+    watching: BTreeMap<CallPlace, BTreeSet<String>>,
     last_arrival: u64,
 }
 
@@ -185,6 +188,23 @@
         self.waiting.remove(&place);
     }
 
+    /// Records the endpoints on whose state a call depends, whether it waits or is in progress.
+    pub fn watch(&mut self, place: CallPlace, endpoints: BTreeSet<String>) {
+        self.watching.insert(place, endpoints);
+    }
+
+    /// Records that a call depends on no endpoints any more.
+    pub fn unwatch(&mut self, place: CallPlace) {
+        self.watching.remove(&place);
+    }
+
+    /// Returns the calls that depend on the state of one of these endpoints, in the order of the
+    /// queue.
+    pub fn affected_calls(&self, changed: &BTreeSet<String>) -> Vec<CallPlace> {
+        let affected = self.watching.iter().filter(|(_, ids)| !ids.is_disjoint(changed));
+        affected.map(|(place, _)| *place).collect()
+    }
+
     /// Returns the first call in the queue that may be sent to an endpoint now.
     pub fn next_call(&self) -> Option<CallPlace> {
         let mut admitted =
--- a/components/fleet/src/reachability/local.rs
+++ b/components/fleet/src/reachability/local.rs
@@ -101,10 +101,16 @@
         self.leader_heard = self.leader_heard.max(heard);
     }
 
+    /// Returns the endpoints that are known to be unreachable with their start times, or `None` if
+    /// the leader's set is too old.
+    pub fn marked(&self, now: Millis) -> Option<&BTreeMap<String, u64>> {
+        let is_recent = now.since(self.leader_heard) <= SET_LIFETIME_MS;
+        is_recent.then_some(&self.set.endpoints)
+    }
+
     /// Returns whether an endpoint with this start time is known to be unreachable.
     pub fn is_unreachable(&self, id: &str, started_ms: u64, now: Millis) -> bool {
-        self.set.endpoints.get(id) == Some(&started_ms)
-            && now.since(self.leader_heard) <= SET_LIFETIME_MS
+        self.marked(now).is_some_and(|marked| marked.get(id) == Some(&started_ms))
     }
 
     /// Records that an endpoint could not be connected to. Returns the report for the leader if one
--- a/components/fleet/tests/pacing.rs
+++ b/components/fleet/tests/pacing.rs
@@ -197,7 +197,7 @@
 }
 
 /// Guards against a load of a thousand waiting calls that keeps the processor busy: each of them
-/// checks its endpoints ten times a second, and examined the whole queue to wake others although it
+/// checks its endpoints when it is woken, and examined the whole queue to wake others although it
 /// had given up no endpoint.
 #[test]
 fn a_waiting_call_wakes_others_only_if_it_gives_up_an_endpoint() {
@@ -211,6 +211,22 @@
     assert!(!pacer.wait(place, wanted(&["a"])));
 }
 
+/// Guards against a change of an endpoint that wakes calls which may not use it, or leaves out calls
+/// that wait for others of their endpoints.
+#[test]
+fn a_change_of_an_endpoint_affects_the_calls_that_are_granted_it() {
+    let mut pacer = pacer(6, &["a", "b", "c"]);
+    let places = [2, 1, 0].map(|rank| pacer.assign_place(rank));
+    pacer.watch(places[0], wanted(&["a", "b"]));
+    pacer.watch(places[1], wanted(&["b"]));
+    pacer.watch(places[2], wanted(&["c"]));
+    assert_eq!(pacer.affected_calls(&wanted(&["b", "d"])), [places[1], places[0]]);
+    pacer.watch(places[1], wanted(&["a"]));
+    pacer.unwatch(places[0]);
+    assert_eq!(pacer.affected_calls(&wanted(&["a"])), [places[1]]);
+    assert_eq!(pacer.next_call(), None, "a call in progress does not wait for a window");
+}
+
 /// Guards against a second attempt that delays a call of its rank which has no attempt yet.
 #[test]
 fn second_attempts_wait_behind_the_first_ones_of_their_rank() {
--- a/components/fleet/tests/reachability/members.rs
+++ b/components/fleet/tests/reachability/members.rs
@@ -25,6 +25,19 @@
     assert!(picker.reachability().record_success("e1", 1).is_none(), "it is reported once");
 }
 
+/// Guards against processes that are not informed when the marks lapse, or when they reach a marked
+/// endpoint themselves.
+#[test]
+fn marks_end_with_the_leader_or_a_connection() {
+    let mut member = member(1);
+    member.replace_set(&set(&["e1", "e2"]), Millis(10_000));
+    member.record_success("e1", 1);
+    assert!(member.marked(Millis(13_000)).unwrap().keys().eq(["e2"]));
+    assert_eq!(member.marked(Millis(13_001)), None);
+    member.record_leader(Millis(13_001));
+    assert!(member.marked(Millis(16_001)).unwrap().keys().eq(["e2"]));
+}
+
 /// Guards against many broadcasts that make each process probe early, because each of them
 /// draws a new time.
 #[test]
--- a/components/node/src/forward/budget.rs
+++ b/components/node/src/forward/budget.rs
@@ -22,6 +22,8 @@
     shared: Option<SharedCall>,
     /// Notified when the request is sent to another endpoint, or when one was found to have ended.
     pub(super) changed: Notify,
+    /// Notified when the request may be sent to more endpoints, for its passes that wait for one.
+    pub(super) widened: Notify,
     /// Its place among the calls that wait for windows, which it keeps over all passes.
     pub(super) place: Cell<Option<CallPlace>>,
 }
@@ -58,8 +60,8 @@
 impl Budget {
     /// Creates the budget of a request whose caller waits until `deadline`.
     pub fn new(deadline: Millis) -> Self {
-        let (spent, changed) = (RefCell::default(), Notify::new());
-        Self { deadline, spent, shared: None, changed, place: Cell::default() }
+        let (spent, changed, widened) = (RefCell::default(), Notify::new(), Notify::new());
+        Self { deadline, spent, shared: None, changed, widened, place: Cell::default() }
     }
 
     /// Creates the budget of a request that other processes may have forwarded before, or may
@@ -156,6 +158,7 @@
             let mut spent = self.spent.borrow_mut();
             spent.failures = spent.failures.max(failures);
             shared.extended.notify_one();
+            self.widened.notify_waiters();
         }
     }
 
@@ -164,6 +167,7 @@
         if let Some(shared) = &self.shared {
             shared.recorded_calls.borrow_mut().extend(endpoints.iter().cloned());
             shared.extended.notify_one();
+            self.widened.notify_waiters();
         }
     }
 
--- a/components/node/src/forward/dispatch.rs
+++ b/components/node/src/forward/dispatch.rs
@@ -40,8 +40,6 @@
 /// Minimum milliseconds before a connection fallback. In this time, the thread reads its sockets,
 /// and may find that the connection was established while it did not run.
 const MIN_WAIT_MS: u64 = 1;
-/// Interval between checks whether the endpoints of the attempts in flight have become unreachable.
-const CUT_OFF_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
 /// The state of one request in one pass.
 pub(super) struct Dispatch<'a> {
@@ -159,14 +157,18 @@
                     }
                     continue;
                 }
-                () = self.hedge_due(hedge), if !hedged && is_sent => {
+                is_cut_off = self.hedge_due(hedge), if !hedged && is_sent => {
+                    if is_cut_off {
+                        running.clear();
+                        continue;
+                    }
                     hedged = true;
                     if let Some(target) = self.hedge() {
                         running.push(self.start_attempt(target, AttemptReason::Beside));
                     }
                     continue;
                 }
-                () = run_time::sleep(CUT_OFF_CHECK_INTERVAL), if hedged && may_give_up => {
+                () = self.cut_off_check(), if hedged && may_give_up => {
                     if self.is_cut_off() {
                         running.clear();
                     }
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -96,7 +96,7 @@
     policy: Policy,
     queues: WaitQueues,
     /// Limits scorers' calls, if that is enabled.
-    pacing: Option<Pacing>,
+    pacing: Option<Rc<Pacing>>,
     crashes: Rc<Crashes>,
     reporter: Rc<Reporter>,
 }
@@ -121,10 +121,10 @@
     /// Creates a forwarder without endpoints, and with limits of second attempts.
     pub fn with_limits(policy: Policy, limits: SecondAttempts) -> Rc<Self> {
         let picker = Rc::new(RefCell::new(Picker::new(rand::random()).with_policy(policy)));
-        let reporter = Rc::new(Reporter::new(picker.clone()));
+        let pacing = policy.paced_scorers.then(Rc::<Pacing>::default);
+        let reporter = Rc::new(Reporter::new(picker.clone(), pacing.clone()));
         let hedging = RefCell::new(Hedging::new(limits));
         let (pool, queues, crashes) = (RefCell::default(), WaitQueues::default(), Rc::default());
-        let pacing = policy.paced_scorers.then(Pacing::default);
         Rc::new(Self { picker, pool, hedging, policy, queues, pacing, crashes, reporter })
     }
 
@@ -146,9 +146,21 @@
                 if endpoint.status == EndpointStatus::Silent {
                     self.crashes.record_silence(&endpoint.announcement.id);
                 }
+                let id = &endpoint.announcement.id;
+                let state = |picker: &Picker| {
+                    let serves = picker.serves(&endpoint.announcement.service, id);
+                    (serves, picker.started_ms(id))
+                };
+                let before = state(&picker);
                 picker.observe(endpoint);
+                if state(&picker) != before {
+                    self.wake_affected(id);
+                }
+            }
+            Update::Forgotten(id) => {
+                picker.forget(id);
+                self.wake_affected(id);
             }
-            Update::Forgotten(id) => picker.forget(id),
             Update::Config(config) => {
                 let routes: BTreeSet<&str> =
                     config.routes.iter().map(|route| route.name.as_str()).collect();
@@ -159,11 +171,24 @@
             }
             Update::Refused(refused) => self.crashes.refuse(refused),
             Update::Suspected(suspected) => self.crashes.suspect(suspected),
-            Update::Unreachable(set) => picker.reachability().replace_set(set, clock::now()),
+            Update::Unreachable(set) => {
+                let now = clock::now();
+                picker.reachability().replace_set(set, now);
+                if let Some(pacing) = &self.pacing {
+                    pacing.record_marks(picker.reachability().marked(now));
+                }
+            }
             Update::Controls(_) | Update::Ordered(_) => {}
         }
     }
 
+    /// Wakes the paced calls that depend on the state of an endpoint.
+    fn wake_affected(&self, id: &str) {
+        if let Some(pacing) = &self.pacing {
+            pacing.wake_affected(&BTreeSet::from([id.to_owned()]));
+        }
+    }
+
     /// Reports requests that crash endpoints to the leader, for as long as the process runs.
     pub async fn report_crashes(&self, link: Rc<Link>) {
         self.crashes.clone().report_periodically(link).await;
--- a/components/node/src/forward/pacing.rs
+++ b/components/node/src/forward/pacing.rs
@@ -17,6 +17,7 @@
 use chicoryford_types::Millis;
 use tokio::sync::Notify;
 
+use super::Budget;
 use super::Forwarder;
 use super::dispatch::Dispatch;
 use super::gate::Attempts;
@@ -24,15 +25,13 @@
 use crate::message::Update;
 use crate::metrics;
 
-/// Interval at which a waiting call checks again which endpoints it may use. Its grant may be
-/// extended and endpoints may end while it waits, which does not wake it.
-const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// The windows of this host, and the calls that wait for them.
 #[derive(Default)]
 pub(super) struct Pacing {
     pacer: RefCell<Pacer>,
     turns: RefCell<BTreeMap<CallPlace, Rc<Notify>>>,
+    /// The endpoints that were last known to be unreachable, with their start times.
+    marks: RefCell<BTreeMap<String, u64>>,
 }
 
 impl Pacing {
@@ -50,6 +49,28 @@
         self.wake_next();
     }
 
+    /// Wakes the calls that depend on the state of one of these endpoints.
+    pub(super) fn wake_affected(&self, changed: &BTreeSet<String>) {
+        let affected = self.pacer.borrow().affected_calls(changed);
+        let turns = self.turns.borrow();
+        affected.iter().filter_map(|place| turns.get(place)).for_each(|turn| turn.notify_one());
+    }
+
+    /// Wakes the calls that depend on endpoints which have become reachable or unreachable. The
+    /// marks are `None` if they are too old.
+    pub(super) fn record_marks(&self, marks: Option<&BTreeMap<String, u64>>) {
+        let none = BTreeMap::new();
+        let marks = marks.unwrap_or(&none);
+        let mut known = self.marks.borrow_mut();
+        if *known == *marks {
+            return;
+        }
+        let either = known.keys().chain(marks.keys());
+        let changed = either.filter(|id| known.get(*id) != marks.get(*id)).cloned().collect();
+        known.clone_from(marks);
+        self.wake_affected(&changed);
+    }
+
     /// Wakes the first call that may be sent now. When it has been sent or has left the queue, the
     /// next one is woken.
     fn wake_next(&self) {
@@ -60,12 +81,41 @@
     }
 }
 
-/// A call in the queue; dropping it removes it.
-struct QueuedCall<'a> {
+/// A call that is woken when the state of its endpoints changes, until this is dropped.
+struct Watch<'a> {
     pacing: &'a Pacing,
     place: CallPlace,
-    route: &'a str,
     turn: Rc<Notify>,
+}
+
+impl<'a> Watch<'a> {
+    fn new(pacing: &'a Pacing, place: CallPlace) -> Self {
+        let turn = Rc::new(Notify::new());
+        pacing.turns.borrow_mut().insert(place, turn.clone());
+        Self { pacing, place, turn }
+    }
+
+    /// Waits until the call is woken, or may use more endpoints.
+    async fn woken(&self, budget: &Budget) {
+        self.pacing.pacer.borrow_mut().watch(self.place, budget.granted(|_| true));
+        tokio::select! {
+            () = self.turn.notified() => {}
+            () = budget.widened.notified() => {}
+        }
+    }
+}
+
+impl Drop for Watch<'_> {
+    fn drop(&mut self) {
+        self.pacing.turns.borrow_mut().remove(&self.place);
+        self.pacing.pacer.borrow_mut().unwatch(self.place);
+    }
+}
+
+/// A call in the queue; dropping it removes it.
+struct QueuedCall<'a> {
+    watch: Watch<'a>,
+    route: &'a str,
     began: Millis,
     /// The time for which the call has waited in all; `None` for a second attempt, whose wait does
     /// not delay the first one.
@@ -79,12 +129,10 @@
         route: &'a str,
         paced_ms: Option<&'a Cell<u64>>,
     ) -> Self {
-        let turn = Rc::new(Notify::new());
-        pacing.turns.borrow_mut().insert(place, turn.clone());
         if paced_ms.is_some() {
             metrics::SCORER_CALLS_WAITING.inc();
         }
-        Self { pacing, place, route, turn, began: clock::now(), paced_ms }
+        Self { watch: Watch::new(pacing, place), route, began: clock::now(), paced_ms }
     }
 }
 
@@ -97,9 +145,8 @@
             let seconds = Duration::from_millis(waited).as_secs_f64();
             metrics::SCORER_WAIT_SECONDS.with_label_values(&[self.route]).observe(seconds);
         }
-        self.pacing.turns.borrow_mut().remove(&self.place);
-        self.pacing.pacer.borrow_mut().leave(self.place);
-        self.pacing.wake_next();
+        self.watch.pacing.pacer.borrow_mut().leave(self.watch.place);
+        self.watch.pacing.wake_next();
     }
 }
 
@@ -131,7 +178,7 @@
     /// Returns the windows and the place of the call in the queue, if it is a scorer's call and
     /// these are paced.
     fn pacing(&self) -> Option<(&'a Pacing, CallPlace)> {
-        let pacing = self.forwarder.pacing.as_ref().filter(|_| self.budget.is_shared())?;
+        let pacing = self.forwarder.pacing.as_deref().filter(|_| self.budget.is_shared())?;
         let place = self.budget.place.get().unwrap_or_else(|| {
             let place = pacing.pacer.borrow_mut().assign_place(self.requester.rank);
             self.budget.place.set(Some(place));
@@ -194,17 +241,28 @@
             }
             let queued =
                 queued.get_or_insert_with(|| QueuedCall::new(pacing, place, self.route, paced_ms));
-            // Without this condition, each of many waiting calls would examine the whole queue at
-            // each check.
+            // Without this condition, each of many waiting calls would examine the whole queue
+            // whenever it is woken.
             let given_up = pacing.pacer.borrow_mut().wait(place, wanted);
             if given_up {
                 pacing.wake_next();
             }
+            queued.watch.woken(self.budget).await;
+        }
+    }
+
+    /// Waits until the attempts in flight of a paced call are cut off. Returns false at once if the
+    /// call is not paced.
+    pub(super) async fn paced_cut_off(&self) -> bool {
+        let Some((pacing, place)) = self.pacing() else { return false };
+        let watch = Watch::new(pacing, place);
+        while !self.is_cut_off() {
             tokio::select! {
-                () = queued.turn.notified() => {}
-                () = tokio::time::sleep(RECHECK_INTERVAL) => {}
+                () = watch.woken(self.budget) => {}
+                () = self.attempts.sent.notified() => {}
             }
         }
+        true
     }
 
     /// Waits before the first attempt of a pass. A pass is as long as an answer may take, so the
@@ -218,13 +276,18 @@
         let _ = run_time::deadline(left, self.wait_for_window()).await;
     }
 
-    /// Waits until a second attempt is due, and for a window for it while it would be sent. One
-    /// that would not be sent must not wait: nothing of this call would use the window.
-    pub(super) async fn hedge_due(&self, pause: Duration) {
+    /// Waits until a second attempt is due, and for a window for it if it would be sent, which is
+    /// checked again whenever the call is woken. One that would not be sent must not wait: nothing
+    /// of this call would use the window. Returns whether the call was cut off instead: its next
+    /// attempt is a first one again, which must not wait behind the first attempts of later calls.
+    pub(super) async fn hedge_due(&self, pause: Duration) -> bool {
         run_time::sleep(pause).await;
-        if let Some((pacing, place)) = self.pacing() {
-            let is_due = || self.would_hedge();
-            self.wait_in_queue(pacing, place.for_second(), None, is_due).await;
+        let Some((pacing, place)) = self.pacing() else { return false };
+        let is_due = || self.would_hedge();
+        tokio::select! {
+            biased;
+            is_cut_off = self.paced_cut_off() => is_cut_off,
+            () = self.wait_in_queue(pacing, place.for_second(), None, is_due) => false,
         }
     }
 
--- a/components/node/src/forward/reachability.rs
+++ b/components/node/src/forward/reachability.rs
@@ -18,6 +18,7 @@
 
 use super::CONNECT_TIMEOUT;
 use super::dispatch::Dispatch;
+use super::pacing::Pacing;
 use crate::clock;
 use crate::link::Link;
 
@@ -27,12 +28,17 @@
 const REPORT_DELAY: Duration = Duration::from_millis(50);
 /// Interval between checks of the connection to the leader.
 const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval between checks whether the endpoints of the attempts in flight have become unreachable,
+/// for requests that are not paced.
+const CUT_OFF_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// Maximum number of reports that wait for the leader.
 const MAX_UNREPORTED: usize = 1_024;
 
 /// Connects to endpoints and reports the results.
 pub(super) struct Reporter {
     picker: Rc<RefCell<Picker>>,
+    /// Wakes the paced calls that depend on endpoints which become reachable.
+    pacing: Option<Rc<Pacing>>,
     unreported: RefCell<Vec<Report>>,
     /// Notified when there is a report.
     added: Notify,
@@ -40,8 +46,8 @@
 
 impl Reporter {
     /// Creates a reporter without reports.
-    pub(super) fn new(picker: Rc<RefCell<Picker>>) -> Self {
-        Self { picker, unreported: RefCell::default(), added: Notify::new() }
+    pub(super) fn new(picker: Rc<RefCell<Picker>>, pacing: Option<Rc<Pacing>>) -> Self {
+        Self { picker, pacing, unreported: RefCell::default(), added: Notify::new() }
     }
 
     /// Returns whether an endpoint is known to be unreachable.
@@ -91,6 +97,7 @@
         match &opened {
             Ok(_) => {
                 let report = self.picker.borrow_mut().reachability().record_success(id, started_ms);
+                self.record_marks();
                 self.add(report);
             }
             Err(error) if shows_unreachable(error) => self.record_failure(id, started_ms),
@@ -105,6 +112,13 @@
         self.add(report);
     }
 
+    /// Wakes the paced calls that depend on endpoints whose mark has changed.
+    fn record_marks(&self) {
+        if let Some(pacing) = &self.pacing {
+            pacing.record_marks(self.picker.borrow_mut().reachability().marked(clock::now()));
+        }
+    }
+
     fn add(&self, report: Option<Report>) {
         let mut unreported = self.unreported.borrow_mut();
         if let Some(report) = report
@@ -126,9 +140,11 @@
             let _ = tokio::time::timeout(LINK_CHECK_INTERVAL, self.added.notified()).await;
             let now = clock::now();
             let mut reports = self.unreported.take();
-            let mut picker = self.picker.borrow_mut();
             let heard = Millis(now.0.saturating_sub(link.silent_ms()));
-            picker.reachability().record_leader(heard);
+            self.picker.borrow_mut().reachability().record_leader(heard);
+            // The marks lapse some time after the leader's last message.
+            self.record_marks();
+            let mut picker = self.picker.borrow_mut();
             if link.is_connected() && link.connection() != connection {
                 connection = link.connection();
                 reports.extend(picker.reachability().reports_for_new_leader(now));
@@ -152,10 +168,22 @@
         let reporter = &self.forwarder.reporter;
         let records = self.attempts.records.borrow();
         let mut in_flight = records.iter().filter(|record| record.end.is_none());
-        in_flight.all(|record| reporter.is_unreachable(&record.target.id))
-            && self.forwarder.picker.borrow().has_ready(self.service, |id| {
-                self.may_try(id) && self.has_window(id) && !reporter.is_unreachable(id)
-            })
+        if !in_flight.all(|record| reporter.is_unreachable(&record.target.id)) {
+            return false;
+        }
+        // A paced call joins the queue of the windows, so full ones are no reason to stay.
+        if let Some(wanted) = self.paced_endpoints() {
+            return wanted.iter().any(|id| !reporter.is_unreachable(id));
+        }
+        let fits = |id: &str| self.may_try(id) && !reporter.is_unreachable(id);
+        self.forwarder.picker.borrow().has_ready(self.service, fits)
+    }
+
+    /// Waits until it must be checked whether the request is cut off.
+    pub(super) async fn cut_off_check(&self) {
+        if !self.paced_cut_off().await {
+            run_time::sleep(CUT_OFF_CHECK_INTERVAL).await;
+        }
     }
 }
 
--- a/components/node/tests/pacing.rs
+++ b/components/node/tests/pacing.rs
@@ -9,17 +9,21 @@
     pub mod unreachable;
 }
 
+use std::cell::Cell;
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use chicoryford_fleet::EndpointStatus;
 use chicoryford_fleet::Grant;
 use chicoryford_fleet::Policy;
 use chicoryford_fleet::Route;
 use chicoryford_fleet::RouteKind;
 use chicoryford_fleet::hedge::AttemptShare;
 use chicoryford_fleet::hedge::SecondAttempts;
+use chicoryford_fleet::reachability::UnreachableSet;
 use chicoryford_fleet::run::CallCost;
 use chicoryford_fleet::run::HostCommand;
 use chicoryford_http::Request;
@@ -29,6 +33,8 @@
 use chicoryford_node::forward::Forwarder;
 use chicoryford_node::forward::Outcome;
 use chicoryford_node::forward::Requester;
+use chicoryford_node::link::Link;
+use chicoryford_node::link::Member;
 use chicoryford_node::message::Update;
 use chicoryford_node::metrics;
 use chicoryford_node::runner::Runner;
@@ -89,14 +95,58 @@
     endpoints: BTreeSet<String>,
     limit_ms: u64,
 ) -> Outcome {
-    let route = scoring(endpoints.len() as u32, limit_ms);
+    let attempts = endpoints.len() as u32;
     let grant = Grant { endpoints, ..Grant::default() };
     let budget = Budget::shared(clock::now() + limit_ms, CallCost::default(), grant, || true);
+    call_within(forwarder, id, rank, attempts, &budget).await
+}
+
+/// Calls a scorer with this budget and at most this number of attempts.
+async fn call_within(
+    forwarder: &Forwarder,
+    id: &str,
+    rank: u32,
+    attempts: u32,
+    budget: &Budget,
+) -> Outcome {
+    let limit_ms = budget.left_ms();
+    let route = scoring(attempts, limit_ms);
     let mut request = Request::new(Method::POST, "/score/x", "");
     request.headers.set("host", "h");
     request.headers.set("x-attempt-id", id);
     let requester = Requester { rank, ..Requester::default() };
-    forwarder.forward(&route, &request, &budget, limit_ms.min(2_500), requester).await
+    forwarder.forward(&route, &request, budget, limit_ms.min(2_500), requester).await
+}
+
+/// Creates the budget of a call that may run at these endpoints. It counts in `checks` how often
+/// the call checks whether it may be sent.
+fn counted_budget(endpoints: &[&str], checks: &Rc<Cell<u32>>) -> Budget {
+    let grant = granted(endpoints);
+    let checks = checks.clone();
+    Budget::shared(clock::now() + LONG_MS, CallCost::default(), grant, move || {
+        checks.set(checks.get() + 1);
+        true
+    })
+}
+
+fn granted(endpoints: &[&str]) -> Grant {
+    let endpoints = endpoints.iter().map(|id| (*id).to_owned()).collect();
+    Grant { endpoints, ..Grant::default() }
+}
+
+/// Time after which a second attempt is due, with a margin.
+const HEDGE_DUE: Duration = Duration::from_millis(150);
+
+/// Creates the forwarder of a host with two endpoints, with windows for one call each, whose
+/// reachability is shared.
+fn forwarder_of_two(fakes: &[Rc<FakeEndpoint>; 2], share: Option<f64>) -> Rc<Forwarder> {
+    let policy = Policy { paced_scorers: true, shared_reachability: true, ..Policy::default() };
+    let addresses = fakes.each_ref().map(|fake| fake.address);
+    let forwarder = forwarder_with(policy, share, &addresses);
+    for (id, address) in ["i0", "i1"].iter().zip(addresses) {
+        forwarder.apply(&Update::Endpoint(endpoint("score", id, address, HOSTS)));
+    }
+    forwarder
 }
 
 fn is_success(outcome: &Outcome) -> bool {
@@ -489,3 +539,252 @@
         check_windows_are_free(&forwarder, &fakes, end).await;
     }
 }
+
+/// The endpoint of a call becomes unreachable while the window of its other endpoint is full, and
+/// later calls wait for it. Guards against a call that keeps waiting for the unreachable endpoint,
+/// or that waits as a second attempt behind the first attempts of later calls, whether its second
+/// attempt would be sent or is withheld.
+#[actix_rt::test]
+async fn a_call_whose_endpoint_becomes_unreachable_waits_ahead_of_later_calls() {
+    for share in [None, Some(0.0), Some(0.1)] {
+        let fakes = [FakeEndpoint::start(true).await, FakeEndpoint::start(true).await];
+        let forwarder = forwarder_of_two(&fakes, share);
+        let only = || BTreeSet::from(["i1".to_owned()]);
+        let filling = call_at(&forwarder, "filling", 1, only(), LONG_MS);
+        let lost = async {
+            wait_until(|| fakes[1].running.get() == 1).await;
+            call(&forwarder, "lost", 1, 2, LONG_MS).await
+        };
+        let later = async {
+            wait_until(|| fakes[0].running.get() == 1).await;
+            let ids = ["later", "latest"];
+            join_all(ids.map(|id| call_at(&forwarder, id, 1, only(), LONG_MS))).await
+        };
+        let urgent = async {
+            wait_until(|| fakes[0].running.get() == 1).await;
+            tokio::time::sleep(HEDGE_DUE).await;
+            call_at(&forwarder, "urgent", 0, only(), LONG_MS).await
+        };
+        let mark = async {
+            wait_until(|| fakes[0].running.get() == 1).await;
+            tokio::time::sleep(HEDGE_DUE).await;
+            forwarder.apply(&marked("i0", 100_000_000));
+            wait_until(|| fakes[0].running.get() == 0).await;
+            assert_eq!(*fakes[1].calls.borrow(), ["filling"], "{share:?}");
+            fakes[1].hangs.set(false);
+        };
+        let (filling, lost, later, urgent, ()) = tokio::join!(filling, lost, later, urgent, mark);
+        let outcomes = [filling, lost, urgent].into_iter().chain(later).collect::<Vec<_>>();
+        assert!(outcomes.iter().all(is_success), "{share:?}: {outcomes:?}");
+        let expected = ["filling", "urgent", "lost", "later", "latest"];
+        assert_eq!(*fakes[1].calls.borrow(), expected, "{share:?}");
+    }
+}
+
+/// Both endpoints of a call are unreachable. Guards against a call that leaves its attempt although
+/// no other endpoint can answer.
+#[actix_rt::test]
+async fn a_call_without_a_reachable_endpoint_keeps_its_attempt() {
+    for share in [None, Some(0.0)] {
+        let fakes = [FakeEndpoint::start(true).await, FakeEndpoint::start(true).await];
+        let forwarder = forwarder_of_two(&fakes, share);
+        let filled = BTreeSet::from(["i1".to_owned()]);
+        let filling = call_at(&forwarder, "filling", 1, filled, 700);
+        let called = async {
+            wait_until(|| fakes[1].running.get() == 1).await;
+            call(&forwarder, "c", 1, 2, 700).await
+        };
+        let mark = async {
+            wait_until(|| fakes[0].running.get() == 1).await;
+            tokio::time::sleep(HEDGE_DUE).await;
+            let endpoints = BTreeMap::from([("i0".to_owned(), 0), ("i1".to_owned(), 0)]);
+            let set = UnreachableSet { endpoints, probe_ms: 100_000_000 };
+            forwarder.apply(&Update::Unreachable(set));
+            tokio::time::sleep(HEDGE_DUE).await;
+            assert_eq!(fakes[0].running.get(), 1, "{share:?}");
+        };
+        let (filling, called, ()) = tokio::join!(filling, called, mark);
+        assert!(matches!(filling, Outcome::Late), "{share:?}: {filling:?}");
+        assert!(matches!(called, Outcome::Late), "{share:?}: {called:?}");
+    }
+}
+
+/// Guards against waiting calls that check again and again whether they may be sent: a thousand of
+/// them keep the processor busy. One call waits with its first attempt, one with its second one,
+/// and the second attempt of another one is withheld.
+#[actix_rt::test]
+async fn waiting_calls_check_nothing_without_a_cause() {
+    for share in [None, Some(0.0)] {
+        let fakes = [FakeEndpoint::start(true).await, FakeEndpoint::start(true).await];
+        let forwarder = forwarder_of_two(&fakes, share);
+        let checks = Rc::new(Cell::new(0));
+        let budgets = [&["i0", "i1"][..], &["i0", "i1"], &["i1"]];
+        let budgets = budgets.map(|endpoints| counted_budget(endpoints, &checks));
+        let calls = budgets.iter().map(|budget| call_within(&forwarder, "c", 1, 2, budget));
+        let watch = async {
+            wait_until(|| fakes.iter().all(|fake| fake.running.get() == 1)).await;
+            tokio::time::sleep(HEDGE_DUE).await;
+            let before = checks.get();
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            assert_eq!(checks.get(), before, "{share:?}");
+            fakes.iter().for_each(|fake| fake.hangs.set(false));
+        };
+        let (outcomes, ()) = tokio::join!(join_all(calls), watch);
+        assert!(outcomes.iter().all(is_success), "{share:?}: {outcomes:?}");
+    }
+}
+
+/// Guards against a window that wakes all waiting calls when it opens, of which one can be sent.
+#[actix_rt::test]
+async fn a_window_that_opens_wakes_one_waiting_call() {
+    const CALLS: usize = 50;
+    let fakes = [FakeEndpoint::start(true).await, FakeEndpoint::start(true).await];
+    let forwarder = forwarder_of_two(&fakes, None);
+    let filled = BTreeSet::from(["i1".to_owned()]);
+    let filling = call_at(&forwarder, "filling", 0, filled, 400);
+    let checks: Vec<Rc<Cell<u32>>> = (0..CALLS).map(|_| Rc::default()).collect();
+    let budgets: Vec<Budget> =
+        checks.iter().map(|checks| counted_budget(&["i1"], checks)).collect();
+    let waiting = async {
+        wait_until(|| fakes[1].running.get() == 1).await;
+        join_all(budgets.iter().map(|budget| call_within(&forwarder, "c", 1, 1, budget))).await
+    };
+    let check = async {
+        wait_until(|| checks.iter().all(|checks| checks.get() > 0)).await;
+        let before: Vec<u32> = checks.iter().map(|checks| checks.get()).collect();
+        // The first call gives up, and its window opens.
+        wait_until(|| fakes[1].calls.borrow().len() == 2).await;
+        let checked = checks.iter().zip(before).filter(|(checks, before)| checks.get() > *before);
+        // The next call in the queue may check once before the first one has taken the window.
+        let checked = checked.count();
+        assert!((1..=2).contains(&checked), "{checked} calls have checked");
+    };
+    let (filling, ()) = tokio::select! {
+        joined = async { tokio::join!(filling, check) } => joined,
+        outcomes = waiting => panic!("all calls have ended: {outcomes:?}"),
+    };
+    assert!(matches!(filling, Outcome::Late), "{filling:?}");
+}
+
+fn member() -> Member {
+    Member {
+        node: "f".to_owned(),
+        data_centre: "z".to_owned(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        replica: false,
+        depot: None,
+        runner: None,
+    }
+}
+
+/// What makes another endpoint usable for a waiting call.
+#[derive(Clone, Copy, Debug)]
+enum Cause {
+    GrantExtended,
+    EndpointAdded,
+    EndpointReady,
+    EndpointRestarted,
+    MarkRemoved,
+    MarksLapsed,
+    EndpointConnected,
+    EndpointForgotten,
+}
+
+/// A call waits for the window of one endpoint when another one becomes usable for it. Guards
+/// against a call that is not woken and waits on.
+#[actix_rt::test]
+async fn a_waiting_call_is_woken_when_another_endpoint_becomes_usable() {
+    use Cause::*;
+    let causes = [
+        GrantExtended,
+        EndpointAdded,
+        EndpointReady,
+        EndpointRestarted,
+        MarkRemoved,
+        MarksLapsed,
+        EndpointConnected,
+        EndpointForgotten,
+    ];
+    for cause in causes {
+        let (full, free) = (FakeEndpoint::start(true).await, FakeEndpoint::start(false).await);
+        let forwarder = forwarder_of_two(&[full.clone(), free.clone()], Some(0.0));
+        let filled = BTreeSet::from(["i0".to_owned()]);
+        let filling = call_at(&forwarder, "filling", 1, filled, LONG_MS);
+        let mut other = endpoint("score", "i1", free.address, HOSTS);
+        match cause {
+            EndpointAdded => forwarder.apply(&Update::Forgotten("i1".to_owned())),
+            EndpointReady => {
+                other.status = EndpointStatus::Silent;
+                forwarder.apply(&Update::Endpoint(other.clone()));
+                other.status = EndpointStatus::Ready;
+            }
+            EndpointRestarted | MarkRemoved | EndpointConnected | EndpointForgotten => {
+                forwarder.apply(&marked("i1", 100_000_000));
+            }
+            MarksLapsed => {
+                // No leader is heard, so the marks lapse after 3 s. The call that fills the window is
+                // given up after 2.5 s, so it starts later.
+                forwarder.apply(&marked("i1", 100_000_000));
+                let reporter = forwarder.clone();
+                let link = Link::new(member(), Rc::new(View::default()), Vec::new());
+                actix_rt::spawn(async move { reporter.report_reachability(link).await });
+                tokio::time::sleep(Duration::from_millis(1_500)).await;
+            }
+            GrantExtended => {}
+        }
+        let first = if matches!(cause, GrantExtended) { &["i0"][..] } else { &["i0", "i1"] };
+        let budget = counted_budget(first, &Rc::default());
+        let waiting = async {
+            wait_until(|| full.running.get() == 1).await;
+            call_within(&forwarder, "c", 1, 4, &budget).await
+        };
+        let act = async {
+            wait_until(|| full.running.get() == 1).await;
+            tokio::time::sleep(HEDGE_DUE).await;
+            assert_eq!(free.calls.borrow().len(), 0, "{cause:?}");
+            match cause {
+                GrantExtended => budget.extend(&granted(&["i1"]), 0),
+                EndpointAdded | EndpointReady => forwarder.apply(&Update::Endpoint(other)),
+                EndpointRestarted => {
+                    other.announcement.started_ms = 1;
+                    forwarder.apply(&Update::Endpoint(other));
+                }
+                MarkRemoved => forwarder.apply(&Update::Unreachable(UnreachableSet::default())),
+                MarksLapsed => {}
+                EndpointConnected => {
+                    let only = BTreeSet::from(["i1".to_owned()]);
+                    let connected = call_at(&forwarder, "connected", 1, only, LONG_MS).await;
+                    assert!(is_success(&connected), "{connected:?}");
+                }
+                EndpointForgotten => forwarder.apply(&Update::Forgotten("i0".to_owned())),
+            }
+            wait_until(|| free.calls.borrow().iter().any(|id| id == "c")).await;
+            full.hangs.set(false);
+        };
+        let (filling, waiting, ()) = tokio::join!(filling, waiting, act);
+        assert!(is_success(&filling) && is_success(&waiting), "{cause:?}: {filling:?} {waiting:?}");
+    }
+}
+
+/// Both endpoints of a call have become unreachable, and it may be sent to a third one when the log
+/// contains the first two. Guards against a call that is not woken then.
+#[actix_rt::test]
+async fn a_call_that_is_cut_off_is_sent_when_its_endpoints_are_recorded() {
+    let (first, second) = (FakeEndpoint::start(true).await, FakeEndpoint::start(true).await);
+    let third = FakeEndpoint::start(false).await;
+    let forwarder = forwarder_of_two(&[first.clone(), second.clone()], None);
+    let budget = counted_budget(&["i0", "i1", "i2"], &Rc::default());
+    let act = async {
+        wait_until(|| first.running.get() == 1 && second.running.get() == 1).await;
+        forwarder.apply(&Update::Endpoint(endpoint("score", "i2", third.address, HOSTS)));
+        let endpoints = BTreeMap::from([("i0".to_owned(), 0), ("i1".to_owned(), 0)]);
+        let set = UnreachableSet { endpoints, probe_ms: 100_000_000 };
+        forwarder.apply(&Update::Unreachable(set));
+        tokio::time::sleep(HEDGE_DUE).await;
+        assert_eq!(third.calls.borrow().len(), 0, "its calls are not recorded");
+        budget.record_calls(&BTreeSet::from(["i0".to_owned(), "i1".to_owned()]));
+    };
+    let (outcome, ()) = tokio::join!(call_within(&forwarder, "c", 1, 3, &budget), act);
+    assert!(is_success(&outcome), "{outcome:?}");
+    assert_eq!(third.calls.borrow().len(), 1);
+}
