Test the second attempt of a call that was cut off

A call that is cut off while its second attempt waits has used none, so the first attempt that it sends next may have one. No test showed that.

--- a/components/node/tests/pacing.rs
+++ b/components/node/tests/pacing.rs
@@ -788,3 +788,33 @@
     assert!(is_success(&outcome), "{outcome:?}");
     assert_eq!(third.calls.borrow().len(), 1);
 }
+
+/// The endpoint of a call becomes unreachable while its second attempt waits for a window. Guards
+/// against a call that gets no second attempt beside the first one that it is sent again, although
+/// none was made before.
+#[actix_rt::test]
+async fn a_call_that_was_cut_off_still_gets_a_second_attempt() {
+    let fakes = [FakeEndpoint::start(true).await, FakeEndpoint::start(true).await];
+    let third = FakeEndpoint::start(false).await;
+    let forwarder = forwarder_of_two(&fakes, None);
+    let filled = BTreeSet::from(["i1".to_owned()]);
+    // It is given up, which opens the window; the endpoint still answers nothing.
+    let filling = call_at(&forwarder, "filling", 1, filled, 500);
+    let budget = counted_budget(&["i0", "i1", "i2"], &Rc::default());
+    let called = async {
+        wait_until(|| fakes[1].running.get() == 1).await;
+        call_within(&forwarder, "c", 1, 3, &budget).await
+    };
+    let act = async {
+        wait_until(|| fakes[0].running.get() == 1).await;
+        tokio::time::sleep(HEDGE_DUE).await;
+        forwarder.apply(&marked("i0", 100_000_000));
+        wait_until(|| fakes[1].calls.borrow().len() == 2).await;
+        budget.record_calls(&BTreeSet::from(["i0".to_owned(), "i1".to_owned()]));
+        forwarder.apply(&Update::Endpoint(endpoint("score", "i2", third.address, HOSTS)));
+    };
+    let (filling, called, ()) = tokio::join!(filling, called, act);
+    assert!(matches!(filling, Outcome::Late), "{filling:?}");
+    assert!(is_success(&called), "{called:?}");
+    assert_eq!(*third.calls.borrow(), ["c"]);
+}
