--- a/components/fleet/tests/pacing.rs
+++ b/components/fleet/tests/pacing.rs
@@ -197,7 +197,7 @@
 }
 
 /// Guards against a load of a thousand waiting calls that keeps the processor busy: each of them
-/// checks its endpoints ten times a second, and examined the whole queue to wake others although it
+/// checks its endpoints when it is woken, and examined the whole queue to wake others although it
 /// had given up no endpoint.
 #[test]
 fn a_waiting_call_wakes_others_only_if_it_gives_up_an_endpoint() {
@@ -211,6 +211,22 @@
     assert!(!pacer.wait(place, wanted(&["a"])));
 }
 
+/// Guards against a change of an endpoint that wakes calls which may not use it, or leaves out calls
+/// that wait for others of their endpoints.
+#[test]
+fn a_change_of_an_endpoint_affects_the_calls_that_are_granted_it() {
+    let mut pacer = pacer(6, &["a", "b", "c"]);
+    let places = [2, 1, 0].map(|rank| pacer.assign_place(rank));
+    pacer.watch(places[0], wanted(&["a", "b"]));
+    pacer.watch(places[1], wanted(&["b"]));
+    pacer.watch(places[2], wanted(&["c"]));
+    assert_eq!(pacer.affected_calls(&wanted(&["b", "d"])), [places[1], places[0]]);
+    pacer.watch(places[1], wanted(&["a"]));
+    pacer.unwatch(places[0]);
+    assert_eq!(pacer.affected_calls(&wanted(&["a"])), [places[1]]);
+    assert_eq!(pacer.next_call(), None, "a call in progress does not wait for a window");
+}
+
 /// Guards against a second attempt that delays a call of its rank which has no attempt yet.
 #[test]
 fn second_attempts_wait_behind_the_first_ones_of_their_rank() {
@@ -246,6 +262,42 @@
     assert_eq!(fill(&mut pacer, "a"), SLOTS / 2);
 }
 
+/// Guards against a window that loses its size because a process sends what it knew of an earlier
+/// start of the endpoint.
+#[test]
+fn a_late_announcement_of_an_earlier_start_changes_nothing() {
+    let mut current = endpoint("a");
+    current.announcement.started_ms = 2;
+    let mut earlier = endpoint("a");
+    earlier.announcement.started_ms = 1;
+    earlier.announcement.slots = 1;
+    let mut pacer = pacer(1, &[]);
+    pacer.observe(&current);
+    grow(&mut pacer, "a");
+    pacer.observe(&earlier);
+    assert_eq!(fill(&mut pacer, "a"), SLOTS, "the slots of the earlier start");
+    end(&mut pacer, "a", SLOTS, AttemptOutcome::Answered(80));
+    pacer.observe(&current);
+    assert_eq!(fill(&mut pacer, "a"), SLOTS, "the window has lost its size");
+}
+
+/// Guards against an endpoint that gets no calls after it was removed and came back with a clock
+/// that was set back.
+#[test]
+fn an_endpoint_that_was_removed_may_come_back_with_an_earlier_start() {
+    let mut removed = endpoint("a");
+    removed.announcement.started_ms = 2;
+    let mut pacer = pacer(1, &[]);
+    pacer.observe(&removed);
+    grow(&mut pacer, "a");
+    pacer.record_start("a");
+    pacer.forget("a");
+    let mut back = endpoint("a");
+    back.announcement.started_ms = 1;
+    pacer.observe(&back);
+    assert_eq!(fill(&mut pacer, "a"), SLOTS / 2 - 1, "one call from before counts");
+}
+
 const HOSTS: usize = 3;
 const ENTRIES: usize = 20;
 const ENDPOINTS: usize = 11;
