Connection fallback without an endpoint backs off; attempts reserve the right to send

A fallback for which no endpoint could be chosen was tried again every 10 ms while the attempt was connecting. Its delay now doubles from 10 to 80 ms.

The gate counted an attempt as sent before anything of it was written. It now distinguishes the right to send from the first bytes: an attempt that ends in between leaves the place of the first attempt, or its permit, to the next one.

a_fallback_without_an_endpoint_is_tried_again_and_not_counted expected 10 ms each time, which is the fault; it now expects the exact delays 10, 20, 40 and 80.

With a maximum delay of 10 ms the changed test fails (10, not 20).

--- a/components/fleet/src/hedge.rs
+++ b/components/fleet/src/hedge.rs
@@ -33,9 +33,12 @@
 /// Milliseconds after which an attempt without a connection is followed by another one. A round
 /// trip takes a few milliseconds, and a lost SYN packet is sent again only after a second.
 pub const CONNECT_FALLBACK_MS: u64 = 30;
-/// Milliseconds after which a fallback is tried again if no endpoint could be chosen. An endpoint
-/// may become free or ready meanwhile.
+/// Milliseconds after which a fallback is first tried again if no endpoint could be chosen. An
+/// endpoint may become free or ready meanwhile. The delay doubles with each further try.
 const FALLBACK_RETRY_MS: u64 = 10;
+/// Maximum of this delay. Within the timeout of a connection (250 ms), it leaves several tries to an
+/// endpoint that becomes available late.
+const MAX_FALLBACK_RETRY_MS: u64 = 80;
 /// Maximum number of connection fallbacks of a request in one pass. The attempt after the last one
 /// has the full time to connect, so that endpoints whose round trips take longer than
 /// [`CONNECT_FALLBACK_MS`] are reached.
@@ -225,7 +228,9 @@
     Connecting(Millis),
     /// It has a connection, but another attempt was sent before.
     Held,
-    /// The request was written.
+    /// It has the right to send, and nothing was written yet.
+    Writing(SendOrder),
+    /// The first bytes of the request were written.
     Sent,
     /// It has ended.
     Ended,
@@ -257,6 +262,8 @@
     fallbacks: u32,
     /// When a fallback may be tried again for which no endpoint could be chosen.
     next_fallback: Millis,
+    /// Number of times in a row that no endpoint could be chosen.
+    deferrals: u32,
 }
 
 impl SendGate {
@@ -286,24 +293,41 @@
         self.in_flight() == 0 || self.permits > 0
     }
 
-    /// Records that an attempt is sent. A second attempt uses up a permit.
-    pub fn send(&mut self, attempt: usize) -> SendOrder {
+    /// Gives an attempt the right to send, which counts as in flight from now on. A second attempt
+    /// uses up a permit.
+    pub fn reserve(&mut self, attempt: usize) -> SendOrder {
+        if let Phase::Writing(order) = self.phases[attempt] {
+            return order;
+        }
         let order = match (self.in_flight(), self.was_sent) {
             (0, false) => SendOrder::First,
             (0, true) => SendOrder::Again,
             _ => {
                 self.permits = self.permits.saturating_sub(1);
-                self.seconds.push(attempt);
                 SendOrder::Second
             }
         };
+        self.phases[attempt] = Phase::Writing(order);
+        order
+    }
+
+    /// Records that the first bytes of an attempt were written. It need not be reserved before.
+    pub fn send(&mut self, attempt: usize) -> SendOrder {
+        let order = self.reserve(attempt);
+        if order == SendOrder::Second {
+            self.seconds.push(attempt);
+        }
         self.was_sent = true;
         self.phases[attempt] = Phase::Sent;
         order
     }
 
-    /// Records that an attempt has ended.
+    /// Records that an attempt has ended. A second attempt of which nothing was written leaves its
+    /// permit, and after a first one the next attempt is the first.
     pub fn end(&mut self, attempt: usize) {
+        if self.phases[attempt] == Phase::Writing(SendOrder::Second) {
+            self.permits += 1;
+        }
         self.phases[attempt] = Phase::Ended;
     }
 
@@ -319,9 +343,14 @@
         had_permit
     }
 
-    /// Returns the number of attempts in flight.
+    /// Returns the number of attempts that have the right to send or were sent, and have not ended.
     pub fn in_flight(&self) -> usize {
-        self.count(|phase| phase == Phase::Sent)
+        self.count(|phase| matches!(phase, Phase::Writing(_) | Phase::Sent))
+    }
+
+    /// Returns whether an attempt was written and has not ended.
+    pub fn awaits_reply(&self) -> bool {
+        self.phases.contains(&Phase::Sent)
     }
 
     /// Returns the number of attempts that have a connection but must not be sent.
@@ -365,12 +394,16 @@
     /// Records that a connection fallback is made.
     pub fn count_fallback(&mut self) {
         self.fallbacks += 1;
+        self.deferrals = 0;
     }
 
     /// Records that no endpoint could be chosen for a connection fallback. It is tried again after
-    /// [`FALLBACK_RETRY_MS`].
+    /// a delay that doubles from [`FALLBACK_RETRY_MS`] to [`MAX_FALLBACK_RETRY_MS`].
     pub fn defer_fallback(&mut self, now: Millis) {
-        self.next_fallback = now + FALLBACK_RETRY_MS;
+        let factor = 1_u64.checked_shl(self.deferrals).unwrap_or(u64::MAX);
+        let delay = FALLBACK_RETRY_MS.saturating_mul(factor).min(MAX_FALLBACK_RETRY_MS);
+        self.next_fallback = now + delay;
+        self.deferrals += 1;
     }
 
     /// Returns the outcome of an attempt that is dropped after the thread has run for `ran_ms`
--- a/components/fleet/tests/hedge.rs
+++ b/components/fleet/tests/hedge.rs
@@ -379,17 +379,46 @@
     assert_eq!((fallbacks, gate.live()), (3, 4));
 }
 
+/// Nothing of an attempt was written. Guards against credit of a first attempt that is earned by
+/// such an attempt in place of the next one, and against a second attempt that counts as sent and
+/// costs credit.
+#[test]
+fn an_attempt_that_ends_before_it_is_written_was_not_sent() {
+    let mut gate = gate(&[0]);
+    assert_eq!(gate.reserve(0), SendOrder::First);
+    gate.end(0);
+    gate.start(Millis(10));
+    assert_eq!(gate.send(1), SendOrder::First);
+    gate.start(Millis(80));
+    gate.permit();
+    assert_eq!(gate.reserve(2), SendOrder::Second);
+    gate.end(2);
+    assert!(gate.seconds().is_empty() && gate.withdraw());
+}
+
+/// Guards against two attempts that are sent without a permit because the first one waits to be
+/// written, and against a second attempt that is due before the first one was.
+#[test]
+fn an_attempt_that_waits_to_be_written_is_in_flight() {
+    let mut gate = gate(&[0, 30]);
+    gate.reserve(0);
+    assert!(!gate.may_send() && !gate.connect(1) && !gate.awaits_reply());
+    assert_eq!((gate.send(0), gate.in_flight()), (SendOrder::First, 1));
+    assert!(gate.awaits_reply());
+}
+
 /// All other endpoints are full when a fallback is due. Guards against fallbacks that are used up
-/// within a few milliseconds before one of them has a free slot.
+/// within a few milliseconds before one of them has a free slot, against polling, and against pauses
+/// so long that a free endpoint is not found before the connection times out.
 #[test]
 fn a_fallback_without_an_endpoint_is_tried_again_and_not_counted() {
     let mut gate = gate(&[0]);
     let mut now = Millis(30);
-    for _ in 0..20 {
+    for pause in [10, 20, 40, 80].into_iter().chain([80; 100]) {
         assert_eq!(gate.fallback_wait(now), Some(0));
         gate.defer_fallback(now);
-        assert_eq!(gate.fallback_wait(now), Some(10));
-        now = now + 10;
+        assert_eq!(gate.fallback_wait(now), Some(pause));
+        now = now + pause;
     }
     for made in 1..=3 {
         assert_eq!(gate.fallback_wait(now), Some(0), "fallback {made}");
