HTTP client: reports when the first bytes of a request were written

A caller could not tell a request of which nothing was written from one that an endpoint may have received.

--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -122,14 +122,28 @@
     /// # Errors
     ///
     /// Returns [`ExchangeError`], after which the connection is closed.
-    pub async fn start(mut self, request: &Request) -> Result<IncomingReply, ExchangeError> {
+    pub async fn start(self, request: &Request) -> Result<IncomingReply, ExchangeError> {
+        self.start_with(request, || {}).await
+    }
+
+    /// Sends a request and reads the head of its reply. Calls `on_sent` when the first bytes of the
+    /// request were written: from then on the endpoint may have received it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ExchangeError`], after which the connection is closed.
+    pub async fn start_with(
+        mut self,
+        request: &Request,
+        on_sent: impl FnOnce(),
+    ) -> Result<IncomingReply, ExchangeError> {
         let mut codec = ClientCodec::default();
         let output = encode(&mut codec, request, self.address)?;
         // A connection whose exchange is abandoned is reset, also if this process is killed. After
         // an orderly close, the kernel could still deliver the written bytes when a network
         // partition ends, and the endpoint would start work that is no longer needed.
         self.stream.set_zero_linger().map_err(ExchangeError::NotSent)?;
-        self.send(&output).await?;
+        self.send(&output, on_sent).await?;
         let head = loop {
             let decoded = codec.decode(&mut self.input);
             if let Some(head) = decoded.map_err(|_| ExchangeError::Invalid("not an HTTP reply"))? {
@@ -160,15 +174,21 @@
     /// Writes a request and concurrently waits for an early reply. An endpoint may reply before it
     /// has read a long body. Further writes would then fail, or the rest of the body would be read
     /// as the next request, so the rest is not sent and the connection is not reused.
-    async fn send(&mut self, output: &[u8]) -> Result<(), ExchangeError> {
+    async fn send(&mut self, output: &[u8], on_sent: impl FnOnce()) -> Result<(), ExchangeError> {
         let mut sent = 0;
+        let mut on_sent = Some(on_sent);
         while sent < output.len() {
             tokio::select! {
                 biased;
                 wrote = self.stream.writable() => {
                     wrote.map_err(ExchangeError::Lost)?;
                     match self.stream.try_write(&output[sent..]) {
-                        Ok(wrote) => sent += wrote,
+                        Ok(wrote) => {
+                            sent += wrote;
+                            if let Some(on_sent) = on_sent.take() {
+                                on_sent();
+                            }
+                        }
                         Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                         Err(error) => return Err(ExchangeError::Lost(error)),
                     }
--- a/components/http/tests/client.rs
+++ b/components/http/tests/client.rs
@@ -1,7 +1,11 @@
 //! The client with an endpoint that sends scripted bytes: when a reply is complete, and when a
 //! connection may be reused.
 
+use std::cell::Cell;
+use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::pin::pin;
+use std::task::Poll;
 use std::time::Duration;
 
 use chicoryford_http::Connection;
@@ -87,6 +91,25 @@
     assert!(connection.unwrap().is_clean());
 }
 
+/// Guards against a request that counts as sent although nothing of it was written, and against one
+/// that counts as sent only when it is answered.
+#[actix_rt::test]
+async fn a_request_is_reported_as_sent_when_its_first_bytes_are_written() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut invalid = request();
+    invalid.target = "/ ".to_owned();
+    for (request, is_sent) in [(invalid, false), (request(), true)] {
+        let connection = Connection::open(address, LIMIT).await.unwrap();
+        let reported = Cell::new(false);
+        let mut started = pin!(connection.start_with(&request, || reported.set(true)));
+        // Nothing answers, so a request that was written stays pending.
+        let is_pending =
+            poll_fn(|context| Poll::Ready(started.as_mut().poll(context).is_pending()));
+        assert_eq!((is_pending.await, reported.get()), (is_sent, is_sent));
+    }
+}
+
 /// Guards against a caller that receives the reply to another request. An endpoint sends bytes
 /// after a complete reply, immediately or after a pause. If the connection is reused, the next
 /// request reads these unsolicited bytes as its reply.
