Tests of second attempts use a clock that stands still while bytes are under way

The tests measured wall-clock or run time, so answers and connections that were late on a busy machine looked like slow endpoints. The clock of a thread can now follow the clock of its runtime (kernel::clock::follow_runtime, only tests call it). The tests pause that one, and advance it by 1 ms only when each endpoint that was chosen has received the request and no answer is under way. Timeouts of the code under test are unchanged.

Changes to checks: bounds of time are the same and are measured by the test clock. The number of connections being opened is checked always, no longer only if the thread did not stand still. The stall of the thread is a jump of the clock in place of a sleep.

Connections being opened are counted by distinct local address, full remote address and the sockets of this process. The failure message now has the lines.

--- a/components/node/tests/hedge.rs
+++ b/components/node/tests/hedge.rs
@@ -1,9 +1,12 @@
-//! Limits of second attempts, and the fallback of attempts that cannot connect, on real sockets.
+//! Limits of second attempts, and the fallback of attempts that cannot connect, on real sockets and
+//! a clock that stands still while bytes are under way.
 
 mod support {
     pub mod endpoint;
     pub mod log_lines;
     pub mod route;
+    pub mod stub;
+    pub mod test_clock;
     pub mod unreachable;
 }
 
@@ -11,7 +14,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
 use chicoryford_fleet::Endpoint;
 use chicoryford_fleet::Policy;
@@ -20,90 +22,49 @@
 use chicoryford_fleet::hedge::SecondAttempts;
 use chicoryford_http::Request;
 use chicoryford_http::message::Method;
-use chicoryford_kernel::run_time::RunTimer;
-use chicoryford_node::clock;
+use chicoryford_kernel::clock;
 use chicoryford_node::forward::Budget;
 use chicoryford_node::forward::Forwarder;
 use chicoryford_node::forward::Outcome;
 use chicoryford_node::forward::Requester;
 use chicoryford_node::message::Update;
 use chicoryford_node::metrics;
+use futures_util::FutureExt;
 use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 
 use support::endpoint::endpoint;
 use support::log_lines::LogLines;
 use support::route::route;
+use support::stub::Stub;
+use support::stub::StubState;
+use support::stub::stub;
+use support::test_clock;
 use support::unreachable::Unreachable;
 use support::unreachable::unreachable;
 
 /// Target latency of the route in milliseconds.
-const TARGET: Duration = Duration::from_millis(150);
+const TARGET_MS: u64 = 150;
 /// Time after which a lost SYN packet has been sent again.
 const SYN_RETRY: Duration = Duration::from_millis(1_500);
-/// Time for which a thread may stand still without effect on what it does.
-const MAX_STALL: Duration = Duration::from_millis(20);
-/// Time limit of a request that gets no answer in milliseconds, which leaves time for stalls before
-/// a second attempt is due.
+/// Time limit of a request that gets no answer in milliseconds.
 const LIMIT_MS: u64 = 800;
-/// Time after the start of a request at which the second endpoint becomes known, so that the first
-/// attempt is made at the first one.
-const SECOND_KNOWN: Duration = Duration::from_millis(10);
-
-/// An endpoint that answers after a delay that tests change; `None` for never.
-struct Stub {
+/// What a request can be sent to. Its state is unknown if it accepts no connections.
+struct Peer {
     address: SocketAddr,
-    delay: Rc<Cell<Option<u64>>>,
-    requests: Rc<Cell<u32>>,
-    /// Number of connections that the process was opening to an address when a request came.
-    opening: Rc<Cell<usize>>,
+    state: Option<Rc<StubState>>,
 }
 
-async fn stub(delay_ms: Option<u64>, watched: Option<SocketAddr>) -> Stub {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let delay = Rc::new(Cell::new(delay_ms));
-    let (requests, opening) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
-    let stub = Stub {
-        address,
-        delay: delay.clone(),
-        requests: requests.clone(),
-        opening: opening.clone(),
-    };
-    actix_rt::spawn(async move {
-        loop {
-            let (mut stream, _) = listener.accept().await.unwrap();
-            let (delay, requests, opening) = (delay.clone(), requests.clone(), opening.clone());
-            actix_rt::spawn(async move {
-                let mut bytes = vec![0; 4_096];
-                while stream.read(&mut bytes).await.is_ok_and(|read| read > 0) {
-                    requests.set(requests.get() + 1);
-                    opening.set(watched.map_or(0, connections_being_opened));
-                    let delay_ms = delay.get().unwrap_or(60_000);
-                    tokio::time::sleep(Duration::from_millis(delay_ms)).await;
-                    let text = "HTTP/1.1 200 OK\r\nx-attempt-id: id\r\nx-response-stamp: s\r\n\
-                                content-length: 2\r\n\r\nok";
-                    if stream.write_all(text.as_bytes()).await.is_err() {
-                        return;
-                    }
-                }
-            });
-        }
-    });
-    stub
+impl From<&Stub> for Peer {
+    fn from(stub: &Stub) -> Self {
+        Self { address: stub.address, state: Some(stub.state.clone()) }
+    }
 }
 
-/// Counts this VM's connections to an address that are not established yet. The kernel lists remote
-/// addresses as hexadecimal numbers, and the state of such connections is 02.
-fn connections_being_opened(address: SocketAddr) -> usize {
-    let table = std::fs::read_to_string("/proc/self/net/tcp").unwrap();
-    let remote = format!(":{:04X}", address.port());
-    let is_opening = |line: &&str| {
-        let fields: Vec<&str> = line.split_whitespace().collect();
-        fields.len() > 3 && fields[2].ends_with(&remote) && fields[3] == "02"
-    };
-    table.lines().filter(is_opening).count()
+impl From<&Unreachable> for Peer {
+    fn from(endpoint: &Unreachable) -> Self {
+        Self { address: endpoint.address(), state: None }
+    }
 }
 
 /// Makes an endpoint reachable. Returns the number of bytes that it receives within the time in
@@ -142,50 +103,37 @@
     Forwarder::with_limits(Policy::default(), SecondAttempts { share, ..SecondAttempts::default() })
 }
 
-/// Measures how long a request takes.
-struct Timing {
-    began: Instant,
-    timer: RunTimer,
-}
-
-impl Timing {
-    fn start() -> Self {
-        Self { began: Instant::now(), timer: RunTimer::start() }
-    }
-
-    fn end(self) -> Elapsed {
-        let ran = Duration::from_millis(self.timer.elapsed_ms());
-        Elapsed { ran, stood_still: self.began.elapsed().saturating_sub(ran) >= MAX_STALL }
-    }
-}
-
-/// The time that a request took. Other processes may use all processors, so it is the time for which
-/// the thread ran, by which its timeouts are measured too.
-struct Elapsed {
-    ran: Duration,
-    /// Whether the thread stood still for a noticeable time.
-    stood_still: bool,
-}
-
-impl Elapsed {
-    /// Checks that the request was completed within the target.
-    fn check(&self) {
-        assert!(self.ran < TARGET, "{:?}", self.ran);
-    }
+/// Runs a request on the test clock, which stands still while the request or its answer is under
+/// way. The endpoint at index N has the id "iN". Returns the output and the time that it took.
+async fn on_test_clock<T>(
+    budget: &Budget,
+    peers: &[Peer],
+    request: impl Future<Output = T>,
+) -> (T, u64) {
+    peers.iter().filter_map(|peer| peer.state.as_ref()).for_each(|state| state.begin());
+    let is_settled = || {
+        let tried = budget.spent().endpoints;
+        peers.iter().enumerate().all(|(number, peer)| {
+            let is_tried = tried.contains(&format!("i{number}"));
+            !is_tried || peer.state.as_ref().is_none_or(|state| state.is_settled())
+        })
+    };
+    test_clock::run(request, is_settled).await
 }
 
-/// Sends a request whose first attempt is made at the first endpoint, and others at the rest.
-async fn send(
+/// Sends a request that tries the endpoints in this order: each one becomes known when the one
+/// before it was chosen. Returns the outcome and the time that it took by the test clock.
+async fn send_timed(
     forwarder: &Forwarder,
     service: &str,
-    endpoints: &[SocketAddr],
+    peers: &[Peer],
     (kind, attempts): (RouteKind, u32),
     limit_ms: u64,
-) -> Outcome {
-    let endpoints: Vec<Endpoint> = endpoints
+) -> (Outcome, u64) {
+    let endpoints: Vec<Endpoint> = peers
         .iter()
         .enumerate()
-        .map(|(number, address)| endpoint(service, &format!("i{number}"), *address, 8))
+        .map(|(number, peer)| endpoint(service, &format!("i{number}"), peer.address, 8))
         .collect();
     for endpoint in &endpoints {
         forwarder.apply(&Update::Forgotten(endpoint.announcement.id.clone()));
@@ -193,14 +141,33 @@
     forwarder.apply(&Update::Endpoint(endpoints[0].clone()));
     let budget = Budget::new(clock::now() + limit_ms);
     let (route, request) = (route(service, kind, attempts), request());
+    let sent = forwarder.forward(&route, &request, &budget, limit_ms, Requester::default());
     let add = async {
-        tokio::time::sleep(SECOND_KNOWN).await;
         for endpoint in &endpoints[1..] {
+            budget.changed().await;
             forwarder.apply(&Update::Endpoint(endpoint.clone()));
         }
+        std::future::pending().await
     };
-    let sent = forwarder.forward(&route, &request, &budget, limit_ms, Requester::default());
-    futures_util::future::join(sent, add).await.0
+    let sent = async {
+        tokio::select! {
+            biased;
+            outcome = sent => outcome,
+            outcome = add => outcome,
+        }
+    };
+    on_test_clock(&budget, peers, sent).await
+}
+
+/// Like [`send_timed`], without the time.
+async fn send(
+    forwarder: &Forwarder,
+    service: &str,
+    peers: &[Peer],
+    kind: (RouteKind, u32),
+    limit_ms: u64,
+) -> Outcome {
+    send_timed(forwarder, service, peers, kind, limit_ms).await.0
 }
 
 fn is_success(outcome: &Outcome) -> bool {
@@ -216,16 +183,15 @@
     for attempts in [1, 3] {
         let dark = unreachable().await;
         let good = stub(Some(0), Some(dark.address())).await;
-        let addresses = [dark.address(), good.address];
-        let timing = Timing::start();
-        let outcome =
-            send(&with_fallback(), "desk", &addresses, (RouteKind::Once, attempts), 2_000).await;
-        let time = timing.end();
+        let peers = [Peer::from(&dark), Peer::from(&good)];
+        let kind = (RouteKind::Once, attempts);
+        let (outcome, ms) = send_timed(&with_fallback(), "desk", &peers, kind, 2_000).await;
         assert!(is_success(&outcome), "{outcome:?}");
-        assert_eq!((good.requests.get(), good.opening.get()), (1, 0));
+        let opening = good.state.opening.borrow().len();
+        assert_eq!((good.state.requests.get(), opening), (1, 0));
         assert_eq!(received_later(dark).await, 0);
-        assert_eq!(good.requests.get(), 1);
-        time.check();
+        assert_eq!(good.state.requests.get(), 1);
+        assert!(ms < TARGET_MS, "{ms} ms");
     }
 }
 
@@ -234,12 +200,12 @@
 async fn without_the_fallback_an_unreachable_endpoint_makes_a_request_late() {
     let dark = unreachable().await;
     let good = stub(Some(0), None).await;
-    let began = Instant::now();
-    let addresses = [dark.address(), good.address];
+    let peers = [Peer::from(&dark), Peer::from(&good)];
     let forwarder = Forwarder::new(Policy::default());
-    let outcome = send(&forwarder, "desk", &addresses, (RouteKind::Once, 1), 2_000).await;
+    let kind = (RouteKind::Once, 1);
+    let (outcome, ms) = send_timed(&forwarder, "desk", &peers, kind, 2_000).await;
     assert!(is_success(&outcome), "{outcome:?}");
-    assert!(began.elapsed() > TARGET, "{:?}", began.elapsed());
+    assert!(ms > TARGET_MS, "{ms} ms");
 }
 
 /// Guards against a repeatable request that gives up a connection which might be established next,
@@ -250,17 +216,14 @@
         let dark = unreachable().await;
         let good = stub(Some(0), Some(dark.address())).await;
         let (forwarder, kind) = (with_fallback(), (RouteKind::Idempotent, attempts));
-        let addresses = [dark.address(), good.address];
-        let timing = Timing::start();
-        let outcome = send(&forwarder, "desk", &addresses, kind, 2_000).await;
-        let time = timing.end();
+        let peers = [Peer::from(&dark), Peer::from(&good)];
+        let (outcome, ms) = send_timed(&forwarder, "desk", &peers, kind, 2_000).await;
         assert!(is_success(&outcome), "{outcome:?}");
-        assert_eq!(good.requests.get(), 1);
-        if !time.stood_still {
-            assert_eq!(good.opening.get(), opening);
-        }
+        assert_eq!(good.state.requests.get(), 1);
+        let opened = good.state.opening.take();
+        assert_eq!(opened.len(), opening, "{opened:?}");
         assert_eq!(received_later(dark).await, 0);
-        time.check();
+        assert!(ms < TARGET_MS, "{ms} ms");
     }
 }
 
@@ -273,9 +236,9 @@
     let share = Some(AttemptShare::try_from(0.0).unwrap());
     let limits = SecondAttempts { share, ..SecondAttempts::default() };
     let forwarder = Forwarder::with_limits(policy, limits);
-    let addresses = [dark.address(), good.address];
+    let peers = [Peer::from(&dark), Peer::from(&good)];
     let kind = (RouteKind::Idempotent, 2);
-    let outcome = send(&forwarder, "fallback", &addresses, kind, 2_000).await;
+    let outcome = send(&forwarder, "fallback", &peers, kind, 2_000).await;
     assert!(is_success(&outcome), "{outcome:?}");
     let first = metrics::FIRST_ATTEMPTS.with_label_values(&["fallback"]).get();
     assert_eq!((first, second_attempts("fallback")), (1, [0; 5]));
@@ -286,12 +249,11 @@
 async fn a_fallback_to_an_unreachable_endpoint_is_followed_by_another_one() {
     let (first, second) = (unreachable().await, unreachable().await);
     let good = stub(Some(0), None).await;
-    let addresses = [first.address(), second.address(), good.address];
+    let peers = [Peer::from(&first), Peer::from(&second), Peer::from(&good)];
     for kind in [RouteKind::Once, RouteKind::Idempotent] {
-        let timing = Timing::start();
-        let outcome = send(&with_fallback(), "desk", &addresses, (kind, 3), 2_000).await;
+        let (outcome, ms) = send_timed(&with_fallback(), "desk", &peers, (kind, 3), 2_000).await;
         assert!(is_success(&outcome), "{outcome:?}");
-        timing.end().check();
+        assert!(ms < TARGET_MS, "{ms} ms");
     }
     assert_eq!(received_later(first).await + received_later(second).await, 0);
 }
@@ -301,14 +263,14 @@
 async fn a_request_without_another_endpoint_keeps_its_attempt() {
     let slow = stub(Some(80), None).await;
     for kind in [RouteKind::Once, RouteKind::Idempotent] {
-        let outcome = send(&with_fallback(), "desk", &[slow.address], (kind, 1), 2_000).await;
+        let outcome = send(&with_fallback(), "desk", &[Peer::from(&slow)], (kind, 1), 2_000).await;
         assert!(is_success(&outcome), "{outcome:?}");
     }
     let good = stub(Some(0), None).await;
-    let addresses = [slow.address, good.address];
-    let outcome = send(&with_fallback(), "desk", &addresses, (RouteKind::Once, 1), 2_000).await;
+    let peers = [Peer::from(&slow), Peer::from(&good)];
+    let outcome = send(&with_fallback(), "desk", &peers, (RouteKind::Once, 1), 2_000).await;
     assert!(is_success(&outcome), "{outcome:?}");
-    assert_eq!((slow.requests.get(), good.requests.get()), (3, 0));
+    assert_eq!((slow.state.requests.get(), good.state.requests.get()), (3, 0));
 }
 
 /// Returns how many second attempts were sent, won, wasted, and withheld by the limit or because
@@ -326,25 +288,25 @@
 async fn second_attempts_need_credit_and_are_counted_and_logged() {
     let lines = LogLines::collect();
     let (first, second) = (stub(None, None).await, stub(Some(0), None).await);
-    let addresses = [first.address, second.address];
+    let peers = [Peer::from(&first), Peer::from(&second)];
     // Each request earns half a second attempt.
     let forwarder = with_share(0.5);
-    let outcome = send(&forwarder, "counted", &addresses, REPEATABLE, LIMIT_MS).await;
+    let outcome = send(&forwarder, "counted", &peers, REPEATABLE, LIMIT_MS).await;
     assert!(matches!(outcome, Outcome::Late), "{outcome:?}");
-    assert_eq!((second_attempts("counted"), second.requests.get()), ([0, 0, 0, 1, 0], 0));
+    assert_eq!((second_attempts("counted"), second.state.requests.get()), ([0, 0, 0, 1, 0], 0));
     let line = lines.take().join("\n");
     assert!(line.contains("hedge=\"limit\"") && line.contains("why=first"), "{line}");
 
-    let outcome = send(&forwarder, "counted", &addresses, REPEATABLE, LIMIT_MS).await;
+    let outcome = send(&forwarder, "counted", &peers, REPEATABLE, LIMIT_MS).await;
     assert!(is_success(&outcome), "{outcome:?}");
-    assert_eq!((second_attempts("counted"), second.requests.get()), ([1, 1, 0, 1, 0], 1));
+    assert_eq!((second_attempts("counted"), second.state.requests.get()), ([1, 1, 0, 1, 0], 1));
 
-    let outcome = send(&forwarder, "counted", &addresses, REPEATABLE, LIMIT_MS).await;
+    let outcome = send(&forwarder, "counted", &peers, REPEATABLE, LIMIT_MS).await;
     assert!(matches!(outcome, Outcome::Late), "{outcome:?}");
     lines.take();
-    first.delay.set(Some(300));
-    second.delay.set(None);
-    let outcome = send(&forwarder, "counted", &addresses, REPEATABLE, LIMIT_MS).await;
+    first.state.delay.set(Some(300));
+    second.state.delay.set(None);
+    let outcome = send(&forwarder, "counted", &peers, REPEATABLE, LIMIT_MS).await;
     assert!(is_success(&outcome), "{outcome:?}");
     assert_eq!(second_attempts("counted"), [2, 1, 1, 2, 0]);
     assert_eq!(metrics::FIRST_ATTEMPTS.with_label_values(&["counted"]).get(), 4);
@@ -358,20 +320,20 @@
 async fn no_second_attempt_is_made_while_the_service_is_slow() {
     let lines = LogLines::collect();
     let (first, second) = (stub(Some(0), None).await, stub(Some(0), None).await);
-    let addresses = [first.address, second.address];
+    let peers = [Peer::from(&first), Peer::from(&second)];
     let forwarder = with_share(1.0);
     for _ in 0..15 {
-        assert!(is_success(&send(&forwarder, "slow", &addresses, REPEATABLE, LIMIT_MS).await));
+        assert!(is_success(&send(&forwarder, "slow", &peers, REPEATABLE, LIMIT_MS).await));
     }
-    first.delay.set(Some(30));
+    first.state.delay.set(Some(30));
     for _ in 0..8 {
-        assert!(is_success(&send(&forwarder, "slow", &addresses, REPEATABLE, LIMIT_MS).await));
+        assert!(is_success(&send(&forwarder, "slow", &peers, REPEATABLE, LIMIT_MS).await));
     }
     assert_eq!(second_attempts("slow"), [0; 5]);
-    first.delay.set(None);
-    let outcome = send(&forwarder, "slow", &addresses, REPEATABLE, LIMIT_MS).await;
+    first.state.delay.set(None);
+    let outcome = send(&forwarder, "slow", &peers, REPEATABLE, LIMIT_MS).await;
     assert!(matches!(outcome, Outcome::Late), "{outcome:?}");
-    assert_eq!((second_attempts("slow"), second.requests.get()), ([0, 0, 0, 0, 1], 0));
+    assert_eq!((second_attempts("slow"), second.state.requests.get()), ([0, 0, 0, 0, 1], 0));
     let line = lines.take().join("\n");
     assert!(line.contains("hedge=\"slow\""), "{line}");
 }
@@ -381,15 +343,15 @@
 async fn no_second_attempt_is_made_if_they_are_switched_off() {
     let lines = LogLines::collect();
     let (first, second) = (stub(None, None).await, stub(Some(0), None).await);
-    let addresses = [first.address, second.address];
+    let peers = [Peer::from(&first), Peer::from(&second)];
     let policy = Policy { second_attempts: false, ..Policy::default() };
     for forwarder in [with_share(0.0), Forwarder::new(policy)] {
-        let outcome = send(&forwarder, "off", &addresses, REPEATABLE, LIMIT_MS).await;
+        let outcome = send(&forwarder, "off", &peers, REPEATABLE, LIMIT_MS).await;
         assert!(matches!(outcome, Outcome::Late), "{outcome:?}");
         let line = lines.take().join("\n");
         assert!(line.contains("hedge=\"off\""), "{line}");
     }
-    assert_eq!((second_attempts("off"), second.requests.get()), ([0; 5], 0));
+    assert_eq!((second_attempts("off"), second.state.requests.get()), ([0; 5], 0));
 }
 
 /// Guards against a request with side effects that is sent to a second endpoint because the first
@@ -397,12 +359,12 @@
 #[actix_rt::test]
 async fn a_request_that_cannot_be_repeated_never_gets_a_second_attempt() {
     let (first, second) = (stub(None, None).await, stub(Some(0), None).await);
-    let addresses = [first.address, second.address];
+    let peers = [Peer::from(&first), Peer::from(&second)];
     for forwarder in [with_share(1.0), with_fallback()] {
-        let outcome = send(&forwarder, "once", &addresses, (RouteKind::Once, 3), LIMIT_MS).await;
+        let outcome = send(&forwarder, "once", &peers, (RouteKind::Once, 3), LIMIT_MS).await;
         assert!(matches!(outcome, Outcome::Late), "{outcome:?}");
     }
-    assert_eq!((first.requests.get(), second.requests.get()), (2, 0));
+    assert_eq!((first.state.requests.get(), second.state.requests.get()), (2, 0));
     assert_eq!(second_attempts("once"), [0; 5]);
     assert_eq!(metrics::FIRST_ATTEMPTS.with_label_values(&["once"]).get(), 0);
 }
@@ -414,14 +376,14 @@
     let (first, second) = (stub(None, None).await, stub(Some(0), None).await);
     let closed = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
     let forwarder = with_share(0.5);
-    let addresses = [first.address, closed];
+    let peers = [Peer::from(&first), Peer { address: closed, state: None }];
     for _ in 0..2 {
-        send(&forwarder, "refunded", &addresses, REPEATABLE, LIMIT_MS).await;
+        send(&forwarder, "refunded", &peers, REPEATABLE, LIMIT_MS).await;
     }
     assert_eq!(second_attempts("refunded"), [0, 0, 0, 1, 0]);
     // The credit of 1.0 is still there; without the refund it would be 0.5 now.
-    let addresses = [first.address, second.address];
-    let outcome = send(&forwarder, "refunded", &addresses, REPEATABLE, LIMIT_MS).await;
+    let peers = [Peer::from(&first), Peer::from(&second)];
+    let outcome = send(&forwarder, "refunded", &peers, REPEATABLE, LIMIT_MS).await;
     assert!(is_success(&outcome), "{outcome:?}");
     assert_eq!(second_attempts("refunded"), [1, 1, 0, 1, 0]);
 }
@@ -433,17 +395,23 @@
     let lines = LogLines::collect();
     let dark = unreachable().await;
     let forwarder = with_fallback();
-    let addresses = [dark.address()];
-    let sent = send(&forwarder, "stall", &addresses, (RouteKind::Idempotent, 1), 2_000);
+    forwarder.apply(&Update::Endpoint(endpoint("stall", "i0", dark.address(), 8)));
+    let budget = Budget::new(clock::now() + 2_000);
+    let (route, request) = (route("stall", RouteKind::Idempotent, 1), request());
+    let sent = forwarder.forward(&route, &request, &budget, 2_000, Requester::default());
     let stall = async {
         tokio::time::sleep(Duration::from_millis(5)).await;
-        std::thread::sleep(Duration::from_millis(200));
+        // The clock goes on, and no task runs meanwhile.
+        let _ = tokio::time::advance(Duration::from_millis(200)).now_or_never();
     };
-    tokio::select! {
-        biased;
-        outcome = sent => panic!("{outcome:?}"),
-        () = stall => {}
-    }
+    let dropped = async {
+        tokio::select! {
+            biased;
+            outcome = sent => panic!("{outcome:?}"),
+            () = stall => {}
+        }
+    };
+    on_test_clock(&budget, &[Peer::from(&dark)], dropped).await;
     let line = lines.take().join("\n");
     assert!(line.contains(" dropped=") && !line.contains(" failed="), "{line}");
 }
@@ -458,13 +426,16 @@
     forwarder.apply(&Update::Endpoint(endpoint("desk", "i0", dark.address(), 8)));
     let budget = Budget::new(clock::now() + 5_000);
     let (route, request) = (route("desk", RouteKind::Once, 1), request());
-    let pass =
-        async |limit_ms| forwarder.forward(&route, &request, &budget, limit_ms, Default::default());
-    let outcome = pass(60).await.await;
+    let peers = [Peer::from(&dark), Peer::from(&good)];
+    let pass = async |limit_ms| {
+        let sent = forwarder.forward(&route, &request, &budget, limit_ms, Requester::default());
+        on_test_clock(&budget, &peers, sent).await.0
+    };
+    let outcome = pass(60).await;
     assert!(!is_success(&outcome), "{outcome:?}");
     assert!(budget.spent().endpoints.is_empty(), "{:?}", budget.spent());
     forwarder.apply(&Update::Forgotten("i0".to_owned()));
     forwarder.apply(&Update::Endpoint(endpoint("desk", "i1", good.address, 8)));
-    let outcome = pass(2_000).await.await;
+    let outcome = pass(2_000).await;
     assert!(is_success(&outcome), "{outcome:?}");
 }
