Second attempts: due after the latest send; only sent attempts earn credit

The wait for a second attempt was started again in each iteration of the loop of a request, so the end of another attempt delayed it. Its timer now belongs to the request and is started when an attempt is sent.

An attempt was counted as sent, and earned credit, before it was written. Both now happen when its first bytes are written. If it ends before, the next attempt is the first one; a second attempt returns its credit.

With the faults put back, exactly the three new tests of hedge.rs fail: no second attempt before the answer at 430 ms; one first attempt counted in place of none; a fallback made after 76 ms in place of 100 ms.

--- a/components/node/src/forward/attempt.rs
+++ b/components/node/src/forward/attempt.rs
@@ -51,7 +51,7 @@
     pub(super) reason: AttemptReason,
     /// Milliseconds between the arrival of the request and the start of the attempt.
     pub(super) at_ms: u64,
-    /// When the request was written to a connection; `None` before that.
+    /// When the first bytes of the request were written to a connection; `None` before that.
     pub(super) sent: Option<Millis>,
     /// How it ended, and after how many milliseconds; `None` while it is in progress.
     pub(super) end: Option<(AttemptOutcome, u64)>,
@@ -123,11 +123,19 @@
         was_held
     }
 
-    /// Records that the request is being written.
-    pub(super) fn send(&mut self) {
+    /// Reserves the right to send, so that no other attempt is sent until this one was written or
+    /// has ended.
+    pub(super) fn reserve(&self) {
+        let (attempts, index) = &self.record;
+        attempts.gate.borrow_mut().reserve(*index);
+    }
+
+    /// Records that the first bytes of the request were written.
+    pub(super) fn record_sent(&self) {
         let (attempts, index) = &self.record;
         attempts.records.borrow_mut()[*index].sent = Some(clock::now());
         let order = attempts.gate.borrow_mut().send(*index);
+        attempts.start_hedge_timer();
         attempts.sent.notify_one();
         if self.at_most_once {
             return;
--- a/components/node/src/forward/dispatch.rs
+++ b/components/node/src/forward/dispatch.rs
@@ -143,23 +143,24 @@
             }
             let hedge = Duration::from_millis(self.hedge_ms());
             // With the fallback, a second attempt is due only after an attempt was sent.
-            let is_sent = !fallback || self.attempts.gate.borrow().in_flight() > 0;
+            let is_sent = !fallback || self.attempts.gate.borrow().awaits_reply();
             let fallback_ms = self.attempts.gate.borrow().fallback_wait(clock::now());
             let fallback_wait =
                 Duration::from_millis(fallback_ms.unwrap_or_default().max(MIN_WAIT_MS));
             let attempts = self.attempts.clone();
+            let hedge_timer = attempts.hedge_timer().filter(|_| !hedged && is_sent);
             // A connection that is established when the time is up counts as in time.
             let tried = tokio::select! {
                 biased;
                 tried = running.next() => tried,
-                () = attempts.sent.notified(), if fallback && !hedged => continue,
+                () = attempts.sent.notified(), if !hedged => continue,
                 () = run_time::sleep(fallback_wait), if fallback_ms.is_some() => {
                     if let Some(target) = self.fall_back(&mut running) {
                         running.push(self.start_attempt(target, AttemptReason::Connect));
                     }
                     continue;
                 }
-                () = self.hedge_due(hedge), if !hedged && is_sent => {
+                () = self.hedge_due(hedge_timer, hedge) => {
                     hedged = true;
                     if let Some(target) = self.hedge() {
                         running.push(self.start_attempt(target, AttemptReason::Beside));
@@ -201,6 +202,11 @@
         }
         let began = clock::now();
         let index = self.attempts.gate.borrow_mut().start(began);
+        if !self.forwarder.policy.connect_fallback {
+            // Without the fallback, a second attempt is the only help against an endpoint that does
+            // not accept the connection, so the time counts before the request is sent too.
+            self.attempts.start_hedge_timer();
+        }
         self.attempts.records.borrow_mut().push(AttemptRecord {
             target: target.clone(),
             reason,
--- a/components/node/src/forward/gate.rs
+++ b/components/node/src/forward/gate.rs
@@ -2,8 +2,10 @@
 //! are sent.
 
 use std::cell::RefCell;
+use std::rc::Rc;
 
 use chicoryford_fleet::hedge::SendGate;
+use chicoryford_kernel::run_time::RunTimer;
 use tokio::sync::Notify;
 
 use super::attempt::AttemptRecord;
@@ -14,6 +16,8 @@
     pub(super) gate: RefCell<SendGate>,
     /// Notified when an attempt was sent, which starts the time until a second one is due.
     pub(super) sent: Notify,
+    /// Measures the time until a second attempt is due: since the latest attempt was sent.
+    hedge_timer: RefCell<Option<Rc<RunTimer>>>,
     /// Notified when a held attempt may be sent.
     released: Notify,
 }
@@ -22,7 +26,23 @@
     /// Creates the record of a request without attempts.
     pub(super) fn new(fallback: bool) -> Self {
         let gate = RefCell::new(SendGate::new(fallback));
-        Self { records: RefCell::default(), gate, sent: Notify::new(), released: Notify::new() }
+        Self {
+            records: RefCell::default(),
+            gate,
+            sent: Notify::new(),
+            hedge_timer: RefCell::default(),
+            released: Notify::new(),
+        }
+    }
+
+    /// Starts the time until a second attempt is due, or starts it again.
+    pub(super) fn start_hedge_timer(&self) {
+        self.hedge_timer.replace(Some(Rc::new(RunTimer::start())));
+    }
+
+    /// Returns the timer of the second attempt, once it was started.
+    pub(super) fn hedge_timer(&self) -> Option<Rc<RunTimer>> {
+        self.hedge_timer.borrow().clone()
     }
 
     /// Permits one attempt to be sent while another one is in flight.
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -289,8 +289,10 @@
         }
         // Connecting has taken some of the time.
         let forwarded = request::forward(request, &target.id, budget.left_ms());
-        attempt.send();
-        match self.exchange(connection, &forwarded, &target).await {
+        attempt.reserve();
+        let exchange =
+            self.exchange(connection, &forwarded, &target, || attempt.record_sent()).await;
+        match exchange {
             Ok((ReplyKind::Answer, reply)) => {
                 let ms = clock::now().since(attempt.began);
                 let failed = reply.status.is_server_error();
@@ -332,8 +334,9 @@
         connection: Connection,
         request: &Request,
         target: &Target,
+        on_sent: impl FnOnce(),
     ) -> Result<(ReplyKind, Reply), ExchangeError> {
-        let incoming = connection.start(request).await?;
+        let incoming = connection.start_with(request, on_sent).await?;
         let (status, attempt) = (incoming.status, request::attempt_id(request));
         let meaning = request::classify_reply(status, &incoming.headers, attempt);
         if meaning == ReplyKind::Mismatched {
--- a/components/node/src/forward/pacing.rs
+++ b/components/node/src/forward/pacing.rs
@@ -14,6 +14,7 @@
 use chicoryford_fleet::pacing::Pacer;
 use chicoryford_fleet::pick::AttemptOutcome;
 use chicoryford_kernel::run_time;
+use chicoryford_kernel::run_time::RunTimer;
 use chicoryford_types::Millis;
 use tokio::sync::Notify;
 
@@ -219,9 +220,16 @@
     }
 
     /// Waits until a second attempt is due, and for a window for it while it would be sent. One
-    /// that would not be sent must not wait: nothing of this call would use the window.
-    pub(super) async fn hedge_due(&self, pause: Duration) {
-        run_time::sleep(pause).await;
+    /// that would not be sent must not wait: nothing of this call would use the window. Without a
+    /// timer, none is due.
+    ///
+    /// The timer outlives this future, which is created anew after each event of the request, so
+    /// such an event does not extend the wait.
+    pub(super) async fn hedge_due(&self, timer: Option<Rc<RunTimer>>, pause: Duration) {
+        match timer {
+            Some(timer) => timer.expired(pause).await,
+            None => std::future::pending().await,
+        }
         if let Some((pacing, place)) = self.pacing() {
             let is_due = || self.would_hedge();
             self.wait_in_queue(pacing, place.for_second(), None, is_due).await;
--- a/components/node/tests/hedge.rs
+++ b/components/node/tests/hedge.rs
@@ -49,6 +49,9 @@
 const SYN_RETRY: Duration = Duration::from_millis(1_500);
 /// Time limit of a request that gets no answer in milliseconds.
 const LIMIT_MS: u64 = 800;
+/// Milliseconds by which an event may be late because timeouts are rounded up.
+const ROUNDING_MS: u64 = 5;
+
 /// What a request can be sent to. Its state is unknown if it accepts no connections.
 struct Peer {
     address: SocketAddr,
@@ -258,6 +261,29 @@
     assert_eq!(received_later(first).await + received_later(second).await, 0);
 }
 
+/// The other endpoint becomes known between two tries of a fallback. Guards against a fallback that
+/// polls, and against one that waits much longer than its last pause: it is tried after 30, 40, 60
+/// and 100 ms.
+#[actix_rt::test]
+async fn a_fallback_waits_for_an_endpoint_with_growing_pauses() {
+    let dark = unreachable().await;
+    let good = stub(Some(0), None).await;
+    let forwarder = with_fallback();
+    forwarder.apply(&Update::Endpoint(endpoint("desk", "i0", dark.address(), 8)));
+    let budget = Budget::new(clock::now() + 2_000);
+    let (route, request) = (route("desk", RouteKind::Idempotent, 2), request());
+    let sent = forwarder.forward(&route, &request, &budget, 2_000, Requester::default());
+    let add = async {
+        tokio::time::sleep(Duration::from_millis(65)).await;
+        forwarder.apply(&Update::Endpoint(endpoint("desk", "i1", good.address, 8)));
+    };
+    let sent = futures_util::future::join(sent, add);
+    let peers = [Peer::from(&dark), Peer::from(&good)];
+    let ((outcome, ()), ms) = on_test_clock(&budget, &peers, sent).await;
+    assert!(is_success(&outcome), "{outcome:?}");
+    assert!((100..=100 + ROUNDING_MS).contains(&ms), "{ms} ms");
+}
+
 /// Guards against the fallback abandoning the only endpoint, or one that was sent the request.
 #[actix_rt::test]
 async fn a_request_without_another_endpoint_keeps_its_attempt() {
@@ -314,6 +340,55 @@
     assert!(line.contains("hedge=\"sent\"") && line.contains("why=beside"), "{line}");
 }
 
+/// Answers take 100 ms, so a second attempt is due 300 ms after the fallback was sent at 30 ms. The
+/// connection attempt beside it ends at 250 ms. Guards against a wait that starts again then.
+#[actix_rt::test]
+async fn the_end_of_another_attempt_does_not_delay_a_second_attempt() {
+    let dark = unreachable().await;
+    let (first, second) = (stub(Some(100), None).await, stub(Some(100), None).await);
+    let forwarder = with_fallback();
+    for _ in 0..15 {
+        let peers = [Peer::from(&first)];
+        assert!(is_success(&send(&forwarder, "due", &peers, REPEATABLE, LIMIT_MS).await));
+    }
+    for stub in [&first, &second] {
+        stub.state.delay.set(Some(400));
+        stub.state.requests.set(0);
+    }
+    let peers = [Peer::from(&dark), Peer::from(&first), Peer::from(&second)];
+    let kind = (RouteKind::Idempotent, 3);
+    let outcome = send(&forwarder, "due", &peers, kind, 2_000).await;
+    assert!(is_success(&outcome), "{outcome:?}");
+    assert_eq!((first.state.requests.get(), second.state.requests.get()), (1, 1));
+    let after_ms = second.state.arrived.get().since(first.state.arrived.get());
+    assert!((300..=300 + 2 * ROUNDING_MS).contains(&after_ms), "{after_ms} ms");
+}
+
+/// Both attempts of a request end before anything of it is written. Guards against credit for them,
+/// which would allow more second attempts than the share of the requests that endpoints received.
+#[actix_rt::test]
+async fn an_attempt_of_which_nothing_was_sent_earns_no_credit() {
+    let (first, second) = (stub(None, None).await, stub(Some(0), None).await);
+    let peers = [Peer::from(&first), Peer::from(&second)];
+    let forwarder = with_share(0.5);
+    let first_attempts = || metrics::FIRST_ATTEMPTS.with_label_values(&["unsent"]).get();
+    forwarder.apply(&Update::Endpoint(endpoint("unsent", "i0", first.address, 8)));
+    forwarder.apply(&Update::Endpoint(endpoint("unsent", "i1", second.address, 8)));
+    let mut invalid = request();
+    invalid.target = "/unsent/ ".to_owned();
+    let budget = Budget::new(clock::now() + LIMIT_MS);
+    let route = route("unsent", RouteKind::Idempotent, 2);
+    let outcome =
+        forwarder.forward(&route, &invalid, &budget, LIMIT_MS, Requester::default()).await;
+    assert!(matches!(outcome, Outcome::Lost), "{outcome:?}");
+    assert_eq!(first_attempts(), 0);
+    // This request earns half of the credit that its second attempt needs.
+    let outcome = send(&forwarder, "unsent", &peers, REPEATABLE, LIMIT_MS).await;
+    assert!(matches!(outcome, Outcome::Late), "{outcome:?}");
+    assert_eq!((second_attempts("unsent"), first_attempts()), ([0, 0, 0, 1, 0], 1));
+    assert_eq!((first.state.requests.get(), second.state.requests.get()), (1, 0));
+}
+
 /// All endpoints of a service become slow. Guards against second attempts that make it slower,
 /// although there is credit for them.
 #[actix_rt::test]
