--- a/components/node/src/forward/pacing.rs
+++ b/components/node/src/forward/pacing.rs
@@ -14,6 +14,7 @@
 use chicoryford_fleet::pacing::Pacer;
 use chicoryford_fleet::pick::AttemptOutcome;
 use chicoryford_kernel::run_time;
+use chicoryford_kernel::run_time::RunTimer;
 use chicoryford_types::Millis;
 use tokio::sync::Notify;
 
@@ -278,10 +279,17 @@
 
     /// Waits until a second attempt is due, and for a window for it if it would be sent, which is
     /// checked again whenever the call is woken. One that would not be sent must not wait: nothing
-    /// of this call would use the window. Returns whether the call was cut off instead: its next
-    /// attempt is a first one again, which must not wait behind the first attempts of later calls.
-    pub(super) async fn hedge_due(&self, pause: Duration) -> bool {
-        run_time::sleep(pause).await;
+    /// of this call would use the window. Without a timer, none is due. Returns whether the call
+    /// was cut off instead: its next attempt is a first one again, which must not wait behind the
+    /// first attempts of later calls.
+    ///
+    /// The timer outlives this future, which is created anew after each event of the request, so
+    /// such an event does not extend the wait.
+    pub(super) async fn hedge_due(&self, timer: Option<Rc<RunTimer>>, pause: Duration) -> bool {
+        match timer {
+            Some(timer) => timer.expired(pause).await,
+            None => std::future::pending().await,
+        }
         let Some((pacing, place)) = self.pacing() else { return false };
         let is_due = || self.would_hedge();
         tokio::select! {
