Fallback: the delay after a deferral ends with its attempt; a test of a failed first write

The delay that doubles while no endpoint is free was kept for the next attempt, whose fallback was then due after 75 ms in place of 30. Both new tests fail without what they guard: the reset of the delay, and a request that counts as sent after its first bytes were written.

--- a/components/fleet/src/hedge.rs
+++ b/components/fleet/src/hedge.rs
@@ -275,6 +275,8 @@
     /// Adds an attempt that begins to connect. Returns its number.
     pub fn start(&mut self, now: Millis) -> usize {
         self.phases.push(Phase::Connecting(now));
+        // The delay of a fallback belongs to the attempt that it replaces.
+        (self.next_fallback, self.deferrals) = (Millis::default(), 0);
         self.phases.len() - 1
     }
 
--- a/components/fleet/tests/hedge.rs
+++ b/components/fleet/tests/hedge.rs
@@ -427,6 +427,21 @@
     assert_eq!(gate.fallback_wait(now), None);
 }
 
+/// Guards against an attempt whose fallback is late because no endpoint was free for the fallback
+/// of an earlier attempt.
+#[test]
+fn the_delay_of_a_fallback_does_not_outlive_its_attempt() {
+    let mut gate = gate(&[0]);
+    for now in [30, 40, 60, 100] {
+        gate.defer_fallback(Millis(now));
+    }
+    gate.end(0);
+    gate.start(Millis(105));
+    assert_eq!(gate.fallback_wait(Millis(105)), Some(30));
+    gate.defer_fallback(Millis(135));
+    assert_eq!(gate.fallback_wait(Millis(135)), Some(10));
+}
+
 /// Guards against an unreachable endpoint that is tried again by each request, and against one that
 /// is avoided because its connection was not needed.
 #[test]
--- a/components/http/tests/client.rs
+++ b/components/http/tests/client.rs
@@ -110,6 +110,21 @@
     }
 }
 
+/// Guards against a request that counts as sent although its connection was reset before its first
+/// bytes could be written.
+#[actix_rt::test]
+async fn a_request_is_not_reported_as_sent_if_its_first_write_fails() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let connection = Connection::open(listener.local_addr().unwrap(), LIMIT).await.unwrap();
+    let (accepted, _) = listener.accept().await.unwrap();
+    accepted.set_zero_linger().unwrap();
+    drop(accepted);
+    let reported = Cell::new(false);
+    let started = connection.start_with(&request(), || reported.set(true)).await;
+    assert!(matches!(started, Err(ExchangeError::Lost(_))), "{:?}", started.err());
+    assert!(!reported.get());
+}
+
 /// Guards against a caller that receives the reply to another request. An endpoint sends bytes
 /// after a complete reply, immediately or after a pause. If the connection is reused, the next
 /// request reads these unsolicited bytes as its reply.
