Agents answer whether an attempt is blamed for a crash, and where the decision is

Cause: an entry cannot tell when the crash of one of its attempts is decided. The agent reports the crash after two refused checks, and the reply of the control processes has no position, so that nobody knows which configuration contains the suspicion or conviction.

Change: the gate records broken attempts, which of them are blamed for which crash, and the position at which its report was applied (`gate/blame.rs`, bounded in time and number). The route /agent/v1/crash is a long poll for that decision. `Command::Crashed` is answered with `Accepted` and the position, also when resent. An attempt that ran at a reported crash and is found broken later is no longer blamed again for the next crash.

`gate_random.rs` passes the number of the crash, which `take_crash_suspects` now takes; its checks are unchanged.

--- a/components/agent/src/gate/decide.rs
+++ b/components/agent/src/gate/decide.rs
@@ -7,8 +7,10 @@
 use chicoryford_types::Fingerprint;
 use chicoryford_types::Incarnation;
 use chicoryford_types::Millis;
+use chicoryford_types::Position;
 use chicoryford_types::Unix;
 use chicoryford_types::request::AttemptState;
+use chicoryford_types::request::CrashDecision;
 
 use super::Action;
 use super::Arrival;
@@ -19,6 +21,7 @@
 use super::admission::draining_failure;
 use super::admission::key_of;
 use super::admission::unhealthy_failure;
+use super::blame::BlameLog;
 use super::history::AttemptStatus;
 use super::history::History;
 use super::history::KeyStatus;
@@ -40,6 +43,7 @@
 /// An attempt whose connection broke, kept until it is known whether the endpoint crashed.
 #[derive(Clone, Debug)]
 pub(super) struct BrokenAttempt {
+    id: Id,
     fingerprint: Fingerprint,
     suspect: bool,
     at: Millis,
@@ -53,6 +57,7 @@
     pub(super) queue: Queue,
     pub(super) running: HashMap<Id, RunningAttempt>,
     pub(super) broken: Vec<BrokenAttempt>,
+    blames: BlameLog,
     pub(super) draining: bool,
     pub(super) unhealthy: bool,
     actions: Vec<Action>,
@@ -120,9 +125,11 @@
         } else {
             self.mean_slot_ms - self.mean_slot_ms / SMOOTHING + slot_ms / SMOOTHING
         };
-        if end == AttemptEnd::Broken {
+        // An attempt that ran at a crash which is already reported must not be blamed again for the
+        // next one.
+        if end == AttemptEnd::Broken && self.blames.record_broken(id, now) {
             let Arrival { fingerprint, suspect, .. } = run.arrival;
-            self.broken.push(BrokenAttempt { fingerprint, suspect, at: now });
+            self.broken.push(BrokenAttempt { id, fingerprint, suspect, at: now });
         }
         let status = match end {
             AttemptEnd::NotRun => AttemptStatus::Refused,
@@ -201,6 +208,7 @@
     /// Drops the queued attempts whose deadline has passed, and evicts expired records.
     pub fn tick(&mut self, now: Millis) {
         self.history.evict_expired(now);
+        self.blames.evict_expired(now);
         for waiting in self.queue.take_expired(now) {
             let detail = "the deadline passed while the attempt waited for a slot";
             self.drop_queued(waiting, Failure::not_run(Code::DeadlinePassed, detail), now);
@@ -212,16 +220,28 @@
     /// Returns the fingerprints of the content that may have caused a crash, and forgets the broken
     /// attempts. These are the suspects among the attempts in progress if there are any, because
     /// suspects were already in progress during an earlier crash; otherwise all of them.
-    pub fn take_crash_suspects(&mut self) -> Vec<Fingerprint> {
-        let running =
-            self.running.values().map(|run| (&run.arrival.fingerprint, run.arrival.suspect));
-        let broken = self.broken.iter().map(|broken| (&broken.fingerprint, broken.suspect));
-        let all: Vec<(Fingerprint, bool)> =
-            running.chain(broken).map(|(fingerprint, suspect)| (*fingerprint, suspect)).collect();
-        self.broken.clear();
-        let suspects = all.iter().any(|(_, suspect)| *suspect);
-        let mut blamed: Vec<Fingerprint> =
-            all.into_iter().filter(|(_, s)| *s || !suspects).map(|(f, _)| f).collect();
+    ///
+    /// `crash` is the number of the crash. [`Gate::crash_decision`] then refers to it for the
+    /// blamed attempts.
+    pub fn take_crash_suspects(&mut self, crash: u64, now: Millis) -> Vec<Fingerprint> {
+        let running = self.running.iter().map(|(id, run)| {
+            let Arrival { fingerprint, suspect, .. } = run.arrival;
+            (*id, fingerprint, suspect)
+        });
+        let broken = std::mem::take(&mut self.broken);
+        let broken =
+            broken.into_iter().map(|broken| (broken.id, broken.fingerprint, broken.suspect));
+        let all: Vec<(Id, Fingerprint, bool)> = running.chain(broken).collect();
+        let suspects = all.iter().any(|(_, _, suspect)| *suspect);
+        let mut blamed = Vec::new();
+        for (id, fingerprint, suspect) in all {
+            if suspect || !suspects {
+                self.blames.record_blamed(id, crash, now);
+                blamed.push(fingerprint);
+            } else {
+                self.blames.record_not_blamed(id);
+            }
+        }
         blamed.sort();
         blamed.dedup();
         blamed
@@ -230,7 +250,24 @@
     /// Records that the endpoint had not crashed at `since`: connections that broke until then
     /// broke for another reason, so their content is not suspected.
     pub fn record_not_crashed(&mut self, since: Millis) {
-        self.broken.retain(|broken| broken.at > since);
+        for broken in self.broken.extract_if(.., |broken| broken.at <= since) {
+            self.blames.record_not_blamed(broken.id);
+        }
+    }
+
+    /// Records that the report of a crash was committed and applied at this position of the
+    /// configuration.
+    pub fn record_crash_committed(&mut self, crash: u64, at: Position) {
+        self.blames.record_committed(crash, at);
+    }
+
+    /// Returns what is decided about an attempt whose connection to the endpoint broke. Another
+    /// incarnation of the agent has lost the content that was in progress and reports none of it.
+    pub fn crash_decision(&self, id: Id, incarnation: Incarnation) -> CrashDecision {
+        if incarnation != self.settings.incarnation {
+            return CrashDecision::NotBlamed;
+        }
+        self.blames.decision(id)
     }
 
     /// Removes and returns the collected actions.
--- a/components/agent/src/gate/mod.rs
+++ b/components/agent/src/gate/mod.rs
@@ -5,6 +5,7 @@
 //! [`Gate::take_actions`] returns. The gate checks its invariants in every build.
 
 mod admission;
+mod blame;
 mod decide;
 mod history;
 mod queue;
--- a/components/agent/src/gate_duty.rs
+++ b/components/agent/src/gate_duty.rs
@@ -8,6 +8,9 @@
 use chicoryford_kernel::Phase;
 use chicoryford_kernel::Receiver;
 use chicoryford_kernel::unix;
+use chicoryford_types::Incarnation;
+use chicoryford_types::request::CrashDecision;
+use tokio::sync::oneshot;
 use tokio::sync::watch;
 
 use crate::gate::Action;
@@ -30,7 +33,12 @@
     stats: watch::Sender<GateStats>,
 ) {
     let phases = kernel.phases.clone();
-    let mut duty = GateDuty { gate: Gate::new(settings), signals: HashMap::new(), kernel };
+    let mut duty = GateDuty {
+        gate: Gate::new(settings),
+        signals: HashMap::new(),
+        crash_queries: Vec::new(),
+        kernel,
+    };
     let mut tick = actix_rt::time::interval(TICK_INTERVAL);
     loop {
         tokio::select! {
@@ -42,13 +50,22 @@
             () = phases.reached(Phase::Stopping) => return,
         }
         duty.perform_actions();
+        duty.answer_crash_queries();
         duty.publish_stats(&stats);
     }
 }
 
+/// A query that waits for the decision about an attempt.
+struct CrashQuery {
+    id: Id,
+    incarnation: Incarnation,
+    reply: oneshot::Sender<CrashDecision>,
+}
+
 struct GateDuty {
     gate: Gate,
     signals: HashMap<Id, watch::Sender<Signal>>,
+    crash_queries: Vec<CrashQuery>,
     kernel: Kernel,
 }
 
@@ -78,8 +95,12 @@
             }
             GateMessage::Drain(draining) => self.gate.set_draining(draining, now),
             GateMessage::Health(healthy) => self.gate.set_healthy(healthy, now),
-            GateMessage::TakeCrashSuspects(reply) => {
-                let _ = reply.send(self.gate.take_crash_suspects());
+            GateMessage::TakeCrashSuspects(crash, reply) => {
+                let _ = reply.send(self.gate.take_crash_suspects(crash, now));
+            }
+            GateMessage::CrashCommitted(crash, at) => self.gate.record_crash_committed(crash, at),
+            GateMessage::CrashQuery { id, incarnation, reply } => {
+                self.crash_queries.push(CrashQuery { id, incarnation, reply });
             }
             GateMessage::NotCrashed(since) => self.gate.record_not_crashed(since),
         }
@@ -108,6 +129,18 @@
         }
     }
 
+    /// Answers the queries whose attempts are decided, and drops those that nobody waits for.
+    fn answer_crash_queries(&mut self) {
+        let gate = &self.gate;
+        let answered = self.crash_queries.extract_if(.., |query| {
+            let decision = gate.crash_decision(query.id, query.incarnation);
+            decision != CrashDecision::Pending || query.reply.is_closed()
+        });
+        for CrashQuery { id, incarnation, reply } in answered {
+            let _ = reply.send(gate.crash_decision(id, incarnation));
+        }
+    }
+
     fn send_signal(&self, id: Id, signal: Signal) {
         if let Some(sender) = self.signals.get(&id) {
             sender.send_replace(signal);
--- a/components/agent/src/handle.rs
+++ b/components/agent/src/handle.rs
@@ -11,8 +11,10 @@
 use chicoryford_types::LoadReport;
 use chicoryford_types::Millis;
 use chicoryford_types::Order;
+use chicoryford_types::Position;
 use chicoryford_types::order::OrderReply;
 use chicoryford_types::request::AttemptState;
+use chicoryford_types::request::CrashDecision;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
@@ -69,8 +71,20 @@
     Drain(bool),
     /// The endpoint became healthy or unhealthy.
     Health(bool),
-    /// The endpoint crashed; the reply lists the fingerprints of the content suspected of it.
-    TakeCrashSuspects(oneshot::Sender<Vec<Fingerprint>>),
+    /// The endpoint crashed, with the number of the crash within the agent's incarnation; the reply
+    /// lists the fingerprints of the content suspected of it.
+    TakeCrashSuspects(u64, oneshot::Sender<Vec<Fingerprint>>),
+    /// The report of a crash was committed and applied at this position of the configuration.
+    CrashCommitted(u64, Position),
+    /// A query whether an attempt is blamed for a crash. It is answered once that is decided.
+    CrashQuery {
+        /// The attempt.
+        id: Id,
+        /// The incarnation of the agent to which it was sent.
+        incarnation: Incarnation,
+        /// Receives the decision.
+        reply: oneshot::Sender<CrashDecision>,
+    },
     /// The endpoint had not crashed at the given time.
     NotCrashed(Millis),
 }
--- a/components/agent/src/monitor.rs
+++ b/components/agent/src/monitor.rs
@@ -14,11 +14,13 @@
 use chicoryford_membership::Handle as Members;
 use chicoryford_settings::Settings;
 use chicoryford_state::Command;
+use chicoryford_state::Reply;
 use chicoryford_types::Config;
 use chicoryford_types::EndpointInfo;
 use chicoryford_types::EndpointKind;
 use chicoryford_types::LoadReport;
 use chicoryford_types::Millis;
+use chicoryford_types::Position;
 use chicoryford_types::Version;
 use chicoryford_types::config::StopTarget;
 use chicoryford_wire::Client;
@@ -191,9 +193,9 @@
 
     /// Logs a crash and reports the content suspected of it to the control processes.
     async fn report_crash(&self) {
-        let blamed =
-            self.handle.query_gate(GateMessage::TakeCrashSuspects).await.unwrap_or_default();
         let crash = self.health().crashes();
+        let take = |reply| GateMessage::TakeCrashSuspects(crash, reply);
+        let blamed = self.handle.query_gate(take).await.unwrap_or_default();
         let endpoint = self.settings.agent.clone().unwrap_or_default().endpoint;
         tracing::warn!(event = "endpoint_crashed", %endpoint, crash, blamed = blamed.len());
         self.kernel.metrics.count("agent.crashes", 1);
@@ -202,7 +204,7 @@
         }
         let incarnation = self.handle.incarnation;
         let command = Command::Crashed { endpoint, crash, incarnation, blamed };
-        actix_rt::spawn(propose_crash(self.proposer.client(), command));
+        actix_rt::spawn(propose_crash(self.proposer.client(), self.handle.clone(), command));
     }
 
     /// Drains while a planned stop names this endpoint and while the process shuts down, and
@@ -253,10 +255,25 @@
     }
 }
 
-async fn propose_crash(proposer: ProposerClient, command: Command) {
+/// Reports a crash until it is committed, and tells the gate the position of the decision, for which
+/// entries wait before they retry the blamed requests.
+async fn propose_crash(proposer: ProposerClient, handle: Handle, command: Command) {
+    let Command::Crashed { crash, .. } = &command else { return };
     for _ in 0..MAX_CRASH_REPORT_ATTEMPTS {
         match proposer.propose_until_timeout(&command, CRASH_REPORT_TIMEOUT).await {
-            Ok(reply) => return tracing::info!(event = "crash_told", ?reply),
+            Ok(reply) => {
+                tracing::info!(event = "crash_told", ?reply);
+                let at = match reply {
+                    Reply::Accepted { at, .. } => at,
+                    // A control process of the previous release does not return the position.
+                    Reply::Done => Position::default(),
+                    _ => return,
+                };
+                if handle.gate.send(GateMessage::CrashCommitted(*crash, at)).await.is_err() {
+                    tracing::warn!(event = "gate_gone");
+                }
+                return;
+            }
             Err(error) => tracing::warn!(event = "crash_untold", %error),
         }
     }
--- a/components/agent/src/routes.rs
+++ b/components/agent/src/routes.rs
@@ -8,6 +8,7 @@
 use chicoryford_kernel::registry::MissingService;
 use chicoryford_settings::Settings;
 use chicoryford_types::Code;
+use chicoryford_types::EndpointKind;
 use chicoryford_types::Failure;
 use chicoryford_types::Frame;
 use chicoryford_types::LoadReport;
@@ -18,6 +19,8 @@
 use chicoryford_types::frame::Finish;
 use chicoryford_types::order::OrderReply;
 use chicoryford_types::request::AttemptQuestion;
+use chicoryford_types::request::CrashDecision;
+use chicoryford_types::request::CrashQuestion;
 use chicoryford_types::request::StoredAnswer;
 use chicoryford_wire::Call;
 use chicoryford_wire::Kind;
@@ -48,6 +51,8 @@
 /// Frames of one attempt that may wait for a slow entry; while this many wait, reading from the
 /// endpoint pauses.
 const FRAME_QUEUE_LENGTH: usize = 64;
+/// Maximum time for which a query for the decision about a crash is held.
+const MAX_CRASH_WAIT: Duration = Duration::from_secs(10);
 /// The media type of streamed frames.
 const FRAMES_MEDIA_TYPE: &str = "application/x-chicoryford-frames";
 /// The retry delay given when a duty of the agent is overloaded, in milliseconds.
@@ -78,6 +83,8 @@
     let context = shared.clone();
     routes.add(paths::ATTEMPT, &[Kind::Process], move |call| attempt(context.clone(), call));
     let context = shared.clone();
+    routes.add(paths::CRASH, &[Kind::Process], move |call| crash(context.clone(), call));
+    let context = shared.clone();
     routes.add(paths::ORDER, &[Kind::Process], move |call| order(context.clone(), call));
     let context = shared.clone();
     routes.add(paths::REPORTS, &[Kind::Process], move |_| reports(context.clone()));
@@ -160,6 +167,27 @@
     }
 }
 
+/// Answers whether an attempt is blamed for a crash, once that is decided or the caller's time limit
+/// has passed. Crashes of plain services are not detected, so none of their attempts is blamed.
+async fn crash(context: Context, call: Call) -> Reply {
+    let question: CrashQuestion = match call.msgpack() {
+        Ok(question) => question,
+        Err(failure) => return reply::peer_failure(&failure),
+    };
+    if context.settings.kind == EndpointKind::Service {
+        return reply::msgpack(&CrashDecision::NotBlamed);
+    }
+    let CrashQuestion { request, attempt, incarnation, wait_ms } = question;
+    let id = Id { request, attempt };
+    let query = |reply| GateMessage::CrashQuery { id, incarnation, reply };
+    let limit = Duration::from_millis(wait_ms).min(MAX_CRASH_WAIT);
+    match timeout(limit, context.handle.query_gate(query)).await {
+        Ok(Some(decision)) => reply::msgpack(&decision),
+        Ok(None) => reply::peer_failure(&overloaded()),
+        Err(_) => reply::msgpack(&CrashDecision::Pending),
+    }
+}
+
 async fn order(context: Context, call: Call) -> Reply {
     let order: Order = match call.msgpack() {
         Ok(order) => order,
--- a/components/agent/tests/gate_random.rs
+++ b/components/agent/tests/gate_random.rs
@@ -149,7 +149,7 @@
                 true
             }
             Event::Crash => {
-                self.gate.take_crash_suspects();
+                self.gate.take_crash_suspects(1, self.now);
                 true
             }
             Event::Wait(ms) => {
--- a/components/agent/tests/live/faults.rs
+++ b/components/agent/tests/live/faults.rs
@@ -13,6 +13,7 @@
 use chicoryford_types::Outcome;
 use chicoryford_types::Work;
 use chicoryford_types::frame::Event;
+use chicoryford_types::request::CrashDecision;
 
 use crate::rig::Rig;
 use crate::rig::Stream;
@@ -80,6 +81,25 @@
     });
 }
 
+/// Guards against an entry that retries a request while its agent still reports its crash. The query
+/// is held until the report is committed, and names no attempt that ended otherwise.
+#[test]
+fn a_query_about_a_crash_is_answered_once_the_report_is_committed() {
+    run_test(async {
+        let rig = Rig::engine(AgentSettings::default(), slow_engine());
+        wait_until(|| rig.members.own().endpoint.is_some()).await;
+        let harmless = generation(1, "harmless", 4);
+        rig.run(&harmless).await.unwrap();
+        let crashing = generation(2, CRASH_MARK, 10);
+        rig.run(&crashing).await.unwrap();
+        let decision = rig.query_crash(&crashing).await;
+        assert!(matches!(decision, CrashDecision::Committed(_)), "{decision:?}");
+        assert_eq!(blamed(&rig).await, [crashing.fingerprint]);
+        assert_eq!(rig.query_crash(&harmless).await, CrashDecision::NotBlamed);
+        rig.stop().await;
+    });
+}
+
 /// Guards against a stream that hangs forever while the engine serves others. A device between
 /// agent and engine drops the connection's state without notice to either end. The agent gives up
 /// the attempt after a time without tokens, stops it over a new connection, and reports neither a
--- a/components/agent/tests/live/rig.rs
+++ b/components/agent/tests/live/rig.rs
@@ -50,6 +50,8 @@
 use chicoryford_types::request::AttemptQuestion;
 use chicoryford_types::request::AttemptState;
 use chicoryford_types::request::Class;
+use chicoryford_types::request::CrashDecision;
+use chicoryford_types::request::CrashQuestion;
 use chicoryford_types::request::Generation;
 use chicoryford_types::request::ServiceCall;
 use chicoryford_types::request::Task;
@@ -253,6 +255,13 @@
         self.client.call(&self.address, paths::ATTEMPT, &question, MAX_WAIT).await.unwrap()
     }
 
+    /// Queries what is decided about a crash by an attempt.
+    pub async fn query_crash(&self, work: &Work) -> CrashDecision {
+        let (request, attempt, incarnation) = (work.request, work.attempt, work.incarnation);
+        let question = CrashQuestion { request, attempt, incarnation, wait_ms: 10_000 };
+        self.client.call(&self.address, paths::CRASH, &question, MAX_WAIT).await.unwrap()
+    }
+
     /// Sends an order and repeats it until it is no longer in progress.
     pub async fn order(&self, epoch: u64, number: u64, action: OrderAction) -> OrderReply {
         let order = Order { epoch: Epoch(epoch), number, agent: INCARNATION, action };
--- a/components/state/src/suspects.rs
+++ b/components/state/src/suspects.rs
@@ -42,6 +42,8 @@
 }
 
 impl State {
+    /// Applies the report of a crash. The reply has the position from which on the configuration
+    /// contains the decision, also for a resent report, so that requests can wait for it.
     pub(crate) fn crashed(
         &mut self,
         endpoint: Endpoint,
@@ -50,7 +52,7 @@
     ) -> Reply {
         let seen = self.suspects.last_crashes.get(&endpoint);
         if seen.is_some_and(|seen| *seen >= crash) {
-            return Reply::Done;
+            return Reply::Accepted { at: self.config.at, version: 0 };
         }
         if seen.is_none() && self.suspects.last_crashes.len() >= MAX_ENDPOINTS {
             self.suspects.last_crashes.pop_first();
@@ -61,7 +63,7 @@
         let rule = Rule::default();
         let changes = rule.on_crash(&config.suspects, &config.convictions, self.now, blamed);
         changes.into_iter().for_each(|change| self.accept_suspicion(change));
-        Reply::Done
+        Reply::Accepted { at: self.config.at, version: 0 }
     }
 
     pub(crate) fn cleared(&mut self, fingerprint: Fingerprint) -> Reply {
--- a/components/types/src/request.rs
+++ b/components/types/src/request.rs
@@ -12,6 +12,7 @@
 use crate::ids::RequestId;
 use crate::ids::Version;
 use crate::ids::Workspace;
+use crate::position::Position;
 
 /// The priority class of a request. Under load, lower classes yield to higher ones.
 #[derive(
@@ -136,6 +137,34 @@
     Ended,
 }
 
+/// A query whether an attempt is blamed for a crash of its endpoint (`/agent/v1/crash`). The answer
+/// is a [`CrashDecision`].
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+pub struct CrashQuestion {
+    /// The request.
+    pub request: RequestId,
+    /// The attempt.
+    pub attempt: Attempt,
+    /// The incarnation of the agent to which the attempt was sent. Another incarnation has no
+    /// record of it and answers [`CrashDecision::NotBlamed`].
+    pub incarnation: Incarnation,
+    /// Milliseconds for which the agent may hold the query until there is a decision.
+    pub wait_ms: u64,
+}
+
+/// What is decided about an attempt whose connection to its endpoint broke.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub enum CrashDecision {
+    /// The agent does not know yet whether the endpoint crashed, or the report of the crash is not
+    /// committed.
+    Pending,
+    /// The content of the attempt is not blamed for a crash.
+    NotBlamed,
+    /// The content was blamed for a crash. The report is applied to the configuration at this
+    /// position.
+    Committed(Position),
+}
+
 /// The answer of a plain service, stored so that resends of the request get the same answer.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct StoredAnswer {
--- a/components/wire/src/paths.rs
+++ b/components/wire/src/paths.rs
@@ -58,6 +58,8 @@
 pub const WORK: &str = "/agent/v1/work";
 /// Returns the state of an attempt, and revokes it if the agent has never received it.
 pub const ATTEMPT: &str = "/agent/v1/attempt";
+/// Returns whether an attempt is blamed for a crash of its endpoint. It is a long poll.
+pub const CRASH: &str = "/agent/v1/crash";
 /// Receives an order of the leader.
 pub const ORDER: &str = "/agent/v1/order";
 /// Returns whether the agent and its endpoint respond. Used to distinguish a silent connection from
