A request waits for the decision about its own crashes before it is retried

Cause: a request whose attempt crashed an endpoint was retried after 20 to 250 ms, while the report of the crash took longer to be committed and applied at the entry. It crashed as many endpoints as it had attempts, also after its content had been convicted, and its attempts ran beside others.

Change: `run/crash_wait.rs` decides, without a network, whether a request waits, may be retried, or fails; `run/crash_query.rs` asks the agents and follows the configuration. A content that completes after a crash is cleared also if it became a suspect by an attempt of the same request.

The fake agents of the fixture answer that nothing is blamed unless a test says otherwise.

--- a/components/entry/src/run/attempts.rs
+++ b/components/entry/src/run/attempts.rs
@@ -10,6 +10,7 @@
 use chicoryford_types::Outcome;
 use chicoryford_types::Work;
 use chicoryford_types::request::AttemptQuestion;
+use chicoryford_types::request::CrashQuestion;
 use chicoryford_types::request::StoredAnswer;
 use chicoryford_types::request::Task;
 
@@ -23,6 +24,8 @@
 use crate::run::attempt::Attempt;
 use crate::run::attempt::AttemptError;
 use crate::run::attempt::ProbeResult;
+use crate::run::crash_query;
+use crate::run::crash_query::BrokenAttempt;
 use crate::run::job::Job;
 use crate::run::rescue;
 
@@ -75,12 +78,16 @@
     pub last_failure: Option<Failure>,
     /// The permit for the first attempt, which the request received when it was admitted.
     first: Option<AttemptPermit>,
+    /// The attempts that broke at their endpoints. Whether they crashed them has to be known before
+    /// the next attempt.
+    broken: Vec<BrokenAttempt>,
 }
 
 impl Attempts {
     /// Creates the state of a request before its first attempt.
     pub fn new(context: Context, job: Job, first: AttemptPermit) -> Self {
-        Self { context, job, may_have_run: false, last_failure: None, first: Some(first) }
+        let first = Some(first);
+        Self { context, job, may_have_run: false, last_failure: None, first, broken: Vec::new() }
     }
 
     /// Starts the next attempt. If it fails before its first event, tries further endpoints as long
@@ -164,7 +171,7 @@
                 let failure = Failure::unknown(Code::EndpointFailed, detail);
                 self.may_have_run = true;
                 match wait_for_retry(&self.context, &mut self.job, &failure).await {
-                    true => Ok(()),
+                    true => self.wait_for_decisions().await,
                     false => Err(failure),
                 }
             }
@@ -178,6 +185,7 @@
             AttemptError::NotRun(failure) => permit.end = AttemptEnd::from_refusal(failure.code),
             AttemptError::Failed(failure) if failure.code == Code::EndpointFailed => {
                 permit.end = AttemptEnd::Failed;
+                self.record_broken(&permit, number);
             }
             AttemptError::Lost(_) => {
                 self.record_silence(permit.pick.endpoint.clone(), self.context.now());
@@ -228,6 +236,7 @@
                 self.may_have_run = true;
                 if failure.code == Code::EndpointFailed {
                     permit.end = AttemptEnd::Failed;
+                    self.record_broken(&permit, number);
                 }
                 if !self.job.repeatable || is_final(failure.code) {
                     return Err(failure);
@@ -238,8 +247,10 @@
                 let (cancel, since) = (self.job.repeatable, self.context.now());
                 let probed =
                     attempt::probe_lost(&self.context, &mut permit, request, number, cancel).await;
-                if matches!(probed, ProbeResult::NoResponse) {
-                    self.record_silence(endpoint.clone(), since);
+                match probed {
+                    ProbeResult::NoResponse => self.record_silence(endpoint.clone(), since),
+                    ProbeResult::Unknown => self.record_broken(&permit, number),
+                    _ => {}
                 }
                 match probed {
                     ProbeResult::NotRun => {
@@ -266,10 +277,29 @@
         if !wait_for_retry(&self.context, &mut self.job, &failure).await {
             return Err(self.final_failure(failure));
         }
+        self.wait_for_decisions().await?;
         self.last_failure = Some(failure);
         Ok(Recovery::Retry)
     }
 
+    fn record_broken(&mut self, permit: &AttemptPermit, number: Number) {
+        let question = CrashQuestion {
+            request: self.job.request,
+            attempt: number,
+            incarnation: permit.pick.incarnation,
+            wait_ms: 0,
+        };
+        self.broken.push(BrokenAttempt { address: permit.pick.address.clone(), question });
+    }
+
+    /// Waits until it is known whether the attempts that broke have crashed their endpoints. Without
+    /// such attempts it only checks that the content is not convicted.
+    async fn wait_for_decisions(&mut self) -> Result<(), Failure> {
+        let broken = std::mem::take(&mut self.broken);
+        let waited = crash_query::wait(&self.context, &mut self.job, broken).await;
+        waited.map_err(|failure| self.final_failure(failure))
+    }
+
     /// Returns the failure to report when no further endpoint is available.
     fn no_endpoint(&mut self, refusal: Failure) -> Failure {
         let failure = match self.last_failure.take() {
--- a/components/entry/src/run/background.rs
+++ b/components/entry/src/run/background.rs
@@ -23,9 +23,10 @@
 }
 
 /// Clears the suspicion against a job's content after it ran to completion while it was suspected
-/// of crashing endpoints.
+/// of crashing endpoints, also if it became a suspect by an earlier attempt of the same request.
 pub fn clear_suspect(context: &Context, job: &Job) {
-    if job.suspect {
+    let config = context.config.current();
+    if job.suspect || config.suspects.contains_key(&job.fingerprint) {
         propose(context, Command::Cleared { fingerprint: job.fingerprint });
     }
 }
--- a/components/entry/src/run/mod.rs
+++ b/components/entry/src/run/mod.rs
@@ -5,6 +5,8 @@
 pub mod attempt;
 pub mod attempts;
 pub mod background;
+pub mod crash_query;
+pub mod crash_wait;
 pub mod first_token;
 pub mod frame_check;
 pub mod generate;
--- a/components/entry/tests/support/mod.rs
+++ b/components/entry/tests/support/mod.rs
@@ -61,6 +61,8 @@
 use chicoryford_types::member::Known;
 use chicoryford_types::request::AttemptQuestion;
 use chicoryford_types::request::AttemptState;
+use chicoryford_types::request::CrashDecision;
+use chicoryford_types::request::CrashQuestion;
 use chicoryford_types::request::Task;
 use chicoryford_wire::Caller;
 use chicoryford_wire::Client;
@@ -103,6 +105,7 @@
 }
 
 type Answer = Box<dyn Fn(&Work) -> Plan + Send + Sync>;
+type CrashOf = Box<dyn Fn(&CrashQuestion) -> CrashDecision + Send + Sync>;
 type StateOf = Box<dyn Fn(&AttemptQuestion) -> AttemptState + Send + Sync>;
 
 /// A fake agent.
@@ -111,6 +114,8 @@
     pub answer: Answer,
     /// Returns the state that the agent reports for an attempt.
     pub state_of: StateOf,
+    /// Returns what is decided about a crash by an attempt.
+    pub crash_of: CrashOf,
     /// The attempts that the agent received.
     pub seen: Mutex<Vec<Work>>,
     /// The state queries that the agent received.
@@ -118,11 +123,13 @@
 }
 
 impl Agent {
-    /// Creates an agent that answers attempts with `answer` and reports their state as unknown.
+    /// Creates an agent that answers attempts with `answer`, reports their state as unknown and
+    /// blames none of them for a crash.
     pub fn new(answer: impl Fn(&Work) -> Plan + Send + Sync + 'static) -> Self {
         Self {
             answer: Box::new(answer),
             state_of: Box::new(|_| AttemptState::Unknown),
+            crash_of: Box::new(|_| CrashDecision::NotBlamed),
             seen: Mutex::default(),
             asked: Mutex::default(),
         }
@@ -136,6 +143,14 @@
         Self { state_of: Box::new(state_of), ..self }
     }
 
+    /// Sets what the agent reports about crashes by attempts.
+    pub fn with_crash(
+        self,
+        crash_of: impl Fn(&CrashQuestion) -> CrashDecision + Send + Sync + 'static,
+    ) -> Self {
+        Self { crash_of: Box::new(crash_of), ..self }
+    }
+
     fn work(&self, work: Work) -> Reply {
         let (request, attempt) = (work.request, work.attempt);
         let prefix = match &work.task {
@@ -617,6 +632,11 @@
             let reply = shared.attempt(call.msgpack().unwrap());
             async move { reply }
         });
+        let shared = agent.clone();
+        routes.add(paths::CRASH, &[Kind::Process], move |call| {
+            let reply = reply::msgpack(&(shared.crash_of)(&call.msgpack().unwrap()));
+            async move { reply }
+        });
         routes
     })
 }
