--- a/components/entry/tests/crashes.rs
+++ b/components/entry/tests/crashes.rs
@@ -35,6 +35,9 @@
 /// first retry is 50 ms.
 const RETRY_TIME: Duration = Duration::from_millis(400);
 
+/// Time after which a condition that has not come true fails a test.
+const MAX_WAIT: Duration = Duration::from_secs(10);
+
 /// The decision that all agents report about crashes by attempts with this number or a lower one.
 #[derive(Default)]
 struct Decided {
@@ -138,9 +141,12 @@
         let seen = decide_crashes(&fixture, &decided, 1).await;
         assert_eq!(seen.status, 200, "{}", seen.text());
         assert_eq!(seen.json()["choices"][0]["text"], "at seven");
-        while !fixture.control.state.lock().unwrap().config.suspects.is_empty() {
-            actix_rt::time::sleep(Duration::from_millis(5)).await;
-        }
+        let cleared = async {
+            while !fixture.control.state.lock().unwrap().config.suspects.is_empty() {
+                actix_rt::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        actix_rt::time::timeout(MAX_WAIT, cleared).await.expect("the suspicion is cleared");
     });
 }
 
