A request with its whole answer neither waits nor clears; failed crash queries are asked again

Cause: a request that had received all its tokens when its attempt broke waited for the decision about the crash, or failed, and then counted as completed. Since any request with suspected content cleared it, a content that crashes endpoints after its last token was never convicted. A query that failed, also because the agent was overloaded, counted as "not blamed". Second attempts, and requests that waited for an endpoint, were sent although their content had been convicted meanwhile.

Change: an attempt that breaks after the whole answer is abandoned, and the answer is delivered without a clearance. Queries are asked again until the limit, except if the route is missing or the connection is refused, which CallError::NotSent now tells. Convictions are checked before each attempt is sent, after the endpoint is chosen, and before a second attempt.

The test a_request_that_completes_after_a_crash_clears_its_content demanded the wide clearance and is replaced by only_a_request_that_started_as_a_suspect_clears_its_content, which checks both directions.

--- a/components/entry/src/run/attempts.rs
+++ b/components/entry/src/run/attempts.rs
@@ -14,6 +14,7 @@
 use chicoryford_types::request::StoredAnswer;
 use chicoryford_types::request::Task;
 
+use crate::admit;
 use crate::context::Context;
 use crate::router::AttemptEnd;
 use crate::router::AttemptPermit;
@@ -110,6 +111,7 @@
     }
 
     /// Acquires a permit for the next attempt and builds its message with the next attempt number.
+    /// The content may have been convicted while the request waited for the permit.
     ///
     /// # Errors
     ///
@@ -119,9 +121,21 @@
             Some(permit) => permit,
             None => self.choose().await.map_err(|refusal| self.no_endpoint(refusal))?,
         };
+        self.check_not_convicted()?;
         Ok(self.assign(task, permit))
     }
 
+    /// Refuses to send content that was convicted after the request was admitted.
+    ///
+    /// # Errors
+    ///
+    /// Returns the final failure of the request.
+    pub fn check_not_convicted(&self) -> Result<(), Failure> {
+        let config = self.context.config.current();
+        let checked = admit::check_not_convicted(self.job.fingerprint, &config);
+        checked.map_err(|failure| self.final_failure(failure))
+    }
+
     /// Builds the message of the next attempt for the endpoint of `permit`.
     pub fn assign(&mut self, task: &Task, permit: AttemptPermit) -> (AttemptPermit, Work) {
         self.job.attempt = self.job.attempt.next();
@@ -201,6 +215,23 @@
         }
     }
 
+    /// Handles an attempt that failed after the whole answer was received. Nothing follows it, so it
+    /// does not wait for the end of the attempt at its endpoint or for a decision about a crash.
+    pub fn abandon(&mut self, mut live: LiveAttempt, error: AttemptError) {
+        if matches!(error, AttemptError::Lost(_)) {
+            live.attempt.detach();
+        }
+        let LiveAttempt { permit, number, .. } = live;
+        self.log_broken(&permit, number, &error);
+        self.discard(FailedAttempt { permit, number, error });
+    }
+
+    fn log_broken(&self, permit: &AttemptPermit, number: Number, error: &AttemptError) {
+        let (request, endpoint) = (self.job.request, &permit.pick.endpoint);
+        tracing::info!(event = "attempt_broken", %request, %number, %endpoint, broken = ?error);
+        self.context.kernel.metrics.count("entry.attempt.broken", 1);
+    }
+
     /// Decides what follows a failed attempt.
     ///
     /// # Errors
@@ -222,8 +253,7 @@
         let FailedAttempt { mut permit, number, error } = failed;
         let endpoint = permit.pick.endpoint.clone();
         let request = self.job.request;
-        tracing::info!(event = "attempt_broken", %request, %number, %endpoint, broken = ?error);
-        self.context.kernel.metrics.count("entry.attempt.broken", 1);
+        self.log_broken(&permit, number, &error);
         let failure = match error {
             AttemptError::NotRun(failure) => {
                 permit.end = AttemptEnd::from_refusal(failure.code);
--- a/components/entry/src/run/background.rs
+++ b/components/entry/src/run/background.rs
@@ -23,10 +23,12 @@
 }
 
 /// Clears the suspicion against a job's content after it ran to completion while it was suspected
-/// of crashing endpoints, also if it became a suspect by an earlier attempt of the same request.
+/// of crashing endpoints.
+///
+/// Only requests that were suspects when they were created clear it. All samples of a group have the
+/// same fingerprint, so otherwise any of them that completes would clear a content after a crash.
 pub fn clear_suspect(context: &Context, job: &Job) {
-    let config = context.config.current();
-    if job.suspect || config.suspects.contains_key(&job.fingerprint) {
+    if job.suspect {
         propose(context, Command::Cleared { fingerprint: job.fingerprint });
     }
 }
--- a/components/entry/src/run/crash_query.rs
+++ b/components/entry/src/run/crash_query.rs
@@ -6,18 +6,18 @@
 use chicoryford_types::Millis;
 use chicoryford_types::request::CrashDecision;
 use chicoryford_types::request::CrashQuestion;
-use chicoryford_wire::CallError;
 use chicoryford_wire::paths;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 
 use crate::context::Context;
+use crate::run::crash_wait;
 use crate::run::crash_wait::CrashStep;
 use crate::run::crash_wait::CrashWait;
 use crate::run::job::Job;
 
 /// Pause before an agent is queried again that answered before the end of the wait that there is no
-/// decision.
+/// decision, or that could not answer.
 const QUERY_PAUSE: Duration = Duration::from_millis(100);
 /// Time by which the timeout of a query exceeds the wait, so that the agent's answer arrives.
 const REPLY_MARGIN: Duration = Duration::from_secs(1);
@@ -50,7 +50,7 @@
     match step {
         CrashStep::Convicted(failure) | CrashStep::Undecided(failure) => Err(failure),
         CrashStep::Retry { isolated, .. } => {
-            job.suspect |= isolated;
+            job.isolated |= isolated;
             Ok(())
         }
         CrashStep::Wait(_) => Ok(()),
@@ -88,8 +88,7 @@
     }
 }
 
-/// Queries the agent of an attempt until there is a decision or the wait ends. An agent that cannot
-/// be queried reports no crash, so its attempts count as not blamed.
+/// Queries the agent of an attempt until there is a decision or the wait ends.
 async fn query(context: &Context, broken: BrokenAttempt, until: Millis) -> CrashDecision {
     let BrokenAttempt { address, question } = broken;
     loop {
@@ -98,19 +97,20 @@
         let timeout = Duration::from_millis(wait_ms) + REPLY_MARGIN;
         let asked = context.fresh_client.call(&address, paths::CRASH, &question, timeout);
         match asked.await {
-            Ok(CrashDecision::Pending) => actix_rt::time::sleep(QUERY_PAUSE).await,
+            Ok(CrashDecision::Pending) => {}
             Ok(decision) => return decision,
-            Err(error) => return unanswered(&error, &question),
+            Err(error) => {
+                let CrashQuestion { request, attempt, .. } = question;
+                tracing::info!(event = "crash_query_failed", %request, %attempt, %error);
+                if let decision @ CrashDecision::NotBlamed = crash_wait::unanswered(&error) {
+                    return decision;
+                }
+            }
         }
+        actix_rt::time::sleep(QUERY_PAUSE).await;
     }
 }
 
-fn unanswered(error: &CallError, question: &CrashQuestion) -> CrashDecision {
-    let CrashQuestion { request, attempt, .. } = question;
-    tracing::info!(event = "crash_query_failed", %request, %attempt, %error);
-    CrashDecision::NotBlamed
-}
-
 fn log_wait(context: &Context, job: &Job, step: &CrashStep, ms: u64) {
     let result = match step {
         CrashStep::Retry { expired: false, .. } | CrashStep::Wait(_) => "decided",
@@ -124,5 +124,5 @@
         metrics.count("entry.crash_wait.expired", 1);
     }
     let (request, content) = (job.request, job.fingerprint);
-    tracing::info!(event = "crash_waited", %request, %content, result, ms, suspect = job.suspect);
+    tracing::info!(event = "crash_waited", %request, %content, result, ms, suspect = job.suspect || job.isolated);
 }
--- a/components/entry/src/run/crash_wait.rs
+++ b/components/entry/src/run/crash_wait.rs
@@ -11,6 +11,7 @@
 use chicoryford_types::Fingerprint;
 use chicoryford_types::Millis;
 use chicoryford_types::request::CrashDecision;
+use chicoryford_wire::CallError;
 
 use crate::admit;
 
@@ -40,6 +41,17 @@
     Undecided(Failure),
 }
 
+/// Returns what a failed query of an agent means. An agent of the previous release does not report
+/// positions, and one that has ended reports no crash, so nothing will be decided. Any other error
+/// may pass.
+pub fn unanswered(error: &CallError) -> CrashDecision {
+    match error {
+        CallError::Failure(failure) if failure.code == Code::NotFound => CrashDecision::NotBlamed,
+        CallError::NotSent { refused: true, .. } => CrashDecision::NotBlamed,
+        _ => CrashDecision::Pending,
+    }
+}
+
 /// The wait of a request for the decisions about its broken attempts.
 #[derive(Clone, Debug)]
 pub struct CrashWait {
--- a/components/entry/src/run/generate.rs
+++ b/components/entry/src/run/generate.rs
@@ -129,17 +129,25 @@
 
     async fn recover(&mut self, error: AttemptError) -> Result<Option<Piece>, Failure> {
         let Some(live) = self.live.take() else { return Ok(None) };
-        self.attempts.recover(live, error).await?;
-        if self.output.tokens + self.task.done < self.task.max_tokens {
-            return Ok(None);
+        let is_whole = self.output.tokens + self.task.done >= self.task.max_tokens;
+        if is_whole && !matches!(error, AttemptError::NotRun(_)) {
+            // Only the end of the stream is missing. The attempt did not complete, so it does not
+            // clear a suspicion: a content may crash endpoints after its last token.
+            self.attempts.abandon(live, error);
+            self.release();
+            return Ok(Some(Piece::Finished(FINISH_LENGTH.to_owned())));
         }
-        self.finish();
-        Ok(Some(Piece::Finished(FINISH_LENGTH.to_owned())))
+        self.attempts.recover(live, error).await?;
+        Ok(None)
     }
 
     fn finish(&mut self) {
         self.live = None;
         background::clear_suspect(&self.attempts.context, &self.attempts.job);
+        self.release();
+    }
+
+    fn release(&mut self) {
         if let Some(mut request_permit) = self.request_permit.take() {
             request_permit.ran = true;
         }
--- a/components/entry/src/run/job.rs
+++ b/components/entry/src/run/job.rs
@@ -50,8 +50,11 @@
     pub floor: Option<Version>,
     /// The hash of its content.
     pub fingerprint: Fingerprint,
-    /// Whether its content is suspected of crashing endpoints.
+    /// Whether its content was suspected of crashing endpoints when the request was created.
     pub suspect: bool,
+    /// Whether its attempts run apart from other suspects because its own attempts have crashed
+    /// endpoints.
+    pub isolated: bool,
     /// The retry policy.
     pub retries: Retries,
     /// The number of the last attempt; zero before the first one.
@@ -116,7 +119,7 @@
             silent: self.silent.clone(),
             reuse: Reuse::Any,
             floor: self.floor,
-            suspect: self.suspect,
+            suspect: self.suspect || self.isolated,
             prefix: self.prefix,
             prompt: self.prompt,
             tokens: self.tokens,
@@ -137,7 +140,7 @@
             key: self.key.clone(),
             floor: self.floor,
             fingerprint: self.fingerprint,
-            suspect: self.suspect,
+            suspect: self.suspect || self.isolated,
             task,
         }
     }
--- a/components/entry/src/run/rescue.rs
+++ b/components/entry/src/run/rescue.rs
@@ -113,6 +113,7 @@
     // The endpoint is chosen first: without another one, no retry is taken from the budget.
     let query = EndpointQuery { reuse: Reuse::Never, ..attempts.job.endpoint_query() };
     let permit = context.router.choose(query).await.ok()?;
+    attempts.check_not_convicted().ok()?;
     context.router.retry_delay(retry).await?;
     let (permit, work) = attempts.assign(task, permit);
     let (request, elsewhere) = (attempts.job.request, &permit.pick.endpoint);
--- a/components/entry/tests/crash_wait.rs
+++ b/components/entry/tests/crash_wait.rs
@@ -4,9 +4,11 @@
 use chicoryford_entry::run::crash_wait::CrashStep;
 use chicoryford_entry::run::crash_wait::CrashWait;
 use chicoryford_entry::run::crash_wait::MAX_WAIT_MS;
+use chicoryford_entry::run::crash_wait::unanswered;
 use chicoryford_types::Code;
 use chicoryford_types::Config;
 use chicoryford_types::Epoch;
+use chicoryford_types::Failure;
 use chicoryford_types::Fingerprint;
 use chicoryford_types::Millis;
 use chicoryford_types::Outcome;
@@ -15,6 +17,7 @@
 use chicoryford_types::config::Conviction;
 use chicoryford_types::ids::Revision;
 use chicoryford_types::request::CrashDecision;
+use chicoryford_wire::CallError;
 
 const CONTENT: Fingerprint = Fingerprint(7);
 const START: Millis = Millis(1_000);
@@ -119,3 +122,20 @@
     let wait = CrashWait::new(1, START, Millis(START.0 + 600));
     assert_eq!(wait.next(CONTENT, &config(4, 0), START), CrashStep::Wait(Millis(START.0 + 300)));
 }
+
+#[test]
+fn only_an_agent_that_cannot_report_a_crash_needs_no_decision() {
+    // Guards against a request that is retried without a decision because one query failed, and
+    // against a wait until the limit for an agent that has ended or is of the previous release.
+    let (url, detail) = (String::new(), String::new());
+    let failure = |code| CallError::Failure(Failure::not_run(code, ""));
+    let not_sent =
+        |refused| CallError::NotSent { url: url.clone(), detail: detail.clone(), refused };
+    for error in [failure(Code::NotFound), not_sent(true)] {
+        assert_eq!(unanswered(&error), CrashDecision::NotBlamed, "{error}");
+    }
+    let lost = CallError::Lost { url: url.clone(), detail: detail.clone() };
+    for error in [failure(Code::Overloaded), failure(Code::Internal), not_sent(false), lost] {
+        assert_eq!(unanswered(&error), CrashDecision::Pending, "{error}");
+    }
+}
--- a/components/entry/tests/crashes.rs
+++ b/components/entry/tests/crashes.rs
@@ -4,6 +4,8 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chicoryford_state::Command;
@@ -17,6 +19,7 @@
 use chicoryford_types::frame::Event;
 use chicoryford_types::request::CrashDecision;
 use chicoryford_wire::paths;
+use futures_util::future::join_all;
 use serde_json::Value;
 use serde_json::json;
 use support::Agent;
@@ -29,8 +32,12 @@
 use support::template;
 use support::tokens;
 
+/// An answer with as many tokens as the request may have.
+const WHOLE: &str = "a b c d e f g h";
 /// Number of agents, more than the attempts of a request.
 const AGENTS: usize = 6;
+/// Number of requests that together exceed the capacity of one endpoint.
+const OTHERS: usize = 40;
 /// Time after which a request that does not wait would have been retried. The longest delay of a
 /// first retry is 50 ms.
 const RETRY_TIME: Duration = Duration::from_millis(400);
@@ -67,13 +74,38 @@
     })
 }
 
+/// Creates an agent whose endpoint ends after the last token of each attempt. It counts the queries
+/// about crashes in `asked` and never has a decision.
+fn last_agent(lost: bool, asked: Arc<AtomicU32>) -> Agent {
+    let agent = Agent::new(move |work| {
+        let failure = Failure::unknown(Code::EndpointFailed, "the connection broke");
+        let mut events = vec![Event::Accepted, tokens(WHOLE, 1)];
+        if !lost {
+            events.push(Event::Failed(failure));
+        }
+        Plan::Stream(frames(work, events))
+    });
+    agent.with_crash(move |_| {
+        asked.fetch_add(1, Ordering::Relaxed);
+        CrashDecision::Pending
+    })
+}
+
 async fn start(crashes: u32) -> (Fixture, SharedDecision) {
     let decided = SharedDecision::default();
-    let agents = (0..AGENTS).map(|_| agent(crashes, decided.clone())).collect();
+    (start_agents(|| agent(crashes, decided.clone())).await, decided)
+}
+
+async fn start_agents(agent: impl Fn() -> Agent) -> Fixture {
+    let agents = (0..AGENTS).map(|_| agent()).collect();
     let mut template = template();
     template.retries.attempts = 5;
     template.retries.percent = 100;
-    (Fixture::start_with(agents, template).await, decided)
+    Fixture::start_with(agents, template).await
+}
+
+fn suspects(fixture: &Fixture) -> usize {
+    fixture.control.state.lock().unwrap().config.suspects.len()
 }
 
 fn body() -> Value {
@@ -91,6 +123,13 @@
     }
 }
 
+/// Commits the reports of three crashes by the content alone.
+fn convict(fixture: &Fixture, content: Fingerprint) {
+    for crash in 1..=3 {
+        report(fixture, crash, content);
+    }
+}
+
 async fn wait_attempts(fixture: &Fixture, count: usize) {
     while fixture.attempts().len() < count {
         actix_rt::time::sleep(Duration::from_millis(5)).await;
@@ -133,16 +172,22 @@
 }
 
 #[test]
-fn a_request_that_completes_after_a_crash_clears_its_content() {
-    // Guards against harmless contents that stay suspects because they ran at an endpoint that
-    // crashed, and completed in a further attempt of the same request.
+fn only_a_request_that_started_as_a_suspect_clears_its_content() {
+    // Guards against a content that crashes endpoints and is cleared by another sample of its group
+    // or by its own request, and against harmless contents that stay suspects although a suspect
+    // run has completed.
     actix_rt::System::new().block_on(async {
         let (fixture, decided) = start(1).await;
         let seen = decide_crashes(&fixture, &decided, 1).await;
         assert_eq!(seen.status, 200, "{}", seen.text());
         assert_eq!(seen.json()["choices"][0]["text"], "at seven");
+        actix_rt::time::sleep(RETRY_TIME).await;
+        assert_eq!(suspects(&fixture), 1, "the request did not start as a suspect");
+        let seen = fixture.post(paths::COMPLETIONS, &[], &body()).await;
+        assert_eq!(seen.status, 200, "{}", seen.text());
+        assert_eq!(fixture.attempts().len(), 4, "its first attempt broke too");
         let cleared = async {
-            while !fixture.control.state.lock().unwrap().config.suspects.is_empty() {
+            while suspects(&fixture) > 0 {
                 actix_rt::time::sleep(Duration::from_millis(5)).await;
             }
         };
@@ -150,6 +195,143 @@
     });
 }
 
+#[test]
+fn a_whole_answer_is_delivered_without_a_decision() {
+    // Guards against a request that waits or fails although it has received all its tokens, because
+    // its endpoint crashed or its connection was lost before the end of the stream. It must not
+    // matter that its content is convicted meanwhile.
+    for lost in [false, true] {
+        actix_rt::System::new().block_on(async {
+            let asked = Arc::new(AtomicU32::new(0));
+            let fixture = start_agents(|| last_agent(lost, asked.clone())).await;
+            let body = body();
+            let decide = async {
+                wait_attempts(&fixture, 1).await;
+                let content = fixture.attempts()[0].fingerprint;
+                convict(&fixture, content);
+            };
+            let (seen, ()) = tokio::join!(fixture.post(paths::COMPLETIONS, &[], &body), decide);
+            assert_eq!(seen.status, 200, "{}", seen.text());
+            let choice = &seen.json()["choices"][0];
+            assert_eq!(
+                (&choice["text"], &choice["finish_reason"]),
+                (&json!(WHOLE), &json!("length"))
+            );
+            assert_eq!(asked.load(Ordering::Relaxed), 0, "it needs no decision");
+            assert_eq!(fixture.attempts().len(), 1);
+            fixture.settled().await;
+            fixture.check().await;
+        });
+    }
+}
+
+#[test]
+fn a_content_that_crashes_endpoints_after_its_last_token_is_convicted() {
+    // Guards against a content that is never convicted, because each of its requests has its whole
+    // answer, counts as completed and clears it.
+    actix_rt::System::new().block_on(async {
+        let fixture = start_agents(|| last_agent(false, Arc::default())).await;
+        let body = body();
+        for crash in 1..=3 {
+            let seen = fixture.post(paths::COMPLETIONS, &[], &body).await;
+            assert_eq!(seen.status, 200, "{}", seen.text());
+            report(&fixture, crash, fixture.attempts()[0].fingerprint);
+            // A clearance that a request proposes would be committed in this time.
+            actix_rt::time::sleep(RETRY_TIME).await;
+            assert_eq!(fixture.attempts().len(), crash as usize);
+        }
+        let seen = fixture.post(paths::COMPLETIONS, &[], &body).await;
+        assert_eq!(seen.json()["error"]["code"], "convicted", "{}", seen.text());
+        let seen_suspect = fixture.attempts().iter().filter(|work| work.suspect).count();
+        assert_eq!(seen_suspect, 2, "all but the first request started as suspects");
+    });
+}
+
+#[test]
+fn a_request_waits_while_the_agent_cannot_answer() {
+    // Guards against a request that is retried without a decision because its agent is overloaded,
+    // which is likely when an endpoint has just crashed.
+    actix_rt::System::new().block_on(async {
+        let decided = SharedDecision::default();
+        let fixture = start_agents(|| {
+            let decided = decided.clone();
+            agent(u32::MAX, SharedDecision::default()).with_crash_result(move |question| {
+                let decided = decided.lock().unwrap();
+                match question.attempt.0 <= decided.attempt {
+                    true => Ok(CrashDecision::Committed(decided.at)),
+                    false => Err(Failure::not_run(Code::Overloaded, "the agent is overloaded")),
+                }
+            })
+        })
+        .await;
+        let seen = decide_crashes(&fixture, &decided, 3).await;
+        assert_eq!(seen.json()["error"]["code"], "convicted", "{}", seen.text());
+        assert_eq!(fixture.attempts().len(), 3);
+    });
+}
+
+#[test]
+fn an_agent_of_the_previous_release_is_asked_once() {
+    // Guards against requests that wait until the limit during an upgrade, because agents of the
+    // previous release do not have the route.
+    actix_rt::System::new().block_on(async {
+        let asked = Arc::new(AtomicU32::new(0));
+        let fixture = start_agents(|| {
+            let asked = asked.clone();
+            agent(1, SharedDecision::default()).with_crash_result(move |_| {
+                asked.fetch_add(1, Ordering::Relaxed);
+                Err(Failure::not_run(Code::NotFound, "no route"))
+            })
+        })
+        .await;
+        let seen = fixture.post(paths::COMPLETIONS, &[], &body()).await;
+        assert_eq!(seen.status, 200, "{}", seen.text());
+        assert_eq!(asked.load(Ordering::Relaxed), 1);
+    });
+}
+
+#[test]
+fn a_content_convicted_while_its_request_waits_for_admission_is_not_sent() {
+    // Guards against a further crash by a request that was accepted before its content was
+    // convicted and got its endpoint afterwards.
+    actix_rt::System::new().block_on(async {
+        let released = Arc::new(AtomicU32::new(1));
+        let held = released.clone();
+        let agent = Agent::new(move |work| {
+            let events = vec![Event::Accepted, tokens("at seven", 1), finished(2)];
+            Plan::Held(frames(work, events), held.clone())
+        });
+        let fixture = Fixture::start(vec![agent]).await;
+        let body = body();
+        let seen = fixture.post(paths::COMPLETIONS, &[], &body).await;
+        assert_eq!(seen.status, 200, "{}", seen.text());
+        let content = fixture.attempts()[0].fingerprint;
+        released.store(0, Ordering::Relaxed);
+        let others: Vec<Value> = (0..OTHERS)
+            .map(|other| json!({"model": MODEL, "prompt": format!("other {other}"), "max_tokens": 8}))
+            .collect();
+        let others = others.iter().map(|other| fixture.post(paths::COMPLETIONS, &[], other));
+        let convicted = async {
+            actix_rt::time::sleep(RETRY_TIME).await;
+            let decide = async {
+                actix_rt::time::sleep(RETRY_TIME).await;
+                assert!(fixture.attempts().len() <= OTHERS, "the endpoint is full");
+                convict(&fixture, content);
+                released.store(1, Ordering::Relaxed);
+            };
+            tokio::join!(fixture.post(paths::COMPLETIONS, &[], &body), decide).0
+        };
+        let (others, seen) = tokio::join!(join_all(others), convicted);
+        assert!(others.iter().all(|seen| seen.status == 200));
+        let error = &seen.json()["error"];
+        assert_eq!((&error["code"], &error["outcome"]), (&json!("convicted"), &json!("not_run")));
+        let sent = fixture.attempts();
+        assert_eq!(sent.iter().filter(|work| work.fingerprint == content).count(), 1);
+        fixture.settled().await;
+        fixture.check().await;
+    });
+}
+
 #[test]
 fn a_request_whose_content_is_not_suspected_is_retried_without_a_decision() {
     // Guards against requests that fail or wait for ever because no leader decides, or because the
--- a/components/entry/tests/rescue.rs
+++ b/components/entry/tests/rescue.rs
@@ -5,10 +5,14 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use chicoryford_entry::run::first_token::FirstTokenTimes;
 use chicoryford_settings::process::EntrySettings;
+use chicoryford_state::Command;
 use chicoryford_types::Class;
+use chicoryford_types::Endpoint;
+use chicoryford_types::Incarnation;
 use chicoryford_types::Model;
 use chicoryford_types::Template;
 use chicoryford_types::Work;
@@ -151,6 +155,34 @@
     });
 }
 
+#[test]
+fn a_content_convicted_meanwhile_is_not_rescued() {
+    // Guards against a convicted content that crashes another endpoint as the second attempt of a
+    // request whose first attempt is silent.
+    actix_rt::System::new().block_on(async {
+        let settings = EntrySettings { silence_ms: 10_000, rescue_ms: 2_000, ..entry_settings() };
+        let fixture = Fixture::start_configured(agents(1), urgent(), settings).await;
+        let convict = async {
+            while fixture.attempts().is_empty() {
+                actix_rt::time::sleep(Duration::from_millis(2)).await;
+            }
+            let blamed = vec![fixture.attempts()[0].fingerprint];
+            for crash in 1..=3 {
+                let endpoint = Endpoint(format!("crashed-{crash}"));
+                let (incarnation, blamed) = (Incarnation(1), blamed.clone());
+                fixture.control.apply(Command::Crashed { endpoint, crash, incarnation, blamed });
+            }
+        };
+        let (body, late) = (chat(), [("chicoryford-deadline-ms", "5000")]);
+        let (seen, ()) = tokio::join!(fixture.post(paths::CHAT, &late, &body), convict);
+        assert_eq!(fixture.control.state.lock().unwrap().config.convictions.len(), 1);
+        assert_eq!(fixture.attempts().len(), 1, "a convicted content was sent again");
+        assert_eq!(seen.json()["error"]["code"], "deadline_passed", "{}", seen.text());
+        fixture.settled().await;
+        fixture.check().await;
+    });
+}
+
 #[test]
 fn the_rescue_delay_is_learned() {
     let model = Model::from(MODEL);
--- a/components/entry/tests/support/mod.rs
+++ b/components/entry/tests/support/mod.rs
@@ -105,7 +105,7 @@
 }
 
 type Answer = Box<dyn Fn(&Work) -> Plan + Send + Sync>;
-type CrashOf = Box<dyn Fn(&CrashQuestion) -> CrashDecision + Send + Sync>;
+type CrashOf = Box<dyn Fn(&CrashQuestion) -> Result<CrashDecision, Failure> + Send + Sync>;
 type StateOf = Box<dyn Fn(&AttemptQuestion) -> AttemptState + Send + Sync>;
 
 /// A fake agent.
@@ -114,7 +114,7 @@
     pub answer: Answer,
     /// Returns the state that the agent reports for an attempt.
     pub state_of: StateOf,
-    /// Returns what is decided about a crash by an attempt.
+    /// Returns what is decided about a crash by an attempt, or the failure of the query.
     pub crash_of: CrashOf,
     /// The attempts that the agent received.
     pub seen: Mutex<Vec<Work>>,
@@ -129,7 +129,7 @@
         Self {
             answer: Box::new(answer),
             state_of: Box::new(|_| AttemptState::Unknown),
-            crash_of: Box::new(|_| CrashDecision::NotBlamed),
+            crash_of: Box::new(|_| Ok(CrashDecision::NotBlamed)),
             seen: Mutex::default(),
             asked: Mutex::default(),
         }
@@ -147,6 +147,14 @@
     pub fn with_crash(
         self,
         crash_of: impl Fn(&CrashQuestion) -> CrashDecision + Send + Sync + 'static,
+    ) -> Self {
+        self.with_crash_result(move |question| Ok(crash_of(question)))
+    }
+
+    /// Sets how the agent answers queries about crashes by attempts, which may fail.
+    pub fn with_crash_result(
+        self,
+        crash_of: impl Fn(&CrashQuestion) -> Result<CrashDecision, Failure> + Send + Sync + 'static,
     ) -> Self {
         Self { crash_of: Box::new(crash_of), ..self }
     }
@@ -634,7 +642,10 @@
         });
         let shared = agent.clone();
         routes.add(paths::CRASH, &[Kind::Process], move |call| {
-            let reply = reply::msgpack(&(shared.crash_of)(&call.msgpack().unwrap()));
+            let reply = match (shared.crash_of)(&call.msgpack().unwrap()) {
+                Ok(decision) => reply::msgpack(&decision),
+                Err(failure) => reply::peer_failure(&failure),
+            };
             async move { reply }
         });
         routes
--- a/components/wire/src/client.rs
+++ b/components/wire/src/client.rs
@@ -1,5 +1,6 @@
 //! The HTTP client that processes use to call each other and endpoints.
 
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -40,6 +41,8 @@
         url: String,
         /// The error message of the HTTP library.
         detail: String,
+        /// Whether the host refused the connection, so that no process listens at the address.
+        refused: bool,
     },
     /// The call may have been received, but no complete answer was.
     #[error("{url}: no complete answer: {detail}")]
@@ -188,7 +191,9 @@
             CallError::Lost { url, detail }
         }
         SendRequestError::Url(_) | SendRequestError::Connect(_) => {
-            CallError::NotSent { url, detail }
+            let refused = matches!(error, SendRequestError::Connect(ConnectError::Io(error))
+                if error.kind() == ErrorKind::ConnectionRefused);
+            CallError::NotSent { url, detail, refused }
         }
         _ => CallError::Lost { url, detail },
     }
--- a/components/wire/tests/server.rs
+++ b/components/wire/tests/server.rs
@@ -67,6 +67,6 @@
         assert_eq!(answer.body().await.unwrap(), Bytes::from(rmp_serde::to_vec("anew").unwrap()));
         running.handle.stop(false).await;
         let gone = client.fresh().call::<str, ()>(&address, "/echo", "", TIMEOUT).await;
-        assert!(matches!(gone, Err(CallError::NotSent { .. })));
+        assert!(matches!(gone, Err(CallError::NotSent { refused: true, .. })), "{gone:?}");
     });
 }
