Gate: innocents beside a suspect stay innocent; crash queries are bounded

Cause: the record of an attempt that ran beside a blamed suspect was removed, so that it became undetermined when its connection was found broken after the report, and could be blamed for the next crash. Removed records kept their entries in the order of eviction, so that connections that broke without a crash evicted blamed attempts. The queries that wait for a decision had no maximum, and all were examined after every message.

Change: such attempts are recorded as not blamed, and removed records leave the order of eviction.

--- a/components/agent/src/gate/decide.rs
+++ b/components/agent/src/gate/decide.rs
@@ -125,8 +125,6 @@
         } else {
             self.mean_slot_ms - self.mean_slot_ms / SMOOTHING + slot_ms / SMOOTHING
         };
-        // An attempt that ran at a crash which is already reported must not be blamed again for the
-        // next one.
         if end == AttemptEnd::Broken && self.blames.record_broken(id, now) {
             let Arrival { fingerprint, suspect, .. } = run.arrival;
             self.broken.push(BrokenAttempt { id, fingerprint, suspect, at: now });
@@ -239,7 +237,7 @@
                 self.blames.record_blamed(id, crash, now);
                 blamed.push(fingerprint);
             } else {
-                self.blames.record_not_blamed(id);
+                self.blames.record_not_blamed(id, now);
             }
         }
         blamed.sort();
@@ -251,7 +249,7 @@
     /// broke for another reason, so their content is not suspected.
     pub fn record_not_crashed(&mut self, since: Millis) {
         for broken in self.broken.extract_if(.., |broken| broken.at <= since) {
-            self.blames.record_not_blamed(broken.id);
+            self.blames.remove(broken.id);
         }
     }
 
--- a/components/agent/src/gate_duty.rs
+++ b/components/agent/src/gate_duty.rs
@@ -8,11 +8,10 @@
 use chicoryford_kernel::Phase;
 use chicoryford_kernel::Receiver;
 use chicoryford_kernel::unix;
-use chicoryford_types::Incarnation;
-use chicoryford_types::request::CrashDecision;
-use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use crate::crash_queries::CrashQueries;
+use crate::crash_queries::CrashQuery;
 use crate::gate::Action;
 use crate::gate::Gate;
 use crate::gate::GateSettings;
@@ -36,7 +35,7 @@
     let mut duty = GateDuty {
         gate: Gate::new(settings),
         signals: HashMap::new(),
-        crash_queries: Vec::new(),
+        crash_queries: CrashQueries::default(),
         kernel,
     };
     let mut tick = actix_rt::time::interval(TICK_INTERVAL);
@@ -50,22 +49,14 @@
             () = phases.reached(Phase::Stopping) => return,
         }
         duty.perform_actions();
-        duty.answer_crash_queries();
         duty.publish_stats(&stats);
     }
 }
 
-/// A query that waits for the decision about an attempt.
-struct CrashQuery {
-    id: Id,
-    incarnation: Incarnation,
-    reply: oneshot::Sender<CrashDecision>,
-}
-
 struct GateDuty {
     gate: Gate,
     signals: HashMap<Id, watch::Sender<Signal>>,
-    crash_queries: Vec<CrashQuery>,
+    crash_queries: CrashQueries,
     kernel: Kernel,
 }
 
@@ -97,17 +88,27 @@
             GateMessage::Health(healthy) => self.gate.set_healthy(healthy, now),
             GateMessage::TakeCrashSuspects(crash, reply) => {
                 let _ = reply.send(self.gate.take_crash_suspects(crash, now));
+                self.crash_queries.answer(&self.gate);
+            }
+            GateMessage::CrashCommitted(crash, at) => {
+                self.gate.record_crash_committed(crash, at);
+                self.crash_queries.answer(&self.gate);
             }
-            GateMessage::CrashCommitted(crash, at) => self.gate.record_crash_committed(crash, at),
             GateMessage::CrashQuery { id, incarnation, reply } => {
-                self.crash_queries.push(CrashQuery { id, incarnation, reply });
+                self.crash_queries.push(CrashQuery { id, incarnation, reply }, &self.gate);
+            }
+            GateMessage::NotCrashed(since) => {
+                self.gate.record_not_crashed(since);
+                self.crash_queries.answer(&self.gate);
             }
-            GateMessage::NotCrashed(since) => self.gate.record_not_crashed(since),
         }
     }
 
     fn tick(&mut self) {
         self.gate.tick(self.kernel.now());
+        // Records of attempts expire.
+        self.crash_queries.answer(&self.gate);
+        self.crash_queries.drop_closed();
         let stats = self.gate.stats();
         self.kernel.metrics.gauge("agent.running", stats.running as u64);
         self.kernel.metrics.gauge("agent.waiting", stats.waiting as u64);
@@ -129,18 +130,6 @@
         }
     }
 
-    /// Answers the queries whose attempts are decided, and drops those that nobody waits for.
-    fn answer_crash_queries(&mut self) {
-        let gate = &self.gate;
-        let answered = self.crash_queries.extract_if(.., |query| {
-            let decision = gate.crash_decision(query.id, query.incarnation);
-            decision != CrashDecision::Pending || query.reply.is_closed()
-        });
-        for CrashQuery { id, incarnation, reply } in answered {
-            let _ = reply.send(gate.crash_decision(id, incarnation));
-        }
-    }
-
     fn send_signal(&self, id: Id, signal: Signal) {
         if let Some(sender) = self.signals.get(&id) {
             sender.send_replace(signal);
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -3,6 +3,7 @@
 //! The agent announces the endpoint, reports its load, admits its work and executes orders for it
 //! under fencing. docs/AGENT.md describes its design and operation.
 
+pub mod crash_queries;
 pub mod engine;
 pub mod fence;
 pub mod gate;
--- a/components/agent/tests/blame.rs
+++ b/components/agent/tests/blame.rs
@@ -94,3 +94,32 @@
     gate.tick(Millis(70_000));
     assert_eq!(decision(&gate, 1), CrashDecision::NotBlamed);
 }
+
+#[test]
+fn an_innocent_attempt_beside_a_suspect_is_not_blamed_for_the_next_crash() {
+    // Guards against a harmless content that is suspected because its connection was found broken
+    // only after the crash by the suspect beside it was reported.
+    let mut gate = gate(&[2]);
+    assert_eq!(gate.take_crash_suspects(1, Millis(100)), [Fingerprint(2)]);
+    gate.record_end(id(1), AttemptEnd::Broken, Millis(110));
+    assert_eq!(decision(&gate, 1), CrashDecision::NotBlamed);
+    gate.record_end(id(2), AttemptEnd::Broken, Millis(111));
+    assert!(gate.take_crash_suspects(2, Millis(200)).is_empty());
+    assert_eq!(decision(&gate, 1), CrashDecision::NotBlamed);
+}
+
+#[test]
+fn attempts_that_broke_without_a_crash_do_not_evict_blamed_ones() {
+    // Guards against a lost decision after many connections broke for other reasons: the entry
+    // would retry a content that is blamed.
+    let mut gate = gate(&[]);
+    gate.take_crash_suspects(1, Millis(100));
+    gate.record_crash_committed(1, AT);
+    for number in 10..6_000 {
+        let arrival = Arrival { id: id(number), budget_ms: 60_000, ..Arrival::default() };
+        gate.arrive(arrival, Millis(200), Unix(0));
+        gate.record_end(id(number), AttemptEnd::Broken, Millis(200));
+        gate.record_not_crashed(Millis(200));
+    }
+    assert_eq!(decision(&gate, 1), CrashDecision::Committed(AT));
+}
