--- a/components/agent/src/gate_duty.rs
+++ b/components/agent/src/gate_duty.rs
@@ -10,6 +10,8 @@
 use chicoryford_kernel::unix;
 use tokio::sync::watch;
 
+use crate::crash_queries::CrashQueries;
+use crate::crash_queries::CrashQuery;
 use crate::gate::Action;
 use crate::gate::Gate;
 use crate::gate::GateSettings;
@@ -30,7 +32,12 @@
     stats: watch::Sender<GateStats>,
 ) {
     let phases = kernel.phases.clone();
-    let mut duty = GateDuty { gate: Gate::new(settings), signals: HashMap::new(), kernel };
+    let mut duty = GateDuty {
+        gate: Gate::new(settings),
+        signals: HashMap::new(),
+        crash_queries: CrashQueries::default(),
+        kernel,
+    };
     let mut tick = actix_rt::time::interval(TICK_INTERVAL);
     loop {
         tokio::select! {
@@ -49,6 +56,7 @@
 struct GateDuty {
     gate: Gate,
     signals: HashMap<Id, watch::Sender<Signal>>,
+    crash_queries: CrashQueries,
     kernel: Kernel,
 }
 
@@ -78,15 +86,29 @@
             }
             GateMessage::Drain(draining) => self.gate.set_draining(draining, now),
             GateMessage::Health(healthy) => self.gate.set_healthy(healthy, now),
-            GateMessage::TakeCrashSuspects(reply) => {
-                let _ = reply.send(self.gate.take_crash_suspects());
+            GateMessage::TakeCrashSuspects(crash, reply) => {
+                let _ = reply.send(self.gate.take_crash_suspects(crash, now));
+                self.crash_queries.answer(&self.gate);
+            }
+            GateMessage::CrashCommitted(crash, at) => {
+                self.gate.record_crash_committed(crash, at);
+                self.crash_queries.answer(&self.gate);
+            }
+            GateMessage::CrashQuery { id, incarnation, reply } => {
+                self.crash_queries.push(CrashQuery { id, incarnation, reply }, &self.gate);
+            }
+            GateMessage::NotCrashed(since) => {
+                self.gate.record_not_crashed(since);
+                self.crash_queries.answer(&self.gate);
             }
-            GateMessage::NotCrashed(since) => self.gate.record_not_crashed(since),
         }
     }
 
     fn tick(&mut self) {
         self.gate.tick(self.kernel.now());
+        // Records of attempts expire.
+        self.crash_queries.answer(&self.gate);
+        self.crash_queries.drop_closed();
         let stats = self.gate.stats();
         self.kernel.metrics.gauge("agent.running", stats.running as u64);
         self.kernel.metrics.gauge("agent.waiting", stats.waiting as u64);
--- a/components/entry/src/run/attempts.rs
+++ b/components/entry/src/run/attempts.rs
@@ -10,9 +10,11 @@
 use chicoryford_types::Outcome;
 use chicoryford_types::Work;
 use chicoryford_types::request::AttemptQuestion;
+use chicoryford_types::request::CrashQuestion;
 use chicoryford_types::request::StoredAnswer;
 use chicoryford_types::request::Task;
 
+use crate::admit;
 use crate::context::Context;
 use crate::router::AttemptEnd;
 use crate::router::AttemptPermit;
@@ -23,6 +25,8 @@
 use crate::run::attempt::Attempt;
 use crate::run::attempt::AttemptError;
 use crate::run::attempt::ProbeResult;
+use crate::run::crash_query;
+use crate::run::crash_query::BrokenAttempt;
 use crate::run::job::Job;
 use crate::run::rescue;
 
@@ -75,12 +79,16 @@
     pub last_failure: Option<Failure>,
     /// The permit for the first attempt, which the request received when it was admitted.
     first: Option<AttemptPermit>,
+    /// The attempts that broke at their endpoints. Whether they crashed them has to be known before
+    /// the next attempt.
+    broken: Vec<BrokenAttempt>,
 }
 
 impl Attempts {
     /// Creates the state of a request before its first attempt.
     pub fn new(context: Context, job: Job, first: AttemptPermit) -> Self {
-        Self { context, job, may_have_run: false, last_failure: None, first: Some(first) }
+        let first = Some(first);
+        Self { context, job, may_have_run: false, last_failure: None, first, broken: Vec::new() }
     }
 
     /// Starts the next attempt. If it fails before its first event, tries further endpoints as long
@@ -103,6 +111,7 @@
     }
 
     /// Acquires a permit for the next attempt and builds its message with the next attempt number.
+    /// The content may have been convicted while the request waited for the permit.
     ///
     /// # Errors
     ///
@@ -112,9 +121,21 @@
             Some(permit) => permit,
             None => self.choose().await.map_err(|refusal| self.no_endpoint(refusal))?,
         };
+        self.check_not_convicted()?;
         Ok(self.assign(task, permit))
     }
 
+    /// Refuses to send content that was convicted after the request was admitted.
+    ///
+    /// # Errors
+    ///
+    /// Returns the final failure of the request.
+    pub fn check_not_convicted(&self) -> Result<(), Failure> {
+        let config = self.context.config.current();
+        let checked = admit::check_not_convicted(self.job.fingerprint, &config);
+        checked.map_err(|failure| self.final_failure(failure))
+    }
+
     /// Builds the message of the next attempt for the endpoint of `permit`.
     pub fn assign(&mut self, task: &Task, permit: AttemptPermit) -> (AttemptPermit, Work) {
         self.job.attempt = self.job.attempt.next();
@@ -164,7 +185,7 @@
                 let failure = Failure::unknown(Code::EndpointFailed, detail);
                 self.may_have_run = true;
                 match wait_for_retry(&self.context, &mut self.job, &failure).await {
-                    true => Ok(()),
+                    true => self.wait_for_decisions().await,
                     false => Err(failure),
                 }
             }
@@ -178,6 +199,7 @@
             AttemptError::NotRun(failure) => permit.end = AttemptEnd::from_refusal(failure.code),
             AttemptError::Failed(failure) if failure.code == Code::EndpointFailed => {
                 permit.end = AttemptEnd::Failed;
+                self.record_broken(&permit, number);
             }
             AttemptError::Lost(_) => {
                 self.record_silence(permit.pick.endpoint.clone(), self.context.now());
@@ -193,6 +215,23 @@
         }
     }
 
+    /// Handles an attempt that failed after the whole answer was received. Nothing follows it, so it
+    /// does not wait for the end of the attempt at its endpoint or for a decision about a crash.
+    pub fn abandon(&mut self, mut live: LiveAttempt, error: AttemptError) {
+        if matches!(error, AttemptError::Lost(_)) {
+            live.attempt.detach();
+        }
+        let LiveAttempt { permit, number, .. } = live;
+        self.log_broken(&permit, number, &error);
+        self.discard(FailedAttempt { permit, number, error });
+    }
+
+    fn log_broken(&self, permit: &AttemptPermit, number: Number, error: &AttemptError) {
+        let (request, endpoint) = (self.job.request, &permit.pick.endpoint);
+        tracing::info!(event = "attempt_broken", %request, %number, %endpoint, broken = ?error);
+        self.context.kernel.metrics.count("entry.attempt.broken", 1);
+    }
+
     /// Decides what follows a failed attempt.
     ///
     /// # Errors
@@ -214,8 +253,7 @@
         let FailedAttempt { mut permit, number, error } = failed;
         let endpoint = permit.pick.endpoint.clone();
         let request = self.job.request;
-        tracing::info!(event = "attempt_broken", %request, %number, %endpoint, broken = ?error);
-        self.context.kernel.metrics.count("entry.attempt.broken", 1);
+        self.log_broken(&permit, number, &error);
         let failure = match error {
             AttemptError::NotRun(failure) => {
                 permit.end = AttemptEnd::from_refusal(failure.code);
@@ -228,6 +266,7 @@
                 self.may_have_run = true;
                 if failure.code == Code::EndpointFailed {
                     permit.end = AttemptEnd::Failed;
+                    self.record_broken(&permit, number);
                 }
                 if !self.job.repeatable || is_final(failure.code) {
                     return Err(failure);
@@ -238,8 +277,10 @@
                 let (cancel, since) = (self.job.repeatable, self.context.now());
                 let probed =
                     attempt::probe_lost(&self.context, &mut permit, request, number, cancel).await;
-                if matches!(probed, ProbeResult::NoResponse) {
-                    self.record_silence(endpoint.clone(), since);
+                match probed {
+                    ProbeResult::NoResponse => self.record_silence(endpoint.clone(), since),
+                    ProbeResult::Unknown => self.record_broken(&permit, number),
+                    _ => {}
                 }
                 match probed {
                     ProbeResult::NotRun => {
@@ -266,10 +307,29 @@
         if !wait_for_retry(&self.context, &mut self.job, &failure).await {
             return Err(self.final_failure(failure));
         }
+        self.wait_for_decisions().await?;
         self.last_failure = Some(failure);
         Ok(Recovery::Retry)
     }
 
+    fn record_broken(&mut self, permit: &AttemptPermit, number: Number) {
+        let question = CrashQuestion {
+            request: self.job.request,
+            attempt: number,
+            incarnation: permit.pick.incarnation,
+            wait_ms: 0,
+        };
+        self.broken.push(BrokenAttempt { address: permit.pick.address.clone(), question });
+    }
+
+    /// Waits until it is known whether the attempts that broke have crashed their endpoints. Without
+    /// such attempts it only checks that the content is not convicted.
+    async fn wait_for_decisions(&mut self) -> Result<(), Failure> {
+        let broken = std::mem::take(&mut self.broken);
+        let waited = crash_query::wait(&self.context, &mut self.job, broken).await;
+        waited.map_err(|failure| self.final_failure(failure))
+    }
+
     /// Returns the failure to report when no further endpoint is available.
     fn no_endpoint(&mut self, refusal: Failure) -> Failure {
         let failure = match self.last_failure.take() {
