Cut-off of paced calls does not depend on a confirmed leader

Whether the attempts of a paced call are cut off was decided from the endpoints that it may be sent to now. There are none while the host's leader is not confirmed, which is the case for up to 200 ms after it connects. Nothing wakes the call when the leader is confirmed, so it kept its attempt until its pass ended (2.5 s) although another endpoint was free.

The cut-off no longer considers whether the request may be sent now. A call that is cut off in such a period ends its pass without an answer, and its host forwards it again when the leader is confirmed.

Without the change fails a_call_that_is_cut_off_without_a_confirmed_leader_is_sent_elsewhere.

--- a/components/node/src/forward/pacing.rs
+++ b/components/node/src/forward/pacing.rs
@@ -196,10 +196,15 @@
         })
     }
 
-    /// Returns the endpoints that could be tried now if their windows were not full. A full window
-    /// of a reachable endpoint is no reason to try an unreachable one.
+    /// Returns the endpoints that could be tried now if their windows were not full.
     fn wanted_endpoints(&self) -> BTreeSet<String> {
-        if self.attempts_left == 0 || !self.budget.permits_send() {
+        if self.budget.permits_send() { self.open_endpoints() } else { BTreeSet::new() }
+    }
+
+    /// Returns the endpoints that could be tried while the request may be sent, if their windows
+    /// were not full. A full window of a reachable endpoint is no reason to try an unreachable one.
+    fn open_endpoints(&self) -> BTreeSet<String> {
+        if self.attempts_left == 0 {
             return BTreeSet::new();
         }
         let picker = self.forwarder.picker.borrow();
@@ -208,9 +213,10 @@
     }
 
     /// Returns the endpoints for which the request waits if their windows are full, or `None` if it
-    /// is not paced.
+    /// is not paced. Whether it may be sent now is not considered: that also changes with time,
+    /// which wakes no call.
     pub(super) fn paced_endpoints(&self) -> Option<BTreeSet<String>> {
-        self.pacing().map(|_| self.wanted_endpoints())
+        self.pacing().map(|_| self.open_endpoints())
     }
 
     /// Returns whether only full windows prevent an attempt.
--- a/components/node/tests/pacing.rs
+++ b/components/node/tests/pacing.rs
@@ -16,6 +16,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use chicoryford_fleet::Endpoint;
 use chicoryford_fleet::EndpointStatus;
 use chicoryford_fleet::Grant;
 use chicoryford_fleet::Policy;
@@ -818,3 +819,51 @@
     assert!(is_success(&called), "{called:?}");
     assert_eq!(*third.calls.borrow(), ["c"]);
 }
+
+/// The endpoint of a call is marked as unreachable while the host's leader is not confirmed, or its
+/// second attempt is due then. Guards against a call that is not woken when the leader is confirmed
+/// again, and keeps its attempt until its pass ends although another endpoint is free.
+#[actix_rt::test]
+async fn a_call_that_is_cut_off_without_a_confirmed_leader_is_sent_elsewhere() {
+    for (marked_early, share) in [(false, Some(0.0)), (true, Some(0.0)), (true, None)] {
+        let case = format!("marked early: {marked_early}, share: {share:?}");
+        let (hanging, free) = (FakeEndpoint::start(true).await, FakeEndpoint::start(false).await);
+        let forwarder = forwarder_of_two(&[hanging.clone(), free.clone()], share);
+        let other = endpoint("score", "i1", free.address, HOSTS);
+        let silent = Endpoint { status: EndpointStatus::Silent, ..other.clone() };
+        forwarder.apply(&Update::Endpoint(silent));
+        let confirmed = Rc::new(Cell::new(true));
+        let (deadline, is_confirmed) = (clock::now() + LONG_MS, confirmed.clone());
+        let grant = granted(&["i0", "i1"]);
+        let budget =
+            Budget::shared(deadline, CallCost::default(), grant, move || is_confirmed.get());
+        // The host of a call forwards it again after a pass that was not answered.
+        let called = async {
+            loop {
+                wait_until(|| confirmed.get()).await;
+                let outcome = call_within(&forwarder, "c", 1, 2, &budget).await;
+                assert!(!matches!(outcome, Outcome::Late), "{case}: {outcome:?}");
+                if is_success(&outcome) {
+                    return;
+                }
+            }
+        };
+        let act = async {
+            wait_until(|| hanging.running.get() == 1).await;
+            forwarder.apply(&Update::Endpoint(other));
+            if marked_early {
+                forwarder.apply(&marked("i0", 100_000_000));
+                confirmed.set(false);
+                tokio::time::sleep(HEDGE_DUE).await;
+            } else {
+                tokio::time::sleep(HEDGE_DUE).await;
+                confirmed.set(false);
+                forwarder.apply(&marked("i0", 100_000_000));
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            confirmed.set(true);
+        };
+        tokio::join!(called, act);
+        assert_eq!((hanging.calls.borrow().len(), free.calls.borrow().len()), (1, 1), "{case}");
+    }
+}
