Paced calls return to an abandoned endpoint that is reachable again

A paced call that abandoned its attempt at an unreachable endpoint could not try that endpoint again in its pass. After a short mark or a restart it waited for the full window of another endpoint until the pass ended (2.5 s).

Such a call may now return to the endpoint once it is reachable. A return uses up one of the attempts of the pass and needs the endpoint to be within the grant; it is no new endpoint for the limit of endpoints that may run the call. Requests that must not run twice are never cut off, so they do not return.

Without the change fails an_abandoned_endpoint_is_tried_again_once_it_is_reachable.

--- a/components/node/src/forward/dispatch.rs
+++ b/components/node/src/forward/dispatch.rs
@@ -54,6 +54,9 @@
     /// Remaining attempts in this pass.
     pub(super) attempts_left: u32,
     pub(super) tried: Vec<String>,
+    /// Endpoints at which the latest attempt of a paced call was abandoned because they were
+    /// unreachable.
+    pub(super) abandoned: BTreeSet<String>,
     /// Endpoints that may have run the request in this pass for the first time.
     pub(super) new_endpoints: BTreeSet<String>,
     /// Its place in the queue for endpoints with free capacity, once it has reached the head.
@@ -160,7 +163,7 @@
                 }
                 is_cut_off = self.hedge_due(hedge_timer, hedge) => {
                     if is_cut_off {
-                        running.clear();
+                        self.abandon_attempts(&mut running);
                         continue;
                     }
                     hedged = true;
@@ -171,7 +174,7 @@
                 }
                 () = self.cut_off_check(), if hedged && may_give_up => {
                     if self.is_cut_off() {
-                        running.clear();
+                        self.abandon_attempts(&mut running);
                     }
                     continue;
                 }
@@ -198,6 +201,7 @@
         self.possible_runs += 1;
         let id = target.id.clone();
         self.tried.push(id.clone());
+        self.abandoned.remove(&id);
         if self.budget.spent.borrow_mut().endpoints.insert(id.clone()) {
             self.new_endpoints.insert(id);
             self.budget.changed.notify_one();
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -240,6 +240,7 @@
             max_endpoints: route.attempts.max(1),
             attempts_left: route.attempts.saturating_sub(budget.spent.borrow().failures).max(1),
             tried: Vec::new(),
+            abandoned: BTreeSet::new(),
             new_endpoints: BTreeSet::new(),
             queue_place: None,
             waited_ms: 0,
--- a/components/node/src/forward/pacing.rs
+++ b/components/node/src/forward/pacing.rs
@@ -202,14 +202,19 @@
     }
 
     /// Returns the endpoints that could be tried while the request may be sent, if their windows
-    /// were not full. A full window of a reachable endpoint is no reason to try an unreachable one.
+    /// were not full: those that were not tried, and those at which an attempt was abandoned and
+    /// which are reachable again. A full window of a reachable endpoint is no reason to try an
+    /// unreachable one.
     fn open_endpoints(&self) -> BTreeSet<String> {
         if self.attempts_left == 0 {
             return BTreeSet::new();
         }
         let picker = self.forwarder.picker.borrow();
-        let ids = self.budget.granted(|id| picker.serves(self.service, id) && self.may_try(id));
-        picker.prefer_reachable(ids, clock::now())
+        let now = clock::now();
+        let may_return = |id: &str| self.abandoned.contains(id) && !picker.is_unreachable(id, now);
+        let is_open = |id: &str| self.may_try(id) || may_return(id) && self.within_budget(id);
+        let ids = self.budget.granted(|id| picker.serves(self.service, id) && is_open(id));
+        picker.prefer_reachable(ids, now)
     }
 
     /// Returns the endpoints for which the request waits if their windows are full, or `None` if it
--- a/components/node/src/forward/reachability.rs
+++ b/components/node/src/forward/reachability.rs
@@ -14,6 +14,7 @@
 use chicoryford_http::ExchangeError;
 use chicoryford_kernel::run_time;
 use chicoryford_types::Millis;
+use futures_util::stream::FuturesUnordered;
 use tokio::sync::Notify;
 
 use super::CONNECT_TIMEOUT;
@@ -179,6 +180,17 @@
         self.forwarder.picker.borrow().has_ready(self.service, fits)
     }
 
+    /// Abandons the attempts of a request that is cut off. A paced call may return to their
+    /// endpoints, because the windows of all others may be full until its pass ends.
+    pub(super) fn abandon_attempts<F>(&mut self, running: &mut FuturesUnordered<F>) {
+        if self.paced_endpoints().is_some() {
+            let (records, gate) = (self.attempts.records.borrow(), self.attempts.gate.borrow());
+            let ids = gate.live_attempts().map(|index| records[index].target.id.clone());
+            self.abandoned.extend(ids);
+        }
+        running.clear();
+    }
+
     /// Waits until it must be checked whether the request is cut off.
     pub(super) async fn cut_off_check(&self) {
         if !self.paced_cut_off().await {
--- a/components/node/src/forward/selection.rs
+++ b/components/node/src/forward/selection.rs
@@ -40,14 +40,17 @@
         }
         let paced = self.paced_endpoints();
         let mut picker = self.forwarder.picker.borrow_mut();
-        let fits = |id: &str| self.may_try(id) && self.has_window(id);
+        let may_probe = |id: &str| self.may_try(id) && self.has_window(id);
         if self.can_probe()
-            && let Some(target) = picker.pick_probe(self.service, self.route, fits, clock::now())
+            && let Some(target) =
+                picker.pick_probe(self.service, self.route, may_probe, clock::now())
         {
             return Ok(target);
         }
-        let is_wanted = |id: &str| paced.as_ref().is_none_or(|paced| paced.contains(id));
-        picker.pick(self.service, self.route, |id| is_wanted(id) && fits(id), clock::now())
+        let is_open =
+            |id: &str| paced.as_ref().map_or_else(|| self.may_try(id), |paced| paced.contains(id));
+        let fits = |id: &str| is_open(id) && self.has_window(id);
+        picker.pick(self.service, self.route, fits, clock::now())
     }
 
     /// Returns whether the request can be used as a probe. If the probe fails, it needs another
@@ -64,7 +67,12 @@
     /// Returns whether the budget allows an endpoint that was not tried yet.
     pub(super) fn may_try(&self, id: &str) -> bool {
         let tried = self.tried.iter().any(|tried| tried == id);
-        !tried && self.budget.allows(id, self.max_endpoints as usize)
+        !tried && self.within_budget(id)
+    }
+
+    /// Returns whether the budget allows an endpoint.
+    pub(super) fn within_budget(&self, id: &str) -> bool {
+        self.budget.allows(id, self.max_endpoints as usize)
     }
 
     /// Removes an attempt that was not sent from the counts. Returns whether it was the first one
--- a/components/node/tests/pacing.rs
+++ b/components/node/tests/pacing.rs
@@ -867,3 +867,59 @@
         assert_eq!((hanging.calls.borrow().len(), free.calls.borrow().len()), (1, 1), "{case}");
     }
 }
+
+/// How an endpoint that was marked as unreachable becomes reachable again.
+#[derive(Clone, Copy, Debug)]
+enum Return {
+    MarkRemoved,
+    Restarted,
+}
+
+/// A call has abandoned its attempt at an unreachable endpoint and waits for the full window of
+/// another one. Guards against a call that is not sent to the first endpoint when that is reachable
+/// again, that is sent there before, or that is sent more often than its route allows.
+#[actix_rt::test]
+async fn an_abandoned_endpoint_is_tried_again_once_it_is_reachable() {
+    for back in [Return::MarkRemoved, Return::Restarted] {
+        let fakes = [FakeEndpoint::start(true).await, FakeEndpoint::start(true).await];
+        let forwarder = forwarder_of_two(&fakes, None);
+        let filled = BTreeSet::from(["i1".to_owned()]);
+        let filling = call_at(&forwarder, "filling", 1, filled, LONG_MS);
+        let called = async {
+            wait_until(|| fakes[1].running.get() == 1).await;
+            call(&forwarder, "c", 1, 2, LONG_MS).await
+        };
+        let act = async {
+            wait_until(|| fakes[0].running.get() == 1).await;
+            tokio::time::sleep(HEDGE_DUE).await;
+            forwarder.apply(&marked("i0", 100_000_000));
+            wait_until(|| fakes[0].running.get() == 0).await;
+            tokio::time::sleep(HEDGE_DUE).await;
+            assert_eq!(*fakes[0].calls.borrow(), ["c"], "{back:?}: it is unreachable");
+            let mut other = endpoint("score", "i0", fakes[0].address, HOSTS);
+            match back {
+                Return::MarkRemoved => {
+                    forwarder.apply(&Update::Unreachable(UnreachableSet::default()));
+                }
+                Return::Restarted => {
+                    other.announcement.started_ms = 1;
+                    forwarder.apply(&Update::Endpoint(other.clone()));
+                }
+            }
+            wait_until(|| fakes[0].calls.borrow().len() == 2).await;
+            let endpoints = BTreeMap::from([("i0".to_owned(), other.announcement.started_ms)]);
+            let set = UnreachableSet { endpoints, probe_ms: 100_000_000 };
+            forwarder.apply(&Update::Unreachable(set));
+            tokio::time::sleep(HEDGE_DUE).await;
+            assert_eq!(fakes[0].running.get(), 1, "{back:?}: no attempt is left");
+            fakes[0].hangs.set(false);
+        };
+        let (called, ()) = tokio::select! {
+            joined = async { tokio::join!(called, act) } => joined,
+            filling = filling => panic!("{back:?}: the call waited until {filling:?}"),
+        };
+        assert!(is_success(&called), "{back:?}: {called:?}");
+        assert_eq!(*fakes[0].calls.borrow(), ["c", "c"], "{back:?}");
+        assert_eq!(*fakes[1].calls.borrow(), ["filling"], "{back:?}");
+    }
+}
