An endpoint that may run an abandoned attempt stays counted

If an attempt was not run, its endpoint was removed from those that may run the call, although an earlier attempt there may have been sent and abandoned. The call could then run at more endpoints than its limits allow.

The endpoint is now removed only if no earlier attempt there may have run, both after a refusal and before a connection fallback.

Without the change fails an_endpoint_that_may_run_an_abandoned_attempt_stays_counted (its endpoints are i1 instead of i0 and i1).

--- a/components/node/src/forward/dispatch.rs
+++ b/components/node/src/forward/dispatch.rs
@@ -264,7 +264,7 @@
                 None
             }
             AttemptResult::NotRun | AttemptResult::Unsent => {
-                self.uncount(&id);
+                self.uncount(index);
                 None
             }
             AttemptResult::Lost => self.at_most_once.then_some(Outcome::Lost),
--- a/components/node/src/forward/fallback.rs
+++ b/components/node/src/forward/fallback.rs
@@ -35,20 +35,19 @@
         if self.attempts.gate.borrow().in_flight() > 0 {
             return None;
         }
-        let ids: Vec<String> = {
-            let (records, gate) = (self.attempts.records.borrow(), self.attempts.gate.borrow());
-            gate.live_attempts().map(|index| records[index].target.id.clone()).collect()
-        };
-        let released: Vec<bool> = ids.iter().map(|id| self.uncount(id)).collect();
+        let live: Vec<usize> = self.attempts.gate.borrow().live_attempts().collect();
+        let removed: Vec<bool> = live.iter().map(|index| self.uncount(*index)).collect();
         let target = self.pick_endpoint().ok();
         if target.is_some() {
             running.clear();
             return target;
         }
-        for (id, was_new) in ids.iter().zip(released) {
+        let records = self.attempts.records.borrow();
+        for (index, was_removed) in live.into_iter().zip(removed) {
             self.attempts_left -= 1;
             self.possible_runs += 1;
-            if was_new {
+            if was_removed {
+                let id = &records[index].target.id;
                 self.budget.spent.borrow_mut().endpoints.insert(id.clone());
                 self.new_endpoints.insert(id.clone());
             }
--- a/components/node/src/forward/selection.rs
+++ b/components/node/src/forward/selection.rs
@@ -75,16 +75,22 @@
         self.budget.allows(id, self.max_endpoints as usize)
     }
 
-    /// Removes an attempt that was not sent from the counts. Returns whether it was the first one
-    /// at its endpoint.
-    pub(super) fn uncount(&mut self, id: &str) -> bool {
+    /// Removes an attempt that was not run from the counts. Returns whether its endpoint was removed
+    /// from those that may have run the request: it was chosen first in this pass, and no earlier
+    /// attempt there may have run.
+    pub(super) fn uncount(&mut self, index: usize) -> bool {
         self.attempts_left += 1;
         self.possible_runs -= 1;
-        let was_new = self.new_endpoints.remove(id);
-        if was_new {
+        let records = self.attempts.records.borrow();
+        let id = &records[index].target.id;
+        let may_have_run = records[..index]
+            .iter()
+            .any(|record| record.target.id == *id && record.began().is_some());
+        let was_removed = !may_have_run && self.new_endpoints.remove(id);
+        if was_removed {
             self.budget.spent.borrow_mut().endpoints.remove(id);
         }
-        was_new
+        was_removed
     }
 
     /// Removes the endpoints from the budget that were chosen first in this pass and were sent
--- a/components/node/tests/pacing.rs
+++ b/components/node/tests/pacing.rs
@@ -923,3 +923,34 @@
         assert_eq!(*fakes[1].calls.borrow(), ["filling"], "{back:?}");
     }
 }
+
+/// A call has abandoned an attempt that its endpoint may still run, and a later attempt there is
+/// refused. Guards against an endpoint that is no longer counted then, so that more endpoints than
+/// allowed may run the call.
+#[actix_rt::test]
+async fn an_endpoint_that_may_run_an_abandoned_attempt_stays_counted() {
+    let fakes = [FakeEndpoint::start(true).await, FakeEndpoint::start(true).await];
+    let forwarder = forwarder_of_two(&fakes, None);
+    let filled = BTreeSet::from(["i1".to_owned()]);
+    let filling = call_at(&forwarder, "filling", 1, filled, LONG_MS);
+    let budget = counted_budget(&["i0", "i1"], &Rc::default());
+    let called = async {
+        wait_until(|| fakes[1].running.get() == 1).await;
+        call_within(&forwarder, "c", 1, 2, &budget).await
+    };
+    let act = async {
+        wait_until(|| fakes[0].running.get() == 1).await;
+        tokio::time::sleep(HEDGE_DUE).await;
+        forwarder.apply(&marked("i0", 100_000_000));
+        wait_until(|| fakes[0].running.get() == 0).await;
+        fakes[0].refuses.set(true);
+        fakes[0].hangs.set(false);
+        forwarder.apply(&Update::Unreachable(UnreachableSet::default()));
+        wait_until(|| fakes[0].calls.borrow().len() == 2 && fakes[0].running.get() == 0).await;
+        fakes[1].hangs.set(false);
+    };
+    let (filling, called, ()) = tokio::join!(filling, called, act);
+    assert!(is_success(&filling) && is_success(&called), "{filling:?} {called:?}");
+    assert_eq!(*fakes[0].calls.borrow(), ["c", "c"]);
+    assert_eq!(budget.spent().endpoints, BTreeSet::from(["i0".to_owned(), "i1".to_owned()]));
+}
