A call that gives up a full window does not search the queue

When an endpoint is marked or removed, each waiting call that is woken gives up the endpoint and searched the whole queue for a call to wake in its place, at a cost of the square of the number of waiting calls. The search finds such a call only if the window of the endpoint has room, so it is made only then.

Without the change fails a_waiting_call_wakes_others_only_if_it_gives_up_an_endpoint_with_room, which the test is renamed to because it checks this too.

--- a/components/fleet/src/pacing.rs
+++ b/components/fleet/src/pacing.rs
@@ -176,9 +176,11 @@
     }
 
     /// Adds a call to the queue, or replaces the endpoints that it may use. Returns whether it has
-    /// given up an endpoint, which a call behind it may use now.
+    /// given up an endpoint whose window is not full, which a call behind it may use now.
     pub fn wait(&mut self, place: CallPlace, wanted: BTreeSet<String>) -> bool {
-        let given_up = self.waiting.get(&place).is_some_and(|before| !before.is_subset(&wanted));
+        let before = self.waiting.get(&place);
+        let given_up =
+            before.is_some_and(|before| before.difference(&wanted).any(|id| self.has_room(id)));
         self.waiting.insert(place, wanted);
         given_up
     }
--- a/components/fleet/tests/pacing.rs
+++ b/components/fleet/tests/pacing.rs
@@ -198,15 +198,19 @@
 
 /// Guards against a load of a thousand waiting calls that keeps the processor busy: each of them
 /// checks its endpoints when it is woken, and examined the whole queue to wake others although it
-/// had given up no endpoint.
+/// had given up no endpoint, or one whose window is full.
 #[test]
-fn a_waiting_call_wakes_others_only_if_it_gives_up_an_endpoint() {
+fn a_waiting_call_wakes_others_only_if_it_gives_up_an_endpoint_with_room() {
     let mut pacer = pacer(6, &["a", "b"]);
     let place = pacer.assign_place(1);
     assert!(!pacer.wait(place, wanted(&["a"])), "it has just begun to wait");
     assert!(!pacer.wait(place, wanted(&["a"])));
     assert!(!pacer.wait(place, wanted(&["a", "b"])), "its grant was extended");
     assert!(pacer.wait(place, wanted(&["b"])), "another call may use a");
+    fill(&mut pacer, "b");
+    assert!(!pacer.wait(place, wanted(&["a"])), "no call may use b");
+    pacer.forget("a");
+    assert!(!pacer.wait(place, wanted(&["b"])), "no call may use an endpoint that was removed");
     pacer.leave(place);
     assert!(!pacer.wait(place, wanted(&["a"])));
 }
