--- a/components/node/src/forward/selection.rs
+++ b/components/node/src/forward/selection.rs
@@ -40,14 +40,17 @@
         }
         let paced = self.paced_endpoints();
         let mut picker = self.forwarder.picker.borrow_mut();
-        let fits = |id: &str| self.may_try(id) && self.has_window(id);
+        let may_probe = |id: &str| self.may_try(id) && self.has_window(id);
         if self.can_probe()
-            && let Some(target) = picker.pick_probe(self.service, self.route, fits, clock::now())
+            && let Some(target) =
+                picker.pick_probe(self.service, self.route, may_probe, clock::now())
         {
             return Ok(target);
         }
-        let is_wanted = |id: &str| paced.as_ref().is_none_or(|paced| paced.contains(id));
-        picker.pick(self.service, self.route, |id| is_wanted(id) && fits(id), clock::now())
+        let is_open =
+            |id: &str| paced.as_ref().map_or_else(|| self.may_try(id), |paced| paced.contains(id));
+        let fits = |id: &str| is_open(id) && self.has_window(id);
+        picker.pick(self.service, self.route, fits, clock::now())
     }
 
     /// Returns whether the request can be used as a probe. If the probe fails, it needs another
@@ -64,19 +67,30 @@
     /// Returns whether the budget allows an endpoint that was not tried yet.
     pub(super) fn may_try(&self, id: &str) -> bool {
         let tried = self.tried.iter().any(|tried| tried == id);
-        !tried && self.budget.allows(id, self.max_endpoints as usize)
+        !tried && self.within_budget(id)
     }
 
-    /// Removes an attempt that was not sent from the counts. Returns whether it was the first one
-    /// at its endpoint.
-    pub(super) fn uncount(&mut self, id: &str) -> bool {
+    /// Returns whether the budget allows an endpoint.
+    pub(super) fn within_budget(&self, id: &str) -> bool {
+        self.budget.allows(id, self.max_endpoints as usize)
+    }
+
+    /// Removes an attempt that was not run from the counts. Returns whether its endpoint was removed
+    /// from those that may have run the request: it was chosen first in this pass, and no earlier
+    /// attempt there may have run.
+    pub(super) fn uncount(&mut self, index: usize) -> bool {
         self.attempts_left += 1;
         self.possible_runs -= 1;
-        let was_new = self.new_endpoints.remove(id);
-        if was_new {
+        let records = self.attempts.records.borrow();
+        let id = &records[index].target.id;
+        let may_have_run = records[..index]
+            .iter()
+            .any(|record| record.target.id == *id && record.began().is_some());
+        let was_removed = !may_have_run && self.new_endpoints.remove(id);
+        if was_removed {
             self.budget.spent.borrow_mut().endpoints.remove(id);
         }
-        was_new
+        was_removed
     }
 
     /// Removes the endpoints from the budget that were chosen first in this pass and were sent
--- a/components/node/tests/pacing.rs
+++ b/components/node/tests/pacing.rs
@@ -16,6 +16,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use chicoryford_fleet::Endpoint;
 use chicoryford_fleet::EndpointStatus;
 use chicoryford_fleet::Grant;
 use chicoryford_fleet::Policy;
@@ -818,3 +819,138 @@
     assert!(is_success(&called), "{called:?}");
     assert_eq!(*third.calls.borrow(), ["c"]);
 }
+
+/// The endpoint of a call is marked as unreachable while the host's leader is not confirmed, or its
+/// second attempt is due then. Guards against a call that is not woken when the leader is confirmed
+/// again, and keeps its attempt until its pass ends although another endpoint is free.
+#[actix_rt::test]
+async fn a_call_that_is_cut_off_without_a_confirmed_leader_is_sent_elsewhere() {
+    for (marked_early, share) in [(false, Some(0.0)), (true, Some(0.0)), (true, None)] {
+        let case = format!("marked early: {marked_early}, share: {share:?}");
+        let (hanging, free) = (FakeEndpoint::start(true).await, FakeEndpoint::start(false).await);
+        let forwarder = forwarder_of_two(&[hanging.clone(), free.clone()], share);
+        let other = endpoint("score", "i1", free.address, HOSTS);
+        let silent = Endpoint { status: EndpointStatus::Silent, ..other.clone() };
+        forwarder.apply(&Update::Endpoint(silent));
+        let confirmed = Rc::new(Cell::new(true));
+        let (deadline, is_confirmed) = (clock::now() + LONG_MS, confirmed.clone());
+        let grant = granted(&["i0", "i1"]);
+        let budget =
+            Budget::shared(deadline, CallCost::default(), grant, move || is_confirmed.get());
+        // The host of a call forwards it again after a pass that was not answered.
+        let called = async {
+            loop {
+                wait_until(|| confirmed.get()).await;
+                let outcome = call_within(&forwarder, "c", 1, 2, &budget).await;
+                assert!(!matches!(outcome, Outcome::Late), "{case}: {outcome:?}");
+                if is_success(&outcome) {
+                    return;
+                }
+            }
+        };
+        let act = async {
+            wait_until(|| hanging.running.get() == 1).await;
+            forwarder.apply(&Update::Endpoint(other));
+            if marked_early {
+                forwarder.apply(&marked("i0", 100_000_000));
+                confirmed.set(false);
+                tokio::time::sleep(HEDGE_DUE).await;
+            } else {
+                tokio::time::sleep(HEDGE_DUE).await;
+                confirmed.set(false);
+                forwarder.apply(&marked("i0", 100_000_000));
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            confirmed.set(true);
+        };
+        tokio::join!(called, act);
+        assert_eq!((hanging.calls.borrow().len(), free.calls.borrow().len()), (1, 1), "{case}");
+    }
+}
+
+/// How an endpoint that was marked as unreachable becomes reachable again.
+#[derive(Clone, Copy, Debug)]
+enum Return {
+    MarkRemoved,
+    Restarted,
+}
+
+/// A call has abandoned its attempt at an unreachable endpoint and waits for the full window of
+/// another one. Guards against a call that is not sent to the first endpoint when that is reachable
+/// again, that is sent there before, or that is sent more often than its route allows.
+#[actix_rt::test]
+async fn an_abandoned_endpoint_is_tried_again_once_it_is_reachable() {
+    for back in [Return::MarkRemoved, Return::Restarted] {
+        let fakes = [FakeEndpoint::start(true).await, FakeEndpoint::start(true).await];
+        let forwarder = forwarder_of_two(&fakes, None);
+        let filled = BTreeSet::from(["i1".to_owned()]);
+        let filling = call_at(&forwarder, "filling", 1, filled, LONG_MS);
+        let called = async {
+            wait_until(|| fakes[1].running.get() == 1).await;
+            call(&forwarder, "c", 1, 2, LONG_MS).await
+        };
+        let act = async {
+            wait_until(|| fakes[0].running.get() == 1).await;
+            tokio::time::sleep(HEDGE_DUE).await;
+            forwarder.apply(&marked("i0", 100_000_000));
+            wait_until(|| fakes[0].running.get() == 0).await;
+            tokio::time::sleep(HEDGE_DUE).await;
+            assert_eq!(*fakes[0].calls.borrow(), ["c"], "{back:?}: it is unreachable");
+            let mut other = endpoint("score", "i0", fakes[0].address, HOSTS);
+            match back {
+                Return::MarkRemoved => {
+                    forwarder.apply(&Update::Unreachable(UnreachableSet::default()));
+                }
+                Return::Restarted => {
+                    other.announcement.started_ms = 1;
+                    forwarder.apply(&Update::Endpoint(other.clone()));
+                }
+            }
+            wait_until(|| fakes[0].calls.borrow().len() == 2).await;
+            let endpoints = BTreeMap::from([("i0".to_owned(), other.announcement.started_ms)]);
+            let set = UnreachableSet { endpoints, probe_ms: 100_000_000 };
+            forwarder.apply(&Update::Unreachable(set));
+            tokio::time::sleep(HEDGE_DUE).await;
+            assert_eq!(fakes[0].running.get(), 1, "{back:?}: no attempt is left");
+            fakes[0].hangs.set(false);
+        };
+        let (called, ()) = tokio::select! {
+            joined = async { tokio::join!(called, act) } => joined,
+            filling = filling => panic!("{back:?}: the call waited until {filling:?}"),
+        };
+        assert!(is_success(&called), "{back:?}: {called:?}");
+        assert_eq!(*fakes[0].calls.borrow(), ["c", "c"], "{back:?}");
+        assert_eq!(*fakes[1].calls.borrow(), ["filling"], "{back:?}");
+    }
+}
+
+/// A call has abandoned an attempt that its endpoint may still run, and a later attempt there is
+/// refused. Guards against an endpoint that is no longer counted then, so that more endpoints than
+/// allowed may run the call.
+#[actix_rt::test]
+async fn an_endpoint_that_may_run_an_abandoned_attempt_stays_counted() {
+    let fakes = [FakeEndpoint::start(true).await, FakeEndpoint::start(true).await];
+    let forwarder = forwarder_of_two(&fakes, None);
+    let filled = BTreeSet::from(["i1".to_owned()]);
+    let filling = call_at(&forwarder, "filling", 1, filled, LONG_MS);
+    let budget = counted_budget(&["i0", "i1"], &Rc::default());
+    let called = async {
+        wait_until(|| fakes[1].running.get() == 1).await;
+        call_within(&forwarder, "c", 1, 2, &budget).await
+    };
+    let act = async {
+        wait_until(|| fakes[0].running.get() == 1).await;
+        tokio::time::sleep(HEDGE_DUE).await;
+        forwarder.apply(&marked("i0", 100_000_000));
+        wait_until(|| fakes[0].running.get() == 0).await;
+        fakes[0].refuses.set(true);
+        fakes[0].hangs.set(false);
+        forwarder.apply(&Update::Unreachable(UnreachableSet::default()));
+        wait_until(|| fakes[0].calls.borrow().len() == 2 && fakes[0].running.get() == 0).await;
+        fakes[1].hangs.set(false);
+    };
+    let (filling, called, ()) = tokio::join!(filling, called, act);
+    assert!(is_success(&filling) && is_success(&called), "{filling:?} {called:?}");
+    assert_eq!(*fakes[0].calls.borrow(), ["c", "c"]);
+    assert_eq!(budget.spent().endpoints, BTreeSet::from(["i0".to_owned(), "i1".to_owned()]));
+}
