--- a/review/lib-2/engines2.py
+++ b/review/lib-2/engines2.py
@@ -148,6 +148,7 @@
         }
         self.results = []
         self.key = None
+        self.nodes = fleet.entries
         self.entry = random.randrange(len(fleet.entries))
 
     def item(self, one):
@@ -162,7 +163,7 @@
         self.entry += 1
         if self.key is not None:
             headers = {**headers, "Authorization": f"Bearer {self.key}"}
-        node = self.fleet.entries[self.entry % len(self.fleet.entries)]
+        node = self.nodes[self.entry % len(self.nodes)]
         try:
             return await fleet2.call(
                 (node.ip, self.fleet.entry_port), method, path, {"Host": HOST, **headers}, body, limit)
--- a/review/lib-2/fleet2.py
+++ b/review/lib-2/fleet2.py
@@ -22,7 +22,6 @@
 PROGRAM = os.path.join(ROOT, "target", "release", "chicoryfordd")
 HOST = "desk.example"
 CONTACT_S = 3.0
-DRAIN_S = 2.0
 
 
 class CannotRun(Exception):
@@ -130,13 +129,13 @@
          self.app_port) = range(base, base + 6)
         self.net = free_network(range(base, base + 6))
         self.folder = tempfile.mkdtemp(prefix="review-")
-        zones = ["ston", "novigrad", "split-port"]
+        zones = ["ston", "novigrad", "split-port", "zadar-hub"]
         ips = (f"{self.net}.{number}" for number in itertools.count(1))
         plan = [("core", cores), ("storage", stores), ("frontend", entries)]
         self.nodes = []
         for role, count in plan:
             for number in range(count):
-                zone = zones[number % 3]
+                zone = zones[number % 4]
                 self.nodes.append(Node(self, f"{role}-{zone}-{number + 1}", role, next(ips), zone))
         self.control_ips = [node.ip for node in self.nodes if node.role == "core"]
         self.cores = [node for node in self.nodes if node.role == "core"]
