--- a/review/lib-2/fleet2.py
+++ b/review/lib-2/fleet2.py
@@ -415,6 +415,10 @@
     except asyncio.TimeoutError:
         record.write("could not run: out of time")
         return 2
+    except Exception as error:  # A fault of the script must not look like a broken rule.
+        record.write(f"could not run: {error!r}")
+        print(f"could not run: {error!r}")
+        return 2
     verdict = "broken" if code else "held"
     record.write(f"verdict: {verdict}")
     print(verdict)
