--- a/review/lib-2/fleet2.py
+++ b/review/lib-2/fleet2.py
@@ -308,8 +308,8 @@
                 body = await read_body(reader, headers, False)
                 if not await self.answer(first, headers, body, reader, writer):
                     return
-        except (OSError, EOFError, asyncio.IncompleteReadError, ValueError):
-            pass
+        except (OSError, EOFError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
+            pass  # The caller has left, or the script ends.
         finally:
             self.writers.discard(writer)
             writer.close()
