A step stays its trainer's when keys begin or cease to be required

Cause: the id of a step within the fleet was made from the workspace of the present call. It equals that of the submission only while the configuration requires the same keys.

Change: fleet::step_access decides from the replicated state and the configuration in force which step a call means. A step without a workspace is bound, by a command in the log, to the holder of the key that came with its submission, or else to the workspace of the first call that names it; while no key is required nothing is bound. A submission is recognised by its content under any id.

--- a/components/fleet/src/config.rs
+++ b/components/fleet/src/config.rs
@@ -201,6 +201,11 @@
         shares.map(|share| share.service.as_str()).collect()
     }
 
+    /// Returns the routes for steps on which no key is required.
+    pub fn open_step_routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes.iter().filter(|route| route.open && route.kind == RouteKind::Step)
+    }
+
     /// Returns the route of a host with the longest prefix of a path.
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
         let matching = self.routes.iter().filter(|r| r.host == host && path.starts_with(&r.prefix));
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod sse;
 pub mod state;
 pub mod step;
+pub mod step_access;
 pub mod swap;
 pub mod usage;
 pub mod wait_queue;
--- a/components/fleet/src/result_cache.rs
+++ b/components/fleet/src/result_cache.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::config::Config;
 use crate::step::MAX_REPLY_BYTES;
 use crate::step::SampleResult;
 use crate::step::reply_bytes;
@@ -28,6 +29,19 @@
     bytes: usize,
     uses: u64,
     steps: BTreeMap<String, CachedStep>,
+    /// The version of the configuration under which the results were read, and its rules of access.
+    version: u64,
+    access: StepAccess,
+    /// How often the rules of access have changed.
+    generation: u64,
+}
+
+/// The parts of a configuration that determine which step a caller without a key may mean.
+#[derive(Debug, Default, Eq, PartialEq)]
+struct StepAccess {
+    has_workspaces: bool,
+    /// The hosts and prefixes of the routes for steps on which no key is required.
+    open_routes: Vec<(String, String)>,
 }
 
 /// Consecutive results of a step from a position on.
@@ -46,7 +60,41 @@
 impl ResultCache {
     /// Creates an empty cache for about `max_bytes` bytes.
     pub fn new(max_bytes: usize) -> Self {
-        Self { max_bytes, bytes: 0, uses: 0, steps: BTreeMap::new() }
+        Self {
+            max_bytes,
+            bytes: 0,
+            uses: 0,
+            steps: BTreeMap::new(),
+            version: 0,
+            access: StepAccess::default(),
+            generation: 0,
+        }
+    }
+
+    /// Returns a number that changes when results that are being read must not be cached any more.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Discards all results if the same call may mean another step, or none, under a new
+    /// configuration.
+    pub fn follow_config(&mut self, config: &Config) {
+        if self.version == config.version {
+            return;
+        }
+        self.version = config.version;
+        let open_routes = config.open_step_routes();
+        let open_routes = open_routes.map(|route| (route.host.clone(), route.prefix.clone()));
+        let access = StepAccess {
+            has_workspaces: !config.workspaces.is_empty(),
+            open_routes: open_routes.collect(),
+        };
+        if self.access != access {
+            self.access = access;
+            self.generation += 1;
+            self.steps.clear();
+            self.bytes = 0;
+        }
     }
 
     /// Adds results that were read from position `after` on.
--- a/components/fleet/src/state.rs
+++ b/components/fleet/src/state.rs
@@ -21,8 +21,10 @@
 use crate::speeds::SpeedState;
 use crate::step::ListedResult;
 use crate::step::StepSummary;
+use crate::step_access::Submission;
 use crate::usage::Totals;
 use crate::usage::UsageState;
+use crate::workspace::split_step_id;
 
 /// Milliseconds for which the cost of a sample is kept. If its trainer submits it again, it does so
 /// in one of its next steps.
@@ -118,6 +120,13 @@
     },
     /// Records the speeds of engines that differ from the median.
     Speeds(SpeedChanges),
+    /// Binds a step that was submitted without a workspace to the first one that claims it.
+    Claim {
+        /// The step.
+        step: String,
+        /// The workspace.
+        workspace: String,
+    },
 }
 
 /// A command stamped with the fleet clock when the leader proposed it.
@@ -156,6 +165,10 @@
     pub checkpoints: Vec<PartId>,
     /// When it was ended, on the fleet clock.
     pub ended_at: Option<u64>,
+    /// The workspace that it was bound to after it had been submitted without one
+    /// ([`crate::step_access`]).
+    #[serde(default)]
+    pub owner: Option<String>,
 }
 
 impl StepState {
@@ -246,6 +259,7 @@
             Command::Clear(content) => changed(self.crashes.clear_suspect(content)),
             Command::Retire { node } => changed(self.retired.insert(node)),
             Command::Speeds(changes) => changed(self.speeds.record(changes, &self.endpoints)),
+            Command::Claim { step, workspace } => self.claim(&step, workspace),
         }
     }
 
@@ -308,8 +322,16 @@
     }
 
     fn submit(&mut self, step: Arc<StepSummary>, placement: Placement) -> ApplyOutcome {
-        if self.steps.contains_key(&step.id) {
-            return ApplyOutcome::Held;
+        match self.find_submission(&step) {
+            Submission::New => {}
+            Submission::Repeated(id) => {
+                let id = id.to_owned();
+                if let (Some(workspace), _) = split_step_id(&step.id) {
+                    self.claim(&id, workspace.to_owned());
+                }
+                return ApplyOutcome::Held;
+            }
+            Submission::Conflict => return ApplyOutcome::Unknown,
         }
         let id = step.id.clone();
         self.parts.insert(step.part, Part { step: id.clone(), placement });
@@ -320,11 +342,22 @@
             listed: BTreeSet::new(),
             checkpoints: Vec::new(),
             ended_at: None,
+            owner: None,
         };
         self.steps.insert(id, state);
         ApplyOutcome::Changed
     }
 
+    /// Binds a step to a workspace, unless it belongs to one.
+    fn claim(&mut self, step: &str, workspace: String) -> ApplyOutcome {
+        let Some(state) = self.steps.get_mut(step) else { return ApplyOutcome::Unknown };
+        let is_free = state.owner.is_none() && split_step_id(step).0.is_none();
+        if is_free {
+            state.owner = Some(workspace);
+        }
+        changed(is_free)
+    }
+
     fn list(
         &mut self,
         step: &str,
--- a/components/fleet/src/step.rs
+++ b/components/fleet/src/step.rs
@@ -4,6 +4,8 @@
 use std::collections::BTreeSet;
 
 use bytes::Bytes;
+use chicoryford_types::Digest;
+use chicoryford_types::Fingerprint;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -89,6 +91,37 @@
     pub priority: u32,
     /// The workspace that submitted it, if a key was required. It is sent to endpoints.
     pub workspace: Option<String>,
+    /// The digest of a key that came with the submission although none was required. If one is
+    /// required later, it shows whose step this is ([`crate::step_access`]).
+    #[serde(default)]
+    pub key: Option<Digest>,
+}
+
+impl Step {
+    /// Computes the fingerprint of what the trainer submitted, which is the same if it submits the
+    /// step again under a different configuration.
+    pub fn content(&self) -> Fingerprint {
+        let mut texts: Vec<&[u8]> =
+            vec![self.host.as_bytes(), self.path.as_bytes(), self.model.as_bytes()];
+        let mut numbers = vec![self.number, self.min_version, self.wanted_groups];
+        for sample in &self.samples {
+            let Sample { id, path, headers, body, tokens, group, scorer, expected_tokens: _ } =
+                sample;
+            texts.extend([id.as_bytes(), path.as_bytes(), group.as_bytes(), &body[..]]);
+            for (name, value) in headers {
+                texts.extend([name.as_bytes(), value.as_bytes()]);
+            }
+            if let Some(Scorer { id, host, path, body, endpoints: _ }) = scorer {
+                texts.extend([id.as_bytes(), host.as_bytes(), path.as_bytes(), &body[..]]);
+            }
+            numbers.extend([*tokens, headers.len() as u64, u64::from(scorer.is_some())]);
+        }
+        // With the lengths, no text can end in the place of another.
+        numbers.extend(texts.iter().map(|text| text.len() as u64));
+        let numbers: Vec<u8> = numbers.into_iter().flat_map(u64::to_le_bytes).collect();
+        texts.push(&numbers);
+        Fingerprint::of_parts(&texts)
+    }
 }
 
 /// The result of a sample.
@@ -174,4 +207,33 @@
     pub age_ms: u64,
     /// The part that holds the submitted step.
     pub part: PartId,
+    /// The host of its route; empty if an earlier release stored it.
+    #[serde(default)]
+    pub host: String,
+    /// The path to which it was submitted; empty if an earlier release stored it.
+    #[serde(default)]
+    pub path: String,
+    /// The digest of a key that came with the submission although none was required.
+    #[serde(default)]
+    pub key: Option<Digest>,
+    /// The fingerprint of what was submitted; `None` if an earlier release stored it.
+    #[serde(default)]
+    pub content: Option<Fingerprint>,
+}
+
+impl StepSummary {
+    /// Returns the summary of a step that is stored in a part.
+    pub fn of(step: &Step, part: PartId) -> Self {
+        Self {
+            id: step.id.clone(),
+            model: step.model.clone(),
+            samples: step.samples.len() as u32,
+            age_ms: step.age_ms,
+            part,
+            host: step.host.clone(),
+            path: step.path.clone(),
+            key: step.key,
+            content: Some(step.content()),
+        }
+    }
 }
--- a/components/fleet/src/workspace.rs
+++ b/components/fleet/src/workspace.rs
@@ -81,6 +81,15 @@
     }
 }
 
+/// Splits the id of a step within the fleet into the workspace, if there is one, and the id that the
+/// trainer chose.
+pub fn split_step_id(id: &str) -> (Option<&str>, &str) {
+    match id.rsplit_once('/') {
+        Some((workspace, id)) => (Some(workspace), id),
+        None => (None, id),
+    }
+}
+
 impl From<Vec<Workspace>> for Workspaces {
     fn from(all: Vec<Workspace>) -> Self {
         let keys = all.iter().zip(0..).flat_map(|(workspace, index)| {
@@ -139,6 +148,12 @@
         self.all.get(*index as usize)
     }
 
+    /// Returns the workspace that holds the key with this digest.
+    pub fn digest_holder(&self, digest: &Digest) -> Option<&Workspace> {
+        let index = self.keyring.digest_holder(digest)?;
+        self.all.get(*index as usize)
+    }
+
     /// Checks that workspaces have different names and no common keys.
     ///
     /// # Errors
--- a/components/fleet/tests/result_cache.rs
+++ b/components/fleet/tests/result_cache.rs
@@ -1,10 +1,14 @@
 //! Tests that exactly the results that were read are returned from the cache.
 
+use chicoryford_fleet::Config;
 use chicoryford_fleet::SampleResult;
+use chicoryford_fleet::Workspace;
 use chicoryford_fleet::result_cache::ResultCache;
 use quickcheck::TestResult;
 use quickcheck::quickcheck;
 
+mod support;
+
 /// A size sufficient for all results of a test, for tests that do not depend on it.
 const LARGE_SIZE: usize = 1 << 20;
 
@@ -119,3 +123,35 @@
         TestResult::from_bool(positions(&mut cache, "a", after) == expected)
     }
 }
+
+/// Guards against results for a caller without a key that were cached before a key was required.
+#[test]
+fn results_are_discarded_when_the_rules_of_access_change() {
+    let workspace = Workspace { name: "w".to_owned(), ..Workspace::default() };
+    let with_keys = |version| Config {
+        version,
+        workspaces: vec![workspace.clone()].into(),
+        ..support::steps_config()
+    };
+    let open = |version| {
+        let mut config = with_keys(version);
+        config.routes[0].open = true;
+        config
+    };
+    let mut cache = ResultCache::new(LARGE_SIZE);
+    cache.follow_config(&support::steps_config());
+    for (config, keeps) in [
+        (Config { version: 2, ..support::steps_config() }, true),
+        (with_keys(3), false),
+        (with_keys(4), true),
+        (open(5), false),
+        (with_keys(6), false),
+        (Config { version: 7, ..support::steps_config() }, false),
+    ] {
+        cache.put("a", 9, 0, results(0..3));
+        let generation = cache.generation();
+        cache.follow_config(&config);
+        assert_eq!(!positions(&mut cache, "a", 0).is_empty(), keeps, "{}", config.version);
+        assert_eq!(cache.generation() == generation, keeps, "{}", config.version);
+    }
+}
--- a/components/fleet/tests/state.rs
+++ b/components/fleet/tests/state.rs
@@ -34,6 +34,7 @@
         samples,
         age_ms: 1_000,
         part: PartId(part),
+        ..StepSummary::default()
     };
     Command::Submit { step: Arc::new(step), placement: Placement::Stores(BTreeSet::new()) }
 }
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -44,6 +44,9 @@
 /// Milliseconds after which a caller may retry when no leader is known: an election takes about a
 /// second, and a caller that retries too early is refused again.
 const NO_LEADER_RETRY_AFTER_MS: u64 = 500;
+/// Milliseconds after which a caller may retry if steps of several workspaces have the same id and
+/// there are no workspaces any more. It is clear again when one of the steps has been forgotten.
+const AMBIGUOUS_RETRY_AFTER_MS: u64 = 10_000;
 /// Milliseconds after its start during which a process expects its first configuration.
 const STARTUP_MS: u64 = 3_000;
 /// How long a request waits for the first configuration. Callers at the desks wait 1.5 s.
@@ -101,6 +104,7 @@
             );
         };
         if let Some(call) = step::parse_call(&request) {
+            self.result_cache.borrow_mut().follow_config(&config);
             let access = config.workspaces.step_access(&config.routes, request::key(&request));
             return match self.authorize(access, &request, &config) {
                 Ok(workspace) => {
@@ -274,6 +278,10 @@
             self.link.call_until_answered(Call::Submit(read.clone()), SUBMIT_TIMEOUT).await;
         let outcome = match &answer {
             Ok(Answer::Done) => return step::accepted_reply(),
+            Ok(Answer::Ambiguous) => {
+                let why = "another step has this id";
+                return self.refuse(request, why, AMBIGUOUS_RETRY_AFTER_MS);
+            }
             Ok(_) => "unfit answer".to_owned(),
             Err(error) => error.to_string(),
         };
@@ -310,17 +318,37 @@
     /// Fetches the results from position `next` on and caches them, if a leader answers soon.
     async fn fetch_newer(&self, step: &str, next: u64) {
         let near = self.near_data_centre.clone();
+        let generation = self.result_cache.borrow().generation();
         let request = Call::Read { step: step.to_owned(), after: next, wait_ms: 0, near };
         if let Ok(answer) = self.link.call(request, NEWER_RESULTS_TIMEOUT).await
             && let Some((total, listed)) = self.assemble(answer).await
         {
-            self.result_cache.borrow_mut().put(step, total, next, listed);
+            self.cache_results(generation, step, (total, next, listed));
+        }
+    }
+
+    /// Caches results from a position on, unless the rules of access have changed since they were
+    /// requested.
+    fn cache_results(
+        &self,
+        generation: u64,
+        step: &str,
+        (total, after, listed): (u64, u64, Vec<(String, SampleResult)>),
+    ) {
+        let mut cache = self.result_cache.borrow_mut();
+        if cache.generation() == generation {
+            cache.put(step, total, after, listed);
         }
     }
 
     /// Replies with results, and caches them. Texts are read from nearby stores where possible; if
     /// one cannot be read there, all results are requested from the leader with their texts.
-    async fn reply_with_results(&self, step: &str, after: u64, answer: Answer) -> Option<Reply> {
+    async fn reply_with_results(
+        &self,
+        generation: u64,
+        (step, after): (&str, u64),
+        answer: Answer,
+    ) -> Option<Reply> {
         let (total, listed) = match self.assemble(answer).await {
             Some(read) => read,
             None => {
@@ -332,7 +360,7 @@
         };
         let results = listed.iter().map(|(id, verdict)| (id.as_str(), verdict));
         let reply = step::results_reply(step::encode_results(total as usize, after, results));
-        self.result_cache.borrow_mut().put(step, total, after, listed);
+        self.cache_results(generation, step, (total, after, listed));
         Some(reply)
     }
 
@@ -367,6 +395,7 @@
             step::Call::Read { wait_ms, .. } => Duration::from_millis(*wait_ms),
             step::Call::Body { .. } | step::Call::End { .. } => Duration::ZERO,
         };
+        let generation = self.result_cache.borrow().generation();
         let request = match call.clone() {
             step::Call::Read { step, after, wait_ms } => {
                 Call::Read { step, after, wait_ms, near: self.near_data_centre.clone() }
@@ -377,7 +406,7 @@
         match (self.link.call_until_answered(request, wait + STEP_CALL_TIMEOUT).await, &call) {
             (Ok(Answer::Done), _) => platform::control::done_reply(),
             (Ok(answer @ Answer::Results { .. }), step::Call::Read { step, after, .. }) => {
-                match self.reply_with_results(step, *after, answer).await {
+                match self.reply_with_results(generation, (step, *after), answer).await {
                     Some(reply) => reply,
                     None => self.step_call_failed(&call),
                 }
@@ -387,6 +416,16 @@
                 tracing::info!(event = "step_unknown", call = ?call);
                 platform::failure(StatusCode::NOT_FOUND, "no such step")
             }
+            (Ok(Answer::KeyRequired), _) => {
+                tracing::info!(event = "step_call_refused", call = ?call, why = "no key");
+                platform::failure(StatusCode::UNAUTHORIZED, "the step may need a key")
+            }
+            (Ok(Answer::Ambiguous), _) => {
+                let why = "steps of several workspaces have this id";
+                tracing::info!(event = "step_call_refused", call = ?call, why);
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                platform::refusal(status, why, AMBIGUOUS_RETRY_AFTER_MS)
+            }
             (Ok(_) | Err(_), _) => self.step_call_failed(&call),
         }
     }
--- a/components/node/src/leader/commands.rs
+++ b/components/node/src/leader/commands.rs
@@ -88,6 +88,9 @@
                 tracing::info!(target: LOG_TARGET, event = "version_named", model, version);
                 self.orders.borrow_mut().check_at_once();
             }
+            Command::Claim { step, workspace } => {
+                tracing::info!(target: LOG_TARGET, event = "step_claimed", step, workspace);
+            }
             Command::Forget { .. }
             | Command::Retire { .. }
             | Command::Move { .. }
--- a/components/node/src/leader/steps.rs
+++ b/components/node/src/leader/steps.rs
@@ -19,6 +19,9 @@
 use chicoryford_fleet::step::MAX_REPLY_BYTES;
 use chicoryford_fleet::step::StoredResult;
 use chicoryford_fleet::step::reply_bytes;
+use chicoryford_fleet::step_access::Submission;
+use chicoryford_fleet::step_access::Target;
+use chicoryford_fleet::workspace::split_step_id;
 use chicoryford_types::Millis;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -38,10 +41,93 @@
 const UNREAD_END_WAIT_MS: u64 = 500;
 
 impl Leader {
+    /// Returns the id of the step that a call means, or the answer to the call if there is none.
+    /// Binds the step to the caller's workspace if it must belong to one.
+    async fn find_step(&self, asked: &str) -> std::result::Result<String, Answer> {
+        let unclaimed = match self.context.replica.state().find_step(asked) {
+            Target::Unclaimed(id) => Some(id.to_owned()),
+            _ => None,
+        };
+        if let Some(id) = unclaimed {
+            let answer = self.claim(id, asked).await;
+            if !matches!(answer, Answer::Done) {
+                return Err(answer);
+            }
+        }
+        match self.context.replica.state().find_step(asked) {
+            Target::Step(id) => Ok(id.to_owned()),
+            Target::Unclaimed(_) => Err(Answer::NotNow),
+            Target::Ambiguous => Err(Answer::Ambiguous),
+            Target::KeyRequired => Err(Answer::KeyRequired),
+            Target::Unknown => Err(Answer::Unknown),
+        }
+    }
+
+    /// Binds a step to the workspace that `asked` names.
+    async fn claim(&self, step: String, asked: &str) -> Answer {
+        let (Some(workspace), _) = split_step_id(asked) else { return Answer::Done };
+        let workspace = workspace.to_owned();
+        self.commit(Command::Claim { step, workspace }).await
+    }
+
+    /// Returns the id of the step that a submission repeats, if any, or the answer if it is unclear
+    /// which step it is.
+    async fn find_submission(&self, step: &Step) -> std::result::Result<Option<String>, Answer> {
+        let summary = StepSummary::of(step, PartId::default());
+        let uncompared: Vec<(String, PartId, copies::Placement)> = {
+            let state = self.context.replica.state();
+            match state.find_submission(&summary) {
+                Submission::Repeated(id) => return Ok(Some(id.to_owned())),
+                Submission::New | Submission::Conflict => {}
+            }
+            let place = |part: PartId| state.parts.get(&part).map(|part| part.placement.clone());
+            let uncompared = state.uncompared_steps(&step.id).into_iter().filter_map(|known| {
+                Some((known.step.id.clone(), known.step.part, place(known.step.part)?))
+            });
+            uncompared.collect()
+        };
+        for (id, part, place) in uncompared {
+            let Some(known) = self.read_step(part, &place).await else {
+                return Err(Answer::NotNow);
+            };
+            if Some(known.content()) == summary.content {
+                return Ok(Some(id));
+            }
+        }
+        match self.context.replica.state().find_submission(&summary) {
+            Submission::New => Ok(None),
+            Submission::Repeated(id) => Ok(Some(id.to_owned())),
+            Submission::Conflict => {
+                tracing::info!(event = "step_id_taken", step = step.id);
+                Err(Answer::Ambiguous)
+            }
+        }
+    }
+
+    /// Answers a submission of a step that was accepted before under the id `known`.
+    async fn repeat_submission(&self, asked: &str, known: String) -> Answer {
+        let (workspace, id) = split_step_id(asked);
+        let is_moved = known != asked;
+        tracing::info!(event = "step_repeated", step = known, id, workspace, is_moved);
+        if !is_moved {
+            return Answer::Done;
+        }
+        self.claim(known, asked).await
+    }
+
+    /// Returns whether the step that a call means is on its way into the log, in any workspace: the
+    /// caller's key may have got its workspace after the submission.
+    fn is_submitting(&self, asked: &str) -> bool {
+        let (_, id) = split_step_id(asked);
+        self.submitting.borrow().iter().any(|step| split_step_id(step).1 == id)
+    }
+
     /// Accepts a step: writes its samples to enough stores and commits their location to the log.
     pub(super) async fn submit(&self, step: Arc<Step>) -> Answer {
-        if self.context.replica.state().steps.contains_key(&step.id) {
-            return Answer::Done;
+        match self.find_submission(&step).await {
+            Ok(None) => {}
+            Ok(Some(known)) => return self.repeat_submission(&step.id, known).await,
+            Err(answer) => return answer,
         }
         // The same step may be submitted twice concurrently, so each submission adds its own entry.
         self.submitting.borrow_mut().push(step.id.clone());
@@ -58,18 +144,12 @@
         let part = PartId(rand::random());
         let bytes = Bytes::from(rmp_serde::to_vec(&**step).expect("steps are plain data"));
         let place = self.copies.write(part, &bytes, || self.retired_stores()).await;
-        let outline = StepSummary {
-            id: step.id.clone(),
-            model: step.model.clone(),
-            samples: step.samples.len() as u32,
-            age_ms: step.age_ms,
-            part,
-        };
+        let outline = StepSummary::of(step, part);
         self.submitted.borrow_mut().insert(part, step.clone());
         let answer =
             self.commit(Command::Submit { step: Arc::new(outline), placement: place }).await;
         self.submitted.borrow_mut().remove(&part);
-        answer
+        if matches!(answer, Answer::Unknown) { Answer::Ambiguous } else { answer }
     }
 
     pub(super) fn on_submitted(&self, outline: &StepSummary, place: &copies::Placement) {
@@ -103,6 +183,11 @@
         near: &str,
     ) -> Answer {
         let until = clock::now() + wait_ms;
+        let step = match self.find_step(step).await {
+            Ok(found) => found,
+            Err(answer) => return answer,
+        };
+        let step = step.as_str();
         let mut listed = self.listed.subscribe();
         let mut waiting = None;
         loop {
@@ -166,9 +251,13 @@
     }
 
     pub(super) async fn body(&self, step: &str, sample: &str) -> Answer {
+        let step = match self.find_step(step).await {
+            Ok(found) => found,
+            Err(answer) => return answer,
+        };
         let found = {
             let state = self.context.replica.state();
-            let Some(found) = state.steps.get(step) else { return Answer::Unknown };
+            let Some(found) = state.steps.get(&step) else { return Answer::Unknown };
             let part = found.step.part;
             state.parts.get(&part).map(|known| (part, known.placement.clone()))
         };
@@ -179,13 +268,16 @@
     }
 
     pub(super) async fn end_step(&self, step: String) -> Answer {
-        if !self.context.replica.state().steps.contains_key(&step) {
+        let step = match self.find_step(&step).await {
+            Ok(found) => found,
             // The submission is about to be committed. If the end were answered as that of an
             // unknown step, the samples would run although nobody wants them, so the caller
             // retries.
-            let is_submitting = self.submitting.borrow().contains(&step);
-            return if is_submitting { Answer::NotNow } else { Answer::Unknown };
-        }
+            Err(Answer::Unknown | Answer::KeyRequired) if self.is_submitting(&step) => {
+                return Answer::NotNow;
+            }
+            Err(answer) => return answer,
+        };
         // The endpoints that were granted, and may be called, are stored with the step.
         let until = clock::now() + UNREAD_END_WAIT_MS;
         while self.is_unread(&step) && clock::now() < until {
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -299,6 +299,10 @@
     Retired(bool),
     /// Nothing was done: too few store VMs would be left.
     Shortage(StoreShortage),
+    /// Nothing was done: steps of several workspaces have the id, and the caller belongs to none.
+    Ambiguous,
+    /// Nothing was done: no step with the id can be used without a key.
+    KeyRequired,
 }
 
 impl MemberMessage {
--- a/components/node/tests/leader/keys.rs
+++ b/components/node/tests/leader/keys.rs
@@ -38,15 +38,16 @@
 /// What the endpoint received with each request: the key and the workspace.
 type Received = Rc<RefCell<Vec<(Option<String>, Option<String>)>>>;
 
-struct Rig {
-    fleet: Fleet,
-    entry: Rc<Entry>,
+/// An entry that follows a leader, and an endpoint of the desk.
+pub struct Rig {
+    pub fleet: Fleet,
+    pub entry: Rc<Entry>,
     received: Received,
 }
 
 /// A configuration with a route to the desk and one for steps, and with these keys of the
 /// workspaces "w" and "x".
-fn config_with_keys(version: u64, keys: [&[&str]; 2]) -> Config {
+pub fn config_with_keys(version: u64, keys: [&[&str]; 2]) -> Config {
     let workspaces = ["w", "x"].iter().zip(keys).map(|(name, keys)| Workspace {
         name: (*name).to_owned(),
         keys: keys.iter().map(|key| Digest::of(key.as_bytes())).collect(),
@@ -88,6 +89,10 @@
 
 impl Rig {
     async fn start(stale_key_policy: StaleKeyPolicy, keys: [&[&str]; 2]) -> Self {
+        Self::start_with(stale_key_policy, config_with_keys(2, keys)).await
+    }
+
+    pub async fn start_with(stale_key_policy: StaleKeyPolicy, config: Config) -> Self {
         let (fleet, received) = (Fleet::start().await, Received::default());
         let (view, forwarder) = (Rc::new(View::default()), Forwarder::new(Policy::default()));
         let member = Member {
@@ -116,7 +121,7 @@
             reader: Rc::default(),
         });
         let rig = Self { fleet, entry, received };
-        rig.configure(config_with_keys(2, keys)).await;
+        rig.configure(config).await;
         rig.announce(endpoint(rig.received.clone()).await).await;
         rig
     }
@@ -127,7 +132,7 @@
         pause(50).await;
     }
 
-    async fn configure(&self, config: Config) {
+    pub async fn configure(&self, config: Config) {
         let version = config.version;
         let configured = self.fleet.leader().commit(Command::Configure(Arc::new(config))).await;
         assert!(matches!(configured, Answer::Done), "{configured:?}");
@@ -136,7 +141,7 @@
             .await;
     }
 
-    async fn ask(&self, method: Method, target: &str, key: &str, body: &str) -> (u16, Reply) {
+    pub async fn ask(&self, method: Method, target: &str, key: &str, body: &str) -> (u16, Reply) {
         let mut request = Request::new(method, target, Bytes::from(body.to_owned()));
         request.headers.set("host", "h");
         request.headers.set("x-attempt-id", "job");
@@ -157,7 +162,7 @@
     }
 }
 
-const LENIENT: StaleKeyPolicy = StaleKeyPolicy { strict: false, limit_ms: 0 };
+pub const LENIENT: StaleKeyPolicy = StaleKeyPolicy { strict: false, limit_ms: 0 };
 
 #[actix_rt::test]
 async fn an_endpoint_receives_the_workspace_and_not_the_key() {
--- a/components/node/tests/leader/main.rs
+++ b/components/node/tests/leader/main.rs
@@ -22,6 +22,7 @@
 #[path = "../support/send.rs"]
 mod send;
 mod speeds;
+mod step_owners;
 mod steps;
 #[path = "../support/unreachable.rs"]
 mod unreachable;
--- a/components/types/src/keyring.rs
+++ b/components/types/src/keyring.rs
@@ -35,8 +35,12 @@
 
     /// Returns the holder of a key.
     pub fn holder(&self, key: &str) -> Option<&T> {
-        let digest = Digest::of(key.as_bytes());
-        let index = self.sorted.partition_point(|(known, _)| *known < digest);
-        self.sorted.get(index).filter(|(known, _)| *known == digest).map(|(_, holder)| holder)
+        self.digest_holder(&Digest::of(key.as_bytes()))
+    }
+
+    /// Returns the holder of the key with this digest.
+    pub fn digest_holder(&self, digest: &Digest) -> Option<&T> {
+        let index = self.sorted.partition_point(|(known, _)| known < digest);
+        self.sorted.get(index).filter(|(known, _)| known == digest).map(|(_, holder)| holder)
     }
 }
