Samples of a step without a workspace carry none chosen by their trainer

A trainer on an open route could name any workspace and key in the headers of its samples, and endpoints got them: the headers were removed only for steps that have a workspace. The same is reached by a step from before the first workspaces.

Plain requests on open routes lose these headers already; samples do so now while the configuration has workspaces. Without workspaces all headers go on as before.

With the earlier condition samples_and_scorers_run_for_the_workspace_of_their_step fails: the endpoint gets the key and the workspace "mine".

--- a/components/node/src/runner/execute.rs
+++ b/components/node/src/runner/execute.rs
@@ -79,7 +79,7 @@
     job: &Job,
     state: &Rc<RunState>,
 ) -> Result<Option<RunEnd>, ExchangeError> {
-    let request = request(job, state.budget.left_ms());
+    let request = request(runner, job, state.budget.left_ms());
     let pooled = runner.pool.borrow_mut().take(job.address, &job.endpoint);
     let connection = match pooled {
         Some(connection) => connection,
@@ -116,7 +116,8 @@
     Ok(Some(end))
 }
 
-fn request(job: &Job, left_ms: u64) -> Request {
+fn request(runner: &Runner, job: &Job, left_ms: u64) -> Request {
+    let config = runner.view.config();
     let run = RunContext {
         host: &job.host,
         incarnation: &job.endpoint,
@@ -125,6 +126,7 @@
         last_event: job.output.last_id.as_deref(),
         urgency: URGENCY,
         workspace: job.workspace.as_deref(),
+        has_workspaces: config.is_some_and(|config| !config.workspaces.is_empty()),
     };
     sample::run_request(&job.sample, &run)
 }
