Engines that no longer exist do not count as engines

Cause: the division of engines among the models, the limit of concurrent loads, the medians and the newest version were taken over all known incarnations; 33 of 42 were silent. They are kept for a minute so that late announcements are recognised. One that refused connections or answered as another incarnation was ordered again every 60 ms.

--- a/components/fleet/src/plan/engine.rs
+++ b/components/fleet/src/plan/engine.rs
@@ -56,9 +56,9 @@
     pub(super) failures: u32,
     /// No runs are assigned before this time.
     pub(super) blocked_until: Millis,
-    /// The announcement sequence at which the address turned out to belong to another endpoint. The
-    /// engine gets no runs until a newer announcement.
-    pub(super) moved_sequence: Option<u64>,
+    /// The announcement sequence at which the engine turned out not to be there: its address refuses
+    /// connections or belongs to another endpoint. It gets nothing until a newer announcement.
+    pub(super) absent_sequence: Option<u64>,
 }
 
 impl EngineState {
@@ -75,7 +75,7 @@
             speed: Speed::default(),
             failures: 0,
             blocked_until: Millis::default(),
-            moved_sequence: None,
+            absent_sequence: None,
         }
     }
 
@@ -122,11 +122,16 @@
 
     /// Returns whether the engine may be assigned runs.
     pub fn is_ready(&self, now: Millis) -> bool {
-        let announced_since_move =
-            self.moved_sequence.is_none_or(|since| self.endpoint.announcement.sequence > since);
-        self.endpoint.status == EndpointStatus::Ready
-            && now >= self.blocked_until
-            && announced_since_move
+        self.is_serving() && now >= self.blocked_until
+    }
+
+    /// Returns whether the engine can work, now or after a short pause. The others are kept so that
+    /// their late announcements are recognised. They must not count where engines are divided,
+    /// limited or compared: each would take the place of one that can work.
+    pub fn is_serving(&self) -> bool {
+        let announced_since =
+            self.absent_sequence.is_none_or(|since| self.endpoint.announcement.sequence > since);
+        self.endpoint.status == EndpointStatus::Ready && announced_since
     }
 
     /// Returns the number of slots without a run.
--- a/components/fleet/src/plan/mod.rs
+++ b/components/fleet/src/plan/mod.rs
@@ -366,8 +366,9 @@
             return 0;
         }
         self.visits.set(self.visits.get() + self.engines.len() as u64);
-        let newest =
-            self.engines.values().filter(|engine| engine.loading.as_deref() != Some(model));
+        let usable =
+            |engine: &&EngineState| engine.is_serving() && engine.loading.as_deref() != Some(model);
+        let newest = self.engines.values().filter(usable);
         let newest =
             newest.filter_map(|engine| engine.endpoint.announcement.models.get(model)).max();
         let planned = self.steps.values().filter(|planned| {
--- a/components/fleet/src/plan/reassign.rs
+++ b/components/fleet/src/plan/reassign.rs
@@ -105,7 +105,10 @@
     /// Recomputes the median pace from the engines measured within the last ten seconds.
     pub(super) fn update_median_pace(&mut self, now: Millis) {
         self.visits.set(self.visits.get() + self.engines.len() as u64);
-        let measured = self.engines.values().filter(|engine| now.since(engine.paced_at) < 10_000);
+        let measured = self
+            .engines
+            .values()
+            .filter(|engine| engine.is_serving() && now.since(engine.paced_at) < 10_000);
         let mut paces: Vec<f64> =
             measured.map(|engine| engine.pace_ms).filter(|pace| *pace > 0.0).collect();
         paces.sort_by(f64::total_cmp);
--- a/components/fleet/src/plan/reports.rs
+++ b/components/fleet/src/plan/reports.rs
@@ -265,12 +265,12 @@
         next
     }
 
-    /// Blocks an engine for some time if a run on it ended because of the engine.
-    pub(super) fn penalize(&mut self, engine: Option<&str>, end: RunEnd, now: Millis) {
+    /// Blocks an engine for some time if a run or an order ended because of the engine.
+    pub fn penalize(&mut self, engine: Option<&str>, end: RunEnd, now: Millis) {
         let Some(engine) = engine.and_then(|id| self.engines.get_mut(id)) else { return };
         match end {
             RunEnd::Full => engine.blocked_until = now + FULL_PENALTY_MS,
-            RunEnd::Moved => engine.moved_sequence = Some(engine.endpoint.announcement.sequence),
+            RunEnd::Moved => engine.absent_sequence = Some(engine.endpoint.announcement.sequence),
             // An engine that fails immediately always has the lowest load. Without a delay, it
             // would get the samples of whole steps until they reach their failure limit. If a
             // sample itself is at fault, a healthy engine is idle for 0.2 s, during which other
--- a/components/fleet/src/plan/upgrade.rs
+++ b/components/fleet/src/plan/upgrade.rs
@@ -19,7 +19,6 @@
 use crate::config::Config;
 use crate::config::Route;
 use crate::endpoint::Endpoint;
-use crate::endpoint::EndpointStatus;
 use crate::observed_loads::ObservedLoads;
 use crate::speeds::MAX_SPEED_CHANGES;
 use crate::speeds::SpeedChange;
@@ -271,8 +270,8 @@
 
     /// Recomputes the median speed.
     pub(super) fn update_median_speed(&mut self) {
-        let ready = |engine: &&EngineState| engine.endpoint.status == EndpointStatus::Ready;
-        self.median_speed.update(self.engines.values().filter(ready).map(|engine| &engine.speed));
+        let serving = self.engines.values().filter(|engine| engine.is_serving());
+        self.median_speed.update(serving.map(|engine| &engine.speed));
     }
 
     /// Returns whether an engine is fast; never without `engine_speeds`.
--- a/components/fleet/src/swap.rs
+++ b/components/fleet/src/swap.rs
@@ -113,7 +113,8 @@
 
 /// Selects the engines that load new weights now: first those of models whose samples wait for
 /// them, then those with the oldest versions, then the least loaded. Engines for which `is_fast`
-/// returns true are divided among the models by themselves.
+/// returns true are divided among the models by themselves. Only engines that can work are divided:
+/// the others would take up the share of a model, which then gets no version that it needs.
 pub fn select_loads(
     engines: &[&EngineState],
     demands: &[ModelDemand],
@@ -122,6 +123,8 @@
     is_fast: impl Fn(&EngineState) -> bool,
     now: Millis,
 ) -> Vec<WeightLoad> {
+    let engines: Vec<&EngineState> =
+        engines.iter().copied().filter(|engine| engine.is_serving()).collect();
     let sorted_ids = |fast: bool| {
         let of_class = engines.iter().filter(|engine| is_fast(engine) == fast);
         let mut ids: Vec<&str> = of_class.map(|engine| &*engine.endpoint.announcement.id).collect();
@@ -132,14 +135,22 @@
     let max_loading = (engines.len() * MAX_LOADING_SHARE.0 / MAX_LOADING_SHARE.1).max(1);
     let loading = engines.iter().filter(|engine| engine.loading.is_some()).count();
     let mut own_engines: BTreeMap<&str, Vec<&EngineState>> = BTreeMap::new();
-    for engine in engines {
+    for engine in &engines {
         if let Some(model) = assigned.get(&*engine.endpoint.announcement.id) {
             own_engines.entry(model).or_default().push(engine);
         }
     }
     let mut outdated: Vec<(Urgency, WeightLoad)> = Vec::new();
-    for demand in demands {
-        let own_engines = own_engines.remove(&*demand.model).unwrap_or_default();
+    for (index, demand) in demands.iter().enumerate() {
+        // With fewer engines than models, models share engines: none may stay without one.
+        let shared =
+            || engines.iter().copied().skip(index % engines.len().max(1)).take(1).collect();
+        let own_engines = own_engines.remove(&*demand.model).unwrap_or_else(shared);
+        debug_assert!(
+            engines.is_empty() || !own_engines.is_empty(),
+            "{} has no engine that may load its versions",
+            demand.model
+        );
         outdated.extend(outdated_engines(&own_engines, demand, order_lease, now));
     }
     if policy.load_order {
--- a/components/node/src/orders.rs
+++ b/components/node/src/orders.rs
@@ -9,6 +9,7 @@
 use chicoryford_fleet::Config;
 use chicoryford_fleet::order_lease::OrderLease;
 use chicoryford_fleet::plan::EngineState;
+use chicoryford_fleet::plan::RunEnd;
 use chicoryford_fleet::swap;
 use chicoryford_fleet::swap::ModelDemand;
 use chicoryford_fleet::swap::WeightLoad;
@@ -168,7 +169,8 @@
         let Some(address) = address(leader, load) else { return "endpoint gone" };
         let report = match ask_report(leader, load, address).await {
             Ok(report) => report,
-            Err(error) => {
+            Err(ReportError::Absent(why)) => return end_absent(leader, load, why),
+            Err(ReportError::Lost(error)) => {
                 tracing::info!(event = "report_lost", endpoint = load.endpoint, %error);
                 tokio::time::sleep(RETRY_PAUSE).await;
                 continue;
@@ -194,7 +196,7 @@
                 leader.orders.borrow_mut().fenced = true;
                 return "fenced";
             }
-            OrderOutcome::Moved => return "endpoint moved",
+            OrderOutcome::Moved => return end_absent(leader, load, "endpoint moved"),
             OrderOutcome::Conflict | OrderOutcome::Unfit | OrderOutcome::Unclear => {
                 tokio::time::sleep(RETRY_PAUSE).await
             }
@@ -219,18 +221,43 @@
     engine.is_ready(clock::now()).then_some(engine.endpoint.announcement.address)
 }
 
+/// Records that an engine is not there. Otherwise the next check would select it again, and the
+/// loads that are ordered in vain would delay those of engines that can work.
+fn end_absent(leader: &Rc<Leader>, load: &WeightLoad, why: &'static str) -> &'static str {
+    let mut plan = leader.plan.borrow_mut();
+    plan.penalize(Some(&load.endpoint), RunEnd::Moved, clock::now());
+    why
+}
+
+/// The reason why an engine gave no report.
+enum ReportError {
+    /// The engine is not there.
+    Absent(&'static str),
+    /// There was no report; there may be one later.
+    Lost(ExchangeError),
+}
+
 async fn ask_report(
     leader: &Rc<Leader>,
     load: &WeightLoad,
     address: SocketAddr,
-) -> Result<Report, ExchangeError> {
+) -> Result<Report, ReportError> {
     let request = endpoint::report_request(&load.endpoint);
-    let reply = call(leader, load, address, &request).await?;
+    let reply = call(leader, load, address, &request).await.map_err(|error| {
+        if error.is_refused() {
+            ReportError::Absent("connection refused")
+        } else {
+            ReportError::Lost(error)
+        }
+    })?;
+    if endpoint::order_outcome(reply.status) == OrderOutcome::Moved {
+        return Err(ReportError::Absent("endpoint moved"));
+    }
     if !reply.status.is_success() {
-        return Err(ExchangeError::Invalid("no report"));
+        return Err(ReportError::Lost(ExchangeError::Invalid("no report")));
     }
-    endpoint::parse_report(&reply.body)
-        .map_err(|_| ExchangeError::Invalid("a report that cannot be read"))
+    let unreadable = |_| ReportError::Lost(ExchangeError::Invalid("a report that cannot be read"));
+    endpoint::parse_report(&reply.body).map_err(unreadable)
 }
 
 fn has_version(leader: &Rc<Leader>, load: &WeightLoad, report: &Report) -> bool {
--- a/components/node/tests/leader/main.rs
+++ b/components/node/tests/leader/main.rs
@@ -1,5 +1,6 @@
 //! A leader with hosts, stores and other members simulated by the test, on real sockets.
 
+mod absent_engines;
 #[path = "../support/answering.rs"]
 mod answering;
 mod checkpoints;
