A sample is run again however many engines crashed under it

Cause: crash_delay_ms returned u64::MAX from the sixth crash on. The delay after missing answers grew to 8 s, longer than a sample may be at no engine.

Change: both delays end at 4 s. A sample is owed; a request that crashes endpoints stays bounded as before (fleet::crashes).

--- a/components/fleet/src/plan/reports.rs
+++ b/components/fleet/src/plan/reports.rs
@@ -28,17 +28,16 @@
 
 /// Engine crashes after which a sample is run again only after a delay.
 const DELAYED_CRASHES: u32 = 3;
-/// Engine crashes after which a sample is not run again.
-const MAX_CRASHES: u32 = 6;
-/// The delay in milliseconds; a crashed engine has restarted by then.
+/// The delay in milliseconds; a crashed engine has restarted by then. It does not grow with further
+/// crashes: a sample that waits for five seconds while engines have room is lost to its trainer.
 const CRASH_DELAY_MS: u64 = 4_000;
 
 /// Runs without an answer after which a sample is run again only after a delay.
 const DELAYED_LOSSES: u32 = 3;
 /// The first delay in milliseconds. It doubles with each further run without an answer.
 const LOSS_DELAY_MS: u64 = 500;
-/// Maximum number of doublings of the delay, which limits it to eight seconds.
-const MAX_LOSS_DOUBLINGS: u32 = 4;
+/// Maximum number of doublings of the delay, which limits it to four seconds as after crashes.
+const MAX_LOSS_DOUBLINGS: u32 = 3;
 
 /// Returns the milliseconds to wait before a sample runs again after that many consecutive runs
 /// without an answer. The engines are alive, so the sample may be at fault; without a delay, it
@@ -50,14 +49,12 @@
     }
 }
 
-/// Returns the milliseconds to wait before a sample runs again after it crashed that many engines.
-/// The sample is not given up: only an engine's response or its age permits that.
+/// Returns the milliseconds to wait before a sample runs again after that many engines crashed under
+/// it. However many did, the sample is still owed: engines crash for other reasons as well, and only
+/// an engine's response or its age permits to give it up. The delay bounds how many engines a sample
+/// that is at fault takes down.
 fn crash_delay_ms(crashes: u32) -> u64 {
-    match crashes {
-        0..DELAYED_CRASHES => 0,
-        DELAYED_CRASHES..MAX_CRASHES => CRASH_DELAY_MS,
-        _ => u64::MAX,
-    }
+    if crashes < DELAYED_CRASHES { 0 } else { CRASH_DELAY_MS }
 }
 
 impl Planner {
