A scorer's call is neither refused nor accused for its content

Cause: a scorer's call was forwarded like a caller's request.

Change: a call with a grant is exempt; its host rests 4 s between calls from the third broken connection on. The bound of requests is unchanged.

Test: the_call_of_a_scorer_is_made_again_whatever_crashed_under_it fails without the exemption.

--- a/components/node/src/forward/budget.rs
+++ b/components/node/src/forward/budget.rs
@@ -26,6 +26,8 @@
     pub(super) widened: Notify,
     /// Its place among the calls that wait for windows, which it keeps over all passes.
     pub(super) place: Cell<Option<CallPlace>>,
+    /// Attempts in all passes whose connection broke.
+    pub(super) broken: Cell<u32>,
 }
 
 /// The rights of this process to a call that several processes may execute.
@@ -61,7 +63,8 @@
     /// Creates the budget of a request whose caller waits until `deadline`.
     pub fn new(deadline: Millis) -> Self {
         let (spent, changed, widened) = (RefCell::default(), Notify::new(), Notify::new());
-        Self { deadline, spent, shared: None, changed, widened, place: Cell::default() }
+        let (place, broken) = (Cell::default(), Cell::default());
+        Self { deadline, spent, shared: None, changed, widened, place, broken }
     }
 
     /// Creates the budget of a request that other processes may have forwarded before, or may
@@ -108,6 +111,18 @@
         spent.endpoints.len() < limit || spent.endpoints.contains(id)
     }
 
+    /// Returns how many attempts broke in all passes. An endpoint may have crashed under each.
+    pub fn broken(&self) -> u32 {
+        self.broken.get()
+    }
+
+    /// Returns whether the call is owed whatever crashes under it: that of a sample's scorer, which is
+    /// part of the sample. It is neither refused nor accused for its content, because a refusal would
+    /// hold back the sample for a day; its host paces it instead.
+    pub(super) fn is_owed(&self) -> bool {
+        self.is_shared()
+    }
+
     /// Returns whether only granted endpoints may be called.
     pub(super) fn is_shared(&self) -> bool {
         self.shared.is_some()
--- a/components/node/src/forward/dispatch.rs
+++ b/components/node/src/forward/dispatch.rs
@@ -116,8 +116,7 @@
             let is_idle = running.is_empty();
             // After a failure, an attempt that was held is sent next.
             let sends_next = is_idle || (fallback && self.attempts.gate.borrow().in_flight() == 0);
-            if sends_next && self.forwarder.crashes.refuses(self.request, self.requester.workspace)
-            {
+            if sends_next && self.is_refused() {
                 return self.refuse_content();
             }
             if is_idle {
@@ -269,13 +268,23 @@
             }
             AttemptResult::Lost => self.at_most_once.then_some(Outcome::Lost),
             AttemptResult::Broken(address) => {
-                let content = crashes::content_fingerprint(self.request, self.requester.workspace);
-                self.forwarder.crashes.probe(Crash { content, endpoint: id }, address);
+                self.budget.broken.set(self.budget.broken() + 1);
+                if !self.budget.is_owed() {
+                    let workspace = self.requester.workspace;
+                    let content = crashes::content_fingerprint(self.request, workspace);
+                    self.forwarder.crashes.probe(Crash { content, endpoint: id }, address);
+                }
                 self.at_most_once.then_some(Outcome::Lost)
             }
         }
     }
 
+    /// Returns whether the content has been found to crash endpoints.
+    fn is_refused(&self) -> bool {
+        let workspace = self.requester.workspace;
+        !self.budget.is_owed() && self.forwarder.crashes.refuses(self.request, workspace)
+    }
+
     /// Gives up because the content has been found to crash endpoints in the meantime.
     fn refuse_content(&mut self) -> Outcome {
         match self.give_up(PickError::AllTried) {
@@ -312,7 +321,8 @@
     /// Records the attempts that were in progress when the request ended without any answer.
     fn record_unanswered(&self) {
         let tries = self.attempts.records.borrow();
-        let dropped = tries.iter().filter(|attempt| !self.is_answered && attempt.was_dropped());
+        let is_accused = !self.is_answered && !self.budget.is_owed();
+        let dropped = tries.iter().filter(|attempt| is_accused && attempt.was_dropped());
         for attempt in dropped {
             let content = crashes::content_fingerprint(self.request, self.requester.workspace);
             let endpoint = attempt.target.id.clone();
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -224,7 +224,7 @@
         if budget.left_ms().min(limit_ms) == 0 {
             return Outcome::NotRun("its time is up", FULL_RETRY_AFTER_MS);
         }
-        if self.crashes.refuses(request, requester.workspace) {
+        if !budget.is_owed() && self.crashes.refuses(request, requester.workspace) {
             return Outcome::NotRun(CRASHING_CONTENT, REFUSED_RETRY_AFTER_MS);
         }
         let Some(service) = self.choose_service(route, budget) else {
--- a/components/node/src/runner/execute.rs
+++ b/components/node/src/runner/execute.rs
@@ -39,6 +39,11 @@
 /// Pause before a scorer is called again; it doubles each time up to the maximum.
 const SCORE_RETRY_PAUSE: Duration = Duration::from_millis(60);
 const MAX_SCORE_RETRY_PAUSE: Duration = Duration::from_millis(960);
+/// Broken connections of a scorer's call from which on it may be what crashes the endpoints.
+const MAX_BROKEN_CALLS: u32 = 3;
+/// Pause before such a call is made again, so that it does not take down one endpoint after another.
+/// Endpoints that crashed have restarted by then.
+const BROKEN_CALL_PAUSE: Duration = Duration::from_secs(4);
 /// The urgency of runs. It is the same for all of them, since the planner decides their order.
 const URGENCY: u8 = 5;
 
@@ -255,7 +260,8 @@
             let pause = Duration::from_millis(after_ms);
             let _ = tokio::time::timeout(pause, budget.extended()).await;
         } else {
-            tokio::time::sleep(pause).await;
+            let is_suspect = budget.broken() >= MAX_BROKEN_CALLS;
+            tokio::time::sleep(if is_suspect { BROKEN_CALL_PAUSE } else { pause }).await;
             pause = MAX_SCORE_RETRY_PAUSE.min(2 * pause);
         }
     }
--- a/components/node/tests/crashes.rs
+++ b/components/node/tests/crashes.rs
@@ -14,6 +14,8 @@
 use chicoryford_fleet::EndpointStatus;
 use chicoryford_fleet::Policy;
 use chicoryford_fleet::RouteKind;
+use chicoryford_fleet::grant::Grant;
+use chicoryford_fleet::run::CallCost;
 use chicoryford_http::Request;
 use chicoryford_http::message::Method;
 use chicoryford_node::clock;
@@ -23,6 +25,7 @@
 use chicoryford_node::forward::Outcome;
 use chicoryford_node::forward::Requester;
 use chicoryford_node::message::Update;
+use chicoryford_types::Fingerprint;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -149,3 +152,33 @@
     assert!(matches!(refused, Outcome::NotRun("the content crashes endpoints", _)), "{refused:?}");
     assert!(matches!(send(&forwarder, "good").await, Outcome::Answered(_)));
 }
+
+/// A scorer's call is part of its sample, which is owed. Guards against holding back a sample for a
+/// day because endpoints crashed, or fell silent, while they ran its scorer's call.
+#[actix_rt::test]
+async fn the_call_of_a_scorer_is_made_again_whatever_crashed_under_it() {
+    let (forwarder, received) = forwarder(8, Behavior::Crash).await;
+    let endpoints: BTreeSet<String> = (0..8).map(|number| format!("i{number}")).collect();
+    let route = route("desk", RouteKind::Idempotent, 8);
+    let call = async |body| {
+        let grant = Grant { endpoints: endpoints.clone(), ..Grant::default() };
+        let budget = Budget::shared(clock::now() + 1_000, CallCost::default(), grant, || true);
+        let requester = Requester::default();
+        let outcome = forwarder.forward(&route, &request(body), &budget, 1_000, requester).await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        (outcome, budget.broken())
+    };
+    for _ in 0..3 {
+        let (outcome, broken) = call("bad").await;
+        assert!(!matches!(outcome, Outcome::NotRun("the content crashes endpoints", _)));
+        assert!(broken >= 2, "{broken} broken connections are known to the host");
+    }
+    assert!(received.borrow().len() >= 6, "{received:?}");
+    let refused: BTreeSet<Fingerprint> =
+        ["bad", "good"].map(|body| crashes::content_fingerprint(&request(body), "")).into();
+    forwarder.apply(&Update::Refused(refused));
+    let (good, _) = call("good").await;
+    assert!(matches!(&good, Outcome::Answered(reply) if reply.status.is_success()), "{good:?}");
+    let other = send(&forwarder, "good").await;
+    assert!(matches!(other, Outcome::NotRun("the content crashes endpoints", _)), "{other:?}");
+}
