A sample of an accepted step is run although its prompt is convicted

A sample of an accepted step is owed.

Requests and steps that are opened with a convicted prompt are refused as before.

Test: a_sample_is_generated_although_its_prompt_was_convicted fails with the check in place ("the sample was not generated in calm").

--- a/components/entry/src/run/attempts.rs
+++ b/components/entry/src/run/attempts.rs
@@ -131,6 +131,10 @@
     ///
     /// Returns the final failure of the request.
     pub fn check_not_convicted(&self) -> Result<(), Failure> {
+        let is_first = self.job.attempt == Number::default();
+        if self.job.owed && is_first {
+            return Ok(());
+        }
         let config = self.context.config.current();
         let checked = admit::check_not_convicted(self.job.fingerprint, &config);
         checked.map_err(|failure| self.final_failure(failure))
--- a/components/entry/src/run/job.rs
+++ b/components/entry/src/run/job.rs
@@ -55,6 +55,9 @@
     /// Whether its attempts run apart from other suspects because its own attempts have crashed
     /// endpoints.
     pub isolated: bool,
+    /// Whether it is made also if its content is convicted: a sample of an accepted step. It is not
+    /// retried then; its step starts it again later.
+    pub owed: bool,
     /// The retry policy.
     pub retries: Retries,
     /// The number of the last attempt; zero before the first one.
--- a/components/entry/src/steps/duty.rs
+++ b/components/entry/src/steps/duty.rs
@@ -84,6 +84,7 @@
             pull_notifier,
             staleness: Rc::default(),
             sample_limits: Rc::default(),
+            probation: Rc::default(),
             lengths: Rc::new(RefCell::new(Lengths::default())),
             slots: Arc::new(Semaphore::new((running / 2).max(1))),
         };
--- a/components/entry/src/steps/mod.rs
+++ b/components/entry/src/steps/mod.rs
@@ -5,6 +5,7 @@
 pub mod in_flight;
 pub mod lengths;
 pub mod limits;
+pub mod probation;
 pub mod propose;
 pub mod pull_waker;
 pub mod sample;
--- a/components/entry/src/steps/sample.rs
+++ b/components/entry/src/steps/sample.rs
@@ -121,6 +121,10 @@
                 Err(reason) => reason,
             };
             self.log_retry(&reason);
+            if let RetryReason::Failed(_) = reason {
+                let prompt = &self.progress.spec.groups[self.id.group.0 as usize].prompt;
+                self.shared.probation.borrow_mut().record_failure(prompt_fingerprint(prompt));
+            }
             if *self.shared.leaving.borrow() {
                 return SampleEnd::Unwanted;
             }
@@ -138,9 +142,7 @@
     async fn run_once(&self, attempts: &mut u32) -> Result<SampleEnd, RetryReason> {
         let template = self.template()?;
         let prompt = &self.progress.spec.groups[self.id.group.0 as usize].prompt;
-        let config = self.context.config.current();
-        admit::check_not_convicted(prompt_fingerprint(prompt), &config)
-            .map_err(RetryReason::Failed)?;
+        self.wait_for_probation(prompt_fingerprint(prompt)).await;
         *attempts += 1;
         let generated = self.generate(&template).await?;
         *attempts += generated.attempts.saturating_sub(1);
@@ -158,6 +160,15 @@
         Ok(ended)
     }
 
+    /// Waits until a sample with this content may run, if the content is convicted.
+    async fn wait_for_probation(&self, content: Fingerprint) {
+        while self.context.config.current().convictions.contains_key(&content) {
+            let waits = self.shared.probation.borrow_mut().start(content, self.context.now());
+            let Some(ms) = waits else { return };
+            actix_rt::time::sleep(Duration::from_millis(ms)).await;
+        }
+    }
+
     fn template(&self) -> Result<Template, RetryReason> {
         let config = self.context.config.current();
         let template = admit::find_template(&self.key.workspace, &config);
@@ -204,7 +215,9 @@
         self.shared.staleness.borrow_mut().record_sample(&self.progress.spec.model, ms);
         let attempts = stream.job().attempt.0;
         let output = std::mem::take(&mut stream.output);
-        self.shared.lengths.borrow_mut().record(prompt_fingerprint(prompt), output.tokens);
+        let content = prompt_fingerprint(prompt);
+        self.shared.lengths.borrow_mut().record(content, output.tokens);
+        self.shared.probation.borrow_mut().record_completion(content);
         if output.spans().is_none() {
             return Err(RetryReason::Unattributed);
         }
@@ -225,7 +238,9 @@
             repeatable: true,
             floor: Some(self.start_floor()),
             fingerprint,
-            suspect: config.suspects.contains_key(&fingerprint),
+            suspect: config.suspects.contains_key(&fingerprint)
+                || config.convictions.contains_key(&fingerprint),
+            owed: true,
             retries: template.retries,
             avoid: self.avoid.clone(),
             ..Job::default()
--- a/components/entry/src/steps/step.rs
+++ b/components/entry/src/steps/step.rs
@@ -33,6 +33,7 @@
 use crate::steps::in_flight::SampleProgress;
 use crate::steps::lengths::Lengths;
 use crate::steps::limits::SampleLimits;
+use crate::steps::probation::Probation;
 use crate::steps::propose;
 use crate::steps::pull_waker::PullNotifier;
 use crate::steps::sample;
@@ -58,6 +59,8 @@
     pub hedge: bool,
     /// Wakes waiting pulls.
     pub pull_notifier: PullNotifier,
+    /// Paces samples with convicted prompts.
+    pub probation: Rc<RefCell<Probation>>,
     /// Learned answer lengths.
     pub lengths: Rc<RefCell<Lengths>>,
     /// Predicts how many versions are published during a sample.
--- a/components/entry/src/trainer.rs
+++ b/components/entry/src/trainer.rs
@@ -94,7 +94,8 @@
     )?;
     check_spec(&spec, &template)?;
     for group in &spec.groups {
-        // A step with a convicted prompt can never complete, and its trainer would wait forever.
+        // Samples with a convicted prompt run one at a time, seconds apart. A trainer is told so before
+        // anything is owed to it.
         admit::check_not_convicted(prompt_fingerprint(&group.prompt), &context.config.current())?;
     }
     if let Some(identity) = &call.identity {
--- a/components/entry/tests/crashes.rs
+++ b/components/entry/tests/crashes.rs
@@ -18,6 +18,7 @@
 use chicoryford_types::Position;
 use chicoryford_types::frame::Event;
 use chicoryford_types::request::CrashDecision;
+use chicoryford_wire::Client;
 use chicoryford_wire::paths;
 use futures_util::future::join_all;
 use serde_json::Value;
@@ -27,6 +28,7 @@
 use support::MODEL;
 use support::Plan;
 use support::Seen;
+use support::WORKSPACE;
 use support::finished;
 use support::frames;
 use support::template;
@@ -364,3 +366,43 @@
         assert_eq!(fixture.attempts().len(), 2, "one attempt after the decided crash");
     });
 }
+
+/// Guards against a step that waits for a day: engines crash while they run its sound prompt, which is
+/// convicted, and later all is calm. A sample of an accepted step is owed.
+#[test]
+fn a_sample_is_generated_although_its_prompt_was_convicted() {
+    actix_rt::System::new().block_on(async {
+        let calm = Arc::new(AtomicU32::new(0));
+        let is_calm = calm.clone();
+        let agent = Agent::new(move |work| {
+            let events = vec![Event::Accepted, tokens("by sea", 1), finished(2)];
+            let count = if is_calm.load(Ordering::Relaxed) == 1 { events.len() } else { 1 };
+            Plan::Stream(frames(work, events.into_iter().take(count).collect()))
+        });
+        let fixture = Fixture::start(vec![agent]).await;
+        let trainer = Client::new(Some("trainer".to_owned()), None);
+        let step = json!({
+            "workspace": WORKSPACE, "step": 1, "model": MODEL, "samples": 1, "max_tokens": 8,
+            "groups": [{"prompt": "Ston to Split"}], "seed": 5,
+        });
+        let seen = fixture.post_as(&trainer, paths::STEP_OPEN, &[], &step).await;
+        assert_eq!(seen.status, 200, "{}", seen.text());
+        wait_attempts(&fixture, 1).await;
+        convict(&fixture, fixture.attempts()[0].fingerprint);
+        calm.store(1, Ordering::Relaxed);
+        let pull = json!({"workspace": WORKSPACE, "cursor": 1, "groups": 1});
+        let read = async {
+            loop {
+                let seen = fixture.post_as(&trainer, paths::STEP_PULL, &[], &pull).await;
+                if seen.status != 202 {
+                    return seen;
+                }
+            }
+        };
+        let seen = actix_rt::time::timeout(Duration::from_secs(12), read).await;
+        let seen = seen.expect("the sample was not generated in calm");
+        assert_eq!(seen.json()["samples"].as_array().map(Vec::len), Some(1), "{}", seen.text());
+        let last = fixture.attempts().pop().unwrap();
+        assert!(last.suspect, "it runs apart from other suspects");
+    });
+}
