Replies without end are given up in bounded memory and time

Seen (real processes, leads): endless interim replies and chunk extensions were read until the caller's time was up; a burst of endless bodies took entries over their memory; a sample whose engine sent a line without end never ended.

Cause: a reply had a limit, the replies of a process had none; a piece of a stream had a time limit, an event had none; heads and framing were counted only while the codec held them.

The event parsers no longer scan an incomplete line from its start for each piece.

--- a/components/agent/src/engine.rs
+++ b/components/agent/src/engine.rs
@@ -152,6 +152,10 @@
 pub struct CompletionStream {
     stream: LocalBoxStream<'static, Result<Bytes, PayloadError>>,
     pending: BytesMut,
+    /// Pending bytes without the end of a line.
+    scanned: usize,
+    /// Bytes since the last event that belong to no event.
+    skipped: usize,
 }
 
 /// Starts a completion.
@@ -188,7 +192,12 @@
         let text = String::from_utf8_lossy(&body).into_owned();
         return Err(status_error(status, text));
     }
-    Ok(CompletionStream { stream: response.boxed_local(), pending: BytesMut::new() })
+    Ok(CompletionStream {
+        stream: response.boxed_local(),
+        pending: BytesMut::new(),
+        scanned: 0,
+        skipped: 0,
+    })
 }
 
 impl CompletionStream {
@@ -212,13 +221,20 @@
 
     /// Removes the data of the next complete event from the buffer.
     fn take_event(&mut self) -> Result<Option<BytesMut>, EngineError> {
-        while let Some(end) = self.pending.iter().position(|byte| *byte == b'\n') {
+        let line_end = |pending: &[u8], from: usize| {
+            pending[from..].iter().position(|byte| *byte == b'\n').map(|end| from + end)
+        };
+        while let Some(end) = line_end(&self.pending, self.scanned) {
             let line = self.pending.split_to(end + 1);
+            self.scanned = 0;
             if let Some(data) = line.strip_prefix(b"data:") {
+                self.skipped = 0;
                 return Ok(Some(BytesMut::from(data)));
             }
+            self.skipped += line.len();
         }
-        if self.pending.len() > MAX_EVENT_BYTES {
+        self.scanned = self.pending.len();
+        if self.pending.len() + self.skipped > MAX_EVENT_BYTES {
             return Err(EngineError::Broken("an event exceeds the size limit".to_owned()));
         }
         Ok(None)
--- a/components/fleet/src/sse.rs
+++ b/components/fleet/src/sse.rs
@@ -8,6 +8,8 @@
 #[derive(Debug, Default)]
 pub struct SseReader {
     buffer: Vec<u8>,
+    /// Bytes of the buffer without the end of a line.
+    scanned: usize,
     fields: Fields,
 }
 
@@ -17,8 +19,11 @@
         self.buffer.extend_from_slice(chunk);
         let mut events = Vec::new();
         let mut start = 0;
-        while let Some(length) = self.buffer[start..].iter().position(|byte| *byte == b'\n') {
-            let line = &self.buffer[start..start + length];
+        let line_end = |buffer: &[u8], from: usize| {
+            buffer[from..].iter().position(|byte| *byte == b'\n').map(|end| from + end)
+        };
+        while let Some(end) = line_end(&self.buffer, self.scanned.max(start)) {
+            let line = &self.buffer[start..end];
             let line = line.strip_suffix(b"\r").unwrap_or(line);
             if line.is_empty() {
                 if !self.fields.is_empty() {
@@ -27,12 +32,19 @@
             } else if line[0] != b':' {
                 self.fields.push(split_field(line));
             }
-            start += length + 1;
+            start = end + 1;
         }
         self.buffer.drain(..start);
+        self.scanned = self.buffer.len();
         events
     }
 
+    /// Returns the bytes of the incomplete event.
+    pub fn pending_bytes(&self) -> usize {
+        let fields = self.fields.iter().map(|(name, value)| name.len() + value.len());
+        self.buffer.len() + fields.sum::<usize>()
+    }
+
     /// Returns whether the stream is between two events, so that nothing is lost if it ends here.
     pub fn is_at_boundary(&self) -> bool {
         self.buffer.is_empty() && self.fields.is_empty()
--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -27,10 +27,20 @@
 use crate::message::Headers;
 use crate::message::Reply;
 use crate::message::Request;
+use crate::reply_memory::HeldReply;
 use crate::socket;
 
 /// Maximum size in bytes of a reply body that is read completely. A larger reply is an error.
 const MAX_REPLY_BYTES: usize = 64 << 20;
+/// Maximum bytes until the end of the head of a reply, with all interim replies.
+const MAX_HEAD_BYTES: usize = 128 << 10;
+/// Maximum number of interim replies before the final one.
+const MAX_INTERIM_REPLIES: usize = 16;
+/// Maximum bytes of a body's framing, in addition to those for its data: the extensions of chunks and
+/// the trailer.
+const MAX_FRAMING_BYTES: usize = 64 << 10;
+/// Maximum bytes of framing for each byte of data. A chunk of one byte has five.
+const MAX_FRAMING_RATIO: usize = 8;
 
 /// An error for which an exchange produced no complete reply.
 #[derive(Debug, Error)]
@@ -47,6 +57,9 @@
     /// The received bytes are not a valid reply, or belong to another request.
     #[error("invalid reply: {0}")]
     Invalid(&'static str),
+    /// The reply exceeds a limit, and may have no end.
+    #[error("the reply exceeds the limit of {0}")]
+    Excess(&'static str),
 }
 
 impl ExchangeError {
@@ -76,6 +89,10 @@
     codec: ClientPayloadCodec,
     framing: Framing,
     done: bool,
+    /// Bytes of the body that were returned.
+    body_bytes: usize,
+    /// Bytes that were received for the body, apart from those that were returned.
+    framing_bytes: usize,
     /// The status.
     pub status: StatusCode,
     /// The headers.
@@ -144,24 +161,37 @@
         // partition ends, and the endpoint would start work that is no longer needed.
         self.stream.set_zero_linger().map_err(ExchangeError::NotSent)?;
         self.send(&output, on_sent).await?;
+        let (mut received, mut interim_replies) = (self.input.len(), 0);
         let head = loop {
             let decoded = codec.decode(&mut self.input);
             if let Some(head) = decoded.map_err(|_| ExchangeError::Invalid("not an HTTP reply"))? {
-                // The final reply follows a 100 Continue.
-                if head.status != StatusCode::CONTINUE {
+                // The final reply follows interim ones.
+                if !head.status.is_informational() || head.status == StatusCode::SWITCHING_PROTOCOLS
+                {
                     break head;
                 }
+                interim_replies += 1;
+                if interim_replies > MAX_INTERIM_REPLIES {
+                    return Err(ExchangeError::Excess("interim replies"));
+                }
                 continue;
             }
-            if self.fill().await? == 0 {
+            if received > MAX_HEAD_BYTES {
+                return Err(ExchangeError::Excess("bytes in the head"));
+            }
+            let read = self.fill().await?;
+            if read == 0 {
                 return Err(ExchangeError::Truncated);
             }
+            received += read;
         };
         if !codec.keep_alive() {
             self.tainted = true;
         }
         let framing = framing(&codec, request, &head);
         Ok(IncomingReply {
+            framing_bytes: self.input.len(),
+            body_bytes: 0,
             connection: self,
             done: framing == Framing::Empty,
             framing,
@@ -231,16 +261,26 @@
             }
             let invalid = |_| ExchangeError::Invalid("invalid framing of the body");
             match self.codec.decode(&mut self.connection.input).map_err(invalid)? {
-                Some(Some(chunk)) => return Ok(Some(chunk)),
+                Some(Some(chunk)) => {
+                    self.body_bytes += chunk.len();
+                    self.framing_bytes = self.framing_bytes.saturating_sub(chunk.len());
+                    return Ok(Some(chunk));
+                }
                 Some(None) => {
                     self.done = true;
                     return Ok(None);
                 }
                 None => {}
             }
-            if self.connection.fill().await? == 0 {
+            let max_framing = MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * self.body_bytes;
+            if self.framing_bytes > max_framing {
+                return Err(ExchangeError::Excess("framing of the body"));
+            }
+            let read = self.connection.fill().await?;
+            if read == 0 {
                 return Err(ExchangeError::Truncated);
             }
+            self.framing_bytes += read;
         }
     }
 
@@ -260,19 +300,49 @@
     /// # Errors
     ///
     /// Returns [`ExchangeError`] if the body is incomplete or too large.
-    pub async fn read_all(mut self) -> Result<(Reply, Option<Connection>), ExchangeError> {
+    pub async fn read_all(self) -> Result<(Reply, Option<Connection>), ExchangeError> {
+        self.read_within(MAX_REPLY_BYTES).await
+    }
+
+    /// Reads the whole body like [`Self::read_all`], if it has at most this size in bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ExchangeError`] if the body is incomplete or too large.
+    pub async fn read_within(
+        mut self,
+        max_bytes: usize,
+    ) -> Result<(Reply, Option<Connection>), ExchangeError> {
         let mut body = BytesMut::new();
+        let mut held = HeldReply::new();
         while let Some(chunk) = self.next().await? {
-            body.extend_from_slice(&chunk);
-            if body.len() > MAX_REPLY_BYTES {
-                return Err(ExchangeError::Invalid("the reply is too large"));
+            let has_memory = held.grow(chunk.len());
+            if !has_memory || body.len() + chunk.len() > max_bytes {
+                return Err(ExchangeError::Excess("bytes in the body"));
             }
+            body.extend_from_slice(&chunk);
         }
         let headers = std::mem::take(&mut self.headers);
         let reply = Reply { status: self.status, headers, body: body.freeze() };
         Ok((reply, self.into_connection()))
     }
 
+    /// Reads the rest of the body and drops it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ExchangeError`] if the rest is incomplete or larger than this size in bytes.
+    pub async fn discard_within(&mut self, max_bytes: usize) -> Result<(), ExchangeError> {
+        let mut discarded = 0;
+        while let Some(chunk) = self.next().await? {
+            discarded += chunk.len();
+            if discarded > max_bytes {
+                return Err(ExchangeError::Excess("bytes in the body"));
+            }
+        }
+        Ok(())
+    }
+
     /// Returns the connection for another request, if the reply was read to its end and the
     /// connection can be reused.
     pub fn into_connection(self) -> Option<Connection> {
--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod load;
 pub mod message;
 pub mod pool;
+pub mod reply_memory;
 pub mod server;
 pub mod socket;
 
--- a/components/node/src/forward/mod.rs
+++ b/components/node/src/forward/mod.rs
@@ -348,7 +348,7 @@
                 attempt.end(AttemptOutcome::Failed);
                 match error {
                     error if error.is_unsent() => AttemptResult::Unsent,
-                    ExchangeError::Invalid(_) => AttemptResult::Lost,
+                    ExchangeError::Invalid(_) | ExchangeError::Excess(_) => AttemptResult::Lost,
                     _ => AttemptResult::Broken(target.address),
                 }
             }
--- a/components/node/src/leader/usage.rs
+++ b/components/node/src/leader/usage.rs
@@ -42,6 +42,8 @@
 /// The first and the longest pause after a failed call; the pause doubles with each failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 const MAX_RETRY_PAUSE: Duration = Duration::from_secs(2);
+/// Maximum bytes of the platform's reply, of which only the status is used.
+const MAX_PLATFORM_REPLY_BYTES: usize = 64 << 10;
 
 /// Usage state of the leader that is not in the log.
 pub(super) struct Usage {
@@ -180,7 +182,7 @@
         return Err(ExchangeError::NotSent(std::io::Error::from(std::io::ErrorKind::TimedOut)));
     }
     let incoming = connection.start(request).await?;
-    let (reply, _) = incoming.read_all().await?;
+    let (reply, _) = incoming.read_within(MAX_PLATFORM_REPLY_BYTES).await?;
     Ok(duty::call_outcome(reply.status))
 }
 
--- a/components/node/src/orders.rs
+++ b/components/node/src/orders.rs
@@ -33,6 +33,8 @@
 
 /// Timeout of one call to an engine. An engine answers at once; only a lost connection takes long.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Maximum bytes of an engine's reply. A report lists each run in progress.
+const MAX_ENGINE_REPLY_BYTES: usize = 1 << 20;
 /// Time after an order until the first check whether the weights are loaded, and the interval of
 /// further checks.
 const FIRST_LOAD_CHECK: Duration = Duration::from_millis(900);
@@ -172,6 +174,10 @@
             Err(ReportError::Absent(why)) => return end_absent(leader, load, why),
             Err(ReportError::Lost(error)) => {
                 tracing::info!(event = "report_lost", endpoint = load.endpoint, %error);
+                if matches!(error, ExchangeError::Excess(_)) {
+                    let mut plan = leader.plan.borrow_mut();
+                    plan.penalize(Some(&load.endpoint), RunEnd::Broken, clock::now());
+                }
                 tokio::time::sleep(RETRY_PAUSE).await;
                 continue;
             }
@@ -346,7 +352,8 @@
             Some(connection) => connection,
             None => Connection::open(address, CALL_TIMEOUT).await?,
         };
-        let (reply, connection) = connection.start(request).await?.read_all().await?;
+        let incoming = connection.start(request).await?;
+        let (reply, connection) = incoming.read_within(MAX_ENGINE_REPLY_BYTES).await?;
         if let Some(connection) = connection {
             let keep_alive = reply.headers.get("keep-alive");
             leader.pool.borrow_mut().keep(address, &load.endpoint, connection, keep_alive);
--- a/components/node/src/runner/execute.rs
+++ b/components/node/src/runner/execute.rs
@@ -9,11 +9,13 @@
 use chicoryford_fleet::run::Job;
 use chicoryford_fleet::run::RunStatus;
 use chicoryford_fleet::sse::SseReader;
+use chicoryford_fleet::step::MAX_REPLY_BYTES;
 use chicoryford_http::Connection;
 use chicoryford_http::ExchangeError;
 use chicoryford_http::IncomingReply;
 use chicoryford_http::Request;
 use chicoryford_kernel::run_time;
+use chicoryford_kernel::run_time::RunTimer;
 use chicoryford_platform::request;
 use chicoryford_platform::request::ReplyKind;
 use chicoryford_platform::sample;
@@ -33,6 +35,11 @@
 /// Time without an event after which a run is moved to another engine. Events arrive about every 40
 /// ms, at a slow engine every 200 ms; a change of weights delays them by about a second.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Maximum bytes of an incomplete event, and of the rest of a reply that is not read as events.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Maximum events of a run in addition to the tokens of its sample, of which each event has at least
+/// one.
+const MAX_EXTRA_EVENTS: u64 = 64;
 /// Timeout of one call to a scorer, in milliseconds. A scorer works for a fraction of a second, so
 /// a longer call is lost and may be repeated.
 const SCORE_TIMEOUT_MS: u64 = 2_500;
@@ -111,10 +118,7 @@
             return Err(ExchangeError::Invalid("another request's reply"));
         }
     };
-    let rest = async {
-        while incoming.next().await?.is_some() {}
-        Ok::<(), ExchangeError>(())
-    };
+    let rest = incoming.discard_within(MAX_EVENT_BYTES);
     if let Ok(Ok(())) = run_time::timeout(EVENT_TIMEOUT, rest).await {
         keep_connection(runner, job, incoming);
     }
@@ -148,12 +152,17 @@
 ) -> Result<Option<RunEnd>, ExchangeError> {
     let mut version = sample::first_version(&incoming.headers).unwrap_or(job.version);
     let mut reader = SseReader::default();
+    let mut output_bytes: usize = state.output.borrow().events.iter().map(String::len).sum();
+    // The time limit is that of an event: a stream of bytes that are no event must end as well.
+    let mut event_timer = RunTimer::start();
     loop {
-        let next = run_time::timeout(EVENT_TIMEOUT, incoming.next()).await;
+        let left = EVENT_TIMEOUT.saturating_sub(Duration::from_millis(event_timer.elapsed_ms()));
+        let next = run_time::timeout(left, incoming.next()).await;
         let Some(piece) = next.map_err(|_| timed_out())?? else { break };
         for fields in reader.feed(&piece) {
             let event = sample::parse_event(fields);
             version = event.version.unwrap_or(version);
+            output_bytes += event.data.len();
             if !append_event(job, &mut state.output.borrow_mut(), event, version) {
                 *state.output.borrow_mut() = SampleOutput::default();
                 return Err(ExchangeError::Invalid(
@@ -161,6 +170,14 @@
                 ));
             }
             state.last_event.set(clock::now());
+            event_timer = RunTimer::start();
+        }
+        if reader.pending_bytes() > MAX_EVENT_BYTES {
+            return Err(ExchangeError::Excess("bytes in an event"));
+        }
+        if exceeds_sample(job, state.output.borrow().events.len(), output_bytes) {
+            *state.output.borrow_mut() = SampleOutput::default();
+            return Err(ExchangeError::Excess("events of the sample"));
         }
     }
     if !reader.is_at_boundary() {
@@ -170,6 +187,14 @@
     Ok(None)
 }
 
+/// Returns whether a run has more output than its sample can have, so that the engine may never end
+/// it. A result that does not fit into a reply could never be read.
+fn exceeds_sample(job: &Job, events: usize, bytes: usize) -> bool {
+    let tokens = job.sample.tokens;
+    let has_more_events = tokens > 0 && events as u64 > tokens + MAX_EXTRA_EVENTS;
+    has_more_events || bytes > MAX_REPLY_BYTES
+}
+
 fn keep_connection(runner: &Rc<Runner>, job: &Job, incoming: IncomingReply) {
     let keep_alive = incoming.headers.get("keep-alive").map(str::to_owned);
     if let Some(connection) = incoming.into_connection() {
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -16,6 +16,7 @@
 use chicoryford_http::Reply;
 use chicoryford_http::Request;
 use chicoryford_http::Server;
+use chicoryford_http::reply_memory;
 use chicoryford_http::socket;
 use chicoryford_kernel::run_time::RunTimer;
 use chicoryford_storage::Disk;
@@ -59,6 +60,9 @@
 const REPLICA_FOLDER: &str = "replica";
 /// The depot's folder within the data folder.
 const DEPOT_FOLDER: &str = "depot";
+/// The share of a process's memory from which on only small replies of endpoints may grow. All of them
+/// hold at most twice as much, which leaves room for requests and for replies to callers.
+const REPLY_MEMORY_DIVISOR: usize = 4;
 /// Interval between checks for a changed settings file.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// Interval between cleanups of idle connections.
@@ -224,6 +228,7 @@
             actix_rt::spawn(parts::serve(listener, depot));
         }
         process.start_control()?;
+        process.limit_reply_memory();
         let overload = process.start_overload_protection();
         process.start_entry()?;
         process.start_ready(overload)?;
@@ -337,6 +342,13 @@
         serve(self.server.clone(), address, move |request| entry.clone().answer(request))
     }
 
+    /// Limits the bytes of replies that are read at the same time to a share of the memory.
+    fn limit_reply_memory(&self) {
+        if let Some(memory_mb) = self.settings.memory_mb {
+            reply_memory::set_limit((memory_mb << 20) as usize / REPLY_MEMORY_DIVISOR);
+        }
+    }
+
     fn start_overload_protection(&self) -> Option<Rc<OverloadProtection>> {
         let settings = &self.settings;
         let enabled = settings.policy.overload_protection && settings.entry.is_some();
