A caller with a small window that pauses gets its whole reply

Change: from 4 KiB on the longer timeout is set before the reply is written. Smaller replies, and servers without overload protection, are as before.

Test: a_caller_with_a_small_window_that_pauses_gets_its_whole_reply failed before (connection reset by peer).

--- a/components/http/src/connection.rs
+++ b/components/http/src/connection.rs
@@ -37,6 +37,10 @@
 
 /// Timeout for the write of a reply, for callers that read slowly or not at all.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Size of a reply from which on the receive window of a caller may not hold it. The system takes the
+/// whole reply all the same if it is not much larger, so the size decides, and not what the system
+/// leaves.
+const MIN_EXTENDED_BYTES: usize = 4 << 10;
 /// Time for which the rest of an early refused request is read and dropped. Closing a socket with
 /// unread bytes resets it, and the reset could overtake the reply that gives the reason.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
@@ -318,6 +322,8 @@
     }
 
     async fn write_output(&mut self, mut output: BytesMut) -> std::io::Result<()> {
+        // With the usual timeout, the system resets the connection of a caller that pauses for 2 s.
+        self.set_extended(self.admission.is_some() && output.len() >= MIN_EXTENDED_BYTES);
         match self.stream.try_write(&output) {
             Ok(written) => output.advance(written),
             Err(error) if error.kind() == ErrorKind::WouldBlock => {}
@@ -327,7 +333,6 @@
         if output.is_empty() {
             return Ok(());
         }
-        // With the usual timeout, the system resets the connection of a caller that pauses for 2 s.
         self.set_extended(self.admission.is_some());
         let tracker = self.load.track_reply(output.len());
         while !output.is_empty() {
--- a/components/http/tests/load.rs
+++ b/components/http/tests/load.rs
@@ -21,6 +21,10 @@
 /// More than the buffers of both sockets hold.
 const LARGE: usize = 24 << 20;
 
+/// More than a small receive window, but by less than the socket takes beyond it.
+const LIST: usize = 40 << 10;
+const SMALL_WINDOW: u32 = 8 << 10;
+
 /// An admission with switches.
 #[derive(Default)]
 struct Switches {
@@ -67,7 +71,11 @@
                 waits.acquire().await.unwrap().forget();
             }
             let size = request.body.len().to_string();
-            let body = if request.path() == "/large" { vec![b'a'; LARGE] } else { size.into() };
+            let body = match request.path() {
+                "/large" => vec![b'a'; LARGE],
+                "/list" => vec![b'a'; LIST],
+                _ => size.into(),
+            };
             Reply::new(StatusCode::OK, body)
         }
     };
@@ -150,6 +158,32 @@
     stream.read_exact(&mut read).await.unwrap();
 }
 
+/// Guards against the same for a reply that the socket takes whole, although the caller's window does
+/// not hold it. The caller keeps its connection and has read a short reply on it before.
+#[actix_rt::test]
+async fn a_caller_with_a_small_window_that_pauses_gets_its_whole_reply() {
+    let fixture = start(true);
+    let caller = tokio::net::TcpSocket::new_v4().unwrap();
+    caller.set_recv_buffer_size(SMALL_WINDOW).unwrap();
+    let mut stream = caller.connect(fixture.address).await.unwrap();
+    for _ in 0..2 {
+        stream.write_all(get("/short").as_bytes()).await.unwrap();
+        assert!(read_reply(&mut stream).await.starts_with("http/1.1 200"));
+        stream.write_all(get("/list").as_bytes()).await.unwrap();
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        assert!(fixture.load.unread_replies().is_empty(), "the socket took it whole");
+        let mut read = Vec::new();
+        while read.len() < LIST {
+            let got = stream.read_buf(&mut read).await.unwrap();
+            assert!(got > 0, "it was cut after {} bytes", read.len());
+        }
+        // The end of the reply, of which the head was counted as well.
+        let head = read.windows(4).position(|four| four == b"\r\n\r\n").unwrap() + 4;
+        let mut rest = vec![0; head + LIST - read.len()];
+        stream.read_exact(&mut rest).await.unwrap();
+    }
+}
+
 /// Guards against a reply that cannot be cut, and against its bytes and its connection being
 /// counted for ever.
 #[actix_rt::test]
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -344,8 +344,8 @@
 
     /// Limits the bytes of replies that are read at the same time to a share of the memory.
     fn limit_reply_memory(&self) {
-        if let Some(memory_mb) = self.settings.memory_mb {
-            reply_memory::set_limit((memory_mb << 20) as usize / REPLY_MEMORY_DIVISOR);
+        if let Some(memory_mb) = self.settings.limits().memory_mb {
+            reply_memory::set_limit(memory_mb as usize * 1_000_000 / REPLY_MEMORY_DIVISOR);
         }
     }
 
