A body without a declared length is admitted again as it grows

Each 256 KiB such a body asks for admission again; a refusal is that of a new request, and true: nothing was sent on. Bodies with a length are as before.

Test: a_body_in_chunks_is_refused_when_it_grows_while_the_memory_is_full fails before ("the body is not refused").

--- a/components/http/src/connection.rs
+++ b/components/http/src/connection.rs
@@ -37,6 +37,9 @@
 
 /// Timeout for the write of a reply, for callers that read slowly or not at all.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Bytes by which a body without a declared length may grow until it has to be admitted again. The
+/// admission of its request counted nothing for it.
+const ADMISSION_STEP_BYTES: usize = 256 << 10;
 /// Size of a reply from which on the receive window of a caller may not hold it. The system takes the
 /// whole reply all the same if it is not much larger, so the size decides, and not what the system
 /// leaves.
@@ -201,8 +204,7 @@
             tokio::time::timeout(bounds.read_timeout, self.read_head(bounds.max_head_bytes)).await;
         let timed_out = ReadError::Refused(StatusCode::REQUEST_TIMEOUT, "the head came too slowly");
         let mut request = head.map_err(|_| timed_out)??;
-        let refusal = self.admission.as_ref().and_then(|admission| admission.refusal(&request));
-        if let Some(reply) = refusal {
+        if let Some(reply) = self.refusal(&request) {
             return Err(ReadError::NotAdmitted(reply));
         }
         if self.codec.message_type() == MessageType::None {
@@ -216,11 +218,16 @@
             let continuation = b"HTTP/1.1 100 Continue\r\n\r\n";
             self.stream.write_all(continuation).await.map_err(|_| ReadError::Closed)?;
         }
-        request.body = self.read_body(bounds, declared.unwrap_or_default() as usize).await?;
+        request.body = self.read_body(bounds, declared, &request).await?;
         self.request_bytes += request.body.len();
         Ok(request)
     }
 
+    /// Returns the reply if a request is not admitted now.
+    fn refusal(&self, request: &Request) -> Option<Reply> {
+        self.admission.as_ref().and_then(|admission| admission.refusal(request))
+    }
+
     async fn read_head(&mut self, bound: usize) -> Result<Request, ReadError> {
         loop {
             let before = self.input.len();
@@ -247,12 +254,25 @@
         }
     }
 
-    async fn read_body(&mut self, bounds: Bounds, declared: usize) -> Result<Bytes, ReadError> {
+    async fn read_body(
+        &mut self,
+        bounds: Bounds,
+        declared: Option<u64>,
+        request: &Request,
+    ) -> Result<Bytes, ReadError> {
+        let declared_bytes = declared.unwrap_or_default() as usize;
         let mut body = BytesMut::new();
         let mut raw_bytes = 0;
+        let mut admitted_bytes = ADMISSION_STEP_BYTES;
         loop {
-            let body_bytes = declared.max(body.len() + self.input.len());
+            let body_bytes = declared_bytes.max(body.len() + self.input.len());
             self.load.set_bytes(self.request_bytes + body_bytes);
+            if declared.is_none() && body.len() > admitted_bytes {
+                admitted_bytes = body.len() + ADMISSION_STEP_BYTES;
+                if let Some(reply) = self.refusal(request) {
+                    return Err(ReadError::NotAdmitted(reply));
+                }
+            }
             let invalid =
                 ReadError::Refused(StatusCode::BAD_REQUEST, "the body's framing is broken");
             match self.codec.decode(&mut self.input).map_err(|_| invalid)? {
--- a/components/http/tests/load.rs
+++ b/components/http/tests/load.rs
@@ -300,3 +300,34 @@
         stream.write_all(get("/").as_bytes()).await.unwrap();
     }
 }
+
+/// Guards against bodies in chunks that fill the memory: no length is declared, so their requests are
+/// admitted before anything counts for them.
+#[actix_rt::test]
+async fn a_body_in_chunks_is_refused_when_it_grows_while_the_memory_is_full() {
+    let fixture = start(true);
+    let head = "POST /a HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n";
+    let chunk = [format!("{:x}\r\n", 64 << 10).into_bytes(), vec![b'b'; 64 << 10], b"\r\n".into()];
+    let chunk = chunk.concat();
+    let mut stream = send(fixture.address, head).await;
+    for _ in 0..8 {
+        stream.write_all(&chunk).await.unwrap();
+    }
+    until("the body counts", || fixture.load.held_bytes() > 400 << 10).await;
+    fixture.switches.refuses.set(true);
+    let pour = async {
+        // The server reads and drops the rest for a while.
+        while stream.write_all(&chunk).await.is_ok() && fixture.load.held_bytes() > 0 {}
+    };
+    tokio::time::timeout(MAX_WAIT, pour).await.expect("the body is not refused");
+    assert!(read_reply(&mut stream).await.starts_with("http/1.1 503"));
+    assert_eq!(fixture.handled.get(), 0, "it was not run");
+    until("its bytes are released", || fixture.load.held_bytes() == 0).await;
+    // A body with a declared length was admitted with its length.
+    fixture.switches.refuses.set(false);
+    let mut stream = send(fixture.address, &post("/a", 1 << 20)).await;
+    until("the declared length counts", || fixture.load.held_bytes() > 1 << 20).await;
+    fixture.switches.refuses.set(true);
+    stream.write_all(&vec![b'b'; 1 << 20]).await.unwrap();
+    assert!(read_reply(&mut stream).await.starts_with("http/1.1 200"));
+}
