A departure is recorded, not left out

Cause: the log kept a departure as the absence of a record, and that the endpoint had left was known only to processes that had all ended.

Change: Command::Depart records it with the endpoint's start time; the next leader ignores its announcements as the earlier one did, except after a new start.

Test: a_late_announcement_does_not_bring_back_an_endpoint_that_left_under_an_earlier_leader fails on (ready: "drains", "left", "stays" in place of "stays").

--- a/components/fleet/src/endpoint.rs
+++ b/components/fleet/src/endpoint.rs
@@ -16,6 +16,7 @@
 use crate::heartbeats::Heartbeat;
 use crate::reporters::ReporterId;
 use crate::reporters::Reporters;
+use crate::state::Departed;
 
 /// What an endpoint announces about itself.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
@@ -106,6 +107,14 @@
     reporter: Option<ReporterId>,
 }
 
+/// An endpoint that has left and has no entry.
+#[derive(Clone, Copy, Debug)]
+struct Left {
+    since: Millis,
+    /// When it started, by its own clock; `None` if unknown.
+    started_ms: Option<u64>,
+}
+
 impl Entry {
     fn new(endpoint: Endpoint, now: Millis) -> Self {
         Self { endpoint, last_heard: now, reporter: None }
@@ -142,9 +151,8 @@
 pub struct Registry {
     settings: Settings,
     entries: BTreeMap<String, Entry>,
-    /// Endpoints that were unknown when they announced that they are gone, with the time of that
-    /// announcement.
-    left: BTreeMap<String, Millis>,
+    /// Endpoints that have left and have no entry.
+    left: BTreeMap<String, Left>,
     /// The control processes that report heartbeats.
     reporters: Reporters,
 }
@@ -163,6 +171,21 @@
         Self { settings, entries, ..Self::default() }
     }
 
+    /// Adopts endpoints whose departure was recorded under an earlier leader, so that their late
+    /// announcements are ignored.
+    pub fn adopt_departed(&mut self, departed: &BTreeMap<String, Departed>, now: Millis) {
+        for (id, Departed { started_ms, .. }) in departed {
+            let Some(entry) = self.entries.get_mut(id) else {
+                self.left.insert(id.clone(), Left { since: now, started_ms: Some(*started_ms) });
+                continue;
+            };
+            let Endpoint { announcement, status } = &mut entry.endpoint;
+            if announcement.started_ms <= *started_ms && *status == EndpointStatus::Ready {
+                *status = EndpointStatus::Gone;
+            }
+        }
+    }
+
     /// Returns the control processes that report heartbeats.
     pub fn reporters(&mut self) -> &mut Reporters {
         &mut self.reporters
@@ -184,7 +207,11 @@
         let status =
             if announcement.draining { EndpointStatus::Draining } else { EndpointStatus::Ready };
         let Some(entry) = self.entries.get_mut(&announcement.id) else {
-            if self.left.contains_key(&announcement.id) {
+            // One that has started again since has not left.
+            let is_late = |left: &Left| {
+                left.started_ms.is_none_or(|started_ms| announcement.started_ms <= started_ms)
+            };
+            if self.left.get(&announcement.id).is_some_and(is_late) {
                 return Effect::Stale;
             }
             let id = announcement.id.clone();
@@ -260,7 +287,7 @@
     /// endpoint, so that its late announcements are ignored.
     pub fn leave(&mut self, id: &str, now: Millis) -> Effect {
         let Some(entry) = self.entries.get_mut(id) else {
-            self.left.insert(id.to_owned(), now);
+            self.left.entry(id.to_owned()).or_insert(Left { since: now, started_ms: None });
             return Effect::Stale;
         };
         entry.last_heard = now;
@@ -296,11 +323,11 @@
             }
         }
         let left_ms = self.settings.left_ms;
-        self.left.retain(|_, left| now.since(*left) < left_ms);
+        self.left.retain(|_, left| now.since(left.since) < left_ms);
         let forget_ms = self.settings.forget_ms;
-        removed.extend(
-            self.remove_if(|entry| entry.has_ended() && now.since(entry.last_heard) >= forget_ms),
-        );
+        let old =
+            self.remove_if(|entry| entry.has_ended() && now.since(entry.last_heard) >= forget_ms);
+        removed.extend(old.into_iter().map(|(id, _)| id));
         (changed, removed)
     }
 
@@ -315,14 +342,19 @@
             active.map(|entry| entry.endpoint.announcement.address).collect();
         let is_replaced = |entry: &Entry| used.contains(&entry.endpoint.announcement.address);
         let removed = self.remove_if(|entry| entry.has_ended() && is_replaced(entry));
-        self.left.extend(removed.iter().map(|id| (id.clone(), now)));
-        removed
+        self.left.extend(removed.iter().map(|(id, started_ms)| {
+            (id.clone(), Left { since: now, started_ms: Some(*started_ms) })
+        }));
+        removed.into_iter().map(|(id, _)| id).collect()
     }
 
-    fn remove_if(&mut self, condition: impl Fn(&Entry) -> bool) -> Vec<String> {
+    /// Removes entries, and returns their ids and when these endpoints started.
+    fn remove_if(&mut self, condition: impl Fn(&Entry) -> bool) -> Vec<(String, u64)> {
         let removed = self.entries.iter().filter(|(_, entry)| condition(entry));
-        let removed: Vec<String> = removed.map(|(id, _)| id.clone()).collect();
-        for id in &removed {
+        let removed: Vec<(String, u64)> = removed
+            .map(|(id, entry)| (id.clone(), entry.endpoint.announcement.started_ms))
+            .collect();
+        for (id, _) in &removed {
             self.entries.remove(id);
         }
         removed
--- a/components/fleet/src/state.rs
+++ b/components/fleet/src/state.rs
@@ -30,6 +30,10 @@
 /// in one of its next steps.
 pub const COST_TTL_MS: u64 = 120_000;
 
+/// Milliseconds for which the departure of an endpoint is kept. Its announcements may be late by
+/// seconds, but not by tens of seconds.
+pub const DEPARTED_TTL_MS: u64 = 12_000;
+
 /// A change of the state.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub enum Command {
@@ -127,6 +131,14 @@
         /// The workspace.
         workspace: String,
     },
+    /// Records that an endpoint leaves: it must not get work any more, whatever announcement of it
+    /// arrives late.
+    Depart {
+        /// The id of the endpoint.
+        id: String,
+        /// When it started, by its own clock; a later start under its id has not left.
+        started_ms: u64,
+    },
 }
 
 /// A command stamped with the fleet clock when the leader proposed it.
@@ -230,6 +242,18 @@
     /// The speeds of engines that differ from the median.
     #[serde(default)]
     pub speeds: SpeedState,
+    /// Endpoints that have left recently.
+    #[serde(default)]
+    pub departed: BTreeMap<String, Departed>,
+}
+
+/// An endpoint that has left.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Departed {
+    /// When it started, by its own clock.
+    pub started_ms: u64,
+    /// When its departure was recorded, on the fleet clock.
+    pub at: u64,
 }
 
 impl State {
@@ -260,6 +284,7 @@
             Command::Retire { node } => changed(self.retired.insert(node)),
             Command::Speeds(changes) => changed(self.speeds.record(changes, &self.endpoints)),
             Command::Claim { step, workspace } => self.claim(&step, workspace),
+            Command::Depart { id, started_ms } => self.depart(id, started_ms),
         }
     }
 
@@ -301,11 +326,27 @@
         for endpoint in &live {
             self.speeds.record_announcement(&endpoint.announcement);
         }
-        let live = live.into_iter().map(|endpoint| (endpoint.announcement.id.clone(), endpoint));
+        // The leader may have proposed this before it received the departure.
+        let departed = &self.departed;
+        let has_left = |endpoint: &Endpoint| {
+            let known = departed.get(&endpoint.announcement.id);
+            known.is_some_and(|known| endpoint.announcement.started_ms <= known.started_ms)
+        };
+        let live = live.into_iter().filter(|endpoint| !has_left(endpoint));
+        let live = live.map(|endpoint| (endpoint.announcement.id.clone(), endpoint));
         self.endpoints.extend(live);
         ApplyOutcome::Changed
     }
 
+    fn depart(&mut self, id: String, started_ms: u64) -> ApplyOutcome {
+        let at = self.clock;
+        self.departed.retain(|_, known| at.saturating_sub(known.at) < DEPARTED_TTL_MS);
+        self.endpoints.remove(&id);
+        self.speeds.remove(&id);
+        self.departed.insert(id, Departed { started_ms, at });
+        ApplyOutcome::Changed
+    }
+
     fn configure(&mut self, config: Arc<Config>) -> ApplyOutcome {
         let newer = self.config.as_ref().is_none_or(|held| held.version < config.version);
         if newer {
--- a/components/node/src/leader/commands.rs
+++ b/components/node/src/leader/commands.rs
@@ -96,6 +96,7 @@
             | Command::Move { .. }
             | Command::Note { .. }
             | Command::Know { .. }
+            | Command::Depart { .. }
             | Command::Hold(_)
             | Command::Speeds(_)
             | Command::Use(_)
--- a/components/node/src/leader/endpoints.rs
+++ b/components/node/src/leader/endpoints.rs
@@ -121,13 +121,22 @@
         self.commit(Command::Know { live, gone }).await;
     }
 
-    /// Removes a leaving endpoint from the log. Otherwise, a later leader that has not received the
-    /// departure would send it work again.
+    /// Records in the log that an endpoint leaves. Otherwise, a later leader that has not received the
+    /// departure, or receives an announcement that was sent before it, would send it work again.
     pub(super) async fn persist_departure(&self, id: &str) -> Answer {
-        if !self.context.replica.state().endpoints.contains_key(id) {
+        let started_ms = self.registry.borrow().get(id).map(|known| known.announcement.started_ms);
+        let is_recorded = {
+            let state = self.context.replica.state();
+            let departed = state.departed.get(id);
+            departed.is_some_and(|known| started_ms.is_none_or(|at| known.started_ms >= at))
+                && !state.endpoints.contains_key(id)
+        };
+        if is_recorded {
             return Answer::Done;
         }
-        self.commit(Command::Know { live: Vec::new(), gone: vec![id.to_owned()] }).await
+        // Of an endpoint that is unknown here, no start is a later one.
+        let started_ms = started_ms.unwrap_or(u64::MAX);
+        self.commit(Command::Depart { id: id.to_owned(), started_ms }).await
     }
 
     pub(super) fn tick_registry(&self) {
--- a/components/node/src/leader/mod.rs
+++ b/components/node/src/leader/mod.rs
@@ -13,6 +13,7 @@
 mod readers;
 mod runs;
 mod speeds;
+mod step_access;
 mod steps;
 mod stores;
 mod usage;
@@ -200,6 +201,8 @@
             context,
         });
         leader.expect_reporters(leader.control_addresses().len());
+        let departed = leader.context.replica.state().departed.clone();
+        leader.registry.borrow_mut().adopt_departed(&departed, now);
         leader.adopt_endpoints();
         leader.adopt_costs();
         leader.adopt_speeds();
--- a/components/node/tests/leader/absent_engines.rs
+++ b/components/node/tests/leader/absent_engines.rs
@@ -21,6 +21,17 @@
 use crate::fleet::pause;
 use crate::fleet::wait_until;
 
+/// Starts a fleet with a service of engines.
+async fn start() -> Fleet {
+    let fleet = Fleet::start().await;
+    let models = vec!["m".to_owned()];
+    let service = Service { name: "engines".to_owned(), models, ..Service::default() };
+    let config = Config { version: 2, services: vec![service], ..config() };
+    let configured = fleet.leader().commit(Command::Configure(Arc::new(config))).await;
+    assert!(matches!(configured, Answer::Done), "{configured:?}");
+    fleet
+}
+
 fn engine(address: SocketAddr, sequence: u64) -> Announcement {
     Announcement {
         id: "e".to_owned(),
@@ -39,12 +50,8 @@
 /// others until it counts as silent.
 #[actix_rt::test]
 async fn an_engine_that_refuses_connections_gets_no_order_until_it_announces_itself() {
-    let fleet = Fleet::start().await;
+    let fleet = start().await;
     let leader = fleet.leader();
-    let models = vec!["m".to_owned()];
-    let service = Service { name: "engines".to_owned(), models, ..Service::default() };
-    let config = Config { version: 2, services: vec![service], ..config() };
-    assert!(matches!(leader.commit(Command::Configure(Arc::new(config))).await, Answer::Done));
     let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     let announce = async |sequence| {
         let answer = leader.answer(Call::Announce(engine(address, sequence))).await;
@@ -68,12 +75,8 @@
 /// reads such a report without end.
 #[actix_rt::test]
 async fn an_engine_whose_report_has_no_end_is_avoided() {
-    let fleet = Fleet::start().await;
+    let fleet = start().await;
     let leader = fleet.leader();
-    let models = vec!["m".to_owned()];
-    let service = Service { name: "engines".to_owned(), models, ..Service::default() };
-    let config = Config { version: 2, services: vec![service], ..config() };
-    assert!(matches!(leader.commit(Command::Configure(Arc::new(config))).await, Answer::Done));
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let asked = Rc::<Cell<u32>>::default();
--- a/components/node/tests/leader/updates.rs
+++ b/components/node/tests/leader/updates.rs
@@ -16,6 +16,7 @@
 use chicoryford_fleet::RouteKind;
 use chicoryford_fleet::crashes::Crash;
 use chicoryford_fleet::heartbeats::Heartbeat;
+use chicoryford_fleet::plan::EngineState;
 use chicoryford_fleet::ranges::RangeContent;
 use chicoryford_http::Request;
 use chicoryford_http::message::Method;
@@ -381,3 +382,38 @@
     }
     assert!(!fleet.replica.state().crashes.refuses(content));
 }
+
+/// All control processes are killed after an endpoint's departure was acknowledged, and an announcement
+/// that it had sent before arrives at the next leader, which knows the endpoint from nowhere else.
+/// Guards against sending work to the endpoint again.
+#[actix_rt::test]
+async fn a_late_announcement_does_not_bring_back_an_endpoint_that_left_under_an_earlier_leader() {
+    let fleet = Fleet::start().await;
+    let call = async |call| fleet.leader().answer(call).await;
+    assert!(matches!(call(Call::Configure(Arc::new(config_with_desk(2)))).await, Answer::Done));
+    let announce = async |announcement| {
+        let answer = call(Call::Announce(announcement)).await;
+        assert!(matches!(answer, Answer::Heard), "{answer:?}");
+    };
+    let is_ready = |engine: &&EngineState| engine.endpoint.status == EndpointStatus::Ready;
+    announce(engine("left", 1)).await;
+    announce(engine("drains", 1)).await;
+    announce(engine("stays", 1)).await;
+    assert!(matches!(call(Call::Leave("left".to_owned())).await, Answer::Done));
+    announce(Announcement { draining: true, ..engine("drains", 3) }).await;
+    fleet.next_leader();
+    for id in ["left", "drains", "stays"] {
+        announce(engine(id, 2)).await;
+    }
+    let ready: Vec<String> = {
+        let leader = fleet.leader();
+        let plan = leader.plan.borrow();
+        let ready = plan.engines().filter(is_ready);
+        ready.map(|engine| engine.endpoint.announcement.id.clone()).collect()
+    };
+    assert_eq!(ready, ["stays"]);
+    // One that starts again under its id has not left.
+    let started_ms = engine("left", 1).started_ms + 1;
+    announce(Announcement { started_ms, ..engine("left", 1) }).await;
+    assert_eq!(fleet.leader().plan.borrow().engines().filter(is_ready).count(), 2);
+}
