--- a/components/fleet/src/endpoint.rs
+++ b/components/fleet/src/endpoint.rs
@@ -4,7 +4,6 @@
 //! their sender has stopped and another endpoint uses its address.
 
 use std::collections::BTreeMap;
-use std::collections::HashSet;
 use std::hash::Hash;
 use std::net::SocketAddr;
 
@@ -119,10 +118,6 @@
     fn new(endpoint: Endpoint, now: Millis) -> Self {
         Self { endpoint, last_heard: now, reporter: None }
     }
-
-    fn has_ended(&self) -> bool {
-        matches!(self.endpoint.status, EndpointStatus::Gone | EndpointStatus::Silent)
-    }
 }
 
 /// Timeouts of the registry.
@@ -309,8 +304,6 @@
     /// removed.
     pub fn tick(&mut self, now: Millis) -> (Vec<Endpoint>, Vec<String>) {
         self.reporters.tick(now);
-        // Not those that this tick finds silent: their silence has to be published first.
-        let mut removed = self.remove_replaced(now);
         let mut changed = Vec::new();
         for entry in self.entries.values_mut() {
             let since = self.reporters.silent_since(entry.last_heard, entry.reporter);
@@ -324,40 +317,20 @@
         }
         let left_ms = self.settings.left_ms;
         self.left.retain(|_, left| now.since(left.since) < left_ms);
-        let forget_ms = self.settings.forget_ms;
-        let old =
-            self.remove_if(|entry| entry.has_ended() && now.since(entry.last_heard) >= forget_ms);
-        removed.extend(old.into_iter().map(|(id, _)| id));
-        (changed, removed)
-    }
-
-    /// Removes endpoints that have ended and whose address another endpoint uses, so that endpoints
-    /// which restart again and again do not accumulate. Their late announcements are ignored.
-    fn remove_replaced(&mut self, now: Millis) -> Vec<String> {
-        if !self.entries.values().any(Entry::has_ended) {
-            return Vec::new();
-        }
-        let active = self.entries.values().filter(|entry| !entry.has_ended());
-        let used: HashSet<SocketAddr> =
-            active.map(|entry| entry.endpoint.announcement.address).collect();
-        let is_replaced = |entry: &Entry| used.contains(&entry.endpoint.announcement.address);
-        let removed = self.remove_if(|entry| entry.has_ended() && is_replaced(entry));
-        self.left.extend(removed.iter().map(|(id, started_ms)| {
-            (id.clone(), Left { since: now, started_ms: Some(*started_ms) })
-        }));
-        removed.into_iter().map(|(id, _)| id).collect()
-    }
-
-    /// Removes entries, and returns their ids and when these endpoints started.
-    fn remove_if(&mut self, condition: impl Fn(&Entry) -> bool) -> Vec<(String, u64)> {
-        let removed = self.entries.iter().filter(|(_, entry)| condition(entry));
-        let removed: Vec<(String, u64)> = removed
-            .map(|(id, entry)| (id.clone(), entry.endpoint.announcement.started_ms))
+        let is_expired = |entry: &Entry| {
+            matches!(entry.endpoint.status, EndpointStatus::Gone | EndpointStatus::Silent)
+                && now.since(entry.last_heard) >= self.settings.forget_ms
+        };
+        let removed: Vec<String> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| is_expired(entry))
+            .map(|(id, _)| id.clone())
             .collect();
-        for (id, _) in &removed {
+        for id in &removed {
             self.entries.remove(id);
         }
-        removed
+        (changed, removed)
     }
 
     /// Compares the registry with the endpoints recorded in the log. Returns ready endpoints that
